Test the decision parts; bench distribution beside two baselines

Cause: the promises rest on the decision parts (chain of digests, acceptance, gate, fence, detector, directory), which had no tests. Found: a member just given up was suspected again when the heartbeat that was under way ran out (seen failing in failure-detector.test.ts, then mended). The distribution bench first counted its own garbage collections and, in the kill phases, the victim itself as a follower: both corrected before quoting.

--- /dev/null
+++ b/bench/distribution.ts
@@ -0,0 +1,293 @@
+/**
+ * `npm run bench -- distribution`: how fast and at what cost a change comes into
+ * force, beside the two baselines that a user would try first.
+ *
+ * @module
+ */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createHttpStore, createNode, settingsSchema} from '../src/index.js';
+import {startStoreServer, type StoreServer} from '../stand-ins/store/store-server.js';
+import {startFleet, type Fleet, type FleetMode} from './fleet.js';
+import {createItems, createRevisedPool} from './sample-configuration.js';
+import {formatMarkdown, getPercentile} from './statistics.js';
+import {
+	measureConvergence, submitItems, waitUntil, type Submitted,
+} from './submitter.js';
+
+export type DistributionOptions = {
+	readonly sizes: readonly number[];
+	readonly seconds: number;
+	readonly domains: number;
+	readonly workers: number;
+	readonly batchWindowMs: number;
+	readonly faults: boolean;
+};
+
+/** One row of the table. */
+type Row = {
+	readonly mode: FleetMode;
+	readonly nodes: number;
+	readonly phase: string;
+	readonly convergence: readonly number[];
+	readonly bytesPerNodeSecond: number;
+	readonly storeCallsPerSecond: number;
+	readonly cpuPercent: number;
+	readonly heapPerNode: number;
+};
+
+const services = 100;
+const readyTimeoutMs = 60_000;
+const settleMs = 3000;
+const normalRate = 0.75;
+const burstRate = 20;
+
+type Bench = {
+	readonly fleet: Fleet;
+	readonly store: StoreServer;
+	readonly acceptor: string;
+	readonly mode: FleetMode;
+	readonly dispose: (() => Promise<void>) | undefined;
+	revision: number;
+	version: number;
+};
+
+type Acceptor = {readonly address: string; readonly dispose: () => Promise<void>};
+
+/** In the baselines a node of the mesh outside the fleet accepts the submissions. */
+async function startAcceptor(storeAddress: string): Promise<Acceptor> {
+	const host = '127.2.0.1';
+	const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `${host}:${7000 + port}`);
+	const settings = settingsSchema.parse({
+		node: 'acceptor',
+		failureDomain: 'acceptor',
+		listen: {
+			callers, gate, control, gossip, operators, announcements,
+		},
+		store: {address: storeAddress, callsPerSecond: 1000, burst: 1000},
+	});
+	const store = createHttpStore(settings.store);
+	const node = createNode(settings, {store, random: Math.random});
+	await node.start();
+	return {
+		address: settings.listen.operators,
+		async dispose() {
+			await node.dispose();
+			await store.dispose();
+		},
+	};
+}
+
+async function startBench(mode: FleetMode, nodes: number, options: DistributionOptions): Promise<Bench> {
+	const store = await startStoreServer('127.0.0.1', 0);
+	store.store.setFaults({readsPerSecond: 100_000, writesPerSecond: 100_000});
+	const acceptor = mode === 'mesh' ? undefined : await startAcceptor(store.address);
+	const fleet = startFleet({
+		nodes, mode, storeAddress: store.address, workers: options.workers, domains: options.domains, batchWindowMs: options.batchWindowMs,
+	});
+	const first = fleet.settings[0];
+	const isReady = await waitUntil(() => fleet.countReady() >= nodes, readyTimeoutMs);
+	if (!isReady || first === undefined) {
+		throw new Error(`only ${fleet.countReady()} of ${nodes} nodes became ready`);
+	}
+
+	await sleep(settleMs);
+	return {
+		fleet, store, mode, acceptor: acceptor?.address ?? first.listen.operators, revision: 0, version: 0, dispose: acceptor?.dispose,
+	};
+}
+
+async function submitChange(bench: Bench): Promise<Submitted | undefined> {
+	bench.revision++;
+	const sentAt = Date.now();
+	const outcome = await submitItems(bench.acceptor, [createRevisedPool(bench.revision % services, bench.revision)], bench.version);
+	if (outcome.type !== 'accepted') {
+		return undefined;
+	}
+
+	bench.version = outcome.version;
+	return {version: outcome.version, sentAt};
+}
+
+async function submitAtRate(bench: Bench, rate: number, seconds: number): Promise<readonly Submitted[]> {
+	const waiting: Array<Promise<Submitted | undefined>> = [];
+	const due = Date.now() + (seconds * 1000);
+	while (Date.now() < due) {
+		waiting.push(submitChange(bench));
+		await sleep(1000 / rate);
+	}
+
+	const submitted = await Promise.all(waiting);
+	return submitted.flatMap(entry => entry ?? []);
+}
+
+type Phase = {
+	readonly name: string;
+	readonly run: (bench: Bench) => Promise<readonly Submitted[]>;
+	/** Nodes that are expected to follow. */
+	readonly listFollowers?: (bench: Bench) => readonly string[];
+};
+
+async function measurePhase(bench: Bench, nodes: number, phase: Phase): Promise<Row> {
+	await bench.fleet.getUsage();
+	const before = bench.store.store.getCalls();
+	const startedAt = Date.now();
+	const submitted = await phase.run(bench);
+	const names = phase.listFollowers?.(bench) ?? bench.fleet.settings.map(settings => settings.node);
+	await waitUntil(() => measureConvergence(bench.fleet, names, submitted.slice(-1)).every(ms => Number.isFinite(ms)), 20_000);
+	const seconds = (Date.now() - startedAt) / 1000;
+	const usage = await bench.fleet.getUsage();
+	const after = bench.store.store.getCalls();
+	const storeCalls = after.reads + after.writes + after.watches - before.reads - before.writes - before.watches;
+	const storeBytes = after.bytesIn + after.bytesOut - before.bytesIn - before.bytesOut;
+	const controlBytes = bench.mode === 'mesh' ? usage.controlBytes + storeBytes : storeBytes;
+	return {
+		mode: bench.mode,
+		nodes,
+		phase: phase.name,
+		convergence: measureConvergence(bench.fleet, names, submitted),
+		bytesPerNodeSecond: controlBytes / nodes / seconds,
+		storeCallsPerSecond: storeCalls / seconds,
+		cpuPercent: usage.cpuMicroseconds / nodes / seconds / 10_000,
+		heapPerNode: usage.heapBytes / nodes,
+	};
+}
+
+function createSteadyPhases(seconds: number): readonly Phase[] {
+	return [
+		{
+			name: 'idle',
+			async run() {
+				await sleep(seconds * 1000);
+				return [];
+			},
+		},
+		{name: `${normalRate} changes/s`, run: async bench => submitAtRate(bench, normalRate, seconds)},
+		{name: `burst of ${burstRate}/s`, run: async bench => submitAtRate(bench, burstRate, Math.min(5, seconds))},
+	];
+}
+
+type OwnStatus = {readonly isRelay: boolean; readonly node: string; readonly children: readonly string[]; readonly failureDomain: string};
+
+async function fetchStatus(operators: string): Promise<OwnStatus> {
+	const reply = await fetch(`http://${operators}/v1/status`);
+	return await reply.json() as OwnStatus;
+}
+
+/** Finds a relay, or an inner parent, that is not the node that accepts. */
+async function findVictim(bench: Bench, wantsRelay: boolean): Promise<string> {
+	for (const settings of bench.fleet.settings.slice(1)) {
+		const status = await fetchStatus(settings.listen.operators);
+		if (status.isRelay === wantsRelay && (wantsRelay || status.children.length > 0)) {
+			return settings.node;
+		}
+	}
+
+	return bench.fleet.settings.at(-1)?.node ?? '';
+}
+
+function createKillPhase(name: string, wantsRelay: boolean): Phase {
+	let victim = '';
+	return {
+		name,
+		async run(bench) {
+			victim = await findVictim(bench, wantsRelay);
+			bench.fleet.sendTo(victim, {type: 'stop', node: victim});
+			const submitted = await submitAtRate(bench, 2, 8);
+			bench.fleet.sendTo(victim, {type: 'restart', node: victim});
+			return submitted;
+		},
+		listFollowers: bench => bench.fleet.settings.map(settings => settings.node).filter(node => node !== victim),
+	};
+}
+
+const storeDownPhase: Phase = {
+	name: 'store down 30 s, then back',
+	async run(bench) {
+		bench.store.store.setFaults({isDown: true});
+		await sleep(30_000);
+		bench.store.store.setFaults({isDown: false});
+		const due = Date.now() + 15_000;
+		while (Date.now() < due) {
+			const submitted = await submitChange(bench);
+			if (submitted !== undefined) {
+				return [submitted];
+			}
+
+			await sleep(50);
+		}
+
+		return [];
+	},
+};
+
+const herdPhase: Phase = {
+	name: 'a third restarts at once',
+	async run(bench) {
+		const third = bench.fleet.settings.filter((_, index) => index % 3 === 1);
+		for (const {node} of third) {
+			bench.fleet.sendTo(node, {type: 'restart', node});
+		}
+
+		return submitAtRate(bench, 2, 8);
+	},
+};
+
+const faultPhases: readonly Phase[] = [
+	createKillPhase('an inner parent dies', false),
+	createKillPhase('a relay dies', true),
+	herdPhase,
+	storeDownPhase,
+];
+
+async function measureFleet(mode: FleetMode, nodes: number, options: DistributionOptions): Promise<readonly Row[]> {
+	const bench = await startBench(mode, nodes, options);
+	try {
+		const outcome = await submitItems(bench.acceptor, createItems(services), 0);
+		bench.version = outcome.type === 'accepted' ? outcome.version : 0;
+		await sleep(settleMs);
+		const rows: Row[] = [];
+		const phases = [...createSteadyPhases(options.seconds), ...mode === 'mesh' && options.faults ? faultPhases : []];
+		for (const phase of phases) {
+			const row = await measurePhase(bench, nodes, phase);
+			process.stdout.write(`${formatRow(row).join('  ')}\n`);
+			rows.push(row);
+		}
+
+		return rows;
+	} finally {
+		await bench.fleet.dispose();
+		await bench.dispose?.();
+		await bench.store.dispose();
+	}
+}
+
+function formatRow(row: Row): readonly string[] {
+	const {convergence} = row;
+	const format = (share: number): string => convergence.length === 0 ? '–' : getPercentile(convergence, share).toFixed(0);
+	return [
+		row.mode,
+		String(row.nodes),
+		row.phase,
+		format(0.5),
+		format(0.99),
+		format(1),
+		row.bytesPerNodeSecond.toFixed(0),
+		row.storeCallsPerSecond.toFixed(1),
+		row.cpuPercent.toFixed(2),
+		(row.heapPerNode / 1e6).toFixed(1),
+	];
+}
+
+/** Runs the bench and prints one table. */
+export async function runDistribution(options: DistributionOptions): Promise<void> {
+	const rows: Row[] = [];
+	for (const nodes of options.sizes) {
+		for (const mode of ['mesh', 'watch', 'poll'] as const) {
+			rows.push(...await measureFleet(mode, nodes, options));
+		}
+	}
+
+	const header = ['design', 'nodes', 'phase', 'p50 ms', 'p99 ms', 'max ms', 'bytes/node/s', 'store calls/s', 'CPU %/node', 'heap MB/node'];
+	process.stdout.write(`\n${formatMarkdown(header, rows.map(row => formatRow(row)))}\n`);
+}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,24 @@
+/**
+ * The benches. Each prints the tables that the docs quote.
+ *
+ * @module
+ */
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {runDistribution} from './distribution.js';
+
+await yargs(hideBin(process.argv))
+	.scriptName('bench')
+	.command('distribution', 'convergence and cost of distribution', builder => builder
+		.option('sizes', {
+			type: 'number', array: true, default: [13, 50, 100, 200], describe: 'nodes',
+		})
+		.option('seconds', {type: 'number', default: 10, describe: 'length of each steady phase'})
+		.option('domains', {type: 'number', default: 3, describe: 'failure domains'})
+		.option('workers', {type: 'number', default: 5, describe: 'processes that host the nodes'})
+		.option('batch-window-ms', {type: 'number', default: 50})
+		.option('faults', {type: 'boolean', default: true}), async options => runDistribution({...options, batchWindowMs: options['batch-window-ms']}))
+	.demandCommand(1)
+	.strict()
+	.parseAsync();
--- /dev/null
+++ b/bench/submitter.ts
@@ -0,0 +1,59 @@
+/**
+ * Submits changes to a fleet and measures when they are in force.
+ *
+ * @module
+ */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request as sendRequest} from 'undici';
+import {type Item, type SubmissionOutcome} from '../src/index.js';
+import {type Fleet} from './fleet.js';
+
+/** Submits items through a node's operators' port. */
+export async function submitItems(operators: string, items: readonly Item[], seenVersion: number): Promise<SubmissionOutcome> {
+	const reply = await sendRequest(`http://${operators}/v1/submissions`, {
+		method: 'POST',
+		headers: {'content-type': 'application/json'},
+		body: JSON.stringify({id: randomUUID(), seenVersion, changes: items.map(item => ({type: 'put', item}))}),
+	});
+	return await reply.body.json() as SubmissionOutcome;
+}
+
+/** Waits until a condition holds; yields whether it did in time. */
+export async function waitUntil(condition: () => boolean, timeoutMs: number): Promise<boolean> {
+	const due = Date.now() + timeoutMs;
+	while (Date.now() < due) {
+		if (condition()) {
+			return true;
+		}
+
+		await sleep(10);
+	}
+
+	return condition();
+}
+
+/** A submission and when it was sent, in milliseconds since the epoch. */
+export type Submitted = {readonly version: number; readonly sentAt: number};
+
+/**
+ * Finds when each node had each submitted version, or a later one, in force.
+ *
+ * @returns Milliseconds from submission, one for each node and submission; `Infinity` for a node that never had it.
+ */
+export function measureConvergence(fleet: Fleet, nodes: readonly string[], submitted: readonly Submitted[]): readonly number[] {
+	const byNode = new Map<string, Array<{readonly version: number; readonly at: number}>>();
+	for (const {node, version, at} of fleet.getApplied()) {
+		byNode.set(node, [...byNode.get(node) ?? [], {version, at}]);
+	}
+
+	return submitted.flatMap(({version, sentAt}) => nodes.map(node => {
+		const first = byNode.get(node)?.find(applied => applied.version >= version && applied.at >= sentAt - 1);
+		const before = byNode.get(node)?.some(applied => applied.version >= version && applied.at < sentAt - 1) ?? false;
+		if (before) {
+			return 0;
+		}
+
+		return first === undefined ? Number.POSITIVE_INFINITY : first.at - sentAt;
+	}));
+}
--- /dev/null
+++ b/src/lib/configuration/configuration.test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {toDigest, toSubmissionId} from '../common/ids.js';
+import {
+	applyDelta, applyImage, createConfiguration, getItem, listItems, prepareDelta,
+	type Configuration, type Delta, type ItemChange,
+} from './configuration.js';
+import {samplePolicy, samplePool, sampleRoute} from './sample-items.js';
+
+const base: readonly ItemChange[] = [samplePolicy, samplePool, sampleRoute].map(item => ({type: 'put', item}));
+
+function createChain(length: number): {readonly deltas: readonly Delta[]; readonly last: Configuration} {
+	const deltas: Delta[] = [];
+	let last = createConfiguration();
+	for (let version = 1; version <= length; version++) {
+		const changes: readonly ItemChange[] = version === 1 ? base : [{type: 'put', item: {...samplePool, slowStartMs: version}}];
+		const {delta, next} = prepareDelta(last, changes, [toSubmissionId(`s${version}`)]);
+		deltas.push(delta);
+		last = next;
+	}
+
+	return {deltas, last};
+}
+
+test('steps lead to the same version everywhere, and each item knows the version that changed it', () => {
+	const {deltas, last} = createChain(3);
+	let configuration = createConfiguration();
+	for (const delta of deltas) {
+		configuration = applyDelta(configuration, delta)._unsafeUnwrap();
+	}
+
+	assert.equal(configuration.digest, last.digest);
+	assert.equal(getItem(configuration, 'pool/logs')?.revision, 3);
+	assert.equal(getItem(configuration, 'route/logs')?.revision, 1);
+	assert.deepEqual(configuration.submissions.map(({id}) => id), ['s1', 's2', 's3']);
+});
+
+test('steps that are repeated, reordered, damaged or foreign never move a node back nor apply in part', () => {
+	const {deltas} = createChain(6);
+	const foreign = createChain(2).deltas.map(delta => ({...delta, digest: toDigest('x'.repeat(43))}));
+	const spoilDelta = (delta: Delta): Delta => ({...delta, changes: [{type: 'remove', key: 'pool/logs'}]});
+	const candidates = [...deltas, ...deltas.map(delta => spoilDelta(delta)), ...foreign, {...deltas[4]!, parentDigest: toDigest('p'.repeat(43))}];
+	const byVersion = new Map(deltas.map(delta => [delta.version, delta.digest]));
+	fc.assert(fc.property(fc.array(fc.constantFrom(...candidates), {maxLength: 40}), arrivals => {
+		let configuration = createConfiguration();
+		for (const delta of arrivals) {
+			const before = configuration;
+			const result = applyDelta(before, delta);
+			configuration = result.unwrapOr(before);
+			assert.ok(configuration.version >= before.version);
+			assert.ok(configuration.version <= before.version + 1);
+			if (configuration.version > 0) {
+				assert.equal(configuration.digest, byVersion.get(configuration.version));
+			}
+		}
+	}));
+});
+
+test('every way in which a step can be wrong is told apart', () => {
+	const {deltas} = createChain(3);
+	const first = applyDelta(createConfiguration(), deltas[0]!)._unsafeUnwrap();
+	assert.equal(applyDelta(first, deltas[0]!)._unsafeUnwrapErr().type, 'already-applied');
+	assert.equal(applyDelta(first, deltas[2]!)._unsafeUnwrapErr().type, 'gap');
+	assert.equal(applyDelta(first, {...deltas[1]!, parentDigest: toDigest('x')})._unsafeUnwrapErr().type, 'wrong-parent');
+	assert.equal(applyDelta(first, {...deltas[1]!, changes: []})._unsafeUnwrapErr().type, 'wrong-digest');
+});
+
+test('a step with the right digest that leaves a route without its pool is refused', () => {
+	const {last} = createChain(1);
+	const {delta} = prepareDelta(last, [{type: 'remove', key: 'pool/logs'}], []);
+	const refused = applyDelta(last, delta)._unsafeUnwrapErr();
+	assert.deepEqual(refused, {type: 'dangling', version: 2, references: [{route: 'route/logs', missing: 'pool/logs'}]});
+});
+
+test('an image is applied whole or not at all', () => {
+	const {last} = createChain(4);
+	const image = {
+		...last, buckets: new Map(last.tree.buckets.map((bucket, index) => [index, [...bucket.entries.values()].map(entry => entry.value)])),
+	};
+	assert.equal(applyImage(createConfiguration(), image)._unsafeUnwrap().tree.root, last.tree.root);
+	const truncated = {...image, buckets: new Map([...image.buckets].filter(([, items]) => items.length === 0))};
+	assert.equal(applyImage(createConfiguration(), truncated)._unsafeUnwrapErr().type, 'wrong-digest');
+	assert.equal(applyImage(last, image)._unsafeUnwrapErr().type, 'already-applied');
+	assert.equal(listItems(last).length, 3);
+});
--- /dev/null
+++ b/src/lib/distribution/accept-submissions.test.ts
@@ -0,0 +1,210 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {createMemoryStore, type MemoryStore} from '../../../stand-ins/store/memory-store.js';
+import {toSubmissionId} from '../common/ids.js';
+import {
+	createConfiguration, findSubmission, listItems, type Configuration, type ItemChange,
+} from '../configuration/configuration.js';
+import {samplePolicy, samplePool, sampleRoute} from '../configuration/sample-items.js';
+import {type Submission, type SubmissionOutcome} from '../configuration/submission.js';
+import {type Store} from '../store/store.js';
+import {acceptSubmissions, findSubmissionVersion, type AcceptanceContext} from './accept-submissions.js';
+import {headKey} from './head-record.js';
+import {readHead} from './read-head.js';
+
+/** One node as far as acceptance knows it. */
+function createAcceptor(store: Store, limits?: AcceptanceContext['limits']): AcceptanceContext {
+	let configuration = createConfiguration();
+	return {
+		store,
+		limits,
+		random: () => 0,
+		getConfiguration: () => configuration,
+		adopt(next) {
+			configuration = next.version > configuration.version ? next : configuration;
+		},
+	};
+}
+
+function createPoolChange(name: string, slowStartMs: number): ItemChange {
+	return {type: 'put', item: {...samplePool, name, slowStartMs}};
+}
+
+function createSubmission(id: string, changes: readonly ItemChange[], extra: Partial<Submission> = {}): Submission {
+	return {
+		id: toSubmissionId(id), seenVersion: 0, bases: {}, changes, ...extra,
+	};
+}
+
+async function acceptOne(context: AcceptanceContext, submission: Submission): Promise<SubmissionOutcome> {
+	const [outcome] = await acceptSubmissions(context, [submission]);
+	assert.ok(outcome);
+	return outcome;
+}
+
+async function readAccepted(store: Store): Promise<Configuration> {
+	const head = await readHead(store, createConfiguration());
+	return head._unsafeUnwrap().configuration;
+}
+
+const quick = {latencyMs: 0};
+
+test('a submission is in force after one write, and its id settles what became of it', async () => {
+	const store = createMemoryStore(quick);
+	const acceptor = createAcceptor(store);
+	const submission = createSubmission('s1', [samplePolicy, samplePool, sampleRoute].map(item => ({type: 'put', item})));
+	assert.deepEqual(await acceptOne(acceptor, submission), {type: 'accepted', version: 1, isRepeated: false});
+	assert.equal(store.getCalls().writes, 1);
+	assert.deepEqual(await acceptOne(acceptor, submission), {type: 'accepted', version: 1, isRepeated: true});
+	assert.equal((await findSubmissionVersion(acceptor, submission.id))._unsafeUnwrap(), 1);
+	assert.equal((await findSubmissionVersion(acceptor, toSubmissionId('other')))._unsafeUnwrap(), 0);
+});
+
+test('what some node could not apply is refused, with item, field and reason', async () => {
+	const acceptor = createAcceptor(createMemoryStore(quick));
+	const dangling = await acceptOne(acceptor, createSubmission('s1', [{type: 'put', item: sampleRoute}]));
+	assert.deepEqual(dangling.type === 'invalid' ? dangling.problems.map(({item, field}) => `${item} ${field}`) : [], ['route/logs pool', 'route/logs policy']);
+	const broken = await acceptOne(acceptor, createSubmission('s2', [{type: 'put', item: {...samplePolicy, decision: '1 +'}}]));
+	assert.equal(broken.type, 'invalid');
+	assert.equal(acceptor.getConfiguration().version, 0);
+});
+
+test('a pool that a route still refers to cannot be removed', async () => {
+	const acceptor = createAcceptor(createMemoryStore(quick));
+	await acceptOne(acceptor, createSubmission('s1', [samplePolicy, samplePool, sampleRoute].map(item => ({type: 'put', item}))));
+	assert.equal((await acceptOne(acceptor, createSubmission('s2', [{type: 'remove', key: 'pool/logs'}]))).type, 'invalid');
+	assert.equal((await acceptOne(acceptor, createSubmission('s3', [{type: 'remove', key: 'route/logs'}, {type: 'remove', key: 'pool/logs'}]))).type, 'accepted');
+});
+
+test('an operator who saw an older revision gets a conflict, and nothing of the submission is applied', async () => {
+	const acceptor = createAcceptor(createMemoryStore(quick));
+	await acceptOne(acceptor, createSubmission('s1', [createPoolChange('a', 1)]));
+	const late = await acceptOne(acceptor, createSubmission('s2', [createPoolChange('a', 2), createPoolChange('b', 2)], {bases: {'pool/a': 0, 'pool/b': 0}}));
+	assert.deepEqual(late, {type: 'conflict', items: [{key: 'pool/a', base: 0, current: 1}]});
+	assert.equal(acceptor.getConfiguration().version, 1);
+});
+
+test('submissions that wait together ride on one write', async () => {
+	const store = createMemoryStore(quick);
+	const acceptor = createAcceptor(store);
+	const outcomes = await acceptSubmissions(acceptor, ['a', 'b', 'c'].map(name => createSubmission(name, [createPoolChange(name, 1)])));
+	assert.deepEqual(outcomes.map(outcome => outcome.type === 'accepted' ? outcome.version : 0), [1, 1, 1]);
+	assert.equal(store.getCalls().writes, 1);
+	assert.equal(listItems(acceptor.getConfiguration()).length, 3);
+});
+
+test('an answer that was lost is looked for, not guessed', async () => {
+	for (const fault of ['writesToLose', 'writesToDrop'] as const) {
+		const store = createMemoryStore({...quick, [fault]: 1});
+		const acceptor = createAcceptor(store);
+		const outcome = await acceptOne(acceptor, createSubmission('s1', [createPoolChange('a', 1)]));
+		assert.equal(outcome.type, 'accepted');
+		const accepted = await readAccepted(store);
+		assert.equal(accepted.version, 1, fault);
+		assert.equal(accepted.submissions.length, 1);
+	}
+});
+
+test('while the store is down a submission fails with a reason; in doubt it is unknown, never a guess', async () => {
+	const store = createMemoryStore({...quick, isDown: true});
+	const acceptor = createAcceptor(store);
+	const refused = await acceptOne(acceptor, createSubmission('s1', [createPoolChange('a', 1)]));
+	assert.equal(refused.type, 'unavailable');
+
+	const failing = createMemoryStore({...quick, writesToLose: 1});
+	const doubtful: Store = {
+		...failing,
+		write(request) {
+			const result = failing.write(request);
+			failing.setFaults({isDown: true});
+			return result;
+		},
+	};
+	failing.setFaults({latencyMs: 0});
+	const outcome = await acceptOne({...createAcceptor(doubtful), random: () => 0}, createSubmission('s2', [createPoolChange('a', 1)]));
+	assert.ok(outcome.type === 'unknown' || outcome.type === 'unavailable');
+	failing.setFaults({isDown: false});
+	const accepted = await readAccepted(failing);
+	assert.equal(outcome.type === 'unavailable' && accepted.version > 0, false, 'told "nothing was changed" although it was');
+});
+
+test('a submission that began too long ago to be told from a new one is refused', async () => {
+	const acceptor = createAcceptor(createMemoryStore({...quick, writesPerSecond: 1e6, readsPerSecond: 1e6}));
+	for (let version = 0; version < 1100; version += 50) {
+		const batch = Array.from({length: 50}, (_, index) => createSubmission(`s${version + index}`, [createPoolChange('a', version + index)], {seenVersion: acceptor.getConfiguration().version}));
+		await acceptSubmissions(acceptor, batch);
+	}
+
+	assert.equal((await acceptOne(acceptor, createSubmission('s0', [createPoolChange('a', 0)]))).type, 'expired');
+});
+
+async function checkCollected(store: MemoryStore): Promise<void> {
+	const keys = store.getImage().map(([key]) => key);
+	const accepted = await readAccepted(store);
+	assert.ok(accepted.version > 0);
+	assert.ok(keys.includes(headKey));
+	const snapshots = new Set(keys.filter(key => key.startsWith('stonemoor/snapshot/')).map(key => key.split('/')[2]));
+	assert.ok(snapshots.size <= 2, `${snapshots.size} snapshots are kept`);
+}
+
+test('steps move to pages and snapshots as they grow, and what nothing refers to is removed', async () => {
+	const store = createMemoryStore({...quick, writesPerSecond: 1e6, readsPerSecond: 1e6});
+	const acceptor = createAcceptor(store, {inlineBytes: 600, maximumPages: 3});
+	for (let index = 1; index <= 60; index++) {
+		await acceptOne(acceptor, createSubmission(`s${index}`, [createPoolChange(`p${index % 7}`, index)]));
+	}
+
+	const accepted = await readAccepted(store);
+	assert.equal(accepted.version, 60);
+	assert.equal(accepted.digest, acceptor.getConfiguration().digest);
+	await checkCollected(store);
+});
+
+type Step = {readonly writer: number; readonly fault: 'none' | 'lose' | 'drop' | 'down'; readonly item: number};
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+	writer: fc.nat(2), fault: fc.constantFrom('none', 'lose', 'drop', 'down'), item: fc.nat(3),
+});
+
+async function runInterleaving(steps: readonly Step[]): Promise<void> {
+	const store = createMemoryStore({...quick, writesPerSecond: 1e6, readsPerSecond: 1e6});
+	const acceptors = Array.from({length: 3}, () => createAcceptor(store, {inlineBytes: 800, maximumPages: 2}));
+	const told = new Map<string, SubmissionOutcome>();
+	const running: Array<Promise<void>> = [];
+	for (const [index, step] of steps.entries()) {
+		const id = `s${index}`;
+		store.setFaults({isDown: step.fault === 'down', writesToLose: step.fault === 'lose' ? 1 : 0, writesToDrop: step.fault === 'drop' ? 1 : 0});
+		const submit = async (): Promise<void> => {
+			const outcome = await acceptOne(acceptors[step.writer]!, createSubmission(id, [createPoolChange(`p${step.item}`, index + 1)]));
+			told.set(id, outcome);
+		};
+
+		running.push(submit());
+		if (index % 3 === 2) {
+			await Promise.all(running.splice(0));
+		}
+	}
+
+	await Promise.all(running);
+	store.setFaults({isDown: false, writesToLose: 0, writesToDrop: 0});
+	const accepted = await readAccepted(store);
+	for (const [id, outcome] of told) {
+		const version = findSubmission(accepted, toSubmissionId(id));
+		const times = accepted.submissions.filter(submission => submission.id === id).length;
+		assert.ok(times <= 1, `${id} was carried out ${times} times`);
+		if (outcome.type === 'accepted') {
+			assert.equal(version, outcome.version, `${id} was told ${outcome.version}`);
+		} else if (outcome.type !== 'unknown') {
+			assert.equal(version, undefined, `${id} was told ${outcome.type} but is in force`);
+		}
+	}
+
+	for (const acceptor of acceptors) {
+		assert.ok(acceptor.getConfiguration().version <= accepted.version, 'a node is ahead of what is accepted');
+	}
+}
+
+test('under racing writers, lost answers and outages each acknowledged submission is found exactly once', async () => {
+	await fc.assert(fc.asyncProperty(fc.array(stepArbitrary, {minLength: 1, maxLength: 12}), async steps => runInterleaving(steps)), {numRuns: 60});
+});
--- /dev/null
+++ b/src/lib/distribution/distribution-tree.test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {toNodeId, type NodeId} from '../common/ids.js';
+import {findTreePlace, sortMembers} from './distribution-tree.js';
+
+test('whoever the members are, news from the relay reaches each of them exactly once', () => {
+	fc.assert(fc.property(fc.uniqueArray(fc.string({minLength: 1, maxLength: 8}), {minLength: 1, maxLength: 80}), fc.integer({min: 1, max: 9}), (names, fanOut) => {
+		const order = sortMembers(names.map(name => toNodeId(name)));
+		const reached: NodeId[] = [];
+		const visit = (id: NodeId): void => {
+			reached.push(id);
+			const place = findTreePlace(order, id, fanOut);
+			assert.ok(place.children.length <= fanOut);
+			for (const child of place.children) {
+				assert.equal(findTreePlace(order, child, fanOut).parent, id);
+				visit(child);
+			}
+		};
+
+		visit(order[0]!);
+		assert.deepEqual(reached.toSorted(), order.toSorted());
+	}));
+});
+
+test('the order does not depend on how the members are listed', () => {
+	const names = ['a', 'b', 'c', 'd', 'e'].map(name => toNodeId(name));
+	assert.deepEqual(sortMembers(names), sortMembers(names.toReversed()));
+});
+
+test('a node that is not among the members is its own relay', () => {
+	assert.equal(findTreePlace([toNodeId('a')], toNodeId('b'), 8).relay, 'b');
+});
--- a/src/lib/membership/failure-detector.ts
+++ b/src/lib/membership/failure-detector.ts
@@ -158,7 +158,9 @@
 	}
 
 	const suspects = new Map([...state.suspects].filter(([, deadline]) => deadline > now));
-	return {state: {...state, suspects}, effects: expired.map(member => ({type: 'dead', member}))};
+	// A heartbeat to a member that has just been given up proves nothing more.
+	const probe = state.probe !== undefined && expired.includes(state.probe.target) ? undefined : state.probe;
+	return {state: {...state, suspects, probe}, effects: expired.map(member => ({type: 'dead', member}))};
 }
 
 function checkProbe(state: DetectorState, settings: DetectorSettings, message: TickMessage, random: () => number): DetectorStep {
--- a/src/lib/membership/gossip.ts
+++ b/src/lib/membership/gossip.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {createSocket, type RemoteInfo} from 'node:dgram';
+import {isIPv6} from 'node:net';
 import {
 	create, fromBinary, toBinary, type MessageInitShape,
 } from '@bufbuild/protobuf';
@@ -93,7 +94,8 @@
  */
 export function createGossip(context: GossipContext): Gossip {
 	const {settings, self, domain, configuration, directory, members, distributor, status, reported, clock, timeline, meter, random} = context;
-	const socket = createSocket('udp4');
+	const {host: ownHost} = parseAddress(directory.getOwnRecord().gossipAddress);
+	const socket = createSocket(isIPv6(ownHost) ? 'udp6' : 'udp4');
 	let detector: DetectorState = createDetectorState(readNow());
 	const forwarded = new Map<string, Forwarded>();
 	let sentSummary: Summary | undefined;
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -19,6 +19,10 @@
 		rules: {
 			// The test runner waits for its tests by itself.
 			'@typescript-eslint/no-floating-promises': 'off',
+			// An assertion on one field of an outcome reads best in one line.
+			'unicorn/no-await-expression-member': 'off',
+			// Item keys, as in 'pool/logs', are property names here.
+			'@typescript-eslint/naming-convention': 'off',
 		},
 	},
 ];
