--- /dev/null
+++ b/bench/calls/call-fleet.ts
@@ -0,0 +1,129 @@
+/**
+ * A few nodes with a backend server beside each, every one in its own process.
+ *
+ * @module
+ */
+import {fork, type ChildProcess} from 'node:child_process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {itemSchema, settingsSchema, type Item} from '../../src/index.js';
+import {startStoreServer, type StoreServer} from '../../stand-ins/store/store-server.js';
+import {submitItems} from '../submitter.js';
+import {type FromCallWorker, type ToCallWorker} from './call-worker.js';
+
+export type CallWorker = {
+	readonly address: string;
+	readonly send: (message: ToCallWorker) => void;
+	readonly report: () => Promise<Extract<FromCallWorker, {readonly type: 'report'}>>;
+	readonly dispose: () => Promise<void>;
+};
+
+export type CallFleet = {
+	readonly nodes: readonly CallWorker[];
+	readonly servers: readonly CallWorker[];
+	readonly dispose: () => Promise<void>;
+};
+
+export type CallFleetOptions = {
+	readonly size: number;
+	readonly slots: number;
+	readonly workMs: number;
+};
+
+async function waitForMessage<K extends FromCallWorker['type']>(child: ChildProcess, type: K): Promise<Extract<FromCallWorker, {readonly type: K}>> {
+	return new Promise(resolve => {
+		const handle = (message: FromCallWorker): void => {
+			if (message.type === type) {
+				child.off('message', handle);
+				resolve(message as Extract<FromCallWorker, {readonly type: K}>);
+			}
+		};
+
+		child.on('message', handle);
+	});
+}
+
+async function startWorker(message: ToCallWorker): Promise<CallWorker> {
+	const child = fork(fileURLToPath(new URL('call-worker.js', import.meta.url)));
+	const started = waitForMessage(child, 'started');
+	child.send(message);
+	const {address} = await started;
+	return {
+		address,
+		send(next) {
+			child.send(next);
+		},
+		async report() {
+			const reply = waitForMessage(child, 'report');
+			child.send({type: 'report'} satisfies ToCallWorker);
+			return reply;
+		},
+		async dispose() {
+			await new Promise<void>(resolve => {
+				child.once('exit', () => {
+					resolve();
+				});
+				child.kill('SIGKILL');
+			});
+		},
+	};
+}
+
+function createCallItems(): readonly Item[] {
+	return [
+		{kind: 'policy', name: 'look-ups', decision: '{"action": "forward", "timeoutMs": 1000, "attempts": 3, "isRepeatable": true}'},
+		{
+			kind: 'pool', name: 'pages', service: 'pages', slowStartMs: 2000,
+		},
+		{
+			kind: 'route', name: 'pages', path: '/', pool: 'pages', policy: 'look-ups',
+		},
+	].map(item => itemSchema.parse(item));
+}
+
+async function startNodes(store: StoreServer, size: number): Promise<readonly CallWorker[]> {
+	const nodes: CallWorker[] = [];
+	for (let index = 0; index < size; index++) {
+		const host = `127.4.0.${index + 1}`;
+		const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `${host}:${7000 + port}`);
+		const settings = settingsSchema.parse({
+			node: `node-${index + 1}`,
+			failureDomain: 'one',
+			listen: {
+				callers, gate, control, gossip, operators, announcements,
+			},
+			store: {address: store.address},
+			seeds: ['127.4.0.1:7003'],
+		});
+		nodes.push(await startWorker({type: 'node', settings}));
+	}
+
+	return nodes;
+}
+
+/** Starts the fleet and waits until every node knows every server. */
+export async function startCallFleet(options: CallFleetOptions): Promise<CallFleet> {
+	const store = await startStoreServer('127.0.0.1', 0);
+	const nodes = await startNodes(store, options.size);
+	await sleep(1500);
+	const servers = await Promise.all(nodes.map(async (_, index) => startWorker({
+		type: 'server',
+		settings: {
+			id: `server-${index + 1}`, service: 'pages', host: '127.0.0.1', port: 0, slots: options.slots, connections: 130, announcements: `127.4.0.${index + 1}:7006`,
+		},
+	})));
+	for (const server of servers) {
+		server.send({type: 'behave', behaviour: {workMs: options.workMs}});
+	}
+
+	await submitItems('127.4.0.1:7005', createCallItems(), 0);
+	await sleep(3500);
+	return {
+		nodes,
+		servers,
+		async dispose() {
+			await Promise.all([...nodes, ...servers].map(async worker => worker.dispose()));
+			await store.dispose();
+		},
+	};
+}
--- /dev/null
+++ b/bench/calls/call-worker.ts
@@ -0,0 +1,79 @@
+/**
+ * Hosts one node, or one backend server, of the calls bench in a process of its own.
+ *
+ * @module
+ */
+import {tmpdir} from 'node:os';
+import process from 'node:process';
+import {createHttpStore, createNode, type Settings} from '../../src/index.js';
+import {
+	startBackendServer, type BackendBehaviour, type BackendServerSettings, type BackendServerStandIn, type Ledger,
+} from '../../stand-ins/backend-server/backend-server.js';
+
+/** From the bench to a worker. */
+export type ToCallWorker =
+	| {readonly type: 'node'; readonly settings: Settings}
+	| {readonly type: 'server'; readonly settings: Omit<BackendServerSettings, 'bundleDirectory'>}
+	| {readonly type: 'behave'; readonly behaviour: Partial<BackendBehaviour>}
+	| {readonly type: 'kill'}
+	| {readonly type: 'report'};
+
+/** From a worker to the bench. */
+export type FromCallWorker =
+	| {readonly type: 'started'; readonly address: string}
+	| {readonly type: 'report'; readonly cpuMicroseconds: number; readonly ledger: Ledger | undefined; readonly added: {readonly p50: number; readonly p99: number} | undefined};
+
+let server: BackendServerStandIn | undefined;
+let getAdded: (() => {readonly p50: number; readonly p99: number}) | undefined;
+let cpu = process.cpuUsage();
+
+function tell(message: FromCallWorker): void {
+	process.send?.(message);
+}
+
+async function startNode(settings: Settings): Promise<void> {
+	const node = createNode(settings, {store: createHttpStore(settings.store), random: Math.random});
+	await node.start();
+	getAdded = () => node.getStatus().addedMicroseconds;
+	tell({type: 'started', address: settings.listen.callers});
+}
+
+async function handleMessage(message: ToCallWorker): Promise<void> {
+	switch (message.type) {
+		case 'node': {
+			await startNode(message.settings);
+			return;
+		}
+
+		case 'server': {
+			server = await startBackendServer({...message.settings, bundleDirectory: tmpdir()});
+			tell({type: 'started', address: server.address});
+			return;
+		}
+
+		case 'behave': {
+			server?.setBehaviour(message.behaviour);
+			return;
+		}
+
+		case 'kill': {
+			await server?.kill();
+			return;
+		}
+
+		case 'report': {
+			const used = process.cpuUsage(cpu);
+			cpu = process.cpuUsage();
+			tell({
+				type: 'report', cpuMicroseconds: used.user + used.system, ledger: server?.getLedger(), added: getAdded?.(),
+			});
+		}
+	}
+}
+
+process.on('message', (message: ToCallWorker) => {
+	void handleMessage(message);
+});
+process.on('disconnect', () => {
+	process.exit(0);
+});
--- /dev/null
+++ b/bench/calls/calls.ts
@@ -0,0 +1,203 @@
+/**
+ * `npm run bench -- calls`: what the mesh adds to a call, and what callers get
+ * under load and faults, beside the baselines that a user would try first.
+ *
+ * @module
+ */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {Agent} from 'undici';
+import {formatMarkdown, getPercentile} from '../statistics.js';
+import {startCallFleet, type CallFleet} from './call-fleet.js';
+import {
+	countKind, createSender, listWholeTimes, runLoad, type CallOutcome, type LoadResult, type Send,
+} from './load.js';
+
+export type CallsOptions = {
+	readonly seconds: number;
+};
+
+type Design = 'mesh' | 'random, no gate' | 'round robin, naive retries';
+
+const size = 3;
+const slots = 12;
+const workMs = 20;
+/** Calls a second that the servers' slots can work on. */
+const capacity = size * slots * 1000 / workMs;
+const naiveTries = 3;
+const designs: readonly Design[] = ['mesh', 'random, no gate', 'round robin, naive retries'];
+
+/** The baselines send to the servers themselves; the mesh is entered through any node. */
+function createDesignSend(design: Design, fleet: CallFleet, agent: Agent): Send {
+	const sendOnce = createSender(agent);
+	let turn = 0;
+	const pickNext = (list: ReadonlyArray<{readonly address: string}>): string => {
+		turn++;
+		return list[turn % list.length]?.address ?? '';
+	};
+
+	switch (design) {
+		case 'mesh': {
+			return async path => sendOnce(pickNext(fleet.nodes), path);
+		}
+
+		case 'random, no gate': {
+			return async path => sendOnce(fleet.servers[Math.floor(Math.random() * size)]?.address ?? '', path);
+		}
+
+		case 'round robin, naive retries': {
+			return async path => {
+				const startedAt = performance.now();
+				let outcome: CallOutcome = {kind: 'late', milliseconds: 0};
+				for (let tries = 0; tries < naiveTries && outcome.kind !== 'whole'; tries++) {
+					outcome = await sendOnce(pickNext(fleet.servers), path);
+				}
+
+				return {...outcome, milliseconds: performance.now() - startedAt};
+			};
+		}
+	}
+}
+
+async function countServerRequests(fleet: CallFleet): Promise<number> {
+	const reports = await Promise.all(fleet.servers.map(async server => server.report()));
+	let total = 0;
+	for (const {ledger} of reports) {
+		total += ledger?.requests ?? 0;
+	}
+
+	return total;
+}
+
+type Row = {
+	readonly design: Design;
+	readonly name: string;
+	readonly result: LoadResult;
+	/** Requests that reached a server, for each call. */
+	readonly amplification: number;
+};
+
+function formatRow({design, name, result, amplification}: Row): readonly string[] {
+	const times = listWholeTimes(result);
+	return [
+		design,
+		name,
+		(countKind(result, 'whole') / result.seconds).toFixed(0),
+		getPercentile(times, 0.5).toFixed(1),
+		getPercentile(times, 0.99).toFixed(1),
+		String(countKind(result, 'not-run')),
+		String(countKind(result, 'late') + countKind(result, 'may-have-run')),
+		String(countKind(result, 'wrong')),
+		amplification.toFixed(2),
+	];
+}
+
+type Condition = {
+	readonly name: string;
+	readonly load: number;
+	readonly before?: (fleet: CallFleet) => void;
+	readonly during?: (fleet: CallFleet) => Promise<void>;
+	readonly after?: (fleet: CallFleet) => void;
+};
+
+const conditions: readonly Condition[] = [
+	{name: '0.5 of capacity', load: 0.5},
+	{name: '0.9 of capacity', load: 0.9},
+	{name: '1.5 of capacity', load: 1.5},
+	{name: '3 times capacity', load: 3},
+	{
+		name: 'one server 10 times slower, 0.5',
+		load: 0.5,
+		before(fleet) {
+			fleet.servers[0]?.send({type: 'behave', behaviour: {workMs: workMs * 10}});
+		},
+		after(fleet) {
+			fleet.servers[0]?.send({type: 'behave', behaviour: {workMs}});
+		},
+	},
+	{
+		name: 'one sheds all but claims health, 0.5',
+		load: 0.5,
+		before(fleet) {
+			fleet.servers[0]?.send({type: 'behave', behaviour: {isShedding: true, claimedHealth: 'ok', claimedLoad: 0}});
+		},
+		after(fleet) {
+			fleet.servers[0]?.send({type: 'behave', behaviour: {isShedding: false}});
+		},
+	},
+	{
+		name: 'one server dies, 0.5',
+		load: 0.5,
+		async during(fleet) {
+			await sleep(1000);
+			fleet.servers[0]?.send({type: 'kill'});
+		},
+	},
+];
+
+async function measureCondition(design: Design, fleet: CallFleet, condition: Condition, seconds: number): Promise<Row> {
+	const agent = new Agent({connections: 400, pipelining: 1});
+	const send = createDesignSend(design, fleet, agent);
+	condition.before?.(fleet);
+	await sleep(1000);
+	const before = await countServerRequests(fleet);
+	const [result] = await Promise.all([runLoad(send, capacity * condition.load, seconds), condition.during?.(fleet)]);
+	const after = await countServerRequests(fleet);
+	condition.after?.(fleet);
+	await agent.destroy();
+	await sleep(1500);
+	return {
+		design, name: condition.name, result, amplification: (after - before) / result.outcomes.length,
+	};
+}
+
+async function measureDesign(design: Design, seconds: number): Promise<readonly Row[]> {
+	const fleet = await startCallFleet({size, slots, workMs});
+	const rows: Row[] = [];
+	for (const condition of conditions) {
+		const row = await measureCondition(design, fleet, condition, seconds);
+		process.stdout.write(`${formatRow(row).join('  ')}\n`);
+		rows.push(row);
+	}
+
+	await fleet.dispose();
+	return rows;
+}
+
+function formatAdded(direct: number, through: number): readonly string[] {
+	return [direct, through, through - direct].map(milliseconds => milliseconds.toFixed(2));
+}
+
+/** What the mesh adds, at the rate of one node in the fleet of the letter. */
+async function measureAdded(seconds: number): Promise<void> {
+	const perNode = 400;
+	const fleet = await startCallFleet({size, slots, workMs: 0});
+	const agent = new Agent({connections: 100, pipelining: 1});
+	const sendOnce = createSender(agent);
+	const pickAddress = (list: ReadonlyArray<{readonly address: string}>): string => list[Math.floor(Math.random() * list.length)]?.address ?? '';
+	await runLoad(async path => sendOnce(pickAddress(fleet.nodes), path), perNode * size, 2);
+	const rows: Array<readonly string[]> = [];
+	for (let round = 1; round <= 3; round++) {
+		const direct = listWholeTimes(await runLoad(async path => sendOnce(pickAddress(fleet.servers), path), perNode * size, seconds));
+		const through = listWholeTimes(await runLoad(async path => sendOnce(pickAddress(fleet.nodes), path), perNode * size, seconds));
+		rows.push([String(round), ...[0.5, 0.99].flatMap(share => formatAdded(getPercentile(direct, share), getPercentile(through, share)))]);
+	}
+
+	const reports = await Promise.all(fleet.nodes.map(async node => node.report()));
+	process.stdout.write(`\n${formatMarkdown(['round', 'direct p50 ms', 'mesh p50', 'added', 'direct p99 ms', 'mesh p99', 'added'], rows)}\n`);
+	process.stdout.write(`The nodes' own histograms of added time: p50 ${reports.map(({added}) => added?.p50).join(', ')} µs, p99 ${reports.map(({added}) => added?.p99).join(', ')} µs\n\n`);
+	await agent.destroy();
+	await fleet.dispose();
+}
+
+/** Runs the bench and prints its tables. */
+export async function runCalls(options: CallsOptions): Promise<void> {
+	await measureAdded(options.seconds);
+	const rows: Row[] = [];
+	for (const design of designs) {
+		rows.push(...await measureDesign(design, options.seconds));
+	}
+
+	const header = ['design', 'condition', 'whole answers/s', 'p50 ms', 'p99 ms', 'told not run', 'late or lost', 'wrong', 'requests at servers per call'];
+	process.stdout.write(`\nCapacity: ${capacity} calls/s\n\n${formatMarkdown(header, rows.map(row => formatRow(row)))}\n`);
+}
--- /dev/null
+++ b/bench/capacity/fleet-slopes.ts
@@ -0,0 +1,169 @@
+/**
+ * Measures slopes on running fleets: by the rate of changes, the number of
+ * nodes, the depth of the tree and the rate of calls.
+ *
+ * @module
+ */
+import {fork} from 'node:child_process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {startStoreServer} from '../../stand-ins/store/store-server.js';
+import {
+	startFleet, type Fleet, type FleetOptions, type FromWorker, type ToWorker, type Usage,
+} from '../fleet.js';
+import {createItems, createRevisedPool} from '../sample-configuration.js';
+import {getPercentile} from '../statistics.js';
+import {
+	measureConvergence, submitItems, waitUntil, type Submitted,
+} from '../submitter.js';
+import {createSlope, type Slope} from './slopes.js';
+
+const rates = [0, 2, 5, 10] as const;
+const fleetSizes = [10, 20, 40, 80] as const;
+const fanOuts = [20, 4, 2, 1] as const;
+const measureSeconds = 8;
+const settleMs = 4000;
+const workers = 4;
+
+type RunningFleet = {
+	readonly fleet: Fleet;
+	readonly submit: (revision: number) => Promise<Submitted | undefined>;
+	readonly dispose: () => Promise<void>;
+};
+
+async function openFleet(options: Partial<FleetOptions> & Pick<FleetOptions, 'nodes'>): Promise<RunningFleet> {
+	const store = await startStoreServer('127.0.0.1', 0);
+	const fleet = startFleet({
+		mode: 'mesh', storeAddress: store.address, workers, domains: 1, ...options,
+	});
+	await waitUntil(() => fleet.countReady() >= options.nodes, 60_000);
+	const operators = fleet.settings[0]?.listen.operators ?? '';
+	await submitItems(operators, createItems(100), 0);
+	await sleep(settleMs);
+	let version = 1;
+	return {
+		fleet,
+		async submit(revision) {
+			const sentAt = Date.now();
+			const outcome = await submitItems(operators, [createRevisedPool(revision % 100, revision)], version);
+			version = outcome.type === 'accepted' ? outcome.version : version;
+			return outcome.type === 'accepted' ? {version, sentAt} : undefined;
+		},
+		async dispose() {
+			await fleet.dispose();
+			await store.dispose();
+		},
+	};
+}
+
+async function measureUsage(fleet: Fleet, run: () => Promise<void>): Promise<{readonly usage: Usage; readonly seconds: number}> {
+	await fleet.getUsage();
+	const startedAt = Date.now();
+	await run();
+	const seconds = (Date.now() - startedAt) / 1000;
+	return {usage: await fleet.getUsage(), seconds};
+}
+
+async function submitAtRate(running: RunningFleet, rate: number): Promise<void> {
+	const due = Date.now() + (measureSeconds * 1000);
+	while (Date.now() < due) {
+		await sleep(rate === 0 ? measureSeconds * 1000 : 1000 / rate);
+		if (rate > 0) {
+			await running.submit(Date.now());
+		}
+	}
+}
+
+/** Bytes and processor time of a node by the rate of changes; the intercept is what heartbeats cost. */
+export async function measureChanges(): Promise<readonly Slope[]> {
+	const running = await openFleet({nodes: 20});
+	const bytes: Array<[number, number]> = [];
+	const times: Array<[number, number]> = [];
+	for (const rate of rates) {
+		const {usage, seconds} = await measureUsage(running.fleet, async () => submitAtRate(running, rate));
+		bytes.push([rate, usage.controlBytes / usage.nodes / seconds]);
+		times.push([rate, usage.cpuMicroseconds / usage.nodes / seconds]);
+	}
+
+	await running.dispose();
+	return [
+		createSlope('control bytes of a node a second', 'change a second', 'bytes', bytes),
+		createSlope('processor time of a node a second', 'change a second', 'microseconds', times),
+	];
+}
+
+/** What one more node in the failure domain costs every other. */
+export async function measureFleetSizes(): Promise<readonly Slope[]> {
+	const bytes: Array<[number, number]> = [];
+	const times: Array<[number, number]> = [];
+	const heap: Array<[number, number]> = [];
+	for (const nodes of fleetSizes) {
+		const running = await openFleet({nodes});
+		const {usage, seconds} = await measureUsage(running.fleet, async () => {
+			await sleep(measureSeconds * 1000);
+		});
+		bytes.push([nodes, usage.controlBytes / usage.nodes / seconds]);
+		times.push([nodes, usage.cpuMicroseconds / usage.nodes / seconds]);
+		heap.push([nodes, usage.heapBytes]);
+		await running.dispose();
+	}
+
+	return [
+		createSlope('control bytes of an idle node a second', 'node in the domain', 'bytes', bytes),
+		createSlope('processor time of an idle node a second', 'node in the domain', 'microseconds', times),
+		createSlope('heap of the processes that host the nodes', 'node hosted', 'bytes', heap),
+	];
+}
+
+/** Levels of a tree below its root. */
+function countLevels(nodes: number, fanOut: number): number {
+	let levels = 0;
+	let reached = 1;
+	let width = 1;
+	while (reached < nodes) {
+		width *= fanOut;
+		reached += width;
+		levels++;
+	}
+
+	return levels;
+}
+
+/** What one more level of the tree adds to the time until a change is in force everywhere. */
+export async function measureLevels(): Promise<readonly Slope[]> {
+	const nodes = 20;
+	const points: Array<[number, number]> = [];
+	for (const fanOut of fanOuts) {
+		const running = await openFleet({nodes, fanOut, batchWindowMs: 0});
+		const submitted: Submitted[] = [];
+		for (let revision = 1; revision <= 20; revision++) {
+			const entry = await running.submit(revision);
+			submitted.push(...entry === undefined ? [] : [entry]);
+			await sleep(150);
+		}
+
+		await sleep(1000);
+		const names = running.fleet.settings.map(settings => settings.node);
+		const slowest = submitted.map(entry => Math.max(...measureConvergence(running.fleet, names, [entry])));
+		points.push([countLevels(nodes, fanOut), getPercentile(slowest, 0.5)]);
+		await running.dispose();
+	}
+
+	return [createSlope('time until a change is in force everywhere', 'level of the tree', 'milliseconds', points)];
+}
+
+/** A process that has loaded the library and runs no node. */
+export async function measureEmptyProcess(): Promise<{readonly heapBytes: number; readonly residentBytes: number}> {
+	const worker = fork(fileURLToPath(new URL('../worker.js', import.meta.url)), {execArgv: ['--expose-gc']});
+	await sleep(1500);
+	const usage = await new Promise<Usage>(resolve => {
+		worker.on('message', (message: FromWorker) => {
+			if (message.type === 'usage') {
+				resolve(message.usage);
+			}
+		});
+		worker.send({type: 'usage'} satisfies ToWorker);
+	});
+	worker.kill('SIGKILL');
+	return {heapBytes: usage.heapBytes, residentBytes: usage.residentBytes};
+}
--- /dev/null
+++ b/bench/capacity/model.ts
@@ -0,0 +1,189 @@
+/**
+ * The arithmetic from measured slopes to the large size.
+ *
+ * @module
+ */
+import {type Slope} from './slopes.js';
+
+/** Everything that one run of the bench measured. */
+export type CapacityMeasurements = {
+	readonly date: string;
+	readonly slopes: readonly Slope[];
+	readonly emptyProcess: {readonly heapBytes: number; readonly residentBytes: number};
+	readonly addedP99Ms: number;
+	/** Sizes of datagrams, in bytes. */
+	readonly heartbeatBytes: number;
+	readonly summaryBytes: number;
+	/** Heap of the time line when it is full, in bytes. */
+	readonly timelineBytes: number;
+};
+
+/** The size that decides the design. */
+export type FleetSize = {
+	readonly nodes: number;
+	readonly items: number;
+	readonly domains: number;
+	readonly changesPerSecond: number;
+	readonly recordChangesPerSecond: number;
+	readonly callsPerSecond: number;
+};
+
+const secondsPerDay = 86_400;
+const fanOut = 8;
+
+/** Records that one restart or failure sends round: it left or died, is back, its server announced itself, it refuted. */
+const recordsPerRestart = 4;
+
+/** Seconds that a watch waits before it is asked again. */
+const watchSeconds = 25;
+
+/** The size of letter 1. */
+export const letterSize: FleetSize = {
+	nodes: 16_000,
+	items: 3200 * 3,
+	domains: 36,
+	changesPerSecond: 65_000 / secondsPerDay,
+	recordChangesPerSecond: (4100 + 62) * recordsPerRestart / secondsPerDay,
+	callsPerSecond: 6_300_000,
+};
+
+/** What a role costs for control. */
+export type RoleCost = {
+	readonly role: string;
+	readonly bytesPerSecond: number;
+	/** Processor time in microseconds a second. */
+	readonly microseconds: number;
+	readonly memoryBytes: number;
+	readonly mechanism: string;
+};
+
+/** Finds a slope by name. */
+export function findSlope(measurements: CapacityMeasurements, name: string): Slope {
+	const found = measurements.slopes.find(slope => slope.name === name);
+	if (found === undefined) {
+		throw new Error(`no slope is named ${name}`);
+	}
+
+	return found;
+}
+
+/** Follows a line to x. A cost that noise made negative counts as nothing. */
+export function followLine(slope: Slope, x: number): number {
+	return Math.max(0, slope.intercept + (slope.slope * x));
+}
+
+/** @returns Levels below the root of a tree that holds so many nodes. */
+export function countLevels(nodes: number): number {
+	let levels = 0;
+	for (let reached = 1, width = fanOut; reached < nodes; reached += width, width *= fanOut) {
+		levels++;
+	}
+
+	return levels;
+}
+
+type Costs = {
+	readonly domainSize: number;
+	readonly idleBytes: number;
+	readonly idleMicroseconds: number;
+	readonly pushBytes: number;
+	readonly pushMicroseconds: number;
+	readonly recordBytes: number;
+	readonly recordMicroseconds: number;
+	readonly applyMicroseconds: number;
+	readonly mergeMicroseconds: number;
+	readonly headBytes: number;
+	readonly stateBytes: number;
+};
+
+function computeCosts(measurements: CapacityMeasurements, size: FleetSize): Costs {
+	const find = (name: string): Slope => findSlope(measurements, name);
+	const domainSize = size.nodes / size.domains;
+	return {
+		domainSize,
+		// Each node sends one heartbeat a second and answers one, and so receives two; UDP and IP headers are 28 bytes more.
+		idleBytes: (4 * (measurements.heartbeatBytes + 28)) + (measurements.summaryBytes / 2),
+		idleMicroseconds: followLine(find('processor time of an idle node a second'), domainSize),
+		pushBytes: find('pushing one change, bytes').slope,
+		pushMicroseconds: find('pushing one change, processor').slope,
+		recordBytes: find('pushing one record, bytes').slope,
+		recordMicroseconds: find('pushing one record, processor').slope,
+		applyMicroseconds: followLine(find('applying one change'), size.items) + followLine(find('updating the routing table'), size.items),
+		mergeMicroseconds: followLine(find('merging one record'), size.nodes),
+		headBytes: find('head record that a watch answers').slope,
+		stateBytes: followLine(find('memory of the configuration'), size.items) + followLine(find('memory of the directory'), size.nodes) + measurements.timelineBytes,
+	};
+}
+
+/** What each role costs at a size. */
+export function computeRoles(measurements: CapacityMeasurements, size: FleetSize): readonly RoleCost[] {
+	const costs = computeCosts(measurements, size);
+	const {changesPerSecond: changes, recordChangesPerSecond: records} = size;
+	const otherRelays = 2 * (size.domains - 1);
+	const received = (changes * costs.pushBytes) + (records * costs.recordBytes);
+	const handled = (changes * (costs.applyMicroseconds + costs.pushMicroseconds)) + (records * (costs.mergeMicroseconds + costs.recordMicroseconds));
+	const leafBytes = costs.idleBytes + received;
+	const leafMicroseconds = costs.idleMicroseconds + handled;
+	const sentOn = fanOut * received;
+	const sentOnMicroseconds = fanOut * ((changes * costs.pushMicroseconds) + (records * costs.recordMicroseconds));
+	const watched = changes * costs.headBytes;
+	const summaries = fanOut * measurements.summaryBytes / 2;
+	const betweenRelays = (2 * otherRelays * measurements.summaryBytes / 2) + (4 * (measurements.heartbeatBytes + 28)) + (records / size.domains * otherRelays * costs.recordBytes);
+	const acceptance = changes * followLine(findSlope(measurements, 'accepting one change'), size.items);
+	return [
+		{
+			role: 'node (leaf of the tree)', bytesPerSecond: leafBytes, microseconds: leafMicroseconds, memoryBytes: costs.stateBytes, mechanism: 'heartbeats with the random check, `membership/gossip.ts`; push, `distribution/distributor.ts`',
+		},
+		{
+			role: 'inner parent', bytesPerSecond: leafBytes + sentOn + summaries, microseconds: leafMicroseconds + sentOnMicroseconds, memoryBytes: costs.stateBytes, mechanism: 'tree of fan-out 8, `distribution/distribution-tree.ts`; summaries, `distribution/status-collector.ts`',
+		},
+		{
+			role: 'standby', bytesPerSecond: leafBytes + sentOn + summaries + watched, microseconds: leafMicroseconds + sentOnMicroseconds, memoryBytes: costs.stateBytes, mechanism: 'watch of the head, `distribution/relay-watch.ts`',
+		},
+		{
+			role: 'relay', bytesPerSecond: leafBytes + sentOn + summaries + watched + betweenRelays, microseconds: leafMicroseconds + sentOnMicroseconds, memoryBytes: costs.stateBytes, mechanism: 'as the standby, and summaries and records between relays, `distribution/distributor.ts`',
+		},
+		{
+			role: 'relay that accepts every submission too', bytesPerSecond: leafBytes + sentOn + summaries + (2 * watched) + betweenRelays, microseconds: leafMicroseconds + sentOnMicroseconds + acceptance, memoryBytes: costs.stateBytes, mechanism: 'one compare-and-swap a batch, `distribution/accept-submissions.ts`',
+		},
+	];
+}
+
+/** Calls on the platform's store. */
+export type StoreCost = {
+	readonly waitingWatches: number;
+	readonly readsPerSecond: number;
+	readonly writesPerSecond: number;
+};
+
+export function computeStore(measurements: CapacityMeasurements, size: FleetSize): StoreCost {
+	const waitingWatches = 2 * size.domains;
+	const changesPerPage = 4096 / (findSlope(measurements, 'head record that a watch answers').slope / 2);
+	return {
+		waitingWatches,
+		readsPerSecond: (waitingWatches / watchSeconds) + (size.changesPerSecond * (waitingWatches + 1)),
+		writesPerSecond: size.changesPerSecond * (1 + (1 / Math.max(1, changesPerPage))),
+	};
+}
+
+/** Milliseconds until a change is in force everywhere, without a fault. */
+export function computeConvergence(measurements: CapacityMeasurements, size: FleetSize): {readonly levels: number; readonly milliseconds: number} {
+	const levels = countLevels(size.nodes / size.domains);
+	const line = findSlope(measurements, 'time until a change is in force everywhere');
+	const batchWindowMs = 50;
+	return {levels, milliseconds: followLine(line, levels) + batchWindowMs};
+}
+
+/** What calls cost a node of an even fleet. */
+export function computeCalls(measurements: CapacityMeasurements, size: FleetSize): {readonly perNode: number; readonly microseconds: number} {
+	const perNode = size.callsPerSecond / size.nodes;
+	return {perNode, microseconds: perNode * findSlope(measurements, 'processor time of a node a second, calls').slope};
+}
+
+/** What a failure domain that comes back at once asks for. */
+export function computeReturn(measurements: CapacityMeasurements, size: FleetSize): {readonly joiners: number; readonly directoryBytes: number; readonly seconds: number} {
+	const joiners = size.nodes / size.domains;
+	const directoryBytes = size.nodes * findSlope(measurements, 'pushing one record, bytes').slope;
+	const seedBytesPerSecond = 50_000_000;
+	return {joiners, directoryBytes, seconds: joiners * directoryBytes / seedBytesPerSecond / 3};
+}
--- /dev/null
+++ b/bench/capacity/page.ts
@@ -0,0 +1,107 @@
+/**
+ * Writes the tables of docs/CAPACITY.md from the measurements, so that the page
+ * cannot drift from them.
+ *
+ * @module
+ */
+import {formatMarkdown} from '../statistics.js';
+import {
+	computeCalls, computeConvergence, computeReturn, computeRoles, computeStore, letterSize,
+	type CapacityMeasurements, type FleetSize, type RoleCost,
+} from './model.js';
+
+const limits = {
+	bytesPerSecond: 19_000, microseconds: 11_000, memoryBytes: 32_000_000, convergenceMs: 16_000, addedMs: 1.1, reads: 2000, writes: 300,
+} as const;
+
+const begin = '<!-- tables: npm run bench -- capacity -->';
+const end = '<!-- /tables -->';
+
+function formatMargin(value: number, limit: number): string {
+	const share = value / limit;
+	return share <= 1 ? `${(share * 100).toFixed(0)} %` : `**missed, ${(share * 100).toFixed(0)} %**`;
+}
+
+function formatRole({role, bytesPerSecond, microseconds, memoryBytes, mechanism}: RoleCost): readonly string[] {
+	return [
+		role,
+		`${(bytesPerSecond / 1000).toFixed(2)} KB/s (${formatMargin(bytesPerSecond, limits.bytesPerSecond)})`,
+		`${(microseconds / 10_000).toFixed(2)} % (${formatMargin(microseconds, limits.microseconds)})`,
+		`${(memoryBytes / 1e6).toFixed(1)} MB (${formatMargin(memoryBytes, limits.memoryBytes)})`,
+		mechanism,
+	];
+}
+
+function formatRoles(measurements: CapacityMeasurements, size: FleetSize): string {
+	return formatMarkdown(
+		['role', 'bytes, of 19 KB/s', 'processor, of 1.1 % of a core', 'state, of 32 MB', 'carried by'],
+		computeRoles(measurements, size).map(role => formatRole(role)),
+	);
+}
+
+function formatWhole(measurements: CapacityMeasurements, size: FleetSize): string {
+	const store = computeStore(measurements, size);
+	const {levels, milliseconds} = computeConvergence(measurements, size);
+	const calls = computeCalls(measurements, size);
+	const rejoin = computeReturn(measurements, size);
+	const {emptyProcess, addedP99Ms} = measurements;
+	return formatMarkdown(['figure', 'value', 'limit', 'used'], [
+		[`in force everywhere, no fault (${levels} levels, window 50 ms)`, `${milliseconds.toFixed(0)} ms`, '16 s', formatMargin(milliseconds, limits.convergenceMs)],
+		['added to a call, 99 in 100, at 400 calls/s a node', `${addedP99Ms.toFixed(2)} ms`, '1.1 ms', formatMargin(addedP99Ms, limits.addedMs)],
+		['store: waiting watches', store.waitingWatches.toFixed(0), '–', '–'],
+		['store: reads a second', store.readsPerSecond.toFixed(1), '2,000', formatMargin(store.readsPerSecond, limits.reads)],
+		['store: writes a second', store.writesPerSecond.toFixed(2), 'several hundred (300 taken)', formatMargin(store.writesPerSecond, limits.writes)],
+		['calls entering and served a node a second', calls.perNode.toFixed(0), '–', '–'],
+		['processor for these calls, not control', `${(calls.microseconds / 10_000).toFixed(1)} % of a core`, '–', '–'],
+		['a process that has loaded the library and runs nothing', `heap ${(emptyProcess.heapBytes / 1e6).toFixed(1)} MB, resident ${(emptyProcess.residentBytes / 1e6).toFixed(0)} MB`, 'stated apart', '–'],
+		['directory that a node without memory fetches', `${(rejoin.directoryBytes / 1e6).toFixed(1)} MB`, '–', '–'],
+		[`a failure domain of ${rejoin.joiners.toFixed(0)} comes back at once: three seeds send its directories at 50 MB/s each`, `${rejoin.seconds.toFixed(0)} s`, '16 s', formatMargin(rejoin.seconds, 16)],
+	]);
+}
+
+function formatSlopes(measurements: CapacityMeasurements): string {
+	return formatMarkdown(['slope', 'points (x: y)', 'cost of one more', 'cost before the first', 'R²'], measurements.slopes.map(slope => [
+		`${slope.name}, ${slope.unit}`,
+		slope.points.map(([x, y]) => `${x}: ${y.toFixed(y < 100 ? 1 : 0)}`).join(', '),
+		`${slope.slope.toPrecision(3)} per ${slope.per}`,
+		slope.intercept.toPrecision(3),
+		slope.rSquared.toFixed(3),
+	]));
+}
+
+/** Ten times the nodes, services, changes and calls, in as many failure domains. */
+const tenfold: FleetSize = {
+	...letterSize,
+	nodes: letterSize.nodes * 10,
+	items: letterSize.items * 10,
+	changesPerSecond: letterSize.changesPerSecond * 10,
+	recordChangesPerSecond: letterSize.recordChangesPerSecond * 10,
+	callsPerSecond: letterSize.callsPerSecond * 10,
+};
+
+/** Writes all tables. */
+export function formatTables(measurements: CapacityMeasurements): string {
+	return [
+		`Measured on ${measurements.date}.`,
+		'## Roles at 16,000 nodes',
+		formatRoles(measurements, letterSize),
+		'## The whole',
+		formatWhole(measurements, letterSize),
+		'## At ten times the size',
+		formatRoles(measurements, tenfold),
+		'## Slopes',
+		formatSlopes(measurements),
+		`Datagrams: a heartbeat has ${measurements.heartbeatBytes} bytes, a summary ${measurements.summaryBytes}; UDP and IP add 28. A full time line holds ${(measurements.timelineBytes / 1e6).toFixed(2)} MB.`,
+	].join('\n\n');
+}
+
+/** Puts the tables in their place on the page. */
+export function replaceTables(page: string, measurements: CapacityMeasurements): string {
+	const from = page.indexOf(begin);
+	const to = page.indexOf(end);
+	if (from === -1 || to === -1) {
+		throw new Error(`the page lacks the marks ${begin} and ${end}`);
+	}
+
+	return `${page.slice(0, from + begin.length)}\n\n${formatTables(measurements)}\n\n${page.slice(to)}`;
+}
--- /dev/null
+++ b/bench/capacity/slopes.ts
@@ -0,0 +1,243 @@
+/**
+ * Measures what one more of something costs: an item, a node in the directory,
+ * a member, a message, a call.
+ *
+ * @module
+ */
+import process from 'node:process';
+import {applyTreeChanges} from '../../src/lib/common/digest-tree.js';
+import {createByteMeter} from '../../src/lib/common/byte-meter.js';
+import {createSystemNetwork} from '../../src/index.js';
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId, toSubmissionId,
+} from '../../src/lib/common/ids.js';
+import {
+	applyDelta, createConfiguration, prepareDelta, type Configuration, type Delta, type ItemChange,
+} from '../../src/lib/configuration/configuration.js';
+import {evaluateSubmission, findItemProblems} from '../../src/lib/configuration/evaluate-submission.js';
+import {createDirectory, mergeRecords, type Directory} from '../../src/lib/directory/directory.js';
+import {type NodeRecord} from '../../src/lib/directory/node-record.js';
+import {sortMembers} from '../../src/lib/distribution/distribution-tree.js';
+import {defaultHeadLimits, planHeadRecord, type HeadRecord} from '../../src/lib/distribution/head-record.js';
+import {encodeDelta, encodeRecord} from '../../src/lib/distribution/wire.js';
+import {createPeers} from '../../src/lib/distribution/peers.js';
+import {createDetectorState, defaultDetectorSettings, stepDetector} from '../../src/lib/membership/failure-detector.js';
+import {buildRoutingTable, updateRoutingTable} from '../../src/lib/routing/routing-table.js';
+import {createItems, createRevisedPool} from '../sample-configuration.js';
+import {fitLine, measureMedian, type Fit} from '../statistics.js';
+import {startPeerNode} from './peer-node.js';
+
+/** One measured slope, with its points. */
+export type Slope = Fit & {
+	readonly name: string;
+	/** What one step along x is. */
+	readonly per: string;
+	readonly unit: 'bytes' | 'microseconds' | 'milliseconds';
+	readonly points: ReadonlyArray<readonly [number, number]>;
+};
+
+const itemSizes = [600, 2400, 4800, 9600] as const;
+const directorySizes = [2000, 4000, 8000, 16_000] as const;
+const memberSizes = [50, 100, 200, 444] as const;
+const messageCounts = [50, 100, 200, 400] as const;
+const itemsPerService = 3;
+
+export function createSlope(name: string, per: string, unit: Slope['unit'], points: Slope['points']): Slope {
+	return {
+		name, per, unit, points, ...fitLine(points),
+	};
+}
+
+function measureHeap<T>(build: () => T): {readonly value: T; readonly bytes: number} {
+	globalThis.gc?.();
+	const before = process.memoryUsage().heapUsed;
+	const value = build();
+	globalThis.gc?.();
+	return {value, bytes: process.memoryUsage().heapUsed - before};
+}
+
+function createSizedConfiguration(items: number): Configuration {
+	const changes = createItems(items / itemsPerService).map((item): ItemChange => ({type: 'put', item}));
+	return prepareDelta(createConfiguration(), changes, []).next;
+}
+
+function createSampleDelta(configuration: Configuration, revision: number): Delta {
+	return prepareDelta(configuration, [{type: 'put', item: createRevisedPool(revision % 100, revision)}], [toSubmissionId(`submission-${revision}-0123456789abcdef`)]).delta;
+}
+
+/** What the items of a configuration cost. */
+export function measureItems(): readonly Slope[] {
+	const heap: Array<[number, number]> = [];
+	const applied: Array<[number, number]> = [];
+	const accepted: Array<[number, number]> = [];
+	const routed: Array<[number, number]> = [];
+	for (const size of itemSizes) {
+		const {value: configuration, bytes} = measureHeap(() => createSizedConfiguration(size));
+		const delta = createSampleDelta(configuration, 7);
+		const table = buildRoutingTable(configuration);
+		const route: ItemChange = {type: 'put', item: createItems(8).at(-1)!};
+		heap.push([size, bytes]);
+		applied.push([size, measureMedian(400, () => applyDelta(configuration, delta))]);
+		routed.push([size, measureMedian(200, () => updateRoutingTable(table, configuration, [route]))]);
+		accepted.push([size, measureMedian(200, () => {
+			findItemProblems(delta.changes);
+			evaluateSubmission(configuration, configuration.tree, {
+				id: toSubmissionId('s'), seenVersion: 0, bases: {}, changes: delta.changes,
+			});
+			prepareDelta(configuration, delta.changes, []);
+		})]);
+	}
+
+	return [
+		createSlope('memory of the configuration', 'item', 'bytes', heap),
+		createSlope('applying one change', 'item held', 'microseconds', applied),
+		createSlope('accepting one change', 'item held', 'microseconds', accepted),
+		createSlope('updating the routing table', 'item held', 'microseconds', routed),
+	];
+}
+
+export function createSampleRecord(index: number, sequence = 1): NodeRecord {
+	const host = `10.${Math.floor(index / 62_500)}.${Math.floor(index / 250) % 250}.${index % 250}`;
+	return {
+		id: toNodeId(`node-${index}`),
+		failureDomain: toFailureDomain(`domain-${index % 36}`),
+		gateAddress: toAddress(`${host}:7002`),
+		controlAddress: toAddress(`${host}:7003`),
+		gossipAddress: toAddress(`${host}:7004`),
+		operatorAddress: toAddress(`${host}:7005`),
+		epoch: 1_790_000_000_000 + index,
+		sequence,
+		status: 'alive',
+		servers: [{
+			id: toBackendServerId(`server-${index}`),
+			service: `service-${index % 3200}`,
+			address: toAddress(`${host}:8080`),
+			slots: 12,
+			connections: 130,
+			startedAt: 1_790_000_000_000,
+			isDraining: false,
+		}],
+	};
+}
+
+function createSizedDirectory(size: number): Directory {
+	return mergeRecords(createDirectory(), Array.from({length: size}, (_, index) => createSampleRecord(index))).directory;
+}
+
+/** What the nodes in the directory cost. */
+export function measureDirectory(): readonly Slope[] {
+	const heap: Array<[number, number]> = [];
+	const merged: Array<[number, number]> = [];
+	for (const size of directorySizes) {
+		const {value: directory, bytes} = measureHeap(() => createSizedDirectory(size));
+		let sequence = 2;
+		heap.push([size, bytes]);
+		merged.push([size, measureMedian(300, () => {
+			sequence++;
+			mergeRecords(directory, [createSampleRecord(sequence % size, sequence)]);
+		})]);
+	}
+
+	return [
+		createSlope('memory of the directory', 'node', 'bytes', heap),
+		createSlope('merging one record', 'node held', 'microseconds', merged),
+	];
+}
+
+/** What the members of a failure domain cost. */
+export function measureMembers(): readonly Slope[] {
+	const ticks: Array<[number, number]> = [];
+	const orders: Array<[number, number]> = [];
+	for (const size of memberSizes) {
+		const members = Array.from({length: size}, (_, index) => toNodeId(`node-${index}`));
+		let state = createDetectorState(0);
+		let now = 0;
+		ticks.push([size, measureMedian(1000, () => {
+			now += 200;
+			const step = stepDetector(state, {type: 'tick', now, members}, defaultDetectorSettings, Math.random);
+			state = step.state;
+			for (const effect of step.effects) {
+				if (effect.type === 'ping') {
+					({state} = stepDetector(state, {type: 'ack', from: effect.target, sequenceNumber: effect.sequenceNumber}, defaultDetectorSettings, Math.random));
+				}
+			}
+		})]);
+		orders.push([size, measureMedian(200, () => sortMembers(members))]);
+	}
+
+	return [
+		createSlope('one step of the failure detector', 'member', 'microseconds', ticks),
+		createSlope('computing the tree\'s order', 'member', 'microseconds', orders),
+	];
+}
+
+/** What a message between nodes costs on the wire and in processor time, sender and receiver together. */
+export async function measureMessages(): Promise<readonly Slope[]> {
+	const node = await startPeerNode();
+	const meter = createByteMeter();
+	const peers = createPeers(meter, createSystemNetwork());
+	const client = peers.getClient(node.controlAddress);
+	const delta = encodeDelta(createSampleDelta(createSizedConfiguration(600), 3));
+	const record = encodeRecord(createSampleRecord(3));
+	const pushDelta = async (): Promise<unknown> => client.pushDeltas({
+		from: 'bench', deltas: [delta], version: 0, controlAddress: node.controlAddress,
+	});
+	const pushRecord = async (): Promise<unknown> => client.pushRecords({from: 'bench', records: [record]});
+	await pushDelta();
+	await pushRecord();
+	const slopes: Slope[] = [];
+	for (const [name, send] of [['pushing one change', pushDelta], ['pushing one record', pushRecord]] as const) {
+		const bytes: Array<[number, number]> = [];
+		const times: Array<[number, number]> = [];
+		for (const count of messageCounts) {
+			const before = meter.getCounts();
+			const cpu = process.cpuUsage();
+			for (let index = 0; index < count; index++) {
+				await send();
+			}
+
+			const used = process.cpuUsage(cpu);
+			const after = meter.getCounts();
+			bytes.push([count, after.sent + after.received - before.sent - before.received]);
+			times.push([count, used.user + used.system]);
+		}
+
+		slopes.push(createSlope(`${name}, bytes`, 'message', 'bytes', bytes), createSlope(`${name}, processor`, 'message', 'microseconds', times));
+	}
+
+	peers.dispose();
+	await node.dispose();
+	return slopes;
+}
+
+/** How large the head record is on average, as every relay receives it with every change. */
+export function measureHead(): readonly Slope[] {
+	let configuration = createSizedConfiguration(600);
+	let record: HeadRecord | undefined;
+	let total = 0;
+	const points: Array<[number, number]> = [];
+	for (let revision = 1; revision <= 400; revision++) {
+		const {delta, next} = prepareDelta(configuration, [{type: 'put', item: createRevisedPool(revision % 100, revision)}], [toSubmissionId(`submission-${revision}-0123456789abcdef`)]);
+		record = planHeadRecord(record, delta, defaultHeadLimits).record;
+		configuration = next;
+		total += JSON.stringify(record).length;
+		if (revision % 100 === 0) {
+			points.push([revision, total]);
+		}
+	}
+
+	return [createSlope('head record that a watch answers', 'change', 'bytes', points)];
+}
+
+/** A tree of 256 buckets that changes one entry: the part of every change that does not depend on its kind. */
+export function measureTree(): readonly Slope[] {
+	const points = itemSizes.map((size): [number, number] => {
+		const {tree} = createSizedConfiguration(size);
+		let round = 0;
+		return [size, measureMedian(400, () => {
+			round++;
+			applyTreeChanges(tree, [{key: `pool/service-${round % 100}`, entry: undefined}]);
+		})];
+	});
+	return [createSlope('changing one entry of the digest tree', 'item held', 'microseconds', points)];
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,6 +6,8 @@
 import process from 'node:process';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {renderCapacityPage, runCapacity} from './capacity/capacity.js';
+import {runCalls} from './calls/calls.js';
 import {runDistribution} from './distribution.js';
 
 await yargs(hideBin(process.argv))
@@ -19,6 +21,10 @@
 		.option('workers', {type: 'number', default: 5, describe: 'processes that host the nodes'})
 		.option('batch-window-ms', {type: 'number', default: 50})
 		.option('faults', {type: 'boolean', default: true}), async options => runDistribution({...options, batchWindowMs: options['batch-window-ms']}))
+	.command('calls', 'added latency, goodput and faults', builder => builder
+		.option('seconds', {type: 'number', default: 6, describe: 'length of each row'}), async options => runCalls(options))
+	.command('capacity', 'measure the slopes and write the tables of docs/CAPACITY.md', builder => builder, async () => runCapacity())
+	.command('capacity-page', 'write the tables again from the measurements on file', builder => builder, async () => renderCapacityPage())
 	.demandCommand(1)
 	.strict()
 	.parseAsync();
--- /dev/null
+++ b/scenarios/world.ts
@@ -0,0 +1,266 @@
+/**
+ * What the scenarios act on: nodes in this process on loopback addresses, a
+ * stand-in store, stand-in backend servers and callers.
+ *
+ * @module
+ */
+import {randomUUID} from 'node:crypto';
+import {mkdtemp, rm} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {err, errAsync, ok} from 'neverthrow';
+import {Agent, request as sendRequest} from 'undici';
+import {
+	createNode, settingsSchema, toBackendServerId,
+	type ItemChange, type Node, type Settings, type Store, type StoreReadError, type SubmissionOutcome, type TimelineEvent,
+} from '../src/index.js';
+import {startBackendServer, type BackendServerStandIn} from '../stand-ins/backend-server/backend-server.js';
+import {createMemoryStore, type MemoryStore} from '../stand-ins/store/memory-store.js';
+import {createCutNetwork, type CutNetwork} from './cut-network.js';
+
+/** A node of the scenario and everything that it ever applied, over all its runs. */
+export type WorldNode = {
+	readonly name: string;
+	readonly host: string;
+	readonly settings: Settings;
+	node: Node;
+	isRunning: boolean;
+	readonly applied: number[];
+	/** Versions at the moment that a run became ready to serve. */
+	readonly readyAt: number[];
+	readonly events: TimelineEvent[];
+};
+
+/** What a caller was told. */
+export type Answer = {
+	readonly status: number;
+	readonly verdict: string;
+	readonly body: string;
+	readonly retryAfter: string | undefined;
+	readonly isCut: boolean;
+	readonly milliseconds: number;
+};
+
+export type CallRequest = {
+	readonly method?: 'GET' | 'POST' | 'PUT';
+	readonly path: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: string;
+};
+
+export type World = {
+	readonly store: MemoryStore;
+	readonly network: CutNetwork;
+	readonly nodes: Map<string, WorldNode>;
+	readonly servers: Map<string, BackendServerStandIn>;
+	readonly startNodes: (count: number, domains: number) => Promise<void>;
+	readonly startServer: (name: string, service: string, node: string, slots?: number) => Promise<void>;
+	readonly killNode: (name: string) => Promise<void>;
+	readonly restartNode: (name: string) => Promise<void>;
+	readonly submit: (node: string, changes: readonly ItemChange[], options?: {readonly id?: string; readonly bases?: Readonly<Record<string, number>>}) => Promise<SubmissionOutcome>;
+	readonly call: (node: string, request: CallRequest) => Promise<Answer>;
+	readonly getNode: (name: string) => WorldNode;
+	readonly getServer: (name: string) => BackendServerStandIn;
+	readonly listRunning: () => readonly WorldNode[];
+	readonly dispose: () => Promise<void>;
+};
+
+/** The scenarios of one process use one address after another, so that none meets a port of the one before. */
+let nextHost = 1;
+
+/** Stands for the platform's store where hosts are cut off from one another. */
+export const storeHost = 'store';
+
+const membership = {
+	periodMs: 200, ackTimeoutMs: 80, suspicionMs: 600,
+};
+
+function createHost(): string {
+	const host = `127.5.${Math.floor(nextHost / 250)}.${(nextHost % 250) + 1}`;
+	nextHost++;
+	return host;
+}
+
+function createWorldSettings(name: string, host: string, domain: string, seeds: readonly string[]): Settings {
+	const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `${host}:${7000 + port}`);
+	return settingsSchema.parse({
+		node: name,
+		failureDomain: domain,
+		listen: {
+			callers, gate, control, gossip, operators, announcements,
+		},
+		store: {address: '127.0.0.1:9', callsPerSecond: 200, burst: 200},
+		seeds,
+		membership,
+		calls: {drainMs: 5000},
+	});
+}
+
+/** Waits until a condition holds, or fails with what was waited for. */
+export async function waitFor(what: string, condition: () => boolean | Promise<boolean>, timeoutMs = 16_000): Promise<void> {
+	const due = Date.now() + timeoutMs;
+	while (!await condition()) {
+		if (Date.now() > due) {
+			throw new Error(`within ${timeoutMs} ms it did not come about that ${what}`);
+		}
+
+		await sleep(20);
+	}
+}
+
+/** Creates a world without nodes. */
+export async function createWorld(): Promise<World> {
+	const store = createMemoryStore({latencyMs: 1});
+	const network = createCutNetwork();
+	const nodes = new Map<string, WorldNode>();
+	const servers = new Map<string, BackendServerStandIn>();
+	const agent = new Agent({connections: 50, pipelining: 1});
+	const bundleDirectory = await mkdtemp(join(tmpdir(), 'stonemoor-scenario-'));
+
+	const getNode = (name: string): WorldNode => {
+		const found = nodes.get(name);
+		if (found === undefined) {
+			throw new Error(`there is no ${name}`);
+		}
+
+		return found;
+	};
+
+	const getServer = (name: string): BackendServerStandIn => {
+		const found = servers.get(name);
+		if (found === undefined) {
+			throw new Error(`there is no backend server ${name}`);
+		}
+
+		return found;
+	};
+
+	/** The store as one host reaches it. */
+	const createStoreView = (host: string): Store => {
+		const unavailable: StoreReadError = {type: 'unavailable', reason: 'the network is cut'};
+		const isCut = (): boolean => network.isCut(host, storeHost);
+		return {
+			read: key => isCut() ? errAsync(unavailable) : store.read(key),
+			write: request => isCut() ? errAsync(unavailable) : store.write(request),
+			watch: request => isCut() ? errAsync(unavailable) : store.watch(request).andThen(stored => isCut() ? err(unavailable) : ok(stored)),
+		};
+	};
+
+	const createRun = (settings: Settings, host: string, record: Pick<WorldNode, 'applied' | 'events' | 'readyAt'>): Node => createNode(settings, {
+		store: createStoreView(host),
+		random: Math.random,
+		network: network.createView(host),
+		handleEvent(event) {
+			record.events.push(event);
+			if (event.kind === 'configuration-applied') {
+				record.applied.push(event.version);
+			} else if (event.kind === 'node-ready') {
+				record.readyAt.push(event.version);
+			}
+		},
+	});
+
+	const start = async (worldNode: WorldNode): Promise<void> => {
+		const started = await worldNode.node.start();
+		if (started.isErr()) {
+			throw new Error(JSON.stringify(started.error));
+		}
+
+		worldNode.isRunning = true;
+	};
+
+	const startOne = async (name: string, host: string, domain: string, seeds: readonly string[]): Promise<void> => {
+		const settings = createWorldSettings(name, host, domain, seeds);
+		const record = {applied: [], events: [], readyAt: []};
+		const worldNode: WorldNode = {
+			name, host, settings, node: createRun(settings, host, record), isRunning: false, ...record,
+		};
+		nodes.set(name, worldNode);
+		await start(worldNode);
+	};
+
+	const listRunning = (): readonly WorldNode[] => [...nodes.values()].filter(worldNode => worldNode.isRunning);
+
+	return {
+		store,
+		network,
+		nodes,
+		servers,
+		getNode,
+		getServer,
+		listRunning,
+		async startNodes(count, domains) {
+			const hosts = Array.from({length: count}, () => createHost());
+			const seeds = hosts.slice(0, 3).map(host => `${host}:7003`);
+			for (const [index, host] of hosts.entries()) {
+				await startOne(`node-${index + 1}`, host, `domain-${(index % domains) + 1}`, seeds);
+			}
+
+			await waitFor('every node is ready and knows the others', () => listRunning().every(({node}) => node.getStatus().isReady && node.getStatus().knownNodes >= count));
+		},
+		async startServer(name, service, node, slots = 12) {
+			servers.set(name, await startBackendServer({
+				id: name, service, host: '127.0.0.1', port: 0, slots, connections: 130, announcements: getNode(node).settings.listen.announcements, bundleDirectory,
+			}));
+			await waitFor(`every node knows ${name}`, async () => {
+				const lists = await Promise.all(listRunning().map(async ({settings}) => {
+					const reply = await sendRequest(`http://${settings.listen.operators}/v1/servers`);
+					return await reply.body.json() as ReadonlyArray<{readonly server: {readonly id: string}}>;
+				}));
+				return lists.every(list => list.some(({server}) => server.id === toBackendServerId(name)));
+			});
+		},
+		async killNode(name) {
+			const worldNode = getNode(name);
+			worldNode.isRunning = false;
+			await worldNode.node.dispose();
+		},
+		async restartNode(name) {
+			const worldNode = getNode(name);
+			if (worldNode.isRunning) {
+				await worldNode.node.dispose();
+			}
+
+			worldNode.node = createRun(worldNode.settings, worldNode.host, worldNode);
+			await start(worldNode);
+		},
+		async submit(node, changes, {id = randomUUID(), bases = {}} = {}) {
+			const {settings, node: running} = getNode(node);
+			const reply = await sendRequest(`http://${settings.listen.operators}/v1/submissions`, {
+				method: 'POST',
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify({
+					id, bases, changes, seenVersion: running.getStatus().version,
+				}),
+			});
+			return await reply.body.json() as SubmissionOutcome;
+		},
+		async call(node, {method = 'GET', path, headers, body}) {
+			const startedAt = Date.now();
+			try {
+				const reply = await sendRequest(`http://${getNode(node).settings.listen.callers}${path}`, {
+					method, headers, body, dispatcher: agent,
+				});
+				return {
+					status: reply.statusCode,
+					verdict: String(reply.headers['stonemoor-verdict']),
+					retryAfter: reply.headers['retry-after'] as string | undefined,
+					body: await reply.body.text(),
+					isCut: false,
+					milliseconds: Date.now() - startedAt,
+				};
+			} catch {
+				return {
+					status: 0, verdict: 'may-have-run', body: '', retryAfter: undefined, isCut: true, milliseconds: Date.now() - startedAt,
+				};
+			}
+		},
+		async dispose() {
+			await Promise.all([...servers.values()].map(async server => server.kill()));
+			await Promise.all(listRunning().map(async ({node}) => node.dispose()));
+			await agent.destroy();
+			await rm(bundleDirectory, {recursive: true, force: true});
+		},
+	};
+}
--- a/src/index.ts
+++ b/src/index.ts
@@ -8,6 +8,7 @@
 	type Address, type BackendServerId, type CallId, type Digest, type FailureDomain, type NodeId, type SubmissionId,
 } from './lib/common/ids.js';
 export {type Verdict, verdicts} from './lib/common/verdict.js';
+export {createSystemNetwork, type Network} from './lib/common/network.js';
 export {type ByteCounts} from './lib/common/byte-meter.js';
 export {
 	applyDelta, createConfiguration, getItem, listItems,
--- a/src/lib/calls/gate-client.ts
+++ b/src/lib/calls/gate-client.ts
@@ -7,6 +7,7 @@
 import {Pool} from 'undici';
 import {readNow} from '../common/clock.js';
 import {type Address, type BackendServerId} from '../common/ids.js';
+import {createConnector, type Network} from '../common/network.js';
 import {parseVerdict} from '../common/verdict.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
 import {
@@ -57,10 +58,11 @@
  * Creates the client. No connection is made before the first attempt.
  *
  * @param clock - The node's Lamport clock.
+ * @param network - How other nodes are reached.
  * @returns The client.
  * @internal
  */
-export function createGateClient(clock: LamportClock): GateClient {
+export function createGateClient(clock: LamportClock, network: Network): GateClient {
 	const pools = new Map<Address, Pool>();
 
 	const getPool = (address: Address): Pool => {
@@ -70,7 +72,7 @@
 		}
 
 		const pool = new Pool(`http://${address}`, {
-			connections: connectionsPerGate, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: {timeout: connectTimeoutMs},
+			connections: connectionsPerGate, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: createConnector(network, connectTimeoutMs),
 		});
 		pools.set(address, pool);
 		const oldest = pools.size > maximumGates ? [...pools.keys()][0] : undefined;
--- a/src/lib/distribution/peers.ts
+++ b/src/lib/distribution/peers.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import {connect} from 'node:net';
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import {parseAddress} from '../common/address.js';
 import {type ByteMeter} from '../common/byte-meter.js';
 import {type Address} from '../common/ids.js';
+import {type Network} from '../common/network.js';
 import {NodeControl} from '../generated/stonemoor/v1/node_pb.js';
 
 /** @internal */
@@ -35,17 +35,18 @@
  * Creates the clients of a node. No connection is made before the first call.
  *
  * @param meter - Counts the bytes.
+ * @param network - How other nodes are reached.
  * @returns The clients.
  * @internal
  */
-export function createPeers(meter: ByteMeter): Peers {
+export function createPeers(meter: ByteMeter, network: Network): Peers {
 	const peers = new Map<Address, Peer>();
 
 	const createPeer = (address: Address): Peer => {
 		const {host, port} = parseAddress(address);
 		const nodeOptions = {
 			createConnection() {
-				const socket = connect({host, port, noDelay: true});
+				const socket = network.connect({host, port});
 				meter.watchSocket(socket);
 				return socket;
 			},
--- a/src/lib/membership/gossip.ts
+++ b/src/lib/membership/gossip.ts
@@ -4,8 +4,7 @@
  *
  * @module
  */
-import {createSocket, type RemoteInfo} from 'node:dgram';
-import {isIPv6} from 'node:net';
+import {type RemoteInfo} from 'node:dgram';
 import {
 	create, fromBinary, toBinary, type MessageInitShape,
 } from '@bufbuild/protobuf';
@@ -17,6 +16,7 @@
 	toNodeId, type Address, type FailureDomain, type NodeId,
 } from '../common/ids.js';
 import {getRecord, listDomainRecords} from '../directory/directory.js';
+import {type Network} from '../common/network.js';
 import {type DirectoryKeeper} from '../directory/directory-keeper.js';
 import {type NodeRecord} from '../directory/node-record.js';
 import {type ConfigurationKeeper} from '../distribution/configuration-keeper.js';
@@ -59,6 +59,7 @@
 	readonly clock: LamportClock;
 	readonly timeline: Timeline;
 	readonly meter: ByteMeter;
+	readonly network: Network;
 	readonly random: () => number;
 };
 
@@ -94,8 +95,7 @@
  */
 export function createGossip(context: GossipContext): Gossip {
 	const {settings, self, domain, configuration, directory, members, distributor, status, reported, clock, timeline, meter, random} = context;
-	const {host: ownHost} = parseAddress(directory.getOwnRecord().gossipAddress);
-	const socket = createSocket(isIPv6(ownHost) ? 'udp6' : 'udp4');
+	const socket = context.network.createDatagramSocket(parseAddress(directory.getOwnRecord().gossipAddress).host);
 	let detector: DetectorState = createDetectorState(readNow());
 	const forwarded = new Map<string, Forwarded>();
 	let sentSummary: Summary | undefined;
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -19,6 +19,7 @@
 import {createByteMeter} from '../common/byte-meter.js';
 import {readNow, waitFor} from '../common/clock.js';
 import {type Address} from '../common/ids.js';
+import {createSystemNetwork, type Network} from '../common/network.js';
 import {createDirectoryKeeper} from '../directory/directory-keeper.js';
 import {type NodeRecord} from '../directory/node-record.js';
 import {acceptSubmissions, findSubmissionVersion, type AcceptanceContext} from '../distribution/accept-submissions.js';
@@ -51,6 +52,8 @@
 	readonly store: Store;
 	/** Yields numbers from 0 up to 1. */
 	readonly random: () => number;
+	/** How other nodes are reached; the operating system's network without it. */
+	readonly network?: Network;
 	/** Told of every event of the time line. */
 	readonly handleEvent?: (event: TimelineEvent) => void;
 };
@@ -128,7 +131,8 @@
 	const clock = createLamportClock();
 	const timeline = createTimeline(self, clock, surroundings.handleEvent);
 	const meter = createByteMeter();
-	const peers = createPeers(meter);
+	const network = surroundings.network ?? createSystemNetwork();
+	const peers = createPeers(meter, network);
 	const store = createBudgetedStore(surroundings.store, {perSecond: settings.store.callsPerSecond, burst: settings.store.burst});
 	const reported = createReportedVersions();
 	const joining = new AbortController();
@@ -170,7 +174,7 @@
 		self, domain, configuration, directory, distributor, peers,
 	});
 	const gossip = createGossip({
-		settings: settings.membership, self, domain, configuration, directory, members, distributor, status, reported, clock, timeline, meter, random,
+		settings: settings.membership, self, domain, configuration, directory, members, distributor, status, reported, clock, timeline, meter, network, random,
 	});
 	const relayWatch = createRelayWatch({
 		store, configuration, timeline, domain, random, setReason: status.setReason,
@@ -182,7 +186,7 @@
 	const localServers = createLocalServers(settings.admission, timeline, servers => {
 		directory.setServers(servers);
 	});
-	const gateClient = createGateClient(clock);
+	const gateClient = createGateClient(clock, network);
 	const entry = createEntryServer({
 		self,
 		domain,
--- a/stand-ins/backend-server/backend-server.ts
+++ b/stand-ins/backend-server/backend-server.ts
@@ -102,6 +102,8 @@
 	let requests = 0;
 	let cancelled = 0;
 	let isClosing = false;
+	let busySlots = 0;
+	const slotQueue: Array<() => void> = [];
 	const runs = new Map<string, number>();
 	const calls = new Map<string, number>();
 
@@ -140,12 +142,36 @@
 		await pipeline(createReadStream(file), response);
 	};
 
+	/** Waits for one of the slots, without a limit: a server that nobody guards queues whatever it is sent. */
+	const takeSlot = async (): Promise<void> => {
+		if (busySlots < settings.slots) {
+			busySlots++;
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			slotQueue.push(resolve);
+		});
+	};
+
+	const releaseSlot = (): void => {
+		const next = slotQueue.shift();
+		if (next === undefined) {
+			busySlots--;
+		} else {
+			next();
+		}
+	};
+
 	const work = async (): Promise<void> => {
+		await takeSlot();
 		const isCold = requests <= behaviour.coldRequests;
 		const workMs = behaviour.workMs + (isCold ? behaviour.coldMs : 0);
 		if (workMs > 0) {
 			await sleep(workMs);
 		}
+
+		releaseSlot();
 	};
 
 	const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
