--- /dev/null
+++ b/apps/apps.test.ts
@@ -0,0 +1,95 @@
+/**
+ * The daemon and the command line as processes: what they say when something is
+ * wrong, and with which code they end.
+ *
+ * @module
+ */
+import assert from 'node:assert/strict';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import test from 'node:test';
+import {findFreePorts, startProcess} from '../demo/processes.js';
+
+type Ended = {readonly code: number | undefined; readonly output: string};
+
+async function runProgram(program: string, ...parameters: readonly string[]): Promise<Ended> {
+	const running = startProcess(program, program, parameters);
+	const code = await running.waitForEnd();
+	return {code, output: running.getOutput()};
+}
+
+async function withFile(text: string, use: (file: string) => Promise<void>): Promise<void> {
+	const folder = await mkdtemp(join(tmpdir(), 'stonemoor-apps-'));
+	const file = join(folder, 'input.yaml');
+	await writeFile(file, text);
+	try {
+		await use(file);
+	} finally {
+		await rm(folder, {recursive: true});
+	}
+}
+
+const nodeProgram = 'apps/node/main.js';
+const cliProgram = 'apps/cli/main.js';
+
+function createSettingsText(ports: readonly number[]): string {
+	const names = ['callers', 'gate', 'control', 'gossip', 'operators', 'announcements'];
+	const listen = names.map((name, index) => `  ${name}: 127.0.0.1:${ports[index] ?? 0}`).join('\n');
+	return `node: n1\nfailureDomain: a\nlisten:\n${listen}\nstore: {address: "127.0.0.1:9"}\n`;
+}
+
+test('the daemon names every mistake in its settings and ends with code 2', async () => {
+	await withFile('node: n1\nfailureDomain: a\nlissten: {}\n', async file => {
+		const {code, output} = await runProgram(nodeProgram, '--settings', file);
+		assert.equal(code, 2);
+		assert.match(output, /input\.yaml:3:1: lissten: unknown key "lissten"; remove it or correct its spelling/);
+		assert.match(output, /listen: found nothing/);
+	});
+	assert.equal((await runProgram(nodeProgram, '--settings', '/nowhere.yaml')).code, 2);
+});
+
+test('a port that is taken is told in one line, with code 3', async () => {
+	const taken = createServer();
+	await new Promise<void>(resolve => {
+		taken.listen(0, '127.0.0.1', resolve);
+	});
+	const ports = [...await findFreePorts(5), (taken.address() as AddressInfo).port];
+	await withFile(createSettingsText(ports), async file => {
+		const {code, output} = await runProgram(nodeProgram, '--settings', file);
+		assert.equal(code, 3);
+		assert.match(output, /listen\.announcements: cannot listen on 127\.0\.0\.1:\d+: another process uses it; stop that process or choose another port/);
+	});
+	taken.close();
+});
+
+test('a store that does not answer is no reason to exit, and SIGTERM ends the daemon with code 0', async () => {
+	await withFile(createSettingsText(await findFreePorts(6)), async file => {
+		const running = startProcess('node', nodeProgram, ['--settings', file]);
+		await new Promise(resolve => {
+			setTimeout(resolve, 1500);
+		});
+		assert.equal(running.child.exitCode, null);
+		assert.match(running.getOutput(), /node-started/);
+		running.child.kill('SIGTERM');
+		assert.equal(await running.waitForEnd(), 0);
+	});
+});
+
+test('the command line checks documents offline, and ends with documented codes', async () => {
+	await withFile('pools:\n  - {name: a, service: s}\n', async file => {
+		assert.deepEqual(await runProgram(cliProgram, 'check', file, '--json'), {code: 0, output: '{"items":1}\n'});
+		const unreachable = await runProgram(cliProgram, 'submit', file, '--node', '127.0.0.1:9');
+		assert.equal(unreachable.code, 3);
+		assert.match(unreachable.output, /node 127\.0\.0\.1:9 does not answer/);
+	});
+	await withFile('policies:\n  - {name: p, decision: "1 +"}\n', async file => {
+		const {code, output} = await runProgram(cliProgram, 'check', file);
+		assert.equal(code, 1);
+		assert.match(output, /policy\/p decision/);
+	});
+	assert.equal((await runProgram(cliProgram, 'stat')).code, 2);
+	assert.equal((await runProgram(cliProgram, 'status')).code, 2);
+	assert.match((await runProgram(cliProgram, '--help')).output, /stonemoor submit <file>/);
+});
--- a/bench/calls/call-fleet.ts
+++ b/bench/calls/call-fleet.ts
@@ -43,7 +43,8 @@
 	});
 }
 
-async function startWorker(message: ToCallWorker): Promise<CallWorker> {
+/** Starts one node or one backend server in a process of its own. */
+export async function startWorker(message: ToCallWorker): Promise<CallWorker> {
 	const child = fork(fileURLToPath(new URL('call-worker.js', import.meta.url)));
 	const started = waitForMessage(child, 'started');
 	child.send(message);
@@ -69,7 +70,8 @@
 	};
 }
 
-function createCallItems(): readonly Item[] {
+/** A route, a pool and a policy for pages. */
+export function createCallItems(): readonly Item[] {
 	return [
 		{kind: 'policy', name: 'look-ups', decision: '{"action": "forward", "timeoutMs": 1000, "attempts": 3, "isRepeatable": true}'},
 		{
--- /dev/null
+++ b/bench/calls/one-process.ts
@@ -0,0 +1,78 @@
+/**
+ * The mesh's own share of a call: caller, two nodes and a backend server in one
+ * process, one call after another, so that the machine's switching between
+ * processes is left out.
+ *
+ * @module
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {tmpdir} from 'node:os';
+import {Agent} from 'undici';
+import {createNode, settingsSchema, type Node} from '../../src/index.js';
+import {startBackendServer} from '../../stand-ins/backend-server/backend-server.js';
+import {createMemoryStore, type MemoryStore} from '../../stand-ins/store/memory-store.js';
+import {getPercentile} from '../statistics.js';
+import {submitItems} from '../submitter.js';
+import {createCallItems} from './call-fleet.js';
+import {createSender} from './load.js';
+
+/** Milliseconds of one call, by the way it takes. */
+export type OneProcessRow = {
+	readonly way: 'direct' | 'through the node beside the server' | 'through another node';
+	readonly p50: number;
+	readonly p99: number;
+};
+
+const warmUpCalls = 500;
+const measuredCalls = 3000;
+
+async function startNode(index: number, store: MemoryStore): Promise<Node> {
+	const host = `127.6.0.${index}`;
+	const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `${host}:${7000 + port}`);
+	const node = createNode(settingsSchema.parse({
+		node: `node-${index}`,
+		failureDomain: 'one',
+		listen: {
+			callers, gate, control, gossip, operators, announcements,
+		},
+		store: {address: '127.0.0.1:9'},
+		seeds: ['127.6.0.1:7003'],
+	}), {store, random: Math.random});
+	await node.start();
+	return node;
+}
+
+async function measureWay(way: OneProcessRow['way'], address: string): Promise<OneProcessRow> {
+	const agent = new Agent({connections: 4, pipelining: 1});
+	const send = createSender(agent);
+	const times: number[] = [];
+	for (let call = 0; call < warmUpCalls + measuredCalls; call++) {
+		const {milliseconds} = await send(address, `/logs/${call}`);
+		if (call >= warmUpCalls) {
+			times.push(milliseconds);
+		}
+	}
+
+	await agent.destroy();
+	return {way, p50: getPercentile(times, 0.5), p99: getPercentile(times, 0.99)};
+}
+
+/** Measures the three ways, one after another. */
+export async function measureOneProcess(): Promise<readonly OneProcessRow[]> {
+	const store = createMemoryStore();
+	const nodes = [await startNode(1, store), await startNode(2, store)];
+	const server = await startBackendServer({
+		id: 'server-1', service: 'pages', host: '127.0.0.1', port: 0, slots: 12, connections: 130, announcements: '127.6.0.1:7006', bundleDirectory: tmpdir(),
+	});
+	server.setBehaviour({workMs: 0});
+	await submitItems('127.6.0.1:7005', createCallItems(), 0);
+	await sleep(3000);
+	const rows = [
+		await measureWay('direct', server.address),
+		await measureWay('through the node beside the server', '127.6.0.1:7001'),
+		await measureWay('through another node', '127.6.0.2:7001'),
+	];
+	await server.kill();
+	await Promise.all(nodes.map(async node => node.dispose()));
+	return rows;
+}
--- a/bench/capacity/capacity.ts
+++ b/bench/capacity/capacity.ts
@@ -36,11 +36,13 @@
 		version: 123_456,
 		digest: 'x'.repeat(12),
 		directoryDigest: 'x'.repeat(12),
-		kind: hasSummary ? {
-			case: 'summary', value: {
-				failureDomain: 'domain-12', nodes: 445, lowestVersion: 123_456, highestVersion: 123_456, laggards: [laggard, laggard, laggard],
-			},
-		} : {case: 'ping', value: {}},
+		kind: hasSummary
+			? {
+				case: 'summary', value: {
+					failureDomain: 'domain-12', nodes: 445, lowestVersion: 123_456, highestVersion: 123_456, laggards: [laggard, laggard, laggard],
+				},
+			}
+			: {case: 'ping', value: {}},
 	});
 	return toBinary(GossipSchema, message).length;
 }
--- a/bench/capacity/peer-node.ts
+++ b/bench/capacity/peer-node.ts
@@ -1,16 +1,14 @@
 /**
- * One node in this process, for measuring what a message to it costs.
+ * One node in a process of its own, for measuring what a message to it costs.
  *
  * @module
  */
-import {createNode, settingsSchema, type Address} from '../../src/index.js';
-import {createMemoryStore} from '../../stand-ins/store/memory-store.js';
+import {settingsSchema, type Address} from '../../src/index.js';
+import {startWorker, type CallWorker} from '../calls/call-fleet.js';
 
-export type PeerNode = {
-	readonly controlAddress: Address;
-	readonly dispose: () => Promise<void>;
-};
+export type PeerNode = CallWorker & {readonly controlAddress: Address};
 
+/** Starts a node that nobody else knows. */
 export async function startPeerNode(): Promise<PeerNode> {
 	const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `127.3.0.1:${7000 + port}`);
 	const settings = settingsSchema.parse({
@@ -21,7 +19,6 @@
 		},
 		store: {address: '127.0.0.1:9'},
 	});
-	const node = createNode(settings, {store: createMemoryStore(), random: Math.random});
-	await node.start();
-	return {controlAddress: settings.listen.control, dispose: node.dispose};
+	const worker = await startWorker({type: 'node', settings});
+	return {...worker, controlAddress: settings.listen.control};
 }
--- /dev/null
+++ b/scenarios/processes.test.ts
@@ -0,0 +1,89 @@
+/**
+ * Failures that only processes have: frozen, killed, and gone without a word.
+ *
+ * @module
+ */
+import assert from 'node:assert/strict';
+import {rm, writeFile} from 'node:fs/promises';
+import {join} from 'node:path';
+import test from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	fetchJson, prepareMesh, startNode, startStore, type Mesh, type MeshNode,
+} from '../demo/mesh.js';
+import {startProcess, waitUntil, type RunningProcess} from '../demo/processes.js';
+import {type NodeStatusAnswer, type TimelineEvent} from '../src/index.js';
+
+async function fetchStatus(node: MeshNode): Promise<NodeStatusAnswer> {
+	return fetchJson<NodeStatusAnswer>(`http://${node.operators}/v1/status`);
+}
+
+async function expectVersion(nodes: readonly MeshNode[], version: number): Promise<void> {
+	for (const node of nodes) {
+		const isThere = await waitUntil(async () => {
+			const status = await fetchStatus(node);
+			return status.isReady && status.version === version;
+		}, 16_000);
+		assert.ok(isThere, `${node.id} does not have version ${version}`);
+	}
+}
+
+async function submitPool(mesh: Mesh, node: MeshNode, name: string): Promise<void> {
+	const file = join(mesh.directory, `${name}.yaml`);
+	await writeFile(file, `pools:\n  - {name: ${name}, service: s}\n`);
+	const cli = startProcess('cli', 'apps/cli/main.js', ['submit', file, '--node', node.operators]);
+	assert.equal(await cli.waitForEnd(), 0, cli.getOutput());
+}
+
+async function findRelay(nodes: readonly MeshNode[], domain: string): Promise<MeshNode> {
+	const statuses = await Promise.all(nodes.map(async node => fetchStatus(node)));
+	const relay = nodes.find((node, index) => node.domain === domain && statuses[index]?.isRelay);
+	assert.ok(relay);
+	return relay;
+}
+
+test('a relay that is frozen while versions come in, and a node that is killed, leave nobody behind and nobody goes back', {timeout: 120_000}, async t => {
+	const mesh = await prepareMesh();
+	const processes = new Map<string, RunningProcess>([['store', startStore(mesh)]]);
+	t.after(async () => {
+		for (const {child} of processes.values()) {
+			child.kill('SIGKILL');
+		}
+
+		await rm(mesh.directory, {recursive: true, force: true});
+	});
+	for (const node of mesh.nodes) {
+		processes.set(node.id, startNode(node));
+	}
+
+	await expectVersion(mesh.nodes, 0);
+	await waitUntil(async () => {
+		const statuses = await Promise.all(mesh.nodes.map(async node => fetchStatus(node)));
+		return statuses.every(status => status.knownNodes === mesh.nodes.length);
+	}, 15_000);
+
+	const frozen = await findRelay(mesh.nodes, 'north-a');
+	const others = mesh.nodes.filter(node => node !== frozen);
+	processes.get(frozen.id)?.child.kill('SIGSTOP');
+	await submitPool(mesh, others[0]!, 'a');
+	await submitPool(mesh, others[1]!, 'b');
+	await expectVersion(others, 2);
+	await sleep(7000);
+	await submitPool(mesh, others[2]!, 'c');
+	await expectVersion(others, 3);
+	processes.get(frozen.id)?.child.kill('SIGCONT');
+	await expectVersion(mesh.nodes, 3);
+
+	const victim = others[0]!;
+	processes.get(victim.id)?.child.kill('SIGKILL');
+	await submitPool(mesh, others[1]!, 'd');
+	await expectVersion(mesh.nodes.filter(node => node !== victim), 4);
+	processes.set(victim.id, startNode(victim));
+	await expectVersion(mesh.nodes, 4);
+
+	for (const node of mesh.nodes) {
+		const events = await fetchJson<readonly TimelineEvent[]>(`http://${node.operators}/v1/timeline`);
+		const versions = events.flatMap(event => event.kind === 'configuration-applied' ? [event.version] : []);
+		assert.deepEqual(versions, versions.toSorted((left, right) => left - right), `${node.id} applied ${versions.join(', ')}`);
+	}
+});
--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -14,6 +14,7 @@
 import {type RequestAttributes} from '../policy/request-attributes.js';
 import {type Store} from '../store/store.js';
 import {type CallMetrics} from './call-metrics.js';
+import {createCallSignal} from './call-signal.js';
 import {planCall, type CallPlan, type RoutingSnapshot} from './call-plan.js';
 import {
 	filterHeaders, getNumberHeader, meshHeaders, timeoutHeader, toOutgoingHeaders,
@@ -73,18 +74,6 @@
 	};
 }
 
-function createCallSignal(response: ServerResponse, deadline: number): AbortSignal {
-	const controller = new AbortController();
-	const timer = setTimeout(() => {
-		controller.abort(new DOMException('no answer before the deadline', 'TimeoutError'));
-	}, deadline - readNow());
-	response.once('close', () => {
-		clearTimeout(timer);
-		controller.abort();
-	});
-	return controller.signal;
-}
-
 function describeTaken(verdict: CallResult['verdict'], status: number | undefined): ProblemAnswer {
 	return verdict === 'ran'
 		? {
@@ -155,7 +144,7 @@
 			headers: filterHeaders(request.headers),
 			body,
 			deadline,
-			signal: createCallSignal(response, deadline),
+			signal: createCallSignal(response, timeoutMs),
 		});
 	};
 
--- a/src/lib/calls/gate-server.ts
+++ b/src/lib/calls/gate-server.ts
@@ -12,6 +12,7 @@
 import {type WorkClass} from '../policy/decision.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
 import {type Attempt, type AttemptResult, type FailedAttempt} from './attempt.js';
+import {createCallSignal} from './call-signal.js';
 import {
 	filterHeaders, getHeader, getNumberHeader, meshHeaders, timeoutHeader, toOutgoingHeaders,
 } from './headers.js';
@@ -39,7 +40,7 @@
 	return request.headers['transfer-encoding'] !== undefined || (getNumberHeader(request.headers, 'content-length') ?? 0) > 0;
 }
 
-function readCall(request: IncomingMessage, signal: AbortSignal): GateCall {
+function readCall(request: IncomingMessage, response: ServerResponse): GateCall {
 	const timeoutMs = getNumberHeader(request.headers, timeoutHeader) ?? defaultTimeoutMs;
 	return {
 		server: toBackendServerId(getHeader(request.headers, meshHeaders.server) ?? ''),
@@ -51,7 +52,7 @@
 			body: hasBody(request) ? request : undefined,
 			workClass: readWorkClass(request),
 			deadline: readNow() + timeoutMs,
-			signal,
+			signal: createCallSignal(response, timeoutMs),
 			ticket: getHeader(request.headers, meshHeaders.ticket),
 		},
 	};
@@ -93,19 +94,6 @@
 	pipeline(result.body, response, () => undefined);
 }
 
-function createDeadlineSignal(request: IncomingMessage, response: ServerResponse): AbortSignal {
-	const controller = new AbortController();
-	const timeoutMs = getNumberHeader(request.headers, timeoutHeader) ?? defaultTimeoutMs;
-	const timer = setTimeout(() => {
-		controller.abort(new DOMException('no answer before the deadline', 'TimeoutError'));
-	}, timeoutMs);
-	response.once('close', () => {
-		clearTimeout(timer);
-		controller.abort();
-	});
-	return controller.signal;
-}
-
 /**
  * Creates the server of the gate port.
  *
@@ -116,7 +104,7 @@
  */
 export function createGateServer(servers: LocalServers, clock: LamportClock): Server {
 	const reserve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const {server, attempt} = readCall(request, createDeadlineSignal(request, response));
+		const {server, attempt} = readCall(request, response);
 		const ticket = await servers.reserve(server, attempt);
 		ticket.match(
 			text => {
@@ -132,7 +120,7 @@
 	};
 
 	const forward = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const {server, attempt} = readCall(request, createDeadlineSignal(request, response));
+		const {server, attempt} = readCall(request, response);
 		sendAnswer(response, attempt.call, await servers.send(server, attempt));
 	};
 
--- a/src/lib/common/locate-yaml.ts
+++ b/src/lib/common/locate-yaml.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {type Document, type LineCounter} from 'yaml';
+import {isMap, isScalar, type Document, type LineCounter} from 'yaml';
 import {type z} from 'zod';
 
 /** Lines and columns count from 1. @internal */
@@ -39,6 +39,28 @@
 	};
 }
 
+/**
+ * Finds where a key itself stands, for a key that should not be there.
+ *
+ * @param document - The parsed YAML.
+ * @param lines - The counter that was given to the parser.
+ * @param path - The way to the map that has the key.
+ * @param key - The key.
+ * @returns Its place, or `undefined`.
+ * @internal
+ */
+export function locateKey(document: Document, lines: LineCounter, path: FieldPath, key: string): Place | undefined {
+	const map = document.getIn(path, true);
+	const pair = isMap(map) ? map.items.find(item => isScalar(item.key) && item.key.value === key) : undefined;
+	const offset = isScalar(pair?.key) ? pair.key.range?.[0] : undefined;
+	if (offset === undefined) {
+		return undefined;
+	}
+
+	const {line, col} = lines.linePos(offset);
+	return {line, column: col};
+}
+
 /**
  * @param value - A value with fields.
  * @param path - The way to one of them.
--- a/src/lib/distribution/control-service.ts
+++ b/src/lib/distribution/control-service.ts
@@ -9,14 +9,17 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {type ByteMeter} from '../common/byte-meter.js';
 import {findDifferingBuckets} from '../common/digest-tree.js';
-import {toAddress, toNodeId} from '../common/ids.js';
+import {toAddress, toNodeId, type NodeId} from '../common/ids.js';
+import {shuffleList} from '../common/shuffle-list.js';
 import {type DirectoryKeeper} from '../directory/directory-keeper.js';
-import {listDomainRecords} from '../directory/directory.js';
+import {listDomainRecords, listRecords} from '../directory/directory.js';
+import {type NodeRecord} from '../directory/node-record.js';
 import {NodeControl, type PullConfigurationRequest} from '../generated/stonemoor/v1/node_pb.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
 import {type Timeline} from '../timeline/timeline.js';
 import {type ConfigurationKeeper} from './configuration-keeper.js';
 import {type Distributor} from './distributor.js';
+import {createImageLimit, type ImageLimit} from './image-limit.js';
 import {type ReportedVersions} from './reported-versions.js';
 import {type StatusCollector} from './status-collector.js';
 import {
@@ -33,19 +36,25 @@
 	readonly clock: LamportClock;
 	readonly timeline: Timeline;
 	readonly meter: ByteMeter;
+	readonly random: () => number;
 };
 
-/** Whole-state answers under way at once; whoever comes on top asks another node. */
-const maximumImages = 2;
+/** Nodes that a joiner is pointed to, so that a herd does not fetch its whole state from the few seeds. */
+const helperCount = 8;
 
-/** Milliseconds for which an image counts as under way: about the time it takes to send. */
-const imageMs = 250;
+/** A directory answer with more records than this counts as whole state. */
+const largeRecordCount = 500;
 
 type Events = {readonly eventTime: bigint};
 
-function createPullHandler(context: ControlServiceContext): (request: PullConfigurationRequest) => Record<string, unknown> {
+function requireImage(images: ImageLimit): void {
+	if (!images.take()) {
+		throw new ConnectError('this node is sending its whole state to others; ask another one', Code.ResourceExhausted);
+	}
+}
+
+function createPullHandler(context: ControlServiceContext, images: ImageLimit): (request: PullConfigurationRequest) => Record<string, unknown> {
 	const {configuration, clock} = context;
-	let images = 0;
 
 	return request => {
 		clock.witness(Number(request.eventTime));
@@ -66,20 +75,18 @@
 			return {...base, needsBucketDigests: true};
 		}
 
-		if (images >= maximumImages) {
-			throw new ConnectError('this node is sending its whole state to others; ask another one', Code.ResourceExhausted);
-		}
-
-		images++;
-		setTimeout(() => {
-			images--;
-		}, imageMs).unref();
+		requireImage(images);
 		const buckets = findDifferingBuckets(current.tree, request.bucketDigests).map(index =>
 			encodeBucket(index, [...current.tree.buckets[index]?.entries.values() ?? []].map(entry => entry.value)));
 		return {...base, buckets, submissions: current.submissions.map(submission => ({...submission}))};
 	};
 }
 
+function listHelpers({directory, random}: ControlServiceContext, joiner: NodeId): readonly NodeRecord[] {
+	const alive = listRecords(directory.getDirectory()).filter(record => record.status === 'alive' && record.id !== joiner);
+	return shuffleList(alive, random).slice(0, helperCount);
+}
+
 function createRoutes(context: ControlServiceContext): (router: ConnectRouter) => void {
 	const {configuration, directory, distributor, reported, status, clock, timeline} = context;
 	const witness = ({eventTime}: Events): void => {
@@ -87,7 +94,8 @@
 	};
 
 	const getTime = (): bigint => BigInt(clock.getTime());
-	const handlePull = createPullHandler(context);
+	const images = createImageLimit();
+	const handlePull = createPullHandler(context, images);
 
 	return router => {
 		router.service(NodeControl, {
@@ -121,7 +129,12 @@
 			},
 			pullDirectory(request) {
 				witness(request);
-				return {eventTime: getTime(), records: directory.listDiffering(request.bucketDigests).map(record => encodeRecord(record))};
+				const records = directory.listDiffering(request.bucketDigests);
+				if (records.length > largeRecordCount) {
+					requireImage(images);
+				}
+
+				return {eventTime: getTime(), records: records.map(record => encodeRecord(record))};
 			},
 			join(request) {
 				witness(request);
@@ -137,6 +150,7 @@
 					version: configuration.getConfiguration().version,
 					floor,
 					members: listDomainRecords(directory.getDirectory(), joiner.failureDomain).map(record => encodeRecord(record)),
+					helpers: listHelpers(context, joiner.id).map(record => encodeRecord(record)),
 				};
 			},
 			async fleetStatus(request) {
--- a/src/lib/distribution/distributor.ts
+++ b/src/lib/distribution/distributor.ts
@@ -38,9 +38,6 @@
 /** Milliseconds for which directory news is gathered: a server that comes up tells its state several times. */
 const recordWindowMs = 200;
 
-/** Milliseconds between two pulls of the directory. */
-const directoryPullMs = 2000;
-
 /** @internal */
 export type DistributorContext = {
 	readonly settings: DistributionSettings;
@@ -66,7 +63,7 @@
 	/** Fetches what this node lacks of the configuration from another. */
 	readonly pullConfiguration: (address: Address, from: string) => Promise<boolean>;
 	/** Fetches the records in which this node and another differ. */
-	readonly pullDirectory: (address: Address, from: NodeId) => Promise<boolean>;
+	readonly pullDirectory: (address: Address) => Promise<boolean>;
 	/** The relay and standby of every other failure domain, as far as known. */
 	readonly listOtherRelays: () => readonly NodeRecord[];
 	readonly dispose: () => void;
@@ -90,7 +87,6 @@
 	let hasOwnChange = false;
 	const pendingRecords = new Map<Address, Pending<NodeRecord>>();
 	let pull: Promise<boolean> | undefined;
-	let lastDirectoryPullAt = 0;
 	let isDisposed = false;
 
 	const getPlace = (): TreePlace => findTreePlace(members.listOrder(domain), self, settings.fanOut);
@@ -256,12 +252,7 @@
 		return pull;
 	};
 
-	const pullDirectory = async (address: Address, from: NodeId): Promise<boolean> => {
-		if (Date.now() - lastDirectoryPullAt < directoryPullMs) {
-			return false;
-		}
-
-		lastDirectoryPullAt = Date.now();
+	const pullDirectory = async (address: Address): Promise<boolean> => {
 		try {
 			const reply = await peers.getClient(address).pullDirectory({
 				eventTime: BigInt(clock.getTime()), from: self, bucketDigests: [...directory.listBucketDigests()],
--- /dev/null
+++ b/src/lib/drain/drain-node.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {drainNode, type DrainParts} from './drain-node.js';
+
+function createParts(log: string[], changes: Partial<DrainParts> = {}): DrainParts {
+	return {
+		closeGates() {
+			log.push('gates');
+		},
+		closeEntry() {
+			log.push('entry');
+		},
+		countCalls: () => 0,
+		async waitUntilIdle() {
+			log.push('idle');
+			return true;
+		},
+		leave() {
+			log.push('left');
+		},
+		drainMs: 1000,
+		...changes,
+	};
+}
+
+test('the gates close first, and the others hear only when nothing is in flight', async () => {
+	const log: string[] = [];
+	let calls = 3;
+	const isDone = await drainNode(createParts(log, {
+		countCalls() {
+			calls--;
+			log.push(`calls ${Math.max(0, calls)}`);
+			return Math.max(0, calls);
+		},
+	}));
+	assert.equal(isDone, true);
+	assert.deepEqual(log.filter(entry => !entry.startsWith('calls')), ['gates', 'entry', 'idle', 'left']);
+	assert.ok(log.indexOf('calls 0') < log.indexOf('left'));
+});
+
+test('a call that does not end in time is told', async () => {
+	const log: string[] = [];
+	assert.equal(await drainNode(createParts(log, {countCalls: () => 1, drainMs: 50})), false);
+	assert.equal(log.at(-1), 'left');
+});
--- /dev/null
+++ b/src/lib/drain/drain-node.ts
@@ -0,0 +1,54 @@
+/**
+ * Takes a node out of the mesh without losing work.
+ *
+ * @module
+ */
+import {readNow, waitFor} from '../common/clock.js';
+
+/** What a node hands over to be drained. @internal */
+export type DrainParts = {
+	/** Closes the gates: what they turn away from now on has not run. */
+	readonly closeGates: () => void;
+	/** Takes no new connections of callers, and closes the idle ones. */
+	readonly closeEntry: () => void;
+	/** Calls of callers that have not been answered whole. */
+	readonly countCalls: () => number;
+	/** Waits until the backend servers beside the node work on nothing. */
+	readonly waitUntilIdle: (timeoutMs: number) => Promise<boolean>;
+	/** Tells the others that the node has left. */
+	readonly leave: () => void;
+	/** Milliseconds that calls in flight have to end. */
+	readonly drainMs: number;
+};
+
+/** Milliseconds for which a draining node goes on taking connections, so that those under way find it. */
+const lingerMs = 300;
+
+const pollMs = 20;
+
+async function waitForCalls(countCalls: () => number, deadline: number): Promise<boolean> {
+	while (countCalls() > 0 && readNow() < deadline) {
+		await waitFor(pollMs);
+	}
+
+	return countCalls() === 0;
+}
+
+/**
+ * Drains a node: no new work, calls in flight end, the others hear of it.
+ *
+ * @param parts - What is drained.
+ * @returns Whether every call had ended in time.
+ * @internal
+ */
+export async function drainNode(parts: DrainParts): Promise<boolean> {
+	parts.closeGates();
+	await waitFor(lingerMs);
+	parts.closeEntry();
+	const deadline = readNow() + parts.drainMs;
+	const hasNoCalls = await waitForCalls(parts.countCalls, deadline);
+	const hasIdleServers = await parts.waitUntilIdle(Math.max(0, deadline - readNow()));
+	parts.leave();
+	await waitFor(lingerMs);
+	return hasNoCalls && hasIdleServers;
+}
--- a/src/lib/membership/gossip.ts
+++ b/src/lib/membership/gossip.ts
@@ -74,6 +74,9 @@
 /** Periods between two tries to reach a member that is held for dead. */
 const retryPeriods = 3;
 
+/** Periods between two pulls of the directory. */
+const directoryPullPeriods = 2;
+
 /** Milliseconds after which an unchanged summary is sent again. */
 const summaryRepeatMs = 2000;
 
@@ -103,6 +106,8 @@
 	let sentSummaryAt = 0;
 	let lastRelayCheckAt = 0;
 	let lastRetryAt = 0;
+	let lastDirectoryPullAt = 0;
+	let isForked = false;
 	let lastCheckedMs = 0;
 	const timers: NodeJS.Timeout[] = [];
 
@@ -176,6 +181,15 @@
 		}
 	};
 
+	/** Records on their way along the tree are no reason to pull, so this waits between two pulls. */
+	const pullDirectory = (address: Address): void => {
+		const now = readNow();
+		if (now - lastDirectoryPullAt >= settings.periodMs * directoryPullPeriods) {
+			lastDirectoryPullAt = now;
+			void distributor.pullDirectory(address);
+		}
+	};
+
 	const compareState = (message: GossipMessage, from: NodeId): void => {
 		const own = configuration.getConfiguration();
 		const record = getRecord(directory.getDirectory(), from);
@@ -187,8 +201,15 @@
 			void distributor.pullConfiguration(record.controlAddress, from);
 		}
 
-		const isFork = message.version === own.version && message.digest !== own.digest.slice(0, shortDigestLength);
+		const isSameVersion = message.version === own.version;
+		const isFork = isSameVersion && message.digest !== own.digest.slice(0, shortDigestLength);
+		if (isForked && isSameVersion && !isFork) {
+			isForked = false;
+			status.setReason('');
+		}
+
 		if (isFork) {
+			isForked = true;
 			status.setReason(`holds another version ${own.version} than ${from}`);
 			timeline.record({
 				kind: 'configuration-refused', version: message.version, reason: 'fork', from,
@@ -196,7 +217,7 @@
 		}
 
 		if (message.directoryDigest !== directory.getDirectory().tree.root.slice(0, shortDigestLength)) {
-			void distributor.pullDirectory(record.controlAddress, from);
+			pullDirectory(record.controlAddress);
 		}
 	};
 
--- /dev/null
+++ b/src/lib/membership/joiner.test.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {createMemoryStore, type MemoryStore} from '../../../stand-ins/store/memory-store.js';
+import {toAddress, toNodeId, type Address} from '../common/ids.js';
+import {createConfiguration, prepareDelta, type Delta} from '../configuration/configuration.js';
+import {samplePool} from '../configuration/sample-items.js';
+import {createDirectoryKeeper} from '../directory/directory-keeper.js';
+import {createRecord} from '../directory/sample-records.js';
+import {createConfigurationKeeper} from '../distribution/configuration-keeper.js';
+import {type Distributor} from '../distribution/distributor.js';
+import {type PeerClient, type Peers} from '../distribution/peers.js';
+import {encodeRecord} from '../distribution/wire.js';
+import {createLamportClock} from '../timeline/lamport-clock.js';
+import {joinMesh, type JoinerContext} from './joiner.js';
+
+const deltas: Delta[] = [];
+let last = createConfiguration();
+for (let version = 1; version <= 5; version++) {
+	const step = prepareDelta(last, [{type: 'put', item: {...samplePool, slowStartMs: version}}], []);
+	deltas.push(step.delta);
+	last = step.next;
+}
+
+/** What one other node answers. */
+type Peer = {
+	readonly version: number;
+	readonly floor?: number;
+	readonly helpers?: readonly string[];
+	readonly members?: readonly string[];
+	readonly refusesState?: boolean;
+};
+
+type Fake = {
+	readonly context: JoinerContext;
+	readonly store: MemoryStore;
+	/** Whom the state was fetched from, in order. */
+	readonly asked: string[];
+	readonly peers: Map<string, Peer>;
+};
+
+function createFake(initial: Readonly<Record<string, Peer>>): Fake {
+	const peers = new Map(Object.entries(initial));
+	const asked: string[] = [];
+	const store = createMemoryStore({latencyMs: 0});
+	const configuration = createConfigurationKeeper(() => undefined);
+	const directory = createDirectoryKeeper(createRecord('self', {controlAddress: toAddress('self')}), () => undefined);
+	const encodePeer = (name: string): ReturnType<typeof encodeRecord> => encodeRecord(createRecord(name, {controlAddress: toAddress(name)}));
+	const getClient = (address: Address): PeerClient => ({
+		async join() {
+			const peer = peers.get(address);
+			if (peer === undefined) {
+				throw new Error('nobody answers');
+			}
+
+			return {
+				eventTime: 0n,
+				version: peer.version,
+				floor: peer.floor ?? 0,
+				members: (peer.members ?? []).map(name => encodePeer(name)),
+				helpers: (peer.helpers ?? []).map(name => encodePeer(name)),
+			};
+		},
+	}) as unknown as PeerClient;
+	const distributor = {
+		getPlace: () => ({
+			relay: directory.getDirectory().domains.get(directory.getOwnRecord().failureDomain)?.has(toNodeId('relay')) ? toNodeId('relay') : toNodeId('self'), standby: undefined, parent: undefined, children: [],
+		}),
+		async pullDirectory(address: Address) {
+			asked.push(address);
+			return peers.get(address)?.refusesState !== true;
+		},
+		async pullConfiguration(address: Address) {
+			const peer = peers.get(address);
+			if (peer === undefined || peer.refusesState) {
+				return false;
+			}
+
+			configuration.applyDeltas(deltas.slice(0, peer.version), address);
+			return true;
+		},
+	} as unknown as Distributor;
+	return {
+		store, asked, peers, context: {
+			seeds: [toAddress('seed')], store, configuration, directory, distributor, peers: {getClient, dispose: () => undefined} satisfies Peers, clock: createLamportClock(), random: () => 0,
+		},
+	};
+}
+
+const neverAborted = new AbortController().signal;
+
+test('a node does not serve before it has what it was last heard to have', async () => {
+	const {context, peers} = createFake({
+		seed: {version: 3, members: ['relay']}, relay: {version: 3, floor: 5, members: ['relay']},
+	});
+	const joining = joinMesh(context, neverAborted);
+	await new Promise(resolve => {
+		setTimeout(resolve, 60);
+	});
+	assert.equal(context.configuration.getConfiguration().version, 3);
+	assert.equal(context.configuration.getFloor(), 5);
+	peers.set('relay', {version: 5, floor: 5, members: ['relay']});
+	assert.equal(await joining, true);
+	assert.equal(context.configuration.getConfiguration().version, 5);
+});
+
+test('the whole state comes from helpers before seeds, and from the next when one is busy', async () => {
+	const {context, asked} = createFake({
+		seed: {version: 4, members: ['relay'], helpers: ['busy', 'free']}, relay: {version: 4}, busy: {version: 4, refusesState: true}, free: {version: 4},
+	});
+	assert.equal(await joinMesh(context, neverAborted), true);
+	assert.equal(asked.includes('seed'), false);
+	assert.equal(asked.at(-1), 'free');
+	assert.equal(context.configuration.getConfiguration().version, 4);
+});
+
+test('the store is read only by a node whom nobody in its own failure domain could help', async () => {
+	const helped = createFake({seed: {version: 2, members: ['relay']}, relay: {version: 2}});
+	await joinMesh(helped.context, neverAborted);
+	assert.equal(helped.store.getCalls().reads, 0);
+
+	const alone = createFake({});
+	assert.equal(await joinMesh(alone.context, neverAborted), true);
+	assert.equal(alone.store.getCalls().reads, 1);
+});
+
+test('a node that neither a member nor the store answers does not serve', async () => {
+	const fake = createFake({});
+	fake.store.setFaults({isDown: true});
+	const giveUp = new AbortController();
+	const joining = joinMesh(fake.context, giveUp.signal);
+	setTimeout(() => {
+		giveUp.abort();
+	}, 100);
+	assert.equal(await joining, false);
+});
--- a/src/lib/membership/joiner.ts
+++ b/src/lib/membership/joiner.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {waitFor} from '../common/clock.js';
-import {type Address, type NodeId} from '../common/ids.js';
+import {toAddress, type Address, type NodeId} from '../common/ids.js';
 import {getRecord, listRecords} from '../directory/directory.js';
 import {isUsable} from '../directory/node-record.js';
 import {type DirectoryKeeper} from '../directory/directory-keeper.js';
@@ -14,9 +14,9 @@
 import {peerTimeoutMs, type Peers} from '../distribution/peers.js';
 import {readHead} from '../distribution/read-head.js';
 import {decodeRecords, encodeRecord} from '../distribution/wire.js';
+import {shuffleList} from '../common/shuffle-list.js';
 import {type Store} from '../store/store.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
-import {shuffleList} from './failure-detector.js';
 
 /** @internal */
 export type JoinerContext = {
@@ -33,6 +33,9 @@
 /** Seeds that are asked in one round. */
 const seedsPerRound = 3;
 
+/** Nodes that the state is asked of in one round. */
+const sourcesPerRound = 6;
+
 /** Members of the own domain that are asked after the seeds. */
 const membersPerRound = 3;
 
@@ -43,14 +46,19 @@
 const lonelySeedCheckMs = 500;
 const seedCheckMs = 10_000;
 
-/** Who answered, and up to which version this node has to come before it serves. */
-type Answer = {readonly address: Address; readonly from: string};
+/** Who answered, and whom else the whole state can be fetched from. */
+type Answer = {readonly address: Address; readonly helpers: readonly Address[]};
 
-type JoinAnswer = {readonly version: number; readonly floor: number};
+type JoinAnswer = {
+	readonly version: number;
+	readonly floor: number;
+	/** Control addresses of nodes that the whole state can be fetched from. */
+	readonly helpers: readonly Address[];
+};
 
 async function askToJoin({peers, clock, directory}: JoinerContext, address: Address, signal: AbortSignal): Promise<JoinAnswer | undefined> {
 	try {
-		const {eventTime, members, version, floor} = await peers.getClient(address).join(
+		const {eventTime, members, helpers, version, floor} = await peers.getClient(address).join(
 			{eventTime: BigInt(clock.getTime()), record: encodeRecord(directory.getOwnRecord())},
 			{timeoutMs: peerTimeoutMs, signal},
 		);
@@ -58,7 +66,7 @@
 		decodeRecords(members).andTee(records => {
 			directory.merge(records, {type: 'pull'});
 		});
-		return {version, floor};
+		return {version, floor, helpers: helpers.map(helper => toAddress(helper.controlAddress))};
 	} catch {
 		return undefined;
 	}
@@ -82,7 +90,7 @@
 		const pauseMs = records.length > 1 ? seedCheckMs : lonelySeedCheckMs;
 		await waitFor(pauseMs * (0.5 + random()), signal);
 		if (unknown !== undefined && await askToJoin(context, unknown, signal) !== undefined) {
-			await distributor.pullDirectory(unknown, directory.getOwnRecord().id);
+			await distributor.pullDirectory(unknown);
 		}
 	}
 }
@@ -106,7 +114,7 @@
 		}
 
 		configuration.raiseFloor(Math.max(answer.floor, answer.version));
-		return {address, from: address};
+		return {address, helpers: answer.helpers};
 	};
 
 	const askAll = async (addresses: readonly Address[]): Promise<readonly Answer[]> => {
@@ -123,12 +131,26 @@
 		return [...chosen].flatMap(id => getRecord(directory.getDirectory(), id)?.controlAddress ?? []);
 	};
 
+	/** Helpers go first: a herd that knows only the seeds must not fetch everything from them. */
+	const listSources = (answers: readonly Answer[]): readonly Address[] => {
+		const helpers = answers.flatMap(answer => answer.helpers).filter(address => address !== directory.getOwnRecord().controlAddress);
+		return [...new Set([...shuffleList(helpers, random), ...answers.map(({address}) => address)])];
+	};
+
 	const pullFrom = async (answers: readonly Answer[]): Promise<void> => {
-		for (const {address, from} of answers) {
-			await distributor.pullConfiguration(address, from);
+		const sources = listSources(answers).slice(0, sourcesPerRound);
+		for (const address of sources) {
+			if (await distributor.pullDirectory(address)) {
+				break;
+			}
+		}
+
+		for (const address of sources) {
 			if (configuration.getConfiguration().version >= configuration.getFloor()) {
 				return;
 			}
+
+			await distributor.pullConfiguration(address, address);
 		}
 	};
 
@@ -144,12 +166,7 @@
 		const ownSeeds = seeds.filter(address => address !== directory.getOwnRecord().controlAddress);
 		const seedAnswers = await askAll(shuffleList(ownSeeds, random).slice(0, seedsPerRound));
 		const memberAnswers = await askAll(listMembersToAsk());
-		const answers = [...memberAnswers, ...seedAnswers];
-		const source = answers[0];
-		if (source !== undefined) {
-			await distributor.pullDirectory(source.address, self);
-			await pullFrom(answers);
-		}
+		await pullFrom([...memberAnswers, ...seedAnswers]);
 
 		// The store is asked only by a node that nobody in its own failure domain could help: a herd that restarts must not fall on it.
 		const isHelped = memberAnswers.length > 0 || await readStore();
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -17,12 +17,13 @@
 import {createRetryBudget} from '../calls/retry-budget.js';
 import {parseAddress} from '../common/address.js';
 import {createByteMeter} from '../common/byte-meter.js';
-import {readNow, waitFor} from '../common/clock.js';
+import {readNow} from '../common/clock.js';
 import {type Address} from '../common/ids.js';
 import {createSystemNetwork, type Network} from '../common/network.js';
 import {createDirectoryKeeper} from '../directory/directory-keeper.js';
 import {type NodeRecord} from '../directory/node-record.js';
 import {acceptSubmissions, findSubmissionVersion, type AcceptanceContext} from '../distribution/accept-submissions.js';
+import {drainNode} from '../drain/drain-node.js';
 import {createConfigurationKeeper, type ConfigurationChange} from '../distribution/configuration-keeper.js';
 import {createControlServer} from '../distribution/control-service.js';
 import {createDistributor} from '../distribution/distributor.js';
@@ -69,10 +70,7 @@
 	readonly getStatus: () => NodeStatusAnswer;
 };
 
-/** Milliseconds for which a draining node goes on taking connections, so that those under way find it. */
-const lingerMs = 300;
-
-const drainPollMs = 20;
+/** Milliseconds between two looks at whether this node has to watch the store. */
 const dutyCheckMs = 250;
 
 async function listenOn(server: Server, address: Address): Promise<void> {
@@ -180,7 +178,7 @@
 		store, configuration, timeline, domain, random, setReason: status.setReason,
 	});
 	const control = createControlServer({
-		configuration, directory, distributor, reported, status, clock, timeline, meter,
+		configuration, directory, distributor, reported, status, clock, timeline, meter, random,
 	});
 
 	const localServers = createLocalServers(settings.admission, timeline, servers => {
@@ -335,15 +333,6 @@
 		]);
 	};
 
-	const waitForCalls = async (deadline: number): Promise<boolean> => {
-		while (entry.countCalls() > 0 && readNow() < deadline) {
-			await waitFor(drainPollMs);
-		}
-
-		const hasIdleServers = await localServers.waitUntilIdle(Math.max(0, deadline - readNow()));
-		return entry.countCalls() === 0 && hasIdleServers;
-	};
-
 	return {
 		async start() {
 			timeline.record({kind: 'node-started'});
@@ -360,12 +349,16 @@
 		async drain() {
 			isDraining = true;
 			timeline.record({kind: 'node-draining'});
-			localServers.drainAll();
-			await waitFor(lingerMs);
-			entry.startDraining();
-			const isDone = await waitForCalls(readNow() + settings.calls.drainMs);
-			directory.setOwnStatus('left');
-			await waitFor(lingerMs);
+			const isDone = await drainNode({
+				closeGates: localServers.drainAll,
+				closeEntry: entry.startDraining,
+				countCalls: entry.countCalls,
+				waitUntilIdle: localServers.waitUntilIdle,
+				leave() {
+					directory.setOwnStatus('left');
+				},
+				drainMs: settings.calls.drainMs,
+			});
 			timeline.record({kind: 'node-stopped'});
 			await dispose();
 			return isDone;
--- a/src/lib/settings/load-settings.ts
+++ b/src/lib/settings/load-settings.ts
@@ -6,7 +6,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {LineCounter, parseDocument} from 'yaml';
 import {
-	createLocator, describeIssue, getField, type FieldPath,
+	createLocator, describeIssue, getField, locateKey, type FieldPath,
 } from '../common/locate-yaml.js';
 import {settingsSchema, type Settings} from './settings.js';
 
@@ -55,9 +55,11 @@
 
 	const locate = createLocator(document, lines);
 	return err(parsed.error.issues.map(issue => {
+		const path = issue.path as FieldPath;
+		const [unknownKey] = issue.code === 'unrecognized_keys' ? issue.keys : [];
 		// An unknown key is shown where it stands, not where its parent begins.
-		const unknownKeys = issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : [];
-		const path = [...issue.path as FieldPath, ...unknownKeys];
-		return {field: path.join('.'), message: describeIssue(issue, getField(value, issue.path)), ...locate(path)};
+		const place = unknownKey === undefined ? undefined : locateKey(document, lines, path, unknownKey);
+		const field = [...path, ...unknownKey === undefined ? [] : [unknownKey]].join('.');
+		return {field, message: describeIssue(issue, getField(value, path)), ...place ?? locate(path)};
 	}));
 }
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -1,7 +1,7 @@
 import {type FlatXoConfig} from 'xo';
 
 const config: FlatXoConfig = [
-	{ignores: ['dist', 'src/lib/generated']},
+	{ignores: ['dist', 'dist-bench', 'dist-faulty', 'src/lib/generated']},
 	{
 		rules: {
 			// Retries, rounds and polls are sequences: each step needs the one before.
