Scenarios for late answers, callers that leave and badly framed requests; a bench for a large configuration

Found: the first form of the scenario asked 40 callers of 24 slots at 700 ms each, more than the queue may hold; the gate was right to shed, and the scenario asks 12.

--- /dev/null
+++ b/bench/large.ts
@@ -0,0 +1,48 @@
+/**
+ * `npm run bench -- large`: a configuration of 3,200 services, submitted as one.
+ *
+ * @module
+ */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {startStoreServer} from '../stand-ins/store/store-server.js';
+import {startFleet} from './fleet.js';
+import {createItems, createRevisedPool} from './sample-configuration.js';
+import {formatMarkdown} from './statistics.js';
+import {measureConvergence, submitItems, waitUntil} from './submitter.js';
+
+const nodes = 13;
+const services = 3200;
+const settleMs = 4000;
+
+/** Submits it, and then a change of one item, and prints what both took. */
+export async function runLarge(): Promise<void> {
+	const store = await startStoreServer('127.0.0.1', 0);
+	const fleet = startFleet({
+		nodes, mode: 'mesh', storeAddress: store.address, workers: nodes, domains: 3,
+	});
+	await waitUntil(() => fleet.countReady() >= nodes, 60_000);
+	await sleep(settleMs);
+	const names = fleet.settings.map(settings => settings.node);
+	const operators = fleet.settings[0]?.listen.operators ?? '';
+	const items = createItems(services);
+	const before = await fleet.getUsage();
+	const rows: Array<readonly string[]> = [];
+	for (const [name, changed, version] of [['3,200 services at once', items, 1], ['then one pool', [createRevisedPool(7, 1)], 2]] as const) {
+		const sentAt = Date.now();
+		const outcome = await submitItems(operators, changed, version - 1);
+		const acceptedMs = Date.now() - sentAt;
+		await waitUntil(() => measureConvergence(fleet, names, [{version, sentAt}]).every(ms => Number.isFinite(ms)), 60_000);
+		const everywhereMs = Math.max(...measureConvergence(fleet, names, [{version, sentAt}]));
+		rows.push([name, `${(JSON.stringify(changed).length / 1e6).toFixed(2)} MB`, outcome.type, String(acceptedMs), String(everywhereMs)]);
+	}
+
+	await sleep(settleMs);
+	const after = await fleet.getUsage();
+	const image = store.store.getImage();
+	const largest = Math.max(...image.map(([, {value}]) => value.length));
+	process.stdout.write(`${formatMarkdown(['submission', 'size', 'outcome', 'accepted after ms', 'in force on 13 nodes after ms'], rows)}\n`);
+	process.stdout.write(`Heap of a node: ${(before.heapBytes / nodes / 1e6).toFixed(1)} MB before, ${(after.heapBytes / nodes / 1e6).toFixed(1)} MB after, process included. The store holds ${image.length} values, the largest of ${(largest / 1e6).toFixed(2)} MB.\n`);
+	await fleet.dispose();
+	await store.dispose();
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import {hideBin} from 'yargs/helpers';
 import {renderCapacityPage, runCapacity} from './capacity/capacity.js';
 import {runCalls} from './calls/calls.js';
+import {runLarge} from './large.js';
 import {runDistribution} from './distribution.js';
 
 await yargs(hideBin(process.argv))
@@ -25,6 +26,7 @@
 		.option('seconds', {type: 'number', default: 6, describe: 'length of each row'}), async options => runCalls(options))
 	.command('capacity', 'measure the slopes and write the tables of docs/CAPACITY.md', builder => builder, async () => runCapacity())
 	.command('capacity-page', 'write the tables again from the measurements on file', builder => builder, async () => renderCapacityPage())
+	.command('large', 'a configuration of 3,200 services as one submission', builder => builder, async () => runLarge())
 	.demandCommand(1)
 	.strict()
 	.parseAsync();
--- a/scenarios/features/calls.feature
+++ b/scenarios/features/calls.feature
@@ -93,3 +93,27 @@
     When a caller reads a page through node-1 with the header "stonemoor-verdict: not-run"
     Then the caller gets status 200
     And the caller is told "ran"
+
+  Scenario: An answer that comes too late reaches nobody, least of all the next caller
+    Given logview-1 takes 700 ms for a request
+    And logview-2 takes 700 ms for a request
+    When 12 callers read pages through all nodes and wait 200 ms
+    Then every caller is told "may-have-run" within 600 ms
+    When 12 callers read different pages through all nodes at once
+    Then every answer is whole and belongs to its request
+
+  Scenario: A caller that goes away is not worked for
+    Given releasehall-1 takes 700 ms for a request
+    And releasehall-2 takes 700 ms for a request
+    When a caller publishes release "r1" through node-1 and goes away after 100 ms
+    Then a backend server saw the cancellation
+    And release "r1" ran at most once
+
+  Scenario: Requests that are framed in two ways, or too large, are refused before anything runs
+    When a caller sends a request with two lengths to node-1
+    Then the connection gets status 400
+    When a caller sends a request with a length and chunks to node-1
+    Then the connection gets status 400
+    When a caller sends 100 KB of headers to node-1
+    Then the connection gets status 431
+    And no backend server got a request
--- a/scenarios/run-scenarios.test.ts
+++ b/scenarios/run-scenarios.test.ts
@@ -93,7 +93,7 @@
 	const steps = scenario.steps.map(step => matchStep(step));
 	const world = await createWorld();
 	const scene: Scene = {
-		world, outcomes: [], answers: [], backup: [], requestsAfterDrain: 0, dangling: [],
+		world, outcomes: [], answers: [], backup: [], requestsAfterDrain: 0, dangling: [], rawStatus: 0,
 	};
 	try {
 		for (const {text, definition, parameters} of steps) {
--- a/scenarios/steps.ts
+++ b/scenarios/steps.ts
@@ -4,11 +4,13 @@
  * @module
  */
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {readFile} from 'node:fs/promises';
+import {connect} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {request as sendRequest} from 'undici';
 import {
-	parseConfigurationDocument, toFailureDomain,
+	parseConfigurationDocument, timeoutHeader, toFailureDomain,
 	type ConfigurationAnswer, type ItemChange, type SubmissionOutcome,
 } from '../src/index.js';
 import {type BackendBehaviour} from '../stand-ins/backend-server/backend-server.js';
@@ -26,6 +28,8 @@
 	backup: StoreImage;
 	requestsAfterDrain: number;
 	dangling: readonly string[];
+	/** What a connection that spoke HTTP by hand was answered, 0 for nothing. */
+	rawStatus: number;
 };
 
 type Parameter = string | number;
@@ -446,3 +450,74 @@
 	const answer = await scene.world.call(node, {...createReleaseCall('upload'), body: 'x'.repeat(megabytes * 1024 * 1024)});
 	scene.answers = [{path: 'upload', answer}];
 });
+
+defineStep('{int} callers read pages through all nodes and wait {int} ms', async (scene, count: number, timeoutMs: number) => {
+	const nodes = scene.world.listRunning();
+	scene.answers = await Promise.all(Array.from({length: count}, async (_, index) => {
+		const path = `/logs/late-${index}`;
+		const answer = await scene.world.call(nodes[index % nodes.length]!.name, {path, headers: {[timeoutHeader]: String(timeoutMs)}});
+		return {path, answer};
+	}));
+});
+
+defineStep('every caller is told {string} within {int} ms', ({answers}, verdict: string, milliseconds: number) => {
+	for (const {answer} of answers) {
+		assert.equal(answer.verdict, verdict, JSON.stringify(answer));
+		assert.ok(answer.milliseconds < milliseconds, `${answer.milliseconds} ms`);
+	}
+});
+
+defineStep('a caller publishes release {string} through {word} and goes away after {int} ms', async ({world}, key: string, node: string, milliseconds: number) => {
+	const {path, headers, body} = createReleaseCall(key);
+	const {callers} = world.getNode(node).settings.listen;
+	await assert.rejects(sendRequest(`http://${callers}${path}`, {
+		method: 'POST', headers, body, signal: AbortSignal.timeout(milliseconds),
+	}));
+});
+
+defineStep('a backend server saw the cancellation', async ({world}) => {
+	await waitFor('a server sees that its caller has gone', () => [...world.servers.values()].some(server => server.getLedger().cancelled > 0), 3000);
+});
+
+defineStep('release {string} ran at most once', (scene, key: string) => {
+	assert.ok(countRuns(scene, key) <= 1);
+});
+
+async function sendRaw(scene: Scene, node: string, text: string): Promise<void> {
+	const {host} = scene.world.getNode(node);
+	const socket = connect({host, port: 7001});
+	let reply = '';
+	socket.on('data', (chunk: Uint8Array) => {
+		reply += Buffer.from(chunk).toString();
+	});
+	socket.on('error', () => undefined);
+	socket.write(text);
+	await new Promise(resolve => {
+		socket.once('close', resolve);
+		setTimeout(resolve, 1000);
+	});
+	socket.destroy();
+	scene.rawStatus = Number(/^HTTP\/1\.1 (\d+)/.exec(reply)?.[1] ?? 0);
+}
+
+defineStep('a caller sends a request with two lengths to {word}', async (scene, node: string) => {
+	await sendRaw(scene, node, 'POST /releases/x HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde');
+});
+
+defineStep('a caller sends a request with a length and chunks to {word}', async (scene, node: string) => {
+	await sendRaw(scene, node, 'POST /releases/x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n');
+});
+
+defineStep('a caller sends {int} KB of headers to {word}', async (scene, kilobytes: number, node: string) => {
+	await sendRaw(scene, node, `GET /logs/x HTTP/1.1\r\nHost: a\r\nX-Long: ${'x'.repeat(kilobytes * 1024)}\r\n\r\n`);
+});
+
+defineStep('the connection gets status {int}', ({rawStatus}, status: number) => {
+	assert.equal(rawStatus, status);
+});
+
+defineStep('no backend server got a request', ({world}) => {
+	for (const server of world.servers.values()) {
+		assert.equal(server.getLedger().requests, 0);
+	}
+});
--- a/src/lib/distribution/accept-submissions.ts
+++ b/src/lib/distribution/accept-submissions.ts
@@ -86,7 +86,7 @@
 	return {pending: results, changes, ids};
 }
 
-function settle(pending: readonly Pending[], decide: (entry: Pending) => SubmissionOutcome | undefined): readonly Pending[] {
+function settleOpen(pending: readonly Pending[], decide: (entry: Pending) => SubmissionOutcome | undefined): readonly Pending[] {
 	return pending.map(entry => entry.outcome === undefined ? {...entry, outcome: decide(entry)} : entry);
 }
 
@@ -111,7 +111,7 @@
 }
 
 function refuseAll(pending: readonly Pending[], reason: string): readonly Pending[] {
-	return settle(pending, entry => entry.isInDoubt
+	return settleOpen(pending, entry => entry.isInDoubt
 		? {type: 'unknown', id: entry.submission.id}
 		: {type: 'unavailable', reason, retryAfterMs: unavailableRetryMs});
 }
@@ -175,7 +175,7 @@
 	if (written.isOk()) {
 		context.adopt(next, [delta]);
 		void collectGarbage(store, previous, record.value);
-		return {pending: settle(batch.pending, () => ({type: 'accepted', version: next.version, isRepeated: false})), isFinished: true};
+		return {pending: settleOpen(batch.pending, () => ({type: 'accepted', version: next.version, isRepeated: false})), isFinished: true};
 	}
 
 	switch (written.error.type) {
