Try a server again after a lost connection when there is no other

With one server in the pool, a keep-alive connection that the server had just closed failed the call. Ruled out: trying again after shed, draining or no-server; the same server would only say so again, and retries would feed the overload. Change: after connection-lost a tried server may be chosen when there is no other, within attempts and retry budget.

--- a/bench/capacity/fleet-slopes.ts
+++ b/bench/capacity/fleet-slopes.ts
@@ -92,7 +92,10 @@
 	];
 }
 
-/** What one more node in the failure domain costs every other. */
+/**
+ * What one more idle node costs, from all nodes together: the share of each would fall as more of them divide what their
+ * processes cost anyway.
+ */
 export async function measureFleetSizes(): Promise<readonly Slope[]> {
 	const bytes: Array<[number, number]> = [];
 	const times: Array<[number, number]> = [];
@@ -102,15 +105,15 @@
 		const {usage, seconds} = await measureUsage(running.fleet, async () => {
 			await sleep(measureSeconds * 1000);
 		});
-		bytes.push([nodes, usage.controlBytes / usage.nodes / seconds]);
-		times.push([nodes, usage.cpuMicroseconds / usage.nodes / seconds]);
+		bytes.push([nodes, usage.controlBytes / seconds]);
+		times.push([nodes, usage.cpuMicroseconds / seconds]);
 		heap.push([nodes, usage.heapBytes]);
 		await running.dispose();
 	}
 
 	return [
-		createSlope('control bytes of an idle node a second', 'node in the domain', 'bytes', bytes),
-		createSlope('processor time of an idle node a second', 'node in the domain', 'microseconds', times),
+		createSlope('control bytes of idle nodes a second, together', 'node', 'bytes', bytes),
+		createSlope('processor time of idle nodes a second, together', 'node', 'microseconds', times),
 		createSlope('heap of the processes that host the nodes', 'node hosted', 'bytes', heap),
 	];
 }
--- a/bench/capacity/model.ts
+++ b/bench/capacity/model.ts
@@ -34,6 +34,12 @@
 /** Records that one restart or failure sends round: it left or died, is back, its server announced itself, it refuted. */
 const recordsPerRestart = 4;
 
+/** Bytes of the UDP and IP headers of one datagram. */
+const headerBytes = 28;
+
+/** Steps of the failure detector. */
+const ticksPerSecond = 5;
+
 /** Seconds that a watch waits before it is asked again. */
 const watchSeconds = 25;
 
@@ -108,9 +114,9 @@
 	const domainSize = size.nodes / size.domains;
 	return {
 		domainSize,
-		// Each node sends one heartbeat a second and answers one, and so receives two; UDP and IP headers are 28 bytes more.
-		idleBytes: (4 * (measurements.heartbeatBytes + 28)) + (measurements.summaryBytes / 2),
-		idleMicroseconds: followLine(find('processor time of an idle node a second'), domainSize),
+		// Heartbeats do not grow with the domain: each node sends one a second and answers one. UDP and IP headers are 28 bytes more on each of four.
+		idleBytes: find('control bytes of idle nodes a second, together').slope + (4 * headerBytes),
+		idleMicroseconds: find('processor time of idle nodes a second, together').slope + (ticksPerSecond * followLine(find('one step of the failure detector'), domainSize)),
 		pushBytes: find('pushing one change, bytes').slope,
 		sendMicroseconds: find('pushing one change, processor of the sender').slope,
 		receiveMicroseconds: find('pushing one change, processor of the receiver').slope,
@@ -120,7 +126,8 @@
 		applyMicroseconds: followLine(find('applying one change'), size.items) + followLine(find('updating the routing table'), size.items),
 		mergeMicroseconds: followLine(find('merging one record'), size.nodes),
 		headBytes: find('head record that a watch answers').slope,
-		stateBytes: followLine(find('memory of the configuration'), size.items) + followLine(find('memory of the directory'), size.nodes) + measurements.timelineBytes,
+		stateBytes: followLine(find('memory of the configuration'), size.items) + followLine(find('memory of the directory'), size.nodes)
+			+ find('heap of the processes that host the nodes').slope + measurements.timelineBytes,
 	};
 }
 
@@ -137,7 +144,7 @@
 	const sentOnMicroseconds = fanOut * ((changes * costs.sendMicroseconds) + (records * costs.sendRecordMicroseconds));
 	const watched = changes * costs.headBytes;
 	const summaries = fanOut * measurements.summaryBytes / 2;
-	const betweenRelays = (2 * otherRelays * measurements.summaryBytes / 2) + (4 * (measurements.heartbeatBytes + 28)) + (records / size.domains * otherRelays * costs.recordBytes);
+	const betweenRelays = (2 * otherRelays * measurements.summaryBytes / 2) + (4 * (measurements.heartbeatBytes + headerBytes)) + (records / size.domains * otherRelays * costs.recordBytes);
 	const acceptance = changes * followLine(findSlope(measurements, 'accepting one change'), size.items);
 	return [
 		{
--- a/scenarios/features/calls.feature
+++ b/scenarios/features/calls.feature
@@ -29,6 +29,11 @@
     When 40 callers read different pages through all nodes at once
     Then every answer is whole and belongs to its request
 
+  Scenario: A page is read again where its connection was cut, when there is nowhere else
+    Given logview-1 and logview-2 run the next 1 requests and cut the connection without an answer
+    When a caller reads a page through node-4
+    Then the caller gets status 200
+
   Scenario: A repeated publication runs once, whichever node the repeat goes to
     When a release "r1" is published through node-1
     And a release "r1" is published through node-2
--- a/src/lib/calls/problem-answer.ts
+++ b/src/lib/calls/problem-answer.ts
@@ -45,6 +45,7 @@
  * @param response - Where to.
  * @param call - The call it answers.
  * @param problem - What the caller is told.
+ * @returns Nothing; where an answer has begun already, its connection is destroyed instead.
  * @internal
  */
 export function sendProblem(response: ServerResponse, call: CallId, problem: ProblemAnswer): void {
--- a/src/lib/calls/run-attempts.ts
+++ b/src/lib/calls/run-attempts.ts
@@ -168,6 +168,8 @@
 			pool: plan.pool,
 			domain: context.domain,
 			tried,
+			// A lost connection says little of the server behind it; one that sheds or is gone would only say so again.
+			mayReuse: last.reason === 'connection-lost',
 			getLoad: context.loads.get,
 			now: readNow(),
 			random: context.random,
--- a/src/lib/common/ids.ts
+++ b/src/lib/common/ids.ts
@@ -29,23 +29,51 @@
 /** An IP number and a port, as in `127.0.0.1:7000`. @public */
 export type Address = Branded<'Address'>;
 
-/** @public */
+/**
+ * @param text - The id as the settings name it.
+ * @returns The same text, as a node's id.
+ * @public
+ */
 export const toNodeId = (text: string): NodeId => text as NodeId;
 
-/** @public */
+/**
+ * @param text - The id as the server announced it.
+ * @returns The same text, as a backend server's id.
+ * @public
+ */
 export const toBackendServerId = (text: string): BackendServerId => text as BackendServerId;
 
-/** @public */
+/**
+ * @param text - The name as the settings give it.
+ * @returns The same text, as a failure domain.
+ * @public
+ */
 export const toFailureDomain = (text: string): FailureDomain => text as FailureDomain;
 
-/** @public */
+/**
+ * @param text - A fresh id, or one from a header.
+ * @returns The same text, as a call's id.
+ * @public
+ */
 export const toCallId = (text: string): CallId => text as CallId;
 
-/** @public */
+/**
+ * @param text - The id that the client chose.
+ * @returns The same text, as a submission's id.
+ * @public
+ */
 export const toSubmissionId = (text: string): SubmissionId => text as SubmissionId;
 
-/** @public */
+/**
+ * @param text - A digest that was computed or received.
+ * @returns The same text, as a digest.
+ * @public
+ */
 export const toDigest = (text: string): Digest => text as Digest;
 
-/** @public */
+/**
+ * @param text - An IP number and a port, checked by `isAddress` where it enters.
+ * @returns The same text, as an address.
+ * @public
+ */
 export const toAddress = (text: string): Address => text as Address;
--- a/src/lib/directory/sample-records.ts
+++ b/src/lib/directory/sample-records.ts
@@ -6,7 +6,12 @@
 import {toAddress, toFailureDomain, toNodeId} from '../common/ids.js';
 import {type NodeRecord} from './node-record.js';
 
-/** @internal */
+/**
+ * @param id - The node's id.
+ * @param changes - What is to differ from a plain record.
+ * @returns An alive node's record.
+ * @internal
+ */
 export function createRecord(id: string, changes: Partial<NodeRecord> = {}): NodeRecord {
 	const address = toAddress('127.0.0.1:1');
 	return {
--- a/src/lib/distribution/wire.ts
+++ b/src/lib/distribution/wire.ts
@@ -71,7 +71,11 @@
 	return ok(values);
 }
 
-/** @internal */
+/**
+ * @param delta - A step.
+ * @returns Its message.
+ * @internal
+ */
 export function encodeDelta(delta: Delta): DeltaMessage {
 	return create(DeltaSchema, {
 		version: delta.version,
@@ -82,7 +86,11 @@
 	});
 }
 
-/** @internal */
+/**
+ * @param message - From another node.
+ * @returns The step, or what is wrong with the message.
+ * @internal
+ */
 export function decodeDelta(message: DeltaMessage): Result<Delta, WireError> {
 	return collect(message.changes.map(change => decodeChange(change))).map(changes => ({
 		version: message.version,
@@ -93,12 +101,21 @@
 	}));
 }
 
-/** @internal */
+/**
+ * @param messages - From another node.
+ * @returns All steps, or what is wrong with one of them.
+ * @internal
+ */
 export function decodeDeltas(messages: readonly DeltaMessage[]): Result<readonly Delta[], WireError> {
 	return collect(messages.map(message => decodeDelta(message)));
 }
 
-/** @internal */
+/**
+ * @param index - The bucket.
+ * @param items - All of its items.
+ * @returns Its message.
+ * @internal
+ */
 export function encodeBucket(index: number, items: readonly ConfiguredItem[]): ConfigurationBucket {
 	return create(ConfigurationBucketSchema, {
 		index,
@@ -106,7 +123,11 @@
 	});
 }
 
-/** @internal */
+/**
+ * @param messages - From another node.
+ * @returns The items by bucket, or what is wrong with one of them.
+ * @internal
+ */
 export function decodeBuckets(messages: readonly ConfigurationBucket[]): Result<ReadonlyMap<number, readonly ConfiguredItem[]>, WireError> {
 	return collect(messages.map(({index, entries}) =>
 		collect(entries.map(({revision, body}) => decodeItem(body).map((item): ConfiguredItem => ({item, revision}))))
@@ -125,7 +146,11 @@
 	};
 }
 
-/** @internal */
+/**
+ * @param record - A node's record.
+ * @returns Its message.
+ * @internal
+ */
 export function encodeRecord(record: NodeRecord): RecordMessage {
 	return create(NodeRecordSchema, {
 		...record,
@@ -134,7 +159,11 @@
 	});
 }
 
-/** @internal */
+/**
+ * @param message - From another node.
+ * @returns The record, or what is wrong with the message.
+ * @internal
+ */
 export function decodeRecord(message: RecordMessage): Result<NodeRecord, WireError> {
 	const status = nodeStatuses.find(candidate => candidate === message.status);
 	if (message.id === '' || message.failureDomain === '' || status === undefined) {
@@ -155,17 +184,29 @@
 	});
 }
 
-/** @internal */
+/**
+ * @param messages - From another node.
+ * @returns All records, or what is wrong with one of them.
+ * @internal
+ */
 export function decodeRecords(messages: readonly RecordMessage[]): Result<readonly NodeRecord[], WireError> {
 	return collect(messages.map(message => decodeRecord(message)));
 }
 
-/** @internal */
+/**
+ * @param summary - A summary.
+ * @returns Its message.
+ * @internal
+ */
 export function encodeSummary(summary: Summary): SummaryMessage {
 	return create(SummarySchema, {...summary, laggards: summary.laggards.map(laggard => ({...laggard}))});
 }
 
-/** @internal */
+/**
+ * @param message - From another node.
+ * @returns The summary; it is only shown, so nothing in it can do harm.
+ * @internal
+ */
 export function decodeSummary(message: SummaryMessage): Summary {
 	return {
 		failureDomain: toFailureDomain(message.failureDomain),
--- a/src/lib/operators/operator-api.ts
+++ b/src/lib/operators/operator-api.ts
@@ -96,7 +96,7 @@
 		({route, pool, decision}): ExplainAnswer => {
 			const servers = listServers(context.getDirectory(), pool.service);
 			const chosen = chooseServer({
-				servers, pool, domain: context.domain, tried: new Set(), getLoad: context.loads.get, now: readNow(), random: context.random,
+				servers, pool, domain: context.domain, tried: new Set(), mayReuse: false, getLoad: context.loads.get, now: readNow(), random: context.random,
 			});
 			return {
 				version,
--- a/src/lib/routing/choose-server.ts
+++ b/src/lib/routing/choose-server.ts
@@ -16,6 +16,8 @@
 	readonly domain: FailureDomain;
 	/** Servers that this request was sent to before. */
 	readonly tried: ReadonlySet<BackendServerId>;
+	/** Whether a tried server may be chosen when there is no other. */
+	readonly mayReuse: boolean;
 	readonly getLoad: (id: BackendServerId) => ServerLoad;
 	readonly now: number;
 	readonly random: () => number;
@@ -73,16 +75,17 @@
  * Chooses a server.
  *
  * @param context - What the choice is made from.
- * @returns The server, or `undefined` if the pool has none that was not tried and is not draining.
+ * @returns The server, or `undefined` if the pool has none that may be chosen.
  * @internal
  */
 export function chooseServer(context: ChoiceContext): DirectoryServer | undefined {
 	const sound = listSound(context);
 	const untried = sound.filter(({server}) => !context.tried.has(server.id));
+	const usable = untried.length === 0 && context.mayReuse ? sound : untried;
 	if (!context.pool.isLocalFirst) {
-		return chooseOfTwo(untried, context);
+		return chooseOfTwo(usable, context);
 	}
 
-	const local = untried.filter(entry => entry.node.failureDomain === context.domain && measureBusyness(entry, context) <= fullShare);
-	return chooseOfTwo(local.length > 0 ? local : untried, context);
+	const local = usable.filter(entry => entry.node.failureDomain === context.domain && measureBusyness(entry, context) <= fullShare);
+	return chooseOfTwo(local.length > 0 ? local : usable, context);
 }
--- a/src/lib/routing/routing.test.ts
+++ b/src/lib/routing/routing.test.ts
@@ -78,7 +78,7 @@
 	const counts = new Map<string, number>();
 	for (let round = 0; round < rounds; round++) {
 		const chosen = chooseServer({
-			pool: samplePool, domain: toFailureDomain('d'), tried: new Set(), getLoad: loads.get, now: Date.now(), random: Math.random, ...context,
+			pool: samplePool, domain: toFailureDomain('d'), tried: new Set(), mayReuse: false, getLoad: loads.get, now: Date.now(), random: Math.random, ...context,
 		});
 		const name = chosen?.server.id ?? 'none';
 		counts.set(name, (counts.get(name) ?? 0) + 1);
@@ -94,6 +94,15 @@
 	assert.deepEqual([...countChoices({servers: createServers(1, () => ({isDraining: true}))}).keys()], ['none']);
 });
 
+test('a tried server is chosen again only when that may help and there is no other', () => {
+	const servers = createServers(2);
+	const tried = new Set<BackendServerId>([toBackendServerId('s0')]);
+	const all = new Set<BackendServerId>([toBackendServerId('s0'), toBackendServerId('s1')]);
+	assert.deepEqual([...countChoices({servers, tried, mayReuse: true}).keys()], ['s1']);
+	assert.equal(countChoices({servers, tried: all, mayReuse: true}).size, 2);
+	assert.deepEqual([...countChoices({servers, tried: all}).keys()], ['none']);
+});
+
 test('the own failure domain goes first while it has room', () => {
 	const servers = createServers(4, index => ({domain: index < 2 ? 'd' : 'other'}));
 	assert.deepEqual([...countChoices({servers}).keys()].toSorted(), ['s0', 's1']);
