Take a joiner's help only from nodes that serve themselves

Cause: found by reading. When a whole failure domain restarted, its nodes answered one another with version 0 before any of them had anything; with seeds in that domain only, each took this for help, did not ask the store, and served nothing where it had served a version before. Seen failing: joiner.test.ts, 'members that have only just started themselves help nobody' (store reads 0, expected 1; ready with the store down). Change: an answer to a join says whether its node serves. Only those count as help; without any in the own domain the store is asked, and while that is down a serving node of another domain has to do. After: passes; a scenario restarts a whole domain with the store down.

--- a/scenarios/features/configuration.feature
+++ b/scenarios/features/configuration.feature
@@ -81,6 +81,14 @@
     Then every node becomes ready
     And every node has pool "a" in force
 
+  Scenario: A whole failure domain restarts at once while the store is down
+    Given 8 nodes in 2 failure domains
+    And pool "a" is in force
+    And the store is down
+    When all nodes of domain-2 are killed and started again
+    Then every node becomes ready
+    And every node has pool "a" in force
+
   Scenario: A store that came back older does not move the fleet back
     Given 4 nodes in 2 failure domains
     And pool "a" is in force
--- a/scenarios/steps.ts
+++ b/scenarios/steps.ts
@@ -197,6 +197,12 @@
 	await Promise.all(half.map(async ({name}) => world.restartNode(name)));
 });
 
+defineStep('all nodes of {word} are killed and started again', async ({world}, domain: string) => {
+	const nodes = world.listRunning().filter(({settings}) => settings.failureDomain === toFailureDomain(domain));
+	await Promise.all(nodes.map(async ({name}) => world.killNode(name)));
+	await Promise.all(nodes.map(async ({name}) => world.restartNode(name)));
+});
+
 defineStep('{word} becomes ready', async ({world}, name: string) => {
 	await waitFor(`${name} is ready`, () => world.getNode(name).node.getStatus().isReady);
 });
--- a/src/lib/distribution/control-service.ts
+++ b/src/lib/distribution/control-service.ts
@@ -37,6 +37,8 @@
 	readonly timeline: Timeline;
 	readonly meter: ByteMeter;
 	readonly random: () => number;
+	/** Whether this node serves, so that its word on the version in force counts. */
+	readonly isReady: () => boolean;
 };
 
 /** Nodes that a joiner is pointed to, so that a herd does not fetch its whole state from the few seeds. */
@@ -149,6 +151,7 @@
 					eventTime: getTime(),
 					version: configuration.getConfiguration().version,
 					floor,
+					ready: context.isReady(),
 					members: listDomainRecords(directory.getDirectory(), joiner.failureDomain).map(record => encodeRecord(record)),
 					helpers: listHelpers(context, joiner.id).map(record => encodeRecord(record)),
 				};
--- a/src/lib/membership/joiner.test.ts
+++ b/src/lib/membership/joiner.test.ts
@@ -29,6 +29,8 @@
 	readonly helpers?: readonly string[];
 	readonly members?: readonly string[];
 	readonly refusesState?: boolean;
+	/** A node that has only just started itself. */
+	readonly isNotReady?: boolean;
 };
 
 type Fake = {
@@ -55,6 +57,7 @@
 
 			return {
 				eventTime: 0n,
+				ready: peer.isNotReady !== true,
 				version: peer.version,
 				floor: peer.floor ?? 0,
 				members: (peer.members ?? []).map(name => encodePeer(name)),
@@ -127,6 +130,21 @@
 	assert.equal(alone.store.getCalls().reads, 1);
 });
 
+test('members that have only just started themselves help nobody: a domain that restarts whole does not agree on nothing', async () => {
+	const fake = createFake({seed: {version: 0, members: ['relay'], isNotReady: true}, relay: {version: 0, isNotReady: true}});
+	assert.equal(await joinMesh(fake.context, neverAborted), true);
+	assert.equal(fake.store.getCalls().reads, 1);
+
+	const cutOff = createFake({seed: {version: 0, members: ['relay'], isNotReady: true}, relay: {version: 0, isNotReady: true}});
+	cutOff.store.setFaults({isDown: true});
+	const giveUp = new AbortController();
+	const joining = joinMesh(cutOff.context, giveUp.signal);
+	setTimeout(() => {
+		giveUp.abort();
+	}, 100);
+	assert.equal(await joining, false);
+});
+
 test('a node that neither a member nor the store answers does not serve', async () => {
 	const fake = createFake({});
 	fake.store.setFaults({isDown: true});
--- a/src/lib/membership/joiner.ts
+++ b/src/lib/membership/joiner.ts
@@ -47,9 +47,15 @@
 const seedCheckMs = 10_000;
 
 /** Who answered, and whom else the whole state can be fetched from. */
-type Answer = {readonly address: Address; readonly helpers: readonly Address[]};
+type Answer = {
+	readonly address: Address;
+	readonly helpers: readonly Address[];
+	/** Whether the node that answered serves itself; the word of one that has only just started proves nothing. */
+	readonly isReady: boolean;
+};
 
 type JoinAnswer = {
+	readonly isReady: boolean;
 	readonly version: number;
 	readonly floor: number;
 	/** Control addresses of nodes that the whole state can be fetched from. */
@@ -58,7 +64,7 @@
 
 async function askToJoin({peers, clock, directory}: JoinerContext, address: Address, signal: AbortSignal): Promise<JoinAnswer | undefined> {
 	try {
-		const {eventTime, members, helpers, version, floor} = await peers.getClient(address).join(
+		const {eventTime, members, helpers, version, floor, ready} = await peers.getClient(address).join(
 			{eventTime: BigInt(clock.getTime()), record: encodeRecord(directory.getOwnRecord())},
 			{timeoutMs: peerTimeoutMs, signal},
 		);
@@ -66,7 +72,7 @@
 		decodeRecords(members).andTee(records => {
 			directory.merge(records, {type: 'pull'});
 		});
-		return {version, floor, helpers: helpers.map(helper => toAddress(helper.controlAddress))};
+		return {version, floor, isReady: ready, helpers: helpers.map(helper => toAddress(helper.controlAddress))};
 	} catch {
 		return undefined;
 	}
@@ -114,7 +120,7 @@
 		}
 
 		configuration.raiseFloor(Math.max(answer.floor, answer.version));
-		return {address, helpers: answer.helpers};
+		return {address, helpers: answer.helpers, isReady: answer.isReady};
 	};
 
 	const askAll = async (addresses: readonly Address[]): Promise<readonly Answer[]> => {
@@ -162,6 +168,8 @@
 		}).isOk();
 	};
 
+	const hasReady = (answers: readonly Answer[]): boolean => answers.some(answer => answer.isReady);
+
 	const runRound = async (): Promise<boolean> => {
 		const ownSeeds = seeds.filter(address => address !== directory.getOwnRecord().controlAddress);
 		const seedAnswers = await askAll(shuffleList(ownSeeds, random).slice(0, seedsPerRound));
@@ -169,7 +177,8 @@
 		await pullFrom([...memberAnswers, ...seedAnswers]);
 
 		// The store is asked only by a node that nobody in its own failure domain could help: a herd that restarts must not fall on it.
-		const isHelped = memberAnswers.length > 0 || await readStore();
+		// While the store is down, the word of another domain has to do.
+		const isHelped = hasReady(memberAnswers) || await readStore() || hasReady(seedAnswers);
 		return isHelped && configuration.getConfiguration().version >= configuration.getFloor();
 	};
 
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -140,7 +140,7 @@
 		store, configuration, timeline, domain, random, setReason: status.setReason,
 	});
 	const control = createControlServer({
-		configuration, directory, distributor, reported, status, clock, timeline, meter, random,
+		configuration, directory, distributor, reported, status, clock, timeline, meter, random, isReady: () => isReady,
 	});
 
 	const localServers = createLocalServers(settings.admission, timeline, servers => {
