--- a/bench/distribution.ts
+++ b/bench/distribution.ts
@@ -21,6 +21,7 @@
 	readonly domains: number;
 	readonly workers: number;
 	readonly batchWindowMs: number;
+	readonly periodMs: number;
 	readonly faults: boolean;
 	readonly baselines: boolean;
 };
@@ -84,7 +85,7 @@
 	store.store.setFaults({readsPerSecond: 100_000, writesPerSecond: 100_000});
 	const acceptor = mode === 'mesh' ? undefined : await startAcceptor(store.address);
 	const fleet = startFleet({
-		nodes, mode, storeAddress: store.address, workers: options.workers, domains: options.domains, batchWindowMs: options.batchWindowMs,
+		nodes, mode, storeAddress: store.address, workers: options.workers, domains: options.domains, batchWindowMs: options.batchWindowMs, periodMs: options.periodMs,
 	});
 	const first = fleet.settings[0];
 	const isReady = await waitUntil(() => fleet.countReady() >= nodes, readyTimeoutMs);
--- a/bench/large.ts
+++ b/bench/large.ts
@@ -42,7 +42,9 @@
 	const image = store.store.getImage();
 	const largest = Math.max(...image.map(([, {value}]) => value.length));
 	process.stdout.write(`${formatMarkdown(['submission', 'size', 'outcome', 'accepted after ms', 'in force on 13 nodes after ms'], rows)}\n`);
-	process.stdout.write(`Heap of a node: ${(before.heapBytes / nodes / 1e6).toFixed(1)} MB before, ${(after.heapBytes / nodes / 1e6).toFixed(1)} MB after, process included. The store holds ${image.length} values, the largest of ${(largest / 1e6).toFixed(2)} MB.\n`);
+	const [heapBefore, heapAfter] = [before, after].map(usage => (usage.heapBytes / nodes / 1e6).toFixed(1));
+	process.stdout.write(`Heap of a node: ${heapBefore} MB before, ${heapAfter} MB after, process included. `);
+	process.stdout.write(`The store holds ${image.length} values, the largest of ${(largest / 1e6).toFixed(2)} MB.\n`);
 	await fleet.dispose();
 	await store.dispose();
 }
--- a/src/lib/membership/joiner.ts
+++ b/src/lib/membership/joiner.ts
@@ -72,7 +72,9 @@
 		decodeRecords(members).andTee(records => {
 			directory.merge(records, {type: 'pull'});
 		});
-		return {version, floor, isReady: ready, helpers: helpers.map(helper => toAddress(helper.controlAddress))};
+		return {
+			version, floor, isReady: ready, helpers: helpers.map(helper => toAddress(helper.controlAddress)),
+		};
 	} catch {
 		return undefined;
 	}
--- a/src/lib/routing/choose-server.ts
+++ b/src/lib/routing/choose-server.ts
@@ -69,7 +69,7 @@
 		return first ?? second;
 	}
 
-	return preferFaster(first, second, context) ?? (measureBusyness(first, context) <= measureBusyness(second, context) ? first : second);
+	return chooseFaster(first, second, context) ?? (measureBusyness(first, context) <= measureBusyness(second, context) ? first : second);
 }
 
 /** @returns What is known of a server's latency lately, in milliseconds; `undefined` if nothing is. */
@@ -79,7 +79,7 @@
 }
 
 /** A server that is many times slower than another shows no load while its requests time out, so latency speaks first where it differs that much. */
-function preferFaster(first: DirectoryServer, second: DirectoryServer, context: ChoiceContext): DirectoryServer | undefined {
+function chooseFaster(first: DirectoryServer, second: DirectoryServer, context: ChoiceContext): DirectoryServer | undefined {
 	const firstMs = getLatency(first, context);
 	const secondMs = getLatency(second, context);
 	if (firstMs === undefined || secondMs === undefined || Math.max(firstMs, secondMs) < Math.min(firstMs, secondMs) * clearlySlower) {
