Stand-ins: leases that lapse, work that ends with its caller or deadline

Backend servers stop working on a request when its caller has gone or its time is over. Ruled out: records without a lease; nothing would ever remove them.

--- a/src/lib/calls/once-fence.test.ts
+++ b/src/lib/calls/once-fence.test.ts
@@ -31,6 +31,14 @@
 	assert.equal(elsewhere.type, 'held');
 });
 
+test('a lease that the platform ends early lets a repeat through: the limit of the promise', async () => {
+	const store = createMemoryStore({latencyMs: 0});
+	const first = await takeFence(store, 'route', 'key', toCallId('a'));
+	store.lapseLeases();
+	const second = await takeFence(store, 'route', 'key', toCallId('b'));
+	assert.deepEqual([first.type, second.type], ['held', 'held']);
+});
+
 test('without the store no key is taken', async () => {
 	const store = createMemoryStore({latencyMs: 0, isDown: true});
 	const result = await takeFence(store, 'route', 'key', toCallId('a'));
--- a/stand-ins/backend-server/backend-server.ts
+++ b/stand-ins/backend-server/backend-server.ts
@@ -163,15 +163,29 @@
 		}
 	};
 
-	const work = async (): Promise<void> => {
+	/** Works on a request, unless its caller has gone or its deadline passes first. */
+	const work = async (signal: AbortSignal): Promise<void> => {
 		await takeSlot();
 		const isCold = requests <= behaviour.coldRequests;
 		const workMs = behaviour.workMs + (isCold ? behaviour.coldMs : 0);
-		if (workMs > 0) {
-			await sleep(workMs);
+		try {
+			signal.throwIfAborted();
+			if (workMs > 0) {
+				await sleep(workMs, undefined, {signal});
+			}
+		} finally {
+			releaseSlot();
 		}
+	};
 
-		releaseSlot();
+	/** Fires when the caller has gone, or when the time that it gave is over. */
+	const createWorkSignal = (request: IncomingMessage, response: ServerResponse): AbortSignal => {
+		const gone = new AbortController();
+		response.once('close', () => {
+			gone.abort();
+		});
+		const timeoutMs = Number(request.headers['request-timeout-ms'] ?? 0);
+		return timeoutMs > 0 ? AbortSignal.any([gone.signal, AbortSignal.timeout(timeoutMs)]) : gone.signal;
 	};
 
 	const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -194,7 +208,7 @@
 		}
 
 		await readBody(request);
-		await work();
+		await work(createWorkSignal(request, response));
 		const key = request.headers['idempotency-key'] as string | undefined;
 		const count = request.method === 'POST' ? countRun(key ?? path) : 0;
 		if (behaviour.cutBeforeAnswer > 0) {
--- a/stand-ins/store/memory-store.ts
+++ b/stand-ins/store/memory-store.ts
@@ -47,6 +47,8 @@
 	readonly getFaults: () => StoreFaults;
 	readonly getCalls: () => StoreCalls;
 	readonly getImage: () => StoreImage;
+	/** Ends every lease at once, as when the platform has lost track of them. */
+	readonly lapseLeases: () => void;
 	/** Goes back to an earlier image, as a restored backup does. */
 	readonly restoreImage: (image: StoreImage) => void;
 };
@@ -65,6 +67,7 @@
 	let values = new Map<string, StoredValue>();
 	let watchers: ReadonlySet<() => void> = new Set();
 	const buckets = new Map<'reads' | 'writes', TokenBucket>();
+	const leased = new Map<string, number>();
 
 	const hasRate = (kind: 'reads' | 'writes'): boolean => {
 		const perSecond = kind === 'reads' ? faults.readsPerSecond : faults.writesPerSecond;
@@ -123,6 +126,7 @@
 		}
 
 		if (lifeMs !== undefined) {
+			leased.set(key, revision + 1);
 			setTimeout(() => {
 				if (values.get(key)?.revision === revision + 1) {
 					values.delete(key);
@@ -223,6 +227,16 @@
 		},
 		getFaults: () => faults,
 		getCalls: () => calls,
+		lapseLeases() {
+			for (const [key, revision] of leased) {
+				if (values.get(key)?.revision === revision) {
+					values.delete(key);
+				}
+			}
+
+			leased.clear();
+			wakeWatchers();
+		},
 		getImage: () => [...values],
 		restoreImage(image) {
 			values = new Map(image);
--- a/stand-ins/store/store-server.ts
+++ b/stand-ins/store/store-server.ts
@@ -6,7 +6,7 @@
  * - `PUT /v1/keys/KEY?revision=REVISION`: compare-and-swap; 409 with the present revision.
  * - `DELETE /v1/keys/KEY?revision=REVISION`.
  * - `GET /control` and `PUT /control`: the faults; `GET /calls`: the counts;
- *   `POST /backup` and `POST /restore`: keep and bring back an image.
+ *   `POST /lapse`: end every lease; `POST /backup` and `POST /restore`: keep and bring back an image.
  *
  * @module
  */
@@ -92,6 +92,10 @@
 		return context.json(store.getFaults());
 	});
 	app.get('/calls', context => context.json(store.getCalls()));
+	app.post('/lapse', context => {
+		store.lapseLeases();
+		return context.json({});
+	});
 	app.post('/backup', context => {
 		backup = store.getImage();
 		return context.json({keys: backup.length});
