One poll and one layout of loopback addresses for benches, demo and scenarios

Cause: three functions polled for a condition, and six places laid out the same six ports. Ruled out: sharing through the library, which needs neither.

--- a/bench/calls/call-fleet.ts
+++ b/bench/calls/call-fleet.ts
@@ -9,6 +9,7 @@
 import {itemSchema, settingsSchema, type Item} from '../../src/index.js';
 import {startStoreServer, type StoreServer} from '../../stand-ins/store/store-server.js';
 import {submitItems} from '../submitter.js';
+import {createListenAddresses} from '../../stand-ins/loopback-addresses.js';
 import {type FromCallWorker, type ToCallWorker} from './call-worker.js';
 
 export type CallWorker = {
@@ -87,13 +88,10 @@
 	const nodes: CallWorker[] = [];
 	for (let index = 0; index < size; index++) {
 		const host = `127.4.0.${index + 1}`;
-		const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `${host}:${7000 + port}`);
 		const settings = settingsSchema.parse({
 			node: `node-${index + 1}`,
 			failureDomain: 'one',
-			listen: {
-				callers, gate, control, gossip, operators, announcements,
-			},
+			listen: createListenAddresses(host),
 			store: {address: store.address},
 			seeds: ['127.4.0.1:7003'],
 		});
--- a/bench/calls/one-process.ts
+++ b/bench/calls/one-process.ts
@@ -13,6 +13,7 @@
 import {createMemoryStore, type MemoryStore} from '../../stand-ins/store/memory-store.js';
 import {getPercentile} from '../statistics.js';
 import {submitItems} from '../submitter.js';
+import {createListenAddresses} from '../../stand-ins/loopback-addresses.js';
 import {createCallItems} from './call-fleet.js';
 import {createSender} from './load.js';
 
@@ -28,13 +29,10 @@
 
 async function startNode(index: number, store: MemoryStore): Promise<Node> {
 	const host = `127.6.0.${index}`;
-	const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `${host}:${7000 + port}`);
 	const node = createNode(settingsSchema.parse({
 		node: `node-${index}`,
 		failureDomain: 'one',
-		listen: {
-			callers, gate, control, gossip, operators, announcements,
-		},
+		listen: createListenAddresses(host),
 		store: {address: '127.0.0.1:9'},
 		seeds: ['127.6.0.1:7003'],
 	}), {store, random: Math.random});
--- a/bench/capacity/fleet-slopes.ts
+++ b/bench/capacity/fleet-slopes.ts
@@ -14,8 +14,9 @@
 import {createItems, createRevisedPool} from '../sample-configuration.js';
 import {getPercentile} from '../statistics.js';
 import {
-	measureConvergence, submitItems, waitUntil, type Submitted,
+	measureConvergence, submitItems, type Submitted,
 } from '../submitter.js';
+import {waitUntil} from '../../stand-ins/wait-until.js';
 import {createSlope, type Slope} from './slopes.js';
 
 const rates = [0, 2, 5, 10] as const;
--- a/bench/capacity/peer-node.ts
+++ b/bench/capacity/peer-node.ts
@@ -5,17 +5,15 @@
  */
 import {settingsSchema, type Address} from '../../src/index.js';
 import {startWorker, type CallWorker} from '../calls/call-fleet.js';
+import {createListenAddresses} from '../../stand-ins/loopback-addresses.js';
 
 export type PeerNode = CallWorker & {readonly controlAddress: Address};
 
 async function startPeerNode(index: number): Promise<PeerNode> {
-	const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `127.3.0.${index + 1}:${7000 + port}`);
 	const settings = settingsSchema.parse({
 		node: `peer-${index}`,
 		failureDomain: 'peer',
-		listen: {
-			callers, gate, control, gossip, operators, announcements,
-		},
+		listen: createListenAddresses(`127.3.0.${index + 1}`),
 		store: {address: '127.0.0.1:9'},
 	});
 	const worker = await startWorker({type: 'node', settings});
--- a/bench/distribution.ts
+++ b/bench/distribution.ts
@@ -8,11 +8,13 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createHttpStore, createNode, settingsSchema} from '../src/index.js';
 import {startStoreServer, type StoreServer} from '../stand-ins/store/store-server.js';
+import {createListenAddresses} from '../stand-ins/loopback-addresses.js';
+import {waitUntil} from '../stand-ins/wait-until.js';
 import {startFleet, type Fleet, type FleetMode} from './fleet.js';
 import {createItems, createRevisedPool} from './sample-configuration.js';
 import {formatMarkdown, getPercentile} from './statistics.js';
 import {
-	measureConvergence, submitItems, waitUntil, type Submitted,
+	measureConvergence, submitItems, type Submitted,
 } from './submitter.js';
 
 export type DistributionOptions = {
@@ -59,13 +61,10 @@
 /** In the baselines a node of the mesh outside the fleet accepts the submissions. */
 async function startAcceptor(storeAddress: string): Promise<Acceptor> {
 	const host = '127.2.0.1';
-	const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `${host}:${7000 + port}`);
 	const settings = settingsSchema.parse({
 		node: 'acceptor',
 		failureDomain: 'acceptor',
-		listen: {
-			callers, gate, control, gossip, operators, announcements,
-		},
+		listen: createListenAddresses(host),
 		store: {address: storeAddress, callsPerSecond: 1000, burst: 1000},
 	});
 	const store = createHttpStore(settings.store);
--- a/bench/fleet.ts
+++ b/bench/fleet.ts
@@ -7,6 +7,7 @@
 import {fork, type ChildProcess} from 'node:child_process';
 import {fileURLToPath} from 'node:url';
 import {settingsSchema, type Settings} from '../src/index.js';
+import {createListenAddresses} from '../stand-ins/loopback-addresses.js';
 
 /** How the nodes of a fleet learn of new versions. */
 export type FleetMode = 'mesh' | 'watch' | 'poll';
@@ -60,7 +61,6 @@
 };
 
 const seedCount = 4;
-const firstPort = 7001;
 
 function getHost(index: number): string {
 	return `127.1.${Math.floor(index / 250)}.${(index % 250) + 1}`;
@@ -68,16 +68,13 @@
 
 /** Settings of the nodes of a fleet. */
 export function createFleetSettings(options: FleetOptions): readonly Settings[] {
-	const seeds = Array.from({length: Math.min(seedCount, options.nodes)}, (_, index) => `${getHost(index)}:${firstPort + 2}`);
+	const seeds = Array.from({length: Math.min(seedCount, options.nodes)}, (_, index) => createListenAddresses(getHost(index)).control);
 	return Array.from({length: options.nodes}, (_, index) => {
 		const host = getHost(index);
-		const [callers, gate, control, gossip, operators, announcements] = [0, 1, 2, 3, 4, 5].map(offset => `${host}:${firstPort + offset}`);
 		return settingsSchema.parse({
 			node: `node-${index + 1}`,
 			failureDomain: `domain-${(index % options.domains) + 1}`,
-			listen: {
-				callers, gate, control, gossip, operators, announcements,
-			},
+			listen: createListenAddresses(host),
 			store: {address: options.storeAddress},
 			seeds,
 			distribution: {batchWindowMs: options.batchWindowMs ?? 50, fanOut: options.fanOut ?? 8},
--- a/bench/large.ts
+++ b/bench/large.ts
@@ -6,10 +6,11 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {startStoreServer} from '../stand-ins/store/store-server.js';
+import {waitUntil} from '../stand-ins/wait-until.js';
 import {startFleet} from './fleet.js';
 import {createItems, createRevisedPool} from './sample-configuration.js';
 import {formatMarkdown} from './statistics.js';
-import {measureConvergence, submitItems, waitUntil} from './submitter.js';
+import {measureConvergence, submitItems} from './submitter.js';
 
 const nodes = 13;
 const services = 3200;
--- a/bench/submitter.ts
+++ b/bench/submitter.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {randomUUID} from 'node:crypto';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {request as sendRequest} from 'undici';
 import {type Item, type SubmissionOutcome} from '../src/index.js';
 import {type Fleet} from './fleet.js';
@@ -19,20 +18,6 @@
 	return await reply.body.json() as SubmissionOutcome;
 }
 
-/** Waits until a condition holds; yields whether it did in time. */
-export async function waitUntil(condition: () => boolean, timeoutMs: number): Promise<boolean> {
-	const due = Date.now() + timeoutMs;
-	while (Date.now() < due) {
-		if (condition()) {
-			return true;
-		}
-
-		await sleep(10);
-	}
-
-	return condition();
-}
-
 /** A submission and when it was sent, in milliseconds since the epoch. */
 export type Submitted = {readonly version: number; readonly sentAt: number};
 
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -14,13 +14,14 @@
 import {settle} from '../src/lib/common/settle.js';
 import {type Ledger} from '../stand-ins/backend-server/backend-server.js';
 import {type StoreCalls} from '../stand-ins/store/memory-store.js';
+import {waitUntil} from '../stand-ins/wait-until.js';
 import {
 	fetchBundle, publish, startPolling, uploadBundle, type Callers, type Publication,
 } from './callers.js';
 import {
 	fetchJson, prepareMesh, startNode, startServer, startStore, waitForServers, type Mesh, type MeshNode,
 } from './mesh.js';
-import {startProcess, waitUntil, type RunningProcess} from './processes.js';
+import {startProcess, type RunningProcess} from './processes.js';
 
 const bundleBytes = 64 * 1024 * 1024;
 const callerCount = 8;
--- a/demo/mesh.ts
+++ b/demo/mesh.ts
@@ -8,8 +8,9 @@
 import {join} from 'node:path';
 import {stringify} from 'yaml';
 import {request as sendRequest} from 'undici';
+import {waitUntil} from '../stand-ins/wait-until.js';
 import {
-	findFreePorts, startProcess, waitUntil, type RunningProcess,
+	findFreePorts, startProcess, type RunningProcess,
 } from './processes.js';
 
 export type MeshNode = {
--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -8,7 +8,6 @@
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {Buffer} from 'node:buffer';
-import {settle} from '../src/lib/common/settle.js';
 
 export type RunningProcess = {
 	readonly name: string;
@@ -61,19 +60,3 @@
 	})));
 	return ports;
 }
-
-/** Polls until a condition holds; yields whether it did in time. */
-export async function waitUntil(condition: () => Promise<boolean>, timeoutMs: number, pollMs = 20): Promise<boolean> {
-	const due = Date.now() + timeoutMs;
-	while (Date.now() < due) {
-		if (await settle(condition()) === true) {
-			return true;
-		}
-
-		await new Promise(resolve => {
-			setTimeout(resolve, pollMs);
-		});
-	}
-
-	return false;
-}
--- a/scenarios/processes.test.ts
+++ b/scenarios/processes.test.ts
@@ -11,8 +11,9 @@
 import {
 	fetchJson, prepareMesh, startNode, startStore, type Mesh, type MeshNode,
 } from '../demo/mesh.js';
-import {startProcess, waitUntil, type RunningProcess} from '../demo/processes.js';
+import {startProcess, type RunningProcess} from '../demo/processes.js';
 import {type NodeStatusAnswer, type TimelineEvent} from '../src/index.js';
+import {waitUntil} from '../stand-ins/wait-until.js';
 
 async function fetchStatus(node: MeshNode): Promise<NodeStatusAnswer> {
 	return fetchJson<NodeStatusAnswer>(`http://${node.operators}/v1/status`);
--- a/scenarios/world.ts
+++ b/scenarios/world.ts
@@ -8,7 +8,6 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {err, errAsync, ok} from 'neverthrow';
 import {Agent, request as sendRequest} from 'undici';
 import {
@@ -17,6 +16,8 @@
 } from '../src/index.js';
 import {startBackendServer, type BackendServerStandIn} from '../stand-ins/backend-server/backend-server.js';
 import {createMemoryStore, type MemoryStore} from '../stand-ins/store/memory-store.js';
+import {createListenAddresses} from '../stand-ins/loopback-addresses.js';
+import {waitUntil} from '../stand-ins/wait-until.js';
 import {createCutNetwork, type CutNetwork} from './cut-network.js';
 
 /** A node of the scenario and everything that it ever applied, over all its runs. */
@@ -83,13 +84,10 @@
 }
 
 function createWorldSettings(name: string, host: string, domain: string, seeds: readonly string[]): Settings {
-	const [callers, gate, control, gossip, operators, announcements] = [1, 2, 3, 4, 5, 6].map(port => `${host}:${7000 + port}`);
 	return settingsSchema.parse({
 		node: name,
 		failureDomain: domain,
-		listen: {
-			callers, gate, control, gossip, operators, announcements,
-		},
+		listen: createListenAddresses(host),
 		store: {address: '127.0.0.1:9', callsPerSecond: 200, burst: 200},
 		seeds,
 		membership,
@@ -99,13 +97,8 @@
 
 /** Waits until a condition holds, or fails with what was waited for. */
 export async function waitFor(what: string, condition: () => boolean | Promise<boolean>, timeoutMs = 16_000): Promise<void> {
-	const due = Date.now() + timeoutMs;
-	while (!await condition()) {
-		if (Date.now() > due) {
-			throw new Error(`within ${timeoutMs} ms it did not come about that ${what}`);
-		}
-
-		await sleep(20);
+	if (!await waitUntil(condition, timeoutMs)) {
+		throw new Error(`within ${timeoutMs} ms it did not come about that ${what}`);
 	}
 }
 
--- /dev/null
+++ b/stand-ins/loopback-addresses.ts
@@ -0,0 +1,27 @@
+/**
+ * Addresses of a node on a loopback IP number of its own, for benches and scenarios.
+ *
+ * @module
+ */
+
+/** The addresses of a node's settings. */
+export type ListenAddresses = {
+	readonly callers: string;
+	readonly gate: string;
+	readonly control: string;
+	readonly gossip: string;
+	readonly operators: string;
+	readonly announcements: string;
+};
+
+/** Lays out a node's ports on a host: 7001 for callers, 7002 for the gate, and so on. */
+export function createListenAddresses(host: string): ListenAddresses {
+	return {
+		callers: `${host}:7001`,
+		gate: `${host}:7002`,
+		control: `${host}:7003`,
+		gossip: `${host}:7004`,
+		operators: `${host}:7005`,
+		announcements: `${host}:7006`,
+	};
+}
--- /dev/null
+++ b/stand-ins/wait-until.ts
@@ -0,0 +1,31 @@
+/**
+ * Polls, for benches, the demo and scenarios.
+ *
+ * @module
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {settle} from '../src/lib/common/settle.js';
+
+const defaultPollMs = 10;
+
+/**
+ * Polls until a condition holds. A condition that fails does not hold.
+ *
+ * @param condition - What is waited for.
+ * @param timeoutMs - Milliseconds to wait at the most.
+ * @param pollMs - Milliseconds between two looks.
+ * @returns Whether it held in time.
+ */
+export async function waitUntil(condition: () => boolean | Promise<boolean>, timeoutMs: number, pollMs: number = defaultPollMs): Promise<boolean> {
+	const due = Date.now() + timeoutMs;
+	do {
+		const holds = await settle((async () => condition())());
+		if (holds === true) {
+			return true;
+		}
+
+		await sleep(pollMs);
+	} while (Date.now() < due);
+
+	return false;
+}
