--- a/scenarios/features/configuration.feature
+++ b/scenarios/features/configuration.feature
@@ -16,6 +16,18 @@
     When the network heals
     Then every node has pool "a" in force
 
+  Scenario: Two relays at once in a failure domain harm nothing
+    Given 6 nodes in 2 failure domains
+    And the network cuts off node-5, but not from the store
+    Then within a while 3 nodes take themselves for relays
+    When an operator submits pool "a" through node-1
+    And an operator submits pool "b" through node-5
+    Then every node has pool "a" in force
+    And every node has pool "b" in force
+    When the network heals
+    Then within a while 2 nodes take themselves for relays
+    And the version in force is 2
+
   Scenario: A change goes on reaching everybody when the relay of a failure domain is killed
     Given 8 nodes in 2 failure domains
     And the relay of domain-2 is killed
--- a/scenarios/steps.ts
+++ b/scenarios/steps.ts
@@ -166,6 +166,15 @@
 	world.network.cut([world.getNode(name).host], [...others, storeHost]);
 });
 
+defineStep('the network cuts off {word}, but not from the store', ({world}, name: string) => {
+	const others = world.listRunning().filter(node => node.name !== name).map(({host}) => host);
+	world.network.cut([world.getNode(name).host], others);
+});
+
+defineStep('within a while {int} nodes take themselves for relays', async ({world}, count: number) => {
+	await waitFor(`${count} nodes are relays`, () => world.listRunning().filter(({node}) => node.getStatus().isRelay).length === count);
+});
+
 defineStep('the network cuts {word} off from {word}', ({world}, left: string, right: string) => {
 	const listHosts = (domain: string): readonly string[] => world.listRunning()
 		.filter(({settings}) => settings.failureDomain === toFailureDomain(domain))
