--- a/scenarios/features/calls.feature
+++ b/scenarios/features/calls.feature
@@ -122,3 +122,11 @@
     When a caller sends 100 KB of headers to node-1
     Then the connection gets status 431
     And no backend server got a request
+
+  Scenario: A caller that asks before it sends a large body hears first whether there is room
+    When a caller asks node-1 whether to send an upload of 20 MB
+    Then the connection gets status 100
+    Given releasehall-1 is drained
+    And releasehall-2 is drained
+    When a caller asks node-1 whether to send an upload of 20 MB
+    Then the connection gets status 503
--- a/scenarios/steps.ts
+++ b/scenarios/steps.ts
@@ -527,6 +527,15 @@
 	await sendRaw(scene, node, `GET /logs/x HTTP/1.1\r\nHost: a\r\nX-Long: ${'x'.repeat(kilobytes * 1024)}\r\n\r\n`);
 });
 
+defineStep('a caller asks {word} whether to send an upload of {int} MB', async (scene, node: string, megabytes: number) => {
+	const length = megabytes * 1024 * 1024;
+	await sendRaw(scene, node, `POST /releases/u HTTP/1.1\r\nHost: a\r\nIdempotency-Key: ${node}-${scene.rawStatus}\r\nContent-Length: ${length}\r\nExpect: 100-continue\r\n\r\n`);
+});
+
+defineStep('{word} is drained', async ({world}, name: string) => {
+	await world.getServer(name).drain();
+});
+
 defineStep('the connection gets status {int}', ({rawStatus}, status: number) => {
 	assert.equal(rawStatus, status);
 });
