--- /dev/null
+++ b/apps/sidecar/main.ts
@@ -0,0 +1,89 @@
+#!/usr/bin/env node
+/**
+ * The daemon on the users' platform: reads its settings, wires the library to
+ * the platform's adapter and handles signals.
+ *
+ * @module
+ */
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {err, type Result} from 'neverthrow';
+import {createPlatform} from '../../platform/index.js';
+import {createSidecar, type Sidecar} from '../../src/lib/sidecar/sidecar.js';
+import {parseSidecarSettings, type SidecarSettings} from '../../src/lib/sidecar/sidecar-settings.js';
+import {createLineLog, type LineLog} from '../../src/lib/timeline/line-log.js';
+
+const exitCodes = {badSettings: 2, cannotListen: 3, fault: 5} as const;
+
+/** Milliseconds that a fault of the program may take to be written. */
+const lastWordsMs = 200;
+
+function readSettings(file: string): Result<SidecarSettings, string> {
+	let text: string;
+	try {
+		text = readFileSync(file, 'utf8');
+	} catch (error) {
+		return err((error as Error).message);
+	}
+
+	try {
+		// The template writes YAML that is JSON as well, which needs no library to read.
+		return parseSidecarSettings(JSON.parse(text));
+	} catch (error) {
+		return err(`settings: ${(error as Error).message}`);
+	}
+}
+
+function handleSignals(sidecar: Sidecar, log: LineLog, file: string): void {
+	let isStopping = false;
+	const stop = async (): Promise<void> => {
+		if (isStopping) {
+			return;
+		}
+
+		isStopping = true;
+		await sidecar.drain();
+		await log.flush();
+		process.exit(0);
+	};
+
+	process.on('SIGTERM', () => {
+		void stop();
+	});
+	process.on('SIGINT', () => {
+		void stop();
+	});
+	process.on('SIGHUP', () => {
+		const read = readSettings(file);
+		log.record(read.isOk() ? 'info' : 'error', {kind: 'settings-reloaded', outcome: read.isOk() ? 'read' : 'refused: the settings in force stay', ...read.isErr() ? {reason: `${file}: ${read.error}`} : {}});
+	});
+}
+
+async function run(): Promise<void> {
+	const file = process.argv[2] ?? '';
+	const settings = readSettings(file);
+	if (settings.isErr()) {
+		process.stderr.write(`${file}: ${settings.error}\n`);
+		process.exitCode = exitCodes.badSettings;
+		return;
+	}
+
+	const log = createLineLog(settings.value.node, 'info', 1);
+	process.on('uncaughtException', error => {
+		log.record('error', {kind: 'node-failed', reason: error.stack ?? error.message});
+		setTimeout(() => {
+			process.exit(exitCodes.fault);
+		}, lastWordsMs);
+	});
+	const platform = createPlatform(settings.value.storeAddress);
+	const sidecar = createSidecar(settings.value, {...platform, log, random: Math.random});
+	handleSignals(sidecar, log, file);
+	try {
+		await sidecar.start();
+	} catch (error) {
+		process.stderr.write(`${file}: ${(error as Error).message}\n`);
+		process.exit(exitCodes.cannotListen);
+	}
+}
+
+await run();
--- a/src/lib/calls/headers.ts
+++ b/src/lib/calls/headers.ts
@@ -29,7 +29,8 @@
 /** The time that is left, in milliseconds: callers may send it, backend servers receive it. @public */
 export const timeoutHeader = 'request-timeout-ms';
 
-const hopHeaders: ReadonlySet<string> = new Set([
+/** Headers that belong to one connection. @internal */
+export const hopHeaders: ReadonlySet<string> = new Set([
 	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
 ]);
 
--- a/src/lib/common/clock.ts
+++ b/src/lib/common/clock.ts
@@ -47,3 +47,14 @@
 export function readMicroseconds(): number {
 	return performance.now() * 1000;
 }
+
+/**
+ * Reads the clock that does not jump. Deadlines, ages and rates of a sidecar
+ * node are measured with it.
+ *
+ * @returns Milliseconds since the process started, with fractions.
+ * @internal
+ */
+export function readSteadyMs(): number {
+	return performance.now();
+}
--- /dev/null
+++ b/src/lib/forwarding/entry-server.ts
@@ -0,0 +1,268 @@
+/**
+ * Takes the requests of callers on this VM and of the backend server beside
+ * this node, and answers each with the whole answer of a backend server, or
+ * with a failure that says whether it may have run.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {readSteadyMs} from '../common/clock.js';
+import {type Verdict} from '../common/verdict.js';
+import {type CallerLimits} from '../route-config/route-config.js';
+import {type HeldConfig} from '../route-config/config-holder.js';
+import {findRoute} from '../route-config/route-index.js';
+import {type ShareSplitter} from '../route-config/share-splitter.js';
+import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
+import {createCallScope, type CallScope} from './call-scope.js';
+import {
+	filterCallHeaders, getAmount, getText, type WireHeaders,
+} from './call-headers.js';
+import {watchConnections} from './connection-scopes.js';
+import {type ForwardAnswer, type ForwardFailure} from './forward-result.js';
+import {BodyTooLargeError, hasBody, readBody} from './read-body.js';
+import {
+	chooseFailureStatus, sendCall, type CallOutcome, type SendContext,
+} from './send-call.js';
+
+/** A call that has ended, for logs and metrics. @internal */
+export type FinishedCall = {
+	readonly id: string;
+	readonly route: string;
+	readonly service: string;
+	readonly version: number;
+	readonly status: number;
+	readonly verdict: Verdict;
+	readonly reason: string;
+	readonly tookMs: number;
+	readonly leftMs: number;
+	readonly attempts: readonly AttemptNote[];
+};
+
+/** @internal */
+export type EntryContext = SendContext & {
+	readonly wire: WireHeaders;
+	readonly getConfig: () => HeldConfig | undefined;
+	readonly splitter: ShareSplitter;
+	readonly log: MeshLog;
+	readonly handleFinished: (call: FinishedCall) => void;
+};
+
+/** @internal */
+export type EntryServer = {
+	readonly server: Server;
+	readonly applyLimits: (limits: CallerLimits) => void;
+	readonly countCalls: () => number;
+	/** From here on each answer closes its connection. */
+	readonly startClosing: () => void;
+};
+
+/** One request of a caller on its way. */
+type EntryCall = {
+	readonly id: string;
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly receivedAt: number;
+	readonly askForBody: () => void;
+};
+
+/** The largest head that is taken before a configuration says otherwise. Bytes. */
+const maxHeaderBytes = 65_536;
+
+/** Connections are kept this much longer than callers are told, in milliseconds: a request may be on its way when the time is over. */
+const idleGraceMs = 1000;
+
+/** When a node without a configuration is worth asking again, in milliseconds. */
+const notReadyRetryMs = 250;
+
+/** When to come back if no gate said, in milliseconds. */
+const defaultRetryMs = 100;
+
+/** A time to come back is spread by this share, so that those who were refused together do not come back together. */
+const retrySpread = 0.5;
+
+/** A backend server's own answer at the very end of its time may still arrive within so many milliseconds. */
+const endGraceMs = 15;
+
+/** Bodies above this are refused before a configuration is known. Bytes. */
+const defaultMaxBodyBytes = 1_048_576;
+
+/**
+ * Creates the server for callers.
+ *
+ * @param context - What it works with.
+ * @returns The server, not listening yet.
+ * @internal
+ */
+export function createEntryServer(context: EntryContext): EntryServer {
+	const {wire, log, random} = context;
+	const server = createServer({
+		maxHeaderSize: maxHeaderBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
+	});
+	const connections = watchConnections(server);
+	let calls = 0;
+	let isClosing = false;
+
+	const getClosingHeaders = (request: IncomingMessage): {readonly connection?: string} =>
+		isClosing || !request.complete ? {connection: 'close'} : {};
+
+	const refuse = ({id, request, response}: EntryCall, status: number, reason: string, retryAfterMs = 0): void => {
+		if (response.destroyed || response.headersSent) {
+			return;
+		}
+
+		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 ? 'not-run' : undefined})}\n`);
+		const retryAfterSeconds = retryAfterMs * (1 + (retrySpread * random())) / 1000;
+		response.writeHead(status, {
+			'content-type': 'application/json',
+			'content-length': body.length,
+			[wire.callId]: id,
+			...retryAfterMs > 0 ? {'retry-after': retryAfterSeconds.toFixed(3)} : {},
+			...getClosingHeaders(request),
+		});
+		response.end(body);
+	};
+
+	const sendAnswer = (call: EntryCall, answer: ForwardAnswer): void => {
+		const {request, response} = call;
+		if (response.destroyed) {
+			return;
+		}
+
+		const lengthHeaders = request.method === 'HEAD' ? {} : {'content-length': String(answer.body.length)};
+		response.writeHead(answer.status, {...answer.headers as Record<string, string | string[]>, ...lengthHeaders, ...getClosingHeaders(request)});
+		response.end(answer.body);
+	};
+
+	const sendFailure = (call: EntryCall, failure: ForwardFailure, verdict: Verdict): number => {
+		const status = chooseFailureStatus(failure, verdict);
+		refuse(call, status, failure.reason, status === 503 ? Math.max(defaultRetryMs, failure.retryAfterMs) : 0);
+		return status;
+	};
+
+	const refuseEarly = (call: EntryCall, version: number, status: number, reason: string, retryAfterMs = 0): void => {
+		log.record('info', {
+			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version,
+		});
+		refuse(call, status, reason, retryAfterMs);
+	};
+
+	const takeBody = async (call: EntryCall, maxBodyBytes: number): Promise<Uint8Array | undefined | 'refused'> => {
+		if (!hasBody(call.request)) {
+			return undefined;
+		}
+
+		call.askForBody();
+		try {
+			return await readBody(call.request, maxBodyBytes);
+		} catch (error) {
+			const isTooLarge = error instanceof BodyTooLargeError;
+			refuseEarly(call, context.getConfig()?.config.version ?? 0, isTooLarge ? 413 : 400, (error as Error).message);
+			return 'refused';
+		}
+	};
+
+	const finish = (call: EntryCall, scope: CallScope, held: HeldConfig, outcome: CallOutcome & {readonly route: string; readonly service: string}): void => {
+		const {result, verdict, attempts} = outcome;
+		const now = readSteadyMs();
+		const status = result.type === 'answered' ? result.status : sendFailure(call, result, verdict);
+		if (result.type === 'answered') {
+			sendAnswer(call, result);
+		}
+
+		context.handleFinished({
+			id: call.id, route: outcome.route, service: outcome.service, version: held.config.version, status, verdict, attempts,
+			reason: result.type === 'answered' ? 'answered' : `${result.reason}: ${result.detail}`,
+			tookMs: Math.round(now - call.receivedAt),
+			leftMs: Math.round(scope.endsAt - now),
+		});
+	};
+
+	const run = async (call: EntryCall): Promise<void> => {
+		const held = context.getConfig();
+		if (held === undefined) {
+			refuseEarly(call, 0, 503, 'this node has no configuration yet', notReadyRetryMs);
+			return;
+		}
+
+		const {request} = call;
+		const {version, limits} = held.config;
+		const route = findRoute(held.index, request.headers.host ?? '', request.url ?? '/');
+		if (route === undefined) {
+			refuseEarly(call, version, 404, 'no route matches host and path');
+			return;
+		}
+
+		if (call.id === '') {
+			refuseEarly(call, version, 400, `the request lacks the header ${wire.callId}`);
+			return;
+		}
+
+		const service = context.splitter.pick(route);
+		if (service === undefined) {
+			refuseEarly(call, version, 503, 'no part of the route takes traffic', defaultRetryMs);
+			return;
+		}
+
+		const timeLeftMs = Math.min(getAmount(request.headers, wire.timeLeft) ?? route.timeoutMs, route.timeoutMs);
+		const scope = createCallScope(call.receivedAt + timeLeftMs + endGraceMs);
+		const forget = connections.add(request.socket, scope);
+		try {
+			const body = await takeBody(call, limits.maxBodyBytes || defaultMaxBodyBytes);
+			if (body === 'refused') {
+				return;
+			}
+
+			const outcome = await sendCall(context, {
+				id: call.id, route, service, method: request.method ?? 'GET', target: request.url ?? '/', headers: filterCallHeaders(request.headers), body, receivedAt: call.receivedAt, scope,
+			});
+			finish(call, scope, held, {...outcome, route: route.name, service});
+		} finally {
+			forget();
+			scope.dispose();
+		}
+	};
+
+	const runSafely = async (call: EntryCall): Promise<void> => {
+		calls++;
+		try {
+			await run(call);
+		} catch (error) {
+			// A fault of this program: the caller must not take what it has so far for an answer.
+			log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
+			call.response.destroy();
+		} finally {
+			calls--;
+		}
+	};
+
+	const handle = (request: IncomingMessage, response: ServerResponse, askForBody: () => void): void => {
+		const id = getText(request.headers, wire.callId) ?? '';
+		void runSafely({
+			id, request, response, receivedAt: readSteadyMs(), askForBody,
+		});
+	};
+
+	server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+		handle(request, response, () => undefined);
+	});
+	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+		handle(request, response, () => {
+			response.writeContinue();
+		});
+	});
+
+	return {
+		server,
+		applyLimits(limits) {
+			server.keepAliveTimeout = limits.idleTimeoutMs + idleGraceMs;
+			server.headersTimeout = limits.headerTimeoutMs;
+		},
+		countCalls: () => calls,
+		startClosing() {
+			isClosing = true;
+		},
+	};
+}
--- /dev/null
+++ b/src/lib/forwarding/exchange.ts
@@ -0,0 +1,182 @@
+/**
+ * One request and its whole answer over one connection.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {
+	request as openRequest, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders,
+} from 'node:http';
+import {type Socket} from 'node:net';
+import {parseAddress} from '../common/address.js';
+import {type Address} from '../common/ids.js';
+import {type CallScope, type ScopeEnd} from './call-scope.js';
+import {type HopAgent} from './hop-agent.js';
+
+/** What is sent. @internal */
+export type ExchangeRequest = {
+	readonly agent: HopAgent;
+	readonly address: Address;
+	readonly method: string;
+	/** Path and query. */
+	readonly target: string;
+	readonly headers: OutgoingHttpHeaders;
+	readonly body: Uint8Array | undefined;
+	/** Sends the body only once the other side asks for it. */
+	readonly mustAskFirst: boolean;
+	readonly scope: CallScope;
+	/** Milliseconds until a new connection must be up. */
+	readonly connectMs: number;
+	/** Checks whether an answer is to this request; any other one is dropped with its connection. */
+	readonly isOwnAnswer: (headers: IncomingHttpHeaders, status: number) => boolean;
+};
+
+/** The whole answer. @internal */
+export type ExchangeAnswer = {
+	readonly type: 'answered';
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: Uint8Array;
+};
+
+/** @internal */
+export type ExchangeFailure = {
+	readonly type: 'failed';
+	/** Whether a byte of the request may have arrived; with `mustAskFirst`, whether its body may have. */
+	readonly isSent: boolean;
+	readonly reason: 'unreachable' | 'connection-lost' | 'wrong-answer' | ScopeEnd;
+	readonly detail: string;
+};
+
+/** @internal */
+export type ExchangeResult = ExchangeAnswer | ExchangeFailure;
+
+type Progress = {
+	isConnected: boolean;
+	isSent: boolean;
+};
+
+function watchConnecting(outgoing: ClientRequest, socket: Socket, connectMs: number, handleConnected: () => void): void {
+	if (!socket.connecting) {
+		handleConnected();
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		outgoing.destroy(new Error(`no connection within ${connectMs} ms`));
+	}, connectMs);
+	socket.once('connect', () => {
+		clearTimeout(timer);
+		handleConnected();
+	});
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+}
+
+function collectBody(incoming: IncomingMessage, handleWhole: (body: Uint8Array) => void, handleCut: (detail: string) => void): void {
+	const chunks: Uint8Array[] = [];
+	incoming.on('data', (chunk: Uint8Array) => {
+		chunks.push(chunk);
+	});
+	incoming.once('end', () => {
+		if (incoming.complete) {
+			handleWhole(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
+		} else {
+			handleCut('the answer ended early');
+		}
+	});
+	incoming.once('error', error => {
+		handleCut(error.message);
+	});
+	incoming.once('close', () => {
+		handleCut('the connection closed within the answer');
+	});
+}
+
+/**
+ * Sends a request and reads its answer whole.
+ *
+ * @param exchange - The request.
+ * @returns The answer, or how it failed; never rejects.
+ * @internal
+ */
+export async function runExchange(exchange: ExchangeRequest): Promise<ExchangeResult> {
+	return new Promise(resolve => {
+		const {host, port} = parseAddress(exchange.address);
+		const progress: Progress = {isConnected: false, isSent: false};
+		let isSettled = false;
+
+		const settle = (result: ExchangeResult): void => {
+			if (isSettled) {
+				return;
+			}
+
+			isSettled = true;
+			unsubscribe();
+			resolve(result);
+		};
+
+		const fail = (reason: ExchangeFailure['reason'], detail: string): void => {
+			settle({
+				type: 'failed', isSent: progress.isSent, reason, detail,
+			});
+		};
+
+		const outgoing = openRequest({
+			agent: exchange.agent, host, port, method: exchange.method, path: exchange.target, headers: exchange.headers, setHost: false,
+		});
+
+		const sendBody = (): void => {
+			progress.isSent = true;
+			outgoing.end(exchange.body);
+		};
+
+		outgoing.once('socket', socket => {
+			watchConnecting(outgoing, socket, exchange.connectMs, () => {
+				progress.isConnected = true;
+				// Without the question first, the request itself leaves with the connection.
+				progress.isSent ||= !exchange.mustAskFirst;
+			});
+		});
+		outgoing.on('error', error => {
+			fail(progress.isConnected ? 'connection-lost' : 'unreachable', error.message);
+		});
+		outgoing.once('close', () => {
+			fail('connection-lost', 'the connection closed without an answer');
+		});
+		outgoing.once('response', incoming => {
+			const status = incoming.statusCode ?? 0;
+			if (!exchange.isOwnAnswer(incoming.headers, status)) {
+				fail('wrong-answer', `an answer with status ${status} to another request`);
+				outgoing.destroy();
+				return;
+			}
+
+			collectBody(incoming, body => {
+				settle({
+					type: 'answered', status, headers: incoming.headers, body,
+				});
+				if (exchange.mustAskFirst && !progress.isSent) {
+					// The body was announced and never sent: nothing else may follow on this connection.
+					outgoing.destroy();
+				}
+			}, detail => {
+				fail('connection-lost', detail);
+				outgoing.destroy();
+			});
+		});
+
+		const unsubscribe = exchange.scope.subscribe(reason => {
+			fail(reason, reason === 'timeout' ? 'no answer in time' : 'the caller has gone');
+			outgoing.destroy();
+		});
+
+		if (exchange.mustAskFirst) {
+			outgoing.once('continue', sendBody);
+			outgoing.flushHeaders();
+		} else {
+			outgoing.end(exchange.body);
+		}
+	});
+}
--- /dev/null
+++ b/src/lib/forwarding/local-gate.ts
@@ -0,0 +1,409 @@
+/**
+ * The gate before the backend server beside this node: the only way to it.
+ * Because every request passes here, the number in work is exact, and what is
+ * turned away here has certainly not run.
+ *
+ * @module
+ */
+import {type IncomingHttpHeaders} from 'node:http';
+import {
+	admitToSlot, createSlotQueue, estimateWait, releaseToNext, removeQueued, resizeSlots,
+	type QueuedRequest, type SlotQueue,
+} from '../admission/slot-queue.js';
+import {readSteadyMs} from '../common/clock.js';
+import {type BackendServerId} from '../common/ids.js';
+import {
+	acceptAnnouncement, acceptLeave, doubtServer, forgetServer, noLocalServer,
+	type LocalServer, type LocalServerState, type ServerAnnouncement, type ServerStep,
+} from '../local-server/local-server.js';
+import {type ServerReport, type ServerState} from '../peers/peer-report.js';
+import {type MeshLog} from '../timeline/mesh-log.js';
+import {type CallScope} from './call-scope.js';
+import {filterCallHeaders, getText, type WireHeaders} from './call-headers.js';
+import {runExchange, type ExchangeAnswer, type ExchangeFailure} from './exchange.js';
+import {
+	createMayHaveRun, createNotRun, type ForwardFailure, type ForwardResult, type GateLoad, type GateResult,
+} from './forward-result.js';
+import {HopAgent} from './hop-agent.js';
+
+/** A request at the gate. @internal */
+export type GateCall = {
+	readonly id: string;
+	/** Which backend server the sender means. */
+	readonly server: BackendServerId;
+	readonly method: string;
+	readonly target: string;
+	/** Headers to pass on. */
+	readonly headers: Readonly<Record<string, string | readonly string[]>>;
+	/** Reads the body, once a slot is held. */
+	readonly readBody: () => Promise<Uint8Array | undefined>;
+	readonly callerService: string;
+	/** 0 goes first. */
+	readonly rank: number;
+	/** Milliseconds that it may wait for a slot. */
+	readonly mayWaitMs: number;
+	readonly scope: CallScope;
+};
+
+/** @internal */
+export type LocalGateContext = {
+	readonly wire: WireHeaders;
+	readonly log: MeshLog;
+	/** Told whenever the other nodes should hear of a change at once. */
+	readonly handleChange: () => void;
+	/** Connections that the backend server accepts from this node. */
+	readonly getMaxConnections: (service: string) => number;
+	readonly isLeaving: () => boolean;
+};
+
+/** @internal */
+export type LocalGate = {
+	readonly run: (call: GateCall) => Promise<GateResult>;
+	readonly announce: (announcement: ServerAnnouncement) => void;
+	/** The server leaves; from here on it gets no new work. */
+	readonly leave: (id: BackendServerId) => void;
+	readonly describe: () => ServerReport | undefined;
+	readonly countRequests: () => number;
+	readonly dispose: () => void;
+};
+
+/** Idle connections to the backend server are closed after this, in milliseconds, if it does not say how long it keeps them: the shortest limit seen is some seconds. */
+const idleConnectionMs = 4000;
+
+/** A backend server on the same VM answers a connection in well under a millisecond. */
+const connectMs = 400;
+
+/** A server that could not be reached is tried again after this, in milliseconds: a restart takes about as long. */
+const doubtMs = 500;
+
+/** A server that has been silent for this many milliseconds is named in the log; it goes on being used while it answers. */
+const silentMs = 8000;
+
+/** Weight of the newest request in the share of failures: some ten requests make it. */
+const failureWeight = 0.1;
+
+/** Time that is taken off what is left when it is passed on: the way from here to the server, in milliseconds. */
+const passOnMs = 1;
+
+type Waiter = (outcome: 'run' | 'late' | 'cancelled') => void;
+
+/**
+ * Creates the gate; it turns everything away until a server announces itself.
+ *
+ * @param context - What it works with.
+ * @returns The gate.
+ * @internal
+ */
+export function createLocalGate(context: LocalGateContext): LocalGate {
+	const {wire, log, handleChange} = context;
+	let state: LocalServerState = noLocalServer;
+	let queue: SlotQueue = createSlotQueue(1);
+	let agent: HopAgent | undefined;
+	let failureShare = 0;
+	let nextId = 1;
+	let isSilent = false;
+	const waiters = new Map<number, Waiter>();
+
+	const getLoad = (): GateLoad => ({running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs});
+
+	const startAll = (started: readonly QueuedRequest[]): void => {
+		for (const {id} of started) {
+			waiters.get(id)?.('run');
+		}
+	};
+
+	const replaceServer = ({announcement}: LocalServer): void => {
+		agent?.destroy();
+		agent = new HopAgent({maxConnections: context.getMaxConnections(announcement.service), idleMs: idleConnectionMs});
+		queue = {...createSlotQueue(announcement.slots), running: queue.running};
+		failureShare = 0;
+		log.record('info', {
+			kind: 'server-announced', server: announcement.id, service: announcement.service, slots: announcement.slots, coldMs: announcement.coldMs,
+		});
+	};
+
+	const apply = (step: ServerStep, how: string): void => {
+		const before = state.current?.announcement.id;
+		state = step.state;
+		const {current} = state;
+		if (current === undefined) {
+			return;
+		}
+
+		isSilent = false;
+		if (before !== current.announcement.id) {
+			replaceServer(current);
+		}
+
+		if (step.news === 'draining') {
+			log.record('info', {kind: 'server-draining', server: current.announcement.id, how});
+		}
+
+		if (step.news === 'changed') {
+			const resized = resizeSlots(queue, current.announcement.slots, readSteadyMs());
+			queue = resized.queue;
+			startAll(resized.started);
+		}
+
+		if (step.news !== 'none') {
+			handleChange();
+		}
+	};
+
+	const acquire = async (call: GateCall): Promise<'run' | 'late' | 'cancelled' | {readonly retryAfterMs: number}> => {
+		const now = readSteadyMs();
+		const request: QueuedRequest = {id: nextId++, rank: call.rank, waitUntil: Math.min(now + call.mayWaitMs, call.scope.endsAt)};
+		const step = admitToSlot(queue, request, now);
+		queue = step.queue;
+		switch (step.decision.type) {
+			case 'run': {
+				return 'run';
+			}
+
+			case 'full': {
+				return {retryAfterMs: step.decision.retryAfterMs};
+			}
+
+			case 'wait': {
+				const {displaced} = step.decision;
+				if (displaced !== undefined) {
+					waiters.get(displaced.id)?.('late');
+				}
+
+				return waitForSlot(request, call.scope);
+			}
+		}
+	};
+
+	const waitForSlot = async (request: QueuedRequest, scope: CallScope): Promise<'run' | 'late' | 'cancelled'> => new Promise(resolve => {
+		const finish: Waiter = outcome => {
+			clearTimeout(timer);
+			unsubscribe();
+			waiters.delete(request.id);
+			if (outcome !== 'run') {
+				queue = removeQueued(queue, request.id);
+			}
+
+			resolve(outcome);
+		};
+
+		const timer = setTimeout(() => {
+			finish('late');
+		}, request.waitUntil - readSteadyMs());
+		waiters.set(request.id, finish);
+		const unsubscribe = scope.subscribe(() => {
+			finish('cancelled');
+		});
+	});
+
+	const release = (tookMs: number | undefined): void => {
+		const step = releaseToNext(queue, tookMs, readSteadyMs());
+		queue = step.queue;
+		startAll(step.started);
+	};
+
+	const noteOutcome = (hasFailed: boolean): void => {
+		failureShare = (failureShare * (1 - failureWeight)) + (hasFailed ? failureWeight : 0);
+	};
+
+	const doubt = (reason: string): void => {
+		state = doubtServer(state, readSteadyMs() + doubtMs);
+		log.record('warn', {kind: 'server-doubted', server: state.current?.announcement.id ?? '', reason});
+		handleChange();
+	};
+
+	const judgeFailure = (failure: ExchangeFailure): ForwardFailure => {
+		switch (failure.reason) {
+			case 'unreachable': {
+				doubt(failure.detail);
+				return createNotRun('server-unreachable', failure.detail, doubtMs);
+			}
+
+			case 'connection-lost':
+			case 'wrong-answer': {
+				noteOutcome(true);
+				return createMayHaveRun(failure.reason, failure.detail);
+			}
+
+			case 'timeout':
+			case 'cancelled':
+			case 'superseded': {
+				return failure.isSent ? createMayHaveRun(failure.reason, failure.detail) : createNotRun(failure.reason, failure.detail);
+			}
+		}
+	};
+
+	const judgeAnswer = (answer: ExchangeAnswer): ForwardResult => {
+		if (answer.status === 421) {
+			// Another server has the address: it is not asked again before it has said who it is.
+			state = forgetServer(state);
+			handleChange();
+			return {...createNotRun('gone', 'another backend server has the address'), hasArrived: true};
+		}
+
+		if (answer.headers[wire.notRun] !== undefined) {
+			noteOutcome(true);
+			return {...createNotRun('shed', `the backend server answered ${answer.status} and did not run it`, queue.serviceMs), hasArrived: true};
+		}
+
+		if (answer.status >= 200 && answer.status < 300 && answer.headers[wire.signature] === undefined) {
+			noteOutcome(true);
+			return createMayHaveRun('wrong-answer', 'a success without the signature of a backend server');
+		}
+
+		noteOutcome(answer.status >= 500);
+		return {
+			type: 'answered', status: answer.status, headers: filterCallHeaders(answer.headers), body: answer.body,
+		};
+	};
+
+	const createOwnAnswerCheck = (call: GateCall) => (headers: IncomingHttpHeaders, status: number): boolean => {
+		const id = getText(headers, wire.callId);
+		const isRefusal = headers[wire.notRun] !== undefined || status === 421;
+		return id === call.id || (id === undefined && isRefusal);
+	};
+
+	const send = async (call: GateCall, server: LocalServer, body: Uint8Array | undefined): Promise<ForwardResult> => {
+		const {announcement} = server;
+		const leftMs = Math.floor(call.scope.endsAt - readSteadyMs() - passOnMs);
+		const ended = call.scope.getEnd();
+		if (agent === undefined || ended !== undefined || leftMs <= 0) {
+			return createNotRun(ended ?? 'timeout', 'its time was over before it could be sent');
+		}
+
+		const answer = await runExchange({
+			agent, address: announcement.address, method: call.method, target: call.target, body, mustAskFirst: false, scope: call.scope, connectMs,
+			headers: {
+				...call.headers as Record<string, string | string[]>,
+				[wire.callId]: call.id,
+				[wire.timeLeft]: String(leftMs),
+				[wire.expectedServer]: announcement.id,
+				[wire.callerService]: call.callerService,
+				...body === undefined ? {} : {'content-length': String(body.length)},
+			},
+			isOwnAnswer: createOwnAnswerCheck(call),
+		});
+		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer);
+	};
+
+	const runWithSlot = async (call: GateCall, server: LocalServer): Promise<ForwardResult> => {
+		const startedAt = readSteadyMs();
+		let result: ForwardResult = createNotRun('cancelled', 'the body did not arrive');
+		try {
+			const body = await call.readBody();
+			result = await send(call, server, body);
+		} catch (error) {
+			result = createNotRun('cancelled', `the body did not arrive: ${(error as Error).message}`);
+		} finally {
+			release(result.type === 'answered' && result.status < 500 ? readSteadyMs() - startedAt : undefined);
+		}
+
+		return result;
+	};
+
+	const findServer = (call: GateCall): LocalServer | ForwardFailure => {
+		const {current} = state;
+		if (current?.announcement.id !== call.server) {
+			return createNotRun('gone', `${call.server} is not beside this node`);
+		}
+
+		if (current.isLeaving || context.isLeaving()) {
+			return createNotRun('draining', `${call.server} takes no new work`);
+		}
+
+		if (current.doubtedUntil > readSteadyMs()) {
+			return createNotRun('server-unreachable', `${call.server} could not be reached a moment ago`, doubtMs);
+		}
+
+		return current;
+	};
+
+	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
+		log.record('info', {
+			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, running: queue.running, waiting: queue.waiting.length, serviceMs: Math.round(queue.serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
+		});
+		return failure;
+	};
+
+	const admitAndRun = async (call: GateCall): Promise<ForwardResult> => {
+		const server = findServer(call);
+		if ('type' in server) {
+			return refuse(call, server);
+		}
+
+		const slot = await acquire(call);
+		if (typeof slot === 'object') {
+			return refuse(call, createNotRun('full', 'no slot in time', slot.retryAfterMs));
+		}
+
+		if (slot === 'late') {
+			return refuse(call, createNotRun('full', 'no slot came free in time', estimateWait(queue, call.rank)));
+		}
+
+		if (slot === 'cancelled') {
+			return createNotRun(call.scope.getEnd() ?? 'cancelled', 'the caller has gone');
+		}
+
+		// It may have begun to leave while the request waited.
+		const still = findServer(call);
+		if ('type' in still) {
+			release(undefined);
+			return refuse(call, still);
+		}
+
+		return runWithSlot(call, still);
+	};
+
+	const getServerState = (server: LocalServer): ServerState => {
+		if (server.isLeaving) {
+			return 'draining';
+		}
+
+		return server.doubtedUntil > readSteadyMs() ? 'down' : 'ready';
+	};
+
+	const noteSilence = ({announcement, heardAt}: LocalServer): void => {
+		const heardMsAgo = readSteadyMs() - heardAt;
+		if (heardMsAgo > silentMs && !isSilent) {
+			isSilent = true;
+			log.record('warn', {kind: 'server-silent', server: announcement.id, heardMsAgo: Math.round(heardMsAgo)});
+		}
+	};
+
+	return {
+		async run(call) {
+			const result = await admitAndRun(call);
+			return {result, load: getLoad()};
+		},
+		announce(announcement) {
+			apply(acceptAnnouncement(state, announcement, readSteadyMs()), 'it said that it drains');
+		},
+		leave(id) {
+			apply(acceptLeave(state, id), 'it said that it leaves');
+		},
+		describe() {
+			const {current} = state;
+			if (current === undefined) {
+				return undefined;
+			}
+
+			noteSilence(current);
+			const {announcement, heardAt} = current;
+			return {
+				id: announcement.id,
+				service: announcement.service,
+				slots: announcement.slots,
+				state: getServerState(current),
+				coldMs: Math.max(0, announcement.coldMs - (readSteadyMs() - heardAt)),
+				running: queue.running,
+				waiting: queue.waiting.length,
+				serviceMs: queue.serviceMs,
+				failureShare,
+			};
+		},
+		countRequests: () => queue.running + queue.waiting.length,
+		dispose() {
+			agent?.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/src/lib/forwarding/send-call.ts
@@ -0,0 +1,281 @@
+/**
+ * Sends a call until it is answered or nothing more may be tried. This is the
+ * only place of a sidecar node that sends anything again.
+ *
+ * @module
+ */
+import {readSteadyMs} from '../common/clock.js';
+import {type BackendServerId, type NodeId} from '../common/ids.js';
+import {joinVerdicts, type Verdict} from '../common/verdict.js';
+import {isRepeatable, type RouteRule} from '../route-config/route-config.js';
+import {rankServers, type Candidate} from '../routing/rank-servers.js';
+import {estimateRequests, type LoadView} from '../routing/load-view.js';
+import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
+import {createInnerScope, type CallScope} from './call-scope.js';
+import {
+	createNotRun, type ForwardFailure, type ForwardResult, type GateResult,
+} from './forward-result.js';
+import {type GateClient} from './gate-client.js';
+import {type LocalGate} from './local-gate.js';
+import {type RetryAllowance} from './retry-allowance.js';
+
+/** A call on its way. @internal */
+export type OutgoingCall = {
+	readonly id: string;
+	readonly route: RouteRule;
+	/** The part of the route that this call was dealt to. */
+	readonly service: string;
+	readonly method: string;
+	readonly target: string;
+	readonly headers: Readonly<Record<string, string | readonly string[]>>;
+	readonly body: Uint8Array | undefined;
+	/** Steady milliseconds. */
+	readonly receivedAt: number;
+	readonly scope: CallScope;
+};
+
+/** How a call ended. @internal */
+export type CallOutcome = {
+	readonly result: ForwardResult;
+	/** What holds for all attempts together. */
+	readonly verdict: Verdict;
+	readonly attempts: readonly AttemptNote[];
+};
+
+/** @internal */
+export type SendContext = {
+	readonly self: NodeId;
+	readonly callerService: string;
+	readonly listCandidates: (service: string) => readonly Candidate[];
+	readonly crossDomainMs: (route: RouteRule) => number;
+	readonly domain: Candidate['domain'];
+	readonly localGate: LocalGate;
+	readonly gateClient: GateClient;
+	readonly loads: LoadView;
+	readonly allowance: RetryAllowance;
+	readonly log: MeshLog;
+	readonly random: () => number;
+	readonly noteUnreachable: (node: NodeId, reason: string) => void;
+	readonly noteReached: (node: NodeId) => void;
+	/** Calls back once if a node falls silent; yields a function that takes that back. */
+	readonly watchSilence: (node: NodeId, handleSilence: () => void) => () => void;
+};
+
+/** What a call has been through so far. */
+type Progress = {
+	readonly notes: AttemptNote[];
+	/** Servers that are out of the question: they were tried, or cannot take it. */
+	readonly tried: Set<BackendServerId>;
+	/** Servers whose gate had no slot at once; they may be asked once more, to let it wait. */
+	readonly full: Set<BackendServerId>;
+	verdict: Verdict;
+	/** Servers at which it arrived. */
+	arrivals: number;
+	/** Refusals by gates, which no server saw. */
+	refusals: number;
+	/** The best that can be told the caller so far. */
+	fallback: ForwardResult;
+	/** The soonest that a gate said to come back, in milliseconds. */
+	retryAfterMs: number;
+};
+
+/** Gates that are asked for a slot at once before one is asked to let the call wait. */
+const immediateTries = 3;
+
+/** Refusals after which a call is given up: the caller is better told to come back. */
+const maxRefusals = 6;
+
+/** Share of the latency objective that a call may wait for a slot: the rest is for the work itself. */
+const waitShare = 0.6;
+
+/** A call that has missed its objective may still wait for this share of what is left. */
+const lateWaitShare = 0.25;
+
+/** No attempt begins with less than this left, in milliseconds: it could not be answered. */
+const shortestAttemptMs = 15;
+
+function computeWait(call: OutgoingCall, now: number): number {
+	const leftMs = call.scope.endsAt - now;
+	const elapsedMs = now - call.receivedAt;
+	const inTimeMs = (call.route.targetLatencyMs * waitShare) - elapsedMs;
+	return Math.min(Math.max(inTimeMs, leftMs * lateWaitShare), leftMs);
+}
+
+/** Calls with a shorter objective hold others up for longer, so they go first among equals. */
+function computeRank(route: RouteRule): number {
+	return (route.priority * 10) + (route.targetLatencyMs <= 250 ? 0 : 5);
+}
+
+function describeOutcome(result: ForwardResult): string {
+	return result.type === 'answered' ? String(result.status) : result.reason;
+}
+
+function isWorseThan(failure: ForwardResult, fallback: ForwardResult): boolean {
+	return failure.type === 'failed' && failure.verdict === 'not-run' && fallback.type === 'answered';
+}
+
+/**
+ * Sends a call.
+ *
+ * @param context - What it is sent with.
+ * @param call - The call.
+ * @returns How it ended. It is given up at once when nothing more may be tried.
+ * @internal
+ */
+export async function sendCall(context: SendContext, call: OutgoingCall): Promise<CallOutcome> {
+	const {route, service, scope} = call;
+	const mayRepeat = isRepeatable(route.type);
+	const progress: Progress = {
+		notes: [], tried: new Set(), full: new Set(), verdict: 'not-run', arrivals: 0, refusals: 0, retryAfterMs: 0,
+		fallback: createNotRun('no-server', `no backend server of ${service} is known that could take the request`),
+	};
+	context.allowance.noteRequest(service, readSteadyMs());
+
+	const finish = (result: ForwardResult): CallOutcome => ({result, verdict: progress.verdict, attempts: progress.notes});
+
+	const giveUp = (): CallOutcome => {
+		const {fallback, retryAfterMs} = progress;
+		return finish(fallback.type === 'failed' && fallback.verdict === 'not-run' ? {...fallback, retryAfterMs: Math.max(fallback.retryAfterMs, retryAfterMs)} : fallback);
+	};
+
+	const send = async (target: Candidate, mayWaitMs: number): Promise<ForwardResult> => {
+		const startedAt = readSteadyMs();
+		const inner = createInnerScope(scope);
+		// What may be repeated does not wait for a node that has fallen silent; what may not be has to.
+		const unwatch = mayRepeat && !target.isLocal
+			? context.watchSilence(target.node, () => {
+				inner.end('superseded');
+			})
+			: (): void => undefined;
+		context.loads.begin(target.id);
+		const sent = await sendOnce(context, call, target, {mayWaitMs, rank: computeRank(route), scope: inner});
+		context.loads.end(target.id);
+		unwatch();
+		inner.dispose();
+		const now = readSteadyMs();
+		if (sent.load !== undefined) {
+			context.loads.hear(target.id, sent.load, now);
+		}
+
+		const {result} = sent;
+		progress.notes.push({
+			server: target.id, node: target.node, verdict: result.type === 'answered' ? 'ran' : result.verdict, outcome: describeOutcome(result), tookMs: Math.round(now - startedAt), infoAgeMs: Math.round(startedAt - target.view.heardAt),
+		});
+		noteNode(context, target, result);
+		return result;
+	};
+
+	const noteResult = (result: ForwardResult): void => {
+		const hasArrived = result.type === 'answered' || result.hasArrived;
+		progress.verdict = joinVerdicts(progress.verdict, result.type === 'answered' ? 'ran' : result.verdict);
+		progress.arrivals += hasArrived ? 1 : 0;
+		progress.refusals += hasArrived ? 0 : 1;
+		if (result.type === 'failed' && result.retryAfterMs > 0) {
+			progress.retryAfterMs = progress.retryAfterMs === 0 ? result.retryAfterMs : Math.min(progress.retryAfterMs, result.retryAfterMs);
+		}
+
+		if (!isWorseThan(result, progress.fallback)) {
+			progress.fallback = result;
+		}
+	};
+
+	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. */
+	const mayGoOn = (result: ForwardResult, now: number): boolean => {
+		const isHarmless = mayRepeat || progress.verdict === 'not-run';
+		const hasTime = scope.getEnd() === undefined && scope.endsAt - now > shortestAttemptMs;
+		if (!isHarmless || !hasTime) {
+			return false;
+		}
+
+		const hasArrived = result.type === 'answered' || result.hasArrived;
+		if (!hasArrived) {
+			return progress.refusals <= maxRefusals;
+		}
+
+		return progress.arrivals < route.maxAttempts && context.allowance.take(service, now);
+	};
+
+	const chooseNext = (): {readonly target: Candidate; readonly mayWaitMs: number} | undefined => {
+		const ranked = rankServers(context.listCandidates(service).filter(({id}) => !progress.tried.has(id)), {
+			domain: context.domain, crossDomainMs: context.crossDomainMs(route), random: context.random,
+		});
+		const fresh = ranked.find(({id}) => !progress.full.has(id));
+		const hasRoom = fresh !== undefined && estimateRequests(fresh.view) < fresh.slots;
+		if (hasRoom && progress.refusals < immediateTries && ranked.length > 1) {
+			return {target: fresh, mayWaitMs: 0};
+		}
+
+		const [first] = ranked;
+		return first === undefined ? undefined : {target: first, mayWaitMs: computeWait(call, readSteadyMs())};
+	};
+
+	const noteTried = (target: Candidate, mayWaitMs: number, result: ForwardResult): void => {
+		const isFull = result.type === 'failed' && result.reason === 'full';
+		(isFull && mayWaitMs === 0 ? progress.full : progress.tried).add(target.id);
+	};
+
+	for (;;) {
+		const next = chooseNext();
+		if (next === undefined) {
+			return giveUp();
+		}
+
+		const result = await send(next.target, next.mayWaitMs);
+		noteTried(next.target, next.mayWaitMs, result);
+		noteResult(result);
+		if (result.type === 'answered' && (result.status < 500 || !mayRepeat)) {
+			return finish(result);
+		}
+
+		if (!mayGoOn(result, readSteadyMs())) {
+			return giveUp();
+		}
+
+		context.log.record('info', {
+			kind: 'attempt-failed', call: call.id, route: route.name, attempt: progress.notes.at(-1)!, next: 'another server is tried',
+		});
+	}
+}
+
+/** What a call saw of a node goes before what the node says of itself. */
+function noteNode(context: SendContext, target: Candidate, result: ForwardResult): void {
+	if (target.isLocal) {
+		return;
+	}
+
+	const isLost = result.type === 'failed' && (result.reason === 'node-unreachable' || result.reason === 'connection-lost') && result.detail !== '';
+	if (isLost && result.reason === 'node-unreachable') {
+		context.noteUnreachable(target.node, result.detail);
+	} else if (result.type === 'answered') {
+		context.noteReached(target.node);
+	}
+}
+
+type SendOptions = {
+	readonly mayWaitMs: number;
+	readonly rank: number;
+	readonly scope: CallScope;
+};
+
+async function sendOnce(context: SendContext, call: OutgoingCall, target: Candidate, options: SendOptions): Promise<GateResult> {
+	const common = {
+		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService, ...options,
+	};
+	return target.isLocal
+		? context.localGate.run({...common, readBody: async () => call.body})
+		: context.gateClient.send({...common, gate: target.gate, body: call.body});
+}
+
+/**
+ * @param failure - Why a call has no answer.
+ * @param verdict - What holds for all of its attempts together.
+ * @returns The status that the caller is told: only 503 promises that it has not run.
+ * @internal
+ */
+export function chooseFailureStatus(failure: ForwardFailure, verdict: Verdict): number {
+	if (verdict === 'not-run') {
+		return 503;
+	}
+
+	return failure.reason === 'timeout' ? 504 : 502;
+}
--- /dev/null
+++ b/src/lib/peers/peer-report.ts
@@ -0,0 +1,138 @@
+/**
+ * What a node tells the other nodes of itself, several times a second.
+ *
+ * @module
+ */
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+	type Address, type BackendServerId, type FailureDomain, type NodeId,
+} from '../common/ids.js';
+
+/** Whether a backend server takes work. @internal */
+export type ServerState = 'ready' | 'draining' | 'down';
+
+/** A backend server as the node beside it sees it. @internal */
+export type ServerReport = {
+	readonly id: BackendServerId;
+	readonly service: string;
+	readonly slots: number;
+	readonly state: ServerState;
+	/** Milliseconds for which it stays slow after its start. */
+	readonly coldMs: number;
+	readonly running: number;
+	readonly waiting: number;
+	/** Average milliseconds that a request takes there; 0 if nothing is known. */
+	readonly serviceMs: number;
+	/** Share of the latest requests that failed there, 0 to 1. */
+	readonly failureShare: number;
+};
+
+/** One heartbeat. @internal */
+export type PeerReport = {
+	readonly node: NodeId;
+	/** Drawn at random at each start, so that a restarted node is told from its earlier run. */
+	readonly run: string;
+	/** Grows within a run; a late datagram is recognised by it. */
+	readonly sequence: number;
+	readonly domain: FailureDomain;
+	/** Where it takes requests for its backend server. */
+	readonly gate: Address;
+	/** Where it takes heartbeats. */
+	readonly gossip: Address;
+	/** The configuration in force there; 0 for none. */
+	readonly version: number;
+	/** It is shutting down and takes no more requests from other nodes. */
+	readonly isLeaving: boolean;
+	readonly server: ServerReport | undefined;
+};
+
+const states: readonly ServerState[] = ['ready', 'draining', 'down'];
+
+/** Thousandths are enough for a share, and shorter on the wire. */
+const shareUnit = 1000;
+
+function encodeServer(server: ServerReport): readonly unknown[] {
+	return [
+		server.id,
+		server.service,
+		server.slots,
+		states.indexOf(server.state),
+		Math.round(server.coldMs),
+		server.running,
+		server.waiting,
+		Math.round(server.serviceMs),
+		Math.round(server.failureShare * shareUnit),
+	];
+}
+
+/**
+ * Encodes a report as a JSON list: the names of its fields would be half of a datagram.
+ *
+ * @param report - The report.
+ * @returns The text of one datagram.
+ * @internal
+ */
+export function encodeReport(report: PeerReport): string {
+	return JSON.stringify([
+		report.node,
+		report.run,
+		report.sequence,
+		report.domain,
+		report.gate,
+		report.gossip,
+		report.version,
+		report.isLeaving ? 1 : 0,
+		report.server === undefined ? 0 : encodeServer(report.server),
+	]);
+}
+
+const isText = (value: unknown): value is string => typeof value === 'string';
+const isCount = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value) && value >= 0;
+
+function decodeServer(value: unknown): ServerReport | undefined {
+	if (!Array.isArray(value)) {
+		return undefined;
+	}
+
+	const [id, service, slots, state, coldMs, running, waiting, serviceMs, failures] = value as unknown[];
+	const numbers = [slots, state, coldMs, running, waiting, serviceMs, failures];
+	if (!isText(id) || !isText(service) || !numbers.every(number => isCount(number))) {
+		return undefined;
+	}
+
+	return {
+		id: toBackendServerId(id), service, slots: slots as number, state: states[state as number] ?? 'down', coldMs: coldMs as number,
+		running: running as number, waiting: waiting as number, serviceMs: serviceMs as number, failureShare: (failures as number) / shareUnit,
+	};
+}
+
+/**
+ * Decodes a datagram.
+ *
+ * @param text - Text that came over the network.
+ * @returns The report, or `undefined` if the text is none.
+ * @internal
+ */
+export function decodeReport(text: string): PeerReport | undefined {
+	let value: unknown;
+	try {
+		value = JSON.parse(text);
+	} catch {
+		// Whoever calls counts it; what a stray datagram held is of no use.
+		return undefined;
+	}
+
+	if (!Array.isArray(value)) {
+		return undefined;
+	}
+
+	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server] = value as unknown[];
+	if (!isText(node) || !isText(run) || !isText(domain) || !isText(gate) || !isText(gossip) || !isCount(sequence) || !isCount(version)) {
+		return undefined;
+	}
+
+	return {
+		node: toNodeId(node), run, sequence, domain: toFailureDomain(domain), gate: toAddress(gate), gossip: toAddress(gossip), version,
+		isLeaving: isLeaving === 1, server: decodeServer(server),
+	};
+}
--- /dev/null
+++ b/src/lib/routing/load-view.ts
@@ -0,0 +1,77 @@
+/**
+ * What a node knows of the load of backend servers: what their gates last
+ * said, and what this node itself has sent since.
+ *
+ * @module
+ */
+import {type BackendServerId} from '../common/ids.js';
+
+/** What is known of one server. @internal */
+export type ServerView = {
+	readonly running: number;
+	readonly waiting: number;
+	/** Average milliseconds that a request takes; 0 if nothing is known. */
+	readonly serviceMs: number;
+	readonly failureShare: number;
+	/** Requests of this node that are under way there. */
+	readonly own: number;
+	/** Of these, the ones that were under way when the gate last spoke. */
+	readonly ownThen: number;
+	/** When the gate last spoke, in steady milliseconds. */
+	readonly heardAt: number;
+};
+
+/** @internal */
+export type LoadView = {
+	readonly get: (id: BackendServerId) => ServerView;
+	readonly hear: (id: BackendServerId, report: Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare'>>, now: number) => void;
+	readonly begin: (id: BackendServerId) => void;
+	readonly end: (id: BackendServerId) => void;
+	readonly retain: (isKnown: (id: BackendServerId) => boolean) => void;
+};
+
+const unknownServer: ServerView = {
+	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, own: 0, ownThen: 0, heardAt: 0,
+};
+
+/**
+ * @param view - What is known of a server.
+ * @returns Requests in work and waiting there, as far as this node can tell.
+ * @internal
+ */
+export function estimateRequests(view: ServerView): number {
+	return Math.max(view.own, view.running + view.waiting + view.own - view.ownThen);
+}
+
+/**
+ * @returns A view of nothing.
+ * @internal
+ */
+export function createLoadView(): LoadView {
+	const views = new Map<BackendServerId, ServerView>();
+	const get = (id: BackendServerId): ServerView => views.get(id) ?? unknownServer;
+	return {
+		get,
+		hear(id, report, now) {
+			const view = get(id);
+			views.set(id, {
+				...view, ...report, ownThen: view.own, heardAt: now,
+			});
+		},
+		begin(id) {
+			const view = get(id);
+			views.set(id, {...view, own: view.own + 1});
+		},
+		end(id) {
+			const view = get(id);
+			views.set(id, {...view, own: Math.max(0, view.own - 1)});
+		},
+		retain(isKnown) {
+			for (const [id, view] of views) {
+				if (view.own === 0 && !isKnown(id)) {
+					views.delete(id);
+				}
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/lib/routing/rank-servers.ts
@@ -0,0 +1,83 @@
+/**
+ * Orders the backend servers of a service by when an answer from each is to be
+ * expected: the decision part of choosing one.
+ *
+ * @module
+ */
+import {
+	type Address, type BackendServerId, type FailureDomain, type NodeId,
+} from '../common/ids.js';
+import {estimateRequests, type ServerView} from './load-view.js';
+
+/** A backend server that may be chosen. @internal */
+export type Candidate = {
+	readonly id: BackendServerId;
+	readonly node: NodeId;
+	readonly gate: Address;
+	readonly domain: FailureDomain;
+	/** It stands beside this node. */
+	readonly isLocal: boolean;
+	readonly slots: number;
+	readonly isCold: boolean;
+	readonly view: ServerView;
+};
+
+/** @internal */
+export type RankingContext = {
+	readonly domain: FailureDomain;
+	/** What a server of another failure domain has to be faster by, in milliseconds. */
+	readonly crossDomainMs: number;
+	readonly random: () => number;
+};
+
+/** Taken for a server that nothing is known of, so that it is tried. Milliseconds. */
+const unknownServiceMs = 60;
+
+/** A cold server is taken for so many times slower; the users' servers are about twice as slow at first. */
+const coldFactor = 2;
+
+/** Failures count as if each took so many times as long, since a failed request has to be sent again. */
+const failureFactor = 4;
+
+/** Estimates are spread by this share, so that nodes that see the same do not all choose the same. */
+const spread = 0.15;
+
+/** Share of its slots in use above which a server is expected to be slower. */
+const busyShare = 0.7;
+
+/** How much slower a server is with all slots in use than with few, as a share. */
+const busyFactor = 0.5;
+
+/**
+ * Estimates when an answer is to be expected.
+ *
+ * @param candidate - The server.
+ * @param context - Where this node stands.
+ * @returns Milliseconds, with a random spread; only their order means anything.
+ * @internal
+ */
+export function estimateAnswerMs(candidate: Candidate, context: RankingContext): number {
+	const {view, slots} = candidate;
+	const serviceMs = (view.serviceMs === 0 ? unknownServiceMs : view.serviceMs) * (candidate.isCold ? coldFactor : 1) * (1 + (view.failureShare * failureFactor));
+	const requests = estimateRequests(view) + 1;
+	const share = requests / Math.max(1, slots);
+	const busyMs = serviceMs * busyFactor * Math.max(0, Math.min(1, share) - busyShare) / (1 - busyShare);
+	const queueMs = Math.max(0, requests - slots) * serviceMs / Math.max(1, slots);
+	const wayMs = candidate.domain === context.domain ? 0 : context.crossDomainMs;
+	return ((serviceMs + busyMs + (queueMs * 2)) * (1 + (spread * context.random()))) + wayMs;
+}
+
+/**
+ * Orders servers.
+ *
+ * @param candidates - Servers that may be chosen.
+ * @param context - Where this node stands.
+ * @returns The same servers, the one to try first at the front.
+ * @internal
+ */
+export function rankServers(candidates: readonly Candidate[], context: RankingContext): readonly Candidate[] {
+	return candidates
+		.map(candidate => ({candidate, answerMs: estimateAnswerMs(candidate, context)}))
+		.toSorted((left, right) => left.answerMs - right.answerMs)
+		.map(({candidate}) => candidate);
+}
--- /dev/null
+++ b/src/lib/sidecar/sidecar-settings.ts
@@ -0,0 +1,136 @@
+/**
+ * Settings of a sidecar node. Checked by hand: a schema library costs more
+ * processor time at the start than the node has.
+ *
+ * @module
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {isAddress} from '../common/address.js';
+import {
+	toAddress, toFailureDomain, toNodeId, type Address, type FailureDomain, type NodeId,
+} from '../common/ids.js';
+
+/** @public */
+export type SidecarSettings = {
+	readonly node: NodeId;
+	readonly failureDomain: FailureDomain;
+	/** Service of the backend server on this VM. */
+	readonly service: string;
+	readonly listen: {
+		/** For callers on this VM and the backend server. */
+		readonly callers: Address;
+		/** For requests of other nodes. */
+		readonly gate: Address;
+		/** For heartbeats, UDP. */
+		readonly gossip: Address;
+		readonly readiness: Address;
+		/** For what the backend server says of itself. */
+		readonly announcements: Address;
+		readonly metrics: Address;
+	};
+	readonly storeAddress: Address;
+	/** Heartbeat addresses of a few other nodes, which may be out of date. */
+	readonly seeds: readonly Address[];
+	readonly retries: {
+		/** Repeats for each request, over all nodes. */
+		readonly ratio: number;
+		/** Repeats beside that in a window, over all nodes. */
+		readonly slack: number;
+		readonly windowMs: number;
+	};
+	/** Milliseconds from SIGTERM until the node must be gone. */
+	readonly shutdownMs: number;
+};
+
+type Json = Readonly<Record<string, unknown>>;
+
+class SettingError extends Error {}
+
+function readObject(parent: Json, name: string): Json {
+	const value = parent[name];
+	if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+		throw new SettingError(`${name}: must be a map`);
+	}
+
+	return value as Json;
+}
+
+function readText(parent: Json, name: string, place: string): string {
+	const value = parent[name];
+	if (typeof value !== 'string' || value === '') {
+		throw new SettingError(`${place}${name}: found ${JSON.stringify(value) ?? 'nothing'}, must be a text`);
+	}
+
+	return value;
+}
+
+function readAddress(parent: Json, name: string, place: string): Address {
+	const text = readText(parent, name, place);
+	if (!isAddress(text)) {
+		throw new SettingError(`${place}${name}: found "${text}", must be an IP number and a port, as in 127.0.0.1:7001`);
+	}
+
+	return toAddress(text);
+}
+
+function readAmount(parent: Json, name: string, place: string): number {
+	const value = parent[name];
+	if (typeof value !== 'number' || !Number.isFinite(value) || value < 0) {
+		throw new SettingError(`${place}${name}: found ${JSON.stringify(value) ?? 'nothing'}, must be a number that is not negative`);
+	}
+
+	return value;
+}
+
+function readSeeds(value: unknown): readonly Address[] {
+	if (!Array.isArray(value) || !value.every(seed => typeof seed === 'string' && isAddress(seed))) {
+		throw new SettingError('seeds: must be a list of IP numbers and ports');
+	}
+
+	return value.map(seed => toAddress(seed as string));
+}
+
+function readSettings(settings: Json): SidecarSettings {
+	const listen = readObject(settings, 'listen');
+	const retries = readObject(settings, 'retries');
+	return {
+		node: toNodeId(readText(settings, 'node', '')),
+		failureDomain: toFailureDomain(readText(settings, 'failureDomain', '')),
+		service: readText(settings, 'service', ''),
+		listen: {
+			callers: readAddress(listen, 'callers', 'listen.'),
+			gate: readAddress(listen, 'gate', 'listen.'),
+			gossip: readAddress(listen, 'gossip', 'listen.'),
+			readiness: readAddress(listen, 'readiness', 'listen.'),
+			announcements: readAddress(listen, 'announcements', 'listen.'),
+			metrics: readAddress(listen, 'metrics', 'listen.'),
+		},
+		storeAddress: readAddress(settings, 'storeAddress', ''),
+		seeds: readSeeds(settings.seeds ?? []),
+		retries: {
+			ratio: readAmount(retries, 'ratio', 'retries.'),
+			slack: readAmount(retries, 'slack', 'retries.'),
+			windowMs: readAmount(retries, 'windowMs', 'retries.'),
+		},
+		shutdownMs: readAmount(settings, 'shutdownMs', ''),
+	};
+}
+
+/**
+ * Checks settings.
+ *
+ * @param value - What the file holds.
+ * @returns The settings, or the field that cannot be used, what was found there and what is allowed.
+ * @public
+ */
+export function parseSidecarSettings(value: unknown): Result<SidecarSettings, string> {
+	if (typeof value !== 'object' || value === null) {
+		return err('settings: must be a map');
+	}
+
+	try {
+		return ok(readSettings(value as Json));
+	} catch (error) {
+		return err((error as Error).message);
+	}
+}
--- /dev/null
+++ b/src/lib/sidecar/sidecar.ts
@@ -0,0 +1,381 @@
+/**
+ * A sidecar node: everything that runs beside one backend server on a platform
+ * whose store holds the configuration, wired together.
+ *
+ * @module
+ */
+import {randomBytes} from 'node:crypto';
+import {
+	createServer, get as openGet, type Server,
+} from 'node:http';
+import {type Result} from 'neverthrow';
+import {parseAddress} from '../common/address.js';
+import {readSteadyMs, waitFor} from '../common/clock.js';
+import {type Address, type NodeId} from '../common/ids.js';
+import {type WireHeaders} from '../forwarding/call-headers.js';
+import {createEntryServer, type FinishedCall} from '../forwarding/entry-server.js';
+import {createGateClient} from '../forwarding/gate-client.js';
+import {configPath, createGateServer} from '../forwarding/gate-server.js';
+import {createLocalGate} from '../forwarding/local-gate.js';
+import {createRetryAllowance} from '../forwarding/retry-allowance.js';
+import {createPeerLink} from '../peers/peer-link.js';
+import {type PeerReport} from '../peers/peer-report.js';
+import {isReachable, type PeerLimits} from '../peers/peer-table.js';
+import {createConfigHolder} from '../route-config/config-holder.js';
+import {type RouteConfig, type RouteRule} from '../route-config/route-config.js';
+import {createShareSplitter} from '../route-config/share-splitter.js';
+import {createLoadView} from '../routing/load-view.js';
+import {type Candidate} from '../routing/rank-servers.js';
+import {type MeshStore} from '../store/mesh-store.js';
+import {createConfigFollower} from '../sync/config-follower.js';
+import {createRegistration} from '../sync/registration.js';
+import {createStoreHealth} from '../sync/store-health.js';
+import {type MeshLog} from '../timeline/mesh-log.js';
+import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
+import {type SidecarSettings} from './sidecar-settings.js';
+
+/** What a sidecar node is handed by its surroundings. @public */
+export type SidecarSurroundings = {
+	readonly store: MeshStore;
+	/** Key of the configuration in the store. */
+	readonly configKey: string;
+	readonly decodeConfig: (text: string) => Result<RouteConfig, string>;
+	readonly decodeServerCall: AnnouncementContext['decode'];
+	readonly wire: WireHeaders;
+	readonly log: MeshLog;
+	readonly random: () => number;
+};
+
+/** @public */
+export type Sidecar = {
+	readonly start: () => Promise<void>;
+	/** Leaves without losing work, within the time that the settings give. */
+	readonly drain: () => Promise<void>;
+	readonly dispose: () => Promise<void>;
+};
+
+/** Milliseconds between two heartbeats: short enough that a dark VM is noticed within a second, at some 80 datagrams a second in a mesh of 13. */
+const heartbeatMs = 300;
+
+const peerLimits: PeerLimits = {silenceMs: 950, forgetMs: 60_000, avoidMs: 250};
+
+/** Milliseconds between two looks for nodes that have fallen silent while requests wait for them. */
+const silenceCheckMs = 100;
+
+/** What a server of another failure domain has to be faster by, in milliseconds, since bytes between failure domains are paid for. */
+const crossDomainMs = {small: 40, upload: 400} as const;
+
+/** Connections to a backend server before a configuration says how many it accepts. */
+const defaultConnections = 64;
+
+/** The largest body that the gate takes: other nodes have checked it against the limits in force. */
+const maxGateBodyBytes = 134_217_728;
+
+/** Milliseconds after SIGTERM for which requests of other nodes are still taken: some are on their way. */
+const gateGraceMs = 300;
+
+/** Milliseconds after SIGTERM from which answers close their connections: by then callers have been told that the node is not ready. */
+const closeAfterMs = 2300;
+
+/** Milliseconds after SIGTERM before which the node does not go, since callers may still come. */
+const leaveAfterMs = 2700;
+
+/** Milliseconds before the end of the time to shut down at which the node goes, whatever is still in work. */
+const lastExitMs = 500;
+
+const idlePollMs = 25;
+
+async function listen(server: Server, address: Address): Promise<void> {
+	const {host, port} = parseAddress(address);
+	return new Promise((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({host, port, backlog: 4096}, () => {
+			server.removeListener('error', reject);
+			resolve();
+		});
+	});
+}
+
+async function fetchConfigText(gate: Address): Promise<string | undefined> {
+	const {host, port} = parseAddress(gate);
+	return new Promise(resolve => {
+		const outgoing = openGet({
+			host, port, path: configPath, agent: false, timeout: 500,
+		}, incoming => {
+			let text = '';
+			incoming.setEncoding('utf8');
+			incoming.on('data', (chunk: string) => {
+				text += chunk;
+			});
+			incoming.once('end', () => {
+				resolve(incoming.complete && incoming.statusCode === 200 ? text : undefined);
+			});
+			incoming.once('error', () => {
+				resolve(undefined);
+			});
+		});
+		outgoing.once('timeout', () => {
+			outgoing.destroy();
+		});
+		outgoing.once('error', () => {
+			// Whoever asked tries another node at the next heartbeat.
+			resolve(undefined);
+		});
+	});
+}
+
+/**
+ * Creates a sidecar node.
+ *
+ * @param settings - Its settings.
+ * @param surroundings - The store, the platform's formats, and where events go.
+ * @returns The node, not started yet.
+ * @public
+ */
+export function createSidecar(settings: SidecarSettings, surroundings: SidecarSurroundings): Sidecar {
+	const {store, wire, log, random} = surroundings;
+	const {node: self, failureDomain: domain} = settings;
+	const run = randomBytes(6).toString('base64url');
+	let isLeaving = false;
+	let isGateLeaving = false;
+
+	const splitter = createShareSplitter(random);
+	const loads = createLoadView();
+	const silenceWatchers = new Map<NodeId, Set<() => void>>();
+
+	const holder = createConfigHolder((held, source) => {
+		entry.applyLimits(held.config.limits);
+		splitter.retain(new Set(held.config.routes.map(({name}) => name)));
+		log.record('info', {
+			kind: 'configuration-applied', version: held.config.version, from: source, routes: held.config.routes.length,
+		});
+	});
+
+	const gate = createLocalGate({
+		wire,
+		log,
+		handleChange() {
+			link.announce();
+		},
+		getMaxConnections: service => holder.get()?.config.services.find(({name}) => name === service)?.maxConnections ?? defaultConnections,
+		isLeaving: () => isGateLeaving,
+	});
+
+	const describeSelf = (sequence: number): PeerReport => ({
+		node: self, run, sequence, domain, gate: settings.listen.gate, gossip: settings.listen.gossip, version: holder.getVersion(), isLeaving: isGateLeaving, server: gate.describe(),
+	});
+
+	let isFetching = false;
+
+	/** A node that has a newer configuration is asked for it: its word is as good as the store's, since versions only grow. */
+	const fetchNewer = async (report: PeerReport): Promise<void> => {
+		if (isFetching || report.version <= holder.getVersion()) {
+			return;
+		}
+
+		isFetching = true;
+		// The own watch is likely to have it in a moment.
+		await waitFor(health.isReachable() ? newerGraceMs : 0);
+		if (report.version > holder.getVersion()) {
+			const text = await fetchConfigText(report.gate);
+			if (text !== undefined) {
+				follower.adoptText(text, report.node);
+			}
+		}
+
+		isFetching = false;
+	};
+
+	const handleReport = (report: PeerReport): void => {
+		if (report.server !== undefined) {
+			loads.hear(report.server.id, report.server, readSteadyMs());
+		}
+
+		void fetchNewer(report);
+	};
+
+	const link = createPeerLink({
+		settings: {...peerLimits, listen: settings.listen.gossip, periodMs: heartbeatMs}, describeSelf, log, handleReport,
+	});
+
+	const health = createStoreHealth(log, () => {
+		follower.resync();
+	});
+	const follower = createConfigFollower({
+		store, health, holder, key: surroundings.configKey, decode: surroundings.decodeConfig, log, random,
+	});
+	const registration = createRegistration({
+		store, health, self, gossip: settings.listen.gossip, log, random, handleAddresses: link.addContacts,
+	});
+	const gateClient = createGateClient(wire);
+
+	const listCandidates = (service: string): readonly Candidate[] => {
+		const now = readSteadyMs();
+		const candidates: Candidate[] = [];
+		const own = gate.describe();
+		if (own?.service === service && own.state === 'ready' && !isGateLeaving) {
+			candidates.push({
+				id: own.id, node: self, gate: settings.listen.gate, domain, isLocal: true, slots: own.slots, isCold: own.coldMs > 0,
+				view: {
+					...loads.get(own.id), running: own.running, waiting: own.waiting, serviceMs: own.serviceMs, failureShare: own.failureShare, own: 0, ownThen: 0, heardAt: now,
+				},
+			});
+		}
+
+		for (const peer of link.getTable().values()) {
+			const {server, node, gate: address, domain: peerDomain} = peer.report;
+			if (server?.service === service && server.state === 'ready' && isReachable(peer, peerLimits, now)) {
+				candidates.push({
+					id: server.id, node, gate: address, domain: peerDomain, isLocal: false, slots: server.slots, isCold: server.coldMs > 0, view: loads.get(server.id),
+				});
+			}
+		}
+
+		return candidates;
+	};
+
+	const handleFinished = (call: FinishedCall): void => {
+		const level = call.status >= 500 || call.attempts.length > 1 ? 'info' : 'debug';
+		log.record(level, {kind: 'call-finished', call: call.id, ...omitId(call)});
+	};
+
+	const entry = createEntryServer({
+		self,
+		domain,
+		callerService: settings.service,
+		listCandidates,
+		crossDomainMs: (route: RouteRule) => route.type === 'upload' ? crossDomainMs.upload : crossDomainMs.small,
+		localGate: gate,
+		gateClient,
+		loads,
+		allowance: createRetryAllowance(settings.retries, () => link.getTable().size + 1),
+		log,
+		random,
+		noteUnreachable(node, reason) {
+			link.noteUnreachable(node);
+			log.record('info', {kind: 'peer-avoided', peer: node, reason});
+		},
+		noteReached: link.noteReached,
+		watchSilence(node, handleSilence) {
+			const watchers = silenceWatchers.get(node) ?? new Set();
+			watchers.add(handleSilence);
+			silenceWatchers.set(node, watchers);
+			return () => {
+				watchers.delete(handleSilence);
+			};
+		},
+		wire,
+		getConfig: holder.get,
+		splitter,
+		handleFinished,
+	});
+	const gateServer = createGateServer({
+		gate, wire, getConfigText: () => holder.get()?.text, maxBodyBytes: maxGateBodyBytes,
+	});
+	const announcementServer = createAnnouncementServer({
+		decode: surroundings.decodeServerCall,
+		log,
+		handleCall(call) {
+			switch (call.type) {
+				case 'announce': {
+					gate.announce(call.announcement);
+					break;
+				}
+
+				case 'leave': {
+					gate.leave(call.id);
+					break;
+				}
+			}
+		},
+	});
+
+	const isReady = (): boolean => !isLeaving && holder.get() !== undefined;
+	const readinessServer = createServer((_request, response) => {
+		response.writeHead(isReady() ? 200 : 503, {'content-length': 0});
+		response.end();
+	});
+
+	const checkSilence = (): void => {
+		const now = readSteadyMs();
+		for (const [node, watchers] of silenceWatchers) {
+			const peer = link.getTable().get(node);
+			if (watchers.size > 0 && (peer === undefined || now - peer.heardAt > peerLimits.silenceMs)) {
+				for (const handleSilence of watchers) {
+					handleSilence();
+				}
+			}
+		}
+	};
+
+	let silenceTimer: NodeJS.Timeout | undefined;
+
+	const dispose = async (): Promise<void> => {
+		clearInterval(silenceTimer);
+		registration.dispose();
+		follower.dispose();
+		link.dispose();
+		gateClient.dispose();
+		gate.dispose();
+		store.dispose();
+		for (const server of [entry.server, gateServer, announcementServer, readinessServer]) {
+			server.close();
+			server.closeAllConnections();
+		}
+	};
+
+	const countWork = (): number => entry.countCalls() + gate.countRequests();
+
+	const waitUntil = async (at: number): Promise<void> => waitFor(Math.max(0, at - readSteadyMs()));
+
+	return {
+		async start() {
+			log.record('info', {
+				kind: 'node-started', run, service: settings.service, address: settings.listen.callers,
+			});
+			await link.start();
+			await Promise.all([
+				listen(announcementServer, settings.listen.announcements),
+				listen(gateServer, settings.listen.gate),
+				listen(entry.server, settings.listen.callers),
+				listen(readinessServer, settings.listen.readiness),
+			]);
+			link.addContacts(settings.seeds);
+			silenceTimer = setInterval(checkSilence, silenceCheckMs);
+			void follower.run();
+			void registration.run();
+		},
+		async drain() {
+			const from = readSteadyMs();
+			isLeaving = true;
+			log.record('info', {kind: 'node-draining', reason: 'signal', requests: countWork()});
+			void registration.withdraw();
+			await waitUntil(from + gateGraceMs);
+			isGateLeaving = true;
+			link.announce();
+			await waitUntil(from + closeAfterMs);
+			entry.startClosing();
+			await waitUntil(from + leaveAfterMs);
+			entry.server.close();
+			entry.server.closeIdleConnections();
+			const lastAt = from + settings.shutdownMs - lastExitMs;
+			while (countWork() > 0 && readSteadyMs() < lastAt) {
+				await waitFor(idlePollMs);
+			}
+
+			// The last answers are still on their way to the callers.
+			await waitFor(idlePollMs * 2);
+			log.record('info', {kind: 'node-stopped', requests: countWork(), afterMs: Math.round(readSteadyMs() - from)});
+			await dispose();
+		},
+		dispose,
+	};
+}
+
+/** How long a node that reaches the store waits for its own watch before it asks another node for a newer configuration. Milliseconds. */
+const newerGraceMs = 600;
+
+function omitId(call: FinishedCall): Omit<FinishedCall, 'id' | 'service'> {
+	const {id: _id, service: _service, ...rest} = call;
+	return rest;
+}
--- /dev/null
+++ b/src/lib/sync/registration.ts
@@ -0,0 +1,156 @@
+/**
+ * Keeps this node's address in the store, under a lease, and finds the
+ * addresses of the others there. Only addresses are kept: whatever changes is
+ * told by heartbeats.
+ *
+ * @module
+ */
+import {isAddress} from '../common/address.js';
+import {readSteadyMs, waitFor} from '../common/clock.js';
+import {toAddress, type Address, type NodeId} from '../common/ids.js';
+import {type MeshStore} from '../store/mesh-store.js';
+import {type MeshLog} from '../timeline/mesh-log.js';
+import {type StoreHealth} from './store-health.js';
+
+/** @internal */
+export type RegistrationContext = {
+	readonly store: MeshStore;
+	readonly health: StoreHealth;
+	readonly self: NodeId;
+	readonly gossip: Address;
+	readonly log: MeshLog;
+	readonly random: () => number;
+	/** Told of the addresses of all nodes. */
+	readonly handleAddresses: (addresses: readonly Address[]) => void;
+};
+
+/** @internal */
+export type Registration = {
+	readonly run: () => Promise<void>;
+	/** Takes this node's address out of the store. */
+	readonly withdraw: () => Promise<void>;
+	readonly dispose: () => void;
+};
+
+/** Where nodes keep their addresses. */
+const prefix = 'stonemoor/nodes/';
+
+/** Milliseconds after which the address of a node that is gone disappears. */
+const leaseMs = 12_000;
+
+/** Milliseconds between two renewals; two may fail before the lease ends. */
+const renewMs = 4000;
+
+/** Milliseconds between two looks at the store. Each is a cheap stale read, shows whether the store is reached, and finds this node's own entry missing soon enough to put it back within two seconds. */
+const lookMs = 1000;
+
+/** Milliseconds between two tries to reach a store that does not answer. */
+const retryMs = 400;
+
+/**
+ * @param context - The store and who this is.
+ * @returns The registration, not running yet.
+ * @internal
+ */
+export function createRegistration(context: RegistrationContext): Registration {
+	const {store, health, self, gossip, log, random, handleAddresses} = context;
+	const disposed = new AbortController();
+	const key = `${prefix}${self}`;
+	let lease: number | undefined;
+	let renewedAt = 0;
+	/** Revision at which the own entry was written: a stale read before it may miss the entry. */
+	let writtenAt = 0;
+
+	const register = async (reason: string): Promise<boolean> => {
+		const granted = await store.grantLease(leaseMs);
+		if (granted.isErr()) {
+			health.noteFailure('take a lease', describeError(granted.error));
+			return false;
+		}
+
+		const put = await store.putItem(key, gossip, granted.value);
+		if (put.isErr()) {
+			health.noteFailure('register', describeError(put.error));
+			return false;
+		}
+
+		lease = granted.value;
+		renewedAt = readSteadyMs();
+		writtenAt = put.value;
+		log.record('info', {kind: 'node-registered', reason});
+		return true;
+	};
+
+	const renew = async (id: number): Promise<void> => {
+		const renewed = await store.renewLease(id);
+		if (renewed.isErr()) {
+			health.noteFailure('renew the lease', renewed.error.reason);
+			return;
+		}
+
+		renewedAt = readSteadyMs();
+		if (!renewed.value) {
+			lease = undefined;
+			log.record('warn', {kind: 'lease-lost', reason: 'the store says that the lease has ended'});
+		}
+	};
+
+	const look = async (mayBeStale: boolean): Promise<boolean> => {
+		const listed = await store.listItems(prefix, {mayBeStale});
+		if (listed.isErr()) {
+			health.noteFailure('list the nodes', listed.error.reason);
+			return false;
+		}
+
+		health.noteSuccess();
+		const {items, storeRevision} = listed.value;
+		handleAddresses(items.map(item => item.value).filter(text => isAddress(text)).map(text => toAddress(text)));
+		if (lease !== undefined && storeRevision >= writtenAt && !items.some(item => item.key === key)) {
+			lease = undefined;
+			log.record('warn', {kind: 'lease-lost', reason: 'the entry of this node is missing'});
+		}
+
+		return true;
+	};
+
+	const step = async (isFirst: boolean): Promise<boolean> => {
+		if (!(await look(!isFirst))) {
+			return false;
+		}
+
+		if (lease === undefined) {
+			return register(isFirst ? 'start' : 'the entry was gone');
+		}
+
+		if (readSteadyMs() - renewedAt >= renewMs) {
+			await renew(lease);
+		}
+
+		return true;
+	};
+
+	return {
+		async run() {
+			let isFirst = true;
+			while (!disposed.signal.aborted) {
+				const isDone = await step(isFirst);
+				isFirst &&= !isDone;
+				await waitFor((isDone ? lookMs : retryMs) * (0.9 + (0.2 * random())), disposed.signal);
+			}
+		},
+		async withdraw() {
+			const id = lease;
+			lease = undefined;
+			if (id !== undefined) {
+				await store.endLease(id);
+			}
+		},
+		dispose() {
+			disposed.abort();
+		},
+	};
+}
+
+function describeError(error: {readonly type: string; readonly reason?: string}): string {
+	return error.reason === undefined ? error.type : `${error.type}: ${error.reason}`;
+}
