Serve counters and latency histograms; one timer a call

Cause: on-call engineers have logs and metrics only; each attempt set a timer of its own beside the call's. Change: metrics in the text format of Prometheus, every logged event counted; an attempt's scope shares the call's timer.

--- a/src/lib/forwarding/call-scope.ts
+++ b/src/lib/forwarding/call-scope.ts
@@ -24,37 +24,27 @@
 	readonly dispose: () => void;
 };
 
-/**
- * @param endsAt - When its time is over, in steady milliseconds.
- * @returns A scope that ends by itself at that time.
- * @internal
- */
-export function createCallScope(endsAt: number): CallScope {
+type Ending = Omit<CallScope, 'dispose'> & {readonly forgetHandlers: () => void};
+
+function createEnding(endsAt: number, handleEnded: () => void): Ending {
 	const handlers = new Set<(reason: ScopeEnd) => void>();
 	let ended: ScopeEnd | undefined;
-
-	const end = (reason: ScopeEnd): void => {
-		if (ended !== undefined) {
-			return;
-		}
-
-		ended = reason;
-		clearTimeout(timer);
-		for (const handleEnd of handlers) {
-			handleEnd(reason);
-		}
-
-		handlers.clear();
-	};
-
-	const timer = setTimeout(() => {
-		end('timeout');
-	}, Math.max(0, endsAt - readSteadyMs()));
-
 	return {
 		endsAt,
 		getEnd: () => ended,
-		end,
+		end(reason) {
+			if (ended !== undefined) {
+				return;
+			}
+
+			ended = reason;
+			handleEnded();
+			for (const handleEnd of [...handlers]) {
+				handleEnd(reason);
+			}
+
+			handlers.clear();
+		},
 		subscribe(handleEnd) {
 			if (ended !== undefined) {
 				handleEnd(ended);
@@ -66,9 +56,29 @@
 				handlers.delete(handleEnd);
 			};
 		},
+		forgetHandlers() {
+			handlers.clear();
+		},
+	};
+}
+
+/**
+ * @param endsAt - When its time is over, in steady milliseconds.
+ * @returns A scope that ends by itself at that time.
+ * @internal
+ */
+export function createCallScope(endsAt: number): CallScope {
+	const {forgetHandlers, ...ending} = createEnding(endsAt, () => {
+		clearTimeout(timer);
+	});
+	const timer = setTimeout(() => {
+		ending.end('timeout');
+	}, Math.max(0, endsAt - readSteadyMs()));
+	return {
+		...ending,
 		dispose() {
 			clearTimeout(timer);
-			handlers.clear();
+			forgetHandlers();
 		},
 	};
 }
@@ -76,18 +86,18 @@
 /**
  * Opens a scope inside another, for one attempt of a call.
  *
- * @param outer - The call's scope.
- * @returns A scope that ends with the outer one, or by itself.
+ * @param outer - The call's scope, whose timer serves both.
+ * @returns A scope that ends with the outer one, or earlier by itself.
  * @internal
  */
 export function createInnerScope(outer: CallScope): CallScope {
-	const inner = createCallScope(outer.endsAt);
-	const unsubscribe = outer.subscribe(inner.end);
+	const {forgetHandlers, ...ending} = createEnding(outer.endsAt, () => undefined);
+	const unsubscribe = outer.subscribe(ending.end);
 	return {
-		...inner,
+		...ending,
 		dispose() {
 			unsubscribe();
-			inner.dispose();
+			forgetHandlers();
 		},
 	};
 }
--- /dev/null
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -0,0 +1,109 @@
+/**
+ * Counters and latency histograms of a sidecar node, in the text format of
+ * Prometheus.
+ *
+ * @module
+ */
+import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
+import {type FinishedCall} from '../forwarding/entry-server.js';
+import {type MeshLog} from '../timeline/mesh-log.js';
+
+/** A value that is read when metrics are asked for. @internal */
+export type Gauge = {
+	readonly name: string;
+	readonly help: string;
+	readonly read: () => number;
+};
+
+/** @internal */
+export type MeshMetrics = {
+	readonly recordCall: (call: FinishedCall) => void;
+	/** How late a timer fired, in milliseconds: the time for which the one thread was busy or stood still. */
+	readonly recordDelay: (milliseconds: number) => void;
+	/** Counts every event of a log that passes through. */
+	readonly countEvents: (log: MeshLog) => MeshLog;
+	readonly format: (gauges: readonly Gauge[]) => string;
+};
+
+/** Latencies are kept up to this many milliseconds, at two digits: some ten kilobytes a histogram. */
+const highestMs = 60_000;
+const digits = 2;
+
+const percentiles: readonly number[] = [50, 90, 99, 99.9];
+
+type Histogram = {
+	readonly recordValue: (value: number) => void;
+	readonly getValueAtPercentile: (percentile: number) => number;
+	readonly totalCount: number;
+};
+
+// The package is CommonJS without named exports: what an import yields depends on who loads it.
+const Int32HistogramClass = ('default' in Int32Histogram ? Int32Histogram.default : Int32Histogram) as unknown as new (lowest: number, highest: number, digits: number) => Histogram;
+
+const createHistogram = (): Histogram => new Int32HistogramClass(1, highestMs, digits);
+
+const formatLabels = (labels: Readonly<Record<string, string | number>>): string =>
+	Object.entries(labels).map(([name, value]) => `${name}="${String(value).replaceAll(/["\\\n]/g, '_')}"`).join(',');
+
+function formatSummary(name: string, labels: Readonly<Record<string, string>>, histogram: Histogram): readonly string[] {
+	return [
+		...percentiles.map(percentile => `${name}{${formatLabels({...labels, quantile: Number((percentile / 100).toFixed(4))})}} ${histogram.getValueAtPercentile(percentile)}`),
+		`${name}_count{${formatLabels(labels)}} ${histogram.totalCount}`,
+	];
+}
+
+/**
+ * @returns Metrics of a node that has done nothing yet.
+ * @internal
+ */
+export function createMeshMetrics(): MeshMetrics {
+	const counters = new Map<string, number>();
+	const latencies = new Map<string, Histogram>();
+	const delays = createHistogram();
+
+	const add = (key: string): void => {
+		counters.set(key, (counters.get(key) ?? 0) + 1);
+	};
+
+	const getLatency = (service: string): Histogram => {
+		const known = latencies.get(service);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const histogram = createHistogram();
+		latencies.set(service, histogram);
+		return histogram;
+	};
+
+	return {
+		recordCall(call) {
+			const {route, service, status, verdict} = call;
+			add(`stonemoor_calls_total{${formatLabels({route, service, status, verdict})}}`);
+			for (const {outcome} of call.attempts) {
+				add(`stonemoor_attempts_total{${formatLabels({service, outcome})}}`);
+			}
+
+			getLatency(service).recordValue(Math.min(highestMs, Math.max(1, call.tookMs)));
+		},
+		recordDelay(milliseconds) {
+			delays.recordValue(Math.min(highestMs, Math.max(1, Math.round(milliseconds))));
+		},
+		countEvents: log => ({
+			record(level, event) {
+				const labels: Readonly<Record<string, string>> = event.kind === 'gate-refused' ? {kind: event.kind, reason: event.reason} : {kind: event.kind};
+				add(`stonemoor_events_total{${formatLabels(labels)}}`);
+				log.record(level, event);
+			},
+		}),
+		format(gauges) {
+			const lines = [
+				...[...counters].map(([key, count]) => `${key} ${count}`),
+				...[...latencies].flatMap(([service, histogram]) => formatSummary('stonemoor_call_milliseconds', {service}, histogram)),
+				...formatSummary('stonemoor_loop_delay_milliseconds', {}, delays),
+				...gauges.flatMap(({name, help, read}) => [`# HELP ${name} ${help}`, `# TYPE ${name} gauge`, `${name} ${read()}`]),
+			];
+			return `${lines.join('\n')}\n`;
+		},
+	};
+}
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -4,10 +4,12 @@
  *
  * @module
  */
+import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
 import {
 	createServer, get as openGet, type Server,
 } from 'node:http';
+import process from 'node:process';
 import {type Result} from 'neverthrow';
 import {parseAddress} from '../common/address.js';
 import {readSteadyMs, waitFor} from '../common/clock.js';
@@ -32,6 +34,7 @@
 import {createStoreHealth} from '../sync/store-health.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
+import {createMeshMetrics, type Gauge} from './mesh-metrics.js';
 import {type SidecarSettings} from './sidecar-settings.js';
 
 /** What a sidecar node is handed by its surroundings. @public */
@@ -85,6 +88,11 @@
 
 const idlePollMs = 25;
 
+function readCpuSeconds(): number {
+	const {user, system} = process.cpuUsage();
+	return (user + system) / 1_000_000;
+}
+
 async function listen(server: Server, address: Address): Promise<void> {
 	const {host, port} = parseAddress(address);
 	return new Promise((resolve, reject) => {
@@ -133,7 +141,9 @@
  * @public
  */
 export function createSidecar(settings: SidecarSettings, surroundings: SidecarSurroundings): Sidecar {
-	const {store, wire, log, random} = surroundings;
+	const {store, wire, random} = surroundings;
+	const metrics = createMeshMetrics();
+	const log = metrics.countEvents(surroundings.log);
 	const {node: self, failureDomain: domain} = settings;
 	const run = randomBytes(6).toString('base64url');
 	let isLeaving = false;
@@ -235,6 +245,7 @@
 	};
 
 	const handleFinished = (call: FinishedCall): void => {
+		metrics.recordCall(call);
 		const level = call.status >= 500 || call.attempts.length > 1 ? 'info' : 'debug';
 		log.record(level, {kind: 'call-finished', call: call.id, ...omitId(call)});
 	};
@@ -296,8 +307,27 @@
 		response.end();
 	});
 
+	const gauges: readonly Gauge[] = [
+		{name: 'stonemoor_configuration_version', help: 'Version in force', read: holder.getVersion},
+		{name: 'stonemoor_peers', help: 'Other nodes known', read: () => link.getTable().size},
+		{name: 'stonemoor_gate_requests', help: 'Requests in work and waiting at the gate', read: gate.countRequests},
+		{name: 'stonemoor_entry_calls', help: 'Calls of callers under way', read: () => entry.countCalls()},
+		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(health.isReachable())},
+		{name: 'stonemoor_resident_bytes', help: 'Memory of the process', read: () => process.memoryUsage.rss()},
+		{name: 'stonemoor_cpu_seconds_total', help: 'Processor time of the process', read: readCpuSeconds},
+	];
+	const metricsServer = createServer((_request, response) => {
+		const text = metrics.format(gauges);
+		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4', 'content-length': Buffer.byteLength(text)});
+		response.end(text);
+	});
+
+	let checkedAt = readSteadyMs();
+
 	const checkSilence = (): void => {
 		const now = readSteadyMs();
+		metrics.recordDelay(now - checkedAt - silenceCheckMs);
+		checkedAt = now;
 		for (const [node, watchers] of silenceWatchers) {
 			const peer = link.getTable().get(node);
 			if (watchers.size > 0 && (peer === undefined || now - peer.heardAt > peerLimits.silenceMs)) {
@@ -318,7 +348,7 @@
 		gateClient.dispose();
 		gate.dispose();
 		store.dispose();
-		for (const server of [entry.server, gateServer, announcementServer, readinessServer]) {
+		for (const server of [entry.server, gateServer, announcementServer, readinessServer, metricsServer]) {
 			server.close();
 			server.closeAllConnections();
 		}
@@ -339,6 +369,7 @@
 				listen(gateServer, settings.listen.gate),
 				listen(entry.server, settings.listen.callers),
 				listen(readinessServer, settings.listen.readiness),
+				listen(metricsServer, settings.listen.metrics),
 			]);
 			link.addContacts(settings.seeds);
 			silenceTimer = setInterval(checkSilence, silenceCheckMs);
--- a/stand-ins/wire-server/wire-server.ts
+++ b/stand-ins/wire-server/wire-server.ts
@@ -206,9 +206,9 @@
 		}
 
 		let isGone = false;
-		request.socket.once('close', () => {
+		response.once('close', () => {
 			isGone = true;
-			left += response.writableEnded ? 0 : 1;
+			left += response.writableEnded || behaviour !== 'answer' ? 0 : 1;
 		});
 		setTimeout(() => {
 			if (!isGone) {
