Tell a reset behind an answer without a length from an orderly end; refuse early under overload; bound the log

Cause: a reset that follows the last bytes at once reaches Node.js as an ordinary end (libuv reports a hang-up after a partial read as EOF), so a cut answer without a length counted as whole. Ruled out: the hop between nodes, which always has a length. Change: such an answer counts once a write on its connection succeeds. Test: 'unframed-cut', seen failing first.

Change: a request waits only if its start is expected within 0.35 of the objective, is refused before its time is over, and is not sent at all when every server is known to be far too busy; rank by priority, then by the shorter objective.

Log: at most 50 lines a second of a kind below warn; a pipe that nobody reads stopped the exit (a blocked thread of the pool), now opened without blocking. No keep-alive probes are set for each reuse of a connection.

--- a/apps/sidecar/main.ts
+++ b/apps/sidecar/main.ts
@@ -11,7 +11,7 @@
 import {createPlatform} from '../../platform/index.js';
 import {createSidecar, type Sidecar} from '../../src/lib/sidecar/sidecar.js';
 import {parseSidecarSettings, type SidecarSettings} from '../../src/lib/sidecar/sidecar-settings.js';
-import {createLineLog, type LineLog} from '../../src/lib/timeline/line-log.js';
+import {createDescriptorSink, createLineLog, type LineLog} from '../../src/lib/timeline/line-log.js';
 
 const exitCodes = {badSettings: 2, cannotListen: 3, fault: 5} as const;
 
@@ -74,7 +74,7 @@
 		return;
 	}
 
-	const log = createLineLog(settings.value.node, 'info', 1);
+	const log = createLineLog(settings.value.node, 'info', createDescriptorSink(1));
 	process.on('uncaughtException', error => {
 		log.record('error', {kind: 'node-failed', reason: error.stack ?? error.message});
 		setTimeout(() => {
--- a/src/lib/admission/slot-queue.test.ts
+++ b/src/lib/admission/slot-queue.test.ts
@@ -5,7 +5,9 @@
 	admitToSlot, createSlotQueue, estimateWait, releaseToNext, removeQueued, resizeSlots, type QueuedRequest, type SlotQueue,
 } from './slot-queue.js';
 
-const createRequest = (id: number, rank = 0, waitUntil = 10_000): QueuedRequest => ({id, rank, waitUntil});
+const createRequest = (id: number, rank = 0, waitUntil = 10_000): QueuedRequest => ({
+	id, rank, waitUntil, startBy: waitUntil,
+});
 
 function admitAll(queue: SlotQueue, requests: readonly QueuedRequest[], now = 0): SlotQueue {
 	let current = queue;
--- a/src/lib/admission/slot-queue.ts
+++ b/src/lib/admission/slot-queue.ts
@@ -10,7 +10,9 @@
 	readonly id: number;
 	/** 0 goes first. */
 	readonly rank: number;
-	/** When its wait is over, in steady milliseconds. */
+	/** It is taken only if it is likely to start by then, in steady milliseconds. */
+	readonly startBy: number;
+	/** When its wait is over, in steady milliseconds: later, since estimates are. */
 	readonly waitUntil: number;
 };
 
@@ -87,7 +89,7 @@
 	}
 
 	const wait = estimateWait(queue, request.rank);
-	if (now + wait > request.waitUntil) {
+	if (now + wait > request.startBy) {
 		return {queue, decision: {type: 'full', retryAfterMs: Math.max(shortestRetryMs, Math.ceil(wait))}};
 	}
 
--- a/src/lib/forwarding/call-scope.ts
+++ b/src/lib/forwarding/call-scope.ts
@@ -39,7 +39,7 @@
 
 			ended = reason;
 			handleEnded();
-			for (const handleEnd of [...handlers]) {
+			for (const handleEnd of handlers) {
 				handleEnd(reason);
 			}
 
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -13,6 +13,7 @@
 import {type Verdict} from '../common/verdict.js';
 import {type CallerLimits} from '../route-config/route-config.js';
 import {type HeldConfig} from '../route-config/config-holder.js';
+import {computeRank} from '../route-config/route-rank.js';
 import {findRoute} from '../route-config/route-index.js';
 import {type ShareSplitter} from '../route-config/share-splitter.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
@@ -213,7 +214,7 @@
 			}
 
 			const outcome = await sendCall(context, {
-				id: call.id, route, service, method: request.method ?? 'GET', target: request.url ?? '/', headers: filterCallHeaders(request.headers), body, receivedAt: call.receivedAt, scope,
+				id: call.id, route, service, method: request.method ?? 'GET', target: request.url ?? '/', headers: filterCallHeaders(request.headers), body, receivedAt: call.receivedAt, isLastRank: computeRank(route) === held.lastRanks.get(service), scope,
 			});
 			finish(call, scope, held, {...outcome, route: route.name, service});
 		} finally {
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -74,14 +74,46 @@
 	});
 }
 
-function collectBody(incoming: IncomingMessage, handleWhole: (body: Uint8Array) => void, handleCut: (detail: string) => void): void {
+/** Statuses whose answers have no body, and need no length. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+
+/** Whether only the end of the connection tells where an answer ends. */
+function isUnframed(incoming: IncomingMessage, method: string): boolean {
+	const {headers, statusCode = 0} = incoming;
+	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined && method !== 'HEAD' && !bodilessStatuses.has(statusCode);
+}
+
+/**
+ * Finds out whether a connection that has ended was reset. A reset that follows
+ * the last bytes at once reaches this program as an ordinary end: the event loop
+ * reports the hang-up as soon as the bytes are read. Only a write tells the two
+ * apart. It sends an empty line, which no server takes for a request, to a peer
+ * that has closed.
+ */
+async function checkOrderlyEnd(socket: Socket): Promise<boolean> {
+	return new Promise(resolve => {
+		// Before Node.js closes its own half, after which nothing can be written.
+		socket.prependOnceListener('end', () => {
+			socket.write('\r\n', error => {
+				resolve(error === null || error === undefined);
+			});
+		});
+		socket.once('close', () => {
+			resolve(false);
+		});
+	});
+}
+
+function collectBody(incoming: IncomingMessage, handleWhole: (body: Uint8Array) => Promise<void>, handleCut: (detail: string) => void): void {
 	const chunks: Uint8Array[] = [];
 	incoming.on('data', (chunk: Uint8Array) => {
 		chunks.push(chunk);
 	});
+	let hasEnded = false;
 	incoming.once('end', () => {
+		hasEnded = true;
 		if (incoming.complete) {
-			handleWhole(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
+			void handleWhole(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks));
 		} else {
 			handleCut('the answer ended early');
 		}
@@ -90,7 +122,9 @@
 		handleCut(error.message);
 	});
 	incoming.once('close', () => {
-		handleCut('the connection closed within the answer');
+		if (!hasEnded) {
+			handleCut('the connection closed within the answer');
+		}
 	});
 }
 
@@ -106,6 +140,7 @@
 		const {host, port} = parseAddress(exchange.address);
 		const progress: Progress = {isConnected: false, isSent: false};
 		let isSettled = false;
+		let hasAnswer = false;
 
 		const settle = (result: ExchangeResult): void => {
 			if (isSettled) {
@@ -143,9 +178,13 @@
 			fail(progress.isConnected ? 'connection-lost' : 'unreachable', error.message);
 		});
 		outgoing.once('close', () => {
-			fail('connection-lost', 'the connection closed without an answer');
+			// An answer that has begun is judged by its own end.
+			if (!hasAnswer) {
+				fail('connection-lost', 'the connection closed without an answer');
+			}
 		});
 		outgoing.once('response', incoming => {
+			hasAnswer = true;
 			const status = incoming.statusCode ?? 0;
 			if (!exchange.isOwnAnswer(incoming.headers, status)) {
 				fail('wrong-answer', `an answer with status ${status} to another request`);
@@ -153,7 +192,13 @@
 				return;
 			}
 
-			collectBody(incoming, body => {
+			const isWhole = isUnframed(incoming, exchange.method) ? checkOrderlyEnd(incoming.socket) : undefined;
+			collectBody(incoming, async body => {
+				if (isWhole !== undefined && !(await isWhole)) {
+					fail('connection-lost', 'the connection was reset within an answer without a length');
+					return;
+				}
+
 				settle({
 					type: 'answered', status, headers: incoming.headers, body,
 				});
--- a/src/lib/forwarding/hop-agent.ts
+++ b/src/lib/forwarding/hop-agent.ts
@@ -48,7 +48,7 @@
 			return false;
 		}
 
-		socket.setKeepAlive(true, idleMs);
+		// Unlike the default, no keep-alive probes are set: that is four system calls a request, and idle connections are closed soon.
 		socket.unref();
 		socket.setTimeout(idleMs);
 		socket.on('data', destroyOnData);
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -85,6 +85,12 @@
 /** Time that is taken off what is left when it is passed on, in milliseconds: the grace of the scope, and the way to the server. */
 const passOnMs = endGraceMs + 1;
 
+/** A request that was taken waits for so many times the wait that was expected at the most. */
+const patience = 2;
+
+/** A refusal leaves this long before the time is over, in milliseconds, so that it arrives as one. */
+const lastRefusalMs = 40;
+
 type Waiter = (outcome: 'run' | 'late' | 'cancelled') => void;
 
 /**
@@ -152,7 +158,12 @@
 
 	const acquire = async (call: GateCall): Promise<'run' | 'late' | 'cancelled' | {readonly retryAfterMs: number}> => {
 		const now = readSteadyMs();
-		const request: QueuedRequest = {id: nextId++, rank: call.rank, waitUntil: Math.min(now + call.mayWaitMs, call.scope.endsAt)};
+		const request: QueuedRequest = {
+			id: nextId++,
+			rank: call.rank,
+			startBy: now + call.mayWaitMs,
+			waitUntil: Math.min(now + (call.mayWaitMs * patience), call.scope.endsAt - lastRefusalMs),
+		};
 		const step = admitToSlot(queue, request, now);
 		queue = step.queue;
 		switch (step.decision.type) {
@@ -189,7 +200,7 @@
 
 		const timer = setTimeout(() => {
 			finish('late');
-		}, request.waitUntil - readSteadyMs());
+		}, Math.max(0, request.waitUntil - readSteadyMs()));
 		waiters.set(request.id, finish);
 		const unsubscribe = scope.subscribe(() => {
 			finish('cancelled');
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -8,8 +8,9 @@
 import {type BackendServerId, type NodeId} from '../common/ids.js';
 import {joinVerdicts, type Verdict} from '../common/verdict.js';
 import {isRepeatable, type RouteRule} from '../route-config/route-config.js';
+import {computeRank} from '../route-config/route-rank.js';
 import {rankServers, type Candidate} from '../routing/rank-servers.js';
-import {estimateRequests, type LoadView} from '../routing/load-view.js';
+import {estimateSlotWait, type LoadView} from '../routing/load-view.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
 import {createInnerScope, type CallScope} from './call-scope.js';
 import {
@@ -31,6 +32,8 @@
 	readonly body: Uint8Array | undefined;
 	/** Steady milliseconds. */
 	readonly receivedAt: number;
+	/** Requests of other routes to the service go before it. */
+	readonly isLastRank: boolean;
 	readonly scope: CallScope;
 };
 
@@ -80,17 +83,26 @@
 	retryAfterMs: number;
 };
 
+type Choice = {readonly target: Candidate; readonly mayWaitMs: number};
+
+/** What can be told a call for which no server is left. */
+const giveUpFailure = ({fallback}: Progress): ForwardFailure =>
+	fallback.type === 'failed' ? fallback : createNotRun('no-server', 'no other backend server is left');
+
 /** Gates that are asked for a slot at once before one is asked to let the call wait. */
-const immediateTries = 3;
+const immediateTries = 2;
 
 /** Refusals after which a call is given up: the caller is better told to come back. */
-const maxRefusals = 6;
+const maxRefusals = 3;
 
-/** Share of the latency objective that a call may wait for a slot: the rest is for the work itself. */
-const waitShare = 0.6;
+/** Share of the latency objective that a call may be expected to wait for a slot: the rest is for the work itself. */
+const waitShare = 0.35;
 
-/** A call that has missed its objective may still wait for this share of what is left. */
-const lateWaitShare = 0.25;
+/** A call that has missed its objective may still be expected to wait for this share of what is left. */
+const lateWaitShare = 0.12;
+
+/** A call is refused without asking a gate if the wait that is expected is so many times longer than it may be: estimates are rough. Calls that others wait behind are always sent, since nothing tells how many are before them. */
+const hopelessFactor = 1.6;
 
 /** No attempt begins with less than this left, in milliseconds: it could not be answered. */
 const shortestAttemptMs = 15;
@@ -102,11 +114,6 @@
 	return Math.min(Math.max(inTimeMs, leftMs * lateWaitShare), leftMs);
 }
 
-/** Calls with a shorter objective hold others up for longer, so they go first among equals. */
-function computeRank(route: RouteRule): number {
-	return (route.priority * 10) + (route.targetLatencyMs <= 250 ? 0 : 5);
-}
-
 function describeOutcome(result: ForwardResult): string {
 	return result.type === 'answered' ? String(result.status) : result.reason;
 }
@@ -201,18 +208,28 @@
 		return progress.arrivals < route.maxAttempts && context.allowance.take(service, now);
 	};
 
-	const chooseNext = (): {readonly target: Candidate; readonly mayWaitMs: number} | undefined => {
-		const ranked = rankServers(context.listCandidates(service).filter(({id}) => !progress.tried.has(id)), {
+	const chooseNext = (): Choice | ForwardFailure => {
+		const now = readSteadyMs();
+		const mayWaitMs = computeWait(call, now);
+		const candidates = context.listCandidates(service).filter(({id}) => !progress.tried.has(id));
+		const ranked = rankServers(candidates, {
 			domain: context.domain, crossDomainMs: context.getCrossDomainMs(route), random: context.random,
 		});
 		const fresh = ranked.find(({id}) => !progress.full.has(id));
-		const hasRoom = fresh !== undefined && estimateRequests(fresh.view) < fresh.slots;
-		if (hasRoom && progress.refusals < immediateTries && ranked.length > 1) {
+		if (fresh !== undefined && progress.refusals < immediateTries && ranked.length > 1 && estimateSlotWait(fresh.view, fresh.slots, now) === 0) {
 			return {target: fresh, mayWaitMs: 0};
 		}
 
-		const [first] = ranked;
-		return first === undefined ? undefined : {target: first, mayWaitMs: computeWait(call, readSteadyMs())};
+		const waits = ranked.map(target => ({target, waitMs: estimateSlotWait(target.view, target.slots, now)}));
+		const shortest = waits.toSorted((left, right) => left.waitMs - right.waitMs)[0];
+		if (shortest === undefined) {
+			return giveUpFailure(progress);
+		}
+
+		// What is known is a few hundred milliseconds old at the most: a call that would wait far too long is spared the way.
+		return call.isLastRank && shortest.waitMs > mayWaitMs * hopelessFactor
+			? createNotRun('full', `every backend server of ${service} is busy for ${Math.round(shortest.waitMs)} ms or more`, shortest.waitMs)
+			: {target: shortest.target, mayWaitMs};
 	};
 
 	const noteTried = (target: Candidate, mayWaitMs: number, result: ForwardResult): void => {
@@ -222,7 +239,8 @@
 
 	for (;;) {
 		const next = chooseNext();
-		if (next === undefined) {
+		if ('type' in next) {
+			noteResult(next);
 			return giveUp();
 		}
 
--- a/src/lib/route-config/config-holder.ts
+++ b/src/lib/route-config/config-holder.ts
@@ -4,12 +4,15 @@
  * @module
  */
 import {type RouteConfig} from './route-config.js';
+import {listLastRanks} from './route-rank.js';
 import {createRouteIndex, type RouteIndex} from './route-index.js';
 
 /** A configuration and where it came from. @internal */
 export type HeldConfig = {
 	readonly config: RouteConfig;
 	readonly index: RouteIndex;
+	/** Highest rank of the routes to each service. */
+	readonly lastRanks: ReadonlyMap<string, number>;
 	/** As the store holds it: what other nodes are handed. */
 	readonly text: string;
 };
@@ -39,7 +42,9 @@
 			}
 
 			// One assignment puts the whole of it in force; a request keeps what it began with.
-			held = {config, index: createRouteIndex(config), text};
+			held = {
+				config, index: createRouteIndex(config), lastRanks: listLastRanks(config), text,
+			};
 			handleAdopted(held, source);
 			return true;
 		},
--- /dev/null
+++ b/src/lib/route-config/route-rank.ts
@@ -0,0 +1,40 @@
+/**
+ * Ranks routes for when there is not room for all requests.
+ *
+ * @module
+ */
+import {type RouteConfig, type RouteRule} from './route-config.js';
+
+/** Ranks of two priorities never overlap: no objective is longer than this. Milliseconds. */
+const priorityStep = 1_000_000;
+
+/**
+ * Ranks a route: by the operators' priority, and among equals by the shorter
+ * latency objective. Calls that backend servers make have the shortest ones;
+ * while they wait, the slots of those who called stay taken.
+ *
+ * @param route - The route.
+ * @returns Its rank; the lowest goes first.
+ * @internal
+ */
+export function computeRank(route: RouteRule): number {
+	return (route.priority * priorityStep) + Math.min(priorityStep - 1, Math.round(route.targetLatencyMs));
+}
+
+/**
+ * Finds the highest rank of the routes to each service.
+ *
+ * @param config - A whole configuration.
+ * @returns Ranks by service: requests of this rank wait behind all others there.
+ * @internal
+ */
+export function listLastRanks(config: RouteConfig): ReadonlyMap<string, number> {
+	const ranks = new Map<string, number>();
+	for (const route of config.routes) {
+		for (const {service} of route.services) {
+			ranks.set(service, Math.max(ranks.get(service) ?? 0, computeRank(route)));
+		}
+	}
+
+	return ranks;
+}
--- a/src/lib/routing/load-view.ts
+++ b/src/lib/routing/load-view.ts
@@ -43,6 +43,23 @@
 	return Math.max(view.own, view.running + view.waiting + view.own - view.ownThen);
 }
 
+/**
+ * Estimates how long a request would wait for a slot. Those that waited when
+ * the gate last spoke have been worked on since.
+ *
+ * @param view - What is known of a server.
+ * @param slots - Requests that it works on at once.
+ * @param now - Steady milliseconds.
+ * @returns Milliseconds; 0 if a slot is likely to be free.
+ * @internal
+ */
+export function estimateSlotWait(view: ServerView, slots: number, now: number): number {
+	const slotMs = view.serviceMs / Math.max(1, slots);
+	const endedSince = slotMs === 0 ? 0 : Math.max(0, now - view.heardAt) / slotMs;
+	const ahead = Math.max(view.own, estimateRequests(view) - endedSince) + 1 - slots;
+	return Math.max(0, ahead) * slotMs;
+}
+
 /**
  * @returns A view of nothing.
  * @internal
--- a/src/lib/routing/rank-servers.ts
+++ b/src/lib/routing/rank-servers.ts
@@ -42,6 +42,9 @@
 /** Estimates are spread by this share, so that nodes that see the same do not all choose the same. */
 const spread = 0.15;
 
+/** What a server beside another node of the failure domain has to be faster by, in milliseconds: a second node costs processor time on both. */
+const otherNodeMs = 20;
+
 /** Share of its slots in use above which a server is expected to be slower. */
 const busyShare = 0.7;
 
@@ -63,7 +66,7 @@
 	const share = requests / Math.max(1, slots);
 	const busyMs = serviceMs * busyFactor * Math.max(0, Math.min(1, share) - busyShare) / (1 - busyShare);
 	const queueMs = Math.max(0, requests - slots) * serviceMs / Math.max(1, slots);
-	const wayMs = candidate.domain === context.domain ? 0 : context.crossDomainMs;
+	const wayMs = candidate.isLocal ? 0 : (candidate.domain === context.domain ? otherNodeMs : context.crossDomainMs);
 	return ((serviceMs + busyMs + (queueMs * 2)) * (1 + (spread * context.random()))) + wayMs;
 }
 
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -38,9 +38,9 @@
 };
 
 // The package is CommonJS without named exports: what an import yields depends on who loads it.
-const Int32HistogramClass = ('default' in Int32Histogram ? Int32Histogram.default : Int32Histogram) as unknown as new (lowest: number, highest: number, digits: number) => Histogram;
+const loadedHistogram = ('default' in Int32Histogram ? Int32Histogram.default : Int32Histogram) as unknown as new (lowest: number, highest: number, digits: number) => Histogram;
 
-const createHistogram = (): Histogram => new Int32HistogramClass(1, highestMs, digits);
+const createHistogram = (): Histogram => new loadedHistogram(1, highestMs, digits);
 
 const formatLabels = (labels: Readonly<Record<string, string | number>>): string =>
 	Object.entries(labels).map(([name, value]) => `${name}="${String(value).replaceAll(/["\\\n]/g, '_')}"`).join(',');
@@ -79,7 +79,9 @@
 	return {
 		recordCall(call) {
 			const {route, service, status, verdict} = call;
-			add(`stonemoor_calls_total{${formatLabels({route, service, status, verdict})}}`);
+			add(`stonemoor_calls_total{${formatLabels({
+				route, service, status, verdict,
+			})}}`);
 			for (const {outcome} of call.attempts) {
 				add(`stonemoor_attempts_total{${formatLabels({service, outcome})}}`);
 			}
--- /dev/null
+++ b/src/lib/timeline/line-log.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import process from 'node:process';
+import test from 'node:test';
+import {createLineLog, type LineSink} from './line-log.js';
+import {type MeshEvent} from './mesh-log.js';
+
+type Line = {readonly kind: string; readonly level: number; readonly of?: string; readonly count?: number};
+
+function createFakeSink(held = 0): {readonly sink: LineSink; readonly lines: Line[]} {
+	const lines: Line[] = [];
+	return {
+		lines,
+		sink: {
+			write(line) {
+				lines.push(JSON.parse(line) as Line);
+			},
+			countHeldBytes: () => held,
+			flush: async () => undefined,
+		},
+	};
+}
+
+const refused: MeshEvent = {
+	kind: 'gate-refused', call: 'c', server: 's', reason: 'full', running: 1, waiting: 1, serviceMs: 1, mayWaitMs: 1,
+};
+
+test('a flood of one kind is bounded, does not crowd out others, and is counted', async () => {
+	const {sink, lines} = createFakeSink();
+	const log = createLineLog('n1', 'info', sink);
+	for (let count = 0; count < 500; count++) {
+		log.record('info', refused);
+	}
+
+	log.record('info', {kind: 'store-back', afterMs: 5});
+	log.record('debug', {kind: 'store-back', afterMs: 6});
+	await log.flush();
+	assert.equal(lines.filter(({kind}) => kind === 'gate-refused').length, 50);
+	assert.equal(lines.filter(({kind}) => kind === 'store-back').length, 1);
+	assert.deepEqual(lines.filter(({kind}) => kind === 'lines-dropped').map(({of, count}) => [of, count]), [['gate-refused', 450]]);
+});
+
+test('when nobody reads, lines about failures are the last to go', () => {
+	const {sink, lines} = createFakeSink(200_000);
+	const log = createLineLog('n1', 'info', sink);
+	log.record('info', refused);
+	log.record('warn', {kind: 'store-lost', call: 'read', reason: 'no answer'});
+	assert.deepEqual(lines.map(({kind}) => kind), ['store-lost']);
+});
+
+const program = `
+import {createDescriptorSink, createLineLog} from ${JSON.stringify(new URL('line-log.js', import.meta.url).href)};
+const log = createLineLog('n1', 'info', createDescriptorSink(1));
+let turns = 0;
+const timer = setInterval(() => {
+	for (let line = 0; line < 50; line++) {
+		log.record('warn', {kind: 'store-lost', call: 'x'.repeat(2000), reason: 'test'});
+	}
+	turns++;
+	if (turns === 40) {
+		clearInterval(timer);
+		process.stderr.write('went on\\n', () => process.exit(0));
+	}
+}, 5);
+`;
+
+test('a reader that stops reading stops neither the process nor its exit', {timeout: 20_000}, async context => {
+	// Nobody reads the pipe: it fills after 64 KB of the 4 MB written.
+	const child = spawn('sh', ['-c', '("$0" --input-type=module -e "$1"; echo exited >&2) | sleep 30', process.execPath, program], {stdio: ['ignore', 'ignore', 'pipe'], detached: true});
+	context.after(() => {
+		process.kill(-child.pid!, 'SIGKILL');
+	});
+	let said = '';
+	child.stderr.setEncoding('utf8');
+	await new Promise<void>(resolve => {
+		child.stderr.on('data', (text: string) => {
+			said += text;
+			if (said.includes('exited')) {
+				resolve();
+			}
+		});
+	});
+	assert.equal(said, 'went on\nexited\n');
+});
--- a/src/lib/timeline/line-log.ts
+++ b/src/lib/timeline/line-log.ts
@@ -1,10 +1,14 @@
 /**
  * Writes events as JSON lines, without ever waiting for whoever reads them.
+ * The volume is bounded for each kind of event, and in all; what is left out
+ * is counted and said.
  *
  * @module
  */
-import {SonicBoom} from 'sonic-boom';
-import {type LogLevel, type MeshLog} from './mesh-log.js';
+import {constants, openSync} from 'node:fs';
+import sonicBoom from 'sonic-boom';
+import {readSteadyMs} from '../common/clock.js';
+import {type LogLevel, type MeshEvent, type MeshLog} from './mesh-log.js';
 
 /** Level numbers as bunyan and pino write them. */
 const levelNumbers: Readonly<Record<LogLevel, number>> = {
@@ -17,80 +21,155 @@
 	readonly flush: () => Promise<void>;
 };
 
+/** Where lines go. @internal */
+export type LineSink = {
+	/** Takes a line without waiting. */
+	readonly write: (line: string) => void;
+	/** Bytes taken that nobody has read yet. */
+	readonly countHeldBytes: () => number;
+	readonly flush: () => Promise<void>;
+};
+
 /** Lines held at the most while nobody reads them, in bytes. */
 const maxHeldBytes = 262_144;
 
 /** Above this share of what may be held, only lines from `warn` on are kept. */
 const failuresOnlyShare = 0.5;
 
+/** Lines of one kind and level below `warn` in a second: a line costs some 20 microseconds, so this is a thousandth of a core. */
+const linesPerSecond = 50;
+
 /** Lines are gathered for this long before they are written. Milliseconds. */
 const flushMs = 200;
 
+/**
+ * Opens a pipe a second time so that a write to it never blocks: a write that
+ * blocks in a thread of the pool keeps the process from exiting.
+ */
+function openWithoutBlocking(fd: number): number {
+	try {
+		return openSync(`/proc/self/fd/${fd}`, constants.O_WRONLY | constants.O_NONBLOCK | constants.O_APPEND);
+	} catch {
+		// A socket cannot be opened so; it is written to as it is.
+		return fd;
+	}
+}
+
+/**
+ * Opens a file descriptor for lines. Writing to a pipe would block the one
+ * thread as long as nobody reads; this does not.
+ *
+ * @param fd - The descriptor.
+ * @returns The sink.
+ * @internal
+ */
+export function createDescriptorSink(fd: number): LineSink {
+	const boom = new sonicBoom.SonicBoom({
+		fd: openWithoutBlocking(fd), sync: false, minLength: 4096, maxLength: maxHeldBytes,
+	});
+	let held = 0;
+	boom.on('write', (bytes: number) => {
+		held = Math.max(0, held - bytes);
+	});
+	boom.on('drop', (line: string) => {
+		held = Math.max(0, held - line.length);
+	});
+	boom.on('error', () => {
+		// There is nowhere left to say so: the log itself has failed, and the node goes on.
+	});
+	const timer = setInterval(() => {
+		boom.flush();
+	}, flushMs);
+	timer.unref();
+	return {
+		write(line) {
+			held += line.length;
+			boom.write(line);
+		},
+		countHeldBytes: () => held,
+		async flush() {
+			clearInterval(timer);
+			return new Promise(resolve => {
+				// Whoever has stopped reading does not keep the process.
+				setTimeout(resolve, lastFlushMs);
+				boom.flush(() => {
+					resolve();
+				});
+			});
+		},
+	};
+}
+
+/** How long the last lines may take. Milliseconds. */
+const lastFlushMs = 200;
+
+type Bound = {
+	readonly startedAt: number;
+	readonly written: Map<string, number>;
+	readonly left: Map<string, number>;
+};
+
+const createBound = (startedAt: number): Bound => ({startedAt, written: new Map(), left: new Map()});
+
+function add(counts: Map<string, number>, kind: string): number {
+	const count = (counts.get(kind) ?? 0) + 1;
+	counts.set(kind, count);
+	return count;
+}
+
 /**
  * Creates the log.
  *
  * @param node - Named in each line.
  * @param level - The least level that is written.
- * @param fd - Where to.
+ * @param sink - Where lines go.
  * @returns The log.
  * @internal
  */
-export function createLineLog(node: string, level: LogLevel, fd: number): LineLog {
-	const sink = new SonicBoom({
-		fd, sync: false, minLength: 4096, maxLength: maxHeldBytes,
-	});
+export function createLineLog(node: string, level: LogLevel, sink: LineSink): LineLog {
 	const least = levelNumbers[level];
-	let heldBytes = 0;
-	let dropped = 0;
-	sink.on('write', (bytes: number) => {
-		heldBytes = Math.max(0, heldBytes - bytes);
-	});
-	sink.on('error', () => {
-		// There is nowhere to say so: the log itself has failed, and the node goes on.
-		dropped++;
-	});
+	let bound = createBound(readSteadyMs());
 
-	const write = (number: number, event: Readonly<Record<string, unknown>>): void => {
-		const line = `${JSON.stringify({
+	const write = (number: number, event: MeshEvent): void => {
+		sink.write(`${JSON.stringify({
 			time: new Date().toISOString(), level: number, node, ...event,
-		})}\n`;
-		heldBytes += line.length;
-		sink.write(line);
+		})}\n`);
 	};
 
-	const timer = setInterval(() => {
-		sink.flush();
-	}, flushMs);
-	timer.unref();
+	const tellLeftOut = ({left}: Bound): void => {
+		for (const [kind, count] of left) {
+			write(levelNumbers.warn, {kind: 'lines-dropped', of: kind, count});
+		}
+	};
+
+	const isBounded = (number: number, {kind}: MeshEvent): boolean => {
+		const now = readSteadyMs();
+		if (now - bound.startedAt >= 1000) {
+			const last = bound;
+			bound = createBound(now);
+			tellLeftOut(last);
+		}
+
+		const isFailure = number >= levelNumbers.warn;
+		const room = isFailure ? maxHeldBytes : maxHeldBytes * failuresOnlyShare;
+		if (sink.countHeldBytes() <= room && (isFailure || add(bound.written, kind) <= linesPerSecond)) {
+			return true;
+		}
+
+		add(bound.left, kind);
+		return false;
+	};
 
 	return {
 		record(eventLevel, event) {
 			const number = levelNumbers[eventLevel];
-			if (number < least) {
-				return;
-			}
-
-			const room = number >= levelNumbers.warn ? maxHeldBytes : maxHeldBytes * failuresOnlyShare;
-			if (heldBytes > room) {
-				dropped++;
-				return;
-			}
-
-			if (dropped > 0) {
-				const count = dropped;
-				dropped = 0;
-				write(levelNumbers.warn, {kind: 'lines-dropped', count});
+			if (number >= least && isBounded(number, event)) {
+				write(number, event);
 			}
-
-			write(number, event);
 		},
 		async flush() {
-			clearInterval(timer);
-			return new Promise(resolve => {
-				sink.flush(() => {
-					resolve();
-				});
-			});
+			tellLeftOut(bound);
+			return sink.flush();
 		},
 	};
 }
--- a/stand-ins/wire-server/wire-server.ts
+++ b/stand-ins/wire-server/wire-server.ts
@@ -25,6 +25,8 @@
 	| 'unframed'
 	/** As before, but the connection is reset. */
 	| 'unframed-reset'
+	/** As before, and the reset follows the bytes at once. */
+	| 'unframed-cut'
 	/** Says that it did not run it. */
 	| 'shed'
 	/** Fails, having run it. */
@@ -144,6 +146,12 @@
 				break;
 			}
 
+			case 'unframed-cut': {
+				socket.write(`${head}\r\n${body.slice(0, 3)}`);
+				socket.resetAndDestroy();
+				break;
+			}
+
 			case 'shed': {
 				response.writeHead(503, {'content-length': 0, 'stonemoor-attempt-id': call, 'stonemoor-not-executed': '1'});
 				response.end();
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -14,6 +14,11 @@
 			'@typescript-eslint/switch-exhaustiveness-check': ['error', {allowDefaultCaseForExhaustiveSwitch: true, considerDefaultExhaustiveForUnions: true}],
 		},
 	},
+	{
+		// Flags of the operating system are joined by bits.
+		files: ['src/lib/timeline/line-log.ts'],
+		rules: {'no-bitwise': 'off'},
+	},
 	{
 		// What the platform's calls name is not ours to spell.
 		files: ['platform/**', 'stand-ins/platform-store/**'],
