--- a/apps/cli/main.ts
+++ b/apps/cli/main.ts
@@ -7,6 +7,7 @@
 import process from 'node:process';
 import yargs, {type Argv} from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {runExplain} from './commands/explain.js';
 import {
 	runCall, runDrain, runGet, runRepublish, runServers, runStatus,
 } from './commands/inspect.js';
@@ -53,6 +54,13 @@
 			type: 'string', array: true, default: [] as string[], describe: '"name: value"',
 		})
 		.option('explain', {type: 'boolean', default: false, describe: 'show the route and the decision first (needs --node or --settings)'}), async options => runCall(options))
+	.command('explain <id> [files..]', 'tell what became of a request, from the logs of sidecar nodes (files, or the standard input)', builder => builder
+		.positional('id', {type: 'string', demandOption: true, describe: 'id of the request'})
+		.positional('files', {
+			type: 'string', array: true, default: [] as string[], describe: 'logs of any number of nodes',
+		}), options => {
+		runExplain(options);
+	})
 	.version(false)
 	.completion('completion', 'print a script for shell completion')
 	.demandCommand(1, 'a command is needed')
--- a/src/index.ts
+++ b/src/index.ts
@@ -51,6 +51,9 @@
 export {
 	maximumValueBytes, type Store, type StoredValue, type StoreError, type StoreReadError, type StoreWatch, type StoreWrite,
 } from './lib/store/store.js';
+export {
+	explainCall, parseLogLine, type CallStory, type LogLine,
+} from './lib/timeline/explain-call.js';
 export {
 	formatEvent, isWanted, sortEvents,
 	type EventDetail, type EventKind, type TimelineEvent, type TimelineFilter,
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -38,9 +38,9 @@
 };
 
 // The package is CommonJS without named exports: what an import yields depends on who loads it.
-const loadedHistogram = ('default' in Int32Histogram ? Int32Histogram.default : Int32Histogram) as unknown as new (lowest: number, highest: number, digits: number) => Histogram;
+const loadedHistogram = ('default' in Int32Histogram ? Int32Histogram.default : Int32Histogram) as unknown as () => unknown;
 
-const createHistogram = (): Histogram => new loadedHistogram(1, highestMs, digits);
+const createHistogram = (): Histogram => Reflect.construct(loadedHistogram, [1, highestMs, digits]) as Histogram;
 
 const formatLabels = (labels: Readonly<Record<string, string | number>>): string =>
 	Object.entries(labels).map(([name, value]) => `${name}="${String(value).replaceAll(/["\\\n]/g, '_')}"`).join(',');
--- /dev/null
+++ b/src/lib/timeline/explain-call.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {explainCall, parseLogLine, type LogLine} from './explain-call.js';
+import {type AttemptNote, type MeshEvent} from './mesh-log.js';
+
+const createLine = (node: string, second: number, event: MeshEvent): LogLine => ({...event, node, time: new Date(Date.UTC(2026, 0, 1, 0, 0, second)).toISOString()});
+
+const createAttempt = (outcome: string, changes: Partial<AttemptNote> = {}): AttemptNote => ({
+	server: 'i-1', node: 'n2', verdict: 'not-run', outcome, tookMs: 7, infoAgeMs: 120, ...changes,
+});
+
+function createEnd(reason: string, status: number, attempts: readonly AttemptNote[]): MeshEvent {
+	return {
+		kind: 'call-finished', call: 'c1', route: 'logs', version: 9, status, verdict: status === 503 ? 'not-run' : 'may-have-run', reason, tookMs: 30, leftMs: 900, attempts,
+	};
+}
+
+test('a request that was refused under load: the gates that were full, in order, over two nodes', () => {
+	const lines = [
+		createLine('n1', 3, createEnd('full: no slot in time', 503, [createAttempt('full')])),
+		createLine('n2', 1, {
+			kind: 'gate-refused', call: 'c1', server: 'i-1', reason: 'full', running: 12, waiting: 20, serviceMs: 130, mayWaitMs: 0,
+		}),
+		createLine('n1', 2, {
+			kind: 'attempt-failed', call: 'c1', route: 'logs', attempt: createAttempt('full'), next: 'another server is tried',
+		}),
+		createLine('n1', 2, createEnd('answered', 200, [])),
+	].map(line => 'call' in line && line.kind === 'call-finished' && line.status === 200 ? {...line, call: 'other'} : line);
+	const story = explainCall(lines, 'c1');
+	assert.equal(story?.steps.length, 3);
+	assert.match(story.steps[0] ?? '', /gate of i-1 on n2 turned it away \(full\): 12 running, 20 waiting/);
+	assert.match(story.cause, /overloaded/);
+});
+
+test('a request that was lost with its node: what happened to that node stands beside it', () => {
+	const lines = [
+		createLine('n1', 3, createEnd('connection-lost: socket hang up', 502, [createAttempt('connection-lost', {verdict: 'may-have-run'})])),
+		createLine('n2', 4, {
+			kind: 'node-started', run: 'r2', service: 'logview', address: 'a',
+		}),
+		createLine('n3', 4, {
+			kind: 'node-started', run: 'r9', service: 'logview', address: 'b',
+		}),
+		createLine('n2', 30, {kind: 'node-draining', reason: 'signal', requests: 1}),
+	];
+	const story = explainCall(lines, 'c1');
+	assert.deepEqual(story?.steps.map(step => /node-started|answered 502/.exec(step)?.[0]), ['answered 502', 'node-started']);
+	assert.match(story.cause, /connection was lost after the request had been sent/);
+});
+
+test('a request that an older configuration had no route for names the version', () => {
+	const story = explainCall([createLine('n1', 1, {
+		kind: 'request-refused', call: 'c1', status: 404, reason: 'no route matches host and path', host: 'build.example', path: '/new/1', version: 8,
+	})], 'c1');
+	assert.match(story?.steps[0] ?? '', /refused it with 404.*version 8 in force/);
+	assert.equal(story?.cause, 'no route matches host and path');
+});
+
+test('an id that no line speaks of has no story, and lines of other programs are passed over', () => {
+	assert.equal(explainCall([], 'c1'), undefined);
+	assert.equal(parseLogLine('listening on port 80'), undefined);
+	assert.equal(parseLogLine('{"some":"json"}'), undefined);
+	assert.equal(parseLogLine('12.5 host {"kind":"store-back","node":"n1","time":"2026-01-01T00:00:00Z","afterMs":5}')?.kind, 'store-back');
+});
