--- a/apps/apps.test.ts
+++ b/apps/apps.test.ts
@@ -6,11 +6,12 @@
  */
 import assert from 'node:assert/strict';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
-import {createServer, type AddressInfo} from 'node:net';
+import {connect, createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import test from 'node:test';
 import {findFreePorts, startProcess} from '../demo/processes.js';
+import {waitUntil} from '../stand-ins/wait-until.js';
 
 type Ended = {readonly code: number | undefined; readonly output: string};
 
@@ -40,6 +41,22 @@
 	return `node: n1\nfailureDomain: a\nlisten:\n${listen}\nstore: {address: "127.0.0.1:9"}\n`;
 }
 
+/** Far longer than a start takes, also beside load. Milliseconds. */
+const longestWaitMs = 30_000;
+
+async function isListening(port: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const socket = connect(port, '127.0.0.1');
+		socket.once('connect', () => {
+			socket.destroy();
+			resolve(true);
+		});
+		socket.once('error', () => {
+			resolve(false);
+		});
+	});
+}
+
 test('the daemon names every mistake in its settings and ends with code 2', async () => {
 	await withFile('node: n1\nfailureDomain: a\nlissten: {}\n', async file => {
 		const {code, output} = await runProgram(nodeProgram, '--settings', file);
@@ -65,11 +82,10 @@
 });
 
 test('a store that does not answer is no reason to exit, and SIGTERM ends the daemon with code 0', async () => {
-	await withFile(createSettingsText(await findFreePorts(6)), async file => {
+	const ports = await findFreePorts(6);
+	await withFile(createSettingsText(ports), async file => {
 		const running = startProcess('node', nodeProgram, ['--settings', file]);
-		await new Promise(resolve => {
-			setTimeout(resolve, 1500);
-		});
+		assert.equal(await waitUntil(async () => isListening(ports[4] ?? 0), longestWaitMs), true);
 		assert.equal(running.child.exitCode, null);
 		assert.match(running.getOutput(), /node-started/);
 		running.child.kill('SIGTERM');
@@ -79,11 +95,18 @@
 
 test('the command line checks documents offline, and ends with documented codes', async () => {
 	await withFile('pools:\n  - {name: a, service: s}\n', async file => {
-		assert.deepEqual(await runProgram(cliProgram, 'check', file, '--json'), {code: 0, output: '{"items":1}\n'});
+		assert.deepEqual(await runProgram(cliProgram, 'check', file, '--json'), {code: 0, output: '{"items":1,"warnings":0}\n'});
 		const unreachable = await runProgram(cliProgram, 'submit', file, '--node', '127.0.0.1:9');
 		assert.equal(unreachable.code, 3);
 		assert.match(unreachable.output, /node 127\.0\.0\.1:9 does not answer/);
 	});
+	await withFile('routes:\n  - {name: r, pool: a, policy: p}\npools:\n  - {name: b, service: s}\n', async file => {
+		const warned = await runProgram(cliProgram, 'check', file);
+		assert.equal(warned.code, 0);
+		assert.match(warned.output, /warning: .*input\.yaml:2:21: route\/r pool: the file does not hold pool\/a/);
+		assert.match(warned.output, /route\/r policy: the file does not hold policy\/p/);
+		assert.equal((await runProgram(cliProgram, 'check', file, '--whole')).code, 1);
+	});
 	await withFile('policies:\n  - {name: p, decision: "1 +"}\n', async file => {
 		const {code, output} = await runProgram(cliProgram, 'check', file);
 		assert.equal(code, 1);
--- a/apps/cli/commands/submit.ts
+++ b/apps/cli/commands/submit.ts
@@ -7,13 +7,13 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {
-	findMissing, formatItemKey, formatProblem,
+	findMissing, findMissingReferences, formatItemKey, formatProblem,
 	type ConfigurationAnswer, type FleetAnswer, type ItemChange, type SubmissionOutcome,
 } from '../../../src/index.js';
 import {findChanges, formatChanges, readDocument} from '../document-changes.js';
 import {CommandError, exitCodes} from '../exit-codes.js';
 import {
-	createOperatorClient, printResult, type CommonOptions, type OperatorClient,
+	createOperatorClient, printResult, readText, type CommonOptions, type OperatorClient,
 } from '../operator-client.js';
 
 export type SubmitOptions = CommonOptions & {
@@ -28,10 +28,26 @@
 
 const progressMs = 200;
 
+export type CheckOptions = Pick<CommonOptions, 'json'> & {
+	readonly file: string;
+	/** The file holds everything that its routes refer to. */
+	readonly whole: boolean;
+};
+
 /** Checks a document without a node. */
-export async function runCheck(options: Pick<CommonOptions, 'json'> & {readonly file: string}): Promise<void> {
-	const items = await readDocument(options.file);
-	printResult(options, {items: items.length}, () => `${options.file}: ${items.length} items, no problems`);
+export async function runCheck(options: CheckOptions): Promise<void> {
+	const {file} = options;
+	const items = await readDocument(file);
+	const missing = findMissingReferences(await readText(file), items).map(problem => formatProblem(problem, file));
+	if (missing.length > 0 && options.whole) {
+		throw new CommandError(missing.join('\n'), exitCodes.refused);
+	}
+
+	for (const line of missing) {
+		process.stderr.write(`warning: ${line}\n`);
+	}
+
+	printResult(options, {items: items.length, warnings: missing.length}, () => `${file}: ${items.length} items, ${missing.length === 0 ? 'no problems' : `${missing.length} warnings`}`);
 }
 
 /** Shows what a document would change. */
--- a/apps/node/main.ts
+++ b/apps/node/main.ts
@@ -89,16 +89,15 @@
 	const logger = bunyan.createLogger({name: 'stonemoor-node', node: settings.node, level: settings.logLevel});
 	const store = createHttpStore(settings.store);
 	const node = createNode(settings, {store, random: Math.random, handleEvent: createEventLogger(logger)});
+	// Before anything listens: whoever finds the node's ports open may send it a signal.
+	handleSignals(node, logger, async () => store.dispose());
 	const started = await node.start();
 	if (started.isErr()) {
 		process.stderr.write(`${file}: ${formatStartError(started.error)}\n`);
 		await node.dispose();
 		await store.dispose();
 		process.exitCode = exitCodes.cannotListen;
-		return;
 	}
-
-	handleSignals(node, logger, async () => store.dispose());
 }
 
 await run();
--- a/src/index.ts
+++ b/src/index.ts
@@ -12,8 +12,10 @@
 export {type ByteCounts} from './lib/common/byte-meter.js';
 export {
 	applyDelta, createConfiguration, getItem, listItems,
-	type AcceptedSubmission, type ApplyError, type Configuration, type ConfiguredItem, type Delta, type ItemChange,
+	type AcceptedSubmission, type ApplyError, type Configuration, type Delta,
 } from './lib/configuration/configuration.js';
+export {type ConfiguredItem, type ItemChange} from './lib/configuration/configured-item.js';
+export {findMissingReferences} from './lib/configuration/find-missing-references.js';
 export {type DanglingReference} from './lib/configuration/find-dangling-references.js';
 export {findItemProblems} from './lib/configuration/evaluate-submission.js';
 export {
--- a/src/lib/configuration/configuration.test.ts
+++ b/src/lib/configuration/configuration.test.ts
@@ -3,9 +3,9 @@
 import fc from 'fast-check';
 import {toDigest, toSubmissionId} from '../common/ids.js';
 import {
-	applyDelta, applyImage, createConfiguration, getItem, listItems, prepareDelta,
-	type Configuration, type Delta, type ItemChange,
+	applyDelta, applyImage, createConfiguration, getItem, listItems, prepareDelta, type Configuration, type Delta,
 } from './configuration.js';
+import {type ItemChange} from './configured-item.js';
 import {samplePolicy, samplePool, sampleRoute} from './sample-items.js';
 
 const base: readonly ItemChange[] = [samplePolicy, samplePool, sampleRoute].map(item => ({type: 'put', item}));
--- a/src/lib/configuration/configuration.ts
+++ b/src/lib/configuration/configuration.ts
@@ -15,15 +15,9 @@
 } from '../common/digest-tree.js';
 import {computeDigest, formatCanonical} from '../common/digest.js';
 import {type Digest, type SubmissionId} from '../common/ids.js';
+import {type ConfiguredItem, type ItemChange} from './configured-item.js';
 import {findDanglingReferences, type DanglingReference} from './find-dangling-references.js';
-import {formatItemKey, type Item, type ItemKey} from './item.js';
-
-/** An item as it stands in a configuration. @public */
-export type ConfiguredItem = {
-	readonly item: Item;
-	/** The version that last changed the item. */
-	readonly revision: number;
-};
+import {formatItemKey, type ItemKey} from './item.js';
 
 /** One version of the configuration. @public */
 export type Configuration = {
@@ -41,11 +35,6 @@
 	readonly version: number;
 };
 
-/** An item to put, or the key of one to remove. @public */
-export type ItemChange =
-	| {readonly type: 'put'; readonly item: Item}
-	| {readonly type: 'remove'; readonly key: ItemKey};
-
 /** The step from one version to the next. @public */
 export type Delta = {
 	readonly version: number;
--- a/src/lib/configuration/evaluate-submission.ts
+++ b/src/lib/configuration/evaluate-submission.ts
@@ -9,9 +9,9 @@
 import {formatCanonical} from '../common/digest.js';
 import {compilePolicy} from '../policy/compile-policy.js';
 import {
-	createItemEntry, findSubmission, getChangedKey, rememberedSubmissions,
-	type Configuration, type ConfiguredItem, type ItemChange,
+	createItemEntry, findSubmission, getChangedKey, rememberedSubmissions, type Configuration,
 } from './configuration.js';
+import {type ConfiguredItem, type ItemChange} from './configured-item.js';
 import {findDanglingReferences} from './find-dangling-references.js';
 import {formatItemKey, type Item} from './item.js';
 import {type Problem} from './problem.js';
--- a/src/lib/configuration/find-dangling-references.ts
+++ b/src/lib/configuration/find-dangling-references.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {getTreeValue, listTreeValues, type DigestTree} from '../common/digest-tree.js';
-import {type ConfiguredItem, type ItemChange} from './configuration.js';
+import {type ConfiguredItem, type ItemChange} from './configured-item.js';
 import {
 	formatItemKey, type Item, type ItemKey, type Route,
 } from './item.js';
--- /dev/null
+++ b/src/lib/configuration/find-missing-references.ts
@@ -0,0 +1,31 @@
+/**
+ * Finds what the routes of a document refer to and the document itself does
+ * not hold. The configuration in force may hold it.
+ *
+ * @module
+ */
+import {LineCounter, parseDocument as parseYaml} from 'yaml';
+import {createLocator} from '../common/locate-yaml.js';
+import {formatItemKey, type Item} from './item.js';
+import {type Problem} from './problem.js';
+
+/**
+ * @param text - YAML of a document that was read without a problem.
+ * @param items - Its items.
+ * @returns A problem, with line and column, for each pool or policy that a route names and the document lacks.
+ * @public
+ */
+export function findMissingReferences(text: string, items: readonly Item[]): readonly Problem[] {
+	const lines = new LineCounter();
+	const locate = createLocator(parseYaml(text, {lineCounter: lines}), lines);
+	const held = new Set(items.map(item => formatItemKey(item)));
+	const routes = items.filter(item => item.kind === 'route');
+	return routes.flatMap((route, index) => (['pool', 'policy'] as const).flatMap((field): readonly Problem[] => {
+		const key = `${field}/${route[field]}` as const;
+		return held.has(key)
+			? []
+			: [{
+				item: formatItemKey(route), field, message: `the file does not hold ${key}: add it, or submit where it is in force already`, ...locate(['routes', index, field]),
+			}];
+	}));
+}
--- a/src/lib/configuration/submission.ts
+++ b/src/lib/configuration/submission.ts
@@ -5,7 +5,7 @@
  */
 import {z} from 'zod';
 import {type SubmissionId} from '../common/ids.js';
-import {type ItemChange} from './configuration.js';
+import {type ItemChange} from './configured-item.js';
 import {isItemKey, itemSchema} from './item.js';
 
 const maximumChanges = 50_000;
--- a/src/lib/distribution/accept-submissions.test.ts
+++ b/src/lib/distribution/accept-submissions.test.ts
@@ -4,8 +4,9 @@
 import {createMemoryStore, type MemoryStore} from '../../../stand-ins/store/memory-store.js';
 import {toSubmissionId} from '../common/ids.js';
 import {
-	createConfiguration, findSubmission, listItems, type Configuration, type ItemChange,
+	createConfiguration, findSubmission, listItems, type Configuration,
 } from '../configuration/configuration.js';
+import {type ItemChange} from '../configuration/configured-item.js';
 import {samplePolicy, samplePool, sampleRoute} from '../configuration/sample-items.js';
 import {type Submission, type SubmissionOutcome} from '../configuration/submission.js';
 import {type Store} from '../store/store.js';
--- a/src/lib/distribution/accept-submissions.ts
+++ b/src/lib/distribution/accept-submissions.ts
@@ -11,8 +11,9 @@
 import {waitFor} from '../common/clock.js';
 import {type SubmissionId} from '../common/ids.js';
 import {
-	findSubmission, prepareDelta, type Configuration, type Delta, type ItemChange,
+	findSubmission, prepareDelta, type Configuration, type Delta,
 } from '../configuration/configuration.js';
+import {type ItemChange} from '../configuration/configured-item.js';
 import {evaluateSubmission, findItemProblems} from '../configuration/evaluate-submission.js';
 import {type Submission, type SubmissionOutcome} from '../configuration/submission.js';
 import {type Store, type StoreError} from '../store/store.js';
--- a/src/lib/distribution/snapshot.ts
+++ b/src/lib/distribution/snapshot.ts
@@ -9,9 +9,8 @@
 import {computeDigest} from '../common/digest.js';
 import {type Digest, type SubmissionId} from '../common/ids.js';
 import {parseJson} from '../common/parse-json.js';
-import {
-	applyImage, createConfiguration, type Configuration, type ConfiguredItem,
-} from '../configuration/configuration.js';
+import {applyImage, createConfiguration, type Configuration} from '../configuration/configuration.js';
+import {type ConfiguredItem} from '../configuration/configured-item.js';
 import {itemSchema} from '../configuration/item.js';
 import {
 	maximumValueBytes, type Store, type StoreError, type StoreReadError,
--- a/src/lib/distribution/wire.ts
+++ b/src/lib/distribution/wire.ts
@@ -11,7 +11,8 @@
 	toAddress, toBackendServerId, toDigest, toFailureDomain, toNodeId, toSubmissionId,
 } from '../common/ids.js';
 import {parseJson} from '../common/parse-json.js';
-import {type ConfiguredItem, type Delta, type ItemChange} from '../configuration/configuration.js';
+import {type Delta} from '../configuration/configuration.js';
+import {type ConfiguredItem, type ItemChange} from '../configuration/configured-item.js';
 import {
 	formatItemKey, isItemKey, itemSchema, type Item,
 } from '../configuration/item.js';
--- a/src/lib/operators/operator-messages.ts
+++ b/src/lib/operators/operator-messages.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type ConfiguredItem} from '../configuration/configuration.js';
+import {type ConfiguredItem} from '../configuration/configured-item.js';
 import {type Problem} from '../configuration/problem.js';
 import {type ByteCounts} from '../common/byte-meter.js';
 import {type BackendServer, type NodeStatus} from '../directory/node-record.js';
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -11,7 +11,7 @@
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {
-	acceptReport, dropSilent, isHeard, noteReached, noteUnreachable,
+	acceptReport, dropSilent, forgiveSilence, isHeard, noteReached, noteUnreachable,
 	type Peer, type PeerLimits, type PeerTable,
 } from './peer-table.js';
 
@@ -43,6 +43,8 @@
 	readonly announce: () => void;
 	readonly noteUnreachable: (node: NodeId) => void;
 	readonly noteReached: (node: NodeId) => void;
+	/** This node stood still for so long: the others are given that time. Milliseconds. */
+	readonly forgiveSilence: (pausedMs: number) => void;
 	readonly dispose: () => void;
 };
 
@@ -196,6 +198,9 @@
 		noteReached(node) {
 			table = noteReached(table, node);
 		},
+		forgiveSilence(pausedMs) {
+			table = forgiveSilence(table, pausedMs);
+		},
 		dispose() {
 			if (isClosed) {
 				return;
--- a/src/lib/peers/peer-table.test.ts
+++ b/src/lib/peers/peer-table.test.ts
@@ -6,7 +6,7 @@
 } from '../common/ids.js';
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {
-	acceptReport, dropSilent, isReachable, noteReached, noteUnreachable, type PeerLimits, type PeerTable,
+	acceptReport, dropSilent, forgiveSilence, isReachable, noteReached, noteUnreachable, type PeerLimits, type PeerTable,
 } from './peer-table.js';
 
 const limits: PeerLimits = {silenceMs: 900, forgetMs: 60_000, avoidMs: 250};
@@ -78,6 +78,12 @@
 	assert.equal(noteUnreachable(table, n2, limits, 300).get(n2)?.avoidUntil, 550);
 });
 
+test('a node that stood still does not take the others for silent', () => {
+	const {table} = hear(new Map(), createReport(), 0);
+	assert.equal(isReachable(table.get(n2)!, limits, 4100), false);
+	assert.equal(isReachable(forgiveSilence(table, 4000).get(n2)!, limits, 4100), true);
+});
+
 test('a node that leaves gets no requests; one that was silent for long is forgotten', () => {
 	const {table} = hear(new Map(), createReport({isLeaving: true}), 0);
 	assert.equal(isReachable(table.get(n2)!, limits, 1), false);
--- a/src/lib/peers/peer-table.ts
+++ b/src/lib/peers/peer-table.ts
@@ -142,6 +142,18 @@
 	return peer === undefined || peer.failures === 0 ? table : new Map(table).set(node, {...peer, failures: 0, avoidUntil: 0});
 }
 
+/**
+ * Forgives silence while this node itself stood still: nothing could be heard meanwhile.
+ *
+ * @param table - What is known.
+ * @param pausedMs - How long it stood still.
+ * @returns What is known afterwards.
+ * @internal
+ */
+export function forgiveSilence(table: PeerTable, pausedMs: number): PeerTable {
+	return new Map([...table].map(([node, peer]) => [node, {...peer, heardAt: peer.heardAt + pausedMs}]));
+}
+
 /**
  * Drops nodes that have been silent for long.
  *
--- a/src/lib/routing/routing-table.ts
+++ b/src/lib/routing/routing-table.ts
@@ -3,9 +3,8 @@
  *
  * @module
  */
-import {
-	type Configuration, getItem, type ItemChange, listItems,
-} from '../configuration/configuration.js';
+import {type Configuration, getItem, listItems} from '../configuration/configuration.js';
+import {type ItemChange} from '../configuration/configured-item.js';
 import {type Item, type Route} from '../configuration/item.js';
 import {type RequestAttributes} from '../policy/request-attributes.js';
 
--- a/src/lib/routing/routing.test.ts
+++ b/src/lib/routing/routing.test.ts
@@ -2,9 +2,8 @@
 import test from 'node:test';
 import fc from 'fast-check';
 import {toBackendServerId, toFailureDomain, type BackendServerId} from '../common/ids.js';
-import {
-	applyDelta, createConfiguration, prepareDelta, type ItemChange,
-} from '../configuration/configuration.js';
+import {applyDelta, createConfiguration, prepareDelta} from '../configuration/configuration.js';
+import {type ItemChange} from '../configuration/configured-item.js';
 import {samplePolicy, samplePool, sampleRoute} from '../configuration/sample-items.js';
 import {createRecord} from '../directory/sample-records.js';
 import {type DirectoryServer} from '../directory/directory.js';
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -65,6 +65,9 @@
 /** Milliseconds between two looks for nodes that have fallen silent while requests wait for them. */
 const silenceCheckMs = 100;
 
+/** A timer that fires this late shows that the process stood still, rather than that it was busy. Milliseconds. */
+const pauseMs = 400;
+
 /** What a server of another failure domain has to be faster by, in milliseconds, since bytes between failure domains are paid for. */
 const crossDomainMs = {small: 40, upload: 400} as const;
 
@@ -84,7 +87,7 @@
 const leaveAfterMs = 2700;
 
 /** Milliseconds before the end of the time to shut down at which the node goes, whatever is still in work. */
-const lastExitMs = 500;
+const lastExitMs = 900;
 
 const idlePollMs = 25;
 
@@ -326,8 +329,14 @@
 
 	const checkSilence = (): void => {
 		const now = readSteadyMs();
-		metrics.recordDelay(now - checkedAt - silenceCheckMs);
+		const delayMs = now - checkedAt - silenceCheckMs;
 		checkedAt = now;
+		metrics.recordDelay(delayMs);
+		if (delayMs > pauseMs) {
+			log.record('warn', {kind: 'node-paused', forMs: Math.round(delayMs)});
+			link.forgiveSilence(delayMs);
+		}
+
 		for (const [node, watchers] of silenceWatchers) {
 			const peer = link.getTable().get(node);
 			if (watchers.size > 0 && (peer === undefined || now - peer.heardAt > peerLimits.silenceMs)) {
