Spend less on each request between nodes; let urgent calls wait; hear a close before its request

Changes: calls that others wait behind may wait 0.4 of what is left; one header each way between nodes in place of nine; heartbeats every 400 ms; refusals by gates stand in a call's last line only.

--- a/src/lib/forwarding/call-headers.ts
+++ b/src/lib/forwarding/call-headers.ts
@@ -6,6 +6,7 @@
  */
 import {type IncomingHttpHeaders} from 'node:http';
 import {type HeaderMap} from '../calls/attempt.js';
+import {toBackendServerId, type BackendServerId} from '../common/ids.js';
 import {hopHeaders} from '../calls/headers.js';
 
 /** What the headers that callers and backend servers know are called, in lower case. @internal */
@@ -29,21 +30,52 @@
 /** Between nodes. */
 const peerPrefix = 'x-mesh-';
 
-/** @internal */
+/** One header each way: every header costs bytes between failure domains, and processor time on both sides. @internal */
 export const peerHeaders = {
-	server: 'x-mesh-server',
-	rank: 'x-mesh-rank',
-	leftMs: 'x-mesh-left-ms',
-	mayWaitMs: 'x-mesh-may-wait-ms',
-	callerService: 'x-mesh-caller-service',
-	verdict: 'x-mesh-verdict',
-	reason: 'x-mesh-reason',
-	detail: 'x-mesh-detail',
-	hasArrived: 'x-mesh-has-arrived',
-	retryAfterMs: 'x-mesh-retry-after-ms',
-	load: 'x-mesh-load',
+	/** What a node says of a request that it hands to a gate. */
+	call: 'x-mesh-call',
+	/** What the gate says of its answer. */
+	result: 'x-mesh-result',
 } as const;
 
+/** What a node says of a request that it hands to a gate. @internal */
+export type PeerCall = {
+	readonly server: BackendServerId;
+	readonly callerService: string;
+	/** 0 goes first. */
+	readonly rank: number;
+	/** Milliseconds until the caller gives up. */
+	readonly leftMs: number;
+	/** Milliseconds that it may be expected to wait for a slot. */
+	readonly mayWaitMs: number;
+};
+
+/**
+ * @param call - What the gate is told.
+ * @returns The header's value.
+ * @internal
+ */
+export function encodePeerCall({server, callerService, rank, leftMs, mayWaitMs}: PeerCall): string {
+	return `${server} ${callerService} ${rank} ${Math.max(0, leftMs).toFixed(1)} ${Math.max(0, mayWaitMs).toFixed(1)}`;
+}
+
+/**
+ * @param text - The header's value.
+ * @returns What the gate is told, or `undefined` if the text says nothing of the kind.
+ * @internal
+ */
+export function decodePeerCall(text: string | undefined): PeerCall | undefined {
+	const [server = '', callerService = '', ...amounts] = (text ?? '').split(' ');
+	const [rank, leftMs, mayWaitMs] = amounts.map(Number);
+	if (server === '' || rank === undefined || leftMs === undefined || mayWaitMs === undefined || !Number.isFinite(rank + leftMs + mayWaitMs)) {
+		return undefined;
+	}
+
+	return {
+		server: toBackendServerId(server), callerService, rank, leftMs, mayWaitMs,
+	};
+}
+
 function listConnectionHeaders(connection: string | undefined): readonly string[] {
 	return connection === undefined ? [] : connection.toLowerCase().split(',').map(name => name.trim());
 }
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -10,6 +10,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {readSteadyMs} from '../common/clock.js';
+import {type LoopLag} from '../common/loop-lag.js';
 import {type Verdict} from '../common/verdict.js';
 import {type CallerLimits} from '../route-config/route-config.js';
 import {type HeldConfig} from '../route-config/config-holder.js';
@@ -48,6 +49,8 @@
 	readonly getConfig: () => HeldConfig | undefined;
 	readonly splitter: ShareSplitter;
 	readonly log: MeshLog;
+	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
+	readonly catchUp: LoopLag['catchUp'];
 	readonly handleFinished: (call: FinishedCall) => void;
 };
 
@@ -208,6 +211,7 @@
 		const scope = createCallScope(call.receivedAt + timeLeftMs + endGraceMs);
 		const forget = connections.add(request.socket, scope);
 		try {
+			await context.catchUp();
 			const body = await takeBody(call, limits.maxBodyBytes || defaultMaxBodyBytes);
 			if (body === 'refused') {
 				return;
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -5,16 +5,14 @@
  */
 import {readSteadyMs} from '../common/clock.js';
 import {type Address, type BackendServerId} from '../common/ids.js';
-import {parseVerdict} from '../common/verdict.js';
 import {type CallScope} from './call-scope.js';
 import {
-	filterCallHeaders, getAmount, getText, peerHeaders, type WireHeaders,
+	encodePeerCall, filterCallHeaders, getText, peerHeaders, type WireHeaders,
 } from './call-headers.js';
 import {runExchange, type ExchangeAnswer, type ExchangeFailure} from './exchange.js';
 import {
-	createMayHaveRun, createNotRun, parseForwardReason, type ForwardFailure, type ForwardResult, type GateResult,
+	createMayHaveRun, createNotRun, decodeGateResult, type ForwardFailure, type GateResult,
 } from './forward-result.js';
-import {parseLoad} from './gate-server.js';
 import {HopAgent} from './hop-agent.js';
 
 /** A request for the backend server beside another node. @internal */
@@ -60,20 +58,9 @@
 	return failure.isSent ? createMayHaveRun(failure.reason, failure.detail) : createNotRun(failure.reason === 'connection-lost' ? 'node-unreachable' : failure.reason, failure.detail);
 }
 
-function judgeAnswer(answer: ExchangeAnswer): ForwardResult {
-	const {headers} = answer;
-	const verdict = parseVerdict(getText(headers, peerHeaders.verdict));
-	if (verdict === 'ran') {
-		return {
-			type: 'answered', status: answer.status, headers: filterCallHeaders(headers), body: answer.body,
-		};
-	}
-
-	const reason = parseForwardReason(getText(headers, peerHeaders.reason));
-	const detail = decodeURIComponent(getText(headers, peerHeaders.detail) ?? '');
-	return {
-		type: 'failed', verdict, reason, detail, retryAfterMs: getAmount(headers, peerHeaders.retryAfterMs) ?? 0, hasArrived: getText(headers, peerHeaders.hasArrived) !== '0',
-	};
+function judgeAnswer(answer: ExchangeAnswer): GateResult {
+	const {status, headers, body} = answer;
+	return decodeGateResult(getText(headers, peerHeaders.result) ?? '', {status, headers: filterCallHeaders(headers), body});
 }
 
 /**
@@ -98,7 +85,6 @@
 	return {
 		async send(call) {
 			const {body} = call;
-			const leftMs = Math.max(0, call.scope.endsAt - readSteadyMs());
 			const answer = await runExchange({
 				agent: getAgent(call.gate),
 				address: call.gate,
@@ -107,11 +93,7 @@
 				headers: {
 					...call.headers as Record<string, string | string[]>,
 					[wire.callId]: call.id,
-					[peerHeaders.server]: call.server,
-					[peerHeaders.rank]: call.rank,
-					[peerHeaders.leftMs]: leftMs.toFixed(1),
-					[peerHeaders.mayWaitMs]: Math.max(0, call.mayWaitMs).toFixed(1),
-					[peerHeaders.callerService]: call.callerService,
+					[peerHeaders.call]: encodePeerCall({...call, leftMs: call.scope.endsAt - readSteadyMs()}),
 					...body === undefined ? {} : {'content-length': String(body.length)},
 					...body !== undefined && body.length > askFirstBytes ? {expect: '100-continue'} : {},
 				},
@@ -119,11 +101,11 @@
 				mustAskFirst: body !== undefined && body.length > askFirstBytes,
 				scope: call.scope,
 				connectMs,
-				isOwnAnswer: headers => headers[peerHeaders.verdict] !== undefined,
+				isOwnAnswer: headers => headers[peerHeaders.result] !== undefined,
 			});
 			return answer.type === 'failed'
 				? {result: judgeFailure(answer), load: undefined}
-				: {result: judgeAnswer(answer), load: parseLoad(getText(answer.headers, peerHeaders.load))};
+				: judgeAnswer(answer);
 		},
 		forget(gate) {
 			agents.get(gate)?.destroy();
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -9,12 +9,12 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {readSteadyMs} from '../common/clock.js';
-import {toBackendServerId} from '../common/ids.js';
+import {type LoopLag} from '../common/loop-lag.js';
 import {createCallScope, type CallScope} from './call-scope.js';
 import {
-	filterCallHeaders, getAmount, getText, peerHeaders, type WireHeaders,
+	decodePeerCall, filterCallHeaders, getText, peerHeaders, type PeerCall, type WireHeaders,
 } from './call-headers.js';
-import {type GateLoad, type GateResult} from './forward-result.js';
+import {encodeGateResult, type GateResult} from './forward-result.js';
 import {type LocalGate} from './local-gate.js';
 import {hasBody, readBody} from './read-body.js';
 import {watchConnections, type ConnectionScopes} from './connection-scopes.js';
@@ -25,52 +25,28 @@
 /** Idle connections of other nodes are kept this long, in milliseconds: longer than the senders keep them. */
 const keepAliveMs = 60_000;
 
-/** Time for a request that does not say how much it has, which no node sends. Milliseconds. */
-const defaultLeftMs = 1000;
-
-function formatLoad(load: GateLoad): string {
-	return `${load.running},${load.waiting},${Math.round(load.serviceMs)}`;
-}
-
-/**
- * Reads what a gate said of its load.
- *
- * @param text - The header's value.
- * @returns The load, or `undefined` if the text is none.
- * @internal
- */
-export function parseLoad(text: string | undefined): GateLoad | undefined {
-	const [running, waiting, serviceMs] = (text ?? '').split(',').map(Number);
-	return running === undefined || waiting === undefined || serviceMs === undefined || !Number.isFinite(running + waiting + serviceMs)
-		? undefined
-		: {running, waiting, serviceMs};
-}
+type GateRequest = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly askForBody: () => void;
+};
 
-function sendResult(response: ServerResponse, {result, load}: GateResult): void {
+function sendResult(response: ServerResponse, gateResult: GateResult): void {
 	if (response.destroyed) {
 		return;
 	}
 
-	const loadHeader = load === undefined ? {} : {[peerHeaders.load]: formatLoad(load)};
+	response.sendDate = false;
+	const {result} = gateResult;
+	const resultHeader = {[peerHeaders.result]: encodeGateResult(gateResult)};
 	if (result.type === 'answered') {
-		const isHead = response.req.method === 'HEAD';
-		response.writeHead(result.status, {
-			...result.headers as Record<string, string | string[]>, ...loadHeader, [peerHeaders.verdict]: 'ran', ...isHead ? {} : {'content-length': result.body.length},
-		});
+		const lengthHeader = response.req.method === 'HEAD' ? {} : {'content-length': result.body.length};
+		response.writeHead(result.status, {...result.headers as Record<string, string | string[]>, ...resultHeader, ...lengthHeader});
 		response.end(result.body);
 		return;
 	}
 
-	response.writeHead(503, {
-		...loadHeader,
-		'content-length': 0,
-		[peerHeaders.verdict]: result.verdict,
-		[peerHeaders.reason]: result.reason,
-		[peerHeaders.detail]: encodeURIComponent(result.detail),
-		[peerHeaders.hasArrived]: result.hasArrived ? '1' : '0',
-		[peerHeaders.retryAfterMs]: Math.round(result.retryAfterMs),
-		...response.req.complete ? {} : {connection: 'close'},
-	});
+	response.writeHead(503, {...resultHeader, 'content-length': 0, ...response.req.complete ? {} : {connection: 'close'}});
 	response.end();
 }
 
@@ -81,6 +57,8 @@
 	/** The configuration in force, as the store holds it. */
 	readonly getConfigText: () => string | undefined;
 	readonly maxBodyBytes: number;
+	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
+	readonly catchUp: LoopLag['catchUp'];
 };
 
 /**
@@ -89,7 +67,18 @@
  * @internal
  */
 export function createGateServer(context: GateServerContext): Server {
-	const {gate, wire, getConfigText, maxBodyBytes} = context;
+	const {gate, wire, getConfigText, maxBodyBytes, catchUp} = context;
+
+	/** Only nodes speak here: of anything else but the question for the configuration nothing is run. */
+	const refuseStranger = (request: IncomingMessage, response: ServerResponse): void => {
+		if (request.url === configPath) {
+			sendConfig(response);
+			return;
+		}
+
+		response.writeHead(404, {'content-length': 0, connection: 'close'});
+		response.end();
+	};
 
 	const sendConfig = (response: ServerResponse): void => {
 		const text = getConfigText();
@@ -97,11 +86,11 @@
 		response.end(text);
 	};
 
-	const forward = async (request: IncomingMessage, response: ServerResponse, scope: CallScope, askForBody: () => void): Promise<void> => {
+	const forward = async ({request, response, askForBody}: GateRequest, peerCall: PeerCall, scope: CallScope): Promise<void> => {
 		const {headers} = request;
 		const result = await gate.run({
+			...peerCall,
 			id: getText(headers, wire.callId) ?? '',
-			server: toBackendServerId(getText(headers, peerHeaders.server) ?? ''),
 			method: request.method ?? 'GET',
 			target: request.url ?? '/',
 			headers: filterCallHeaders(headers),
@@ -113,24 +102,24 @@
 				askForBody();
 				return readBody(request, maxBodyBytes);
 			},
-			callerService: getText(headers, peerHeaders.callerService) ?? '',
-			rank: getAmount(headers, peerHeaders.rank) ?? 0,
-			mayWaitMs: getAmount(headers, peerHeaders.mayWaitMs) ?? 0,
 			scope,
 		});
 		sendResult(response, result);
 	};
 
-	const handle = async (connections: ConnectionScopes, request: IncomingMessage, response: ServerResponse, askForBody: () => void): Promise<void> => {
-		if (request.url === configPath && getText(request.headers, peerHeaders.server) === undefined) {
-			sendConfig(response);
+	const handle = async (connections: ConnectionScopes, gateRequest: GateRequest): Promise<void> => {
+		const {request, response} = gateRequest;
+		const peerCall = decodePeerCall(getText(request.headers, peerHeaders.call));
+		if (peerCall === undefined) {
+			refuseStranger(request, response);
 			return;
 		}
 
-		const scope = createCallScope(readSteadyMs() + (getAmount(request.headers, peerHeaders.leftMs) ?? defaultLeftMs));
+		const scope = createCallScope(readSteadyMs() + peerCall.leftMs);
 		const forget = connections.add(request.socket, scope);
 		try {
-			await forward(request, response, scope, askForBody);
+			await catchUp();
+			await forward(gateRequest, peerCall, scope);
 		} finally {
 			forget();
 			scope.dispose();
@@ -140,11 +129,15 @@
 	const server = createServer({keepAliveTimeout: keepAliveMs, noDelay: true, requestTimeout: 0});
 	const connections = watchConnections(server);
 	server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-		void handle(connections, request, response, () => undefined);
+		void handle(connections, {request, response, askForBody: () => undefined});
 	});
 	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-		void handle(connections, request, response, () => {
-			response.writeContinue();
+		void handle(connections, {
+			request,
+			response,
+			askForBody() {
+				response.writeContinue();
+			},
 		});
 	});
 	return server;
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -96,7 +96,7 @@
 const maxRefusals = 3;
 
 /** Share of the latency objective that a call may be expected to wait for a slot: the rest is for the work itself. */
-const waitShare = 0.35;
+const waitShare = 0.5;
 
 /** A call that has missed its objective may still be expected to wait for this share of what is left. */
 const lateWaitShare = 0.12;
@@ -104,6 +104,9 @@
 /** A call is refused without asking a gate if the wait that is expected is so many times longer than it may be: estimates are rough. Calls that others wait behind are always sent, since nothing tells how many are before them. */
 const hopelessFactor = 1.6;
 
+/** A call that others wait behind may wait for this share of what is left: without it the work of its caller is lost. */
+const urgentWaitShare = 0.4;
+
 /** No attempt begins with less than this left, in milliseconds: it could not be answered. */
 const shortestAttemptMs = 15;
 
@@ -111,7 +114,8 @@
 	const leftMs = call.scope.endsAt - now;
 	const elapsedMs = now - call.receivedAt;
 	const inTimeMs = (call.route.targetLatencyMs * waitShare) - elapsedMs;
-	return Math.min(Math.max(inTimeMs, leftMs * lateWaitShare), leftMs);
+	const leastMs = leftMs * (call.isLastRank ? lateWaitShare : urgentWaitShare);
+	return Math.min(Math.max(inTimeMs, leastMs), leftMs);
 }
 
 function describeOutcome(result: ForwardResult): string {
@@ -255,7 +259,8 @@
 			return giveUp();
 		}
 
-		context.log.record('info', {
+		// A refusal by a gate is the ordinary way to another; it stands in the call's last line.
+		context.log.record(result.type === 'answered' || result.hasArrived ? 'info' : 'debug', {
 			kind: 'attempt-failed', call: call.id, route: route.name, attempt: progress.notes.at(-1)!, next: 'another server is tried',
 		});
 	}
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -14,6 +14,7 @@
 import {parseAddress} from '../common/address.js';
 import {readSteadyMs, waitFor} from '../common/clock.js';
 import {type Address, type NodeId} from '../common/ids.js';
+import {createLoopLag} from '../common/loop-lag.js';
 import {type WireHeaders} from '../forwarding/call-headers.js';
 import {createEntryServer, type FinishedCall} from '../forwarding/entry-server.js';
 import {createGateClient} from '../forwarding/gate-client.js';
@@ -57,10 +58,11 @@
 	readonly dispose: () => Promise<void>;
 };
 
-/** Milliseconds between two heartbeats: short enough that a dark VM is noticed within a second, at some 80 datagrams a second in a mesh of 13. */
-const heartbeatMs = 300;
+/** Milliseconds between two heartbeats: short enough that a dark VM is noticed within little more than a second, at some 60 datagrams a second in a mesh of 13. */
+const heartbeatMs = 400;
 
-const peerLimits: PeerLimits = {silenceMs: 950, forgetMs: 60_000, avoidMs: 250};
+/** Two heartbeats may be lost before a node counts as silent. */
+const peerLimits: PeerLimits = {silenceMs: 1050, forgetMs: 60_000, avoidMs: 250};
 
 /** Milliseconds between two looks for nodes that have fallen silent while requests wait for them. */
 const silenceCheckMs = 100;
@@ -154,6 +156,7 @@
 
 	const splitter = createShareSplitter(random);
 	const loads = createLoadView();
+	const lag = createLoopLag();
 	const silenceWatchers = new Map<NodeId, Set<() => void>>();
 
 	const holder = createConfigHolder((held, source) => {
@@ -249,7 +252,8 @@
 
 	const handleFinished = (call: FinishedCall): void => {
 		metrics.recordCall(call);
-		const level = call.status >= 500 || call.attempts.length > 1 ? 'info' : 'debug';
+		const isOrdinary = call.status < 500 && call.attempts.filter(({verdict}) => verdict !== 'not-run').length <= 1;
+		const level = isOrdinary ? 'debug' : 'info';
 		log.record(level, {kind: 'call-finished', call: call.id, ...omitId(call)});
 	};
 
@@ -282,9 +286,10 @@
 		getConfig: holder.get,
 		splitter,
 		handleFinished,
+		catchUp: lag.catchUp,
 	});
 	const gateServer = createGateServer({
-		gate, wire, getConfigText: () => holder.get()?.text, maxBodyBytes: maxGateBodyBytes,
+		gate, wire, getConfigText: () => holder.get()?.text, maxBodyBytes: maxGateBodyBytes, catchUp: lag.catchUp,
 	});
 	const announcementServer = createAnnouncementServer({
 		decode: surroundings.decodeServerCall,
@@ -331,6 +336,7 @@
 		const now = readSteadyMs();
 		const delayMs = now - checkedAt - silenceCheckMs;
 		checkedAt = now;
+		lag.note(delayMs);
 		metrics.recordDelay(delayMs);
 		if (delayMs > pauseMs) {
 			log.record('warn', {kind: 'node-paused', forMs: Math.round(delayMs)});
--- a/src/lib/timeline/line-log.test.ts
+++ b/src/lib/timeline/line-log.test.ts
@@ -35,9 +35,9 @@
 	log.record('info', {kind: 'store-back', afterMs: 5});
 	log.record('debug', {kind: 'store-back', afterMs: 6});
 	await log.flush();
-	assert.equal(lines.filter(({kind}) => kind === 'gate-refused').length, 50);
+	assert.equal(lines.filter(({kind}) => kind === 'gate-refused').length, 25);
 	assert.equal(lines.filter(({kind}) => kind === 'store-back').length, 1);
-	assert.deepEqual(lines.filter(({kind}) => kind === 'lines-dropped').map(({of, count}) => [of, count]), [['gate-refused', 450]]);
+	assert.deepEqual(lines.filter(({kind}) => kind === 'lines-dropped').map(({of, count}) => [of, count]), [['gate-refused', 475]]);
 });
 
 test('when nobody reads, lines about failures are the last to go', () => {
--- a/src/lib/timeline/line-log.ts
+++ b/src/lib/timeline/line-log.ts
@@ -37,7 +37,7 @@
 const failuresOnlyShare = 0.5;
 
 /** Lines of one kind and level below `warn` in a second: a line costs some 20 microseconds, so this is a thousandth of a core. */
-const linesPerSecond = 50;
+const linesPerSecond = 25;
 
 /** Lines are gathered for this long before they are written. Milliseconds. */
 const flushMs = 200;
