--- a/src/lib/common/loop-lag.test.ts
+++ b/src/lib/common/loop-lag.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
-import {connect, createServer, type AddressInfo, type Socket} from 'node:net';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
 import test from 'node:test';
 import {createLoopLag} from './loop-lag.js';
 
-function block(milliseconds: number): void {
+function waitBusily(milliseconds: number): void {
 	const until = performance.now() + milliseconds;
 	while (performance.now() < until) {
 		// The process stands still, and what arrives waits.
@@ -30,7 +32,7 @@
 				caller.end('x');
 				// Not before both are sent.
 				setImmediate(() => {
-					block(50);
+					waitBusily(50);
 				});
 			});
 		});
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -18,13 +18,16 @@
 import {findRoute} from '../route-config/route-index.js';
 import {type ShareSplitter} from '../route-config/share-splitter.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
+import {createByteBudget} from './byte-budget.js';
 import {createCallScope, endGraceMs, type CallScope} from './call-scope.js';
 import {
 	filterCallHeaders, getAmount, getText, type WireHeaders,
 } from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
 import {type ForwardAnswer, type ForwardFailure} from './forward-result.js';
-import {BodyTooLargeError, hasBody, readBody} from './read-body.js';
+import {
+	BodyTooLargeError, hasBody, NoRoomForBodyError, readBody,
+} from './read-body.js';
 import {
 	chooseFailureStatus, sendCall, type CallOutcome, type SendContext,
 } from './send-call.js';
@@ -78,18 +81,21 @@
 /** Connections are kept this much longer than callers are told, in milliseconds: a request may be on its way when the time is over. */
 const idleGraceMs = 1000;
 
+/** What bodies may hold of this node's memory together. Bytes: a third of what the smallest VMs of the users give a process. */
+const maxHeldBytes = 83_886_080;
+
+/** When memory for a large body may be free again. Milliseconds. */
+const bodyRetryMs = 1000;
+
 /** When a node without a configuration is worth asking again, in milliseconds. */
 const notReadyRetryMs = 250;
 
-/** When to come back if no gate said, in milliseconds. */
-const defaultRetryMs = 100;
+/** When to come back at the soonest, in milliseconds: a caller that comes back before the others have been served is only refused again. */
+const defaultRetryMs = 250;
 
 /** A time to come back is spread by this share, so that those who were refused together do not come back together. */
 const retrySpread = 0.5;
 
-/** Bodies above this are refused before a configuration is known. Bytes. */
-const defaultMaxBodyBytes = 1_048_576;
-
 /**
  * Creates the server for callers.
  *
@@ -104,6 +110,7 @@
 	});
 	const connections = watchConnections(server);
 	let calls = 0;
+	const heldBodies = createByteBudget(maxHeldBytes);
 	let isClosing = false;
 
 	const getClosingHeaders = (request: IncomingMessage): {readonly connection?: string} =>
@@ -157,8 +164,13 @@
 
 		call.askForBody();
 		try {
-			return await readBody(call.request, maxBodyBytes);
+			return await readBody(call.request, maxBodyBytes, heldBodies);
 		} catch (error) {
+			if (error instanceof NoRoomForBodyError) {
+				refuseEarly(call, context.getConfig()?.config.version ?? 0, 503, error.message, bodyRetryMs);
+				return 'refused';
+			}
+
 			const isTooLarge = error instanceof BodyTooLargeError;
 			refuseEarly(call, context.getConfig()?.config.version ?? 0, isTooLarge ? 413 : 400, (error as Error).message);
 			return 'refused';
@@ -208,20 +220,31 @@
 		}
 
 		const timeLeftMs = Math.min(getAmount(request.headers, wire.timeLeft) ?? route.timeoutMs, route.timeoutMs);
+		let heldBytes = 0;
 		const scope = createCallScope(call.receivedAt + timeLeftMs + endGraceMs);
 		const forget = connections.add(request.socket, scope);
 		try {
 			await context.catchUp();
-			const body = await takeBody(call, limits.maxBodyBytes || defaultMaxBodyBytes);
+			const body = await takeBody(call, limits.maxBodyBytes);
 			if (body === 'refused') {
 				return;
 			}
 
+			heldBytes = body?.length ?? 0;
+
 			const outcome = await sendCall(context, {
-				id: call.id, route, service, method: request.method ?? 'GET', target: request.url ?? '/', headers: filterCallHeaders(request.headers), body, receivedAt: call.receivedAt, isLastRank: computeRank(route) === held.lastRanks.get(service), scope,
+				id: call.id,
+				route,
+				service,
+				method: request.method ?? 'GET',
+				target: request.url ?? '/',
+				headers: filterCallHeaders(request.headers),
+				body,
+				receivedAt: call.receivedAt, isLastRank: computeRank(route) === held.lastRanks.get(service), scope,
 			});
 			finish(call, scope, held, {...outcome, route: route.name, service});
 		} finally {
+			heldBodies.release(heldBytes);
 			forget();
 			scope.dispose();
 		}
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -60,6 +60,8 @@
 	readonly running: number;
 	readonly waiting: number;
 	readonly serviceMs: number;
+	/** Milliseconds that this request spent at the gate and its server: the rest of the time went on the way. */
+	readonly tookMs: number;
 };
 
 /** What a gate answers. @internal */
@@ -76,17 +78,23 @@
  * @internal
  */
 export function encodeGateResult({result, load}: GateResult): string {
-	const loadText = load === undefined ? '-' : `${load.running},${load.waiting},${Math.round(load.serviceMs)}`;
+	const loadText = load === undefined ? '-' : `${load.running},${load.waiting},${Math.round(load.serviceMs)},${Math.round(load.tookMs)}`;
 	return result.type === 'answered'
 		? `ran ${loadText}`
 		: `${result.verdict} ${loadText} ${result.reason} ${result.hasArrived ? 1 : 0} ${Math.round(result.retryAfterMs)} ${encodeURIComponent(result.detail)}`;
 }
 
 function decodeLoad(text: string | undefined): GateLoad | undefined {
-	const [running, waiting, serviceMs] = (text ?? '').split(',').map(Number);
-	return running === undefined || waiting === undefined || serviceMs === undefined || !Number.isFinite(running + waiting + serviceMs)
-		? undefined
-		: {running, waiting, serviceMs};
+	const [running, waiting, serviceMs, tookMs] = (text ?? '').split(',').map(Number);
+	if (running === undefined || waiting === undefined || serviceMs === undefined || tookMs === undefined) {
+		return undefined;
+	}
+
+	return Number.isFinite(running + waiting + serviceMs + tookMs)
+		? {
+			running, waiting, serviceMs, tookMs,
+		}
+		: undefined;
 }
 
 /**
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -110,7 +110,9 @@
 	let isSilent = false;
 	const waiters = new Map<number, Waiter>();
 
-	const getLoad = (): GateLoad => ({running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs});
+	const getLoad = (arrivedAt: number): GateLoad => ({
+		running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs, tookMs: readSteadyMs() - arrivedAt,
+	});
 
 	const startAll = (started: readonly QueuedRequest[]): void => {
 		for (const {id} of started) {
@@ -383,8 +385,9 @@
 
 	return {
 		async run(call) {
+			const arrivedAt = readSteadyMs();
 			const result = await admitAndRun(call);
-			return {result, load: getLoad()};
+			return {result, load: getLoad(arrivedAt)};
 		},
 		announce(announcement) {
 			apply(acceptAnnouncement(state, announcement, readSteadyMs()), 'it said that it drains');
--- /dev/null
+++ b/src/lib/forwarding/read-body.test.ts
@@ -0,0 +1,42 @@
+import assert from 'node:assert/strict';
+import {type IncomingMessage} from 'node:http';
+import {PassThrough} from 'node:stream';
+import test from 'node:test';
+import {createByteBudget} from './byte-budget.js';
+import {BodyTooLargeError, NoRoomForBodyError, readBody} from './read-body.js';
+
+const createRequest = (): PassThrough & IncomingMessage => new PassThrough() as unknown as PassThrough & IncomingMessage;
+
+test('a body is read whole, and holds its bytes until they are released', async () => {
+	const budget = createByteBudget(10);
+	const request = createRequest();
+	const reading = readBody(request, 100, budget);
+	request.write('12345');
+	request.end('678');
+	assert.equal(String(await reading), '12345678');
+	assert.equal(budget.take(3), false);
+	budget.release(8);
+	assert.equal(budget.take(10), true);
+});
+
+test('a body for which there is no room, one that is too large, and one that ends early give back what they took', async () => {
+	const budget = createByteBudget(10);
+	const crowded = createRequest();
+	const reading = readBody(crowded, 100, budget);
+	crowded.write('12345678');
+	crowded.write('9abc');
+	await assert.rejects(reading, NoRoomForBodyError);
+	const large = createRequest();
+	const readingLarge = readBody(large, 5, budget);
+	large.write('123');
+	large.write('456');
+	await assert.rejects(readingLarge, BodyTooLargeError);
+	const cut = createRequest();
+	const readingCut = readBody(cut, 100, budget);
+	cut.write('123');
+	setImmediate(() => {
+		cut.destroy();
+	});
+	await assert.rejects(readingCut, /closed within the body/);
+	assert.equal(budget.take(10), true);
+});
--- a/src/lib/forwarding/read-body.ts
+++ b/src/lib/forwarding/read-body.ts
@@ -5,10 +5,14 @@
  */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {boundlessBudget, type ByteBudget} from './byte-budget.js';
 
 /** The body is larger than allowed. @internal */
 export class BodyTooLargeError extends Error {}
 
+/** Other bodies hold the memory that this one needs. @internal */
+export class NoRoomForBodyError extends Error {}
+
 /**
  * @param request - A request.
  * @returns Whether a body follows its head.
@@ -22,29 +26,58 @@
 /**
  * @param request - A request.
  * @param maxBytes - The largest body that is taken.
+ * @param budget - What all bodies may hold together. What a whole body took is released by whoever asked for it.
  * @returns The body.
  * @throws When the connection ends early, or when the body is larger.
  * @internal
  */
-export async function readBody(request: IncomingMessage, maxBytes: number): Promise<Uint8Array> {
+export async function readBody(request: IncomingMessage, maxBytes: number, budget: ByteBudget = boundlessBudget): Promise<Uint8Array> {
 	return new Promise((resolve, reject) => {
 		const chunks: Uint8Array[] = [];
 		let size = 0;
+		const fail = (error: Error): void => {
+			if (size > 0) {
+				budget.release(size);
+			}
+
+			size = 0;
+			chunks.length = 0;
+			reject(error);
+		};
+
+		let isOver = false;
 		request.on('data', (chunk: Uint8Array) => {
-			size += chunk.length;
-			if (size > maxBytes) {
-				reject(new BodyTooLargeError(`the body is larger than ${maxBytes} bytes`));
+			if (isOver) {
 				return;
 			}
 
+			const isTooLarge = size + chunk.length > maxBytes;
+			if (isTooLarge || !budget.take(chunk.length)) {
+				isOver = true;
+				fail(isTooLarge ? new BodyTooLargeError(`the body is larger than ${maxBytes} bytes`) : new NoRoomForBodyError('other bodies hold the memory that this one needs'));
+				return;
+			}
+
+			size += chunk.length;
 			chunks.push(chunk);
 		});
 		request.once('end', () => {
-			resolve(Buffer.concat(chunks, size));
+			if (!isOver) {
+				isOver = true;
+				resolve(Buffer.concat(chunks, size));
+			}
+		});
+		request.once('error', error => {
+			if (!isOver) {
+				isOver = true;
+				fail(error);
+			}
 		});
-		request.once('error', reject);
 		request.once('close', () => {
-			reject(new Error('the connection closed within the body'));
+			if (!isOver) {
+				isOver = true;
+				fail(new Error('the connection closed within the body'));
+			}
 		});
 	});
 }
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -166,7 +166,9 @@
 		inner.dispose();
 		const now = readSteadyMs();
 		if (sent.load !== undefined) {
-			context.loads.hear(target.id, sent.load, now);
+			const {tookMs, ...load} = sent.load;
+			context.loads.hear(target.id, load, now);
+			context.loads.noteWay(target.id, now - startedAt - tookMs);
 		}
 
 		const {result} = sent;
--- a/src/lib/routing/load-view.ts
+++ b/src/lib/routing/load-view.ts
@@ -17,6 +17,8 @@
 	readonly own: number;
 	/** Of these, the ones that were under way when the gate last spoke. */
 	readonly ownThen: number;
+	/** Average milliseconds that requests of this node spend on the way there and back: a VM that is slow or far shows here. */
+	readonly wayMs: number;
 	/** When the gate last spoke, in steady milliseconds. */
 	readonly heardAt: number;
 };
@@ -25,13 +27,17 @@
 export type LoadView = {
 	readonly get: (id: BackendServerId) => ServerView;
 	readonly hear: (id: BackendServerId, report: Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare'>>, now: number) => void;
+	readonly noteWay: (id: BackendServerId, wayMs: number) => void;
 	readonly begin: (id: BackendServerId) => void;
 	readonly end: (id: BackendServerId) => void;
 	readonly retain: (isKnown: (id: BackendServerId) => boolean) => void;
 };
 
+/** Weight of the newest request in the average time on the way: some five requests make it. */
+const wayWeight = 0.2;
+
 const unknownServer: ServerView = {
-	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, own: 0, ownThen: 0, heardAt: 0,
+	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, own: 0, ownThen: 0, wayMs: 0, heardAt: 0,
 };
 
 /**
@@ -75,6 +81,10 @@
 				...view, ...report, ownThen: view.own, heardAt: now,
 			});
 		},
+		noteWay(id, wayMs) {
+			const view = get(id);
+			views.set(id, {...view, wayMs: (view.wayMs * (1 - wayWeight)) + (Math.max(0, wayMs) * wayWeight)});
+		},
 		begin(id) {
 			const view = get(id);
 			views.set(id, {...view, own: view.own + 1});
--- /dev/null
+++ b/src/lib/routing/rank-servers.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+} from '../common/ids.js';
+import {createLoadView, estimateRequests, estimateSlotWait} from './load-view.js';
+import {rankServers, type Candidate} from './rank-servers.js';
+
+const here = toFailureDomain('a');
+const there = toFailureDomain('b');
+const unknown = createLoadView().get(toBackendServerId('i-0'));
+
+function createCandidate(id: string, changes: Partial<Candidate> = {}, view: Partial<Candidate['view']> = {}): Candidate {
+	return {
+		id: toBackendServerId(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain: here, isLocal: false, slots: 12, isCold: false, ...changes, view: {...unknown, serviceMs: 100, ...view},
+	};
+}
+
+const rank = (candidates: readonly Candidate[], crossDomainMs = 40): readonly string[] => rankServers(candidates, {domain: here, crossDomainMs, random: () => 0.5}).map(({id}) => id);
+
+test('the own VM goes first, then the own failure domain, as long as they are about as fast', () => {
+	const servers = [createCandidate('far', {domain: there}), createCandidate('near'), createCandidate('own', {isLocal: true})];
+	assert.deepEqual(rank(servers), ['own', 'near', 'far']);
+});
+
+test('a much faster or much less busy server goes first wherever it is, but not for an upload', () => {
+	const servers = [createCandidate('near', {}, {serviceMs: 300}), createCandidate('far', {domain: there})];
+	assert.deepEqual(rank(servers), ['far', 'near']);
+	assert.deepEqual(rank(servers, 400), ['near', 'far']);
+	assert.deepEqual(rank([createCandidate('near', {}, {running: 12, waiting: 6}), createCandidate('far', {domain: there})]), ['far', 'near']);
+});
+
+test('cold, failing and slow to reach servers go last', () => {
+	assert.deepEqual(rank([createCandidate('cold', {isCold: true}), createCandidate('warm')]), ['warm', 'cold']);
+	assert.deepEqual(rank([createCandidate('grey', {}, {failureShare: 0.4}), createCandidate('sound')]), ['sound', 'grey']);
+	assert.deepEqual(rank([createCandidate('slow-node', {}, {wayMs: 300}), createCandidate('sound')]), ['sound', 'slow-node']);
+});
+
+test('what this node has sent since the gate spoke counts, and so does what has ended meanwhile', () => {
+	const loads = createLoadView();
+	const id = toBackendServerId('i-1');
+	loads.begin(id);
+	loads.hear(id, {running: 12, waiting: 6, serviceMs: 120}, 1000);
+	loads.begin(id);
+	assert.equal(estimateRequests(loads.get(id)), 19);
+	assert.equal(estimateSlotWait(loads.get(id), 12, 1000), 80);
+	// In 100 ms ten requests of 120 ms have ended on twelve slots.
+	assert.equal(Math.round(estimateSlotWait(loads.get(id), 12, 1100)), 0);
+});
+
+test('property: every server is in the order once, and the estimate never loses what this node has sent', () => {
+	const view = fc.record({
+		running: fc.nat(20), waiting: fc.nat(20), own: fc.nat(20), ownThen: fc.nat(20), serviceMs: fc.nat(500), wayMs: fc.nat(500),
+	});
+	fc.assert(fc.property(fc.array(view, {maxLength: 8}), views => {
+		const servers = views.map((changes, index) => createCandidate(`i-${index}`, {}, changes));
+		assert.deepEqual([...rank(servers)].toSorted((left, right) => left.localeCompare(right)), servers.map(({id}) => id).toSorted((left, right) => left.localeCompare(right)));
+		for (const server of servers) {
+			assert.ok(estimateRequests(server.view) >= server.view.own);
+			assert.ok(estimateSlotWait(server.view, server.slots, 1e9) >= 0);
+		}
+	}));
+});
--- a/src/lib/routing/rank-servers.ts
+++ b/src/lib/routing/rank-servers.ts
@@ -42,6 +42,9 @@
 /** Estimates are spread by this share, so that nodes that see the same do not all choose the same. */
 const spread = 0.15;
 
+/** The time on the way counts so many times: a node that is slow to answer delays what follows as well. */
+const wayFactor = 2;
+
 /** What a server beside another node of the failure domain has to be faster by, in milliseconds: a second node costs processor time on both. */
 const otherNodeMs = 20;
 
@@ -66,8 +69,8 @@
 	const share = requests / Math.max(1, slots);
 	const busyMs = serviceMs * busyFactor * Math.max(0, Math.min(1, share) - busyShare) / (1 - busyShare);
 	const queueMs = Math.max(0, requests - slots) * serviceMs / Math.max(1, slots);
-	const wayMs = candidate.isLocal ? 0 : (candidate.domain === context.domain ? otherNodeMs : context.crossDomainMs);
-	return ((serviceMs + busyMs + (queueMs * 2)) * (1 + (spread * context.random()))) + wayMs;
+	const domainMs = candidate.isLocal ? 0 : (candidate.domain === context.domain ? otherNodeMs : context.crossDomainMs);
+	return ((serviceMs + busyMs + (queueMs * 2)) * (1 + (spread * context.random()))) + domainMs + (view.wayMs * wayFactor);
 }
 
 /**
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -233,7 +233,7 @@
 			candidates.push({
 				id: own.id, node: self, gate: settings.listen.gate, domain, isLocal: true, slots: own.slots, isCold: own.coldMs > 0,
 				view: {
-					...loads.get(own.id), running: own.running, waiting: own.waiting, serviceMs: own.serviceMs, failureShare: own.failureShare, own: 0, ownThen: 0, heardAt: now,
+					...loads.get(own.id), running: own.running, waiting: own.waiting, serviceMs: own.serviceMs, failureShare: own.failureShare, own: 0, ownThen: 0, wayMs: 0, heardAt: now,
 				},
 			});
 		}
