Speak in frames between nodes: many requests share one connection

Change: frames over two connections to each peer (large bodies have their own), cancel as a frame, body on request for uploads; connections are renewed when a node was silent, restarted or unreachable. Found while doing it: a scope that had ended called back before it could be unsubscribed from, which would have thrown.

--- a/src/lib/forwarding/call-headers.ts
+++ b/src/lib/forwarding/call-headers.ts
@@ -1,12 +1,11 @@
 /**
  * Headers of a sidecar's calls. Those that callers and backend servers know are
- * handed in, since platforms differ; those between nodes are its own.
+ * handed in, since platforms differ.
  *
  * @module
  */
 import {type IncomingHttpHeaders} from 'node:http';
 import {type HeaderMap} from '../calls/attempt.js';
-import {toBackendServerId, type BackendServerId} from '../common/ids.js';
 import {hopHeaders} from '../calls/headers.js';
 
 /** What the headers that callers and backend servers know are called, in lower case. @internal */
@@ -27,61 +26,12 @@
 	readonly serverId: string;
 };
 
-/** Between nodes. */
-const peerPrefix = 'x-mesh-';
-
-/** One header each way: every header costs bytes between failure domains, and processor time on both sides. @internal */
-export const peerHeaders = {
-	/** What a node says of a request that it hands to a gate. */
-	call: 'x-mesh-call',
-	/** What the gate says of its answer. */
-	result: 'x-mesh-result',
-} as const;
-
-/** What a node says of a request that it hands to a gate. @internal */
-export type PeerCall = {
-	readonly server: BackendServerId;
-	readonly callerService: string;
-	/** 0 goes first. */
-	readonly rank: number;
-	/** Milliseconds until the caller gives up. */
-	readonly leftMs: number;
-	/** Milliseconds that it may be expected to wait for a slot. */
-	readonly mayWaitMs: number;
-};
-
-/**
- * @param call - What the gate is told.
- * @returns The header's value.
- * @internal
- */
-export function encodePeerCall({server, callerService, rank, leftMs, mayWaitMs}: PeerCall): string {
-	return `${server} ${callerService} ${rank} ${Math.max(0, leftMs).toFixed(1)} ${Math.max(0, mayWaitMs).toFixed(1)}`;
-}
-
-/**
- * @param text - The header's value.
- * @returns What the gate is told, or `undefined` if the text says nothing of the kind.
- * @internal
- */
-export function decodePeerCall(text: string | undefined): PeerCall | undefined {
-	const [server = '', callerService = '', ...amounts] = (text ?? '').split(' ');
-	const [rank, leftMs, mayWaitMs] = amounts.map(Number);
-	if (server === '' || rank === undefined || leftMs === undefined || mayWaitMs === undefined || !Number.isFinite(rank + leftMs + mayWaitMs)) {
-		return undefined;
-	}
-
-	return {
-		server: toBackendServerId(server), callerService, rank, leftMs, mayWaitMs,
-	};
-}
-
 function listConnectionHeaders(connection: string | undefined): readonly string[] {
 	return connection === undefined ? [] : connection.toLowerCase().split(',').map(name => name.trim());
 }
 
 /**
- * Drops what belongs to one connection and what only nodes may say.
+ * Drops what belongs to one connection.
  *
  * @param headers - As received.
  * @returns What may be passed on, in a new object.
@@ -91,7 +41,7 @@
 	const named = listConnectionHeaders(headers.connection as string | undefined);
 	const kept: Record<string, string | string[]> = {};
 	for (const [name, value] of Object.entries(headers)) {
-		if (value !== undefined && !hopHeaders.has(name) && !name.startsWith(peerPrefix) && !named.includes(name)) {
+		if (value !== undefined && !hopHeaders.has(name) && !named.includes(name)) {
 			kept[name] = value as string | string[];
 		}
 	}
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -141,6 +141,8 @@
 		const progress: Progress = {isConnected: false, isSent: false};
 		let isSettled = false;
 		let hasAnswer = false;
+		// A scope that has ended already calls back before it can be unsubscribed from.
+		let unsubscribe = (): void => undefined;
 
 		const settle = (result: ExchangeResult): void => {
 			if (isSettled) {
@@ -212,7 +214,7 @@
 			});
 		});
 
-		const unsubscribe = exchange.scope.subscribe(reason => {
+		unsubscribe = exchange.scope.subscribe(reason => {
 			fail(reason, reason === 'timeout' ? 'no answer in time' : 'the caller has gone');
 			outgoing.destroy();
 		});
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {type HeaderMap} from '../calls/attempt.js';
-import {parseVerdict, type Verdict} from '../common/verdict.js';
+import {type Verdict} from '../common/verdict.js';
 
 /** Why there is no answer. @internal */
 export type ForwardReason =
@@ -71,55 +71,12 @@
 };
 
 /**
- * Encodes what a gate says of its answer: its load, and for a failure all of it.
- *
- * @param gateResult - The result.
- * @returns A header's value.
+ * @param text - A reason that came over the network.
+ * @returns The reason; one that is unknown says nothing but that the answer cannot be used.
  * @internal
  */
-export function encodeGateResult({result, load}: GateResult): string {
-	const loadText = load === undefined ? '-' : `${load.running},${load.waiting},${Math.round(load.serviceMs)},${Math.round(load.tookMs)}`;
-	return result.type === 'answered'
-		? `ran ${loadText}`
-		: `${result.verdict} ${loadText} ${result.reason} ${result.hasArrived ? 1 : 0} ${Math.round(result.retryAfterMs)} ${encodeURIComponent(result.detail)}`;
-}
-
-function decodeLoad(text: string | undefined): GateLoad | undefined {
-	const [running, waiting, serviceMs, tookMs] = (text ?? '').split(',').map(Number);
-	if (running === undefined || waiting === undefined || serviceMs === undefined || tookMs === undefined) {
-		return undefined;
-	}
-
-	return Number.isFinite(running + waiting + serviceMs + tookMs)
-		? {
-			running, waiting, serviceMs, tookMs,
-		}
-		: undefined;
-}
-
-/**
- * Decodes what a gate said. A failure that cannot be read promises nothing.
- *
- * @param text - A header's value.
- * @param answer - The answer that came with it.
- * @returns The result.
- * @internal
- */
-export function decodeGateResult(text: string, answer: Omit<ForwardAnswer, 'type'>): GateResult {
-	const [verdictText, loadText, reasonText, arrived, retryAfter, detail] = text.split(' ');
-	const load = decodeLoad(loadText);
-	const verdict = parseVerdict(verdictText);
-	if (verdict === 'ran') {
-		return {load, result: {type: 'answered', ...answer}};
-	}
-
-	const reason = reasons.find(known => known === reasonText) ?? 'wrong-answer';
-	return {
-		load,
-		result: {
-			type: 'failed', verdict, reason, detail: decodeURIComponent(detail ?? ''), retryAfterMs: Number(retryAfter) || 0, hasArrived: arrived !== '0',
-		},
-	};
+export function parseForwardReason(text: string | undefined): ForwardReason {
+	return reasons.find(reason => reason === text) ?? 'wrong-answer';
 }
 
 /**
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -1,122 +1,104 @@
 /**
- * Sends requests to the gates of other nodes.
+ * Sends requests to the gates of other nodes, over two connections to each:
+ * large bodies have one of their own, so that small requests do not wait behind.
  *
  * @module
  */
+import {type Address} from '../common/ids.js';
 import {readSteadyMs} from '../common/clock.js';
-import {type Address, type BackendServerId} from '../common/ids.js';
 import {type CallScope} from './call-scope.js';
 import {
-	encodePeerCall, filterCallHeaders, getText, peerHeaders, type WireHeaders,
-} from './call-headers.js';
-import {runExchange, type ExchangeAnswer, type ExchangeFailure} from './exchange.js';
-import {
-	createMayHaveRun, createNotRun, decodeGateResult, type ForwardFailure, type GateResult,
+	createMayHaveRun, createNotRun, type ForwardFailure, type GateResult,
 } from './forward-result.js';
-import {HopAgent} from './hop-agent.js';
+import {openPeerChannel, type ChannelResult, type PeerChannel} from './peer-channel.js';
+import {decodePeerAnswer, encodePeerRequest, type PeerRequest} from './peer-messages.js';
 
 /** A request for the backend server beside another node. @internal */
-export type RemoteCall = {
-	readonly id: string;
+export type RemoteCall = Omit<PeerRequest, 'hasBody' | 'leftMs'> & {
 	readonly gate: Address;
-	readonly server: BackendServerId;
-	readonly method: string;
-	readonly target: string;
-	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 	readonly body: Uint8Array | undefined;
-	readonly callerService: string;
-	readonly rank: number;
-	readonly mayWaitMs: number;
 	readonly scope: CallScope;
 };
 
 /** @internal */
 export type GateClient = {
 	readonly send: (call: RemoteCall) => Promise<GateResult>;
-	/** Closes the connections to a gate that is gone. */
-	readonly forget: (gate: Address) => void;
+	/** Asks another node for the configuration in force; `undefined` if it has none or does not answer. */
+	readonly fetchConfig: (gate: Address, scope: CallScope) => Promise<string | undefined>;
+	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. */
+	readonly renew: (gate: Address) => void;
 	readonly dispose: () => void;
 };
 
-/** Connections from one node to one gate; above it requests wait for one another. */
-const connectionsPerGate = 128;
-
-/** Idle connections are closed after this, in milliseconds: gates keep them three times as long. */
-const idleConnectionMs = 20_000;
-
 /** Longest time for a new connection, in milliseconds: a few times the slowest way between failure domains, so that a dark VM costs little. */
 const connectMs = 300;
 
 /** Bodies above this size, in bytes, are sent once the gate has a slot for them: a refusal then costs no bytes between failure domains. */
 const askFirstBytes = 4096;
 
-function judgeFailure(failure: ExchangeFailure): ForwardFailure {
-	if (failure.reason === 'unreachable') {
-		return createNotRun('node-unreachable', failure.detail);
-	}
+type ChannelKind = 'small' | 'bulk';
 
-	return failure.isSent ? createMayHaveRun(failure.reason, failure.detail) : createNotRun(failure.reason === 'connection-lost' ? 'node-unreachable' : failure.reason, failure.detail);
-}
+function judgeFailure(failure: Extract<ChannelResult, {readonly type: 'failed'}>): ForwardFailure {
+	const {reason, detail, isSent} = failure;
+	if (isSent) {
+		return createMayHaveRun(reason === 'unreachable' ? 'node-unreachable' : reason, detail);
+	}
 
-function judgeAnswer(answer: ExchangeAnswer): GateResult {
-	const {status, headers, body} = answer;
-	return decodeGateResult(getText(headers, peerHeaders.result) ?? '', {status, headers: filterCallHeaders(headers), body});
+	return createNotRun(reason === 'unreachable' || reason === 'connection-lost' ? 'node-unreachable' : reason, detail);
 }
 
 /**
- * @param wire - Headers that callers and backend servers know.
  * @returns The client. No connection is made before the first request.
  * @internal
  */
-export function createGateClient(wire: WireHeaders): GateClient {
-	const agents = new Map<Address, HopAgent>();
+export function createGateClient(): GateClient {
+	const channels = new Map<string, PeerChannel>();
 
-	const getAgent = (gate: Address): HopAgent => {
-		const known = agents.get(gate);
-		if (known !== undefined) {
+	const getChannel = (gate: Address, kind: ChannelKind): PeerChannel => {
+		const key = `${kind} ${gate}`;
+		const known = channels.get(key);
+		if (known?.isUsable()) {
 			return known;
 		}
 
-		const agent = new HopAgent({maxConnections: connectionsPerGate, idleMs: idleConnectionMs});
-		agents.set(gate, agent);
-		return agent;
+		const channel = openPeerChannel(gate, connectMs, () => {
+			if (channels.get(key) === channel) {
+				channels.delete(key);
+			}
+		});
+		channels.set(key, channel);
+		return channel;
 	};
 
 	return {
 		async send(call) {
-			const {body} = call;
-			const answer = await runExchange({
-				agent: getAgent(call.gate),
-				address: call.gate,
-				method: call.method,
-				target: call.target,
-				headers: {
-					...call.headers as Record<string, string | string[]>,
-					[wire.callId]: call.id,
-					[peerHeaders.call]: encodePeerCall({...call, leftMs: call.scope.endsAt - readSteadyMs()}),
-					...body === undefined ? {} : {'content-length': String(body.length)},
-					...body !== undefined && body.length > askFirstBytes ? {expect: '100-continue'} : {},
-				},
-				body,
-				mustAskFirst: body !== undefined && body.length > askFirstBytes,
-				scope: call.scope,
-				connectMs,
-				isOwnAnswer: headers => headers[peerHeaders.result] !== undefined,
+			const {gate, body, scope} = call;
+			const isLarge = body !== undefined && body.length > askFirstBytes;
+			const head = encodePeerRequest({...call, hasBody: body !== undefined, leftMs: scope.endsAt - readSteadyMs()});
+			const result = await getChannel(gate, isLarge ? 'bulk' : 'small').send({
+				type: isLarge ? 'offer' : 'request', head, body, scope,
 			});
-			return answer.type === 'failed'
-				? {result: judgeFailure(answer), load: undefined}
-				: judgeAnswer(answer);
+			return result.type === 'failed' ? {result: judgeFailure(result), load: undefined} : decodePeerAnswer(result.head, result.body);
 		},
-		forget(gate) {
-			agents.get(gate)?.destroy();
-			agents.delete(gate);
+		async fetchConfig(gate, scope) {
+			const result = await getChannel(gate, 'bulk').send({
+				type: 'config', head: undefined, body: undefined, scope,
+			});
+			return result.type === 'answered' && result.body.length > 0 ? new TextDecoder().decode(result.body) : undefined;
+		},
+		renew(gate) {
+			for (const kind of ['small', 'bulk'] as const) {
+				const key = `${kind} ${gate}`;
+				channels.get(key)?.retire();
+				channels.delete(key);
+			}
 		},
 		dispose() {
-			for (const agent of agents.values()) {
-				agent.destroy();
+			for (const channel of channels.values()) {
+				channel.dispose();
 			}
 
-			agents.clear();
+			channels.clear();
 		},
 	};
 }
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -5,140 +5,170 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {createServer, type Server, type Socket} from 'node:net';
+import process from 'node:process';
 import {readSteadyMs} from '../common/clock.js';
 import {type LoopLag} from '../common/loop-lag.js';
+import {type MeshLog} from '../timeline/mesh-log.js';
 import {createCallScope, type CallScope} from './call-scope.js';
-import {
-	decodePeerCall, filterCallHeaders, getText, peerHeaders, type PeerCall, type WireHeaders,
-} from './call-headers.js';
-import {encodeGateResult, type GateResult} from './forward-result.js';
+import {createFrameReader, encodeFrameHead, type Frame} from './frame.js';
+import {createMayHaveRun, type GateResult} from './forward-result.js';
 import {type LocalGate} from './local-gate.js';
-import {hasBody, readBody} from './read-body.js';
-import {watchConnections, type ConnectionScopes} from './connection-scopes.js';
+import {decodePeerRequest, encodePeerAnswer, type PeerRequest} from './peer-messages.js';
 
-/** Path at which a node asks for the configuration in force. No caller reaches this port. @internal */
-export const configPath = '/mesh/config';
+/** @internal */
+export type GateServerContext = {
+	readonly gate: LocalGate;
+	/** The configuration in force, as the store holds it. */
+	readonly getConfigText: () => string | undefined;
+	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
+	readonly catchUp: LoopLag['catchUp'];
+	readonly log: MeshLog;
+};
+
+/** @internal */
+export type GateServer = {
+	readonly server: Server;
+	/** Closes every connection. */
+	readonly dispose: () => void;
+};
 
-/** Idle connections of other nodes are kept this long, in milliseconds: longer than the senders keep them. */
-const keepAliveMs = 60_000;
+/** One request under way on a connection. */
+type Incoming = {
+	readonly scope: CallScope;
+	/** Takes the body of an offer; `undefined` if none is waited for. */
+	takeBody: ((body: Uint8Array) => void) | undefined;
+};
 
-type GateRequest = {
-	readonly request: IncomingMessage;
-	readonly response: ServerResponse;
-	readonly askForBody: () => void;
+type Connection = {
+	readonly socket: Socket;
+	readonly incoming: Map<number, Incoming>;
 };
 
-function sendResult(response: ServerResponse, gateResult: GateResult): void {
-	if (response.destroyed) {
+function writeFrame({socket}: Connection, frame: Parameters<typeof encodeFrameHead>[0]): void {
+	if (socket.destroyed) {
 		return;
 	}
 
-	response.sendDate = false;
-	const {result} = gateResult;
-	const resultHeader = {[peerHeaders.result]: encodeGateResult(gateResult)};
-	if (result.type === 'answered') {
-		const lengthHeader = response.req.method === 'HEAD' ? {} : {'content-length': result.body.length};
-		response.writeHead(result.status, {...result.headers as Record<string, string | string[]>, ...resultHeader, ...lengthHeader});
-		response.end(result.body);
-		return;
+	socket.cork();
+	socket.write(encodeFrameHead(frame));
+	if (frame.body !== undefined && frame.body.length > 0) {
+		socket.write(frame.body);
 	}
 
-	response.writeHead(503, {...resultHeader, 'content-length': 0, ...response.req.complete ? {} : {connection: 'close'}});
-	response.end();
+	process.nextTick(() => {
+		socket.uncork();
+	});
 }
 
-/** @internal */
-export type GateServerContext = {
-	readonly gate: LocalGate;
-	readonly wire: WireHeaders;
-	/** The configuration in force, as the store holds it. */
-	readonly getConfigText: () => string | undefined;
-	readonly maxBodyBytes: number;
-	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
-	readonly catchUp: LoopLag['catchUp'];
-};
+function endAll({incoming}: Connection): void {
+	for (const {scope} of incoming.values()) {
+		scope.end('cancelled');
+	}
+}
 
 /**
  * @param context - The gate and what it works with.
  * @returns The server, not listening yet.
  * @internal
  */
-export function createGateServer(context: GateServerContext): Server {
-	const {gate, wire, getConfigText, maxBodyBytes, catchUp} = context;
-
-	/** Only nodes speak here: of anything else but the question for the configuration nothing is run. */
-	const refuseStranger = (request: IncomingMessage, response: ServerResponse): void => {
-		if (request.url === configPath) {
-			sendConfig(response);
-			return;
-		}
-
-		response.writeHead(404, {'content-length': 0, connection: 'close'});
-		response.end();
-	};
+export function createGateServer(context: GateServerContext): GateServer {
+	const {gate, getConfigText, catchUp, log} = context;
+	const connections = new Set<Connection>();
+
+	/** Asks for the body of an offer once a slot is held. */
+	const fetchBody = async (connection: Connection, id: number, one: Incoming): Promise<Uint8Array> => new Promise((resolve, reject) => {
+		one.takeBody = resolve;
+		one.scope.subscribe(() => {
+			reject(new Error('the caller has gone'));
+		});
+		writeFrame(connection, {type: 'continue', id});
+	});
 
-	const sendConfig = (response: ServerResponse): void => {
-		const text = getConfigText();
-		response.writeHead(text === undefined ? 404 : 200, {'content-length': Buffer.byteLength(text ?? '')});
-		response.end(text);
+	const runGate = async (connection: Connection, frame: Frame, request: PeerRequest, one: Incoming): Promise<GateResult> => {
+		try {
+			await catchUp();
+			return await gate.run({
+				...request,
+				scope: one.scope,
+				readBody: async () => frame.type === 'offer' ? fetchBody(connection, frame.id, one) : (request.hasBody ? frame.body : undefined),
+			});
+		} catch (error) {
+			log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
+			return {result: createMayHaveRun('wrong-answer', 'a fault of the gate'), load: undefined};
+		}
 	};
 
-	const forward = async ({request, response, askForBody}: GateRequest, peerCall: PeerCall, scope: CallScope): Promise<void> => {
-		const {headers} = request;
-		const result = await gate.run({
-			...peerCall,
-			id: getText(headers, wire.callId) ?? '',
-			method: request.method ?? 'GET',
-			target: request.url ?? '/',
-			headers: filterCallHeaders(headers),
-			async readBody() {
-				if (!hasBody(request)) {
-					return undefined;
-				}
-
-				askForBody();
-				return readBody(request, maxBodyBytes);
-			},
-			scope,
-		});
-		sendResult(response, result);
+	const answer = async (connection: Connection, frame: Frame, request: PeerRequest): Promise<void> => {
+		const scope = createCallScope(readSteadyMs() + request.leftMs);
+		const one: Incoming = {scope, takeBody: undefined};
+		connection.incoming.set(frame.id, one);
+		const result = await runGate(connection, frame, request, one);
+		connection.incoming.delete(frame.id);
+		scope.dispose();
+		writeFrame(connection, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
 	};
 
-	const handle = async (connections: ConnectionScopes, gateRequest: GateRequest): Promise<void> => {
-		const {request, response} = gateRequest;
-		const peerCall = decodePeerCall(getText(request.headers, peerHeaders.call));
-		if (peerCall === undefined) {
-			refuseStranger(request, response);
-			return;
-		}
-
-		const scope = createCallScope(readSteadyMs() + peerCall.leftMs);
-		const forget = connections.add(request.socket, scope);
-		try {
-			await catchUp();
-			await forward(gateRequest, peerCall, scope);
-		} finally {
-			forget();
-			scope.dispose();
+	const handleFrame = (connection: Connection, frame: Frame): void => {
+		switch (frame.type) {
+			case 'request':
+			case 'offer': {
+				void answer(connection, frame, decodePeerRequest(frame.head));
+				break;
+			}
+
+			case 'body': {
+				connection.incoming.get(frame.id)?.takeBody?.(frame.body);
+				break;
+			}
+
+			case 'cancel': {
+				connection.incoming.get(frame.id)?.scope.end('cancelled');
+				break;
+			}
+
+			case 'config': {
+				writeFrame(connection, {type: 'answer', id: frame.id, body: Buffer.from(getConfigText() ?? '')});
+				break;
+			}
+
+			case 'continue':
+			case 'answer': {
+				connection.socket.destroy(new Error(`a frame of type ${frame.type} from a node that asks`));
+				break;
+			}
 		}
 	};
 
-	const server = createServer({keepAliveTimeout: keepAliveMs, noDelay: true, requestTimeout: 0});
-	const connections = watchConnections(server);
-	server.on('request', (request: IncomingMessage, response: ServerResponse) => {
-		void handle(connections, {request, response, askForBody: () => undefined});
-	});
-	server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-		void handle(connections, {
-			request,
-			response,
-			askForBody() {
-				response.writeContinue();
-			},
+	const server = createServer({noDelay: true}, socket => {
+		const connection: Connection = {socket, incoming: new Map()};
+		const reader = createFrameReader();
+		connections.add(connection);
+		socket.on('data', (bytes: Uint8Array) => {
+			try {
+				for (const frame of reader.read(bytes)) {
+					handleFrame(connection, frame);
+				}
+			} catch (error) {
+				log.record('warn', {kind: 'peer-refused', address: socket.remoteAddress ?? '', reason: (error as Error).message});
+				socket.destroy();
+			}
+		});
+		socket.on('error', () => {
+			// What it means for the requests is told by the close that follows.
+		});
+		socket.once('close', () => {
+			connections.delete(connection);
+			endAll(connection);
 		});
 	});
-	return server;
+
+	return {
+		server,
+		dispose() {
+			for (const {socket} of connections) {
+				socket.destroy();
+			}
+		},
+	};
 }
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -189,6 +189,7 @@
 	};
 
 	const waitForSlot = async (request: QueuedRequest, scope: CallScope): Promise<'run' | 'late' | 'cancelled'> => new Promise(resolve => {
+		let unsubscribe = (): void => undefined;
 		const finish: Waiter = outcome => {
 			clearTimeout(timer);
 			unsubscribe();
@@ -204,7 +205,7 @@
 			finish('late');
 		}, Math.max(0, request.waitUntil - readSteadyMs()));
 		waiters.set(request.id, finish);
-		const unsubscribe = scope.subscribe(() => {
+		unsubscribe = scope.subscribe(() => {
 			finish('cancelled');
 		});
 	});
--- /dev/null
+++ b/src/lib/forwarding/peer-channel.ts
@@ -0,0 +1,205 @@
+/**
+ * One connection to the gate of another node, which many requests share.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+import process from 'node:process';
+import {parseAddress} from '../common/address.js';
+import {type Address} from '../common/ids.js';
+import {type CallScope, type ScopeEnd} from './call-scope.js';
+import {createFrameReader, encodeFrameHead, type Frame} from './frame.js';
+
+/** What is asked of the other node. @internal */
+export type ChannelRequest = {
+	readonly type: 'request' | 'offer' | 'config';
+	readonly head: unknown;
+	readonly body: Uint8Array | undefined;
+	readonly scope: CallScope;
+};
+
+/** How it ended. @internal */
+export type ChannelResult =
+	| {readonly type: 'answered'; readonly head: unknown; readonly body: Uint8Array}
+	| {
+		readonly type: 'failed';
+		/** Whether the request, with its body, may have arrived. */
+		readonly isSent: boolean;
+		readonly reason: 'unreachable' | 'connection-lost' | ScopeEnd;
+		readonly detail: string;
+	};
+
+/** @internal */
+export type PeerChannel = {
+	readonly send: (request: ChannelRequest) => Promise<ChannelResult>;
+	readonly isUsable: () => boolean;
+	/** Takes no more requests, and closes when those under way have ended. */
+	readonly retire: () => void;
+	readonly dispose: () => void;
+};
+
+type Pending = {
+	readonly request: ChannelRequest;
+	readonly settle: (result: ChannelResult) => void;
+	isSent: boolean;
+};
+
+function writeFrame(socket: Socket, frame: Parameters<typeof encodeFrameHead>[0]): void {
+	socket.cork();
+	socket.write(encodeFrameHead(frame));
+	if (frame.body !== undefined && frame.body.length > 0) {
+		socket.write(frame.body);
+	}
+
+	// Several frames of one turn of the loop leave in one write.
+	process.nextTick(() => {
+		socket.uncork();
+	});
+}
+
+/**
+ * Opens a channel.
+ *
+ * @param address - Where the gate listens.
+ * @param connectMs - Milliseconds until the connection must be up.
+ * @param handleClosed - Called once when it has ended.
+ * @returns The channel, connecting.
+ * @internal
+ */
+export function openPeerChannel(address: Address, connectMs: number, handleClosed: () => void): PeerChannel {
+	const {host, port} = parseAddress(address);
+	const socket = connect({host, port, noDelay: true});
+	const reader = createFrameReader();
+	const pending = new Map<number, Pending>();
+	let nextId = 1;
+	let isConnected = false;
+	let isRetired = false;
+	let failure = '';
+
+	const timer = setTimeout(() => {
+		socket.destroy(new Error(`no connection within ${connectMs} ms`));
+	}, connectMs);
+
+	const closeIfIdle = (): void => {
+		if (isRetired && pending.size === 0) {
+			socket.destroy();
+		}
+	};
+
+	const finish = (id: number, result: ChannelResult): void => {
+		const one = pending.get(id);
+		pending.delete(id);
+		one?.settle(result);
+		closeIfIdle();
+	};
+
+	const failAll = (): void => {
+		for (const [id, {isSent}] of pending) {
+			finish(id, isConnected
+				? {
+					type: 'failed', isSent, reason: 'connection-lost', detail: failure,
+				}
+				: {
+					type: 'failed', isSent: false, reason: 'unreachable', detail: failure,
+				});
+		}
+	};
+
+	const sendBody = (id: number): void => {
+		const one = pending.get(id);
+		if (one !== undefined && !one.isSent) {
+			one.isSent = true;
+			writeFrame(socket, {type: 'body', id, body: one.request.body ?? Buffer.alloc(0)});
+		}
+	};
+
+	const handleFrame = ({type, id, head, body}: Frame): void => {
+		switch (type) {
+			case 'answer': {
+				// Joined chunks may be large: an answer that is kept must not keep them.
+				finish(id, {type: 'answered', head, body});
+				break;
+			}
+
+			case 'continue': {
+				sendBody(id);
+				break;
+			}
+
+			case 'request':
+			case 'offer':
+			case 'body':
+			case 'cancel':
+			case 'config': {
+				socket.destroy(new Error(`a frame of type ${type} from a gate`));
+				break;
+			}
+		}
+	};
+
+	socket.on('connect', () => {
+		clearTimeout(timer);
+		isConnected = true;
+	});
+	socket.on('data', (bytes: Uint8Array) => {
+		try {
+			for (const frame of reader.read(bytes)) {
+				handleFrame(frame);
+			}
+		} catch (error) {
+			socket.destroy(error as Error);
+		}
+	});
+	socket.on('error', error => {
+		failure = error.message;
+	});
+	socket.on('end', () => {
+		socket.destroy();
+	});
+	socket.once('close', () => {
+		clearTimeout(timer);
+		failure ||= 'the other node closed the connection';
+		failAll();
+		handleClosed();
+	});
+
+	return {
+		async send(request) {
+			return new Promise(resolve => {
+				const id = nextId++;
+				const {type, head, body, scope} = request;
+				const isWhole = type !== 'offer';
+				let unsubscribe = (): void => undefined;
+				const one: Pending = {
+					request,
+					isSent: isWhole,
+					settle(result) {
+						unsubscribe();
+						resolve(result);
+					},
+				};
+				pending.set(id, one);
+				writeFrame(socket, {
+					type, id, head, ...isWhole && body !== undefined ? {body} : {},
+				});
+				unsubscribe = scope.subscribe(reason => {
+					const {isSent} = one;
+					writeFrame(socket, {type: 'cancel', id});
+					finish(id, {
+						type: 'failed', isSent: isSent && isConnected, reason, detail: reason === 'timeout' ? 'no answer in time' : 'the caller has gone',
+					});
+				});
+			});
+		},
+		isUsable: () => !isRetired && !socket.destroyed,
+		retire() {
+			isRetired = true;
+			closeIfIdle();
+		},
+		dispose() {
+			isRetired = true;
+			socket.destroy();
+		},
+	};
+}
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -12,7 +12,7 @@
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {
 	acceptReport, dropSilent, forgiveSilence, isHeard, noteReached, noteUnreachable,
-	type Peer, type PeerLimits, type PeerTable,
+	type Peer, type PeerLimits, type PeerNews, type PeerTable,
 } from './peer-table.js';
 
 /** @internal */
@@ -29,7 +29,7 @@
 	readonly describeSelf: (sequence: number) => PeerReport;
 	readonly log: MeshLog;
 	/** Told of each report that was heard. */
-	readonly handleReport: (report: PeerReport) => void;
+	readonly handleReport: (report: PeerReport, news: PeerNews) => void;
 };
 
 /** @internal */
@@ -161,7 +161,7 @@
 			send(encodeSelf(), report.gossip);
 		}
 
-		handleReport(report);
+		handleReport(report, news);
 	};
 
 	return {
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -6,9 +6,8 @@
  */
 import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
-import {
-	createServer, get as openGet, type Server,
-} from 'node:http';
+import {createServer} from 'node:http';
+import {type Server} from 'node:net';
 import process from 'node:process';
 import {type Result} from 'neverthrow';
 import {parseAddress} from '../common/address.js';
@@ -16,14 +15,15 @@
 import {type Address, type NodeId} from '../common/ids.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {type WireHeaders} from '../forwarding/call-headers.js';
+import {createCallScope} from '../forwarding/call-scope.js';
 import {createEntryServer, type FinishedCall} from '../forwarding/entry-server.js';
 import {createGateClient} from '../forwarding/gate-client.js';
-import {configPath, createGateServer} from '../forwarding/gate-server.js';
+import {createGateServer} from '../forwarding/gate-server.js';
 import {createLocalGate} from '../forwarding/local-gate.js';
 import {createRetryAllowance} from '../forwarding/retry-allowance.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
-import {isReachable, type PeerLimits} from '../peers/peer-table.js';
+import {isReachable, type PeerLimits, type PeerNews} from '../peers/peer-table.js';
 import {createConfigHolder} from '../route-config/config-holder.js';
 import {type RouteConfig, type RouteRule} from '../route-config/route-config.js';
 import {createShareSplitter} from '../route-config/share-splitter.js';
@@ -67,6 +67,9 @@
 /** Milliseconds between two looks for nodes that have fallen silent while requests wait for them. */
 const silenceCheckMs = 100;
 
+/** How long another node may take to hand over its configuration. Milliseconds. */
+const fetchConfigMs = 500;
+
 /** A timer that fires this late shows that the process stood still, rather than that it was busy. Milliseconds. */
 const pauseMs = 400;
 
@@ -76,9 +79,6 @@
 /** Connections to a backend server before a configuration says how many it accepts. */
 const defaultConnections = 64;
 
-/** The largest body that the gate takes: other nodes have checked it against the limits in force. */
-const maxGateBodyBytes = 134_217_728;
-
 /** Milliseconds after SIGTERM for which requests of other nodes are still taken: some are on their way. */
 const gateGraceMs = 300;
 
@@ -109,34 +109,6 @@
 	});
 }
 
-async function fetchConfigText(gate: Address): Promise<string | undefined> {
-	const {host, port} = parseAddress(gate);
-	return new Promise(resolve => {
-		const outgoing = openGet({
-			host, port, path: configPath, agent: false, timeout: 500,
-		}, incoming => {
-			let text = '';
-			incoming.setEncoding('utf8');
-			incoming.on('data', (chunk: string) => {
-				text += chunk;
-			});
-			incoming.once('end', () => {
-				resolve(incoming.complete && incoming.statusCode === 200 ? text : undefined);
-			});
-			incoming.once('error', () => {
-				resolve(undefined);
-			});
-		});
-		outgoing.once('timeout', () => {
-			outgoing.destroy();
-		});
-		outgoing.once('error', () => {
-			// Whoever asked tries another node at the next heartbeat.
-			resolve(undefined);
-		});
-	});
-}
-
 /**
  * Creates a sidecar node.
  *
@@ -193,7 +165,9 @@
 		// The own watch is likely to have it in a moment.
 		await waitFor(health.isReachable() ? newerGraceMs : 0);
 		if (report.version > holder.getVersion()) {
-			const text = await fetchConfigText(report.gate);
+			const scope = createCallScope(readSteadyMs() + fetchConfigMs);
+			const text = await gateClient.fetchConfig(report.gate, scope);
+			scope.dispose();
 			if (text !== undefined) {
 				follower.adoptText(text, report.node);
 			}
@@ -202,7 +176,11 @@
 		isFetching = false;
 	};
 
-	const handleReport = (report: PeerReport): void => {
+	const handleReport = (report: PeerReport, news: PeerNews): void => {
+		if (news === 'restarted' || news === 'returned') {
+			gateClient.renew(report.gate);
+		}
+
 		if (report.server !== undefined) {
 			loads.hear(report.server.id, report.server, readSteadyMs());
 		}
@@ -223,7 +201,15 @@
 	const registration = createRegistration({
 		store, health, self, gossip: settings.listen.gossip, log, random, handleAddresses: link.addContacts,
 	});
-	const gateClient = createGateClient(wire);
+	const gateClient = createGateClient();
+
+	/** Whatever was sent before may hang on a connection that a cut has left half open. */
+	const renewConnections = (node: NodeId): void => {
+		const peer = link.getTable().get(node);
+		if (peer !== undefined) {
+			gateClient.renew(peer.report.gate);
+		}
+	};
 
 	const listCandidates = (service: string): readonly Candidate[] => {
 		const now = readSteadyMs();
@@ -271,6 +257,7 @@
 		random,
 		noteUnreachable(node, reason) {
 			link.noteUnreachable(node);
+			renewConnections(node);
 			log.record('info', {kind: 'peer-avoided', peer: node, reason});
 		},
 		noteReached: link.noteReached,
@@ -289,7 +276,7 @@
 		catchUp: lag.catchUp,
 	});
 	const gateServer = createGateServer({
-		gate, wire, getConfigText: () => holder.get()?.text, maxBodyBytes: maxGateBodyBytes, catchUp: lag.catchUp,
+		gate, getConfigText: () => holder.get()?.text, catchUp: lag.catchUp, log,
 	});
 	const announcementServer = createAnnouncementServer({
 		decode: surroundings.decodeServerCall,
@@ -363,7 +350,9 @@
 		gateClient.dispose();
 		gate.dispose();
 		store.dispose();
-		for (const server of [entry.server, gateServer, announcementServer, readinessServer, metricsServer]) {
+		gateServer.server.close();
+		gateServer.dispose();
+		for (const server of [entry.server, announcementServer, readinessServer, metricsServer]) {
 			server.close();
 			server.closeAllConnections();
 		}
@@ -381,7 +370,7 @@
 			await link.start();
 			await Promise.all([
 				listen(announcementServer, settings.listen.announcements),
-				listen(gateServer, settings.listen.gate),
+				listen(gateServer.server, settings.listen.gate),
 				listen(entry.server, settings.listen.callers),
 				listen(readinessServer, settings.listen.readiness),
 				listen(metricsServer, settings.listen.metrics),
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -41,6 +41,7 @@
 	| {readonly kind: 'peer-lost'; readonly peer: string; readonly heardMsAgo: number}
 	| {readonly kind: 'peer-forgotten'; readonly peer: string; readonly silentMs: number}
 	| {readonly kind: 'peer-avoided'; readonly peer: string; readonly reason: string}
+	| {readonly kind: 'peer-refused'; readonly address: string; readonly reason: string}
 	| {readonly kind: 'heartbeat-refused'; readonly reason: string; readonly count: number}
 	| {readonly kind: 'heartbeat-not-sent'; readonly address: string; readonly reason: string}
 	| {readonly kind: 'gossip-failed'; readonly reason: string}
