--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -142,7 +142,7 @@
 		let isSettled = false;
 		let hasAnswer = false;
 		// A scope that has ended already calls back before it can be unsubscribed from.
-		let unsubscribe = (): void => undefined;
+		let stopListening = (): void => undefined;
 
 		const settle = (result: ExchangeResult): void => {
 			if (isSettled) {
@@ -150,7 +150,7 @@
 			}
 
 			isSettled = true;
-			unsubscribe();
+			stopListening();
 			resolve(result);
 		};
 
@@ -214,7 +214,7 @@
 			});
 		});
 
-		unsubscribe = exchange.scope.subscribe(reason => {
+		stopListening = exchange.scope.subscribe(reason => {
 			fail(reason, reason === 'timeout' ? 'no answer in time' : 'the caller has gone');
 			outgoing.destroy();
 		});
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -189,10 +189,10 @@
 	};
 
 	const waitForSlot = async (request: QueuedRequest, scope: CallScope): Promise<'run' | 'late' | 'cancelled'> => new Promise(resolve => {
-		let unsubscribe = (): void => undefined;
+		let stopListening = (): void => undefined;
 		const finish: Waiter = outcome => {
 			clearTimeout(timer);
-			unsubscribe();
+			stopListening();
 			waiters.delete(request.id);
 			if (outcome !== 'run') {
 				queue = removeQueued(queue, request.id);
@@ -205,7 +205,7 @@
 			finish('late');
 		}, Math.max(0, request.waitUntil - readSteadyMs()));
 		waiters.set(request.id, finish);
-		unsubscribe = scope.subscribe(() => {
+		stopListening = scope.subscribe(() => {
 			finish('cancelled');
 		});
 	});
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -170,12 +170,12 @@
 				const id = nextId++;
 				const {type, head, body, scope} = request;
 				const isWhole = type !== 'offer';
-				let unsubscribe = (): void => undefined;
+				let stopListening = (): void => undefined;
 				const one: Pending = {
 					request,
 					isSent: isWhole,
 					settle(result) {
-						unsubscribe();
+						stopListening();
 						resolve(result);
 					},
 				};
@@ -183,7 +183,7 @@
 				writeFrame(socket, {
 					type, id, head, ...isWhole && body !== undefined ? {body} : {},
 				});
-				unsubscribe = scope.subscribe(reason => {
+				stopListening = scope.subscribe(reason => {
 					const {isSent} = one;
 					writeFrame(socket, {type: 'cancel', id});
 					finish(id, {
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -28,7 +28,7 @@
 	readonly mayWaitMs: number;
 };
 
-const tenth = (value: number): number => Math.round(value * 10) / 10;
+const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
 
 const isText = (value: unknown): value is string => typeof value === 'string';
 const isAmount = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value);
@@ -42,7 +42,7 @@
  */
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
 	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs} = request;
-	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, tenth(Math.max(0, leftMs)), tenth(Math.max(0, mayWaitMs))];
+	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs))];
 }
 
 /**
@@ -66,7 +66,7 @@
 }
 
 function encodeLoad({running, waiting, serviceMs, tookMs}: GateLoad): readonly number[] {
-	return [running, waiting, Math.round(serviceMs), tenth(tookMs)];
+	return [running, waiting, Math.round(serviceMs), roundToTenth(tookMs)];
 }
 
 function decodeLoad(value: unknown): GateLoad | undefined {
