--- /dev/null
+++ b/src/lib/forwarding/send-call.test.ts
@@ -0,0 +1,173 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+} from '../common/ids.js';
+import {createSampleRoute} from '../route-config/sample-config.js';
+import {createLoadView, type LoadView} from '../routing/load-view.js';
+import {type Candidate} from '../routing/rank-servers.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {createCallScope} from './call-scope.js';
+import {
+	createMayHaveRun, createNotRun, type ForwardResult, type GateResult,
+} from './forward-result.js';
+import {type GateClient, type RemoteCall} from './gate-client.js';
+import {type LocalGate} from './local-gate.js';
+import {createRetryAllowance} from './retry-allowance.js';
+import {
+	chooseFailureStatus, sendCall, type OutgoingCall, type SendContext,
+} from './send-call.js';
+
+const domain = toFailureDomain('a');
+
+type Fixture = {
+	readonly context: SendContext;
+	readonly sent: RemoteCall[];
+	readonly loads: LoadView;
+	readonly unreachable: string[];
+};
+
+/** A mesh of remote servers, each of which treats requests in the given ways, one after the other. */
+function createFixture(servers: Readonly<Record<string, readonly ForwardResult[]>>, changes: Partial<SendContext> = {}): Fixture {
+	const sent: RemoteCall[] = [];
+	const unreachable: string[] = [];
+	const loads = createLoadView();
+	const left = new Map(Object.entries(servers).map(([id, results]) => [id, [...results]]));
+	const listCandidates = (): readonly Candidate[] => Object.keys(servers).map(id => ({
+		id: toBackendServerId(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toBackendServerId(id)),
+	}));
+	const gateClient = {
+		async send(call: RemoteCall): Promise<GateResult> {
+			sent.push(call);
+			return {result: left.get(call.server)?.shift() ?? answered, load: undefined};
+		},
+	} as unknown as GateClient;
+	const context: SendContext = {
+		self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog,
+		localGate: {} as unknown as LocalGate,
+		getCrossDomainMs: () => 40,
+		allowance: createRetryAllowance({ratio: 0.2, slack: 100, windowMs: 10_000}, () => 1),
+		random: () => 0,
+		noteUnreachable(node) {
+			unreachable.push(node);
+		},
+		noteReached: () => undefined,
+		watchSilence: () => () => undefined,
+		...changes,
+	};
+	return {
+		context, sent, loads, unreachable,
+	};
+}
+
+const answered: ForwardResult = {
+	type: 'answered', status: 200, headers: {}, body: new Uint8Array(),
+};
+const failed: ForwardResult = {...answered, status: 500};
+
+function createCall(changes: Partial<OutgoingCall> = {}): OutgoingCall {
+	return {
+		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined,
+		receivedAt: performance.now(), isLastRank: true, scope: createCallScope(performance.now() + 1000), ...changes,
+	};
+}
+
+const unsafe = {route: createSampleRoute({type: 'unsafe', maxAttempts: 3})};
+
+test('a gate without a slot is no attempt: the next one is asked, whatever the request', async () => {
+	const {context, sent} = createFixture({a: [createNotRun('full', 'x', 80)], b: [answered]});
+	const outcome = await sendCall(context, createCall(unsafe));
+	assert.equal(outcome.verdict, 'ran');
+	assert.equal(new Set(sent.map(({server}) => server)).size, sent.length);
+});
+
+test('the first gates are asked for a slot at once, a later one to let it wait', async () => {
+	const full = [createNotRun('full', 'x', 80), createNotRun('full', 'x', 80)];
+	const {context, sent} = createFixture({a: full, b: full, c: full});
+	const outcome = await sendCall(context, createCall());
+	assert.deepEqual(sent.map(({mayWaitMs}) => mayWaitMs > 0), [false, false, true, true]);
+	assert.equal(outcome.verdict, 'not-run');
+	assert.equal(outcome.result.type === 'failed' ? chooseFailureStatus(outcome.result, outcome.verdict) : 0, 503);
+	assert.equal(outcome.result.type === 'failed' ? outcome.result.retryAfterMs : 0, 80);
+});
+
+test('what may have run is sent again only if it may run twice, and never promised', async () => {
+	const lost = createMayHaveRun('connection-lost', 'x');
+	const safe = createFixture({a: [lost], b: [lost]});
+	const outcome = await sendCall(safe.context, createCall());
+	assert.equal(safe.sent.length, 2);
+	assert.equal(outcome.result.type === 'failed' ? chooseFailureStatus(outcome.result, outcome.verdict) : 0, 502);
+	const once = createFixture({a: [lost], b: [lost]});
+	await sendCall(once.context, createCall(unsafe));
+	assert.equal(once.sent.length, 1);
+});
+
+test('after an attempt that may have run, a refusal elsewhere does not turn the whole into a promise', async () => {
+	const lost = createMayHaveRun('connection-lost', 'x');
+	const {context} = createFixture({a: [lost, lost], b: [createNotRun('full', 'x'), lost]});
+	const outcome = await sendCall(context, createCall());
+	assert.equal(outcome.verdict, 'may-have-run');
+	assert.equal(outcome.result.type === 'failed' ? chooseFailureStatus(outcome.result, outcome.verdict) : 0, 502);
+});
+
+test('a failure of the server is tried once more if the request may run twice; else it is the answer', async () => {
+	const safe = createFixture({a: [failed], b: [failed]});
+	const twice = await sendCall(safe.context, createCall());
+	assert.equal(safe.sent.length, 2);
+	assert.equal(twice.result.type === 'answered' ? twice.result.status : 0, 500);
+	const once = createFixture({a: [failed], b: [failed]});
+	await sendCall(once.context, createCall(unsafe));
+	assert.equal(once.sent.length, 1);
+});
+
+test('no more servers than the route allows, and no more repeats than the operators allow', async () => {
+	const many = createFixture({
+		a: [failed], b: [failed], c: [failed], d: [failed],
+	});
+	await sendCall(many.context, createCall({route: createSampleRoute({maxAttempts: 3})}));
+	assert.equal(many.sent.length, 3);
+	const spent = createFixture({a: [failed], b: [failed]}, {allowance: createRetryAllowance({ratio: 0, slack: 0, windowMs: 10_000}, () => 1)});
+	await sendCall(spent.context, createCall());
+	assert.equal(spent.sent.length, 1);
+});
+
+test('when every server is busy for far too long, no gate is asked, unless others wait behind the call', async () => {
+	const busy = (fixture: Fixture): void => {
+		for (const id of ['a', 'b']) {
+			fixture.loads.hear(toBackendServerId(id), {running: 4, waiting: 40, serviceMs: 200}, performance.now());
+		}
+	};
+
+	const last = createFixture({a: [], b: []});
+	busy(last);
+	const outcome = await sendCall(last.context, createCall());
+	assert.equal(last.sent.length, 0);
+	assert.ok(outcome.result.type === 'failed' && outcome.result.verdict === 'not-run' && outcome.result.retryAfterMs > 1000);
+	const urgent = createFixture({a: [], b: []});
+	busy(urgent);
+	await sendCall(urgent.context, createCall({isLastRank: false}));
+	assert.equal(urgent.sent.length, 1);
+});
+
+test('a node that cannot be reached is named, and the call goes elsewhere', async () => {
+	const {context, unreachable} = createFixture({a: [createNotRun('node-unreachable', 'x')], b: [answered]});
+	const outcome = await sendCall(context, createCall(unsafe));
+	assert.equal(outcome.verdict, 'ran');
+	assert.ok(unreachable.length <= 1);
+});
+
+test('a call whose caller has left is not sent on', async () => {
+	const {context, sent} = createFixture({a: [createNotRun('full', 'x')], b: [answered]}, {
+		gateClient: {
+			async send(call: RemoteCall) {
+				sent.push(call);
+				call.scope.end('cancelled');
+				scope.end('cancelled');
+				return {result: createNotRun('cancelled', 'x'), load: undefined};
+			},
+		} as unknown as GateClient,
+	});
+	const scope = createCallScope(performance.now() + 1000);
+	await sendCall(context, createCall({scope}));
+	assert.equal(sent.length, 1);
+});
