--- a/bench/capacity/slopes.ts
+++ b/bench/capacity/slopes.ts
@@ -11,7 +11,9 @@
 import {
 	toAddress, toBackendServerId, toFailureDomain, toNodeId, toSubmissionId,
 } from '../../src/lib/common/ids.js';
-import {applyDelta, createConfiguration, prepareDelta, type Configuration, type Delta} from '../../src/lib/configuration/configuration.js';
+import {
+	applyDelta, createConfiguration, prepareDelta, type Configuration, type Delta,
+} from '../../src/lib/configuration/configuration.js';
 import {type ItemChange} from '../../src/lib/configuration/configured-item.js';
 import {evaluateSubmission, findItemProblems} from '../../src/lib/configuration/evaluate-submission.js';
 import {createDirectory, mergeRecords, type Directory} from '../../src/lib/directory/directory.js';
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -334,7 +334,14 @@
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
 		log.record('info', {
-			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, running: queue.running, waiting: queue.waiting.length, serviceMs: Math.round(queue.serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
+			kind: 'gate-refused',
+			call: call.id,
+			server: call.server,
+			reason: failure.reason,
+			running: queue.running,
+			waiting: queue.waiting.length,
+			serviceMs: Math.round(queue.serviceMs),
+			mayWaitMs: Math.round(call.mayWaitMs),
 		});
 		return failure;
 	};
--- a/src/lib/routing/rank-servers.test.ts
+++ b/src/lib/routing/rank-servers.test.ts
@@ -13,7 +13,15 @@
 
 function createCandidate(id: string, changes: Partial<Candidate> = {}, view: Partial<Candidate['view']> = {}): Candidate {
 	return {
-		id: toBackendServerId(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain: here, isLocal: false, slots: 12, isCold: false, ...changes, view: {...unknown, serviceMs: 100, ...view},
+		id: toBackendServerId(id),
+		node: toNodeId(`n-${id}`),
+		gate: toAddress('10.0.0.1:1'),
+		domain: here,
+		isLocal: false,
+		slots: 12,
+		isCold: false,
+		...changes,
+		view: {...unknown, serviceMs: 100, ...view},
 	};
 }
 
