--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -132,19 +132,19 @@
 });
 
 test('when every server is busy for far too long, no gate is asked, unless others wait behind the call', async () => {
-	const busy = (fixture: Fixture): void => {
+	const fillQueues = (fixture: Fixture): void => {
 		for (const id of ['a', 'b']) {
 			fixture.loads.hear(toBackendServerId(id), {running: 4, waiting: 40, serviceMs: 200}, performance.now());
 		}
 	};
 
 	const last = createFixture({a: [], b: []});
-	busy(last);
+	fillQueues(last);
 	const outcome = await sendCall(last.context, createCall());
 	assert.equal(last.sent.length, 0);
 	assert.ok(outcome.result.type === 'failed' && outcome.result.verdict === 'not-run' && outcome.result.retryAfterMs > 1000);
 	const urgent = createFixture({a: [], b: []});
-	busy(urgent);
+	fillQueues(urgent);
 	await sendCall(urgent.context, createCall({isLastRank: false}));
 	assert.equal(urgent.sent.length, 1);
 });
