Take the operators' bounds from the settings; one copy of what stood twice

The retry allowance and the time to shut down stood as constants in the settings template; other deployments have other bounds.

--- a/apps/sidecar/main.ts
+++ b/apps/sidecar/main.ts
@@ -15,6 +15,9 @@
 
 const exitCodes = {badSettings: 2, cannotListen: 3, fault: 5} as const;
 
+/** Lines that only people read. */
+const commentLines = /^#.*$/gm;
+
 /** Milliseconds that a fault of the program may take to be written. */
 const lastWordsMs = 200;
 
@@ -27,8 +30,8 @@
 	}
 
 	try {
-		// The template writes YAML that is JSON as well, which needs no library to read.
-		return parseSidecarSettings(JSON.parse(text));
+		// The template writes YAML that is JSON but for its comments, which needs no library to read.
+		return parseSidecarSettings(JSON.parse(text.replaceAll(commentLines, '')));
 	} catch (error) {
 		return err(`settings: ${(error as Error).message}`);
 	}
--- a/platform/durations.ts
+++ b/src/lib/common/duration.ts
@@ -1,5 +1,5 @@
 /**
- * Times as the platform writes them: a number and its unit, as in `1500ms` or `2.5s`.
+ * Times as text: a number and its unit, as in `1500ms` or `2.5s`.
  *
  * @module
  */
@@ -24,7 +24,7 @@
 
 /**
  * @param milliseconds - A time.
- * @returns The same time as the platform writes it.
+ * @returns The same time as text.
  * @internal
  */
 export function formatDuration(milliseconds: number): string {
--- a/src/lib/forwarding/call-headers.ts
+++ b/src/lib/forwarding/call-headers.ts
@@ -22,8 +22,6 @@
 	readonly signature: string;
 	/** Says that the backend server did not run the request. */
 	readonly notRun: string;
-	/** Which backend server answers. */
-	readonly serverId: string;
 };
 
 function listConnectionHeaders(connection: string | undefined): readonly string[] {
--- a/src/lib/forwarding/frame.ts
+++ b/src/lib/forwarding/frame.ts
@@ -8,6 +8,8 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {type Socket} from 'node:net';
+import process from 'node:process';
 
 /** What a frame is. @internal */
 export type FrameType =
@@ -64,6 +66,29 @@
 	return bytes;
 }
 
+/**
+ * Writes a frame. Several frames of one turn of the loop leave in one write.
+ *
+ * @param socket - Where to; nothing is written to one that is destroyed.
+ * @param frame - The frame; its head and body may be left out.
+ * @internal
+ */
+export function writeFrame(socket: Socket, frame: Parameters<typeof encodeFrameHead>[0]): void {
+	if (socket.destroyed) {
+		return;
+	}
+
+	socket.cork();
+	socket.write(encodeFrameHead(frame));
+	if (frame.body !== undefined && frame.body.length > 0) {
+		socket.write(frame.body);
+	}
+
+	process.nextTick(() => {
+		socket.uncork();
+	});
+}
+
 /** Reads frames out of a stream of bytes. @internal */
 export type FrameReader = {
 	/** Takes bytes; yields the frames that are whole now. Throws if the bytes are no frames. */
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -6,12 +6,11 @@
  */
 import {Buffer} from 'node:buffer';
 import {createServer, type Server, type Socket} from 'node:net';
-import process from 'node:process';
 import {readSteadyMs} from '../common/clock.js';
 import {type LoopLag} from '../common/loop-lag.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createCallScope, type CallScope} from './call-scope.js';
-import {createFrameReader, encodeFrameHead, type Frame} from './frame.js';
+import {createFrameReader, writeFrame, type Frame} from './frame.js';
 import {createMayHaveRun, type GateResult} from './forward-result.js';
 import {type LocalGate} from './local-gate.js';
 import {decodePeerRequest, encodePeerAnswer, type PeerRequest} from './peer-messages.js';
@@ -45,22 +44,6 @@
 	readonly incoming: Map<number, Incoming>;
 };
 
-function writeFrame({socket}: Connection, frame: Parameters<typeof encodeFrameHead>[0]): void {
-	if (socket.destroyed) {
-		return;
-	}
-
-	socket.cork();
-	socket.write(encodeFrameHead(frame));
-	if (frame.body !== undefined && frame.body.length > 0) {
-		socket.write(frame.body);
-	}
-
-	process.nextTick(() => {
-		socket.uncork();
-	});
-}
-
 function endAll({incoming}: Connection): void {
 	for (const {scope} of incoming.values()) {
 		scope.end('cancelled');
@@ -82,7 +65,7 @@
 		one.scope.subscribe(() => {
 			reject(new Error('the caller has gone'));
 		});
-		writeFrame(connection, {type: 'continue', id});
+		writeFrame(connection.socket, {type: 'continue', id});
 	});
 
 	const runGate = async (connection: Connection, frame: Frame, request: PeerRequest, one: Incoming): Promise<GateResult> => {
@@ -106,7 +89,7 @@
 		const result = await runGate(connection, frame, request, one);
 		connection.incoming.delete(frame.id);
 		scope.dispose();
-		writeFrame(connection, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
+		writeFrame(connection.socket, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
 	};
 
 	const handleFrame = (connection: Connection, frame: Frame): void => {
@@ -128,7 +111,7 @@
 			}
 
 			case 'config': {
-				writeFrame(connection, {type: 'answer', id: frame.id, body: Buffer.from(getConfigText() ?? '')});
+				writeFrame(connection.socket, {type: 'answer', id: frame.id, body: Buffer.from(getConfigText() ?? '')});
 				break;
 			}
 
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -4,12 +4,11 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {connect, type Socket} from 'node:net';
-import process from 'node:process';
+import {connect} from 'node:net';
 import {parseAddress} from '../common/address.js';
 import {type Address} from '../common/ids.js';
 import {type CallScope, type ScopeEnd} from './call-scope.js';
-import {createFrameReader, encodeFrameHead, type Frame} from './frame.js';
+import {createFrameReader, writeFrame, type Frame} from './frame.js';
 
 /** What is asked of the other node. @internal */
 export type ChannelRequest = {
@@ -45,19 +44,6 @@
 	isSent: boolean;
 };
 
-function writeFrame(socket: Socket, frame: Parameters<typeof encodeFrameHead>[0]): void {
-	socket.cork();
-	socket.write(encodeFrameHead(frame));
-	if (frame.body !== undefined && frame.body.length > 0) {
-		socket.write(frame.body);
-	}
-
-	// Several frames of one turn of the loop leave in one write.
-	process.nextTick(() => {
-		socket.uncork();
-	});
-}
-
 /**
  * Opens a channel.
  *
--- a/src/lib/sidecar/sidecar-settings.ts
+++ b/src/lib/sidecar/sidecar-settings.ts
@@ -6,6 +6,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {isAddress} from '../common/address.js';
+import {parseDuration} from '../common/duration.js';
 import {
 	toAddress, toFailureDomain, toNodeId, type Address, type FailureDomain, type NodeId,
 } from '../common/ids.js';
@@ -82,6 +83,15 @@
 	return value;
 }
 
+function readDuration(parent: Json, name: string, place: string): number {
+	const milliseconds = parseDuration(parent[name]);
+	if (milliseconds === undefined || milliseconds < 0) {
+		throw new SettingError(`${place}${name}: found ${JSON.stringify(parent[name]) ?? 'nothing'}, must be a time, as in "1500ms" or "2.5s"`);
+	}
+
+	return milliseconds;
+}
+
 function readSeeds(value: unknown): readonly Address[] {
 	if (!Array.isArray(value) || !value.every(seed => typeof seed === 'string' && isAddress(seed))) {
 		throw new SettingError('seeds: must be a list of IP numbers and ports');
@@ -110,9 +120,9 @@
 		retries: {
 			ratio: readAmount(retries, 'ratio', 'retries.'),
 			slack: readAmount(retries, 'slack', 'retries.'),
-			windowMs: readAmount(retries, 'windowMs', 'retries.'),
+			windowMs: readDuration(retries, 'window', 'retries.'),
 		},
-		shutdownMs: readAmount(settings, 'shutdownMs', ''),
+		shutdownMs: readDuration(settings, 'shutdown', ''),
 	};
 }
 
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -125,6 +125,7 @@
 	const run = randomBytes(6).toString('base64url');
 	let isLeaving = false;
 	let isGateLeaving = false;
+	let wasReady = false;
 
 	const splitter = createShareSplitter(random);
 	const loads = createLoadView();
@@ -133,6 +134,11 @@
 
 	const holder = createConfigHolder((held, source) => {
 		entry.applyLimits(held.config.limits);
+		if (!wasReady) {
+			wasReady = true;
+			log.record('info', {kind: 'node-ready', version: held.config.version});
+		}
+
 		splitter.retain(new Set(held.config.routes.map(({name}) => name)));
 		log.record('info', {
 			kind: 'configuration-applied', version: held.config.version, from: source, routes: held.config.routes.length,
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -30,7 +30,6 @@
 	| {readonly kind: 'node-paused'; readonly forMs: number}
 	| {readonly kind: 'node-failed'; readonly reason: string}
 	| {readonly kind: 'settings-reloaded'; readonly outcome: string; readonly reason?: string}
-	| {readonly kind: 'settings-ignored'; readonly place: string; readonly reason: string}
 	| {readonly kind: 'configuration-applied'; readonly version: number; readonly from: string; readonly routes: number}
 	| {readonly kind: 'configuration-refused'; readonly version: number; readonly from: string; readonly reason: string}
 	| {readonly kind: 'store-lost'; readonly reason: string; readonly call: string}
