Prefer the own VM and failure domain more; take extra turns only behind a real lag

While a timer was 20 ms late, which is usual under load, each request took two more turns of the loop on both nodes; and a hop to another node costs more than the 20 ms by which a server there had to be faster. Change: extra turns from 100 ms of lag on; 35 ms for another node, 60 ms for another failure domain. What is known of servers that are gone is forgotten.

--- a/src/lib/common/loop-lag.ts
+++ b/src/lib/common/loop-lag.ts
@@ -15,8 +15,8 @@
 	readonly catchUp: () => Promise<void>;
 };
 
-/** A timer that fires this late shows that events wait. Milliseconds; an idle process is late by one or two. */
-const laggingMs = 20;
+/** A timer that fires this late shows that events wait. Milliseconds: a fifth of the time after which a request that nobody waits for must not be sent on; below it the extra turns cost more than they save. */
+const laggingMs = 100;
 
 /**
  * @returns The lag of a process that has just started: taken as lagging, since its code is still cold.
--- a/src/lib/routing/rank-servers.test.ts
+++ b/src/lib/routing/rank-servers.test.ts
@@ -57,6 +57,18 @@
 	assert.equal(Math.round(estimateSlotWait(loads.get(id), 12, 1100)), 0);
 });
 
+test('servers that are gone are forgotten once nothing is under way there', () => {
+	const loads = createLoadView();
+	const id = toBackendServerId('i-1');
+	loads.hear(id, {serviceMs: 120}, 0);
+	loads.begin(id);
+	loads.retain(() => false);
+	assert.equal(loads.get(id).serviceMs, 120);
+	loads.end(id);
+	loads.retain(() => false);
+	assert.equal(loads.get(id).serviceMs, 0);
+});
+
 test('property: every server is in the order once, and the estimate never loses what this node has sent', () => {
 	const view = fc.record({
 		running: fc.nat(20), waiting: fc.nat(20), own: fc.nat(20), ownThen: fc.nat(20), serviceMs: fc.nat(500), wayMs: fc.nat(500),
--- a/src/lib/routing/rank-servers.ts
+++ b/src/lib/routing/rank-servers.ts
@@ -46,7 +46,7 @@
 const wayFactor = 2;
 
 /** What a server beside another node of the failure domain has to be faster by, in milliseconds: a second node costs processor time on both. */
-const otherNodeMs = 20;
+const otherNodeMs = 35;
 
 /** Share of its slots in use above which a server is expected to be slower. */
 const busyShare = 0.7;
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -70,11 +70,14 @@
 /** How long another node may take to hand over its configuration. Milliseconds. */
 const fetchConfigMs = 500;
 
+/** Milliseconds between two looks for servers that are gone. */
+const forgetMs = 30_000;
+
 /** A timer that fires this late shows that the process stood still, rather than that it was busy. Milliseconds. */
 const pauseMs = 400;
 
 /** What a server of another failure domain has to be faster by, in milliseconds, since bytes between failure domains are paid for. */
-const crossDomainMs = {small: 40, upload: 400} as const;
+const crossDomainMs = {small: 60, upload: 400} as const;
 
 /** Connections to a backend server before a configuration says how many it accepts. */
 const defaultConnections = 64;
@@ -323,6 +326,17 @@
 		response.end(text);
 	});
 
+	/** Servers come and go all day: what is known of those that are gone must not pile up. */
+	const forgetGone = (): void => {
+		const known = new Set(link.list().flatMap(({report}) => report.server === undefined ? [] : [report.server.id]));
+		loads.retain(id => known.has(id));
+		for (const [node, watchers] of silenceWatchers) {
+			if (watchers.size === 0) {
+				silenceWatchers.delete(node);
+			}
+		}
+	};
+
 	let checkedAt = readSteadyMs();
 
 	const checkSilence = (): void => {
@@ -347,9 +361,11 @@
 	};
 
 	let silenceTimer: NodeJS.Timeout | undefined;
+	let forgetTimer: NodeJS.Timeout | undefined;
 
 	const dispose = async (): Promise<void> => {
 		clearInterval(silenceTimer);
+		clearInterval(forgetTimer);
 		registration.dispose();
 		follower.dispose();
 		link.dispose();
@@ -383,6 +399,7 @@
 			]);
 			link.addContacts(settings.seeds);
 			silenceTimer = setInterval(checkSilence, silenceCheckMs);
+			forgetTimer = setInterval(forgetGone, forgetMs);
 			void follower.run();
 			void registration.run();
 		},
