Keep the gate open while a node that shuts down waits for its callers

Cause: the gate closed 300 ms after SIGTERM although the node stays for 2.7 s and its server goes on working: each restart in a rolling restart took a server's slots away for 2.4 s longer than need be. Ruled out: requests cut at the end; the node still waits for work until 0.9 s before the end of the grace time, and the last request taken has 3.3 s until then. Change: the gate closes after 1.8 s.

--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -82,8 +82,8 @@
 /** Connections to a backend server before a configuration says how many it accepts. */
 const defaultConnections = 64;
 
-/** Milliseconds after SIGTERM for which requests of other nodes are still taken: some are on their way. */
-const gateGraceMs = 300;
+/** Milliseconds after SIGTERM for which requests for the backend server are still taken. The server goes on working and the node stays anyway until its callers have gone; a request taken last still has the longest time that users' callers wait before the node has to go. */
+const gateGraceMs = 1800;
 
 /** Milliseconds after SIGTERM from which answers close their connections: by then callers have been told that the node is not ready. */
 const closeAfterMs = 2300;
