Do not take a server whose slots were all taken for free because time has passed

Ruled out: slots that are slower the more of them are taken (trial: the same time from 3 to 18 requests in work, for each service); one hot function (a profile is flat). Change: only the queue drains with time; taken slots stay taken until a gate says otherwise. A call is refused at the entry from 1.2 times the wait it may have, before from 1.6 times.

--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -102,7 +102,7 @@
 const lateWaitShare = 0.12;
 
 /** A call is refused without asking a gate if the wait that is expected is so many times longer than it may be: estimates are rough. Calls that others wait behind are always sent, since nothing tells how many are before them. */
-const hopelessFactor = 1.6;
+const hopelessFactor = 1.2;
 
 /** A call that others wait behind may wait for this share of what is left: without it the work of its caller is lost. */
 const urgentWaitShare = 0.4;
--- a/src/lib/routing/load-view.ts
+++ b/src/lib/routing/load-view.ts
@@ -51,7 +51,9 @@
 
 /**
  * Estimates how long a request would wait for a slot. Those that waited when
- * the gate last spoke have been worked on since.
+ * the gate last spoke have been worked on since. Slots that were all taken then
+ * are still taken for taken: under load others fill them, and a request that is
+ * sent for a slot at once would only be refused.
  *
  * @param view - What is known of a server.
  * @param slots - Requests that it works on at once.
@@ -60,10 +62,15 @@
  * @internal
  */
 export function estimateSlotWait(view: ServerView, slots: number, now: number): number {
+	const requests = estimateRequests(view);
+	if (requests < slots) {
+		return 0;
+	}
+
 	const slotMs = view.serviceMs / Math.max(1, slots);
 	const endedSince = slotMs === 0 ? 0 : Math.max(0, now - view.heardAt) / slotMs;
-	const ahead = Math.max(view.own, estimateRequests(view) - endedSince) + 1 - slots;
-	return Math.max(0, ahead) * slotMs;
+	const waiting = Math.max(0, requests - slots - endedSince);
+	return (waiting + 1) * slotMs;
 }
 
 /**
