Take back a server that a late announcement of a crashed one had replaced

Cause, found by reading: an announcement that was held up by a cut may arrive after its server crashed, at a node that has restarted since and does not know which of the two is older. It replaced the server that is there, whose id was then ignored for ever. Also, a 421 to a request for the old id made the gate forget whichever server was there by then. Change: ids that left are ignored for ever; one that was merely replaced is taken back when it speaks again while the other is silent or disproved. A 421 concerns the server asked. Tests: local-server.test.ts, two of the three new ones seen failing first.

--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -247,10 +247,10 @@
 		}
 	};
 
-	const judgeAnswer = (answer: ExchangeAnswer): ForwardResult => {
+	const judgeAnswer = (answer: ExchangeAnswer, server: BackendServerId): ForwardResult => {
 		if (answer.status === 421) {
 			// Another server has the address: it is not asked again before it has said who it is.
-			state = forgetServer(state);
+			state = forgetServer(state, server);
 			handleChange();
 			return {...createNotRun('gone', 'another backend server has the address'), hasArrived: true};
 		}
@@ -297,7 +297,7 @@
 			},
 			isOwnAnswer: createOwnAnswerCheck(call),
 		});
-		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer);
+		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer, announcement.id);
 	};
 
 	const runWithSlot = async (call: GateCall, server: LocalServer): Promise<ForwardResult> => {
--- a/src/lib/local-server/local-server.test.ts
+++ b/src/lib/local-server/local-server.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {toAddress, toBackendServerId} from '../common/ids.js';
 import {
-	acceptAnnouncement, acceptLeave, noLocalServer, type LocalServerState, type ServerAnnouncement,
+	acceptAnnouncement, acceptLeave, forgetServer, noLocalServer, type LocalServerState, type ServerAnnouncement,
 } from './local-server.js';
 
 function createAnnouncement(changes: Partial<Omit<ServerAnnouncement, 'id'>> & {readonly id?: string} = {}): ServerAnnouncement {
@@ -40,6 +40,35 @@
 	assert.equal(announce(second.state, {id: 'i-1', sequence: 10}).state.current?.announcement.id, 'i-2');
 });
 
+test('a late announcement of a server that crashed, heard by a node that has restarted, does not shut out the one that is there', () => {
+	const there = announce(noLocalServer, {id: 'i-2', sequence: 1}, 0).state;
+	// Nobody knows here that i-1 is the older of the two.
+	const late = announce(there, {id: 'i-1', sequence: 7}, 100).state;
+	assert.equal(late.current?.announcement.id, 'i-1');
+	assert.equal(announce(late, {id: 'i-2', sequence: 2}, 900).state.current?.announcement.id, 'i-1');
+	// What is sent to i-1 meanwhile is turned away by i-2, which has the address.
+	const corrected = forgetServer(late, toBackendServerId('i-1'));
+	assert.equal(announce(corrected, {id: 'i-2', sequence: 2}, 900).state.current?.announcement.id, 'i-2');
+	// Without a request that shows it, the silence of i-1 does.
+	assert.equal(announce(late, {id: 'i-2', sequence: 5}, 3200).state.current?.announcement.id, 'i-2');
+});
+
+test('a server that was replaced and is heard again is not taken back by a word from before', () => {
+	const first = announce(noLocalServer, {id: 'i-1', sequence: 9}, 0).state;
+	const second = announce(first, {id: 'i-2', sequence: 1}, 100).state;
+	assert.equal(announce(second, {id: 'i-1', sequence: 9}, 60_000).state.current?.announcement.id, 'i-2');
+	const drained = announce(second, {id: 'i-1', sequence: 10, isDraining: true}, 200).state;
+	assert.equal(announce(drained, {id: 'i-1', sequence: 11}, 60_000).state.current?.announcement.id, 'i-2');
+});
+
+test('an answer that says another server has the address concerns the server that was asked, not the one that came since', () => {
+	const first = announce(noLocalServer, {id: 'i-1'}).state;
+	const second = announce(first, {id: 'i-2'}).state;
+	const told = forgetServer(second, toBackendServerId('i-1'));
+	assert.equal(told.current?.announcement.id, 'i-2');
+	assert.equal(announce(told, {id: 'i-2', sequence: 2}).state.current?.announcement.id, 'i-2');
+});
+
 test('after a restart of the node, a server that said it leaves is not taken back by a late announcement', () => {
 	const left = acceptLeave(noLocalServer, toBackendServerId('i-1'));
 	assert.equal(announce(left.state, {id: 'i-1', sequence: 3}).state.current, undefined);
--- a/src/lib/local-server/local-server.ts
+++ b/src/lib/local-server/local-server.ts
@@ -33,8 +33,10 @@
 /** @internal */
 export type LocalServerState = {
 	readonly current: LocalServer | undefined;
-	/** Ids that left or were replaced: nothing they still say counts. */
-	readonly formerIds: readonly BackendServerId[];
+	/** Ids that said that they leave, or whose address another has: nothing they still say counts. */
+	readonly goneIds: readonly BackendServerId[];
+	/** Servers that gave way to another announcement without having left. */
+	readonly replaced: readonly LocalServer[];
 };
 
 /** What an announcement changed. @internal */
@@ -43,14 +45,43 @@
 /** @internal */
 export type ServerStep = {readonly state: LocalServerState; readonly news: ServerNews};
 
-/** Former ids that are remembered; late announcements are seconds late, and a VM does not see this many servers in that time. */
-const rememberedIds = 16;
+/** Former servers that are remembered; late announcements are seconds late, and a VM does not see this many servers in that time. */
+const rememberedServers = 16;
+
+/** A server that announced itself within this time is there, and another one's announcement is a late one. Milliseconds: twice the longest time between two announcements that users have. */
+const freshMs = 3000;
 
 /** @internal */
-export const noLocalServer: LocalServerState = {current: undefined, formerIds: []};
+export const noLocalServer: LocalServerState = {current: undefined, goneIds: [], replaced: []};
+
+function addGoneId({goneIds, replaced, ...state}: LocalServerState, id: BackendServerId): LocalServerState {
+	return {
+		...state,
+		goneIds: goneIds.includes(id) ? goneIds : [...goneIds, id].slice(-rememberedServers),
+		replaced: replaced.filter(({announcement}) => announcement.id !== id),
+	};
+}
 
-function addFormerId(state: LocalServerState): readonly BackendServerId[] {
-	return state.current === undefined ? state.formerIds : [...state.formerIds, state.current.announcement.id].slice(-rememberedIds);
+/** Whether an announcement of a server that another has replaced shows that it is there after all: the other one's may have been the late one. */
+function isBack(state: LocalServerState, before: LocalServer, announcement: ServerAnnouncement, now: number): boolean {
+	const {current} = state;
+	const isOtherSilent = current === undefined || current.isLeaving || now - current.heardAt > freshMs;
+	return isOtherSilent && announcement.sequence > before.announcement.sequence;
+}
+
+/** Puts another server in the place of the one that was there. */
+function replaceServer(state: LocalServerState, announcement: ServerAnnouncement, now: number): ServerStep {
+	const {current: former} = state;
+	const current: LocalServer = {
+		announcement, heardAt: now, isLeaving: announcement.isDraining, doubtedUntil: 0,
+	};
+	const others = state.replaced.filter(server => server.announcement.id !== announcement.id);
+	const replaced = former === undefined ? others : [...others, former].slice(-rememberedServers);
+	const next = {...state, current, replaced};
+	return {
+		state: former?.isLeaving ? addGoneId(next, former.announcement.id) : next,
+		news: announcement.isDraining ? 'draining' : 'announced',
+	};
 }
 
 /**
@@ -64,15 +95,18 @@
  */
 export function acceptAnnouncement(state: LocalServerState, announcement: ServerAnnouncement, now: number): ServerStep {
 	const {current} = state;
-	if (state.formerIds.includes(announcement.id)) {
+	if (state.goneIds.includes(announcement.id)) {
 		return {state, news: 'none'};
 	}
 
 	if (current?.announcement.id !== announcement.id) {
-		const next: LocalServer = {
-			announcement, heardAt: now, isLeaving: announcement.isDraining, doubtedUntil: 0,
-		};
-		return {state: {current: next, formerIds: addFormerId(state)}, news: announcement.isDraining ? 'draining' : 'announced'};
+		const before = state.replaced.find(server => server.announcement.id === announcement.id);
+		if (before === undefined || isBack(state, before, announcement, now)) {
+			return replaceServer(state, announcement, now);
+		}
+
+		// It is not taken back, but a word that it leaves is acknowledged, and binds.
+		return {state: announcement.isDraining ? addGoneId(state, announcement.id) : state, news: 'none'};
 	}
 
 	if (announcement.sequence <= current.announcement.sequence) {
@@ -102,8 +136,7 @@
 	const {current} = state;
 	if (current?.announcement.id !== id) {
 		// It may have been served by an earlier run of this node; its late announcements must not bring it back.
-		const formerIds = state.formerIds.includes(id) ? state.formerIds : [...state.formerIds, id].slice(-rememberedIds);
-		return {state: {...state, formerIds}, news: 'none'};
+		return {state: addGoneId(state, id), news: 'none'};
 	}
 
 	if (current.isLeaving) {
@@ -126,12 +159,14 @@
 }
 
 /**
- * Forgets the server, because another has its address: the next announcement tells which.
+ * Forgets a server, because another has its address: the next announcement tells which.
  *
  * @param state - What is known.
+ * @param id - The server that was asked and is not there.
  * @returns What is known afterwards.
  * @internal
  */
-export function forgetServer(state: LocalServerState): LocalServerState {
-	return {current: undefined, formerIds: addFormerId(state)};
+export function forgetServer(state: LocalServerState, id: BackendServerId): LocalServerState {
+	const {current} = state;
+	return addGoneId({...state, current: current?.announcement.id === id ? undefined : current}, id);
 }
