Give up connections between nodes that have gone silent while the node is heard

The channel to a peer was renewed only when the node itself had been silent or restarted; on one that is silent alone, every request ran into its timeout, and so did all later ones. Change: frames ping and pong; a channel with requests that has heard nothing for 300 ms asks, and is closed if nothing arrives for 800 ms more while heartbeats of the node arrive. What may be repeated then goes elsewhere. The gate's refusals name the rank of the request.

--- a/src/lib/forwarding/frame.test.ts
+++ b/src/lib/forwarding/frame.test.ts
@@ -7,7 +7,7 @@
 } from './frame.js';
 
 const frame = fc.record({
-	type: fc.constantFrom<FrameType>('request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config'),
+	type: fc.constantFrom<FrameType>('request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config', 'ping', 'pong'),
 	id: fc.nat(4_000_000),
 	head: fc.option(fc.record({target: fc.string(), headers: fc.dictionary(fc.string(), fc.string(), {noNullPrototype: true})}, {noNullPrototype: true}), {nil: undefined}),
 	body: fc.uint8Array({maxLength: 2000}),
--- a/src/lib/forwarding/frame.ts
+++ b/src/lib/forwarding/frame.ts
@@ -26,9 +26,13 @@
 	/** Whoever asked does not wait any more. */
 	| 'cancel'
 	/** Asks for the configuration in force. */
-	| 'config';
+	| 'config'
+	/** Asks whether anything still arrives. */
+	| 'ping'
+	/** Says so. */
+	| 'pong';
 
-const frameTypes: readonly FrameType[] = ['request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config'];
+const frameTypes: readonly FrameType[] = ['request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config', 'ping', 'pong'];
 
 /** @internal */
 export type Frame = {
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -27,6 +27,8 @@
 	readonly fetchConfig: (gate: Address, scope: CallScope) => Promise<string | undefined>;
 	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. */
 	readonly renew: (gate: Address) => void;
+	/** Closes connections that have gone silent although their nodes are heard, so that new ones are made. Called every now and then. */
+	readonly checkSilence: (now: number, isNodeHeard: (gate: Address) => boolean) => void;
 	readonly dispose: () => void;
 };
 
@@ -93,6 +95,11 @@
 				channels.delete(key);
 			}
 		},
+		checkSilence(now, isNodeHeard) {
+			for (const channel of channels.values()) {
+				channel.checkSilence(now, () => isNodeHeard(channel.gate));
+			}
+		},
 		dispose() {
 			for (const channel of channels.values()) {
 				channel.dispose();
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -115,8 +115,14 @@
 				break;
 			}
 
+			case 'ping': {
+				writeFrame(connection.socket, {type: 'pong', id: frame.id});
+				break;
+			}
+
 			case 'continue':
-			case 'answer': {
+			case 'answer':
+			case 'pong': {
 				connection.socket.destroy(new Error(`a frame of type ${frame.type} from a node that asks`));
 				break;
 			}
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -338,6 +338,7 @@
 			call: call.id,
 			server: call.server,
 			reason: failure.reason,
+			rank: call.rank,
 			running: queue.running,
 			waiting: queue.waiting.length,
 			serviceMs: Math.round(queue.serviceMs),
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -6,6 +6,7 @@
 import {Buffer} from 'node:buffer';
 import {connect} from 'node:net';
 import {parseAddress} from '../common/address.js';
+import {readSteadyMs} from '../common/clock.js';
 import {type Address} from '../common/ids.js';
 import {type CallScope, type ScopeEnd} from './call-scope.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
@@ -31,13 +32,22 @@
 
 /** @internal */
 export type PeerChannel = {
+	readonly gate: Address;
 	readonly send: (request: ChannelRequest) => Promise<ChannelResult>;
 	readonly isUsable: () => boolean;
+	/** Closes the connection if nothing arrives on it any more although the other node is known to live. Called every now and then. */
+	readonly checkSilence: (now: number, isNodeHeard: () => boolean) => void;
 	/** Takes no more requests, and closes when those under way have ended. */
 	readonly retire: () => void;
 	readonly dispose: () => void;
 };
 
+/** Nothing has arrived for this long while requests wait: the connection is asked whether it works. Milliseconds: most answers are sooner. */
+const quietMs = 300;
+
+/** How long a node that is heard may take to answer that. Milliseconds: a process that is eight times slower than usual still does. */
+const pongMs = 800;
+
 type Pending = {
 	readonly request: ChannelRequest;
 	readonly settle: (result: ChannelResult) => void;
@@ -62,6 +72,9 @@
 	let isConnected = false;
 	let isRetired = false;
 	let failure = '';
+	/** When something last arrived, or when the first of the requests that wait was sent. Steady milliseconds. */
+	let quietSince = 0;
+	let pingedAt: number | undefined;
 
 	const timer = setTimeout(() => {
 		socket.destroy(new Error(`no connection within ${connectMs} ms`));
@@ -113,11 +126,16 @@
 				break;
 			}
 
+			case 'pong': {
+				break;
+			}
+
 			case 'request':
 			case 'offer':
 			case 'body':
 			case 'cancel':
-			case 'config': {
+			case 'config':
+			case 'ping': {
 				socket.destroy(new Error(`a frame of type ${type} from a gate`));
 				break;
 			}
@@ -129,6 +147,8 @@
 		isConnected = true;
 	});
 	socket.on('data', (bytes: Uint8Array) => {
+		quietSince = readSteadyMs();
+		pingedAt = undefined;
 		try {
 			for (const frame of reader.read(bytes)) {
 				handleFrame(frame);
@@ -151,11 +171,17 @@
 	});
 
 	return {
+		gate: address,
 		async send(request) {
 			return new Promise(resolve => {
 				const id = nextId++;
 				const {type, head, body, scope} = request;
 				const isWhole = type !== 'offer';
+				if (pending.size === 0) {
+					quietSince = readSteadyMs();
+					pingedAt = undefined;
+				}
+
 				let stopListening = (): void => undefined;
 				const one: Pending = {
 					request,
@@ -179,6 +205,18 @@
 			});
 		},
 		isUsable: () => !isRetired && !socket.destroyed,
+		checkSilence(now, isNodeHeard) {
+			if (!isConnected || pending.size === 0 || now - quietSince < quietMs || !isNodeHeard()) {
+				return;
+			}
+
+			if (pingedAt === undefined) {
+				pingedAt = now;
+				writeFrame(socket, {type: 'ping', id: 0});
+			} else if (now - pingedAt > pongMs) {
+				socket.destroy(new Error('nothing arrives on the connection although the node is heard'));
+			}
+		},
 		retire() {
 			isRetired = true;
 			closeIfIdle();
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -23,7 +23,7 @@
 import {createRetryAllowance} from '../forwarding/retry-allowance.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
-import {isReachable, type PeerLimits, type PeerNews} from '../peers/peer-table.js';
+import {isHeard, isReachable, type PeerLimits, type PeerNews} from '../peers/peer-table.js';
 import {createConfigHolder} from '../route-config/config-holder.js';
 import {type RouteConfig, type RouteRule} from '../route-config/route-config.js';
 import {createShareSplitter} from '../route-config/share-splitter.js';
@@ -337,6 +337,11 @@
 		}
 	};
 
+	const isGateHeard = (address: Address): boolean => {
+		const now = readSteadyMs();
+		return link.list().some(peer => peer.report.gate === address && isHeard(peer, peerLimits, now));
+	};
+
 	let checkedAt = readSteadyMs();
 
 	const checkSilence = (): void => {
@@ -348,6 +353,8 @@
 		if (delayMs > pauseMs) {
 			log.record('warn', {kind: 'node-paused', forMs: Math.round(delayMs)});
 			link.forgiveSilence(delayMs);
+		} else {
+			gateClient.checkSilence(now, isGateHeard);
 		}
 
 		for (const [node, watchers] of silenceWatchers) {
--- a/src/lib/timeline/explain-call.test.ts
+++ b/src/lib/timeline/explain-call.test.ts
@@ -19,7 +19,7 @@
 	const lines = [
 		createLine('n1', 3, createEnd('full: no slot in time', 503, [createAttempt('full')])),
 		createLine('n2', 1, {
-			kind: 'gate-refused', call: 'c1', server: 'i-1', reason: 'full', running: 12, waiting: 20, serviceMs: 130, mayWaitMs: 0,
+			kind: 'gate-refused', call: 'c1', server: 'i-1', reason: 'full', rank: 1, running: 12, waiting: 20, serviceMs: 130, mayWaitMs: 0,
 		}),
 		createLine('n1', 2, {
 			kind: 'attempt-failed', call: 'c1', route: 'logs', attempt: createAttempt('full'), next: 'another server is tried',
--- a/src/lib/timeline/line-log.test.ts
+++ b/src/lib/timeline/line-log.test.ts
@@ -22,7 +22,7 @@
 }
 
 const refused: MeshEvent = {
-	kind: 'gate-refused', call: 'c', server: 's', reason: 'full', running: 1, waiting: 1, serviceMs: 1, mayWaitMs: 1,
+	kind: 'gate-refused', call: 'c', server: 's', reason: 'full', rank: 1, running: 1, waiting: 1, serviceMs: 1, mayWaitMs: 1,
 };
 
 test('a flood of one kind is bounded, does not crowd out others, and is counted', async () => {
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -51,7 +51,7 @@
 	| {readonly kind: 'announcement-refused'; readonly place: string; readonly reason: string}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptNote; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptNote[]}
-	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number}
+	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number}
 	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number}
 	| {readonly kind: 'lines-dropped'; readonly of: string; readonly count: number};
 /* eslint-enable @stylistic/max-len */
