Split what had grown: the slots of a gate, and four duties of the sidecar node

One fault found on the way: when another server announced itself, requests that waited for a slot were forgotten by the queue and sat until their wait was over. Otherwise no change of behaviour.

--- /dev/null
+++ b/src/lib/admission/slot-keeper.ts
@@ -0,0 +1,134 @@
+/**
+ * Keeps the slots of one backend server: hands them out, lets requests wait,
+ * and ends their wait in time. What becomes of each request is decided in
+ * `slot-queue.ts`.
+ *
+ * @module
+ */
+import {readSteadyMs} from '../common/clock.js';
+import {
+	admitToSlot, createSlotQueue, estimateWait, releaseToNext, removeQueued, resizeSlots,
+	type QueuedRequest, type SlotQueue,
+} from './slot-queue.js';
+
+/** A request that asks for a slot. @internal */
+export type SlotRequest = {
+	/** 0 goes first. */
+	readonly rank: number;
+	/** Milliseconds that it may be expected to wait. */
+	readonly mayWaitMs: number;
+	/** When its wait is over at the latest, in steady milliseconds. */
+	readonly lastAt: number;
+	/** Calls back once when nobody waits for it any more; yields a function that takes that back. */
+	readonly subscribe: (handleEnd: () => void) => () => void;
+};
+
+/** What became of it. @internal */
+export type SlotOutcome =
+	/** It holds a slot, which has to be released. */
+	| {readonly type: 'run'}
+	| {readonly type: 'full'; readonly reason: string; readonly retryAfterMs: number}
+	| {readonly type: 'cancelled'};
+
+/** @internal */
+export type SlotKeeper = {
+	readonly acquire: (request: SlotRequest) => Promise<SlotOutcome>;
+	/** Gives a slot back; `tookMs` is `undefined` if that tells nothing of the server's speed. */
+	readonly release: (tookMs: number | undefined) => void;
+	readonly resize: (slots: number) => void;
+	/** Another server is there: what was learnt of the last one is forgotten, what runs and waits still counts. */
+	readonly restart: (slots: number) => void;
+	readonly describe: () => {readonly running: number; readonly waiting: number; readonly serviceMs: number};
+};
+
+/** A request that was taken waits for so many times the wait that was expected at the most: estimates are rough. */
+const patience = 2;
+
+type Waiter = (outcome: 'run' | 'late' | 'cancelled') => void;
+
+/**
+ * @returns The keeper of a server with one slot; `restart` tells how many there are.
+ * @internal
+ */
+export function createSlotKeeper(): SlotKeeper {
+	let queue: SlotQueue = createSlotQueue(1);
+	let nextId = 1;
+	const waiters = new Map<number, Waiter>();
+
+	const startAll = (started: readonly QueuedRequest[]): void => {
+		for (const {id} of started) {
+			waiters.get(id)?.('run');
+		}
+	};
+
+	const waitForSlot = async (queued: QueuedRequest, request: SlotRequest): Promise<SlotOutcome> => new Promise(resolve => {
+		let stopListening = (): void => undefined;
+		const finish: Waiter = outcome => {
+			clearTimeout(timer);
+			stopListening();
+			waiters.delete(queued.id);
+			if (outcome !== 'run') {
+				queue = removeQueued(queue, queued.id);
+			}
+
+			resolve(outcome === 'late' ? {type: 'full', reason: 'no slot came free in time', retryAfterMs: estimateWait(queue, request.rank)} : {type: outcome});
+		};
+
+		const timer = setTimeout(() => {
+			finish('late');
+		}, Math.max(0, queued.waitUntil - readSteadyMs()));
+		waiters.set(queued.id, finish);
+		stopListening = request.subscribe(() => {
+			finish('cancelled');
+		});
+	});
+
+	const resize = (slots: number): void => {
+		const step = resizeSlots(queue, slots, readSteadyMs());
+		queue = step.queue;
+		startAll(step.started);
+	};
+
+	return {
+		async acquire(request) {
+			const now = readSteadyMs();
+			const queued: QueuedRequest = {
+				id: nextId++,
+				rank: request.rank,
+				startBy: now + request.mayWaitMs,
+				waitUntil: Math.min(now + (request.mayWaitMs * patience), request.lastAt),
+			};
+			const step = admitToSlot(queue, queued, now);
+			queue = step.queue;
+			switch (step.decision.type) {
+				case 'run': {
+					return {type: 'run'};
+				}
+
+				case 'full': {
+					return {type: 'full', reason: 'no slot in time', retryAfterMs: step.decision.retryAfterMs};
+				}
+
+				case 'wait': {
+					const {displaced} = step.decision;
+					if (displaced !== undefined) {
+						waiters.get(displaced.id)?.('late');
+					}
+
+					return waitForSlot(queued, request);
+				}
+			}
+		},
+		release(tookMs) {
+			const step = releaseToNext(queue, tookMs, readSteadyMs());
+			queue = step.queue;
+			startAll(step.started);
+		},
+		resize,
+		restart(slots) {
+			queue = {...createSlotQueue(slots), running: queue.running, waiting: queue.waiting};
+			resize(slots);
+		},
+		describe: () => ({running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs}),
+	};
+}
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -6,10 +6,7 @@
  * @module
  */
 import {type IncomingHttpHeaders} from 'node:http';
-import {
-	admitToSlot, createSlotQueue, estimateWait, releaseToNext, removeQueued, resizeSlots,
-	type QueuedRequest, type SlotQueue,
-} from '../admission/slot-queue.js';
+import {createSlotKeeper} from '../admission/slot-keeper.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type BackendServerId} from '../common/ids.js';
 import {
@@ -85,14 +82,9 @@
 /** Time that is taken off what is left when it is passed on, in milliseconds: the grace of the scope, and the way to the server. */
 const passOnMs = endGraceMs + 1;
 
-/** A request that was taken waits for so many times the wait that was expected at the most. */
-const patience = 2;
-
 /** A refusal leaves this long before the time is over, in milliseconds, so that it arrives as one. */
 const lastRefusalMs = 40;
 
-type Waiter = (outcome: 'run' | 'late' | 'cancelled') => void;
-
 /**
  * Creates the gate; it turns everything away until a server announces itself.
  *
@@ -103,27 +95,19 @@
 export function createLocalGate(context: LocalGateContext): LocalGate {
 	const {wire, log, handleChange} = context;
 	let state: LocalServerState = noLocalServer;
-	let queue: SlotQueue = createSlotQueue(1);
+	const slots = createSlotKeeper();
 	let agent: HopAgent | undefined;
 	let failureShare = 0;
-	let nextId = 1;
 	let isSilent = false;
-	const waiters = new Map<number, Waiter>();
 
 	const getLoad = (arrivedAt: number): GateLoad => ({
-		running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs, tookMs: readSteadyMs() - arrivedAt,
+		...slots.describe(), tookMs: readSteadyMs() - arrivedAt,
 	});
 
-	const startAll = (started: readonly QueuedRequest[]): void => {
-		for (const {id} of started) {
-			waiters.get(id)?.('run');
-		}
-	};
-
 	const replaceServer = ({announcement}: LocalServer): void => {
 		agent?.destroy();
 		agent = new HopAgent({maxConnections: context.getMaxConnections(announcement.service), idleMs: idleConnectionMs});
-		queue = {...createSlotQueue(announcement.slots), running: queue.running};
+		slots.restart(announcement.slots);
 		failureShare = 0;
 		log.record('info', {
 			kind: 'server-announced', server: announcement.id, service: announcement.service, slots: announcement.slots, coldMs: announcement.coldMs,
@@ -148,9 +132,7 @@
 		}
 
 		if (step.news === 'changed') {
-			const resized = resizeSlots(queue, current.announcement.slots, readSteadyMs());
-			queue = resized.queue;
-			startAll(resized.started);
+			slots.resize(current.announcement.slots);
 		}
 
 		if (step.news !== 'none') {
@@ -158,64 +140,6 @@
 		}
 	};
 
-	const acquire = async (call: GateCall): Promise<'run' | 'late' | 'cancelled' | {readonly retryAfterMs: number}> => {
-		const now = readSteadyMs();
-		const request: QueuedRequest = {
-			id: nextId++,
-			rank: call.rank,
-			startBy: now + call.mayWaitMs,
-			waitUntil: Math.min(now + (call.mayWaitMs * patience), call.scope.endsAt - lastRefusalMs),
-		};
-		const step = admitToSlot(queue, request, now);
-		queue = step.queue;
-		switch (step.decision.type) {
-			case 'run': {
-				return 'run';
-			}
-
-			case 'full': {
-				return {retryAfterMs: step.decision.retryAfterMs};
-			}
-
-			case 'wait': {
-				const {displaced} = step.decision;
-				if (displaced !== undefined) {
-					waiters.get(displaced.id)?.('late');
-				}
-
-				return waitForSlot(request, call.scope);
-			}
-		}
-	};
-
-	const waitForSlot = async (request: QueuedRequest, scope: CallScope): Promise<'run' | 'late' | 'cancelled'> => new Promise(resolve => {
-		let stopListening = (): void => undefined;
-		const finish: Waiter = outcome => {
-			clearTimeout(timer);
-			stopListening();
-			waiters.delete(request.id);
-			if (outcome !== 'run') {
-				queue = removeQueued(queue, request.id);
-			}
-
-			resolve(outcome);
-		};
-
-		const timer = setTimeout(() => {
-			finish('late');
-		}, Math.max(0, request.waitUntil - readSteadyMs()));
-		waiters.set(request.id, finish);
-		stopListening = scope.subscribe(() => {
-			finish('cancelled');
-		});
-	});
-
-	const release = (tookMs: number | undefined): void => {
-		const step = releaseToNext(queue, tookMs, readSteadyMs());
-		queue = step.queue;
-		startAll(step.started);
-	};
-
 	const noteOutcome = (hasFailed: boolean): void => {
 		failureShare = (failureShare * (1 - failureWeight)) + (hasFailed ? failureWeight : 0);
 	};
@@ -257,7 +181,7 @@
 
 		if (answer.headers[wire.notRun] !== undefined) {
 			noteOutcome(true);
-			return {...createNotRun('shed', `the backend server answered ${answer.status} and did not run it`, queue.serviceMs), hasArrived: true};
+			return {...createNotRun('shed', `the backend server answered ${answer.status} and did not run it`, slots.describe().serviceMs), hasArrived: true};
 		}
 
 		if (answer.status >= 200 && answer.status < 300 && answer.headers[wire.signature] === undefined) {
@@ -309,7 +233,7 @@
 		} catch (error) {
 			result = createNotRun('cancelled', `the body did not arrive: ${(error as Error).message}`);
 		} finally {
-			release(result.type === 'answered' && result.status < 500 ? readSteadyMs() - startedAt : undefined);
+			slots.release(result.type === 'answered' && result.status < 500 ? readSteadyMs() - startedAt : undefined);
 		}
 
 		return result;
@@ -333,16 +257,10 @@
 	};
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
+		const {running, waiting, serviceMs} = slots.describe();
 		log.record('info', {
-			kind: 'gate-refused',
-			call: call.id,
-			server: call.server,
-			reason: failure.reason,
-			rank: call.rank,
-			running: queue.running,
-			waiting: queue.waiting.length,
-			serviceMs: Math.round(queue.serviceMs),
-			mayWaitMs: Math.round(call.mayWaitMs),
+			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, rank: call.rank,
+			running, waiting, serviceMs: Math.round(serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
 		});
 		return failure;
 	};
@@ -353,23 +271,22 @@
 			return refuse(call, server);
 		}
 
-		const slot = await acquire(call);
-		if (typeof slot === 'object') {
-			return refuse(call, createNotRun('full', 'no slot in time', slot.retryAfterMs));
-		}
-
-		if (slot === 'late') {
-			return refuse(call, createNotRun('full', 'no slot came free in time', estimateWait(queue, call.rank)));
+		const {rank, mayWaitMs, scope} = call;
+		const slot = await slots.acquire({
+			rank, mayWaitMs, lastAt: scope.endsAt - lastRefusalMs, subscribe: scope.subscribe,
+		});
+		if (slot.type === 'full') {
+			return refuse(call, createNotRun('full', slot.reason, slot.retryAfterMs));
 		}
 
-		if (slot === 'cancelled') {
-			return createNotRun(call.scope.getEnd() ?? 'cancelled', 'the caller has gone');
+		if (slot.type === 'cancelled') {
+			return createNotRun(scope.getEnd() ?? 'cancelled', 'the caller has gone');
 		}
 
 		// It may have begun to leave while the request waited.
 		const still = findServer(call);
 		if ('type' in still) {
-			release(undefined);
+			slots.release(undefined);
 			return refuse(call, still);
 		}
 
@@ -418,13 +335,14 @@
 				slots: announcement.slots,
 				state: getServerState(current),
 				coldMs: Math.max(0, announcement.coldMs - (readSteadyMs() - heardAt)),
-				running: queue.running,
-				waiting: queue.waiting.length,
-				serviceMs: queue.serviceMs,
+				...slots.describe(),
 				failureShare,
 			};
 		},
-		countRequests: () => queue.running + queue.waiting.length,
+		countRequests() {
+			const {running, waiting} = slots.describe();
+			return running + waiting;
+		},
 		dispose() {
 			agent?.destroy();
 		},
--- a/src/lib/forwarding/peer-channel.test.ts
+++ b/src/lib/forwarding/peer-channel.test.ts
@@ -33,12 +33,13 @@
 	const scope = createCallScope(performance.now() + 60_000);
 	context.after(scope.dispose);
 	let result: ChannelResult | 'waiting' = 'waiting';
-	const sent = channel.send({
-		type: 'request', head: [], body: undefined, scope,
-	});
-	void sent.then(outcome => {
-		result = outcome;
-	});
+	const send = async (): Promise<void> => {
+		result = await channel.send({
+			type: 'request', head: [], body: undefined, scope,
+		});
+	};
+
+	void send();
 	for (let check = 1; check <= checks; check++) {
 		// Lets what is under way on the loopback arrive.
 		await new Promise(resolve => {
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -11,11 +11,10 @@
 import process from 'node:process';
 import {type Result} from 'neverthrow';
 import {parseAddress} from '../common/address.js';
-import {readSteadyMs, waitFor} from '../common/clock.js';
+import {readSteadyMs} from '../common/clock.js';
 import {type Address, type NodeId} from '../common/ids.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {type WireHeaders} from '../forwarding/call-headers.js';
-import {createCallScope} from '../forwarding/call-scope.js';
 import {createEntryServer, type FinishedCall} from '../forwarding/entry-server.js';
 import {createGateClient} from '../forwarding/gate-client.js';
 import {createGateServer} from '../forwarding/gate-server.js';
@@ -23,7 +22,7 @@
 import {createRetryAllowance} from '../forwarding/retry-allowance.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
-import {isHeard, isReachable, type PeerLimits, type PeerNews} from '../peers/peer-table.js';
+import {isHeard, type PeerLimits, type PeerNews} from '../peers/peer-table.js';
 import {createConfigHolder} from '../route-config/config-holder.js';
 import {type RouteConfig, type RouteRule} from '../route-config/route-config.js';
 import {createShareSplitter} from '../route-config/share-splitter.js';
@@ -35,8 +34,12 @@
 import {createStoreHealth} from '../sync/store-health.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
+import {listCandidates} from './list-candidates.js';
 import {createMeshMetrics, type Gauge} from './mesh-metrics.js';
+import {createNewerConfigFetcher} from './newer-config.js';
 import {type SidecarSettings} from './sidecar-settings.js';
+import {shutDown} from './shut-down.js';
+import {createSilenceWatchers} from './silence-watchers.js';
 
 /** What a sidecar node is handed by its surroundings. @public */
 export type SidecarSurroundings = {
@@ -67,9 +70,6 @@
 /** Milliseconds between two looks for nodes that have fallen silent while requests wait for them. */
 const silenceCheckMs = 100;
 
-/** How long another node may take to hand over its configuration. Milliseconds. */
-const fetchConfigMs = 500;
-
 /** Milliseconds between two looks for servers that are gone. */
 const forgetMs = 30_000;
 
@@ -82,20 +82,6 @@
 /** Connections to a backend server before a configuration says how many it accepts. */
 const defaultConnections = 64;
 
-/** Milliseconds after SIGTERM for which requests for the backend server are still taken. The server goes on working and the node stays anyway until its callers have gone; a request taken last still has the longest time that users' callers wait before the node has to go. */
-const gateGraceMs = 1800;
-
-/** Milliseconds after SIGTERM from which answers close their connections: by then callers have been told that the node is not ready. */
-const closeAfterMs = 2300;
-
-/** Milliseconds after SIGTERM before which the node does not go, since callers may still come. */
-const leaveAfterMs = 2700;
-
-/** Milliseconds before the end of the time to shut down at which the node goes, whatever is still in work. */
-const lastExitMs = 900;
-
-const idlePollMs = 25;
-
 function readCpuSeconds(): number {
 	const {user, system} = process.cpuUsage();
 	return (user + system) / 1_000_000;
@@ -133,7 +119,7 @@
 	const splitter = createShareSplitter(random);
 	const loads = createLoadView();
 	const lag = createLoopLag();
-	const silenceWatchers = new Map<NodeId, Set<() => void>>();
+	const silence = createSilenceWatchers();
 
 	const holder = createConfigHolder((held, source) => {
 		entry.applyLimits(held.config.limits);
@@ -162,28 +148,14 @@
 		node: self, run, sequence, domain, gate: settings.listen.gate, gossip: settings.listen.gossip, version: holder.getVersion(), isLeaving: isGateLeaving, server: gate.describe(),
 	});
 
-	let isFetching = false;
-
-	/** A node that has a newer configuration is asked for it: its word is as good as the store's, since versions only grow. */
-	const fetchNewer = async (report: PeerReport): Promise<void> => {
-		if (isFetching || report.version <= holder.getVersion()) {
-			return;
-		}
-
-		isFetching = true;
-		// The own watch is likely to have it in a moment.
-		await waitFor(health.isReachable() ? newerGraceMs : 0);
-		if (report.version > holder.getVersion()) {
-			const scope = createCallScope(readSteadyMs() + fetchConfigMs);
-			const text = await gateClient.fetchConfig(report.gate, scope);
-			scope.dispose();
-			if (text !== undefined) {
-				follower.adoptText(text, report.node);
-			}
-		}
-
-		isFetching = false;
-	};
+	const fetchNewer = createNewerConfigFetcher({
+		getVersion: () => holder.getVersion(),
+		isStoreReachable: () => health.isReachable(),
+		fetchConfig: async (address, scope) => gateClient.fetchConfig(address, scope),
+		adoptText(text, source) {
+			follower.adoptText(text, source);
+		},
+	});
 
 	const handleReport = (report: PeerReport, news: PeerNews): void => {
 		if (news === 'restarted' || news === 'returned') {
@@ -220,30 +192,12 @@
 		}
 	};
 
-	const listCandidates = (service: string): readonly Candidate[] => {
-		const now = readSteadyMs();
-		const candidates: Candidate[] = [];
-		const own = gate.describe();
-		if (own?.service === service && own.state === 'ready' && !isGateLeaving) {
-			candidates.push({
-				id: own.id, node: self, gate: settings.listen.gate, domain, isLocal: true, slots: own.slots, isCold: own.coldMs > 0,
-				view: {
-					...loads.get(own.id), running: own.running, waiting: own.waiting, serviceMs: own.serviceMs, failureShare: own.failureShare, own: 0, ownThen: 0, wayMs: 0, heardAt: now,
-				},
-			});
-		}
-
-		for (const peer of link.getTable().values()) {
-			const {server, node, gate: address, domain: peerDomain} = peer.report;
-			if (server?.service === service && server.state === 'ready' && isReachable(peer, peerLimits, now)) {
-				candidates.push({
-					id: server.id, node, gate: address, domain: peerDomain, isLocal: false, slots: server.slots, isCold: server.coldMs > 0, view: loads.get(server.id),
-				});
-			}
-		}
-
-		return candidates;
-	};
+	const listServers = (service: string): readonly Candidate[] => listCandidates(service, {
+		own: {
+			node: self, gate: settings.listen.gate, domain, server: isGateLeaving ? undefined : gate.describe(),
+		},
+		peers: link.getTable().values(), limits: peerLimits, loads,
+	}, readSteadyMs());
 
 	const handleFinished = (call: FinishedCall): void => {
 		metrics.recordCall(call);
@@ -256,7 +210,7 @@
 		self,
 		domain,
 		callerService: settings.service,
-		listCandidates,
+		listCandidates: listServers,
 		getCrossDomainMs: (route: RouteRule) => route.type === 'upload' ? crossDomainMs.upload : crossDomainMs.small,
 		localGate: gate,
 		gateClient,
@@ -270,14 +224,7 @@
 			log.record('info', {kind: 'peer-avoided', peer: node, reason});
 		},
 		noteReached: link.noteReached,
-		watchSilence(node, handleSilence) {
-			const watchers = silenceWatchers.get(node) ?? new Set();
-			watchers.add(handleSilence);
-			silenceWatchers.set(node, watchers);
-			return () => {
-				watchers.delete(handleSilence);
-			};
-		},
+		watchSilence: silence.watch,
 		wire,
 		getConfig: holder.get,
 		splitter,
@@ -330,11 +277,7 @@
 	const forgetGone = (): void => {
 		const known = new Set(link.list().flatMap(({report}) => report.server === undefined ? [] : [report.server.id]));
 		loads.retain(id => known.has(id));
-		for (const [node, watchers] of silenceWatchers) {
-			if (watchers.size === 0) {
-				silenceWatchers.delete(node);
-			}
-		}
+		silence.forgetIdle();
 	};
 
 	const isGateHeard = (address: Address): boolean => {
@@ -357,14 +300,10 @@
 			gateClient.checkSilence(now, isGateHeard);
 		}
 
-		for (const [node, watchers] of silenceWatchers) {
+		silence.tell(node => {
 			const peer = link.getTable().get(node);
-			if (watchers.size > 0 && (peer === undefined || now - peer.heardAt > peerLimits.silenceMs)) {
-				for (const handleSilence of watchers) {
-					handleSilence();
-				}
-			}
-		}
+			return peer === undefined || !isHeard(peer, peerLimits, now);
+		});
 	};
 
 	let silenceTimer: NodeJS.Timeout | undefined;
@@ -389,8 +328,6 @@
 
 	const countWork = (): number => entry.countCalls() + gate.countRequests();
 
-	const waitUntil = async (at: number): Promise<void> => waitFor(Math.max(0, at - readSteadyMs()));
-
 	return {
 		async start() {
 			log.record('info', {
@@ -411,35 +348,30 @@
 			void registration.run();
 		},
 		async drain() {
-			const from = readSteadyMs();
 			isLeaving = true;
 			log.record('info', {kind: 'node-draining', reason: 'signal', requests: countWork()});
-			void registration.withdraw();
-			await waitUntil(from + gateGraceMs);
-			isGateLeaving = true;
-			link.announce();
-			await waitUntil(from + closeAfterMs);
-			entry.startClosing();
-			await waitUntil(from + leaveAfterMs);
-			entry.server.close();
-			entry.server.closeIdleConnections();
-			const lastAt = from + settings.shutdownMs - lastExitMs;
-			while (countWork() > 0 && readSteadyMs() < lastAt) {
-				await waitFor(idlePollMs);
-			}
-
-			// The last answers are still on their way to the callers.
-			await waitFor(idlePollMs * 2);
-			log.record('info', {kind: 'node-stopped', requests: countWork(), afterMs: Math.round(readSteadyMs() - from)});
+			const afterMs = await shutDown({
+				withdraw() {
+					void registration.withdraw();
+				},
+				closeGate() {
+					isGateLeaving = true;
+					link.announce();
+				},
+				closeAfterAnswers: entry.startClosing,
+				stopListening() {
+					entry.server.close();
+					entry.server.closeIdleConnections();
+				},
+				countWork,
+			}, settings.shutdownMs);
+			log.record('info', {kind: 'node-stopped', requests: countWork(), afterMs: Math.round(afterMs)});
 			await dispose();
 		},
 		dispose,
 	};
 }
 
-/** How long a node that reaches the store waits for its own watch before it asks another node for a newer configuration. Milliseconds. */
-const newerGraceMs = 600;
-
 function omitId(call: FinishedCall): Omit<FinishedCall, 'id' | 'service'> {
 	const {id: _id, service: _service, ...rest} = call;
 	return rest;
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -55,7 +55,8 @@
 		}
 
 		case 'gate-refused': {
-			return `the gate of ${line.server} on ${line.node} turned it away (${line.reason}): ${line.running} running, ${line.waiting} waiting, ${line.serviceMs} ms each, it might wait ${line.mayWaitMs} ms`;
+			const load = `${line.running} running, ${line.waiting} waiting, ${line.serviceMs} ms each`;
+			return `the gate of ${line.server} on ${line.node} turned it away (${line.reason}): ${load}, it might wait ${line.mayWaitMs} ms`;
 		}
 
 		case 'request-refused': {
@@ -63,7 +64,8 @@
 		}
 
 		case 'call-finished': {
-			return `${line.node} answered ${line.status} after ${line.tookMs} ms with ${line.leftMs} ms left, version ${line.version} in force, ${line.attempts.length} attempts (${line.verdict}): ${line.reason}`;
+			const place = `version ${line.version} in force, ${line.attempts.length} attempts (${line.verdict})`;
+			return `${line.node} answered ${line.status} after ${line.tookMs} ms with ${line.leftMs} ms left, ${place}: ${line.reason}`;
 		}
 
 		default: {
