--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -96,7 +96,7 @@
 const maxRefusals = 3;
 
 /** Share of the latency objective that a call may be expected to wait for a slot: the rest is for the work itself. */
-const waitShare = 0.5;
+const waitShare = 0.3;
 
 /** A call that has missed its objective may still be expected to wait for this share of what is left. */
 const lateWaitShare = 0.12;
