--- a/src/lib/timeline/line-log.test.ts
+++ b/src/lib/timeline/line-log.test.ts
@@ -40,6 +40,20 @@
 	assert.deepEqual(lines.filter(({kind}) => kind === 'lines-dropped').map(({of, count}) => [of, count]), [['gate-refused', 475]]);
 });
 
+test('how calls ended is told of more of them than anything else, and bounded too', async () => {
+	const {sink, lines} = createFakeSink();
+	const log = createLineLog('n1', 'info', sink);
+	for (let count = 0; count < 500; count++) {
+		log.record('info', {
+			kind: 'request-refused', call: `c${count}`, status: 503, reason: 'x', host: 'h', path: '/', version: 1,
+		});
+	}
+
+	await log.flush();
+	assert.equal(lines.filter(({kind}) => kind === 'request-refused').length, 200);
+	assert.deepEqual(lines.filter(({kind}) => kind === 'lines-dropped').map(({of, count}) => [of, count]), [['request-refused', 300]]);
+});
+
 test('when nobody reads, lines about failures are the last to go', () => {
 	const {sink, lines} = createFakeSink(200_000);
 	const log = createLineLog('n1', 'info', sink);
--- a/src/lib/timeline/line-log.ts
+++ b/src/lib/timeline/line-log.ts
@@ -39,6 +39,12 @@
 /** Lines of one kind and level below `warn` in a second: a line costs some 20 microseconds, so this is a thousandth of a core. */
 const linesPerSecond = 25;
 
+/** The same for lines that tell how a failed request ended: without its own line a failure cannot be explained. A node that refuses more than this in a second says so by the count of the rest. */
+const failedCallsPerSecond = 200;
+
+/** Kinds that end the story of one request. */
+const endKinds: ReadonlySet<MeshEvent['kind']> = new Set<MeshEvent['kind']>(['call-finished', 'request-refused']);
+
 /** Lines are gathered for this long before they are written. Milliseconds. */
 const flushMs = 200;
 
@@ -152,7 +158,7 @@
 
 		const isFailure = number >= levelNumbers.warn;
 		const room = isFailure ? maxHeldBytes : maxHeldBytes * failuresOnlyShare;
-		if (sink.countHeldBytes() <= room && (isFailure || add(bound.written, kind) <= linesPerSecond)) {
+		if (sink.countHeldBytes() <= room && (isFailure || add(bound.written, kind) <= (endKinds.has(kind) ? failedCallsPerSecond : linesPerSecond))) {
 			return true;
 		}
 
