Take over a changed settings file while the node runs, with and without SIGHUP

Cause: SIGHUP read and checked the file, said "read", and applied nothing; a file that changed without a signal was not noticed at all. Change: retry limits, seeds and the time to shut down are taken over; other differences are named as needing a restart; a bad file changes nothing and is named with its field. The file's time is looked at every 2 s.

--- a/apps/sidecar/main.ts
+++ b/apps/sidecar/main.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import {readFileSync} from 'node:fs';
+import {readFileSync, statSync} from 'node:fs';
 import process from 'node:process';
 import {err, type Result} from 'neverthrow';
 import {createPlatform} from '../../platform/index.js';
@@ -37,7 +37,45 @@
 	}
 }
 
-function handleSignals(sidecar: Sidecar, log: LineLog, file: string): void {
+/** Milliseconds between two looks at the settings file, which may change without a signal. */
+const settingsLookMs = 2000;
+
+/** Takes over a changed settings file. A bad one changes nothing and is named. */
+function reloadSettings(sidecar: Sidecar, log: LineLog, file: string): void {
+	readSettings(file).match(
+		settings => {
+			const fixed = sidecar.applySettings(settings);
+			log.record('info', {
+				kind: 'settings-reloaded', outcome: 'in force', ...fixed.length > 0 ? {reason: `in force after a restart only: ${fixed.join(', ')}`} : {},
+			});
+		},
+		problem => {
+			log.record('error', {kind: 'settings-reloaded', outcome: 'refused: the settings in force stay', reason: `${file}: ${problem}`});
+		},
+	);
+}
+
+function readChangeTime(file: string): number {
+	return statSync(file, {throwIfNoEntry: false})?.mtimeMs ?? 0;
+}
+
+function watchSettings(sidecar: Sidecar, log: LineLog, file: string): void {
+	let changedAt = readChangeTime(file);
+	const reload = (): void => {
+		changedAt = readChangeTime(file);
+		reloadSettings(sidecar, log, file);
+	};
+
+	process.on('SIGHUP', reload);
+	const timer = setInterval(() => {
+		if (readChangeTime(file) !== changedAt) {
+			reload();
+		}
+	}, settingsLookMs);
+	timer.unref();
+}
+
+function stopOnSignals(sidecar: Sidecar, log: LineLog): void {
 	let isStopping = false;
 	const stop = async (): Promise<void> => {
 		if (isStopping) {
@@ -56,16 +94,6 @@
 	process.on('SIGINT', () => {
 		void stop();
 	});
-	process.on('SIGHUP', () => {
-		readSettings(file).match(
-			() => {
-				log.record('info', {kind: 'settings-reloaded', outcome: 'read'});
-			},
-			problem => {
-				log.record('error', {kind: 'settings-reloaded', outcome: 'refused: the settings in force stay', reason: `${file}: ${problem}`});
-			},
-		);
-	});
 }
 
 async function run(): Promise<void> {
@@ -86,7 +114,8 @@
 	});
 	const platform = createPlatform(settings.value.storeAddress);
 	const sidecar = createSidecar(settings.value, {...platform, log, random: Math.random});
-	handleSignals(sidecar, log, file);
+	stopOnSignals(sidecar, log);
+	watchSettings(sidecar, log, file);
 	try {
 		await sidecar.start();
 	} catch (error) {
--- a/src/lib/forwarding/retry-allowance.ts
+++ b/src/lib/forwarding/retry-allowance.ts
@@ -40,24 +40,23 @@
 /**
  * Creates the allowance.
  *
- * @param limits - What the operators allow.
+ * @param getLimits - What the operators allow now.
  * @param countNodes - Nodes that share the slack.
  * @returns The allowance; none is used.
  * @internal
  */
-export function createRetryAllowance(limits: RetryLimits, countNodes: () => number): RetryAllowance {
+export function createRetryAllowance(getLimits: () => RetryLimits, countNodes: () => number): RetryAllowance {
 	const services = new Map<string, Slice[]>();
-	const sliceMs = limits.windowMs / slicesPerWindow;
 
 	const getSlices = (service: string, now: number): Slice[] => {
-		const kept = (services.get(service) ?? []).filter(({startedAt}) => now - startedAt < limits.windowMs);
+		const kept = (services.get(service) ?? []).filter(({startedAt}) => now - startedAt < getLimits().windowMs);
 		services.set(service, kept);
 		return kept;
 	};
 
 	const getCurrent = (slices: Slice[], now: number): Slice => {
 		const last = slices.at(-1);
-		if (last !== undefined && now - last.startedAt < sliceMs) {
+		if (last !== undefined && now - last.startedAt < getLimits().windowMs / slicesPerWindow) {
 			return last;
 		}
 
@@ -70,6 +69,7 @@
 		const slices = getSlices(service, now);
 		const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
 		const repeats = slices.reduce((sum, slice) => sum + slice.repeats, 0);
+		const limits = getLimits();
 		const slack = limits.slack / Math.max(1, countNodes());
 		return Math.floor(usedShare * ((requests * limits.ratio) + slack)) - repeats;
 	};
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -46,7 +46,7 @@
 		self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog,
 		localGate: {} as unknown as LocalGate,
 		getCrossDomainMs: () => 40,
-		allowance: createRetryAllowance({ratio: 0.2, slack: 100, windowMs: 10_000}, () => 1),
+		allowance: createRetryAllowance(() => ({ratio: 0.2, slack: 100, windowMs: 10_000}), () => 1),
 		random: () => 0,
 		noteUnreachable(node) {
 			unreachable.push(node);
@@ -126,7 +126,7 @@
 	});
 	await sendCall(many.context, createCall({route: createSampleRoute({maxAttempts: 3})}));
 	assert.equal(many.sent.length, 3);
-	const spent = createFixture({a: [failed], b: [failed]}, {allowance: createRetryAllowance({ratio: 0, slack: 0, windowMs: 10_000}, () => 1)});
+	const spent = createFixture({a: [failed], b: [failed]}, {allowance: createRetryAllowance(() => ({ratio: 0, slack: 0, windowMs: 10_000}), () => 1)});
 	await sendCall(spent.context, createCall());
 	assert.equal(spent.sent.length, 1);
 });
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -37,6 +37,7 @@
 import {listCandidates} from './list-candidates.js';
 import {createMeshMetrics, type Gauge} from './mesh-metrics.js';
 import {createNewerConfigFetcher} from './newer-config.js';
+import {listFixedChanges, mergeSettings} from './settings-change.js';
 import {type SidecarSettings} from './sidecar-settings.js';
 import {shutDown} from './shut-down.js';
 import {createSilenceWatchers} from './silence-watchers.js';
@@ -56,6 +57,8 @@
 /** @public */
 export type Sidecar = {
 	readonly start: () => Promise<void>;
+	/** Takes over settings that may change while it runs; yields the names of those that need a restart. */
+	readonly applySettings: (changed: SidecarSettings) => readonly string[];
 	/** Leaves without losing work, within the time that the settings give. */
 	readonly drain: () => Promise<void>;
 	readonly dispose: () => Promise<void>;
@@ -101,13 +104,14 @@
 /**
  * Creates a sidecar node.
  *
- * @param settings - Its settings.
+ * @param firstSettings - Its settings at the start.
  * @param surroundings - The store, the platform's formats, and where events go.
  * @returns The node, not started yet.
  * @public
  */
-export function createSidecar(settings: SidecarSettings, surroundings: SidecarSurroundings): Sidecar {
+export function createSidecar(firstSettings: SidecarSettings, surroundings: SidecarSurroundings): Sidecar {
 	const {store, wire, random} = surroundings;
+	let settings = firstSettings;
 	const metrics = createMeshMetrics();
 	const log = metrics.countEvents(surroundings.log);
 	const {node: self, failureDomain: domain} = settings;
@@ -215,7 +219,7 @@
 		localGate: gate,
 		gateClient,
 		loads,
-		allowance: createRetryAllowance(settings.retries, () => link.getTable().size + 1),
+		allowance: createRetryAllowance(() => settings.retries, () => link.getTable().size + 1),
 		log,
 		random,
 		noteUnreachable(node, reason) {
@@ -347,6 +351,11 @@
 			void follower.run();
 			void registration.run();
 		},
+		applySettings(changed) {
+			settings = mergeSettings(settings, changed);
+			link.addContacts(settings.seeds);
+			return listFixedChanges(settings, changed);
+		},
 		async drain() {
 			isLeaving = true;
 			log.record('info', {kind: 'node-draining', reason: 'signal', requests: countWork()});
