Callers that were refused before go behind those that come for the first time

After a restart the gate also took a request for 60 ms until some twenty had ended, and let too many wait. Change: a caller that has less time left than the callers of its route have at first (it was refused before) is ranked half a step lower and waits for half as long; calls that others wait behind are left alone. The first answers after a start weigh more in the service time. Nothing is held back, and what is refused is told at once.

--- a/apps/sidecar/main.test.ts
+++ b/apps/sidecar/main.test.ts
@@ -1,22 +1,18 @@
 import assert from 'node:assert/strict';
-import {spawn, type ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
 import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import test, {type TestContext} from 'node:test';
-import {fileURLToPath} from 'node:url';
+import {startProcess, type RunningProcess} from '../../demo/processes.js';
 import {createListenAddresses} from '../../stand-ins/loopback-addresses.js';
 import {waitUntil} from '../../stand-ins/wait-until.js';
 
-const program = fileURLToPath(new URL('main.js', import.meta.url));
-
 /** Far longer than anything takes here, also beside load. Milliseconds. */
 const longestWaitMs = 20_000;
 
 type Daemon = {
-	readonly child: ChildProcess;
+	readonly running: RunningProcess;
 	readonly writeSettings: (changes: Readonly<Record<string, unknown>>) => void;
 	/** Waits for a line that says this. */
 	readonly expectLine: (pattern: RegExp) => Promise<void>;
@@ -40,33 +36,26 @@
 	};
 
 	writeSettings({});
-	const child = spawn(process.execPath, [program, file], {stdio: ['ignore', 'pipe', 'inherit']});
-	let output = '';
-	child.stdout.setEncoding('utf8');
-	child.stdout.on('data', (text: string) => {
-		output += text;
-	});
+	const running = startProcess('n1', 'apps/sidecar/main.js', [file]);
 	context.after(() => {
-		child.kill('SIGKILL');
+		running.child.kill('SIGKILL');
 		rmSync(folder, {recursive: true});
 	});
 	const expectLine = async (pattern: RegExp): Promise<void> => {
-		assert.ok(await waitUntil(() => pattern.test(output), longestWaitMs), `no line ${pattern.source} in:\n${output}`);
-		output = '';
+		assert.ok(await waitUntil(() => pattern.test(running.getOutput()), longestWaitMs), `no line ${pattern.source} in:\n${running.getOutput()}`);
 	};
 
 	await expectLine(/node-started/);
-	return {child, writeSettings, expectLine};
+	return {running, writeSettings, expectLine};
 }
 
 test('a changed settings file is taken over with and without a signal; a bad one changes nothing and is named', async context => {
-	const {child, writeSettings, expectLine} = await startDaemon(context);
+	const {running, writeSettings, expectLine} = await startDaemon(context);
 	writeSettings({shutdown: 'soon'});
-	child.kill('SIGHUP');
+	running.child.kill('SIGHUP');
 	await expectLine(/"level":50.*settings-reloaded.*shutdown: found \\"soon\\"/);
 	writeSettings({service: 'hall'});
 	await expectLine(/settings-reloaded.*in force after a restart only: service/);
-	child.kill('SIGTERM');
-	const [code] = await once(child, 'exit') as [number | null];
-	assert.equal(code, 0);
+	running.child.kill('SIGTERM');
+	assert.equal(await running.waitForEnd(), 0);
 });
--- a/apps/sidecar/main.ts
+++ b/apps/sidecar/main.ts
@@ -41,7 +41,7 @@
 const settingsLookMs = 2000;
 
 /** Takes over a changed settings file. A bad one changes nothing and is named. */
-function reloadSettings(sidecar: Sidecar, log: LineLog, file: string): void {
+function applySettingsFile(sidecar: Sidecar, log: LineLog, file: string): void {
 	readSettings(file).match(
 		settings => {
 			const fixed = sidecar.applySettings(settings);
@@ -61,15 +61,15 @@
 
 function watchSettings(sidecar: Sidecar, log: LineLog, file: string): void {
 	let changedAt = readChangeTime(file);
-	const reload = (): void => {
+	const applyChange = (): void => {
 		changedAt = readChangeTime(file);
-		reloadSettings(sidecar, log, file);
+		applySettingsFile(sidecar, log, file);
 	};
 
-	process.on('SIGHUP', reload);
+	process.on('SIGHUP', applyChange);
 	const timer = setInterval(() => {
 		if (readChangeTime(file) !== changedAt) {
-			reload();
+			applyChange();
 		}
 	}, settingsLookMs);
 	timer.unref();
--- a/src/lib/admission/slot-keeper.test.ts
+++ b/src/lib/admission/slot-keeper.test.ts
@@ -6,7 +6,7 @@
 
 function createRequest(changes: Partial<SlotRequest> = {}): SlotRequest {
 	return {
-		rank: 1, mayWaitMs: 400, lastAt: performance.now() + 60_000, subscribe: () => () => undefined, ...changes,
+		rank: 1, mayWaitMs: 400, lastAt: performance.now() + 60_000, listenForEnd: () => () => undefined, ...changes,
 	};
 }
 
@@ -46,7 +46,7 @@
 	const late = keeper.acquire(createRequest({lastAt: performance.now() + 20}));
 	let leave = (): void => undefined;
 	const left = keeper.acquire(createRequest({
-		subscribe(handleEnd) {
+		listenForEnd(handleEnd) {
 			leave = handleEnd;
 			return () => undefined;
 		},
--- a/src/lib/admission/slot-keeper.ts
+++ b/src/lib/admission/slot-keeper.ts
@@ -20,7 +20,7 @@
 	/** When its wait is over at the latest, in steady milliseconds. */
 	readonly lastAt: number;
 	/** Calls back once when nobody waits for it any more; yields a function that takes that back. */
-	readonly subscribe: (handleEnd: () => void) => () => void;
+	readonly listenForEnd: (handleEnd: () => void) => () => void;
 };
 
 /** What became of it. @internal */
@@ -78,7 +78,7 @@
 			finish('late');
 		}, Math.max(0, queued.waitUntil - readSteadyMs()));
 		waiters.set(queued.id, finish);
-		stopListening = request.subscribe(() => {
+		stopListening = request.listenForEnd(() => {
 			finish('cancelled');
 		});
 	});
--- a/src/lib/admission/slot-queue.test.ts
+++ b/src/lib/admission/slot-queue.test.ts
@@ -52,6 +52,20 @@
 	assert.ok(releaseToNext(queue, 1000, 0).queue.serviceMs > queue.serviceMs);
 });
 
+test('the first answers after a start weigh more than later ones', () => {
+	let queue = createSlotQueue(1);
+	for (let count = 0; count < 6; count++) {
+		queue = releaseToNext(queue, 180, 0).queue;
+	}
+
+	assert.ok(queue.serviceMs > 130, String(queue.serviceMs));
+	for (let count = 0; count < 200; count++) {
+		queue = releaseToNext(queue, 180, 0).queue;
+	}
+
+	assert.ok(releaseToNext(queue, 1180, 0).queue.serviceMs < 240);
+});
+
 test('more slots start who waits; who gave up is gone', () => {
 	const queue = removeQueued(admitAll(createSlotQueue(1), [createRequest(1), createRequest(2), createRequest(3)]), 2);
 	assert.deepEqual(resizeSlots(queue, 2, 0).started.map(({id}) => id), [3]);
--- a/src/lib/admission/slot-queue.ts
+++ b/src/lib/admission/slot-queue.ts
@@ -24,6 +24,8 @@
 	readonly waiting: readonly QueuedRequest[];
 	/** Average milliseconds that a request keeps its slot. */
 	readonly serviceMs: number;
+	/** Requests that the average is made of. */
+	readonly observed: number;
 };
 
 /** What becomes of a request that arrives. @internal */
@@ -33,12 +35,15 @@
 	| {readonly type: 'wait'; readonly displaced: QueuedRequest | undefined}
 	| {readonly type: 'full'; readonly retryAfterMs: number};
 
-/** Weight of the newest observation in the average of service times: some twenty requests make it. */
+/** Weight of the newest observation in the average of service times: some twenty requests make it. The first ones weigh more: after a restart of the node the estimate decides how many may wait, while everybody comes back at once. */
 const averageWeight = 0.05;
 
 /** Assumed until the first request has ended; of the order of what the users' sheets give. Milliseconds. */
 const initialServiceMs = 60;
 
+/** The time assumed at first counts as so many requests: the first to end are the shortest ones. */
+const initialWeight = 3;
+
 /** The longest queue for each slot: beyond it every wait is longer than any latency objective. */
 const queuePerSlot = 3;
 
@@ -52,7 +57,7 @@
  */
 export function createSlotQueue(slots: number): SlotQueue {
 	return {
-		slots, running: 0, waiting: [], serviceMs: initialServiceMs,
+		slots, running: 0, waiting: [], serviceMs: initialServiceMs, observed: 0,
 	};
 }
 
@@ -118,6 +123,12 @@
 	};
 }
 
+function recordTime(queue: SlotQueue, tookMs: number): SlotQueue {
+	const observed = queue.observed + 1;
+	const weight = Math.max(averageWeight, 1 / (observed + initialWeight));
+	return {...queue, observed, serviceMs: (queue.serviceMs * (1 - weight)) + (tookMs * weight)};
+}
+
 /**
  * Takes back the slot of a request that has ended.
  *
@@ -128,8 +139,8 @@
  * @internal
  */
 export function releaseToNext(queue: SlotQueue, tookMs: number | undefined, now: number): {readonly queue: SlotQueue; readonly started: readonly QueuedRequest[]} {
-	const serviceMs = tookMs === undefined ? queue.serviceMs : (queue.serviceMs * (1 - averageWeight)) + (tookMs * averageWeight);
-	return startNext({...queue, running: Math.max(0, queue.running - 1), serviceMs}, now);
+	const released = {...queue, running: Math.max(0, queue.running - 1)};
+	return startNext(tookMs === undefined ? released : recordTime(released, tookMs), now);
 }
 
 /**
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -25,6 +25,7 @@
 } from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
 import {type ForwardAnswer, type ForwardFailure} from './forward-result.js';
+import {type ReturningCallers} from './returning-callers.js';
 import {
 	BodyTooLargeError, hasBody, NoRoomForBodyError, readBody,
 } from './read-body.js';
@@ -51,6 +52,7 @@
 	readonly wire: WireHeaders;
 	readonly getConfig: () => HeldConfig | undefined;
 	readonly splitter: ShareSplitter;
+	readonly returningCallers: ReturningCallers;
 	readonly log: MeshLog;
 	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
 	readonly catchUp: LoopLag['catchUp'];
@@ -219,7 +221,10 @@
 			return;
 		}
 
-		const timeLeftMs = Math.min(getAmount(request.headers, wire.timeLeft) ?? route.timeoutMs, route.timeoutMs);
+		const callerWaitsMs = getAmount(request.headers, wire.timeLeft) ?? route.timeoutMs;
+		const hasComeBefore = context.returningCallers.note(route.name, callerWaitsMs);
+		const isLastRank = computeRank(route) === held.lastRanks.get(service);
+		const timeLeftMs = Math.min(callerWaitsMs, route.timeoutMs);
 		let heldBytes = 0;
 		const scope = createCallScope(call.receivedAt + timeLeftMs + endGraceMs);
 		const forget = connections.add(request.socket, scope);
@@ -240,7 +245,11 @@
 				target: request.url ?? '/',
 				headers: filterCallHeaders(request.headers),
 				body,
-				receivedAt: call.receivedAt, isLastRank: computeRank(route) === held.lastRanks.get(service), scope,
+				receivedAt: call.receivedAt,
+				isLastRank,
+				// The time left of calls that backend servers make is that of their own callers.
+				isReturning: hasComeBefore && isLastRank,
+				scope,
 			});
 			finish(call, scope, held, {...outcome, route: route.name, service});
 		} finally {
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -273,7 +273,7 @@
 
 		const {rank, mayWaitMs, scope} = call;
 		const slot = await slots.acquire({
-			rank, mayWaitMs, lastAt: scope.endsAt - lastRefusalMs, subscribe: scope.subscribe,
+			rank, mayWaitMs, lastAt: scope.endsAt - lastRefusalMs, listenForEnd: scope.subscribe,
 		});
 		if (slot.type === 'full') {
 			return refuse(call, createNotRun('full', slot.reason, slot.retryAfterMs));
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -68,7 +68,7 @@
 function createCall(changes: Partial<OutgoingCall> = {}): OutgoingCall {
 	return {
 		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined,
-		receivedAt: performance.now(), isLastRank: true, scope: createCallScope(performance.now() + 1000), ...changes,
+		receivedAt: performance.now(), isLastRank: true, isReturning: false, scope: createCallScope(performance.now() + 1000), ...changes,
 	};
 }
 
@@ -171,3 +171,17 @@
 	await sendCall(context, createCall({scope}));
 	assert.equal(sent.length, 1);
 });
+
+test('a call that came back goes behind those of its route, before other routes, and waits for less', async () => {
+	const full = createNotRun('full', 'x', 80);
+	const ask = async (isReturning: boolean): Promise<RemoteCall> => {
+		const {context, sent} = createFixture({a: [full, full], b: [full, full], c: [full, full]});
+		await sendCall(context, createCall({isReturning}));
+		return sent.find(({mayWaitMs}) => mayWaitMs > 0)!;
+	};
+
+	const fresh = await ask(false);
+	const returning = await ask(true);
+	assert.ok(returning.rank > fresh.rank && returning.rank < fresh.rank + 1);
+	assert.ok(returning.mayWaitMs < fresh.mayWaitMs * 0.7);
+});
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -8,7 +8,7 @@
 import {type BackendServerId, type NodeId} from '../common/ids.js';
 import {joinVerdicts, type Verdict} from '../common/verdict.js';
 import {isRepeatable, type RouteRule} from '../route-config/route-config.js';
-import {computeRank} from '../route-config/route-rank.js';
+import {computeCallRank} from '../route-config/route-rank.js';
 import {rankServers, type Candidate} from '../routing/rank-servers.js';
 import {estimateSlotWait, type LoadView} from '../routing/load-view.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
@@ -34,6 +34,8 @@
 	readonly receivedAt: number;
 	/** Requests of other routes to the service go before it. */
 	readonly isLastRank: boolean;
+	/** It was refused before, and goes behind those of its route that come for the first time. */
+	readonly isReturning: boolean;
 	readonly scope: CallScope;
 };
 
@@ -107,6 +109,9 @@
 /** A call that others wait behind may wait for this share of what is left: without it the work of its caller is lost. */
 const urgentWaitShare = 0.4;
 
+/** A call that came back may be expected to wait for this share of what others may: those that come later overtake it. */
+const returningWaitShare = 0.5;
+
 /** No attempt begins with less than this left, in milliseconds: it could not be answered. */
 const shortestAttemptMs = 15;
 
@@ -115,7 +120,7 @@
 	const elapsedMs = now - call.receivedAt;
 	const inTimeMs = (call.route.targetLatencyMs * waitShare) - elapsedMs;
 	const leastMs = leftMs * (call.isLastRank ? lateWaitShare : urgentWaitShare);
-	return Math.min(Math.max(inTimeMs, leastMs), leftMs);
+	return Math.min(Math.max(inTimeMs, leastMs), leftMs) * (call.isReturning ? returningWaitShare : 1);
 }
 
 function describeOutcome(result: ForwardResult): string {
@@ -160,7 +165,7 @@
 			})
 			: (): void => undefined;
 		context.loads.begin(target.id);
-		const sent = await sendOnce(context, call, target, {mayWaitMs, rank: computeRank(route), scope: inner});
+		const sent = await sendOnce(context, call, target, {mayWaitMs, rank: computeCallRank(route, call.isReturning), scope: inner});
 		context.loads.end(target.id);
 		unwatch();
 		inner.dispose();
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -20,6 +20,7 @@
 import {createGateServer} from '../forwarding/gate-server.js';
 import {createLocalGate} from '../forwarding/local-gate.js';
 import {createRetryAllowance} from '../forwarding/retry-allowance.js';
+import {createReturningCallers} from '../forwarding/returning-callers.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {isHeard, type PeerLimits, type PeerNews} from '../peers/peer-table.js';
@@ -39,7 +40,7 @@
 import {createNewerConfigFetcher} from './newer-config.js';
 import {listFixedChanges, mergeSettings} from './settings-change.js';
 import {type SidecarSettings} from './sidecar-settings.js';
-import {shutDown} from './shut-down.js';
+import {stopInOrder} from './stop-in-order.js';
 import {createSilenceWatchers} from './silence-watchers.js';
 
 /** What a sidecar node is handed by its surroundings. @public */
@@ -121,6 +122,7 @@
 	let wasReady = false;
 
 	const splitter = createShareSplitter(random);
+	const returningCallers = createReturningCallers();
 	const loads = createLoadView();
 	const lag = createLoopLag();
 	const silence = createSilenceWatchers();
@@ -132,7 +134,9 @@
 			log.record('info', {kind: 'node-ready', version: held.config.version});
 		}
 
-		splitter.retain(new Set(held.config.routes.map(({name}) => name)));
+		const routes = new Set(held.config.routes.map(({name}) => name));
+		splitter.retain(routes);
+		returningCallers.retain(routes);
 		log.record('info', {
 			kind: 'configuration-applied', version: held.config.version, from: source, routes: held.config.routes.length,
 		});
@@ -232,6 +236,7 @@
 		wire,
 		getConfig: holder.get,
 		splitter,
+		returningCallers,
 		handleFinished,
 		catchUp: lag.catchUp,
 	});
@@ -359,7 +364,7 @@
 		async drain() {
 			isLeaving = true;
 			log.record('info', {kind: 'node-draining', reason: 'signal', requests: countWork()});
-			const afterMs = await shutDown({
+			const afterMs = await stopInOrder({
 				withdraw() {
 					void registration.withdraw();
 				},
--- a/src/lib/sidecar/shut-down.ts
+++ b/src/lib/sidecar/stop-in-order.ts
@@ -42,7 +42,7 @@
  * @returns How long it took, in milliseconds.
  * @internal
  */
-export async function shutDown(steps: ShutdownSteps, limitMs: number): Promise<number> {
+export async function stopInOrder(steps: ShutdownSteps, limitMs: number): Promise<number> {
 	const from = readSteadyMs();
 	const waitUntil = async (afterMs: number): Promise<void> => waitFor(Math.max(0, from + afterMs - readSteadyMs()));
 	steps.withdraw();
