--- a/src/lib/sidecar/stop-in-order.test.ts
+++ b/src/lib/sidecar/stop-in-order.test.ts
@@ -45,14 +45,14 @@
 }
 
 /** The steady clock, which the runtime's mocked timers do not move. */
-function mockSteadyClock(): void {
+function replaceSteadyClock(): void {
 	const startedAt = Date.now();
 	mock.method(performance, 'now', () => Date.now() - startedAt);
 }
 
 test('the gate is open while callers leave, and the node goes when nothing is in work', async context => {
 	mock.timers.enable({apis: ['setTimeout', 'Date']});
-	mockSteadyClock();
+	replaceSteadyClock();
 	context.after(() => {
 		mock.timers.reset();
 		mock.restoreAll();
@@ -69,7 +69,7 @@
 
 test('it goes before the time is over, whatever is in work', async context => {
 	mock.timers.enable({apis: ['setTimeout', 'Date']});
-	mockSteadyClock();
+	replaceSteadyClock();
 	context.after(() => {
 		mock.timers.reset();
 		mock.restoreAll();
