--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 import {runCalls} from './calls/calls.js';
 import {runLarge} from './large.js';
 import {runDistribution} from './distribution.js';
+import {runLogLines} from './log-lines.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
@@ -30,6 +31,7 @@
 	.command('capacity', 'measure the slopes and write the tables of docs/CAPACITY.md', builder => builder, async () => runCapacity())
 	.command('capacity-page', 'write the tables again from the measurements on file', builder => builder, async () => renderCapacityPage())
 	.command('large', 'a configuration of 3,200 services as one submission', builder => builder, async () => runLarge())
+	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
 	.parseAsync();
