--- a/src/lib/peers/peer-table.test.ts
+++ b/src/lib/peers/peer-table.test.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import fc from 'fast-check';
-import {
-	toAddress, toBackendServerId, toFailureDomain, toNodeId,
-} from '../common/ids.js';
+import {toNodeId} from '../common/ids.js';
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
+import {createSampleReport} from './sample-report.js';
 import {
 	acceptReport, dropSilent, forgiveSilence, isReachable, noteReached, noteUnreachable, type PeerLimits, type PeerTable,
 } from './peer-table.js';
@@ -12,21 +11,11 @@
 const limits: PeerLimits = {silenceMs: 900, forgetMs: 60_000, avoidMs: 250};
 const n2 = toNodeId('n2');
 
-function createReport(changes: Partial<PeerReport> = {}): PeerReport {
-	return {
-		node: n2, run: 'r1', sequence: 1, domain: toFailureDomain('a'), gate: toAddress('10.0.0.2:1'), gossip: toAddress('10.0.0.2:2'), version: 3, isLeaving: false,
-		server: {
-			id: toBackendServerId('i-1'), service: 'logview', slots: 12, state: 'ready', coldMs: 0, running: 3, waiting: 1, serviceMs: 80, failureShare: 0.125,
-		},
-		...changes,
-	};
-}
-
 const hear = (table: PeerTable, report: PeerReport, now: number) => acceptReport(table, report, limits, now);
 
 test('a report survives its way over the wire', () => {
-	assert.deepEqual(decodeReport(encodeReport(createReport())), createReport());
-	const bare = createReport({server: undefined, isLeaving: true});
+	assert.deepEqual(decodeReport(encodeReport(createSampleReport())), createSampleReport());
+	const bare = createSampleReport({server: undefined, isLeaving: true});
 	assert.deepEqual(decodeReport(encodeReport(bare)), bare);
 });
 
@@ -38,34 +27,34 @@
 });
 
 test('late and repeated reports change nothing', () => {
-	const {table} = hear(new Map(), createReport({sequence: 5, version: 4}), 100);
-	const late = hear(table, createReport({sequence: 4, version: 3}), 900);
+	const {table} = hear(new Map(), createSampleReport({sequence: 5, version: 4}), 100);
+	const late = hear(table, createSampleReport({sequence: 4, version: 3}), 900);
 	assert.equal(late.news, 'none');
 	assert.equal(late.table.get(n2)?.heardAt, 100);
-	assert.equal(hear(table, createReport({sequence: 5}), 900).news, 'none');
+	assert.equal(hear(table, createSampleReport({sequence: 5}), 900).news, 'none');
 });
 
 test('a restarted node is told from its earlier run, whose late reports are ignored', () => {
-	const first = hear(new Map(), createReport({sequence: 50}), 0).table;
-	const second = hear(first, createReport({run: 'r2', sequence: 1}), 100);
+	const first = hear(new Map(), createSampleReport({sequence: 50}), 0).table;
+	const second = hear(first, createSampleReport({run: 'r2', sequence: 1}), 100);
 	assert.equal(second.news, 'restarted');
-	const late = hear(second.table, createReport({run: 'r1', sequence: 51}), 200);
+	const late = hear(second.table, createSampleReport({run: 'r1', sequence: 51}), 200);
 	assert.equal(late.news, 'none');
 	assert.equal(late.table.get(n2)?.report.run, 'r2');
 });
 
 test('a silent node gets no requests, and gets them again once it is heard', () => {
-	const {table} = hear(new Map(), createReport(), 0);
+	const {table} = hear(new Map(), createSampleReport(), 0);
 	const peer = table.get(n2)!;
 	assert.equal(isReachable(peer, limits, 900), true);
 	assert.equal(isReachable(peer, limits, 901), false);
-	const back = hear(table, createReport({sequence: 2}), 5000);
+	const back = hear(table, createSampleReport({sequence: 2}), 5000);
 	assert.equal(back.news, 'returned');
 	assert.equal(isReachable(back.table.get(n2)!, limits, 5001), true);
 });
 
 test('a node that is heard but cannot be reached is avoided for longer each time', () => {
-	let {table} = hear(new Map(), createReport(), 0);
+	let {table} = hear(new Map(), createSampleReport(), 0);
 	table = noteUnreachable(table, n2, limits, 0);
 	assert.equal(isReachable(table.get(n2)!, limits, 249), false);
 	assert.equal(isReachable(table.get(n2)!, limits, 250), true);
@@ -79,13 +68,13 @@
 });
 
 test('a node that stood still does not take the others for silent', () => {
-	const {table} = hear(new Map(), createReport(), 0);
+	const {table} = hear(new Map(), createSampleReport(), 0);
 	assert.equal(isReachable(table.get(n2)!, limits, 4100), false);
 	assert.equal(isReachable(forgiveSilence(table, 4000).get(n2)!, limits, 4100), true);
 });
 
 test('a node that leaves gets no requests; one that was silent for long is forgotten', () => {
-	const {table} = hear(new Map(), createReport({isLeaving: true}), 0);
+	const {table} = hear(new Map(), createSampleReport({isLeaving: true}), 0);
 	assert.equal(isReachable(table.get(n2)!, limits, 1), false);
 	assert.deepEqual(dropSilent(table, limits, 60_000).dropped, []);
 	const dropped = dropSilent(table, limits, 60_001);
@@ -100,7 +89,7 @@
 		const seen = new Map<string, number>();
 		for (const [now, changes] of reports.entries()) {
 			const before = table.get(n2)?.report;
-			table = hear(table, createReport(changes), now).table;
+			table = hear(table, createSampleReport(changes), now).table;
 			const after = table.get(n2)!.report;
 			if (before?.run === after.run) {
 				assert.ok(after.sequence >= before.sequence);
--- /dev/null
+++ b/src/lib/peers/sample-report.ts
@@ -0,0 +1,24 @@
+/**
+ * A node's report for tests.
+ *
+ * @module
+ */
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+} from '../common/ids.js';
+import {type PeerReport} from './peer-report.js';
+
+/**
+ * @param changes - What differs from a usual report.
+ * @returns The report of a node `n2` with a server that is ready.
+ * @internal
+ */
+export function createSampleReport(changes: Partial<PeerReport> = {}): PeerReport {
+	return {
+		node: toNodeId('n2'), run: 'r1', sequence: 1, domain: toFailureDomain('a'), gate: toAddress('10.0.0.2:1'), gossip: toAddress('10.0.0.2:2'), version: 3, isLeaving: false,
+		server: {
+			id: toBackendServerId('i-1'), service: 'logview', slots: 12, state: 'ready', coldMs: 0, running: 3, waiting: 1, serviceMs: 80, failureShare: 0.125,
+		},
+		...changes,
+	};
+}
