Retry allowance: fewer repeats for requests that may have run, and an exact window

Requests that fail because of a call are those that make calls: 2 for each run, not the 1.4 of the mean. And a node forgot the repeats of a whole slice when its first moment left the window: up to a tenth more than its share. Change: of what is allowed, 0.45 is used, and 0.2 at the most for requests that may have run (their calls are made again); requests that a server turned away keep 0.45. A slice of repeats counts until its last moment is out of the window. Tests: retry-allowance.test.ts: with 0.45 for both, 1,625 of 1,660 allowed, over the margin of a fifth that the test asks for; seen failing so.

--- a/src/lib/forwarding/retry-allowance.test.ts
+++ b/src/lib/forwarding/retry-allowance.test.ts
@@ -1,14 +1,16 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import fc from 'fast-check';
-import {createRetryAllowance, type RetryAllowance, type RetryLimits} from './retry-allowance.js';
+import {
+	createRetryAllowance, type RepeatReason, type RetryAllowance, type RetryLimits,
+} from './retry-allowance.js';
 
 const limits: RetryLimits = {ratio: 0.2, slack: 62, windowMs: 10_000};
 
 /** Takes all that is left; a faulty allowance must not keep the tests for ever. */
-function takeAll(allowance: RetryAllowance, service: string, now: number): number {
+function takeAll(allowance: RetryAllowance, service: string, now: number, reason: RepeatReason = 'turned-away'): number {
 	let taken = 0;
-	while (taken < 100_000 && allowance.take(service, now)) {
+	while (taken < 100_000 && allowance.take(service, reason, now)) {
 		taken++;
 	}
 
@@ -17,9 +19,9 @@
 
 test('a node without requests has its part of the slack, and services do not share', () => {
 	const allowance = createRetryAllowance(() => limits, () => 13);
-	const taken = Array.from({length: 5}, () => allowance.take('logview', 0));
+	const taken = Array.from({length: 5}, () => allowance.take('logview', 'turned-away', 0));
 	assert.deepEqual(taken, [true, true, false, false, false]);
-	assert.equal(allowance.take('depstore', 0), true);
+	assert.equal(allowance.take('depstore', 'turned-away', 0), true);
 });
 
 test('repeats grow with requests, and are forgotten with the window', () => {
@@ -28,27 +30,29 @@
 		allowance.noteRequest('logview', 0);
 	}
 
-	assert.equal(allowance.countLeft('logview', 0), 11);
+	assert.equal(allowance.countLeft('logview', 'turned-away', 0), 11);
 	assert.equal(takeAll(allowance, 'logview', 5000), 11);
-	assert.equal(allowance.countLeft('logview', 9999), 0);
-	assert.equal(allowance.countLeft('logview', 20_000), 2);
+	assert.equal(allowance.countLeft('logview', 'turned-away', 9999), 0);
+	assert.equal(allowance.countLeft('logview', 'turned-away', 20_000), 2);
 });
 
 const countWithin = (times: readonly number[], now: number, windowMs: number): number => times.filter(at => now - at < windowMs).length;
 
 test('property: over all nodes and any window the repeats stay within what the operators allow', () => {
-	const event = fc.record({node: fc.nat(2), isRequest: fc.boolean(), afterMs: fc.nat(800)});
+	const event = fc.record({
+		node: fc.nat(2), isRequest: fc.boolean(), reason: fc.constantFrom<RepeatReason>('turned-away', 'may-have-run'), afterMs: fc.nat(800),
+	});
 	fc.assert(fc.property(fc.array(event, {maxLength: 300}), events => {
 		const nodes = Array.from({length: 3}, () => createRetryAllowance(() => ({...limits, slack: 9}), () => 3));
 		const requests: number[] = [];
 		const repeats: number[] = [];
 		let now = 0;
-		for (const {node, isRequest, afterMs} of events) {
+		for (const {node, isRequest, reason, afterMs} of events) {
 			now += afterMs;
 			if (isRequest) {
 				nodes[node]?.noteRequest('s', now);
 				requests.push(now);
-			} else if (nodes[node]?.take('s', now)) {
+			} else if (nodes[node]?.take('s', reason, now)) {
 				repeats.push(now);
 			}
 
@@ -59,12 +63,30 @@
 	}));
 });
 
+test('of the repeats, fewer are for requests that may have run', () => {
+	const allowance = createRetryAllowance(() => limits, () => 13);
+	for (let sent = 0; sent < 1000; sent++) {
+		allowance.noteRequest('logview', 0);
+	}
+
+	assert.equal(takeAll(allowance, 'logview', 0, 'may-have-run'), 40);
+	assert.equal(takeAll(allowance, 'logview', 0, 'turned-away'), 52);
+});
+
+test('a repeat counts until its last moment is out of the window', () => {
+	const allowance = createRetryAllowance(() => limits, () => 13);
+	assert.equal(takeAll(allowance, 'logview', 0), 2);
+	assert.equal(takeAll(allowance, 'logview', 10_500), 0);
+	assert.equal(takeAll(allowance, 'logview', 11_000), 2);
+});
+
 test('calls that repeated runs make again stay within what the service that they call is allowed', () => {
 	const nodes = 13;
-	const callsEach = 1.4;
-	// One window of the users' mesh: nearly all requests to "hall" are calls that runs of "logview" make.
-	const requests = {logview: 3340, hall: 1130 + Math.round(3340 * callsEach)};
-	const countRepeats = (service: keyof typeof requests): number => {
+	// The users' mesh while a service sheds: 0.7 of the runs of "logview" make two calls of "hall", and these are the ones that fail and run again.
+	const callsOfEach = 1.4;
+	const callsOfRepeated = 2;
+	const requests = {logview: 4600, hall: 1550 + Math.round(4600 * callsOfEach)};
+	const countRepeats = (service: keyof typeof requests, reason: RepeatReason): number => {
 		let repeats = 0;
 		for (let node = 0; node < nodes; node++) {
 			const allowance = createRetryAllowance(() => limits, () => nodes);
@@ -72,12 +94,14 @@
 				allowance.noteRequest(service, 0);
 			}
 
-			repeats += takeAll(allowance, service, 0);
+			repeats += takeAll(allowance, service, 0, reason);
 		}
 
 		return repeats;
 	};
 
-	const again = countRepeats('hall') + (countRepeats('logview') * callsEach);
-	assert.ok(again <= (requests.hall * limits.ratio) + limits.slack, String(again));
+	const again = countRepeats('hall', 'turned-away') + (countRepeats('logview', 'may-have-run') * callsOfRepeated);
+	const allowed = (requests.hall * limits.ratio) + limits.slack;
+	// Windows are cut otherwise by who counts than by the nodes.
+	assert.ok(again <= allowed * 0.8, `${again} of ${allowed}`);
 });
--- a/src/lib/forwarding/retry-allowance.ts
+++ b/src/lib/forwarding/retry-allowance.ts
@@ -20,26 +20,34 @@
 	readonly startedAt: number;
 	requests: number;
 	repeats: number;
+	/** Of the repeats, those of requests that may have run. */
+	reruns: number;
 };
 
+/** Why a request is sent again: a server turned it away, or it may have run and failed. @internal */
+export type RepeatReason = 'turned-away' | 'may-have-run';
+
 /** @internal */
 export type RetryAllowance = {
 	readonly noteRequest: (service: string, now: number) => void;
 	/** Takes a repeat if one is left. */
-	readonly take: (service: string, now: number) => boolean;
+	readonly take: (service: string, reason: RepeatReason, now: number) => boolean;
 	/** Repeats that this node may still send to a service. */
-	readonly countLeft: (service: string, now: number) => number;
+	readonly countLeft: (service: string, reason: RepeatReason, now: number) => number;
 };
 
 /** Slices in a window: the window slides by one of these. */
 const slicesPerWindow = 10;
 
+/** Share of what is allowed that is used. The rest is for calls that repeated runs make again. */
+const usedShare = 0.45;
+
 /**
- * Share of what is allowed that is used. A request that runs again makes its calls again, and these count as repeats at
- * the service that is called: where nearly all of that service's requests are such calls, both together come to
- * twice this share. The rest is for windows that are cut otherwise than here.
+ * Share of what is allowed that goes to requests that may have run. A request that runs again makes its calls again, and
+ * these count as repeats at the service that is called. Requests that fail because of a call are those that make
+ * the most: two each, at the users' services, so that this share counts twice there.
  */
-const usedShare = 0.45;
+const rerunShare = 0.2;
 
 /**
  * Creates the allowance.
@@ -52,42 +60,56 @@
 export function createRetryAllowance(getLimits: () => RetryLimits, countNodes: () => number): RetryAllowance {
 	const services = new Map<string, Slice[]>();
 
+	const getSliceMs = (): number => getLimits().windowMs / slicesPerWindow;
+
+	/** A slice counts until its last moment is out of the window. */
 	const getSlices = (service: string, now: number): Slice[] => {
-		const kept = (services.get(service) ?? []).filter(({startedAt}) => now - startedAt < getLimits().windowMs);
+		const kept = (services.get(service) ?? []).filter(({startedAt}) => now - startedAt < getLimits().windowMs + getSliceMs());
 		services.set(service, kept);
 		return kept;
 	};
 
 	const getCurrent = (slices: Slice[], now: number): Slice => {
 		const last = slices.at(-1);
-		if (last !== undefined && now - last.startedAt < getLimits().windowMs / slicesPerWindow) {
+		if (last !== undefined && now - last.startedAt < getSliceMs()) {
 			return last;
 		}
 
-		const slice: Slice = {startedAt: now, requests: 0, repeats: 0};
+		const slice: Slice = {
+			startedAt: now, requests: 0, repeats: 0, reruns: 0,
+		};
 		slices.push(slice);
 		return slice;
 	};
 
-	const countLeft = (service: string, now: number): number => {
-		const slices = getSlices(service, now);
-		const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
-		const repeats = slices.reduce((sum, slice) => sum + slice.repeats, 0);
-		const limits = getLimits();
-		const slack = limits.slack / Math.max(1, countNodes());
-		return Math.floor(usedShare * ((requests * limits.ratio) + slack)) - repeats;
+	const countLeft = (service: string, reason: RepeatReason, now: number): number => {
+		const {ratio, slack, windowMs} = getLimits();
+		let requests = 0;
+		let repeats = 0;
+		let reruns = 0;
+		for (const slice of getSlices(service, now)) {
+			requests += now - slice.startedAt < windowMs ? slice.requests : 0;
+			repeats += slice.repeats;
+			reruns += slice.reruns;
+		}
+
+		const allowed = (requests * ratio) + (slack / Math.max(1, countNodes()));
+		const left = Math.floor(usedShare * allowed) - repeats;
+		return reason === 'turned-away' ? left : Math.min(left, Math.floor(rerunShare * allowed) - reruns);
 	};
 
 	return {
 		noteRequest(service, now) {
 			getCurrent(getSlices(service, now), now).requests++;
 		},
-		take(service, now) {
-			if (countLeft(service, now) <= 0) {
+		take(service, reason, now) {
+			if (countLeft(service, reason, now) <= 0) {
 				return false;
 			}
 
-			getCurrent(getSlices(service, now), now).repeats++;
+			const slice = getCurrent(getSlices(service, now), now);
+			slice.repeats++;
+			slice.reruns += reason === 'may-have-run' ? 1 : 0;
 			return true;
 		},
 		countLeft,
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -216,7 +216,8 @@
 			return progress.refusals <= maxRefusals;
 		}
 
-		return progress.arrivals < route.maxAttempts && context.allowance.take(service, now);
+		const reason = result.type === 'failed' && result.verdict === 'not-run' ? 'turned-away' : 'may-have-run';
+		return progress.arrivals < route.maxAttempts && context.allowance.take(service, reason, now);
 	};
 
 	const chooseNext = (): Choice | ForwardFailure => {
