--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -165,7 +165,7 @@
 		file: `${library}/forwarding/local-gate.js`,
 		from: 'if (current.isLeaving || context.isLeaving()) {',
 		to: 'if (false) {',
-		tests: 'platform',
+		tests: `${library}/forwarding`,
 	},
 	{
 		promise: 'sidecar: an answer to another request is not handed on',
--- /dev/null
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import {createServer, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import test, {type TestContext} from 'node:test';
+import {toAddress, toBackendServerId} from '../common/ids.js';
+import {type ServerAnnouncement} from '../local-server/local-server.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {createCallScope} from './call-scope.js';
+import {type WireHeaders} from './call-headers.js';
+import {createLocalGate, type GateCall, type LocalGate} from './local-gate.js';
+
+const wire: WireHeaders = {
+	callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run',
+};
+const id = toBackendServerId('i-1');
+
+type Fixture = {
+	readonly gate: LocalGate;
+	/** Ids of the calls that arrived. */
+	readonly arrived: string[];
+	/** Answers the first call that is still open. */
+	readonly answerNext: () => void;
+	readonly announce: (changes?: Partial<ServerAnnouncement>) => void;
+	readonly createCall: (call: string) => GateCall;
+};
+
+/** A gate before a server with one slot that answers when it is told to. */
+async function createFixture(context: TestContext, isLeaving: () => boolean = () => false): Promise<Fixture> {
+	const arrived: string[] = [];
+	const open: ServerResponse[] = [];
+	const server = createServer((request, response) => {
+		arrived.push(String(request.headers[wire.callId]));
+		response.setHeader(wire.callId, String(request.headers[wire.callId]));
+		response.setHeader(wire.signature, 's');
+		open.push(response);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const gate = createLocalGate({
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, isLeaving,
+	});
+	let sequence = 0;
+	const fixture: Fixture = {
+		gate,
+		arrived,
+		answerNext() {
+			open.shift()?.end('page');
+		},
+		announce(changes = {}) {
+			sequence++;
+			gate.announce({
+				id, service: 'logview', address, slots: 1, isDraining: false, coldMs: 0, sequence, ...changes,
+			});
+		},
+		createCall(call) {
+			const scope = createCallScope(performance.now() + 30_000);
+			context.after(scope.dispose);
+			return {
+				id: call, server: id, method: 'GET', target: '/logs/1', headers: {host: 'mesh.example'}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 20_000, scope,
+			};
+		},
+	};
+	context.after(() => {
+		gate.dispose();
+		server.close();
+		server.closeAllConnections();
+	});
+	fixture.announce();
+	return fixture;
+}
+
+/** Looks for an arrival so many times, 5 ms apart: far longer than it takes, also beside load. */
+const arrivalLooks = 2000;
+
+async function waitForArrival({arrived}: Fixture): Promise<void> {
+	for (let look = 0; arrived.length === 0 && look < arrivalLooks; look++) {
+		await new Promise(resolve => {
+			setTimeout(resolve, 5);
+		});
+	}
+
+	assert.equal(arrived.length, 1);
+}
+
+async function expectRefusal(fixture: Fixture, reason: string): Promise<void> {
+	const {result} = await fixture.gate.run(fixture.createCall('late'));
+	assert.ok(result.type === 'failed');
+	assert.deepEqual([result.reason, result.verdict, result.hasArrived], [reason, 'not-run', false]);
+	assert.ok(!fixture.arrived.includes('late'));
+}
+
+test('a server that said that it drains, or that it leaves, gets nothing from its own gate either', async context => {
+	const draining = await createFixture(context);
+	draining.announce({isDraining: true});
+	await expectRefusal(draining, 'draining');
+	const left = await createFixture(context);
+	left.gate.leave(id);
+	await expectRefusal(left, 'draining');
+});
+
+test('a node that leaves takes nothing new for its server', async context => {
+	await expectRefusal(await createFixture(context, () => true), 'draining');
+});
+
+test('a request that waits for a slot while the server says that it leaves is turned away', async context => {
+	const fixture = await createFixture(context);
+	const first = fixture.gate.run(fixture.createCall('first'));
+	await waitForArrival(fixture);
+	const waiting = fixture.gate.run(fixture.createCall('late'));
+	fixture.gate.leave(id);
+	fixture.answerNext();
+	const answered = await first;
+	assert.equal(answered.result.type, 'answered');
+	const {result} = await waiting;
+	assert.ok(result.type === 'failed' && result.reason === 'draining' && result.verdict === 'not-run');
+	assert.deepEqual(fixture.arrived, ['first']);
+});
+
+test('a request for another server than the one that is there is turned away', async context => {
+	const fixture = await createFixture(context);
+	fixture.announce({id: toBackendServerId('i-2')});
+	await expectRefusal(fixture, 'gone');
+});
--- a/src/lib/local-server/local-server.test.ts
+++ b/src/lib/local-server/local-server.test.ts
@@ -25,6 +25,14 @@
 	assert.equal(announce(draining.state, {sequence: 6}).state.current?.isLeaving, true);
 });
 
+test('a late announcement does not bring back what has changed since', () => {
+	const changed = announce(announce(noLocalServer, {sequence: 4, slots: 12}).state, {sequence: 5, slots: 4});
+	assert.equal(changed.news, 'changed');
+	const late = announce(changed.state, {sequence: 4, slots: 12});
+	assert.equal(late.news, 'none');
+	assert.equal(late.state.current?.announcement.slots, 4);
+});
+
 test('a server that leaves without draining first gets no new work', () => {
 	const {state} = announce(noLocalServer, {});
 	const left = acceptLeave(state, toBackendServerId('i-1'));
