Stand-in of the store: a caller may close its connection within a request

Ruled out: a request cut by the node (no caller saw one); the node's own servers catch this. Change: the stand-in passes over a request whose connection has closed, and nothing else. Test: platform/platform-store.test.ts, failing the same way each time before.

--- a/stand-ins/platform-store/platform-store.ts
+++ b/stand-ins/platform-store/platform-store.ts
@@ -230,8 +230,19 @@
 		await dispatch(request, response);
 	};
 
+	const handleSafely = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		try {
+			await handle(request, response);
+		} catch (error) {
+			// A connection that closes within the body ends the request; there is nobody left to answer.
+			if (!request.destroyed) {
+				throw error;
+			}
+		}
+	};
+
 	const server = createServer((request, response) => {
-		void handle(request, response);
+		void handleSafely(request, response);
 	});
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
