--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -156,7 +156,7 @@
 	{
 		promise: 'sidecar: what reaches a second server stays within the allowance',
 		file: `${library}/forwarding/retry-allowance.js`,
-		from: 'if (countLeft(service, now) <= 0) {',
+		from: 'if (countLeft(service, reason, now) <= 0) {',
 		to: 'if (false) {',
 		tests: `${library}/forwarding`,
 	},
