--- a/apps/sidecar/main.test.ts
+++ b/apps/sidecar/main.test.ts
@@ -25,7 +25,7 @@
 	const host = `127.78.${process.pid % 250}.1`;
 	const {callers, gate, gossip, announcements} = createListenAddresses(host);
 	const settings = {
-		node: 'n1', failureDomain: 'a', service: 'logview', storeAddress: `${host}:7099`, seeds: [], shutdown: '4s',
+		node: 'n1', failureDomain: 'a', service: 'logview', storeAddress: `${host}:7099`, linkMbps: 1000, seeds: [], shutdown: '4s',
 		listen: {
 			callers, gate, gossip, announcements, readiness: `${host}:7007`, metrics: `${host}:7008`,
 		},
--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -251,4 +251,25 @@
 		to: 'while (false',
 		tests: `${library}/sidecar`,
 	},
+	{
+		promise: 'sidecar: a step that does not lead to what it was computed for is refused',
+		file: `${library}/route-config/text-delta.js`,
+		from: 'return computeTextDigest(newText) === digest ? newText : undefined;',
+		to: 'return newText;',
+		tests: `${library}/route-config`,
+	},
+	{
+		promise: 'sidecar: a node that hears of no fresh watcher asks the store itself',
+		file: `${library}/sync/relay-duty.js`,
+		from: '|| !others.some(node => isFresh(node))',
+		to: '',
+		tests: `${library}/sync`,
+	},
+	{
+		promise: 'sidecar: a node that leaves a question unanswered counts as silent',
+		file: `${library}/peers/peer-table.js`,
+		from: '&& (probedAt === undefined || now - probedAt <= probeMs)',
+		to: '',
+		tests: `${library}/peers`,
+	},
 ];
--- /dev/null
+++ b/src/lib/forwarding/config-messages.ts
@@ -0,0 +1,80 @@
+/**
+ * What nodes say to one another when one hands the configuration to another,
+ * as heads and bodies of frames.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {parseConfigSteps, type ConfigStep} from '../route-config/config-history.js';
+
+/** What a node is sent. @internal */
+export type ConfigAnswer =
+	/** The configuration, as the store holds it. */
+	| {readonly type: 'whole'; readonly text: string}
+	/** How to make it out of the one that the node has. */
+	| {readonly type: 'steps'; readonly steps: readonly ConfigStep[]};
+
+/**
+ * @param version - The version that the node which asks has; 0 if it has none, or wants the whole.
+ * @returns The head of its frame.
+ * @internal
+ */
+export function encodeConfigRequest(version: number): readonly [number] {
+	return [version];
+}
+
+/**
+ * @param head - Head of a frame.
+ * @returns The version that the node which asks has; 0 if the head does not tell, so that it gets the whole.
+ * @internal
+ */
+export function decodeConfigRequest(head: unknown): number {
+	const [version] = Array.isArray(head) ? head as unknown[] : [];
+	return typeof version === 'number' ? version : 0;
+}
+
+/**
+ * @param answer - What is sent; `undefined` for nothing.
+ * @returns Head and body of the frame.
+ * @internal
+ */
+export function encodeConfigAnswer(answer: ConfigAnswer | undefined): {readonly head: readonly [string]; readonly body: Uint8Array} {
+	switch (answer?.type) {
+		case undefined: {
+			return {head: ['none'], body: Buffer.alloc(0)};
+		}
+
+		case 'whole': {
+			return {head: ['whole'], body: Buffer.from(answer.text)};
+		}
+
+		case 'steps': {
+			return {head: ['steps'], body: Buffer.from(JSON.stringify(answer.steps))};
+		}
+	}
+}
+
+function decodeSteps(text: string): ConfigAnswer | undefined {
+	try {
+		const steps = parseConfigSteps(JSON.parse(text));
+		return steps === undefined ? undefined : {type: 'steps', steps};
+	} catch {
+		// Whoever asked takes it as no answer, and says so.
+		return undefined;
+	}
+}
+
+/**
+ * @param head - Head of a frame.
+ * @param body - Its body.
+ * @returns What was sent; `undefined` for nothing, and for what cannot be read.
+ * @internal
+ */
+export function decodeConfigAnswer(head: unknown, body: Uint8Array): ConfigAnswer | undefined {
+	const [type] = Array.isArray(head) ? head as unknown[] : [];
+	if (type === 'whole' && body.length > 0) {
+		return {type, text: new TextDecoder().decode(body)};
+	}
+
+	return type === 'steps' ? decodeSteps(new TextDecoder().decode(body)) : undefined;
+}
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -11,6 +11,7 @@
 	createMayHaveRun, createNotRun, type ForwardFailure, type GateResult,
 } from './forward-result.js';
 import {openPeerChannel, type ChannelResult, type PeerChannel} from './peer-channel.js';
+import {decodeConfigAnswer, encodeConfigRequest, type ConfigAnswer} from './config-messages.js';
 import {decodePeerAnswer, encodePeerRequest, type PeerRequest} from './peer-messages.js';
 
 /** A request for the backend server beside another node. @internal */
@@ -23,8 +24,8 @@
 /** @internal */
 export type GateClient = {
 	readonly send: (call: RemoteCall) => Promise<GateResult>;
-	/** Asks another node for the configuration in force; `undefined` if it has none or does not answer. */
-	readonly fetchConfig: (gate: Address, scope: CallScope) => Promise<string | undefined>;
+	/** Asks another node for the configuration in force, telling which version is there; `undefined` if it has none or does not answer. */
+	readonly fetchConfig: (gate: Address, version: number, scope: CallScope) => Promise<ConfigAnswer | undefined>;
 	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. */
 	readonly renew: (gate: Address) => void;
 	/** Closes connections that have gone silent although their nodes are heard, so that new ones are made. Called every now and then. */
@@ -82,11 +83,11 @@
 			});
 			return result.type === 'failed' ? {result: judgeFailure(result), load: undefined} : decodePeerAnswer(result.head, result.body);
 		},
-		async fetchConfig(gate, scope) {
+		async fetchConfig(gate, version, scope) {
 			const result = await getChannel(gate, 'bulk').send({
-				type: 'config', head: undefined, body: undefined, scope,
+				type: 'config', head: encodeConfigRequest(version), body: undefined, scope,
 			});
-			return result.type === 'answered' && result.body.length > 0 ? new TextDecoder().decode(result.body) : undefined;
+			return result.type === 'answered' ? decodeConfigAnswer(result.head, result.body) : undefined;
 		},
 		renew(gate) {
 			for (const kind of ['small', 'bulk'] as const) {
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -4,13 +4,13 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import {createServer, type Server, type Socket} from 'node:net';
 import {readSteadyMs} from '../common/clock.js';
 import {type LoopLag} from '../common/loop-lag.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createCallScope, type CallScope} from './call-scope.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
+import {decodeConfigRequest, encodeConfigAnswer, type ConfigAnswer} from './config-messages.js';
 import {createMayHaveRun, type GateResult} from './forward-result.js';
 import {type LocalGate} from './local-gate.js';
 import {decodePeerRequest, encodePeerAnswer, type PeerRequest} from './peer-messages.js';
@@ -18,8 +18,8 @@
 /** @internal */
 export type GateServerContext = {
 	readonly gate: LocalGate;
-	/** The configuration in force, as the store holds it. */
-	readonly getConfigText: () => string | undefined;
+	/** What a node is sent that has a version of the configuration; `undefined` if there is none here. */
+	readonly getConfig: (version: number) => ConfigAnswer | undefined;
 	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
 	readonly catchUp: LoopLag['catchUp'];
 	readonly log: MeshLog;
@@ -56,7 +56,7 @@
  * @internal
  */
 export function createGateServer(context: GateServerContext): GateServer {
-	const {gate, getConfigText, catchUp, log} = context;
+	const {gate, getConfig, catchUp, log} = context;
 	const connections = new Set<Connection>();
 
 	/** Asks for the body of an offer once a slot is held. */
@@ -111,7 +111,7 @@
 			}
 
 			case 'config': {
-				writeFrame(connection.socket, {type: 'answer', id: frame.id, body: Buffer.from(getConfigText() ?? '')});
+				writeFrame(connection.socket, {type: 'answer', id: frame.id, ...encodeConfigAnswer(getConfig(decodeConfigRequest(frame.head)))});
 				break;
 			}
 
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -158,12 +158,14 @@
 	const send = async (target: Candidate, mayWaitMs: number): Promise<ForwardResult> => {
 		const startedAt = readSteadyMs();
 		const inner = createInnerScope(scope);
-		// What may be repeated does not wait for a node that has fallen silent; what may not be has to.
-		const unwatch = mayRepeat && !target.isLocal
-			? context.watchSilence(target.node, () => {
-				inner.end('superseded');
-			})
-			: (): void => undefined;
+		const unwatch = target.isLocal
+			? (): void => undefined
+			: context.watchSilence(target.node, () => {
+				// What may be repeated does not wait for a node that has fallen silent; what may not be has to.
+				if (mayRepeat) {
+					inner.end('superseded');
+				}
+			});
 		context.loads.begin(target.id);
 		const sent = await sendOnce(context, call, target, {mayWaitMs, rank: computeCallRank(route, call.isReturning), scope: inner});
 		context.loads.end(target.id);
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -7,18 +7,20 @@
 import {createSocket} from 'node:dgram';
 import {parseAddress} from '../common/address.js';
 import {readSteadyMs} from '../common/clock.js';
-import {type Address, type NodeId} from '../common/ids.js';
+import {type Address, type FailureDomain, type NodeId} from '../common/ids.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {measurePeriods, planHeartbeats, type HeartbeatPlan} from './heartbeat-plan.js';
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {
-	acceptReport, dropSilent, forgiveSilence, isHeard, noteReached, noteUnreachable,
+	acceptReport, dropSilent, forgiveSilence, isHeard, noteProbed, noteReached, noteUnreachable,
 	type Peer, type PeerLimits, type PeerNews, type PeerTable,
 } from './peer-table.js';
 
 /** @internal */
 export type PeerLinkSettings = PeerLimits & {
 	readonly listen: Address;
-	/** Milliseconds between two heartbeats. */
+	readonly domain: FailureDomain;
+	/** Milliseconds between two rounds of heartbeats. */
 	readonly periodMs: number;
 };
 
@@ -26,7 +28,7 @@
 export type PeerLinkContext = {
 	readonly settings: PeerLinkSettings;
 	/** Describes this node as it is now. */
-	readonly describeSelf: (sequence: number) => PeerReport;
+	readonly describeSelf: (sequence: number) => Omit<PeerReport, 'periods' | 'isProbe'>;
 	readonly log: MeshLog;
 	/** Told of each report that was heard. */
 	readonly handleReport: (report: PeerReport, news: PeerNews) => void;
@@ -41,6 +43,10 @@
 	readonly addContacts: (addresses: readonly Address[]) => void;
 	/** Tells everybody at once, for news that cannot wait for the next period. */
 	readonly announce: () => void;
+	/** Tells the nodes of the own failure domain at once. */
+	readonly announceToDomain: () => void;
+	/** Asks a node for a report, for requests wait for it. */
+	readonly probe: (node: NodeId) => void;
 	readonly noteUnreachable: (node: NodeId) => void;
 	readonly noteReached: (node: NodeId) => void;
 	/** This node stood still for so long: the others are given that time. Milliseconds. */
@@ -48,7 +54,7 @@
 	readonly dispose: () => void;
 };
 
-/** Silent nodes and mere addresses get one heartbeat in so many: most of them are gone. */
+/** Silent nodes and mere addresses get a heartbeat once in so many periods: most of them are gone. */
 const quietPeriods = 4;
 
 /** Periods for which an address that never answered is tried. */
@@ -81,32 +87,53 @@
 		});
 	};
 
-	const encodeSelf = (): Uint8Array => {
+	const isNear = ({report}: Peer): boolean => report.domain === settings.domain;
+
+	const plan = (): HeartbeatPlan => {
+		const near = [...table.values()].filter(peer => isNear(peer)).length;
+		return planHeartbeats(near, table.size - near);
+	};
+
+	const encodeSelf = (isProbe = false): Uint8Array => {
 		sequence++;
-		return Buffer.from(encodeReport(describeSelf(sequence)));
+		return Buffer.from(encodeReport({...describeSelf(sequence), periods: measurePeriods(plan(), settings.periodMs), isProbe}));
 	};
 
-	const sendToAll = (isQuietTurn: boolean): void => {
+	const sendToPeers = (isChosen: (peer: Peer, place: number) => boolean): void => {
 		const bytes = encodeSelf();
-		const now = readSteadyMs();
-		const known = new Set<Address>();
-		for (const peer of table.values()) {
-			known.add(peer.report.gossip);
-			if (isQuietTurn || isHeard(peer, settings, now)) {
+		for (const [place, peer] of [...table.values()].entries()) {
+			if (isChosen(peer, place)) {
 				send(bytes, peer.report.gossip);
 			}
 		}
+	};
 
+	const sendToContacts = (): void => {
+		const bytes = encodeSelf();
+		const known = new Set([...table.values()].map(({report}) => report.gossip));
 		for (const [address, left] of contacts) {
 			if (known.has(address) || left <= 0) {
 				contacts.delete(address);
-			} else if (isQuietTurn) {
+			} else {
 				contacts.set(address, left - 1);
 				send(bytes, address);
 			}
 		}
 	};
 
+	/** Nodes take turns by their place in the table, so that each period sends about as many. */
+	const sendHeartbeats = (now: number): void => {
+		const {ownDomain, otherDomain} = plan();
+		const hasTurn = (place: number, every: number): boolean => (place + periods) % every === 0;
+		sendToPeers((peer, place) => {
+			const every = isNear(peer) ? ownDomain : otherDomain;
+			return hasTurn(place, isHeard(peer, settings, now) ? every : Math.max(every, quietPeriods));
+		});
+		if (periods % quietPeriods === 0) {
+			sendToContacts();
+		}
+	};
+
 	const dropGone = (now: number): void => {
 		const {table: next, dropped} = dropSilent(table, settings, now);
 		table = next;
@@ -131,7 +158,7 @@
 		periods++;
 		noteSilence(now);
 		dropGone(now);
-		sendToAll(periods % quietPeriods === 0);
+		sendHeartbeats(now);
 	};
 
 	const handleMessage = (bytes: Uint8Array): void => {
@@ -150,14 +177,15 @@
 		table = next;
 		if (news !== 'none') {
 			silent.delete(report.node);
-			log.record('info', {
+			// A node that only has another version is one of the many that follow a change.
+			log.record(news === 'version' ? 'debug' : 'info', {
 				kind: 'peer-seen', peer: report.node, news, version: report.version, isLeaving: report.isLeaving,
 				server: report.server?.id, service: report.server?.service, state: report.server?.state,
 			});
 		}
 
-		if (news === 'joined' || news === 'restarted') {
-			// A newcomer knows nobody: it should not have to wait for the next period.
+		if (news === 'joined' || news === 'restarted' || report.isProbe) {
+			// A newcomer knows nobody, and whoever asks has requests that wait: neither should have to wait for the next period.
 			send(encodeSelf(), report.gossip);
 		}
 
@@ -190,7 +218,19 @@
 			}
 		},
 		announce() {
-			sendToAll(false);
+			const now = readSteadyMs();
+			sendToPeers(peer => isHeard(peer, settings, now));
+		},
+		announceToDomain() {
+			const now = readSteadyMs();
+			sendToPeers(peer => isNear(peer) && isHeard(peer, settings, now));
+		},
+		probe(node) {
+			const peer = table.get(node);
+			if (peer !== undefined) {
+				table = noteProbed(table, node, readSteadyMs());
+				send(encodeSelf(true), peer.report.gossip);
+			}
 		},
 		noteUnreachable(node) {
 			table = noteUnreachable(table, node, settings, readSteadyMs());
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -44,6 +44,28 @@
 	/** It is shutting down and takes no more requests from other nodes. */
 	readonly isLeaving: boolean;
 	readonly server: ServerReport | undefined;
+	readonly duties: NodeDuties;
+	readonly periods: HeartbeatPeriods;
+	/** It wants a report in return at once. */
+	readonly isProbe: boolean;
+};
+
+/** What a node can do, and does, for the others of its failure domain. @internal */
+export type NodeDuties = {
+	/** Megabits a second of its VM's link. */
+	readonly linkMbps: number;
+	/** Whether it watches the store for the others. */
+	readonly isFollowing: boolean;
+	/** Milliseconds since the store last answered it; `undefined` if its last call failed. */
+	readonly storeSeenMs: number | undefined;
+};
+
+/** Milliseconds between its heartbeats to one node. @internal */
+export type HeartbeatPeriods = {
+	/** To each node of its own failure domain. */
+	readonly ownDomainMs: number;
+	/** To each node of another one. */
+	readonly otherDomainMs: number;
 };
 
 const states: readonly ServerState[] = ['ready', 'draining', 'down'];
@@ -65,6 +87,13 @@
 	];
 }
 
+/** Stands for a store whose last call failed. */
+const storeLost = -1;
+
+function encodeDuties({linkMbps, isFollowing, storeSeenMs}: NodeDuties): readonly number[] {
+	return [Math.round(linkMbps), isFollowing ? 1 : 0, storeSeenMs === undefined ? storeLost : Math.round(storeSeenMs)];
+}
+
 /**
  * Encodes a report as a JSON list: the names of its fields would be half of a datagram.
  *
@@ -83,6 +112,9 @@
 		report.version,
 		report.isLeaving ? 1 : 0,
 		report.server === undefined ? 0 : encodeServer(report.server),
+		encodeDuties(report.duties),
+		[report.periods.ownDomainMs, report.periods.otherDomainMs],
+		report.isProbe ? 1 : 0,
 	]);
 }
 
@@ -106,6 +138,18 @@
 	};
 }
 
+function decodeDuties(value: unknown): NodeDuties | undefined {
+	const [linkMbps, isFollowing, storeSeenMs] = Array.isArray(value) ? value as unknown[] : [];
+	return isCount(linkMbps) && typeof storeSeenMs === 'number'
+		? {linkMbps, isFollowing: isFollowing === 1, storeSeenMs: storeSeenMs === storeLost ? undefined : Math.max(0, storeSeenMs)}
+		: undefined;
+}
+
+function decodePeriods(value: unknown): HeartbeatPeriods | undefined {
+	const [ownDomainMs, otherDomainMs] = Array.isArray(value) ? value as unknown[] : [];
+	return isCount(ownDomainMs) && isCount(otherDomainMs) ? {ownDomainMs, otherDomainMs} : undefined;
+}
+
 /**
  * Decodes a datagram.
  *
@@ -126,13 +170,19 @@
 		return undefined;
 	}
 
-	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server] = value as unknown[];
+	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, dutiesPart, periodsPart, isProbe] = value as unknown[];
 	if (!isText(node) || !isText(run) || !isText(domain) || !isText(gate) || !isText(gossip) || !isCount(sequence) || !isCount(version)) {
 		return undefined;
 	}
 
+	const duties = decodeDuties(dutiesPart);
+	const periods = decodePeriods(periodsPart);
+	if (duties === undefined || periods === undefined) {
+		return undefined;
+	}
+
 	return {
 		node: toNodeId(node), run, sequence, domain: toFailureDomain(domain), gate: toAddress(gate), gossip: toAddress(gossip), version,
-		isLeaving: isLeaving === 1, server: decodeServer(server),
+		isLeaving: isLeaving === 1, server: decodeServer(server), duties, periods, isProbe: isProbe === 1,
 	};
 }
--- a/src/lib/peers/peer-table.test.ts
+++ b/src/lib/peers/peer-table.test.ts
@@ -5,13 +5,18 @@
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {createSampleReport} from './sample-report.js';
 import {
-	acceptReport, dropSilent, forgiveSilence, isReachable, noteReached, noteUnreachable, type PeerLimits, type PeerTable,
+	acceptReport, dropSilent, forgiveSilence, isHeard, isReachable, noteProbed, noteReached, noteUnreachable, type PeerLimits, type PeerTable,
 } from './peer-table.js';
 
-const limits: PeerLimits = {silenceMs: 900, forgetMs: 60_000, avoidMs: 250};
+const limits: PeerLimits = {
+	silenceMs: 900, probeMs: 650, forgetMs: 60_000, avoidMs: 250, getPeriodMs: ({periods}) => periods.otherDomainMs,
+};
 const n2 = toNodeId('n2');
 
-const hear = (table: PeerTable, report: PeerReport, now: number) => acceptReport(table, report, limits, now);
+/** Heartbeats of which two and more fit into the time of silence. */
+const often = {ownDomainMs: 300, otherDomainMs: 300};
+
+const hear = (table: PeerTable, report: PeerReport, now: number) => acceptReport(table, {...report, periods: often}, limits, now);
 
 test('a report survives its way over the wire', () => {
 	assert.deepEqual(decodeReport(encodeReport(createSampleReport())), createSampleReport());
@@ -53,6 +58,29 @@
 	assert.equal(isReachable(back.table.get(n2)!, limits, 5001), true);
 });
 
+test('a node whose heartbeats come less often is given longer, until it leaves a question unanswered', () => {
+	const seldom = createSampleReport({periods: {ownDomainMs: 400, otherDomainMs: 2000}});
+	const {table} = acceptReport(new Map(), seldom, limits, 0);
+	assert.equal(isHeard(table.get(n2)!, limits, 5200), true);
+	assert.equal(isHeard(table.get(n2)!, limits, 5201), false);
+	const asked = noteProbed(table, n2, 1500);
+	// A second question does not give it more time.
+	const askedAgain = noteProbed(asked, n2, 2000);
+	assert.equal(isHeard(askedAgain.get(n2)!, limits, 2150), true);
+	assert.equal(isHeard(askedAgain.get(n2)!, limits, 2151), false);
+	const answered = acceptReport(askedAgain, {...seldom, sequence: 2}, limits, 2200);
+	assert.equal(answered.news, 'returned');
+	assert.equal(isHeard(answered.table.get(n2)!, limits, 7000), true);
+	// A pause of this node is no silence of the other.
+	assert.equal(isHeard(forgiveSilence(asked, 3000).get(n2)!, limits, 4500), true);
+});
+
+test('a report in which only the version differs is told from one in which the server does', () => {
+	const {table} = hear(new Map(), createSampleReport(), 0);
+	assert.equal(hear(table, createSampleReport({sequence: 2, version: 9}), 100).news, 'version');
+	assert.equal(hear(table, createSampleReport({sequence: 2, server: undefined}), 100).news, 'changed');
+});
+
 test('a node that is heard but cannot be reached is avoided for longer each time', () => {
 	let {table} = hear(new Map(), createSampleReport(), 0);
 	table = noteUnreachable(table, n2, limits, 0);
--- a/src/lib/peers/peer-table.ts
+++ b/src/lib/peers/peer-table.ts
@@ -13,6 +13,10 @@
 	readonly report: PeerReport;
 	/** Steady milliseconds. */
 	readonly heardAt: number;
+	/** Milliseconds between its heartbeats to this node. */
+	readonly periodMs: number;
+	/** When it was first asked for a report that has not come yet, in steady milliseconds. */
+	readonly probedAt: number | undefined;
 	/** It could not be reached; not to be chosen before this time. Steady milliseconds. */
 	readonly avoidUntil: number;
 	/** Failures to reach it in a row. */
@@ -25,12 +29,18 @@
 export type PeerTable = ReadonlyMap<NodeId, Peer>;
 
 /** What a report changed. @internal */
-export type PeerNews = 'none' | 'joined' | 'restarted' | 'returned' | 'changed';
+export type PeerNews = 'none' | 'joined' | 'restarted' | 'returned' | 'changed'
+	/** Nothing but the version of its configuration. */
+	| 'version';
 
 /** @internal */
 export type PeerLimits = {
-	/** Milliseconds without a report after which a node is not chosen. */
+	/** Milliseconds without a report after which a node is not chosen; longer for one whose heartbeats come less often. */
 	readonly silenceMs: number;
+	/** Milliseconds that a node may take to answer when it is asked for a report. */
+	readonly probeMs: number;
+	/** Milliseconds between its heartbeats, as a node says in its report. */
+	readonly getPeriodMs: (report: PeerReport) => number;
 	/** Milliseconds without a report after which a node is forgotten. */
 	readonly forgetMs: number;
 	/** Milliseconds for which a node that could not be reached is not chosen; doubles each time in a row. */
@@ -43,15 +53,32 @@
 /** Old runs remembered for each node; a node that restarts more often within a datagram's life does not exist. */
 const rememberedRuns = 4;
 
+/** Heartbeats of a node that may be lost before it counts as silent, and a part of one for the way. */
+const missedHeartbeats = 2.6;
+
 /**
  * @param peer - A node.
  * @param limits - Limits of silence.
  * @param now - Steady milliseconds.
- * @returns Whether it was heard lately.
+ * @returns Whether it was heard lately, and has not left a question unanswered.
+ * @internal
+ */
+export function isHeard({heardAt, periodMs, probedAt}: Peer, {silenceMs, probeMs}: PeerLimits, now: number): boolean {
+	return now - heardAt <= Math.max(silenceMs, periodMs * missedHeartbeats) && (probedAt === undefined || now - probedAt <= probeMs);
+}
+
+/**
+ * Notes that a node was asked for a report.
+ *
+ * @param table - What is known.
+ * @param node - The node.
+ * @param now - Steady milliseconds.
+ * @returns What is known afterwards.
  * @internal
  */
-export function isHeard(peer: Peer, limits: PeerLimits, now: number): boolean {
-	return now - peer.heardAt <= limits.silenceMs;
+export function noteProbed(table: PeerTable, node: NodeId, now: number): PeerTable {
+	const peer = table.get(node);
+	return peer === undefined || peer.probedAt !== undefined ? table : new Map(table).set(node, {...peer, probedAt: now});
 }
 
 /**
@@ -75,9 +102,12 @@
 	}
 
 	const before = known.report;
-	const isSame = before.isLeaving === report.isLeaving && before.version === report.version
-		&& before.server?.id === report.server?.id && before.server?.state === report.server?.state;
-	return isSame ? 'none' : 'changed';
+	const isSame = before.isLeaving === report.isLeaving && before.server?.id === report.server?.id && before.server?.state === report.server?.state;
+	if (!isSame) {
+		return 'changed';
+	}
+
+	return before.version === report.version ? 'none' : 'version';
 }
 
 /**
@@ -101,7 +131,7 @@
 	const isNewRun = news === 'joined' || news === 'restarted';
 	const oldRuns = known === undefined || news !== 'restarted' ? known?.oldRuns ?? [] : [...known.oldRuns, known.report.run].slice(-rememberedRuns);
 	const peer: Peer = {
-		report, heardAt: now, oldRuns,
+		report, heardAt: now, oldRuns, periodMs: limits.getPeriodMs(report), probedAt: undefined,
 		avoidUntil: isNewRun ? 0 : known?.avoidUntil ?? 0,
 		failures: isNewRun ? 0 : known?.failures ?? 0,
 	};
@@ -151,7 +181,7 @@
  * @internal
  */
 export function forgiveSilence(table: PeerTable, pausedMs: number): PeerTable {
-	return new Map([...table].map(([node, peer]) => [node, {...peer, heardAt: peer.heardAt + pausedMs}]));
+	return new Map([...table].map(([node, peer]) => [node, {...peer, heardAt: peer.heardAt + pausedMs, probedAt: peer.probedAt === undefined ? undefined : peer.probedAt + pausedMs}]));
 }
 
 /**
--- a/src/lib/peers/sample-report.ts
+++ b/src/lib/peers/sample-report.ts
@@ -19,6 +19,9 @@
 		server: {
 			id: toBackendServerId('i-1'), service: 'logview', slots: 12, state: 'ready', coldMs: 0, running: 3, waiting: 1, serviceMs: 80, failureShare: 0.125,
 		},
+		duties: {linkMbps: 1000, isFollowing: true, storeSeenMs: 300},
+		periods: {ownDomainMs: 400, otherDomainMs: 400},
+		isProbe: false,
 		...changes,
 	};
 }
--- a/src/lib/route-config/config-holder.ts
+++ b/src/lib/route-config/config-holder.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+import {createConfigHistory, type ConfigStep} from './config-history.js';
 import {type RouteConfig} from './route-config.js';
 import {listLastRanks} from './route-rank.js';
 import {createRouteIndex, type RouteIndex} from './route-index.js';
+import {computeTextDelta} from './text-delta.js';
 
 /** A configuration and where it came from. @internal */
 export type HeldConfig = {
@@ -22,7 +24,19 @@
 	readonly get: () => HeldConfig | undefined;
 	readonly getVersion: () => number;
 	/** Puts a configuration in force if it is newer; yields whether it was. */
-	readonly adopt: (config: RouteConfig, text: string, source: string) => boolean;
+	readonly adopt: (adopted: AdoptedConfig) => boolean;
+	/** The steps from a version to the one in force; `undefined` if they are not known. */
+	readonly listSteps: (from: number) => readonly ConfigStep[] | undefined;
+};
+
+/** A configuration that may come into force. @internal */
+export type AdoptedConfig = {
+	readonly config: RouteConfig;
+	readonly text: string;
+	/** Where it came from, for the log. */
+	readonly source: string;
+	/** The steps that led to it, if it came as these. */
+	readonly steps?: readonly ConfigStep[];
 };
 
 /**
@@ -32,15 +46,21 @@
  */
 export function createConfigHolder(handleAdopted: (held: HeldConfig, source: string) => void): ConfigHolder {
 	let held: HeldConfig | undefined;
+	const history = createConfigHistory();
 	const getVersion = (): number => held?.config.version ?? 0;
 	return {
 		get: () => held,
 		getVersion,
-		adopt(config, text, source) {
+		listSteps: history.list,
+		adopt({config, text, source, steps}) {
 			if (config.version <= getVersion()) {
 				return false;
 			}
 
+			for (const step of steps ?? describeStep(held, config, text)) {
+				history.note(step);
+			}
+
 			// One assignment puts the whole of it in force; a request keeps what it began with.
 			held = {
 				config, index: createRouteIndex(config), lastRanks: listLastRanks(config), text,
@@ -50,3 +70,8 @@
 		},
 	};
 }
+
+/** The step from what was in force to what comes, for nodes that lack it. */
+function describeStep(before: HeldConfig | undefined, {version}: RouteConfig, text: string): ReadonlyArray<ConfigStep | undefined> {
+	return [before === undefined ? undefined : {from: before.config.version, to: version, delta: computeTextDelta(before.text, text)}];
+}
--- a/src/lib/route-config/route-config.test.ts
+++ b/src/lib/route-config/route-config.test.ts
@@ -42,11 +42,11 @@
 	const holder = createConfigHolder(held => {
 		adopted.push(held.config.version);
 	});
-	assert.equal(holder.adopt(createSampleConfig(5), 'five', 'store'), true);
-	assert.equal(holder.adopt(createSampleConfig(4), 'four', 'store'), false);
-	assert.equal(holder.adopt(createSampleConfig(5), 'five again', 'n2'), false);
+	assert.equal(holder.adopt({config: createSampleConfig(5), text: 'five', source: 'store'}), true);
+	assert.equal(holder.adopt({config: createSampleConfig(4), text: 'four', source: 'store'}), false);
+	assert.equal(holder.adopt({config: createSampleConfig(5), text: 'five again', source: 'n2'}), false);
 	assert.equal(holder.get()?.text, 'five');
-	assert.equal(holder.adopt(createSampleConfig(12), 'twelve', 'n2'), true);
+	assert.equal(holder.adopt({config: createSampleConfig(12), text: 'twelve', source: 'n2'}), true);
 	assert.deepEqual(adopted, [5, 12]);
 });
 
--- /dev/null
+++ b/src/lib/route-config/text-delta.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {createConfigHistory, parseConfigSteps, type ConfigStep} from './config-history.js';
+import {applyTextDelta, computeTextDelta, parseTextDelta} from './text-delta.js';
+
+const describeRoute = (index: number, timeout = '1s'): string => `{"name":"r${index}","match":{"prefix":"/p${index}/"},"action":{"service":"s","timeout":"${timeout}"}}`;
+
+const createText = (version: number, changed?: number): string =>
+	`{"version":${version},"routes":[${Array.from({length: 400}, (_, index) => describeRoute(index, index === changed ? '2s' : '1s')).join(',')}]}`;
+
+test('a change of one route among many is a small delta', () => {
+	const delta = computeTextDelta(createText(1), createText(2, 37));
+	assert.ok(JSON.stringify(delta).length < 400, `${JSON.stringify(delta).length} characters`);
+	assert.equal(applyTextDelta(createText(1), delta), createText(2, 37));
+});
+
+test('property: a delta makes the new text out of the old one, whatever they hold', () => {
+	const text = fc.stringMatching(/^[ab{}]{0,40}$/);
+	fc.assert(fc.property(text, text, (before, after) => {
+		const sent = JSON.stringify(computeTextDelta(before, after));
+		const delta = parseTextDelta(JSON.parse(sent));
+		assert.ok(delta !== undefined);
+		assert.equal(applyTextDelta(before, delta), after);
+	}));
+});
+
+test('a delta that is applied to another text, or was damaged, yields nothing', () => {
+	const delta = computeTextDelta(createText(1), createText(2, 37));
+	assert.equal(applyTextDelta(createText(1, 5), delta), undefined);
+	assert.equal(applyTextDelta(createText(1), {...delta, steps: delta.steps.slice(1)}), undefined);
+});
+
+test('property: whatever another node sends is a list of steps or nothing', () => {
+	fc.assert(fc.property(fc.anything(), value => {
+		const steps = parseConfigSteps(value);
+		assert.ok(steps === undefined || steps.every(({from}) => typeof from === 'number'));
+	}));
+	assert.deepEqual(parseConfigSteps([{from: 1, to: 2, delta: {digest: 'd', steps: [[0, 1], 'x']}}])?.length, 1);
+	assert.equal(parseConfigSteps([{from: 1, to: 2, delta: {digest: 'd', steps: [[0, -1]]}}]), undefined);
+});
+
+const createStep = (from: number, to: number): ConfigStep => ({from, to, delta: computeTextDelta(createText(from), createText(to))});
+
+test('the history hands out the chain from a version to the newest, or nothing', () => {
+	const history = createConfigHistory();
+	history.note(createStep(1, 4));
+	history.note(createStep(4, 5));
+	assert.deepEqual(history.list(1)?.map(({to}) => to), [4, 5]);
+	assert.deepEqual(history.list(4)?.map(({to}) => to), [5]);
+	assert.equal(history.list(2), undefined);
+	// A version that came whole: what led to it is not known.
+	history.note(undefined);
+	assert.equal(history.list(4), undefined);
+	history.note(createStep(9, 10));
+	history.note(createStep(12, 13));
+	assert.equal(history.list(9), undefined);
+});
+
+test('the history forgets old steps and does not keep large ones', () => {
+	const history = createConfigHistory();
+	for (let version = 1; version <= 30; version++) {
+		history.note(createStep(version, version + 1));
+	}
+
+	assert.equal(history.list(5), undefined);
+	assert.equal(history.list(25)?.length, 6);
+	history.note({from: 31, to: 32, delta: computeTextDelta('', 'x'.repeat(70_000))});
+	assert.equal(history.list(31), undefined);
+});
--- /dev/null
+++ b/src/lib/sidecar/config-sync.ts
@@ -0,0 +1,150 @@
+/**
+ * Keeps a node's configuration in step with the store and with the other
+ * nodes: who watches the store, who hears from whom, and what is handed on.
+ *
+ * @module
+ */
+import {type Result} from 'neverthrow';
+import {readSteadyMs} from '../common/clock.js';
+import {type Address, type NodeId} from '../common/ids.js';
+import {type ConfigAnswer} from '../forwarding/config-messages.js';
+import {type GateClient} from '../forwarding/gate-client.js';
+import {type PeerLink} from '../peers/peer-link.js';
+import {type NodeDuties, type PeerReport} from '../peers/peer-report.js';
+import {isHeard, type PeerLimits} from '../peers/peer-table.js';
+import {createConfigHolder, type ConfigHolder, type HeldConfig} from '../route-config/config-holder.js';
+import {type RouteConfig} from '../route-config/route-config.js';
+import {type MeshStore} from '../store/mesh-store.js';
+import {createConfigFollower} from '../sync/config-follower.js';
+import {createRegistration} from '../sync/registration.js';
+import {isRelay} from '../sync/relay-duty.js';
+import {createStoreHealth} from '../sync/store-health.js';
+import {type MeshLog} from '../timeline/mesh-log.js';
+import {createNewerConfigFetcher} from './newer-config.js';
+
+/** @internal */
+export type ConfigSyncContext = {
+	readonly store: MeshStore;
+	/** Key of the configuration in the store. */
+	readonly configKey: string;
+	readonly decodeConfig: (text: string) => Result<RouteConfig, string>;
+	readonly self: NodeId;
+	/** Where this node takes heartbeats. */
+	readonly gossip: Address;
+	/** Megabits a second of this VM's link. */
+	readonly linkMbps: number;
+	readonly link: PeerLink;
+	readonly peerLimits: PeerLimits;
+	/** Whether another node stands in the same failure domain. */
+	readonly isNear: (report: PeerReport) => boolean;
+	readonly fetchConfig: GateClient['fetchConfig'];
+	readonly log: MeshLog;
+	readonly random: () => number;
+	/** Told of each configuration that comes into force. */
+	readonly handleAdopted: (held: HeldConfig) => void;
+};
+
+/** @internal */
+export type ConfigSync = {
+	readonly holder: Pick<ConfigHolder, 'get' | 'getVersion'>;
+	/** What this node tells the others of its part in this. */
+	readonly describeDuties: () => NodeDuties;
+	/** Takes in what another node says that it has. */
+	readonly handleReport: (report: PeerReport) => void;
+	/** What a node is sent that has a version of the configuration. */
+	readonly answerConfig: (version: number) => ConfigAnswer | undefined;
+	readonly isStoreReachable: () => boolean;
+	readonly start: () => void;
+	/** Takes this node out of the store. */
+	readonly withdraw: () => Promise<void>;
+	readonly dispose: () => void;
+};
+
+/**
+ * @param context - The store, the other nodes, and who is told.
+ * @returns What keeps the configuration, not started yet.
+ * @internal
+ */
+export function createConfigSync(context: ConfigSyncContext): ConfigSync {
+	const {store, self, link, peerLimits, isNear, log, random} = context;
+
+	const holder = createConfigHolder((held, source) => {
+		context.handleAdopted(held);
+		log.record('info', {
+			kind: 'configuration-applied', version: held.config.version, from: source, routes: held.config.routes.length,
+		});
+		if (follower.isFollowing()) {
+			// Those that do not watch the store wait for this word.
+			link.announceToDomain();
+		}
+	});
+
+	const health = createStoreHealth(log, () => {
+		follower.resync();
+	});
+
+	const describeDuties = (): NodeDuties => ({
+		linkMbps: context.linkMbps, isFollowing: follower.isFollowing(), storeSeenMs: health.getSeenMs(readSteadyMs()),
+	});
+
+	/** Whether this node watches the store, by what it hears of the others in its failure domain. */
+	const mayFollow = (): boolean => {
+		const now = readSteadyMs();
+		const heard = link.list().filter(peer => isNear(peer.report) && !peer.report.isLeaving && isHeard(peer, peerLimits, now));
+		return isRelay(
+			{...describeDuties(), node: self, heardMsAgo: 0},
+			heard.map(({report, heardAt}) => ({...report.duties, node: report.node, heardMsAgo: now - heardAt})),
+		);
+	};
+
+	const follower = createConfigFollower({
+		store, health, holder, key: context.configKey, decode: context.decodeConfig, log, random, mayFollow,
+	});
+	const registration = createRegistration({
+		store, health, self, gossip: context.gossip, log, random, countPeers: () => link.getTable().size, handleAddresses: link.addContacts,
+	});
+
+	const fetchNewer = createNewerConfigFetcher({
+		getCurrent() {
+			const held = holder.get();
+			return held === undefined ? undefined : {version: held.config.version, text: held.text};
+		},
+		hasOwnWatch: () => follower.isFollowing() && health.isReachable(),
+		isNear,
+		fetchConfig: context.fetchConfig,
+		adoptText: follower.adoptText,
+		handleUnusable(report, reason) {
+			log.record('warn', {
+				kind: 'configuration-refused', version: report.version, from: report.node, reason,
+			});
+		},
+	});
+
+	return {
+		holder,
+		describeDuties,
+		handleReport(report) {
+			void fetchNewer(report);
+		},
+		answerConfig(version) {
+			const held = holder.get();
+			const steps = holder.listSteps(version);
+			if (steps !== undefined) {
+				return {type: 'steps', steps};
+			}
+
+			return held === undefined ? undefined : {type: 'whole', text: held.text};
+		},
+		isStoreReachable: health.isReachable,
+		start() {
+			void follower.run();
+			void registration.run();
+		},
+		withdraw: registration.withdraw,
+		dispose() {
+			registration.dispose();
+			follower.dispose();
+			store.dispose();
+		},
+	};
+}
--- a/src/lib/sidecar/list-candidates.test.ts
+++ b/src/lib/sidecar/list-candidates.test.ts
@@ -9,7 +9,9 @@
 import {createLoadView} from '../routing/load-view.js';
 import {listCandidates, type CandidateSources} from './list-candidates.js';
 
-const limits: PeerLimits = {silenceMs: 1000, forgetMs: 60_000, avoidMs: 250};
+const limits: PeerLimits = {
+	silenceMs: 1000, probeMs: 650, forgetMs: 60_000, avoidMs: 250, getPeriodMs: () => 400,
+};
 const sample = createSampleReport();
 const server: ServerReport = sample.server!;
 
@@ -17,7 +19,7 @@
 	return {
 		report: {
 			...sample, node: toNodeId(name), server: {...server, id: toBackendServerId(`i-${name}`)}, ...report,
-		}, heardAt: 5000, avoidUntil: 0, failures: 0, oldRuns: [], ...changes,
+		}, heardAt: 5000, periodMs: 380, probedAt: undefined, avoidUntil: 0, failures: 0, oldRuns: [], ...changes,
 	};
 }
 
--- a/src/lib/sidecar/newer-config.test.ts
+++ b/src/lib/sidecar/newer-config.test.ts
@@ -1,34 +1,47 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {toAddress} from '../common/ids.js';
+import {toAddress, toFailureDomain} from '../common/ids.js';
+import {type ConfigAnswer} from '../forwarding/config-messages.js';
 import {createSampleReport} from '../peers/sample-report.js';
+import {type ConfigStep} from '../route-config/config-history.js';
+import {computeTextDelta} from '../route-config/text-delta.js';
 import {createNewerConfigFetcher} from './newer-config.js';
 
+type Answer = ConfigAnswer | undefined | Error;
+
 type Fixture = {
 	readonly fetch: ReturnType<typeof createNewerConfigFetcher>;
 	readonly asked: string[];
 	readonly adopted: string[];
-	version: number;
+	readonly unusable: string[];
+	current: {version: number; text: string};
+	answer: Answer;
 };
 
-function createFixture(isStoreReachable: boolean, answer: string | undefined | Error): Fixture {
+function createFixture(hasOwnWatch: boolean, answer: Answer): Fixture {
 	const fixture: Fixture = {
-		version: 7,
+		current: {version: 7, text: 'seven'},
+		answer,
 		asked: [],
 		adopted: [],
+		unusable: [],
 		fetch: createNewerConfigFetcher({
-			getVersion: () => fixture.version,
-			isStoreReachable: () => isStoreReachable,
-			async fetchConfig(gate) {
-				fixture.asked.push(gate);
-				if (answer instanceof Error) {
-					throw answer;
+			getCurrent: () => fixture.current,
+			hasOwnWatch: () => hasOwnWatch,
+			isNear: ({domain}) => domain === 'a',
+			async fetchConfig(gate, version) {
+				fixture.asked.push(`${gate} has ${version}`);
+				if (fixture.answer instanceof Error) {
+					throw fixture.answer;
 				}
 
-				return answer;
+				return fixture.answer;
+			},
+			adoptText(text, source, steps) {
+				fixture.adopted.push(`${source}: ${text}${steps === undefined ? '' : ` by ${steps.length}`}`);
 			},
-			adoptText(text, source) {
-				fixture.adopted.push(`${source}: ${text}`);
+			handleUnusable(_report, reason) {
+				fixture.unusable.push(reason);
 			},
 		}),
 	};
@@ -36,23 +49,33 @@
 }
 
 const newer = createSampleReport({version: 9, gate: toAddress('10.0.0.2:1')});
+const whole: Answer = {type: 'whole', text: 'nine'};
 
-test('a node that the store turns away takes a newer configuration from whoever has it', async () => {
-	const fixture = createFixture(false, 'text');
+test('a node that does not watch the store takes a newer configuration from whoever has it', async () => {
+	const fixture = createFixture(false, whole);
 	await fixture.fetch(createSampleReport({version: 7}));
 	await fixture.fetch(newer);
-	assert.deepEqual(fixture.asked, ['10.0.0.2:1']);
-	assert.deepEqual(fixture.adopted, [`${newer.node}: text`]);
+	assert.deepEqual(fixture.asked, ['10.0.0.2:1 has 7']);
+	assert.deepEqual(fixture.adopted, [`${newer.node}: nine`]);
 });
 
 test('a node whose own watch brings it meanwhile asks nobody', async () => {
-	const fixture = createFixture(true, 'text');
+	const fixture = createFixture(true, whole);
 	const fetched = fixture.fetch(newer);
-	fixture.version = 9;
+	fixture.current = {version: 9, text: 'nine'};
 	await fetched;
 	assert.deepEqual(fixture.asked, []);
 });
 
+test('a node waits for those of its own failure domain before it asks another one, and is not kept from them meanwhile', async () => {
+	const fixture = createFixture(false, whole);
+	const far = fixture.fetch(createSampleReport({version: 9, gate: toAddress('10.0.9.9:1'), domain: toFailureDomain('b')}));
+	await fixture.fetch(newer);
+	fixture.current = {version: 9, text: 'nine'};
+	await far;
+	assert.deepEqual(fixture.asked, ['10.0.0.2:1 has 7']);
+});
+
 test('a node that hands over nothing, or fails, does not keep others from being asked', async () => {
 	const silent = createFixture(false, undefined);
 	await silent.fetch(newer);
@@ -64,3 +87,22 @@
 	await assert.rejects(failing.fetch(newer));
 	assert.equal(failing.asked.length, 2);
 });
+
+const step = (from: number, to: number, before: string, after: string): ConfigStep => ({from, to, delta: computeTextDelta(before, after)});
+
+test('steps lead from what is in force to the newest, those that are behind are passed over', async () => {
+	const fixture = createFixture(false, {type: 'steps', steps: [step(5, 7, 'five', 'seven'), step(7, 8, 'seven', 'eight'), step(8, 9, 'eight', 'nine')]});
+	await fixture.fetch(newer);
+	assert.deepEqual(fixture.adopted, [`${newer.node}: nine by 2`]);
+});
+
+test('steps that do not fit are named, change nothing, and are followed by a request for the whole', async () => {
+	const fixture = createFixture(false, {type: 'steps', steps: [step(7, 9, '{other}{seven}', '{other}{nine}')]});
+	await fixture.fetch(newer);
+	assert.deepEqual(fixture.adopted, []);
+	assert.equal(fixture.unusable.length, 1);
+	fixture.answer = whole;
+	await fixture.fetch(newer);
+	assert.deepEqual(fixture.asked, ['10.0.0.2:1 has 7', '10.0.0.2:1 has 0']);
+	assert.deepEqual(fixture.adopted, [`${newer.node}: nine`]);
+});
--- a/src/lib/sidecar/newer-config.ts
+++ b/src/lib/sidecar/newer-config.ts
@@ -6,48 +6,110 @@
  */
 import {readSteadyMs, waitFor} from '../common/clock.js';
 import {createCallScope} from '../forwarding/call-scope.js';
+import {type ConfigAnswer} from '../forwarding/config-messages.js';
 import {type GateClient} from '../forwarding/gate-client.js';
 import {type PeerReport} from '../peers/peer-report.js';
+import {type ConfigStep} from '../route-config/config-history.js';
+import {applyTextDelta} from '../route-config/text-delta.js';
+
+/** A configuration in force. @internal */
+export type CurrentConfig = {readonly version: number; readonly text: string};
 
 /** @internal */
 export type NewerConfigContext = {
-	readonly getVersion: () => number;
-	readonly isStoreReachable: () => boolean;
+	/** The one in force; `undefined` if there is none. */
+	readonly getCurrent: () => CurrentConfig | undefined;
+	/** Whether this node watches the store itself, and reaches it. */
+	readonly hasOwnWatch: () => boolean;
+	/** Whether another node stands in the same failure domain. */
+	readonly isNear: (report: PeerReport) => boolean;
 	readonly fetchConfig: GateClient['fetchConfig'];
-	readonly adoptText: (text: string, source: string) => void;
+	readonly adoptText: (text: string, source: string, steps?: readonly ConfigStep[]) => void;
+	/** Told of an answer that cannot be used, and why. */
+	readonly handleUnusable: (report: PeerReport, reason: string) => void;
 };
 
-/** How long a node that reaches the store waits for its own watch before it asks another node. Milliseconds. */
+/** How long a node that watches the store waits for its own watch before it asks another node. Milliseconds. */
 const ownWatchMs = 600;
 
-/** How long another node may take to hand over its configuration. Milliseconds. */
-const fetchMs = 500;
+/** How long a node waits for those of its own failure domain to have it as well: bytes between failure domains are paid for. Milliseconds. */
+const ownDomainMs = 300;
+
+/** How long another node may take to hand over its configuration. Milliseconds: the whole takes 200 over the slowest links of the users. */
+const fetchMs = 600;
 
 /**
- * @param context - The version in force and where a newer one goes.
+ * @param context - The configuration in force and where a newer one goes.
  * @returns What is to be told of each report of another node.
  * @internal
  */
 export function createNewerConfigFetcher(context: NewerConfigContext): (report: PeerReport) => Promise<void> {
-	const {getVersion, isStoreReachable, fetchConfig, adoptText} = context;
+	const {getCurrent, hasOwnWatch, isNear, fetchConfig, adoptText, handleUnusable} = context;
 	let isFetching = false;
+	let isWaiting = false;
+	/** Steps could not be applied: the whole is asked for. */
+	let needsWhole = false;
 
-	const fetchFrom = async (report: PeerReport): Promise<void> => {
-		// The own watch is likely to have it in a moment.
-		await waitFor(isStoreReachable() ? ownWatchMs : 0);
-		if (report.version <= getVersion()) {
-			return;
+	const getVersion = (): number => getCurrent()?.version ?? 0;
+
+	const computeDelay = (report: PeerReport): number => {
+		if (hasOwnWatch()) {
+			return ownWatchMs;
+		}
+
+		return isNear(report) ? 0 : ownDomainMs;
+	};
+
+	/** Applies the steps that lead on from what is in force now, which may have changed since they were asked for. */
+	const applySteps = (report: PeerReport, steps: readonly ConfigStep[]): void => {
+		let current = getCurrent();
+		const applied: ConfigStep[] = [];
+		for (const step of steps) {
+			if (step.from !== current?.version) {
+				continue;
+			}
+
+			const text = applyTextDelta(current.text, step.delta);
+			if (text === undefined) {
+				needsWhole = true;
+				handleUnusable(report, `the step from version ${step.from} to ${step.to} does not fit what is in force here`);
+				return;
+			}
+
+			current = {version: step.to, text};
+			applied.push(step);
+		}
+
+		if (current !== undefined && applied.length > 0) {
+			adoptText(current.text, report.node, applied);
+		}
+	};
+
+	const take = (report: PeerReport, answer: ConfigAnswer): void => {
+		switch (answer.type) {
+			case 'whole': {
+				needsWhole = false;
+				adoptText(answer.text, report.node);
+				break;
+			}
+
+			case 'steps': {
+				applySteps(report, answer.steps);
+				break;
+			}
 		}
+	};
 
+	const fetchFrom = async (report: PeerReport): Promise<void> => {
 		const scope = createCallScope(readSteadyMs() + fetchMs);
-		const text = await fetchConfig(report.gate, scope);
+		const answer = await fetchConfig(report.gate, needsWhole ? 0 : getVersion(), scope);
 		scope.dispose();
-		if (text !== undefined) {
-			adoptText(text, report.node);
+		if (answer !== undefined) {
+			take(report, answer);
 		}
 	};
 
-	return async report => {
+	const fetchOnce = async (report: PeerReport): Promise<void> => {
 		if (isFetching || report.version <= getVersion()) {
 			return;
 		}
@@ -59,4 +121,26 @@
 			isFetching = false;
 		}
 	};
+
+	return async report => {
+		if (report.version <= getVersion()) {
+			return;
+		}
+
+		const delayMs = computeDelay(report);
+		if (delayMs === 0) {
+			await fetchOnce(report);
+			return;
+		}
+
+		// While one report waits, another that need not wait is not kept back by it.
+		if (isWaiting) {
+			return;
+		}
+
+		isWaiting = true;
+		await waitFor(delayMs);
+		isWaiting = false;
+		await fetchOnce(report);
+	};
 }
--- a/src/lib/sidecar/sidecar-settings.ts
+++ b/src/lib/sidecar/sidecar-settings.ts
@@ -30,6 +30,8 @@
 		readonly metrics: Address;
 	};
 	readonly storeAddress: Address;
+	/** Megabits a second of this VM's link: nodes with large ones do more for the others. */
+	readonly linkMbps: number;
 	/** Heartbeat addresses of a few other nodes, which may be out of date. */
 	readonly seeds: readonly Address[];
 	readonly retries: {
@@ -116,6 +118,7 @@
 			metrics: readAddress(listen, 'metrics', 'listen.'),
 		},
 		storeAddress: readAddress(settings, 'storeAddress', ''),
+		linkMbps: readAmount(settings, 'linkMbps', ''),
 		seeds: readSeeds(settings.seeds ?? []),
 		retries: {
 			ratio: readAmount(retries, 'ratio', 'retries.'),
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -24,20 +24,17 @@
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {isHeard, type PeerLimits, type PeerNews} from '../peers/peer-table.js';
-import {createConfigHolder} from '../route-config/config-holder.js';
+import {type HeldConfig} from '../route-config/config-holder.js';
 import {type RouteConfig, type RouteRule} from '../route-config/route-config.js';
 import {createShareSplitter} from '../route-config/share-splitter.js';
 import {createLoadView} from '../routing/load-view.js';
 import {type Candidate} from '../routing/rank-servers.js';
 import {type MeshStore} from '../store/mesh-store.js';
-import {createConfigFollower} from '../sync/config-follower.js';
-import {createRegistration} from '../sync/registration.js';
-import {createStoreHealth} from '../sync/store-health.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
+import {createConfigSync} from './config-sync.js';
 import {listCandidates} from './list-candidates.js';
 import {createMeshMetrics, type Gauge} from './mesh-metrics.js';
-import {createNewerConfigFetcher} from './newer-config.js';
 import {listFixedChanges, mergeSettings} from './settings-change.js';
 import {type SidecarSettings} from './sidecar-settings.js';
 import {stopInOrder} from './stop-in-order.js';
@@ -69,7 +66,13 @@
 const heartbeatMs = 400;
 
 /** Two heartbeats may be lost before a node counts as silent. */
-const peerLimits: PeerLimits = {silenceMs: 1050, forgetMs: 60_000, avoidMs: 250};
+const silenceMs = 1050;
+
+/** How long a node may take to answer when it is asked for a report. Milliseconds: with the time until it is asked, a dark VM is noticed as soon as one whose heartbeats come every period. */
+const probeMs = 650;
+
+/** A node that requests wait for and that has not been heard for this long is asked for a report. Milliseconds, a little more than one period. */
+const askAfterMs = 500;
 
 /** Milliseconds between two looks for nodes that have fallen silent while requests wait for them. */
 const silenceCheckMs = 100;
@@ -127,20 +130,17 @@
 	const lag = createLoopLag();
 	const silence = createSilenceWatchers();
 
-	const holder = createConfigHolder((held, source) => {
-		entry.applyLimits(held.config.limits);
+	const handleAdopted = ({config}: HeldConfig): void => {
+		entry.applyLimits(config.limits);
 		if (!wasReady) {
 			wasReady = true;
-			log.record('info', {kind: 'node-ready', version: held.config.version});
+			log.record('info', {kind: 'node-ready', version: config.version});
 		}
 
-		const routes = new Set(held.config.routes.map(({name}) => name));
+		const routes = new Set(config.routes.map(({name}) => name));
 		splitter.retain(routes);
 		returningCallers.retain(routes);
-		log.record('info', {
-			kind: 'configuration-applied', version: held.config.version, from: source, routes: held.config.routes.length,
-		});
-	});
+	};
 
 	const gate = createLocalGate({
 		wire,
@@ -148,21 +148,13 @@
 		handleChange() {
 			link.announce();
 		},
-		getMaxConnections: service => holder.get()?.config.services.find(({name}) => name === service)?.maxConnections ?? defaultConnections,
+		getMaxConnections: service => sync.holder.get()?.config.services.find(({name}) => name === service)?.maxConnections ?? defaultConnections,
 		isLeaving: () => isGateLeaving,
 	});
 
-	const describeSelf = (sequence: number): PeerReport => ({
-		node: self, run, sequence, domain, gate: settings.listen.gate, gossip: settings.listen.gossip, version: holder.getVersion(), isLeaving: isGateLeaving, server: gate.describe(),
-	});
-
-	const fetchNewer = createNewerConfigFetcher({
-		getVersion: () => holder.getVersion(),
-		isStoreReachable: () => health.isReachable(),
-		fetchConfig: async (address, scope) => gateClient.fetchConfig(address, scope),
-		adoptText(text, source) {
-			follower.adoptText(text, source);
-		},
+	const describeSelf = (sequence: number): Omit<PeerReport, 'periods' | 'isProbe'> => ({
+		node: self, run, sequence, domain, gate: settings.listen.gate, gossip: settings.listen.gossip, version: sync.holder.getVersion(), isLeaving: isGateLeaving, server: gate.describe(),
+		duties: sync.describeDuties(),
 	});
 
 	const handleReport = (report: PeerReport, news: PeerNews): void => {
@@ -174,23 +166,24 @@
 			loads.hear(report.server.id, report.server, readSteadyMs());
 		}
 
-		void fetchNewer(report);
+		sync.handleReport(report);
 	};
 
+	const isNear = (report: PeerReport): boolean => report.domain === domain;
+	const peerLimits: PeerLimits = {
+		silenceMs, probeMs, forgetMs: 60_000, avoidMs: 250, getPeriodMs: report => isNear(report) ? report.periods.ownDomainMs : report.periods.otherDomainMs,
+	};
 	const link = createPeerLink({
-		settings: {...peerLimits, listen: settings.listen.gossip, periodMs: heartbeatMs}, describeSelf, log, handleReport,
+		settings: {
+			...peerLimits, listen: settings.listen.gossip, domain, periodMs: heartbeatMs,
+		}, describeSelf, log, handleReport,
 	});
 
-	const health = createStoreHealth(log, () => {
-		follower.resync();
-	});
-	const follower = createConfigFollower({
-		store, health, holder, key: surroundings.configKey, decode: surroundings.decodeConfig, log, random,
-	});
-	const registration = createRegistration({
-		store, health, self, gossip: settings.listen.gossip, log, random, handleAddresses: link.addContacts,
-	});
 	const gateClient = createGateClient();
+	const sync = createConfigSync({
+		store, configKey: surroundings.configKey, decodeConfig: surroundings.decodeConfig, self, gossip: settings.listen.gossip, linkMbps: settings.linkMbps,
+		link, peerLimits, isNear, fetchConfig: gateClient.fetchConfig, log, random, handleAdopted,
+	});
 
 	/** Whatever was sent before may hang on a connection that a cut has left half open. */
 	const renewConnections = (node: NodeId): void => {
@@ -234,14 +227,14 @@
 		noteReached: link.noteReached,
 		watchSilence: silence.watch,
 		wire,
-		getConfig: holder.get,
+		getConfig: sync.holder.get,
 		splitter,
 		returningCallers,
 		handleFinished,
 		catchUp: lag.catchUp,
 	});
 	const gateServer = createGateServer({
-		gate, getConfigText: () => holder.get()?.text, catchUp: lag.catchUp, log,
+		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log,
 	});
 	const announcementServer = createAnnouncementServer({
 		decode: surroundings.decodeServerCall,
@@ -261,18 +254,18 @@
 		},
 	});
 
-	const isReady = (): boolean => !isLeaving && holder.get() !== undefined;
+	const isReady = (): boolean => !isLeaving && sync.holder.get() !== undefined;
 	const readinessServer = createServer((_request, response) => {
 		response.writeHead(isReady() ? 200 : 503, {'content-length': 0});
 		response.end();
 	});
 
 	const gauges: readonly Gauge[] = [
-		{name: 'stonemoor_configuration_version', help: 'Version in force', read: holder.getVersion},
+		{name: 'stonemoor_configuration_version', help: 'Version in force', read: sync.holder.getVersion},
 		{name: 'stonemoor_peers', help: 'Other nodes known', read: () => link.getTable().size},
 		{name: 'stonemoor_gate_requests', help: 'Requests in work and waiting at the gate', read: gate.countRequests},
 		{name: 'stonemoor_entry_calls', help: 'Calls of callers under way', read: () => entry.countCalls()},
-		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(health.isReachable())},
+		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(sync.isStoreReachable())},
 		{name: 'stonemoor_resident_bytes', help: 'Memory of the process', read: () => process.memoryUsage.rss()},
 		{name: 'stonemoor_cpu_seconds_total', help: 'Processor time of the process', read: readCpuSeconds},
 	];
@@ -309,6 +302,13 @@
 			gateClient.checkSilence(now, isGateHeard);
 		}
 
+		for (const node of silence.listAwaited()) {
+			const peer = link.getTable().get(node);
+			if (peer !== undefined && peer.probedAt === undefined && now - peer.heardAt > askAfterMs) {
+				link.probe(node);
+			}
+		}
+
 		silence.tell(node => {
 			const peer = link.getTable().get(node);
 			return peer === undefined || !isHeard(peer, peerLimits, now);
@@ -321,12 +321,10 @@
 	const dispose = async (): Promise<void> => {
 		clearInterval(silenceTimer);
 		clearInterval(forgetTimer);
-		registration.dispose();
-		follower.dispose();
+		sync.dispose();
 		link.dispose();
 		gateClient.dispose();
 		gate.dispose();
-		store.dispose();
 		gateServer.server.close();
 		gateServer.dispose();
 		for (const server of [entry.server, announcementServer, readinessServer, metricsServer]) {
@@ -353,8 +351,7 @@
 			link.addContacts(settings.seeds);
 			silenceTimer = setInterval(checkSilence, silenceCheckMs);
 			forgetTimer = setInterval(forgetGone, forgetMs);
-			void follower.run();
-			void registration.run();
+			sync.start();
 		},
 		applySettings(changed) {
 			settings = mergeSettings(settings, changed);
@@ -366,7 +363,7 @@
 			log.record('info', {kind: 'node-draining', reason: 'signal', requests: countWork()});
 			const afterMs = await stopInOrder({
 				withdraw() {
-					void registration.withdraw();
+					void sync.withdraw();
 				},
 				closeGate() {
 					isGateLeaving = true;
--- a/src/lib/sidecar/silence-watchers.ts
+++ b/src/lib/sidecar/silence-watchers.ts
@@ -11,6 +11,8 @@
 	readonly watch: (node: NodeId, handleSilence: () => void) => () => void;
 	/** Tells those who wait for a node that is silent. */
 	readonly tell: (isSilent: (node: NodeId) => boolean) => void;
+	/** Nodes that somebody waits for. */
+	readonly listAwaited: () => readonly NodeId[];
 	/** Forgets nodes that nobody waits for. */
 	readonly forgetIdle: () => void;
 };
@@ -41,6 +43,7 @@
 				}
 			}
 		},
+		listAwaited: () => [...watchersByNode].filter(([, watchers]) => watchers.size > 0).map(([node]) => node),
 		forgetIdle() {
 			for (const [node, watchers] of watchersByNode) {
 				if (watchers.size === 0) {
--- a/src/lib/store/mesh-store.ts
+++ b/src/lib/store/mesh-store.ts
@@ -33,8 +33,8 @@
 
 /** @public */
 export type MeshStore = {
-	/** Reads one key; no item if it does not exist. */
-	readonly readItem: (key: string) => Promise<Result<StoreItems, StoreReadError>>;
+	/** Reads one key; no item if it does not exist. What may be stale is cheap. */
+	readonly readItem: (key: string, options: {readonly mayBeStale: boolean}) => Promise<Result<StoreItems, StoreReadError>>;
 	/** Reads all keys that begin with a prefix. What may be stale is cheap. */
 	readonly listItems: (prefix: string, options: {readonly mayBeStale: boolean}) => Promise<Result<StoreItems, StoreReadError>>;
 	/** Waits for changes of keys that begin with a prefix. */
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -6,6 +6,7 @@
  */
 import {type Result} from 'neverthrow';
 import {waitFor} from '../common/clock.js';
+import {type ConfigStep} from '../route-config/config-history.js';
 import {type ConfigHolder} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
@@ -22,6 +23,8 @@
 	readonly decode: (text: string) => Result<RouteConfig, string>;
 	readonly log: MeshLog;
 	readonly random: () => number;
+	/** Whether this node is one of those that ask the store; the others hear of changes from these. */
+	readonly mayFollow: () => boolean;
 };
 
 /** @internal */
@@ -31,7 +34,9 @@
 	/** Reads anew at once: a watch may have missed something. */
 	readonly resync: () => void;
 	/** Puts a configuration that another node handed over in force. */
-	readonly adoptText: (text: string, source: string) => void;
+	readonly adoptText: (text: string, source: string, steps?: readonly ConfigStep[]) => void;
+	/** Whether it asks the store itself now. */
+	readonly isFollowing: () => boolean;
 	readonly dispose: () => void;
 };
 
@@ -41,6 +46,9 @@
 /** After a change the watch rests for this long, so that changes in quick succession come as one. Milliseconds, a quarter of the shortest time in which a change must be in force. */
 const restMs = 450;
 
+/** Between two looks whether this node has to ask the store itself. Milliseconds: a small part of the time in which a change must be in force. */
+const dutyLookMs = 150;
+
 /** Between two tries to reach a store that does not answer. Milliseconds. */
 const retryMs = 250;
 
@@ -50,14 +58,15 @@
  * @internal
  */
 export function createConfigFollower(context: ConfigFollowerContext): ConfigFollower {
-	const {store, health, holder, key, decode, log, random} = context;
+	const {store, health, holder, key, decode, log, random, mayFollow} = context;
 	const disposed = new AbortController();
 	let watching = new AbortController();
 	/** Revision of the store up to which changes are known; `undefined` if it has to be read anew. */
 	let revision: number | undefined;
 	let refusedText: string | undefined;
+	let isFollowing = false;
 
-	const adoptText = (text: string, source: string): void => {
+	const adoptText = (text: string, source: string, steps?: readonly ConfigStep[]): void => {
 		if (text === holder.get()?.text || text === refusedText) {
 			return;
 		}
@@ -80,7 +89,9 @@
 			return;
 		}
 
-		holder.adopt(decoded.value, text, source);
+		holder.adopt({
+			config: decoded.value, text, source, ...steps === undefined ? {} : {steps},
+		});
 	};
 
 	const adoptItems = (items: readonly StoreItem[]): void => {
@@ -98,7 +109,7 @@
 	};
 
 	const readAnew = async (): Promise<void> => {
-		const read = await store.readItem(key);
+		const read = await store.readItem(key, {mayBeStale: false});
 		if (read.isErr()) {
 			await fail('read the configuration', read.error.reason);
 			return;
@@ -140,13 +151,22 @@
 	return {
 		async run() {
 			while (!disposed.signal.aborted) {
-				await (revision === undefined ? readAnew() : watchOnce(revision));
+				// Whatever a node is, it reads the configuration once at its start: nobody may be there to hand it over.
+				isFollowing = mayFollow();
+				if (isFollowing || holder.get() === undefined) {
+					await (revision === undefined ? readAnew() : watchOnce(revision));
+					continue;
+				}
+
+				revision = undefined;
+				await waitFor(dutyLookMs, disposed.signal);
 			}
 		},
 		resync() {
 			watching.abort();
 		},
 		adoptText,
+		isFollowing: () => isFollowing,
 		dispose() {
 			disposed.abort();
 			watching.abort();
--- a/src/lib/sync/registration.ts
+++ b/src/lib/sync/registration.ts
@@ -8,7 +8,7 @@
 import {isAddress} from '../common/address.js';
 import {readSteadyMs, waitFor} from '../common/clock.js';
 import {toAddress, type Address, type NodeId} from '../common/ids.js';
-import {type MeshStore} from '../store/mesh-store.js';
+import {type MeshStore, type StoreItems} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type StoreHealth} from './store-health.js';
 
@@ -20,6 +20,8 @@
 	readonly gossip: Address;
 	readonly log: MeshLog;
 	readonly random: () => number;
+	/** Other nodes that are known now. */
+	readonly countPeers: () => number;
 	/** Told of the addresses of all nodes. */
 	readonly handleAddresses: (addresses: readonly Address[]) => void;
 };
@@ -41,6 +43,9 @@
 /** Milliseconds between two renewals; two may fail before the lease ends. */
 const renewMs = 4000;
 
+/** Nodes that are listed at each look. In a larger mesh a node lists all others less often, and looks for its own entry in between: newcomers tell the others of themselves, so that a list only mends what was missed. */
+const listedPerLook = 13;
+
 /** Milliseconds between two looks at the store. Each is a cheap stale read, shows whether the store is reached, and finds this node's own entry missing soon enough to put it back within two seconds. */
 const lookMs = 1000;
 
@@ -53,13 +58,14 @@
  * @internal
  */
 export function createRegistration(context: RegistrationContext): Registration {
-	const {store, health, self, gossip, log, random, handleAddresses} = context;
+	const {store, health, self, gossip, log, random, countPeers, handleAddresses} = context;
 	const disposed = new AbortController();
 	const key = `${prefix}${self}`;
 	let lease: number | undefined;
 	let renewedAt = 0;
 	/** Revision at which the own entry was written: a stale read before it may miss the entry. */
 	let writtenAt = 0;
+	let looks = 0;
 
 	const register = async (reason: string): Promise<boolean> => {
 		const granted = await store.grantLease(leaseMs);
@@ -95,26 +101,31 @@
 		}
 	};
 
-	const look = async (mayBeStale: boolean): Promise<boolean> => {
-		const listed = await store.listItems(prefix, {mayBeStale});
-		if (listed.isErr()) {
-			health.noteFailure('list the nodes', listed.error.reason);
-			return false;
-		}
-
-		health.noteSuccess();
-		const {items, storeRevision} = listed.value;
-		handleAddresses(items.map(item => item.value).filter(text => isAddress(text)).map(text => toAddress(text)));
+	const checkOwnEntry = ({items, storeRevision}: StoreItems): void => {
 		if (lease !== undefined && storeRevision >= writtenAt && !items.some(item => item.key === key)) {
 			lease = undefined;
 			log.record('warn', {kind: 'lease-lost', reason: 'the entry of this node is missing'});
 		}
+	};
 
+	const look = async (isFirst: boolean): Promise<boolean> => {
+		const options = {mayBeStale: !isFirst};
+		const isList = isFirst || looks % Math.ceil((countPeers() + 1) / listedPerLook) === 0;
+		const read = await (isList ? store.listItems(prefix, options) : store.readItem(key, options));
+		if (read.isErr()) {
+			health.noteFailure(isList ? 'list the nodes' : 'read the own entry', read.error.reason);
+			return false;
+		}
+
+		looks++;
+		health.noteSuccess();
+		checkOwnEntry(read.value);
+		handleAddresses(read.value.items.map(item => item.value).filter(text => isAddress(text)).map(text => toAddress(text)));
 		return true;
 	};
 
 	const step = async (isFirst: boolean): Promise<boolean> => {
-		if (!(await look(!isFirst))) {
+		if (!(await look(isFirst))) {
 			return false;
 		}
 
--- /dev/null
+++ b/src/lib/sync/relay-duty.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {toNodeId} from '../common/ids.js';
+import {isRelay, type DomainNode} from './relay-duty.js';
+
+function createNode(name: string, changes: Partial<DomainNode> = {}): DomainNode {
+	return {
+		node: toNodeId(name), linkMbps: 7, isFollowing: false, storeSeenMs: 300, heardMsAgo: 100, ...changes,
+	};
+}
+
+const createDomain = (count: number): readonly DomainNode[] => Array.from({length: count}, (_, index) => createNode(`n${String(index).padStart(3, '0')}`));
+
+/** Names of the nodes that watch, when each decides by what all others say; the relays of the first round say so in the second. */
+function listRelays(nodes: readonly DomainNode[]): readonly string[] {
+	const decide = (all: readonly DomainNode[]): readonly DomainNode[] =>
+		all.map(self => ({...self, isFollowing: isRelay(self, all.filter(other => other !== self))}));
+	return decide(decide(nodes)).filter(({isFollowing}) => isFollowing).map(({node}) => node);
+}
+
+test('every node of a small failure domain watches, four of a large one', () => {
+	assert.equal(listRelays(createDomain(4)).length, 4);
+	assert.equal(listRelays(createDomain(25)).length, 4);
+	assert.equal(listRelays(createDomain(400)).length, 4);
+});
+
+test('nodes with large links go first', () => {
+	const nodes = createDomain(25).map((node, index) => index === 20 || index === 24 ? {...node, linkMbps: 140} : node);
+	assert.deepEqual(listRelays(nodes).slice(-2), ['n020', 'n024']);
+});
+
+test('a node that the store turns away gives the duty to the next', () => {
+	const nodes = createDomain(25).map((node, index) => index < 3 ? {...node, storeSeenMs: undefined} : node);
+	const relays = listRelays(nodes);
+	assert.deepEqual(relays.filter(name => name >= 'n003'), ['n003', 'n004', 'n005', 'n006']);
+});
+
+test('a node that hears of no fresh watcher asks the store itself', () => {
+	const self = createNode('n900');
+	const others = createDomain(10).map(node => ({...node, isFollowing: true}));
+	assert.equal(isRelay(self, others), false);
+	assert.equal(isRelay(self, others.map(node => ({...node, storeSeenMs: 1950}))), true);
+	assert.equal(isRelay(self, others.map(node => ({...node, isFollowing: false}))), true);
+	assert.equal(isRelay(self, []), true);
+});
+
+test('property: among nodes that reach the store somebody watches, and never all of a large domain', () => {
+	const node = fc.record({linkMbps: fc.constantFrom(7, 140), storeSeenMs: fc.constantFrom(undefined, 100, 900)});
+	fc.assert(fc.property(fc.array(node, {minLength: 12, maxLength: 30}), list => {
+		const nodes = list.map((changes, index) => createNode(`n${String(index).padStart(3, '0')}`, changes));
+		const relays = new Set(listRelays(nodes));
+		const reaching = nodes.filter(({storeSeenMs}) => storeSeenMs !== undefined);
+		assert.ok(reaching.length === 0 || reaching.some(one => relays.has(one.node)));
+		assert.ok(relays.size <= 8);
+	}));
+});
--- /dev/null
+++ b/src/lib/sync/relay-duty.ts
@@ -0,0 +1,52 @@
+/**
+ * Which nodes of a failure domain watch the store for the others: the decision
+ * part. No promise rests on it. Every node decides for itself by what it has
+ * heard; where two see it differently there are more watches or fewer, and a
+ * node that hears of no fresh one asks the store itself.
+ *
+ * @module
+ */
+import {type NodeId} from '../common/ids.js';
+import {type NodeDuties} from '../peers/peer-report.js';
+
+/** A node of the own failure domain that was heard lately. @internal */
+export type DomainNode = NodeDuties & {
+	readonly node: NodeId;
+	/** Milliseconds since it said so. */
+	readonly heardMsAgo: number;
+};
+
+/** Nodes of a failure domain that watch the store. Each change costs a call and a whole configuration for each of them; with four, one of them is left when the store turns a third of the nodes away in 99 of 100 domains, and where the domain is no larger every node watches. */
+const relaysPerDomain = 4;
+
+/** A watcher that has heard from the store within this time has the newest configuration, or is about to. Milliseconds: twice the time between two looks at the store, so that it is noticed before a change has to be in force. */
+const freshMs = 2000;
+
+const hasStore = ({storeSeenMs}: DomainNode): boolean => storeSeenMs !== undefined;
+
+const isFresh = ({isFollowing, storeSeenMs, heardMsAgo}: DomainNode): boolean => isFollowing && storeSeenMs !== undefined && storeSeenMs + heardMsAgo <= freshMs;
+
+/** Large links first, since a whole configuration takes a quarter of a second over the smallest; then by name, which all see alike. */
+function compareNodes(left: DomainNode, right: DomainNode): number {
+	return right.linkMbps - left.linkMbps || (left.node < right.node ? -1 : 1);
+}
+
+function isAmongFirst(self: DomainNode, nodes: readonly DomainNode[]): boolean {
+	const before = nodes.filter(node => compareNodes(node, self) < 0);
+	return before.length < relaysPerDomain;
+}
+
+/**
+ * @param self - This node.
+ * @param others - The other nodes of its failure domain that it hears.
+ * @returns Whether this node watches the store.
+ * @internal
+ */
+export function isRelay(self: DomainNode, others: readonly DomainNode[]): boolean {
+	if (!hasStore(self)) {
+		// It cannot help anybody now; the first ones go on trying, so that somebody notices at once when the store is back.
+		return isAmongFirst(self, others);
+	}
+
+	return isAmongFirst(self, others.filter(node => hasStore(node))) || !others.some(node => isFresh(node));
+}
--- a/src/lib/sync/store-health.ts
+++ b/src/lib/sync/store-health.ts
@@ -11,6 +11,8 @@
 	readonly noteSuccess: () => void;
 	readonly noteFailure: (call: string, reason: string) => void;
 	readonly isReachable: () => boolean;
+	/** Milliseconds since the store last answered; `undefined` if its last call failed. */
+	readonly getSeenMs: (now: number) => number | undefined;
 	/** When the store was last reached again after it had been lost, in steady milliseconds. */
 	readonly getReturnedAt: () => number;
 };
@@ -24,16 +26,17 @@
 export function createStoreHealth(log: MeshLog, handleReturn: () => void): StoreHealth {
 	let lostAt: number | undefined;
 	let returnedAt = 0;
+	let seenAt = readSteadyMs();
 	return {
 		noteSuccess() {
+			seenAt = readSteadyMs();
 			if (lostAt === undefined) {
 				return;
 			}
 
-			const now = readSteadyMs();
-			log.record('info', {kind: 'store-back', afterMs: Math.round(now - lostAt)});
+			log.record('info', {kind: 'store-back', afterMs: Math.round(seenAt - lostAt)});
 			lostAt = undefined;
-			returnedAt = now;
+			returnedAt = seenAt;
 			handleReturn();
 		},
 		noteFailure(call, reason) {
@@ -43,6 +46,7 @@
 			}
 		},
 		isReachable: () => lostAt === undefined,
+		getSeenMs: now => lostAt === undefined ? now - seenAt : undefined,
 		getReturnedAt: () => returnedAt,
 	};
 }
