A node that starts waits for the others' word before it watches; nodes on which nobody relies look at the store less often

Change: after its first read a node waits 900 ms before it watches; nodes that do not watch look at their own entry every two seconds.

--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -101,7 +101,7 @@
 		store, health, holder, key: context.configKey, decode: context.decodeConfig, log, random, mayFollow,
 	});
 	const registration = createRegistration({
-		store, health, self, gossip: context.gossip, log, random, countPeers: () => link.getTable().size, handleAddresses: link.addContacts,
+		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.getTable().size, handleAddresses: link.addContacts,
 	});
 
 	const fetchNewer = createNewerConfigFetcher({
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -46,6 +46,9 @@
 /** After a change the watch rests for this long, so that changes in quick succession come as one. Milliseconds, a quarter of the shortest time in which a change must be in force. */
 const restMs = 450;
 
+/** A node that has just started hears within this time who watches the store; if it asked for a watch at once, so would all that start together. Milliseconds, two periods of heartbeats; it hears of changes from the others meanwhile. */
+const settleMs = 900;
+
 /** Between two looks whether this node has to ask the store itself. Milliseconds: a small part of the time in which a change must be in force. */
 const dutyLookMs = 150;
 
@@ -65,6 +68,7 @@
 	let revision: number | undefined;
 	let refusedText: string | undefined;
 	let isFollowing = false;
+	let hasSettled = false;
 
 	const adoptText = (text: string, source: string, steps?: readonly ConfigStep[]): void => {
 		if (text === holder.get()?.text || text === refusedText) {
@@ -148,6 +152,14 @@
 		}
 	};
 
+	/** Once the first configuration is there, waits for what the other nodes say of who watches. */
+	const settle = async (): Promise<void> => {
+		if (!hasSettled && holder.get() !== undefined) {
+			hasSettled = true;
+			await waitFor(settleMs, disposed.signal);
+		}
+	};
+
 	return {
 		async run() {
 			while (!disposed.signal.aborted) {
@@ -155,6 +167,7 @@
 				isFollowing = mayFollow();
 				if (isFollowing || holder.get() === undefined) {
 					await (revision === undefined ? readAnew() : watchOnce(revision));
+					await settle();
 					continue;
 				}
 
--- a/src/lib/sync/registration.ts
+++ b/src/lib/sync/registration.ts
@@ -20,6 +20,8 @@
 	readonly gossip: Address;
 	readonly log: MeshLog;
 	readonly random: () => number;
+	/** Whether others rely on what this node hears from the store. */
+	readonly isFollowing: () => boolean;
 	/** Other nodes that are known now. */
 	readonly countPeers: () => number;
 	/** Told of the addresses of all nodes. */
@@ -49,6 +51,9 @@
 /** Milliseconds between two looks at the store. Each is a cheap stale read, shows whether the store is reached, and finds this node's own entry missing soon enough to put it back within two seconds. */
 const lookMs = 1000;
 
+/** Milliseconds between two looks of a node on which nobody relies. */
+const seldomLookMs = 2000;
+
 /** Milliseconds between two tries to reach a store that does not answer. */
 const retryMs = 400;
 
@@ -58,7 +63,7 @@
  * @internal
  */
 export function createRegistration(context: RegistrationContext): Registration {
-	const {store, health, self, gossip, log, random, countPeers, handleAddresses} = context;
+	const {store, health, self, gossip, log, random, isFollowing, countPeers, handleAddresses} = context;
 	const disposed = new AbortController();
 	const key = `${prefix}${self}`;
 	let lease: number | undefined;
@@ -146,7 +151,8 @@
 			while (!disposed.signal.aborted) {
 				const isDone = await step(isFirst);
 				isFirst &&= !isDone;
-				await waitFor((isDone ? lookMs : retryMs) * (0.9 + (0.2 * random())), disposed.signal);
+				const pauseMs = isFollowing() ? lookMs : seldomLookMs;
+				await waitFor((isDone ? pauseMs : retryMs) * (0.9 + (0.2 * random())), disposed.signal);
 			}
 		},
 		async withdraw() {
