Retry allowance: more of it while few repeated runs make calls, calls first

Ruled out: choosing better, since all servers shed alike. Change: 0.45 as before, up to 0.8 less two calls for each repeated run of another service; what lies between is for calls before requests whose callers can come back. Repeated runs stop while a service that calls lead to uses more than 0.45.

--- a/src/lib/forwarding/retry-allowance.ts
+++ b/src/lib/forwarding/retry-allowance.ts
@@ -19,17 +19,19 @@
 type Slice = {
 	readonly startedAt: number;
 	requests: number;
+	/** Of the requests, those that others wait for: calls that backend servers make. */
+	calls: number;
 	repeats: number;
 	/** Of the repeats, those of requests that may have run. */
 	reruns: number;
 };
 
-/** Why a request is sent again: a server turned it away, or it may have run and failed. @internal */
-export type RepeatReason = 'turned-away' | 'may-have-run';
+/** Why a request is sent again: a server turned it away, or turned a call away that another server makes, or it may have run and failed. @internal */
+export type RepeatReason = 'turned-away' | 'call-turned-away' | 'may-have-run';
 
 /** @internal */
 export type RetryAllowance = {
-	readonly noteRequest: (service: string, now: number) => void;
+	readonly noteRequest: (service: string, isCall: boolean, now: number) => void;
 	/** Takes a repeat if one is left. */
 	readonly take: (service: string, reason: RepeatReason, now: number) => boolean;
 	/** Repeats that this node may still send to a service. */
@@ -39,9 +41,15 @@
 /** Slices in a window: the window slides by one of these. */
 const slicesPerWindow = 10;
 
-/** Share of what is allowed that is used. The rest is for calls that repeated runs make again. */
+/** Share of what is allowed that is always used. */
 const usedShare = 0.45;
 
+/** Share that may be used when few repeated runs make their calls again. The rest is for windows that whoever counts cuts otherwise. */
+const mostUsedShare = 0.8;
+
+/** Calls that a repeated run is taken to make again at any other service: as many as a run of the users' services makes. */
+const callsOfRerun = 2;
+
 /**
  * Share of what is allowed that goes to requests that may have run. A request that runs again makes its calls again, and
  * these count as repeats at the service that is called. Requests that fail because of a call are those that make
@@ -76,31 +84,74 @@
 		}
 
 		const slice: Slice = {
-			startedAt: now, requests: 0, repeats: 0, reruns: 0,
+			startedAt: now, requests: 0, calls: 0, repeats: 0, reruns: 0,
 		};
 		slices.push(slice);
 		return slice;
 	};
 
-	const countLeft = (service: string, reason: RepeatReason, now: number): number => {
-		const {ratio, slack, windowMs} = getLimits();
-		let requests = 0;
-		let repeats = 0;
-		let reruns = 0;
+	const sumWindow = (service: string, now: number): Omit<Slice, 'startedAt'> => {
+		const sum = {
+			requests: 0, calls: 0, repeats: 0, reruns: 0,
+		};
 		for (const slice of getSlices(service, now)) {
-			requests += now - slice.startedAt < windowMs ? slice.requests : 0;
-			repeats += slice.repeats;
-			reruns += slice.reruns;
+			const isWithin = now - slice.startedAt < getLimits().windowMs;
+			sum.requests += isWithin ? slice.requests : 0;
+			sum.calls += isWithin ? slice.calls : 0;
+			sum.repeats += slice.repeats;
+			sum.reruns += slice.reruns;
+		}
+
+		return sum;
+	};
+
+	/** Calls that repeated runs of the other services may make again at this one. */
+	const countCallsOfReruns = (service: string, now: number): number => {
+		let reruns = 0;
+		for (const other of services.keys()) {
+			reruns += other === service ? 0 : sumWindow(other, now).reruns;
 		}
 
-		const allowed = (requests * ratio) + (slack / Math.max(1, countNodes()));
-		const left = Math.floor(usedShare * allowed) - repeats;
-		return reason === 'turned-away' ? left : Math.min(left, Math.floor(rerunShare * allowed) - reruns);
+		return reruns * callsOfRerun;
+	};
+
+	const computeAllowed = ({requests}: Pick<Slice, 'requests'>): number => {
+		const {ratio, slack} = getLimits();
+		return (requests * ratio) + (slack / Math.max(1, countNodes()));
+	};
+
+	/** Whether another service that calls lead to uses more than what is always used: calls of further repeated runs would come on top. */
+	const isMoreUsedElsewhere = (service: string, now: number): boolean => {
+		for (const other of services.keys()) {
+			const sum = sumWindow(other, now);
+			if (other !== service && sum.calls > 0 && sum.repeats > usedShare * computeAllowed(sum)) {
+				return true;
+			}
+		}
+
+		return false;
+	};
+
+	const countLeft = (service: string, reason: RepeatReason, now: number): number => {
+		const sum = sumWindow(service, now);
+		const {requests, calls, repeats, reruns} = sum;
+		const allowed = computeAllowed(sum);
+		const least = usedShare * allowed;
+		if (reason === 'may-have-run') {
+			return isMoreUsedElsewhere(service, now) ? 0 : Math.min(Math.floor(least) - repeats, Math.floor(rerunShare * allowed) - reruns);
+		}
+
+		// A call that fails costs the run that makes it: what lies between the shares is for calls first.
+		const extra = Math.max(0, (mostUsedShare * allowed) - countCallsOfReruns(service, now) - least);
+		const extraShare = reason === 'call-turned-away' ? 1 : 1 - (calls / Math.max(1, requests));
+		return Math.floor(least + (extra * extraShare)) - repeats;
 	};
 
 	return {
-		noteRequest(service, now) {
-			getCurrent(getSlices(service, now), now).requests++;
+		noteRequest(service, isCall, now) {
+			const slice = getCurrent(getSlices(service, now), now);
+			slice.requests++;
+			slice.calls += isCall ? 1 : 0;
 		},
 		take(service, reason, now) {
 			if (countLeft(service, reason, now) <= 0) {
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -18,7 +18,7 @@
 } from './forward-result.js';
 import {type GateClient} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
-import {type RetryAllowance} from './retry-allowance.js';
+import {type RepeatReason, type RetryAllowance} from './retry-allowance.js';
 
 /** A call on its way. @internal */
 export type OutgoingCall = {
@@ -123,6 +123,14 @@
 	return Math.min(Math.max(inTimeMs, leastMs), leftMs) * (call.isReturning ? returningWaitShare : 1);
 }
 
+function chooseRepeatReason(call: OutgoingCall, result: ForwardResult): RepeatReason {
+	if (result.type === 'answered' || result.verdict !== 'not-run') {
+		return 'may-have-run';
+	}
+
+	return call.isLastRank ? 'turned-away' : 'call-turned-away';
+}
+
 function describeOutcome(result: ForwardResult): string {
 	return result.type === 'answered' ? String(result.status) : result.reason;
 }
@@ -146,7 +154,7 @@
 		notes: [], tried: new Set(), full: new Set(), verdict: 'not-run', arrivals: 0, refusals: 0, retryAfterMs: 0,
 		fallback: createNotRun('no-server', `no backend server of ${service} is known that could take the request`),
 	};
-	context.allowance.noteRequest(service, readSteadyMs());
+	context.allowance.noteRequest(service, !call.isLastRank, readSteadyMs());
 
 	const finish = (result: ForwardResult): CallOutcome => ({result, verdict: progress.verdict, attempts: progress.notes});
 
@@ -218,8 +226,7 @@
 			return progress.refusals <= maxRefusals;
 		}
 
-		const reason = result.type === 'failed' && result.verdict === 'not-run' ? 'turned-away' : 'may-have-run';
-		return progress.arrivals < route.maxAttempts && context.allowance.take(service, reason, now);
+		return progress.arrivals < route.maxAttempts && context.allowance.take(service, chooseRepeatReason(call, result), now);
 	};
 
 	const chooseNext = (): Choice | ForwardFailure => {
