--- a/apps/sidecar/main.ts
+++ b/apps/sidecar/main.ts
@@ -9,6 +9,7 @@
 import process from 'node:process';
 import {err, type Result} from 'neverthrow';
 import {createPlatform} from '../../platform/index.js';
+import {applyGrowthFactor} from '../../src/lib/common/young-generation.js';
 import {createSidecar, type Sidecar} from '../../src/lib/sidecar/sidecar.js';
 import {parseSidecarSettings, type SidecarSettings} from '../../src/lib/sidecar/sidecar-settings.js';
 import {createDescriptorSink, createLineLog, type LineLog} from '../../src/lib/timeline/line-log.js';
@@ -113,7 +114,9 @@
 		}, lastWordsMs);
 	});
 	const platform = createPlatform(settings.value.storeAddress);
-	const sidecar = createSidecar(settings.value, {...platform, log, random: Math.random});
+	const sidecar = createSidecar(settings.value, {
+		...platform, log, random: Math.random, applyGrowthFactor,
+	});
 	stopOnSignals(sidecar, log);
 	watchSettings(sidecar, log, file);
 	try {
