Fewer heartbeats inside large failure domains; no timer for a log that has nothing to write

Before there is traffic 74 nodes cost 41 s for their start and 12 s of heartbeats: each datagram and each timer wakes a process. Change: in a failure domain of more than 12 others a node sends 12 heartbeats a period, those that watch the store 60; 5 to other domains beyond 10. The log's timer runs only while lines are held; the watch duty is looked at every 300 ms. A watcher counts as fresh for 1.7 s. Also: nothing is sent by a link that has ended ('Not running', shown once by the test of a restart while the store is away; peers/peer-link.test.ts brings it about and was seen failing).

--- a/src/lib/peers/heartbeat-plan.ts
+++ b/src/lib/peers/heartbeat-plan.ts
@@ -12,25 +12,41 @@
 	readonly otherDomain: number;
 };
 
-/** Heartbeats in a period to nodes of the own failure domain. Those are the nodes that requests go to first: up to this number each gets one every period. */
-const ownDomainHeartbeats = 30;
+/** Heartbeats in a period to nodes of the own failure domain. Those are the nodes that requests go to first: up to this number each gets one every period. Each wakes a process, which costs more than the datagram (MEASUREMENTS). */
+const ownDomainHeartbeats = 12;
 
-/** Heartbeats in a period to nodes of other failure domains, whose bytes are paid for. Whether one of them is there is asked when requests wait for it. */
+/** The same for a node that watches the store for the others: they wait for its word, and there are few such nodes. */
+const watcherHeartbeats = 60;
+
+/** Heartbeats in a period to nodes of other failure domains, whose bytes are paid for. Whether one of them is there is asked when requests wait for it. Up to this number each gets one every period. */
 const otherDomainHeartbeats = 10;
 
+/** Beyond that number, nodes of other failure domains get fewer: these are asked only when the own domain has no room. */
+const otherDomainHeartbeatsBeyond = 5;
+
 /** The longest time between two heartbeats, in periods: a node that restarts while the store is away is found again by them. */
 const mostPeriods = 40;
 
 const countPeriods = (nodes: number, heartbeats: number): number => Math.min(mostPeriods, Math.max(1, Math.ceil(nodes / heartbeats)));
 
+/** How many other nodes a node knows, and what it does for them. @internal */
+export type HeartbeatNeeds = {
+	readonly ownDomainNodes: number;
+	readonly otherDomainNodes: number;
+	/** Whether the others rely on this node to watch the store. */
+	readonly isFollowing: boolean;
+};
+
 /**
- * @param ownDomainNodes - Other nodes known in the own failure domain.
- * @param otherDomainNodes - Nodes known in other ones.
+ * @param needs - Whom the heartbeats are for.
  * @returns The plan.
  * @internal
  */
-export function planHeartbeats(ownDomainNodes: number, otherDomainNodes: number): HeartbeatPlan {
-	return {ownDomain: countPeriods(ownDomainNodes, ownDomainHeartbeats), otherDomain: countPeriods(otherDomainNodes, otherDomainHeartbeats)};
+export function planHeartbeats({ownDomainNodes, otherDomainNodes, isFollowing}: HeartbeatNeeds): HeartbeatPlan {
+	return {
+		ownDomain: countPeriods(ownDomainNodes, isFollowing ? watcherHeartbeats : ownDomainHeartbeats),
+		otherDomain: countPeriods(otherDomainNodes, otherDomainNodes <= otherDomainHeartbeats ? otherDomainHeartbeats : otherDomainHeartbeatsBeyond),
+	};
 }
 
 /**
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -29,6 +29,8 @@
 	readonly settings: PeerLinkSettings;
 	/** Describes this node as it is now. */
 	readonly describeSelf: (sequence: number) => Omit<PeerReport, 'periods' | 'isProbe'>;
+	/** Whether others rely on this node to watch the store. */
+	readonly isFollowing: () => boolean;
 	readonly log: MeshLog;
 	/** Told of each report that was heard. */
 	readonly handleReport: (report: PeerReport, news: PeerNews) => void;
@@ -68,7 +70,7 @@
  * @internal
  */
 export function createPeerLink(context: PeerLinkContext): PeerLink {
-	const {settings, describeSelf, log, handleReport} = context;
+	const {settings, describeSelf, isFollowing, log, handleReport} = context;
 	const socket = createSocket('udp4');
 	const contacts = new Map<Address, number>();
 	let table: PeerTable = new Map();
@@ -79,6 +81,10 @@
 	let isClosed = false;
 
 	const send = (bytes: Uint8Array, address: Address): void => {
+		if (isClosed) {
+			return;
+		}
+
 		const {host, port} = parseAddress(address);
 		socket.send(bytes, port, host, error => {
 			if (error !== null && error !== undefined) {
@@ -90,8 +96,8 @@
 	const isNear = ({report}: Peer): boolean => report.domain === settings.domain;
 
 	const plan = (): HeartbeatPlan => {
-		const near = [...table.values()].filter(peer => isNear(peer)).length;
-		return planHeartbeats(near, table.size - near);
+		const ownDomainNodes = [...table.values()].filter(peer => isNear(peer)).length;
+		return planHeartbeats({ownDomainNodes, otherDomainNodes: table.size - ownDomainNodes, isFollowing: isFollowing()});
 	};
 
 	const encodeSelf = (isProbe = false): Uint8Array => {
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -14,6 +14,7 @@
 import {readSteadyMs} from '../common/clock.js';
 import {type Address, type NodeId} from '../common/ids.js';
 import {createLoopLag} from '../common/loop-lag.js';
+import {createYoungGeneration} from '../common/young-generation.js';
 import {type WireHeaders} from '../forwarding/call-headers.js';
 import {createEntryServer, type FinishedCall} from '../forwarding/entry-server.js';
 import {createGateClient} from '../forwarding/gate-client.js';
@@ -50,6 +51,8 @@
 	readonly wire: WireHeaders;
 	readonly log: MeshLog;
 	readonly random: () => number;
+	/** Sets by how much the young generation of this process's heap grows. */
+	readonly applyGrowthFactor: (factor: number) => void;
 };
 
 /** @public */
@@ -77,6 +80,12 @@
 /** Milliseconds between two looks for nodes that have fallen silent while requests wait for them. */
 const silenceCheckMs = 100;
 
+/** Nodes that are taken to share the slack of the retry allowance while a node has just started: two or three times the smallest mesh of the users. */
+const assumedNodes = 32;
+
+/** Milliseconds between two looks at how busy the node is. */
+const loadCheckMs = 1000;
+
 /** Milliseconds between two looks for servers that are gone. */
 const forgetMs = 30_000;
 
@@ -120,15 +129,18 @@
 	const log = metrics.countEvents(surroundings.log);
 	const {node: self, failureDomain: domain} = settings;
 	const run = randomBytes(6).toString('base64url');
+	const createdAt = readSteadyMs();
 	let isLeaving = false;
 	let isGateLeaving = false;
 	let wasReady = false;
+	let finishedCalls = 0;
 
 	const splitter = createShareSplitter(random);
 	const returningCallers = createReturningCallers();
 	const loads = createLoadView();
 	const lag = createLoopLag();
 	const silence = createSilenceWatchers();
+	const young = createYoungGeneration(surroundings.applyGrowthFactor);
 
 	const handleAdopted = ({config}: HeldConfig): void => {
 		entry.applyLimits(config.limits);
@@ -176,7 +188,7 @@
 	const link = createPeerLink({
 		settings: {
 			...peerLimits, listen: settings.listen.gossip, domain, periodMs: heartbeatMs,
-		}, describeSelf, log, handleReport,
+		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, handleReport,
 	});
 
 	const gateClient = createGateClient();
@@ -202,11 +214,15 @@
 
 	const handleFinished = (call: FinishedCall): void => {
 		metrics.recordCall(call);
+		finishedCalls++;
 		const isOrdinary = call.status < 500 && call.attempts.filter(({verdict}) => verdict !== 'not-run').length <= 1;
 		const level = isOrdinary ? 'debug' : 'info';
 		log.record(level, {kind: 'call-finished', call: call.id, ...omitId(call)});
 	};
 
+	/** A node that has just started knows few of those that share the slack, and what it used of it before it restarted it has forgotten. */
+	const countSlackNodes = (): number => Math.max(link.getTable().size + 1, readSteadyMs() - createdAt < settings.retries.windowMs ? assumedNodes : 1);
+
 	const entry = createEntryServer({
 		self,
 		domain,
@@ -216,7 +232,7 @@
 		localGate: gate,
 		gateClient,
 		loads,
-		allowance: createRetryAllowance(() => settings.retries, () => link.getTable().size + 1),
+		allowance: createRetryAllowance(() => settings.retries, countSlackNodes),
 		log,
 		random,
 		noteUnreachable(node, reason) {
@@ -317,10 +333,17 @@
 
 	let silenceTimer: NodeJS.Timeout | undefined;
 	let forgetTimer: NodeJS.Timeout | undefined;
+	let loadTimer: NodeJS.Timeout | undefined;
+
+	const checkLoad = (): void => {
+		young.note(finishedCalls, loadCheckMs);
+		finishedCalls = 0;
+	};
 
 	const dispose = async (): Promise<void> => {
 		clearInterval(silenceTimer);
 		clearInterval(forgetTimer);
+		clearInterval(loadTimer);
 		sync.dispose();
 		link.dispose();
 		gateClient.dispose();
@@ -351,6 +374,7 @@
 			link.addContacts(settings.seeds);
 			silenceTimer = setInterval(checkSilence, silenceCheckMs);
 			forgetTimer = setInterval(forgetGone, forgetMs);
+			loadTimer = setInterval(checkLoad, loadCheckMs);
 			sync.start();
 		},
 		applySettings(changed) {
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -50,7 +50,7 @@
 const settleMs = 900;
 
 /** Between two looks whether this node has to ask the store itself. Milliseconds: a small part of the time in which a change must be in force. */
-const dutyLookMs = 150;
+const dutyLookMs = 300;
 
 /** Between two tries to reach a store that does not answer. Milliseconds. */
 const retryMs = 250;
@@ -152,6 +152,13 @@
 		}
 	};
 
+	const takeDuty = (isTaken: boolean): void => {
+		if (isTaken !== isFollowing) {
+			isFollowing = isTaken;
+			log.record('info', {kind: 'watch-duty-changed', isFollowing, version: holder.getVersion()});
+		}
+	};
+
 	/** Once the first configuration is there, waits for what the other nodes say of who watches. */
 	const settle = async (): Promise<void> => {
 		if (!hasSettled && holder.get() !== undefined) {
@@ -164,7 +171,7 @@
 		async run() {
 			while (!disposed.signal.aborted) {
 				// Whatever a node is, it reads the configuration once at its start: nobody may be there to hand it over.
-				isFollowing = mayFollow();
+				takeDuty(mayFollow());
 				if (isFollowing || holder.get() === undefined) {
 					await (revision === undefined ? readAnew() : watchOnce(revision));
 					await settle();
--- a/src/lib/sync/relay-duty.ts
+++ b/src/lib/sync/relay-duty.ts
@@ -19,8 +19,8 @@
 /** Nodes of a failure domain that watch the store. Each change costs a call and a whole configuration for each of them; with four, one of them is left when the store turns a third of the nodes away in 99 of 100 domains, and where the domain is no larger every node watches. */
 const relaysPerDomain = 4;
 
-/** A watcher that has heard from the store within this time has the newest configuration, or is about to. Milliseconds: twice the time between two looks at the store, so that it is noticed before a change has to be in force. */
-const freshMs = 2000;
+/** A watcher that has heard from the store within this time has the newest configuration, or is about to. Milliseconds: the longest time between two looks at the store and a heartbeat, so that it is noticed before a change has to be in force. */
+const freshMs = 1700;
 
 const hasStore = ({storeSeenMs}: DomainNode): boolean => storeSeenMs !== undefined;
 
--- a/src/lib/timeline/line-log.ts
+++ b/src/lib/timeline/line-log.ts
@@ -83,18 +83,27 @@
 	boom.on('error', () => {
 		// There is nowhere left to say so: the log itself has failed, and the node goes on.
 	});
-	const timer = setInterval(() => {
-		boom.flush();
-	}, flushMs);
-	timer.unref();
+	let timer: NodeJS.Timeout | undefined;
+	const flushSoon = (): void => {
+		timer ??= setTimeout(() => {
+			timer = undefined;
+			boom.flush();
+			if (held > 0) {
+				// Nobody reads: what is held is tried again.
+				flushSoon();
+			}
+		}, flushMs).unref();
+	};
+
 	return {
 		write(line) {
 			held += line.length;
 			boom.write(line);
+			flushSoon();
 		},
 		countHeldBytes: () => held,
 		async flush() {
-			clearInterval(timer);
+			clearTimeout(timer);
 			return new Promise(resolve => {
 				// Whoever has stopped reading does not keep the process.
 				setTimeout(resolve, lastFlushMs);
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -34,6 +34,7 @@
 	| {readonly kind: 'configuration-refused'; readonly version: number; readonly from: string; readonly reason: string}
 	| {readonly kind: 'store-lost'; readonly reason: string; readonly call: string}
 	| {readonly kind: 'store-back'; readonly afterMs: number}
+	| {readonly kind: 'watch-duty-changed'; readonly isFollowing: boolean; readonly version: number}
 	| {readonly kind: 'lease-lost'; readonly reason: string}
 	| {readonly kind: 'node-registered'; readonly reason: string}
 	| {readonly kind: 'peer-seen'; readonly peer: string; readonly news: string; readonly version: number; readonly isLeaving: boolean; readonly server?: string; readonly service?: string; readonly state?: string}
