A watch waits for six seconds at the most

Where every connection of the store falls silent, the looks at the store fail and have it read anew; where only the watch's does, nothing tells. All watchers of the mesh open a watch at the same moment after a change. Change: a watch waits for 1.8 to 6 s, drawn for each.

--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -40,8 +40,11 @@
 	readonly dispose: () => void;
 };
 
-/** How long a watch waits for a change. Milliseconds; a new one is a call more. */
-const watchMs = 20_000;
+/** How long a watch waits for a change at the most. Milliseconds: a connection that has fallen silent without a reset looks like a store in which nothing changes, for as long as this. Each new watch is a call more. */
+const watchMs = 6000;
+
+/** The shortest wait, as a share of the longest. Watchers draw theirs, so that after a change, when all open a watch at once, not all of them ask again at once: when all connections fall silent together, the first to ask again finds out for the others. */
+const shortestWatchShare = 0.3;
 
 /** After a change the watch rests for this long, so that changes in quick succession come as one. Milliseconds, a quarter of the shortest time in which a change must be in force. */
 const restMs = 450;
@@ -127,7 +130,7 @@
 	const watchOnce = async (after: number): Promise<void> => {
 		watching = new AbortController();
 		const {signal} = watching;
-		const watched = await store.watchItems(key, after, watchMs, signal);
+		const watched = await store.watchItems(key, after, Math.round(watchMs * (shortestWatchShare + ((1 - shortestWatchShare) * random()))), signal);
 		if (signal.aborted) {
 			revision = undefined;
 			return;
--- a/stand-ins/platform-store/platform-store.ts
+++ b/stand-ins/platform-store/platform-store.ts
@@ -8,7 +8,7 @@
 import {
 	createServer, ServerResponse, type IncomingMessage,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {createKeySpace, type KeySpace, type Transaction} from './key-space.js';
 
 /** How the store misbehaves. */
@@ -31,6 +31,8 @@
 	readonly setFault: (fault: StoreFault, slowMs?: number) => void;
 	/** Watches hear nothing while this is set. */
 	readonly setDeaf: (isDeaf: boolean) => void;
+	/** Connections of watches that wait now carry nothing more, without a reset; others and new ones work. */
+	readonly muteWatches: () => void;
 	/** The operator's write of a configuration. */
 	readonly putConfig: (value: unknown) => void;
 	/** Calls by name, refused ones included. */
@@ -53,7 +55,14 @@
 	return text === '' ? {} : JSON.parse(text) as Body;
 }
 
+/** Connections that have fallen silent. */
+const mutedSockets = new WeakSet<Socket>();
+
 function answer(response: ServerResponse, status: number, body: unknown): void {
+	if (response.socket !== null && mutedSockets.has(response.socket)) {
+		return;
+	}
+
 	const text = JSON.stringify(body);
 	response.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
 	response.end(text);
@@ -75,6 +84,7 @@
 	let fault: StoreFault = 'none';
 	let slowMs = 0;
 	let isDeaf = false;
+	const watches = new Set<ServerResponse>();
 
 	const getKey = (query: URLSearchParams, response: ServerResponse): void => {
 		const item = keys.getItem(query.get('key') ?? '');
@@ -109,9 +119,11 @@
 			return;
 		}
 
+		watches.add(response);
 		const stop = (): void => {
 			clearTimeout(timer);
 			unsubscribe();
+			watches.delete(response);
 		};
 
 		const timer = setTimeout(() => {
@@ -258,6 +270,13 @@
 		setDeaf(next) {
 			isDeaf = next;
 		},
+		muteWatches() {
+			for (const {socket} of watches) {
+				if (socket !== null) {
+					mutedSockets.add(socket);
+				}
+			}
+		},
 		putConfig(value) {
 			keys.commit({expect: [], writes: [{key: 'op/config', value: Buffer.from(typeof value === 'string' ? value : JSON.stringify(value)).toString('base64')}], remove: []});
 		},
