--- a/scenarios/run-scenarios.test.ts
+++ b/scenarios/run-scenarios.test.ts
@@ -13,7 +13,7 @@
 	AstBuilder, compile, GherkinClassicTokenMatcher, Parser,
 } from '@cucumber/gherkin';
 import {IdGenerator, type Pickle, type PickleStep} from '@cucumber/messages';
-import {listSteps, type Scene, type StepDefinition} from './steps.js';
+import {listSteps, type Scene, type StepDefinition} from './steps/index.js';
 import {createWorld, type World} from './world.js';
 
 type MatchedStep = {
--- /dev/null
+++ b/scenarios/steps/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Every sentence that scenarios may use.
+ *
+ * @module
+ */
+/* eslint-disable import-x/no-unassigned-import -- a module of sentences adds them when it is loaded */
+import './call-steps.js';
+import './configuration-steps.js';
+import './fault-steps.js';
+import './raw-steps.js';
+/* eslint-enable import-x/no-unassigned-import */
+
+export {
+	listSteps, type Scene, type StepDefinition,
+} from './define-step.js';
