--- /dev/null
+++ b/src/lib/sidecar/peer-watch.ts
@@ -0,0 +1,94 @@
+/**
+ * Watches over the other nodes while requests wait for them: asks those that
+ * have not been heard, tells the requests of those that are silent, and gives
+ * up connections on which nothing arrives.
+ *
+ * @module
+ */
+import {readSteadyMs} from '../common/clock.js';
+import {type Address} from '../common/ids.js';
+import {type GateClient} from '../forwarding/gate-client.js';
+import {type PeerLink} from '../peers/peer-link.js';
+import {isHeard, type PeerLimits} from '../peers/peer-table.js';
+import {type MeshLog} from '../timeline/mesh-log.js';
+import {type SilenceWatchers} from './silence-watchers.js';
+
+/** @internal */
+export type PeerWatchContext = {
+	readonly link: PeerLink;
+	readonly limits: PeerLimits;
+	readonly silence: SilenceWatchers;
+	readonly gateClient: GateClient;
+	readonly log: MeshLog;
+	/** Told how late this process is, in milliseconds. */
+	readonly handleDelay: (delayMs: number) => void;
+};
+
+/** @internal */
+export type PeerWatch = {
+	readonly start: () => void;
+	readonly dispose: () => void;
+};
+
+/** Milliseconds between two looks. */
+const checkMs = 100;
+
+/** A node that requests wait for and that has not been heard for this long is asked for a report. Milliseconds, a little more than one period of heartbeats. */
+const askAfterMs = 500;
+
+/** A timer that fires this late shows that the process stood still, rather than that it was busy. Milliseconds. */
+const pauseMs = 400;
+
+/**
+ * @param context - The other nodes and who waits for them.
+ * @returns The watch, not started yet.
+ * @internal
+ */
+export function createPeerWatch(context: PeerWatchContext): PeerWatch {
+	const {link, limits, silence, gateClient, log, handleDelay} = context;
+	let timer: NodeJS.Timeout | undefined;
+	let checkedAt = 0;
+
+	const isGateHeard = (address: Address): boolean => {
+		const now = readSteadyMs();
+		return link.list().some(peer => peer.report.gate === address && isHeard(peer, limits, now));
+	};
+
+	const askAwaited = (now: number): void => {
+		for (const node of silence.listAwaited()) {
+			const peer = link.getTable().get(node);
+			if (peer !== undefined && peer.probedAt === undefined && now - peer.heardAt > askAfterMs) {
+				link.probe(node);
+			}
+		}
+	};
+
+	const check = (): void => {
+		const now = readSteadyMs();
+		const delayMs = now - checkedAt - checkMs;
+		checkedAt = now;
+		handleDelay(delayMs);
+		if (delayMs > pauseMs) {
+			log.record('warn', {kind: 'node-paused', forMs: Math.round(delayMs)});
+			link.forgiveSilence(delayMs);
+		} else {
+			gateClient.checkSilence(now, isGateHeard);
+		}
+
+		askAwaited(now);
+		silence.tell(node => {
+			const peer = link.getTable().get(node);
+			return peer === undefined || !isHeard(peer, limits, now);
+		});
+	};
+
+	return {
+		start() {
+			checkedAt = readSteadyMs();
+			timer = setInterval(check, checkMs);
+		},
+		dispose() {
+			clearInterval(timer);
+		},
+	};
+}
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -4,15 +4,11 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
-import {createServer} from 'node:http';
-import {type Server} from 'node:net';
-import process from 'node:process';
 import {type Result} from 'neverthrow';
-import {parseAddress} from '../common/address.js';
 import {readSteadyMs} from '../common/clock.js';
-import {type Address, type NodeId} from '../common/ids.js';
+import {type NodeId} from '../common/ids.js';
+import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createYoungGeneration} from '../common/young-generation.js';
 import {type WireHeaders} from '../forwarding/call-headers.js';
@@ -24,7 +20,7 @@
 import {createReturningCallers} from '../forwarding/returning-callers.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
-import {isHeard, type PeerLimits, type PeerNews} from '../peers/peer-table.js';
+import {type PeerLimits, type PeerNews} from '../peers/peer-table.js';
 import {type HeldConfig} from '../route-config/config-holder.js';
 import {type RouteConfig, type RouteRule} from '../route-config/route-config.js';
 import {createShareSplitter} from '../route-config/share-splitter.js';
@@ -35,9 +31,11 @@
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
 import {createConfigSync} from './config-sync.js';
 import {listCandidates} from './list-candidates.js';
-import {createMeshMetrics, type Gauge} from './mesh-metrics.js';
+import {createMeshMetrics} from './mesh-metrics.js';
+import {createPeerWatch} from './peer-watch.js';
 import {listFixedChanges, mergeSettings} from './settings-change.js';
 import {type SidecarSettings} from './sidecar-settings.js';
+import {createMetricsServer, createReadinessServer} from './status-servers.js';
 import {stopInOrder} from './stop-in-order.js';
 import {createSilenceWatchers} from './silence-watchers.js';
 
@@ -74,12 +72,6 @@
 /** How long a node may take to answer when it is asked for a report. Milliseconds: with the time until it is asked, a dark VM is noticed as soon as one whose heartbeats come every period. */
 const probeMs = 650;
 
-/** A node that requests wait for and that has not been heard for this long is asked for a report. Milliseconds, a little more than one period. */
-const askAfterMs = 500;
-
-/** Milliseconds between two looks for nodes that have fallen silent while requests wait for them. */
-const silenceCheckMs = 100;
-
 /** Nodes that are taken to share the slack of the retry allowance while a node has just started: two or three times the smallest mesh of the users. */
 const assumedNodes = 32;
 
@@ -89,31 +81,12 @@
 /** Milliseconds between two looks for servers that are gone. */
 const forgetMs = 30_000;
 
-/** A timer that fires this late shows that the process stood still, rather than that it was busy. Milliseconds. */
-const pauseMs = 400;
-
 /** What a server of another failure domain has to be faster by, in milliseconds, since bytes between failure domains are paid for. */
 const crossDomainMs = {small: 60, upload: 400} as const;
 
 /** Connections to a backend server before a configuration says how many it accepts. */
 const defaultConnections = 64;
 
-function readCpuSeconds(): number {
-	const {user, system} = process.cpuUsage();
-	return (user + system) / 1_000_000;
-}
-
-async function listen(server: Server, address: Address): Promise<void> {
-	const {host, port} = parseAddress(address);
-	return new Promise((resolve, reject) => {
-		server.once('error', reject);
-		server.listen({host, port, backlog: 4096}, () => {
-			server.removeListener('error', reject);
-			resolve();
-		});
-	});
-}
-
 /**
  * Creates a sidecar node.
  *
@@ -272,25 +245,14 @@
 	});
 
 	const isReady = (): boolean => !isLeaving && sync.holder.get() !== undefined;
-	const readinessServer = createServer((_request, response) => {
-		response.writeHead(isReady() ? 200 : 503, {'content-length': 0});
-		response.end();
-	});
-
-	const gauges: readonly Gauge[] = [
+	const readinessServer = createReadinessServer(isReady);
+	const metricsServer = createMetricsServer(metrics, [
 		{name: 'stonemoor_configuration_version', help: 'Version in force', read: sync.holder.getVersion},
 		{name: 'stonemoor_peers', help: 'Other nodes known', read: () => link.getTable().size},
 		{name: 'stonemoor_gate_requests', help: 'Requests in work and waiting at the gate', read: gate.countRequests},
 		{name: 'stonemoor_entry_calls', help: 'Calls of callers under way', read: () => entry.countCalls()},
 		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(sync.isStoreReachable())},
-		{name: 'stonemoor_resident_bytes', help: 'Memory of the process', read: () => process.memoryUsage.rss()},
-		{name: 'stonemoor_cpu_seconds_total', help: 'Processor time of the process', read: readCpuSeconds},
-	];
-	const metricsServer = createServer((_request, response) => {
-		const text = metrics.format(gauges);
-		response.writeHead(200, {'content-type': 'text/plain; version=0.0.4', 'content-length': Buffer.byteLength(text)});
-		response.end(text);
-	});
+	]);
 
 	/** Servers come and go all day: what is known of those that are gone must not pile up. */
 	const forgetGone = (): void => {
@@ -299,40 +261,13 @@
 		silence.forgetIdle();
 	};
 
-	const isGateHeard = (address: Address): boolean => {
-		const now = readSteadyMs();
-		return link.list().some(peer => peer.report.gate === address && isHeard(peer, peerLimits, now));
-	};
-
-	let checkedAt = readSteadyMs();
-
-	const checkSilence = (): void => {
-		const now = readSteadyMs();
-		const delayMs = now - checkedAt - silenceCheckMs;
-		checkedAt = now;
-		lag.note(delayMs);
-		metrics.recordDelay(delayMs);
-		if (delayMs > pauseMs) {
-			log.record('warn', {kind: 'node-paused', forMs: Math.round(delayMs)});
-			link.forgiveSilence(delayMs);
-		} else {
-			gateClient.checkSilence(now, isGateHeard);
-		}
-
-		for (const node of silence.listAwaited()) {
-			const peer = link.getTable().get(node);
-			if (peer !== undefined && peer.probedAt === undefined && now - peer.heardAt > askAfterMs) {
-				link.probe(node);
-			}
-		}
-
-		silence.tell(node => {
-			const peer = link.getTable().get(node);
-			return peer === undefined || !isHeard(peer, peerLimits, now);
-		});
-	};
+	const watch = createPeerWatch({
+		link, limits: peerLimits, silence, gateClient, log, handleDelay(delayMs) {
+			lag.note(delayMs);
+			metrics.recordDelay(delayMs);
+		},
+	});
 
-	let silenceTimer: NodeJS.Timeout | undefined;
 	let forgetTimer: NodeJS.Timeout | undefined;
 	let loadTimer: NodeJS.Timeout | undefined;
 
@@ -342,7 +277,7 @@
 	};
 
 	const dispose = async (): Promise<void> => {
-		clearInterval(silenceTimer);
+		watch.dispose();
 		clearInterval(forgetTimer);
 		clearInterval(loadTimer);
 		sync.dispose();
@@ -366,14 +301,14 @@
 			});
 			await link.start();
 			await Promise.all([
-				listen(announcementServer, settings.listen.announcements),
-				listen(gateServer.server, settings.listen.gate),
-				listen(entry.server, settings.listen.callers),
-				listen(readinessServer, settings.listen.readiness),
-				listen(metricsServer, settings.listen.metrics),
+				listenAt(announcementServer, settings.listen.announcements),
+				listenAt(gateServer.server, settings.listen.gate),
+				listenAt(entry.server, settings.listen.callers),
+				listenAt(readinessServer, settings.listen.readiness),
+				listenAt(metricsServer, settings.listen.metrics),
 			]);
 			link.addContacts(settings.seeds);
-			silenceTimer = setInterval(checkSilence, silenceCheckMs);
+			watch.start();
 			forgetTimer = setInterval(forgetGone, forgetMs);
 			loadTimer = setInterval(checkLoad, loadCheckMs);
 			sync.start();
