--- a/stand-ins/wait-until.ts
+++ b/stand-ins/wait-until.ts
@@ -29,3 +29,19 @@
 
 	return false;
 }
+
+/** Far longer than anything takes that tests wait for, also beside load. Milliseconds. */
+const longestWaitMs = 20_000;
+
+/**
+ * Waits until a condition holds, for tests that make no sense without it.
+ *
+ * @param what - What is waited for, for the error.
+ * @param condition - The condition.
+ * @throws Error when it does not hold within twenty seconds.
+ */
+export async function expectSoon(what: string, condition: () => boolean | Promise<boolean>): Promise<void> {
+	if (!(await waitUntil(condition, longestWaitMs))) {
+		throw new Error(`in vain: ${what}`);
+	}
+}
