The configuration goes from node to node compressed, and may take two seconds

The step was too large to be kept, so that nodes asked for the whole, which takes 570 ms over a link of 7 Mbit/s that carries nothing else; after 600 ms they gave it up and began anew, two dozen of them at a few nodes. Ruled out: the store (acked at 23.1 s; the nodes that failed were two of 74, 3.2 s later). Tests: newer-config.test.ts, 'takes a second' (seen failing with 600 ms) and 'does not keep another one'; config-messages.test.ts.

--- a/src/lib/forwarding/config-messages.ts
+++ b/src/lib/forwarding/config-messages.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {parseConfigSteps, type ConfigStep} from '../route-config/config-history.js';
 
 /** What a node is sent. @internal */
@@ -33,35 +34,46 @@
 	return typeof version === 'number' ? version : 0;
 }
 
+/** An answer as a frame takes it. @internal */
+export type EncodedConfigAnswer = {readonly head: readonly [string]; readonly body: Uint8Array};
+
+/** Configurations are much the same from route to route: the fastest compression makes them some eight times smaller. */
+const compression = {level: 1} as const;
+
+/** The largest text that is taken from another node, in bytes: several times what the store of the users holds in a value. */
+const maxTextBytes = 16_777_216;
+
+const encodeText = (text: string): Uint8Array => deflateRawSync(Buffer.from(text), compression);
+
 /**
  * @param answer - What is sent; `undefined` for nothing.
  * @returns Head and body of the frame.
  * @internal
  */
-export function encodeConfigAnswer(answer: ConfigAnswer | undefined): {readonly head: readonly [string]; readonly body: Uint8Array} {
+export function encodeConfigAnswer(answer: ConfigAnswer | undefined): EncodedConfigAnswer {
 	switch (answer?.type) {
 		case undefined: {
 			return {head: ['none'], body: Buffer.alloc(0)};
 		}
 
 		case 'whole': {
-			return {head: ['whole'], body: Buffer.from(answer.text)};
+			return {head: ['whole'], body: encodeText(answer.text)};
 		}
 
 		case 'steps': {
-			return {head: ['steps'], body: Buffer.from(JSON.stringify(answer.steps))};
+			return {head: ['steps'], body: encodeText(JSON.stringify(answer.steps))};
 		}
 	}
 }
 
-function decodeSteps(text: string): ConfigAnswer | undefined {
-	try {
-		const steps = parseConfigSteps(JSON.parse(text));
-		return steps === undefined ? undefined : {type: 'steps', steps};
-	} catch {
-		// Whoever asked takes it as no answer, and says so.
-		return undefined;
+function decodeBody(type: 'whole' | 'steps', body: Uint8Array): ConfigAnswer | undefined {
+	const text = inflateRawSync(body, {maxOutputLength: maxTextBytes}).toString();
+	if (type === 'whole') {
+		return {type, text};
 	}
+
+	const steps = parseConfigSteps(JSON.parse(text));
+	return steps === undefined ? undefined : {type, steps};
 }
 
 /**
@@ -72,9 +84,14 @@
  */
 export function decodeConfigAnswer(head: unknown, body: Uint8Array): ConfigAnswer | undefined {
 	const [type] = Array.isArray(head) ? head as unknown[] : [];
-	if (type === 'whole' && body.length > 0) {
-		return {type, text: new TextDecoder().decode(body)};
+	if (type !== 'whole' && type !== 'steps') {
+		return undefined;
 	}
 
-	return type === 'steps' ? decodeSteps(new TextDecoder().decode(body)) : undefined;
+	try {
+		return decodeBody(type, body);
+	} catch {
+		// Whoever asked takes it as no answer, and asks again.
+		return undefined;
+	}
 }
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -10,7 +10,7 @@
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createCallScope, type CallScope} from './call-scope.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
-import {decodeConfigRequest, encodeConfigAnswer, type ConfigAnswer} from './config-messages.js';
+import {decodeConfigRequest, type EncodedConfigAnswer} from './config-messages.js';
 import {createMayHaveRun, type GateResult} from './forward-result.js';
 import {type LocalGate} from './local-gate.js';
 import {decodePeerRequest, encodePeerAnswer, type PeerRequest} from './peer-messages.js';
@@ -18,8 +18,8 @@
 /** @internal */
 export type GateServerContext = {
 	readonly gate: LocalGate;
-	/** What a node is sent that has a version of the configuration; `undefined` if there is none here. */
-	readonly getConfig: (version: number) => ConfigAnswer | undefined;
+	/** What a node is sent that has a version of the configuration. */
+	readonly getConfig: (version: number) => EncodedConfigAnswer;
 	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
 	readonly catchUp: LoopLag['catchUp'];
 	readonly log: MeshLog;
@@ -112,7 +112,7 @@
 			}
 
 			case 'config': {
-				writeFrame(connection.socket, {type: 'answer', id: frame.id, ...encodeConfigAnswer(getConfig(decodeConfigRequest(frame.head)))});
+				writeFrame(connection.socket, {type: 'answer', id: frame.id, ...getConfig(decodeConfigRequest(frame.head))});
 				break;
 			}
 
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -7,7 +7,7 @@
 import {type Result} from 'neverthrow';
 import {readSteadyMs} from '../common/clock.js';
 import {type Address, type NodeId} from '../common/ids.js';
-import {type ConfigAnswer} from '../forwarding/config-messages.js';
+import {type EncodedConfigAnswer} from '../forwarding/config-messages.js';
 import {type GateClient} from '../forwarding/gate-client.js';
 import {type PeerLink} from '../peers/peer-link.js';
 import {type NodeDuties, type PeerReport} from '../peers/peer-report.js';
@@ -20,6 +20,7 @@
 import {isRelay} from '../sync/relay-duty.js';
 import {createStoreHealth} from '../sync/store-health.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {createConfigAnswers} from './config-answers.js';
 import {createNewerConfigFetcher} from './newer-config.js';
 
 /** @internal */
@@ -52,7 +53,7 @@
 	/** Takes in what another node says that it has. */
 	readonly handleReport: (report: PeerReport) => void;
 	/** What a node is sent that has a version of the configuration. */
-	readonly answerConfig: (version: number) => ConfigAnswer | undefined;
+	readonly answerConfig: (version: number) => EncodedConfigAnswer;
 	readonly isStoreReachable: () => boolean;
 	readonly start: () => void;
 	/** Takes this node out of the store. */
@@ -130,15 +131,7 @@
 		handleReport(report) {
 			void fetchNewer(report);
 		},
-		answerConfig(version) {
-			const held = holder.get();
-			const steps = holder.listSteps(version);
-			if (steps !== undefined) {
-				return {type: 'steps', steps};
-			}
-
-			return held === undefined ? undefined : {type: 'whole', text: held.text};
-		},
+		answerConfig: createConfigAnswers(holder),
 		isStoreReachable: health.isReachable,
 		start() {
 			void follower.run();
--- a/src/lib/sidecar/newer-config.test.ts
+++ b/src/lib/sidecar/newer-config.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'node:test';
-import {toAddress, toFailureDomain} from '../common/ids.js';
+import {toAddress, toFailureDomain, toNodeId} from '../common/ids.js';
 import {type ConfigAnswer} from '../forwarding/config-messages.js';
 import {createSampleReport} from '../peers/sample-report.js';
 import {type ConfigStep} from '../route-config/config-history.js';
@@ -76,6 +77,57 @@
 	assert.deepEqual(fixture.asked, ['10.0.0.2:1 has 7']);
 });
 
+test('a configuration that takes a second over a slow link is waited for', async () => {
+	const adopted: string[] = [];
+	const fetchNewer = createNewerConfigFetcher({
+		getCurrent: () => undefined,
+		hasOwnWatch: () => false,
+		isNear: () => true,
+		fetchConfig: async (_gate, _version, scope) => new Promise(resolve => {
+			const timer = setTimeout(() => {
+				resolve(whole);
+			}, 1000);
+			scope.subscribe(() => {
+				clearTimeout(timer);
+				resolve(undefined);
+			});
+		}),
+		adoptText(text) {
+			adopted.push(text);
+		},
+		handleUnusable: () => undefined,
+	});
+	await fetchNewer(newer);
+	assert.deepEqual(adopted, ['nine']);
+});
+
+test('a node that does not answer does not keep another one from being asked for long', async () => {
+	const asked: string[] = [];
+	const fetchNewer = createNewerConfigFetcher({
+		getCurrent: () => undefined,
+		hasOwnWatch: () => false,
+		isNear: () => true,
+		async fetchConfig(gate, _version, scope) {
+			asked.push(gate);
+			return new Promise(resolve => {
+				scope.subscribe(() => {
+					resolve(undefined);
+				});
+			});
+		},
+		adoptText: () => undefined,
+		handleUnusable: () => undefined,
+	});
+	const other = createSampleReport({node: toNodeId('n3'), version: 9, gate: toAddress('10.0.0.3:1')});
+	const first = fetchNewer(newer);
+	const early = fetchNewer(other);
+	await sleep(900);
+	const second = fetchNewer(other);
+	const third = fetchNewer(createSampleReport({node: toNodeId('n4'), version: 9, gate: toAddress('10.0.0.4:1')}));
+	await Promise.all([first, early, second, third]);
+	assert.deepEqual(asked, ['10.0.0.2:1', '10.0.0.3:1']);
+});
+
 test('a node that hands over nothing, or fails, does not keep others from being asked', async () => {
 	const silent = createFixture(false, undefined);
 	await silent.fetch(newer);
--- a/src/lib/sidecar/newer-config.ts
+++ b/src/lib/sidecar/newer-config.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {readSteadyMs, waitFor} from '../common/clock.js';
+import {type NodeId} from '../common/ids.js';
 import {createCallScope} from '../forwarding/call-scope.js';
 import {type ConfigAnswer} from '../forwarding/config-messages.js';
 import {type GateClient} from '../forwarding/gate-client.js';
@@ -35,8 +36,14 @@
 /** How long a node waits for those of its own failure domain to have it as well: bytes between failure domains are paid for. Milliseconds. */
 const ownDomainMs = 300;
 
-/** How long another node may take to hand over its configuration. Milliseconds: the whole takes 200 over the slowest links of the users. */
-const fetchMs = 600;
+/** How long another node may take to hand over its configuration. Milliseconds: over the slowest links of the users, beside their other traffic, the whole may take more than half of the time in which it has to be in force, and to begin anew would take longer. */
+const fetchMs = 2000;
+
+/** How long a node may take before another one is asked as well. Milliseconds: most answers are steps, which take a few. */
+const secondAfterMs = 700;
+
+/** Nodes that are asked at once at the most. */
+const mostAsked = 2;
 
 /**
  * @param context - The configuration in force and where a newer one goes.
@@ -45,7 +52,8 @@
  */
 export function createNewerConfigFetcher(context: NewerConfigContext): (report: PeerReport) => Promise<void> {
 	const {getCurrent, hasOwnWatch, isNear, fetchConfig, adoptText, handleUnusable} = context;
-	let isFetching = false;
+	/** When each node that is being asked was asked, in steady milliseconds. */
+	const asked = new Map<NodeId, number>();
 	let isWaiting = false;
 	/** Steps could not be applied: the whole is asked for. */
 	let needsWhole = false;
@@ -109,16 +117,22 @@
 		}
 	};
 
+	/** One node is asked at a time, and another one when that takes long: it may have fallen silent. */
+	const mayAsk = (node: NodeId): boolean => {
+		const now = readSteadyMs();
+		return !asked.has(node) && asked.size < mostAsked && [...asked.values()].every(askedAt => now - askedAt > secondAfterMs);
+	};
+
 	const fetchOnce = async (report: PeerReport): Promise<void> => {
-		if (isFetching || report.version <= getVersion()) {
+		if (report.version <= getVersion() || !mayAsk(report.node)) {
 			return;
 		}
 
-		isFetching = true;
+		asked.set(report.node, readSteadyMs());
 		try {
 			await fetchFrom(report);
 		} finally {
-			isFetching = false;
+			asked.delete(report.node);
 		}
 	};
 
