--- a/src/lib/sync/relay-duty.ts
+++ b/src/lib/sync/relay-duty.ts
@@ -18,7 +18,7 @@
 	readonly periodMs: number;
 };
 
-/** Nodes of a failure domain that watch the store. Each change costs a call and a whole configuration for each of them; with four, one of them is left when the store turns a third of the nodes away in 99 of 100 domains, and where the domain is no larger every node watches. */
+/** Nodes of a failure domain that watch the store. Each change costs a call and a whole configuration for each of them; with four, one of them is left when the store turns a third of the nodes away in 98 of 100 domains, and where the domain is no larger every node watches. */
 const relaysPerDomain = 4;
 
 /** A watcher that has heard from the store within this time has the newest configuration, or is about to. Milliseconds: the longest time between two looks at the store and a heartbeat, so that it is noticed before a change has to be in force. */
