A node that shuts down does not register again

Cause (found by reading): withdraw() forgets the lease; the next look, a second later, took that for an entry that was lost and registered anew: two writes for each node that leaves, and an address in the store for 12 s at which nobody listens. Change: a node that has withdrawn stays so.

--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -97,7 +97,7 @@
 /** Refusals after which a call is given up: the caller is better told to come back. */
 const maxRefusals = {small: 3, upload: 5} as const;
 
-const getSize = ({type}: RouteRule): keyof typeof maxRefusals => type === 'upload' ? 'upload' : 'small';
+const getSizeClass = ({type}: RouteRule): keyof typeof maxRefusals => type === 'upload' ? 'upload' : 'small';
 
 /** Share of the latency objective that a call may be expected to wait for a slot: the rest is for the work itself. */
 const waitShare = 0.3;
@@ -225,7 +225,7 @@
 
 		const hasArrived = result.type === 'answered' || result.hasArrived;
 		if (!hasArrived) {
-			return progress.refusals <= maxRefusals[getSize(route)];
+			return progress.refusals <= maxRefusals[getSizeClass(route)];
 		}
 
 		return progress.arrivals < route.maxAttempts && context.allowance.take(service, chooseRepeatReason(call, result), now);
@@ -239,7 +239,7 @@
 			domain: context.domain, crossDomainMs: context.getCrossDomainMs(route), random: context.random,
 		});
 		const fresh = ranked.find(({id}) => !progress.full.has(id));
-		if (fresh !== undefined && progress.refusals < immediateTries[getSize(route)] && ranked.length > 1 && estimateSlotWait(fresh.view, fresh.slots, now) === 0) {
+		if (fresh !== undefined && progress.refusals < immediateTries[getSizeClass(route)] && ranked.length > 1 && estimateSlotWait(fresh.view, fresh.slots, now) === 0) {
 			return {target: fresh, mayWaitMs: 0};
 		}
 
--- a/src/lib/sync/registration.ts
+++ b/src/lib/sync/registration.ts
@@ -71,6 +71,7 @@
 	/** Revision at which the own entry was written: a stale read before it may miss the entry. */
 	let writtenAt = 0;
 	let looks = 0;
+	let isWithdrawn = false;
 
 	const register = async (reason: string): Promise<boolean> => {
 		const granted = await store.grantLease(leaseMs);
@@ -134,6 +135,10 @@
 			return false;
 		}
 
+		if (isWithdrawn) {
+			return true;
+		}
+
 		if (lease === undefined) {
 			return register(isFirst ? 'start' : 'the entry was gone');
 		}
@@ -156,6 +161,7 @@
 			}
 		},
 		async withdraw() {
+			isWithdrawn = true;
 			const id = lease;
 			lease = undefined;
 			if (id !== undefined) {
