A node that knows of a newer version and gets it from nobody asks the store itself

Cause (found by reading): a node that hears the watchers of its failure domain but does not reach them, as in a cut one way, took their heartbeats for enough and never read the store, though it reaches that. Change: after a second without the version that it has heard of it watches the store.

--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -61,6 +61,9 @@
 	readonly dispose: () => void;
 };
 
+/** A node that has known of a newer version for this long and got it from nobody asks the store itself: it may hear the others and not reach them. Milliseconds: what is left of the time in which a change has to be in force is enough to read it. */
+const ownReadAfterMs = 1000;
+
 /**
  * @param context - The store, the other nodes, and who is told.
  * @returns What keeps the configuration, not started yet.
@@ -91,6 +94,10 @@
 	/** Whether this node watches the store, by what it hears of the others in its failure domain. */
 	const mayFollow = (): boolean => {
 		const now = readSteadyMs();
+		if (newer.getBehindMs(now) > ownReadAfterMs) {
+			return true;
+		}
+
 		const heard = link.list().filter(peer => isNear(peer.report) && !peer.report.isLeaving && isHeard(peer, peerLimits, now));
 		return isRelay(
 			{
@@ -109,7 +116,7 @@
 		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.getTable().size, handleAddresses: link.addContacts,
 	});
 
-	const fetchNewer = createNewerConfigFetcher({
+	const newer = createNewerConfigFetcher({
 		getCurrent() {
 			const held = holder.get();
 			return held === undefined ? undefined : {version: held.config.version, text: held.text};
@@ -129,7 +136,7 @@
 		holder,
 		describeDuties,
 		handleReport(report) {
-			void fetchNewer(report);
+			void newer.handleReport(report);
 		},
 		answerConfig: createConfigAnswers(holder),
 		isStoreReachable: health.isReachable,
--- a/src/lib/sidecar/newer-config.test.ts
+++ b/src/lib/sidecar/newer-config.test.ts
@@ -6,12 +6,13 @@
 import {createSampleReport} from '../peers/sample-report.js';
 import {type ConfigStep} from '../route-config/config-history.js';
 import {computeTextDelta} from '../route-config/text-delta.js';
-import {createNewerConfigFetcher} from './newer-config.js';
+import {createNewerConfigFetcher, type NewerConfigFetcher} from './newer-config.js';
 
 type Answer = ConfigAnswer | undefined | Error;
 
 type Fixture = {
-	readonly fetch: ReturnType<typeof createNewerConfigFetcher>;
+	readonly fetch: NewerConfigFetcher['handleReport'];
+	readonly getBehindMs: NewerConfigFetcher['getBehindMs'];
 	readonly asked: string[];
 	readonly adopted: string[];
 	readonly unusable: string[];
@@ -20,31 +21,33 @@
 };
 
 function createFixture(hasOwnWatch: boolean, answer: Answer): Fixture {
+	const fetcher = createNewerConfigFetcher({
+		getCurrent: () => fixture.current,
+		hasOwnWatch: () => hasOwnWatch,
+		isNear: ({domain}) => domain === 'a',
+		async fetchConfig(gate, version) {
+			fixture.asked.push(`${gate} has ${version}`);
+			if (fixture.answer instanceof Error) {
+				throw fixture.answer;
+			}
+
+			return fixture.answer;
+		},
+		adoptText(text, source, steps) {
+			fixture.adopted.push(`${source}: ${text}${steps === undefined ? '' : ` by ${steps.length}`}`);
+		},
+		handleUnusable(_report, reason) {
+			fixture.unusable.push(reason);
+		},
+	});
 	const fixture: Fixture = {
 		current: {version: 7, text: 'seven'},
 		answer,
 		asked: [],
 		adopted: [],
 		unusable: [],
-		fetch: createNewerConfigFetcher({
-			getCurrent: () => fixture.current,
-			hasOwnWatch: () => hasOwnWatch,
-			isNear: ({domain}) => domain === 'a',
-			async fetchConfig(gate, version) {
-				fixture.asked.push(`${gate} has ${version}`);
-				if (fixture.answer instanceof Error) {
-					throw fixture.answer;
-				}
-
-				return fixture.answer;
-			},
-			adoptText(text, source, steps) {
-				fixture.adopted.push(`${source}: ${text}${steps === undefined ? '' : ` by ${steps.length}`}`);
-			},
-			handleUnusable(_report, reason) {
-				fixture.unusable.push(reason);
-			},
-		}),
+		fetch: fetcher.handleReport,
+		getBehindMs: fetcher.getBehindMs,
 	};
 	return fixture;
 }
@@ -79,7 +82,7 @@
 
 test('a configuration that takes a second over a slow link is waited for', async () => {
 	const adopted: string[] = [];
-	const fetchNewer = createNewerConfigFetcher({
+	const {handleReport: fetchNewer} = createNewerConfigFetcher({
 		getCurrent: () => undefined,
 		hasOwnWatch: () => false,
 		isNear: () => true,
@@ -103,7 +106,7 @@
 
 test('a node that does not answer does not keep another one from being asked for long', async () => {
 	const asked: string[] = [];
-	const fetchNewer = createNewerConfigFetcher({
+	const {handleReport: fetchNewer} = createNewerConfigFetcher({
 		getCurrent: () => undefined,
 		hasOwnWatch: () => false,
 		isNear: () => true,
@@ -158,3 +161,16 @@
 	assert.deepEqual(fixture.asked, ['10.0.0.2:1 has 7', '10.0.0.2:1 has 0']);
 	assert.deepEqual(fixture.adopted, [`${newer.node}: nine`]);
 });
+
+test('a node knows for how long it has lacked a newer version that nobody hands over', async () => {
+	const fixture = createFixture(false, undefined);
+	const before = performance.now();
+	assert.equal(fixture.getBehindMs(before), 0);
+	await fixture.fetch(newer);
+	await sleep(60);
+	await fixture.fetch(createSampleReport({version: 10, gate: toAddress('10.0.0.2:1')}));
+	const behindMs = fixture.getBehindMs(performance.now());
+	assert.ok(behindMs >= 55, `${behindMs} ms`);
+	fixture.current = {version: 10, text: 'ten'};
+	assert.equal(fixture.getBehindMs(performance.now()), 0);
+});
--- a/src/lib/sidecar/newer-config.ts
+++ b/src/lib/sidecar/newer-config.ts
@@ -45,16 +45,27 @@
 /** Nodes that are asked at once at the most. */
 const mostAsked = 2;
 
+/** @internal */
+export type NewerConfigFetcher = {
+	/** Takes in what another node says that it has, and fetches it if it is newer. */
+	readonly handleReport: (report: PeerReport) => Promise<void>;
+	/** Milliseconds for which this node has known of a newer version without getting it. */
+	readonly getBehindMs: (now: number) => number;
+};
+
 /**
  * @param context - The configuration in force and where a newer one goes.
- * @returns What is to be told of each report of another node.
+ * @returns What fetches newer ones.
  * @internal
  */
-export function createNewerConfigFetcher(context: NewerConfigContext): (report: PeerReport) => Promise<void> {
+export function createNewerConfigFetcher(context: NewerConfigContext): NewerConfigFetcher {
 	const {getCurrent, hasOwnWatch, isNear, fetchConfig, adoptText, handleUnusable} = context;
 	/** When each node that is being asked was asked, in steady milliseconds. */
 	const asked = new Map<NodeId, number>();
 	let isWaiting = false;
+	/** The newest version that was heard of, and since when this node lacks one that it has heard of. Steady milliseconds. */
+	let newest = 0;
+	let behindSince = 0;
 	/** Steps could not be applied: the whole is asked for. */
 	let needsWhole = false;
 
@@ -136,11 +147,20 @@
 		}
 	};
 
-	return async report => {
+	const noteNewer = (version: number): void => {
+		if (getVersion() >= newest) {
+			behindSince = readSteadyMs();
+		}
+
+		newest = Math.max(newest, version);
+	};
+
+	const handleReport = async (report: PeerReport): Promise<void> => {
 		if (report.version <= getVersion()) {
 			return;
 		}
 
+		noteNewer(report.version);
 		const delayMs = computeDelay(report);
 		if (delayMs === 0) {
 			await fetchOnce(report);
@@ -157,4 +177,9 @@
 		isWaiting = false;
 		await fetchOnce(report);
 	};
+
+	return {
+		handleReport,
+		getBehindMs: now => getVersion() >= newest ? 0 : now - behindSince,
+	};
 }
