A node that gets on from version to version is not behind

Change: it counts from when the node last got on. Test: newer-config.test.ts, the last one, seen failing first.

--- a/src/lib/sidecar/newer-config.ts
+++ b/src/lib/sidecar/newer-config.ts
@@ -49,7 +49,7 @@
 export type NewerConfigFetcher = {
 	/** Takes in what another node says that it has, and fetches it if it is newer. */
 	readonly handleReport: (report: PeerReport) => Promise<void>;
-	/** Milliseconds for which this node has known of a newer version without getting it. */
+	/** Milliseconds for which this node has known of a newer version without getting any. */
 	readonly getBehindMs: (now: number) => number;
 };
 
@@ -63,9 +63,11 @@
 	/** When each node that is being asked was asked, in steady milliseconds. */
 	const asked = new Map<NodeId, number>();
 	let isWaiting = false;
-	/** The newest version that was heard of, and since when this node lacks one that it has heard of. Steady milliseconds. */
+	/** The newest version that was heard of. */
 	let newest = 0;
+	/** Since when this node has stood still at a version although a newer one is there; steady milliseconds, and that version. */
 	let behindSince = 0;
+	let behindAt = 0;
 	/** Steps could not be applied: the whole is asked for. */
 	let needsWhole = false;
 
@@ -147,9 +149,13 @@
 		}
 	};
 
+	/** In a quick succession of changes a node lacks the next one all the time; what counts is that it gets on. */
+	const isStanding = (): boolean => getVersion() < newest && getVersion() === behindAt;
+
 	const noteNewer = (version: number): void => {
-		if (getVersion() >= newest) {
+		if (!isStanding()) {
 			behindSince = readSteadyMs();
+			behindAt = getVersion();
 		}
 
 		newest = Math.max(newest, version);
@@ -180,6 +186,6 @@
 
 	return {
 		handleReport,
-		getBehindMs: now => getVersion() >= newest ? 0 : now - behindSince,
+		getBehindMs: now => isStanding() ? now - behindSince : 0,
 	};
 }
