A node that does not answer is asked again before it counts as silent

Ruled out: the other node (its server was at work until the request was cut), the end of the caller's time (2.5 s from 17.33 s). Change: it is asked every 200 ms for up to three seconds, also if the request has ended. Tests: peer-watch.test.ts, three of four seen failing first.

--- /dev/null
+++ b/src/lib/sidecar/peer-watch.test.ts
@@ -0,0 +1,114 @@
+import assert from 'node:assert/strict';
+import test, {type TestContext} from 'node:test';
+import {toNodeId, type NodeId} from '../common/ids.js';
+import {type GateClient} from '../forwarding/gate-client.js';
+import {type PeerLink} from '../peers/peer-link.js';
+import {
+	acceptReport, forgiveSilence, noteProbed, type PeerLimits, type PeerTable,
+} from '../peers/peer-table.js';
+import {createSampleReport} from '../peers/sample-report.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {createPeerWatch} from './peer-watch.js';
+import {createSilenceWatchers} from './silence-watchers.js';
+
+const node = toNodeId('n2');
+const limits: PeerLimits = {
+	silenceMs: 1050, probeMs: 650, forgetMs: 60_000, avoidMs: 250, getPeriodMs: () => 4000,
+};
+
+type Fixture = {
+	/** When the node was asked, in milliseconds from the start. */
+	readonly asked: number[];
+	readonly silence: ReturnType<typeof createSilenceWatchers>;
+	readonly advance: (milliseconds: number) => void;
+	/** Lets a report of the node arrive. */
+	readonly hear: () => void;
+};
+
+/** A watch over one node whose heartbeats are seldom, under a clock that the test advances. */
+function createFixture(context: TestContext): Fixture {
+	context.mock.timers.enable({apis: ['setInterval']});
+	let now = 0;
+	context.mock.method(performance, 'now', () => now);
+	let sequence = 0;
+	let table: PeerTable = new Map();
+	const fixture: Fixture = {
+		asked: [],
+		silence: createSilenceWatchers(),
+		advance(milliseconds) {
+			for (let passed = 0; passed < milliseconds; passed += 100) {
+				now += 100;
+				context.mock.timers.tick(100);
+			}
+		},
+		hear() {
+			sequence++;
+			table = acceptReport(table, createSampleReport({sequence}), limits, now).table;
+		},
+	};
+	fixture.hear();
+	const link: Pick<PeerLink, 'getTable' | 'list' | 'probe' | 'forgiveSilence'> = {
+		getTable: () => table,
+		list: () => [...table.values()],
+		probe(asked: NodeId) {
+			fixture.asked.push(now);
+			table = noteProbed(table, asked, now);
+		},
+		forgiveSilence(pausedMs) {
+			table = forgiveSilence(table, pausedMs);
+		},
+	};
+	const watch = createPeerWatch({
+		link, limits, silence: fixture.silence, gateClient: {checkSilence: () => undefined} satisfies Pick<GateClient, 'checkSilence'>, log: silentLog, handleDelay: () => undefined,
+	});
+	watch.start();
+	context.after(watch.dispose);
+	return fixture;
+}
+
+test('a node that nobody waits for is not asked', context => {
+	const {asked, advance} = createFixture(context);
+	advance(3000);
+	assert.deepEqual(asked, []);
+});
+
+test('a question or an answer that is lost on the way does not make a node silent', context => {
+	const {asked, silence, advance, hear} = createFixture(context);
+	let isTold = false;
+	silence.watch(node, () => {
+		isTold = true;
+	});
+	advance(700);
+	assert.equal(asked.length, 1);
+	advance(200);
+	assert.equal(asked.length, 2);
+	hear();
+	advance(500);
+	assert.equal(isTold, false);
+});
+
+test('a node that leaves every question unanswered is silent, and is not asked for ever', context => {
+	const {asked, silence, advance} = createFixture(context);
+	const toldAt: number[] = [];
+	silence.watch(node, () => {
+		toldAt.push(asked.length);
+	});
+	advance(1400);
+	assert.ok(toldAt.length > 0);
+	assert.ok(asked.length >= 3);
+	advance(10_000);
+	assert.ok(asked.length < 20, `${asked.length} questions`);
+});
+
+test('a node that was asked for a request that has ended meanwhile is asked on, until it answers', context => {
+	const {asked, silence, advance, hear} = createFixture(context);
+	const unwatch = silence.watch(node, () => undefined);
+	advance(700);
+	unwatch();
+	advance(400);
+	assert.ok(asked.length >= 3);
+	hear();
+	const before = asked.length;
+	advance(2000);
+	assert.equal(asked.length, before);
+});
--- a/src/lib/sidecar/peer-watch.ts
+++ b/src/lib/sidecar/peer-watch.ts
@@ -6,19 +6,19 @@
  * @module
  */
 import {readSteadyMs} from '../common/clock.js';
-import {type Address} from '../common/ids.js';
+import {type Address, type NodeId} from '../common/ids.js';
 import {type GateClient} from '../forwarding/gate-client.js';
 import {type PeerLink} from '../peers/peer-link.js';
-import {isHeard, type PeerLimits} from '../peers/peer-table.js';
+import {isHeard, type Peer, type PeerLimits} from '../peers/peer-table.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type SilenceWatchers} from './silence-watchers.js';
 
 /** @internal */
 export type PeerWatchContext = {
-	readonly link: PeerLink;
+	readonly link: Pick<PeerLink, 'getTable' | 'list' | 'probe' | 'forgiveSilence'>;
 	readonly limits: PeerLimits;
 	readonly silence: SilenceWatchers;
-	readonly gateClient: GateClient;
+	readonly gateClient: Pick<GateClient, 'checkSilence'>;
 	readonly log: MeshLog;
 	/** Told how late this process is, in milliseconds. */
 	readonly handleDelay: (delayMs: number) => void;
@@ -36,6 +36,12 @@
 /** A node that requests wait for and that has not been heard for this long is asked for a report. Milliseconds, a little more than one period of heartbeats. */
 const askAfterMs = 500;
 
+/** Milliseconds until a node that has not answered is asked again: three questions fit into the time in which it has to answer, since datagrams are lost now and then. */
+const askAgainMs = 200;
+
+/** For how long it is asked; later its heartbeats tell. Milliseconds. */
+const askForMs = 3000;
+
 /** A timer that fires this late shows that the process stood still, rather than that it was busy. Milliseconds. */
 const pauseMs = 400;
 
@@ -48,16 +54,30 @@
 	const {link, limits, silence, gateClient, log, handleDelay} = context;
 	let timer: NodeJS.Timeout | undefined;
 	let checkedAt = 0;
+	/** When nodes were last asked, in steady milliseconds. */
+	const askedAt = new Map<NodeId, number>();
 
 	const isGateHeard = (address: Address): boolean => {
 		const now = readSteadyMs();
 		return link.list().some(peer => peer.report.gate === address && isHeard(peer, limits, now));
 	};
 
-	const askAwaited = (now: number): void => {
-		for (const node of silence.listAwaited()) {
-			const peer = link.getTable().get(node);
-			if (peer !== undefined && peer.probedAt === undefined && now - peer.heardAt > askAfterMs) {
+	const hasToAnswer = ({heardAt, probedAt}: Peer, isAwaited: boolean, now: number): boolean => probedAt === undefined
+		? isAwaited && now - heardAt > askAfterMs
+		: now - probedAt < askForMs;
+
+	/** Asks the nodes that requests wait for, and those that have not answered yet: a question or its answer may be lost. */
+	const askSilent = (now: number): void => {
+		const awaited = new Set(silence.listAwaited());
+		if (awaited.size === 0 && askedAt.size === 0) {
+			return;
+		}
+
+		for (const [node, peer] of link.getTable()) {
+			if (!hasToAnswer(peer, awaited.has(node), now)) {
+				askedAt.delete(node);
+			} else if (now - (askedAt.get(node) ?? 0) >= askAgainMs) {
+				askedAt.set(node, now);
 				link.probe(node);
 			}
 		}
@@ -75,7 +95,7 @@
 			gateClient.checkSilence(now, isGateHeard);
 		}
 
-		askAwaited(now);
+		askSilent(now);
 		silence.tell(node => {
 			const peer = link.getTable().get(node);
 			return peer === undefined || !isHeard(peer, limits, now);
