A value of a configuration that a node does not know costs its route, not all of them; downloads

Ruled out: refusing less by leaving out whole hosts, which turns away known routes too. Change: 'download' is a type of the model, repeatable. A type that is unknown runs once at most; a route that cannot be read is refused as not run; a rule whose match cannot be read leaves its host with 503 in place of 404. Version, lists, services of routes and limits still have to be there, or nothing is taken.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -15,7 +15,7 @@
 import {type CallerLimits} from '../route-config/route-config.js';
 import {type HeldConfig} from '../route-config/config-holder.js';
 import {computeRank} from '../route-config/route-rank.js';
-import {findRoute} from '../route-config/route-index.js';
+import {cutPort, findRoute} from '../route-config/route-index.js';
 import {type ShareSplitter} from '../route-config/share-splitter.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
 import {createByteBudget} from './byte-budget.js';
@@ -92,6 +92,9 @@
 /** When a node without a configuration is worth asking again, in milliseconds. */
 const notReadyRetryMs = 250;
 
+/** When a route that leads nowhere may lead somewhere again: with the next configuration. Milliseconds: changes come many times an hour, not many times a second. */
+const unreadRetryMs = 1000;
+
 /** When to come back at the soonest, in milliseconds: a caller that comes back before the others have been served is only refused again. */
 const defaultRetryMs = 250;
 
@@ -159,6 +162,16 @@
 		refuse(call, status, reason, retryAfterMs);
 	};
 
+	/** Refuses a request that no known route matches; one that may be meant for a route that could not be read is not told that there is none. */
+	const refuseUnrouted = (call: EntryCall, {config: {version, unreadHosts}}: HeldConfig): void => {
+		if (unreadHosts.has(cutPort(call.request.headers.host ?? ''))) {
+			refuseEarly(call, version, 503, 'no route that this node can read matches host and path', unreadRetryMs);
+			return;
+		}
+
+		refuseEarly(call, version, 404, 'no route matches host and path');
+	};
+
 	const takeBody = async (call: EntryCall, maxBodyBytes: number): Promise<Uint8Array | undefined | 'refused'> => {
 		if (!hasBody(call.request)) {
 			return undefined;
@@ -206,7 +219,7 @@
 		const {version, limits} = held.config;
 		const route = findRoute(held.index, request.headers.host ?? '', request.url ?? '/');
 		if (route === undefined) {
-			refuseEarly(call, version, 404, 'no route matches host and path');
+			refuseUnrouted(call, held);
 			return;
 		}
 
@@ -217,7 +230,7 @@
 
 		const service = context.splitter.pick(route);
 		if (service === undefined) {
-			refuseEarly(call, version, 503, 'no part of the route takes traffic', defaultRetryMs);
+			refuseEarly(call, version, 503, 'no part of the route takes traffic', unreadRetryMs);
 			return;
 		}
 
--- a/src/lib/route-config/route-config.ts
+++ b/src/lib/route-config/route-config.ts
@@ -5,8 +5,16 @@
  * @module
  */
 
-/** May a request run more than once, and is it a large body? @public */
-export type RouteType = 'safe' | 'unsafe' | 'upload';
+/** May a request run more than once, and is it a large body or does it ask for one? @public */
+export type RouteType =
+	/** May run more than once. */
+	| 'safe'
+	/** Runs once at most. */
+	| 'unsafe'
+	/** Has a large body, and runs once at most. */
+	| 'upload'
+	/** Has a large answer, and may run more than once. */
+	| 'download';
 
 /** One part of a route's traffic. @public */
 export type WeightedService = {
@@ -22,6 +30,7 @@
 	/** Begins and ends with a slash; the longest prefix of a path wins. */
 	readonly prefix: string;
 	readonly type: RouteType;
+	/** Empty if the route could not be read whole: its requests are refused as not run, since they are not known to be unwanted. */
 	readonly services: readonly WeightedService[];
 	/** Milliseconds that a caller is kept waiting at the most. */
 	readonly timeoutMs: number;
@@ -56,6 +65,10 @@
 	readonly routes: readonly RouteRule[];
 	readonly services: readonly ServiceRule[];
 	readonly limits: CallerLimits;
+	/** Hosts with rules whose prefix could not be read: a request of theirs that matches nothing may still be meant for one. */
+	readonly unreadHosts: ReadonlySet<string>;
+	/** What of it this node does not know, with place and remedy. */
+	readonly warnings: readonly string[];
 };
 
 /**
@@ -64,5 +77,5 @@
  * @public
  */
 export function isRepeatable(type: RouteType): boolean {
-	return type === 'safe';
+	return type === 'safe' || type === 'download';
 }
--- a/src/lib/route-config/route-index.ts
+++ b/src/lib/route-config/route-index.ts
@@ -25,7 +25,14 @@
 	return hosts;
 }
 
-function cutPort(host: string): string {
+/**
+ * Cuts the port off a host and spells it as routes are looked up.
+ *
+ * @param host - Value of the `Host` header.
+ * @returns The host.
+ * @internal
+ */
+export function cutPort(host: string): string {
 	return host.toLowerCase().replace(/:\d+$/, '');
 }
 
--- a/src/lib/route-config/sample-config.ts
+++ b/src/lib/route-config/sample-config.ts
@@ -32,5 +32,7 @@
 		limits: {
 			maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
+		unreadHosts: new Set(),
+		warnings: [],
 	};
 }
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -55,6 +55,9 @@
 /** Between two looks whether this node has to ask the store itself. Milliseconds: a small part of the time in which a change must be in force. */
 const dutyLookMs = 300;
 
+/** Values of one configuration that are named in the log: one route of a new type rarely comes alone, and the first ones tell what is missing. */
+const namedWarnings = 5;
+
 /** Between two tries to reach a store that does not answer. Milliseconds. */
 const retryMs = 250;
 
@@ -70,9 +73,21 @@
 	/** Revision of the store up to which changes are known; `undefined` if it has to be read anew. */
 	let revision: number | undefined;
 	let refusedText: string | undefined;
+	let warned: ReadonlySet<string> = new Set();
 	let isFollowing = false;
 	let hasSettled = false;
 
+	/** Names what this node does not know, once for as long as it stays the same. */
+	const warnOfUnknown = ({version, warnings}: RouteConfig): void => {
+		for (const reason of warnings.filter(warning => !warned.has(warning)).slice(0, namedWarnings)) {
+			log.record('warn', {
+				kind: 'configuration-unknown', version, reason, count: warnings.length,
+			});
+		}
+
+		warned = new Set(warnings);
+	};
+
 	const adoptText = (text: string, source: string, steps?: readonly ConfigStep[]): void => {
 		if (text === holder.get()?.text || text === refusedText) {
 			return;
@@ -96,9 +111,12 @@
 			return;
 		}
 
-		holder.adopt({
+		const isAdopted = holder.adopt({
 			config: decoded.value, text, source, ...steps === undefined ? {} : {steps},
 		});
+		if (isAdopted) {
+			warnOfUnknown(decoded.value);
+		}
 	};
 
 	const adoptItems = (items: readonly StoreItem[]): void => {
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -32,6 +32,7 @@
 	| {readonly kind: 'settings-reloaded'; readonly outcome: string; readonly reason?: string}
 	| {readonly kind: 'configuration-applied'; readonly version: number; readonly from: string; readonly routes: number}
 	| {readonly kind: 'configuration-refused'; readonly version: number; readonly from: string; readonly reason: string}
+	| {readonly kind: 'configuration-unknown'; readonly version: number; readonly reason: string; readonly count: number}
 	| {readonly kind: 'store-lost'; readonly reason: string; readonly call: string}
 	| {readonly kind: 'store-back'; readonly afterMs: number}
 	| {readonly kind: 'watch-duty-changed'; readonly isFollowing: boolean; readonly version: number}
