Lag is seen within one turn of the loop

Cause: after all VMs lost power, nodes read backlogs of requests in turns of a second or more. Change: a turn is measured from the first request that it reads, with the one before it. Test: common/loop-lag.test.ts, the last one; fails without it.

--- a/src/lib/common/loop-lag.test.ts
+++ b/src/lib/common/loop-lag.test.ts
@@ -3,6 +3,7 @@
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
 import test from 'node:test';
+import {Worker} from 'node:worker_threads';
 import {createLoopLag} from './loop-lag.js';
 
 function waitBusily(milliseconds: number): void {
@@ -55,3 +56,53 @@
 	await lag.catchUp();
 	assert.equal(turns, 0);
 });
+
+/** Callers of another thread: each sends a byte and closes, once it is told to. */
+const callersScript = `
+const {parentPort, workerData} = require('node:worker_threads');
+const {connect} = require('node:net');
+const callers = Array.from({length: workerData.callers}, () => connect(workerData.port, '127.0.0.1'));
+parentPort.once('message', () => {
+	for (const caller of callers) {
+		caller.end('x');
+	}
+});
+`;
+
+test('within one long turn of the loop, closes that came with the requests read last are heard before these are worked on', async () => {
+	const lag = createLoopLag();
+	lag.note(0);
+	const callers = 10;
+	const closedInTime = await new Promise<readonly boolean[]>(resolve => {
+		const seen: boolean[] = [];
+		let connected = 0;
+		const server = createServer((socket: Socket) => {
+			let isClosed = false;
+			socket.once('end', () => {
+				isClosed = true;
+			});
+			socket.once('data', async () => {
+				await lag.catchUp();
+				seen.push(isClosed);
+				waitBusily(30);
+				socket.destroy();
+				if (seen.length === callers) {
+					server.close();
+					void worker.terminate();
+					resolve(seen);
+				}
+			});
+			connected++;
+			if (connected === callers) {
+				worker.postMessage('send');
+				// All of it arrives while the process stands still.
+				waitBusily(300);
+			}
+		});
+		let worker: Worker;
+		server.listen(0, '127.0.0.1', () => {
+			worker = new Worker(callersScript, {eval: true, workerData: {callers, port: (server.address() as AddressInfo).port}});
+		});
+	});
+	assert.ok(closedInTime.filter(Boolean).length >= callers / 2, closedInTime.join(' '));
+});
--- a/src/lib/common/loop-lag.ts
+++ b/src/lib/common/loop-lag.ts
@@ -6,11 +6,14 @@
  * @module
  */
 import {setImmediate as waitForImmediate} from 'node:timers/promises';
+import {readSteadyMs} from './clock.js';
 
 /** @internal */
 export type LoopLag = {
 	/** Notes how late a timer fired. */
 	readonly note: (delayMs: number) => void;
+	/** For how long a request that was read just now may have lain unread: since the turn before began, if that has only just ended. Milliseconds. */
+	readonly estimateUnreadMs: () => number;
 	/** While the process lags, waits until what had arrived with a request has been read as well. */
 	readonly catchUp: () => Promise<void>;
 };
@@ -18,18 +21,47 @@
 /** A timer that fires this late shows that events wait. Milliseconds: a fifth of the time after which a request that nobody waits for must not be sent on; below it the extra turns cost more than they save. */
 const laggingMs = 100;
 
+/** Two turns follow one another without a rest if less than this lies between them, in milliseconds. */
+const consecutiveMs = 2;
+
 /**
  * @returns The lag of a process that has just started: taken as lagging, since its code is still cold.
  * @internal
  */
 export function createLoopLag(): LoopLag {
 	let isLagging = true;
+	let turn: {readonly startedAt: number; readonly beforeMs: number} | undefined;
+	let lastTurn = {endedAt: 0, tookMs: 0};
+
+	/** Notes that a request was read. A turn of the loop reads everything that has arrived: under a backlog it may take seconds, and no timer fires within. */
+	const noteRead = (now: number): {readonly startedAt: number; readonly beforeMs: number} => {
+		if (turn !== undefined) {
+			return turn;
+		}
+
+		const started = {startedAt: now, beforeMs: now - lastTurn.endedAt < consecutiveMs ? lastTurn.tookMs : 0};
+		turn = started;
+		setImmediate(() => {
+			const endedAt = readSteadyMs();
+			lastTurn = {endedAt, tookMs: endedAt - started.startedAt};
+			turn = undefined;
+		});
+		return started;
+	};
+
+	const estimateUnreadMs = (): number => {
+		const now = readSteadyMs();
+		const {startedAt, beforeMs} = noteRead(now);
+		return now - startedAt + beforeMs;
+	};
+
 	return {
+		estimateUnreadMs,
 		note(delayMs) {
 			isLagging = delayMs > laggingMs;
 		},
 		async catchUp() {
-			if (!isLagging) {
+			if (estimateUnreadMs() <= laggingMs && !isLagging) {
 				return;
 			}
 
