Decisions in a slice of their own; calls wait only while they can be answered in time

Change: who waits, who is refused and when to come back are pure functions in src/lib/decisions. A call waits for two slots to come free at the most, and only if its answer can then be in time, by what its route takes at that server. Late calls take free slots only. Calls of servers are told by their objective, not by the last rank. Callers come back after an objective. What is left of a caller's time counts from when its request may have arrived. Downloads stay in their failure domain as uploads do; what another domain has to be faster by is a share of the objective.

--- a/src/lib/admission/slot-keeper.ts
+++ b/src/lib/admission/slot-keeper.ts
@@ -9,7 +9,7 @@
 import {
 	admitToSlot, createSlotQueue, estimateWait, releaseToNext, removeQueued, resizeSlots,
 	type QueuedRequest, type SlotQueue,
-} from './slot-queue.js';
+} from '../decisions/slot-queue.js';
 
 /** A request that asks for a slot. @internal */
 export type SlotRequest = {
--- a/src/lib/decisions/call-rank.ts
+++ b/src/lib/decisions/call-rank.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type RouteConfig, type RouteRule} from './route-config.js';
+import {type RouteRule} from '../route-config/route-config.js';
 
 /** Ranks of two priorities never overlap: no objective is longer than this. Milliseconds. */
 const priorityStep = 1_000_000;
@@ -38,21 +38,3 @@
 export function computeCallRank(route: RouteRule, isReturning: boolean): number {
 	return computeRank(route) + (isReturning ? returningStep : 0);
 }
-
-/**
- * Finds the highest rank of the routes to each service.
- *
- * @param config - A whole configuration.
- * @returns Ranks by service: requests of this rank wait behind all others there.
- * @internal
- */
-export function listLastRanks(config: RouteConfig): ReadonlyMap<string, number> {
-	const ranks = new Map<string, number>();
-	for (const route of config.routes) {
-		for (const {service} of route.services) {
-			ranks.set(service, Math.max(ranks.get(service) ?? 0, computeRank(route)));
-		}
-	}
-
-	return ranks;
-}
--- /dev/null
+++ b/src/lib/decisions/come-back.ts
@@ -0,0 +1,35 @@
+/**
+ * Decides when a caller that is refused should come back.
+ *
+ * @module
+ */
+
+/** What is known when a caller is refused. @internal */
+export type RefusalFacts = {
+	/** Until a slot may be free for it, as gates said or as this node expects; 0 if nothing is known. Milliseconds. */
+	readonly waitMs: number;
+	/** Latency objective of its route, in milliseconds. */
+	readonly targetLatencyMs: number;
+};
+
+/**
+ * Nobody is told to come back sooner than this share of the latency objective. From 0.15 to 2 objectives, callers get as many answers
+ * in time and late, in every pattern of the experiment: what comes back soon finds the slots taken. The longer time costs nodes the fewest tries.
+ */
+const shortestShare = 1;
+
+/** A time to come back is spread by this share, so that those who were refused together do not come back together. */
+const spread = 0.5;
+
+/**
+ * Computes when to come back: when a slot may be free, and not before the rush
+ * that filled them has had the time that its answers take.
+ *
+ * @param refusal - What is known.
+ * @param random - Yields numbers from 0 up to 1.
+ * @returns Milliseconds.
+ * @internal
+ */
+export function computeComeBack({waitMs, targetLatencyMs}: RefusalFacts, random: () => number): number {
+	return Math.max(waitMs, targetLatencyMs * shortestShare) * (1 + (spread * random()));
+}
--- a/src/lib/decisions/load-view.ts
+++ b/src/lib/decisions/load-view.ts
@@ -13,6 +13,8 @@
 	/** Average milliseconds that a request takes; 0 if nothing is known. */
 	readonly serviceMs: number;
 	readonly failureShare: number;
+	/** Average milliseconds that a request of the route in question keeps a slot there, as this node saw; what all requests take if it saw none. */
+	readonly workMs: number;
 	/** Requests of this node that are under way there. */
 	readonly own: number;
 	/** Of these, the ones that were under way when the gate last spoke. */
@@ -25,8 +27,11 @@
 
 /** @internal */
 export type LoadView = {
-	readonly get: (id: BackendServerId) => ServerView;
+	/** What is known of a server, for a request of a route. */
+	readonly get: (id: BackendServerId, route?: string) => ServerView;
 	readonly hear: (id: BackendServerId, report: Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare'>>, now: number) => void;
+	/** Notes how long a request of a route kept its slot. */
+	readonly noteWork: (id: BackendServerId, route: string, workMs: number) => void;
 	readonly noteWay: (id: BackendServerId, wayMs: number) => void;
 	readonly begin: (id: BackendServerId) => void;
 	readonly end: (id: BackendServerId) => void;
@@ -36,8 +41,11 @@
 /** Weight of the newest request in the average time on the way: some five requests make it. */
 const wayWeight = 0.2;
 
+/** Weight of the newest request in the average time of a route: some ten requests make it. */
+const workWeight = 0.1;
+
 const unknownServer: ServerView = {
-	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, own: 0, ownThen: 0, wayMs: 0, heardAt: 0,
+	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, workMs: 0, own: 0, ownThen: 0, wayMs: 0, heardAt: 0,
 };
 
 /**
@@ -79,15 +87,25 @@
  */
 export function createLoadView(): LoadView {
 	const views = new Map<BackendServerId, ServerView>();
+	const works = new Map<BackendServerId, Map<string, number>>();
 	const get = (id: BackendServerId): ServerView => views.get(id) ?? unknownServer;
 	return {
-		get,
+		get(id, route = '') {
+			const view = get(id);
+			return {...view, workMs: works.get(id)?.get(route) ?? view.serviceMs};
+		},
 		hear(id, report, now) {
 			const view = get(id);
 			views.set(id, {
 				...view, ...report, ownThen: view.own, heardAt: now,
 			});
 		},
+		noteWork(id, route, workMs) {
+			const byRoute = works.get(id) ?? new Map<string, number>();
+			const known = byRoute.get(route);
+			byRoute.set(route, known === undefined ? workMs : (known * (1 - workWeight)) + (workMs * workWeight));
+			works.set(id, byRoute);
+		},
 		noteWay(id, wayMs) {
 			const view = get(id);
 			views.set(id, {...view, wayMs: (view.wayMs * (1 - wayWeight)) + (Math.max(0, wayMs) * wayWeight)});
@@ -104,6 +122,7 @@
 			for (const [id, view] of views) {
 				if (view.own === 0 && !isKnown(id)) {
 					views.delete(id);
+					works.delete(id);
 				}
 			}
 		},
--- /dev/null
+++ b/src/lib/decisions/plan-attempt.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+} from '../common/ids.js';
+import {type Candidate} from './rank-servers.js';
+import {
+	computeWait, planAttempt, standardRules, type AttemptHistory, type CallFacts,
+} from './plan-attempt.js';
+
+function createServer(name: string, slots: number, view: Partial<Candidate['view']> = {}): Candidate {
+	return {
+		id: toBackendServerId(name), node: toNodeId(`n-${name}`), gate: toAddress('10.0.0.1:1'), domain: toFailureDomain('a'), isLocal: false, slots, isCold: false,
+		view: {
+			running: 0, waiting: 0, serviceMs: 100, workMs: 100, failureShare: 0, own: 0, ownThen: 0, wayMs: 0, heardAt: 1000, ...view,
+		},
+	};
+}
+
+const call: CallFacts = {
+	targetLatencyMs: 200, ageMs: 0, leftMs: 1200, isAwaited: false, isReturning: false, isBulk: false,
+};
+const nothingYet: AttemptHistory = {tried: new Set(), full: new Set(), refusals: 0};
+const full = {running: 10, waiting: 0} as const;
+
+test('overload: a call waits for a few slots to come free, however long its caller would wait', () => {
+	const server = createServer('a', 10, full);
+	assert.equal(computeWait(call, server), 30);
+	assert.equal(computeWait({...call, leftMs: 60_000}, server), 30);
+});
+
+test('overload: a call that could not be answered in time any more waits for nothing', () => {
+	assert.equal(computeWait({...call, ageMs: 80}, createServer('a', 10, full)), 0);
+	const plan = planAttempt({...call, ageMs: 300}, nothingYet, [createServer('a', 10, full), createServer('b', 10, full)], standardRules, 1000);
+	assert.equal(plan.type, 'refuse');
+});
+
+test('a late call takes a slot that is free', () => {
+	const plan = planAttempt({...call, ageMs: 300}, nothingYet, [createServer('a', 10, full), createServer('b', 10)], standardRules, 1000);
+	assert.equal(plan.type === 'send' ? plan.target.id : '', 'b');
+});
+
+test('a call that a server waits for is sent even if nothing is known to be free', () => {
+	const plan = planAttempt({
+		...call, isAwaited: true, targetLatencyMs: 60, leftMs: 200,
+	}, nothingYet, [createServer('a', 10, {running: 10, waiting: 60})], standardRules, 1000);
+	assert.deepEqual(plan.type === 'send' ? plan.mayWaitMs : 0, 80);
+});
+
+test('a call with too little time left for any answer is refused before it is sent', () => {
+	assert.equal(planAttempt({...call, leftMs: 20}, nothingYet, [createServer('a', 10)], standardRules, 1000).type, 'too-late');
+	assert.equal(planAttempt({...call, leftMs: 20}, nothingYet, [createServer('a', 10, {serviceMs: 10, workMs: 10})], standardRules, 1000).type, 'send');
+});
+
+const views = fc.record({
+	slots: fc.integer({min: 1, max: 64}), running: fc.integer({min: 0, max: 64}), waiting: fc.integer({min: 0, max: 64}), serviceMs: fc.integer({min: 2, max: 2000}), workMs: fc.integer({min: 2, max: 2000}),
+});
+const services = fc.array(views, {minLength: 1, maxLength: 200}).map(all => all.map(({slots, ...view}, index) => createServer(`s${index}`, slots, view)));
+const calls = fc.record({
+	targetLatencyMs: fc.integer({min: 5, max: 5000}), ageMs: fc.integer({min: 0, max: 5000}), leftMs: fc.integer({min: 1, max: 20_000}),
+	isAwaited: fc.constant(false), isReturning: fc.boolean(), isBulk: fc.boolean(),
+});
+
+test('property: whatever the service, nobody waits who could not be answered in time', () => {
+	fc.assert(fc.property(services, calls, (servers, facts) => {
+		const plan = planAttempt(facts, nothingYet, servers, standardRules, 1000);
+		if (plan.type === 'send' && plan.mayWaitMs > 0) {
+			assert.ok(facts.ageMs + plan.mayWaitMs + plan.target.view.workMs <= facts.targetLatencyMs);
+		}
+	}));
+});
+
+test('property: whatever the service, a call that has time goes to a slot that is free', () => {
+	fc.assert(fc.property(services, calls, (servers, facts) => {
+		const hasFree = servers.some(({slots, view}) => view.running + view.waiting < slots);
+		const hasTime = servers.some(({view}) => facts.leftMs >= Math.max(15, view.workMs));
+		fc.pre(hasFree && hasTime);
+		assert.equal(planAttempt(facts, nothingYet, servers, standardRules, 1000).type, 'send');
+	}));
+});
+
+test('property: a refusal that is known beforehand costs no try at a gate', () => {
+	fc.assert(fc.property(services, calls, (servers, facts) => {
+		const busy = servers.map(server => ({...server, view: {...server.view, running: server.slots, waiting: server.slots * 3}}));
+		assert.notEqual(planAttempt(facts, nothingYet, busy, standardRules, 1000).type, 'send');
+	}));
+});
--- a/src/lib/decisions/rank-servers.test.ts
+++ b/src/lib/decisions/rank-servers.test.ts
@@ -21,7 +21,9 @@
 		slots: 12,
 		isCold: false,
 		...changes,
-		view: {...unknown, serviceMs: 100, ...view},
+		view: {
+			...unknown, serviceMs: 100, workMs: view?.serviceMs ?? 100, ...view,
+		},
 	};
 }
 
--- a/src/lib/decisions/rank-servers.ts
+++ b/src/lib/decisions/rank-servers.ts
@@ -72,13 +72,15 @@
  */
 export function estimateAnswerMs(candidate: Candidate, context: RankingContext): number {
 	const {view, slots} = candidate;
-	const serviceMs = (view.serviceMs === 0 ? unknownServiceMs : view.serviceMs) * (candidate.isCold ? coldFactor : 1) * (1 + (view.failureShare * failureFactor));
+	const slowness = (candidate.isCold ? coldFactor : 1) * (1 + (view.failureShare * failureFactor));
+	const serviceMs = (view.serviceMs === 0 ? unknownServiceMs : view.serviceMs) * slowness;
+	const workMs = (view.workMs === 0 ? unknownServiceMs : view.workMs) * slowness;
 	const requests = estimateRequests(view) + 1;
 	const share = requests / Math.max(1, slots);
-	const busyMs = serviceMs * busyFactor * Math.max(0, Math.min(1, share) - busyShare) / (1 - busyShare);
+	const busyMs = workMs * busyFactor * Math.max(0, Math.min(1, share) - busyShare) / (1 - busyShare);
 	const queueMs = Math.max(0, requests - slots) * serviceMs / Math.max(1, slots);
 	const domainMs = candidate.isLocal ? 0 : (candidate.domain === context.domain ? otherNodeMs : context.crossDomainMs);
-	return ((serviceMs + busyMs + (queueMs * 2)) * (1 + (spread * context.random()))) + domainMs + (view.wayMs * wayFactor);
+	return ((workMs + busyMs + (queueMs * 2)) * (1 + (spread * context.random()))) + domainMs + (view.wayMs * wayFactor);
 }
 
 function pickShortlist(candidates: readonly Candidate[], {domain, random}: RankingContext): ReadonlySet<Candidate> {
--- a/src/lib/decisions/returning-callers.ts
+++ b/src/lib/decisions/returning-callers.ts
@@ -8,8 +8,8 @@
 
 /** @internal */
 export type ReturningCallers = {
-	/** Notes how long a caller will wait; yields whether it has come before. */
-	readonly note: (route: string, timeLeftMs: number) => boolean;
+	/** Notes how long a caller will wait; yields how long ago it first asked, in milliseconds, 0 if it asks for the first time. */
+	readonly note: (route: string, timeLeftMs: number) => number;
 	/** Forgets routes that are gone. */
 	readonly retain: (routes: ReadonlySet<string>) => void;
 };
@@ -27,7 +27,7 @@
 		note(route, timeLeftMs) {
 			const longest = Math.max(timeLeftMs, longestByRoute.get(route) ?? 0);
 			longestByRoute.set(route, longest);
-			return timeLeftMs < longest * returningShare;
+			return timeLeftMs < longest * returningShare ? longest - timeLeftMs : 0;
 		},
 		retain(routes) {
 			for (const route of longestByRoute.keys()) {
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -12,12 +12,14 @@
 import {readSteadyMs} from '../common/clock.js';
 import {type LoopLag} from '../common/loop-lag.js';
 import {type Verdict} from '../common/verdict.js';
-import {type CallerLimits} from '../route-config/route-config.js';
+import {type CallerLimits, type RouteRule} from '../route-config/route-config.js';
 import {type HeldConfig} from '../route-config/config-holder.js';
-import {computeRank} from '../route-config/route-rank.js';
+import {type AwaitedRoutes} from '../decisions/awaited-routes.js';
+import {computeComeBack} from '../decisions/come-back.js';
 import {cutPort, findRoute} from '../route-config/route-index.js';
 import {type ShareSplitter} from '../route-config/share-splitter.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
+import {type ReturningCallers} from '../decisions/returning-callers.js';
 import {createByteBudget} from './byte-budget.js';
 import {createCallScope, endGraceMs, type CallScope} from './call-scope.js';
 import {
@@ -25,7 +27,6 @@
 } from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
 import {type ForwardAnswer, type ForwardFailure} from './forward-result.js';
-import {type ReturningCallers} from './returning-callers.js';
 import {
 	BodyTooLargeError, hasBody, NoRoomForBodyError, readBody,
 } from './read-body.js';
@@ -53,9 +54,12 @@
 	readonly getConfig: () => HeldConfig | undefined;
 	readonly splitter: ShareSplitter;
 	readonly returningCallers: ReturningCallers;
+	readonly awaitedRoutes: AwaitedRoutes;
 	readonly log: MeshLog;
 	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
 	readonly catchUp: LoopLag['catchUp'];
+	/** For how long a request that was read just now may have lain unread, in milliseconds. */
+	readonly estimateUnreadMs: LoopLag['estimateUnreadMs'];
 	readonly handleFinished: (call: FinishedCall) => void;
 };
 
@@ -95,12 +99,6 @@
 /** When a route that leads nowhere may lead somewhere again: with the next configuration. Milliseconds: changes come many times an hour, not many times a second. */
 const unreadRetryMs = 1000;
 
-/** When to come back at the soonest, in milliseconds: a caller that comes back before the others have been served is only refused again. */
-const defaultRetryMs = 250;
-
-/** A time to come back is spread by this share, so that those who were refused together do not come back together. */
-const retrySpread = 0.5;
-
 /**
  * Creates the server for callers.
  *
@@ -121,18 +119,17 @@
 	const getClosingHeaders = (request: IncomingMessage): {readonly connection?: string} =>
 		isClosing || !request.complete ? {connection: 'close'} : {};
 
-	const refuse = ({id, request, response}: EntryCall, status: number, reason: string, retryAfterMs = 0): void => {
+	const refuse = ({id, request, response}: EntryCall, status: number, reason: string, comeBackMs = 0): void => {
 		if (response.destroyed || response.headersSent) {
 			return;
 		}
 
 		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 ? 'not-run' : undefined})}\n`);
-		const retryAfterSeconds = retryAfterMs * (1 + (retrySpread * random())) / 1000;
 		response.writeHead(status, {
 			'content-type': 'application/json',
 			'content-length': body.length,
 			[wire.callId]: id,
-			...retryAfterMs > 0 ? {'retry-after': retryAfterSeconds.toFixed(3)} : {},
+			...comeBackMs > 0 ? {'retry-after': (comeBackMs / 1000).toFixed(3)} : {},
 			...getClosingHeaders(request),
 		});
 		response.end(body);
@@ -149,17 +146,17 @@
 		response.end(answer.body);
 	};
 
-	const sendFailure = (call: EntryCall, failure: ForwardFailure, verdict: Verdict): number => {
+	const sendFailure = (call: EntryCall, failure: ForwardFailure, verdict: Verdict, targetLatencyMs: number): number => {
 		const status = chooseFailureStatus(failure, verdict);
-		refuse(call, status, failure.reason, status === 503 ? Math.max(defaultRetryMs, failure.retryAfterMs) : 0);
+		refuse(call, status, failure.reason, status === 503 ? computeComeBack({waitMs: failure.retryAfterMs, targetLatencyMs}, random) : 0);
 		return status;
 	};
 
-	const refuseEarly = (call: EntryCall, version: number, status: number, reason: string, retryAfterMs = 0): void => {
+	const refuseEarly = (call: EntryCall, version: number, status: number, reason: string, comeBackMs = 0): void => {
 		log.record('info', {
 			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version,
 		});
-		refuse(call, status, reason, retryAfterMs);
+		refuse(call, status, reason, comeBackMs);
 	};
 
 	/** Refuses a request that no known route matches; one that may be meant for a route that could not be read is not told that there is none. */
@@ -192,16 +189,16 @@
 		}
 	};
 
-	const finish = (call: EntryCall, scope: CallScope, held: HeldConfig, outcome: CallOutcome & {readonly route: string; readonly service: string}): void => {
+	const finish = (call: EntryCall, scope: CallScope, held: HeldConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string}): void => {
 		const {result, verdict, attempts} = outcome;
 		const now = readSteadyMs();
-		const status = result.type === 'answered' ? result.status : sendFailure(call, result, verdict);
+		const status = result.type === 'answered' ? result.status : sendFailure(call, result, verdict, outcome.route.targetLatencyMs);
 		if (result.type === 'answered') {
 			sendAnswer(call, result);
 		}
 
 		context.handleFinished({
-			id: call.id, route: outcome.route, service: outcome.service, version: held.config.version, status, verdict, attempts,
+			id: call.id, route: outcome.route.name, service: outcome.service, version: held.config.version, status, verdict, attempts,
 			reason: result.type === 'answered' ? 'answered' : `${result.reason}: ${result.detail}`,
 			tookMs: Math.round(now - call.receivedAt),
 			leftMs: Math.round(scope.endsAt - now),
@@ -235,8 +232,9 @@
 		}
 
 		const callerWaitsMs = getAmount(request.headers, wire.timeLeft) ?? route.timeoutMs;
-		const hasComeBefore = context.returningCallers.note(route.name, callerWaitsMs);
-		const isLastRank = computeRank(route) === held.lastRanks.get(service);
+		const isAwaited = context.awaitedRoutes.note(service, route.name, route.targetLatencyMs);
+		// The time left of calls that backend servers make is that of their own callers.
+		const ageMs = isAwaited ? 0 : context.returningCallers.note(route.name, callerWaitsMs);
 		const timeLeftMs = Math.min(callerWaitsMs, route.timeoutMs);
 		let heldBytes = 0;
 		const scope = createCallScope(call.receivedAt + timeLeftMs + endGraceMs);
@@ -259,12 +257,12 @@
 				headers: filterCallHeaders(request.headers),
 				body,
 				receivedAt: call.receivedAt,
-				isLastRank,
-				// The time left of calls that backend servers make is that of their own callers.
-				isReturning: hasComeBefore && isLastRank,
+				isAwaited,
+				ageMs,
+				isReturning: ageMs > 0,
 				scope,
 			});
-			finish(call, scope, held, {...outcome, route: route.name, service});
+			finish(call, scope, held, {...outcome, route, service});
 		} finally {
 			heldBodies.release(heldBytes);
 			forget();
@@ -288,7 +286,7 @@
 	const handle = (request: IncomingMessage, response: ServerResponse, askForBody: () => void): void => {
 		const id = getText(request.headers, wire.callId) ?? '';
 		void runSafely({
-			id, request, response, receivedAt: readSteadyMs(), askForBody,
+			id, request, response, receivedAt: readSteadyMs() - context.estimateUnreadMs(), askForBody,
 		});
 	};
 
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -45,6 +45,9 @@
 	readonly scope: CallScope;
 };
 
+/** What became of a request, and for how long it kept a slot; `undefined` if it was not answered. */
+type SlotResult = {readonly result: ForwardResult; readonly ranMs: number | undefined};
+
 /** @internal */
 export type LocalGateContext = {
 	readonly wire: WireHeaders;
@@ -106,8 +109,8 @@
 	let failureShare = 0;
 	let isSilent = false;
 
-	const getLoad = (arrivedAt: number): GateLoad => ({
-		...slots.describe(), tookMs: readSteadyMs() - arrivedAt,
+	const getLoad = (arrivedAt: number, ranMs: number | undefined): GateLoad => ({
+		...slots.describe(), tookMs: readSteadyMs() - arrivedAt, ranMs,
 	});
 
 	const replaceServer = ({announcement}: LocalServer): void => {
@@ -230,8 +233,9 @@
 		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer, announcement.id);
 	};
 
-	const runWithSlot = async (call: GateCall, server: LocalServer): Promise<ForwardResult> => {
+	const runWithSlot = async (call: GateCall, server: LocalServer): Promise<SlotResult> => {
 		const startedAt = readSteadyMs();
+		let ranMs: number | undefined;
 		let result: ForwardResult = createNotRun('cancelled', 'the body did not arrive');
 		try {
 			const body = await call.readBody();
@@ -239,10 +243,11 @@
 		} catch (error) {
 			result = createNotRun('cancelled', `the body did not arrive: ${(error as Error).message}`);
 		} finally {
-			slots.release(result.type === 'answered' && result.status < 500 ? readSteadyMs() - startedAt : undefined);
+			ranMs = result.type === 'answered' && result.status < 500 ? readSteadyMs() - startedAt : undefined;
+			slots.release(ranMs);
 		}
 
-		return result;
+		return {result, ranMs};
 	};
 
 	const findServer = (call: GateCall): LocalServer | ForwardFailure => {
@@ -280,15 +285,15 @@
 		: createNotRun(call.scope.getEnd() ?? 'cancelled', 'the caller has gone');
 
 	/** Has a call wait for the link first if its body is large, so that no slot is held for bodies that wait. */
-	const admitTransfer = async (call: GateCall): Promise<ForwardResult> => {
+	const admitTransfer = async (call: GateCall): Promise<SlotResult> => {
 		const server = findServer(call);
 		if ('type' in server) {
-			return refuse(call, server);
+			return {result: refuse(call, server), ranMs: undefined};
 		}
 
 		const transfer = await transfers.acquire(describeWait(call));
 		if ('type' in transfer) {
-			return refuseWait(call, transfer, 'the link carries as many large bodies as it can');
+			return {result: refuseWait(call, transfer, 'the link carries as many large bodies as it can'), ranMs: undefined};
 		}
 
 		const readBody = async (): Promise<Uint8Array | undefined> => {
@@ -304,22 +309,22 @@
 		}
 	};
 
-	const admitAndRun = async (call: GateCall): Promise<ForwardResult> => {
+	const admitAndRun = async (call: GateCall): Promise<SlotResult> => {
 		const server = findServer(call);
 		if ('type' in server) {
-			return refuse(call, server);
+			return {result: refuse(call, server), ranMs: undefined};
 		}
 
 		const slot = await slots.acquire(describeWait(call));
 		if (slot.type !== 'run') {
-			return refuseWait(call, slot, slot.type === 'full' ? slot.reason : '');
+			return {result: refuseWait(call, slot, slot.type === 'full' ? slot.reason : ''), ranMs: undefined};
 		}
 
 		// It may have begun to leave while the request waited.
 		const still = findServer(call);
 		if ('type' in still) {
 			slots.release(undefined);
-			return refuse(call, still);
+			return {result: refuse(call, still), ranMs: undefined};
 		}
 
 		return runWithSlot(call, still);
@@ -344,8 +349,8 @@
 	return {
 		async run(call) {
 			const arrivedAt = readSteadyMs();
-			const result = await (call.isTransfer ? admitTransfer(call) : admitAndRun(call));
-			return {result, load: getLoad(arrivedAt)};
+			const {result, ranMs} = await (call.isTransfer ? admitTransfer(call) : admitAndRun(call));
+			return {result, load: getLoad(arrivedAt, ranMs)};
 		},
 		announce(announcement) {
 			apply(acceptAnnouncement(state, announcement, readSteadyMs()), 'it said that it drains');
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -4,16 +4,16 @@
 	toAddress, toBackendServerId, toFailureDomain, toNodeId,
 } from '../common/ids.js';
 import {createSampleRoute} from '../route-config/sample-config.js';
-import {createLoadView, type LoadView} from '../routing/load-view.js';
-import {type Candidate} from '../routing/rank-servers.js';
+import {createLoadView, type LoadView} from '../decisions/load-view.js';
+import {type Candidate} from '../decisions/rank-servers.js';
 import {silentLog} from '../timeline/mesh-log.js';
+import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createCallScope} from './call-scope.js';
 import {
 	createMayHaveRun, createNotRun, type ForwardResult, type GateResult,
 } from './forward-result.js';
 import {type GateClient, type RemoteCall} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
-import {createRetryAllowance} from './retry-allowance.js';
 import {
 	chooseFailureStatus, sendCall, type OutgoingCall, type SendContext,
 } from './send-call.js';
@@ -68,7 +68,7 @@
 function createCall(changes: Partial<OutgoingCall> = {}): OutgoingCall {
 	return {
 		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined,
-		receivedAt: performance.now(), isLastRank: true, isReturning: false, scope: createCallScope(performance.now() + 1000), ...changes,
+		receivedAt: performance.now(), isAwaited: false, ageMs: 0, isReturning: false, scope: createCallScope(performance.now() + 1000), ...changes,
 	};
 }
 
@@ -145,7 +145,7 @@
 	assert.ok(outcome.result.type === 'failed' && outcome.result.verdict === 'not-run' && outcome.result.retryAfterMs > 1000);
 	const urgent = createFixture({a: [], b: []});
 	fillQueues(urgent);
-	await sendCall(urgent.context, createCall({isLastRank: false}));
+	await sendCall(urgent.context, createCall({isAwaited: true}));
 	assert.equal(urgent.sent.length, 1);
 });
 
@@ -176,7 +176,7 @@
 	const full = createNotRun('full', 'x', 80);
 	const ask = async (isReturning: boolean): Promise<RemoteCall> => {
 		const {context, sent} = createFixture({a: [full, full], b: [full, full], c: [full, full]});
-		await sendCall(context, createCall({isReturning}));
+		await sendCall(context, createCall({isReturning, ageMs: isReturning ? 300 : 0}));
 		return sent.find(({mayWaitMs}) => mayWaitMs > 0)!;
 	};
 
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -7,18 +7,21 @@
 import {readSteadyMs} from '../common/clock.js';
 import {type BackendServerId, type NodeId} from '../common/ids.js';
 import {joinVerdicts, type Verdict} from '../common/verdict.js';
-import {isRepeatable, type RouteRule} from '../route-config/route-config.js';
-import {computeCallRank} from '../route-config/route-rank.js';
-import {rankServers, type Candidate} from '../routing/rank-servers.js';
-import {estimateSlotWait, type LoadView} from '../routing/load-view.js';
+import {isBulk, isRepeatable, type RouteRule} from '../route-config/route-config.js';
+import {computeCallRank} from '../decisions/call-rank.js';
+import {rankServers, type Candidate} from '../decisions/rank-servers.js';
+import {type LoadView} from '../decisions/load-view.js';
+import {
+	mayAskAnother, planAttempt, standardRules, type AttemptPlan, type CallFacts,
+} from '../decisions/plan-attempt.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
+import {type RepeatReason, type RetryAllowance} from '../decisions/retry-allowance.js';
 import {createInnerScope, type CallScope} from './call-scope.js';
 import {
 	createNotRun, type ForwardFailure, type ForwardResult, type GateResult,
 } from './forward-result.js';
 import {type GateClient} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
-import {type RepeatReason, type RetryAllowance} from './retry-allowance.js';
 
 /** A call on its way. @internal */
 export type OutgoingCall = {
@@ -32,8 +35,10 @@
 	readonly body: Uint8Array | undefined;
 	/** Steady milliseconds. */
 	readonly receivedAt: number;
-	/** Requests of other routes to the service go before it. */
-	readonly isLastRank: boolean;
+	/** A backend server made it and holds a slot until it is answered. */
+	readonly isAwaited: boolean;
+	/** Milliseconds since its caller first asked, when it was received. */
+	readonly ageMs: number;
 	/** It was refused before, and goes behind those of its route that come for the first time. */
 	readonly isReturning: boolean;
 	readonly scope: CallScope;
@@ -51,7 +56,8 @@
 export type SendContext = {
 	readonly self: NodeId;
 	readonly callerService: string;
-	readonly listCandidates: (service: string) => readonly Candidate[];
+	/** Servers of a service that are ready, with what is known of them for a request of a route. */
+	readonly listCandidates: (service: string, route: string) => readonly Candidate[];
 	/** What a server of another failure domain has to be faster by, in milliseconds. */
 	readonly getCrossDomainMs: (route: RouteRule) => number;
 	readonly domain: Candidate['domain'];
@@ -85,44 +91,15 @@
 	retryAfterMs: number;
 };
 
-type Choice = {readonly target: Candidate; readonly mayWaitMs: number};
-
 /** What can be told a call for which no server is left. */
 const giveUpFailure = ({fallback}: Progress): ForwardFailure =>
 	fallback.type === 'failed' ? fallback : createNotRun('no-server', 'no other backend server is left');
 
-/** Gates that are asked for a slot at once before one is asked to let the call wait. Large bodies have more to gain by another server, and a refusal costs them next to nothing: their links are what is short. */
-const immediateTries = {small: 2, upload: 4} as const;
-
-/** Refusals after which a call is given up: the caller is better told to come back. */
-const maxRefusals = {small: 3, upload: 5} as const;
-
-const getSizeClass = ({type}: RouteRule): keyof typeof maxRefusals => type === 'upload' ? 'upload' : 'small';
-
-/** Share of the latency objective that a call may be expected to wait for a slot: the rest is for the work itself. */
-const waitShare = 0.3;
-
-/** A call that has missed its objective may still be expected to wait for this share of what is left. */
-const lateWaitShare = 0.12;
-
-/** A call is refused without asking a gate if the wait that is expected is so many times longer than it may be: estimates are rough. Calls that others wait behind are always sent, since nothing tells how many are before them. */
-const hopelessFactor = 1.2;
-
-/** A call that others wait behind may wait for this share of what is left: without it the work of its caller is lost. */
-const urgentWaitShare = 0.4;
-
-/** A call that came back may be expected to wait for this share of what others may: those that come later overtake it. */
-const returningWaitShare = 0.5;
-
-/** No attempt begins with less than this left, in milliseconds: it could not be answered. */
-const shortestAttemptMs = 15;
-
-function computeWait(call: OutgoingCall, now: number): number {
-	const leftMs = call.scope.endsAt - now;
-	const elapsedMs = now - call.receivedAt;
-	const inTimeMs = (call.route.targetLatencyMs * waitShare) - elapsedMs;
-	const leastMs = leftMs * (call.isLastRank ? lateWaitShare : urgentWaitShare);
-	return Math.min(Math.max(inTimeMs, leastMs), leftMs) * (call.isReturning ? returningWaitShare : 1);
+function describeFacts(call: OutgoingCall, now: number): CallFacts {
+	const {route, ageMs, isAwaited, isReturning} = call;
+	return {
+		targetLatencyMs: route.targetLatencyMs, ageMs: ageMs + now - call.receivedAt, leftMs: call.scope.endsAt - now, isAwaited, isReturning, isBulk: isBulk(route.type),
+	};
 }
 
 function chooseRepeatReason(call: OutgoingCall, result: ForwardResult): RepeatReason {
@@ -130,7 +107,7 @@
 		return 'may-have-run';
 	}
 
-	return call.isLastRank ? 'turned-away' : 'call-turned-away';
+	return call.isAwaited ? 'call-turned-away' : 'turned-away';
 }
 
 function describeOutcome(result: ForwardResult): string {
@@ -156,7 +133,7 @@
 		notes: [], tried: new Set(), full: new Set(), verdict: 'not-run', arrivals: 0, refusals: 0, retryAfterMs: 0,
 		fallback: createNotRun('no-server', `no backend server of ${service} is known that could take the request`),
 	};
-	context.allowance.noteRequest(service, !call.isLastRank, readSteadyMs());
+	context.allowance.noteRequest(service, call.isAwaited, readSteadyMs());
 
 	const finish = (result: ForwardResult): CallOutcome => ({result, verdict: progress.verdict, attempts: progress.notes});
 
@@ -183,9 +160,12 @@
 		inner.dispose();
 		const now = readSteadyMs();
 		if (sent.load !== undefined) {
-			const {tookMs, ...load} = sent.load;
+			const {tookMs, ranMs, ...load} = sent.load;
 			context.loads.hear(target.id, load, now);
 			context.loads.noteWay(target.id, now - startedAt - tookMs);
+			if (ranMs !== undefined) {
+				context.loads.noteWork(target.id, route.name, ranMs);
+			}
 		}
 
 		const {result} = sent;
@@ -218,41 +198,40 @@
 	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. */
 	const mayGoOn = (result: ForwardResult, now: number): boolean => {
 		const isHarmless = mayRepeat || progress.verdict === 'not-run';
-		const hasTime = scope.getEnd() === undefined && scope.endsAt - now > shortestAttemptMs;
-		if (!isHarmless || !hasTime) {
+		if (!isHarmless || scope.getEnd() !== undefined) {
 			return false;
 		}
 
 		const hasArrived = result.type === 'answered' || result.hasArrived;
 		if (!hasArrived) {
-			return progress.refusals <= maxRefusals[getSizeClass(route)];
+			return mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals);
 		}
 
 		return progress.arrivals < route.maxAttempts && context.allowance.take(service, chooseRepeatReason(call, result), now);
 	};
 
-	const chooseNext = (): Choice | ForwardFailure => {
+	const chooseNext = (): AttemptPlan => {
 		const now = readSteadyMs();
-		const mayWaitMs = computeWait(call, now);
-		const candidates = context.listCandidates(service).filter(({id}) => !progress.tried.has(id));
-		const ranked = rankServers(candidates, {
+		const ranked = rankServers(context.listCandidates(service, route.name), {
 			domain: context.domain, crossDomainMs: context.getCrossDomainMs(route), random: context.random,
 		});
-		const fresh = ranked.find(({id}) => !progress.full.has(id));
-		if (fresh !== undefined && progress.refusals < immediateTries[getSizeClass(route)] && ranked.length > 1 && estimateSlotWait(fresh.view, fresh.slots, now) === 0) {
-			return {target: fresh, mayWaitMs: 0};
-		}
+		return planAttempt(describeFacts(call, now), progress, ranked, standardRules, now);
+	};
 
-		const waits = ranked.map(target => ({target, waitMs: estimateSlotWait(target.view, target.slots, now)}));
-		const shortest = waits.toSorted((left, right) => left.waitMs - right.waitMs)[0];
-		if (shortest === undefined) {
-			return giveUpFailure(progress);
-		}
+	const describeRefusal = (plan: Exclude<AttemptPlan, {readonly type: 'send'}>): ForwardFailure => {
+		switch (plan.type) {
+			case 'no-server': {
+				return giveUpFailure(progress);
+			}
 
-		// What is known is a few hundred milliseconds old at the most: a call that would wait far too long is spared the way.
-		return call.isLastRank && shortest.waitMs > mayWaitMs * hopelessFactor
-			? createNotRun('full', `every backend server of ${service} is busy for ${Math.round(shortest.waitMs)} ms or more`, shortest.waitMs)
-			: {target: shortest.target, mayWaitMs};
+			case 'too-late': {
+				return createNotRun('timeout', 'too little time is left for an answer');
+			}
+
+			case 'refuse': {
+				return createNotRun('full', `every backend server of ${service} is busy for ${Math.round(plan.waitMs)} ms or more`, plan.waitMs);
+			}
+		}
 	};
 
 	const noteTried = (target: Candidate, mayWaitMs: number, result: ForwardResult): void => {
@@ -262,8 +241,8 @@
 
 	for (;;) {
 		const next = chooseNext();
-		if ('type' in next) {
-			noteResult(next);
+		if (next.type !== 'send') {
+			noteResult(describeRefusal(next));
 			return giveUp();
 		}
 
--- a/src/lib/route-config/config-holder.ts
+++ b/src/lib/route-config/config-holder.ts
@@ -5,7 +5,6 @@
  */
 import {createConfigHistory, type ConfigStep} from './config-history.js';
 import {type RouteConfig} from './route-config.js';
-import {listLastRanks} from './route-rank.js';
 import {createRouteIndex, type RouteIndex} from './route-index.js';
 import {computeTextDelta} from './text-delta.js';
 
@@ -13,8 +12,6 @@
 export type HeldConfig = {
 	readonly config: RouteConfig;
 	readonly index: RouteIndex;
-	/** Highest rank of the routes to each service. */
-	readonly lastRanks: ReadonlyMap<string, number>;
 	/** As the store holds it: what other nodes are handed. */
 	readonly text: string;
 };
@@ -63,7 +60,7 @@
 
 			// One assignment puts the whole of it in force; a request keeps what it began with.
 			held = {
-				config, index: createRouteIndex(config), lastRanks: listLastRanks(config), text,
+				config, index: createRouteIndex(config), text,
 			};
 			handleAdopted(held, source);
 			return true;
--- a/src/lib/route-config/route-config.ts
+++ b/src/lib/route-config/route-config.ts
@@ -79,3 +79,12 @@
 export function isRepeatable(type: RouteType): boolean {
 	return type === 'safe' || type === 'download';
 }
+
+/**
+ * @param type - The type of a route.
+ * @returns Whether bodies or answers of its requests are large: what they cost the links is more than what they cost a server.
+ * @public
+ */
+export function isBulk(type: RouteType): boolean {
+	return type === 'upload' || type === 'download';
+}
--- a/src/lib/sidecar/list-candidates.test.ts
+++ b/src/lib/sidecar/list-candidates.test.ts
@@ -6,7 +6,7 @@
 import {type ServerReport} from '../peers/peer-report.js';
 import {type Peer, type PeerLimits} from '../peers/peer-table.js';
 import {createSampleReport} from '../peers/sample-report.js';
-import {createLoadView} from '../routing/load-view.js';
+import {createLoadView} from '../decisions/load-view.js';
 import {listCandidates, type CandidateSources} from './list-candidates.js';
 
 const limits: PeerLimits = {
@@ -30,7 +30,7 @@
 		},
 		peers, limits, loads: createLoadView(),
 	};
-	return listCandidates('logview', sources, 5500).map(({id, isLocal}) => isLocal ? `own ${id}` : id);
+	return listCandidates('logview', 'logs', sources, 5500).map(({id, isLocal}) => isLocal ? `own ${id}` : id);
 }
 
 test('only servers of the service that are ready, beside nodes that can be reached, may be chosen', () => {
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -16,16 +16,17 @@
 import {createGateClient} from '../forwarding/gate-client.js';
 import {createGateServer} from '../forwarding/gate-server.js';
 import {createLocalGate} from '../forwarding/local-gate.js';
-import {createRetryAllowance} from '../forwarding/retry-allowance.js';
-import {createReturningCallers} from '../forwarding/returning-callers.js';
+import {createRetryAllowance} from '../decisions/retry-allowance.js';
+import {createAwaitedRoutes} from '../decisions/awaited-routes.js';
+import {createReturningCallers} from '../decisions/returning-callers.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {type PeerLimits, type PeerNews} from '../peers/peer-table.js';
 import {type HeldConfig} from '../route-config/config-holder.js';
-import {type RouteConfig, type RouteRule} from '../route-config/route-config.js';
+import {isBulk, type RouteConfig, type RouteRule} from '../route-config/route-config.js';
 import {createShareSplitter} from '../route-config/share-splitter.js';
-import {createLoadView} from '../routing/load-view.js';
-import {type Candidate} from '../routing/rank-servers.js';
+import {createLoadView} from '../decisions/load-view.js';
+import {type Candidate} from '../decisions/rank-servers.js';
 import {type MeshStore} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
@@ -81,8 +82,8 @@
 /** Milliseconds between two looks for servers that are gone. */
 const forgetMs = 30_000;
 
-/** What a server of another failure domain has to be faster by, in milliseconds, since bytes between failure domains are paid for. */
-const crossDomainMs = {small: 60, upload: 400} as const;
+/** What a server of another failure domain has to be faster by, as a share of the latency objective, since bytes between failure domains are paid for. */
+const crossDomainShare = {small: 0.1, bulk: 0.8} as const;
 
 /** Connections to a backend server before a configuration says how many it accepts. */
 const defaultConnections = 64;
@@ -110,6 +111,7 @@
 
 	const splitter = createShareSplitter(random);
 	const returningCallers = createReturningCallers();
+	const awaitedRoutes = createAwaitedRoutes();
 	const loads = createLoadView();
 	const lag = createLoopLag();
 	const silence = createSilenceWatchers();
@@ -125,6 +127,7 @@
 		const routes = new Set(config.routes.map(({name}) => name));
 		splitter.retain(routes);
 		returningCallers.retain(routes);
+		awaitedRoutes.retain(routes);
 	};
 
 	const gate = createLocalGate({
@@ -179,7 +182,7 @@
 		}
 	};
 
-	const listServers = (service: string): readonly Candidate[] => listCandidates(service, {
+	const listServers = (service: string, route: string): readonly Candidate[] => listCandidates(service, route, {
 		own: {
 			node: self, gate: settings.listen.gate, domain, server: isGateLeaving ? undefined : gate.describe(),
 		},
@@ -202,7 +205,7 @@
 		domain,
 		callerService: settings.service,
 		listCandidates: listServers,
-		getCrossDomainMs: (route: RouteRule) => route.type === 'upload' ? crossDomainMs.upload : crossDomainMs.small,
+		getCrossDomainMs: ({type, targetLatencyMs}: RouteRule) => targetLatencyMs * (isBulk(type) ? crossDomainShare.bulk : crossDomainShare.small),
 		localGate: gate,
 		gateClient,
 		loads,
@@ -220,8 +223,10 @@
 		getConfig: sync.holder.get,
 		splitter,
 		returningCallers,
+		awaitedRoutes,
 		handleFinished,
 		catchUp: lag.catchUp,
+		estimateUnreadMs: lag.estimateUnreadMs,
 	});
 	const gateServer = createGateServer({
 		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log,
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -78,7 +78,7 @@
 	let hasSettled = false;
 
 	/** Names what this node does not know, once for as long as it stays the same. */
-	const warnOfUnknown = ({version, warnings}: RouteConfig): void => {
+	const tellUnknown = ({version, warnings}: RouteConfig): void => {
 		for (const reason of warnings.filter(warning => !warned.has(warning)).slice(0, namedWarnings)) {
 			log.record('warn', {
 				kind: 'configuration-unknown', version, reason, count: warnings.length,
@@ -115,7 +115,7 @@
 			config: decoded.value, text, source, ...steps === undefined ? {} : {steps},
 		});
 		if (isAdopted) {
-			warnOfUnknown(decoded.value);
+			tellUnknown(decoded.value);
 		}
 	};
 
