npm run experiment: a model of a mesh under load that decides by the product's own functions

What: patterns of load, sets of rules with one of them switched off each, seeds, paired comparison with an interval, CSV and a plot.

--- /dev/null
+++ b/bench/experiment/model-server.ts
@@ -0,0 +1,112 @@
+/**
+ * A backend server and the gate before it, on simulated time. The gate decides
+ * by the product's own queue.
+ *
+ * @module
+ */
+import {
+	admitToSlot, createSlotQueue, estimateWait, releaseToNext, removeQueued, type SlotQueue,
+} from '../../src/lib/decisions/slot-queue.js';
+import {type EventQueue} from './event-queue.js';
+
+/** A request at a gate. */
+export type GateRequest = {
+	readonly rank: number;
+	readonly mayWaitMs: number;
+	readonly lastAt: number;
+	/** Runs it; calls back when its slot is free again, and whether that tells of the server's speed. */
+	readonly run: (handleEnd: (isAnswered: boolean) => void) => void;
+	readonly handleFull: (retryAfterMs: number) => void;
+};
+
+/** A server. */
+export type ModelServer = {
+	readonly id: string;
+	readonly service: string;
+	readonly node: number;
+	readonly slots: number;
+	readonly speed: number;
+	readonly ask: (request: GateRequest) => () => void;
+	readonly describe: () => {readonly running: number; readonly waiting: number; readonly serviceMs: number};
+};
+
+type Place = Pick<ModelServer, 'id' | 'service' | 'node' | 'slots' | 'speed'>;
+
+/**
+ * @param place - What it is and where it stands.
+ * @param events - Simulated time.
+ * @param patience - A request that waits is put out after so many times the wait that was expected.
+ * @returns The server, idle.
+ */
+export function createModelServer(place: Place, events: EventQueue, patience: number): ModelServer {
+	let queue: SlotQueue = createSlotQueue(place.slots);
+	let nextId = 1;
+	const waiting = new Map<number, GateRequest>();
+
+	const run = (request: GateRequest): void => {
+		const startedAt = events.getNow();
+		request.run(isAnswered => {
+			const step = releaseToNext(queue, isAnswered ? events.getNow() - startedAt : undefined, events.getNow());
+			queue = step.queue;
+			for (const {id} of step.started) {
+				const next = waiting.get(id);
+				waiting.delete(id);
+				if (next !== undefined) {
+					run(next);
+				}
+			}
+		});
+	};
+
+	const putOut = (id: number): void => {
+		const request = waiting.get(id);
+		if (request !== undefined) {
+			waiting.delete(id);
+			queue = removeQueued(queue, id);
+			request.handleFull(estimateWait(queue, request.rank));
+		}
+	};
+
+	return {
+		...place,
+		ask(request) {
+			const now = events.getNow();
+			const id = nextId++;
+			const waitUntil = Math.min(now + (request.mayWaitMs * patience), request.lastAt);
+			const step = admitToSlot(queue, {
+				id, rank: request.rank, startBy: now + request.mayWaitMs, waitUntil,
+			}, now);
+			queue = step.queue;
+			switch (step.decision.type) {
+				case 'run': {
+					run(request);
+					break;
+				}
+
+				case 'full': {
+					request.handleFull(step.decision.retryAfterMs);
+					break;
+				}
+
+				case 'wait': {
+					waiting.set(id, request);
+					if (step.decision.displaced !== undefined) {
+						putOut(step.decision.displaced.id);
+					}
+
+					events.schedule(waitUntil - now, () => {
+						putOut(id);
+					});
+					break;
+				}
+			}
+
+			return () => {
+				if (waiting.delete(id)) {
+					queue = removeQueued(queue, id);
+				}
+			};
+		},
+		describe: () => ({running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs}),
+	};
+}
--- /dev/null
+++ b/bench/experiment/pattern.ts
@@ -0,0 +1,155 @@
+/**
+ * Patterns of load on a mesh: services with their servers, kinds of request
+ * with their callers, and what goes wrong when.
+ *
+ * @module
+ */
+
+/** Calls that a request's run makes. */
+export type CallPlan = {
+	readonly kind: string;
+	readonly times: number;
+	/** Share of the runs that make them. */
+	readonly share: number;
+	/** All at once, or one after the other. */
+	readonly isTogether: boolean;
+};
+
+/** One kind of request. Times are milliseconds. */
+export type RequestKind = {
+	readonly name: string;
+	readonly service: string;
+	/** Callers' first tries a second over the whole mesh; 0 for calls that servers make. */
+	readonly perSecond: number;
+	readonly workMs: number;
+	/** Standard deviation of the logarithm of the work. */
+	readonly workSpread: number;
+	readonly targetLatencyMs: number;
+	readonly deadlineMs: number;
+	readonly timeoutMs: number;
+	readonly priority: number;
+	/** Worth of an answer in time, and of a late one. */
+	readonly worth: number;
+	readonly lateWorth: number;
+	/** How often its callers come back. */
+	readonly retries: number;
+	readonly mayRepeat: boolean;
+	readonly calls: readonly CallPlan[];
+};
+
+/** One service. */
+export type ServicePlan = {
+	readonly name: string;
+	readonly slots: number;
+	/** Work that each server does in the time in which an ordinary one does one unit. */
+	readonly speeds: readonly number[];
+};
+
+/** What happens to load or servers for a while. */
+export type Disturbance =
+	/** Callers come so many times as often. */
+	| {readonly type: 'burst'; readonly fromMs: number; readonly toMs: number; readonly factor: number}
+	/** A share of the servers of a service works so many times as slowly. */
+	| {readonly type: 'slow'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number; readonly factor: number}
+	/** Servers of a service turn a share of what they get away. */
+	| {readonly type: 'shedding'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number}
+	/** A share of the servers of a service is gone. */
+	| {readonly type: 'gone'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number}
+	/** A share of the callers comes back at once, whatever it is told. */
+	| {readonly type: 'impatient'; readonly fromMs: number; readonly toMs: number; readonly share: number};
+
+/** A pattern of load. */
+export type Pattern = {
+	readonly name: string;
+	readonly lengthMs: number;
+	readonly domains: number;
+	/** One way between failure domains. */
+	readonly betweenDomainsMs: number;
+	/** One way between callers and their node. */
+	readonly callerWayMs: number;
+	/** What a node takes to pass a request on. */
+	readonly passMs: number;
+	readonly services: readonly ServicePlan[];
+	readonly kinds: readonly RequestKind[];
+	readonly disturbances: readonly Disturbance[];
+};
+
+const fillSpeeds = (speeds: readonly number[], count: number): readonly number[] => Array.from({length: count}, (_, index) => speeds[index % speeds.length] ?? 1);
+
+const common = {
+	priority: 2, worth: 1, lateWorth: 0.3, retries: 2, mayRepeat: true, calls: [] as readonly CallPlan[],
+} as const;
+
+/** Pages that need look-ups at another service, publications and small orders: the first service is the one that is short. */
+function createTieredKinds(load: number): readonly RequestKind[] {
+	return [
+		{
+			...common, name: 'page', service: 'pages', perSecond: 560 * load, workMs: 63, workSpread: 0.8, targetLatencyMs: 200, deadlineMs: 1200, timeoutMs: 1200,
+			calls: [{
+				kind: 'look-up', times: 2, share: 0.7, isTogether: false,
+			}],
+		},
+		{
+			...common, name: 'publish', service: 'publishing', perSecond: 190 * load, workMs: 82, workSpread: 0.5, targetLatencyMs: 250, deadlineMs: 1500, timeoutMs: 800,
+			priority: 1, worth: 2, lateWorth: 0.6, mayRepeat: false, calls: [{
+				kind: 'tags', times: 2, share: 0.7, isTogether: true,
+			}],
+		},
+		{
+			...common, name: 'order', service: 'archive', perSecond: 150 * load, workMs: 50, workSpread: 0.4, targetLatencyMs: 150, deadlineMs: 1000, timeoutMs: 1000, mayRepeat: false,
+		},
+		{
+			...common, name: 'look-up', service: 'publishing', perSecond: 0, workMs: 16, workSpread: 0.5, targetLatencyMs: 60, deadlineMs: 200, timeoutMs: 200, priority: 1, worth: 0, retries: 0,
+		},
+		{
+			...common, name: 'tags', service: 'archive', perSecond: 0, workMs: 16, workSpread: 0.5, targetLatencyMs: 60, deadlineMs: 200, timeoutMs: 200, priority: 1, worth: 0, retries: 0,
+		},
+	];
+}
+
+function createTiered(name: string, load: number, disturbances: readonly Disturbance[]): Pattern {
+	return {
+		name, lengthMs: 16_000, domains: 4, betweenDomainsMs: 1.4, callerWayMs: 3, passMs: 1.2, disturbances,
+		services: [
+			{name: 'pages', slots: 13, speeds: fillSpeeds([0.6, 1, 1.4], 5)},
+			{name: 'publishing', slots: 13, speeds: fillSpeeds([0.7, 0.7, 1.6], 4)},
+			{name: 'archive', slots: 13, speeds: fillSpeeds([0.7, 0.7, 1.6], 4)},
+		],
+		kinds: createTieredKinds(load),
+	};
+}
+
+/** Few slots, long work: a service at which a single slot is a tenth of what there is. */
+function createSlowPages(load: number): Pattern {
+	return {
+		name: 'long work', lengthMs: 30_000, domains: 3, betweenDomainsMs: 1.4, callerWayMs: 2, passMs: 1.2, disturbances: [],
+		services: [{name: 'pages', slots: 4, speeds: fillSpeeds([0.6, 1, 1.4], 6)}],
+		kinds: [{
+			...common, name: 'page', service: 'pages', perSecond: 60 * load, workMs: 400, workSpread: 0.7, targetLatencyMs: 1200, deadlineMs: 5000, timeoutMs: 5000,
+		}],
+	};
+}
+
+/** The patterns that `npm run experiment` plays, by name. */
+export const patterns: readonly Pattern[] = [
+	createTiered('calm', 0.7, []),
+	createTiered('full', 1, []),
+	createTiered('overload', 1.35, []),
+	createTiered('burst', 0.95, [{
+		type: 'burst', fromMs: 6000, toMs: 9000, factor: 1.8,
+	}]),
+	createTiered('slow servers', 0.95, [{
+		type: 'slow', fromMs: 4000, toMs: 12_000, service: 'pages', share: 0.4, factor: 5,
+	}]),
+	createTiered('shedding', 0.95, [{
+		type: 'shedding', fromMs: 4000, toMs: 12_000, service: 'publishing', share: 0.5,
+	}]),
+	createTiered('servers gone', 0.95, [{
+		type: 'gone', fromMs: 4000, toMs: 12_000, service: 'pages', share: 0.4,
+	}]),
+	createTiered('impatient callers', 1.1, [{
+		type: 'impatient', fromMs: 2000, toMs: 14_000, share: 0.3,
+	}]),
+	createSlowPages(1),
+	{...createSlowPages(1.3), name: 'long work, overload'},
+];
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import {hideBin} from 'yargs/helpers';
 import {renderCapacityPage, runCapacity} from './capacity/capacity.js';
 import {runCalls} from './calls/calls.js';
+import {runExperiment} from './experiment/experiment.js';
 import {runLarge} from './large.js';
 import {runDistribution} from './distribution.js';
 import {runLogLines} from './log-lines.js';
@@ -31,6 +32,19 @@
 	.command('capacity', 'measure the slopes and write the tables of docs/CAPACITY.md', builder => builder, async () => runCapacity())
 	.command('capacity-page', 'write the tables again from the measurements on file', builder => builder, async () => renderCapacityPage())
 	.command('large', 'a configuration of 3,200 services as one submission', builder => builder, async () => runLarge())
+	.command('experiment', 'who waits, who is refused and where work goes, in a model under patterns of load', builder => builder
+		.option('seeds', {type: 'number', default: 5, describe: 'plays of each'})
+		.option('patterns', {
+			type: 'string', array: true, default: [] as string[], describe: 'only patterns whose names contain one of these',
+		})
+		.option('policies', {
+			type: 'string', array: true, default: [] as string[], describe: 'only rules whose names contain one of these; the first is compared with',
+		})
+		.option('csv', {type: 'string', describe: 'file for all figures'})
+		.option('svg', {type: 'string', describe: 'file for a plot'})
+		.option('kinds', {type: 'boolean', default: false, describe: 'a row for each kind of request'}), options => {
+		runExperiment({...options, csv: options.csv, svg: options.svg});
+	})
 	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
