Connections to a backend server that have gone silent cost one request, not one each

Ruled out: TCP keep-alive (ten seconds at the least), probes (six milliseconds of a slot each). Test: forwarding/local-gate.test.ts, the last one; with the check switched off it fails.

--- a/src/lib/forwarding/hop-agent.ts
+++ b/src/lib/forwarding/hop-agent.ts
@@ -32,6 +32,8 @@
 /** @internal */
 export class HopAgent extends Agent {
 	readonly #idleMs: number;
+	/** Connections that are closed after the request that they carry. */
+	readonly #retired = new WeakSet<Socket>();
 
 	constructor(limits: HopAgentLimits) {
 		super({
@@ -40,11 +42,22 @@
 		this.#idleMs = limits.idleMs;
 	}
 
+	/** From here on requests get new connections. What is under way on the old ones may still be answered. */
+	renew(): void {
+		for (const socket of Object.values(this.sockets).flatMap(sockets => sockets ?? [])) {
+			this.#retired.add(socket);
+		}
+
+		for (const socket of Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])) {
+			socket.destroy();
+		}
+	}
+
 	/** Whether a connection stays open after its answer. */
 	override keepSocketAlive(socket: Socket): boolean {
 		const hintMs = readIdleHint((socket as UsedSocket)._httpMessage?.res?.headers['keep-alive']);
 		const idleMs = Math.min(this.#idleMs, hintMs === undefined ? this.#idleMs : hintMs * idleShare);
-		if (idleMs <= 0 || socket.readableLength > 0) {
+		if (idleMs <= 0 || socket.readableLength > 0 || this.#retired.has(socket)) {
 			return false;
 		}
 
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {createServer, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import test, {type TestContext} from 'node:test';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {toAddress, toBackendServerId} from '../common/ids.js';
@@ -161,3 +161,54 @@
 	answerNext();
 	assert.equal((await whole).result.type, 'answered');
 });
+
+test('connections to a server that have gone silent cost one request, not one each', async context => {
+	const silent = new WeakSet<Socket>();
+	const sockets = new Set<Socket>();
+	const server = createServer((request, response) => {
+		sockets.add(request.socket);
+		if (silent.has(request.socket)) {
+			return;
+		}
+
+		response.setHeader(wire.callId, String(request.headers[wire.callId]));
+		response.setHeader(wire.signature, 's');
+		setTimeout(() => response.end('page'), 30);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const gate = createLocalGate({
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, isLeaving: () => false, linkMbps: 7,
+	});
+	context.after(() => {
+		gate.dispose();
+		server.close();
+		server.closeAllConnections();
+	});
+	gate.announce({
+		id, service: 'logview', address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), slots: 8, isDraining: false, coldMs: 0, sequence: 1,
+	});
+	const run = async (call: string, waitsMs = 5000): Promise<string> => {
+		const scope = createCallScope(performance.now() + waitsMs);
+		context.after(scope.dispose);
+		const {result} = await gate.run({
+			id: call, server: id, method: 'GET', target: '/', headers: {host: 'mesh.example'}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 1000, isTransfer: false, scope,
+		});
+		return result.type;
+	};
+
+	assert.deepEqual(await Promise.all(['a', 'b', 'c', 'd'].map(async call => run(call))), ['answered', 'answered', 'answered', 'answered']);
+	assert.equal(sockets.size, 4);
+	for (const socket of sockets) {
+		silent.add(socket);
+	}
+
+	const lost = run('lost', 900);
+	await new Promise(resolve => {
+		setTimeout(resolve, 600);
+	});
+	assert.equal(await run('next', 300), 'answered');
+	assert.equal(await run('after', 300), 'answered');
+	assert.equal(await lost, 'failed');
+});
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -22,6 +22,7 @@
 	createMayHaveRun, createNotRun, type ForwardFailure, type ForwardResult, type GateLoad, type GateResult,
 } from './forward-result.js';
 import {HopAgent} from './hop-agent.js';
+import {createSilentConnections} from './silent-connections.js';
 import {createTransferLimit} from './transfer-limit.js';
 
 /** A request at the gate. @internal */
@@ -105,6 +106,7 @@
 	let state: LocalServerState = noLocalServer;
 	const slots = createSlotKeeper();
 	const transfers = createTransferLimit(context.linkMbps);
+	const connections = createSilentConnections();
 	let agent: HopAgent | undefined;
 	let failureShare = 0;
 	let isSilent = false;
@@ -218,6 +220,13 @@
 			return createNotRun(ended ?? 'timeout', 'its time was over before it could be sent');
 		}
 
+		const now = readSteadyMs();
+		if (connections.areDoubtful(slots.describe().serviceMs, now)) {
+			agent.renew();
+			log.record('info', {kind: 'connections-renewed', server: announcement.id, reason: 'a request has waited for far longer than requests take'});
+		}
+
+		const handleEnd = connections.begin(now);
 		const answer = await runExchange({
 			agent, address: announcement.address, method: call.method, target: call.target, body, mustAskFirst: false, scope: call.scope, connectMs,
 			headers: {
@@ -230,6 +239,7 @@
 			},
 			isOwnAnswer: createOwnAnswerCheck(call),
 		});
+		handleEnd();
 		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer, announcement.id);
 	};
 
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -50,6 +50,7 @@
 	| {readonly kind: 'server-draining'; readonly server: string; readonly how: string}
 	| {readonly kind: 'server-silent'; readonly server: string; readonly heardMsAgo: number}
 	| {readonly kind: 'server-doubted'; readonly server: string; readonly reason: string}
+	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
 	| {readonly kind: 'announcement-refused'; readonly place: string; readonly reason: string}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptNote; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptNote[]}
