Turns of the event loop stay short, so that callers are connected

Ruled out: lag of the loop (timers were on time, log of sidecar-cz-central-b-3), a full queue of new connections (that packet would have come again after a second). Change: the work on four requests begins in a turn, the others wait for the next ones, in order.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -56,8 +56,8 @@
 	readonly returningCallers: ReturningCallers;
 	readonly awaitedRoutes: AwaitedRoutes;
 	readonly log: MeshLog;
-	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
-	readonly catchUp: LoopLag['catchUp'];
+	/** Waits until the work on a request may begin: whatever has arrived meanwhile is heard first if this process lags behind. */
+	readonly beginWork: () => Promise<void>;
 	/** For how long a request that was read just now may have lain unread, in milliseconds. */
 	readonly estimateUnreadMs: LoopLag['estimateUnreadMs'];
 	readonly handleFinished: (call: FinishedCall) => void;
@@ -240,7 +240,11 @@
 		const scope = createCallScope(call.receivedAt + timeLeftMs + endGraceMs);
 		const forget = connections.add(request.socket, scope);
 		try {
-			await context.catchUp();
+			await context.beginWork();
+			if (scope.getEnd() === 'cancelled') {
+				return;
+			}
+
 			const body = await takeBody(call, limits.maxBodyBytes);
 			if (body === 'refused') {
 				return;
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -6,7 +6,6 @@
  */
 import {createServer, type Server, type Socket} from 'node:net';
 import {readSteadyMs} from '../common/clock.js';
-import {type LoopLag} from '../common/loop-lag.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createCallScope, type CallScope} from './call-scope.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
@@ -20,8 +19,8 @@
 	readonly gate: LocalGate;
 	/** What a node is sent that has a version of the configuration. */
 	readonly getConfig: (version: number) => EncodedConfigAnswer;
-	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
-	readonly catchUp: LoopLag['catchUp'];
+	/** Waits until the work on a request may begin: whatever has arrived meanwhile is heard first if this process lags behind. */
+	readonly beginWork: () => Promise<void>;
 	readonly log: MeshLog;
 };
 
@@ -56,7 +55,7 @@
  * @internal
  */
 export function createGateServer(context: GateServerContext): GateServer {
-	const {gate, getConfig, catchUp, log} = context;
+	const {gate, getConfig, beginWork, log} = context;
 	const connections = new Set<Connection>();
 
 	/** Asks for the body of an offer once a slot is held. */
@@ -70,7 +69,7 @@
 
 	const runGate = async (connection: Connection, frame: Frame, request: PeerRequest, one: Incoming): Promise<GateResult> => {
 		try {
-			await catchUp();
+			await beginWork();
 			return await gate.run({
 				...request,
 				scope: one.scope,
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -10,6 +10,7 @@
 import {type NodeId} from '../common/ids.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
+import {createWorkTurns} from '../common/work-turns.js';
 import {createYoungGeneration} from '../common/young-generation.js';
 import {type WireHeaders} from '../forwarding/call-headers.js';
 import {createEntryServer, type FinishedCall} from '../forwarding/entry-server.js';
@@ -111,6 +112,13 @@
 	const awaitedRoutes = createAwaitedRoutes();
 	const loads = createLoadView();
 	const lag = createLoopLag();
+	const turns = createWorkTurns();
+	/** Work on a request begins once what arrived with it is heard, a few requests a turn. */
+	const beginWork = async (): Promise<void> => {
+		await lag.catchUp();
+		await turns.begin();
+	};
+
 	const silence = createSilenceWatchers();
 	const young = createYoungGeneration(surroundings.applyGrowthFactor);
 
@@ -221,11 +229,11 @@
 		returningCallers,
 		awaitedRoutes,
 		handleFinished,
-		catchUp: lag.catchUp,
+		beginWork,
 		estimateUnreadMs: lag.estimateUnreadMs,
 	});
 	const gateServer = createGateServer({
-		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log,
+		gate, getConfig: sync.answerConfig, beginWork, log,
 	});
 	const announcementServer = createAnnouncementServer({
 		decode: surroundings.decodeServerCall,
