--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -20,7 +20,7 @@
 	/** What a node is sent that has a version of the configuration. */
 	readonly getConfig: (version: number) => EncodedConfigAnswer;
 	/** Waits until the work on a request may begin: whatever has arrived meanwhile is heard first if this process lags behind. */
-	readonly beginWork: () => Promise<void>;
+	readonly waitForWork: () => Promise<void>;
 	readonly log: MeshLog;
 };
 
@@ -55,7 +55,7 @@
  * @internal
  */
 export function createGateServer(context: GateServerContext): GateServer {
-	const {gate, getConfig, beginWork, log} = context;
+	const {gate, getConfig, waitForWork, log} = context;
 	const connections = new Set<Connection>();
 
 	/** Asks for the body of an offer once a slot is held. */
@@ -69,7 +69,7 @@
 
 	const runGate = async (connection: Connection, frame: Frame, request: PeerRequest, one: Incoming): Promise<GateResult> => {
 		try {
-			await beginWork();
+			await waitForWork();
 			return await gate.run({
 				...request,
 				scope: one.scope,
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -114,7 +114,7 @@
 	const lag = createLoopLag();
 	const turns = createWorkTurns();
 	/** Work on a request begins once what arrived with it is heard, a few requests a turn. */
-	const beginWork = async (): Promise<void> => {
+	const waitForWork = async (): Promise<void> => {
 		await lag.catchUp();
 		await turns.begin();
 	};
@@ -229,11 +229,11 @@
 		returningCallers,
 		awaitedRoutes,
 		handleFinished,
-		beginWork,
+		waitForWork,
 		estimateUnreadMs: lag.estimateUnreadMs,
 	});
 	const gateServer = createGateServer({
-		gate, getConfig: sync.answerConfig, beginWork, log,
+		gate, getConfig: sync.answerConfig, waitForWork, log,
 	});
 	const announcementServer = createAnnouncementServer({
 		decode: surroundings.decodeServerCall,
