Large answers leave over a slow link a few at a time

Change: answers above 16 KB take turns; a place is given back when the answer is written, or after four times what the link needs, so that a node that does not read keeps nobody else's answers back. Tests: forwarding/large-answers.test.ts. Without the bound the first one fails (the third answer leaves at once).

--- a/src/lib/forwarding/frame.ts
+++ b/src/lib/forwarding/frame.ts
@@ -75,17 +75,20 @@
  *
  * @param socket - Where to; nothing is written to one that is destroyed.
  * @param frame - The frame; its head and body may be left out.
+ * @param handleWritten - Called once the connection has taken it, or will not.
  * @internal
  */
-export function writeFrame(socket: Socket, frame: Parameters<typeof encodeFrameHead>[0]): void {
+export function writeFrame(socket: Socket, frame: Parameters<typeof encodeFrameHead>[0], handleWritten?: () => void): void {
 	if (socket.destroyed) {
+		handleWritten?.();
 		return;
 	}
 
 	socket.cork();
-	socket.write(encodeFrameHead(frame));
-	if (frame.body !== undefined && frame.body.length > 0) {
-		socket.write(frame.body);
+	const hasBody = frame.body !== undefined && frame.body.length > 0;
+	socket.write(encodeFrameHead(frame), hasBody ? undefined : handleWritten);
+	if (hasBody) {
+		socket.write(frame.body, handleWritten);
 	}
 
 	process.nextTick(() => {
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -11,6 +11,7 @@
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
 import {decodeConfigRequest, type EncodedConfigAnswer} from './config-messages.js';
 import {createMayHaveRun, type GateResult} from './forward-result.js';
+import {createLargeAnswers} from './large-answers.js';
 import {type LocalGate} from './local-gate.js';
 import {decodePeerRequest, encodePeerAnswer, type PeerRequest} from './peer-messages.js';
 
@@ -22,6 +23,8 @@
 	/** Waits until the work on a request may begin: whatever has arrived meanwhile is heard first if this process lags behind. */
 	readonly waitForWork: () => Promise<void>;
 	readonly log: MeshLog;
+	/** Megabits a second of this VM's link. */
+	readonly linkMbps: number;
 };
 
 /** @internal */
@@ -57,6 +60,7 @@
 export function createGateServer(context: GateServerContext): GateServer {
 	const {gate, getConfig, waitForWork, log} = context;
 	const connections = new Set<Connection>();
+	const answers = createLargeAnswers(context.linkMbps);
 
 	/** Asks for the body of an offer once a slot is held. */
 	const fetchBody = async (connection: Connection, id: number, one: Incoming): Promise<Uint8Array> => new Promise((resolve, reject) => {
@@ -89,7 +93,7 @@
 		const result = await runGate(connection, frame, request, one);
 		connection.incoming.delete(frame.id);
 		scope.dispose();
-		writeFrame(connection.socket, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
+		answers.write(connection.socket, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
 	};
 
 	const handleFrame = (connection: Connection, frame: Frame): void => {
--- a/src/lib/forwarding/transfer-limit.ts
+++ b/src/lib/forwarding/transfer-limit.ts
@@ -26,6 +26,15 @@
 /** Bodies that come in at once over the slowest links: while one waits for its sender the other moves. */
 const fewestTransfers = 2;
 
+/**
+ * @param linkMbps - Megabits a second of a link.
+ * @returns Large bodies that it carries at once in one direction.
+ * @internal
+ */
+export function countTransfers(linkMbps: number): number {
+	return Math.max(fewestTransfers, Math.floor(linkMbps / mbpsOfTransfer));
+}
+
 /**
  * @param linkMbps - Megabits a second of the link.
  * @returns The limit; nothing comes in yet.
@@ -33,7 +42,7 @@
  */
 export function createTransferLimit(linkMbps: number): TransferLimit {
 	const places = createSlotKeeper();
-	places.resize(Math.max(fewestTransfers, Math.floor(linkMbps / mbpsOfTransfer)));
+	places.resize(countTransfers(linkMbps));
 	return {
 		async acquire(request) {
 			const outcome = await places.acquire(request);
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -233,7 +233,7 @@
 		estimateUnreadMs: lag.estimateUnreadMs,
 	});
 	const gateServer = createGateServer({
-		gate, getConfig: sync.answerConfig, waitForWork, log,
+		gate, getConfig: sync.answerConfig, waitForWork, log, linkMbps: settings.linkMbps,
 	});
 	const announcementServer = createAnnouncementServer({
 		decode: surroundings.decodeServerCall,
