A server that was slow is tried as soon as it has a free slot

Cause (found by reading): a call with less time left than a quarter of what its servers are thought to take was refused unsent. Averages change by answers only, so a service whose servers had all been slow for a while would have been refused for ever. Change: a server with a free slot is tried all the same. Tests: decisions/plan-attempt.test.ts, two seen failing with the code before.

--- a/src/lib/decisions/plan-attempt.ts
+++ b/src/lib/decisions/plan-attempt.ts
@@ -107,6 +107,15 @@
 	return Math.min(inTimeMs, leftMs, releaseMs === 0 ? inTimeMs : releaseMs * (releasesPerWait + 1));
 }
 
+/** Whether a server could not answer a call in the time that is left. A slot that is free is tried all the same: only answers show that a server has become faster. */
+function isTooLate({leftMs}: CallFacts, {view, slots}: Candidate, now: number): boolean {
+	if (leftMs < shortestAttemptMs) {
+		return true;
+	}
+
+	return estimateSlotWait(view, slots, now) > 0 && leftMs < view.serviceMs * shortestWorkShare;
+}
+
 /** The rules that nodes decide by. @internal */
 export const standardRules: PlanRules = {computeWait, immediateTries: immediateTries.small};
 
@@ -123,7 +132,7 @@
  */
 export function planAttempt(call: CallFacts, history: AttemptHistory, ranked: readonly Candidate[], rules: PlanRules, now: number): AttemptPlan {
 	const open = ranked.filter(({id}) => !history.tried.has(id));
-	if (open.length > 0 && open.every(({view}) => call.leftMs < Math.max(shortestAttemptMs, view.serviceMs * shortestWorkShare))) {
+	if (open.length > 0 && open.every(server => isTooLate(call, server, now))) {
 		return {type: 'too-late'};
 	}
 
