--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,6 +12,7 @@
 import {runLarge} from './large.js';
 import {runDistribution} from './distribution.js';
 import {runLogLines} from './log-lines.js';
+import {runNodeCost} from './node-cost/node-cost.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
@@ -45,6 +46,15 @@
 		.option('kinds', {type: 'boolean', default: false, describe: 'a row for each kind of request'}), options => {
 		runExperiment({...options, csv: options.csv, svg: options.svg});
 	})
+	.command('node-cost', 'what one node costs in meshes of different sizes', builder => builder
+		.option('sizes', {
+			type: 'number', array: true, default: [13, 61, 195, 390], describe: 'nodes',
+		})
+		.option('seconds', {type: 'number', default: 10, describe: 'length of each phase'})
+		.option('rate', {type: 'number', default: 15, describe: 'requests a second at the entry, and as many at the gate'})
+		.option('routes', {type: 'number', default: 1200, describe: 'routes of the configuration'})
+		.option('flags', {type: 'string', default: '--max-old-space-size=128 --max-semi-space-size=4 --single-threaded-gc', describe: 'of Node.js, for the node'})
+		.option('profile', {type: 'string', describe: 'folder for profiles of the processor time'}), async options => runNodeCost({...options, flags: options.flags.split(' '), profile: options.profile}))
 	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
--- /dev/null
+++ b/bench/node-cost/simulated-peer.ts
@@ -0,0 +1,154 @@
+/**
+ * Another node, as one real node sees it: it sends heartbeats at the pace of the
+ * plan, answers requests for the backend server beside it, and sends requests.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {createSocket} from 'node:dgram';
+import {createServer} from 'node:net';
+import {parseAddress} from '../../src/lib/common/address.js';
+import {
+	toBackendServerId, toFailureDomain, toNodeId, type Address,
+} from '../../src/lib/common/ids.js';
+import {createCallScope} from '../../src/lib/forwarding/call-scope.js';
+import {createFrameReader, writeFrame} from '../../src/lib/forwarding/frame.js';
+import {createGateClient} from '../../src/lib/forwarding/gate-client.js';
+import {decodePeerRequest, encodePeerAnswer} from '../../src/lib/forwarding/peer-messages.js';
+import {measurePeriods, planHeartbeats} from '../../src/lib/peers/heartbeat-plan.js';
+import {encodeReport, type PeerReport} from '../../src/lib/peers/peer-report.js';
+import {readSteadyMs} from '../../src/lib/common/clock.js';
+import {platformHeaders} from '../../platform/wire-headers.js';
+
+/** Where a simulated node stands. */
+export type SimulatedPeerOptions = {
+	readonly name: string;
+	readonly failureDomain: string;
+	readonly service: string;
+	readonly gate: Address;
+	readonly gossip: Address;
+	/** Nodes of each failure domain, which its plan of heartbeats depends on. */
+	readonly nodesOfDomain: number;
+	readonly nodes: number;
+	/** Milliseconds that a request takes there. */
+	readonly workMs: number;
+	/** It watches the store for the others. */
+	readonly isFollowing: boolean;
+	/** Version of the configuration that it says it has. */
+	readonly version: number;
+};
+
+/** @internal */
+export type SimulatedPeer = {
+	/** Listens, and tells the node of itself from now on. */
+	readonly start: (node: Address, isNear: boolean) => Promise<void>;
+	/** Sends a request for the backend server beside the node; yields whether it was answered. */
+	readonly call: (gate: Address, server: string, target: string) => Promise<boolean>;
+	/** Datagrams that came from the node. */
+	readonly countHeard: () => number;
+	readonly close: () => Promise<void>;
+};
+
+/** Milliseconds between two rounds of heartbeats, as a node has it. */
+const periodMs = 400;
+
+/** Milliseconds that a request of a simulated node may take. */
+const callMs = 5000;
+
+/**
+ * @param options - Where it stands.
+ * @returns The node, not listening yet.
+ * @internal
+ */
+export function createSimulatedPeer(options: SimulatedPeerOptions): SimulatedPeer {
+	const socket = createSocket('udp4');
+	const client = createGateClient();
+	const plan = planHeartbeats({ownDomainNodes: options.nodesOfDomain - 1, otherDomainNodes: options.nodes - options.nodesOfDomain, isFollowing: options.isFollowing});
+	let sequence = 0;
+	let heard = 0;
+	let timer: NodeJS.Timeout | undefined;
+	let first: NodeJS.Timeout | undefined;
+
+	const describe = (): PeerReport => ({
+		node: toNodeId(options.name), run: 'r1', sequence: ++sequence, domain: toFailureDomain(options.failureDomain), gate: options.gate, gossip: options.gossip,
+		version: options.version, isLeaving: false,
+		server: {
+			id: toBackendServerId(`i-${options.name}`), service: options.service, slots: 8, state: 'ready', coldMs: 0, running: 3, waiting: 0, serviceMs: options.workMs, failureShare: 0,
+		},
+		duties: {linkMbps: options.isFollowing ? 100 : 10, isFollowing: options.isFollowing, storeSeenMs: 50}, periods: measurePeriods(plan, periodMs), isProbe: false,
+	});
+
+	const tell = (node: Address): void => {
+		const {host, port} = parseAddress(node);
+		socket.send(Buffer.from(encodeReport(describe())), port, host);
+	};
+
+	const server = createServer({noDelay: true}, connection => {
+		const reader = createFrameReader();
+		connection.on('error', () => undefined);
+		connection.on('data', (bytes: Uint8Array) => {
+			for (const {type, id, head, body} of reader.read(bytes)) {
+				if (type === 'request') {
+					const {id: call} = decodePeerRequest(head);
+					setTimeout(() => {
+						const answer = encodePeerAnswer({
+							load: {
+								running: 3, waiting: 0, serviceMs: options.workMs, tookMs: options.workMs,
+							},
+							result: {
+								type: 'answered', status: 200, headers: {[platformHeaders.callId]: call, [platformHeaders.signature]: 'sig'}, body: Buffer.alloc(1500, 97 + (body.length % 2)),
+							},
+						});
+						writeFrame(connection, {type: 'answer', id, ...answer});
+					}, options.workMs);
+				} else if (type === 'ping') {
+					writeFrame(connection, {type: 'pong', id});
+				}
+			}
+		});
+	});
+
+	return {
+		async start(node, isNear) {
+			const gossip = parseAddress(options.gossip);
+			const gate = parseAddress(options.gate);
+			await new Promise<void>(resolve => {
+				socket.bind(gossip.port, gossip.host, resolve);
+			});
+			await new Promise<void>(resolve => {
+				server.listen(gate.port, gate.host, resolve);
+			});
+			socket.on('message', bytes => {
+				heard++;
+				const report = JSON.parse(bytes.toString()) as readonly unknown[];
+				if (report.at(-1) === 1 || heard === 1) {
+					tell(node);
+				}
+			});
+			const pauseMs = (isNear ? plan.ownDomain : plan.otherDomain) * periodMs;
+			first = setTimeout(() => {
+				tell(node);
+				timer = setInterval(tell, pauseMs, node);
+			}, Math.random() * pauseMs);
+		},
+		async call(gate, target, path) {
+			const scope = createCallScope(readSteadyMs() + callMs);
+			const {result} = await client.send({
+				gate, body: undefined, isBulk: false, scope, id: Math.random().toString(16).slice(2), server: toBackendServerId(target), method: 'GET', target: path,
+				headers: {host: 'mesh.example', accept: '*/*', 'user-agent': 'caller'}, callerService: options.service, rank: 1, mayWaitMs: 0,
+			});
+			scope.dispose();
+			return result.type === 'answered';
+		},
+		countHeard: () => heard,
+		async close() {
+			clearTimeout(first);
+			clearInterval(timer);
+			client.dispose();
+			socket.close();
+			await new Promise(resolve => {
+				server.close(resolve);
+			});
+		},
+	};
+}
