Store: ten nodes of the whole mesh watch the configuration, at least two in each failure domain

Change: ten in the whole mesh, at most four and at least two in a domain; domains of one to three keep four.

--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -36,7 +36,7 @@
 };
 
 /** What is known of the other nodes, for others to read. @internal */
-export type PeerTableView = Pick<PeerTable, 'size' | 'get' | 'list' | 'listOwnDomain' | 'listService' | 'findGate'>;
+export type PeerTableView = Pick<PeerTable, 'size' | 'get' | 'list' | 'countDomains' | 'listOwnDomain' | 'listService' | 'findGate'>;
 
 /** @internal */
 export type PeerLink = {
--- a/src/lib/peers/peer-table.ts
+++ b/src/lib/peers/peer-table.ts
@@ -44,6 +44,8 @@
 	readonly get: (node: NodeId) => Peer | undefined;
 	/** All nodes, in the order in which they joined. */
 	readonly list: () => Iterable<Peer>;
+	/** Failure domains in which nodes are known, the own one included. */
+	readonly countDomains: () => number;
 	/** Nodes of the own failure domain. */
 	readonly listOwnDomain: () => readonly Peer[];
 	/** Nodes beside servers of a service, whatever the state of these; what a choice costs does not grow with the mesh. */
@@ -198,11 +200,23 @@
 	const byGossip = new Map<Address, MutablePeer>();
 	const ownDomain: MutablePeer[] = [];
 	const services = createServiceIndex(domain);
+	/** Nodes of each failure domain, and this one. */
+	const domainSizes = new Map<FailureDomain, number>([[domain, 1]]);
+
+	const countInDomain = (of: FailureDomain, change: number): void => {
+		const size = (domainSizes.get(of) ?? 0) + change;
+		if (size === 0) {
+			domainSizes.delete(of);
+		} else {
+			domainSizes.set(of, size);
+		}
+	};
 
 	const addToIndices = (peer: MutablePeer): void => {
 		byGate.set(peer.report.gate, peer);
 		byGossip.set(peer.report.gossip, peer);
 		services.add(peer);
+		countInDomain(peer.report.domain, 1);
 		if (peer.report.domain === domain) {
 			ownDomain.push(peer);
 		}
@@ -220,6 +234,7 @@
 		}
 
 		services.remove(peer);
+		countInDomain(peer.report.domain, -1);
 		if (peer.report.domain === domain) {
 			removeFrom(ownDomain, peer);
 		}
@@ -264,6 +279,7 @@
 		},
 		get: node => peers.get(node),
 		list: () => peers.values(),
+		countDomains: () => domainSizes.size,
 		listOwnDomain: () => ownDomain,
 		listService: services.get,
 		findGate: gate => byGate.get(gate),
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -106,6 +106,7 @@
 			heard.map(({report, reportedAt, periodMs}) => ({
 				...report.duties, node: report.node, heardMsAgo: now - reportedAt, periodMs,
 			})),
+			link.table.countDomains(),
 		);
 	};
 
--- a/src/lib/sync/relay-duty.test.ts
+++ b/src/lib/sync/relay-duty.test.ts
@@ -13,9 +13,9 @@
 const createDomain = (count: number): readonly DomainNode[] => Array.from({length: count}, (_, index) => createNode(`n${String(index).padStart(3, '0')}`));
 
 /** Names of the nodes that watch, when each decides by what all others say; the relays of the first round say so in the second. */
-function listRelays(nodes: readonly DomainNode[]): readonly string[] {
+function listRelays(nodes: readonly DomainNode[], domains = 1): readonly string[] {
 	const decide = (all: readonly DomainNode[]): readonly DomainNode[] =>
-		all.map(self => ({...self, isFollowing: isRelay(self, all.filter(other => other !== self))}));
+		all.map(self => ({...self, isFollowing: isRelay(self, all.filter(other => other !== self), domains)}));
 	return decide(decide(nodes)).filter(({isFollowing}) => isFollowing).map(({node}) => node);
 }
 
@@ -25,6 +25,11 @@
 	assert.equal(listRelays(createDomain(400)).length, 4);
 });
 
+test('the more failure domains there are, the fewer watch in each, and never fewer than two', () => {
+	const count = (domains: number): number => listRelays(createDomain(25), domains).length;
+	assert.deepEqual([3, 4, 5, 40].map(domains => count(domains)), [4, 3, 2, 2]);
+});
+
 test('nodes with large links go first', () => {
 	const nodes = createDomain(25).map((node, index) => index === 20 || index === 24 ? {...node, linkMbps: 140} : node);
 	assert.deepEqual(listRelays(nodes).slice(-2), ['n020', 'n024']);
@@ -39,16 +44,16 @@
 test('a node that hears of no fresh watcher asks the store itself', () => {
 	const self = createNode('n900');
 	const others = createDomain(10).map(node => ({...node, isFollowing: true}));
-	assert.equal(isRelay(self, others), false);
-	assert.equal(isRelay(self, others.map(node => ({...node, storeSeenMs: 1650}))), true);
-	assert.equal(isRelay(self, others.map(node => ({...node, isFollowing: false}))), true);
-	assert.equal(isRelay(self, []), true);
+	assert.equal(isRelay(self, others, 1), false);
+	assert.equal(isRelay(self, others.map(node => ({...node, storeSeenMs: 1650})), 1), true);
+	assert.equal(isRelay(self, others.map(node => ({...node, isFollowing: false})), 1), true);
+	assert.equal(isRelay(self, [], 1), true);
 	// In a domain so large that watchers are heard every 1.2 s, that is no reason to ask.
 	const seldom = others.map(node => ({
 		...node, storeSeenMs: 1100, heardMsAgo: 1150, periodMs: 1200,
 	}));
-	assert.equal(isRelay(self, seldom), false);
-	assert.equal(isRelay(self, seldom.map(node => ({...node, heardMsAgo: 1500}))), true);
+	assert.equal(isRelay(self, seldom, 1), false);
+	assert.equal(isRelay(self, seldom.map(node => ({...node, heardMsAgo: 1500})), 1), true);
 });
 
 test('property: among nodes that reach the store somebody watches, and never all of a large domain', () => {
--- a/src/lib/sync/relay-duty.ts
+++ b/src/lib/sync/relay-duty.ts
@@ -18,8 +18,19 @@
 	readonly periodMs: number;
 };
 
-/** Nodes of a failure domain that watch the store. Each change costs a call and a whole configuration for each of them; with four, one of them is left when the store turns a third of the nodes away in 98 of 100 domains, and where the domain is no larger every node watches. */
-const relaysPerDomain = 4;
+/** Nodes of a failure domain that watch the store at the most. With four, one of them is left when the store turns a third of the nodes away in 98 of 100 domains, and where the domain is no larger every node watches. */
+const mostRelaysPerDomain = 4;
+
+/** The same at the least: while one finds out that the store turns it away, the other one watches. */
+const leastRelaysPerDomain = 2;
+
+/**
+ * Nodes of the whole mesh that watch the store. Each change costs a call, and a whole configuration, for each of them, and what one domain
+ * learns goes to the others. One of ten is left when the store turns half of the nodes away in 999 of 1,000 cases.
+ */
+const relaysOfMesh = 10;
+
+const countRelays = (domains: number): number => Math.min(mostRelaysPerDomain, Math.max(leastRelaysPerDomain, Math.ceil(relaysOfMesh / Math.max(1, domains))));
 
 /** A watcher that has heard from the store within this time has the newest configuration, or is about to. Milliseconds: the longest time between two looks at the store and a heartbeat, so that it is noticed before a change has to be in force. */
 const freshMs = 1700;
@@ -37,22 +48,24 @@
 	return right.linkMbps - left.linkMbps || (left.node < right.node ? -1 : 1);
 }
 
-function isAmongFirst(self: DomainNode, nodes: readonly DomainNode[]): boolean {
+function isAmongFirst(self: DomainNode, nodes: readonly DomainNode[], relays: number): boolean {
 	const before = nodes.filter(node => compareNodes(node, self) < 0);
-	return before.length < relaysPerDomain;
+	return before.length < relays;
 }
 
 /**
  * @param self - This node.
  * @param others - The other nodes of its failure domain that it hears.
+ * @param domains - Failure domains of the mesh, this one included.
  * @returns Whether this node watches the store.
  * @internal
  */
-export function isRelay(self: DomainNode, others: readonly DomainNode[]): boolean {
+export function isRelay(self: DomainNode, others: readonly DomainNode[], domains: number): boolean {
+	const relays = countRelays(domains);
 	if (!hasStore(self)) {
 		// It cannot help anybody now; the first ones go on trying, so that somebody notices at once when the store is back.
-		return isAmongFirst(self, others);
+		return isAmongFirst(self, others, relays);
 	}
 
-	return isAmongFirst(self, others.filter(node => hasStore(node))) || !others.some(node => isFresh(node));
+	return isAmongFirst(self, others.filter(node => hasStore(node)), relays) || !others.some(node => isFresh(node));
 }
