--- a/bench/node-cost/node-cost.ts
+++ b/bench/node-cost/node-cost.ts
@@ -161,7 +161,11 @@
 		const idle = await measurePhase(pid, seconds, async () => ({calls: 0, failed: 0}));
 		const sentPerSecond = (countHeard() - heardBefore) / seconds;
 		const callEntry = async (): Promise<boolean> => {
-			const {status} = await sendCall(callers, `/r${Math.floor(Math.random() * 3)}/x`, {agent, timeLeftMs: 5000});
+			const {status, body} = await sendCall(callers, `/r${Math.floor(Math.random() * 3)}/x`, {agent, timeLeftMs: 5000});
+			if (status !== 200) {
+				console.error(`a caller was answered ${status}: ${body}`);
+			}
+
 			return status === 200;
 		};
 
