--- a/src/lib/forwarding/server-connections.test.ts
+++ b/src/lib/forwarding/server-connections.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {createServer, type Server} from 'node:http';
-import {type AddressInfo, type Socket} from 'node:net';
+import {createServer as createRawServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type TestContext} from 'node:test';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {readSteadyMs} from '../common/clock.js';
@@ -17,6 +17,38 @@
 	readonly get: (target: string) => Promise<ExchangeResult>;
 };
 
+/** A server that says the same on each request, whatever it is. */
+async function startRawServer(context: TestContext, text: string): Promise<{readonly sockets: readonly Socket[]; readonly connections: ServerConnections}> {
+	const sockets: Socket[] = [];
+	const server = createRawServer(socket => {
+		sockets.push(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			socket.write(text);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const connections = createServerConnections({
+		address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), maxConnections: 8, idleMs: 4000, connectMs: 400,
+	});
+	context.after(() => {
+		connections.dispose();
+		server.close();
+	});
+	return {sockets, connections};
+}
+
+async function sendOver(connections: ServerConnections, target: string): Promise<ExchangeResult> {
+	const scope = createCallScope(readSteadyMs() + 2000);
+	const result = await runExchange({
+		connections, method: 'GET', target, headers: {host: 'h'}, body: undefined, scope, isOwnAnswer: () => true,
+	});
+	scope.dispose();
+	return result;
+}
+
 /** A server that answers with the path, and connections to it. */
 async function startFixture(context: TestContext, limits: {readonly maxConnections?: number; readonly idleMs?: number} = {}): Promise<Fixture> {
 	const sockets: Socket[] = [];
@@ -41,14 +73,7 @@
 	});
 	return {
 		server, sockets, connections,
-		async get(target) {
-			const scope = createCallScope(readSteadyMs() + 2000);
-			const result = await runExchange({
-				connections, method: 'GET', target, headers: {host: 'h'}, body: undefined, scope, isOwnAnswer: () => true,
-			});
-			scope.dispose();
-			return result;
-		},
+		get: async target => sendOver(connections, target),
 	};
 }
 
@@ -82,6 +107,13 @@
 	assert.equal(sockets.length, 2);
 });
 
+test('a connection on which more came than the answer is not used again', async context => {
+	const {sockets, connections} = await startRawServer(context, 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother');
+	assert.equal(readBody(await sendOver(connections, '/a')), 'ok');
+	assert.equal(readBody(await sendOver(connections, '/b')), 'ok');
+	assert.equal(sockets.length, 2);
+});
+
 test('a connection on which something arrives unasked is not used again', async context => {
 	const {sockets, get} = await startFixture(context);
 	await get('/a');
