--- a/bench/node-cost/node-cost.ts
+++ b/bench/node-cost/node-cost.ts
@@ -126,6 +126,10 @@
 };
 
 async function endProcess(child: ChildProcess): Promise<void> {
+	if (child.exitCode !== null) {
+		throw new Error(`the node ended by itself with code ${child.exitCode}: is another run under way at the same addresses?`);
+	}
+
 	const ended = new Promise(resolve => {
 		child.once('exit', resolve);
 	});
--- a/bench/node-cost/simulated-peer.ts
+++ b/bench/node-cost/simulated-peer.ts
@@ -112,10 +112,12 @@
 		async start(node, isNear) {
 			const gossip = parseAddress(options.gossip);
 			const gate = parseAddress(options.gate);
-			await new Promise<void>(resolve => {
+			await new Promise<void>((resolve, reject) => {
+				socket.once('error', reject);
 				socket.bind(gossip.port, gossip.host, resolve);
 			});
-			await new Promise<void>(resolve => {
+			await new Promise<void>((resolve, reject) => {
+				server.once('error', reject);
 				server.listen(gate.port, gate.host, resolve);
 			});
 			socket.on('message', bytes => {
