--- /dev/null
+++ b/src/lib/forwarding/answer-format-error.ts
@@ -0,0 +1,8 @@
+/**
+ * What is said of bytes that are no answer.
+ *
+ * @module
+ */
+
+/** Bytes that are no answer. @internal */
+export class AnswerFormatError extends Error {}
--- a/src/lib/forwarding/answer-reader.test.ts
+++ b/src/lib/forwarding/answer-reader.test.ts
@@ -2,7 +2,8 @@
 import {Buffer} from 'node:buffer';
 import test from 'node:test';
 import fc from 'fast-check';
-import {AnswerFormatError, createAnswerReader, type WholeAnswer} from './answer-reader.js';
+import {AnswerFormatError} from './answer-format-error.js';
+import {createAnswerReader, type WholeAnswer} from './answer-reader.js';
 
 /** Feeds an answer in pieces that end at some places. */
 function readInPieces(bytes: Uint8Array, cuts: readonly number[], method = 'GET'): {readonly answer: WholeAnswer | undefined; readonly reader: ReturnType<typeof createAnswerReader>} {
