Test: a call at work on a node that is taken for silent is given up with nowhere to go (fails)

Reproduces what was seen: the entry breaks the attempt off, finds the other gates full, and answers 502 while the server works and answers.

--- /dev/null
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -0,0 +1,183 @@
+/**
+ * Callers of nodes that were shutting down got 502 for requests at which backend servers were at work. The entry had broken the
+ * attempt off because it had not heard the server's node for a while, and only then looked for another server: all were
+ * busy. The node was at work with a link full of large answers, on which its heartbeats were lost. The order showed it (the caller was
+ * answered before the run was cut), and calls in the nodes' logs whose attempt was `superseded` and whose reason was `full`.
+ */
+import assert from 'node:assert/strict';
+import test, {type TestContext} from 'node:test';
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+} from '../common/ids.js';
+import {createLoadView} from '../decisions/load-view.js';
+import {type Candidate} from '../decisions/rank-servers.js';
+import {createRetryAllowance} from '../decisions/retry-allowance.js';
+import {createSampleRoute} from '../route-config/sample-config.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {createCallScope} from './call-scope.js';
+import {
+	createMayHaveRun, createNotRun, type ForwardResult, type GateResult,
+} from './forward-result.js';
+import {type GateClient, type RemoteCall} from './gate-client.js';
+import {type LocalGate} from './local-gate.js';
+import {sendCall, type CallOutcome, type OutgoingCall} from './send-call.js';
+
+const domain = toFailureDomain('a');
+
+type SilentMesh = {
+	readonly send: () => Promise<CallOutcome>;
+	/** Tells the calls that wait that the node of the first server is silent. */
+	readonly tellSilence: () => void;
+	/** Has the first server answer. */
+	readonly answer: (result?: ForwardResult) => void;
+	/** Requests that were sent, in order. */
+	readonly sent: readonly RemoteCall[];
+};
+
+/** A server that works until the attempt is broken off. */
+const workUntilEnd = async ({scope}: RemoteCall): Promise<ForwardResult> => new Promise(resolve => {
+	scope.subscribe(reason => {
+		resolve(createMayHaveRun(reason, 'broken off'));
+	});
+});
+
+const createAnswer = (status: number): ForwardResult => ({
+	type: 'answered', status, headers: {}, body: new Uint8Array(),
+});
+
+/** Four servers: the one that is asked first works until it is told to answer, the others do as given. */
+function createMesh(context: TestContext, answerOther: (call: RemoteCall) => Promise<ForwardResult>, slack = 100): SilentMesh {
+	const sent: RemoteCall[] = [];
+	const silenceHandlers = new Set<() => void>();
+	let settleFirst: (result: ForwardResult) => void = () => undefined;
+	const loads = createLoadView();
+	const scope = createCallScope(performance.now() + 1000);
+	context.after(scope.dispose);
+	const listCandidates = (): readonly Candidate[] => ['a', 'b', 'c', 'd'].map(id => ({
+		id: toBackendServerId(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toBackendServerId(id)),
+	}));
+	const gateClient = {
+		async send(call: RemoteCall): Promise<GateResult> {
+			sent.push(call);
+			if (sent.length > 1) {
+				return {result: await answerOther(call), load: undefined};
+			}
+
+			const isTold = new Promise<ForwardResult>(resolve => {
+				settleFirst = resolve;
+			});
+			return {result: await Promise.race([isTold, workUntilEnd(call)]), load: undefined};
+		},
+	} as unknown as GateClient;
+	const call: OutgoingCall = {
+		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined,
+		receivedAt: performance.now(), isAwaited: false, ageMs: 0, scope,
+	};
+	return {
+		sent,
+		send: async () => sendCall({
+			self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog,
+			localGate: {} as unknown as LocalGate,
+			allowance: createRetryAllowance(() => ({ratio: 0, slack, windowMs: 10_000}), () => 1),
+			random: () => 0,
+			noteUnreachable: () => undefined,
+			noteReached: () => undefined,
+			watchSilence(node, handleSilence) {
+				if (node === `n-${sent[0]?.server ?? ''}` || sent.length === 0) {
+					silenceHandlers.add(handleSilence);
+				}
+
+				return () => {
+					silenceHandlers.delete(handleSilence);
+				};
+			},
+		}, call),
+		tellSilence() {
+			for (const handleSilence of silenceHandlers) {
+				handleSilence();
+			}
+		},
+		answer(result = createAnswer(200)) {
+			settleFirst(result);
+		},
+	};
+}
+
+/** Lets everything that is ready go on. */
+const settle = async (): Promise<void> => new Promise(resolve => {
+	setImmediate(resolve);
+});
+
+const getStatus = ({result}: CallOutcome): number | string => result.type === 'answered' ? result.status : result.reason;
+
+test('a call at work on a silent node is still answered by it when no other server takes the call', async context => {
+	const mesh = createMesh(context, async () => createNotRun('full', 'all slots are taken', 50));
+	const outcome = mesh.send();
+	await settle();
+	mesh.tellSilence();
+	await settle();
+	mesh.answer();
+	assert.equal(getStatus(await outcome), 200);
+	assert.ok(mesh.sent.length > 1);
+});
+
+test('a call that has gone to another server is answered by whichever is first, and the other is broken off', async context => {
+	const first = createMesh(context, workUntilEnd);
+	const firstOutcome = first.send();
+	await settle();
+	first.tellSilence();
+	await settle();
+	first.answer();
+	assert.equal(getStatus(await firstOutcome), 200);
+	assert.equal(first.sent[1]?.scope.getEnd(), 'superseded');
+	let settleOther: (result: ForwardResult) => void = () => undefined;
+	const second = createMesh(context, async call => {
+		const isTold = new Promise<ForwardResult>(resolve => {
+			settleOther = resolve;
+		});
+		return Promise.race([isTold, workUntilEnd(call)]);
+	});
+	const secondOutcome = second.send();
+	await settle();
+	second.tellSilence();
+	await settle();
+	settleOther(createAnswer(200));
+	assert.equal(getStatus(await secondOutcome), 200);
+	assert.equal(second.sent[0]?.scope.getEnd(), 'superseded');
+});
+
+test('a server that fails the call does not end it while another is at work on it', async context => {
+	const mesh = createMesh(context, async () => createAnswer(500));
+	const outcome = mesh.send();
+	await settle();
+	mesh.tellSilence();
+	await settle();
+	mesh.answer();
+	assert.equal(getStatus(await outcome), 200);
+	assert.equal(mesh.sent.length, 2);
+});
+
+test('a call goes to one other server at the most, however often its node is said to be silent', async context => {
+	const mesh = createMesh(context, workUntilEnd);
+	const outcome = mesh.send();
+	await settle();
+	for (let told = 0; told < 5; told++) {
+		mesh.tellSilence();
+		await settle();
+	}
+
+	mesh.answer();
+	assert.equal(getStatus(await outcome), 200);
+	assert.equal(mesh.sent.length, 2);
+});
+
+test('a call for which no repeat is left waits on', async context => {
+	const mesh = createMesh(context, async () => createAnswer(200), 0);
+	const outcome = mesh.send();
+	await settle();
+	mesh.tellSilence();
+	await settle();
+	mesh.answer();
+	assert.equal(getStatus(await outcome), 200);
+	assert.equal(mesh.sent.length, 1);
+});
