Calls: an attempt at a silent node is broken off only once another one has been answered

Change: beside an attempt whose node is silent another one is begun if a server and a repeat are there; whichever answers first counts, and the other is broken off.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -142,10 +142,24 @@
 	{
 		promise: 'sidecar: what may have run and may not be repeated is not sent again',
 		file: `${library}/forwarding/send-call.js`,
-		from: 'mayRepeat || progress.verdict === \'not-run\'',
+		from: 'mayRepeat || progress.getVerdict() === \'not-run\'',
 		to: 'true',
 		tests: `${library}/forwarding`,
 	},
+	{
+		promise: 'sidecar: a call at work on a silent node is given up only once another has answered it',
+		file: `${library}/forwarding/send-call.js`,
+		from: 'if (running.count() > 0) {',
+		to: 'if (false) {',
+		tests: `${library}/forwarding`,
+	},
+	{
+		promise: 'sidecar: a call does not wait for a silent node alone',
+		file: `${library}/forwarding/send-call.js`,
+		from: 'handleDoubt();',
+		to: '',
+		tests: `${library}/forwarding`,
+	},
 	{
 		promise: 'sidecar: only what has not run is told so',
 		file: `${library}/forwarding/send-call.js`,
--- /dev/null
+++ b/src/lib/forwarding/call-progress.ts
@@ -0,0 +1,127 @@
+/**
+ * What a call has been through: its attempts, what holds for all of them together, and the best that its caller can be told.
+ *
+ * @module
+ */
+import {readSteadyMs} from '../common/clock.js';
+import {type BackendServerId} from '../common/ids.js';
+import {joinVerdicts, type Verdict} from '../common/verdict.js';
+import {type AttemptHistory} from '../decisions/plan-attempt.js';
+import {type AttemptNote} from '../timeline/mesh-log.js';
+import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
+import {type CallOutcome} from './outgoing-call.js';
+import {type Attempt} from './running-attempts.js';
+
+/** @internal */
+export type CallProgress = AttemptHistory & {
+	readonly getVerdict: () => Verdict;
+	/** Servers at which it arrived. */
+	readonly countArrivals: () => number;
+	readonly getFallback: () => ForwardResult;
+	readonly noteStart: (attempt: Attempt) => void;
+	/** Takes in how an attempt ended; yields what the log tells of it. */
+	readonly noteEnd: (attempt: Attempt, result: ForwardResult) => AttemptNote;
+	/** Takes in why no other attempt is begun. */
+	readonly noteRefusal: (failure: ForwardFailure) => void;
+	/** Ends it with the answer of one attempt, for which others were broken off. */
+	readonly finish: (result: ForwardResult, brokenOff: readonly Attempt[]) => CallOutcome;
+	/** Ends it with the best that can be told its caller. */
+	readonly giveUp: () => CallOutcome;
+};
+
+/**
+ * @param result - How an attempt ended.
+ * @returns Whether the call arrived at a backend server, which counts against the retry budget.
+ * @internal
+ */
+export const hasArrived = (result: ForwardResult): boolean => result.type === 'answered' || result.hasArrived;
+
+const getVerdict = (result: ForwardResult): Verdict => result.type === 'answered' ? 'ran' : result.verdict;
+
+const describeOutcome = (result: ForwardResult): string => result.type === 'answered' ? String(result.status) : result.reason;
+
+/** An answer with a failure of the server's own says more than that nobody else took the call. */
+const isWorseThan = (failure: ForwardResult, fallback: ForwardResult): boolean =>
+	failure.type === 'failed' && failure.verdict === 'not-run' && fallback.type === 'answered';
+
+function describeAttempt({target, startedAt}: Attempt, verdict: Verdict, outcome: string): AttemptNote {
+	return {
+		server: target.id, node: target.node, verdict, outcome, tookMs: Math.round(readSteadyMs() - startedAt), infoAgeMs: Math.round(startedAt - target.view.heardAt),
+	};
+}
+
+/**
+ * @param service - The service that is called.
+ * @returns The progress of a call that has not been sent yet.
+ * @internal
+ */
+export function createCallProgress(service: string): CallProgress {
+	const tried = new Set<BackendServerId>();
+	const full = new Set<BackendServerId>();
+	/** In the order in which the attempts began. */
+	const notes = new Map<Attempt, AttemptNote>();
+	let verdict: Verdict = 'not-run';
+	let arrivals = 0;
+	let refusals = 0;
+	/** The soonest that a gate said to come back, in milliseconds; 0 if none did. */
+	let retryAfterMs = 0;
+	let fallback: ForwardResult = createNotRun('no-server', `no backend server of ${service} is known that could take the request`);
+
+	const noteResult = (result: ForwardResult): void => {
+		verdict = joinVerdicts(verdict, getVerdict(result));
+		if (result.type === 'failed' && result.retryAfterMs > 0) {
+			retryAfterMs = retryAfterMs === 0 ? result.retryAfterMs : Math.min(retryAfterMs, result.retryAfterMs);
+		}
+
+		if (!isWorseThan(result, fallback)) {
+			fallback = result;
+		}
+	};
+
+	const describe = (result: ForwardResult): CallOutcome => ({result, verdict, attempts: [...notes.values()]});
+
+	return {
+		tried,
+		full,
+		get refusals() {
+			return refusals;
+		},
+		getVerdict: () => verdict,
+		countArrivals: () => arrivals,
+		getFallback: () => fallback,
+		noteStart(attempt) {
+			tried.add(attempt.target.id);
+			notes.set(attempt, describeAttempt(attempt, 'may-have-run', 'under way'));
+		},
+		noteEnd(attempt, result) {
+			const {target, mayWaitMs} = attempt;
+			if (result.type === 'failed' && result.reason === 'full' && mayWaitMs === 0) {
+				tried.delete(target.id);
+				full.add(target.id);
+			}
+
+			arrivals += hasArrived(result) ? 1 : 0;
+			refusals += hasArrived(result) ? 0 : 1;
+			noteResult(result);
+			const note = describeAttempt(attempt, getVerdict(result), describeOutcome(result));
+			notes.set(attempt, note);
+			return note;
+		},
+		noteRefusal(failure) {
+			refusals++;
+			noteResult(failure);
+		},
+		finish(result, brokenOff) {
+			for (const attempt of brokenOff) {
+				notes.set(attempt, describeAttempt(attempt, 'may-have-run', 'superseded'));
+			}
+
+			return describe(result);
+		},
+		giveUp() {
+			return fallback.type === 'failed' && fallback.verdict === 'not-run'
+				? describe({...fallback, retryAfterMs: Math.max(fallback.retryAfterMs, retryAfterMs)})
+				: describe(fallback);
+		},
+	};
+}
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -30,9 +30,8 @@
 import {
 	BodyTooLargeError, hasBody, NoRoomForBodyError, readBody,
 } from './read-body.js';
-import {
-	chooseFailureStatus, sendCall, type CallOutcome, type SendContext,
-} from './send-call.js';
+import {type CallOutcome, type SendContext} from './outgoing-call.js';
+import {chooseFailureStatus, sendCall} from './send-call.js';
 
 /** A call that has ended, for logs and metrics. @internal */
 export type FinishedCall = {
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -5,92 +5,22 @@
  * @module
  */
 import {readSteadyMs} from '../common/clock.js';
-import {type BackendServerId, type NodeId} from '../common/ids.js';
-import {joinVerdicts, type Verdict} from '../common/verdict.js';
-import {isBulk, isRepeatable, type RouteRule} from '../route-config/route-config.js';
-import {computeRank} from '../decisions/call-rank.js';
-import {rankServers, type Candidate} from '../decisions/rank-servers.js';
+import {assertNever} from '../common/assert-never.js';
+import {type Verdict} from '../common/verdict.js';
+import {isBulk, isRepeatable} from '../route-config/route-config.js';
+import {rankServers} from '../decisions/rank-servers.js';
 import {computeDistances} from '../decisions/distances.js';
-import {type LoadView} from '../decisions/load-view.js';
 import {
 	mayAskAnother, planAttempt, standardRules, type AttemptPlan, type CallFacts,
 } from '../decisions/plan-attempt.js';
-import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
-import {type RepeatReason, type RetryAllowance} from '../decisions/retry-allowance.js';
-import {createInnerScope, type CallScope} from './call-scope.js';
-import {
-	createNotRun, type ForwardFailure, type ForwardResult, type GateResult,
-} from './forward-result.js';
-import {type GateClient} from './gate-client.js';
-import {type LocalGate} from './local-gate.js';
-
-/** A call on its way. @internal */
-export type OutgoingCall = {
-	readonly id: string;
-	readonly route: RouteRule;
-	/** The part of the route that this call was dealt to. */
-	readonly service: string;
-	readonly method: string;
-	readonly target: string;
-	readonly headers: Readonly<Record<string, string | readonly string[]>>;
-	readonly body: Uint8Array | undefined;
-	/** Steady milliseconds. */
-	readonly receivedAt: number;
-	/** A backend server made it and holds a slot until it is answered. */
-	readonly isAwaited: boolean;
-	/** Milliseconds since its caller first asked, when it was received. */
-	readonly ageMs: number;
-	readonly scope: CallScope;
-};
-
-/** How a call ended. @internal */
-export type CallOutcome = {
-	readonly result: ForwardResult;
-	/** What holds for all attempts together. */
-	readonly verdict: Verdict;
-	readonly attempts: readonly AttemptNote[];
-};
-
-/** @internal */
-export type SendContext = {
-	readonly self: NodeId;
-	readonly callerService: string;
-	/** Servers of a service that are ready, with what is known of them for a request of a route; a few of them if there are many. */
-	readonly listCandidates: (needs: {readonly service: string; readonly route: string; readonly tried: ReadonlySet<BackendServerId>}) => readonly Candidate[];
-	readonly domain: Candidate['domain'];
-	readonly localGate: LocalGate;
-	readonly gateClient: GateClient;
-	readonly loads: LoadView;
-	readonly allowance: RetryAllowance;
-	readonly log: MeshLog;
-	readonly random: () => number;
-	readonly noteUnreachable: (node: NodeId, reason: string) => void;
-	readonly noteReached: (node: NodeId) => void;
-	/** Calls back once if a node falls silent; yields a function that takes that back. */
-	readonly watchSilence: (node: NodeId, handleSilence: () => void) => () => void;
-};
-
-/** What a call has been through so far. */
-type Progress = {
-	readonly notes: AttemptNote[];
-	/** Servers that are out of the question: they were tried, or cannot take it. */
-	readonly tried: Set<BackendServerId>;
-	/** Servers whose gate had no slot at once; they may be asked once more, to let it wait. */
-	readonly full: Set<BackendServerId>;
-	verdict: Verdict;
-	/** Servers at which it arrived. */
-	arrivals: number;
-	/** Refusals by gates, which no server saw. */
-	refusals: number;
-	/** The best that can be told the caller so far. */
-	fallback: ForwardResult;
-	/** The soonest that a gate said to come back, in milliseconds. */
-	retryAfterMs: number;
-};
-
-/** What can be told a call for which no server is left. */
-const giveUpFailure = ({fallback}: Progress): ForwardFailure =>
-	fallback.type === 'failed' ? fallback : createNotRun('no-server', 'no other backend server is left');
+import {type RepeatReason} from '../decisions/retry-allowance.js';
+import {createCallProgress, hasArrived} from './call-progress.js';
+import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
+import {type CallOutcome, type OutgoingCall, type SendContext} from './outgoing-call.js';
+import {createRunningAttempts, type Attempt, type AttemptEvent} from './running-attempts.js';
+
+/** An attempt that is to begin. */
+type PlannedAttempt = Extract<AttemptPlan, {readonly type: 'send'}>;
 
 function describeFacts(call: OutgoingCall, now: number): CallFacts {
 	const {route, ageMs, isAwaited} = call;
@@ -107,14 +37,6 @@
 	return call.isAwaited ? 'call-turned-away' : 'turned-away';
 }
 
-function describeOutcome(result: ForwardResult): string {
-	return result.type === 'answered' ? String(result.status) : result.reason;
-}
-
-function isWorseThan(failure: ForwardResult, fallback: ForwardResult): boolean {
-	return failure.type === 'failed' && failure.verdict === 'not-run' && fallback.type === 'answered';
-}
-
 /**
  * Sends a call.
  *
@@ -126,101 +48,25 @@
 export async function sendCall(context: SendContext, call: OutgoingCall): Promise<CallOutcome> {
 	const {route, service, scope} = call;
 	const mayRepeat = isRepeatable(route.type);
-	const progress: Progress = {
-		notes: [], tried: new Set(), full: new Set(), verdict: 'not-run', arrivals: 0, refusals: 0, retryAfterMs: 0,
-		fallback: createNotRun('no-server', `no backend server of ${service} is known that could take the request`),
-	};
+	const progress = createCallProgress(service);
+	const running = createRunningAttempts(context, call);
 	context.allowance.noteRequest(service, call.isAwaited, readSteadyMs());
 
-	/** A repeat was taken from the allowance before the attempt that it replaces ended. */
-	let hasReserved = false;
-
-	const finish = (result: ForwardResult): CallOutcome => ({result, verdict: progress.verdict, attempts: progress.notes});
-
-	const giveUp = (): CallOutcome => {
-		const {fallback, retryAfterMs} = progress;
-		return finish(fallback.type === 'failed' && fallback.verdict === 'not-run' ? {...fallback, retryAfterMs: Math.max(fallback.retryAfterMs, retryAfterMs)} : fallback);
-	};
-
-	/**
-	 * What may be repeated does not wait for a node that has fallen silent; what may not be has to. So has a call for which no repeat is
-	 * left: its answer may still come. On one day of 61 nodes 219 of some 950 calls that failed had been broken off like that with nowhere to go.
-	 */
-	const reserveRepeat = (): boolean => {
-		hasReserved ||= mayRepeat && progress.arrivals + 1 < route.maxAttempts && context.allowance.take(service, 'may-have-run', readSteadyMs());
-		return hasReserved;
-	};
-
-	const send = async (target: Candidate, mayWaitMs: number): Promise<ForwardResult> => {
-		const startedAt = readSteadyMs();
-		const inner = createInnerScope(scope);
-		const unwatch = target.isLocal
-			? (): void => undefined
-			: context.watchSilence(target.node, () => {
-				if (reserveRepeat()) {
-					inner.end('superseded');
-				}
-			});
-		context.loads.begin(target.id);
-		const sent = await sendOnce(context, call, target, {mayWaitMs, rank: computeRank(route), scope: inner});
-		context.loads.end(target.id);
-		unwatch();
-		inner.dispose();
-		const now = readSteadyMs();
-		if (sent.load !== undefined) {
-			const {tookMs, ...load} = sent.load;
-			context.loads.hear(target.id, load, now);
-			context.loads.noteWay(target.id, route.name, now - startedAt - tookMs);
-		}
-
-		const {result} = sent;
-		progress.notes.push({
-			server: target.id,
-			node: target.node,
-			verdict: result.type === 'answered' ? 'ran' : result.verdict,
-			outcome: describeOutcome(result),
-			tookMs: Math.round(now - startedAt),
-			infoAgeMs: Math.round(startedAt - target.view.heardAt),
-		});
-		noteNode(context, target, result);
-		return result;
-	};
-
-	const noteResult = (result: ForwardResult): void => {
-		const hasArrived = result.type === 'answered' || result.hasArrived;
-		progress.verdict = joinVerdicts(progress.verdict, result.type === 'answered' ? 'ran' : result.verdict);
-		progress.arrivals += hasArrived ? 1 : 0;
-		progress.refusals += hasArrived ? 0 : 1;
-		if (result.type === 'failed' && result.retryAfterMs > 0) {
-			progress.retryAfterMs = progress.retryAfterMs === 0 ? result.retryAfterMs : Math.min(progress.retryAfterMs, result.retryAfterMs);
-		}
+	/** Arrivals at servers that may be: the first one, and one for each repeat that was taken from the allowance. */
+	let paidArrivals = 1;
 
-		if (!isWorseThan(result, progress.fallback)) {
-			progress.fallback = result;
-		}
-	};
+	const hasPaid = (): boolean => progress.countArrivals() + running.count() < paidArrivals;
 
-	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. */
-	const mayGoOn = (result: ForwardResult, now: number): boolean => {
-		const isHarmless = mayRepeat || progress.verdict === 'not-run';
-		if (!isHarmless || scope.getEnd() !== undefined) {
+	const payRepeat = (reason: RepeatReason): boolean => {
+		if (progress.countArrivals() + running.count() >= route.maxAttempts || !context.allowance.take(service, reason, readSteadyMs())) {
 			return false;
 		}
 
-		const hasArrived = result.type === 'answered' || result.hasArrived;
-		if (!hasArrived) {
-			return mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals);
-		}
-
-		if (hasReserved) {
-			hasReserved = false;
-			return true;
-		}
-
-		return progress.arrivals < route.maxAttempts && context.allowance.take(service, chooseRepeatReason(call, result), now);
+		paidArrivals++;
+		return true;
 	};
 
-	const chooseNext = (): AttemptPlan => {
+	const planNext = (): AttemptPlan => {
 		const now = readSteadyMs();
 		const facts = describeFacts(call, now);
 		const ranked = rankServers(context.listCandidates({service, route: route.name, tried: progress.tried}), {
@@ -229,10 +75,11 @@
 		return planAttempt(facts, progress, ranked, standardRules, now);
 	};
 
-	const describeRefusal = (plan: Exclude<AttemptPlan, {readonly type: 'send'}>): ForwardFailure => {
+	const describeRefusal = (plan: Exclude<AttemptPlan, PlannedAttempt>): ForwardFailure => {
 		switch (plan.type) {
 			case 'no-server': {
-				return giveUpFailure(progress);
+				const fallback = progress.getFallback();
+				return fallback.type === 'failed' ? fallback : createNotRun('no-server', 'no other backend server is left');
 			}
 
 			case 'too-late': {
@@ -245,65 +92,96 @@
 		}
 	};
 
-	const noteTried = (target: Candidate, mayWaitMs: number, result: ForwardResult): void => {
-		const isFull = result.type === 'failed' && result.reason === 'full';
-		(isFull && mayWaitMs === 0 ? progress.full : progress.tried).add(target.id);
+	const start = ({target, mayWaitMs}: PlannedAttempt): void => {
+		progress.noteStart(running.start(target, mayWaitMs));
 	};
 
-	for (;;) {
-		const next = chooseNext();
-		if (next.type !== 'send') {
-			noteResult(describeRefusal(next));
-			return giveUp();
+	/** Starts the next attempt; without one, what is under way may still be answered. Yields how the call ended if nothing is. */
+	const startNext = (): CallOutcome | undefined => {
+		const plan = planNext();
+		if (plan.type === 'send') {
+			start(plan);
+			return undefined;
+		}
+
+		if (running.count() > 0) {
+			return undefined;
 		}
 
-		const result = await send(next.target, next.mayWaitMs);
-		noteTried(next.target, next.mayWaitMs, result);
-		noteResult(result);
+		progress.noteRefusal(describeRefusal(plan));
+		return progress.giveUp();
+	};
+
+	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. */
+	const mayGoOn = (result: ForwardResult): boolean => {
+		const isHarmless = mayRepeat || progress.getVerdict() === 'not-run';
+		if (!isHarmless || scope.getEnd() !== undefined) {
+			return false;
+		}
+
+		if (!hasArrived(result)) {
+			return hasPaid() && mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals);
+		}
+
+		return hasPaid() || (running.count() === 0 && payRepeat(chooseRepeatReason(call, result)));
+	};
+
+	const handleEnd = (attempt: Attempt, result: ForwardResult): CallOutcome | undefined => {
+		const note = progress.noteEnd(attempt, result);
 		if (result.type === 'answered' && (result.status < 500 || !mayRepeat)) {
-			return finish(result);
+			return progress.finish(result, running.breakOff());
 		}
 
-		if (!mayGoOn(result, readSteadyMs())) {
-			return giveUp();
+		if (!mayGoOn(result)) {
+			return running.count() > 0 ? undefined : progress.giveUp();
 		}
 
 		// A refusal by a gate is the ordinary way to another; it stands in the call's last line.
-		context.log.record(result.type === 'answered' || result.hasArrived ? 'info' : 'debug', {
-			kind: 'attempt-failed', call: call.id, route: route.name, attempt: progress.notes.at(-1)!, next: 'another server is tried',
+		context.log.record(hasArrived(result) ? 'info' : 'debug', {
+			kind: 'attempt-failed', call: call.id, route: route.name, attempt: note, next: 'another server is tried',
 		});
-	}
-}
+		return startNext();
+	};
 
-/** What a call saw of a node goes before what the node says of itself. */
-function noteNode(context: SendContext, target: Candidate, result: ForwardResult): void {
-	if (target.isLocal) {
-		return;
-	}
+	/**
+	 * What may be repeated goes to another server as well when its node has fallen silent. The first attempt goes on: nodes whose links are full of large answers
+	 * are heard seldom and work all the same. To break it off first left calls with nowhere to go: 14 of 142 that ended with 502 or 504 in 34 seconds
+	 * of a mesh of 61 nodes, counted in the nodes' logs.
+	 */
+	const handleDoubt = (): void => {
+		if (!mayRepeat || running.count() !== 1 || !mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals)) {
+			return;
+		}
 
-	const isLost = result.type === 'failed' && (result.reason === 'node-unreachable' || result.reason === 'connection-lost') && result.detail !== '';
-	if (isLost && result.reason === 'node-unreachable') {
-		context.noteUnreachable(target.node, result.detail);
-	} else if (result.type === 'answered') {
-		context.noteReached(target.node);
-	}
-}
+		const plan = planNext();
+		if (plan.type === 'send' && (hasPaid() || payRepeat('may-have-run'))) {
+			start(plan);
+		}
+	};
 
-type SendOptions = {
-	readonly mayWaitMs: number;
-	readonly rank: number;
-	readonly scope: CallScope;
-};
+	const handleEvent = (event: AttemptEvent): CallOutcome | undefined => {
+		switch (event.type) {
+			case 'ended': {
+				return handleEnd(event.attempt, event.result);
+			}
 
-async function sendOnce(context: SendContext, call: OutgoingCall, target: Candidate, options: SendOptions): Promise<GateResult> {
-	const common = {
-		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService, ...options,
+			case 'doubted': {
+				handleDoubt();
+				return undefined;
+			}
+
+			default: {
+				return assertNever(event);
+			}
+		}
 	};
-	return target.isLocal
-		? context.localGate.run({...common, isTransfer: false, readBody: async () => call.body})
-		: context.gateClient.send({
-			...common, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type),
-		});
+
+	let outcome = startNext();
+	while (outcome === undefined) {
+		outcome = handleEvent(await running.waitForEvent());
+	}
+
+	return outcome;
 }
 
 /**
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -20,7 +20,8 @@
 } from './forward-result.js';
 import {type GateClient, type RemoteCall} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
-import {sendCall, type CallOutcome, type OutgoingCall} from './send-call.js';
+import {type CallOutcome, type OutgoingCall} from './outgoing-call.js';
+import {sendCall} from './send-call.js';
 
 const domain = toFailureDomain('a');
 
