--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -153,6 +153,13 @@
 		to: 'if (false) {',
 		tests: `${library}/forwarding`,
 	},
+	{
+		promise: 'sidecar: refusals elsewhere do not end a call at work on a silent node',
+		file: `${library}/forwarding/send-call.js`,
+		from: 'return running.count() > 0 ? undefined : progress.giveUp();',
+		to: 'return progress.giveUp();',
+		tests: `${library}/forwarding`,
+	},
 	{
 		promise: 'sidecar: a call does not wait for a silent node alone',
 		file: `${library}/forwarding/send-call.js`,
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -33,6 +33,8 @@
 	readonly answer: (result?: ForwardResult) => void;
 	/** Requests that were sent, in order. */
 	readonly sent: readonly RemoteCall[];
+	/** Has every server but the first be known for a long queue. */
+	readonly fillOthers: () => void;
 };
 
 /** A server that works until the attempt is broken off. */
@@ -101,6 +103,11 @@
 		answer(result = createAnswer(200)) {
 			settleFirst(result);
 		},
+		fillOthers() {
+			for (const {id} of listCandidates().filter(candidate => candidate.id !== sent[0]?.server)) {
+				loads.hear(id, {running: 4, waiting: 40, serviceMs: 200}, performance.now());
+			}
+		},
 	};
 }
 
@@ -122,6 +129,20 @@
 	assert.ok(mesh.sent.length > 1);
 });
 
+test('it waits on, too, once the others are known to be busy for long', async context => {
+	const mesh = createMesh(context, async () => {
+		mesh.fillOthers();
+		return createNotRun('full', 'all slots are taken', 50);
+	});
+	const outcome = mesh.send();
+	await settle();
+	mesh.tellSilence();
+	await settle();
+	mesh.answer();
+	assert.equal(getStatus(await outcome), 200);
+	assert.equal(mesh.sent.length, 2);
+});
+
 test('a call that has gone to another server is answered by whichever is first, and the other is broken off', async context => {
 	const first = createMesh(context, workUntilEnd);
 	const firstOutcome = first.send();
