Shutdown: a node stays until answers have left, and does not cut their connections

Cause, found by looking for the incident's class elsewhere (something is ended before it is secured): a call counted as ended once its answer was handed to the connection. 2.7 s after SIGTERM a node with no call in work went, and before that the HTTP server's close() destroyed connections whose answers were handed over but not sent: node:http takes these for idle. Seen: 6.8 of 24 MB arrived at a caller that reads slowly; with the count alone still 3.9 MB, which showed the second cause. The same for answers to other nodes that wait for room on a slow link. Ruled out: the end of the shutdown time (5.1 s; the caller reads on at 4.2 s). Change: bytes that have not left count as work while shutting down (a look at each connection, only then); idle connections are closed by our own list.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -167,6 +167,20 @@
 		to: '',
 		tests: `${library}/forwarding`,
 	},
+	{
+		promise: 'sidecar: a node that shuts down stays until answers have left',
+		file: `${library}/sidecar/sidecar.js`,
+		from: ' + entry.countUnsent() + gateServer.countUnsent()',
+		to: '',
+		tests: 'platform',
+	},
+	{
+		promise: 'sidecar: a node that shuts down does not close connections whose answers have not left',
+		file: `${library}/forwarding/connection-scopes.js`,
+		from: 'calls.size === 0 && socket.writableLength === 0',
+		to: 'calls.size === 0',
+		tests: 'platform',
+	},
 	{
 		promise: 'sidecar: only what has not run is told so',
 		file: `${library}/forwarding/send-call.js`,
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -9,6 +9,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {readSteadyMs} from '../common/clock.js';
 import {type LoopLag} from '../common/loop-lag.js';
 import {type Verdict} from '../common/verdict.js';
@@ -67,8 +68,12 @@
 	readonly server: Server;
 	readonly applyLimits: (limits: CallerLimits) => void;
 	readonly countCalls: () => number;
+	/** Connections of callers who have not read their answers yet. */
+	readonly countUnsent: () => number;
 	/** From here on each answer closes its connection. */
 	readonly startClosing: () => void;
+	/** Takes no more connections, and closes those that carry nothing. */
+	readonly stopListening: () => void;
 };
 
 /** One request of a caller on its way. */
@@ -308,8 +313,14 @@
 			server.headersTimeout = limits.headerTimeoutMs;
 		},
 		countCalls: () => calls,
+		countUnsent: connections.countUnsent,
 		startClosing() {
 			isClosing = true;
 		},
+		stopListening() {
+			// The HTTP server's own `close` takes a connection for idle once its answer is handed over, and cuts what has not left yet.
+			NetServer.prototype.close.call(server);
+			connections.closeIdle();
+		},
 	};
 }
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -9,6 +9,7 @@
 import {type LoopLag} from '../common/loop-lag.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createCallScope, type CallScope} from './call-scope.js';
+import {countUnsent} from './connection-scopes.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
 import {decodeConfigRequest, type EncodedConfigAnswer} from './config-messages.js';
 import {createMayHaveRun, type GateResult} from './forward-result.js';
@@ -31,6 +32,8 @@
 /** @internal */
 export type GateServer = {
 	readonly server: Server;
+	/** Answers, or connections with answers, that have not left yet. */
+	readonly countUnsent: () => number;
 	/** Closes every connection. */
 	readonly dispose: () => void;
 };
@@ -159,6 +162,7 @@
 
 	return {
 		server,
+		countUnsent: () => answers.countWaiting() + countUnsent(Array.from(connections, ({socket}) => socket)),
 		dispose() {
 			for (const {socket} of connections) {
 				socket.destroy();
--- a/src/lib/forwarding/large-answers.test.ts
+++ b/src/lib/forwarding/large-answers.test.ts
@@ -92,3 +92,18 @@
 	context.mock.timers.tick(4 * film.length * 8 / 1000 / slowMbps);
 	assert.ok(pairs[2]!.near.writableLength > 0);
 });
+
+test('answers that wait for room on the link are counted until they leave', async context => {
+	const pairs = await openPairs(context, 4);
+	const answers = createLargeAnswers(slowMbps);
+	for (const [id, {near}] of pairs.entries()) {
+		answers.write(near, {type: 'answer', id, body: film});
+	}
+
+	assert.equal(answers.countWaiting(), 2);
+	for (const {far} of pairs) {
+		far.resume();
+	}
+
+	await expectSoon('all have left', () => answers.countWaiting() === 0 && pairs.every(({near}) => near.writableLength === 0));
+});
--- a/src/lib/forwarding/large-answers.ts
+++ b/src/lib/forwarding/large-answers.ts
@@ -13,6 +13,8 @@
 export type LargeAnswers = {
 	/** Writes a frame; one with a large body once there is room on the link. Each is written, in the order in which they came. */
 	readonly write: (socket: Socket, frame: Parameters<typeof writeFrame>[1]) => void;
+	/** Answers that wait for room on the link. */
+	readonly countWaiting: () => number;
 };
 
 /** Bodies above this size take part. Bytes: on the slowest links of the users it takes nine milliseconds, as long as a few small answers. */
@@ -75,5 +77,6 @@
 			});
 			startNext();
 		},
+		countWaiting: () => waiting.length,
 	};
 }
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -303,7 +303,8 @@
 		}
 	};
 
-	const countWork = (): number => entry.countCalls() + gate.countRequests();
+	/** A call whose answer has not left yet is in work: to go then would cut it. */
+	const countWork = (): number => entry.countCalls() + gate.countRequests() + entry.countUnsent() + gateServer.countUnsent();
 
 	return {
 		async start() {
@@ -341,10 +342,7 @@
 					link.announce();
 				},
 				closeAfterAnswers: entry.startClosing,
-				stopListening() {
-					entry.server.close();
-					entry.server.closeIdleConnections();
-				},
+				stopListening: entry.stopListening,
 				countWork,
 			}, settings.shutdownMs);
 			log.record('info', {kind: 'node-stopped', requests: countWork(), afterMs: Math.round(afterMs)});
