Nodes: what waits on a connection in doubt goes elsewhere as well, and is given up only later

A connection on which nothing arrives was destroyed with all that waited on it; the node on the other side then cut the runs. Packets that are lost twice or more look the same. Change: it takes no new requests when it was closed before, and tells what waits; it is closed 3 s after the sign of life (TCP has sent four times again). Connections that are out of use are looked at too: before, what waited on them hung until its time was over; they ask once whether they work, so that a restarted process resets them. Ruled out: waiting until the caller's time is over, which is 12 s for some routes.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -181,6 +181,20 @@
 		to: 'calls.size === 0',
 		tests: 'platform',
 	},
+	{
+		promise: 'sidecar: what waits on a connection in doubt may still be answered on it',
+		file: `${library}/forwarding/peer-channel.js`,
+		from: 'now - livedAt > lostMs',
+		to: 'true',
+		tests: `${library}/forwarding`,
+	},
+	{
+		promise: 'sidecar: what may go elsewhere is told that its connection is in doubt',
+		file: `${library}/forwarding/peer-channel.js`,
+		from: 'request.handleDoubt?.();',
+		to: '',
+		tests: `${library}/forwarding`,
+	},
 	{
 		promise: 'sidecar: only what has not run is told so',
 		file: `${library}/forwarding/send-call.js`,
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -21,6 +21,8 @@
 	/** Its body or its answer is large. */
 	readonly isBulk: boolean;
 	readonly scope: CallScope;
+	/** Told, now and then, while its connection is in doubt. */
+	readonly handleDoubt?: () => void;
 };
 
 /** @internal */
@@ -30,7 +32,7 @@
 	readonly fetchConfig: (gate: Address, version: number, scope: CallScope) => Promise<ConfigAnswer | undefined>;
 	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. */
 	readonly renew: (gate: Address) => void;
-	/** Closes connections that have gone silent although their nodes are heard, so that new ones are made. Called every now and then. */
+	/** Takes connections that have gone silent although their nodes are heard out of use, so that new ones are made, and closes them later. Called every now and then. */
 	readonly checkSilence: (now: number, getHeardAt: (gate: Address) => number | undefined) => void;
 	readonly dispose: () => void;
 };
@@ -57,7 +59,10 @@
  * @internal
  */
 export function createGateClient(): GateClient {
+	/** The one that takes new requests, by gate and kind. */
 	const channels = new Map<string, PeerChannel>();
+	/** These, and others whose last requests are under way. */
+	const open = new Set<PeerChannel>();
 
 	const getChannel = (gate: Address, kind: ChannelKind): PeerChannel => {
 		const key = `${kind} ${gate}`;
@@ -67,10 +72,12 @@
 		}
 
 		const channel = openPeerChannel(gate, connectMs, () => {
+			open.delete(channel);
 			if (channels.get(key) === channel) {
 				channels.delete(key);
 			}
 		});
+		open.add(channel);
 		channels.set(key, channel);
 		return channel;
 	};
@@ -81,7 +88,7 @@
 			const isLarge = body !== undefined && body.length > askFirstBytes;
 			const head = encodePeerRequest({...call, hasBody: body !== undefined, leftMs: scope.endsAt - readSteadyMs()});
 			const result = await getChannel(gate, isLarge || call.isBulk ? 'bulk' : 'small').send({
-				type: isLarge ? 'offer' : 'request', head, body, scope,
+				type: isLarge ? 'offer' : 'request', head, body, scope, handleDoubt: call.handleDoubt,
 			});
 			return result.type === 'failed' ? {result: judgeFailure(result), load: undefined} : decodePeerAnswer(result.head, result.body);
 		},
@@ -99,12 +106,12 @@
 			}
 		},
 		checkSilence(now, getHeardAt) {
-			for (const channel of channels.values()) {
+			for (const channel of open) {
 				channel.checkSilence(now, () => getHeardAt(channel.gate));
 			}
 		},
 		dispose() {
-			for (const channel of channels.values()) {
+			for (const channel of open) {
 				channel.dispose();
 			}
 
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -17,6 +17,8 @@
 	readonly head: unknown;
 	readonly body: Uint8Array | undefined;
 	readonly scope: CallScope;
+	/** Told, now and then, while the connection is in doubt: an answer may still come on it, or never. */
+	readonly handleDoubt?: () => void;
 };
 
 /** How it ended. @internal */
@@ -36,8 +38,8 @@
 	readonly send: (request: ChannelRequest) => Promise<ChannelResult>;
 	readonly isUsable: () => boolean;
 	/**
-	 * Closes the connection if nothing arrives on it any more although the other node has given a sign of life since. Called every now and then,
-	 * with when that node was last heard, in steady milliseconds.
+	 * Doubts the connection if nothing arrives on it any more although the other node has given a sign of life since, and closes it later. Called every now
+	 * and then, with when that node was last heard, in steady milliseconds.
 	 */
 	readonly checkSilence: (now: number, getHeardAt: () => number | undefined) => void;
 	/** Takes no more requests, and closes when those under way have ended. */
@@ -55,6 +57,13 @@
  */
 const pongMs = 800;
 
+/**
+ * How much later than its node's sign of life a connection on which nothing arrives is given up with all that waits on it. Milliseconds: TCP, which starts
+ * at 200 ms and doubles, has sent four times again by then. Until then its requests go elsewhere if they may, and what is answered all the same is delivered:
+ * lost packets look like a connection that is gone, and breaking off costs the work.
+ */
+const lostMs = 3000;
+
 type Pending = {
 	readonly request: ChannelRequest;
 	readonly settle: (result: ChannelResult) => void;
@@ -227,13 +236,25 @@
 			}
 
 			livedAt ??= (getHeardAt() ?? 0) > pingedAt ? now : undefined;
-			if (livedAt !== undefined && now - livedAt > pongMs) {
+			if (livedAt === undefined || now - livedAt <= pongMs) {
+				return;
+			}
+
+			if (now - livedAt > lostMs) {
 				socket.destroy(new Error('nothing arrives on the connection although the node is heard'));
+				return;
+			}
+
+			isRetired = true;
+			for (const {request} of pending.values()) {
+				request.handleDoubt?.();
 			}
 		},
 		retire() {
 			isRetired = true;
 			closeIfIdle();
+			// A process that has restarted resets the connection when it gets this, and what waits for its earlier run ends at once.
+			writeFrame(socket, {type: 'ping', id: 0});
 		},
 		dispose() {
 			isRetired = true;
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -25,7 +25,7 @@
 /** What happens to an attempt. @internal */
 export type AttemptEvent =
 	| {readonly type: 'ended'; readonly attempt: Attempt; readonly result: ForwardResult}
-	/** Nothing is heard of the server's node. The server may be at work all the same. */
+	/** Nothing is heard of the server's node, or nothing arrives on the connection to it. The server may be at work all the same. */
 	| {readonly type: 'doubted'; readonly attempt: Attempt};
 
 /** @internal */
@@ -38,7 +38,7 @@
 	readonly breakOff: () => readonly Attempt[];
 };
 
-async function sendOnce(context: SendContext, call: OutgoingCall, {target, mayWaitMs, scope}: Attempt): Promise<GateResult> {
+async function sendOnce(context: SendContext, call: OutgoingCall, {target, mayWaitMs, scope}: Attempt, handleDoubt: () => void): Promise<GateResult> {
 	const common = {
 		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService,
 		mayWaitMs, rank: computeRank(call.route), scope,
@@ -46,7 +46,7 @@
 	return target.isLocal
 		? context.localGate.run({...common, isTransfer: false, readBody: async () => call.body})
 		: context.gateClient.send({
-			...common, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type),
+			...common, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type), handleDoubt,
 		});
 }
 
@@ -95,9 +95,9 @@
 		context.loads.noteWay(target.id, call.route.name, now - startedAt - tookMs);
 	};
 
-	const sendSafely = async (attempt: Attempt): Promise<GateResult> => {
+	const sendSafely = async (attempt: Attempt, handleDoubt: () => void): Promise<GateResult> => {
 		try {
-			return await sendOnce(context, call, attempt);
+			return await sendOnce(context, call, attempt, handleDoubt);
 		} catch (error) {
 			// A fault of this program, which promises nothing.
 			context.log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
@@ -107,13 +107,13 @@
 
 	const run = async (attempt: Attempt): Promise<void> => {
 		const {target, scope} = attempt;
-		const unwatch = target.isLocal
-			? (): void => undefined
-			: context.watchSilence(target.node, () => {
-				tell({type: 'doubted', attempt});
-			});
+		const handleDoubt = (): void => {
+			tell({type: 'doubted', attempt});
+		};
+
+		const unwatch = target.isLocal ? (): void => undefined : context.watchSilence(target.node, handleDoubt);
 		context.loads.begin(target.id);
-		const {result, load} = await sendSafely(attempt);
+		const {result, load} = await sendSafely(attempt, handleDoubt);
 		context.loads.end(target.id);
 		unwatch();
 		scope.dispose();
