Nodes: bytes on a connection are a sign of life

Cause: heartbeats, questions and reports are datagrams, and are lost where a link is full; 12 of the 14 calls that were broken off for a silent node were at three nodes that sent 0.6 to 1.7 MB a second over slow links. An answer was a sign of life already, but under such load one comes each few seconds. Change: bytes that arrive on a connection in use count, the answers to its own questions (pings) too. Ruled out: longer limits of silence, which would find nodes that are gone later.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -195,6 +195,13 @@
 		to: '',
 		tests: `${library}/forwarding`,
 	},
+	{
+		promise: 'sidecar: bytes on a connection are a sign of life',
+		file: `${library}/sidecar/peer-watch.js`,
+		from: 'gateClient.getReceivedAt(peer.report.gate) > peer.heardAt',
+		to: 'false',
+		tests: `${library}/sidecar`,
+	},
 	{
 		promise: 'sidecar: only what has not run is told so',
 		file: `${library}/forwarding/send-call.js`,
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -30,6 +30,8 @@
 	readonly send: (call: RemoteCall) => Promise<GateResult>;
 	/** Asks another node for the configuration in force, telling which version is there; `undefined` if it has none or does not answer. */
 	readonly fetchConfig: (gate: Address, version: number, scope: CallScope) => Promise<ConfigAnswer | undefined>;
+	/** When bytes last arrived from a gate, in steady milliseconds; 0 if none have on the connections that are in use. */
+	readonly getReceivedAt: (gate: Address) => number;
 	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. */
 	readonly renew: (gate: Address) => void;
 	/** Takes connections that have gone silent although their nodes are heard out of use, so that new ones are made, and closes them later. Called every now and then. */
@@ -43,7 +45,9 @@
 /** Bodies above this size, in bytes, are sent once the gate has a slot for them: a refusal then costs no bytes between failure domains. */
 const askFirstBytes = 4096;
 
-type ChannelKind = 'small' | 'bulk';
+const channelKinds = ['small', 'bulk'] as const;
+
+type ChannelKind = (typeof channelKinds)[number];
 
 function judgeFailure(failure: Extract<ChannelResult, {readonly type: 'failed'}>): ForwardFailure {
 	const {reason, detail, isSent} = failure;
@@ -98,8 +102,9 @@
 			});
 			return result.type === 'answered' ? decodeConfigAnswer(result.head, result.body) : undefined;
 		},
+		getReceivedAt: gate => Math.max(...channelKinds.map(kind => channels.get(`${kind} ${gate}`)?.getReceivedAt() ?? 0)),
 		renew(gate) {
-			for (const kind of ['small', 'bulk'] as const) {
+			for (const kind of channelKinds) {
 				const key = `${kind} ${gate}`;
 				channels.get(key)?.retire();
 				channels.delete(key);
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -37,6 +37,8 @@
 	readonly gate: Address;
 	readonly send: (request: ChannelRequest) => Promise<ChannelResult>;
 	readonly isUsable: () => boolean;
+	/** When bytes last arrived, in steady milliseconds; 0 if none have. */
+	readonly getReceivedAt: () => number;
 	/**
 	 * Doubts the connection if nothing arrives on it any more although the other node has given a sign of life since, and closes it later. Called every now
 	 * and then, with when that node was last heard, in steady milliseconds.
@@ -90,6 +92,7 @@
 	let failure = '';
 	/** When something last arrived, or when the first of the requests that wait was sent. Steady milliseconds. */
 	let quietSince = 0;
+	let receivedAt = 0;
 	let pingedAt: number | undefined;
 	/** When a sign of life was first seen after that. */
 	let livedAt: number | undefined;
@@ -165,7 +168,8 @@
 		isConnected = true;
 	});
 	socket.on('data', (bytes: Uint8Array) => {
-		quietSince = readSteadyMs();
+		receivedAt = readSteadyMs();
+		quietSince = receivedAt;
 		pingedAt = undefined;
 		try {
 			for (const frame of reader.read(bytes)) {
@@ -223,6 +227,7 @@
 			});
 		},
 		isUsable: () => !isRetired && !socket.destroyed,
+		getReceivedAt: () => receivedAt,
 		checkSilence(now, getHeardAt) {
 			if (!isConnected || pending.size === 0 || now - quietSince < quietMs) {
 				return;
--- a/src/lib/sidecar/peer-watch.test.ts
+++ b/src/lib/sidecar/peer-watch.test.ts
@@ -23,6 +23,8 @@
 	readonly advance: (milliseconds: number) => void;
 	/** Lets a report of the node arrive. */
 	readonly hear: () => void;
+	/** Lets bytes arrive on a connection to its gate. */
+	readonly receive: () => void;
 };
 
 /** A watch over one node whose heartbeats are seldom, under a clock that the test advances. */
@@ -31,6 +33,7 @@
 	let now = 0;
 	context.mock.method(performance, 'now', () => now);
 	let sequence = 0;
+	let receivedAt = 0;
 	const table = createPeerTable(toFailureDomain('a'), limits);
 	const fixture: Fixture = {
 		asked: [],
@@ -45,18 +48,25 @@
 			sequence++;
 			table.acceptReport(createSampleReport({sequence}), now);
 		},
+		receive() {
+			receivedAt = now;
+		},
 	};
 	fixture.hear();
-	const link: Pick<PeerLink, 'table' | 'probe' | 'forgiveSilence'> = {
+	const link: Pick<PeerLink, 'table' | 'probe' | 'forgiveSilence' | 'noteReached'> = {
 		table,
 		probe(asked: NodeId) {
 			fixture.asked.push(now);
 			table.noteProbed(asked, now);
 		},
 		forgiveSilence: table.forgiveSilence,
+		noteReached(reached) {
+			table.noteReached(reached, now);
+		},
 	};
+	const gateClient = {checkSilence: () => undefined, getReceivedAt: () => receivedAt} satisfies Pick<GateClient, 'checkSilence' | 'getReceivedAt'>;
 	const watch = createPeerWatch({
-		link, limits, silence: fixture.silence, gateClient: {checkSilence: () => undefined} satisfies Pick<GateClient, 'checkSilence'>, log: silentLog, handleDelay: () => undefined,
+		link, limits, silence: fixture.silence, gateClient, log: silentLog, handleDelay: () => undefined,
 	});
 	watch.start();
 	context.after(watch.dispose);
@@ -119,3 +129,19 @@
 	advance(200);
 	assert.equal(asked.length, 1);
 });
+
+test('a node whose datagrams are lost and on whose connection bytes arrive is not silent', context => {
+	const {silence, advance, receive} = createFixture(context);
+	let isTold = false;
+	silence.watch(node, () => {
+		isTold = true;
+	});
+	for (let passed = 0; passed < 5000; passed += 500) {
+		advance(500);
+		receive();
+	}
+
+	assert.equal(isTold, false);
+	advance(3000);
+	assert.equal(isTold, true);
+});
--- a/src/lib/sidecar/peer-watch.ts
+++ b/src/lib/sidecar/peer-watch.ts
@@ -15,10 +15,10 @@
 
 /** @internal */
 export type PeerWatchContext = {
-	readonly link: Pick<PeerLink, 'probe' | 'forgiveSilence'> & {readonly table: Pick<PeerTableView, 'get' | 'findGate'>};
+	readonly link: Pick<PeerLink, 'probe' | 'forgiveSilence' | 'noteReached'> & {readonly table: Pick<PeerTableView, 'get' | 'findGate'>};
 	readonly limits: PeerLimits;
 	readonly silence: SilenceWatchers;
-	readonly gateClient: Pick<GateClient, 'checkSilence'>;
+	readonly gateClient: Pick<GateClient, 'checkSilence' | 'getReceivedAt'>;
 	readonly log: MeshLog;
 	/** Told how late this process is, in milliseconds. */
 	readonly handleDelay: (delayMs: number) => void;
@@ -74,6 +74,19 @@
 		}
 	};
 
+	/**
+	 * Takes bytes on a connection for a sign of life. On a link that is full of large answers datagrams are lost, question and report alike, and what goes over a
+	 * connection gets through: of the 14 calls of one day that were broken off for a silent node, 12 were at three such nodes.
+	 */
+	const noteReceived = (): void => {
+		for (const [node] of silence.listAwaited()) {
+			const peer = link.table.get(node);
+			if (peer !== undefined && gateClient.getReceivedAt(peer.report.gate) > peer.heardAt) {
+				link.noteReached(node);
+			}
+		}
+	};
+
 	/** Asks the nodes that requests wait for, and those that have not answered yet: a question or its answer may be lost. */
 	const askSilent = (now: number): void => {
 		for (const [node, waitsSince] of silence.listAwaited()) {
@@ -105,6 +118,7 @@
 			gateClient.checkSilence(now, getHeardAt);
 		}
 
+		noteReceived();
 		askSilent(now);
 		silence.tell(node => {
 			const peer = link.table.get(node);
