A timer that is longer than timers can be ends at the longest, not at once

Cause: a timer over 2^31 ms fires after 1 ms. A request from another node with 4,000,000,000 ms left, or of a route whose operators wrote such a timeout, was over as it arrived; Node.js warns of it on standard error each time.

Change: `trimTimerMs` in `common/clock.ts`, used for the scope of a call, the wait for a slot and `waitFor`.

Conclusion: times that others name can be any number.

--- a/src/lib/admission/slot-keeper.ts
+++ b/src/lib/admission/slot-keeper.ts
@@ -5,7 +5,7 @@
  *
  * @module
  */
-import {readSteadyMs} from '../common/clock.js';
+import {trimTimerMs, readSteadyMs} from '../common/clock.js';
 import {
 	admitToSlot, createSlotQueue, estimateWait, releaseToNext, removeQueued, resizeSlots,
 	type QueuedRequest, type SlotQueue,
@@ -76,7 +76,7 @@
 
 		const timer = setTimeout(() => {
 			finish('late');
-		}, Math.max(0, queued.waitUntil - readSteadyMs()));
+		}, trimTimerMs(queued.waitUntil - readSteadyMs()));
 		waiters.set(queued.id, finish);
 		stopListening = request.listenForEnd(() => {
 			finish('cancelled');
--- a/src/lib/common/clock.ts
+++ b/src/lib/common/clock.ts
@@ -13,6 +13,18 @@
 	return Date.now();
 }
 
+/** The longest time of a timer, in milliseconds: one that is longer would fire at once. */
+const longestTimerMs = 2_147_483_647;
+
+/**
+ * @param milliseconds - How long something may take, which others may have named.
+ * @returns The same, as a timer takes it.
+ * @internal
+ */
+export function trimTimerMs(milliseconds: number): number {
+	return Math.min(longestTimerMs, Math.max(0, milliseconds));
+}
+
 /**
  * Waits.
  *
@@ -33,7 +45,7 @@
 			resolve();
 		};
 
-		const timer = setTimeout(finish, milliseconds);
+		const timer = setTimeout(finish, trimTimerMs(milliseconds));
 		signal?.addEventListener('abort', finish);
 	});
 }
--- a/src/lib/forwarding/call-scope.ts
+++ b/src/lib/forwarding/call-scope.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {readSteadyMs} from '../common/clock.js';
+import {trimTimerMs, readSteadyMs} from '../common/clock.js';
 
 /** A backend server's own answer at the very end of its time may still arrive within so many milliseconds, so a scope ends a little after the time that the server is given. @internal */
 export const endGraceMs = 15;
@@ -73,7 +73,7 @@
 	});
 	const timer = setTimeout(() => {
 		ending.end('timeout');
-	}, Math.max(0, endsAt - readSteadyMs()));
+	}, trimTimerMs(endsAt - readSteadyMs()));
 	return {
 		...ending,
 		dispose() {
