Fields of a backend server's answer that cannot be passed on make it no answer

Cause: a control character in a field was found only when the answer was written to the caller: a fault in our log, and a caller whose connection ended without an answer. A field called `constructor` was joined with the one that every object has.

Change: the reader refuses such a value, so that the request may go to another server, and looks only at fields of the answer.

Conclusion: what cannot be written is refused where it is read.

--- a/src/lib/forwarding/answer-reader.test.ts
+++ b/src/lib/forwarding/answer-reader.test.ts
@@ -109,6 +109,12 @@
 	assert.deepEqual(answer?.headers['set-cookie'], ['c', 'd']);
 });
 
+test('a field that is called like a part of every object is one like any other', () => {
+	const {answer} = readText('HTTP/1.1 200 OK\r\nConstructor: a\r\n__proto__: b\r\nContent-Length: 0\r\n\r\n');
+	assert.equal(answer?.headers.constructor, 'a');
+	assert.equal(Object.getPrototypeOf(answer?.headers), Object.prototype);
+});
+
 for (const [name, text] of [
 	['two lengths', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n'],
 	['a length and chunks', 'HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n'],
@@ -116,6 +122,7 @@
 	['an encoding that is not known', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n'],
 	['a line that goes on in the next', 'HTTP/1.1 200 OK\r\nX: a\r\n b\r\nContent-Length: 0\r\n\r\n'],
 	['a space before the colon', 'HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n'],
+	['a character in a field that no field can hold', 'HTTP/1.1 200 OK\r\nX: a\u0001b\r\nContent-Length: 0\r\n\r\n'],
 	['another protocol', 'what is this?\r\n\r\n'],
 	['a change of protocol', 'HTTP/1.1 101 Switching Protocols\r\n\r\n'],
 	['the size of a chunk that is no number', 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n'],
--- a/src/lib/forwarding/answer-reader.ts
+++ b/src/lib/forwarding/answer-reader.ts
@@ -50,6 +50,9 @@
 const fieldName = /^[\w!#$%&'*+.^`|~-]+$/;
 const digits = /^\d+$/;
 
+/** What the value of a field cannot be written with to the caller. */
+const unwritable = /[^\t\u0020-\u007E\u0080-\u00FF]/;
+
 /** Statuses whose answers have no body, and need no length. */
 const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 
@@ -75,7 +78,12 @@
 	}
 
 	const value = line.slice(colon + 1).trim();
-	const known = headers[name];
+	if (unwritable.test(value)) {
+		throw new AnswerFormatError(`the field ${name} holds what no field can`);
+	}
+
+	// Names that every object has are names like any others here.
+	const known = Object.hasOwn(headers, name) ? headers[name] : undefined;
 	if (known === undefined) {
 		headers[name] = listedFields.has(name) ? [value] : value;
 	} else if (Array.isArray(known)) {
