Frames that cannot be are refused as soon as their first bytes are there

Cause: a frame of up to 256 MB was waited for, its head as long as itself; its type was looked at when all of it had come; and what came byte by byte was held as one object each.

Ruled out: taking memory for the declared length at once (four bytes would cost the whole).

Change: length, type and length of the head are checked once 13 bytes have come, with bounds of 128 MB for a frame and 1 MB for its head; small pieces are joined. The reader tells how much it holds, for whoever bounds it. The two messages of the test of bytes that are no frames name the place now, so the test asks for that; it checks two cases more.

--- a/src/lib/forwarding/frame.test.ts
+++ b/src/lib/forwarding/frame.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
+import process from 'node:process';
 import test from 'node:test';
 import fc from 'fast-check';
+import {FieldError} from '../common/field-error.js';
 import {
 	createFrameReader, encodeFrameHead, type Frame, type FrameType,
 } from './frame.js';
@@ -30,12 +32,52 @@
 	}));
 });
 
-test('bytes that are no frames are refused', () => {
-	assert.throws(() => createFrameReader().read(Buffer.from('GET / HTTP/1.1\r\n\r\n')), /too long/);
-	const unknownType = Buffer.from(encodeFrameHead({type: 'cancel', id: 1}));
-	unknownType.writeUInt8(99, 4);
-	assert.throws(() => createFrameReader().read(unknownType), /no frame/);
-	const wrongHead = Buffer.from(encodeFrameHead({type: 'cancel', id: 1}));
-	wrongHead.writeUInt32LE(1000, 9);
-	assert.throws(() => createFrameReader().read(wrongHead), /no frame/);
+test('bytes that are no frames are refused, with the place and what is allowed', () => {
+	assert.throws(() => createFrameReader().read(Buffer.from('GET / HTTP/1.1\r\n\r\n')), /frame\.length: found \d+, must be 9 to \d+ bytes/);
+	const change = (write: (bytes: ReturnType<typeof Buffer.alloc>) => void): Uint8Array => {
+		const bytes = Buffer.from(encodeFrameHead({type: 'cancel', id: 1}));
+		write(bytes);
+		return bytes;
+	};
+
+	assert.throws(() => createFrameReader().read(change(bytes => bytes.writeUInt8(99, 4))), /frame\.type: found 99, must be less than 9/);
+	assert.throws(() => createFrameReader().read(change(bytes => bytes.writeUInt32LE(1000, 9))), /frame\.headLength: found 1000/);
+	assert.throws(() => createFrameReader().read(change(bytes => bytes.writeUInt32LE(8, 0))), /frame\.length: found 8/);
+	assert.throws(() => createFrameReader().read(change(bytes => {
+		bytes.writeUInt32LE(100_000_000, 0);
+		bytes.writeUInt32LE(98_765_432, 9);
+	})), /frame\.headLength: found 98765432/);
+});
+
+test('bytes that come one by one are held in about their own size', () => {
+	const bytes = Buffer.concat([encodeFrameHead({type: 'body', id: 1, body: Buffer.alloc(200_000)}), Buffer.alloc(199_999)]);
+	const reader = createFrameReader();
+	const before = process.memoryUsage().heapUsed;
+	for (const byte of bytes) {
+		assert.equal(reader.read(Buffer.from([byte])).length, 0);
+	}
+
+	assert.equal(reader.countHeldBytes(), bytes.length);
+	assert.ok(process.memoryUsage().heapUsed - before < 20_000_000);
+	assert.equal(reader.read(Buffer.alloc(1))[0]?.body.length, 200_000);
+});
+
+test('property: any bytes, and any change of a true frame, are frames or are refused', () => {
+	const changed = fc.tuple(fc.array(frame, {minLength: 1, maxLength: 3}), fc.array(fc.record({place: fc.nat(3000), byte: fc.nat(255)}), {maxLength: 4})).map(([frames, changes]) => {
+		const bytes = Buffer.from(encode(frames));
+		for (const {place, byte} of changes) {
+			bytes[place % bytes.length] = byte;
+		}
+
+		return bytes;
+	});
+	fc.assert(fc.property(fc.oneof(fc.uint8Array({maxLength: 200}), changed), bytes => {
+		try {
+			for (const {id, head} of createFrameReader().read(bytes)) {
+				assert.ok(Number.isInteger(id) && JSON.stringify(head) !== '');
+			}
+		} catch (error) {
+			assert.ok(error instanceof FieldError || error instanceof SyntaxError, String(error));
+		}
+	}), {seed: 20_260, numRuns: 1000});
 });
--- a/src/lib/forwarding/frame.ts
+++ b/src/lib/forwarding/frame.ts
@@ -10,6 +10,7 @@
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
 import process from 'node:process';
+import {FieldError} from '../common/field-error.js';
 
 /** What a frame is. @internal */
 export type FrameType =
@@ -48,8 +49,17 @@
 const fixedBytes = 9;
 const lengthBytes = 4;
 
-/** A longer frame is no frame of ours. Bytes: larger than any body that operators allow. */
-const maxFrameBytes = 268_435_456;
+/** A longer frame is no frame of ours. Bytes: what an entry holds of all bodies together, which an answer of a backend server may pass, and a head. */
+const maxFrameBytes = 134_217_728;
+
+/** A longer head is no head of ours. Bytes: the longest that callers may send, each character of it written as six in JSON. */
+const maxHeadBytes = 1_048_576;
+
+/** So many pieces are held before small ones are joined: what comes in pieces of a few bytes would take a hundred times their memory. */
+const heldPieces = 64;
+
+/** Pieces that are smaller on average are joined. Bytes: each piece more costs a copy of so many. */
+const smallPieceBytes = 1024;
 
 const nothing = Buffer.alloc(0);
 
@@ -98,24 +108,35 @@
 
 /** Reads frames out of a stream of bytes. @internal */
 export type FrameReader = {
-	/** Takes bytes; yields the frames that are whole now. Throws if the bytes are no frames. */
+	/** Takes bytes; yields the frames that are whole now. Throws as soon as the bytes cannot be frames. */
 	readonly read: (bytes: Uint8Array) => readonly Frame[];
+	/** Bytes that are held of a frame that is not whole yet. */
+	readonly countHeldBytes: () => number;
 };
 
 /** The same bytes, with the methods that read numbers. */
 const toBuffer = ({buffer, byteOffset, byteLength}: Uint8Array) => Buffer.from(buffer, byteOffset, byteLength);
 
+/** Checks what stands before the head of a frame: its type, its id and the length of its head. */
+function checkFixedPart(start: ReturnType<typeof toBuffer>, length: number): void {
+	const type = start.readUInt8(lengthBytes);
+	if (type >= frameTypes.length) {
+		throw new FieldError('frame.type', type, `less than ${frameTypes.length}`);
+	}
+
+	const headBytes = start.readUInt32LE(lengthBytes + 5);
+	if (headBytes > Math.min(maxHeadBytes, length - fixedBytes)) {
+		throw new FieldError('frame.headLength', headBytes, `${maxHeadBytes} bytes at the most, and not longer than its frame`);
+	}
+}
+
+/** Decodes a frame whose fixed part was checked. */
 function decodeFrame(whole: Uint8Array): Frame {
 	const bytes = toBuffer(whole);
-	const type = frameTypes[bytes.readUInt8(0)];
 	const headEnd = fixedBytes + bytes.readUInt32LE(5);
-	if (type === undefined || headEnd > bytes.length) {
-		throw new Error('bytes that are no frame');
-	}
-
 	const text = bytes.toString('utf8', fixedBytes, headEnd);
 	return {
-		type, id: bytes.readUInt32LE(1), head: text === '' ? undefined : JSON.parse(text) as unknown, body: bytes.subarray(headEnd),
+		type: frameTypes[bytes.readUInt8(0)]!, id: bytes.readUInt32LE(1), head: text === '' ? undefined : JSON.parse(text) as unknown, body: bytes.subarray(headEnd),
 	};
 }
 
@@ -135,19 +156,38 @@
 		return joined;
 	};
 
+	/** Joins small pieces: each costs some hundred bytes beside its own. */
+	const joinSmallPieces = (): void => {
+		if (chunks.length > heldPieces && held < chunks.length * smallPieceBytes) {
+			join();
+		}
+	};
+
+	/** Reads lengths as soon as they are there: a frame that is too long is not waited for. */
 	const getNextLength = (): number | undefined => {
 		const [first] = chunks;
 		if (held < lengthBytes || first === undefined) {
 			return undefined;
 		}
 
-		return toBuffer(first.length >= lengthBytes ? first : join()).readUInt32LE(0);
+		const start = toBuffer(first.length >= Math.min(held, lengthBytes + fixedBytes) ? first : join());
+		const length = start.readUInt32LE(0);
+		if (length < fixedBytes || length > maxFrameBytes) {
+			throw new FieldError('frame.length', length, `${fixedBytes} to ${maxFrameBytes} bytes`);
+		}
+
+		if (start.length >= lengthBytes + fixedBytes) {
+			checkFixedPart(start, length);
+		}
+
+		return length;
 	};
 
 	return {
 		read(bytes) {
 			chunks.push(bytes);
 			held += bytes.length;
+			joinSmallPieces();
 			const frames: Frame[] = [];
 			for (let length = getNextLength(); length !== undefined && held >= lengthBytes + length; length = getNextLength()) {
 				const joined = join();
@@ -156,11 +196,8 @@
 				chunks = held === 0 ? [] : [joined.subarray(lengthBytes + length)];
 			}
 
-			if ((getNextLength() ?? 0) > maxFrameBytes) {
-				throw new Error('a frame that is too long to be one');
-			}
-
 			return frames;
 		},
+		countHeldBytes: () => held,
 	};
 }
