What nodes say of a request is decoded strictly

Cause: the headers of a request from another node were passed on as they came: `content-length` without a body left the backend server taking the next request on that connection for the body. Those of an answer could hold what cannot be written to a caller, or a second framing; its status could be any number. A `not-run` whose rest could not be read still counted as a promise.

Change: each field has a validator that names place and remedy. Headers are checked by `read-headers.ts`: names in lower case, nothing that belongs to one connection, values of one line; a length only with a body. An answer that does not hold promises nothing; an unknown reason of a later program still does, and further fields are passed over.

Conclusion: a message is understood whole or refused whole.

--- /dev/null
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import test from 'node:test';
+import fc from 'fast-check';
+import {toBackendServerId} from '../common/ids.js';
+import {FieldError} from '../common/field-error.js';
+import {createNotRun, type GateResult} from './forward-result.js';
+import {
+	decodePeerAnswer, decodePeerRequest, encodePeerAnswer, encodePeerRequest, type PeerRequest,
+} from './peer-messages.js';
+
+/** The same verdict each run. */
+const seed = 20_260;
+
+const request: PeerRequest = {
+	id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/a?b', headers: {host: 'mesh.example', 'x-list': ['a', 'b'], __proto__x: '\u00E9'}, hasBody: true,
+	callerService: 'hall', rank: 1.5, leftMs: 1200.5, mayWaitMs: 0,
+};
+
+const sendHead = (head: unknown): unknown => {
+	const text = JSON.stringify(head);
+	return JSON.parse(text) as unknown;
+};
+
+const changeHead = (head: readonly unknown[], place: number, value: unknown): unknown => {
+	const changed = [...sendHead(head) as unknown[]];
+	changed[place] = value;
+	return changed;
+};
+
+test('a request survives its way, and fields that a later program adds are passed over', () => {
+	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(request))), request);
+	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), 'more'])), request);
+});
+
+const places: ReadonlyArray<readonly [number, string, readonly unknown[]]> = [
+	[0, 'request.id', [null, 5, []]],
+	[1, 'request.server', [null, 5, []]],
+	[2, 'request.method', [null, 5, '']],
+	[3, 'request.target', [null, 5, {}]],
+	[4, 'request.headers', [null, 5, 'x', [], {'X-A': 'b'}, {'a b': 'c'}, {'': 'c'}, {'transfer-encoding': 'chunked'}, {connection: 'close'}]],
+	[4, 'request.headers.x-a', [{'x-a': 5}, {'x-a': null}, {'x-a': {}}, {'x-a': [['b']]}, {'x-a': 'b\r\nc: d'}, {'x-a': ['b\u0000']}, {'x-a': '\u0100'}]],
+	[5, 'request.hasBody', [null, true, 2, '1']],
+	[6, 'request.callerService', [null, 5]],
+	[7, 'request.rank', [null, '1', -1, 1e300]],
+	[8, 'request.leftMs', [null, '1', -1, 1e300]],
+	[9, 'request.mayWaitMs', [null, '1', -1, 1e300]],
+];
+
+for (const [place, name, values] of places) {
+	test(`a request whose ${name} cannot be used is refused, with what was found and what is allowed`, () => {
+		for (const value of values) {
+			assert.throws(() => decodePeerRequest(changeHead(encodePeerRequest(request), place, value)), (error: unknown) =>
+				error instanceof FieldError && error.message.startsWith(`${name}: found `) && error.message.includes(', must be '), JSON.stringify(value));
+		}
+	});
+}
+
+test('a length is named only with a body', () => {
+	const withLength = (length: string, hasBody: boolean) => sendHead(encodePeerRequest({...request, hasBody, headers: {'content-length': length}}));
+	assert.equal(decodePeerRequest(withLength('5', true)).hasBody, true);
+	assert.equal(decodePeerRequest(withLength('0', false)).hasBody, false);
+	assert.throws(() => decodePeerRequest(withLength('5', false)), /request\.headers\.content-length: found "5", must be 0/);
+});
+
+const answered: GateResult = {
+	load: {
+		running: 3, waiting: 1, serviceMs: 80, tookMs: 12.5,
+	},
+	result: {
+		type: 'answered', status: 200, headers: {'content-type': 'text/plain', 'set-cookie': ['a', 'b']}, body: Buffer.from('page'),
+	},
+};
+const refused: GateResult = {load: undefined, result: createNotRun('full', 'no slot in time', 250)};
+
+function send(result: GateResult, change: (head: readonly unknown[]) => unknown = head => head): GateResult {
+	const {head, body = Buffer.alloc(0)} = encodePeerAnswer(result);
+	return decodePeerAnswer(sendHead(change(head)), body);
+}
+
+test('answers survive their way', () => {
+	for (const result of [answered, refused]) {
+		assert.deepEqual(send(result), result);
+	}
+});
+
+test('an answer that cannot be written to a caller as it is, is none', () => {
+	for (const [place, value] of [
+		[2, 99],
+		[2, 1000],
+		[2, 200.5],
+		[2, '200'],
+		[2, null],
+		[2, 1e300],
+		[3, null],
+		[3, []],
+		[3, {'x-a': 5}],
+		[3, {'x-a': 'b\r\nc: d'}],
+		[3, {'transfer-encoding': 'chunked'}],
+		[3, {'X-A': 'b'}],
+	] as const) {
+		const {result} = send(answered, head => changeHead(head, place, value));
+		assert.deepEqual(result.type === 'failed' && [result.verdict, result.reason, result.hasArrived], ['may-have-run', 'wrong-answer', true], JSON.stringify([place, value]));
+	}
+});
+
+test('a promise that a request has not run is one only if the rest of the message can be read', () => {
+	for (const head of [['not-run'], ['not-run', 0], ['not-run', 0, 5, 0], ['not-run', 0, 'full'], ['not-run', 0, 'full', '0']]) {
+		const {result} = decodePeerAnswer(head, Buffer.alloc(0));
+		assert.deepEqual(result.type === 'failed' && [result.verdict, result.hasArrived], ['may-have-run', true], JSON.stringify(head));
+	}
+
+	// A reason that a later program gives does not take the promise back.
+	const {result} = decodePeerAnswer(['not-run', 0, 'asleep', 0, 1e300, 'x'.repeat(9000)], Buffer.alloc(0));
+	assert.deepEqual(result.type === 'failed' && [result.verdict, result.retryAfterMs, result.detail.length], ['not-run', 3_600_000, 300]);
+});
+
+test('a load that is none is not known', () => {
+	for (const load of [null, 5, [1, 2, 3], [1, 2, 3, -1], [1, 2, 3, '4'], [1, 2, 3, null]]) {
+		assert.equal(send(answered, head => changeHead(head, 1, load)).load, undefined);
+	}
+});
+
+test('property: any head is a request or is refused, and any head is an answer that promises no more than it says', () => {
+	const anyHead = fc.oneof(fc.jsonValue(), fc.tuple(fc.nat(9), fc.jsonValue()).map(([place, value]) => changeHead(encodePeerRequest(request), place, value)));
+	fc.assert(fc.property(anyHead, head => {
+		try {
+			const {rank, leftMs, mayWaitMs} = decodePeerRequest(head);
+			assert.ok([rank, leftMs, mayWaitMs].every(amount => amount >= 0 && amount <= Number.MAX_SAFE_INTEGER));
+		} catch (error) {
+			assert.ok(error instanceof FieldError, String(error));
+		}
+	}), {seed, numRuns: 1000});
+	fc.assert(fc.property(fc.oneof(fc.jsonValue(), fc.array(fc.oneof(fc.constantFrom('ran', 'not-run', 0, 1, 200), fc.jsonValue()), {maxLength: 7})), head => {
+		const {result} = decodePeerAnswer(head, Buffer.alloc(0));
+		const [said] = Array.isArray(head) ? head as unknown[] : [];
+		assert.ok(result.type === 'answered' ? said === 'ran' : result.verdict === 'may-have-run' || said === 'not-run');
+	}), {seed, numRuns: 1000});
+});
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -3,12 +3,16 @@
  *
  * @module
  */
-import {type HeaderMap} from '../calls/attempt.js';
 import {toBackendServerId, type BackendServerId} from '../common/ids.js';
-import {parseVerdict} from '../common/verdict.js';
+import {FieldError} from '../common/field-error.js';
 import {
-	parseForwardReason, type GateLoad, type GateResult,
+	readAmount, readFlag, readList, readName, readText,
+} from '../common/read-input.js';
+import {parseVerdict, type Verdict} from '../common/verdict.js';
+import {
+	createMayHaveRun, parseForwardReason, type ForwardAnswer, type ForwardFailure, type GateLoad, type GateResult,
 } from './forward-result.js';
+import {readHeaders, type PassedHeaders} from './read-headers.js';
 
 /** A request for the backend server beside another node. @internal */
 export type PeerRequest = {
@@ -17,7 +21,7 @@
 	readonly server: BackendServerId;
 	readonly method: string;
 	readonly target: string;
-	readonly headers: Readonly<Record<string, string | readonly string[]>>;
+	readonly headers: PassedHeaders;
 	readonly hasBody: boolean;
 	readonly callerService: string;
 	/** 0 goes first. */
@@ -31,7 +35,20 @@
 const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
 
 const isText = (value: unknown): value is string => typeof value === 'string';
-const isAmount = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value);
+const isAmount = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value) && value >= 0;
+
+/** The longest time that a message may name; whatever waits for it bounds its own timers. Milliseconds. */
+const longestMs = Number.MAX_SAFE_INTEGER;
+
+/** The longest time after which a call may be said to be worth trying again. Milliseconds. */
+const longestRetryMs = 3_600_000;
+
+/** Statuses that end a request. */
+const leastStatus = 200;
+const mostStatus = 999;
+
+/** Characters of what another node says for people. */
+const detailLength = 300;
 
 /**
  * Encodes a request as a list: the names of its fields would be a third of its bytes.
@@ -45,24 +62,36 @@
 	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs))];
 }
 
+/** A body that is announced and does not come would be taken from the next request on the connection to the backend server. */
+function checkLength(headers: PassedHeaders, hasBody: boolean): void {
+	const length = headers['content-length'];
+	if (!hasBody && length !== undefined && length !== '0') {
+		throw new FieldError('request.headers.content-length', length, '0, since no body follows');
+	}
+}
+
 /**
  * @param head - The head of a frame.
  * @returns The request.
- * @throws When the head is none: the connection is of no use then.
+ * @throws FieldError when the head is none: the connection is of no use then.
  * @internal
  */
 export function decodePeerRequest(head: unknown): PeerRequest {
-	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs] = Array.isArray(head) ? head as unknown[] : [];
-	const texts = [id, server, method, target, callerService];
-	const amounts = [rank, leftMs, mayWaitMs];
-	if (!texts.every(text => isText(text)) || !amounts.every(amount => isAmount(amount)) || typeof headers !== 'object' || headers === null) {
-		throw new Error('the head of a request that cannot be read');
-	}
-
-	return {
-		id: id as string, server: toBackendServerId(server as string), method: method as string, target: target as string, headers: headers as PeerRequest['headers'],
-		hasBody: hasBody === 1, callerService: callerService as string, rank: rank as number, leftMs: leftMs as number, mayWaitMs: mayWaitMs as number,
+	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs] = readList(head, 'request');
+	const request: PeerRequest = {
+		id: readText(id, 'request.id'),
+		server: toBackendServerId(readText(server, 'request.server')),
+		method: readName(method, 'request.method'),
+		target: readText(target, 'request.target'),
+		headers: readHeaders(headers, 'request.headers'),
+		hasBody: readFlag(hasBody, 'request.hasBody'),
+		callerService: readText(callerService, 'request.callerService'),
+		rank: readAmount(rank, 'request.rank', longestMs),
+		leftMs: readAmount(leftMs, 'request.leftMs', longestMs),
+		mayWaitMs: readAmount(mayWaitMs, 'request.mayWaitMs', longestMs),
 	};
+	checkLength(request.headers, request.hasBody);
+	return request;
 }
 
 function encodeLoad({running, waiting, serviceMs, tookMs}: GateLoad): readonly number[] {
@@ -92,6 +121,38 @@
 		: {head: [result.verdict, loadPart, result.reason, result.hasArrived ? 1 : 0, Math.round(result.retryAfterMs), result.detail]};
 }
 
+/** An answer of a backend server; `undefined` if the head is that of none, or could not be written to a caller as it is. */
+function decodeAnswered([status, headers]: readonly unknown[], body: Uint8Array): ForwardAnswer | undefined {
+	if (!Number.isInteger(status) || (status as number) < leastStatus || (status as number) > mostStatus) {
+		return undefined;
+	}
+
+	try {
+		return {
+			type: 'answered', status: status as number, headers: readHeaders(headers, 'answer.headers'), body,
+		};
+	} catch {
+		// What is wrong with it helps nobody who waits for the answer.
+		return undefined;
+	}
+}
+
+const unreadable = createMayHaveRun('wrong-answer', 'an answer that cannot be read');
+
+function decodeFailed(verdict: Exclude<Verdict, 'ran'>, [reason, hasArrived, retryAfterMs, detail]: readonly unknown[]): ForwardFailure {
+	if (!isText(reason) || (hasArrived !== 0 && hasArrived !== 1)) {
+		return unreadable;
+	}
+
+	return {
+		type: 'failed', verdict,
+		reason: parseForwardReason(reason),
+		detail: isText(detail) ? detail.slice(0, detailLength) : '',
+		retryAfterMs: isAmount(retryAfterMs) ? Math.min(longestRetryMs, retryAfterMs) : 0,
+		hasArrived: hasArrived === 1,
+	};
+}
+
 /**
  * Decodes an answer. What cannot be read promises nothing.
  *
@@ -104,24 +165,14 @@
 	const [verdictText, loadPart, ...rest] = Array.isArray(head) ? head as unknown[] : [];
 	const load = decodeLoad(loadPart);
 	const verdict = parseVerdict(isText(verdictText) ? verdictText : undefined);
-	const [status, headers] = rest;
-	if (verdict === 'ran' && isAmount(status) && typeof headers === 'object' && headers !== null) {
-		return {
-			load, result: {
-				type: 'answered', status, headers: headers as HeaderMap, body,
-			},
-		};
-	}
+	switch (verdict) {
+		case 'ran': {
+			return {load, result: decodeAnswered(rest, body) ?? unreadable};
+		}
 
-	const [reason, hasArrived, retryAfterMs, detail] = rest;
-	return {
-		load, result: {
-			type: 'failed',
-			verdict: verdict === 'not-run' ? 'not-run' : 'may-have-run',
-			reason: parseForwardReason(isText(reason) ? reason : undefined),
-			detail: isText(detail) ? detail : 'an answer that cannot be read',
-			retryAfterMs: isAmount(retryAfterMs) ? retryAfterMs : 0,
-			hasArrived: hasArrived !== 0,
-		},
-	};
+		case 'not-run':
+		case 'may-have-run': {
+			return {load, result: decodeFailed(verdict, rest)};
+		}
+	}
 }
