Configurations between nodes cost a bounded amount, whatever is asked for or sent

Cause: each version that a node asked with, any number, had an answer of its own made and kept: a compressed whole each. A delta could ask for the old text any number of times, and versions of steps were any numbers.

Change: all that get the whole share one answer. A delta that would come out longer than 16 MB is refused before it is joined; steps lead from a whole number to a greater one, 64 at the most.

Conclusion: a node that asks or tells nonsense costs the others little.

--- a/src/lib/forwarding/config-messages.ts
+++ b/src/lib/forwarding/config-messages.ts
@@ -31,7 +31,7 @@
  */
 export function decodeConfigRequest(head: unknown): number {
 	const [version] = Array.isArray(head) ? head as unknown[] : [];
-	return typeof version === 'number' ? version : 0;
+	return Number.isSafeInteger(version) ? version as number : 0;
 }
 
 /** An answer as a frame takes it. @internal */
--- a/src/lib/route-config/config-history.ts
+++ b/src/lib/route-config/config-history.ts
@@ -24,6 +24,9 @@
 /** Steps that are remembered. Beside a quick succession of changes a node lacks one or two; one that lacks more was away, and takes the whole. */
 const rememberedSteps = 12;
 
+/** Steps that are taken from another node at once: several times what one remembers. */
+const mostSteps = 64;
+
 /** A step that is larger than this ends the chain: the whole is not much more. Characters; a change of one route is some 300, one that adds 1,600 routes 340,000. */
 const maxStepLength = 524_288;
 
@@ -60,13 +63,15 @@
 	return length;
 }
 
+const isVersion = (value: unknown): value is number => Number.isSafeInteger(value) && value as number >= 0;
+
 /**
  * @param value - Any JSON that another node sent.
  * @returns The steps, or `undefined` if one of them is none.
  * @internal
  */
 export function parseConfigSteps(value: unknown): readonly ConfigStep[] | undefined {
-	if (!Array.isArray(value)) {
+	if (!Array.isArray(value) || value.length > mostSteps) {
 		return undefined;
 	}
 
@@ -74,7 +79,7 @@
 	for (const one of value) {
 		const {from, to, delta} = typeof one === 'object' && one !== null ? one as Readonly<Record<string, unknown>> : {};
 		const parsed = parseTextDelta(delta);
-		if (typeof from !== 'number' || typeof to !== 'number' || parsed === undefined) {
+		if (!isVersion(from) || !isVersion(to) || from >= to || parsed === undefined) {
 			return undefined;
 		}
 
--- a/src/lib/route-config/text-delta.test.ts
+++ b/src/lib/route-config/text-delta.test.ts
@@ -68,3 +68,20 @@
 	history.note({from: 31, to: 32, delta: computeTextDelta('', 'x'.repeat(600_000))});
 	assert.equal(history.list(31), undefined);
 });
+
+test('a delta that asks for the old text again and again is refused before it is put together', () => {
+	const oldText = '{a}'.repeat(100_000);
+	const startedAt = performance.now();
+	assert.equal(applyTextDelta(oldText, {digest: 'x', steps: Array.from({length: 100_000}, () => [0, 100_000] as const)}), undefined);
+	assert.ok(performance.now() - startedAt < 2000);
+});
+
+test('steps whose versions are none, or that lead back, are refused', () => {
+	const {delta} = createStep(1, 2);
+	assert.deepEqual(parseConfigSteps([{from: 1, to: 2, delta}]), [{from: 1, to: 2, delta}]);
+	for (const [from, to] of [[2, 1], [1, 1], [-1, 2], [0.5, 2], [1, 1e300], ['1', 2], [null, 2]]) {
+		assert.equal(parseConfigSteps([{from, to, delta}]), undefined, `${from} to ${to}`);
+	}
+
+	assert.equal(parseConfigSteps(Array.from({length: 65}, (_, from) => ({from, to: from + 1, delta}))), undefined);
+});
--- a/src/lib/route-config/text-delta.ts
+++ b/src/lib/route-config/text-delta.ts
@@ -86,6 +86,27 @@
 	return {digest: computeTextDigest(newText), steps};
 }
 
+/** The longest text that is put together. Characters: several times what the store of the users holds in a value. Each step may ask for the old text again. */
+const maxTextLength = 16_777_216;
+
+/** Joins pieces of the old text and new ones; `undefined` if they are longer than any text. */
+function joinPieces(oldText: string, steps: readonly DeltaStep[]): string | undefined {
+	const oldParts = listParts(oldText);
+	const pieces: string[] = [];
+	let length = 0;
+	for (const step of steps) {
+		const piece = typeof step === 'string' ? step : oldParts.slice(step[0], step[0] + step[1]).join('');
+		length += piece.length;
+		if (length > maxTextLength) {
+			return undefined;
+		}
+
+		pieces.push(piece);
+	}
+
+	return pieces.join('');
+}
+
 /**
  * @param oldText - The text that the delta was computed from.
  * @param delta - The delta.
@@ -93,10 +114,8 @@
  * @internal
  */
 export function applyTextDelta(oldText: string, {digest, steps}: TextDelta): string | undefined {
-	const oldParts = listParts(oldText);
-	const pieces = steps.map(step => typeof step === 'string' ? step : oldParts.slice(step[0], step[0] + step[1]).join(''));
-	const newText = pieces.join('');
-	return computeTextDigest(newText) === digest ? newText : undefined;
+	const newText = joinPieces(oldText, steps);
+	return newText !== undefined && computeTextDigest(newText) === digest ? newText : undefined;
 }
 
 function isStep(value: unknown): value is DeltaStep {
--- /dev/null
+++ b/src/lib/sidecar/config-answers.test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {decodeConfigAnswer} from '../forwarding/config-messages.js';
+import {type RouteConfig} from '../route-config/route-config.js';
+import {createRouteIndex} from '../route-config/route-index.js';
+import {computeTextDelta} from '../route-config/text-delta.js';
+import {createConfigAnswers} from './config-answers.js';
+
+type Holder = Parameters<typeof createConfigAnswers>[0];
+
+const config: RouteConfig = {
+	version: 7, routes: [], services: [], unreadHosts: new Set(), warnings: [],
+	limits: {
+		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+	},
+};
+
+function createHolder(version: number, text: string): Holder {
+	const steps = [{from: version - 1, to: version, delta: computeTextDelta('{a}', text)}];
+	return {
+		get: () => ({config, text, index: createRouteIndex(config)}),
+		getVersion: () => version,
+		listSteps: from => from === version - 1 ? steps : undefined,
+	};
+}
+
+test('a node that lacks one step is sent it, any other one the whole', () => {
+	const answerConfig = createConfigAnswers(createHolder(7, '{b}'));
+	const ask = (version: number) => {
+		const {head, body} = answerConfig(version);
+		return decodeConfigAnswer(head, body)?.type;
+	};
+
+	assert.deepEqual([6, 0, 3].map(version => ask(version)), ['steps', 'whole', 'whole']);
+});
+
+test('whatever versions are asked with, the whole is made once', () => {
+	const answerConfig = createConfigAnswers(createHolder(7, '{b}'));
+	const first = answerConfig(0);
+	for (const version of [1, 2, -5, 1e300, 0.5, Number.MAX_SAFE_INTEGER]) {
+		assert.equal(answerConfig(version), first);
+	}
+});
+
+test('a new version is answered anew', () => {
+	let holder = createHolder(7, '{b}');
+	const answerConfig = createConfigAnswers({
+		get: () => holder.get(), getVersion: () => holder.getVersion(), listSteps: version => holder.listSteps(version),
+	});
+	answerConfig(0);
+	answerConfig(6);
+	holder = createHolder(8, '{c}');
+	const {head, body} = answerConfig(0);
+	assert.deepEqual(decodeConfigAnswer(head, body), {type: 'whole', text: '{c}'});
+	assert.deepEqual(answerConfig(6).head, ['whole']);
+});
--- a/src/lib/sidecar/config-answers.ts
+++ b/src/lib/sidecar/config-answers.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {encodeConfigAnswer, type ConfigAnswer, type EncodedConfigAnswer} from '../forwarding/config-messages.js';
+import {encodeConfigAnswer, type EncodedConfigAnswer} from '../forwarding/config-messages.js';
 import {type ConfigHolder} from '../route-config/config-holder.js';
 
 /**
@@ -14,31 +14,30 @@
  */
 export function createConfigAnswers(holder: Pick<ConfigHolder, 'get' | 'getVersion' | 'listSteps'>): (version: number) => EncodedConfigAnswer {
 	let inForce = 0;
-	const answers = new Map<number, EncodedConfigAnswer>();
+	const stepAnswers = new Map<number, EncodedConfigAnswer>();
+	let wholeAnswer: EncodedConfigAnswer | undefined;
 
-	const chooseAnswer = (version: number): ConfigAnswer | undefined => {
+	const encodeWhole = (): EncodedConfigAnswer => {
 		const held = holder.get();
-		const steps = holder.listSteps(version);
-		if (steps !== undefined) {
-			return {type: 'steps', steps};
-		}
-
-		return held === undefined ? undefined : {type: 'whole', text: held.text};
+		return encodeConfigAnswer(held === undefined ? undefined : {type: 'whole', text: held.text});
 	};
 
 	return version => {
 		if (holder.getVersion() !== inForce) {
 			inForce = holder.getVersion();
-			answers.clear();
+			stepAnswers.clear();
+			wholeAnswer = undefined;
 		}
 
-		const known = answers.get(version);
-		if (known !== undefined) {
-			return known;
+		const steps = holder.listSteps(version);
+		if (steps === undefined) {
+			// One for all versions to which no steps are known, whatever numbers are asked for.
+			wholeAnswer ??= encodeWhole();
+			return wholeAnswer;
 		}
 
-		const answer = encodeConfigAnswer(chooseAnswer(version));
-		answers.set(version, answer);
-		return answer;
+		const known = stepAnswers.get(version) ?? encodeConfigAnswer({type: 'steps', steps});
+		stepAnswers.set(version, known);
+		return known;
 	};
 }
