No bytes at the address for heartbeats, announcements or the gate end a node, and refused input is counted

Cause: `apps/sidecar` ends on an uncaught exception, and bytes could cause one. A heartbeat with an address that is none made `dgram` throw when it was answered, and at every round after; one with a newer version and a gate that is none made the fetch of that version reject; the path of an announcement such as `//` made `URL` throw in a promise that nobody waits for. Each refused datagram was a line in the log. A node answered every probe, took its own name for another node's, and sent the configuration to a node that reads nothing until its own memory was gone. An id used twice on a connection made it lose track of the first request.

Ruled out: a check of the sender's address against the one that a heartbeat names: relays and several addresses of a VM are allowed.

Change: `decodeReport` yields the report or the field that cannot be used; addresses have to be some. A report in the name of this node is refused, so are new names beside 4,000 nodes. A node that asks is answered every 50 ms at the most, all together 500 times a second. What an announcement throws is a refusal. At the gate an id is used once, 4,096 requests are under way on a connection, frames that are not whole hold 80 MB together, and answers that nobody reads 32 MB (80 MB of servers' answers, which wait for slow links by right). `timeline/refusals.ts` tells of what was refused: the first at once, then one line a second with the count; `stonemoor_refusals_total` counts by kind and cause. The line `peer-refused` has `place` in place of `address`.

Conclusion: whatever arrives costs one connection at the most. Not covered: a well-formed heartbeat in the name of another node.

--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -7,9 +7,13 @@
 import {createServer, type Server, type Socket} from 'node:net';
 import {readSteadyMs} from '../common/clock.js';
 import {type LoopLag} from '../common/loop-lag.js';
-import {type MeshLog} from '../timeline/mesh-log.js';
+import {FieldError} from '../common/field-error.js';
+import {type MeshLog, type RefusalCause} from '../timeline/mesh-log.js';
+import {type Refusals} from '../timeline/refusals.js';
 import {createCallScope, type CallScope} from './call-scope.js';
-import {createFrameReader, writeFrame, type Frame} from './frame.js';
+import {
+	createFrameReader, writeFrame, type Frame, type FrameReader,
+} from './frame.js';
 import {decodeConfigRequest, type EncodedConfigAnswer} from './config-messages.js';
 import {createMayHaveRun, type GateResult} from './forward-result.js';
 import {createLargeAnswers} from './large-answers.js';
@@ -24,6 +28,7 @@
 	/** Lets whatever has arrived meanwhile be heard, if this process lags behind. */
 	readonly catchUp: LoopLag['catchUp'];
 	readonly log: MeshLog;
+	readonly refusals: Refusals;
 	/** Megabits a second of this VM's link. */
 	readonly linkMbps: number;
 };
@@ -44,9 +49,23 @@
 
 type Connection = {
 	readonly socket: Socket;
+	/** Where it comes from, for people: a socket that has closed does not tell any more. */
+	readonly place: string;
 	readonly incoming: Map<number, Incoming>;
 };
 
+/** More than any node sends, of something that this one holds for it. */
+class FloodError extends Error {}
+
+/** Requests under way on one connection at the most: many times what nodes of the users have. */
+const mostIncoming = 4096;
+
+/** What connections may hold of frames that are not whole yet. Bytes: a third of what the smallest VMs of the users give a process, as much as the entry holds of bodies. */
+const mostHeldBytes = 83_886_080;
+
+/** Answers that a node may leave unread. Bytes: several times the largest configuration, and more than all the answers that are read in a second over the fastest links of the users. */
+const mostUnreadBytes = 33_554_432;
+
 function endAll({incoming}: Connection): void {
 	for (const {scope} of incoming.values()) {
 		scope.end('cancelled');
@@ -59,8 +78,9 @@
  * @internal
  */
 export function createGateServer(context: GateServerContext): GateServer {
-	const {gate, getConfig, catchUp, log} = context;
+	const {gate, getConfig, catchUp, log, refusals} = context;
 	const connections = new Set<Connection>();
+	let heldBytes = 0;
 	const answers = createLargeAnswers(context.linkMbps);
 
 	/** Asks for the body of an offer once a slot is held. */
@@ -87,6 +107,23 @@
 		}
 	};
 
+	/** An id that is under way already would have its answers taken for those of another request. */
+	const checkRequest = ({incoming}: Connection, {id}: Frame): void => {
+		if (incoming.has(id)) {
+			throw new FieldError('frame.id', id, 'one that is not under way on this connection');
+		}
+
+		if (incoming.size >= mostIncoming) {
+			throw new FloodError(`more than ${mostIncoming} requests under way on one connection`);
+		}
+	};
+
+	const checkUnread = ({socket}: Connection, mostBytes = mostUnreadBytes): void => {
+		if (socket.writableLength > mostBytes) {
+			throw new FloodError(`more than ${mostBytes} bytes of answers that are not read`);
+		}
+	};
+
 	const answer = async (connection: Connection, frame: Frame, request: PeerRequest): Promise<void> => {
 		const scope = createCallScope(readSteadyMs() + request.leftMs);
 		const one: Incoming = {scope, takeBody: undefined};
@@ -94,14 +131,23 @@
 		const result = await runGate(connection, frame, request, one);
 		connection.incoming.delete(frame.id);
 		scope.dispose();
-		answers.write(connection.socket, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
+		try {
+			answers.write(connection.socket, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
+		} catch (error) {
+			log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
+			connection.socket.destroy();
+		}
 	};
 
 	const handleFrame = (connection: Connection, frame: Frame): void => {
 		switch (frame.type) {
 			case 'request':
 			case 'offer': {
-				void answer(connection, frame, decodePeerRequest(frame.head));
+				const request = decodePeerRequest(frame.head);
+				checkRequest(connection, frame);
+				// Large answers of servers wait for a slow link by right.
+				checkUnread(connection, mostHeldBytes);
+				void answer(connection, frame, request);
 				break;
 			}
 
@@ -116,11 +162,13 @@
 			}
 
 			case 'config': {
+				checkUnread(connection);
 				writeFrame(connection.socket, {type: 'answer', id: frame.id, ...getConfig(decodeConfigRequest(frame.head))});
 				break;
 			}
 
 			case 'ping': {
+				checkUnread(connection);
 				writeFrame(connection.socket, {type: 'pong', id: frame.id});
 				break;
 			}
@@ -128,30 +176,54 @@
 			case 'continue':
 			case 'answer':
 			case 'pong': {
-				connection.socket.destroy(new Error(`a frame of type ${frame.type} from a node that asks`));
-				break;
+				throw new FieldError('frame.type', frame.type, 'one of those that a node sends that asks');
 			}
 		}
 	};
 
+	const refuse = ({socket, place}: Connection, cause: RefusalCause, reason: string): void => {
+		refusals.note({
+			kind: 'peer-refused', cause, place, reason,
+		});
+		socket.destroy();
+	};
+
+	/** Reads what has arrived; counts what is held of frames that are not whole. */
+	const readBytes = (connection: Connection, reader: FrameReader, bytes: Uint8Array): void => {
+		const before = reader.countHeldBytes();
+		try {
+			for (const frame of reader.read(bytes)) {
+				handleFrame(connection, frame);
+			}
+		} finally {
+			heldBytes += reader.countHeldBytes() - before;
+		}
+
+		if (heldBytes > mostHeldBytes) {
+			throw new FloodError(`more than ${mostHeldBytes} bytes of frames that are not whole`);
+		}
+	};
+
 	const server = createServer({noDelay: true}, socket => {
-		const connection: Connection = {socket, incoming: new Map()};
+		const connection: Connection = {socket, place: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, incoming: new Map()};
 		const reader = createFrameReader();
 		connections.add(connection);
 		socket.on('data', (bytes: Uint8Array) => {
+			if (socket.destroyed) {
+				return;
+			}
+
 			try {
-				for (const frame of reader.read(bytes)) {
-					handleFrame(connection, frame);
-				}
+				readBytes(connection, reader, bytes);
 			} catch (error) {
-				log.record('warn', {kind: 'peer-refused', address: socket.remoteAddress ?? '', reason: (error as Error).message});
-				socket.destroy();
+				refuse(connection, error instanceof FloodError ? 'flood' : 'unreadable', (error as Error).message);
 			}
 		});
 		socket.on('error', () => {
 			// What it means for the requests is told by the close that follows.
 		});
 		socket.once('close', () => {
+			heldBytes -= reader.countHeldBytes();
 			connections.delete(connection);
 			endAll(connection);
 		});
--- a/src/lib/peers/peer-link.test.ts
+++ b/src/lib/peers/peer-link.test.ts
@@ -6,6 +6,7 @@
 	toAddress, toFailureDomain, toNodeId, type NodeId,
 } from '../common/ids.js';
 import {silentLog} from '../timeline/mesh-log.js';
+import {silentRefusals} from '../timeline/refusals.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {type PeerLimits} from './peer-table.js';
 import {createSampleReport} from './sample-report.js';
@@ -23,11 +24,12 @@
 	const node = toNodeId(name);
 	const link = createPeerLink({
 		settings: {
-			...limits, listen: address, domain: toFailureDomain('a'), periodMs: 60_000,
+			...limits, node, listen: address, domain: toFailureDomain('a'), periodMs: 60_000,
 		},
 		describeSelf: sequence => createSampleReport({node, gossip: address, sequence}),
 		isFollowing: () => false,
 		log: silentLog,
+		refusals: silentRefusals,
 		handleReport: () => undefined,
 	});
 	await link.start();
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -4,11 +4,13 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {createSocket} from 'node:dgram';
+import {createSocket, type RemoteInfo} from 'node:dgram';
 import {parseAddress} from '../common/address.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type Address, type FailureDomain, type NodeId} from '../common/ids.js';
+import {createTokenBucket, takeToken} from '../common/token-bucket.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {type Refusal, type Refusals} from '../timeline/refusals.js';
 import {measurePeriods, planHeartbeats, type HeartbeatPlan} from './heartbeat-plan.js';
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {
@@ -17,6 +19,7 @@
 
 /** @internal */
 export type PeerLinkSettings = PeerLimits & {
+	readonly node: NodeId;
 	readonly listen: Address;
 	readonly domain: FailureDomain;
 	/** Milliseconds between two rounds of heartbeats. */
@@ -31,12 +34,13 @@
 	/** Whether others rely on this node to watch the store. */
 	readonly isFollowing: () => boolean;
 	readonly log: MeshLog;
+	readonly refusals: Refusals;
 	/** Told of each report that was heard. */
 	readonly handleReport: (report: PeerReport, news: PeerNews) => void;
 };
 
 /** What is known of the other nodes, for others to read. @internal */
-export type PeerTableView = Pick<PeerTable, 'size' | 'get' | 'list' | 'countDomains' | 'listOwnDomain' | 'listService' | 'findGate'>;
+export type PeerTableView = Pick<PeerTable, 'size' | 'get' | 'hasGossip' | 'list' | 'countDomains' | 'listOwnDomain' | 'listService' | 'findGate'>;
 
 /** @internal */
 export type PeerLink = {
@@ -63,6 +67,15 @@
 /** Periods for which an address that never answered is tried. */
 const contactPeriods = 60;
 
+/** Nodes that are held at the most: several times the largest mesh, some ten megabytes. More come from whoever makes up names. */
+const mostPeers = 4000;
+
+/** A node that asks again within so many milliseconds is not answered again: nodes ask every 200. */
+const leastProbeMs = 50;
+
+/** Answers to newcomers and to those who ask, over all nodes: a mesh that starts at once makes one for each node, and later a few a second. */
+const answerLimits = {perSecond: 500, burst: 2000} as const;
+
 /**
  * Creates the link.
  *
@@ -71,14 +84,16 @@
  * @internal
  */
 export function createPeerLink(context: PeerLinkContext): PeerLink {
-	const {settings, describeSelf, isFollowing, log, handleReport} = context;
+	const {settings, describeSelf, isFollowing, log, refusals, handleReport} = context;
 	const socket = createSocket('udp4');
 	const contacts = new Map<Address, number>();
 	const table = createPeerTable(settings.domain, settings);
 	let sequence = 0;
 	let periods = 0;
 	let timer: NodeJS.Timeout | undefined;
-	let damaged = 0;
+	let answers = createTokenBucket(answerLimits, readSteadyMs());
+	/** When a question of each node was last answered, in steady milliseconds. */
+	const answeredAt = new WeakMap<Peer, number>();
 	let isClosed = false;
 
 	const send = (bytes: Uint8Array, address: Address): void => {
@@ -177,18 +192,61 @@
 		sendHeartbeats(now);
 	};
 
-	const handleMessage = (bytes: Uint8Array): void => {
-		const report = decodeReport(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString());
-		if (report === undefined) {
-			damaged++;
-			log.record('warn', {kind: 'heartbeat-refused', reason: 'the datagram is not a heartbeat', count: damaged});
+	/** Why a report that can be read is refused. */
+	const checkReport = (report: PeerReport): Pick<Refusal, 'cause' | 'reason'> | undefined => {
+		if (report.node === settings.node) {
+			return {cause: 'own-name', reason: `node: found ${report.node}, which is this node; give each node a name of its own`};
+		}
+
+		const isNew = table.get(report.node) === undefined;
+		return isNew && table.size >= mostPeers ? {cause: 'flood', reason: `node: found a new one beside ${mostPeers} others, more than any mesh has`} : undefined;
+	};
+
+	/** Whether a node that asks is answered; one that asks faster than any node does is answered as often as a node would be. */
+	const takeProbe = (node: NodeId, now: number): boolean => {
+		const peer = table.get(node);
+		if (peer === undefined || now - (answeredAt.get(peer) ?? Number.NEGATIVE_INFINITY) < leastProbeMs) {
+			return false;
+		}
+
+		answeredAt.set(peer, now);
+		return true;
+	};
+
+	/** Whether a report is answered by one of this node at once. */
+	const mayAnswer = ({node, isProbe}: PeerReport, news: PeerNews): boolean => {
+		const now = readSteadyMs();
+		const isNew = news === 'joined' || news === 'restarted';
+		if (!isNew && !(isProbe && takeProbe(node, now))) {
+			return false;
+		}
+
+		const {bucket, isTaken} = takeToken(answers, answerLimits, now);
+		answers = bucket;
+		return isTaken;
+	};
+
+	const handleMessage = (bytes: Uint8Array, sender: RemoteInfo): void => {
+		const decoded = decodeReport(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString());
+		const place = `${sender.address}:${sender.port}`;
+		if (decoded.isErr()) {
+			refusals.note({
+				kind: 'heartbeat-refused', cause: 'unreadable', place, reason: decoded.error,
+			});
 			return;
 		}
 
+		const report = decoded.value;
 		if (report.gossip === settings.listen) {
 			return;
 		}
 
+		const problem = checkReport(report);
+		if (problem !== undefined) {
+			refusals.note({kind: 'heartbeat-refused', place, ...problem});
+			return;
+		}
+
 		const news = table.acceptReport(report, readSteadyMs());
 		if (news !== 'none') {
 			silent.delete(report.node);
@@ -199,7 +257,7 @@
 			});
 		}
 
-		if (news === 'joined' || news === 'restarted' || report.isProbe) {
+		if (mayAnswer(report, news)) {
 			// A newcomer knows nobody, and whoever asks has requests that wait: neither should have to wait for the next period.
 			send(encodeSelf(), report.gossip);
 		}
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -3,10 +3,14 @@
  *
  * @module
  */
+import {err, ok, type Result} from 'neverthrow';
 import {
-	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+	toBackendServerId, toFailureDomain, toNodeId,
 	type Address, type BackendServerId, type FailureDomain, type NodeId,
 } from '../common/ids.js';
+import {
+	readAddress, readAmount, readCount, readFlag, readList, readName,
+} from '../common/read-input.js';
 
 /** Whether a backend server takes work. @internal */
 export type ServerState = 'ready' | 'draining' | 'down';
@@ -138,51 +142,57 @@
 	};
 }
 
-function decodeDuties(value: unknown): NodeDuties | undefined {
-	const [linkMbps, isFollowing, storeSeenMs] = Array.isArray(value) ? value as unknown[] : [];
-	return isCount(linkMbps) && typeof storeSeenMs === 'number'
-		? {linkMbps, isFollowing: isFollowing === 1, storeSeenMs: storeSeenMs === storeLost ? undefined : Math.max(0, storeSeenMs)}
-		: undefined;
+/** The longest time that a node may name, and the fastest link: more is no measurement. Milliseconds, megabits a second. */
+const mostOfAll = Number.MAX_SAFE_INTEGER;
+
+/** The longest time between two heartbeats that a node may name. Milliseconds: a node that is silent for as long is forgotten. */
+const longestPeriodMs = 60_000;
+
+function readDuties(value: unknown): NodeDuties {
+	const [linkMbps, isFollowing, storeSeenMs] = readList(value, 'duties');
+	return {
+		linkMbps: readAmount(linkMbps, 'duties.linkMbps', mostOfAll),
+		isFollowing: readFlag(isFollowing, 'duties.isFollowing'),
+		storeSeenMs: storeSeenMs === storeLost ? undefined : readAmount(storeSeenMs, 'duties.storeSeenMs', mostOfAll),
+	};
 }
 
-function decodePeriods(value: unknown): HeartbeatPeriods | undefined {
-	const [ownDomainMs, otherDomainMs] = Array.isArray(value) ? value as unknown[] : [];
-	return isCount(ownDomainMs) && isCount(otherDomainMs) ? {ownDomainMs, otherDomainMs} : undefined;
+function readPeriods(value: unknown): HeartbeatPeriods {
+	const [ownDomainMs, otherDomainMs] = readList(value, 'periods');
+	return {
+		ownDomainMs: readAmount(ownDomainMs, 'periods.ownDomainMs', longestPeriodMs), otherDomainMs: readAmount(otherDomainMs, 'periods.otherDomainMs', longestPeriodMs),
+	};
+}
+
+function readReport(value: unknown): PeerReport {
+	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, duties, periods, isProbe] = readList(value, 'report');
+	return {
+		node: toNodeId(readName(node, 'node')),
+		run: readName(run, 'run'),
+		sequence: readCount(sequence, 'sequence'),
+		domain: toFailureDomain(readName(domain, 'domain')),
+		gate: readAddress(gate, 'gate'),
+		gossip: readAddress(gossip, 'gossip'),
+		version: readCount(version, 'version'),
+		isLeaving: readFlag(isLeaving, 'isLeaving'),
+		server: decodeServer(server),
+		duties: readDuties(duties),
+		periods: readPeriods(periods),
+		isProbe: readFlag(isProbe, 'isProbe'),
+	};
 }
 
 /**
- * Decodes a datagram.
+ * Decodes a datagram. Fields behind those that are known are passed over.
  *
  * @param text - Text that came over the network.
- * @returns The report, or `undefined` if the text is none.
+ * @returns The report; or the field that cannot be used, what was found there and what is allowed.
  * @internal
  */
-export function decodeReport(text: string): PeerReport | undefined {
-	let value: unknown;
+export function decodeReport(text: string): Result<PeerReport, string> {
 	try {
-		value = JSON.parse(text);
-	} catch {
-		// Whoever calls counts it; what a stray datagram held is of no use.
-		return undefined;
+		return ok(readReport(JSON.parse(text)));
+	} catch (error) {
+		return err((error as Error).message);
 	}
-
-	if (!Array.isArray(value)) {
-		return undefined;
-	}
-
-	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, dutiesPart, periodsPart, isProbe] = value as unknown[];
-	if (!isText(node) || !isText(run) || !isText(domain) || !isText(gate) || !isText(gossip) || !isCount(sequence) || !isCount(version)) {
-		return undefined;
-	}
-
-	const duties = decodeDuties(dutiesPart);
-	const periods = decodePeriods(periodsPart);
-	if (duties === undefined || periods === undefined) {
-		return undefined;
-	}
-
-	return {
-		node: toNodeId(node), run, sequence, domain: toFailureDomain(domain), gate: toAddress(gate), gossip: toAddress(gossip), version,
-		isLeaving: isLeaving === 1, server: decodeServer(server), duties, periods, isProbe: isProbe === 1,
-	};
 }
--- a/src/lib/peers/peer-table.test.ts
+++ b/src/lib/peers/peer-table.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import fc from 'fast-check';
 import {toAddress, toFailureDomain, toNodeId} from '../common/ids.js';
-import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
+import {type PeerReport} from './peer-report.js';
 import {createSampleReport} from './sample-report.js';
 import {
 	createPeerTable, isHeard, isReachable, type PeerLimits, type PeerTable,
@@ -20,19 +20,6 @@
 
 const hear = (table: PeerTable, report: PeerReport, now: number) => table.acceptReport({...report, periods: often}, now);
 
-test('a report survives its way over the wire', () => {
-	assert.deepEqual(decodeReport(encodeReport(createSampleReport())), createSampleReport());
-	const bare = createSampleReport({server: undefined, isLeaving: true});
-	assert.deepEqual(decodeReport(encodeReport(bare)), bare);
-});
-
-test('property: whatever arrives as a datagram is a report or nothing', () => {
-	fc.assert(fc.property(fc.oneof(fc.string(), fc.json()), text => {
-		const report = decodeReport(text);
-		assert.ok(report === undefined || typeof report.node === 'string');
-	}));
-});
-
 test('late and repeated reports change nothing', () => {
 	const table = createTable();
 	hear(table, createSampleReport({sequence: 5, version: 4}), 100);
--- a/src/lib/sidecar/announcement-server.ts
+++ b/src/lib/sidecar/announcement-server.ts
@@ -11,7 +11,7 @@
 import {type BackendServerId} from '../common/ids.js';
 import {readBody} from '../forwarding/read-body.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
-import {type MeshLog} from '../timeline/mesh-log.js';
+import {type Refusals} from '../timeline/refusals.js';
 
 /** A call of a backend server. @internal */
 export type ServerCall =
@@ -23,9 +23,14 @@
 	/** Decodes a call; `undefined` if there is no such call. */
 	readonly decode: (method: string, target: string, body: string) => Result<ServerCall | undefined, string>;
 	readonly handleCall: (call: ServerCall) => void;
-	readonly log: MeshLog;
+	readonly refusals: Refusals;
 };
 
+type CallOutcome =
+	| {readonly type: 'taken'}
+	| {readonly type: 'no-such-call'}
+	| {readonly type: 'refused'; readonly reason: string};
+
 /** An announcement is a few hundred bytes. */
 const maxBodyBytes = 16_384;
 
@@ -40,37 +45,58 @@
  * @internal
  */
 export function createAnnouncementServer(context: AnnouncementContext): Server {
-	const {decode, handleCall, log} = context;
+	const {decode, handleCall, refusals} = context;
 
 	const refuse = (response: ServerResponse, place: string, reason: string): void => {
-		log.record('warn', {kind: 'announcement-refused', place, reason});
+		refusals.note({
+			kind: 'announcement-refused', cause: 'unreadable', place, reason,
+		});
 		answer(response, 400, JSON.stringify({error: reason}));
 	};
 
+	const apply = (request: IncomingMessage, body: string): CallOutcome => {
+		try {
+			return decode(request.method ?? 'GET', request.url ?? '/', body).match<CallOutcome>(call => {
+				if (call === undefined) {
+					return {type: 'no-such-call'};
+				}
+
+				handleCall(call);
+				return {type: 'taken'};
+			}, reason => ({type: 'refused', reason}));
+		} catch (error) {
+			// What nobody foresaw in a call must not end the node, and must not be acknowledged.
+			return {type: 'refused', reason: (error as Error).message};
+		}
+	};
+
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const target = request.url ?? '/';
 		let body: string;
 		try {
 			body = Buffer.from(await readBody(request, maxBodyBytes)).toString();
 		} catch (error) {
-			refuse(response, target, (error as Error).message);
+			refuse(response, request.url ?? '/', (error as Error).message);
 			return;
 		}
 
-		const call = decode(request.method ?? 'GET', target, body);
-		if (call.isErr()) {
-			refuse(response, target, call.error);
-			return;
-		}
+		// It takes effect before it is acknowledged: whoever reads the answer can rely on it.
+		const outcome = apply(request, body);
+		switch (outcome.type) {
+			case 'taken': {
+				answer(response, 200, '{}');
+				break;
+			}
 
-		if (call.value === undefined) {
-			answer(response, 404, JSON.stringify({error: 'no such call'}));
-			return;
-		}
+			case 'no-such-call': {
+				answer(response, 404, JSON.stringify({error: 'no such call'}));
+				break;
+			}
 
-		// It takes effect before it is acknowledged: whoever reads the answer can rely on it.
-		handleCall(call.value);
-		answer(response, 200, '{}');
+			case 'refused': {
+				refuse(response, request.url ?? '/', outcome.reason);
+				break;
+			}
+		}
 	};
 
 	return createServer((request, response) => {
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -6,7 +6,7 @@
  */
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import {type FinishedCall} from '../forwarding/entry-server.js';
-import {type MeshLog} from '../timeline/mesh-log.js';
+import {type MeshLog, type RefusalCause, type RefusalKind} from '../timeline/mesh-log.js';
 
 /** A value that is read when metrics are asked for. @internal */
 export type Gauge = {
@@ -20,6 +20,8 @@
 	readonly recordCall: (call: FinishedCall) => void;
 	/** How late a timer fired, in milliseconds: the time for which the one thread was busy or stood still. */
 	readonly recordDelay: (milliseconds: number) => void;
+	/** Counts input that was refused; most of it has no line of its own in the log. */
+	readonly countRefusal: (kind: RefusalKind, cause: RefusalCause) => void;
 	/** Counts every event of a log that passes through. */
 	readonly countEvents: (log: MeshLog) => MeshLog;
 	readonly format: (gauges: readonly Gauge[]) => string;
@@ -91,6 +93,9 @@
 		recordDelay(milliseconds) {
 			delays.recordValue(Math.min(highestMs, Math.max(1, Math.round(milliseconds))));
 		},
+		countRefusal(kind, cause) {
+			add(`stonemoor_refusals_total{${formatLabels({kind, cause})}}`);
+		},
 		countEvents: log => ({
 			record(level, event) {
 				const labels: Readonly<Record<string, string>> = event.kind === 'gate-refused' ? {kind: event.kind, reason: event.reason} : {kind: event.kind};
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -30,6 +30,7 @@
 import {type Candidate} from '../decisions/rank-servers.js';
 import {type MeshStore} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {createRefusals} from '../timeline/refusals.js';
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
 import {createConfigSync} from './config-sync.js';
 import {listCandidates, type CandidateNeeds} from './list-candidates.js';
@@ -99,6 +100,7 @@
 	let settings = firstSettings;
 	const metrics = createMeshMetrics();
 	const log = metrics.countEvents(surroundings.log);
+	const refusals = createRefusals(log, metrics.countRefusal);
 	const {node: self, failureDomain: domain} = settings;
 	const run = randomBytes(6).toString('base64url');
 	const createdAt = readSteadyMs();
@@ -171,8 +173,8 @@
 	};
 	const link = createPeerLink({
 		settings: {
-			...peerLimits, listen: settings.listen.gossip, domain, periodMs: heartbeatMs,
-		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, handleReport,
+			...peerLimits, node: self, listen: settings.listen.gossip, domain, periodMs: heartbeatMs,
+		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, refusals, handleReport,
 	});
 
 	const gateClient = createGateClient();
@@ -235,11 +237,11 @@
 		estimateUnreadMs: lag.estimateUnreadMs,
 	});
 	const gateServer = createGateServer({
-		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log, linkMbps: settings.linkMbps,
+		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log, refusals, linkMbps: settings.linkMbps,
 	});
 	const announcementServer = createAnnouncementServer({
 		decode: surroundings.decodeServerCall,
-		log,
+		refusals,
 		handleCall(call) {
 			switch (call.type) {
 				case 'announce': {
@@ -293,6 +295,7 @@
 		clearInterval(loadTimer);
 		sync.dispose();
 		link.dispose();
+		refusals.dispose();
 		gateClient.dispose();
 		gate.dispose();
 		gateServer.server.close();
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -20,6 +20,20 @@
 	readonly infoAgeMs?: number;
 };
 
+/** What was refused: a datagram at the address for heartbeats, what came over a connection to the gate, a call at the address for announcements, an entry of the store. @internal */
+export type RefusalKind = 'heartbeat-refused' | 'peer-refused' | 'announcement-refused' | 'entry-refused';
+
+/** Why input was refused. @internal */
+export type RefusalCause =
+	/** Bytes, or a field, that cannot be read. */
+	| 'unreadable'
+	/** It speaks in the name of this node. */
+	| 'own-name'
+	/** More than any mesh sends. */
+	| 'flood'
+	/** It names an address at which nobody answers. */
+	| 'no-answer';
+
 /** What happened. @internal */
 /* eslint-disable @stylistic/max-len -- one event a line reads as the table that it is */
 export type MeshEvent =
@@ -42,8 +56,6 @@
 	| {readonly kind: 'peer-lost'; readonly peer: string; readonly heardMsAgo: number}
 	| {readonly kind: 'peer-forgotten'; readonly peer: string; readonly silentMs: number}
 	| {readonly kind: 'peer-avoided'; readonly peer: string; readonly reason: string}
-	| {readonly kind: 'peer-refused'; readonly address: string; readonly reason: string}
-	| {readonly kind: 'heartbeat-refused'; readonly reason: string; readonly count: number}
 	| {readonly kind: 'heartbeat-not-sent'; readonly address: string; readonly reason: string}
 	| {readonly kind: 'gossip-failed'; readonly reason: string}
 	| {readonly kind: 'server-announced'; readonly server: string; readonly service: string; readonly slots: number; readonly coldMs: number}
@@ -51,7 +63,7 @@
 	| {readonly kind: 'server-silent'; readonly server: string; readonly heardMsAgo: number}
 	| {readonly kind: 'server-doubted'; readonly server: string; readonly reason: string}
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
-	| {readonly kind: 'announcement-refused'; readonly place: string; readonly reason: string}
+	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptNote; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptNote[]}
 	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number}
--- /dev/null
+++ b/src/lib/timeline/refusals.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import test, {type TestContext} from 'node:test';
+import {type MeshEvent} from './mesh-log.js';
+import {createRefusals, type Refusal} from './refusals.js';
+
+const heartbeat: Refusal = {
+	kind: 'heartbeat-refused', cause: 'unreadable', place: '10.0.0.9:1', reason: 'report: found nothing, must be a list',
+};
+
+/** Counts of the lines that were written, since the last look. */
+function startFixture(context: TestContext) {
+	context.mock.timers.enable({apis: ['setTimeout']});
+	const events: MeshEvent[] = [];
+	const counted: string[] = [];
+	const refusals = createRefusals({
+		record(_level, event) {
+			events.push(event);
+		},
+	}, (kind, cause) => {
+		counted.push(`${kind} ${cause}`);
+	});
+	const takeLines = (): readonly string[] => events.splice(0).map(event => 'cause' in event ? `${event.kind} ${event.cause} ${event.count}` : event.kind);
+	return {
+		refusals, counted, events, takeLines, tick: context.mock.timers.tick.bind(context.mock.timers),
+	};
+}
+
+test('the first is told at once, the others once a second with how many there were', context => {
+	const {refusals, counted, takeLines, tick} = startFixture(context);
+	for (let sent = 0; sent < 1000; sent++) {
+		refusals.note(heartbeat);
+	}
+
+	assert.deepEqual(takeLines(), ['heartbeat-refused unreadable 1']);
+	tick(1000);
+	assert.deepEqual(takeLines(), ['heartbeat-refused unreadable 999']);
+	refusals.note(heartbeat);
+	tick(999);
+	assert.deepEqual(takeLines(), []);
+	tick(1);
+	assert.deepEqual(takeLines(), ['heartbeat-refused unreadable 1']);
+	tick(10_000);
+	assert.deepEqual(takeLines(), []);
+	refusals.note(heartbeat);
+	assert.deepEqual(takeLines(), ['heartbeat-refused unreadable 1']);
+	assert.equal(counted.length, 1002);
+});
+
+test('kinds and causes do not hide one another, and what was not told yet is told at the end', context => {
+	const {refusals, counted, takeLines} = startFixture(context);
+	refusals.note(heartbeat);
+	refusals.note({...heartbeat, cause: 'flood'});
+	refusals.note({...heartbeat, kind: 'peer-refused'});
+	refusals.note(heartbeat);
+	assert.deepEqual(takeLines(), ['heartbeat-refused unreadable 1', 'heartbeat-refused flood 1', 'peer-refused unreadable 1']);
+	refusals.dispose();
+	assert.deepEqual(takeLines(), ['heartbeat-refused unreadable 1']);
+	assert.equal(counted.length, 4);
+});
+
+test('a line stays short, however long what was refused is', context => {
+	const {refusals, events} = startFixture(context);
+	refusals.note({...heartbeat, place: 'x'.repeat(60_000)});
+	assert.ok(JSON.stringify(events[0]).length < 600);
+});
