--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {type Result} from 'neverthrow';
-import {readSteadyMs} from '../common/clock.js';
+import {readSteadyMs, waitFor} from '../common/clock.js';
 import {type Address, type NodeId} from '../common/ids.js';
 import {type EncodedConfigAnswer} from '../forwarding/config-messages.js';
 import {type GateClient} from '../forwarding/gate-client.js';
@@ -20,6 +20,7 @@
 import {isRelay} from '../sync/relay-duty.js';
 import {createStoreHealth} from '../sync/store-health.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {type Refusals} from '../timeline/refusals.js';
 import {createConfigAnswers} from './config-answers.js';
 import {createNewerConfigFetcher} from './newer-config.js';
 
@@ -40,6 +41,7 @@
 	readonly isNear: (report: PeerReport) => boolean;
 	readonly fetchConfig: GateClient['fetchConfig'];
 	readonly log: MeshLog;
+	readonly refusals: Refusals;
 	readonly random: () => number;
 	/** Told of each configuration that comes into force. */
 	readonly handleAdopted: (held: HeldConfig) => void;
@@ -64,6 +66,9 @@
 /** A node that has known of a newer version for this long and got it from nobody asks the store itself: it may hear the others and not reach them. Milliseconds: what is left of the time in which a change has to be in force is enough to read it. */
 const ownReadAfterMs = 1000;
 
+/** Milliseconds until what failed by a fault of this program runs again. */
+const faultPauseMs = 1000;
+
 /**
  * @param context - The store, the other nodes, and who is told.
  * @returns What keeps the configuration, not started yet.
@@ -71,6 +76,7 @@
  */
 export function createConfigSync(context: ConfigSyncContext): ConfigSync {
 	const {store, self, link, peerLimits, isNear, log, random} = context;
+	const disposed = new AbortController();
 
 	const holder = createConfigHolder((held, source) => {
 		context.handleAdopted(held);
@@ -111,10 +117,13 @@
 	};
 
 	const follower = createConfigFollower({
-		store, health, holder, key: context.configKey, decode: context.decodeConfig, log, random, mayFollow,
+		store, health, holder, key: context.configKey, decode: context.decodeConfig, log, random, mayFollow, handleRead(startedAt) {
+			newer.noteStoreRead(startedAt);
+		},
 	});
 	const registration = createRegistration({
-		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.table.size, handleAddresses: link.addContacts,
+		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.table.size,
+		isKnown: link.table.hasGossip, refusals: context.refusals, handleAddresses: link.addContacts,
 	});
 
 	const newer = createNewerConfigFetcher({
@@ -133,20 +142,46 @@
 		},
 	});
 
+	const tellFault = (error: unknown): void => {
+		log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
+	};
+
+	/** A fault of this program must neither end the node nor what it hears from the store. */
+	const keepRunning = async (run: () => Promise<void>): Promise<void> => {
+		while (!disposed.signal.aborted) {
+			try {
+				await run();
+				return;
+			} catch (error) {
+				tellFault(error);
+				await waitFor(faultPauseMs, disposed.signal);
+			}
+		}
+	};
+
+	const handleReport = async (report: PeerReport): Promise<void> => {
+		try {
+			await newer.handleReport(report);
+		} catch (error) {
+			tellFault(error);
+		}
+	};
+
 	return {
 		holder,
 		describeDuties,
 		handleReport(report) {
-			void newer.handleReport(report);
+			void handleReport(report);
 		},
 		answerConfig: createConfigAnswers(holder),
 		isStoreReachable: health.isReachable,
 		start() {
-			void follower.run();
-			void registration.run();
+			void keepRunning(follower.run);
+			void keepRunning(registration.run);
 		},
 		withdraw: registration.withdraw,
 		dispose() {
+			disposed.abort();
 			registration.dispose();
 			follower.dispose();
 			store.dispose();
--- a/src/lib/sidecar/newer-config.test.ts
+++ b/src/lib/sidecar/newer-config.test.ts
@@ -13,6 +13,7 @@
 type Fixture = {
 	readonly fetch: NewerConfigFetcher['handleReport'];
 	readonly getBehindMs: NewerConfigFetcher['getBehindMs'];
+	readonly noteStoreRead: NewerConfigFetcher['noteStoreRead'];
 	readonly asked: string[];
 	readonly adopted: string[];
 	readonly unusable: string[];
@@ -48,6 +49,7 @@
 		unusable: [],
 		fetch: fetcher.handleReport,
 		getBehindMs: fetcher.getBehindMs,
+		noteStoreRead: fetcher.noteStoreRead,
 	};
 	return fixture;
 }
@@ -179,3 +181,37 @@
 	fixture.current = {version: 11, text: 'eleven'};
 	assert.equal(fixture.getBehindMs(performance.now()), 0);
 });
+
+test('a version that the store, asked after it was claimed, does not have, is not waited for, whoever goes on claiming it', async context => {
+	let now = 1000;
+	context.mock.method(performance, 'now', () => now);
+	const fixture = createFixture(false, undefined);
+	const claim = createSampleReport({node: toNodeId('n9'), version: 90});
+	await fixture.fetch(claim);
+	now += 2000;
+	assert.equal(fixture.getBehindMs(now), 2000);
+	fixture.noteStoreRead(1500);
+	assert.equal(fixture.getBehindMs(now), 0);
+	await fixture.fetch(claim);
+	assert.deepEqual([fixture.asked.length, fixture.getBehindMs(now + 2000)], [1, 0]);
+	// Another node, another version, and the same one beside the next version are heard.
+	await fixture.fetch(newer);
+	assert.equal(fixture.asked.length, 2);
+	await fixture.fetch({...claim, version: 91});
+	assert.equal(fixture.asked.length, 3);
+	fixture.current = {version: 8, text: 'eight'};
+	await fixture.fetch(claim);
+	assert.equal(fixture.asked.length, 4);
+});
+
+test('a version that was claimed while the store was asked may be newer than its answer', async context => {
+	let now = 1000;
+	context.mock.method(performance, 'now', () => now);
+	const fixture = createFixture(false, undefined);
+	await fixture.fetch(newer);
+	fixture.noteStoreRead(900);
+	now += 2000;
+	assert.equal(fixture.getBehindMs(now), 2000);
+	await fixture.fetch(newer);
+	assert.equal(fixture.asked.length, 2);
+});
--- a/src/lib/sidecar/newer-config.ts
+++ b/src/lib/sidecar/newer-config.ts
@@ -45,10 +45,18 @@
 /** Nodes that are asked at once at the most. */
 const mostAsked = 2;
 
+/** Claims that are remembered at the most: as many as nodes are held. */
+const mostClaims = 4000;
+
+/** What a node said to have; refuted once the store, asked after that, had nothing newer than what is in force here. */
+type Claim = {readonly version: number; readonly heardAt: number; isRefuted: boolean};
+
 /** @internal */
 export type NewerConfigFetcher = {
 	/** Takes in what another node says that it has, and fetches it if it is newer. */
 	readonly handleReport: (report: PeerReport) => Promise<void>;
+	/** The store has told what is newest, asked at a time in steady milliseconds: what nodes claimed beyond it before does not exist. */
+	readonly noteStoreRead: (startedAt: number) => void;
 	/** Milliseconds for which this node has known of a newer version without getting any. */
 	readonly getBehindMs: (now: number) => number;
 };
@@ -68,6 +76,9 @@
 	/** Since when this node has stood still at a version although a newer one is there; steady milliseconds, and that version. */
 	let behindSince = 0;
 	let behindAt = 0;
+	/** Newer versions that nodes said to have, while the version in force here stands. */
+	const claims = new Map<NodeId, Claim>();
+	let claimedBeside = 0;
 	/** Steps could not be applied: the whole is asked for. */
 	let needsWhole = false;
 
@@ -161,11 +172,40 @@
 		newest = Math.max(newest, version);
 	};
 
+	/** Claims are kept only as long as the version in force stands: the next one may be what was claimed. */
+	const noteClaim = ({node, version}: PeerReport): Claim => {
+		if (claimedBeside !== getVersion() || claims.size >= mostClaims) {
+			claimedBeside = getVersion();
+			claims.clear();
+		}
+
+		const known = claims.get(node);
+		if (known?.version === version) {
+			return known;
+		}
+
+		const claim: Claim = {version, heardAt: readSteadyMs(), isRefuted: false};
+		claims.set(node, claim);
+		return claim;
+	};
+
+	const noteStoreRead = (startedAt: number): void => {
+		newest = getVersion();
+		for (const claim of claims.values()) {
+			claim.isRefuted ||= claim.heardAt < startedAt;
+			newest = claim.isRefuted ? newest : Math.max(newest, claim.version);
+		}
+	};
+
 	const handleReport = async (report: PeerReport): Promise<void> => {
 		if (report.version <= getVersion()) {
 			return;
 		}
 
+		if (noteClaim(report).isRefuted) {
+			return;
+		}
+
 		noteNewer(report.version);
 		const delayMs = computeDelay(report);
 		if (delayMs === 0) {
@@ -186,6 +226,7 @@
 
 	return {
 		handleReport,
+		noteStoreRead,
 		getBehindMs: now => isStanding() ? now - behindSince : 0,
 	};
 }
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -180,7 +180,7 @@
 	const gateClient = createGateClient();
 	const sync = createConfigSync({
 		store, configKey: surroundings.configKey, decodeConfig: surroundings.decodeConfig, self, gossip: settings.listen.gossip, linkMbps: settings.linkMbps,
-		link, peerLimits, isNear, fetchConfig: gateClient.fetchConfig, log, random, handleAdopted,
+		link, peerLimits, isNear, fetchConfig: gateClient.fetchConfig, log, refusals, random, handleAdopted,
 	});
 
 	/** Whatever was sent before may hang on a connection that a cut has left half open. */
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {type Result} from 'neverthrow';
-import {waitFor} from '../common/clock.js';
+import {readSteadyMs, waitFor} from '../common/clock.js';
 import {type ConfigStep} from '../route-config/config-history.js';
 import {type ConfigHolder} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
@@ -25,6 +25,8 @@
 	readonly random: () => number;
 	/** Whether this node is one of those that ask the store; the others hear of changes from these. */
 	readonly mayFollow: () => boolean;
+	/** Told when the store has told what is newest, with when it was asked, in steady milliseconds. */
+	readonly handleRead: (startedAt: number) => void;
 };
 
 /** @internal */
@@ -67,7 +69,7 @@
  * @internal
  */
 export function createConfigFollower(context: ConfigFollowerContext): ConfigFollower {
-	const {store, health, holder, key, decode, log, random, mayFollow} = context;
+	const {store, health, holder, key, decode, log, random, mayFollow, handleRead} = context;
 	const disposed = new AbortController();
 	let watching = new AbortController();
 	/** Revision of the store up to which changes are known; `undefined` if it has to be read anew. */
@@ -134,6 +136,7 @@
 	};
 
 	const readAnew = async (): Promise<void> => {
+		const startedAt = readSteadyMs();
 		const read = await store.readItem(key, {mayBeStale: false});
 		if (read.isErr()) {
 			await fail('read the configuration', read.error.reason);
@@ -143,6 +146,7 @@
 		revision = read.value.storeRevision;
 		adoptItems(read.value.items);
 		health.noteSuccess();
+		handleRead(startedAt);
 	};
 
 	const watchOnce = async (after: number): Promise<void> => {
--- /dev/null
+++ b/src/lib/sync/entry-book.ts
@@ -0,0 +1,93 @@
+/**
+ * Which entries of the store are worth a greeting. Anybody who reaches the
+ * store may write under the prefix of the nodes: an entry that names no
+ * address, or one at which nobody answers, costs little and is told once.
+ *
+ * @module
+ */
+import {isReachableAddress} from '../common/address.js';
+import {FieldError} from '../common/field-error.js';
+import {toAddress, type Address} from '../common/ids.js';
+import {type StoreItem} from '../store/mesh-store.js';
+import {type Refusals} from '../timeline/refusals.js';
+
+/** @internal */
+export type EntryBookContext = {
+	/** Whether a node takes heartbeats at an address. */
+	readonly isKnown: (address: Address) => boolean;
+	readonly refusals: Refusals;
+};
+
+/** @internal */
+export type EntryBook = {
+	/** Takes all entries of nodes as they stand; yields the addresses that are to be greeted. */
+	readonly take: (items: readonly StoreItem[], now: number) => readonly Address[];
+};
+
+/**
+ * For how long an address is greeted at which nobody has answered since its entry was written. Milliseconds: longer than nodes are cut off from one another
+ * and from each other's greetings, at one datagram every few seconds; a node that starts again writes its entry anew. One that has answered is greeted for as
+ * long as its entry stands.
+ */
+const greetForMs = 300_000;
+
+/** Addresses that are greeted at once at the most: several times the largest mesh that starts at once. */
+const mostGreeted = 2000;
+
+/** What is known of an entry since it was last written. */
+type Entry = {
+	readonly revision: number;
+	readonly firstSeenAt: number;
+	hasAnswered: boolean;
+	isRefused: boolean;
+};
+
+/**
+ * @param context - Who is known, and who is told of entries that are of no use.
+ * @returns A book of no entries.
+ * @internal
+ */
+export function createEntryBook({isKnown, refusals}: EntryBookContext): EntryBook {
+	let entries: ReadonlyMap<string, Entry> = new Map();
+
+	const open = ({key, revision}: StoreItem, now: number): Entry => {
+		const known = entries.get(key);
+		return known?.revision === revision
+			? known
+			: {
+				revision, firstSeenAt: now, hasAnswered: false, isRefused: false,
+			};
+	};
+
+	const refuse = (entry: Entry, {key, value}: StoreItem, cause: 'unreadable' | 'no-answer', allowed: string): void => {
+		if (!entry.isRefused) {
+			entry.isRefused = true;
+			refusals.note({
+				kind: 'entry-refused', cause, place: key, reason: new FieldError('value', value, allowed).message,
+			});
+		}
+	};
+
+	const isWorthGreeting = (entry: Entry, item: StoreItem, now: number): boolean => {
+		if (!isReachableAddress(item.value)) {
+			refuse(entry, item, 'unreadable', 'the address of a node, as in 10.0.0.1:7004; remove the entry');
+			return false;
+		}
+
+		entry.hasAnswered ||= isKnown(toAddress(item.value));
+		if (!entry.hasAnswered && now - entry.firstSeenAt > greetForMs) {
+			refuse(entry, item, 'no-answer', `an address at which a node answers within ${greetForMs / 1000} s; remove the entry`);
+			return false;
+		}
+
+		return true;
+	};
+
+	return {
+		take(items, now) {
+			const opened = new Map(items.map(item => [item.key, open(item, now)]));
+			entries = opened;
+			return items.filter(item => isWorthGreeting(opened.get(item.key)!, item, now)).slice(0, mostGreeted).map(({value}) => toAddress(value));
+		},
+	};
+}
--- a/src/lib/sync/registration.test.ts
+++ b/src/lib/sync/registration.test.ts
@@ -4,6 +4,7 @@
 import {toAddress, toNodeId} from '../common/ids.js';
 import {type MeshStore} from '../store/mesh-store.js';
 import {silentLog} from '../timeline/mesh-log.js';
+import {silentRefusals} from '../timeline/refusals.js';
 import {createRegistration} from './registration.js';
 import {createStoreHealth} from './store-health.js';
 
@@ -52,7 +53,7 @@
 	};
 	const registration = createRegistration({
 		store: store as unknown as MeshStore, health: createStoreHealth(silentLog, () => undefined), self: toNodeId('n1'), gossip: toAddress('10.0.0.1:1'), log: silentLog,
-		random: () => 0.5, isFollowing: () => isFollowing, countPeers: () => peers, handleAddresses: () => undefined,
+		random: () => 0.5, isFollowing: () => isFollowing, countPeers: () => peers, isKnown: () => false, refusals: silentRefusals, handleAddresses: () => undefined,
 	});
 	context.after(registration.dispose);
 	void registration.run();
--- a/src/lib/sync/registration.ts
+++ b/src/lib/sync/registration.ts
@@ -5,11 +5,12 @@
  *
  * @module
  */
-import {isAddress} from '../common/address.js';
-import {waitFor} from '../common/clock.js';
-import {toAddress, type Address, type NodeId} from '../common/ids.js';
+import {readSteadyMs, waitFor} from '../common/clock.js';
+import {type Address, type NodeId} from '../common/ids.js';
 import {type MeshStore, type StoreItems} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {type Refusals} from '../timeline/refusals.js';
+import {createEntryBook} from './entry-book.js';
 import {type StoreHealth} from './store-health.js';
 
 /** @internal */
@@ -24,7 +25,10 @@
 	readonly isFollowing: () => boolean;
 	/** Other nodes that are known now. */
 	readonly countPeers: () => number;
-	/** Told of the addresses of all nodes. */
+	/** Whether a node takes heartbeats at an address. */
+	readonly isKnown: (address: Address) => boolean;
+	readonly refusals: Refusals;
+	/** Told of the addresses at which other nodes may listen. */
 	readonly handleAddresses: (addresses: readonly Address[]) => void;
 };
 
@@ -66,9 +70,10 @@
  * @internal
  */
 export function createRegistration(context: RegistrationContext): Registration {
-	const {store, health, self, gossip, log, random, isFollowing, countPeers, handleAddresses} = context;
+	const {store, health, self, gossip, log, random, isFollowing, countPeers, isKnown, refusals, handleAddresses} = context;
 	const disposed = new AbortController();
 	const key = `${prefix}${self}`;
+	const entries = createEntryBook({isKnown, refusals});
 	let lease: number | undefined;
 	/** Revision at which the own entry was written: a stale read before it may miss the entry. */
 	let writtenAt = 0;
@@ -112,9 +117,10 @@
 	};
 
 	const checkOwnEntry = ({items, storeRevision}: StoreItems): void => {
-		if (lease !== undefined && storeRevision >= writtenAt && !items.some(item => item.key === key)) {
+		const own = items.find(item => item.key === key);
+		if (lease !== undefined && storeRevision >= writtenAt && own?.value !== gossip) {
 			lease = undefined;
-			log.record('warn', {kind: 'lease-lost', reason: 'the entry of this node is missing'});
+			log.record('warn', {kind: 'lease-lost', reason: own === undefined ? 'the entry of this node is missing' : 'another writer has changed the entry of this node'});
 		}
 	};
 
@@ -127,7 +133,7 @@
 
 		health.noteSuccess();
 		checkOwnEntry(read.value);
-		handleAddresses(read.value.items.map(item => item.value).filter(text => isAddress(text)).map(text => toAddress(text)));
+		handleAddresses(entries.take(read.value.items.filter(item => item.key !== key), readSteadyMs()));
 		return true;
 	};
 
