--- a/bench/node-cost/node-cost.ts
+++ b/bench/node-cost/node-cost.ts
@@ -155,7 +155,7 @@
 		const start = await measurePhase(pid, settleMs / 1000, async () => {
 			await sleep(1000);
 			await announceTestServer(announcements, {
-				id: worker.id, address: worker.address, service: services[0], failureDomain: 'd0', slots: 8, sequence: 1,
+				id: worker.id, address: worker.address, service: services[0], failureDomain: 'd0', slots: 8, sequence: 1, born: Date.now(),
 			});
 			await Promise.all(peers.map(async (peer, index) => peer.start(toAddress(gossip), (index + 1) % domains === 0)));
 			return {calls: 0, failed: 0};
--- a/stand-ins/wire-server/wire-server.ts
+++ b/stand-ins/wire-server/wire-server.ts
@@ -78,12 +78,13 @@
 const getText = (request: IncomingMessage, name: string): string => String(request.headers[name] ?? '');
 
 /**
- * Starts a server on a free port of the loopback address.
+ * Starts a server on the loopback address.
  *
  * @param firstId - Its id.
+ * @param port - Where it listens; 0 for any port that is free.
  * @returns The server.
  */
-export async function startWireServer(firstId: string): Promise<WireServer> {
+export async function startWireServer(firstId: string, port = 0): Promise<WireServer> {
 	let id = firstId;
 	let workMs = 5;
 	let left = 0;
@@ -238,7 +239,7 @@
 		void handleSafely(request, response);
 	});
 	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
+		server.listen(port, '127.0.0.1', resolve);
 	});
 	return {
 		id: firstId,
