A node that knows a later lifetime of a server takes no news of an earlier one

Cause: a server that comes back beside another node is told of by both nodes until the first has heard of its end; calls went to a server that is gone. Ruled out: refusing every report of an earlier start, which would shut out a server whose clock went back: one node tells its own server's lifetimes in order, and a node that is silent or leaves holds nothing against another. Change: the table of peers knows the node beside the newest lifetime of each server; what another node says of an earlier one is dropped, and what it said before is forgotten.

--- a/src/lib/peers/peer-table.test.ts
+++ b/src/lib/peers/peer-table.test.ts
@@ -163,6 +163,47 @@
 	}));
 });
 
+const reportServer = (node: string, startedAt: number, changes: Partial<PeerReport> = {}): PeerReport => {
+	const sample = createSampleReport();
+	return createSampleReport({
+		node: toNodeId(node), gate: toAddress(`10.0.0.${node.slice(1)}:1`), gossip: toAddress(`10.0.0.${node.slice(1)}:2`),
+		server: {...sample.server!, lifetime: {...sample.server!.lifetime, startedAt}}, ...changes,
+	});
+};
+
+const listStarts = (table: PeerTable): readonly unknown[] => table.listService('logview').ownDomain.map(({report}) => `${report.node} ${report.server?.lifetime.startedAt}`);
+
+test('a later lifetime beside another node replaces the earlier one, of which nothing is heard any more', () => {
+	const table = createTable();
+	hear(table, reportServer('n2', 1000), 0);
+	assert.equal(hear(table, reportServer('n3', 2000), 100), 'joined');
+	assert.deepEqual(listStarts(table), ['n3 2000']);
+	hear(table, reportServer('n2', 1000, {sequence: 2}), 200);
+	assert.deepEqual(listStarts(table), ['n3 2000']);
+	assert.equal(table.get(n2)?.report.server, undefined);
+	// The node beside the later one falls silent: what the other one goes on saying is all there is.
+	hear(table, reportServer('n2', 1000, {sequence: 3}), 5000);
+	assert.deepEqual(listStarts(table), ['n3 2000', 'n2 1000']);
+});
+
+test('one node tells its own server\'s lifetimes in order, whatever their starts say', () => {
+	const table = createTable();
+	hear(table, reportServer('n2', 2000), 0);
+	assert.equal(hear(table, reportServer('n2', 1000, {sequence: 2}), 100), 'changed');
+	assert.deepEqual(listStarts(table), ['n2 1000']);
+	assert.equal(hear(table, reportServer('n2', 2000), 200), 'none');
+	assert.deepEqual(listStarts(table), ['n2 1000']);
+});
+
+test('a report whose server cannot be read names none', () => {
+	const encoded = JSON.parse(encodeReport(createSampleReport())) as unknown[];
+	const server = encoded[8] as unknown[];
+	for (const [place, value] of [[0, ''], [0, 1], [3, 7], [3, 'ready'], [3, -1], [9, 1.5], [9, '5'], [9, undefined], [9, -1], [2, '4']] as const) {
+		const changed = encoded.with(8, server.with(place, value));
+		assert.equal(decodeReport(JSON.stringify(changed))?.server, undefined, `${place}: ${value}`);
+	}
+});
+
 test('property: whatever is heard and forgotten, the lists by service and failure domain hold what a walk over all nodes finds', () => {
 	const server = createSampleReport().server!;
 	const change = fc.record({
--- a/src/lib/peers/peer-table.ts
+++ b/src/lib/peers/peer-table.ts
@@ -5,8 +5,11 @@
  *
  * @module
  */
-import {type Address, type FailureDomain, type NodeId} from '../common/ids.js';
-import {type PeerReport} from './peer-report.js';
+import {
+	type Address, type BackendServerId, type FailureDomain, type NodeId,
+} from '../common/ids.js';
+import {compareLifetimes, isSameLifetime} from '../common/server-lifetime.js';
+import {type PeerReport, type ServerReport} from './peer-report.js';
 
 /** One other node. @internal */
 export type Peer = {
@@ -118,6 +121,14 @@
 	return isHeard(peer, limits, now) && now >= peer.avoidUntil && !peer.report.isLeaving;
 }
 
+function isSameServer(left: ServerReport | undefined, right: ServerReport | undefined): boolean {
+	if (left === undefined || right === undefined) {
+		return left === right;
+	}
+
+	return isSameLifetime(left.lifetime, right.lifetime) && left.state === right.state;
+}
+
 function compareReports(known: Peer, report: PeerReport, isSilent: boolean): PeerNews {
 	if (known.report.run !== report.run) {
 		return 'restarted';
@@ -128,7 +139,7 @@
 	}
 
 	const before = known.report;
-	const isSame = before.isLeaving === report.isLeaving && before.server?.lifetime.id === report.server?.lifetime.id && before.server?.lifetime.startedAt === report.server?.lifetime.startedAt && before.server?.state === report.server?.state;
+	const isSame = before.isLeaving === report.isLeaving && isSameServer(before.server, report.server);
 	if (!isSame) {
 		return 'changed';
 	}
@@ -200,6 +211,8 @@
 	const byGossip = new Map<Address, MutablePeer>();
 	const ownDomain: MutablePeer[] = [];
 	const services = createServiceIndex(domain);
+	/** The node beside the newest lifetime that is known of each backend server. */
+	const holders = new Map<BackendServerId, MutablePeer>();
 	/** Nodes of each failure domain, and this one. */
 	const domainSizes = new Map<FailureDomain, number>([[domain, 1]]);
 
@@ -212,6 +225,56 @@
 		}
 	};
 
+	const release = (peer: MutablePeer): void => {
+		const id = peer.report.server?.lifetime.id;
+		if (id !== undefined && holders.get(id) === peer) {
+			holders.delete(id);
+		}
+	};
+
+	const dropServer = (peer: MutablePeer): void => {
+		release(peer);
+		services.remove(peer);
+		peer.report = {...peer.report, server: undefined};
+	};
+
+	/**
+	 * Takes no news of an earlier lifetime of a server from another node than the one beside the newest, and forgets the earlier
+	 * one when a later one is heard. What one node says in turn is in its own order: it knows whether the clock of its server went
+	 * back. So is what is said while the node beside the newest is silent or leaves.
+	 */
+	const dropEarlier = (report: PeerReport, now: number): PeerReport => {
+		const {server} = report;
+		const holder = server === undefined ? undefined : holders.get(server.lifetime.id);
+		const held = holder?.report.server;
+		if (server === undefined || holder === undefined || held === undefined || holder.report.node === report.node) {
+			return report;
+		}
+
+		switch (compareLifetimes(server.lifetime, held.lifetime)) {
+			case 'later': {
+				dropServer(holder);
+				return report;
+			}
+
+			case 'earlier': {
+				return isHeard(holder, limits, now) && !holder.report.isLeaving ? {...report, server: undefined} : report;
+			}
+
+			case 'same':
+			case 'unrelated': {
+				return report;
+			}
+		}
+	};
+
+	const hold = (peer: MutablePeer): void => {
+		const id = peer.report.server?.lifetime.id;
+		if (id !== undefined) {
+			holders.set(id, peer);
+		}
+	};
+
 	const addToIndices = (peer: MutablePeer): void => {
 		byGate.set(peer.report.gate, peer);
 		byGossip.set(peer.report.gossip, peer);
@@ -249,6 +312,7 @@
 		};
 		peers.set(report.node, peer);
 		addToIndices(peer);
+		hold(peer);
 	};
 
 	const update = (peer: MutablePeer, report: PeerReport, now: number): void => {
@@ -263,7 +327,9 @@
 			removeFromIndices(peer);
 		}
 
+		release(peer);
 		peer.report = report;
+		hold(peer);
 		peer.reportedAt = now;
 		peer.heardAt = now;
 		peer.periodMs = limits.getPeriodMs(report);
@@ -284,17 +350,18 @@
 		listService: services.get,
 		findGate: gate => byGate.get(gate),
 		hasGossip: gossip => byGossip.has(gossip),
-		acceptReport(report, now) {
-			const known = peers.get(report.node);
+		acceptReport(told, now) {
+			const known = peers.get(told.node);
+			if (known !== undefined && isOutdated(known, told)) {
+				return 'none';
+			}
+
+			const report = dropEarlier(told, now);
 			if (known === undefined) {
 				join(report, now);
 				return 'joined';
 			}
 
-			if (isOutdated(known, report)) {
-				return 'none';
-			}
-
 			const news = compareReports(known, report, !isHeard(known, limits, now));
 			update(known, report, now);
 			return news;
@@ -334,6 +401,7 @@
 			const dropped = [...peers.values()].filter(({heardAt}) => now - heardAt > limits.forgetMs);
 			for (const peer of dropped) {
 				peers.delete(peer.report.node);
+				release(peer);
 				removeFromIndices(peer);
 			}
 
