Words of other writers name no server, disturb none and are counted by cause

Cause: an announcement with an unknown state was taken for a ready server's, any number for a count, any text for an address, and a target that is no URL ended the process. A server of another service became the one of this node. Ruled out: the services of the configuration as what a server may run; they are those of all VMs, and the settings name the one beside this node. Change: each word is decoded whole or refused with the place, what was found and what is allowed; decoding never throws. Conclusion: what holds, holds whatever arrives beside it.

--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -6,6 +6,7 @@
  */
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import {type FinishedCall} from '../forwarding/entry-server.js';
+import {type RefusalCause} from '../local-server/call-refusal.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 
 /** A value that is read when metrics are asked for. @internal */
@@ -22,6 +23,8 @@
 	readonly recordDelay: (milliseconds: number) => void;
 	/** Counts every event of a log that passes through. */
 	readonly countEvents: (log: MeshLog) => MeshLog;
+	/** Counts a call that spoke for the backend server and was not taken in. */
+	readonly countRefusal: (cause: RefusalCause) => void;
 	readonly format: (gauges: readonly Gauge[]) => string;
 };
 
@@ -98,6 +101,9 @@
 				log.record(level, event);
 			},
 		}),
+		countRefusal(cause) {
+			add(`stonemoor_announcements_refused_total{${formatLabels({cause})}}`);
+		},
 		format(gauges) {
 			const lines = [
 				...[...counters].map(([key, count]) => `${key} ${count}`),
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {randomBytes} from 'node:crypto';
-import {type Result} from 'neverthrow';
+import {ok, type Result} from 'neverthrow';
 import {readSteadyMs} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
 import {toLifetimeKey} from '../common/server-lifetime.js';
@@ -21,6 +21,8 @@
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createAwaitedRoutes} from '../decisions/awaited-routes.js';
 import {createReturningCallers} from '../decisions/returning-callers.js';
+import {type CallRefusal} from '../local-server/call-refusal.js';
+import {checkService} from '../local-server/check-service.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {type PeerLimits, type PeerNews} from '../peers/peer-table.js';
@@ -31,7 +33,7 @@
 import {type Candidate} from '../decisions/rank-servers.js';
 import {type MeshStore} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
-import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
+import {createAnnouncementServer, type ServerCall} from './announcement-server.js';
 import {createConfigSync} from './config-sync.js';
 import {listCandidates, type CandidateNeeds} from './list-candidates.js';
 import {createMeshMetrics} from './mesh-metrics.js';
@@ -48,7 +50,8 @@
 	/** Key of the configuration in the store. */
 	readonly configKey: string;
 	readonly decodeConfig: (text: string) => Result<RouteConfig, string>;
-	readonly decodeServerCall: AnnouncementContext['decode'];
+	/** Decodes a call of a backend server; `undefined` if there is no such call. */
+	readonly decodeServerCall: (method: string, target: string, body: string) => Result<ServerCall | undefined, CallRefusal>;
 	readonly wire: WireHeaders;
 	readonly log: MeshLog;
 	readonly random: () => number;
@@ -238,8 +241,16 @@
 	const gateServer = createGateServer({
 		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log, linkMbps: settings.linkMbps,
 	});
+	/** Decodes a call that speaks for the server beside this node; one of another service's server does not. */
+	const decodeOwnCall = (method: string, target: string, body: string): Result<ServerCall | undefined, string> => surroundings.decodeServerCall(method, target, body)
+		.andThen(call => call?.type === 'announce' ? checkService(call.announcement, settings.service).map(() => call) : ok(call))
+		.mapErr(({cause, text}) => {
+			metrics.countRefusal(cause);
+			return text;
+		});
+
 	const announcementServer = createAnnouncementServer({
-		decode: surroundings.decodeServerCall,
+		decode: decodeOwnCall,
 		log,
 		handleCall(call) {
 			switch (call.type) {
