Faults: the promises about lifetimes are taken away one at a time

Two were not noticed at first: that an earlier start takes over only if it goes on, and that who waits for a slot of a start that has ended is told at once. The tests of both said less than their names; they now hear one word on either side of the later start's last, and hold the slot with a body that has not arrived.

--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -136,14 +136,23 @@
 
 test('when a server starts again, who waits for a slot of the earlier start is told at once that it has not run', async context => {
 	const fixture = await createFixture(context);
-	const sent = fixture.gate.run(fixture.createCall('first'));
-	await waitForArrival(fixture);
+	// It holds the slot until its body has arrived.
+	let sendBody = (): void => undefined;
+	const body = new Promise<Uint8Array>(resolve => {
+		sendBody = () => {
+			resolve(new Uint8Array(5));
+		};
+	});
+	const held = fixture.gate.run({...fixture.createCall('first'), readBody: async () => body});
 	const waiting = fixture.gate.run(fixture.createCall('late'));
+	const startedAt = performance.now();
 	fixture.announce({lifetime: later});
 	const {result} = await waiting;
 	assert.ok(result.type === 'failed' && result.reason === 'gone' && result.verdict === 'not-run');
-	await sent;
-	assert.deepEqual(fixture.arrived, ['first']);
+	assert.ok(performance.now() - startedAt < 1000);
+	sendBody();
+	await held;
+	assert.deepEqual(fixture.arrived, []);
 });
 
 test('a body that arrives after its server has started again is not sent to the later start past its slots', async context => {
--- a/src/lib/local-server/accept-word.test.ts
+++ b/src/lib/local-server/accept-word.test.ts
@@ -147,6 +147,11 @@
 	assert.equal(announce(before, {startedAt: earliest, sequence: 1}, 60_000).state.current?.announcement.lifetime.startedAt, middle);
 	const repeated = announce(announce(before, {startedAt: earliest, sequence: 1}, 500).state, {startedAt: earliest, sequence: 1}, 60_000);
 	assert.equal(repeated.state.current?.announcement.lifetime.startedAt, middle);
+	// A word from before the later start spoke last is none of two that follow one another.
+	const between = announce(announce(before, {startedAt: earliest, sequence: 1}, 500).state, {startedAt: middle, sequence: 91}, 1000).state;
+	const once = announce(between, {startedAt: earliest, sequence: 2}, 5000).state;
+	assert.equal(once.current?.announcement.lifetime.startedAt, middle);
+	assert.equal(announce(once, {startedAt: earliest, sequence: 3}, 5500).state.current?.announcement.lifetime.startedAt, earliest);
 	// The one that has given way is an earlier one now, whatever its start says.
 	assert.equal(announce(state, {startedAt: middle, sequence: 91}, 4000).state.current?.announcement.lifetime.startedAt, earliest);
 });
