--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {readSteadyMs} from '../common/clock.js';
-import {type BackendServerId} from '../common/ids.js';
+import {type LifetimeKey} from '../common/server-lifetime.js';
 import {joinVerdicts, type Verdict} from '../common/verdict.js';
 import {type AttemptHistory} from '../decisions/plan-attempt.js';
 import {type AttemptNote} from '../timeline/mesh-log.js';
@@ -56,8 +56,8 @@
  * @internal
  */
 export function createCallProgress(service: string): CallProgress {
-	const tried = new Set<BackendServerId>();
-	const full = new Set<BackendServerId>();
+	const tried = new Set<LifetimeKey>();
+	const full = new Set<LifetimeKey>();
 	/** In the order in which the attempts began. */
 	const notes = new Map<Attempt, AttemptNote>();
 	let verdict: Verdict = 'not-run';
@@ -90,14 +90,14 @@
 		countArrivals: () => arrivals,
 		getFallback: () => fallback,
 		noteStart(attempt) {
-			tried.add(attempt.target.id);
+			tried.add(attempt.target.lifetime);
 			notes.set(attempt, describeAttempt(attempt, 'may-have-run', 'under way'));
 		},
 		noteEnd(attempt, result) {
 			const {target, mayWaitMs} = attempt;
 			if (result.type === 'failed' && result.reason === 'full' && mayWaitMs === 0) {
-				tried.delete(target.id);
-				full.add(target.id);
+				tried.delete(target.lifetime);
+				full.add(target.lifetime);
 			}
 
 			arrivals += hasArrived(result) ? 1 : 0;
--- a/src/lib/forwarding/outgoing-call.ts
+++ b/src/lib/forwarding/outgoing-call.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import {type BackendServerId, type NodeId} from '../common/ids.js';
+import {type NodeId} from '../common/ids.js';
+import {type LifetimeKey} from '../common/server-lifetime.js';
 import {type Verdict} from '../common/verdict.js';
 import {type RouteRule} from '../route-config/route-config.js';
 import {type Candidate} from '../decisions/rank-servers.js';
@@ -47,7 +48,7 @@
 	readonly self: NodeId;
 	readonly callerService: string;
 	/** Servers of a service that are ready, with what is known of them for a request of a route; a few of them if there are many. */
-	readonly listCandidates: (needs: {readonly service: string; readonly route: string; readonly tried: ReadonlySet<BackendServerId>}) => readonly Candidate[];
+	readonly listCandidates: (needs: {readonly service: string; readonly route: string; readonly tried: ReadonlySet<LifetimeKey>}) => readonly Candidate[];
 	readonly domain: Candidate['domain'];
 	readonly localGate: LocalGate;
 	readonly gateClient: GateClient;
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -91,8 +91,8 @@
 
 		const now = readSteadyMs();
 		const {tookMs, ...view} = load;
-		context.loads.hear(target.id, view, now);
-		context.loads.noteWay(target.id, call.route.name, now - startedAt - tookMs);
+		context.loads.hear(target.lifetime, view, now);
+		context.loads.noteWay(target.lifetime, call.route.name, now - startedAt - tookMs);
 	};
 
 	const sendSafely = async (attempt: Attempt, handleDoubt: () => void): Promise<GateResult> => {
@@ -112,9 +112,9 @@
 		};
 
 		const unwatch = target.isLocal ? (): void => undefined : context.watchSilence(target.node, handleDoubt);
-		context.loads.begin(target.id);
+		context.loads.begin(target.lifetime);
 		const {result, load} = await sendSafely(attempt, handleDoubt);
-		context.loads.end(target.id);
+		context.loads.end(target.lifetime);
 		unwatch();
 		scope.dispose();
 		noteLoad(attempt, load);
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -9,6 +9,7 @@
 import {
 	toAddress, toBackendServerId, toFailureDomain, toNodeId,
 } from '../common/ids.js';
+import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
 import {createLoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
@@ -25,6 +26,8 @@
 
 const domain = toFailureDomain('a');
 
+const toKey = (id: string): LifetimeKey => toLifetimeKey({id: toBackendServerId(id), startedAt: 1});
+
 type SilentMesh = {
 	readonly send: () => Promise<CallOutcome>;
 	/** Tells the calls that wait that the node of the first server is silent. */
@@ -57,7 +60,7 @@
 	const scope = createCallScope(performance.now() + 1000);
 	context.after(scope.dispose);
 	const listCandidates = (): readonly Candidate[] => ['a', 'b', 'c', 'd'].map(id => ({
-		id: toBackendServerId(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toBackendServerId(id)),
+		id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
 	}));
 	const gateClient = {
 		async send(call: RemoteCall): Promise<GateResult> {
@@ -104,8 +107,8 @@
 			settleFirst(result);
 		},
 		fillOthers() {
-			for (const {id} of listCandidates().filter(candidate => candidate.id !== sent[0]?.server)) {
-				loads.hear(id, {running: 4, waiting: 40, serviceMs: 200}, performance.now());
+			for (const {lifetime} of listCandidates().filter(candidate => candidate.id !== sent[0]?.server)) {
+				loads.hear(lifetime, {running: 4, waiting: 40, serviceMs: 200}, performance.now());
 			}
 		},
 	};
--- a/src/lib/peers/peer-report.test.ts
+++ b/src/lib/peers/peer-report.test.ts
@@ -56,6 +56,15 @@
 	});
 }
 
+test('a report whose server cannot be read names none', () => {
+	const encoded = JSON.parse(encodeReport(createSampleReport())) as unknown[];
+	const server = encoded[8] as unknown[];
+	for (const [place, value] of [[0, ''], [0, 1], [3, 7], [3, 'ready'], [3, -1], [9, 1.5], [9, '5'], [9, undefined], [9, -1], [2, '4']] as const) {
+		const changed = encoded.with(8, server.with(place, value));
+		assert.equal(decodeReport(JSON.stringify(changed))._unsafeUnwrap().server, undefined, `${place}: ${value}`);
+	}
+});
+
 test('property: whatever arrives as a datagram is a report with addresses that can be used, or is refused', () => {
 	const sound = encodeReport(createSampleReport());
 	const changed = fc.tuple(fc.nat(sound.length), fc.nat(3), fc.string()).map(([place, length, text]) => sound.slice(0, place) + text + sound.slice(place + length));
--- a/src/lib/sidecar/announcement-server.ts
+++ b/src/lib/sidecar/announcement-server.ts
@@ -8,20 +8,21 @@
 } from 'node:http';
 import {Buffer} from 'node:buffer';
 import {type Result} from 'neverthrow';
-import {type BackendServerId} from '../common/ids.js';
 import {readBody} from '../forwarding/read-body.js';
-import {type ServerAnnouncement} from '../local-server/local-server.js';
+import {type CallRefusal} from '../local-server/call-refusal.js';
+import {type ServerAnnouncement, type ServerLeave} from '../local-server/local-server.js';
+import {type RefusalCause} from '../timeline/mesh-log.js';
 import {type Refusals} from '../timeline/refusals.js';
 
 /** A call of a backend server. @internal */
 export type ServerCall =
 	| {readonly type: 'announce'; readonly announcement: ServerAnnouncement}
-	| {readonly type: 'leave'; readonly id: BackendServerId};
+	| {readonly type: 'leave'; readonly leave: ServerLeave};
 
 /** @internal */
 export type AnnouncementContext = {
 	/** Decodes a call; `undefined` if there is no such call. */
-	readonly decode: (method: string, target: string, body: string) => Result<ServerCall | undefined, string>;
+	readonly decode: (method: string, target: string, body: string) => Result<ServerCall | undefined, CallRefusal>;
 	readonly handleCall: (call: ServerCall) => void;
 	readonly refusals: Refusals;
 };
@@ -29,7 +30,7 @@
 type CallOutcome =
 	| {readonly type: 'taken'}
 	| {readonly type: 'no-such-call'}
-	| {readonly type: 'refused'; readonly reason: string};
+	| {readonly type: 'refused'; readonly cause: RefusalCause; readonly reason: string};
 
 /** An announcement is a few hundred bytes. */
 const maxBodyBytes = 16_384;
@@ -47,9 +48,9 @@
 export function createAnnouncementServer(context: AnnouncementContext): Server {
 	const {decode, handleCall, refusals} = context;
 
-	const refuse = (response: ServerResponse, place: string, reason: string): void => {
+	const refuse = (response: ServerResponse, place: string, cause: RefusalCause, reason: string): void => {
 		refusals.note({
-			kind: 'announcement-refused', cause: 'unreadable', place, reason,
+			kind: 'announcement-refused', cause, place, reason,
 		});
 		answer(response, 400, JSON.stringify({error: reason}));
 	};
@@ -63,10 +64,10 @@
 
 				handleCall(call);
 				return {type: 'taken'};
-			}, reason => ({type: 'refused', reason}));
+			}, ({cause, text}) => ({type: 'refused', cause, reason: text}));
 		} catch (error) {
 			// What nobody foresaw in a call must not end the node, and must not be acknowledged.
-			return {type: 'refused', reason: (error as Error).message};
+			return {type: 'refused', cause: 'unreadable', reason: (error as Error).message};
 		}
 	};
 
@@ -75,7 +76,7 @@
 		try {
 			body = Buffer.from(await readBody(request, maxBodyBytes)).toString();
 		} catch (error) {
-			refuse(response, request.url ?? '/', (error as Error).message);
+			refuse(response, request.url ?? '/', 'unreadable', (error as Error).message);
 			return;
 		}
 
@@ -93,7 +94,7 @@
 			}
 
 			case 'refused': {
-				refuse(response, request.url ?? '/', outcome.reason);
+				refuse(response, request.url ?? '/', outcome.cause, outcome.reason);
 				break;
 			}
 		}
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -5,9 +5,10 @@
  * @module
  */
 import {randomBytes} from 'node:crypto';
-import {type Result} from 'neverthrow';
+import {ok, type Result} from 'neverthrow';
 import {readSteadyMs} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
+import {toLifetimeKey} from '../common/server-lifetime.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createWorkTurns} from '../common/work-turns.js';
@@ -20,6 +21,8 @@
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createAwaitedRoutes} from '../decisions/awaited-routes.js';
 import {createReturningCallers} from '../decisions/returning-callers.js';
+import {type CallRefusal} from '../local-server/call-refusal.js';
+import {checkService} from '../local-server/check-service.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {type PeerLimits, type PeerNews} from '../peers/peer-table.js';
@@ -31,7 +34,7 @@
 import {type MeshStore} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createRefusals} from '../timeline/refusals.js';
-import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
+import {createAnnouncementServer, type ServerCall} from './announcement-server.js';
 import {createConfigSync} from './config-sync.js';
 import {listCandidates, type CandidateNeeds} from './list-candidates.js';
 import {createMeshMetrics} from './mesh-metrics.js';
@@ -48,7 +51,8 @@
 	/** Key of the configuration in the store. */
 	readonly configKey: string;
 	readonly decodeConfig: (text: string) => Result<RouteConfig, string>;
-	readonly decodeServerCall: AnnouncementContext['decode'];
+	/** Decodes a call of a backend server; `undefined` if there is no such call. */
+	readonly decodeServerCall: (method: string, target: string, body: string) => Result<ServerCall | undefined, CallRefusal>;
 	readonly wire: WireHeaders;
 	readonly log: MeshLog;
 	readonly random: () => number;
@@ -161,7 +165,7 @@
 		}
 
 		if (report.server !== undefined) {
-			loads.hear(report.server.id, report.server, readSteadyMs());
+			loads.hear(toLifetimeKey(report.server.lifetime), report.server, readSteadyMs());
 		}
 
 		sync.handleReport(report);
@@ -239,8 +243,12 @@
 	const gateServer = createGateServer({
 		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log, refusals, linkMbps: settings.linkMbps,
 	});
+	/** Decodes a call that speaks for the server beside this node; one of another service's server does not. */
+	const decodeOwnCall = (method: string, target: string, body: string): Result<ServerCall | undefined, CallRefusal> => surroundings.decodeServerCall(method, target, body)
+		.andThen(call => call?.type === 'announce' ? checkService(call.announcement, settings.service).map(() => call) : ok(call));
+
 	const announcementServer = createAnnouncementServer({
-		decode: surroundings.decodeServerCall,
+		decode: decodeOwnCall,
 		refusals,
 		handleCall(call) {
 			switch (call.type) {
@@ -250,7 +258,7 @@
 				}
 
 				case 'leave': {
-					gate.leave(call.id);
+					gate.leave(call.leave);
 					break;
 				}
 			}
@@ -269,8 +277,8 @@
 
 	/** Servers come and go all day: what is known of those that are gone must not pile up. */
 	const forgetGone = (): void => {
-		const known = new Set([...link.table.list()].flatMap(({report}) => report.server === undefined ? [] : [report.server.id]));
-		loads.retain(id => known.has(id));
+		const known = new Set([...link.table.list()].flatMap(({report}) => report.server === undefined ? [] : [toLifetimeKey(report.server.lifetime)]));
+		loads.retain(lifetime => known.has(lifetime));
 		silence.forgetIdle();
 	};
 
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -32,7 +32,23 @@
 	/** More than any mesh sends. */
 	| 'flood'
 	/** It names an address at which nobody answers. */
-	| 'no-answer';
+	| 'no-answer'
+	| AnnouncementCause;
+
+/** Why a call that speaks for the backend server beside a node was refused. @internal */
+export type AnnouncementCause =
+	/** The target names no server. */
+	| 'server-id'
+	/** The body is no JSON object in UTF-8. */
+	| 'body'
+	/** It does not say which start of the server speaks, or not as a whole number. */
+	| 'start'
+	/** A field is missing, has another type or is out of bounds. */
+	| 'field'
+	/** The server says that it is in a state that is not known here. */
+	| 'state'
+	/** The server says that it runs another service than the one beside this node. */
+	| 'service';
 
 /** What happened. @internal */
 /* eslint-disable @stylistic/max-len -- one event a line reads as the table that it is */
@@ -58,7 +74,7 @@
 	| {readonly kind: 'peer-avoided'; readonly peer: string; readonly reason: string}
 	| {readonly kind: 'heartbeat-not-sent'; readonly address: string; readonly reason: string}
 	| {readonly kind: 'gossip-failed'; readonly reason: string}
-	| {readonly kind: 'server-announced'; readonly server: string; readonly service: string; readonly slots: number; readonly coldMs: number}
+	| {readonly kind: 'server-announced'; readonly server: string; readonly startedAt: number; readonly service: string; readonly slots: number; readonly coldMs: number}
 	| {readonly kind: 'server-draining'; readonly server: string; readonly how: string}
 	| {readonly kind: 'server-silent'; readonly server: string; readonly heardMsAgo: number}
 	| {readonly kind: 'server-doubted'; readonly server: string; readonly reason: string}
