Lifetimes: servers that do not say when they started are used where none does; an ambiguous leave is not acknowledged

And a leave without a start, shortly after a return, was acknowledged and ignored: a server that meant it would rely on it. Ruled out: taking every word without a start, which is what another writer sends where servers say it; a setting, which nobody would keep right. Change: a start that is not said is one of its own, earlier than any other. It is expected where a server beside this node said one within ten seconds, or most of the servers that other nodes tell of do. The ambiguous leave is answered 400.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -202,6 +202,27 @@
 		to: 'false',
 		tests: `${library}/sidecar`,
 	},
+	{
+		promise: 'sidecar: beside servers that say their start, a word without one is another writer\'s',
+		file: `${library}/local-server/start-check.js`,
+		from: 'now - heardAt <= expectedForMs || isUsual(listLifetimes())',
+		to: 'false',
+		tests: `${library}/local-server`,
+	},
+	{
+		promise: 'sidecar: servers that do not say their start are used where none does',
+		file: `${library}/local-server/start-check.js`,
+		from: 'now - heardAt <= expectedForMs || isUsual(listLifetimes())',
+		to: 'true',
+		tests: `${library}/local-server`,
+	},
+	{
+		promise: 'sidecar: a leave that nobody can tell the start of is not acknowledged',
+		file: `${library}/forwarding/local-gate.js`,
+		from: 'isAmbiguousLeave(state, leave, now)',
+		to: 'false',
+		tests: 'platform',
+	},
 	{
 		promise: 'sidecar: only what has not run is told so',
 		file: `${library}/forwarding/send-call.js`,
--- a/src/lib/common/server-lifetime.ts
+++ b/src/lib/common/server-lifetime.ts
@@ -10,10 +10,20 @@
 /** One start of a backend server. @internal */
 export type ServerLifetime = {
 	readonly id: BackendServerId;
-	/** Milliseconds since the epoch by the clock of the server's machine, which may jump: it tells lifetimes of one id apart and means nothing beside any other clock. */
+	/** Milliseconds since the epoch by the clock of the server's machine, which may jump: it tells lifetimes of one id apart and means nothing beside any other clock. `unknownStart` if the server does not say it. */
 	readonly startedAt: number;
 };
 
+/** Stands for the start of a server that does not say when it started: earlier than any start. @internal */
+export const unknownStart = 0;
+
+/**
+ * @param lifetime - A lifetime.
+ * @returns Whether its server said when it started.
+ * @internal
+ */
+export const isStartKnown = ({startedAt}: ServerLifetime): boolean => startedAt !== unknownStart;
+
 /** A lifetime as text, for keys of maps and members of sets. @internal */
 export type LifetimeKey = string & {readonly __kind: 'LifetimeKey'};
 
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -5,13 +5,15 @@
  *
  * @module
  */
+import {err, ok, type Result} from 'neverthrow';
 import {type SlotOutcome, type SlotRequest} from '../admission/slot-keeper.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type BackendServerId} from '../common/ids.js';
 import {isSameLifetime} from '../common/server-lifetime.js';
 import {
-	acceptAnnouncement, acceptLeave, doubtServer, forgetServer,
+	acceptAnnouncement, acceptLeave, doubtServer, forgetServer, isAmbiguousLeave,
 } from '../local-server/accept-word.js';
+import {type CallRefusal} from '../local-server/call-refusal.js';
 import {
 	noLocalServer, type LocalServer, type LocalServerState, type ServerAnnouncement, type ServerLeave, type ServerStep,
 } from '../local-server/local-server.js';
@@ -55,8 +57,8 @@
 export type LocalGate = {
 	readonly run: (call: GateCall) => Promise<GateResult>;
 	readonly announce: (announcement: ServerAnnouncement) => void;
-	/** The server leaves; from here on it gets no new work. */
-	readonly leave: (leave: ServerLeave) => void;
+	/** The server leaves; from here on it gets no new work. One that may be an earlier start's late word is refused, so that nobody relies on it. */
+	readonly leave: (leave: ServerLeave) => Result<undefined, CallRefusal>;
 	readonly describe: () => ServerReport | undefined;
 	readonly countRequests: () => number;
 	readonly dispose: () => void;
@@ -272,7 +274,13 @@
 			apply(acceptAnnouncement(state, announcement, readSteadyMs()), 'it said that it drains');
 		},
 		leave(leave) {
-			apply(acceptLeave(state, leave, readSteadyMs()), 'it said that it leaves');
+			const now = readSteadyMs();
+			if (isAmbiguousLeave(state, leave, now)) {
+				return err({cause: 'start', text: `start: found nothing, must be which start of ${leave.id} leaves, since it started again a moment ago`});
+			}
+
+			apply(acceptLeave(state, leave, now), 'it said that it leaves');
+			return ok(undefined);
 		},
 		describe() {
 			const {current} = state;
--- a/src/lib/local-server/accept-word.ts
+++ b/src/lib/local-server/accept-word.ts
@@ -151,14 +151,24 @@
 }
 
 /**
- * Takes in that a server leaves which did not say which start of it does. It is the lifetime in use, unless that one has
- * just followed an earlier one of its id: a late word would shut it out for as long as it lives, while one that leaves
- * within seconds of its start goes on serving for a while.
+ * Tells whether a word that a server leaves may be a late one of an earlier start: it does not say which start leaves, and the one in use has
+ * just followed another. Taken in, it would shut out the new one for as long as it lives; it must not be acknowledged either, since the new one may mean it.
+ *
+ * @param state - What is known.
+ * @param leave - The word.
+ * @param now - Steady milliseconds.
+ * @returns Whether nobody can tell which start it is of.
+ * @internal
  */
+export function isAmbiguousLeave({current}: LocalServerState, {id, startedAt}: ServerLeave, now: number): boolean {
+	return startedAt === undefined && current?.announcement.lifetime.id === id && now < current.followsUntil;
+}
+
+/** Takes in that a server leaves which did not say which start of it does: the lifetime in use. */
 function leaveWithoutStart(state: LocalServerState, id: BackendServerId, now: number): ServerStep {
 	const {current, others} = state;
 	if (current?.announcement.lifetime.id === id) {
-		return now < current.followsUntil ? {state, news: 'none'} : leaveCurrent(state, current);
+		return leaveCurrent(state, current);
 	}
 
 	const known = others.map(({announcement}) => announcement.lifetime).filter(lifetime => lifetime.id === id);
@@ -181,6 +191,10 @@
  */
 export function acceptLeave(state: LocalServerState, leave: ServerLeave, now: number): ServerStep {
 	const {id, startedAt} = leave;
+	if (isAmbiguousLeave(state, leave, now)) {
+		return {state, news: 'none'};
+	}
+
 	if (startedAt === undefined) {
 		return leaveWithoutStart(state, id, now);
 	}
--- /dev/null
+++ b/src/lib/local-server/start-check.test.ts
@@ -0,0 +1,55 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {toAddress, toBackendServerId} from '../common/ids.js';
+import {unknownStart, type ServerLifetime} from '../common/server-lifetime.js';
+import {type ServerAnnouncement} from './local-server.js';
+import {createStartCheck} from './start-check.js';
+
+const createLifetime = (startedAt: number): ServerLifetime => ({id: toBackendServerId('i-1'), startedAt});
+
+const createAnnouncement = (startedAt: number): ServerAnnouncement => ({
+	lifetime: createLifetime(startedAt), service: 'hall', address: toAddress('10.0.0.1:80'), slots: 4, isDraining: false, coldMs: 0, sequence: 1,
+});
+
+const known = createAnnouncement(1000);
+const unknown = createAnnouncement(unknownStart);
+
+test('where no server says when it started, one that does not is used', () => {
+	const {check} = createStartCheck(() => [createLifetime(unknownStart), createLifetime(unknownStart)]);
+	assert.ok(check(unknown, 0).isOk());
+	assert.ok(check(unknown, 60_000).isOk());
+});
+
+test('beside a server that says it, a word without it is another writer\'s', () => {
+	const {check} = createStartCheck(() => []);
+	assert.ok(check(known, 0).isOk());
+	const refused = check(unknown, 1500);
+	assert.equal(refused._unsafeUnwrapErr().cause, 'start');
+	assert.match(refused._unsafeUnwrapErr().text, /^start: found nothing, must be/);
+});
+
+test('a node that has just started learns from the others that servers say it', () => {
+	const {check} = createStartCheck(() => [createLifetime(5), createLifetime(6), createLifetime(unknownStart)]);
+	assert.equal(check(unknown, 0)._unsafeUnwrapErr().cause, 'start');
+});
+
+test('one server that says it does not shut out a mesh whose servers do not', () => {
+	const {check} = createStartCheck(() => [createLifetime(unknownStart), createLifetime(5), createLifetime(unknownStart)]);
+	assert.ok(check(unknown, 0).isOk());
+	check(known, 100);
+	assert.ok(check(unknown, 1000).isErr());
+	assert.ok(check(unknown, 10_200).isOk());
+});
+
+test('it looks at a few servers only, however many there are', () => {
+	let looks = 0;
+	function * listMany(): Generator<ServerLifetime> {
+		for (;;) {
+			looks++;
+			yield createLifetime(5);
+		}
+	}
+
+	assert.ok(createStartCheck(listMany).check(unknown, 0).isErr());
+	assert.ok(looks < 20);
+});
--- a/src/lib/sidecar/announcement-server.ts
+++ b/src/lib/sidecar/announcement-server.ts
@@ -7,7 +7,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Buffer} from 'node:buffer';
-import {type Result} from 'neverthrow';
+import {ok, type Result} from 'neverthrow';
 import {readBody} from '../forwarding/read-body.js';
 import {type CallRefusal} from '../local-server/call-refusal.js';
 import {type ServerAnnouncement, type ServerLeave} from '../local-server/local-server.js';
@@ -23,7 +23,8 @@
 export type AnnouncementContext = {
 	/** Decodes a call; `undefined` if there is no such call. */
 	readonly decode: (method: string, target: string, body: string) => Result<ServerCall | undefined, CallRefusal>;
-	readonly handleCall: (call: ServerCall) => void;
+	/** Takes a call in, or says why it is not. */
+	readonly handleCall: (call: ServerCall) => Result<undefined, CallRefusal>;
 	readonly refusals: Refusals;
 };
 
@@ -57,14 +58,9 @@
 
 	const apply = (request: IncomingMessage, body: string): CallOutcome => {
 		try {
-			return decode(request.method ?? 'GET', request.url ?? '/', body).match<CallOutcome>(call => {
-				if (call === undefined) {
-					return {type: 'no-such-call'};
-				}
-
-				handleCall(call);
-				return {type: 'taken'};
-			}, ({cause, text}) => ({type: 'refused', cause, reason: text}));
+			const outcome = decode(request.method ?? 'GET', request.url ?? '/', body)
+				.andThen((call): Result<CallOutcome, CallRefusal> => call === undefined ? ok({type: 'no-such-call'}) : handleCall(call).map(() => ({type: 'taken'})));
+			return outcome.match(taken => taken, ({cause, text}) => ({type: 'refused', cause, reason: text}));
 		} catch (error) {
 			// What nobody foresaw in a call must not end the node, and must not be acknowledged.
 			return {type: 'refused', cause: 'unreadable', reason: (error as Error).message};
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -8,7 +8,7 @@
 import {ok, type Result} from 'neverthrow';
 import {readSteadyMs} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
-import {toLifetimeKey} from '../common/server-lifetime.js';
+import {toLifetimeKey, type ServerLifetime} from '../common/server-lifetime.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createWorkTurns} from '../common/work-turns.js';
@@ -23,6 +23,8 @@
 import {createReturningCallers} from '../decisions/returning-callers.js';
 import {type CallRefusal} from '../local-server/call-refusal.js';
 import {checkService} from '../local-server/check-service.js';
+import {type ServerAnnouncement} from '../local-server/local-server.js';
+import {createStartCheck} from '../local-server/start-check.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {type PeerLimits, type PeerNews} from '../peers/peer-table.js';
@@ -243,9 +245,22 @@
 	const gateServer = createGateServer({
 		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log, refusals, linkMbps: settings.linkMbps,
 	});
+	function * listPeerLifetimes(): Generator<ServerLifetime> {
+		for (const {report} of link.table.list()) {
+			if (report.server !== undefined) {
+				yield report.server.lifetime;
+			}
+		}
+	}
+
+	const startCheck = createStartCheck(listPeerLifetimes);
+
+	const checkAnnouncement = (announcement: ServerAnnouncement): Result<ServerAnnouncement, CallRefusal> => checkService(announcement, settings.service)
+		.andThen(own => startCheck.check(own, readSteadyMs()));
+
 	/** Decodes a call that speaks for the server beside this node; one of another service's server does not. */
 	const decodeOwnCall = (method: string, target: string, body: string): Result<ServerCall | undefined, CallRefusal> => surroundings.decodeServerCall(method, target, body)
-		.andThen(call => call?.type === 'announce' ? checkService(call.announcement, settings.service).map(() => call) : ok(call));
+		.andThen(call => call?.type === 'announce' ? checkAnnouncement(call.announcement).map(() => call) : ok(call));
 
 	const announcementServer = createAnnouncementServer({
 		decode: decodeOwnCall,
@@ -254,12 +269,11 @@
 			switch (call.type) {
 				case 'announce': {
 					gate.announce(call.announcement);
-					break;
+					return ok(undefined);
 				}
 
 				case 'leave': {
-					gate.leave(call.leave);
-					break;
+					return gate.leave(call.leave);
 				}
 			}
 		},
