--- a/bench/node-cost/node-cost.ts
+++ b/bench/node-cost/node-cost.ts
@@ -31,6 +31,8 @@
 	readonly rate: number;
 	/** Routes of the configuration. */
 	readonly routes: number;
+	/** Also measures calls; without, only a start and an idle node. */
+	readonly load: boolean;
 	/** Flags of Node.js for the program. */
 	readonly flags: readonly string[];
 	/** Writes a profile of the processor time into this folder. */
@@ -40,6 +42,8 @@
 /** One phase of one size. */
 type Phase = {
 	readonly cpuMsPerSecond: number;
+	/** Times that the process went to sleep and was woken again, a second. */
+	readonly wakesPerSecond: number;
 	readonly peakMb: number;
 	readonly calls: number;
 	readonly failed: number;
@@ -68,6 +72,10 @@
 	return Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1024;
 }
 
+function readWakes(pid: number): number {
+	return Number(/^voluntary_ctxt_switches:\s+(\d+)/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0);
+}
+
 function writeSettings(folder: string, store: PlatformStore): string {
 	const {callers, gate, gossip, announcements} = createListenAddresses(host);
 	const file = join(folder, 'settings.yaml');
@@ -107,12 +115,13 @@
 
 async function measurePhase(pid: number, seconds: number, run: () => Promise<{readonly calls: number; readonly failed: number}>): Promise<Phase> {
 	const before = readCpuMs(pid);
+	const wakesBefore = readWakes(pid);
 	const startedAt = performance.now();
 	const {calls, failed} = await run();
 	await sleep(Math.max(0, (seconds * 1000) - (performance.now() - startedAt)));
 	const tookMs = performance.now() - startedAt;
 	return {
-		cpuMsPerSecond: (readCpuMs(pid) - before) * 1000 / tookMs, peakMb: readPeakMb(pid), calls, failed,
+		cpuMsPerSecond: (readCpuMs(pid) - before) * 1000 / tookMs, wakesPerSecond: (readWakes(pid) - wakesBefore) * 1000 / tookMs, peakMb: readPeakMb(pid), calls, failed,
 	};
 }
 
@@ -164,6 +173,12 @@
 		const heardBefore = countHeard();
 		const idle = await measurePhase(pid, seconds, async () => ({calls: 0, failed: 0}));
 		const sentPerSecond = (countHeard() - heardBefore) / seconds;
+		if (!options.load) {
+			return {
+				start, idle, load: idle, warm: idle, sentPerSecond,
+			};
+		}
+
 		const callEntry = async (): Promise<boolean> => {
 			const {status, body} = await sendCall(callers, `/r${Math.floor(Math.random() * 3)}/x`, {agent, timeLeftMs: 5000});
 			if (status !== 200) {
@@ -213,15 +228,16 @@
 		const cells = [
 			(start.cpuMsPerSecond * settleMs / 1000).toFixed(0),
 			idle.cpuMsPerSecond.toFixed(1),
+			idle.wakesPerSecond.toFixed(0),
 			sentPerSecond.toFixed(0),
-			computeCallMs(load, idle, options.seconds).toFixed(2),
-			computeCallMs(warm, idle, options.seconds).toFixed(2),
+			options.load ? computeCallMs(load, idle, options.seconds).toFixed(2) : '-',
+			options.load ? computeCallMs(warm, idle, options.seconds).toFixed(2) : '-',
 			String(load.failed + warm.failed),
 			warm.peakMb.toFixed(0),
 		];
 		rows.push([String(nodes), ...cells]);
 	}
 
-	const header = ['nodes', 'start, ms', 'idle, ms a second', 'datagrams sent a second', 'first calls, ms each', 'later calls, ms each', 'failed', 'peak, MB'];
+	const header = ['nodes', 'start, ms', 'idle, ms a second', 'wake-ups a second, idle', 'datagrams sent a second', 'first calls, ms each', 'later calls, ms each', 'failed', 'peak, MB'];
 	console.log(formatMarkdown(header, rows));
 }
