Rounds of heartbeats leave at the same moments of the time of day

Cause: a wake-up costs 0.12 ms of processor time; each datagram of another node came at a time of its own and was one. Ruled out: reading the socket less often (the runtime has no way to), fewer heartbeats (what is known of load would be older). Change: peers/heartbeat-rounds.ts: the next round begins at the next multiple of the period by the time of day; no promise rests on it: a jump moves one round by up to a quarter of a period, clocks that differ leave the wake-ups apart. Open: how far the clocks of the users' VMs differ.

--- a/bench/node-cost/node-cost.ts
+++ b/bench/node-cost/node-cost.ts
@@ -31,6 +31,8 @@
 	readonly rate: number;
 	/** Routes of the configuration. */
 	readonly routes: number;
+	/** Milliseconds by which the clocks of the other nodes differ at the most; a period of heartbeats for no agreement at all. */
+	readonly clocksApartMs: number;
 	/** Also measures calls; without, only a start and an idle node. */
 	readonly load: boolean;
 	/** The bundle, as the deploy file builds it. */
@@ -92,13 +94,13 @@
 	return file;
 }
 
-function createPeers(nodes: number): readonly SimulatedPeer[] {
+function createPeers(nodes: number, clocksApartMs: number): readonly SimulatedPeer[] {
 	const nodesOfDomain = Math.ceil(nodes / domains);
 	return Array.from({length: nodes - 1}, (_, index) => {
 		const address = `127.${place + 120}.${Math.floor((index + 1) / 250)}.${((index + 1) % 250) + 1}`;
 		return createSimulatedPeer({
 			name: `p${index + 1}`, failureDomain: `d${(index + 1) % domains}`, service: services[(index + 1) % 9 < 5 ? 0 : ((index + 1) % 9 < 8 ? 1 : 2)],
-			gate: toAddress(`${address}:7002`), gossip: toAddress(`${address}:7004`), nodesOfDomain, nodes, workMs, isFollowing: index + 1 <= domains * watchersPerDomain, version: 1,
+			gate: toAddress(`${address}:7002`), gossip: toAddress(`${address}:7004`), nodesOfDomain, nodes, workMs, clockMs: Math.floor(Math.random() * clocksApartMs), isFollowing: index + 1 <= domains * watchersPerDomain, version: 1,
 		});
 	});
 }
@@ -158,7 +160,7 @@
 	const worker = await startWireServer('i-measured');
 	worker.setWorkMs(workMs);
 	const {callers, gate, gossip, announcements} = createListenAddresses(host);
-	const peers = createPeers(nodes);
+	const peers = createPeers(nodes, options.clocksApartMs);
 	const profile = options.profile === undefined ? [] : ['--cpu-prof', '--cpu-prof-dir', options.profile, '--cpu-prof-name', `node-${nodes}.cpuprofile`];
 	const child = spawn(process.execPath, [...options.flags, ...profile, options.program, writeSettings(folder, store)], {stdio: ['ignore', 'ignore', 'inherit']});
 	const pid = child.pid!;
--- a/bench/node-cost/simulated-peer.ts
+++ b/bench/node-cost/simulated-peer.ts
@@ -16,8 +16,9 @@
 import {createGateClient} from '../../src/lib/forwarding/gate-client.js';
 import {decodePeerRequest, encodePeerAnswer} from '../../src/lib/forwarding/peer-messages.js';
 import {measurePeriods, planHeartbeats} from '../../src/lib/peers/heartbeat-plan.js';
+import {computeRoundDelay} from '../../src/lib/peers/heartbeat-rounds.js';
 import {encodeReport, type PeerReport} from '../../src/lib/peers/peer-report.js';
-import {readSteadyMs} from '../../src/lib/common/clock.js';
+import {readNow, readSteadyMs} from '../../src/lib/common/clock.js';
 import {platformHeaders} from '../../platform/wire-headers.js';
 
 /** Where a simulated node stands. */
@@ -32,6 +33,8 @@
 	readonly nodes: number;
 	/** Milliseconds that a request takes there. */
 	readonly workMs: number;
+	/** Milliseconds by which its clock differs from that of the measured node. */
+	readonly clockMs: number;
 	/** It watches the store for the others. */
 	readonly isFollowing: boolean;
 	/** Version of the configuration that it says it has. */
@@ -67,7 +70,6 @@
 	let sequence = 0;
 	let heard = 0;
 	let timer: NodeJS.Timeout | undefined;
-	let first: NodeJS.Timeout | undefined;
 
 	const describe = (): PeerReport => ({
 		node: toNodeId(options.name), run: 'r1', sequence: ++sequence, domain: toFailureDomain(options.failureDomain), gate: options.gate, gossip: options.gossip,
@@ -128,10 +130,19 @@
 				}
 			});
 			const pauseMs = (isNear ? plan.ownDomain : plan.otherDomain) * periodMs;
-			first = setTimeout(() => {
-				tell(node);
-				timer = setInterval(tell, pauseMs, node);
-			}, Math.random() * pauseMs);
+			// A node that starts greets everybody and is answered at once.
+			tell(node);
+			const rounds = Math.round(pauseMs / periodMs);
+			let round = Math.floor(Math.random() * rounds);
+			const runRound = (): void => {
+				timer = setTimeout(runRound, computeRoundDelay(readNow() + options.clockMs, periodMs));
+				round++;
+				if (round % rounds === 0) {
+					tell(node);
+				}
+			};
+
+			timer = setTimeout(runRound, computeRoundDelay(readNow() + options.clockMs, periodMs));
 		},
 		async call(gate, target, path) {
 			const scope = createCallScope(readSteadyMs() + callMs);
@@ -144,8 +155,7 @@
 		},
 		countHeard: () => heard,
 		async close() {
-			clearTimeout(first);
-			clearInterval(timer);
+			clearTimeout(timer);
 			client.dispose();
 			socket.close();
 			await new Promise(resolve => {
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -6,10 +6,11 @@
 import {Buffer} from 'node:buffer';
 import {createSocket, type SocketOptions} from 'node:dgram';
 import {parseAddress} from '../common/address.js';
-import {readSteadyMs} from '../common/clock.js';
+import {readNow, readSteadyMs} from '../common/clock.js';
 import {type Address, type FailureDomain, type NodeId} from '../common/ids.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {measurePeriods, planHeartbeats, type HeartbeatPlan} from './heartbeat-plan.js';
+import {computeRoundDelay} from './heartbeat-rounds.js';
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {
 	createPeerTable, isHeard, type Peer, type PeerLimits, type PeerNews, type PeerTable,
@@ -199,7 +200,12 @@
 		}
 	};
 
-	const tick = (): void => {
+	const scheduleRound = (): void => {
+		timer = setTimeout(runRound, computeRoundDelay(readNow(), settings.periodMs));
+	};
+
+	const runRound = (): void => {
+		scheduleRound();
 		const now = readSteadyMs();
 		periods++;
 		if (periods % quietPeriods === 0) {
@@ -252,7 +258,7 @@
 				log.record('error', {kind: 'gossip-failed', reason: error.message});
 			});
 			socket.on('message', handleMessage);
-			timer = setInterval(tick, settings.periodMs);
+			scheduleRound();
 		},
 		table,
 		addContacts(addresses) {
@@ -293,7 +299,7 @@
 			}
 
 			isClosed = true;
-			clearInterval(timer);
+			clearTimeout(timer);
 			socket.close();
 		},
 	};
