A round of heartbeats visits the nodes whose turn it is, and no others

Cause: every 400 ms a node walked all others to find whose turn it was, every 1.6 s once more for who is silent and who is gone. Ruled out: a queue by due time, which would have to move with each change of the plan; turns by place in the two lists of near and far nodes need none. Change: peers/heartbeat-turns.ts steps through the lists; a node is looked at for its silence and its end when its turn comes. A silent node gets a heartbeat in some of its own turns, every fourth round or more seldom. A list from which a node is removed moves its last node to that place, whose next heartbeat may come up to a period late.

--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -11,6 +11,7 @@
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {measurePeriods, planHeartbeats, type HeartbeatPlan} from './heartbeat-plan.js';
 import {computeRoundDelay} from './heartbeat-rounds.js';
+import {hasQuietTurn, listTurns, quietRounds} from './heartbeat-turns.js';
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {
 	createPeerTable, isHeard, type Peer, type PeerLimits, type PeerNews, type PeerTable,
@@ -60,10 +61,7 @@
 	readonly dispose: () => void;
 };
 
-/** Silent nodes and mere addresses get a heartbeat once in so many periods: most of them are gone. */
-const quietPeriods = 4;
-
-/** Periods for which an address that never answered is tried. */
+/** Rounds, of those in which mere addresses get a heartbeat as silent nodes do, for which an address that never answered is tried. */
 const contactPeriods = 60;
 
 type Lookup = NonNullable<SocketOptions['lookup']>;
@@ -89,7 +87,7 @@
 	const contacts = new Map<Address, number>();
 	const table = createPeerTable(settings.domain, settings);
 	let sequence = 0;
-	let periods = 0;
+	let round = 0;
 	let timer: NodeJS.Timeout | undefined;
 	/** When the next round has to begin, in steady milliseconds. */
 	let dueAt = 0;
@@ -128,8 +126,6 @@
 		}
 	};
 
-	const isNear = ({report}: Peer): boolean => report.domain === settings.domain;
-
 	const plan = (): HeartbeatPlan => {
 		const ownDomainNodes = table.listOwnDomain().length;
 		return planHeartbeats({ownDomainNodes, otherDomainNodes: table.size - ownDomainNodes, isFollowing: isFollowing()});
@@ -140,15 +136,13 @@
 		return Buffer.from(encodeReport({...describeSelf(sequence), periods: measurePeriods(plan(), settings.periodMs), isProbe}));
 	};
 
-	const sendToPeers = (peers: Iterable<Peer>, isChosen: (peer: Peer, place: number) => boolean): void => {
+	const sendToPeers = (peers: Iterable<Peer>): void => {
+		const now = readSteadyMs();
 		const addresses: Address[] = [];
-		let place = 0;
 		for (const peer of peers) {
-			if (isChosen(peer, place)) {
+			if (isHeard(peer, settings, now)) {
 				addresses.push(peer.report.gossip);
 			}
-
-			place++;
 		}
 
 		if (addresses.length > 0) {
@@ -172,35 +166,53 @@
 		}
 	};
 
-	/** Nodes take turns by their place in the table, so that each period sends about as many. */
+	const silent = new Set<NodeId>();
+
+	const noteSilence = ({report: {node}, heardAt}: Peer, now: number): void => {
+		if (!silent.has(node)) {
+			silent.add(node);
+			log.record('warn', {kind: 'peer-lost', peer: node, heardMsAgo: Math.round(now - heardAt)});
+		}
+	};
+
+	/**
+	 * Sends the heartbeats of a round. A node is looked at for its silence when its turn comes, so that a round costs what it sends: finding
+	 * whose turn it is takes 0.03 ms of processor time at 5,000 nodes where a walk over all took 1.3, at 13 the same (baseline code, `bench -- peer-slopes`).
+	 */
 	const sendHeartbeats = (now: number): void => {
 		const {ownDomain, otherDomain} = plan();
-		const hasTurn = (place: number, every: number): boolean => (place + periods) % every === 0;
-		sendToPeers(table.list(), (peer, place) => {
-			const every = isNear(peer) ? ownDomain : otherDomain;
-			return hasTurn(place, isHeard(peer, settings, now) ? every : Math.max(every, quietPeriods));
-		});
-		if (periods % quietPeriods === 0) {
-			sendToContacts();
+		const addresses: Address[] = [];
+		const quiet: Peer[] = [];
+		const takeTurns = (peers: readonly Peer[], every: number): void => {
+			for (const place of listTurns(peers.length, every, round)) {
+				const peer = peers[place]!;
+				const isSilent = !isHeard(peer, settings, now);
+				if (isSilent) {
+					quiet.push(peer);
+				}
+
+				if (!isSilent || hasQuietTurn(place, every, round)) {
+					addresses.push(peer.report.gossip);
+				}
+			}
+		};
+
+		takeTurns(table.listOwnDomain(), ownDomain);
+		takeTurns(table.listOtherDomains(), otherDomain);
+		for (const peer of quiet) {
+			noteSilence(peer, now);
 		}
-	};
 
-	const dropGone = (now: number): void => {
-		for (const node of table.dropSilent(now)) {
-			silent.delete(node);
-			log.record('info', {kind: 'peer-forgotten', peer: node, silentMs: settings.forgetMs});
+		dropGone(quiet, now);
+		if (addresses.length > 0) {
+			sendToAll(encodeSelf(), addresses);
 		}
 	};
 
-	const silent = new Set<NodeId>();
-
-	const noteSilence = (now: number): void => {
-		for (const peer of table.list()) {
-			const {node} = peer.report;
-			if (!isHeard(peer, settings, now) && !silent.has(node)) {
-				silent.add(node);
-				log.record('warn', {kind: 'peer-lost', peer: node, heardMsAgo: Math.round(now - peer.heardAt)});
-			}
+	const dropGone = (quiet: readonly Peer[], now: number): void => {
+		for (const node of table.dropSilent(now, quiet)) {
+			silent.delete(node);
+			log.record('info', {kind: 'peer-forgotten', peer: node, silentMs: settings.forgetMs});
 		}
 	};
 
@@ -214,13 +226,11 @@
 		const now = readSteadyMs();
 		handleRound(now - dueAt);
 		scheduleRound();
-		periods++;
-		if (periods % quietPeriods === 0) {
-			noteSilence(now);
-			dropGone(now);
-		}
-
+		round++;
 		sendHeartbeats(now);
+		if (round % quietRounds === 0) {
+			sendToContacts();
+		}
 	};
 
 	const handleMessage = (bytes: Uint8Array): void => {
@@ -279,12 +289,10 @@
 			}
 		},
 		announce() {
-			const now = readSteadyMs();
-			sendToPeers(table.list(), peer => isHeard(peer, settings, now));
+			sendToPeers(table.list());
 		},
 		announceToDomain() {
-			const now = readSteadyMs();
-			sendToPeers(table.listOwnDomain(), peer => isHeard(peer, settings, now));
+			sendToPeers(table.listOwnDomain());
 		},
 		probe(node) {
 			const peer = table.get(node);
--- a/src/lib/peers/peer-table.test.ts
+++ b/src/lib/peers/peer-table.test.ts
@@ -183,6 +183,7 @@
 		const listNames = (peers: Iterable<{readonly report: PeerReport}>): readonly string[] => [...peers].map(({report}) => report.node).toSorted((left, right) => left.localeCompare(right));
 		const all = [...table.list()];
 		assert.deepEqual(listNames(table.listOwnDomain()), listNames(all.filter(({report}) => report.domain === 'a')));
+		assert.deepEqual(listNames(table.listOtherDomains()), listNames(all.filter(({report}) => report.domain !== 'a')));
 		assert.equal(table.countDomains(), new Set(['a', ...all.map(({report}) => report.domain)]).size);
 		for (const service of ['x', 'y']) {
 			const beside = all.filter(({report}) => report.server?.service === service);
--- a/src/lib/peers/peer-table.ts
+++ b/src/lib/peers/peer-table.ts
@@ -48,6 +48,8 @@
 	readonly countDomains: () => number;
 	/** Nodes of the own failure domain. */
 	readonly listOwnDomain: () => readonly Peer[];
+	/** Nodes of all other failure domains. */
+	readonly listOtherDomains: () => readonly Peer[];
 	/** Nodes beside servers of a service, whatever the state of these; what a choice costs does not grow with the mesh. */
 	readonly listService: (service: string) => ServicePeers;
 	/** The node that takes requests at an address. */
@@ -64,8 +66,8 @@
 	readonly noteReached: (node: NodeId, now: number) => void;
 	/** Forgives silence while this node itself stood still for so many milliseconds: nothing could be heard meanwhile. */
 	readonly forgiveSilence: (pausedMs: number) => void;
-	/** Drops nodes that have been silent for long; yields who was dropped. */
-	readonly dropSilent: (now: number) => readonly NodeId[];
+	/** Drops nodes that have been silent for long, of all or of some; yields who was dropped. */
+	readonly dropSilent: (now: number, some?: Iterable<Peer>) => readonly NodeId[];
 };
 
 /** What a report changed. @internal */
@@ -199,6 +201,8 @@
 	const byGate = new Map<Address, MutablePeer>();
 	const byGossip = new Map<Address, MutablePeer>();
 	const ownDomain: MutablePeer[] = [];
+	const otherDomains: MutablePeer[] = [];
+	const getDomainList = ({report}: MutablePeer): MutablePeer[] => report.domain === domain ? ownDomain : otherDomains;
 	const services = createServiceIndex(domain);
 	/** Nodes of each failure domain, and this one. */
 	const domainSizes = new Map<FailureDomain, number>([[domain, 1]]);
@@ -217,9 +221,7 @@
 		byGossip.set(peer.report.gossip, peer);
 		services.add(peer);
 		countInDomain(peer.report.domain, 1);
-		if (peer.report.domain === domain) {
-			ownDomain.push(peer);
-		}
+		getDomainList(peer).push(peer);
 	};
 
 	const removeFromIndices = (peer: MutablePeer): void => {
@@ -235,9 +237,7 @@
 
 		services.remove(peer);
 		countInDomain(peer.report.domain, -1);
-		if (peer.report.domain === domain) {
-			removeFrom(ownDomain, peer);
-		}
+		removeFrom(getDomainList(peer), peer);
 	};
 
 	const isElsewhere = (before: PeerReport, after: PeerReport): boolean => before.server?.service !== after.server?.service
@@ -281,6 +281,7 @@
 		list: () => peers.values(),
 		countDomains: () => domainSizes.size,
 		listOwnDomain: () => ownDomain,
+		listOtherDomains: () => otherDomains,
 		listService: services.get,
 		findGate: gate => byGate.get(gate),
 		hasGossip: gossip => byGossip.has(gossip),
@@ -330,14 +331,18 @@
 				peer.probedAt = peer.probedAt === undefined ? undefined : peer.probedAt + pausedMs;
 			}
 		},
-		dropSilent(now) {
-			const dropped = [...peers.values()].filter(({heardAt}) => now - heardAt > limits.forgetMs);
-			for (const peer of dropped) {
-				peers.delete(peer.report.node);
-				removeFromIndices(peer);
+		dropSilent(now, some = peers.values()) {
+			const dropped: NodeId[] = [];
+			for (const {report: {node}} of some) {
+				const peer = peers.get(node);
+				if (peer !== undefined && now - peer.heardAt > limits.forgetMs) {
+					peers.delete(node);
+					removeFromIndices(peer);
+					dropped.push(node);
+				}
 			}
 
-			return dropped.map(({report}) => report.node);
+			return dropped;
 		},
 	};
 }
