News of a ready server go to 80 nodes at once, not to all

Cause: each change of a server's state was told to all nodes at once: a datagram wakes a process (0.2 ms), 40 ms of processor time over a mesh of 195. Ruled out: bounding news that a server takes no work any more: nothing marks a server that refused, so nodes that missed it would lose a refusal a call until their next heartbeat, up to 16 s later. Tests: bound, no repeats, both kinds told (property); over sockets, 120 nodes: 80 are told ready, all are told draining. Processor time of a whole mesh was not measured.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,6 +12,7 @@
 import {runLarge} from './large.js';
 import {runDistribution} from './distribution.js';
 import {runLogLines} from './log-lines.js';
+import {runPeerSlopes} from './peer-slopes.js';
 import {runNodeCost} from './node-cost/node-cost.js';
 
 await yargs(hideBin(process.argv))
@@ -59,6 +60,12 @@
 		.option('load', {type: 'boolean', default: true, describe: 'measure calls too'})
 		.option('flags', {type: 'string', default: '--max-old-space-size=128 --max-semi-space-size=4 --single-threaded --always-sparkplug --no-flush-bytecode --no-memory-reducer', describe: 'of Node.js, for the node'})
 		.option('profile', {type: 'string', describe: 'folder for profiles of the processor time'}), async options => runNodeCost({...options, flags: options.flags.split(' '), profile: options.profile}))
+	.command('peer-slopes', 'what a node does for the others, by their number', builder => builder
+		.option('sizes', {
+			type: 'number', array: true, default: [13, 60, 200, 1000, 5000], describe: 'nodes',
+		}), options => {
+		runPeerSlopes(options.sizes);
+	})
 	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
--- /dev/null
+++ b/bench/peer-slopes.ts
@@ -0,0 +1,140 @@
+/**
+ * `npm run bench -- peer-slopes`: what the work of a node that once walked all
+ * others costs by their number, as ratios to the smallest mesh.
+ *
+ * @module
+ */
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId, type BackendServerId,
+} from '../src/lib/common/ids.js';
+import {chooseNewsTargets} from '../src/lib/peers/news-targets.js';
+import {listTurns} from '../src/lib/peers/heartbeat-turns.js';
+import {planHeartbeats} from '../src/lib/peers/heartbeat-plan.js';
+import {
+	createPeerTable, isHeard, type Peer, type PeerLimits, type PeerTable,
+} from '../src/lib/peers/peer-table.js';
+import {createSampleReport} from '../src/lib/peers/sample-report.js';
+import {isRelay, type DomainNode} from '../src/lib/sync/relay-duty.js';
+import {formatMarkdown, measureMedian} from './statistics.js';
+
+const limits: PeerLimits = {
+	silenceMs: 1050, probeMs: 650, forgetMs: 60_000, avoidMs: 250, getPeriodMs: () => 400,
+};
+
+const rounds = 400;
+const domains = 5;
+const ownDomain = toFailureDomain('d0');
+const now = 500;
+
+function fillTable(nodes: number): PeerTable {
+	const table = createPeerTable(ownDomain, limits);
+	for (let place = 1; place < nodes; place++) {
+		const host = `10.${Math.floor(place / 256)}.${place % 256}.1`;
+		table.acceptReport(createSampleReport({
+			node: toNodeId(`n${place}`), domain: toFailureDomain(`d${place % domains}`), gate: toAddress(`${host}:1`), gossip: toAddress(`${host}:2`),
+			duties: {linkMbps: place % 3 === 0 ? 100 : 10, isFollowing: place % domains === 0 && place > nodes - 25, storeSeenMs: 50},
+			server: {...createSampleReport().server!, id: toBackendServerId(`i${place}`)},
+		}), 0);
+	}
+
+	return table;
+}
+
+/** The round as it was: every node is looked at, for its turn and, every fourth round, for its silence and its end. */
+function walkAll(table: PeerTable, round: number, plan: ReturnType<typeof planHeartbeats>): number {
+	let due = 0;
+	let place = 0;
+	for (const peer of table.list()) {
+		const every = peer.report.domain === ownDomain ? plan.ownDomain : plan.otherDomain;
+		due += (place + round) % (isHeard(peer, limits, now) ? every : Math.max(every, 4)) === 0 ? 1 : 0;
+		place++;
+	}
+
+	if (round % 4 === 0) {
+		const silent = [...table.list()].filter(peer => !isHeard(peer, limits, now));
+		due += silent.length + table.dropSilent(now).length;
+	}
+
+	return due;
+}
+
+function visitTurns(table: PeerTable, round: number, plan: ReturnType<typeof planHeartbeats>): number {
+	let due = 0;
+	const take = (peers: readonly Peer[], every: number): void => {
+		for (const place of listTurns(peers.length, every, round)) {
+			due += isHeard(peers[place]!, limits, now) ? 1 : 0;
+		}
+	};
+
+	take(table.listOwnDomain(), plan.ownDomain);
+	take(table.listOtherDomains(), plan.otherDomain);
+	return due;
+}
+
+const self: DomainNode = {
+	node: toNodeId('n0'), heardMsAgo: 0, periodMs: 0, linkMbps: 10, isFollowing: false, storeSeenMs: 20,
+};
+
+function * describeHeard(table: PeerTable): Generator<DomainNode> {
+	for (const {report: {node, duties: {linkMbps, isFollowing, storeSeenMs}}, reportedAt, periodMs} of table.listOwnDomain()) {
+		yield {
+			node, linkMbps, isFollowing, storeSeenMs, heardMsAgo: now - reportedAt, periodMs,
+		};
+	}
+}
+
+const listServers = (table: PeerTable): ReadonlySet<BackendServerId> => new Set([...table.list()].flatMap(({report}) => report.server === undefined ? [] : [report.server.id]));
+
+type Row = {readonly name: string; readonly aSecond: number; readonly run: (table: PeerTable, round: number) => void};
+
+/**
+ * Measures and prints a row for each piece of work.
+ *
+ * @param sizes - Numbers of nodes.
+ */
+export function runPeerSlopes(sizes: readonly number[]): void {
+	const tables = sizes.map(nodes => fillTable(nodes));
+	const getPlan = (table: PeerTable): ReturnType<typeof planHeartbeats> => {
+		const own = table.listOwnDomain().length;
+		return planHeartbeats({ownDomainNodes: own, otherDomainNodes: table.size - own, isFollowing: false});
+	};
+
+	const rows: readonly Row[] = [
+		{
+			name: 'a round, every node looked at', aSecond: 2.5, run(table, round) {
+				walkAll(table, round, getPlan(table));
+			},
+		},
+		{
+			name: 'a round by turns', aSecond: 2.5, run(table, round) {
+				visitTurns(table, round, getPlan(table));
+			},
+		},
+		{name: 'whom news of a ready server go to', aSecond: 0.1, run: table => chooseNewsTargets(table, Math.random)},
+		{name: 'whether to watch the store', aSecond: 3.3, run: table => isRelay(self, describeHeard(table), table.countDomains())},
+		{name: 'which servers are known (every 30 s)', aSecond: 1 / 30, run: table => listServers(table)},
+	];
+
+	const cells = rows.map(({name, aSecond, run}) => {
+		const micros = tables.map(table => {
+			let round = 0;
+			return measureMedian(rounds, () => {
+				round++;
+				run(table, round);
+			});
+		});
+		const least = micros[0]!;
+		return [name, ...micros.map(micro => `${micro.toFixed(1)} (${(micro / least).toFixed(1)})`), (micros.at(-1)! * aSecond / 1000).toFixed(3)];
+	});
+	console.log(formatMarkdown(['µs each (ratio to the first)', ...sizes.map(size => `${size} nodes`), 'ms a second at the last'], cells));
+
+	const counts = tables.map(table => [visitTurns(table, 0, getPlan(table)), chooseNewsTargets(table, Math.random).length] as const);
+	console.log('');
+	console.log(formatMarkdown(['datagrams', ...sizes.map(size => `${size} nodes`)], [
+		['of a round, the mean of its turns', ...tables.map(table => {
+			const {ownDomain: own, otherDomain} = getPlan(table);
+			return ((table.listOwnDomain().length / own) + (table.listOtherDomains().length / otherDomain)).toFixed(1);
+		})],
+		['of news of a ready server', ...counts.map(([, news]) => String(news))],
+	]));
+}
--- a/src/lib/peers/peer-link.test.ts
+++ b/src/lib/peers/peer-link.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
+import {createSocket} from 'node:dgram';
 import process from 'node:process';
 import test, {type TestContext} from 'node:test';
+import {parseAddress} from '../common/address.js';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {
 	toAddress, toFailureDomain, toNodeId, type NodeId,
@@ -8,6 +10,7 @@
 import {silentLog} from '../timeline/mesh-log.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {type PeerLimits} from './peer-table.js';
+import {encodeReport, type ServerState} from './peer-report.js';
 import {createSampleReport} from './sample-report.js';
 
 const limits: PeerLimits = {
@@ -17,7 +20,7 @@
 let hosts = 0;
 
 /** A link whose own heartbeats are so seldom that a test sees none but those it causes. */
-async function startLink(context: TestContext, name: string): Promise<PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>}> {
+async function startLink(context: TestContext, name: string, getState: () => ServerState = () => 'ready'): Promise<PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>}> {
 	hosts++;
 	const address = toAddress(`127.78.${process.pid % 250}.${hosts}:7103`);
 	const node = toNodeId(name);
@@ -25,9 +28,12 @@
 		settings: {
 			...limits, listen: address, domain: toFailureDomain('a'), periodMs: 60_000,
 		},
-		describeSelf: sequence => createSampleReport({node, gossip: address, sequence}),
+		describeSelf: sequence => createSampleReport({
+			node, gossip: address, sequence, server: {...createSampleReport().server!, state: getState()},
+		}),
 		isFollowing: () => false,
 		log: silentLog,
+		random: Math.random,
 		handleReport: () => undefined,
 		handleRound: () => undefined,
 	});
@@ -61,3 +67,31 @@
 		first.addContacts([toAddress('127.0.0.1:1')]);
 	});
 });
+
+test('in a large mesh everybody hears at once that a server takes no work any more, and a bounded number that it does', async context => {
+	const nodes = 120;
+	let state: ServerState = 'ready';
+	const link = await startLink(context, 'n1', () => state);
+	// One socket stands for all the others.
+	const others = createSocket('udp4');
+	context.after(() => others.close());
+	let heard = 0;
+	others.on('message', () => {
+		heard++;
+	});
+	const {host} = parseAddress(link.address);
+	await new Promise<void>(resolve => {
+		others.bind(0, host, resolve);
+	});
+	const gossip = toAddress(`${host}:${others.address().port}`);
+	for (let place = 0; place < nodes; place++) {
+		others.send(encodeReport(createSampleReport({node: toNodeId(`o${place}`), domain: toFailureDomain(place < 40 ? 'a' : 'b'), gossip})), parseAddress(link.address).port, host);
+	}
+
+	await expectSoon('each is answered', () => heard === nodes);
+	link.announce();
+	await expectSoon('80 are told that it is ready', () => heard === nodes + 80);
+	state = 'draining';
+	link.announce();
+	await expectSoon('all are told that it drains', () => heard === nodes + 80 + nodes);
+});
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -11,6 +11,7 @@
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {measurePeriods, planHeartbeats, type HeartbeatPlan} from './heartbeat-plan.js';
 import {computeRoundDelay} from './heartbeat-rounds.js';
+import {chooseNewsTargets} from './news-targets.js';
 import {hasQuietTurn, listTurns, quietRounds} from './heartbeat-turns.js';
 import {decodeReport, encodeReport, type PeerReport} from './peer-report.js';
 import {
@@ -33,6 +34,7 @@
 	/** Whether others rely on this node to watch the store. */
 	readonly isFollowing: () => boolean;
 	readonly log: MeshLog;
+	readonly random: () => number;
 	/** Told of each report that was heard. */
 	readonly handleReport: (report: PeerReport, news: PeerNews) => void;
 	/** Told of each round of heartbeats before it is sent, and by how many milliseconds it is late. */
@@ -48,7 +50,7 @@
 	readonly table: PeerTableView;
 	/** Adds addresses at which other nodes may listen. */
 	readonly addContacts: (addresses: readonly Address[]) => void;
-	/** Tells everybody at once, for news that cannot wait for the next period. */
+	/** Tells everybody at once of a server that takes no work any more; of one that does, a bounded number. */
 	readonly announce: () => void;
 	/** Tells the nodes of the own failure domain at once. */
 	readonly announceToDomain: () => void;
@@ -82,7 +84,7 @@
  * @internal
  */
 export function createPeerLink(context: PeerLinkContext): PeerLink {
-	const {settings, describeSelf, isFollowing, log, handleReport, handleRound} = context;
+	const {settings, describeSelf, isFollowing, log, handleReport, handleRound, random} = context;
 	const socket = createSocket({type: 'udp4', lookup: takeAsIs});
 	const contacts = new Map<Address, number>();
 	const table = createPeerTable(settings.domain, settings);
@@ -289,7 +291,9 @@
 			}
 		},
 		announce() {
-			sendToPeers(table.list());
+			const {server, isLeaving} = describeSelf(sequence);
+			const isGood = server?.state === 'ready' && !isLeaving;
+			sendToPeers(isGood ? chooseNewsTargets(table, random) : table.list());
 		},
 		announceToDomain() {
 			sendToPeers(table.listOwnDomain());
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -172,7 +172,7 @@
 	const link = createPeerLink({
 		settings: {
 			...peerLimits, listen: settings.listen.gossip, domain, periodMs: heartbeatMs,
-		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, handleReport, handleRound(lateMs) {
+		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, random, handleReport, handleRound(lateMs) {
 			watch.handleRound(lateMs);
 		},
 	});
