--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -121,12 +121,18 @@
 
 const getStatus = ({result}: CallOutcome): number | string => result.type === 'answered' ? result.status : result.reason;
 
-test('a call at work on a silent node is still answered by it when no other server takes the call', async context => {
-	const mesh = createMesh(context, async () => createNotRun('full', 'all slots are taken', 50));
+/** Sends a call and has the node of the first server fall silent while that works. */
+async function sendIntoSilence(mesh: SilentMesh): Promise<{readonly outcome: Promise<CallOutcome>}> {
 	const outcome = mesh.send();
 	await settle();
 	mesh.tellSilence();
 	await settle();
+	return {outcome};
+}
+
+test('a call at work on a silent node is still answered by it when no other server takes the call', async context => {
+	const mesh = createMesh(context, async () => createNotRun('full', 'all slots are taken', 50));
+	const {outcome} = await sendIntoSilence(mesh);
 	mesh.answer();
 	assert.equal(getStatus(await outcome), 200);
 	assert.ok(mesh.sent.length > 1);
@@ -137,46 +143,37 @@
 		mesh.fillOthers();
 		return createNotRun('full', 'all slots are taken', 50);
 	});
-	const outcome = mesh.send();
-	await settle();
-	mesh.tellSilence();
-	await settle();
+	const {outcome} = await sendIntoSilence(mesh);
 	mesh.answer();
 	assert.equal(getStatus(await outcome), 200);
 	assert.equal(mesh.sent.length, 2);
 });
 
-test('a call that has gone to another server is answered by whichever is first, and the other is broken off', async context => {
-	const first = createMesh(context, workUntilEnd);
-	const firstOutcome = first.send();
-	await settle();
-	first.tellSilence();
-	await settle();
-	first.answer();
-	assert.equal(getStatus(await firstOutcome), 200);
-	assert.equal(first.sent[1]?.scope.getEnd(), 'superseded');
+test('a call that has gone to another server is answered by the first if that is sooner, and the other is broken off', async context => {
+	const mesh = createMesh(context, workUntilEnd);
+	const {outcome} = await sendIntoSilence(mesh);
+	mesh.answer();
+	assert.equal(getStatus(await outcome), 200);
+	assert.equal(mesh.sent[1]?.scope.getEnd(), 'superseded');
+});
+
+test('a call that has gone to another server is answered by that if it is sooner, and the first is broken off', async context => {
 	let settleOther: (result: ForwardResult) => void = () => undefined;
-	const second = createMesh(context, async call => {
+	const mesh = createMesh(context, async call => {
 		const isTold = new Promise<ForwardResult>(resolve => {
 			settleOther = resolve;
 		});
 		return Promise.race([isTold, workUntilEnd(call)]);
 	});
-	const secondOutcome = second.send();
-	await settle();
-	second.tellSilence();
-	await settle();
+	const {outcome} = await sendIntoSilence(mesh);
 	settleOther(createAnswer(200));
-	assert.equal(getStatus(await secondOutcome), 200);
-	assert.equal(second.sent[0]?.scope.getEnd(), 'superseded');
+	assert.equal(getStatus(await outcome), 200);
+	assert.equal(mesh.sent[0]?.scope.getEnd(), 'superseded');
 });
 
 test('a server that fails the call does not end it while another is at work on it', async context => {
 	const mesh = createMesh(context, async () => createAnswer(500));
-	const outcome = mesh.send();
-	await settle();
-	mesh.tellSilence();
-	await settle();
+	const {outcome} = await sendIntoSilence(mesh);
 	mesh.answer();
 	assert.equal(getStatus(await outcome), 200);
 	assert.equal(mesh.sent.length, 2);
@@ -184,8 +181,7 @@
 
 test('a call goes to one other server at the most, however often its node is said to be silent', async context => {
 	const mesh = createMesh(context, workUntilEnd);
-	const outcome = mesh.send();
-	await settle();
+	const {outcome} = await sendIntoSilence(mesh);
 	for (let told = 0; told < 5; told++) {
 		mesh.tellSilence();
 		await settle();
@@ -198,10 +194,7 @@
 
 test('a call for which no repeat is left waits on', async context => {
 	const mesh = createMesh(context, async () => createAnswer(200), 0);
-	const outcome = mesh.send();
-	await settle();
-	mesh.tellSilence();
-	await settle();
+	const {outcome} = await sendIntoSilence(mesh);
 	mesh.answer();
 	assert.equal(getStatus(await outcome), 200);
 	assert.equal(mesh.sent.length, 1);
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -5,10 +5,10 @@
  * @module
  */
 import {randomBytes} from 'node:crypto';
-import {ok, type Result} from 'neverthrow';
+import {type Result} from 'neverthrow';
 import {readSteadyMs} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
-import {toLifetimeKey, type ServerLifetime} from '../common/server-lifetime.js';
+import {toLifetimeKey} from '../common/server-lifetime.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createWorkTurns} from '../common/work-turns.js';
@@ -21,10 +21,6 @@
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createAwaitedRoutes} from '../decisions/awaited-routes.js';
 import {createReturningCallers} from '../decisions/returning-callers.js';
-import {type CallRefusal} from '../local-server/call-refusal.js';
-import {checkService} from '../local-server/check-service.js';
-import {type ServerAnnouncement} from '../local-server/local-server.js';
-import {createStartCheck} from '../local-server/start-check.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {type PeerLimits, type PeerNews} from '../peers/peer-table.js';
@@ -36,10 +32,11 @@
 import {type MeshStore} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createRefusals} from '../timeline/refusals.js';
-import {createAnnouncementServer, type ServerCall} from './announcement-server.js';
+import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
 import {createConfigSync} from './config-sync.js';
 import {listCandidates, type CandidateNeeds} from './list-candidates.js';
 import {createMeshMetrics} from './mesh-metrics.js';
+import {createOwnServerCalls} from './own-server-calls.js';
 import {createPeerWatch} from './peer-watch.js';
 import {listFixedChanges, mergeSettings} from './settings-change.js';
 import {type SidecarSettings} from './sidecar-settings.js';
@@ -54,7 +51,7 @@
 	readonly configKey: string;
 	readonly decodeConfig: (text: string) => Result<RouteConfig, string>;
 	/** Decodes a call of a backend server; `undefined` if there is no such call. */
-	readonly decodeServerCall: (method: string, target: string, body: string) => Result<ServerCall | undefined, CallRefusal>;
+	readonly decodeServerCall: AnnouncementContext['decode'];
 	readonly wire: WireHeaders;
 	readonly log: MeshLog;
 	readonly random: () => number;
@@ -247,38 +244,10 @@
 	const gateServer = createGateServer({
 		gate, getConfig: sync.answerConfig, catchUp: lag.catchUp, log, refusals, linkMbps: settings.linkMbps,
 	});
-	function * listPeerLifetimes(): Generator<ServerLifetime> {
-		for (const {report} of link.table.list()) {
-			if (report.server !== undefined) {
-				yield report.server.lifetime;
-			}
-		}
-	}
-
-	const startCheck = createStartCheck(listPeerLifetimes);
-
-	const checkAnnouncement = (announcement: ServerAnnouncement): Result<ServerAnnouncement, CallRefusal> => checkService(announcement, settings.service)
-		.andThen(own => startCheck.check(own, readSteadyMs()));
-
-	/** Decodes a call that speaks for the server beside this node; one of another service's server does not. */
-	const decodeOwnCall = (method: string, target: string, body: string): Result<ServerCall | undefined, CallRefusal> => surroundings.decodeServerCall(method, target, body)
-		.andThen(call => call?.type === 'announce' ? checkAnnouncement(call.announcement).map(() => call) : ok(call));
-
 	const announcementServer = createAnnouncementServer({
-		decode: decodeOwnCall,
-		refusals,
-		handleCall(call) {
-			switch (call.type) {
-				case 'announce': {
-					gate.announce(call.announcement);
-					return ok(undefined);
-				}
-
-				case 'leave': {
-					return gate.leave(call.leave);
-				}
-			}
-		},
+		...createOwnServerCalls({
+			decode: surroundings.decodeServerCall, service: settings.service, listPeers: link.table.list, gate,
+		}), refusals,
 	});
 
 	const isReady = (): boolean => !isLeaving && sync.holder.get() !== undefined;
