Bench: how long a backend server that starts again waits for work

Cause: nothing measured a return. Ruled out: the users' bench, whose network and load hide what the nodes do. Change: npm run bench -- server-return, on whole nodes in one process, by how the server ended.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,7 @@
 import {runDistribution} from './distribution.js';
 import {runLogLines} from './log-lines.js';
 import {runNodeCost} from './node-cost/node-cost.js';
+import {runServerReturn} from './server-return.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
@@ -55,6 +56,10 @@
 		.option('routes', {type: 'number', default: 1200, describe: 'routes of the configuration'})
 		.option('flags', {type: 'string', default: '--max-old-space-size=128 --max-semi-space-size=4 --single-threaded --always-sparkplug --no-flush-bytecode --no-memory-reducer', describe: 'of Node.js, for the node'})
 		.option('profile', {type: 'string', describe: 'folder for profiles of the processor time'}), async options => runNodeCost({...options, flags: options.flags.split(' '), profile: options.profile}))
+	.command('server-return', 'how long a backend server that starts again under its id waits for work', builder => builder
+		.option('rounds', {type: 'number', default: 20, describe: 'returns of each kind'})
+		.option('limit-ms', {type: 'number', default: 10_000, describe: 'after which a return is given up'})
+		.option('only', {type: 'string', default: '', describe: 'only the kinds whose names contain this'}), async options => runServerReturn(options))
 	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
