--- a/src/lib/local-server/local-server.ts
+++ b/src/lib/local-server/local-server.ts
@@ -63,8 +63,8 @@
 /** @internal */
 export type ServerStep = {readonly state: LocalServerState; readonly news: ServerNews};
 
-/** Lifetimes of each kind that are remembered; late words are seconds late, and a VM does not see this many starts in that time. */
-const rememberedLifetimes = 16;
+/** Lifetimes of each kind that are remembered; late words are seconds late, and a VM does not see this many starts in that time, whatever other writers say. */
+const rememberedLifetimes = 64;
 
 /** @internal */
 export const noLocalServer: LocalServerState = {
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -78,7 +78,7 @@
 const causes: Readonly<Record<string, string>> = {
 	full: 'no backend server of the service had a slot in time: the service was overloaded, or many of its servers were away',
 	draining: 'the backend servers that were asked were leaving',
-	gone: 'the backend server had been replaced, and this node had not heard of it yet',
+	gone: 'the backend server had started again or been replaced, and this node had not heard of it yet',
 	'server-unreachable': 'the backend server could not be reached by the node beside it: it had ended or was starting',
 	'node-unreachable': 'the node beside the backend server could not be reached: it had ended, was starting, or was cut off',
 	shed: 'the backend servers said themselves that they did not run it',
