The gate finds the session that a call is for, and nothing beside it

Cause: what the gate found for a call held the server as well, which nothing read. Ruled out: leaving it for those who come later; a reader looks for its use. Change: the function yields the session or why the call cannot go there. Conclusion: no behaviour changes.

--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -68,12 +68,6 @@
 /** A refusal leaves this long before the time is over, in milliseconds, so that it arrives as one. */
 const lastRefusalMs = 40;
 
-/** The lifetime that is beside this node, and what the gate holds for it. */
-type Beside = {
-	readonly server: LocalServer;
-	readonly session: ServerSession;
-};
-
 /**
  * Creates the gate; it turns everything away until a server announces itself.
  *
@@ -149,7 +143,8 @@
 		}
 	};
 
-	const findServer = (call: GateCall): Beside | ForwardFailure => {
+	/** Finds what is held for the server that a call means, or why it cannot go there. */
+	const findSession = (call: GateCall): ServerSession | ForwardFailure => {
 		const {current} = state;
 		if (session === undefined || current?.announcement.lifetime.id !== call.server) {
 			return createNotRun('gone', `${call.server} is not beside this node`);
@@ -163,7 +158,7 @@
 			return createNotRun('server-unreachable', `${call.server} could not be reached a moment ago`, doubtMs);
 		}
 
-		return {server: current, session};
+		return session;
 	};
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
@@ -197,9 +192,9 @@
 
 	/** Has a call wait for the link first if its body is large, so that no slot is held for bodies that wait. */
 	const admitTransfer = async (call: GateCall): Promise<ForwardResult> => {
-		const server = findServer(call);
-		if ('type' in server) {
-			return refuse(call, server);
+		const found = findSession(call);
+		if ('type' in found) {
+			return refuse(call, found);
 		}
 
 		const transfer = await transfers.acquire(describeWait(call));
@@ -221,24 +216,24 @@
 	};
 
 	const admitAndRun = async (call: GateCall): Promise<ForwardResult> => {
-		const found = findServer(call);
+		const found = findSession(call);
 		if ('type' in found) {
 			return refuse(call, found);
 		}
 
-		const slot = await found.session.acquire(describeWait(call));
+		const slot = await found.acquire(describeWait(call));
 		if (slot.type !== 'run') {
 			return refuseWait(call, slot, slot.type === 'full' ? slot.reason : '');
 		}
 
-		// It may have begun to leave while the request waited.
-		const still = findServer(call);
+		// The server may have begun to leave while the request waited. If it has started again, its earlier session runs nothing.
+		const still = findSession(call);
 		if ('type' in still) {
-			found.session.release();
+			found.release();
 			return refuse(call, still);
 		}
 
-		return found.session.run(call);
+		return found.run(call);
 	};
 
 	const getServerState = (server: LocalServer): ServerState => {
