A drain of an unknown server does not touch the one that takes work

Cause: a late drain of a server that crashed, heard by a node that has restarted, took the place of the server that is there: what was in work was given up, and nothing was sent until that one spoke again. Ruled out: to refuse it, since whoever drains has to be acknowledged. Change: it binds the lifetime that said it and leaves the other one in use. Before: the new test fails, with news draining in place of none. Conclusion: a drain ends nobody but who said it.

--- a/src/lib/local-server/accept-word.test.ts
+++ b/src/lib/local-server/accept-word.test.ts
@@ -65,6 +65,18 @@
 	assert.equal(announce(late, {id: 'i-2', sequence: 5}, 3200).state.current?.announcement.lifetime.id, 'i-2');
 });
 
+test('a drain of a server that nothing was heard of does not touch the one that takes work', () => {
+	const there = announce(noLocalServer, {id: 'i-2', sequence: 1}, 0).state;
+	const {state, news} = announce(there, {id: 'i-1', sequence: 7, isDraining: true}, 100);
+	assert.equal(news, 'none');
+	assert.equal(state.current, there.current);
+	// Nor is it taken for a new one later, whatever it still says.
+	assert.equal(announce(state, {id: 'i-1', sequence: 8}, 60_000).state.current?.announcement.lifetime.id, 'i-2');
+	// Where there is none to protect, it is the one that is there.
+	assert.equal(announce(noLocalServer, {id: 'i-1', isDraining: true}).news, 'draining');
+	assert.equal(announce(leave(there, {id: 'i-2'}).state, {id: 'i-1', isDraining: true}, 100).news, 'draining');
+});
+
 test('a server that was replaced and is heard again is not taken back by a word from before', () => {
 	const first = announce(noLocalServer, {id: 'i-1', sequence: 9}, 0).state;
 	const second = announce(first, {id: 'i-2', sequence: 1}, 100).state;
--- a/src/lib/local-server/accept-word.ts
+++ b/src/lib/local-server/accept-word.ts
@@ -136,6 +136,12 @@
 		return acceptCurrent(state, current, announcement, now);
 	}
 
+	// Of two servers with different ids nothing tells which was first: the one that drains loses least by being the earlier one.
+	const isBesideOther = current !== undefined && !current.isLeaving && compareLifetimes(current.announcement.lifetime, lifetime) === 'unrelated';
+	if (announcement.isDraining && isBesideOther) {
+		return {state: addGone(state, lifetime, now), news: 'none'};
+	}
+
 	const isKnown = others.some(server => isSameLifetime(server.announcement.lifetime, lifetime));
 	return isKnown || isSuperseded(state, lifetime) ? acceptOther(state, announcement, now) : replaceServer(state, announcement, now);
 }
