--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,7 @@
 import {runLogLines} from './log-lines.js';
 import {runPeerSlopes} from './peer-slopes.js';
 import {runNodeCost} from './node-cost/node-cost.js';
+import {runServerReturn} from './server-return.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
@@ -66,6 +67,10 @@
 		}), options => {
 		runPeerSlopes(options.sizes);
 	})
+	.command('server-return', 'how long a backend server that starts again under its id waits for work', builder => builder
+		.option('rounds', {type: 'number', default: 20, describe: 'returns of each kind'})
+		.option('limit-ms', {type: 'number', default: 10_000, describe: 'after which a return is given up'})
+		.option('only', {type: 'string', default: '', describe: 'only the kinds whose names contain this'}), async options => runServerReturn(options))
 	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
