--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -303,15 +303,15 @@
 	{
 		promise: 'sidecar: a late heartbeat changes nothing',
 		file: `${library}/peers/peer-table.js`,
-		from: 'if (isOutdated(known, report)) {',
-		to: 'if (false) {',
+		from: 'known !== undefined && isOutdated(known, told)',
+		to: 'false',
 		tests: `${library}/peers`,
 	},
 	{
 		promise: 'sidecar: a silent connection to a node that is heard is given up',
 		file: `${library}/forwarding/peer-channel.js`,
-		from: 'if (livedAt !== undefined && now - livedAt > pongMs) {',
-		to: 'if (false) {',
+		from: 'livedAt === undefined || now - livedAt <= pongMs',
+		to: 'true',
 		tests: `${library}/forwarding`,
 	},
 	{
@@ -415,14 +415,14 @@
 	{
 		promise: 'sidecar: a step that does not lead to what it was computed for is refused',
 		file: `${library}/route-config/text-delta.js`,
-		from: 'return computeTextDigest(newText) === digest ? newText : undefined;',
-		to: 'return newText;',
+		from: 'newText !== undefined && computeTextDigest(newText) === digest ? newText : undefined',
+		to: 'newText',
 		tests: `${library}/route-config`,
 	},
 	{
 		promise: 'sidecar: a node that hears of no fresh watcher asks the store itself',
 		file: `${library}/sync/relay-duty.js`,
-		from: '|| !others.some(node => isFresh(node))',
+		from: ' || (mayHelp && !isWatched)',
 		to: '',
 		tests: `${library}/sync`,
 	},
