Tests of the gate's bounds, and faults for what foreign bytes must not do

Cause: the bounds of the gate (ids, requests, unread answers, frames that are never whole) had no test of their own; a connection that was refused for what it held was counted until its socket had closed, so that the next one was refused as well.

The test of frames that are never whole saw a second "flood" before the mend, one after it.

Conclusion: each footing of these promises has a test that notices when it is gone.

--- /dev/null
+++ b/src/lib/forwarding/gate-server.test.ts
@@ -0,0 +1,155 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import test, {type TestContext} from 'node:test';
+import {expectSoon} from '../../../stand-ins/wait-until.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {createNotRun} from './forward-result.js';
+import {createFrameReader, encodeFrameHead, type Frame} from './frame.js';
+import {createGateServer, type GateServerContext} from './gate-server.js';
+
+type Gate = GateServerContext['gate'];
+
+type Fixture = {
+	readonly open: () => Promise<Socket>;
+	/** Causes of what was refused. */
+	readonly refused: string[];
+	/** Calls that the gate was handed, whose scopes have not ended. */
+	readonly countCalls: () => number;
+};
+
+const configBytes = 1_000_000;
+
+/** A gate at which each call waits until its scope ends. */
+async function startFixture(context: TestContext): Promise<Fixture> {
+	const refused: string[] = [];
+	let calls = 0;
+	const gate: Pick<Gate, 'run'> = {
+		run: async ({scope}) => new Promise(resolve => {
+			calls++;
+			scope.subscribe(reason => {
+				calls--;
+				resolve({result: createNotRun(reason, 'ended'), load: undefined});
+			});
+		}),
+	};
+	const {server, dispose} = createGateServer({
+		gate: gate as Gate, getConfig: () => ({head: ['whole'], body: Buffer.alloc(configBytes)}), log: silentLog, linkMbps: 1000,
+		async catchUp() {
+			// Nothing lags here.
+		},
+		refusals: {
+			note({cause}) {
+				refused.push(cause);
+			},
+			dispose: () => undefined,
+		},
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	context.after(() => {
+		dispose();
+		server.close();
+	});
+	return {
+		refused,
+		countCalls: () => calls,
+		async open() {
+			const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+			socket.on('error', () => undefined);
+			context.after(() => {
+				socket.destroy();
+			});
+			await once(socket, 'connect');
+			return socket;
+		},
+	};
+}
+
+const encode = (frame: Pick<Frame, 'type' | 'id'> & Partial<Frame>): Uint8Array => Buffer.concat([encodeFrameHead(frame), frame.body ?? Buffer.alloc(0)]);
+const encodeRequest = (id: number): Uint8Array => encode({type: 'request', id, head: ['c1', 'i-1', 'GET', '/', {}, 0, 'hall', 1, 60_000, 0]});
+
+const expectClosed = async (socket: Socket): Promise<void> => expectSoon('the connection is closed', () => socket.destroyed || socket.readableEnded);
+
+test('bytes that cannot be read cost their connection and end its requests; those of others go on', async context => {
+	const {open, refused, countCalls} = await startFixture(context);
+	const [good, bad] = [await open(), await open()];
+	good.write(encodeRequest(1));
+	bad.write(encodeRequest(1));
+	await expectSoon('both are under way', () => countCalls() === 2);
+	bad.resume();
+	bad.write('GET / HTTP/1.1\r\n\r\n');
+	await expectClosed(bad);
+	await expectSoon('one is under way', () => countCalls() === 1);
+	assert.deepEqual(refused, ['unreadable']);
+	const frames: Frame[] = [];
+	const reader = createFrameReader();
+	good.on('data', (bytes: Uint8Array) => {
+		frames.push(...reader.read(bytes));
+	});
+	good.write(encode({type: 'ping', id: 5}));
+	await expectSoon('the other connection answers', () => frames.some(({type}) => type === 'pong'));
+	assert.equal(countCalls(), 1);
+});
+
+test('an id that is under way is not taken again', async context => {
+	const {open, refused, countCalls} = await startFixture(context);
+	const socket = await open();
+	socket.resume();
+	socket.write(Buffer.concat([encodeRequest(1), encodeRequest(1)]));
+	await expectClosed(socket);
+	assert.deepEqual(refused, ['unreadable']);
+	await expectSoon('none is under way', () => countCalls() === 0);
+});
+
+test('more requests than any node has under way are a flood', async context => {
+	const {open, refused, countCalls} = await startFixture(context);
+	const socket = await open();
+	socket.resume();
+	socket.write(Buffer.concat(Array.from({length: 5000}, (_, id) => encodeRequest(id))));
+	await expectClosed(socket);
+	assert.deepEqual(refused, ['flood']);
+	await expectSoon('none is under way', () => countCalls() === 0);
+});
+
+test('answers that nobody reads are held up to a bound', async context => {
+	const {open, refused} = await startFixture(context);
+	const socket = await open();
+	socket.pause();
+	for (let id = 0; id < 200; id++) {
+		socket.write(encode({type: 'config', id}));
+	}
+
+	await expectSoon('it is refused', () => refused.length > 0);
+	assert.deepEqual(refused, ['flood']);
+});
+
+test('frames that are never whole are held up to a bound over all connections, and what they held is given back', async context => {
+	const {open, refused, countCalls} = await startFixture(context);
+	const sockets = [await open(), await open()];
+	const part = Buffer.concat([encodeFrameHead({type: 'body', id: 1, body: Buffer.alloc(60_000_000)}), Buffer.alloc(50_000_000)]);
+	for (const socket of sockets) {
+		socket.resume();
+		socket.write(part);
+	}
+
+	await expectSoon('one is closed', () => sockets.some(socket => socket.destroyed || socket.readableEnded));
+	const held = sockets.find(socket => !socket.destroyed && !socket.readableEnded)!;
+	const frames: Frame[] = [];
+	const reader = createFrameReader();
+	held.on('data', (bytes: Uint8Array) => {
+		frames.push(...reader.read(bytes));
+	});
+	held.write(Buffer.alloc(10_000_000));
+	held.write(encode({type: 'ping', id: 5}));
+	await expectSoon('the other is answered', () => frames.some(({type}) => type === 'pong'));
+	// What it held, and what it holds no more, leave room for others.
+	const last = await open();
+	last.on('data', () => undefined);
+	last.write(part);
+	last.write(Buffer.alloc(10_000_000));
+	last.write(encodeRequest(2));
+	await expectSoon('its request is under way', () => countCalls() === 1);
+	assert.deepEqual(refused, ['flood']);
+});
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -52,6 +52,8 @@
 	/** Where it comes from, for people: a socket that has closed does not tell any more. */
 	readonly place: string;
 	readonly incoming: Map<number, Incoming>;
+	/** Bytes of a frame that is not whole yet. */
+	heldBytes: number;
 };
 
 /** More than any node sends, of something that this one holds for it. */
@@ -181,31 +183,36 @@
 		}
 	};
 
-	const refuse = ({socket, place}: Connection, cause: RefusalCause, reason: string): void => {
+	const noteHeld = (connection: Connection, bytes: number): void => {
+		heldBytes += bytes - connection.heldBytes;
+		connection.heldBytes = bytes;
+	};
+
+	const refuse = (connection: Connection, cause: RefusalCause, reason: string): void => {
 		refusals.note({
-			kind: 'peer-refused', cause, place, reason,
+			kind: 'peer-refused', cause, place: connection.place, reason,
 		});
-		socket.destroy();
+		connection.socket.destroy();
+		// At once, so that the next connection is not refused for what this one held.
+		noteHeld(connection, 0);
 	};
 
 	/** Reads what has arrived; counts what is held of frames that are not whole. */
 	const readBytes = (connection: Connection, reader: FrameReader, bytes: Uint8Array): void => {
-		const before = reader.countHeldBytes();
-		try {
-			for (const frame of reader.read(bytes)) {
-				handleFrame(connection, frame);
-			}
-		} finally {
-			heldBytes += reader.countHeldBytes() - before;
+		for (const frame of reader.read(bytes)) {
+			handleFrame(connection, frame);
 		}
 
+		noteHeld(connection, reader.countHeldBytes());
 		if (heldBytes > mostHeldBytes) {
 			throw new FloodError(`more than ${mostHeldBytes} bytes of frames that are not whole`);
 		}
 	};
 
 	const server = createServer({noDelay: true}, socket => {
-		const connection: Connection = {socket, place: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, incoming: new Map()};
+		const connection: Connection = {
+			socket, place: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, incoming: new Map(), heldBytes: 0,
+		};
 		const reader = createFrameReader();
 		connections.add(connection);
 		socket.on('data', (bytes: Uint8Array) => {
@@ -223,7 +230,7 @@
 			// What it means for the requests is told by the close that follows.
 		});
 		socket.once('close', () => {
-			heldBytes -= reader.countHeldBytes();
+			noteHeld(connection, 0);
 			connections.delete(connection);
 			endAll(connection);
 		});
