A fault behind a datagram and a seed without a port end no node

Cause: whatever a report leads to (loads, versions, connections) runs within the handler of its datagram, where an exception ends the process. A seed with port 0 in changed settings made `dgram` throw in the handler of the signal.

Change: the handler of datagrams tells a fault as `node-failed` and goes on; seeds have a port.

Figures: with the handler of before the new test of the link failed ("a fault", process of the test ended by it).

Conclusion: nothing that a datagram does ends a node.

--- a/src/lib/peers/peer-link.test.ts
+++ b/src/lib/peers/peer-link.test.ts
@@ -18,7 +18,7 @@
 let hosts = 0;
 
 /** A link whose own heartbeats are so seldom that a test sees none but those it causes. */
-async function startLink(context: TestContext, name: string): Promise<PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>}> {
+async function startLink(context: TestContext, name: string, handleReport: () => void = () => undefined): Promise<PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>}> {
 	hosts++;
 	const address = toAddress(`127.78.${process.pid % 250}.${hosts}:7103`);
 	const node = toNodeId(name);
@@ -30,7 +30,7 @@
 		isFollowing: () => false,
 		log: silentLog,
 		refusals: silentRefusals,
-		handleReport: () => undefined,
+		handleReport,
 	});
 	await link.start();
 	context.after(link.dispose);
@@ -62,3 +62,16 @@
 		first.addContacts([toAddress('127.0.0.1:1')]);
 	});
 });
+
+test('a fault in what a report leads to does not end the node', async context => {
+	let heard = 0;
+	const first = await startLink(context, 'n1', () => {
+		heard++;
+		throw new Error('a fault');
+	});
+	const second = await startLink(context, 'n2');
+	second.addContacts([first.address]);
+	await expectSoon('a report was heard', () => heard > 0);
+	second.announce();
+	await expectSoon('another one is heard', () => heard > 1);
+});
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -265,6 +265,15 @@
 		handleReport(report, news);
 	};
 
+	/** What nobody foresaw in a datagram must not end the node. */
+	const handleSafely = (bytes: Uint8Array, sender: RemoteInfo): void => {
+		try {
+			handleMessage(bytes, sender);
+		} catch (error) {
+			log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
+		}
+	};
+
 	return {
 		async start() {
 			const {host, port} = parseAddress(settings.listen);
@@ -276,7 +285,7 @@
 			socket.on('error', error => {
 				log.record('error', {kind: 'gossip-failed', reason: error.message});
 			});
-			socket.on('message', handleMessage);
+			socket.on('message', handleSafely);
 			timer = setInterval(tick, settings.periodMs);
 		},
 		table,
--- a/src/lib/sidecar/sidecar-settings.test.ts
+++ b/src/lib/sidecar/sidecar-settings.test.ts
@@ -30,6 +30,7 @@
 	['a missing number', {...good, linkMbps: undefined}, /linkMbps: found nothing, must be a number that is not negative/],
 	['a section', {...good, retries: undefined}, /retries: must be a map/],
 	['seeds', {...good, seeds: ['x']}, /seeds: must be a list of IP numbers and ports/],
+	['a seed without a port', {...good, seeds: ['127.0.0.1:0']}, /seeds: must be a list of IP numbers and ports/],
 	['the whole', undefined, /settings: must be a map/],
 ];
 
--- a/src/lib/sidecar/sidecar-settings.ts
+++ b/src/lib/sidecar/sidecar-settings.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {err, ok, type Result} from 'neverthrow';
-import {isAddress} from '../common/address.js';
+import {isAddress, isReachableAddress} from '../common/address.js';
 import {parseDuration} from '../common/duration.js';
 import {
 	toAddress, toFailureDomain, toNodeId, type Address, type FailureDomain, type NodeId,
@@ -95,7 +95,7 @@
 }
 
 function readSeeds(value: unknown): readonly Address[] {
-	if (!Array.isArray(value) || !value.every(seed => typeof seed === 'string' && isAddress(seed))) {
+	if (!Array.isArray(value) || !value.every(seed => typeof seed === 'string' && isReachableAddress(seed))) {
 		throw new SettingError('seeds: must be a list of IP numbers and ports');
 	}
 
