A body that does not come is not waited for beyond the time of its request

Cause: the body of a caller's request was awaited for as long as its connection stood.

Ruled out: the request timeout of Node.js, which is one for all requests and counts from the first byte of the head.

Change: when the time of a request is over before its body has come, the answer is 408, which promises that it was not run, and the connection closes.

Conclusion: a body that stops costs its own request.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -28,7 +28,7 @@
 import {watchConnections} from './connection-scopes.js';
 import {type ForwardAnswer, type ForwardFailure} from './forward-result.js';
 import {
-	BodyTooLargeError, hasBody, NoRoomForBodyError, readBody,
+	BodyTooLargeError, BodyTooLateError, hasBody, NoRoomForBodyError, readBody,
 } from './read-body.js';
 import {
 	chooseFailureStatus, sendCall, type CallOutcome, type SendContext,
@@ -99,6 +99,15 @@
 /** When a route that leads nowhere may lead somewhere again: with the next configuration. Milliseconds: changes come many times an hour, not many times a second. */
 const unreadRetryMs = 1000;
 
+/** What a caller is told whose body was not taken: none of these was run. */
+function chooseBodyStatus(error: unknown): number {
+	if (error instanceof BodyTooLateError) {
+		return 408;
+	}
+
+	return error instanceof BodyTooLargeError ? 413 : 400;
+}
+
 /**
  * Creates the server for callers.
  *
@@ -169,22 +178,26 @@
 		refuseEarly(call, version, 404, 'no route matches host and path');
 	};
 
-	const takeBody = async (call: EntryCall, maxBodyBytes: number): Promise<Uint8Array | undefined | 'refused'> => {
+	const takeBody = async (call: EntryCall, maxBodyBytes: number, scope: CallScope): Promise<Uint8Array | undefined | 'refused'> => {
 		if (!hasBody(call.request)) {
 			return undefined;
 		}
 
 		call.askForBody();
 		try {
-			return await readBody(call.request, maxBodyBytes, heldBodies);
+			return await readBody(call.request, maxBodyBytes, heldBodies, handleEnd => scope.subscribe(reason => {
+				// A connection that has closed is told by the request itself.
+				if (reason === 'timeout') {
+					handleEnd();
+				}
+			}));
 		} catch (error) {
 			if (error instanceof NoRoomForBodyError) {
 				refuseEarly(call, context.getConfig()?.config.version ?? 0, 503, error.message, bodyRetryMs);
 				return 'refused';
 			}
 
-			const isTooLarge = error instanceof BodyTooLargeError;
-			refuseEarly(call, context.getConfig()?.config.version ?? 0, isTooLarge ? 413 : 400, (error as Error).message);
+			refuseEarly(call, context.getConfig()?.config.version ?? 0, chooseBodyStatus(error), (error as Error).message);
 			return 'refused';
 		}
 	};
@@ -245,7 +258,7 @@
 				return;
 			}
 
-			const body = await takeBody(call, limits.maxBodyBytes);
+			const body = await takeBody(call, limits.maxBodyBytes, scope);
 			if (body === 'refused') {
 				return;
 			}
--- a/src/lib/forwarding/read-body.test.ts
+++ b/src/lib/forwarding/read-body.test.ts
@@ -3,7 +3,9 @@
 import {PassThrough} from 'node:stream';
 import test from 'node:test';
 import {createByteBudget} from './byte-budget.js';
-import {BodyTooLargeError, NoRoomForBodyError, readBody} from './read-body.js';
+import {
+	BodyTooLargeError, BodyTooLateError, NoRoomForBodyError, readBody,
+} from './read-body.js';
 
 const createRequest = (): PassThrough & IncomingMessage => new PassThrough() as unknown as PassThrough & IncomingMessage;
 
@@ -40,3 +42,21 @@
 	await assert.rejects(readingCut, /closed within the body/);
 	assert.equal(budget.take(10), true);
 });
+
+test('a body that has not come when nobody waits any more gives back what it took', async () => {
+	const budget = createByteBudget(10);
+	const request = createRequest();
+	let end = (): void => undefined;
+	const reading = readBody(request, 100, budget, handleEnd => {
+		end = handleEnd;
+		return () => undefined;
+	});
+	request.write('12345');
+	await new Promise(resolve => {
+		setImmediate(resolve);
+	});
+	assert.equal(budget.take(6), false);
+	end();
+	await assert.rejects(reading, BodyTooLateError);
+	assert.equal(budget.take(10), true);
+});
--- a/src/lib/forwarding/read-body.ts
+++ b/src/lib/forwarding/read-body.ts
@@ -10,6 +10,9 @@
 /** The body is larger than allowed. @internal */
 export class BodyTooLargeError extends Error {}
 
+/** The time of the call was over before the body had come. @internal */
+export class BodyTooLateError extends Error {}
+
 /** Other bodies hold the memory that this one needs. @internal */
 export class NoRoomForBodyError extends Error {}
 
@@ -27,14 +30,21 @@
  * @param request - A request.
  * @param maxBytes - The largest body that is taken.
  * @param budget - What all bodies may hold together. What a whole body took is released by whoever asked for it.
+ * @param listenForEnd - Calls back when nobody waits any more; yields a function that takes that back.
  * @returns The body.
- * @throws When the connection ends early, or when the body is larger.
+ * @throws When the connection ends early, when the body is larger, or when it has not come before nobody waits any more.
  * @internal
  */
-export async function readBody(request: IncomingMessage, maxBytes: number, budget: ByteBudget = boundlessBudget): Promise<Uint8Array> {
+export async function readBody(
+	request: IncomingMessage,
+	maxBytes: number,
+	budget: ByteBudget = boundlessBudget,
+	listenForEnd: (handleEnd: () => void) => () => void = () => () => undefined,
+): Promise<Uint8Array> {
 	return new Promise((resolve, reject) => {
 		const chunks: Uint8Array[] = [];
 		let size = 0;
+		let stopListening = (): void => undefined;
 		const fail = (error: Error): void => {
 			if (size > 0) {
 				budget.release(size);
@@ -42,6 +52,7 @@
 
 			size = 0;
 			chunks.length = 0;
+			stopListening();
 			reject(error);
 		};
 
@@ -64,6 +75,7 @@
 		request.once('end', () => {
 			if (!isOver) {
 				isOver = true;
+				stopListening();
 				resolve(Buffer.concat(chunks, size));
 			}
 		});
@@ -79,5 +91,11 @@
 				fail(new Error('the connection closed within the body'));
 			}
 		});
+		stopListening = listenForEnd(() => {
+			if (!isOver) {
+				isOver = true;
+				fail(new BodyTooLateError('the time of the request was over before its body had come'));
+			}
+		});
 	});
 }
