An answer of a backend server that does not end is given up

Cause: answers are held whole, and nothing bounded one without a length, in chunks, or with any length, but the time of its request.

Change: an answer ends at 96 MB, a length above that is refused with the head, so are more than 32 interim heads. So each answer that is taken fits into a frame between nodes.

Figures: the new test failed with the code of before (nothing was thrown in 200 MB).

Conclusion: a server that sends without end costs its request and its connection.

--- a/src/lib/forwarding/answer-reader.test.ts
+++ b/src/lib/forwarding/answer-reader.test.ts
@@ -133,3 +133,22 @@
 		assert.throws(() => readText(text), AnswerFormatError);
 	});
 }
+
+test('an answer that does not end is given up, however it is framed', () => {
+	const megabyte = Buffer.alloc(1_048_576, 'x');
+	for (const [head, piece] of [
+		['HTTP/1.1 200 OK\r\n\r\n', megabyte],
+		['HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n', Buffer.concat([Buffer.from('100000\r\n'), megabyte, Buffer.from('\r\n')])],
+	] as const) {
+		const reader = createAnswerReader('GET');
+		reader.read(Buffer.from(head));
+		assert.throws(() => {
+			for (let sent = 0; sent < 200; sent++) {
+				reader.read(piece);
+			}
+		}, /an answer of more than/);
+	}
+
+	assert.throws(() => readText('HTTP/1.1 100 Continue\r\n\r\n'.repeat(40)), /interim answers that do not end/);
+	assert.throws(() => readText('HTTP/1.1 200 OK\r\nContent-Length: 200000000\r\n\r\n'), /an answer of more than/);
+});
--- a/src/lib/forwarding/answer-reader.ts
+++ b/src/lib/forwarding/answer-reader.ts
@@ -46,6 +46,12 @@
 /** A longer head is no head of a server. Bytes, as Node.js has it by default. */
 const maxHeadBytes = 16_384;
 
+/** A longer answer is not taken. Bytes: it is held whole, and has to fit into one frame with its head; several times the largest answers of the users. */
+const maxAnswerBytes = 100_663_296;
+
+/** Heads before that of the answer, such as 100: servers send one or two. */
+const mostInterims = 32;
+
 const statusLine = /^HTTP\/1\.([01]) (\d{3})(?: [^\r\n]*)?$/;
 const fieldName = /^[\w!#$%&'*+.^`|~-]+$/;
 const digits = /^\d+$/;
@@ -117,6 +123,10 @@
 		throw new AnswerFormatError('a length that is no number');
 	}
 
+	if (Number(length) > maxAnswerBytes) {
+		throw new AnswerFormatError(`an answer of more than ${maxAnswerBytes} bytes`);
+	}
+
 	return {type: 'length', bytes: Number(length)};
 }
 
@@ -154,6 +164,8 @@
 	let head: Head | undefined;
 	let chunks: ChunkReader | undefined;
 	let isDone = false;
+	let readBytes = 0;
+	let interims = 0;
 	/** Bodies of a known length are joined once, not with each piece. */
 	const pieces: Uint8Array[] = [];
 	let piecesBytes = 0;
@@ -187,6 +199,11 @@
 			throw new AnswerFormatError('another protocol was not asked for');
 		}
 
+		interims++;
+		if (interims > mostInterims) {
+			throw new AnswerFormatError('interim answers that do not end');
+		}
+
 		if (next.status >= 200) {
 			head = next;
 			chunks = next.framing.type === 'chunked' ? createChunkReader() : undefined;
@@ -232,6 +249,11 @@
 
 	return {
 		read(bytes) {
+			readBytes += bytes.length;
+			if (readBytes > maxAnswerBytes) {
+				throw new AnswerFormatError(`an answer of more than ${maxAnswerBytes} bytes`);
+			}
+
 			hold(bytes);
 			while (head === undefined) {
 				if (!takeHead()) {
