--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -146,7 +146,10 @@
 		revision = read.value.storeRevision;
 		adoptItems(read.value.items);
 		health.noteSuccess();
-		handleRead(startedAt);
+		// A store without a configuration tells nothing of what others have.
+		if (read.value.items.length > 0) {
+			handleRead(startedAt);
+		}
 	};
 
 	const watchOnce = async (after: number): Promise<void> => {
