A time that numbers cannot hold is none

Cause: a time of 400 digits came out as infinite. As the cold start of a backend server it makes the heartbeat of its node carry `null`, which the others refuse.

Change: times beyond the greatest exact number are refused where they are read, in configurations and announcements alike.

Conclusion: what one reads another can be told.

--- a/src/lib/common/duration.ts
+++ b/src/lib/common/duration.ts
@@ -19,7 +19,9 @@
 		return undefined;
 	}
 
-	return Number(match[1]) * (match[2] === 's' ? 1000 : 1);
+	const milliseconds = Number(match[1]) * (match[2] === 's' ? 1000 : 1);
+	// More digits than numbers hold would come out as infinite, which no message can carry on.
+	return Math.abs(milliseconds) <= Number.MAX_SAFE_INTEGER ? milliseconds : undefined;
 }
 
 /**
