A heartbeat whose server cannot be read leaves the server that is known of its node

Cause: a heartbeat with a server part that cannot be read counted as one of a node without a server, so that a field of another type took the server of that node away from everybody until its next heartbeat.

Change: a node without a server says so by 0; anything else that is none refuses the heartbeat. A state that this program does not know is still taken as `decodeServer` takes it.

Figures: the new row of `peer-report.test.ts` stands for eight such parts. On the code of before it was not run: `decodeServer` gave nothing for each, and a report without a server came out.

Conclusion: what cannot be read names no server, and takes none away.

--- a/src/lib/peers/peer-report.test.ts
+++ b/src/lib/peers/peer-report.test.ts
@@ -36,6 +36,7 @@
 	[5, 'gossip', [null, '', 'nowhere', '127.0.0.1:0', '127.0.0.1:70000', 'localhost:1']],
 	[6, 'version', [null, '7', -1, 0.5, 1e300]],
 	[7, 'isLeaving', [null, true, 2]],
+	[8, 'server', [null, 1, false, {}, [], ['i-1'], ['i-1', 'logview', '12', 0, 0, 3, 1, 80, 125], ['i-1', null, 12, 0, 0, 3, 1, 80, 125]]],
 	[9, 'duties', [null, 5, {}]],
 	[9, 'duties.linkMbps', [[], [-1, 1, 1], ['9', 1, 1]]],
 	[9, 'duties.isFollowing', [[1, true, 1]]],
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -8,6 +8,7 @@
 	toBackendServerId, toFailureDomain, toNodeId,
 	type Address, type BackendServerId, type FailureDomain, type NodeId,
 } from '../common/ids.js';
+import {FieldError} from '../common/field-error.js';
 import {
 	readAddress, readAmount, readCount, readFlag, readList, readName,
 } from '../common/read-input.js';
@@ -148,6 +149,20 @@
 /** The longest time between two heartbeats that a node may name. Milliseconds: a node that is silent for as long is forgotten. */
 const longestPeriodMs = 60_000;
 
+/** A node without a server says so by 0. What cannot be read must not make the server that is known of the node disappear. */
+function readServer(value: unknown): ServerReport | undefined {
+	if (value === 0) {
+		return undefined;
+	}
+
+	const server = decodeServer(value);
+	if (server === undefined) {
+		throw new FieldError('server', value, '0 for none, or a backend server with each of its fields');
+	}
+
+	return server;
+}
+
 function readDuties(value: unknown): NodeDuties {
 	const [linkMbps, isFollowing, storeSeenMs] = readList(value, 'duties');
 	return {
@@ -175,7 +190,7 @@
 		gossip: readAddress(gossip, 'gossip'),
 		version: readCount(version, 'version'),
 		isLeaving: readFlag(isLeaving, 'isLeaving'),
-		server: decodeServer(server),
+		server: readServer(server),
 		duties: readDuties(duties),
 		periods: readPeriods(periods),
 		isProbe: readFlag(isProbe, 'isProbe'),
