The sender of a datagram is written down only when it is refused

Cause: the text of it was made for each datagram.

Change: one function refuses a datagram and makes it.

--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -76,6 +76,9 @@
 /** Answers to newcomers and to those who ask, over all nodes: a mesh that starts at once makes one for each node, and later a few a second. */
 const answerLimits = {perSecond: 500, burst: 2000} as const;
 
+/** What is wrong with a datagram. */
+type Problem = Pick<Refusal, 'cause' | 'reason'>;
+
 /**
  * Creates the link.
  *
@@ -192,8 +195,12 @@
 		sendHeartbeats(now);
 	};
 
+	const refuse = ({address, port}: RemoteInfo, problem: Problem): void => {
+		refusals.note({kind: 'heartbeat-refused', place: `${address}:${port}`, ...problem});
+	};
+
 	/** Why a report that can be read is refused. */
-	const checkReport = (report: PeerReport): Pick<Refusal, 'cause' | 'reason'> | undefined => {
+	const checkReport = (report: PeerReport): Problem | undefined => {
 		if (report.node === settings.node) {
 			return {cause: 'own-name', reason: `node: found ${report.node}, which is this node; give each node a name of its own`};
 		}
@@ -228,11 +235,8 @@
 
 	const handleMessage = (bytes: Uint8Array, sender: RemoteInfo): void => {
 		const decoded = decodeReport(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString());
-		const place = `${sender.address}:${sender.port}`;
 		if (decoded.isErr()) {
-			refusals.note({
-				kind: 'heartbeat-refused', cause: 'unreadable', place, reason: decoded.error,
-			});
+			refuse(sender, {cause: 'unreadable', reason: decoded.error});
 			return;
 		}
 
@@ -243,7 +247,7 @@
 
 		const problem = checkReport(report);
 		if (problem !== undefined) {
-			refusals.note({kind: 'heartbeat-refused', place, ...problem});
+			refuse(sender, problem);
 			return;
 		}
 
