Faults for servers that cannot be read, bodies and answers without an end

Cause: four of the new promises had no fault of their own, and the fault of a step that does not lead to what it was computed for was not found any more, since the expression has a second part now.

Change: four faults; the fifth names the new expression.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -338,8 +338,8 @@
 	{
 		promise: 'sidecar: a step that does not lead to what it was computed for is refused',
 		file: `${library}/route-config/text-delta.js`,
-		from: 'return computeTextDigest(newText) === digest ? newText : undefined;',
-		to: 'return newText;',
+		from: 'newText !== undefined && computeTextDigest(newText) === digest',
+		to: 'newText !== undefined',
 		tests: `${library}/route-config`,
 	},
 	{
@@ -496,4 +496,32 @@
 		to: 'if (true) {',
 		tests: `${library}/timeline`,
 	},
+	{
+		promise: 'sidecar: bytes: a heartbeat whose server cannot be read takes none away',
+		file: `${library}/peers/peer-report.js`,
+		from: 'server: readServer(server)',
+		to: 'server: decodeServer(server)',
+		tests: `${library}/peers`,
+	},
+	{
+		promise: 'sidecar: bytes: a fault behind a datagram ends no node',
+		file: `${library}/peers/peer-link.js`,
+		from: 'socket.on(\'message\', handleSafely)',
+		to: 'socket.on(\'message\', handleMessage)',
+		tests: `${library}/peers`,
+	},
+	{
+		promise: 'sidecar: bytes: a body that does not come is not waited for',
+		file: `${library}/forwarding/entry-server.js`,
+		from: 'if (reason === \'timeout\') {',
+		to: 'if (false) {',
+		tests: 'platform/any-bytes.test.js',
+	},
+	{
+		promise: 'sidecar: bytes: an answer that does not end is given up',
+		file: `${library}/forwarding/answer-reader.js`,
+		from: 'if (readBytes > maxAnswerBytes) {',
+		to: 'if (false) {',
+		tests: `${library}/forwarding/answer-reader.test.js`,
+	},
 ];
