Tests of foreign bytes do not rest on how fast the machine is

Cause: with a load of 36 on 16 cores the test of a delta without bounds took 2.5 s of the 2 s it had.

None allows more than before.

Conclusion: what is promised is checked, not the speed of the machine.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -524,4 +524,18 @@
 		to: 'if (false) {',
 		tests: `${library}/forwarding/answer-reader.test.js`,
 	},
+	{
+		promise: 'sidecar: bytes: a delta asks for no text without bounds',
+		file: `${library}/route-config/text-delta.js`,
+		from: 'if (length > maxTextLength) {',
+		to: 'if (false) {',
+		tests: `${library}/route-config/text-delta.test.js`,
+	},
+	{
+		promise: 'sidecar: bytes: what comes byte by byte is held in about its own size',
+		file: `${library}/forwarding/frame.js`,
+		from: 'if (chunks.length > heldPieces',
+		to: 'if (false',
+		tests: `${library}/forwarding/frame.test.js`,
+	},
 ];
--- a/src/lib/forwarding/frame.test.ts
+++ b/src/lib/forwarding/frame.test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
-import process from 'node:process';
 import test from 'node:test';
 import fc from 'fast-check';
 import {FieldError} from '../common/field-error.js';
@@ -52,13 +51,11 @@
 test('bytes that come one by one are held in about their own size', () => {
 	const bytes = Buffer.concat([encodeFrameHead({type: 'body', id: 1, body: Buffer.alloc(200_000)}), Buffer.alloc(199_999)]);
 	const reader = createFrameReader();
-	const before = process.memoryUsage().heapUsed;
 	for (const byte of bytes) {
 		assert.equal(reader.read(Buffer.from([byte])).length, 0);
 	}
 
-	assert.equal(reader.countHeldBytes(), bytes.length);
-	assert.ok(process.memoryUsage().heapUsed - before < 20_000_000);
+	assert.ok(reader.countHeldBytes() > bytes.length && reader.countHeldBytes() < bytes.length * 1.5, `${reader.countHeldBytes()} bytes`);
 	assert.equal(reader.read(Buffer.alloc(1))[0]?.body.length, 200_000);
 });
 
--- a/src/lib/forwarding/frame.ts
+++ b/src/lib/forwarding/frame.ts
@@ -58,6 +58,9 @@
 /** So many pieces are held before small ones are joined: what comes in pieces of a few bytes would take a hundred times their memory. */
 const heldPieces = 64;
 
+/** Memory that a piece takes beside its own bytes. */
+const pieceBytes = 128;
+
 /** Pieces that are smaller on average are joined. Bytes: each piece more costs a copy of so many. */
 const smallPieceBytes = 1024;
 
@@ -110,7 +113,7 @@
 export type FrameReader = {
 	/** Takes bytes; yields the frames that are whole now. Throws as soon as the bytes cannot be frames. */
 	readonly read: (bytes: Uint8Array) => readonly Frame[];
-	/** Bytes that are held of a frame that is not whole yet. */
+	/** Memory that is held for a frame that is not whole yet. Bytes. */
 	readonly countHeldBytes: () => number;
 };
 
@@ -198,6 +201,6 @@
 
 			return frames;
 		},
-		countHeldBytes: () => held,
+		countHeldBytes: () => held + (chunks.length * pieceBytes),
 	};
 }
--- a/src/lib/route-config/text-delta.test.ts
+++ b/src/lib/route-config/text-delta.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {createHash} from 'node:crypto';
 import test from 'node:test';
 import fc from 'fast-check';
 import {createConfigHistory, parseConfigSteps, type ConfigStep} from './config-history.js';
@@ -69,11 +70,15 @@
 	assert.equal(history.list(31), undefined);
 });
 
-test('a delta that asks for the old text again and again is refused before it is put together', () => {
+test('a delta that asks for the old text again and again is refused once it is longer than any text, even if its digest fits', () => {
 	const oldText = '{a}'.repeat(100_000);
-	const startedAt = performance.now();
-	assert.equal(applyTextDelta(oldText, {digest: 'x', steps: Array.from({length: 100_000}, () => [0, 100_000] as const)}), undefined);
-	assert.ok(performance.now() - startedAt < 2000);
+	const apply = (times: number): number | undefined => {
+		const digest = createHash('sha256').update(oldText.repeat(times)).digest('base64url');
+		return applyTextDelta(oldText, {digest, steps: Array.from({length: times}, () => [0, 100_000] as const)})?.length;
+	};
+
+	assert.equal(apply(2), 600_000);
+	assert.equal(apply(60), undefined);
 });
 
 test('steps whose versions are none, or that lead back, are refused', () => {
