--- a/src/lib/sidecar/mesh-metrics.test.ts
+++ b/src/lib/sidecar/mesh-metrics.test.ts
@@ -16,7 +16,9 @@
 	const metrics = createMeshMetrics();
 	metrics.recordCall(call);
 	metrics.recordCall(call);
-	metrics.recordCall({...call, status: 503, verdict: 'not-run', attempts: []});
+	metrics.recordCall({
+		...call, status: 503, verdict: 'not-run', attempts: [],
+	});
 	const log = metrics.countEvents(silentLog);
 	log.record('info', {kind: 'store-back', afterMs: 5});
 	log.record('info', {
