--- a/bench/peer-slopes.ts
+++ b/bench/peer-slopes.ts
@@ -41,7 +41,7 @@
 }
 
 /** The round as it was: every node is looked at, for its turn and, every fourth round, for its silence and its end. */
-function walkAll(table: PeerTable, round: number, plan: ReturnType<typeof planHeartbeats>): number {
+function visitAll(table: PeerTable, round: number, plan: ReturnType<typeof planHeartbeats>): number {
 	let due = 0;
 	let place = 0;
 	for (const peer of table.list()) {
@@ -102,7 +102,7 @@
 	const rows: readonly Row[] = [
 		{
 			name: 'a round, every node looked at', aSecond: 2.5, run(table, round) {
-				walkAll(table, round, getPlan(table));
+				visitAll(table, round, getPlan(table));
 			},
 		},
 		{
--- a/src/lib/peers/news-targets.ts
+++ b/src/lib/peers/news-targets.ts
@@ -19,7 +19,7 @@
 const mostTowardsOwnDomain = 60;
 
 /** Draws some of a list, each at most once, in time that does not grow with the list. */
-function drawSome(peers: readonly Peer[], count: number, random: () => number): readonly Peer[] {
+function pickSome(peers: readonly Peer[], count: number, random: () => number): readonly Peer[] {
 	if (peers.length <= count) {
 		return peers;
 	}
@@ -35,6 +35,6 @@
  * @internal
  */
 export function chooseNewsTargets(table: Pick<PeerTable, 'listOwnDomain' | 'listOtherDomains'>, random: () => number): readonly Peer[] {
-	const near = drawSome(table.listOwnDomain(), mostTowardsOwnDomain, random);
-	return [...near, ...drawSome(table.listOtherDomains(), mostTold - near.length, random)];
+	const near = pickSome(table.listOwnDomain(), mostTowardsOwnDomain, random);
+	return [...near, ...pickSome(table.listOtherDomains(), mostTold - near.length, random)];
 }
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -218,7 +218,7 @@
 		}
 	};
 
-	const scheduleRound = (): void => {
+	const queueRound = (): void => {
 		const delayMs = computeRoundDelay(readNow(), settings.periodMs);
 		dueAt = readSteadyMs() + delayMs;
 		timer = setTimeout(runRound, delayMs);
@@ -227,7 +227,7 @@
 	const runRound = (): void => {
 		const now = readSteadyMs();
 		handleRound(now - dueAt);
-		scheduleRound();
+		queueRound();
 		round++;
 		sendHeartbeats(now);
 		if (round % quietRounds === 0) {
@@ -277,7 +277,7 @@
 				log.record('error', {kind: 'gossip-failed', reason: error.message});
 			});
 			socket.on('message', handleMessage);
-			scheduleRound();
+			queueRound();
 		},
 		table,
 		addContacts(addresses) {
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -99,7 +99,7 @@
 	const metrics = createMeshMetrics();
 	const log = metrics.countEvents(surroundings.log);
 	const {node: self, failureDomain: domain} = settings;
-	const run = drawRun(random);
+	const run = createRunName(random);
 	const createdAt = readSteadyMs();
 	let isLeaving = false;
 	let isGateLeaving = false;
@@ -356,7 +356,7 @@
 }
 
 /** Names this run: 52 random bits, so that two runs of a node that share a name do not meet in practice. */
-function drawRun(random: () => number): string {
+function createRunName(random: () => number): string {
 	return random().toString(36).slice(2);
 }
 
