The look at how busy a node is comes with a round; reports of the version in force begin no work

Cause: a timer of its own woke an idle node once a second more; each report began an async function that had nothing to do. Ruled out: the look whether to watch the store (every 300 ms) with the rounds: it bounds how soon a change is in force; the check of callers' heads (1 s). Change: checkLoad runs with rounds, a second apart at the least, and tells the time that really passed; reports are compared before the call.

--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -144,7 +144,10 @@
 		holder,
 		describeDuties,
 		handleReport(report) {
-			void newer.handleReport(report);
+			// Most reports tell of the version that is in force here: no work is begun for these.
+			if (report.version > holder.getVersion()) {
+				void newer.handleReport(report);
+			}
 		},
 		answerConfig: createConfigAnswers(holder),
 		isStoreReachable: health.isReachable,
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -76,7 +76,7 @@
 /** Nodes that are taken to share the slack of the retry allowance while a node has just started, until it knows of more: the smallest mesh of the users has 13. */
 const assumedNodes = 12;
 
-/** Milliseconds between two looks at how busy the node is. */
+/** Milliseconds between two looks at how busy the node is, at the least. */
 const loadCheckMs = 1000;
 
 /** Milliseconds between two looks for servers that are gone. */
@@ -173,6 +173,7 @@
 			...peerLimits, listen: settings.listen.gossip, domain, periodMs: heartbeatMs,
 		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, random, handleReport, handleRound(lateMs) {
 			watch.handleRound(lateMs);
+			checkLoad();
 		},
 	});
 
@@ -281,17 +282,23 @@
 	});
 
 	let forgetTimer: NodeJS.Timeout | undefined;
-	let loadTimer: NodeJS.Timeout | undefined;
+	let loadCheckedAt = createdAt;
 
+	/** Called with rounds of heartbeats: a timer of its own would be a wake-up more a second. */
 	const checkLoad = (): void => {
-		young.note(finishedCalls, loadCheckMs);
+		const now = readSteadyMs();
+		if (now - loadCheckedAt < loadCheckMs) {
+			return;
+		}
+
+		young.note(finishedCalls, now - loadCheckedAt);
 		finishedCalls = 0;
+		loadCheckedAt = now;
 	};
 
 	const dispose = async (): Promise<void> => {
 		watch.dispose();
 		clearInterval(forgetTimer);
-		clearInterval(loadTimer);
 		sync.dispose();
 		link.dispose();
 		gateClient.dispose();
@@ -322,7 +329,6 @@
 			link.addContacts(settings.seeds);
 			watch.start();
 			forgetTimer = setInterval(forgetGone, forgetMs);
-			loadTimer = setInterval(checkLoad, loadCheckMs);
 			sync.start();
 		},
 		applySettings(changed) {
