--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -345,7 +345,7 @@
 	{
 		promise: 'sidecar: a node that hears of no fresh watcher asks the store itself',
 		file: `${library}/sync/relay-duty.js`,
-		from: '|| !others.some(node => isFresh(node))',
+		from: '|| (mayHelp && !isWatched)',
 		to: '',
 		tests: `${library}/sync`,
 	},
