--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -236,7 +236,7 @@
 		}
 	};
 
-	const scheduleRound = (): void => {
+	const queueRound = (): void => {
 		const delayMs = computeRoundDelay(readNow(), settings.periodMs);
 		dueAt = readSteadyMs() + delayMs;
 		timer = setTimeout(runRound, delayMs);
@@ -245,7 +245,7 @@
 	const runRound = (): void => {
 		const now = readSteadyMs();
 		handleRound(now - dueAt);
-		scheduleRound();
+		queueRound();
 		round++;
 		sendHeartbeats(now);
 		if (round % quietRounds === 0) {
@@ -348,7 +348,7 @@
 				log.record('error', {kind: 'gossip-failed', reason: error.message});
 			});
 			socket.on('message', handleSafely);
-			scheduleRound();
+			queueRound();
 		},
 		table,
 		addContacts(addresses) {
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -178,7 +178,10 @@
 		holder,
 		describeDuties,
 		handleReport(report) {
-			void handleReport(report);
+			// Most reports tell of the version that is in force here: no work is begun for these.
+			if (report.version > holder.getVersion()) {
+				void handleReport(report);
+			}
 		},
 		answerConfig: createConfigAnswers(holder),
 		isStoreReachable: health.isReachable,
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import {randomBytes} from 'node:crypto';
 import {type Result} from 'neverthrow';
 import {readSteadyMs} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
@@ -81,7 +80,7 @@
 /** Nodes that are taken to share the slack of the retry allowance while a node has just started, until it knows of more: the smallest mesh of the users has 13. */
 const assumedNodes = 12;
 
-/** Milliseconds between two looks at how busy the node is. */
+/** Milliseconds between two looks at how busy the node is, at the least. */
 const loadCheckMs = 1000;
 
 /** Milliseconds between two looks for servers that are gone. */
@@ -105,7 +104,7 @@
 	const log = metrics.countEvents(surroundings.log);
 	const refusals = createRefusals(log, metrics.countRefusal);
 	const {node: self, failureDomain: domain} = settings;
-	const run = randomBytes(6).toString('base64url');
+	const run = createRunName(random);
 	const createdAt = readSteadyMs();
 	let isLeaving = false;
 	let isGateLeaving = false;
@@ -183,6 +182,7 @@
 			...peerLimits, node: self, listen: settings.listen.gossip, domain, periodMs: heartbeatMs,
 		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, refusals, random, handleReport, handleRound(lateMs) {
 			watch.handleRound(lateMs);
+			checkLoad();
 		},
 	});
 
@@ -279,17 +279,23 @@
 	});
 
 	let forgetTimer: NodeJS.Timeout | undefined;
-	let loadTimer: NodeJS.Timeout | undefined;
+	let loadCheckedAt = createdAt;
 
+	/** Called with rounds of heartbeats: a timer of its own would be a wake-up more a second. */
 	const checkLoad = (): void => {
-		young.note(finishedCalls, loadCheckMs);
+		const now = readSteadyMs();
+		if (now - loadCheckedAt < loadCheckMs) {
+			return;
+		}
+
+		young.note(finishedCalls, now - loadCheckedAt);
 		finishedCalls = 0;
+		loadCheckedAt = now;
 	};
 
 	const dispose = async (): Promise<void> => {
 		watch.dispose();
 		clearInterval(forgetTimer);
-		clearInterval(loadTimer);
 		sync.dispose();
 		link.dispose();
 		refusals.dispose();
@@ -322,7 +328,6 @@
 			link.addContacts(settings.seeds);
 			watch.start();
 			forgetTimer = setInterval(forgetGone, forgetMs);
-			loadTimer = setInterval(checkLoad, loadCheckMs);
 			sync.start();
 		},
 		applySettings(changed) {
@@ -352,6 +357,11 @@
 	};
 }
 
+/** Names this run: some 53 random bits, so that two runs of a node that share a name do not meet in practice. */
+function createRunName(random: () => number): string {
+	return Math.floor(random() * Number.MAX_SAFE_INTEGER).toString(36);
+}
+
 function omitId(call: FinishedCall): Omit<FinishedCall, 'id' | 'service'> {
 	const {id: _id, service: _service, ...rest} = call;
 	return rest;
