Store: an entry that was written but not answered when its node withdrew does not stay

Found by a test that failed once beside load ('takes its entry out of the store': 2 entries, 1 expected; again in 1 of 12 runs at a load average of 23): a node that got SIGTERM between the store's write and its answer had no lease to give up yet, and took it up afterwards; peers greeted it for the 12 s of the lease. Test failed first (registration.test.ts). Ruled out: the lease of an earlier run.

--- a/src/lib/sync/registration.test.ts
+++ b/src/lib/sync/registration.test.ts
@@ -17,6 +17,9 @@
 	readonly loseStore: () => void;
 	readonly returnStore: () => void;
 	readonly advance: (milliseconds: number) => Promise<void>;
+	readonly withdraw: () => Promise<void>;
+	/** Holds the answers to writes back until the function that it yields is called. */
+	readonly holdAnswers: () => () => void;
 };
 
 /** A node that registers, among so many others, under a clock that the test advances. */
@@ -29,6 +32,8 @@
 	let nextLease = 1;
 	let entryLease: number | undefined;
 	let isAway = false;
+	/** Settles when a write is answered; at once unless a test holds it back. */
+	let answered: Promise<void> = Promise.resolve();
 	const call = <Value>(name: string, answer: () => Value) => {
 		counts.set(name, (counts.get(name) ?? 0) + 1);
 		return isAway ? err({type: 'unavailable' as const, reason: 'away'}) : ok(answer());
@@ -38,10 +43,14 @@
 	const key = 'stonemoor/nodes/n1';
 	const store: Pick<MeshStore, 'listItems' | 'putItem' | 'grantLease' | 'renewLease' | 'endLease'> = {
 		listItems: async () => call('list', () => ({items: hasEntry() ? [{key, value: '10.0.0.1:1', revision: 1}] : [], storeRevision: 9})),
-		putItem: async (_key, _value, lease) => call('put', () => {
-			entryLease = lease;
-			return 9;
-		}),
+		async putItem(_key, _value, lease) {
+			const put = call('put', () => {
+				entryLease = lease;
+				return 9;
+			});
+			await answered;
+			return put;
+		},
 		grantLease: async () => call('grant', () => {
 			leases.add(nextLease);
 			return nextLease++;
@@ -59,6 +68,14 @@
 	void registration.run();
 	return {
 		counts, hasEntry,
+		withdraw: registration.withdraw,
+		holdAnswers() {
+			let release = (): void => undefined;
+			answered = new Promise(resolve => {
+				release = resolve;
+			});
+			return release;
+		},
 		loseStore() {
 			isAway = true;
 			leases.clear();
@@ -113,3 +130,14 @@
 		assert.equal(hasEntry(), true);
 	});
 }
+
+test('an entry that was written, but not answered, when the node withdrew does not stay', async context => {
+	const {hasEntry, withdraw, holdAnswers, advance} = startFixture(context, 12);
+	const release = holdAnswers();
+	await advance(100);
+	assert.equal(hasEntry(), true);
+	await withdraw();
+	release();
+	await advance(100);
+	assert.equal(hasEntry(), false);
+});
--- a/src/lib/sync/registration.ts
+++ b/src/lib/sync/registration.ts
@@ -88,6 +88,12 @@
 		}
 
 		const put = await store.putItem(key, gossip, granted.value);
+		if (isWithdrawn) {
+			// The node has withdrawn meanwhile, and there was no lease to give up yet.
+			await store.endLease(granted.value);
+			return true;
+		}
+
 		if (put.isErr()) {
 			health.noteFailure('register', describeError(put.error));
 			return false;
