A short lateness of an idle node is forgiven to others and not named in the log

Cause (by reading): since the watch runs with rounds, a node that only answers others counted as paused from 150 ms of lateness on, and would have written a warning in each round under load.

--- a/src/lib/sidecar/peer-watch.ts
+++ b/src/lib/sidecar/peer-watch.ts
@@ -102,10 +102,17 @@
 		}
 	};
 
+	/** Names a pause. A node that answers others and waits for none may be a little late because it is busy, which is not worth a line. */
+	const notePause = (delayMs: number): void => {
+		if (delayMs > pauseMs) {
+			log.record('warn', {kind: 'node-paused', forMs: Math.round(delayMs)});
+		}
+	};
+
 	const look = (now: number, delayMs: number, longestMs: number): void => {
 		handleDelay(delayMs);
 		if (delayMs > longestMs) {
-			log.record('warn', {kind: 'node-paused', forMs: Math.round(delayMs)});
+			notePause(delayMs);
 			link.forgiveSilence(delayMs);
 		} else {
 			gateClient.checkSilence(now, getHeardAt);
