--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -289,3 +289,63 @@
 	assert.equal(await run('after', 300), 'answered');
 	assert.equal(await lost, 'failed');
 });
+
+test('review: a request in work at a server that has left and works on is answered by it, although another one is there by then', async context => {
+	const fixture = await createFixture(context);
+	const first = fixture.gate.run(fixture.createCall('first'));
+	await waitForArrival(fixture);
+	fixture.gate.leave({id, startedAt: lifetime.startedAt});
+	fixture.announce({lifetime: {id: toBackendServerId('i-2'), startedAt: 3000}, sequence: 1});
+	fixture.answerNext();
+	const {result} = await first;
+	assert.equal(result.type === 'answered' ? 'answered' : result.reason, 'answered');
+});
+
+test('review: a late answer to an earlier request does not end the one that is in work on its connection', async context => {
+	const {createServer: createNetServer} = await import('node:net');
+	const frame = (call: string, body: string): string => `HTTP/1.1 200 OK\r\nx-call: ${call}\r\nx-signature: s\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+	let requests = 0;
+	const sockets = new Set<Socket>();
+	const server = createNetServer(socket => {
+		sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('data', () => {
+			requests++;
+			if (requests === 1) {
+				socket.write(frame('one', 'page'));
+				return;
+			}
+
+			socket.write(frame('one', 'page'));
+			setTimeout(() => {
+				socket.write(frame('two', 'own!'));
+			}, 50);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const gate = createLocalGate({
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, isLeaving: () => false, linkMbps: 7,
+	});
+	context.after(() => {
+		gate.dispose();
+		server.close();
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	gate.announce({
+		lifetime, service: 'logview', address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), slots: 1, isDraining: false, coldMs: 0, sequence: 1,
+	});
+	const createCall = (call: string): GateCall => {
+		const scope = createCallScope(performance.now() + 3000);
+		context.after(scope.dispose);
+		return {
+			id: call, server: id, method: 'GET', target: '/', headers: {}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 1000, isTransfer: false, scope,
+		};
+	};
+	assert.equal((await gate.run(createCall('one'))).result.type, 'answered');
+	const {result} = await gate.run(createCall('two'));
+	assert.equal(result.type === 'answered' ? 'answered' : `${result.reason} ${result.verdict}`, 'answered');
+});
--- /dev/null
+++ b/src/lib/forwarding/review-channel.test.ts
@@ -0,0 +1,59 @@
+/** Found in a review: a connection over which a body leaves slowly. */
+import assert from 'node:assert/strict';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import test from 'node:test';
+import {toAddress} from '../common/ids.js';
+import {createCallScope} from './call-scope.js';
+import {openPeerChannel, type ChannelResult} from './peer-channel.js';
+
+const wait = async (milliseconds: number): Promise<void> => new Promise(resolve => {
+	setTimeout(resolve, milliseconds);
+});
+
+test('a connection over which a large body leaves slowly is not given up while bytes leave', async context => {
+	let read = 0;
+	let peer: Socket | undefined;
+	const server = createServer(socket => {
+		peer = socket;
+		socket.on('error', () => undefined);
+		socket.on('data', bytes => {
+			read += bytes.length;
+			socket.pause();
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const channel = openPeerChannel(toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), 5000, () => undefined);
+	const scope = createCallScope(performance.now() + 60_000);
+	context.after(() => {
+		scope.dispose();
+		channel.dispose();
+		peer?.destroy();
+		server.close();
+	});
+	let result: ChannelResult | 'waiting' = 'waiting';
+	let doubts = 0;
+	void (async () => {
+		result = await channel.send({
+			type: 'request', head: [], body: new Uint8Array(8_000_000), scope,
+			handleDoubt() {
+				doubts++;
+			},
+		});
+	})();
+	const readBefore: number[] = [];
+	for (let checks = 1; checks <= 12; checks++) {
+		// One piece of 64 KB for each half second: half a link of 2 Mbit/s.
+		peer?.resume();
+		await wait(40);
+		readBefore.push(read);
+		const now = performance.now() + (checks * 500);
+		channel.checkSilence(now, () => now);
+	}
+
+	await wait(40);
+	context.diagnostic(`read so far: ${readBefore.join(' ')}; doubts ${doubts}; ${JSON.stringify(result)}`);
+	assert.ok(readBefore.at(-1)! > readBefore[1]!);
+	assert.equal(result, 'waiting');
+});
--- /dev/null
+++ b/src/lib/forwarding/review-gate.test.ts
@@ -0,0 +1,87 @@
+/** Found in a review: answers on their way from a gate. */
+import assert from 'node:assert/strict';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type TestContext} from 'node:test';
+import {toBackendServerId} from '../common/ids.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {createFrameReader, writeFrame} from './frame.js';
+import {createGateServer, type GateServer} from './gate-server.js';
+import {type LocalGate} from './local-gate.js';
+import {encodePeerRequest} from './peer-messages.js';
+
+async function startGate(context: TestContext, bodyBytes: number): Promise<{readonly gate: GateServer; readonly socket: Socket; readonly refused: readonly unknown[]; readonly countAnswers: () => number; readonly countBytes: () => number}> {
+	const refused: unknown[] = [];
+	const gate = createGateServer({
+		gate: {
+			run: async () => ({load: undefined, result: {type: 'answered', status: 200, headers: {}, body: new Uint8Array(bodyBytes)}}),
+		} as unknown as LocalGate,
+		getConfig: () => ({head: [], body: new Uint8Array()}) as never,
+		catchUp: async () => undefined,
+		log: silentLog,
+		refusals: {note: (refusal: unknown) => refused.push(refusal), dispose: () => undefined} as never,
+		linkMbps: 1000,
+	});
+	await new Promise<void>(resolve => {
+		gate.server.listen(0, '127.0.0.1', resolve);
+	});
+	const socket = connect((gate.server.address() as AddressInfo).port, '127.0.0.1');
+	const reader = createFrameReader();
+	let answers = 0;
+	let bytesRead = 0;
+	socket.on('data', bytes => {
+		bytesRead += bytes.length;
+		answers += reader.read(bytes).filter(({type}) => type === 'answer').length;
+	});
+	socket.on('error', () => undefined);
+	context.after(() => {
+		socket.destroy();
+		gate.dispose();
+		gate.server.close();
+	});
+	return {gate, socket, refused, countAnswers: () => answers, countBytes: () => bytesRead};
+}
+
+const ask = (socket: Socket, id: number): void => {
+	writeFrame(socket, {
+		type: 'request', id, head: encodePeerRequest({
+			id: `c${id}`, server: toBackendServerId('i-1'), method: 'GET', target: '/', headers: {}, callerService: 'hall', rank: 1, mayWaitMs: 0, hasBody: false, leftMs: 20_000,
+		}),
+	});
+};
+
+test('answers that wait for a slow link are not cut because it is asked whether the connection works', async context => {
+	const {socket, refused, countAnswers} = await startGate(context, 20_000_000);
+	socket.pause();
+	ask(socket, 1);
+	ask(socket, 2);
+	await sleep(200);
+	writeFrame(socket, {type: 'ping', id: 0});
+	await sleep(100);
+	socket.resume();
+	await sleep(1500);
+	assert.deepEqual(refused, []);
+	assert.equal(countAnswers(), 2);
+});
+
+for (const [what, isAsked] of [['whoever reads it sends nothing more', false], ['whoever reads it asks for something meanwhile', true]] as const) {
+	test(`an answer that counts as sent arrives although the gate goes, when ${what}`, async context => {
+		const {gate, socket, countAnswers, countBytes} = await startGate(context, 1_500_000);
+		socket.pause();
+		ask(socket, 1);
+		await sleep(300);
+		context.diagnostic(`unsent ${gate.countUnsent()} when it goes`);
+		const wasLeft = gate.countUnsent() === 0;
+		gate.dispose();
+		if (isAsked) {
+			writeFrame(socket, {type: 'ping', id: 0});
+		}
+
+		await sleep(100);
+		socket.resume();
+		await sleep(500);
+		context.diagnostic(`${countBytes()} bytes arrived`);
+		assert.ok(wasLeft);
+		assert.equal(countAnswers(), 1);
+	});
+}
--- /dev/null
+++ b/src/lib/forwarding/review-silent.test.ts
@@ -0,0 +1,145 @@
+/** Found in a review: attempts beside one another. */
+import assert from 'node:assert/strict';
+import test, {type TestContext} from 'node:test';
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+} from '../common/ids.js';
+import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
+import {createLoadView} from '../decisions/load-view.js';
+import {type Candidate} from '../decisions/rank-servers.js';
+import {createRetryAllowance} from '../decisions/retry-allowance.js';
+import {createSampleRoute} from '../route-config/sample-config.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {createCallScope} from './call-scope.js';
+import {createMayHaveRun, createNotRun, type ForwardResult, type GateResult} from './forward-result.js';
+import {type GateClient, type RemoteCall} from './gate-client.js';
+import {type LocalGate} from './local-gate.js';
+import {type CallOutcome} from './outgoing-call.js';
+import {sendCall} from './send-call.js';
+
+const toKey = (id: string): LifetimeKey => toLifetimeKey({id: toBackendServerId(id), startedAt: 1});
+
+const settle = async (): Promise<void> => new Promise(resolve => {
+	setImmediate(resolve);
+});
+
+type Sent = {readonly call: RemoteCall; readonly settle: (result: ForwardResult) => void};
+
+/** Four servers that work until they are told how their request ends, or it is broken off. */
+function createMesh(context: TestContext, maxAttempts: number, timeMs = 1000, type: 'safe' | 'unsafe' = 'safe'): {
+	readonly sent: readonly Sent[]; readonly outcome: () => Promise<CallOutcome>; readonly silence: (node: string) => void;
+} {
+	const sent: Sent[] = [];
+	const watchers: Array<{readonly node: string; readonly tell: () => void; isOver: boolean}> = [];
+	const loads = createLoadView();
+	const scope = createCallScope(performance.now() + timeMs);
+	context.after(scope.dispose);
+	const domain = toFailureDomain('a');
+	return {
+		sent,
+		silence(node) {
+			for (const watcher of watchers) {
+				if (watcher.node === node && !watcher.isOver) {
+					watcher.tell();
+				}
+			}
+		},
+		outcome: async () => sendCall({
+			self: toNodeId('n1'), callerService: 'caller', domain, loads, log: silentLog, localGate: {} as unknown as LocalGate,
+			listCandidates: () => ['a', 'b', 'c', 'd'].map((id): Candidate => ({
+				id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
+			})),
+			gateClient: {
+				async send(call: RemoteCall): Promise<GateResult> {
+					return {
+						load: undefined, result: await new Promise<ForwardResult>(resolve => {
+							sent.push({call, settle: resolve});
+							call.scope.subscribe(reason => {
+								resolve(createMayHaveRun(reason, 'ended'));
+							});
+						}),
+					};
+				},
+			} as unknown as GateClient,
+			allowance: createRetryAllowance(() => ({ratio: 0, slack: 1000, windowMs: 10_000}), () => 1),
+			random: () => 0,
+			noteUnreachable: () => undefined,
+			noteReached: () => undefined,
+			watchSilence(node, tell) {
+				const watcher = {node: String(node), tell, isOver: false};
+				watchers.push(watcher);
+				return () => {
+					watcher.isOver = true;
+				};
+			},
+		}, {
+			id: 'c1', route: createSampleRoute({maxAttempts, type}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined,
+			receivedAt: performance.now(), isAwaited: false, ageMs: 0, scope,
+		}),
+	};
+}
+
+const nodeOf = (sent: readonly Sent[], place: number): string => `n-${String(sent[place]!.call.server)}`;
+
+for (const [what, end] of [
+	['could not be reached', createNotRun('node-unreachable', 'no connection within 300 ms')],
+	['had no slot', createNotRun('full', 'all slots are taken', 50)],
+	['was leaving', createNotRun('draining', 'takes no new work')],
+] as const) {
+	test(`a call that another server is at work on goes to no third when the first ${what}`, async context => {
+		const mesh = createMesh(context, 2);
+		const outcome = mesh.outcome();
+		await settle();
+		mesh.silence(nodeOf(mesh.sent, 0));
+		await settle();
+		assert.equal(mesh.sent.length, 2);
+		mesh.sent[0]!.settle(end);
+		await settle();
+		await settle();
+		const count = mesh.sent.length;
+		mesh.sent[1]!.settle({type: 'answered', status: 200, headers: {}, body: new Uint8Array()});
+		await outcome;
+		assert.equal(count, 2, 'a third server was put to work beside the second, which nobody doubts');
+	});
+}
+
+test('a failure that a server answered with is not replaced by the time-out of another', async context => {
+	const mesh = createMesh(context, 2, 200);
+	const outcome = mesh.outcome();
+	await settle();
+	mesh.silence(nodeOf(mesh.sent, 0));
+	await settle();
+	mesh.sent[1]!.settle({type: 'answered', status: 500, headers: {}, body: new Uint8Array()});
+	const {result} = await outcome;
+	assert.equal(result.type === 'answered' ? result.status : result.reason, 500);
+});
+
+test('a call whose two nodes are both silent goes to a third server if the route allows three', async context => {
+	const mesh = createMesh(context, 3);
+	const outcome = mesh.outcome();
+	await settle();
+	mesh.silence(nodeOf(mesh.sent, 0));
+	await settle();
+	assert.equal(mesh.sent.length, 2);
+	for (let told = 0; told < 5; told++) {
+		mesh.silence(nodeOf(mesh.sent, 0));
+		mesh.silence(nodeOf(mesh.sent, 1));
+		await settle();
+	}
+
+	const count = mesh.sent.length;
+	mesh.sent.at(-1)!.settle({type: 'answered', status: 200, headers: {}, body: new Uint8Array()});
+	await outcome;
+	assert.equal(count, 3);
+});
+
+test('a call that may run once only is sent nowhere else when its node falls silent', async context => {
+	const mesh = createMesh(context, 3, 1000, 'unsafe');
+	const outcome = mesh.outcome();
+	await settle();
+	mesh.silence(nodeOf(mesh.sent, 0));
+	await settle();
+	mesh.sent[0]!.settle({type: 'answered', status: 200, headers: {}, body: new Uint8Array()});
+	await outcome;
+	assert.equal(mesh.sent.length, 1);
+});
