--- a/src/lib/forwarding/review-gate.test.ts
+++ b/src/lib/forwarding/leaving-gate.test.ts
@@ -1,4 +1,4 @@
-/** Found in a review: answers on their way from a gate. */
+/** Answers on their way from a gate, while it is asked something or goes. */
 import assert from 'node:assert/strict';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
@@ -6,20 +6,33 @@
 import {toBackendServerId} from '../common/ids.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createFrameReader, writeFrame} from './frame.js';
+import {type GateResult} from './forward-result.js';
 import {createGateServer, type GateServer} from './gate-server.js';
 import {type LocalGate} from './local-gate.js';
 import {encodePeerRequest} from './peer-messages.js';
 
-async function startGate(context: TestContext, bodyBytes: number): Promise<{readonly gate: GateServer; readonly socket: Socket; readonly refused: readonly unknown[]; readonly countAnswers: () => number; readonly countBytes: () => number}> {
+type Fixture = {
+	readonly gate: GateServer;
+	/** The connection of another node. */
+	readonly socket: Socket;
+	readonly refused: readonly unknown[];
+	readonly countAnswers: () => number;
+	readonly countBytes: () => number;
+};
+
+async function startGate(context: TestContext, bodyBytes: number): Promise<Fixture> {
 	const refused: unknown[] = [];
+	const result: GateResult = {
+		load: undefined, result: {
+			type: 'answered', status: 200, headers: {}, body: new Uint8Array(bodyBytes),
+		},
+	};
 	const gate = createGateServer({
-		gate: {
-			run: async () => ({load: undefined, result: {type: 'answered', status: 200, headers: {}, body: new Uint8Array(bodyBytes)}}),
-		} as unknown as LocalGate,
+		gate: {run: async () => result} as unknown as LocalGate,
 		getConfig: () => ({head: [], body: new Uint8Array()}) as never,
 		catchUp: async () => undefined,
 		log: silentLog,
-		refusals: {note: (refusal: unknown) => refused.push(refusal), dispose: () => undefined} as never,
+		refusals: {note: (refusal: unknown) => refused.push(refusal), dispose: () => undefined},
 		linkMbps: 1000,
 	});
 	await new Promise<void>(resolve => {
@@ -39,7 +52,9 @@
 		gate.dispose();
 		gate.server.close();
 	});
-	return {gate, socket, refused, countAnswers: () => answers, countBytes: () => bytesRead};
+	return {
+		gate, socket, refused, countAnswers: () => answers, countBytes: () => bytesRead,
+	};
 }
 
 const ask = (socket: Socket, id: number): void => {
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -290,7 +290,7 @@
 	assert.equal(await lost, 'failed');
 });
 
-test('review: a request in work at a server that has left and works on is answered by it, although another one is there by then', async context => {
+test('a request in work at a server that has left and works on is answered by it, although another one is there by then', async context => {
 	const fixture = await createFixture(context);
 	const first = fixture.gate.run(fixture.createCall('first'));
 	await waitForArrival(fixture);
@@ -301,7 +301,7 @@
 	assert.equal(result.type === 'answered' ? 'answered' : result.reason, 'answered');
 });
 
-test('review: a late answer to an earlier request does not end the one that is in work on its connection', async context => {
+test('a late answer to an earlier request does not end the one that is in work on its connection', async context => {
 	const {createServer: createNetServer} = await import('node:net');
 	const frame = (call: string, body: string): string => `HTTP/1.1 200 OK\r\nx-call: ${call}\r\nx-signature: s\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 	let requests = 0;
@@ -345,6 +345,7 @@
 			id: call, server: id, method: 'GET', target: '/', headers: {}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 1000, isTransfer: false, scope,
 		};
 	};
+
 	assert.equal((await gate.run(createCall('one'))).result.type, 'answered');
 	const {result} = await gate.run(createCall('two'));
 	assert.equal(result.type === 'answered' ? 'answered' : `${result.reason} ${result.verdict}`, 'answered');
--- a/src/lib/forwarding/review-channel.test.ts
+++ b/src/lib/forwarding/slow-uploads.test.ts
@@ -1,4 +1,4 @@
-/** Found in a review: a connection over which a body leaves slowly. */
+/** A connection between nodes over which a body leaves slowly. */
 import assert from 'node:assert/strict';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test from 'node:test';
@@ -42,6 +42,7 @@
 			},
 		});
 	})();
+
 	const readBefore: number[] = [];
 	for (let checks = 1; checks <= 12; checks++) {
 		// One piece of 64 KB for each half second: half a link of 2 Mbit/s.
--- a/src/lib/forwarding/review-silent.test.ts
+++ b/src/lib/forwarding/two-attempts.test.ts
@@ -1,4 +1,4 @@
-/** Found in a review: attempts beside one another. */
+/** A call that is at work at one server and was sent to another one as well, since the first one's node is silent. */
 import assert from 'node:assert/strict';
 import test, {type TestContext} from 'node:test';
 import {
@@ -11,7 +11,9 @@
 import {createSampleRoute} from '../route-config/sample-config.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
-import {createMayHaveRun, createNotRun, type ForwardResult, type GateResult} from './forward-result.js';
+import {
+	createMayHaveRun, createNotRun, type ForwardResult, type GateResult,
+} from './forward-result.js';
 import {type GateClient, type RemoteCall} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
 import {type CallOutcome} from './outgoing-call.js';
@@ -97,7 +99,9 @@
 		await settle();
 		await settle();
 		const count = mesh.sent.length;
-		mesh.sent[1]!.settle({type: 'answered', status: 200, headers: {}, body: new Uint8Array()});
+		mesh.sent[1]!.settle({
+			type: 'answered', status: 200, headers: {}, body: new Uint8Array(),
+		});
 		await outcome;
 		assert.equal(count, 2, 'a third server was put to work beside the second, which nobody doubts');
 	});
@@ -109,7 +113,9 @@
 	await settle();
 	mesh.silence(nodeOf(mesh.sent, 0));
 	await settle();
-	mesh.sent[1]!.settle({type: 'answered', status: 500, headers: {}, body: new Uint8Array()});
+	mesh.sent[1]!.settle({
+		type: 'answered', status: 500, headers: {}, body: new Uint8Array(),
+	});
 	const {result} = await outcome;
 	assert.equal(result.type === 'answered' ? result.status : result.reason, 500);
 });
@@ -128,7 +134,9 @@
 	}
 
 	const count = mesh.sent.length;
-	mesh.sent.at(-1)!.settle({type: 'answered', status: 200, headers: {}, body: new Uint8Array()});
+	mesh.sent.at(-1)!.settle({
+		type: 'answered', status: 200, headers: {}, body: new Uint8Array(),
+	});
 	await outcome;
 	assert.equal(count, 3);
 });
@@ -139,7 +147,9 @@
 	await settle();
 	mesh.silence(nodeOf(mesh.sent, 0));
 	await settle();
-	mesh.sent[0]!.settle({type: 'answered', status: 200, headers: {}, body: new Uint8Array()});
+	mesh.sent[0]!.settle({
+		type: 'answered', status: 200, headers: {}, body: new Uint8Array(),
+	});
 	await outcome;
 	assert.equal(mesh.sent.length, 1);
 });
