Calls: no third server beside one that nobody doubts, one more when all are silent, and an answer is never replaced by a failure

Change: another attempt follows only if all that is under way is doubted; no failure of ours replaces an answer; a fault anywhere in an attempt ends that attempt, not the process; what is asked ten times a second asks the allowance before it plans.

--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -40,9 +40,9 @@
 
 const describeOutcome = (result: ForwardResult): string => result.type === 'answered' ? String(result.status) : result.reason;
 
-/** An answer with a failure of the server's own says more than that nobody else took the call. */
+/** An answer with a failure of the server's own says more than any failure to get one. */
 const isWorseThan = (failure: ForwardResult, fallback: ForwardResult): boolean =>
-	failure.type === 'failed' && failure.verdict === 'not-run' && fallback.type === 'answered';
+	failure.type === 'failed' && fallback.type === 'answered';
 
 function describeAttempt({target, startedAt}: Attempt, verdict: Verdict, outcome: string): AttemptNote {
 	return {
--- a/src/lib/forwarding/leaving-gate.test.ts
+++ b/src/lib/forwarding/leaving-gate.test.ts
@@ -5,6 +5,7 @@
 import test, {type TestContext} from 'node:test';
 import {toBackendServerId} from '../common/ids.js';
 import {silentLog} from '../timeline/mesh-log.js';
+import {encodeConfigAnswer} from './config-messages.js';
 import {createFrameReader, writeFrame} from './frame.js';
 import {type GateResult} from './forward-result.js';
 import {createGateServer, type GateServer} from './gate-server.js';
@@ -27,9 +28,10 @@
 			type: 'answered', status: 200, headers: {}, body: new Uint8Array(bodyBytes),
 		},
 	};
+	const localGate: Pick<LocalGate, 'run'> = {run: async () => result};
 	const gate = createGateServer({
-		gate: {run: async () => result} as unknown as LocalGate,
-		getConfig: () => ({head: [], body: new Uint8Array()}) as never,
+		gate: localGate as LocalGate,
+		getConfig: () => encodeConfigAnswer(undefined),
 		catchUp: async () => undefined,
 		log: silentLog,
 		refusals: {note: (refusal: unknown) => refused.push(refusal), dispose: () => undefined},
--- a/src/lib/forwarding/outgoing-call.ts
+++ b/src/lib/forwarding/outgoing-call.ts
@@ -58,6 +58,6 @@
 	readonly random: () => number;
 	readonly noteUnreachable: (node: NodeId, reason: string) => void;
 	readonly noteReached: (node: NodeId) => void;
-	/** Calls back once if a node falls silent; yields a function that takes that back. */
+	/** Calls back each time that a node is found silent; yields a function that takes that back. */
 	readonly watchSilence: (node: NodeId, handleSilence: () => void) => () => void;
 };
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -31,6 +31,8 @@
 /** @internal */
 export type RunningAttempts = {
 	readonly count: () => number;
+	/** Whether nothing is heard of the nodes of all of them; so it is of none. */
+	readonly areAllDoubted: () => boolean;
 	readonly start: (target: Candidate, mayWaitMs: number) => Attempt;
 	/** Waits for what happens next to any of them. */
 	readonly waitForEvent: () => Promise<AttemptEvent>;
@@ -71,6 +73,7 @@
  */
 export function createRunningAttempts(context: SendContext, call: OutgoingCall): RunningAttempts {
 	const running = new Set<Attempt>();
+	const doubted = new WeakSet<Attempt>();
 	const events: AttemptEvent[] = [];
 	let handleEvent: ((event: AttemptEvent) => void) | undefined;
 
@@ -95,30 +98,37 @@
 		context.loads.noteWay(target.lifetime, call.route.name, now - startedAt - tookMs);
 	};
 
-	const sendSafely = async (attempt: Attempt, handleDoubt: () => void): Promise<GateResult> => {
-		try {
-			return await sendOnce(context, call, attempt, handleDoubt);
-		} catch (error) {
-			// A fault of this program, which promises nothing.
-			context.log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
-			return {result: createMayHaveRun('wrong-answer', 'a fault of this node'), load: undefined};
-		}
-	};
-
-	const run = async (attempt: Attempt): Promise<void> => {
+	const sendWatched = async (attempt: Attempt): Promise<ForwardResult> => {
 		const {target, scope} = attempt;
 		const handleDoubt = (): void => {
+			doubted.add(attempt);
 			tell({type: 'doubted', attempt});
 		};
 
 		const unwatch = target.isLocal ? (): void => undefined : context.watchSilence(target.node, handleDoubt);
 		context.loads.begin(target.lifetime);
-		const {result, load} = await sendSafely(attempt, handleDoubt);
-		context.loads.end(target.lifetime);
-		unwatch();
-		scope.dispose();
-		noteLoad(attempt, load);
-		noteNode(context, target, result);
+		try {
+			const {result, load} = await sendOnce(context, call, attempt, handleDoubt);
+			noteLoad(attempt, load);
+			noteNode(context, target, result);
+			return result;
+		} finally {
+			context.loads.end(target.lifetime);
+			unwatch();
+			scope.dispose();
+		}
+	};
+
+	const run = async (attempt: Attempt): Promise<void> => {
+		let result: ForwardResult;
+		try {
+			result = await sendWatched(attempt);
+		} catch (error) {
+			// A fault of this program, which promises nothing.
+			context.log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
+			result = createMayHaveRun('wrong-answer', 'a fault of this node');
+		}
+
 		if (running.delete(attempt)) {
 			tell({type: 'ended', attempt, result});
 		}
@@ -126,6 +136,7 @@
 
 	return {
 		count: () => running.size,
+		areAllDoubted: () => [...running].every(attempt => doubted.has(attempt)),
 		start(target, mayWaitMs) {
 			const attempt: Attempt = {
 				target, mayWaitMs, startedAt: readSteadyMs(), scope: createInnerScope(call.scope),
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -57,6 +57,9 @@
 
 	const hasPaid = (): boolean => progress.countArrivals() + running.count() < paidArrivals;
 
+	const mayPay = (reason: RepeatReason): boolean =>
+		progress.countArrivals() + running.count() < route.maxAttempts && context.allowance.countLeft(service, reason, readSteadyMs()) > 0;
+
 	const payRepeat = (reason: RepeatReason): boolean => {
 		if (progress.countArrivals() + running.count() >= route.maxAttempts || !context.allowance.take(service, reason, readSteadyMs())) {
 			return false;
@@ -112,10 +115,10 @@
 		return progress.giveUp();
 	};
 
-	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. */
+	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. None does beside one that nobody doubts. */
 	const mayGoOn = (result: ForwardResult): boolean => {
 		const isHarmless = mayRepeat || progress.getVerdict() === 'not-run';
-		if (!isHarmless || scope.getEnd() !== undefined) {
+		if (!isHarmless || scope.getEnd() !== undefined || !running.areAllDoubted()) {
 			return false;
 		}
 
@@ -123,7 +126,7 @@
 			return hasPaid() && mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals);
 		}
 
-		return hasPaid() || (running.count() === 0 && payRepeat(chooseRepeatReason(call, result)));
+		return hasPaid() || payRepeat(chooseRepeatReason(call, result));
 	};
 
 	const handleEnd = (attempt: Attempt, result: ForwardResult): CallOutcome | undefined => {
@@ -144,12 +147,17 @@
 	};
 
 	/**
-	 * What may be repeated goes to another server as well when its node has fallen silent. The first attempt goes on: nodes whose links are full of large answers
+	 * What may be repeated goes to another server as well when the nodes of all servers that are at work on it have fallen silent. The first attempt goes on: nodes whose links are full of large answers
 	 * are heard seldom and work all the same. To break it off first left calls with nowhere to go: 14 of 142 that ended with 502 or 504 in 34 seconds
 	 * of a mesh of 61 nodes, counted in the nodes' logs.
 	 */
 	const handleDoubt = (): void => {
-		if (!mayRepeat || running.count() !== 1 || !mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals)) {
+		if (!mayRepeat || running.count() === 0 || !running.areAllDoubted() || !mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals)) {
+			return;
+		}
+
+		// Told ten times a second while the silence lasts: what is cheap is asked first.
+		if (!hasPaid() && !mayPay('may-have-run')) {
 			return;
 		}
 
--- a/src/lib/sidecar/silence-watchers.ts
+++ b/src/lib/sidecar/silence-watchers.ts
@@ -8,7 +8,7 @@
 
 /** @internal */
 export type SilenceWatchers = {
-	/** Calls back once if the node falls silent; yields a function that takes that back. */
+	/** Calls back each time that the node is found silent, ten times a second; yields a function that takes that back. */
 	readonly watch: (node: NodeId, handleSilence: () => void) => () => void;
 	/** Calls back whenever somebody begins to wait while nobody did. */
 	readonly listenForFirst: (handleFirst: () => void) => void;
