Nodes: slow uploads, pings and a gate that goes cut nothing

Change: the time to answer runs from when the question has left; one that does not leave within 2 s takes the connection out of use and ends nothing. Questions have the bound of requests. A gate closes its side, and waits up to 300 ms until others have read what was written. Ruled out: telling how much of a body has left, which the runtime does not say within one write.

--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {createServer, type Server, type Socket} from 'node:net';
-import {readSteadyMs} from '../common/clock.js';
+import {readSteadyMs, waitFor} from '../common/clock.js';
 import {type LoopLag} from '../common/loop-lag.js';
 import {FieldError} from '../common/field-error.js';
 import {type MeshLog, type RefusalCause} from '../timeline/mesh-log.js';
@@ -39,8 +39,8 @@
 	readonly server: Server;
 	/** Answers, or connections with answers, that have not left yet. */
 	readonly countUnsent: () => number;
-	/** Closes every connection. */
-	readonly dispose: () => void;
+	/** Closes every connection once what was written to it has been read; settles when that is done, or does not come about soon. */
+	readonly dispose: () => Promise<void>;
 };
 
 /** One request under way on a connection. */
@@ -71,6 +71,12 @@
 /** Answers that a node may leave unread. Bytes: several times the largest configuration, and more than all the answers that are read in a second over the fastest links of the users. */
 const mostUnreadBytes = 33_554_432;
 
+/**
+ * What other nodes may take to read the last answers once a node has nothing else to do. Milliseconds: they read at once unless they stand still, and a
+ * megabyte in the system's buffers takes 0.8 s over the slowest links of the users, most of which has passed by then.
+ */
+const lastBytesMs = 300;
+
 function endAll({incoming}: Connection): void {
 	for (const {scope} of incoming.values()) {
 		scope.end('cancelled');
@@ -173,7 +179,8 @@
 			}
 
 			case 'ping': {
-				checkUnread(connection);
+				// Whoever asks whether the connection works may be waiting for large answers on it.
+				checkUnread(connection, mostHeldBytes);
 				writeFrame(connection.socket, {type: 'pong', id: frame.id});
 				break;
 			}
@@ -242,7 +249,15 @@
 	return {
 		server,
 		countUnsent: () => answers.countWaiting() + countUnsent(Array.from(connections, ({socket}) => socket)),
-		dispose() {
+		async dispose() {
+			// A connection that is destroyed while something unread arrives on it is reset, and the system drops what had not been read there.
+			const closed = Promise.all(Array.from(connections, async ({socket}) => new Promise(resolve => {
+				socket.once('close', resolve);
+				socket.end();
+			})));
+			const timeOver = new AbortController();
+			await Promise.race([closed, waitFor(lastBytesMs, timeOver.signal)]);
+			timeOver.abort();
 			for (const {socket} of connections) {
 				socket.destroy();
 			}
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -66,6 +66,23 @@
  */
 const lostMs = 3000;
 
+/**
+ * A question that has not left after this long waits behind a body that leaves slowly, or not at all, which nothing here tells apart. Milliseconds: the connection takes
+ * nothing new then, and what waits on it goes elsewhere as well if it may; it is not given up, since the body may be one that must not be sent twice.
+ */
+const stuckMs = 2000;
+
+/** Whether the connection works, asked on it. Steady milliseconds. */
+type Question = {
+	readonly askedAt: number;
+	/** The system has taken it. */
+	hasLeft: boolean;
+	/** When that was first seen. */
+	leftAt: number | undefined;
+	/** When a sign of life of the other node was first seen after that. */
+	livedAt: number | undefined;
+};
+
 type Pending = {
 	readonly request: ChannelRequest;
 	readonly settle: (result: ChannelResult) => void;
@@ -93,9 +110,7 @@
 	/** When something last arrived, or when the first of the requests that wait was sent. Steady milliseconds. */
 	let quietSince = 0;
 	let receivedAt = 0;
-	let pingedAt: number | undefined;
-	/** When a sign of life was first seen after that. */
-	let livedAt: number | undefined;
+	let question: Question | undefined;
 
 	const timer = setTimeout(() => {
 		socket.destroy(new Error(`no connection within ${connectMs} ms`));
@@ -163,6 +178,23 @@
 		}
 	};
 
+	const doubtAll = (): void => {
+		isRetired = true;
+		for (const {request} of pending.values()) {
+			request.handleDoubt?.();
+		}
+	};
+
+	const askWhetherItWorks = (now: number): void => {
+		const next: Question = {
+			askedAt: now, hasLeft: false, leftAt: undefined, livedAt: undefined,
+		};
+		question = next;
+		writeFrame(socket, {type: 'ping', id: 0}, () => {
+			next.hasLeft = true;
+		});
+	};
+
 	socket.on('connect', () => {
 		clearTimeout(timer);
 		isConnected = true;
@@ -170,7 +202,7 @@
 	socket.on('data', (bytes: Uint8Array) => {
 		receivedAt = readSteadyMs();
 		quietSince = receivedAt;
-		pingedAt = undefined;
+		question = undefined;
 		try {
 			for (const frame of reader.read(bytes)) {
 				handleFrame(frame);
@@ -201,7 +233,7 @@
 				const isWhole = type !== 'offer';
 				if (pending.size === 0) {
 					quietSince = readSteadyMs();
-					pingedAt = undefined;
+					question = undefined;
 				}
 
 				let stopListening = (): void => undefined;
@@ -233,14 +265,22 @@
 				return;
 			}
 
-			if (pingedAt === undefined) {
-				pingedAt = now;
-				livedAt = undefined;
-				writeFrame(socket, {type: 'ping', id: 0});
+			if (question === undefined) {
+				askWhetherItWorks(now);
+				return;
+			}
+
+			if (!question.hasLeft) {
+				if (now - question.askedAt > stuckMs) {
+					doubtAll();
+				}
+
 				return;
 			}
 
-			livedAt ??= (getHeardAt() ?? 0) > pingedAt ? now : undefined;
+			question.leftAt ??= now;
+			question.livedAt ??= (getHeardAt() ?? 0) > question.leftAt ? now : undefined;
+			const {livedAt} = question;
 			if (livedAt === undefined || now - livedAt <= pongMs) {
 				return;
 			}
@@ -250,10 +290,7 @@
 				return;
 			}
 
-			isRetired = true;
-			for (const {request} of pending.values()) {
-				request.handleDoubt?.();
-			}
+			doubtAll();
 		},
 		retire() {
 			isRetired = true;
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -302,7 +302,7 @@
 		gateClient.dispose();
 		gate.dispose();
 		gateServer.server.close();
-		gateServer.dispose();
+		await gateServer.dispose();
 		for (const server of [entry.server, announcementServer, readinessServer, metricsServer]) {
 			server.close();
 			server.closeAllConnections();
