Gate: what a server of another id is at work on may still be answered when the next one is there

Change: only a later start of the same id ends the runs of the one before, since that process is gone; a server of another id takes nothing new, its waiters are told, and its runs end by themselves. The test of a later start under the same id stands as it was.

--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -81,6 +81,10 @@
 	const {wire, log, handleChange} = context;
 	let state: LocalServerState = noLocalServer;
 	let session: ServerSession | undefined;
+	/** Whose session it is, also once the server was forgotten. */
+	let lastServer: LocalServer | undefined;
+	/** Sessions of servers of other ids that are at work still. */
+	let retired: readonly ServerSession[] = [];
 	const transfers = createTransferLimit(context.linkMbps);
 	let requests = 0;
 	let isSilent = false;
@@ -96,10 +100,19 @@
 		};
 	};
 
-	/** Opens a session for a lifetime; that of the one before ends as if it had crashed. */
+	/** A server that starts again has lost what it was at work on. One of another id may work on: it said that it leaves, or the new one's word was a late one. */
+	const closeSession = (closed: ServerSession, before: LocalServer, next: LocalServer): void => {
+		if (before.announcement.lifetime.id === next.announcement.lifetime.id) {
+			closed.end();
+			return;
+		}
+
+		closed.retire();
+		retired = [...retired.filter(one => one.describe().running > 0), closed];
+	};
+
 	const openSession = ({announcement}: LocalServer): ServerSession => {
 		const {lifetime, service, slots, coldMs} = announcement;
-		session?.end();
 		log.record('info', {
 			kind: 'server-announced', server: lifetime.id, startedAt: lifetime.startedAt, service, slots, coldMs,
 		});
@@ -129,9 +142,15 @@
 
 		isSilent = false;
 		if (before === undefined || !isSameLifetime(before.announcement.lifetime, current.announcement.lifetime)) {
+			if (session !== undefined && lastServer !== undefined) {
+				closeSession(session, lastServer, current);
+			}
+
 			session = openSession(current);
 		}
 
+		lastServer = current;
+
 		if (step.news === 'draining') {
 			log.record('info', {kind: 'server-draining', server: current.announcement.lifetime.id, how});
 		}
@@ -296,6 +315,10 @@
 		},
 		countRequests: () => requests,
 		dispose() {
+			for (const one of retired) {
+				one.end();
+			}
+
 			session?.end();
 		},
 	};
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -62,7 +62,9 @@
 	readonly run: (call: SessionCall) => Promise<ForwardResult>;
 	readonly resize: (slots: number) => void;
 	readonly describe: () => SessionLoad;
-	/** The lifetime is over. What was sent may have run; who waits for a slot is told at once. */
+	/** Another server is there. What this one is at work on it may still answer; nothing more is sent to it, and who waits for a slot is told at once. */
+	readonly retire: () => void;
+	/** The lifetime is over, and what it was at work on lost: it may have run. */
 	readonly end: () => void;
 };
 
@@ -208,6 +210,12 @@
 		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer);
 	};
 
+	const retire = (): void => {
+		isEnded = true;
+		slots.end();
+		connections.renew();
+	};
+
 	return {
 		acquire: slots.acquire,
 		release() {
@@ -231,9 +239,9 @@
 			slots.resize(countPlaces(count));
 		},
 		describe: () => ({...slots.describe(), failureShare}),
+		retire,
 		end() {
-			isEnded = true;
-			slots.end();
+			retire();
 			connections.dispose();
 		},
 	};
