--- a/src/lib/forwarding/answer-reader.ts
+++ b/src/lib/forwarding/answer-reader.ts
@@ -41,6 +41,8 @@
 	readonly end: () => WholeAnswer | undefined;
 	/** Whether more bytes came than the answer has. */
 	readonly hasExtra: () => boolean;
+	/** Takes the bytes behind the whole answer. */
+	readonly takeExtra: () => Uint8Array;
 };
 
 /** A longer head is no head of a server. Bytes, as Node.js has it by default. */
@@ -267,5 +269,10 @@
 		isUnframed: () => head?.framing.type === 'until-end',
 		end: () => head?.framing.type === 'until-end' && !isDone ? finish(Buffer.concat(pieces)) : undefined,
 		hasExtra: () => isDone && held.length > 0,
+		takeExtra() {
+			const extra = held;
+			held = Buffer.alloc(0);
+			return extra;
+		},
 	};
 }
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -6,19 +6,22 @@
 import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
 import {createAnswerReader, type WholeAnswer} from './answer-reader.js';
 import {type CallScope, type ScopeEnd} from './call-scope.js';
-import {type ServerConnection, type ServerConnections} from './server-connections.js';
+import {type CarriedCall, type ServerConnection, type ServerConnections} from './server-connections.js';
 
 /** What is sent. @internal */
 export type ExchangeRequest = {
 	readonly connections: ServerConnections;
+	readonly id: string;
 	readonly method: string;
 	/** Path and query. */
 	readonly target: string;
 	readonly headers: OutgoingHttpHeaders;
 	readonly body: Uint8Array | undefined;
 	readonly scope: CallScope;
-	/** Checks whether an answer is to this request; any other one is dropped with its connection. */
+	/** Checks whether an answer is to this request; any other one is dropped with its connection, unless it is a second one to the request before. */
 	readonly isOwnAnswer: (headers: IncomingHttpHeaders, status: number) => boolean;
+	/** Which request an answer names. */
+	readonly readCallId: (headers: IncomingHttpHeaders) => string | undefined;
 };
 
 /** The whole answer. @internal */
@@ -108,10 +111,13 @@
  */
 export async function runExchange(exchange: ExchangeRequest): Promise<ExchangeResult> {
 	return new Promise(resolve => {
-		const reader = createAnswerReader(exchange.method);
+		let reader = createAnswerReader(exchange.method);
 		let connection: ServerConnection | undefined;
+		let callBefore: CarriedCall | undefined;
 		let isSettled = false;
 		let isChecked = false;
+		/** What is read is a second answer to the request before on the connection. */
+		let isPassedOver = false;
 		// A scope that has ended already calls back before it can be unsubscribed from.
 		let stopListening = (): void => undefined;
 
@@ -146,6 +152,10 @@
 			}
 		};
 
+		/** A server may answer the request before once more, where the answer to this one is due: its end is known, and that to this one still comes. */
+		const isSecondAnswer = (headers: IncomingHttpHeaders): boolean =>
+			callBefore?.method === exchange.method && exchange.readCallId(headers) === callBefore.id && !reader.isUnframed();
+
 		const checkOwner = (): boolean => {
 			const head = reader.getHead();
 			if (head === undefined || isChecked) {
@@ -157,19 +167,49 @@
 				return true;
 			}
 
+			isPassedOver = isSecondAnswer(head.headers);
+			if (isPassedOver) {
+				return true;
+			}
+
 			fail('wrong-answer', `an answer with status ${head.status} to another request`);
 			return false;
 		};
 
-		const handleBytes = (bytes: Uint8Array): void => {
-			if (isSettled) {
-				return;
+		/** Reads on behind an answer that is passed over; yields the bytes that came behind it. */
+		const passOver = ({isKept}: WholeAnswer): Uint8Array | undefined => {
+			if (!isKept) {
+				fail('connection-lost', 'the connection closes behind a second answer to the request before');
+				return undefined;
 			}
 
+			const extra = reader.takeExtra();
+			reader = createAnswerReader(exchange.method);
+			isChecked = false;
+			isPassedOver = false;
+			return extra.length > 0 ? extra : undefined;
+		};
+
+		/** Reads bytes; yields those that are left when an answer was passed over. */
+		const readPart = (bytes: Uint8Array): Uint8Array | undefined => {
+			const answer = reader.read(bytes);
+			if (!checkOwner() || answer === undefined) {
+				return undefined;
+			}
+
+			if (isPassedOver) {
+				return passOver(answer);
+			}
+
+			finish(answer);
+			return undefined;
+		};
+
+		const handleBytes = (bytes: Uint8Array): void => {
 			try {
-				const answer = reader.read(bytes);
-				if (checkOwner() && answer !== undefined) {
-					finish(answer);
+				let left: Uint8Array | undefined = bytes;
+				while (left !== undefined && !isSettled) {
+					left = readPart(left);
 				}
 			} catch (error) {
 				fail('connection-lost', (error as Error).message);
@@ -216,6 +256,7 @@
 					return;
 				}
 
+				callBefore = connection.begin({id: exchange.id, method: exchange.method});
 				connection.write(head, exchange.body);
 			} catch (error) {
 				fail('cancelled', (error as Error).message);
--- a/src/lib/forwarding/server-connections.ts
+++ b/src/lib/forwarding/server-connections.ts
@@ -18,9 +18,14 @@
 	readonly handleClosed: (reason: string) => void;
 };
 
+/** A request that a connection carried. @internal */
+export type CarriedCall = {readonly id: string; readonly method: string};
+
 /** A connection that one request has for itself. @internal */
 export type ServerConnection = {
 	readonly isConnected: () => boolean;
+	/** Notes which request it carries now; yields the one before, which a server may answer a second time. */
+	readonly begin: (call: CarriedCall) => CarriedCall | undefined;
 	/** Writes the head of a request, and its body. */
 	readonly write: (head: string, body: Uint8Array | undefined) => void;
 	/** Writes an empty line, which no server takes for a request; yields whether the other side has closed in order. */
@@ -60,6 +65,7 @@
 	/** Until when it may be used again, in steady milliseconds. */
 	idleUntil: number;
 	failure: string;
+	call: CarriedCall | undefined;
 };
 
 /**
@@ -93,7 +99,7 @@
 			host, port, noDelay: true, allowHalfOpen: true,
 		});
 		const line: Line = {
-			socket, user, isConnected: false, isRetired: false, idleUntil: 0, failure: 'the server closed the connection',
+			socket, user, isConnected: false, isRetired: false, idleUntil: 0, failure: 'the server closed the connection', call: undefined,
 		};
 		lines.add(line);
 		const timer = setTimeout(() => {
@@ -133,6 +139,11 @@
 
 	const giveOut = (line: Line): ServerConnection => ({
 		isConnected: () => line.isConnected,
+		begin(call) {
+			const before = line.call;
+			line.call = call;
+			return before;
+		},
 		write(head, body) {
 			const {socket} = line;
 			if (body === undefined || body.length === 0) {
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -195,7 +195,7 @@
 
 		const handleEnd = silence.begin(now);
 		const answer = await runExchange({
-			connections, method: call.method, target: call.target, body, scope: call.scope,
+			connections, id: call.id, method: call.method, target: call.target, body, scope: call.scope,
 			headers: {
 				...call.headers as Record<string, string | string[]>,
 				[wire.callId]: call.id,
@@ -205,6 +205,7 @@
 				...body === undefined ? {} : {'content-length': String(body.length)},
 			},
 			isOwnAnswer: createOwnAnswerCheck(call),
+			readCallId: headers => getText(headers, wire.callId),
 		});
 		handleEnd();
 		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer);
