A soak runs the program as processes, harms it from outside and judges what callers and servers see

Why: tests bring faults about one at a time, within one process. What breaks when signals, a store that misbehaves and backend servers that come and go overlap has to be looked for at random.

--- a/scripts/check-names.ts
+++ b/scripts/check-names.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import ts from 'typescript';
 
-const roots: readonly string[] = ['src', 'platform', 'apps', 'stand-ins', 'demo', 'bench', 'scenarios', 'scripts'];
+const roots: readonly string[] = ['src', 'platform', 'apps', 'stand-ins', 'demo', 'bench', 'scenarios', 'scripts', 'soak'];
 
 function readVerbs(): ReadonlySet<string> {
 	const page = readFileSync('docs/STYLE.md', 'utf8');
--- /dev/null
+++ b/soak/checks/find-violations.test.ts
@@ -0,0 +1,178 @@
+/**
+ * Each check is fed with a record that holds one fault, and has to name it; a
+ * sound record names nothing.
+ */
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {
+	type CallRecord, type Disturbance, type Lifetime, type RunRecord, type SoakRecord,
+} from '../record.js';
+import {steadyRoutes} from '../soak-config.js';
+import {findViolations} from './find-violations.js';
+
+const [logs, , publish] = steadyRoutes;
+
+/** Unix milliseconds of the first request. */
+const start = 100_000;
+
+function createCall(changes: Partial<CallRecord> = {}): CallRecord {
+	const id = changes.id ?? 'n0-1';
+	const target = changes.target ?? `/logs/${id}`;
+	const body = changes.body ?? '';
+	const text = `page ${target} ${body}`;
+	return {
+		id, node: 'n0', route: logs!, method: 'GET', target, body, timeLeftMs: 1500, sentAt: start, endedAt: start + 30, status: 200,
+		text, signature: `sig.${id}.${text.length}`, echoedId: id, hasLeft: false, ...changes,
+	};
+}
+
+const createPublication = (changes: Partial<CallRecord> = {}): CallRecord => createCall({
+	route: publish!, method: 'POST', target: '/publish/n0-1', body: 'artifact', ...changes,
+});
+
+function createRun(call: CallRecord, changes: Partial<RunRecord> = {}): RunRecord {
+	return {
+		id: call.id, at: call.sentAt + 5, behaviour: 'answer', method: call.method, target: call.target, body: call.body, callerService: 'logview', leftMs: 1400,
+		server: 'i-1@1', service: call.route === publish ? 'hall' : 'logview', node: 'n1', ...changes,
+	};
+}
+
+function createRecord(calls: readonly CallRecord[], changes: Partial<SoakRecord> = {}): SoakRecord {
+	return {
+		calls, runs: calls.map(call => createRun(call)), drains: [], lifetimes: [{node: 'n0', startedAt: 0, end: {type: 'running'}}],
+		changes: [{index: 0, writtenAt: 0}], disturbances: [], ending: undefined, ...changes,
+	};
+}
+
+function listBroken(record: SoakRecord): readonly string[] {
+	return [...new Set(findViolations(record, {applyMs: 4000, getService: () => 'logview'}).map(({promise}) => promise))];
+}
+
+const lost = {
+	status: 0, text: '', signature: undefined, echoedId: undefined,
+} as const;
+const refused = {...lost, status: 503} as const;
+const pausedNode: Disturbance = {
+	part: 'node', node: 'n0', what: 'pause', isPlanned: false, from: start - 1000, to: start - 500,
+};
+
+test('a sound record names nothing', () => {
+	assert.deepEqual(listBroken(createRecord([createCall(), createPublication({id: 'n0-2', target: '/publish/n0-2'})])), []);
+});
+
+const flawed: ReadonlyArray<readonly [string, Partial<CallRecord>]> = [
+	['another request', {echoedId: 'n0-7'}], ['half of the body', {text: 'page /lo'}], ['no signature', {signature: undefined}], ['a signature of a failure', {status: 502}],
+];
+
+for (const [name, changes] of flawed) {
+	test(`an answer with ${name} is named`, () => {
+		assert.deepEqual(listBroken(createRecord([createCall(changes)])), ['whole answers']);
+	});
+}
+
+test('a success that no server gave is named', () => {
+	const call = createCall();
+	assert.deepEqual(listBroken(createRecord([call], {runs: [createRun(call, {behaviour: 'truncate'})]})), ['whole answers']);
+});
+
+const changedRuns: ReadonlyArray<Partial<RunRecord>> = [{target: '/logs/2'}, {method: 'PUT'}, {body: 'other'}, {callerService: 'hall'}, {leftMs: 2500}, {leftMs: Number.NaN}, {service: 'hall'}];
+
+for (const changes of changedRuns) {
+	test(`a run with another ${Object.keys(changes).join(',')} (${Object.values(changes).join(',')}) is named`, () => {
+		const call = createCall();
+		assert.ok(listBroken(createRecord([call], {runs: [createRun(call, changes)]})).includes('only what was sent'));
+	});
+}
+
+test('a run that nobody asked for is named at the end', () => {
+	const call = createCall();
+	const ending = {lastFaultAt: 0, ready: new Map([['n0', true]])};
+	assert.deepEqual(listBroken(createRecord([call], {runs: [createRun(call), createRun(call, {id: 'n0-9'})], ending})), ['only what was sent']);
+});
+
+test('an unsafe request that runs twice is named, and a safe one that runs too often', () => {
+	const unsafe = createPublication();
+	assert.deepEqual(listBroken(createRecord([unsafe], {runs: [createRun(unsafe), createRun(unsafe)]})), ['at most once']);
+	const safe = createCall();
+	assert.deepEqual(listBroken(createRecord([safe], {runs: [createRun(safe), createRun(safe)]})), []);
+	assert.deepEqual(listBroken(createRecord([safe], {runs: [createRun(safe), createRun(safe), createRun(safe)]})), ['no more attempts than allowed']);
+});
+
+for (const status of [408, 421, 429, 503]) {
+	test(`an unsafe request that was answered ${status} and ran, even later, is named`, () => {
+		const call = createPublication({...refused, status});
+		assert.deepEqual(listBroken(createRecord([call], {runs: [createRun(call, {at: call.endedAt + 3000})]})), ['not run can be trusted']);
+		assert.deepEqual(listBroken(createRecord([call], {runs: []})), []);
+	});
+}
+
+test('work that reaches a leaving server long after its acknowledgement is named', () => {
+	assert.deepEqual(listBroken(createRecord([createCall()], {drains: [{server: 'i-1@1', node: 'n1', ackedAt: start - 1500}]})), ['a leaving server gets no new work']);
+	assert.deepEqual(listBroken(createRecord([createCall()], {drains: [{server: 'i-1@1', node: 'n1', ackedAt: start - 500}]})), []);
+});
+
+/** Requests on the route that the second configuration adds. */
+const since = {type: 'since', index: 1} as const;
+const withSince = createCall({route: since, target: '/since-1/n0-1'});
+const withoutSince = createCall({
+	...lost, id: 'n0-2', route: since, target: '/since-1/n0-2', status: 404, sentAt: start + 100, endedAt: start + 130,
+});
+const changes = [{index: 0, writtenAt: 0}, {index: 1, writtenAt: start - 100}] as const;
+
+test('a version that falls within a lifetime is named, and not across a restart', () => {
+	const record = createRecord([withSince, withoutSince], {runs: [createRun(withSince)], changes});
+	assert.deepEqual(listBroken(record), ['a version never falls']);
+	const restarted: readonly Lifetime[] = [...record.lifetimes, {node: 'n0', startedAt: start + 50, end: {type: 'running'}}];
+	assert.deepEqual(listBroken({...record, lifetimes: restarted}), []);
+});
+
+test('a configuration that is not in force in time on a calm node is named', () => {
+	const late = {...withoutSince, sentAt: start + 9000, endedAt: start + 9030};
+	const record = createRecord([late], {runs: [], changes});
+	assert.deepEqual(listBroken(record), ['in force in time']);
+	assert.deepEqual(listBroken({...record, disturbances: [{...pausedNode, to: start + 1000}]}), []);
+});
+
+test('a request that is refused though every configuration allows it, and one that is served before any does, are named', () => {
+	assert.deepEqual(listBroken(createRecord([createCall({...lost, status: 404})], {runs: []})), ['handled by a configuration']);
+	assert.ok(listBroken(createRecord([withSince])).includes('handled by a configuration'));
+});
+
+test('a request that a calm server ran and nobody answered is named, beside SIGTERM as cut by it', () => {
+	const record = createRecord([createPublication(lost)]);
+	assert.deepEqual(listBroken(record), ['what calm servers run is answered']);
+	const stop: Disturbance = {...pausedNode, what: 'stop', isPlanned: true};
+	assert.deepEqual(listBroken({...record, disturbances: [stop]}), ['a graceful stop cuts nothing']);
+	assert.deepEqual(listBroken({...record, disturbances: [stop, pausedNode]}), []);
+	assert.deepEqual(listBroken(createRecord([createPublication({...lost, hasLeft: true})])), []);
+});
+
+const ends: ReadonlyArray<readonly [Lifetime['end'], boolean]> = [
+	[{
+		type: 'unasked', code: 5, signal: undefined, at: start,
+	}, true],
+	[{
+		type: 'stopped', code: undefined, at: start, askedAt: start - 6000, wasHeld: false,
+	}, true],
+	[{
+		type: 'stopped', code: undefined, at: start, askedAt: start - 6000, wasHeld: true,
+	}, false],
+	[{
+		type: 'stopped', code: 0, at: start, askedAt: start - 3000, wasHeld: false,
+	}, false],
+	[{type: 'killed', at: start}, false],
+];
+
+for (const [end, isBroken] of ends) {
+	test(`a process that ended as ${JSON.stringify(end)} is ${isBroken ? 'named' : 'sound'}`, () => {
+		assert.deepEqual(listBroken(createRecord([], {lifetimes: [{node: 'n0', startedAt: 0, end}]})), isBroken ? ['processes do not end by themselves'] : []);
+	});
+}
+
+test('a mesh that does not recover is named: not ready, or ready and serving little', () => {
+	const ending = {lastFaultAt: start - 20_000, ready: new Map([['n0', true]])};
+	assert.deepEqual(listBroken(createRecord([createCall()], {ending})), []);
+	assert.deepEqual(listBroken(createRecord([createCall()], {ending: {...ending, ready: new Map([['n0', false]])}})), ['the mesh recovers']);
+	assert.deepEqual(listBroken(createRecord([createPublication(refused)], {runs: [], ending})), ['the mesh recovers']);
+	assert.deepEqual(listBroken(createRecord([], {ending})), ['the mesh recovers']);
+});
--- /dev/null
+++ b/soak/link-proxy.test.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type TestContext} from 'node:test';
+import {sendCall, type CallerAnswer} from '../platform/test-mesh.js';
+import {startWireServer, type WireServer} from '../stand-ins/wire-server/wire-server.js';
+import {startLinkProxy, type LinkMode, type LinkProxy} from './link-proxy.js';
+
+const address = `127.79.${process.pid % 250}.1:7010`;
+
+type Link = {readonly server: WireServer; readonly proxy: LinkProxy; readonly call: () => Promise<CallerAnswer>};
+
+async function startLink(context: TestContext): Promise<Link> {
+	const server = await startWireServer('i-1');
+	const proxy = await startLinkProxy(address, server.address);
+	context.after(async () => {
+		await proxy.close();
+		await server.close();
+	});
+	return {server, proxy, call: async () => sendCall(address, '/logs/1', {leaveAfterMs: 5000})};
+}
+
+test('a sound link passes everything on; one that resets or turns away reaches nobody', async context => {
+	const {server, proxy, call} = await startLink(context);
+	assert.equal((await call()).body, 'page /logs/1 ');
+	proxy.setMode('reset');
+	assert.equal((await call()).status, 0);
+	proxy.setMode('turn-away');
+	assert.equal((await call()).status, 503);
+	proxy.setMode('pass');
+	proxy.setTarget(undefined);
+	assert.equal((await call()).status, 0);
+	assert.equal(server.runs.length, 1);
+});
+
+const cuts: ReadonlyArray<readonly [LinkMode, number]> = [['cut-to-server', 0], ['cut-to-client', 1], ['silence', 0]];
+
+for (const [mode, runs] of cuts) {
+	test(`a link with "${mode}" holds back what goes that way until it ends`, async context => {
+		const {server, proxy, call} = await startLink(context);
+		proxy.setMode(mode);
+		const answer = call();
+		await sleep(200);
+		assert.equal(server.runs.length, runs);
+		proxy.setMode('pass');
+		assert.equal((await answer).status, 200);
+	});
+}
--- /dev/null
+++ b/soak/link-proxy.ts
@@ -0,0 +1,165 @@
+/**
+ * A TCP proxy on the loopback address that harms what passes through it. What
+ * a cut holds back arrives when the cut ends, as on a network that loses
+ * packets for a while.
+ *
+ * @module
+ */
+import {connect, createServer, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {parseAddress} from '../src/lib/common/address.js';
+import {toAddress} from '../src/lib/common/ids.js';
+
+/** What a link does. */
+export type LinkMode =
+	| 'pass'
+	| 'delay'
+	/** Resets every connection, new ones too. */
+	| 'reset'
+	| 'cut-to-server'
+	| 'cut-to-client'
+	| 'silence'
+	/** Answers every request itself with 503. */
+	| 'turn-away';
+
+export type LinkProxy = {
+	readonly setMode: (mode: LinkMode) => void;
+	/** Where it leads; `undefined` if nobody is there. */
+	readonly setTarget: (address: string | undefined) => void;
+	readonly close: () => Promise<void>;
+};
+
+type Direction = 'to-server' | 'to-client';
+
+/** Milliseconds that a slow link holds what passes, each way. */
+const delayMs = 150;
+
+/** Between two looks at whether a cut has ended. Milliseconds. */
+const cutPollMs = 10;
+
+const turnedAway = 'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\nContent-Type: application/json\r\n\r\n{}';
+
+const isCut = (mode: LinkMode, direction: Direction): boolean => mode === 'silence' || mode === `cut-${direction}`;
+
+/** A reset of a socket that is being shut down would leave its handle open for ever: Node.js gives it up without closing it. */
+function cutSocket(socket: Socket): void {
+	if (socket.writableEnded) {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+}
+
+/**
+ * Starts a proxy.
+ *
+ * @param address - Where it listens.
+ * @param firstTarget - Where it leads.
+ * @returns The proxy.
+ */
+export async function startLinkProxy(address: string, firstTarget?: string): Promise<LinkProxy> {
+	let mode: LinkMode = 'pass';
+	let target = firstTarget;
+	const sockets = new Set<Socket>();
+
+	const keep = (socket: Socket): void => {
+		sockets.add(socket);
+		socket.setNoDelay(true);
+		socket.on('error', () => undefined);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+	};
+
+	const cutAll = (): void => {
+		for (const socket of sockets) {
+			cutSocket(socket);
+		}
+	};
+
+	/** Passes on one direction, in order. */
+	const forward = (from: Socket, to: Socket, direction: Direction): void => {
+		let last = Promise.resolve();
+		const submit = (act: () => void): void => {
+			const before = last;
+			const take = async (): Promise<void> => {
+				await before;
+				if (mode === 'delay') {
+					await sleep(delayMs);
+				}
+
+				while (isCut(mode, direction) && !from.destroyed) {
+					await sleep(cutPollMs);
+				}
+
+				act();
+			};
+
+			last = take();
+		};
+
+		from.on('data', (chunk: Uint8Array) => {
+			if (mode === 'turn-away' && direction === 'to-server') {
+				from.end(turnedAway);
+				return;
+			}
+
+			submit(() => {
+				to.write(chunk);
+			});
+		});
+		from.once('end', () => {
+			submit(() => {
+				to.end();
+			});
+		});
+		from.once('close', hadError => {
+			submit(() => {
+				if (hadError) {
+					cutSocket(to);
+				} else {
+					to.destroySoon();
+				}
+			});
+		});
+	};
+
+	const server = createServer({allowHalfOpen: true}, client => {
+		keep(client);
+		if (mode === 'reset' || target === undefined) {
+			cutSocket(client);
+			return;
+		}
+
+		const {host, port} = parseAddress(toAddress(target));
+		const upstream = connect({host, port, allowHalfOpen: true});
+		keep(upstream);
+		upstream.once('error', () => {
+			cutSocket(client);
+		});
+		forward(client, upstream, 'to-server');
+		forward(upstream, client, 'to-client');
+	});
+	const place = parseAddress(toAddress(address));
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(place.port, place.host, resolve);
+	});
+	return {
+		setMode(next) {
+			mode = next;
+			if (mode === 'reset') {
+				cutAll();
+			}
+		},
+		setTarget(next) {
+			target = next;
+		},
+		async close() {
+			cutAll();
+			await new Promise(resolve => {
+				server.close(resolve);
+			});
+		},
+	};
+}
--- /dev/null
+++ b/soak/plan.test.ts
@@ -0,0 +1,15 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {planSoak, quietMs} from './plan.js';
+
+test('a seed repeats its plan, and no other has it', () => {
+	const size = {seed: 7, seconds: 60, nodes: 8};
+	assert.deepEqual(planSoak(size), planSoak(size));
+	assert.notDeepEqual(planSoak(size).faults, planSoak({...size, seed: 8}).faults);
+});
+
+test('every kind of fault is drawn, within the time for faults', () => {
+	const faults = Array.from({length: 10}, (_, index) => planSoak({seed: index, seconds: 60, nodes: 10}).faults).flat();
+	assert.equal(new Set(faults.map(({type}) => type)).size, 18);
+	assert.ok(faults.every(({atMs}) => atMs >= quietMs.start && atMs < 60_000 - quietMs.end));
+});
--- /dev/null
+++ b/soak/report.ts
@@ -0,0 +1,68 @@
+/**
+ * The summary of a soak, and the story of each request that shows a broken
+ * promise.
+ *
+ * @module
+ */
+import {readFileSync} from 'node:fs';
+import {explainCall, parseLogLine, type LogLine} from '../src/lib/timeline/explain-call.js';
+import {collectBy, type SoakRecord} from './record.js';
+import {type SoakOutcome} from './run-soak.js';
+
+/** Requests whose story is told, of each promise: the first ones show the cause. */
+const mostStories = 3;
+
+function countBy<Value>(values: readonly Value[], getKey: (value: Value) => string): string {
+	const groups = [...collectBy(values, getKey)].toSorted(([left], [right]) => left < right ? -1 : 1);
+	return groups.map(([key, group]) => `${key} ${group.length}`).join(', ');
+}
+
+function formatCounts(record: SoakRecord): readonly string[] {
+	const answered = record.calls.filter(({hasLeft}) => !hasLeft);
+	return [
+		`requests: ${record.calls.length}, by status: ${countBy(answered, ({status}) => String(status))}; ${record.calls.length - answered.length} callers left`,
+		`runs: ${record.runs.length}, by behaviour of the server: ${countBy(record.runs, ({behaviour}) => behaviour)}`,
+		`disturbances: ${countBy(record.disturbances, ({what}) => what)}`,
+		`processes: ${record.lifetimes.length}, by end: ${countBy(record.lifetimes, ({end}) => end.type)}; configurations: ${record.changes.length}; leaving acknowledged: ${record.drains.length}`,
+	];
+}
+
+function readLines(files: readonly string[]): readonly LogLine[] {
+	return files.flatMap(file => readFileSync(file, 'utf8').split('\n').flatMap(line => parseLogLine(line) ?? []));
+}
+
+/**
+ * @param outcome - What a soak ended with.
+ * @returns The summary, one line each.
+ */
+export function formatSummary({plan, record, violations, idleServers}: SoakOutcome): readonly string[] {
+	const promises = [...collectBy(violations, ({promise}) => promise)];
+	return [
+		`seed ${plan.seed}, ${plan.seconds} s, ${plan.nodes} nodes, ${plan.faults.length} faults planned`,
+		...formatCounts(record),
+		...idleServers.length === 0 ? [] : [`no work at the end for the servers beside: ${idleServers.join(', ')}`],
+		...promises.map(([promise, group]) => `BROKEN  ${promise}: ${group.length} times, first: ${group[0]!.what}`),
+		promises.length === 0 ? 'every promise held' : `${promises.length} promises were broken`,
+	];
+}
+
+/**
+ * @param outcome - What a soak ended with.
+ * @returns The stories of requests that show what was broken, from the nodes' logs.
+ */
+export function formatStories({violations, logFiles}: SoakOutcome): readonly string[] {
+	if (violations.length === 0) {
+		return [];
+	}
+
+	const lines = readLines(logFiles);
+	const chosen = [...collectBy(violations, ({promise}) => promise).values()].flatMap(group => group.slice(0, mostStories));
+	return chosen.flatMap(({promise, what, at, call}) => {
+		const story = call === undefined ? undefined : explainCall(lines, call);
+		return [
+			'',
+			`${promise}: ${what} (at ${new Date(at).toISOString()})`,
+			...story === undefined ? ['  the logs do not speak of it'] : [...story.steps.map(step => `  ${step}`), `  Cause: ${story.cause}`],
+		];
+	});
+}
--- a/stand-ins/wire-server/wire-server.ts
+++ b/stand-ins/wire-server/wire-server.ts
@@ -42,6 +42,10 @@
 
 /** What it ran. */
 export type WireRun = {
+	/** Unix milliseconds. */
+	readonly at: number;
+	/** How it was treated. */
+	readonly behaviour: WireBehaviour;
 	readonly id: string;
 	readonly method: string;
 	readonly target: string;
@@ -59,6 +63,10 @@
 	/** The next requests are treated so, then all are answered. */
 	readonly plan: (...behaviours: readonly WireBehaviour[]) => void;
 	readonly setWorkMs: (milliseconds: number) => void;
+	/** Requests at work at once from here on; it sheds those beyond. */
+	readonly setSlots: (slots: number) => void;
+	/** Requests at work. */
+	readonly countAtWork: () => number;
 	/** From here on another server has the address. */
 	readonly rename: (id: string) => void;
 	readonly close: () => Promise<void>;
@@ -87,6 +95,8 @@
 	let id = firstId;
 	let workMs = 5;
 	let left = 0;
+	let slots = Infinity;
+	let atWork = 0;
 	const planned: WireBehaviour[] = [];
 	const runs: WireRun[] = [];
 
@@ -180,8 +190,10 @@
 		}
 	};
 
-	const noteRun = (request: IncomingMessage, body: string): void => {
+	const noteRun = (request: IncomingMessage, body: string, behaviour: WireBehaviour): void => {
 		runs.push({
+			at: Date.now(),
+			behaviour,
 			id: getText(request, 'stonemoor-attempt-id'),
 			method: request.method ?? '',
 			target: request.url ?? '',
@@ -192,7 +204,7 @@
 	};
 
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const behaviour = planned.shift() ?? 'answer';
+		const behaviour = atWork < slots ? planned.shift() ?? 'answer' : 'shed';
 		const expected = request.headers['stonemoor-expected-instance'];
 		if (expected !== undefined && expected !== id) {
 			request.resume();
@@ -202,7 +214,7 @@
 		}
 
 		if (behaviour === 'early') {
-			noteRun(request, '');
+			noteRun(request, '', behaviour);
 			misbehave(behaviour, request, response, `page ${request.url}`);
 			request.resume();
 			return;
@@ -210,12 +222,14 @@
 
 		const body = await readText(request);
 		if (behaviour !== 'shed') {
-			noteRun(request, body);
+			noteRun(request, body, behaviour);
 		}
 
 		let isGone = false;
+		atWork++;
 		response.once('close', () => {
 			isGone = true;
+			atWork--;
 			left += response.writableEnded || behaviour !== 'answer' ? 0 : 1;
 		});
 		setTimeout(() => {
@@ -251,6 +265,10 @@
 		setWorkMs(milliseconds) {
 			workMs = milliseconds;
 		},
+		setSlots(next) {
+			slots = next;
+		},
+		countAtWork: () => atWork,
 		rename(next) {
 			id = next;
 		},
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -21,7 +21,7 @@
 	},
 	{
 		// What the platform's calls name is not ours to spell.
-		files: ['platform/**', 'stand-ins/platform-store/**'],
+		files: ['platform/**', 'stand-ins/platform-store/**', 'stand-ins/settings-template.ts'],
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
 	{
