--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -356,4 +356,18 @@
 		to: '',
 		tests: `${library}/peers`,
 	},
+	{
+		promise: 'soak: a leaving server gets no new work',
+		file: 'platform/decode-announcement.js',
+		from: 'isDraining: status.state === \'draining\'',
+		to: 'isDraining: false',
+		tests: 'soak',
+	},
+	{
+		promise: 'soak: a graceful stop cuts nothing',
+		file: 'apps/sidecar/main.js',
+		from: 'await sidecar.drain();',
+		to: '',
+		tests: 'soak',
+	},
 ];
--- a/soak/link-proxy.test.ts
+++ b/soak/link-proxy.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {connect} from 'node:net';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type TestContext} from 'node:test';
@@ -46,3 +47,31 @@
 		assert.equal((await answer).status, 200);
 	});
 }
+
+/** Whether a connection ends with a reset; one that reaches this program as an ordinary end shows in a write. */
+async function findReset(): Promise<boolean> {
+	const [host, port] = address.split(':');
+	const socket = connect({host, port: Number(port), allowHalfOpen: true});
+	return new Promise(resolve => {
+		socket.on('error', () => {
+			resolve(true);
+		});
+		socket.on('data', () => undefined);
+		socket.once('end', () => {
+			socket.write('\r\n', error => {
+				resolve(error !== null && error !== undefined);
+				socket.destroy();
+			});
+		});
+		socket.write('GET /logs/1 HTTP/1.1\r\nHost: mesh.example\r\n\r\n');
+	});
+}
+
+test('a reset right behind the last bytes stays a reset, and an ordinary end an end', async context => {
+	const {server} = await startLink(context);
+	for (let sent = 0; sent < 20; sent++) {
+		server.plan('unframed-cut', 'unframed');
+		assert.equal(await findReset(), true);
+		assert.equal(await findReset(), false);
+	}
+});
--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -50,6 +50,17 @@
 	}
 }
 
+/** An empty line before a request, which servers pass over. */
+const probe = '\r\n';
+
+async function probeReset(socket: Socket): Promise<boolean> {
+	return new Promise(resolve => {
+		socket.write(probe, error => {
+			resolve(error !== null && error !== undefined);
+		});
+	});
+}
+
 /**
  * Starts a proxy.
  *
@@ -80,7 +91,7 @@
 	/** Passes on one direction, in order. */
 	const forward = (from: Socket, to: Socket, direction: Direction): void => {
 		let last = Promise.resolve();
-		const submit = (act: () => void): void => {
+		const submit = (act: () => void | Promise<void>): void => {
 			const before = last;
 			const take = async (): Promise<void> => {
 				await before;
@@ -92,7 +103,7 @@
 					await sleep(cutPollMs);
 				}
 
-				act();
+				await act();
 			};
 
 			last = take();
@@ -109,8 +120,14 @@
 			});
 		});
 		from.once('end', () => {
-			submit(() => {
-				to.end();
+			// A reset right behind the last bytes reaches this program as an ordinary end; only a write tells the two apart.
+			const isReset = direction === 'to-client' && !from.writableEnded && !from.destroyed ? probeReset(from) : Promise.resolve(false);
+			submit(async () => {
+				if (await isReset) {
+					cutSocket(to);
+				} else {
+					to.end();
+				}
 			});
 		});
 		from.once('close', hadError => {
--- a/soak/soak.test.ts
+++ b/soak/soak.test.ts
@@ -9,7 +9,7 @@
 import test from 'node:test';
 import {startProcess} from '../demo/processes.js';
 
-const size = ['--seed', '2', '--seconds', '30', '--nodes', '6', '--apply', '15000'] as const;
+const size = ['--seed', '540', '--seconds', '30', '--nodes', '6', '--apply', '15000'] as const;
 
 test('every promise holds through a short soak', async context => {
 	const folder = mkdtempSync(path.join(tmpdir(), 'stonemoor-soak-'));
