--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -26,7 +26,6 @@
 	readonly gossip: string;
 	readonly logFile: string;
 	readonly lifetimes: readonly Lifetime[];
-	readonly isRunning: () => boolean;
 	readonly isReady: () => Promise<boolean>;
 	/** Waits until it is ready, or has ended for good. */
 	readonly waitReady: () => Promise<boolean>;
@@ -159,7 +158,6 @@
 		gossip,
 		logFile,
 		lifetimes,
-		isRunning: () => run !== undefined,
 		isReady,
 		waitReady,
 		async pause(forMs) {
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -15,7 +15,7 @@
 export type SoakServer = {
 	readonly listRuns: () => readonly RunRecord[];
 	readonly listDrains: () => readonly DrainRecord[];
-	/** Whether a server is there that has been announced, and its runs since some time; for the report. */
+	/** Runs of the server that is there now. */
 	readonly countRunsSince: (at: number) => number;
 	readonly crash: (downMs: number, keepsId: boolean) => Promise<void>;
 	readonly drain: (saysDraining: boolean, downMs: number) => Promise<void>;
@@ -59,7 +59,7 @@
 const patienceMs = 5000;
 const pollMs = 50;
 
-/** How long the node may take to tell the others of a server. Milliseconds. */
+/** For how long a server says that it stays slow after its start. Milliseconds. */
 const coldMs = 0;
 
 /**
