--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -53,7 +53,7 @@
 /** An empty line before a request, which servers pass over. */
 const probe = '\r\n';
 
-async function probeReset(socket: Socket): Promise<boolean> {
+async function askForReset(socket: Socket): Promise<boolean> {
 	return new Promise(resolve => {
 		socket.write(probe, error => {
 			resolve(error !== null && error !== undefined);
@@ -121,7 +121,7 @@
 		});
 		from.once('end', () => {
 			// A reset right behind the last bytes reaches this program as an ordinary end; only a write tells the two apart.
-			const isReset = direction === 'to-client' && !from.writableEnded && !from.destroyed ? probeReset(from) : Promise.resolve(false);
+			const isReset = direction === 'to-client' && !from.writableEnded && !from.destroyed ? askForReset(from) : Promise.resolve(false);
 			submit(async () => {
 				if (await isReset) {
 					cutSocket(to);
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -42,8 +42,18 @@
 /** How a process ended. */
 export type LifetimeEnd =
 	| {readonly type: 'running'}
-	/** After SIGTERM, with this code. */
-	| {readonly type: 'stopped'; readonly code: number | undefined; readonly at: number; readonly askedAt: number; readonly wasHeld: boolean}
+	/** After SIGTERM, with this code or by this signal. */
+	| {
+		readonly type: 'stopped';
+		readonly code: number | undefined;
+		readonly signal: string | undefined;
+		readonly at: number;
+		readonly askedAt: number;
+		/** It was paused between SIGTERM and its end. */
+		readonly wasHeld: boolean;
+		/** It had been ready: before, it has nothing to lose and may not have come to take over its signals. */
+		readonly wasReady: boolean;
+	}
 	| {readonly type: 'killed'; readonly at: number}
 	/** Nobody asked it to. */
 	| {readonly type: 'unasked'; readonly code: number | undefined; readonly signal: string | undefined; readonly at: number};
--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -85,7 +85,7 @@
 	let run: Run | undefined;
 	let isClosed = false;
 
-	const noteEnd = (index: number, {startedAt, askedAt, isKilled, isHeld}: Run, code: number | undefined, signal: string | undefined): void => {
+	const noteEnd = (index: number, {startedAt, askedAt, isKilled, isHeld, wasReady}: Run, code: number | undefined, signal: string | undefined): void => {
 		const at = Date.now();
 		const end: Lifetime['end'] = isKilled
 			? {type: 'killed', at}
@@ -94,7 +94,7 @@
 					type: 'unasked', code, signal, at,
 				}
 				: {
-					type: 'stopped', code, at, askedAt, wasHeld: isHeld,
+					type: 'stopped', code, signal, at, askedAt, wasHeld: isHeld, wasReady,
 				});
 		lifetimes[index] = {node: name, startedAt, end};
 	};
