Soak: its processes end with it, also when its terminal goes

Why: a hang-up ended the soak without its exit handler, and twelve nodes of one run lived on. Checked by hand: a soak of three nodes that is hung up leaves no process.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -36,7 +36,7 @@
 
 const cutText = (_key: string, value: unknown): unknown => typeof value === 'string' ? value.slice(0, longestText) : value;
 
-for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
 	process.once(signal, () => {
 		process.exit(1);
 	});
