--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -727,4 +727,18 @@
 		to: 'if (false',
 		tests: `${library}/forwarding/frame.test.js`,
 	},
+	{
+		promise: 'soak: a leaving server gets no new work',
+		file: 'platform/decode-announcement.js',
+		from: 'return state === \'draining\';',
+		to: 'return false;',
+		tests: 'soak',
+	},
+	{
+		promise: 'soak: a graceful stop cuts nothing',
+		file: 'apps/sidecar/main.js',
+		from: 'await sidecar.drain();',
+		to: '',
+		tests: 'soak',
+	},
 ];
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -177,7 +177,7 @@
 		};
 
 		/** Reads on behind an answer that is passed over; yields the bytes that came behind it. */
-		const passOver = ({isKept}: WholeAnswer): Uint8Array | undefined => {
+		const dropSecondAnswer = ({isKept}: WholeAnswer): Uint8Array | undefined => {
 			if (!isKept) {
 				fail('connection-lost', 'the connection closes behind a second answer to the request before');
 				return undefined;
@@ -198,7 +198,7 @@
 			}
 
 			if (isPassedOver) {
-				return passOver(answer);
+				return dropSecondAnswer(answer);
 			}
 
 			finish(answer);
--- a/src/lib/forwarding/leaving-gate.test.ts
+++ b/src/lib/forwarding/leaving-gate.test.ts
@@ -12,6 +12,8 @@
 import {type LocalGate} from './local-gate.js';
 import {encodePeerRequest} from './peer-messages.js';
 
+const waitForNothing = async (): Promise<void> => undefined;
+
 type Fixture = {
 	readonly gate: GateServer;
 	/** The connection of another node. */
@@ -32,7 +34,7 @@
 	const gate = createGateServer({
 		gate: localGate as LocalGate,
 		getConfig: () => encodeConfigAnswer(undefined),
-		catchUp: async () => undefined,
+		catchUp: waitForNothing,
 		log: silentLog,
 		refusals: {note: (refusal: unknown) => refused.push(refusal), dispose: () => undefined},
 		linkMbps: 1000,
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -303,7 +303,7 @@
 
 test('a late answer to an earlier request does not end the one that is in work on its connection', async context => {
 	const {createServer: createNetServer} = await import('node:net');
-	const frame = (call: string, body: string): string => `HTTP/1.1 200 OK\r\nx-call: ${call}\r\nx-signature: s\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+	const formatAnswer = (call: string, body: string): string => `HTTP/1.1 200 OK\r\nx-call: ${call}\r\nx-signature: s\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
 	let requests = 0;
 	const sockets = new Set<Socket>();
 	const server = createNetServer(socket => {
@@ -312,13 +312,13 @@
 		socket.on('data', () => {
 			requests++;
 			if (requests === 1) {
-				socket.write(frame('one', 'page'));
+				socket.write(formatAnswer('one', 'page'));
 				return;
 			}
 
-			socket.write(frame('one', 'page'));
+			socket.write(formatAnswer('one', 'page'));
 			setTimeout(() => {
-				socket.write(frame('two', 'own!'));
+				socket.write(formatAnswer('two', 'own!'));
 			}, 50);
 		});
 	});
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -32,7 +32,7 @@
 export type RunningAttempts = {
 	readonly count: () => number;
 	/** Whether nothing is heard of the nodes of all of them; so it is of none. */
-	readonly areAllDoubted: () => boolean;
+	readonly hasOnlyDoubted: () => boolean;
 	readonly start: (target: Candidate, mayWaitMs: number) => Attempt;
 	/** Waits for what happens next to any of them. */
 	readonly waitForEvent: () => Promise<AttemptEvent>;
@@ -136,7 +136,7 @@
 
 	return {
 		count: () => running.size,
-		areAllDoubted: () => [...running].every(attempt => doubted.has(attempt)),
+		hasOnlyDoubted: () => [...running].every(attempt => doubted.has(attempt)),
 		start(target, mayWaitMs) {
 			const attempt: Attempt = {
 				target, mayWaitMs, startedAt: readSteadyMs(), scope: createInnerScope(call.scope),
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -60,7 +60,7 @@
 	const mayPay = (reason: RepeatReason): boolean =>
 		progress.countArrivals() + running.count() < route.maxAttempts && context.allowance.countLeft(service, reason, readSteadyMs()) > 0;
 
-	const payRepeat = (reason: RepeatReason): boolean => {
+	const takeRepeat = (reason: RepeatReason): boolean => {
 		if (progress.countArrivals() + running.count() >= route.maxAttempts || !context.allowance.take(service, reason, readSteadyMs())) {
 			return false;
 		}
@@ -118,7 +118,7 @@
 	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. None does beside one that nobody doubts. */
 	const mayGoOn = (result: ForwardResult): boolean => {
 		const isHarmless = mayRepeat || progress.getVerdict() === 'not-run';
-		if (!isHarmless || scope.getEnd() !== undefined || !running.areAllDoubted()) {
+		if (!isHarmless || scope.getEnd() !== undefined || !running.hasOnlyDoubted()) {
 			return false;
 		}
 
@@ -126,7 +126,7 @@
 			return hasPaid() && mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals);
 		}
 
-		return hasPaid() || payRepeat(chooseRepeatReason(call, result));
+		return hasPaid() || takeRepeat(chooseRepeatReason(call, result));
 	};
 
 	const handleEnd = (attempt: Attempt, result: ForwardResult): CallOutcome | undefined => {
@@ -152,7 +152,7 @@
 	 * of a mesh of 61 nodes, counted in the nodes' logs.
 	 */
 	const handleDoubt = (): void => {
-		if (!mayRepeat || running.count() === 0 || !running.areAllDoubted() || !mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals)) {
+		if (!mayRepeat || running.count() === 0 || !running.hasOnlyDoubted() || !mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals)) {
 			return;
 		}
 
@@ -162,7 +162,7 @@
 		}
 
 		const plan = planNext();
-		if (plan.type === 'send' && (hasPaid() || payRepeat('may-have-run'))) {
+		if (plan.type === 'send' && (hasPaid() || takeRepeat('may-have-run'))) {
 			start(plan);
 		}
 	};
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -211,7 +211,7 @@
 		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer);
 	};
 
-	const retire = (): void => {
+	const stopTaking = (): void => {
 		isEnded = true;
 		slots.end();
 		connections.renew();
@@ -240,9 +240,9 @@
 			slots.resize(countPlaces(count));
 		},
 		describe: () => ({...slots.describe(), failureShare}),
-		retire,
+		retire: stopTaking,
 		end() {
-			retire();
+			stopTaking();
 			connections.dispose();
 		},
 	};
--- a/src/lib/forwarding/two-attempts.test.ts
+++ b/src/lib/forwarding/two-attempts.test.ts
@@ -29,7 +29,7 @@
 
 /** Four servers that work until they are told how their request ends, or it is broken off. */
 function createMesh(context: TestContext, maxAttempts: number, timeMs = 1000, type: 'safe' | 'unsafe' = 'safe'): {
-	readonly sent: readonly Sent[]; readonly outcome: () => Promise<CallOutcome>; readonly silence: (node: string) => void;
+	readonly sent: readonly Sent[]; readonly send: () => Promise<CallOutcome>; readonly silence: (node: string) => void;
 } {
 	const sent: Sent[] = [];
 	const watchers: Array<{readonly node: string; readonly tell: () => void; isOver: boolean}> = [];
@@ -46,7 +46,7 @@
 				}
 			}
 		},
-		outcome: async () => sendCall({
+		send: async () => sendCall({
 			self: toNodeId('n1'), callerService: 'caller', domain, loads, log: silentLog, localGate: {} as unknown as LocalGate,
 			listCandidates: () => ['a', 'b', 'c', 'd'].map((id): Candidate => ({
 				id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
@@ -81,7 +81,7 @@
 	};
 }
 
-const nodeOf = (sent: readonly Sent[], place: number): string => `n-${String(sent[place]!.call.server)}`;
+const getNode = (sent: readonly Sent[], place: number): string => `n-${String(sent[place]!.call.server)}`;
 
 for (const [what, end] of [
 	['could not be reached', createNotRun('node-unreachable', 'no connection within 300 ms')],
@@ -90,9 +90,9 @@
 ] as const) {
 	test(`a call that another server is at work on goes to no third when the first ${what}`, async context => {
 		const mesh = createMesh(context, 2);
-		const outcome = mesh.outcome();
+		const outcome = mesh.send();
 		await settle();
-		mesh.silence(nodeOf(mesh.sent, 0));
+		mesh.silence(getNode(mesh.sent, 0));
 		await settle();
 		assert.equal(mesh.sent.length, 2);
 		mesh.sent[0]!.settle(end);
@@ -109,9 +109,9 @@
 
 test('a failure that a server answered with is not replaced by the time-out of another', async context => {
 	const mesh = createMesh(context, 2, 200);
-	const outcome = mesh.outcome();
+	const outcome = mesh.send();
 	await settle();
-	mesh.silence(nodeOf(mesh.sent, 0));
+	mesh.silence(getNode(mesh.sent, 0));
 	await settle();
 	mesh.sent[1]!.settle({
 		type: 'answered', status: 500, headers: {}, body: new Uint8Array(),
@@ -122,14 +122,14 @@
 
 test('a call whose two nodes are both silent goes to a third server if the route allows three', async context => {
 	const mesh = createMesh(context, 3);
-	const outcome = mesh.outcome();
+	const outcome = mesh.send();
 	await settle();
-	mesh.silence(nodeOf(mesh.sent, 0));
+	mesh.silence(getNode(mesh.sent, 0));
 	await settle();
 	assert.equal(mesh.sent.length, 2);
 	for (let told = 0; told < 5; told++) {
-		mesh.silence(nodeOf(mesh.sent, 0));
-		mesh.silence(nodeOf(mesh.sent, 1));
+		mesh.silence(getNode(mesh.sent, 0));
+		mesh.silence(getNode(mesh.sent, 1));
 		await settle();
 	}
 
@@ -143,9 +143,9 @@
 
 test('a call that may run once only is sent nowhere else when its node falls silent', async context => {
 	const mesh = createMesh(context, 3, 1000, 'unsafe');
-	const outcome = mesh.outcome();
+	const outcome = mesh.send();
 	await settle();
-	mesh.silence(nodeOf(mesh.sent, 0));
+	mesh.silence(getNode(mesh.sent, 0));
 	await settle();
 	mesh.sent[0]!.settle({
 		type: 'answered', status: 200, headers: {}, body: new Uint8Array(),
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -245,8 +245,9 @@
 		waitForWork,
 		estimateUnreadMs: lag.estimateUnreadMs,
 	});
+	const waitForLag = async (): Promise<void> => lag.catchUp();
 	const gateServer = createGateServer({
-		gate, getConfig: sync.answerConfig, catchUp: async () => lag.catchUp(), log, refusals, linkMbps: settings.linkMbps,
+		gate, getConfig: sync.answerConfig, catchUp: waitForLag, log, refusals, linkMbps: settings.linkMbps,
 	});
 	const announcementServer = createAnnouncementServer({
 		...createOwnServerCalls({
