--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -21,6 +21,8 @@
 	/** Its body or its answer is large. */
 	readonly isBulk: boolean;
 	readonly scope: CallScope;
+	/** Told, now and then, while its connection is in doubt. */
+	readonly handleDoubt?: () => void;
 };
 
 /** @internal */
@@ -28,9 +30,11 @@
 	readonly send: (call: RemoteCall) => Promise<GateResult>;
 	/** Asks another node for the configuration in force, telling which version is there; `undefined` if it has none or does not answer. */
 	readonly fetchConfig: (gate: Address, version: number, scope: CallScope) => Promise<ConfigAnswer | undefined>;
+	/** When bytes last arrived from a gate, in steady milliseconds; 0 if none have on the connections that are in use. */
+	readonly getReceivedAt: (gate: Address) => number;
 	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. */
 	readonly renew: (gate: Address) => void;
-	/** Closes connections that have gone silent although their nodes are heard, so that new ones are made. Called every now and then. */
+	/** Takes connections that have gone silent although their nodes are heard out of use, so that new ones are made, and closes them later. Called every now and then. */
 	readonly checkSilence: (now: number, getHeardAt: (gate: Address) => number | undefined) => void;
 	readonly dispose: () => void;
 };
@@ -41,7 +45,9 @@
 /** Bodies above this size, in bytes, are sent once the gate has a slot for them: a refusal then costs no bytes between failure domains. */
 const askFirstBytes = 4096;
 
-type ChannelKind = 'small' | 'bulk';
+const channelKinds = ['small', 'bulk'] as const;
+
+type ChannelKind = (typeof channelKinds)[number];
 
 function judgeFailure(failure: Extract<ChannelResult, {readonly type: 'failed'}>): ForwardFailure {
 	const {reason, detail, isSent} = failure;
@@ -57,7 +63,10 @@
  * @internal
  */
 export function createGateClient(): GateClient {
+	/** The one that takes new requests, by gate and kind. */
 	const channels = new Map<string, PeerChannel>();
+	/** These, and others whose last requests are under way. */
+	const open = new Set<PeerChannel>();
 
 	const getChannel = (gate: Address, kind: ChannelKind): PeerChannel => {
 		const key = `${kind} ${gate}`;
@@ -67,10 +76,12 @@
 		}
 
 		const channel = openPeerChannel(gate, connectMs, () => {
+			open.delete(channel);
 			if (channels.get(key) === channel) {
 				channels.delete(key);
 			}
 		});
+		open.add(channel);
 		channels.set(key, channel);
 		return channel;
 	};
@@ -81,7 +92,7 @@
 			const isLarge = body !== undefined && body.length > askFirstBytes;
 			const head = encodePeerRequest({...call, hasBody: body !== undefined, leftMs: scope.endsAt - readSteadyMs()});
 			const result = await getChannel(gate, isLarge || call.isBulk ? 'bulk' : 'small').send({
-				type: isLarge ? 'offer' : 'request', head, body, scope,
+				type: isLarge ? 'offer' : 'request', head, body, scope, handleDoubt: call.handleDoubt,
 			});
 			return result.type === 'failed' ? {result: judgeFailure(result), load: undefined} : decodePeerAnswer(result.head, result.body);
 		},
@@ -91,20 +102,21 @@
 			});
 			return result.type === 'answered' ? decodeConfigAnswer(result.head, result.body) : undefined;
 		},
+		getReceivedAt: gate => Math.max(...channelKinds.map(kind => channels.get(`${kind} ${gate}`)?.getReceivedAt() ?? 0)),
 		renew(gate) {
-			for (const kind of ['small', 'bulk'] as const) {
+			for (const kind of channelKinds) {
 				const key = `${kind} ${gate}`;
 				channels.get(key)?.retire();
 				channels.delete(key);
 			}
 		},
 		checkSilence(now, getHeardAt) {
-			for (const channel of channels.values()) {
+			for (const channel of open) {
 				channel.checkSilence(now, () => getHeardAt(channel.gate));
 			}
 		},
 		dispose() {
-			for (const channel of channels.values()) {
+			for (const channel of open) {
 				channel.dispose();
 			}
 
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -17,6 +17,8 @@
 	readonly head: unknown;
 	readonly body: Uint8Array | undefined;
 	readonly scope: CallScope;
+	/** Told, now and then, while the connection is in doubt: an answer may still come on it, or never. */
+	readonly handleDoubt?: () => void;
 };
 
 /** How it ended. @internal */
@@ -35,9 +37,11 @@
 	readonly gate: Address;
 	readonly send: (request: ChannelRequest) => Promise<ChannelResult>;
 	readonly isUsable: () => boolean;
+	/** When bytes last arrived, in steady milliseconds; 0 if none have. */
+	readonly getReceivedAt: () => number;
 	/**
-	 * Closes the connection if nothing arrives on it any more although the other node has given a sign of life since. Called every now and then,
-	 * with when that node was last heard, in steady milliseconds.
+	 * Doubts the connection if nothing arrives on it any more although the other node has given a sign of life since, and closes it later. Called every now
+	 * and then, with when that node was last heard, in steady milliseconds.
 	 */
 	readonly checkSilence: (now: number, getHeardAt: () => number | undefined) => void;
 	/** Takes no more requests, and closes when those under way have ended. */
@@ -55,6 +59,13 @@
  */
 const pongMs = 800;
 
+/**
+ * How much later than its node's sign of life a connection on which nothing arrives is given up with all that waits on it. Milliseconds: TCP, which starts
+ * at 200 ms and doubles, has sent four times again by then. Until then its requests go elsewhere if they may, and what is answered all the same is delivered:
+ * lost packets look like a connection that is gone, and breaking off costs the work.
+ */
+const lostMs = 3000;
+
 type Pending = {
 	readonly request: ChannelRequest;
 	readonly settle: (result: ChannelResult) => void;
@@ -81,6 +92,7 @@
 	let failure = '';
 	/** When something last arrived, or when the first of the requests that wait was sent. Steady milliseconds. */
 	let quietSince = 0;
+	let receivedAt = 0;
 	let pingedAt: number | undefined;
 	/** When a sign of life was first seen after that. */
 	let livedAt: number | undefined;
@@ -156,7 +168,8 @@
 		isConnected = true;
 	});
 	socket.on('data', (bytes: Uint8Array) => {
-		quietSince = readSteadyMs();
+		receivedAt = readSteadyMs();
+		quietSince = receivedAt;
 		pingedAt = undefined;
 		try {
 			for (const frame of reader.read(bytes)) {
@@ -214,6 +227,7 @@
 			});
 		},
 		isUsable: () => !isRetired && !socket.destroyed,
+		getReceivedAt: () => receivedAt,
 		checkSilence(now, getHeardAt) {
 			if (!isConnected || pending.size === 0 || now - quietSince < quietMs) {
 				return;
@@ -227,13 +241,25 @@
 			}
 
 			livedAt ??= (getHeardAt() ?? 0) > pingedAt ? now : undefined;
-			if (livedAt !== undefined && now - livedAt > pongMs) {
+			if (livedAt === undefined || now - livedAt <= pongMs) {
+				return;
+			}
+
+			if (now - livedAt > lostMs) {
 				socket.destroy(new Error('nothing arrives on the connection although the node is heard'));
+				return;
+			}
+
+			isRetired = true;
+			for (const {request} of pending.values()) {
+				request.handleDoubt?.();
 			}
 		},
 		retire() {
 			isRetired = true;
 			closeIfIdle();
+			// A process that has restarted resets the connection when it gets this, and what waits for its earlier run ends at once.
+			writeFrame(socket, {type: 'ping', id: 0});
 		},
 		dispose() {
 			isRetired = true;
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -3,6 +3,7 @@
 import {
 	toAddress, toBackendServerId, toFailureDomain, toNodeId,
 } from '../common/ids.js';
+import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
 import {createSampleRoute} from '../route-config/sample-config.js';
 import {createLoadView, type LoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
@@ -14,12 +15,13 @@
 } from './forward-result.js';
 import {type GateClient, type RemoteCall} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
-import {
-	chooseFailureStatus, sendCall, type OutgoingCall, type SendContext,
-} from './send-call.js';
+import {type OutgoingCall, type SendContext} from './outgoing-call.js';
+import {chooseFailureStatus, sendCall} from './send-call.js';
 
 const domain = toFailureDomain('a');
 
+const toKey = (id: string): LifetimeKey => toLifetimeKey({id: toBackendServerId(id), startedAt: 1});
+
 type Fixture = {
 	readonly context: SendContext;
 	readonly sent: RemoteCall[];
@@ -34,7 +36,7 @@
 	const loads = createLoadView();
 	const left = new Map(Object.entries(servers).map(([id, results]) => [id, [...results]]));
 	const listCandidates = (): readonly Candidate[] => Object.keys(servers).map(id => ({
-		id: toBackendServerId(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toBackendServerId(id)),
+		id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
 	}));
 	const gateClient = {
 		async send(call: RemoteCall): Promise<GateResult> {
@@ -133,7 +135,7 @@
 test('when every server is busy for far too long, no gate is asked, unless others wait behind the call', async () => {
 	const fillQueues = (fixture: Fixture): void => {
 		for (const id of ['a', 'b']) {
-			fixture.loads.hear(toBackendServerId(id), {running: 4, waiting: 40, serviceMs: 200}, performance.now());
+			fixture.loads.hear(toKey(id), {running: 4, waiting: 40, serviceMs: 200}, performance.now());
 		}
 	};
 
@@ -155,20 +157,24 @@
 	assert.ok(unreachable.length <= 1);
 });
 
-/** One server whose node falls silent while a request is under way there, and that answers all the same. */
-function createSilentFixture(slack: number) {
+/** One server whose node falls silent while a request is under way there, and that answers all the same, or never. */
+function createSilentFixture(slack: number, isDead = false) {
 	let tellSilence = (): void => undefined;
 	const sent: string[] = [];
+	const waitForEnd = async ({scope}: RemoteCall): Promise<ForwardResult> => new Promise(resolve => {
+		scope.subscribe(reason => {
+			resolve(createMayHaveRun(reason, 'the node is silent'));
+		});
+	});
 	const gateClient = {
-		async send({server, scope}: RemoteCall): Promise<GateResult> {
-			sent.push(server);
+		async send(call: RemoteCall): Promise<GateResult> {
+			sent.push(call.server);
 			if (sent.length > 1) {
 				return {result: answered, load: undefined};
 			}
 
 			tellSilence();
-			const reason = scope.getEnd();
-			return {result: reason === undefined ? answered : createMayHaveRun(reason, 'the node is silent'), load: undefined};
+			return {result: isDead ? await waitForEnd(call) : answered, load: undefined};
 		},
 	} as unknown as GateClient;
 	const {context} = createFixture({a: [], b: []}, {
@@ -183,7 +189,7 @@
 }
 
 test('a call that may go elsewhere does not wait for a node that has fallen silent', async () => {
-	const {context, sent} = createSilentFixture(100);
+	const {context, sent} = createSilentFixture(100, true);
 	const outcome = await sendCall(context, createCall());
 	assert.equal(sent.length, 2);
 	assert.equal(outcome.result.type, 'answered');
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -9,6 +9,7 @@
 import {
 	toAddress, toBackendServerId, toFailureDomain, toNodeId,
 } from '../common/ids.js';
+import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
 import {createLoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
@@ -20,10 +21,13 @@
 } from './forward-result.js';
 import {type GateClient, type RemoteCall} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
-import {sendCall, type CallOutcome, type OutgoingCall} from './send-call.js';
+import {type CallOutcome, type OutgoingCall} from './outgoing-call.js';
+import {sendCall} from './send-call.js';
 
 const domain = toFailureDomain('a');
 
+const toKey = (id: string): LifetimeKey => toLifetimeKey({id: toBackendServerId(id), startedAt: 1});
+
 type SilentMesh = {
 	readonly send: () => Promise<CallOutcome>;
 	/** Tells the calls that wait that the node of the first server is silent. */
@@ -32,6 +36,8 @@
 	readonly answer: (result?: ForwardResult) => void;
 	/** Requests that were sent, in order. */
 	readonly sent: readonly RemoteCall[];
+	/** Has every server but the first be known for a long queue. */
+	readonly fillOthers: () => void;
 };
 
 /** A server that works until the attempt is broken off. */
@@ -54,7 +60,7 @@
 	const scope = createCallScope(performance.now() + 1000);
 	context.after(scope.dispose);
 	const listCandidates = (): readonly Candidate[] => ['a', 'b', 'c', 'd'].map(id => ({
-		id: toBackendServerId(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toBackendServerId(id)),
+		id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
 	}));
 	const gateClient = {
 		async send(call: RemoteCall): Promise<GateResult> {
@@ -100,6 +106,11 @@
 		answer(result = createAnswer(200)) {
 			settleFirst(result);
 		},
+		fillOthers() {
+			for (const {lifetime} of listCandidates().filter(candidate => candidate.id !== sent[0]?.server)) {
+				loads.hear(lifetime, {running: 4, waiting: 40, serviceMs: 200}, performance.now());
+			}
+		},
 	};
 }
 
@@ -121,6 +132,20 @@
 	assert.ok(mesh.sent.length > 1);
 });
 
+test('it waits on, too, once the others are known to be busy for long', async context => {
+	const mesh = createMesh(context, async () => {
+		mesh.fillOthers();
+		return createNotRun('full', 'all slots are taken', 50);
+	});
+	const outcome = mesh.send();
+	await settle();
+	mesh.tellSilence();
+	await settle();
+	mesh.answer();
+	assert.equal(getStatus(await outcome), 200);
+	assert.equal(mesh.sent.length, 2);
+});
+
 test('a call that has gone to another server is answered by whichever is first, and the other is broken off', async context => {
 	const first = createMesh(context, workUntilEnd);
 	const firstOutcome = first.send();
