--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,7 +12,9 @@
 import {runLarge} from './large.js';
 import {runDistribution} from './distribution.js';
 import {runLogLines} from './log-lines.js';
+import {runPeerSlopes} from './peer-slopes.js';
 import {runNodeCost} from './node-cost/node-cost.js';
+import {runServerReturn} from './server-return.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
@@ -53,8 +55,22 @@
 		.option('seconds', {type: 'number', default: 10, describe: 'length of each phase'})
 		.option('rate', {type: 'number', default: 15, describe: 'requests a second at the entry, and as many at the gate'})
 		.option('routes', {type: 'number', default: 1200, describe: 'routes of the configuration'})
+		.option('program', {type: 'string', default: 'target/sidecar.cjs', describe: 'the bundle, as the deploy file builds it'})
+		.option('work-ms', {type: 'number', default: 150, describe: 'that requests take at backend servers'})
+		.option('clocks-apart-ms', {type: 'number', default: 5, describe: 'by which the clocks of the other nodes differ at the most'})
+		.option('load', {type: 'boolean', default: true, describe: 'measure calls too'})
 		.option('flags', {type: 'string', default: '--max-old-space-size=128 --max-semi-space-size=4 --single-threaded --always-sparkplug --no-flush-bytecode --no-memory-reducer', describe: 'of Node.js, for the node'})
 		.option('profile', {type: 'string', describe: 'folder for profiles of the processor time'}), async options => runNodeCost({...options, flags: options.flags.split(' '), profile: options.profile}))
+	.command('peer-slopes', 'what a node does for the others, by their number', builder => builder
+		.option('sizes', {
+			type: 'number', array: true, default: [13, 60, 200, 1000, 5000], describe: 'nodes',
+		}), options => {
+		runPeerSlopes(options.sizes);
+	})
+	.command('server-return', 'how long a backend server that starts again under its id waits for work', builder => builder
+		.option('rounds', {type: 'number', default: 20, describe: 'returns of each kind'})
+		.option('limit-ms', {type: 'number', default: 10_000, describe: 'after which a return is given up'})
+		.option('only', {type: 'string', default: '', describe: 'only the kinds whose names contain this'}), async options => runServerReturn(options))
 	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
--- a/bench/node-cost/node-cost.ts
+++ b/bench/node-cost/node-cost.ts
@@ -29,8 +29,16 @@
 	readonly seconds: number;
 	/** Requests a second of callers at this node, and as many of other nodes at its gate. */
 	readonly rate: number;
+	/** Milliseconds that requests take at backend servers. */
+	readonly workMs: number;
 	/** Routes of the configuration. */
 	readonly routes: number;
+	/** Milliseconds by which the clocks of the other nodes differ at the most; a period of heartbeats for no agreement at all. */
+	readonly clocksApartMs: number;
+	/** Also measures calls; without, only a start and an idle node. */
+	readonly load: boolean;
+	/** The bundle, as the deploy file builds it. */
+	readonly program: string;
 	/** Flags of Node.js for the program. */
 	readonly flags: readonly string[];
 	/** Writes a profile of the processor time into this folder. */
@@ -40,6 +48,8 @@
 /** One phase of one size. */
 type Phase = {
 	readonly cpuMsPerSecond: number;
+	/** Times that the process went to sleep and was woken again, a second. */
+	readonly wakesPerSecond: number;
 	readonly peakMb: number;
 	readonly calls: number;
 	readonly failed: number;
@@ -49,11 +59,10 @@
 /** Nodes of each failure domain that watch the store, so that the measured one need not. */
 const watchersPerDomain = 4;
 const services = ['reader', 'writer', 'storage'] as const;
-/** Milliseconds that requests take at backend servers. */
-const workMs = 150;
 const settleMs = 4000;
-const program = 'target/sidecar.cjs';
-const host = '127.79.0.1';
+/** Two runs may stand beside one another, so that what else the machine does is the same for both. */
+const place = process.pid % 120;
+const host = `127.${place}.79.1`;
 
 /** Clock ticks of `/proc` are hundredths of a second on Linux. */
 const tickMs = 10;
@@ -68,6 +77,10 @@
 	return Number(/VmHWM:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1024;
 }
 
+function readWakes(pid: number): number {
+	return Number(/^voluntary_ctxt_switches:\s+(\d+)/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0);
+}
+
 function writeSettings(folder: string, store: PlatformStore): string {
 	const {callers, gate, gossip, announcements} = createListenAddresses(host);
 	const file = join(folder, 'settings.yaml');
@@ -81,13 +94,13 @@
 	return file;
 }
 
-function createPeers(nodes: number): readonly SimulatedPeer[] {
+function createPeers(nodes: number, {clocksApartMs, workMs}: NodeCostOptions): readonly SimulatedPeer[] {
 	const nodesOfDomain = Math.ceil(nodes / domains);
 	return Array.from({length: nodes - 1}, (_, index) => {
-		const address = `127.80.${Math.floor((index + 1) / 250)}.${((index + 1) % 250) + 1}`;
+		const address = `127.${place + 120}.${Math.floor((index + 1) / 250)}.${((index + 1) % 250) + 1}`;
 		return createSimulatedPeer({
 			name: `p${index + 1}`, failureDomain: `d${(index + 1) % domains}`, service: services[(index + 1) % 9 < 5 ? 0 : ((index + 1) % 9 < 8 ? 1 : 2)],
-			gate: toAddress(`${address}:7002`), gossip: toAddress(`${address}:7004`), nodesOfDomain, nodes, workMs, isFollowing: index + 1 <= domains * watchersPerDomain, version: 1,
+			gate: toAddress(`${address}:7002`), gossip: toAddress(`${address}:7004`), nodesOfDomain, nodes, workMs, clockMs: Math.floor(Math.random() * clocksApartMs), isFollowing: index + 1 <= domains * watchersPerDomain, version: 1,
 		});
 	});
 }
@@ -107,12 +120,13 @@
 
 async function measurePhase(pid: number, seconds: number, run: () => Promise<{readonly calls: number; readonly failed: number}>): Promise<Phase> {
 	const before = readCpuMs(pid);
+	const wakesBefore = readWakes(pid);
 	const startedAt = performance.now();
 	const {calls, failed} = await run();
 	await sleep(Math.max(0, (seconds * 1000) - (performance.now() - startedAt)));
 	const tookMs = performance.now() - startedAt;
 	return {
-		cpuMsPerSecond: (readCpuMs(pid) - before) * 1000 / tookMs, peakMb: readPeakMb(pid), calls, failed,
+		cpuMsPerSecond: (readCpuMs(pid) - before) * 1000 / tookMs, wakesPerSecond: (readWakes(pid) - wakesBefore) * 1000 / tookMs, peakMb: readPeakMb(pid), calls, failed,
 	};
 }
 
@@ -144,11 +158,11 @@
 	const routes = Array.from({length: options.routes}, (_, index) => ({prefix: `/r${index}/`, service: services[index % 3]!}));
 	store.putConfig(createTestConfig(1, routes));
 	const worker = await startWireServer('i-measured');
-	worker.setWorkMs(workMs);
+	worker.setWorkMs(options.workMs);
 	const {callers, gate, gossip, announcements} = createListenAddresses(host);
-	const peers = createPeers(nodes);
+	const peers = createPeers(nodes, options);
 	const profile = options.profile === undefined ? [] : ['--cpu-prof', '--cpu-prof-dir', options.profile, '--cpu-prof-name', `node-${nodes}.cpuprofile`];
-	const child = spawn(process.execPath, [...options.flags, ...profile, program, writeSettings(folder, store)], {stdio: ['ignore', 'ignore', 'inherit']});
+	const child = spawn(process.execPath, [...options.flags, ...profile, options.program, writeSettings(folder, store)], {stdio: ['ignore', 'ignore', 'inherit']});
 	const pid = child.pid!;
 	const agent = new Agent({keepAlive: true});
 	try {
@@ -164,6 +178,12 @@
 		const heardBefore = countHeard();
 		const idle = await measurePhase(pid, seconds, async () => ({calls: 0, failed: 0}));
 		const sentPerSecond = (countHeard() - heardBefore) / seconds;
+		if (!options.load) {
+			return {
+				start, idle, load: idle, warm: idle, sentPerSecond,
+			};
+		}
+
 		const callEntry = async (): Promise<boolean> => {
 			const {status, body} = await sendCall(callers, `/r${Math.floor(Math.random() * 3)}/x`, {agent, timeLeftMs: 5000});
 			if (status !== 200) {
@@ -213,15 +233,16 @@
 		const cells = [
 			(start.cpuMsPerSecond * settleMs / 1000).toFixed(0),
 			idle.cpuMsPerSecond.toFixed(1),
+			idle.wakesPerSecond.toFixed(0),
 			sentPerSecond.toFixed(0),
-			computeCallMs(load, idle, options.seconds).toFixed(2),
-			computeCallMs(warm, idle, options.seconds).toFixed(2),
+			options.load ? computeCallMs(load, idle, options.seconds).toFixed(2) : '-',
+			options.load ? computeCallMs(warm, idle, options.seconds).toFixed(2) : '-',
 			String(load.failed + warm.failed),
 			warm.peakMb.toFixed(0),
 		];
 		rows.push([String(nodes), ...cells]);
 	}
 
-	const header = ['nodes', 'start, ms', 'idle, ms a second', 'datagrams sent a second', 'first calls, ms each', 'later calls, ms each', 'failed', 'peak, MB'];
+	const header = ['nodes', 'start, ms', 'idle, ms a second', 'wake-ups a second, idle', 'datagrams sent a second', 'first calls, ms each', 'later calls, ms each', 'failed', 'peak, MB'];
 	console.log(formatMarkdown(header, rows));
 }
