--- a/src/lib/peers/peer-link.test.ts
+++ b/src/lib/peers/peer-link.test.ts
@@ -20,8 +20,13 @@
 
 let hosts = 0;
 
+type LinkChanges = {
+	readonly getState?: () => ServerState;
+	readonly handleReport?: () => void;
+};
+
 /** A link whose own heartbeats are so seldom that a test sees none but those it causes. */
-async function startLink(context: TestContext, name: string, getState: () => ServerState = () => 'ready'): Promise<PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>}> {
+async function startLink(context: TestContext, name: string, {getState = () => 'ready', handleReport = () => undefined}: LinkChanges = {}): Promise<PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>}> {
 	hosts++;
 	const address = toAddress(`127.78.${process.pid % 250}.${hosts}:7103`);
 	const node = toNodeId(name);
@@ -36,7 +41,7 @@
 		log: silentLog,
 		refusals: silentRefusals,
 		random: Math.random,
-		handleReport: () => undefined,
+		handleReport,
 		handleRound: () => undefined,
 	});
 	await link.start();
@@ -73,7 +78,7 @@
 test('in a large mesh everybody hears at once that a server takes no work any more, and a bounded number that it does', async context => {
 	const nodes = 120;
 	let state: ServerState = 'ready';
-	const link = await startLink(context, 'n1', () => state);
+	const link = await startLink(context, 'n1', {getState: () => state});
 	// One socket stands for all the others.
 	const others = createSocket('udp4');
 	context.after(() => others.close());
@@ -97,3 +102,18 @@
 	link.announce();
 	await expectSoon('all are told that it drains', () => heard === nodes + 80 + nodes);
 });
+
+test('a fault in what a report leads to does not end the node', async context => {
+	let heard = 0;
+	const first = await startLink(context, 'n1', {
+		handleReport() {
+			heard++;
+			throw new Error('a fault');
+		},
+	});
+	const second = await startLink(context, 'n2');
+	second.addContacts([first.address]);
+	await expectSoon('a report was heard', () => heard > 0);
+	second.announce();
+	await expectSoon('another one is heard', () => heard > 1);
+});
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -89,6 +89,9 @@
 	handleFound(null, host, 4);
 };
 
+/** What is wrong with a datagram. */
+type Problem = Pick<Refusal, 'cause' | 'reason'>;
+
 /**
  * Creates the link.
  *
@@ -233,7 +236,7 @@
 		}
 	};
 
-	const scheduleRound = (): void => {
+	const queueRound = (): void => {
 		const delayMs = computeRoundDelay(readNow(), settings.periodMs);
 		dueAt = readSteadyMs() + delayMs;
 		timer = setTimeout(runRound, delayMs);
@@ -242,7 +245,7 @@
 	const runRound = (): void => {
 		const now = readSteadyMs();
 		handleRound(now - dueAt);
-		scheduleRound();
+		queueRound();
 		round++;
 		sendHeartbeats(now);
 		if (round % quietRounds === 0) {
@@ -250,8 +253,12 @@
 		}
 	};
 
+	const refuse = ({address, port}: RemoteInfo, problem: Problem): void => {
+		refusals.note({kind: 'heartbeat-refused', place: `${address}:${port}`, ...problem});
+	};
+
 	/** Why a report that can be read is refused. */
-	const checkReport = (report: PeerReport): Pick<Refusal, 'cause' | 'reason'> | undefined => {
+	const checkReport = (report: PeerReport): Problem | undefined => {
 		if (report.node === settings.node) {
 			return {cause: 'own-name', reason: `node: found ${report.node}, which is this node; give each node a name of its own`};
 		}
@@ -286,11 +293,8 @@
 
 	const handleMessage = (bytes: Uint8Array, sender: RemoteInfo): void => {
 		const decoded = decodeReport(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength).toString());
-		const place = `${sender.address}:${sender.port}`;
 		if (decoded.isErr()) {
-			refusals.note({
-				kind: 'heartbeat-refused', cause: 'unreadable', place, reason: decoded.error,
-			});
+			refuse(sender, {cause: 'unreadable', reason: decoded.error});
 			return;
 		}
 
@@ -301,7 +305,7 @@
 
 		const problem = checkReport(report);
 		if (problem !== undefined) {
-			refusals.note({kind: 'heartbeat-refused', place, ...problem});
+			refuse(sender, problem);
 			return;
 		}
 
@@ -323,6 +327,15 @@
 		handleReport(report, news);
 	};
 
+	/** What nobody foresaw in a datagram must not end the node. */
+	const handleSafely = (bytes: Uint8Array, sender: RemoteInfo): void => {
+		try {
+			handleMessage(bytes, sender);
+		} catch (error) {
+			log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
+		}
+	};
+
 	return {
 		async start() {
 			const {host, port} = parseAddress(settings.listen);
@@ -334,8 +347,8 @@
 			socket.on('error', error => {
 				log.record('error', {kind: 'gossip-failed', reason: error.message});
 			});
-			socket.on('message', handleMessage);
-			scheduleRound();
+			socket.on('message', handleSafely);
+			queueRound();
 		},
 		table,
 		addContacts(addresses) {
