--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -324,7 +324,7 @@
 	{
 		promise: 'sidecar: a connection to a node that stands still is kept',
 		file: `${library}/forwarding/peer-channel.js`,
-		from: '(getHeardAt() ?? 0) > pingedAt ? now : undefined',
+		from: '(getHeardAt() ?? 0) > question.leftAt ? now : undefined',
 		to: 'now',
 		tests: `${library}/forwarding`,
 	},
