Demo: its nodes listen at loopback numbers of their own

Suspected, not shown: 43 ports that were free a moment before, for TCP only, while other tests and the soak open hundreds.

--- a/demo/mesh.ts
+++ b/demo/mesh.ts
@@ -6,8 +6,10 @@
 import {mkdtemp, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import process from 'node:process';
 import {stringify} from 'yaml';
 import {request as sendRequest} from 'undici';
+import {createListenAddresses} from '../stand-ins/loopback-addresses.js';
 import {waitUntil} from '../stand-ins/wait-until.js';
 import {
 	findFreePorts, startProcess, type RunningProcess,
@@ -31,7 +33,6 @@
 	readonly nodes: readonly MeshNode[];
 };
 
-const portsPerNode = 7;
 const domains = ['north-a', 'north-b', 'north-c'] as const;
 const services = ['logview', 'releasehall', 'depstore'] as const;
 const host = '127.0.0.1';
@@ -40,23 +41,22 @@
 /** Lays out six nodes in three failure domains, two workers for each service. */
 export async function prepareMesh(): Promise<Mesh> {
 	const directory = await mkdtemp(join(tmpdir(), 'stonemoor-demo-'));
-	const [storePort = 0, ...ports] = await findFreePorts((nodeCount * portsPerNode) + 1);
+	const [storePort = 0, ...serverPorts] = await findFreePorts(nodeCount + 1);
 	const storeAddress = `${host}:${storePort}`;
-	const getAddress = (node: number, port: number): string => `${host}:${ports[(node * portsPerNode) + port] ?? 0}`;
-	const seeds = [0, 1, 2].map(node => getAddress(node, 2));
+	// Each node has a loopback IP number of its own: a port that was free a moment ago may be taken by other tests meanwhile, as may the same one for datagrams.
+	const listens = Array.from({length: nodeCount}, (_, index) => createListenAddresses(`127.83.${process.pid % 250}.${index + 1}`));
+	const seeds = listens.slice(0, 3).map(({control}) => control);
 	const nodes: MeshNode[] = [];
 	for (let index = 0; index < nodeCount; index++) {
 		const id = `node-${index + 1}`;
 		const domain = domains[index % domains.length] ?? domains[0];
 		const service = services[Math.floor(index / 2)] ?? services[0];
 		const settingsFile = join(directory, `${id}.yaml`);
-		const [callers, gate, control, gossip, operators, announcements, server] = [0, 1, 2, 3, 4, 5, 6].map(port => getAddress(index, port));
+		const listen = listens[index]!;
 		await writeFile(settingsFile, stringify({
 			node: id,
 			failureDomain: domain,
-			listen: {
-				callers, gate, control, gossip, operators, announcements,
-			},
+			listen,
 			store: {address: storeAddress, timeoutMs: 1000},
 			seeds,
 		}));
@@ -66,10 +66,10 @@
 			service,
 			settingsFile,
 			serverId: `${service}-${(index % 2) + 1}`,
-			callers: callers ?? '',
-			operators: operators ?? '',
-			announcements: announcements ?? '',
-			serverAddress: server ?? '',
+			callers: listen.callers,
+			operators: listen.operators,
+			announcements: listen.announcements,
+			serverAddress: `${host}:${serverPorts[index] ?? 0}`,
 		});
 	}
 
