--- a/stand-ins/wire-server/wire-server.ts
+++ b/stand-ins/wire-server/wire-server.ts
@@ -67,6 +67,8 @@
 	readonly setSlots: (slots: number) => void;
 	/** Requests at work. */
 	readonly countAtWork: () => number;
+	/** Requests for these targets crash the server as they run: all its connections are cut, and nobody listens any more. */
+	readonly crashAt: (isFatal: (target: string) => boolean, handleCrash: (run: WireRun) => void) => void;
 	/** From here on another server has the address. */
 	readonly rename: (id: string) => void;
 	readonly close: () => Promise<void>;
@@ -100,6 +102,8 @@
 	let atWork = 0;
 	const planned: WireBehaviour[] = [];
 	const runs: WireRun[] = [];
+	let isFatal = (_target: string): boolean => false;
+	let handleCrash = (_run: WireRun): void => undefined;
 
 	const send = (response: ServerResponse, request: IncomingMessage, status: number, body: string): void => {
 		const call = getText(request, 'stonemoor-attempt-id');
@@ -204,6 +208,16 @@
 		});
 	};
 
+	const crash = (run: WireRun): void => {
+		if (!server.listening) {
+			return;
+		}
+
+		server.close();
+		server.closeAllConnections();
+		handleCrash(run);
+	};
+
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		const behaviour = atWork < slots ? planned.shift() ?? 'answer' : 'shed';
 		const expected = request.headers['stonemoor-expected-instance'];
@@ -226,6 +240,14 @@
 			noteRun(request, body, behaviour);
 		}
 
+		if (behaviour !== 'shed' && isFatal(request.url ?? '')) {
+			const run = runs.at(-1)!;
+			setTimeout(() => {
+				crash(run);
+			}, workMs);
+			return;
+		}
+
 		let isGone = false;
 		atWork++;
 		response.once('close', () => {
@@ -270,11 +292,19 @@
 			slots = next;
 		},
 		countAtWork: () => atWork,
+		crashAt(isFatalTarget, handleEnd) {
+			isFatal = isFatalTarget;
+			handleCrash = handleEnd;
+		},
 		rename(next) {
 			id = next;
 		},
 		async close() {
 			server.closeAllConnections();
+			if (!server.listening) {
+				return;
+			}
+
 			await new Promise(resolve => {
 				server.close(resolve);
 			});
