Sight: the gate tells when its server crashes, and names what was in work there

Ruled out: telling the end by the lost connection alone: servers that are full reset single connections and go on. Change: after a lost connection the gate asks once whether the server still listens; if not, one line names the fingerprints of all that was in work. No decision rests on it yet.

--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -120,6 +120,7 @@
 			wire,
 			log,
 			maxConnections: context.getMaxConnections(service),
+			isLeaving: () => context.isLeaving() || (state.current?.isLeaving ?? false),
 			handleUnreachable(asked, reason) {
 				state = doubtServer(state, asked, readSteadyMs() + doubtMs);
 				log.record('warn', {kind: 'server-doubted', server: asked.id, reason});
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -10,6 +10,8 @@
 import {readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
+import {computeFingerprint, type RequestIdentity} from '../quarantine/fingerprint.js';
+import {createCrashWatch} from '../quarantine/crash-watch.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {endGraceMs, type CallScope} from './call-scope.js';
 import {filterCallHeaders, getText, type WireHeaders} from './call-headers.js';
@@ -18,6 +20,7 @@
 	createMayHaveRun, createNotRun, type ForwardFailure, type ForwardResult,
 } from './forward-result.js';
 import {createServerConnections} from './server-connections.js';
+import {isRefusingConnections} from './refused-connection.js';
 import {createSilentConnections} from './silent-connections.js';
 
 /** A request for the server, which holds a slot. @internal */
@@ -41,6 +44,8 @@
 	readonly maxConnections: number;
 	/** The server could not be reached. */
 	readonly handleUnreachable: (lifetime: ServerLifetime, reason: string) => void;
+	/** Whether the server, or its node, leaves: its end is no crash then. */
+	readonly isLeaving: () => boolean;
 	/** Another server answered at the address. */
 	readonly handleStranger: (lifetime: ServerLifetime) => void;
 };
@@ -77,6 +82,12 @@
 /** A server that could not be reached is tried again after this, in milliseconds: a restart takes about as long. @internal */
 export const doubtMs = 500;
 
+/** A server on the same VM takes or refuses a connection in well under a millisecond; the answers of those that wait for this are late by it at the most. Milliseconds. */
+const askMs = 100;
+
+/** Requests that the log names when a server crashes: as many as are in work at the largest of the users' servers. */
+const namedSuspects = 20;
+
 /** Weight of the newest request in the share of failures: some ten requests make it. */
 const failureWeight = 0.1;
 
@@ -97,6 +108,13 @@
  */
 export const countPlaces = (slots: number): number => slots + Math.floor(slots / slotsPerRequestAhead);
 
+/** A request that was sent to the server. */
+type SentCall = {readonly id: string; readonly identity: RequestIdentity};
+
+const identify = ({method, target, headers, callerService}: SessionCall, body: Uint8Array | undefined): RequestIdentity => ({
+	method, host: typeof headers.host === 'string' ? headers.host : '', target, callerService, body,
+});
+
 const endedFailure = createNotRun('gone', 'the backend server has started again, or another one is there');
 
 /**
@@ -118,6 +136,19 @@
 	let failureShare = 0;
 	let isEnded = false;
 
+	const handleCrash = (atWork: readonly SentCall[]): void => {
+		const named = atWork.slice(0, namedSuspects);
+		log.record('warn', {
+			kind: 'server-crashed', server: lifetime.id, atWork: atWork.length,
+			suspects: named.map(({identity}) => computeFingerprint(identity)), calls: named.map(({id}) => id),
+		});
+	};
+
+	const crashWatch = createCrashWatch<SentCall>({
+		isRefusing: async () => !isEnded && !context.isLeaving() && isRefusingConnections(announcement.address, askMs),
+		handleCrash,
+	});
+
 	const noteOutcome = (hasFailed: boolean): void => {
 		failureShare = (failureShare * (1 - failureWeight)) + (hasFailed ? failureWeight : 0);
 	};
@@ -208,6 +239,10 @@
 			readCallId: headers => getText(headers, wire.callId),
 		});
 		handleEnd();
+		if (answer.type === 'failed' && answer.reason === 'connection-lost') {
+			await crashWatch.noteLost({id: call.id, identity: identify(call, body)});
+		}
+
 		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer);
 	};
 
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -104,6 +104,7 @@
 
 		case 'server-draining':
 		case 'server-doubted':
+		case 'server-crashed':
 		case 'server-announced': {
 			return names.has(line.server);
 		}
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -78,6 +78,7 @@
 	| {readonly kind: 'server-draining'; readonly server: string; readonly how: string}
 	| {readonly kind: 'server-silent'; readonly server: string; readonly heardMsAgo: number}
 	| {readonly kind: 'server-doubted'; readonly server: string; readonly reason: string}
+	| {readonly kind: 'server-crashed'; readonly server: string; readonly atWork: number; readonly suspects: readonly string[]; readonly calls: readonly string[]}
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
 	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptNote; readonly next: string}
--- a/stand-ins/wire-server/wire-server.ts
+++ b/stand-ins/wire-server/wire-server.ts
@@ -208,7 +208,7 @@
 		});
 	};
 
-	const crash = (run: WireRun): void => {
+	const endByCrash = (run: WireRun): void => {
 		if (!server.listening) {
 			return;
 		}
@@ -243,7 +243,7 @@
 		if (behaviour !== 'shed' && isFatal(request.url ?? '')) {
 			const run = runs.at(-1)!;
 			setTimeout(() => {
-				crash(run);
+				endByCrash(run);
 			}, workMs);
 			return;
 		}
