Quarantine: requests that crash backend servers are kept from them

Cause: a lost connection was judged for one attempt alone. No node remembered what a server had been at work on when it ended, so a request that crashes whatever runs it went to as many servers as its route allows, and came again at any node for as long as it was repeated. Ruled out: nodes that knew and did not tell (no such word existed); holding back whatever was in work at a crash (12 of 13 are innocent at a busy server). Change: src/lib/quarantine. The gate accuses what was in work when its server crashed, an answer clears; nodes join both by heartbeat, at once at a crash; one crash: on trial, one in work in the mesh; two: held for 10 s; three: refused (503, has not run) while it is asked for and 10 min beyond; stored under a lease of 10 min. What was in work at a crash is not sent to another server by the same call. A crash makes the server count as out of reach at once. What it costs where servers crash for other reasons is measured next.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -21,6 +21,7 @@
 import {type ShareSplitter} from '../route-config/share-splitter.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
 import {type ReturningCallers} from '../decisions/returning-callers.js';
+import {createRequestMark} from '../quarantine/request-mark.js';
 import {createByteBudget} from './byte-budget.js';
 import {createCallScope, endGraceMs, type CallScope} from './call-scope.js';
 import {
@@ -269,14 +270,18 @@
 
 			heldBytes = body?.length ?? 0;
 
+			const {method = 'GET', url: target = '/'} = request;
 			const outcome = await sendCall(context, {
 				id: call.id,
 				route,
 				service,
-				method: request.method ?? 'GET',
-				target: request.url ?? '/',
+				method,
+				target,
 				headers: filterCallHeaders(request.headers),
 				body,
+				mark: createRequestMark({
+					method, host: request.headers.host ?? '', target, callerService: context.callerService, body,
+				}),
 				receivedAt: call.receivedAt,
 				isAwaited,
 				ageMs,
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -22,6 +22,10 @@
 	/** The backend server says that it did not run the request. */
 	| 'shed'
 	| 'connection-lost'
+	/** The backend server ended while the request was in work there, and may have ended because of it. */
+	| 'server-crashed'
+	/** Backend servers ended while such a request was in work: it is not sent to another one. */
+	| 'quarantined'
 	| 'wrong-answer'
 	| 'no-server'
 	| 'timeout'
@@ -29,7 +33,7 @@
 	| 'superseded';
 
 const reasons: readonly ForwardReason[] = [
-	'full', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
+	'full', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
 ];
 
 /** @internal */
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -6,6 +6,7 @@
 import {toAddress, toBackendServerId} from '../common/ids.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
+import {createQuietQuarantine} from '../quarantine/sample-quarantine.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
 import {type WireHeaders} from './call-headers.js';
@@ -42,7 +43,7 @@
 	});
 	const address = toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	const gate = createLocalGate({
-		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, isLeaving, linkMbps: 7,
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving, linkMbps: 7,
 	});
 	let sequence = 0;
 	const fixture: Fixture = {
@@ -253,7 +254,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
-		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, isLeaving: () => false, linkMbps: 7,
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving: () => false, linkMbps: 7,
 	});
 	context.after(() => {
 		gate.dispose();
@@ -326,7 +327,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
-		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, isLeaving: () => false, linkMbps: 7,
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving: () => false, linkMbps: 7,
 	});
 	context.after(() => {
 		gate.dispose();
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -24,7 +24,7 @@
 	createNotRun, type ForwardFailure, type ForwardResult, type GateLoad, type GateResult,
 } from './forward-result.js';
 import {
-	countPlaces, doubtMs, openServerSession, type ServerSession, type SessionCall,
+	countPlaces, doubtMs, openServerSession, type ServerSession, type ServerSessionContext, type SessionCall,
 } from './server-session.js';
 import {createTransferLimit} from './transfer-limit.js';
 
@@ -49,6 +49,7 @@
 	/** Connections that the backend server accepts from this node. */
 	readonly getMaxConnections: (service: string) => number;
 	readonly isLeaving: () => boolean;
+	readonly quarantine: ServerSessionContext['quarantine'];
 	/** Megabits a second of this VM's link. */
 	readonly linkMbps: number;
 };
@@ -120,6 +121,7 @@
 			wire,
 			log,
 			maxConnections: context.getMaxConnections(service),
+			quarantine: context.quarantine,
 			isLeaving: () => context.isLeaving() || (state.current?.isLeaving ?? false),
 			handleUnreachable(asked, reason) {
 				state = doubtServer(state, asked, readSteadyMs() + doubtMs);
--- a/src/lib/forwarding/outgoing-call.ts
+++ b/src/lib/forwarding/outgoing-call.ts
@@ -8,6 +8,9 @@
 import {type Verdict} from '../common/verdict.js';
 import {type RouteRule} from '../route-config/route-config.js';
 import {type Candidate} from '../decisions/rank-servers.js';
+import {type Fingerprint} from '../quarantine/fingerprint.js';
+import {type Quarantine} from '../quarantine/quarantine.js';
+import {type RequestMark} from '../quarantine/request-mark.js';
 import {type LoadView} from '../decisions/load-view.js';
 import {type RetryAllowance} from '../decisions/retry-allowance.js';
 import {type AttemptNote, type MeshLog} from '../timeline/mesh-log.js';
@@ -26,6 +29,7 @@
 	readonly target: string;
 	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 	readonly body: Uint8Array | undefined;
+	readonly mark: RequestMark;
 	/** Steady milliseconds. */
 	readonly receivedAt: number;
 	/** A backend server made it and holds a slot until it is answered. */
@@ -48,7 +52,8 @@
 	readonly self: NodeId;
 	readonly callerService: string;
 	/** Servers of a service that are ready, with what is known of them for a request of a route; a few of them if there are many. */
-	readonly listCandidates: (needs: {readonly service: string; readonly route: string; readonly tried: ReadonlySet<LifetimeKey>}) => readonly Candidate[];
+	readonly listCandidates: (needs: {readonly service: string; readonly route: string; readonly tried: ReadonlySet<LifetimeKey>; readonly trialOf?: Fingerprint | undefined}) => readonly Candidate[];
+	readonly quarantine: Pick<Quarantine, 'judge'>;
 	readonly domain: Candidate['domain'];
 	readonly localGate: LocalGate;
 	readonly gateClient: GateClient;
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -7,6 +7,7 @@
 import {createSampleRoute} from '../route-config/sample-config.js';
 import {createLoadView, type LoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
+import {createQuietQuarantine, createSampleMark} from '../quarantine/sample-quarantine.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createCallScope} from './call-scope.js';
@@ -45,7 +46,7 @@
 		},
 	} as unknown as GateClient;
 	const context: SendContext = {
-		self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog,
+		self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog, quarantine: createQuietQuarantine(),
 		localGate: {} as unknown as LocalGate,
 		allowance: createRetryAllowance(() => ({ratio: 0.2, slack: 100, windowMs: 10_000}), () => 1),
 		random: () => 0,
@@ -68,7 +69,7 @@
 
 function createCall(changes: Partial<OutgoingCall> = {}): OutgoingCall {
 	return {
-		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined,
+		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined, mark: createSampleMark(),
 		receivedAt: performance.now(), isAwaited: false, ageMs: 0, scope: createCallScope(performance.now() + 1000), ...changes,
 	};
 }
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -13,6 +13,8 @@
 import {
 	mayAskAnother, planAttempt, standardRules, type AttemptPlan, type CallFacts,
 } from '../decisions/plan-attempt.js';
+import {type Judgement} from '../quarantine/ledger.js';
+import {describeRefusal as describeQuarantine} from '../quarantine/quarantine.js';
 import {type RepeatReason} from '../decisions/retry-allowance.js';
 import {createCallProgress, hasArrived} from './call-progress.js';
 import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
@@ -29,6 +31,8 @@
 	};
 }
 
+const isCrash = (result: ForwardResult): boolean => result.type === 'failed' && result.reason === 'server-crashed';
+
 function chooseRepeatReason(call: OutgoingCall, result: ForwardResult): RepeatReason {
 	if (result.type === 'answered' || result.verdict !== 'not-run') {
 		return 'may-have-run';
@@ -69,10 +73,13 @@
 		return true;
 	};
 
-	const planNext = (): AttemptPlan => {
+	const planNext = (judgement: Judgement): AttemptPlan => {
 		const now = readSteadyMs();
 		const facts = describeFacts(call, now);
-		const ranked = rankServers(context.listCandidates({service, route: route.name, tried: progress.tried}), {
+		const candidates = context.listCandidates({
+			service, route: route.name, tried: progress.tried, trialOf: judgement.type === 'trial' ? judgement.fingerprint : undefined,
+		});
+		const ranked = rankServers(candidates, {
 			domain: context.domain, random: context.random, ...computeDistances(route, call.isAwaited, facts.ageMs),
 		});
 		return planAttempt(facts, progress, ranked, standardRules, now);
@@ -99,25 +106,35 @@
 		progress.noteStart(running.start(target, mayWaitMs));
 	};
 
+	const refuse = (failure: ForwardFailure): CallOutcome | undefined => {
+		if (running.count() > 0) {
+			return undefined;
+		}
+
+		progress.noteRefusal(failure);
+		return progress.giveUp();
+	};
+
 	/** Starts the next attempt; without one, what is under way may still be answered. Yields how the call ended if nothing is. */
 	const startNext = (): CallOutcome | undefined => {
-		const plan = planNext();
-		if (plan.type === 'send') {
-			start(plan);
-			return undefined;
+		// What the node has heard since the last attempt counts for the next one.
+		const judgement = context.quarantine.judge(call.mark);
+		if (judgement.type === 'refused') {
+			return refuse(createNotRun('quarantined', describeQuarantine(judgement), judgement.retryAfterMs));
 		}
 
-		if (running.count() > 0) {
+		const plan = planNext(judgement);
+		if (plan.type === 'send') {
+			start(plan);
 			return undefined;
 		}
 
-		progress.noteRefusal(describeRefusal(plan));
-		return progress.giveUp();
+		return refuse(describeRefusal(plan));
 	};
 
 	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. None does beside one that nobody doubts. */
 	const mayGoOn = (result: ForwardResult): boolean => {
-		const isHarmless = mayRepeat || progress.getVerdict() === 'not-run';
+		const isHarmless = (mayRepeat || progress.getVerdict() === 'not-run') && !isCrash(result);
 		if (!isHarmless || scope.getEnd() !== undefined || !running.hasOnlyDoubted()) {
 			return false;
 		}
@@ -161,8 +178,9 @@
 			return;
 		}
 
-		const plan = planNext();
-		if (plan.type === 'send' && (hasPaid() || takeRepeat('may-have-run'))) {
+		const judgement = context.quarantine.judge(call.mark);
+		const plan = judgement.type === 'free' ? planNext(judgement) : undefined;
+		if (plan?.type === 'send' && (hasPaid() || takeRepeat('may-have-run'))) {
 			start(plan);
 		}
 	};
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -10,8 +10,9 @@
 import {readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
-import {computeFingerprint, type RequestIdentity} from '../quarantine/fingerprint.js';
 import {createCrashWatch} from '../quarantine/crash-watch.js';
+import {type Quarantine} from '../quarantine/quarantine.js';
+import {createRequestMark, type RequestMark} from '../quarantine/request-mark.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {endGraceMs, type CallScope} from './call-scope.js';
 import {filterCallHeaders, getText, type WireHeaders} from './call-headers.js';
@@ -44,6 +45,7 @@
 	readonly maxConnections: number;
 	/** The server could not be reached. */
 	readonly handleUnreachable: (lifetime: ServerLifetime, reason: string) => void;
+	readonly quarantine: Pick<Quarantine, 'judge' | 'admitRun' | 'noteCrash' | 'noteAnswered'>;
 	/** Whether the server, or its node, leaves: its end is no crash then. */
 	readonly isLeaving: () => boolean;
 	/** Another server answered at the address. */
@@ -109,9 +111,9 @@
 export const countPlaces = (slots: number): number => slots + Math.floor(slots / slotsPerRequestAhead);
 
 /** A request that was sent to the server. */
-type SentCall = {readonly id: string; readonly identity: RequestIdentity};
+type SentCall = {readonly id: string; readonly mark: RequestMark};
 
-const identify = ({method, target, headers, callerService}: SessionCall, body: Uint8Array | undefined): RequestIdentity => ({
+const createCallMark = ({method, target, headers, callerService}: SessionCall, body: Uint8Array | undefined): RequestMark => createRequestMark({
 	method, host: typeof headers.host === 'string' ? headers.host : '', target, callerService, body,
 });
 
@@ -140,8 +142,10 @@
 		const named = atWork.slice(0, namedSuspects);
 		log.record('warn', {
 			kind: 'server-crashed', server: lifetime.id, atWork: atWork.length,
-			suspects: named.map(({identity}) => computeFingerprint(identity)), calls: named.map(({id}) => id),
+			suspects: named.map(({mark}) => mark.getFingerprint()), calls: named.map(({id}) => id),
 		});
+		context.quarantine.noteCrash(lifetime, atWork.map(({mark}) => mark));
+		context.handleUnreachable(lifetime, 'it crashed');
 	};
 
 	const crashWatch = createCrashWatch<SentCall>({
@@ -178,7 +182,17 @@
 		}
 	};
 
-	const judgeAnswer = (answer: ExchangeAnswer): ForwardResult => {
+	/**
+	 * A request that was in work when the server crashed goes to no other server of its own accord: one that crashes whatever runs it
+	 * took as many servers at once as its route allows attempts. One that was answered elsewhere a moment ago goes on as ever.
+	 */
+	const judgeLost = async ({id}: SessionCall, mark: RequestMark, failure: ExchangeFailure): Promise<ForwardFailure> => {
+		const hasCrashed = await crashWatch.noteLost({id, mark});
+		const judged = judgeFailure(failure);
+		return hasCrashed && context.quarantine.judge(mark).type !== 'free' ? {...judged, reason: 'server-crashed'} : judged;
+	};
+
+	const judgeAnswer = (answer: ExchangeAnswer, mark: RequestMark): ForwardResult => {
 		if (answer.status === 421) {
 			// Another server has the address: it is not asked again before it has said who it is.
 			context.handleStranger(lifetime);
@@ -196,6 +210,7 @@
 		}
 
 		noteOutcome(answer.status >= 500);
+		context.quarantine.noteAnswered(mark);
 		return {
 			type: 'answered', status: answer.status, headers: filterCallHeaders(answer.headers), body: answer.body,
 		};
@@ -224,6 +239,12 @@
 			log.record('info', {kind: 'connections-renewed', server: lifetime.id, reason: 'a request has waited for far longer than requests take'});
 		}
 
+		const mark = createCallMark(call, body);
+		const admission = context.quarantine.admitRun(mark);
+		if (admission.type === 'refused') {
+			return createNotRun('quarantined', admission.detail, admission.retryAfterMs);
+		}
+
 		const handleEnd = silence.begin(now);
 		const answer = await runExchange({
 			connections, id: call.id, method: call.method, target: call.target, body, scope: call.scope,
@@ -239,11 +260,12 @@
 			readCallId: headers => getText(headers, wire.callId),
 		});
 		handleEnd();
-		if (answer.type === 'failed' && answer.reason === 'connection-lost') {
-			await crashWatch.noteLost({id: call.id, identity: identify(call, body)});
+		admission.end();
+		if (answer.type === 'failed') {
+			return answer.reason === 'connection-lost' ? judgeLost(call, mark, answer) : judgeFailure(answer);
 		}
 
-		return answer.type === 'failed' ? judgeFailure(answer) : judgeAnswer(answer);
+		return judgeAnswer(answer, mark);
 	};
 
 	const stopTaking = (): void => {
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -14,6 +14,7 @@
 import {type Candidate} from '../decisions/rank-servers.js';
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createSampleRoute} from '../route-config/sample-config.js';
+import {createQuietQuarantine, createSampleMark} from '../quarantine/sample-quarantine.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
 import {
@@ -76,13 +77,13 @@
 		},
 	} as unknown as GateClient;
 	const call: OutgoingCall = {
-		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined,
+		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined, mark: createSampleMark(),
 		receivedAt: performance.now(), isAwaited: false, ageMs: 0, scope,
 	};
 	return {
 		sent,
 		send: async () => sendCall({
-			self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog,
+			self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog, quarantine: createQuietQuarantine(),
 			localGate: {} as unknown as LocalGate,
 			allowance: createRetryAllowance(() => ({ratio: 0, slack, windowMs: 10_000}), () => 1),
 			random: () => 0,
--- a/src/lib/forwarding/two-attempts.test.ts
+++ b/src/lib/forwarding/two-attempts.test.ts
@@ -9,6 +9,7 @@
 import {type Candidate} from '../decisions/rank-servers.js';
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createSampleRoute} from '../route-config/sample-config.js';
+import {createQuietQuarantine, createSampleMark} from '../quarantine/sample-quarantine.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
 import {
@@ -48,6 +49,7 @@
 		},
 		send: async () => sendCall({
 			self: toNodeId('n1'), callerService: 'caller', domain, loads, log: silentLog, localGate: {} as unknown as LocalGate,
+			quarantine: createQuietQuarantine(),
 			listCandidates: () => ['a', 'b', 'c', 'd'].map((id): Candidate => ({
 				id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
 			})),
@@ -75,7 +77,7 @@
 				};
 			},
 		}, {
-			id: 'c1', route: createSampleRoute({maxAttempts, type}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined,
+			id: 'c1', route: createSampleRoute({maxAttempts, type}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined, mark: createSampleMark(),
 			receivedAt: performance.now(), isAwaited: false, ageMs: 0, scope,
 		}),
 	};
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -58,6 +58,8 @@
 	readonly announce: () => void;
 	/** Tells the nodes of the own failure domain at once. */
 	readonly announceToDomain: () => void;
+	/** Tells everybody at once of what must not wait for the next heartbeat. */
+	readonly announceToAll: () => void;
 	/** Asks a node for a report, for requests wait for it. */
 	readonly probe: (node: NodeId) => void;
 	readonly noteUnreachable: (node: NodeId) => void;
@@ -369,6 +371,9 @@
 		announceToDomain() {
 			sendToPeers(table.listOwnDomain());
 		},
+		announceToAll() {
+			sendToPeers(table.list());
+		},
 		probe(node) {
 			const peer = table.get(node);
 			if (peer !== undefined) {
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -13,6 +13,7 @@
 	readAddress, readAmount, readCount, readFlag, readList, readName,
 } from '../common/read-input.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
+import {decodeSuspect, encodeSuspect, type SuspectRecord} from '../quarantine/suspect-record.js';
 
 /** Whether a backend server takes work. @internal */
 export type ServerState = 'ready' | 'draining' | 'down';
@@ -54,6 +55,8 @@
 	readonly periods: HeartbeatPeriods;
 	/** It wants a report in return at once. */
 	readonly isProbe: boolean;
+	/** Requests that were in work when servers crashed, a bounded part of those that it knows of. */
+	readonly suspects: readonly SuspectRecord[];
 };
 
 /** What a node can do, and does, for the others of its failure domain. @internal */
@@ -122,6 +125,7 @@
 		encodeDuties(report.duties),
 		[report.periods.ownDomainMs, report.periods.otherDomainMs],
 		report.isProbe ? 1 : 0,
+		report.suspects.map(suspect => encodeSuspect(suspect)),
 	]);
 }
 
@@ -186,8 +190,12 @@
 	};
 }
 
+function readSuspects(value: unknown): readonly SuspectRecord[] {
+	return value === undefined ? [] : readList(value, 'suspects').map((suspect, place) => decodeSuspect(suspect, `suspects.${place}`));
+}
+
 function readReport(value: unknown): PeerReport {
-	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, duties, periods, isProbe] = readList(value, 'report');
+	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, duties, periods, isProbe, suspects] = readList(value, 'report');
 	return {
 		node: toNodeId(readName(node, 'node')),
 		run: readName(run, 'run'),
@@ -201,6 +209,7 @@
 		duties: readDuties(duties),
 		periods: readPeriods(periods),
 		isProbe: readFlag(isProbe, 'isProbe'),
+		suspects: readSuspects(suspects),
 	};
 }
 
--- a/src/lib/peers/sample-report.ts
+++ b/src/lib/peers/sample-report.ts
@@ -23,6 +23,7 @@
 		duties: {linkMbps: 1000, isFollowing: true, storeSeenMs: 300},
 		periods: {ownDomainMs: 400, otherDomainMs: 400},
 		isProbe: false,
+		suspects: [],
 		...changes,
 	};
 }
--- /dev/null
+++ b/src/lib/quarantine/ledger.ts
@@ -0,0 +1,275 @@
+/**
+ * Which requests are suspected of crashing the backend servers that run them:
+ * the decision part. Time is handed in.
+ *
+ * One crash accuses everything that was in work at the server. What a server
+ * answers afterwards is cleared, so that after two or three crashes what is left
+ * is the request that no server survives. Records of different nodes are joined
+ * crash by crash: in any order, and however often, the same comes out.
+ *
+ * @module
+ */
+import {cutBody, type Fingerprint, type HeadFingerprint} from './fingerprint.js';
+import {mostCrashes, type CrashKey, type SuspectRecord} from './suspect-record.js';
+
+/** What may be done with a request. @internal */
+export type Judgement =
+	| {readonly type: 'free'}
+	/** One of it may run in the whole mesh, at a server that all nodes agree on. */
+	| {readonly type: 'trial'; readonly fingerprint: Fingerprint}
+	| {readonly type: 'refused'; readonly fingerprint: Fingerprint; readonly crashes: number; readonly retryAfterMs: number};
+
+/** @internal */
+export type QuarantineLedger = {
+	readonly countRecords: () => number;
+	/** Whether the body of a request with this head has to be looked at. */
+	readonly hasHead: (head: HeadFingerprint) => boolean;
+	readonly judge: (fingerprint: Fingerprint, now: number) => Judgement;
+	/** Takes in that requests were in work when a server crashed; yields those that are new in this. */
+	readonly accuse: (fingerprints: readonly Fingerprint[], crash: CrashKey, now: number) => readonly Fingerprint[];
+	/** Takes in that a server answered a request; yields how many crashes it was cleared of. */
+	readonly clear: (fingerprint: Fingerprint, now: number) => number;
+	/** Takes in what another node knows; yields those of which more is known now. */
+	readonly merge: (records: readonly SuspectRecord[], now: number) => readonly Fingerprint[];
+	readonly get: (fingerprint: Fingerprint, now: number) => SuspectRecord | undefined;
+	/** Requests that reached the last step and are refused or on trial after a long time. */
+	readonly listQuarantined: (now: number) => readonly SuspectRecord[];
+	/** A bounded part of what is known: by turns what has changed last, and the rest in order. */
+	readonly listPart: (now: number) => readonly SuspectRecord[];
+};
+
+/**
+ * From this many crashes on a request waits for a while before the next server may run it. A crash costs a server for some
+ * seconds and all that is in work there, up to 13 requests; a request held back costs itself.
+ */
+const heldFrom = 2;
+
+/** From this many crashes on it is refused until it has not been asked for in a long time. */
+const quarantinedFrom = 3;
+
+/** From this many crashes on it is refused for as long as it is known: three more servers have ended on trial. */
+const endedFrom = 6;
+
+/** How long a request is held back after its second crash. Milliseconds: several times what a server needs to come back, so that the next crash does not meet a service that lacks two servers already. */
+const holdMs = 10_000;
+
+/** A quarantined request that nobody has asked for in this time may be tried again. Milliseconds: whoever sent it may have been mended, and a trial costs one crash. */
+const quietTrialMs = 600_000;
+
+/** What is suspected of fewer crashes is forgotten after this. Milliseconds: most of it was in work beside the guilty one, and is asked for again within seconds if at all. */
+const forgetMs = 60_000;
+
+/** What reached quarantine once is kept for this long, also when it was cleared: the store may name it for ten minutes more. Milliseconds. */
+const forgetQuarantinedMs = 3_600_000;
+
+/** Records that are held at the most, some 60 kilobytes. A crash makes one for each request in work; those with the fewest crashes go first. */
+const mostRecords = 256;
+
+/** Records that one message carries at the most: some 900 bytes, so that it fits into one datagram with all else. */
+const partLength = 16;
+
+/** When a request that is held back is worth asking for again, at the least. Milliseconds. */
+const leastRetryMs = 1000;
+
+/** When a quarantined one is: not soon. Milliseconds. */
+const quarantinedRetryMs = 60_000;
+
+type Entry = {
+	readonly fingerprint: Fingerprint;
+	readonly crashes: Set<CrashKey>;
+	readonly cleared: Set<CrashKey>;
+	/** When the newest of the crashes was heard of. */
+	crashedAt: number;
+	/** When it was last in a crash or refused. */
+	askedAt: number;
+	/** When anything of it changed here. */
+	changedAt: number;
+};
+
+const free: Judgement = {type: 'free'};
+
+function addKey(keys: Set<CrashKey>, key: CrashKey): boolean {
+	if (keys.has(key) || keys.size >= mostCrashes) {
+		return false;
+	}
+
+	keys.add(key);
+	return true;
+}
+
+/** Whether it is, or was, known of enough crashes to have been quarantined. */
+const hasBeenQuarantined = ({crashes, cleared}: Pick<Entry, 'crashes' | 'cleared'>): boolean => crashes.size + cleared.size >= quarantinedFrom;
+
+const getKeepMs = (entry: Entry): number => hasBeenQuarantined(entry) ? forgetQuarantinedMs : forgetMs;
+
+/**
+ * @returns A ledger in which nothing is suspected.
+ * @internal
+ */
+export function createQuarantineLedger(): QuarantineLedger {
+	const entries = new Map<Fingerprint, Entry>();
+	/** How many records share a head. */
+	const heads = new Map<HeadFingerprint, number>();
+	/** Where the next part of all begins. */
+	let place = 0;
+	let isNewestNext = false;
+
+	const drop = (fingerprint: Fingerprint): void => {
+		if (!entries.delete(fingerprint)) {
+			return;
+		}
+
+		const head = cutBody(fingerprint);
+		const left = (heads.get(head) ?? 0) - 1;
+		if (left > 0) {
+			heads.set(head, left);
+		} else {
+			heads.delete(head);
+		}
+	};
+
+	const dropOld = (now: number): void => {
+		for (const entry of entries.values()) {
+			if (now - entry.askedAt > getKeepMs(entry)) {
+				drop(entry.fingerprint);
+			}
+		}
+	};
+
+	const dropWeakest = (): void => {
+		if (entries.size < mostRecords) {
+			return;
+		}
+
+		const [weakest] = [...entries.values()].toSorted((left, right) => left.crashes.size - right.crashes.size || left.changedAt - right.changedAt);
+		if (weakest !== undefined) {
+			drop(weakest.fingerprint);
+		}
+	};
+
+	const open = (fingerprint: Fingerprint, now: number): Entry => {
+		const known = entries.get(fingerprint);
+		if (known !== undefined) {
+			return known;
+		}
+
+		dropWeakest();
+		const entry: Entry = {
+			fingerprint, crashes: new Set(), cleared: new Set(), crashedAt: now, askedAt: now, changedAt: now,
+		};
+		entries.set(fingerprint, entry);
+		const head = cutBody(fingerprint);
+		heads.set(head, (heads.get(head) ?? 0) + 1);
+		return entry;
+	};
+
+	const describe = ({fingerprint, askedAt, crashes, cleared}: Entry, now: number): SuspectRecord => ({
+		fingerprint, quietMs: Math.max(0, now - askedAt), crashes: [...crashes], cleared: [...cleared],
+	});
+
+	const addCrash = (entry: Entry, crash: CrashKey, now: number): boolean => {
+		if (entry.cleared.has(crash) || !addKey(entry.crashes, crash)) {
+			return false;
+		}
+
+		entry.crashedAt = now;
+		entry.changedAt = now;
+		return true;
+	};
+
+	const forgiveCrash = (entry: Entry, crash: CrashKey, now: number): boolean => {
+		if (!addKey(entry.cleared, crash)) {
+			return false;
+		}
+
+		entry.crashes.delete(crash);
+		entry.changedAt = now;
+		return true;
+	};
+
+	/** What another node has nearly forgotten must not begin anew here. */
+	const isWorthKeeping = ({quietMs, crashes, cleared}: SuspectRecord): boolean =>
+		quietMs < (crashes.length + cleared.length >= quarantinedFrom ? forgetQuarantinedMs : forgetMs);
+
+	const mergeOne = (record: SuspectRecord, now: number): boolean => {
+		if (!entries.has(record.fingerprint) && !isWorthKeeping(record)) {
+			return false;
+		}
+
+		const isNew = !entries.has(record.fingerprint);
+		const entry = open(record.fingerprint, now);
+		const askedAt = now - record.quietMs;
+		entry.askedAt = isNew ? askedAt : Math.max(entry.askedAt, askedAt);
+		let isChanged = false;
+		for (const crash of record.cleared) {
+			isChanged = forgiveCrash(entry, crash, now) || isChanged;
+		}
+
+		for (const crash of record.crashes) {
+			isChanged = addCrash(entry, crash, now) || isChanged;
+		}
+
+		return isChanged;
+	};
+
+	const refuse = (entry: Entry, retryAfterMs: number, now: number): Judgement => {
+		entry.askedAt = now;
+		return {
+			type: 'refused', fingerprint: entry.fingerprint, crashes: entry.crashes.size, retryAfterMs: Math.max(leastRetryMs, retryAfterMs),
+		};
+	};
+
+	return {
+		countRecords: () => entries.size,
+		hasHead: head => heads.has(head),
+		judge(fingerprint, now) {
+			const entry = entries.get(fingerprint);
+			if (entry === undefined || entry.crashes.size === 0) {
+				return free;
+			}
+
+			const count = entry.crashes.size;
+			if (count >= endedFrom || (count >= quarantinedFrom && now - entry.askedAt < quietTrialMs)) {
+				return refuse(entry, quarantinedRetryMs, now);
+			}
+
+			const heldMs = entry.crashedAt + holdMs - now;
+			return count >= heldFrom && heldMs > 0 ? refuse(entry, heldMs, now) : {type: 'trial', fingerprint};
+		},
+		accuse(fingerprints, crash, now) {
+			return [...new Set(fingerprints)].filter(fingerprint => {
+				const entry = open(fingerprint, now);
+				entry.askedAt = now;
+				return addCrash(entry, crash, now);
+			});
+		},
+		clear(fingerprint, now) {
+			const entry = entries.get(fingerprint);
+			const crashes = [...entry?.crashes ?? []];
+			return entry === undefined ? 0 : crashes.filter(crash => forgiveCrash(entry, crash, now)).length;
+		},
+		merge: (records, now) => records.filter(record => mergeOne(record, now)).map(({fingerprint}) => fingerprint),
+		get(fingerprint, now) {
+			const entry = entries.get(fingerprint);
+			return entry === undefined ? undefined : describe(entry, now);
+		},
+		listQuarantined: now => [...entries.values()].filter(({crashes}) => crashes.size >= quarantinedFrom).map(entry => describe(entry, now)),
+		listPart(now) {
+			dropOld(now);
+			if (entries.size <= partLength) {
+				return [...entries.values()].map(entry => describe(entry, now));
+			}
+
+			const all = [...entries.values()];
+			isNewestNext = !isNewestNext;
+			if (isNewestNext) {
+				return all.toSorted((left, right) => right.changedAt - left.changedAt).slice(0, partLength).map(entry => describe(entry, now));
+			}
+
+			place = place >= all.length ? 0 : place;
+			const part = all.slice(place, place + partLength).map(entry => describe(entry, now));
+			place += partLength;
+			return part;
+		},
+	};
+}
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -19,6 +19,9 @@
 import {createRegistration} from '../sync/registration.js';
 import {isRelay, type DomainNode} from '../sync/relay-duty.js';
 import {createStoreHealth} from '../sync/store-health.js';
+import {
+	createSuspectEntries, suspectPrefix, type SuspectEntries, type SuspectEntriesContext,
+} from '../sync/suspect-entries.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type Refusals} from '../timeline/refusals.js';
 import {createConfigAnswers} from './config-answers.js';
@@ -43,6 +46,8 @@
 	readonly log: MeshLog;
 	readonly refusals: Refusals;
 	readonly random: () => number;
+	/** What keeps and finds quarantined requests in the store. */
+	readonly suspects: Pick<SuspectEntriesContext, 'listQuarantined' | 'handleRecords'>;
 	/** Told of each configuration that comes into force. */
 	readonly handleAdopted: (held: HeldConfig) => void;
 };
@@ -57,6 +62,8 @@
 	/** What a node is sent that has a version of the configuration. */
 	readonly answerConfig: (version: number) => EncodedConfigAnswer;
 	readonly isStoreReachable: () => boolean;
+	/** Keeps quarantined requests in the store. */
+	readonly storeSuspects: SuspectEntries['write'];
 	readonly start: () => void;
 	/** Takes this node out of the store. */
 	readonly withdraw: () => Promise<void>;
@@ -128,9 +135,15 @@
 			newer.noteStoreRead(startedAt);
 		},
 	});
+	const suspects = createSuspectEntries({
+		store, log, refusals: context.refusals, random, countPeers: () => link.table.size, ...context.suspects,
+	});
 	const registration = createRegistration({
 		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.table.size,
 		isKnown: link.table.hasGossip, refusals: context.refusals, handleAddresses: link.addContacts,
+		handleOtherItems(items) {
+			suspects.take(items.filter(({key}) => key.startsWith(suspectPrefix)));
+		},
 	});
 
 	const newer = createNewerConfigFetcher({
@@ -185,6 +198,7 @@
 		},
 		answerConfig: createConfigAnswers(holder),
 		isStoreReachable: health.isReachable,
+		storeSuspects: suspects.write,
 		start() {
 			void keepRunning(follower.run);
 			void keepRunning(registration.run);
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -10,6 +10,8 @@
 import {
 	isReachable, type Peer, type PeerLimits, type ServicePeers,
 } from '../peers/peer-table.js';
+import {type Fingerprint} from '../quarantine/fingerprint.js';
+import {chooseTrialServer} from '../quarantine/trial-server.js';
 import {estimateSlotWait, type LoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
 
@@ -38,6 +40,8 @@
 	readonly route: string;
 	/** Servers that are out of the question. */
 	readonly tried: ReadonlySet<LifetimeKey>;
+	/** The request may crash servers: it goes to one that all nodes choose alike, so that one of it is in work in the whole mesh. */
+	readonly trialOf?: Fingerprint | undefined;
 };
 
 /**
@@ -118,11 +122,12 @@
 	};
 
 	const ownPart = own.server?.service === service && own.server.state === 'ready' && !tried.has(toLifetimeKey(own.server.lifetime)) ? [describeOwn(sources, own.server, route, now)] : [];
-	const drawn = [...ownPart, ...findSome(peers.ownDomain), ...findSome(peers.otherDomains)];
-	if (drawn.length > 0) {
-		return drawn;
+	const listAll = (): readonly Candidate[] => [...ownPart, ...[...peers.ownDomain, ...peers.otherDomains].flatMap(peer => describeUsable(peer) ?? [])];
+	if (needs.trialOf !== undefined) {
+		return chooseTrialServer(needs.trialOf, listAll());
 	}
 
+	const drawn = [...ownPart, ...findSome(peers.ownDomain), ...findSome(peers.otherDomains)];
 	// Most of a service may be gone at once, and the few that are left not be drawn.
-	return [...peers.ownDomain, ...peers.otherDomains].flatMap(peer => describeUsable(peer) ?? []);
+	return drawn.length > 0 ? drawn : listAll();
 }
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -20,6 +20,7 @@
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createAwaitedRoutes} from '../decisions/awaited-routes.js';
 import {createReturningCallers} from '../decisions/returning-callers.js';
+import {createQuarantine} from '../quarantine/quarantine.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {type PeerLimits, type PeerNews} from '../peers/peer-table.js';
@@ -145,9 +146,20 @@
 		awaitedRoutes.retain(routes);
 	};
 
+	const quarantine = createQuarantine({
+		log,
+		handleNews() {
+			link.announceToAll();
+		},
+		handleQuarantined(records) {
+			sync.storeSuspects(records);
+		},
+	});
+
 	const gate = createLocalGate({
 		wire,
 		log,
+		quarantine,
 		handleChange() {
 			link.announce();
 		},
@@ -158,7 +170,7 @@
 
 	const describeSelf = (sequence: number): Omit<PeerReport, 'periods' | 'isProbe'> => ({
 		node: self, run, sequence, domain, gate: settings.listen.gate, gossip: settings.listen.gossip, version: sync.holder.getVersion(), isLeaving: isGateLeaving, server: gate.describe(),
-		duties: sync.describeDuties(),
+		duties: sync.describeDuties(), suspects: quarantine.describe(),
 	});
 
 	const handleReport = (report: PeerReport, news: PeerNews): void => {
@@ -170,6 +182,7 @@
 			loads.hear(toLifetimeKey(report.server.lifetime), report.server, readSteadyMs());
 		}
 
+		quarantine.take(report.suspects, report.node);
 		sync.handleReport(report);
 	};
 
@@ -190,6 +203,12 @@
 	const sync = createConfigSync({
 		store, configKey: surroundings.configKey, decodeConfig: surroundings.decodeConfig, self, gossip: settings.listen.gossip, linkMbps: settings.linkMbps,
 		link, peerLimits, isNear, fetchConfig: gateClient.fetchConfig, log, refusals, random, handleAdopted,
+		suspects: {
+			listQuarantined: quarantine.listQuarantined,
+			handleRecords(records) {
+				quarantine.take(records, 'store');
+			},
+		},
 	});
 
 	/** Whatever was sent before may hang on a connection that a cut has left half open. */
@@ -224,6 +243,7 @@
 		callerService: settings.service,
 		listCandidates: listServers,
 		localGate: gate,
+		quarantine,
 		gateClient,
 		loads,
 		allowance: createRetryAllowance(() => settings.retries, countSlackNodes),
@@ -262,6 +282,8 @@
 		{name: 'stonemoor_peers', help: 'Other nodes known', read: () => link.table.size},
 		{name: 'stonemoor_gate_requests', help: 'Requests in work and waiting at the gate', read: gate.countRequests},
 		{name: 'stonemoor_entry_calls', help: 'Calls of callers under way', read: () => entry.countCalls()},
+		{name: 'stonemoor_suspected_requests', help: 'Requests known to have been in work when backend servers crashed', read: quarantine.countSuspects},
+		{name: 'stonemoor_quarantine_refusals', help: 'Judgements that kept a request from backend servers, since the start', read: quarantine.countRefused},
 		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(sync.isStoreReachable())},
 	]);
 
--- a/src/lib/sync/registration.ts
+++ b/src/lib/sync/registration.ts
@@ -7,7 +7,7 @@
  */
 import {readSteadyMs, waitFor} from '../common/clock.js';
 import {type Address, type NodeId} from '../common/ids.js';
-import {type MeshStore, type StoreItems} from '../store/mesh-store.js';
+import {type MeshStore, type StoreItem, type StoreItems} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type Refusals} from '../timeline/refusals.js';
 import {createEntryBook} from './entry-book.js';
@@ -30,6 +30,8 @@
 	readonly refusals: Refusals;
 	/** Told of the addresses at which other nodes may listen. */
 	readonly handleAddresses: (addresses: readonly Address[]) => void;
+	/** Told of what else the mesh keeps in the store, each time that all of it was listed. */
+	readonly handleOtherItems: (items: readonly StoreItem[]) => void;
 };
 
 /** @internal */
@@ -40,8 +42,11 @@
 	readonly dispose: () => void;
 };
 
+/** Where the mesh keeps what lasts. It is listed whole: a second list would be a second call, and what stands beside the addresses is little. */
+const meshPrefix = 'stonemoor/';
+
 /** Where nodes keep their addresses. */
-const prefix = 'stonemoor/nodes/';
+const prefix = `${meshPrefix}nodes/`;
 
 /** Milliseconds after which the address of a node that is gone disappears. */
 const leaseMs = 12_000;
@@ -70,7 +75,7 @@
  * @internal
  */
 export function createRegistration(context: RegistrationContext): Registration {
-	const {store, health, self, gossip, log, random, isFollowing, countPeers, isKnown, refusals, handleAddresses} = context;
+	const {store, health, self, gossip, log, random, isFollowing, countPeers, isKnown, refusals, handleAddresses, handleOtherItems} = context;
 	const disposed = new AbortController();
 	const key = `${prefix}${self}`;
 	const entries = createEntryBook({isKnown, refusals});
@@ -131,7 +136,7 @@
 	};
 
 	const list = async (isFirst: boolean): Promise<boolean> => {
-		const read = await store.listItems(prefix, {mayBeStale: !isFirst});
+		const read = await store.listItems(meshPrefix, {mayBeStale: !isFirst});
 		if (read.isErr()) {
 			health.noteFailure('list the nodes', read.error.reason);
 			return false;
@@ -139,7 +144,9 @@
 
 		health.noteSuccess();
 		checkOwnEntry(read.value);
-		handleAddresses(entries.take(read.value.items.filter(item => item.key !== key), readSteadyMs()));
+		const {items} = read.value;
+		handleAddresses(entries.take(items.filter(item => item.key.startsWith(prefix) && item.key !== key), readSteadyMs()));
+		handleOtherItems(items.filter(item => !item.key.startsWith(prefix)));
 		return true;
 	};
 
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -83,6 +83,8 @@
 	'node-unreachable': 'the node beside the backend server could not be reached: it had ended, was starting, or was cut off',
 	shed: 'the backend servers said themselves that they did not run it',
 	'connection-lost': 'the connection was lost after the request had been sent: the backend server, or its node, ended or broke off',
+	'server-crashed': 'the backend server crashed while it was in work there, and it may be the reason: it was not sent to another one',
+	quarantined: 'backend servers crashed each time that such a request was in work: it is kept from the others (look for "request-suspected" and "server-crashed" with its fingerprint)',
 	'wrong-answer': 'the backend server sent what was no answer to this request',
 	'no-server': 'no backend server of the service was known',
 	timeout: 'its time was over before the backend server answered',
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -79,6 +79,9 @@
 	| {readonly kind: 'server-silent'; readonly server: string; readonly heardMsAgo: number}
 	| {readonly kind: 'server-doubted'; readonly server: string; readonly reason: string}
 	| {readonly kind: 'server-crashed'; readonly server: string; readonly atWork: number; readonly suspects: readonly string[]; readonly calls: readonly string[]}
+	| {readonly kind: 'request-suspected'; readonly fingerprint: string; readonly crashes: number; readonly from: string}
+	| {readonly kind: 'request-cleared'; readonly fingerprint: string; readonly crashes: number}
+	| {readonly kind: 'quarantine-not-stored'; readonly fingerprint: string; readonly reason: string}
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
 	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptNote; readonly next: string}
