Quarantine: a server that was replaced before its end was read has crashed

A node that lags may hear that its server started again before it reads the ends of the connections; the address then takes connections, so nothing was accused. Ruled out: any other server at the gate: one that leaves, or stands at another address, may be at work still. Change: a later start of the id, or another id at the same address, ends the server before as a crash unless it was leaving. The reason told for a call that a later start ends is 'server-crashed' in place of 'connection-lost' (local-gate.test, one assertion; the verdict is the same), so that it is not sent to the next server either.

--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -6,7 +6,8 @@
 import {toAddress, toBackendServerId} from '../common/ids.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
-import {createQuietQuarantine} from '../quarantine/sample-quarantine.js';
+import {type Quarantine} from '../quarantine/quarantine.js';
+import {createQuietQuarantine, createSampleMark} from '../quarantine/sample-quarantine.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
 import {type WireHeaders} from './call-headers.js';
@@ -20,8 +21,11 @@
 
 type Fixture = {
 	readonly gate: LocalGate;
+	readonly quarantine: Quarantine;
 	/** Ids of the calls that arrived. */
 	readonly arrived: string[];
+	/** Cuts all connections to the server. */
+	readonly cutAll: () => void;
 	/** Answers the first call that is still open. */
 	readonly answerNext: () => void;
 	readonly announce: (changes?: Partial<ServerAnnouncement>) => void;
@@ -42,13 +46,18 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const address = toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const quarantine = createQuietQuarantine();
 	const gate = createLocalGate({
-		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving, linkMbps: 7,
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine, isLeaving, linkMbps: 7,
 	});
 	let sequence = 0;
 	const fixture: Fixture = {
 		gate,
+		quarantine,
 		arrived,
+		cutAll() {
+			server.closeAllConnections();
+		},
 		answerNext() {
 			open.shift()?.end('page');
 		},
@@ -124,7 +133,7 @@
 	fixture.announce({lifetime: later});
 	const {result} = await sent;
 	assert.ok(result.type === 'failed');
-	assert.deepEqual([result.verdict, result.reason], ['may-have-run', 'connection-lost']);
+	assert.deepEqual([result.verdict, result.reason], ['may-have-run', 'server-crashed']);
 	// One request is at the server, by its own count; the earlier start is told by the end of its connection.
 	const next = fixture.gate.run(fixture.createCall('next'));
 	await expectSoon('the next one arrives', () => fixture.arrived.includes('next'));
@@ -135,6 +144,47 @@
 	assert.equal(fixture.gate.countRequests(), 0);
 });
 
+/** The mark of each call of a fixture: all ask for the same. */
+const mark = createSampleMark('/logs/1');
+
+test('a server that has started again before its end was read has crashed: what was in work there is suspected', async context => {
+	const fixture = await createFixture(context);
+	const sent = fixture.gate.run(fixture.createCall('first'));
+	await waitForArrival(fixture);
+	assert.equal(fixture.quarantine.judge(mark).type, 'free');
+	fixture.announce({lifetime: later});
+	await sent;
+	assert.equal(fixture.quarantine.judge(mark).type, 'trial');
+});
+
+test('one of another id at the same address is there after a crash, one at another address is not', async context => {
+	const other: ServerLifetime = {id: toBackendServerId('i-2'), startedAt: 3000};
+	const sameAddress = await createFixture(context);
+	const sent = sameAddress.gate.run(sameAddress.createCall('first'));
+	await waitForArrival(sameAddress);
+	sameAddress.announce({lifetime: other});
+	sameAddress.cutAll();
+	await sent;
+	assert.equal(sameAddress.quarantine.judge(mark).type, 'trial');
+	const moved = await createFixture(context);
+	const sentThere = moved.gate.run(moved.createCall('first'));
+	await waitForArrival(moved);
+	moved.announce({lifetime: other, address: toAddress('127.0.0.1:9')});
+	moved.cutAll();
+	await sentThere;
+	assert.equal(moved.quarantine.judge(mark).type, 'free');
+});
+
+test('a server that leaves and ends has not crashed', async context => {
+	const fixture = await createFixture(context);
+	const sent = fixture.gate.run(fixture.createCall('first'));
+	await waitForArrival(fixture);
+	fixture.announce({isDraining: true});
+	fixture.announce({lifetime: later});
+	await sent;
+	assert.equal(fixture.quarantine.judge(mark).type, 'free');
+});
+
 test('when a server starts again, who waits for a slot of the earlier start is told at once that it has not run', async context => {
 	const fixture = await createFixture(context);
 	// It holds the slot until its body has arrived.
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -103,7 +103,12 @@
 
 	/** A server that starts again has lost what it was at work on. One of another id may work on: it said that it leaves, or the new one's word was a late one. */
 	const closeSession = (closed: ServerSession, before: LocalServer, next: LocalServer): void => {
-		if (before.announcement.lifetime.id === next.announcement.lifetime.id) {
+		const hasSameId = before.announcement.lifetime.id === next.announcement.lifetime.id;
+		if (!before.isLeaving && (hasSameId || before.announcement.address === next.announcement.address)) {
+			closed.noteCrashed();
+		}
+
+		if (hasSameId) {
 			closed.end();
 			return;
 		}
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -69,6 +69,8 @@
 	readonly run: (call: SessionCall) => Promise<ForwardResult>;
 	readonly resize: (slots: number) => void;
 	readonly describe: () => SessionLoad;
+	/** It has ended without a word, since another start is there that took its place: what is lost from here on was in work then. A node that lags reads this before it reads the ends of the connections. */
+	readonly noteCrashed: () => void;
 	/** Another server is there. What this one is at work on it may still answer; nothing more is sent to it, and who waits for a slot is told at once. */
 	readonly retire: () => void;
 	/** The lifetime is over, and what it was at work on lost: it may have run. */
@@ -137,6 +139,7 @@
 	const silence = createSilentConnections();
 	let failureShare = 0;
 	let isEnded = false;
+	let hasCrashed = false;
 
 	const handleCrash = (atWork: readonly SentCall[]): void => {
 		const named = atWork.slice(0, namedSuspects);
@@ -149,7 +152,7 @@
 	};
 
 	const crashWatch = createCrashWatch<SentCall>({
-		isRefusing: async () => !isEnded && !context.isLeaving() && isRefusingConnections(announcement.address, askMs),
+		hasEnded: async () => hasCrashed || (!isEnded && !context.isLeaving() && isRefusingConnections(announcement.address, askMs)),
 		handleCrash,
 	});
 
@@ -187,9 +190,9 @@
 	 * took as many servers at once as its route allows attempts. One that was answered elsewhere a moment ago goes on as ever.
 	 */
 	const judgeLost = async ({id}: SessionCall, mark: RequestMark, failure: ExchangeFailure): Promise<ForwardFailure> => {
-		const hasCrashed = await crashWatch.noteLost({id, mark});
+		const isCrash = await crashWatch.noteLost({id, mark});
 		const judged = judgeFailure(failure);
-		return hasCrashed && context.quarantine.judge(mark).type !== 'free' ? {...judged, reason: 'server-crashed'} : judged;
+		return isCrash && context.quarantine.judge(mark).type !== 'free' ? {...judged, reason: 'server-crashed'} : judged;
 	};
 
 	const judgeAnswer = (answer: ExchangeAnswer, mark: RequestMark): ForwardResult => {
@@ -297,6 +300,9 @@
 			slots.resize(countPlaces(count));
 		},
 		describe: () => ({...slots.describe(), failureShare}),
+		noteCrashed() {
+			hasCrashed = true;
+		},
 		retire: stopTaking,
 		end() {
 			stopTaking();
--- a/src/lib/quarantine/crash-watch.test.ts
+++ b/src/lib/quarantine/crash-watch.test.ts
@@ -7,7 +7,7 @@
 	/** What was in work at each crash. */
 	readonly crashes: ReadonlyArray<readonly string[]>;
 	readonly countQuestions: () => number;
-	readonly setRefusing: (isRefusing: boolean) => void;
+	readonly setEnded: (isOver: boolean) => void;
 	/** Lets time pass, and what waits for it run. */
 	readonly advance: (milliseconds: number) => Promise<void>;
 };
@@ -18,11 +18,11 @@
 	mock.method(performance, 'now', () => now);
 	const crashes: Array<readonly string[]> = [];
 	let questions = 0;
-	let isRefusing = true;
+	let isOver = true;
 	const watch = createCrashWatch<string>({
-		async isRefusing() {
+		async hasEnded() {
 			questions++;
-			return isRefusing;
+			return isOver;
 		},
 		handleCrash(atWork) {
 			crashes.push(atWork);
@@ -32,8 +32,8 @@
 		watch,
 		crashes,
 		countQuestions: () => questions,
-		setRefusing(next) {
-			isRefusing = next;
+		setEnded(next) {
+			isOver = next;
 		},
 		async advance(milliseconds) {
 			now += milliseconds;
@@ -67,15 +67,15 @@
 });
 
 test('a server that goes on listening has not crashed, and is not asked again for each connection that it resets', async context => {
-	const {watch, crashes, countQuestions, setRefusing, advance} = createFixture(context);
-	setRefusing(false);
+	const {watch, crashes, countQuestions, setEnded, advance} = createFixture(context);
+	setEnded(false);
 	const first = watch.noteLost('a');
 	await advance(3);
 	assert.equal(await first, false);
 	assert.equal(await watch.noteLost('b'), false);
 	assert.equal(countQuestions(), 1);
 	await advance(60);
-	setRefusing(true);
+	setEnded(true);
 	const third = watch.noteLost('c');
 	await advance(3);
 	assert.equal(await third, true);
--- a/src/lib/quarantine/crash-watch.ts
+++ b/src/lib/quarantine/crash-watch.ts
@@ -9,8 +9,8 @@
 
 /** @internal */
 export type CrashWatchContext<Item> = {
-	/** Whether the server refuses connections: nobody listens at its address. */
-	readonly isRefusing: () => Promise<boolean>;
+	/** Whether the server has ended: nobody listens at its address, or another start is there. */
+	readonly hasEnded: () => Promise<boolean>;
 	/** Told of all that was in work when the server ended. */
 	readonly handleCrash: (atWork: readonly Item[]) => void;
 };
@@ -32,24 +32,24 @@
  * @returns A watch over one lifetime of a server.
  * @internal
  */
-export function createCrashWatch<Item>({isRefusing, handleCrash}: CrashWatchContext<Item>): CrashWatch<Item> {
+export function createCrashWatch<Item>({hasEnded, handleCrash}: CrashWatchContext<Item>): CrashWatch<Item> {
 	let lost: Item[] = [];
 	let question: Promise<boolean> | undefined;
 	let foundListeningAt = Number.NEGATIVE_INFINITY;
 
 	const ask = async (): Promise<boolean> => {
 		await waitFor(gatherMs);
-		const hasEnded = await isRefusing();
+		const isCrash = await hasEnded();
 		const atWork = lost;
 		lost = [];
 		question = undefined;
-		if (hasEnded) {
+		if (isCrash) {
 			handleCrash(atWork);
 		} else {
 			foundListeningAt = readSteadyMs();
 		}
 
-		return hasEnded;
+		return isCrash;
 	};
 
 	return {
