Suspension: time for which a VM was suspended counts for calls, and not for work

Cause: the runtime's steady clock stands still while a VM is suspended, so a call went on with time that its caller no longer had (passed on with 2,895 of 3,000 ms after 1.5 s), and one whose time was over was ended only when the timers' time was. Change: common/elapsed-clock.ts: a jump of the time of day that the uptime shows too is a suspension and counts in readSteadyMs, one that it does not show is a set clock and counts as nothing. Scopes start their timers anew at a resume, what is read in the first 20 ms counts as older by it, the store is looked at anew. For how long work took is measured awake (a server's speed, transfers, the way to a node). Whether the uptime is to be had where the users play nodes is not known; without it a suspension is taken for a set clock, as before.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -15,6 +15,7 @@
 import {runPeerSlopes} from './peer-slopes.js';
 import {runNodeCost} from './node-cost/node-cost.js';
 import {runServerReturn} from './server-return.js';
+import {runStoreDrill} from './store-drill.js';
 
 await yargs(hideBin(process.argv))
 	.scriptName('bench')
@@ -71,6 +72,9 @@
 		.option('rounds', {type: 'number', default: 20, describe: 'returns of each kind'})
 		.option('limit-ms', {type: 'number', default: 10_000, describe: 'after which a return is given up'})
 		.option('only', {type: 'string', default: '', describe: 'only the kinds whose names contain this'}), async options => runServerReturn(options))
+	.command('store-drill', 'a store that comes back from a copy, beside one that was only away', builder => builder
+		.option('seeds', {type: 'number', default: 50, describe: 'returns of each kind'})
+		.option('nodes', {type: 'number', default: 13, describe: 'nodes'}), async options => runStoreDrill(options))
 	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
--- a/src/lib/common/clock.ts
+++ b/src/lib/common/clock.ts
@@ -4,6 +4,8 @@
  *
  * @module
  */
+import os from 'node:os';
+import {createElapsedClock} from './elapsed-clock.js';
 
 /**
  * @returns Milliseconds since the epoch. It may jump, so no promise rests on it.
@@ -60,13 +62,36 @@
 	return performance.now() * 1000;
 }
 
+/** A system that does not tell its uptime tells of no suspension. */
+function readUptimeMs(): number | undefined {
+	try {
+		return os.uptime() * 1000;
+	} catch {
+		return undefined;
+	}
+}
+
 /**
- * Reads the clock that does not jump. Deadlines, ages and rates of a sidecar
- * node are measured with it.
+ * Reads the clock that stands still while this VM is suspended: for how long work took on it. A suspension of two seconds would otherwise be taken for the speed of the
+ * server beside it, and requests be refused that it answers in time.
  *
- * @returns Milliseconds since the process started, with fractions.
+ * @returns Milliseconds, with fractions.
  * @internal
  */
-export function readSteadyMs(): number {
+export function readAwakeMs(): number {
 	return performance.now();
 }
+
+const elapsed = createElapsedClock({readAwakeMs, readNow, readUptimeMs});
+
+/**
+ * Reads the clock that does not jump, and that counts the time for which this VM was suspended. Deadlines, ages and rates of a sidecar
+ * node are measured with it. Timers do not count that time: what waits for one listens for a resume as well (`watchResume`).
+ *
+ * @returns Milliseconds since the process started, with fractions.
+ * @internal
+ */
+export const readSteadyMs = elapsed.read;
+
+/** Calls back when it is noticed that this VM was suspended, with its milliseconds; yields a function that takes that back. @internal */
+export const {watchResume, getSuspendedMs, align: alignClocks} = elapsed;
--- /dev/null
+++ b/src/lib/common/elapsed-clock.test.ts
@@ -0,0 +1,118 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {createElapsedClock, type ElapsedClock} from './elapsed-clock.js';
+
+type World = {
+	readonly clock: ElapsedClock;
+	/** Milliseconds of each suspension that was told. */
+	readonly resumes: readonly number[];
+	/** The VM runs for a while. */
+	readonly run: (milliseconds: number) => void;
+	readonly suspend: (milliseconds: number) => void;
+	/** The time of day is set, forward or back. */
+	readonly setClock: (stepMs: number) => void;
+};
+
+/** Clocks of a VM; its uptime is told in hundredths of a second, or not at all. */
+function createWorld(hasUptime = true): World {
+	let awake = 1000;
+	let boot = 500_000;
+	let now = 1_764_723_600_000;
+	const resumes: number[] = [];
+	const clock = createElapsedClock({readAwakeMs: () => awake, readNow: () => now, readUptimeMs: () => hasUptime ? Math.floor(boot / 10) * 10 : undefined});
+	clock.watchResume(suspendedMs => {
+		resumes.push(suspendedMs);
+	});
+	return {
+		clock,
+		resumes,
+		run(milliseconds) {
+			awake += milliseconds;
+			boot += milliseconds;
+			now += milliseconds;
+		},
+		suspend(milliseconds) {
+			boot += milliseconds;
+			now += milliseconds;
+		},
+		setClock(stepMs) {
+			now += stepMs;
+		},
+	};
+}
+
+test('a suspension counts, and is told once, before the time is handed out', () => {
+	const {clock, resumes, run, suspend} = createWorld();
+	assert.equal(clock.read(), 1000);
+	run(300);
+	suspend(2500);
+	assert.equal(clock.read(), 3800);
+	assert.deepEqual(resumes, [2500]);
+	run(10);
+	assert.equal(clock.read(), 3810);
+	assert.deepEqual([resumes, clock.getSuspendedMs()], [[2500], 2500]);
+});
+
+for (const stepMs of [2000, -2000, 60, -60]) {
+	test(`a time of day that is set by ${stepMs} ms and back counts as nothing`, () => {
+		const {clock, resumes, run, setClock} = createWorld();
+		setClock(stepMs);
+		assert.equal(clock.read(), 1000);
+		run(5000);
+		setClock(-stepMs);
+		assert.equal(clock.read(), 6000);
+		assert.deepEqual(resumes, []);
+	});
+}
+
+test('where the uptime cannot be told, a jump is a set clock', () => {
+	const {clock, resumes, suspend} = createWorld(false);
+	suspend(2000);
+	assert.equal(clock.read(), 1000);
+	assert.deepEqual(resumes, []);
+});
+
+test('an uptime that goes at another speed than the steady clock shows no suspension when the time of day is set', () => {
+	const {clock, resumes, run, suspend, setClock} = createWorld();
+	for (let turn = 0; turn < 100; turn++) {
+		run(400);
+		suspend(30);
+		clock.align();
+	}
+
+	setClock(2000);
+	clock.read();
+	assert.deepEqual(resumes, []);
+});
+
+/** Each suspension is told by the time of day, which may have been slewed by a little unnoticed. Milliseconds. */
+const exactToMs = 60;
+
+test('property: elapsed time never goes back, and is the time awake and suspended, whatever else the time of day does', () => {
+	const step = fc.oneof(
+		fc.record({type: fc.constant('run' as const), ms: fc.integer({min: 0, max: 3000})}),
+		fc.record({type: fc.constant('suspend' as const), ms: fc.integer({min: 100, max: 8000})}),
+		fc.record({type: fc.constant('set' as const), ms: fc.integer({min: -5000, max: 5000})}),
+	);
+	fc.assert(fc.property(fc.array(step, {maxLength: 30}), steps => {
+		const {clock, run, suspend, setClock} = createWorld();
+		let expected = clock.read();
+		let before = expected;
+		let suspensions = 0;
+		for (const {type, ms} of steps) {
+			if (type === 'set') {
+				setClock(ms);
+			} else {
+				expected += ms;
+				suspensions += type === 'suspend' ? 1 : 0;
+				(type === 'run' ? run : suspend)(ms);
+			}
+
+			const elapsed = clock.read();
+			assert.ok(elapsed >= before, `${elapsed} after ${before}`);
+			assert.ok(Math.abs(elapsed - expected) <= suspensions * exactToMs, `${elapsed}, not ${expected}`);
+			before = elapsed;
+		}
+	}));
+});
--- a/src/lib/common/loop-lag.ts
+++ b/src/lib/common/loop-lag.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import {setImmediate as waitForImmediate} from 'node:timers/promises';
-import {readSteadyMs} from './clock.js';
+import {readAwakeMs, readSteadyMs, watchResume} from './clock.js';
 
 /** @internal */
 export type LoopLag = {
@@ -21,6 +21,9 @@
 /** A timer that fires this late shows that events wait. Milliseconds: a fifth of the time after which a request that nobody waits for must not be sent on; below it the extra turns cost more than they save. */
 const laggingMs = 100;
 
+/** What had arrived before a suspension is read within this time after it. Milliseconds: a few turns; what arrives in it for the first time counts as that much older. */
+const resumingMs = 20;
+
 /** Two turns follow one another without a rest if less than this lies between them, in milliseconds. */
 const consecutiveMs = 2;
 
@@ -32,6 +35,14 @@
 	let isLagging = true;
 	let turn: {readonly startedAt: number; readonly beforeMs: number} | undefined;
 	let lastTurn = {endedAt: 0, tookMs: 0};
+	/** The last suspension of this VM, and when it was noticed. */
+	let suspension = {noticedAt: Number.NEGATIVE_INFINITY, forMs: 0};
+	watchResume(forMs => {
+		suspension = {noticedAt: readAwakeMs(), forMs};
+	});
+
+	/** What is read in the first moments after a suspension may have arrived before it. */
+	const getSuspendedMs = (): number => readAwakeMs() - suspension.noticedAt < resumingMs ? suspension.forMs : 0;
 
 	/** Notes that a request was read. A turn of the loop reads everything that has arrived: under a backlog it may take seconds, and no timer fires within. */
 	const noteRead = (now: number): {readonly startedAt: number; readonly beforeMs: number} => {
@@ -39,7 +50,7 @@
 			return turn;
 		}
 
-		const started = {startedAt: now, beforeMs: now - lastTurn.endedAt < consecutiveMs ? lastTurn.tookMs : 0};
+		const started = {startedAt: now, beforeMs: getSuspendedMs() + (now - lastTurn.endedAt < consecutiveMs ? lastTurn.tookMs : 0)};
 		turn = started;
 		setImmediate(() => {
 			const endedAt = readSteadyMs();
--- a/src/lib/forwarding/call-scope.ts
+++ b/src/lib/forwarding/call-scope.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {trimTimerMs, readSteadyMs} from '../common/clock.js';
+import {readSteadyMs, trimTimerMs, watchResume} from '../common/clock.js';
 
 /** A backend server's own answer at the very end of its time may still arrive within so many milliseconds, so a scope ends a little after the time that the server is given. @internal */
 export const endGraceMs = 15;
@@ -68,16 +68,26 @@
  * @internal
  */
 export function createCallScope(endsAt: number): CallScope {
-	const {forgetHandlers, ...ending} = createEnding(endsAt, () => {
+	const stopWaiting = (): void => {
 		clearTimeout(timer);
-	});
-	const timer = setTimeout(() => {
+		unwatch();
+	};
+
+	const {forgetHandlers, ...ending} = createEnding(endsAt, stopWaiting);
+	const startTimer = (): NodeJS.Timeout => setTimeout(() => {
 		ending.end('timeout');
 	}, trimTimerMs(endsAt - readSteadyMs()));
+
+	let timer = startTimer();
+	// The timer stood still while this VM was suspended. What is over by then ends in the turn in which it is noticed, once that has been told to all.
+	const unwatch = watchResume(() => {
+		clearTimeout(timer);
+		timer = startTimer();
+	});
 	return {
 		...ending,
 		dispose() {
-			clearTimeout(timer);
+			stopWaiting();
 			forgetHandlers();
 		},
 	};
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {readSteadyMs} from '../common/clock.js';
+import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {isBulk} from '../route-config/route-config.js';
 import {computeRank} from '../decisions/call-rank.js';
 import {type Candidate} from '../decisions/rank-servers.js';
@@ -19,6 +19,8 @@
 	readonly mayWaitMs: number;
 	/** Steady milliseconds. */
 	readonly startedAt: number;
+	/** The same by the clock that stands still while this VM is suspended. */
+	readonly startedAwakeAt: number;
 	readonly scope: CallScope;
 };
 
@@ -87,15 +89,14 @@
 		handleEvent = undefined;
 	};
 
-	const noteLoad = ({target, startedAt}: Attempt, load: GateResult['load']): void => {
+	const noteLoad = ({target, startedAwakeAt}: Attempt, load: GateResult['load']): void => {
 		if (load === undefined) {
 			return;
 		}
 
-		const now = readSteadyMs();
 		const {tookMs, ...view} = load;
-		context.loads.hear(target.lifetime, view, now);
-		context.loads.noteWay(target.lifetime, call.route.name, now - startedAt - tookMs);
+		context.loads.hear(target.lifetime, view, readSteadyMs());
+		context.loads.noteWay(target.lifetime, call.route.name, readAwakeMs() - startedAwakeAt - tookMs);
 	};
 
 	const sendWatched = async (attempt: Attempt): Promise<ForwardResult> => {
@@ -139,7 +140,7 @@
 		hasOnlyDoubted: () => [...running].every(attempt => doubted.has(attempt)),
 		start(target, mayWaitMs) {
 			const attempt: Attempt = {
-				target, mayWaitMs, startedAt: readSteadyMs(), scope: createInnerScope(call.scope),
+				target, mayWaitMs, startedAt: readSteadyMs(), startedAwakeAt: readAwakeMs(), scope: createInnerScope(call.scope),
 			};
 			running.add(attempt);
 			void run(attempt);
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -7,7 +7,7 @@
  */
 import {type IncomingHttpHeaders} from 'node:http';
 import {createSlotKeeper, type SlotOutcome, type SlotRequest} from '../admission/slot-keeper.js';
-import {readSteadyMs} from '../common/clock.js';
+import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
 import {createCrashWatch} from '../quarantine/crash-watch.js';
@@ -283,7 +283,7 @@
 			slots.release(undefined);
 		},
 		async run(call) {
-			const startedAt = readSteadyMs();
+			const startedAt = readAwakeMs();
 			let result: ForwardResult = createNotRun('cancelled', 'the body did not arrive');
 			try {
 				const body = await call.readBody();
@@ -291,7 +291,7 @@
 			} catch (error) {
 				result = createNotRun('cancelled', `the body did not arrive: ${(error as Error).message}`);
 			} finally {
-				slots.release(result.type === 'answered' && result.status < 500 ? readSteadyMs() - startedAt : undefined);
+				slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined);
 			}
 
 			return result;
--- a/src/lib/forwarding/transfer-limit.ts
+++ b/src/lib/forwarding/transfer-limit.ts
@@ -6,7 +6,7 @@
  * @module
  */
 import {createSlotKeeper, type SlotOutcome, type SlotRequest} from '../admission/slot-keeper.js';
-import {readSteadyMs} from '../common/clock.js';
+import {readAwakeMs} from '../common/clock.js';
 
 /** What carries one body. @internal */
 export type Transfer = {
@@ -49,13 +49,13 @@
 				return outcome;
 			}
 
-			const startedAt = readSteadyMs();
+			const startedAt = readAwakeMs();
 			let isOver = false;
 			return {
 				end(isWhole) {
 					if (!isOver) {
 						isOver = true;
-						places.release(isWhole ? readSteadyMs() - startedAt : undefined);
+						places.release(isWhole ? readAwakeMs() - startedAt : undefined);
 					}
 				},
 			};
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -63,6 +63,8 @@
 	/** What a node is sent that has a version of the configuration. */
 	readonly answerConfig: (version: number) => EncodedConfigAnswer;
 	readonly isStoreReachable: () => boolean;
+	/** Looks at the store anew: what is in force stays so. */
+	readonly startAnew: () => void;
 	/** Keeps quarantined requests in the store. */
 	readonly storeSuspects: SuspectEntries['write'];
 	readonly start: () => void;
@@ -232,6 +234,7 @@
 		},
 		answerConfig: createConfigAnswers(holder),
 		isStoreReachable: health.isReachable,
+		startAnew,
 		storeSuspects: suspects.write,
 		start() {
 			void keepRunning(follower.run);
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {type Result} from 'neverthrow';
-import {readSteadyMs} from '../common/clock.js';
+import {alignClocks, readSteadyMs, watchResume} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
 import {toLifetimeKey} from '../common/server-lifetime.js';
 import {listenAt} from '../common/listen-at.js';
@@ -194,6 +194,7 @@
 		settings: {
 			...peerLimits, node: self, listen: settings.listen.gossip, domain, periodMs: heartbeatMs,
 		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, refusals, random, handleReport, handleRound(lateMs) {
+			alignClocks();
 			watch.handleRound(lateMs);
 			checkLoad();
 		},
@@ -316,7 +317,14 @@
 		loadCheckedAt = now;
 	};
 
+	/** What was known of the store may be over: its timers stood still, and watches hang on connections that others have given up. */
+	const unwatchResume = watchResume(suspendedMs => {
+		log.record('warn', {kind: 'node-suspended', forMs: Math.round(suspendedMs)});
+		sync.startAnew();
+	});
+
 	const dispose = async (): Promise<void> => {
+		unwatchResume();
 		watch.dispose();
 		clearInterval(forgetTimer);
 		sync.dispose();
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -58,6 +58,7 @@
 	| {readonly kind: 'node-draining'; readonly reason: string; readonly requests: number}
 	| {readonly kind: 'node-stopped'; readonly requests: number; readonly afterMs: number}
 	| {readonly kind: 'node-paused'; readonly forMs: number}
+	| {readonly kind: 'node-suspended'; readonly forMs: number}
 	| {readonly kind: 'node-failed'; readonly reason: string}
 	| {readonly kind: 'settings-reloaded'; readonly outcome: string; readonly reason?: string}
 	| {readonly kind: 'configuration-applied'; readonly version: number; readonly from: string; readonly routes: number}
