--- a/bench/store-drill.ts
+++ b/bench/store-drill.ts
@@ -132,6 +132,11 @@
 		const inForce = returns.map(({inForceMs}) => inForceMs);
 		const entries = returns.map(({entriesMs}) => entriesMs);
 		process.stdout.write(`| ${isDrill ? 'from a copy' : 'only away'} | ${hasGoneBack(mesh) ? 'yes' : 'no'} | ${inForce.filter(value => isLate(value)).length} | ${formatFigures(inForce)} | ${entries.filter(value => isLate(value)).length} | ${formatFigures(entries)} | ${formatFigures(returns.map(({calls}) => calls))} |\n`);
+		const lateSeeds = returns.flatMap(({inForceMs, entriesMs}, place) => isLate(inForceMs) || isLate(entriesMs) ? [place + 1] : []);
+		if (lateSeeds.length > 0) {
+			process.stdout.write(`\nLate: seeds ${lateSeeds.join(', ')}\n\n`);
+		}
+
 		await mesh.dispose();
 	}
 }
