--- a/bench/main.ts
+++ b/bench/main.ts
@@ -14,6 +14,7 @@
 import {runLogLines} from './log-lines.js';
 import {runPeerSlopes} from './peer-slopes.js';
 import {runNodeCost} from './node-cost/node-cost.js';
+import {runQuarantine} from './quarantine.js';
 import {runServerReturn} from './server-return.js';
 import {runStoreDrill} from './store-drill.js';
 
@@ -75,6 +76,11 @@
 	.command('store-drill', 'a store that comes back from a copy, beside one that was only away', builder => builder
 		.option('seeds', {type: 'number', default: 50, describe: 'returns of each kind'})
 		.option('nodes', {type: 'number', default: 13, describe: 'nodes'}), async options => runStoreDrill(options))
+	.command('quarantine', 'requests that crash backend servers, and crashes of other causes', builder => builder
+		.option('first-seed', {type: 'number', default: 1, describe: 'seed of the first play'})
+		.option('seeds', {type: 'number', default: 50, describe: 'plays'})
+		.option('nodes', {type: 'number', default: 13, describe: 'nodes'})
+		.option('seconds', {type: 'number', default: 16, describe: 'of each play'}), async options => runQuarantine(options))
 	.command('log-lines', 'what a line of the log costs', builder => builder, async () => runLogLines())
 	.demandCommand(1)
 	.strict()
