--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -235,3 +235,22 @@
 	assert.equal(returning.rank, fresh.rank);
 	assert.ok(returning.mayWaitMs < fresh.mayWaitMs * 0.7);
 });
+
+test('a request whose server crashed goes to no other one, whatever may be repeated; one whose connection was lost does', async () => {
+	const crashed = createFixture({a: [createMayHaveRun('server-crashed', 'x')], b: [answered]});
+	const lost = createFixture({a: [createMayHaveRun('connection-lost', 'x')], b: [answered]});
+	const [first, second] = [await sendCall(crashed.context, createCall()), await sendCall(lost.context, createCall())];
+	assert.deepEqual([first.verdict, crashed.sent.length], ['may-have-run', 1]);
+	assert.deepEqual([second.verdict, lost.sent.length], ['ran', 2]);
+});
+
+test('a quarantined request is refused as not run before any gate is asked', async () => {
+	const quarantine = createQuietQuarantine();
+	for (const startedAt of [1, 2, 3]) {
+		quarantine.noteCrash({id: toBackendServerId('i-1'), startedAt}, [createSampleMark()]);
+	}
+
+	const {context, sent} = createFixture({a: [answered]}, {quarantine});
+	const {result, verdict} = await sendCall(context, createCall());
+	assert.deepEqual([result.type === 'failed' ? result.reason : '', verdict, sent.length], ['quarantined', 'not-run', 0]);
+});
--- a/xo.config.ts
+++ b/xo.config.ts
@@ -24,9 +24,26 @@
 		files: ['platform/**', 'stand-ins/platform-store/**', 'stand-ins/settings-template.ts'],
 		rules: {'@typescript-eslint/naming-convention': 'off'},
 	},
+	{
+		// What counts as time stands in one place: see "Elapsed and awake time" in docs/DESIGN.md.
+		files: ['src/lib/**/*.ts'],
+		rules: {
+			'no-restricted-properties': [
+				'error',
+				{object: 'Date', property: 'now', message: 'Use a function of common/clock.ts.'},
+				{object: 'performance', property: 'now', message: 'Use a function of common/clock.ts.'},
+			],
+		},
+	},
+	{
+		files: ['src/lib/common/clock.ts'],
+		rules: {'no-restricted-properties': 'off'},
+	},
 	{
 		files: ['**/*.test.ts', 'scenarios/**'],
 		rules: {
+			// Tests stand outside of what they measure.
+			'no-restricted-properties': 'off',
 			// The test runner waits for its tests by itself.
 			'@typescript-eslint/no-floating-promises': 'off',
 			// An assertion on one field of an outcome reads best in one line.
