Test of a suspended gate: a process of its own

Change: the same test in suspended-gate.test.ts. Conclusion: clocks that jump belong into processes of their own.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -837,6 +837,6 @@
 		file: `${library}/forwarding/server-session.js`,
 		from: 'readAwakeMs() - startedAt',
 		to: 'readSteadyMs() - startedAt',
-		tests: `${library}/forwarding/local-gate.test.js`,
+		tests: `${library}/forwarding/suspended-gate.test.js`,
 	},
 ];
