Soak: the store comes back from a copy, in series with everything else

Cause: the soak had no return of the store from a copy. Change: a fault of its own, drawn by a stream of its own so that each seed plays what it played before, and this besides; the operator's newest configuration is written again.

--- a/soak/apply-fault.ts
+++ b/soak/apply-fault.ts
@@ -45,7 +45,8 @@
 		}
 
 		case 'store':
-		case 'store-event': {
+		case 'store-event':
+		case 'store-restored': {
 			return findNear('store');
 		}
 
@@ -82,6 +83,23 @@
 	store.setFault('none');
 }
 
+/** Where the operator's configuration stands. */
+const configKey = 'op/config';
+
+async function restoreStore({store}: SoakMesh, ageMs: number, forMs: number): Promise<void> {
+	const copy = store.keys.copy();
+	await sleep(ageMs);
+	store.setFault('silent');
+	await sleep(forMs);
+	const newest = store.keys.getItem(configKey);
+	store.restore(copy);
+	store.setFault('none');
+	// What the operator had written is written again.
+	if (newest !== undefined && newest.value !== store.keys.getItem(configKey)?.value) {
+		store.keys.commit({expect: [], writes: [{key: configKey, value: newest.value}], remove: []});
+	}
+}
+
 function applyStoreEvent({store}: SoakMesh, event: StoreEvent): void {
 	switch (event) {
 		case 'leases-end': {
@@ -162,6 +180,10 @@
 			return;
 		}
 
+		case 'store-restored': {
+			return restoreStore(mesh, fault.ageMs, fault.forMs);
+		}
+
 		case 'server-crash': {
 			for (let crashes = 0; crashes < fault.times; crashes++) {
 				await getVm(fault.node).server.crash(fault.forMs, fault.keepsId);
--- a/soak/plan.test.ts
+++ b/soak/plan.test.ts
@@ -10,6 +10,6 @@
 
 test('every kind of fault is drawn, within the time for faults', () => {
 	const faults = Array.from({length: 10}, (_, index) => planSoak({seed: index, seconds: 60, nodes: 10}).faults).flat();
-	assert.equal(new Set(faults.map(({type}) => type)).size, 18);
+	assert.equal(new Set(faults.map(({type}) => type)).size, 19);
 	assert.ok(faults.every(({atMs}) => atMs >= quietMs.start && atMs < 60_000 - quietMs.end));
 });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -34,6 +34,8 @@
 	| {readonly type: 'server-link'; readonly node: number; readonly mode: Exclude<LinkMode, 'pass' | 'turn-away'>; readonly forMs: number}
 	| {readonly type: 'store'; readonly trouble: StoreTrouble; readonly forMs: number}
 	| {readonly type: 'store-event'; readonly event: StoreEvent}
+	/** The store goes away, and comes back from a copy of so many milliseconds before. */
+	| {readonly type: 'store-restored'; readonly ageMs: number; readonly forMs: number}
 	| {readonly type: 'server-crash'; readonly node: number; readonly times: number; readonly forMs: number; readonly keepsId: boolean}
 	| {readonly type: 'server-slow'; readonly node: number; readonly workMs: number; readonly forMs: number}
 	| {readonly type: 'server-misbehave'; readonly node: number; readonly behaviours: readonly WireBehaviour[]}
@@ -70,6 +72,9 @@
 
 const changesPerSecond = 0.4;
 
+/** Returns of the store from a copy a second. */
+const restoresPerSecond = 0.03;
+
 /** Faults last from this long to this long. Milliseconds. */
 const shortest = 200;
 const longest = 5000;
@@ -149,13 +154,19 @@
 	// Seeds that follow one another give like first draws.
 	const random = randomLcg(((seed * 2_654_435_761) % 4_294_967_296) / 4_294_967_296);
 	const draw = createDraw(random);
+	const randomOfRestores = randomLcg(((seed * 40_503) % 65_536) / 65_536);
+	const drawOfRestores = createDraw(randomOfRestores);
 	const untilMs = (seconds * 1000) - quietMs.end;
 	const faults = listTimes(random, faultsPerNodeAndSecond * nodes, untilMs).map((atMs): PlannedFault => {
 		const [, pick] = kinds[draw.pickOne(weights)]!;
 		return {...pick(draw, draw.pickBelow(nodes)), atMs};
 	});
+	// Drawn apart, so that seeds go on playing what they played before there were such.
+	const restores = listTimes(randomOfRestores, restoresPerSecond, untilMs).map((atMs): PlannedFault => ({
+		type: 'store-restored', ageMs: drawOfRestores.pickTime(), forMs: Math.round(drawOfRestores.pickTime() / 4), atMs,
+	}));
 	const changesAtMs = listTimes(random, changesPerSecond, untilMs).slice(0, mostChanges);
 	return {
-		seed, seconds, nodes, faults, changesAtMs,
+		seed, seconds, nodes, changesAtMs, faults: [...faults, ...restores].toSorted((left, right) => left.atMs - right.atMs),
 	};
 }
