Quarantine: a gate that refuses a request on trial ends its call

Cause: found by reading. An entry whose gate refused it, since another of the request was in work there, went on to the next server of the list, so that two were in work in the mesh. Change: 'quarantined' from a gate ends the call like 'server-crashed'.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -772,7 +772,7 @@
 	{
 		promise: 'quarantine: what was in work at a crash goes to no other server',
 		file: `${library}/forwarding/send-call.js`,
-		from: ' && !isCrash(result)',
+		from: ' && !isSuspected(result)',
 		to: '',
 		tests: `${library}/forwarding/send-call.test.js`,
 	},
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -244,6 +244,12 @@
 	assert.deepEqual([second.verdict, lost.sent.length], ['ran', 2]);
 });
 
+test('a request that a gate refuses since another of it is on trial there goes to no other one', async () => {
+	const {context, sent} = createFixture({a: [createNotRun('quarantined', 'x', 500)], b: [answered]});
+	const {result, verdict} = await sendCall(context, createCall());
+	assert.deepEqual([result.type === 'failed' ? result.reason : '', verdict, sent.length], ['quarantined', 'not-run', 1]);
+});
+
 test('a quarantined request is refused as not run before any gate is asked', async () => {
 	const quarantine = createQuietQuarantine();
 	for (const startedAt of [1, 2, 3]) {
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -31,7 +31,8 @@
 	};
 }
 
-const isCrash = (result: ForwardResult): boolean => result.type === 'failed' && result.reason === 'server-crashed';
+/** Whether a call may crash whatever runs it, so that no other server is asked of its own accord: its server crashed, or its gate knows of crashes. */
+const isSuspected = (result: ForwardResult): boolean => result.type === 'failed' && (result.reason === 'server-crashed' || result.reason === 'quarantined');
 
 function chooseRepeatReason(call: OutgoingCall, result: ForwardResult): RepeatReason {
 	if (result.type === 'answered' || result.verdict !== 'not-run') {
@@ -134,7 +135,7 @@
 
 	/** Whether another attempt may follow one that failed, or that was answered with a failure of the server's own. None does beside one that nobody doubts. */
 	const mayGoOn = (result: ForwardResult): boolean => {
-		const isHarmless = (mayRepeat || progress.getVerdict() === 'not-run') && !isCrash(result);
+		const isHarmless = (mayRepeat || progress.getVerdict() === 'not-run') && !isSuspected(result);
 		if (!isHarmless || scope.getEnd() !== undefined || !running.hasOnlyDoubted()) {
 			return false;
 		}
