--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -11,7 +11,6 @@
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createWorkTurns} from '../common/work-turns.js';
-import {createYoungGeneration} from '../common/young-generation.js';
 import {type WireHeaders} from '../forwarding/call-headers.js';
 import {createEntryServer, type FinishedCall} from '../forwarding/entry-server.js';
 import {createGateClient} from '../forwarding/gate-client.js';
@@ -34,6 +33,7 @@
 import {createRefusals} from '../timeline/refusals.js';
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
 import {createConfigSync} from './config-sync.js';
+import {createHousekeeping} from './housekeeping.js';
 import {listCandidates, type CandidateNeeds} from './list-candidates.js';
 import {createMeshMetrics} from './mesh-metrics.js';
 import {createOwnServerCalls} from './own-server-calls.js';
@@ -81,12 +81,6 @@
 /** Nodes that are taken to share the slack of the retry allowance while a node has just started, until it knows of more: the smallest mesh of the users has 13. */
 const assumedNodes = 12;
 
-/** Milliseconds between two looks at how busy the node is, at the least. */
-const loadCheckMs = 1000;
-
-/** Milliseconds between two looks for servers that are gone. */
-const forgetMs = 30_000;
-
 /** Connections to a backend server before a configuration says how many it accepts. */
 const defaultConnections = 64;
 
@@ -110,7 +104,6 @@
 	let isLeaving = false;
 	let isGateLeaving = false;
 	let wasReady = false;
-	let finishedCalls = 0;
 
 	const splitter = createShareSplitter(random);
 	const returningCallers = createReturningCallers();
@@ -131,7 +124,6 @@
 	};
 
 	const silence = createSilenceWatchers();
-	const young = createYoungGeneration(surroundings.applyGrowthFactor);
 
 	const handleAdopted = ({config}: HeldConfig): void => {
 		entry.applyLimits(config.limits);
@@ -196,7 +188,7 @@
 		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, refusals, random, handleReport, handleRound(lateMs) {
 			alignClocks();
 			watch.handleRound(lateMs);
-			checkLoad();
+			housekeeping.handleRound();
 		},
 	});
 
@@ -229,7 +221,7 @@
 
 	const handleFinished = (call: FinishedCall): void => {
 		metrics.recordCall(call);
-		finishedCalls++;
+		housekeeping.noteCall();
 		const isOrdinary = call.status < 500 && call.attempts.filter(({verdict}) => verdict !== 'not-run').length <= 1;
 		const level = isOrdinary ? 'debug' : 'info';
 		log.record(level, {kind: 'call-finished', call: call.id, ...omitId(call)});
@@ -288,12 +280,9 @@
 		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(sync.isStoreReachable())},
 	]);
 
-	/** Servers come and go all day: what is known of those that are gone must not pile up. */
-	const forgetGone = (): void => {
-		const known = new Set([...link.table.list()].flatMap(({report}) => report.server === undefined ? [] : [toLifetimeKey(report.server.lifetime)]));
-		loads.retain(lifetime => known.has(lifetime));
-		silence.forgetIdle();
-	};
+	const housekeeping = createHousekeeping({
+		listPeers: link.table.list, loads, silence, applyGrowthFactor: surroundings.applyGrowthFactor,
+	});
 
 	const watch = createPeerWatch({
 		link, limits: peerLimits, silence, gateClient, log, handleDelay(delayMs) {
@@ -302,21 +291,6 @@
 		},
 	});
 
-	let forgetTimer: NodeJS.Timeout | undefined;
-	let loadCheckedAt = createdAt;
-
-	/** Called with rounds of heartbeats: a timer of its own would be a wake-up more a second. */
-	const checkLoad = (): void => {
-		const now = readSteadyMs();
-		if (now - loadCheckedAt < loadCheckMs) {
-			return;
-		}
-
-		young.note(finishedCalls, now - loadCheckedAt);
-		finishedCalls = 0;
-		loadCheckedAt = now;
-	};
-
 	/** What was known of the store may be over: its timers stood still, and watches hang on connections that others have given up. */
 	const unwatchResume = watchResume(suspendedMs => {
 		log.record('warn', {kind: 'node-suspended', forMs: Math.round(suspendedMs)});
@@ -326,7 +300,7 @@
 	const dispose = async (): Promise<void> => {
 		unwatchResume();
 		watch.dispose();
-		clearInterval(forgetTimer);
+		housekeeping.dispose();
 		sync.dispose();
 		link.dispose();
 		refusals.dispose();
@@ -358,7 +332,7 @@
 			]);
 			link.addContacts(settings.seeds);
 			watch.start();
-			forgetTimer = setInterval(forgetGone, forgetMs);
+			housekeeping.start();
 			sync.start();
 		},
 		applySettings(changed) {
