Quarantine: a busy node still reads that its server refuses connections

In a turn of the loop timers come before what has arrived: a node that was busy for longer than it waits for the answer took the refusal, which had come, for none, and the crash was not counted. Ruled out: a longer wait alone (a node may be busy for longer). Change: when the time is over the loop looks at what has arrived once more.

--- /dev/null
+++ b/src/lib/forwarding/refused-connection.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import {createServer, type AddressInfo} from 'node:net';
+import test from 'node:test';
+import {toAddress} from '../common/ids.js';
+import {isRefusingConnections} from './refused-connection.js';
+
+test('a server that listens does not refuse; nobody does', async () => {
+	const server = createServer();
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
+	assert.equal(await isRefusingConnections(address, 1000), false);
+	await new Promise(resolve => {
+		server.close(resolve);
+	});
+	assert.equal(await isRefusingConnections(address, 1000), true);
+});
+
+test('a process that was busy for longer than it would wait still reads what had come meanwhile', async () => {
+	const asked = isRefusingConnections(toAddress('127.0.0.1:1'), 20);
+	const until = performance.now() + 80;
+	while (performance.now() < until) {
+		// Busy: the refusal has come, and the time is over, when the loop looks again.
+	}
+
+	assert.equal(await asked, true);
+});
--- a/src/lib/forwarding/refused-connection.ts
+++ b/src/lib/forwarding/refused-connection.ts
@@ -23,8 +23,11 @@
 			resolve(isRefusing);
 		};
 
+		// Timers come before what has arrived in a turn of the loop: a busy process looks at both once more.
 		const timer = setTimeout(() => {
-			finish(false);
+			setImmediate(() => {
+				setImmediate(finish, false);
+			});
 		}, timeoutMs);
 		socket.once('connect', () => {
 			finish(false);
