Quarantine: what crashed two servers is told first and remembered for an hour

Cause: found by reading. A part of 16 records was by turns the newest and the next in order: after a crash with 13 requests in work a node that came back from a cut could learn of a quarantined request only when its turn came, up to 13 s with 256 records; and what had crashed two servers was forgotten after a minute without a repeat, so that it could end three more. Change: half of every other part is for what crashed the most servers; what was held back once is kept like what was quarantined.

--- a/src/lib/quarantine/ledger.test.ts
+++ b/src/lib/quarantine/ledger.test.ts
@@ -89,6 +89,25 @@
 	assert.equal(ledger.judge(fatal, 4000).type, 'refused');
 });
 
+test('what crashed two servers or more is in every other part, whatever was in work at crashes since', () => {
+	const ledger = createAccused(2);
+	for (let number = 0; number < 200; number++) {
+		ledger.accuse([toName(`/page-${number}`)], getCrash(number + 10), 4000 + number);
+	}
+
+	const parts = Array.from({length: 8}, () => ledger.listPart(5000).map(({fingerprint}) => fingerprint));
+	const told = parts.filter(part => part.includes(fatal) && part.includes(toName('/page-199')));
+	assert.equal(told.length, 4, 'the worst and the newest are told together by turns');
+});
+
+test('a request that crashed two servers is remembered for longer than the time between two of its repeats may be', () => {
+	const ledger = createAccused(2);
+	ledger.listPart(5 * minuteMs);
+	ledger.accuse([fatal], getCrash(3), 5 * minuteMs);
+	assert.equal(ledger.judge(fatal, (5 * minuteMs) + 1).type, 'refused');
+	assert.equal(ledger.get(fatal, 5 * minuteMs)?.crashes.length, 3);
+});
+
 test('every record is told within a bounded number of parts, each of a bounded size', () => {
 	const ledger = createAccused(3);
 	for (let number = 0; number < 100; number++) {
--- a/src/lib/quarantine/ledger.ts
+++ b/src/lib/quarantine/ledger.ts
@@ -34,7 +34,7 @@
 	readonly get: (fingerprint: Fingerprint, now: number) => SuspectRecord | undefined;
 	/** Requests that reached the last step and are refused or on trial after a long time. */
 	readonly listQuarantined: (now: number) => readonly SuspectRecord[];
-	/** A bounded part of what is known: by turns what has changed last, and the rest in order. */
+	/** A bounded part of what is known: by turns what is worst and what has changed last, and the rest in order. */
 	readonly listPart: (now: number) => readonly SuspectRecord[];
 };
 
@@ -56,11 +56,11 @@
 /** A quarantined request that nobody has asked for in this time may be tried again. Milliseconds: whoever sent it may have been mended, and a trial costs one crash. */
 const quietTrialMs = 600_000;
 
-/** What is suspected of fewer crashes is forgotten after this. Milliseconds: most of it was in work beside the guilty one, and is asked for again within seconds if at all. */
+/** What was in work at one crash only is forgotten after this. Milliseconds: most of it was in work beside the guilty one, and is asked for again within seconds if at all. */
 const forgetMs = 60_000;
 
-/** What reached quarantine once is kept for this long, also when it was cleared: the store may name it for ten minutes more. Milliseconds. */
-const forgetQuarantinedMs = 3_600_000;
+/** What was held back once is kept for this long, also when it was cleared: it may come back after minutes, and the store may name it for ten more. Milliseconds. */
+const forgetHeldMs = 3_600_000;
 
 /** Records that are held at the most, some 60 kilobytes. A crash makes one for each request in work; those with the fewest crashes go first. */
 const mostRecords = 256;
@@ -97,10 +97,10 @@
 	return true;
 }
 
-/** Whether it is, or was, known of enough crashes to have been quarantined. */
-const hasBeenQuarantined = ({crashes, cleared}: Pick<Entry, 'crashes' | 'cleared'>): boolean => crashes.size + cleared.size >= quarantinedFrom;
+/** Whether it is, or was, known of enough crashes to have been held back. */
+const hasBeenHeld = ({crashes, cleared}: Pick<Entry, 'crashes' | 'cleared'>): boolean => crashes.size + cleared.size >= heldFrom;
 
-const getKeepMs = (entry: Entry): number => hasBeenQuarantined(entry) ? forgetQuarantinedMs : forgetMs;
+const getKeepMs = (entry: Entry): number => hasBeenHeld(entry) ? forgetHeldMs : forgetMs;
 
 /**
  * @returns A ledger in which nothing is suspected.
@@ -112,7 +112,7 @@
 	const heads = new Map<HeadFingerprint, number>();
 	/** Where the next part of all begins. */
 	let place = 0;
-	let isNewestNext = false;
+	let isWorstNext = false;
 
 	const drop = (fingerprint: Fingerprint): void => {
 		if (!entries.delete(fingerprint)) {
@@ -189,7 +189,7 @@
 
 	/** What another node has nearly forgotten must not begin anew here. */
 	const isWorthKeeping = ({quietMs, crashes, cleared}: SuspectRecord): boolean =>
-		quietMs < (crashes.length + cleared.length >= quarantinedFrom ? forgetQuarantinedMs : forgetMs);
+		quietMs < (crashes.length + cleared.length >= heldFrom ? forgetHeldMs : forgetMs);
 
 	const mergeOne = (record: SuspectRecord, now: number): boolean => {
 		if (!entries.has(record.fingerprint) && !isWorthKeeping(record)) {
@@ -212,6 +212,13 @@
 		return isChanged;
 	};
 
+	/** Half of a part is for what crashed the most servers, so that a node that was away learns of it with the first heartbeats, the rest for what is new. */
+	const listWorst = (all: readonly Entry[]): readonly Entry[] => {
+		const held = all.filter(entry => hasBeenHeld(entry)).toSorted((left, right) => right.crashes.size - left.crashes.size || right.changedAt - left.changedAt).slice(0, partLength / 2);
+		const newest = all.toSorted((left, right) => right.changedAt - left.changedAt).filter(entry => !held.includes(entry));
+		return [...held, ...newest].slice(0, partLength);
+	};
+
 	const refuse = (entry: Entry, retryAfterMs: number, now: number): Judgement => {
 		entry.askedAt = now;
 		return {
@@ -261,9 +268,9 @@
 			}
 
 			const all = [...entries.values()];
-			isNewestNext = !isNewestNext;
-			if (isNewestNext) {
-				return all.toSorted((left, right) => right.changedAt - left.changedAt).slice(0, partLength).map(entry => describe(entry, now));
+			isWorstNext = !isWorstNext;
+			if (isWorstNext) {
+				return listWorst(all).map(entry => describe(entry, now));
 			}
 
 			place = place >= all.length ? 0 : place;
