Eras: a node that names one far ahead keeps nobody from hearing of the next

Cause: found at the reading of the diff: the highest era told was remembered, so that after a false one true ones were passed over. Change: only the same era is not asked for twice; a question a second at the most, as before.

--- a/src/lib/sidecar/config-sync.test.ts
+++ b/src/lib/sidecar/config-sync.test.ts
@@ -73,3 +73,13 @@
 	await sleep(50);
 	assert.equal(countReads(), 2);
 });
+
+test('a node that names an era far ahead keeps nobody from hearing of the next one', async context => {
+	const {sync, countReads} = startSync(context);
+	await sleep(50);
+	sync.handleReport(createReport(1_000_000));
+	await sleep(1100);
+	sync.handleReport(createReport(2));
+	await sleep(50);
+	assert.equal(countReads(), 3);
+});
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -164,7 +164,7 @@
 		startAnew();
 	});
 
-	/** The newest era that another node told of, and when this node last asked the store because of it. */
+	/** The era that another node told of last, and when this node last asked the store because of it. */
 	let toldEra = noEra;
 	let askedAt = Number.NEGATIVE_INFINITY;
 
@@ -172,7 +172,7 @@
 	const hearEra = (era: StoreEra): void => {
 		const known = store.getEra();
 		const now = readSteadyMs();
-		if (known === undefined || era <= Math.max(known, toldEra) || now - askedAt < leastAskMs) {
+		if (known === undefined || era <= known || era === toldEra || now - askedAt < leastAskMs) {
 			return;
 		}
 
