--- a/stand-ins/wire-server/wire-server.ts
+++ b/stand-ins/wire-server/wire-server.ts
@@ -92,9 +92,10 @@
  *
  * @param firstId - Its id.
  * @param port - Where it listens; 0 for any port that is free.
+ * @param host - The loopback IP number that it listens at.
  * @returns The server.
  */
-export async function startWireServer(firstId: string, port = 0): Promise<WireServer> {
+export async function startWireServer(firstId: string, port = 0, host = '127.0.0.1'): Promise<WireServer> {
 	let id = firstId;
 	let workMs = 5;
 	let left = 0;
@@ -275,11 +276,11 @@
 		void handleSafely(request, response);
 	});
 	await new Promise<void>(resolve => {
-		server.listen(port, '127.0.0.1', resolve);
+		server.listen(port, host, resolve);
 	});
 	return {
 		id: firstId,
-		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		address: `${host}:${(server.address() as AddressInfo).port}`,
 		runs,
 		countLeft: () => left,
 		plan(...behaviours) {
