--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -345,8 +345,8 @@
 	{
 		promise: 'sidecar: a server is found when most of a large service are gone',
 		file: `${library}/sidecar/list-candidates.js`,
-		from: 'if (drawn.length > 0) {',
-		to: 'if (true) {',
+		from: 'return drawn.length > 0 ? drawn : listAll();',
+		to: 'return drawn;',
 		tests: `${library}/sidecar`,
 	},
 	{
@@ -590,8 +590,8 @@
 	{
 		promise: 'sidecar: bytes: an entry of this node that another writer changed is written anew',
 		file: `${library}/sync/registration.js`,
-		from: 'own?.value !== gossip',
-		to: 'own === undefined',
+		from: 'found?.value !== gossip',
+		to: 'found === undefined',
 		tests: 'platform/any-bytes.test.js',
 	},
 	{
