Crashes behind cuts: each crash is told through the store at once

Callers saw: with nodes that reach the store but not one another, a page that crashes servers ended three at each, most of them ten seconds after the bound of the users was used up. Cause: evidence of a crash went by heartbeats only; the store was told a node's verdict, after its own third crash (at all six nodes no request-suspected line came from the store before). Ruled out: runs that were under way, since the late ones came after the hold of ten seconds. Change: an entry a crash in the store, written and the others' read at once; larger meshes list as often as small ones while nodes are silent (no more calls: a list takes a renewal's place). Cost: three calls on the store for each crash that accuses a request.

--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -62,6 +62,8 @@
 	readonly announceToAll: () => void;
 	/** Asks a node for a report, for requests wait for it. */
 	readonly probe: (node: NodeId) => void;
+	/** Nodes that have fallen silent, as far as their turns have come; one that is gone is forgotten after a while. */
+	readonly countSilent: () => number;
 	readonly noteUnreachable: (node: NodeId) => void;
 	readonly noteReached: (node: NodeId) => void;
 	/** This node stood still for so long: the others are given that time. Milliseconds. */
@@ -381,6 +383,7 @@
 				send(encodeSelf(true), peer.report.gossip);
 			}
 		},
+		countSilent: () => silent.size,
 		noteUnreachable(node) {
 			table.noteUnreachable(node, readSteadyMs());
 		},
--- a/src/lib/quarantine/quarantine.test.ts
+++ b/src/lib/quarantine/quarantine.test.ts
@@ -3,6 +3,7 @@
 import {toBackendServerId} from '../common/ids.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {silentLog} from '../timeline/mesh-log.js';
+import {type CrashReport} from './crash-report.js';
 import {createQuarantine, type Quarantine} from './quarantine.js';
 import {type RequestMark} from './request-mark.js';
 import {createSampleMark} from './sample-quarantine.js';
@@ -13,6 +14,8 @@
 	readonly countNews: () => number;
 	/** What was to be kept in the store. */
 	readonly stored: readonly SuspectRecord[];
+	/** Crashes that were to be told through the store. */
+	readonly told: readonly CrashReport[];
 	readonly setNow: (now: number) => void;
 };
 
@@ -21,11 +24,15 @@
 	let news = 0;
 	mock.method(performance, 'now', () => now);
 	const stored: SuspectRecord[] = [];
+	const told: CrashReport[] = [];
 	const quarantine = createQuarantine({
 		log: silentLog,
 		handleNews() {
 			news++;
 		},
+		handleCrash(report) {
+			told.push(report);
+		},
 		handleQuarantined(records) {
 			stored.push(...records);
 		},
@@ -34,6 +41,7 @@
 		quarantine,
 		countNews: () => news,
 		stored,
+		told,
 		setNow(next) {
 			now = next;
 		},
@@ -45,13 +53,14 @@
 const popular = createSampleMark('/popular');
 
 test('the third crash quarantines a request, here and at the nodes that are told, and has it stored', context => {
-	const {quarantine, countNews, stored} = createFixture(context);
+	const {quarantine, countNews, stored, told} = createFixture(context);
 	const other = createFixture(context).quarantine;
 	for (const startedAt of [1, 2, 3]) {
 		quarantine.noteCrash(getServer(startedAt), [fatal]);
 	}
 
 	assert.equal(countNews(), 3);
+	assert.deepEqual(told.map(({fingerprints}) => fingerprints), [1, 2, 3].map(() => [fatal.getFingerprint()]));
 	assert.deepEqual(stored.map(({crashes}) => crashes.length), [3]);
 	assert.equal(quarantine.judge(fatal).type, 'refused');
 	other.take(quarantine.describe(), 'n2');
@@ -61,9 +70,11 @@
 });
 
 test('a page that was answered a moment ago is not accused, by the node that saw the answer or by one that did not', context => {
-	const {quarantine} = createFixture(context);
+	const {quarantine, told} = createFixture(context);
 	const other = createFixture(context).quarantine;
 	quarantine.noteAnswered(popular);
+	quarantine.noteCrash(getServer(1), [popular]);
+	assert.deepEqual(told, [], 'a crash that accuses nobody is not told through the store');
 	quarantine.noteCrash(getServer(1), [popular, fatal]);
 	assert.equal(quarantine.judge(popular).type, 'free');
 	assert.equal(quarantine.judge(fatal).type, 'trial');
--- a/src/lib/quarantine/quarantine.ts
+++ b/src/lib/quarantine/quarantine.ts
@@ -11,6 +11,7 @@
 import {readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {type CrashReport} from './crash-report.js';
 import {computeHeadFingerprint, joinFingerprint, type Fingerprint} from './fingerprint.js';
 import {createQuarantineLedger, type Judgement} from './ledger.js';
 import {createRecentAnswers} from './recent-answers.js';
@@ -22,6 +23,8 @@
 	readonly log: MeshLog;
 	/** Told when the other nodes should hear of it at once. */
 	readonly handleNews: () => void;
+	/** Told of each crash of the server beside this node that accuses a request. */
+	readonly handleCrash: (report: CrashReport) => void;
 	/** Told of requests that are quarantined because of what this node saw. */
 	readonly handleQuarantined: (records: readonly SuspectRecord[]) => void;
 };
@@ -69,7 +72,7 @@
  * @returns A quarantine in which nothing is suspected.
  * @internal
  */
-export function createQuarantine({log, handleNews, handleQuarantined}: QuarantineContext): Quarantine {
+export function createQuarantine({log, handleNews, handleCrash, handleQuarantined}: QuarantineContext): Quarantine {
 	const ledger = createQuarantineLedger();
 	const answers = createRecentAnswers();
 	const trials = new Set<Fingerprint>();
@@ -157,10 +160,12 @@
 		noteCrash(server, atWork) {
 			const now = readSteadyMs();
 			const accused = atWork.filter(mark => !hasBeenAnswered(mark, now)).map(mark => mark.getFingerprint());
-			const fresh = ledger.accuse(accused, computeCrashKey(server), now);
+			const crash = computeCrashKey(server);
+			const fresh = ledger.accuse(accused, crash, now);
 			if (fresh.length > 0) {
 				tellSuspects(fresh, server.id, now);
 				handleNews();
+				handleCrash({crash, fingerprints: fresh});
 				const quarantined = ledger.listQuarantined(now).filter(({fingerprint}) => fresh.includes(fingerprint));
 				if (quarantined.length > 0) {
 					handleQuarantined(quarantined);
--- a/src/lib/quarantine/sample-quarantine.ts
+++ b/src/lib/quarantine/sample-quarantine.ts
@@ -11,7 +11,9 @@
  * @returns A quarantine that tells nobody.
  * @internal
  */
-export const createQuietQuarantine = (): Quarantine => createQuarantine({log: silentLog, handleNews: () => undefined, handleQuarantined: () => undefined});
+export const createQuietQuarantine = (): Quarantine => createQuarantine({
+	log: silentLog, handleNews: () => undefined, handleCrash: () => undefined, handleQuarantined: () => undefined,
+});
 
 /**
  * @param target - What it asks for.
--- a/src/lib/quarantine/suspect-record.ts
+++ b/src/lib/quarantine/suspect-record.ts
@@ -55,9 +55,18 @@
 	return [fingerprint, Math.round(quietMs / tenthMs), crashes, cleared];
 }
 
+/**
+ * @param value - What came from the store.
+ * @returns The name of a crash, or `undefined` if it is none.
+ * @internal
+ */
+export function parseCrashKey(value: unknown): CrashKey | undefined {
+	return typeof value === 'string' && keyText.test(value) ? value as CrashKey : undefined;
+}
+
 function readCrashes(value: unknown, place: string): readonly CrashKey[] {
 	const keys = readList(value, place);
-	if (keys.length > mostCrashes || !keys.every(key => typeof key === 'string' && keyText.test(key))) {
+	if (keys.length > mostCrashes || !keys.every(key => parseCrashKey(key) !== undefined)) {
 		throw new FieldError(place, value, `at most ${mostCrashes} names of crashes, each of ${keyLength} characters`);
 	}
 
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -16,6 +16,7 @@
 import {type RouteConfig} from '../route-config/route-config.js';
 import {type MeshStore} from '../store/mesh-store.js';
 import {noEra, type StoreEra} from '../store/store-position.js';
+import {createCrashEntries, crashPrefix, type CrashEntries} from '../sync/crash-entries.js';
 import {createConfigFollower} from '../sync/config-follower.js';
 import {createRegistration} from '../sync/registration.js';
 import {isRelay, type DomainNode} from '../sync/relay-duty.js';
@@ -67,6 +68,8 @@
 	readonly startAnew: () => void;
 	/** Keeps quarantined requests in the store. */
 	readonly storeSuspects: SuspectEntries['write'];
+	/** Tells of a crash through the store. */
+	readonly tellCrash: CrashEntries['tell'];
 	readonly start: () => void;
 	/** Takes this node out of the store. */
 	readonly withdraw: () => Promise<void>;
@@ -144,10 +147,14 @@
 	const suspects = createSuspectEntries({
 		store, log, refusals: context.refusals, random, countPeers: () => link.table.size, ...context.suspects,
 	});
+	const crashes = createCrashEntries({
+		store, log, refusals: context.refusals, handleRecords: context.suspects.handleRecords,
+	});
 	const registration = createRegistration({
-		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.table.size,
+		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.table.size, countSilent: link.countSilent,
 		isKnown: link.table.hasGossip, refusals: context.refusals, handleAddresses: link.addContacts,
 		handleOtherItems(items) {
+			crashes.take(items.filter(({key}) => key.startsWith(crashPrefix)));
 			suspects.take(items.filter(({key}) => key.startsWith(suspectPrefix)));
 		},
 	});
@@ -160,6 +167,7 @@
 
 	store.watchEra(era => {
 		log.record('warn', {kind: 'store-restored', era});
+		crashes.handleRestored();
 		suspects.handleRestored();
 		startAnew();
 	});
@@ -236,6 +244,7 @@
 		isStoreReachable: health.isReachable,
 		startAnew,
 		storeSuspects: suspects.write,
+		tellCrash: crashes.tell,
 		start() {
 			void keepRunning(follower.run);
 			void keepRunning(registration.run);
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -143,6 +143,9 @@
 		handleNews() {
 			link.announceToAll();
 		},
+		handleCrash(report) {
+			void sync.tellCrash(report);
+		},
 		handleQuarantined(records) {
 			sync.storeSuspects(records);
 		},
--- /dev/null
+++ b/src/lib/sync/crash-entries.test.ts
@@ -0,0 +1,127 @@
+import assert from 'node:assert/strict';
+import test, {type TestContext} from 'node:test';
+import {err, ok} from 'neverthrow';
+import {toBackendServerId} from '../common/ids.js';
+import {type CrashReport} from '../quarantine/crash-report.js';
+import {computeFingerprint} from '../quarantine/fingerprint.js';
+import {computeCrashKey, type SuspectRecord} from '../quarantine/suspect-record.js';
+import {type StoreItem} from '../store/mesh-store.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {type Refusal} from '../timeline/refusals.js';
+import {crashPrefix, createCrashEntries, type CrashEntries} from './crash-entries.js';
+
+const getFingerprint = (target: string) => computeFingerprint({
+	method: 'GET', host: 'mesh.example', target, body: undefined,
+});
+
+const createReport = (startedAt: number): CrashReport => ({
+	crash: computeCrashKey({id: toBackendServerId('i-1'), startedAt}), fingerprints: [getFingerprint('/fatal'), getFingerprint('/beside')],
+});
+
+/** A store that several nodes share. */
+type SharedStore = {readonly items: Map<string, string>; isAway: boolean; writes: number};
+
+const createStore = (): SharedStore => ({items: new Map(), isAway: false, writes: 0});
+
+const listStore = ({items}: SharedStore): readonly StoreItem[] => [...items].map(([key, value]) => ({key, value, revision: 1}));
+
+type Fixture = {
+	readonly entries: CrashEntries;
+	readonly handled: readonly SuspectRecord[];
+	readonly refused: readonly Refusal[];
+};
+
+function createFixture(store: SharedStore): Fixture {
+	const handled: SuspectRecord[] = [];
+	const refused: Refusal[] = [];
+	const position = {era: 1, revision: 1};
+	const entries = createCrashEntries({
+		store: {
+			async grantLease() {
+				return store.isAway ? err({type: 'unknown', reason: 'away'}) : ok({era: 1, id: 7});
+			},
+			async putItem(key, value) {
+				store.writes++;
+				store.items.set(key, value);
+				return ok(position);
+			},
+			async listItems() {
+				return store.isAway ? err({type: 'unavailable', reason: 'away'}) : ok({items: listStore(store), position});
+			},
+		},
+		log: silentLog,
+		refusals: {
+			note(refusal) {
+				refused.push(refusal);
+			},
+			dispose: () => undefined,
+		},
+		handleRecords(records) {
+			handled.push(...records);
+		},
+	});
+	return {entries, handled, refused};
+}
+
+const waitForWrites = async (): Promise<void> => new Promise(resolve => {
+	setImmediate(resolve);
+});
+
+/** Crashes of which a node has heard that a request was in work at them. */
+const listCrashes = ({handled}: Fixture, target: string): readonly string[] =>
+	[...new Set(handled.filter(({fingerprint}) => fingerprint === getFingerprint(target)).flatMap(({crashes}) => crashes))].toSorted();
+
+test('a node that tells of a crash knows at once of those that others told of, and they know with their next list', async () => {
+	const store = createStore();
+	const [first, second] = [createFixture(store), createFixture(store)];
+	const reports = [createReport(1), createReport(2)] as const;
+	await first.entries.tell(reports[0]);
+	await second.entries.tell(reports[1]);
+	const both = reports.map(({crash}) => crash).toSorted();
+	assert.deepEqual(listCrashes(second, '/fatal'), both);
+	first.entries.take(listStore(store));
+	assert.deepEqual(listCrashes(first, '/fatal'), both);
+	assert.deepEqual(listCrashes(first, '/beside'), both);
+});
+
+test('a crash that the store did not take, or lost when it came back from a copy, is written with the next list; an old one is not', async ({mock}: TestContext) => {
+	let now = 0;
+	mock.method(performance, 'now', () => now);
+	const store = createStore();
+	const {entries} = createFixture(store);
+	store.isAway = true;
+	await entries.tell(createReport(1));
+	assert.equal(store.items.size, 0);
+	store.isAway = false;
+	entries.take([]);
+	await waitForWrites();
+	assert.equal(store.items.size, 1);
+	entries.take([]);
+	await waitForWrites();
+	assert.equal(store.writes, 1, 'an entry that a stale list lacks was written again');
+
+	store.items.clear();
+	entries.handleRestored();
+	entries.take([]);
+	await waitForWrites();
+	assert.equal(store.items.size, 1);
+
+	store.items.clear();
+	entries.handleRestored();
+	now = 60_001;
+	entries.take([]);
+	await waitForWrites();
+	assert.equal(store.items.size, 0);
+});
+
+test('an entry of another writer is refused with its place, and the others count', () => {
+	const fixture = createFixture(createStore());
+	const {crash, fingerprints} = createReport(1);
+	const good = JSON.stringify(fingerprints);
+	const many = JSON.stringify(Array.from({length: 65}, () => fingerprints[0]));
+	const items = ['', '{}', '7', '["short"]', '[null]', many].map(value => ({key: `${crashPrefix}${crash}`, value, revision: 1}));
+	fixture.entries.take([...items, {key: `${crashPrefix}no name of a crash`, value: good, revision: 1}, {key: `${crashPrefix}${crash}`, value: good, revision: 1}]);
+	assert.deepEqual(listCrashes(fixture, '/fatal'), [crash]);
+	assert.equal(fixture.refused.length, 7);
+	assert.ok(fixture.refused.every(({reason}) => reason.includes('remove the entry')));
+});
--- a/src/lib/sync/registration.test.ts
+++ b/src/lib/sync/registration.test.ts
@@ -26,7 +26,7 @@
 const at = {era: 1, revision: 9} as const;
 
 /** A node that registers, among so many others, under a clock that the test advances. */
-function startFixture(context: TestContext, peers: number, isFollowing = false): Fixture {
+function startFixture(context: TestContext, peers: number, {isFollowing = false, silent = 0} = {}): Fixture {
 	context.mock.timers.enable({apis: ['setTimeout']});
 	let now = 0;
 	context.mock.method(performance, 'now', () => now);
@@ -65,7 +65,7 @@
 	};
 	const registration = createRegistration({
 		store: store as unknown as MeshStore, health: createStoreHealth(silentLog, () => undefined), self: toNodeId('n1'), gossip: toAddress('10.0.0.1:1'), log: silentLog,
-		random: () => 0.5, isFollowing: () => isFollowing, countPeers: () => peers, isKnown: () => false, refusals: silentRefusals, handleAddresses: () => undefined, handleOtherItems: () => undefined,
+		random: () => 0.5, isFollowing: () => isFollowing, countPeers: () => peers, countSilent: () => silent, isKnown: () => false, refusals: silentRefusals, handleAddresses: () => undefined, handleOtherItems: () => undefined,
 	});
 	context.after(registration.dispose);
 	void registration.run();
@@ -116,6 +116,13 @@
 	assert.equal(counts.get('grant'), 1);
 });
 
+test('in a large mesh a node that watches the store for others, and misses some, lists what they may have left there every two seconds, and renews its lease in between', async context => {
+	const {counts, advance} = startFixture(context, 194, {isFollowing: true, silent: 3});
+	await advance(30_000);
+	assert.ok((counts.get('list') ?? 0) >= 13);
+	assert.ok((counts.get('renew') ?? 0) >= 13);
+});
+
 for (const [name, peers, awayMs] of [
 	['long', 194, 9000],
 	['so short that no call failed', 194, 200],
--- a/src/lib/sync/registration.ts
+++ b/src/lib/sync/registration.ts
@@ -26,6 +26,8 @@
 	readonly isFollowing: () => boolean;
 	/** Other nodes that are known now. */
 	readonly countPeers: () => number;
+	/** Nodes that were heard once and have fallen silent. */
+	readonly countSilent: () => number;
 	/** Whether a node takes heartbeats at an address. */
 	readonly isKnown: (address: Address) => boolean;
 	readonly refusals: Refusals;
@@ -84,7 +86,7 @@
  * @internal
  */
 export function createRegistration(context: RegistrationContext): Registration {
-	const {store, health, self, gossip, log, random, isFollowing, countPeers, isKnown, refusals, handleAddresses, handleOtherItems} = context;
+	const {store, health, self, gossip, log, random, isFollowing, countPeers, countSilent, isKnown, refusals, handleAddresses, handleOtherItems} = context;
 	const disposed = new AbortController();
 	const key = `${prefix}${self}`;
 	const entries = createEntryBook({isKnown, refusals});
@@ -185,7 +187,10 @@
 		}
 	};
 
-	const isListDue = (): boolean => looks % Math.max(leastLooksPerList, Math.ceil((countPeers() + 1) / listedPerLook)) === 0;
+	/** What silent nodes would have told may stand in the store: a cut leaves no other way. */
+	const countLooksPerList = (): number => countSilent() > 0 ? leastLooksPerList : Math.max(leastLooksPerList, Math.ceil((countPeers() + 1) / listedPerLook));
+
+	const isListDue = (): boolean => looks % countLooksPerList() === 0;
 
 	const step = async (isFirst: boolean): Promise<boolean> => {
 		const isDone = own === undefined || isListDue() ? await list(isFirst) : await renew(own);
--- a/src/lib/sync/suspect-entries.ts
+++ b/src/lib/sync/suspect-entries.ts
@@ -10,6 +10,7 @@
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type Refusals} from '../timeline/refusals.js';
+import {putLeased} from './put-leased.js';
 
 /** @internal */
 export type SuspectEntriesContext = {
@@ -71,15 +72,9 @@
 
 	const writeOne = async (record: SuspectRecord): Promise<void> => {
 		writtenAt.set(record.fingerprint, readSteadyMs());
-		const lease = await store.grantLease(entryMs);
-		if (lease.isErr()) {
-			log.record('warn', {kind: 'quarantine-not-stored', fingerprint: record.fingerprint, reason: `no lease: ${lease.error.type}`});
-			return;
-		}
-
-		const put = await store.putItem(`${suspectPrefix}${record.fingerprint}`, JSON.stringify(encodeSuspect(record)), lease.value);
+		const put = await putLeased(store, `${suspectPrefix}${record.fingerprint}`, JSON.stringify(encodeSuspect(record)), entryMs);
 		if (put.isErr()) {
-			log.record('warn', {kind: 'quarantine-not-stored', fingerprint: record.fingerprint, reason: put.error.type});
+			log.record('warn', {kind: 'quarantine-not-stored', fingerprint: record.fingerprint, reason: put.error});
 		}
 	};
 
