Trials: a request on trial whose server is full goes to no other one

Cause: the attempts in the nodes' logs: the chosen server had turned the copy away as full, was no candidate any more, and the choice among the rest was another server, at each copy. Change: the choice comes first, the call's own filter after it.

--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -91,13 +91,16 @@
  * @internal
  */
 export function listCandidates(needs: CandidateNeeds, sources: CandidateSources, now: number): readonly Candidate[] {
-	const {service, route, tried} = needs;
+	const {service, route, tried, trialOf} = needs;
 	const {own, peers, limits, loads, random} = sources;
 
+	/** A trial has one server for all nodes, also once that one has turned it away: to go on among the others would be trials at several at once. */
+	const isOut = (lifetime: LifetimeKey): boolean => trialOf === undefined && tried.has(lifetime);
+
 	const describeUsable = (peer: Peer): Candidate | undefined => {
 		const {server} = peer.report;
 		// A list by service may hold a node whose server has changed since it was drawn up.
-		return server?.service === service && server.state === 'ready' && !tried.has(toLifetimeKey(server.lifetime)) && isReachable(peer, limits, now)
+		return server?.service === service && server.state === 'ready' && !isOut(toLifetimeKey(server.lifetime)) && isReachable(peer, limits, now)
 			? describePeer({report: peer.report, server}, route, loads)
 			: undefined;
 	};
@@ -121,10 +124,10 @@
 		return found;
 	};
 
-	const ownPart = own.server?.service === service && own.server.state === 'ready' && !tried.has(toLifetimeKey(own.server.lifetime)) ? [describeOwn(sources, own.server, route, now)] : [];
+	const ownPart = own.server?.service === service && own.server.state === 'ready' && !isOut(toLifetimeKey(own.server.lifetime)) ? [describeOwn(sources, own.server, route, now)] : [];
 	const listAll = (): readonly Candidate[] => [...ownPart, ...[...peers.ownDomain, ...peers.otherDomains].flatMap(peer => describeUsable(peer) ?? [])];
-	if (needs.trialOf !== undefined) {
-		return chooseTrialServer(needs.trialOf, listAll());
+	if (trialOf !== undefined) {
+		return chooseTrialServer(trialOf, listAll()).filter(({lifetime}) => !tried.has(lifetime));
 	}
 
 	const drawn = [...ownPart, ...findSome(peers.ownDomain), ...findSome(peers.otherDomains)];
