Quarantine: a trial waits a moment after the first crash, and what several ask for then is held back

Cause: copies that came 20 to 60 ms after the first end was known were let in on trial at once (times of the calls that server-crashed names). Ruled out: late word (10 ms). Change: the trial waits 200 ms at its gate, without a slot; a second asker in that time has it held back for ten seconds everywhere. One asker is served after the wait.

--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -72,7 +72,7 @@
 			context.after(scope.dispose);
 			return {
 				id: call, server: id, method: 'GET', target: '/logs/1', headers: {host: 'mesh.example'}, readBody: async () => undefined,
-				callerService: 'hall', rank: 1, mayWaitMs: 20_000, isTransfer: false, scope,
+				callerService: 'hall', rank: 1, mayWaitMs: 20_000, hasBody: false, isTransfer: false, scope,
 			};
 		},
 	};
@@ -248,7 +248,7 @@
 	announce({slots: 8});
 	const bodies: Array<(body: Uint8Array) => void> = [];
 	const createUpload = (name: string, mayWaitMs: number): GateCall => ({
-		...createCall(name), method: 'POST', isTransfer: true, mayWaitMs, readBody: async () => new Promise(resolve => {
+		...createCall(name), method: 'POST', hasBody: true, isTransfer: true, mayWaitMs, readBody: async () => new Promise(resolve => {
 			bodies.push(resolve);
 		}),
 	});
@@ -276,12 +276,14 @@
 	const {gate, announce, createCall, arrived, answerNext} = await createFixture(context);
 	announce({slots: 8});
 	const fail = (name: string): GateCall => ({
-		...createCall(name), isTransfer: true, async readBody() {
+		...createCall(name), hasBody: true, isTransfer: true, async readBody() {
 			throw new Error('cut');
 		},
 	});
 	await Promise.all(['f1', 'f2', 'f3', 'f4'].map(async name => gate.run(fail(name))));
-	const whole = gate.run({...createCall('u1'), isTransfer: true, mayWaitMs: 0});
+	const whole = gate.run({
+		...createCall('u1'), hasBody: true, isTransfer: true, mayWaitMs: 0,
+	});
 	await expectSoon('the upload arrives', () => arrived.length === 1);
 	answerNext();
 	assert.equal((await whole).result.type, 'answered');
@@ -319,7 +321,7 @@
 		const scope = createCallScope(performance.now() + waitsMs);
 		context.after(scope.dispose);
 		const {result} = await gate.run({
-			id: call, server: id, method: 'GET', target: '/', headers: {host: 'mesh.example'}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 1000, isTransfer: false, scope,
+			id: call, server: id, method: 'GET', target: '/', headers: {host: 'mesh.example'}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 1000, hasBody: false, isTransfer: false, scope,
 		});
 		return result.type;
 	};
@@ -393,7 +395,7 @@
 		const scope = createCallScope(performance.now() + 3000);
 		context.after(scope.dispose);
 		return {
-			id: call, server: id, method: 'GET', target: '/', headers: {}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 1000, isTransfer: false, scope,
+			id: call, server: id, method: 'GET', target: '/', headers: {}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 1000, hasBody: false, isTransfer: false, scope,
 		};
 	};
 
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -17,6 +17,7 @@
 import {
 	noLocalServer, type LocalServer, type LocalServerState, type ServerAnnouncement, type ServerLeave, type ServerStep,
 } from '../local-server/local-server.js';
+import {describeRefusal as describeQuarantine, type Quarantine} from '../quarantine/quarantine.js';
 import {type ServerReport, type ServerState} from '../peers/peer-report.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type WireHeaders} from './call-headers.js';
@@ -24,7 +25,7 @@
 	createNotRun, type ForwardFailure, type ForwardResult, type GateLoad, type GateResult,
 } from './forward-result.js';
 import {
-	countPlaces, doubtMs, openServerSession, type ServerSession, type ServerSessionContext, type SessionCall,
+	countPlaces, createCallMark, doubtMs, openServerSession, type ServerSession, type ServerSessionContext, type SessionCall,
 } from './server-session.js';
 import {createTransferLimit} from './transfer-limit.js';
 
@@ -36,6 +37,8 @@
 	readonly rank: number;
 	/** Milliseconds that it may wait for a slot. */
 	readonly mayWaitMs: number;
+	/** Whether it has a body, which is there once a slot is held. */
+	readonly hasBody: boolean;
 	/** Its body is large and comes from another VM. */
 	readonly isTransfer: boolean;
 };
@@ -49,7 +52,7 @@
 	/** Connections that the backend server accepts from this node. */
 	readonly getMaxConnections: (service: string) => number;
 	readonly isLeaving: () => boolean;
-	readonly quarantine: ServerSessionContext['quarantine'];
+	readonly quarantine: ServerSessionContext['quarantine'] & Pick<Quarantine, 'countSuspects'>;
 	/** Megabits a second of this VM's link. */
 	readonly linkMbps: number;
 };
@@ -79,7 +82,7 @@
  * @internal
  */
 export function createLocalGate(context: LocalGateContext): LocalGate {
-	const {wire, log, handleChange} = context;
+	const {wire, log, handleChange, quarantine} = context;
 	let state: LocalServerState = noLocalServer;
 	let session: ServerSession | undefined;
 	/** Whose session it is, also once the server was forgotten. */
@@ -126,7 +129,7 @@
 			wire,
 			log,
 			maxConnections: context.getMaxConnections(service),
-			quarantine: context.quarantine,
+			quarantine,
 			isLeaving: () => context.isLeaving() || (state.current?.isLeaving ?? false),
 			handleUnreachable(asked, reason) {
 				state = doubtServer(state, asked, readSteadyMs() + doubtMs);
@@ -219,6 +222,18 @@
 		}
 	};
 
+	/** What may crash the server takes no slot, and no place among those that wait for one, before it may run. With a body that is known only once it is here. */
+	const admitTrial = async (call: GateCall): Promise<ForwardFailure | undefined> => {
+		if (call.hasBody) {
+			return undefined;
+		}
+
+		const mark = createCallMark(call, undefined);
+		await quarantine.settle(mark);
+		const judgement = quarantine.judge(mark);
+		return judgement.type === 'refused' ? refuse(call, createNotRun('quarantined', describeQuarantine(judgement), judgement.retryAfterMs)) : undefined;
+	};
+
 	/** Has a call wait for the link first if its body is large, so that no slot is held for bodies that wait. */
 	const admitTransfer = async (call: GateCall): Promise<ForwardResult> => {
 		const found = findSession(call);
@@ -286,7 +301,8 @@
 			const arrivedAt = readSteadyMs();
 			requests++;
 			try {
-				const result = await (call.isTransfer ? admitTransfer(call) : admitAndRun(call));
+				const refusal = quarantine.countSuspects() === 0 ? undefined : await admitTrial(call);
+				const result = refusal ?? await (call.isTransfer ? admitTransfer(call) : admitAndRun(call));
 				return {result, load: getLoad(arrivedAt)};
 			} finally {
 				requests--;
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -48,7 +48,9 @@
 		mayWaitMs, rank: computeRank(call.route), scope,
 	};
 	return target.isLocal
-		? context.localGate.run({...common, isTransfer: false, readBody: async () => call.body})
+		? context.localGate.run({
+			...common, hasBody: call.body !== undefined, isTransfer: false, readBody: async () => call.body,
+		})
 		: context.gateClient.send({
 			...common, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type), handleDoubt,
 		});
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -45,7 +45,7 @@
 	readonly maxConnections: number;
 	/** The server could not be reached. */
 	readonly handleUnreachable: (lifetime: ServerLifetime, reason: string) => void;
-	readonly quarantine: Pick<Quarantine, 'judge' | 'admitRun' | 'noteCrash' | 'noteAnswered'>;
+	readonly quarantine: Pick<Quarantine, 'judge' | 'settle' | 'admitRun' | 'noteCrash' | 'noteAnswered'>;
 	/** Whether the server, or its node, leaves: its end is no crash then. */
 	readonly isLeaving: () => boolean;
 	/** Another server answered at the address. */
@@ -115,7 +115,13 @@
 /** A request that was sent to the server. */
 type SentCall = {readonly id: string; readonly mark: RequestMark};
 
-const createCallMark = ({method, target, headers}: SessionCall, body: Uint8Array | undefined): RequestMark => createRequestMark({
+/**
+ * @param call - A request.
+ * @param body - Its body.
+ * @returns It as the quarantine looks at it.
+ * @internal
+ */
+export const createCallMark = ({method, target, headers}: Pick<SessionCall, 'method' | 'target' | 'headers'>, body: Uint8Array | undefined): RequestMark => createRequestMark({
 	method, host: typeof headers.host === 'string' ? headers.host : '', target, body,
 });
 
@@ -231,6 +237,12 @@
 	};
 
 	const send = async (call: SessionCall, body: Uint8Array | undefined): Promise<ForwardResult> => {
+		const mark = createCallMark(call, body);
+		const settled = context.quarantine.settle(mark);
+		if (settled !== undefined) {
+			await settled;
+		}
+
 		const now = readSteadyMs();
 		const leftMs = Math.floor(call.scope.endsAt - now - passOnMs);
 		const ended = call.scope.getEnd();
@@ -247,7 +259,6 @@
 			log.record('info', {kind: 'connections-renewed', server: lifetime.id, reason: 'a request has waited for far longer than requests take'});
 		}
 
-		const mark = createCallMark(call, body);
 		const admission = context.quarantine.admitRun(mark);
 		if (admission.type === 'refused') {
 			return createNotRun('quarantined', admission.detail, admission.retryAfterMs);
--- a/src/lib/forwarding/suspended-gate.test.ts
+++ b/src/lib/forwarding/suspended-gate.test.ts
@@ -50,7 +50,7 @@
 	const startedAt = performance.now();
 	const sent = gate.run({
 		id: 'first', server: id, method: 'GET', target: '/logs/1', headers: {host: 'mesh.example'}, readBody: async () => undefined,
-		callerService: 'hall', rank: 1, mayWaitMs: 20_000, isTransfer: false, scope,
+		callerService: 'hall', rank: 1, mayWaitMs: 20_000, hasBody: false, isTransfer: false, scope,
 	});
 	await expectSoon('it arrives', () => open.length === 1);
 	suspendedMs = 2500;
--- a/src/lib/quarantine/crash-report.ts
+++ b/src/lib/quarantine/crash-report.ts
@@ -57,5 +57,5 @@
  */
 export const toSuspectRecords = ({crash, fingerprints}: CrashReport): readonly SuspectRecord[] =>
 	fingerprints.map(fingerprint => ({
-		fingerprint, quietMs: 0, crashes: [crash], cleared: [],
+		fingerprint, quietMs: 0, crashes: [crash], cleared: [], repeated: [],
 	}));
--- a/src/lib/quarantine/ledger.test.ts
+++ b/src/lib/quarantine/ledger.test.ts
@@ -47,6 +47,32 @@
 	assert.equal(ledger.judge(fatal, 12_001).type, 'trial');
 });
 
+test('a trial waits a moment after the first crash, and not after a later one, whose hold is over by then', () => {
+	const ledger = createAccused(1);
+	assert.equal(ledger.getSettleMs(fatal, 1050), 150);
+	assert.equal(ledger.getSettleMs(fatal, 1200), 0);
+	assert.equal(ledger.getSettleMs(innocent, 1050), 0);
+	assert.equal(createAccused(2).getSettleMs(fatal, 2050), 0);
+});
+
+test('what several ask for right after the first crash waits as after a second one, everywhere, until a server answers it', () => {
+	const ledger = createAccused(1);
+	const other = createQuarantineLedger();
+	assert.equal(ledger.noteRepeated(fatal, 1100), true);
+	assert.equal(ledger.noteRepeated(fatal, 1100), false);
+	assert.equal(ledger.noteRepeated(innocent, 1100), false);
+	other.merge(ledger.listPart(1100), 1100);
+	for (const one of [ledger, other]) {
+		assert.equal(one.judge(fatal, 2000).type, 'refused');
+		assert.equal(one.getSettleMs(fatal, 1100), 0);
+	}
+
+	assert.equal(ledger.judge(fatal, 11_001).type, 'trial');
+	other.clear(fatal, 3000);
+	ledger.merge(other.listPart(3000), 3000);
+	assert.equal(ledger.judge(fatal, 3000).type, 'free');
+});
+
 test('after the third it is refused for as long as it is asked for, and ten minutes beyond', () => {
 	const ledger = createAccused(3);
 	let now = 3000;
@@ -129,24 +155,29 @@
 /** One thing that a node sees. */
 type Sight =
 	| {readonly type: 'crash'; readonly number: number; readonly targets: readonly string[]}
-	| {readonly type: 'answer'; readonly target: string};
+	| {readonly type: 'answer'; readonly target: string}
+	| {readonly type: 'repeat'; readonly target: string};
 
 const targets = ['/a', '/b', '/c'] as const;
 const sights = fc.array(fc.oneof(
 	fc.record({type: fc.constant('crash' as const), number: fc.integer({min: 1, max: 5}), targets: fc.uniqueArray(fc.constantFrom(...targets), {minLength: 1})}),
-	fc.record({type: fc.constant('answer' as const), target: fc.constantFrom(...targets)}),
+	fc.record({type: fc.constantFrom('answer' as const, 'repeat' as const), target: fc.constantFrom(...targets)}),
 ), {maxLength: 12});
 
 function noteSight(ledger: QuarantineLedger, sight: Sight): void {
 	if (sight.type === 'crash') {
 		ledger.accuse(sight.targets.map(target => toName(target)), getCrash(sight.number), 0);
+	} else if (sight.type === 'repeat') {
+		ledger.noteRepeated(toName(sight.target), 0);
 	} else {
 		ledger.clear(toName(sight.target), 0);
 	}
 }
 
 function list(ledger: QuarantineLedger): readonly SuspectRecord[] {
-	return ledger.listPart(0).map(record => ({...record, crashes: record.crashes.toSorted(), cleared: record.cleared.toSorted()}))
+	return ledger.listPart(0).map(record => ({
+		...record, crashes: record.crashes.toSorted(), cleared: record.cleared.toSorted(), repeated: record.repeated.toSorted(),
+	}))
 		.toSorted((left, right) => left.fingerprint < right.fingerprint ? -1 : 1);
 }
 
--- a/src/lib/quarantine/ledger.ts
+++ b/src/lib/quarantine/ledger.ts
@@ -29,6 +29,10 @@
 	readonly accuse: (fingerprints: readonly Fingerprint[], crash: CrashKey, now: number) => readonly Fingerprint[];
 	/** Takes in that a server answered a request; yields how many crashes it was cleared of. */
 	readonly clear: (fingerprint: Fingerprint, now: number) => number;
+	/** Milliseconds for which a trial waits after the first crash: what was under way then may end another server. */
+	readonly getSettleMs: (fingerprint: Fingerprint, now: number) => number;
+	/** Takes in that several callers asked for a request right after a crash; yields whether that is new. */
+	readonly noteRepeated: (fingerprint: Fingerprint, now: number) => boolean;
 	/** Takes in what another node knows; yields those of which more is known now. */
 	readonly merge: (records: readonly SuspectRecord[], now: number) => readonly Fingerprint[];
 	readonly get: (fingerprint: Fingerprint, now: number) => SuspectRecord | undefined;
@@ -50,6 +54,13 @@
 /** From this many crashes on it is refused for as long as it is known: three more servers have ended on trial. */
 const endedFrom = 6;
 
+/**
+ * How long a trial waits after the first crash. Milliseconds: what was under way when the first server ended has ended the next one by then, and a page
+ * that many ask for comes again. One that many ask for and nobody has answered is held back at once: its trial would most likely take
+ * a second server while the first is away, and what servers are left then is what most others lose by.
+ */
+const settleMs = 200;
+
 /** How long a request is held back after its second crash. Milliseconds: several times what a server needs to come back, so that the next crash does not meet a service that lacks two servers already. */
 const holdMs = 10_000;
 
@@ -78,6 +89,7 @@
 	readonly fingerprint: Fingerprint;
 	readonly crashes: Set<CrashKey>;
 	readonly cleared: Set<CrashKey>;
+	readonly repeated: Set<CrashKey>;
 	/** When the newest of the crashes was heard of. */
 	crashedAt: number;
 	/** When it was last in a crash or refused. */
@@ -97,8 +109,11 @@
 	return true;
 }
 
-/** Whether it is, or was, known of enough crashes to have been held back. */
-const hasBeenHeld = ({crashes, cleared}: Pick<Entry, 'crashes' | 'cleared'>): boolean => crashes.size + cleared.size >= heldFrom;
+/** What speaks against it: to be asked for by many without an answer is worth a crash. */
+const countEvidence = ({crashes, repeated}: Pick<Entry, 'crashes' | 'repeated'>): number => crashes.size + repeated.size;
+
+/** Whether there is, or was, enough against it to have been held back. */
+const hasBeenHeld = (entry: Pick<Entry, 'crashes' | 'cleared' | 'repeated'>): boolean => countEvidence(entry) + entry.cleared.size >= heldFrom;
 
 const getKeepMs = (entry: Entry): number => hasBeenHeld(entry) ? forgetHeldMs : forgetMs;
 
@@ -155,7 +170,7 @@
 
 		dropWeakest();
 		const entry: Entry = {
-			fingerprint, crashes: new Set(), cleared: new Set(), crashedAt: now, askedAt: now, changedAt: now,
+			fingerprint, crashes: new Set(), cleared: new Set(), repeated: new Set(), crashedAt: now, askedAt: now, changedAt: now,
 		};
 		entries.set(fingerprint, entry);
 		const head = cutBody(fingerprint);
@@ -163,8 +178,8 @@
 		return entry;
 	};
 
-	const describe = ({fingerprint, askedAt, crashes, cleared}: Entry, now: number): SuspectRecord => ({
-		fingerprint, quietMs: Math.max(0, now - askedAt), crashes: [...crashes], cleared: [...cleared],
+	const describe = ({fingerprint, askedAt, crashes, cleared, repeated}: Entry, now: number): SuspectRecord => ({
+		fingerprint, quietMs: Math.max(0, now - askedAt), crashes: [...crashes], cleared: [...cleared], repeated: [...repeated],
 	});
 
 	const addCrash = (entry: Entry, crash: CrashKey, now: number): boolean => {
@@ -183,13 +198,23 @@
 		}
 
 		entry.crashes.delete(crash);
+		entry.repeated.delete(crash);
+		entry.changedAt = now;
+		return true;
+	};
+
+	const addRepeated = (entry: Entry, crash: CrashKey, now: number): boolean => {
+		if (entry.cleared.has(crash) || !addKey(entry.repeated, crash)) {
+			return false;
+		}
+
 		entry.changedAt = now;
 		return true;
 	};
 
 	/** What another node has nearly forgotten must not begin anew here. */
-	const isWorthKeeping = ({quietMs, crashes, cleared}: SuspectRecord): boolean =>
-		quietMs < (crashes.length + cleared.length >= heldFrom ? forgetHeldMs : forgetMs);
+	const isWorthKeeping = ({quietMs, crashes, cleared, repeated}: SuspectRecord): boolean =>
+		quietMs < (crashes.length + cleared.length + repeated.length >= heldFrom ? forgetHeldMs : forgetMs);
 
 	const mergeOne = (record: SuspectRecord, now: number): boolean => {
 		if (!entries.has(record.fingerprint) && !isWorthKeeping(record)) {
@@ -209,6 +234,10 @@
 			isChanged = addCrash(entry, crash, now) || isChanged;
 		}
 
+		for (const crash of record.repeated) {
+			isChanged = addRepeated(entry, crash, now) || isChanged;
+		}
+
 		return isChanged;
 	};
 
@@ -241,7 +270,7 @@
 			}
 
 			const heldMs = entry.crashedAt + holdMs - now;
-			return count >= heldFrom && heldMs > 0 ? refuse(entry, heldMs, now) : {type: 'trial', fingerprint};
+			return countEvidence(entry) >= heldFrom && heldMs > 0 ? refuse(entry, heldMs, now) : {type: 'trial', fingerprint};
 		},
 		accuse(fingerprints, crash, now) {
 			return [...new Set(fingerprints)].filter(fingerprint => {
@@ -255,6 +284,15 @@
 			const crashes = [...entry?.crashes ?? []];
 			return entry === undefined ? 0 : crashes.filter(crash => forgiveCrash(entry, crash, now)).length;
 		},
+		getSettleMs(fingerprint, now) {
+			const entry = entries.get(fingerprint);
+			return entry === undefined || countEvidence(entry) !== 1 ? 0 : Math.max(0, entry.crashedAt + settleMs - now);
+		},
+		noteRepeated(fingerprint, now) {
+			const entry = entries.get(fingerprint);
+			const crashes = [...entry?.crashes ?? []];
+			return entry !== undefined && crashes.map(crash => addRepeated(entry, crash, now)).includes(true);
+		},
 		merge: (records, now) => records.filter(record => mergeOne(record, now)).map(({fingerprint}) => fingerprint),
 		get(fingerprint, now) {
 			const entry = entries.get(fingerprint);
--- a/src/lib/quarantine/quarantine.ts
+++ b/src/lib/quarantine/quarantine.ts
@@ -17,6 +17,7 @@
 import {createRecentAnswers} from './recent-answers.js';
 import {type RequestMark} from './request-mark.js';
 import {computeCrashKey, type SuspectRecord} from './suspect-record.js';
+import {createTrialWait} from './trial-wait.js';
 
 /** @internal */
 export type QuarantineContext = {
@@ -37,6 +38,8 @@
 /** @internal */
 export type Quarantine = {
 	readonly judge: (mark: RequestMark) => Judgement;
+	/** Waits until a request that is on trial may be judged at the gate; yields nothing to wait for if it may be now, as nearly all may. */
+	readonly settle: (mark: RequestMark) => Promise<void> | undefined;
 	/** Judges a request that is about to be sent to the server, and lets one of each on trial through at a time. */
 	readonly admitRun: (mark: RequestMark) => RunAdmission;
 	/** The server beside this node crashed with these in work. */
@@ -78,6 +81,16 @@
 	const trials = new Set<Fingerprint>();
 	let refused = 0;
 
+	const trialWait = createTrialWait({
+		getSettleMs: fingerprint => ledger.getSettleMs(fingerprint, readSteadyMs()),
+		handleRepeated(fingerprint) {
+			if (ledger.noteRepeated(fingerprint, readSteadyMs())) {
+				log.record('warn', {kind: 'request-repeated', fingerprint});
+				handleNews();
+			}
+		},
+	});
+
 	/** Requests that nobody suspects cost no more than this look. */
 	const isKnown = (mark: RequestMark): boolean => ledger.countRecords() > 0 && ledger.hasHead(mark.getHeadFingerprint());
 
@@ -130,6 +143,7 @@
 
 	return {
 		judge,
+		settle: (mark): Promise<void> | undefined => isKnown(mark) ? trialWait.join(mark.getFingerprint()) : undefined,
 		admitRun(mark) {
 			const judgement = judge(mark);
 			switch (judgement.type) {
--- a/src/lib/quarantine/suspect-record.ts
+++ b/src/lib/quarantine/suspect-record.ts
@@ -22,6 +22,8 @@
 	readonly crashes: readonly CrashKey[];
 	/** Crashes of which it was cleared, since a server answered it. */
 	readonly cleared: readonly CrashKey[];
+	/** Crashes right after which several callers asked for it, without an answer from any server. */
+	readonly repeated: readonly CrashKey[];
 };
 
 /** Characters of a crash's name, six bits each: a record holds a few of them. */
@@ -51,8 +53,8 @@
  * @returns It as a list, times in tenths of a second.
  * @internal
  */
-export function encodeSuspect({fingerprint, quietMs, crashes, cleared}: SuspectRecord): readonly unknown[] {
-	return [fingerprint, Math.round(quietMs / tenthMs), crashes, cleared];
+export function encodeSuspect({fingerprint, quietMs, crashes, cleared, repeated}: SuspectRecord): readonly unknown[] {
+	return [fingerprint, Math.round(quietMs / tenthMs), crashes, cleared, repeated];
 }
 
 /**
@@ -81,7 +83,7 @@
  * @internal
  */
 export function decodeSuspect(value: unknown, place: string): SuspectRecord {
-	const [name, quiet, crashes, cleared] = readList(value, place);
+	const [name, quiet, crashes, cleared, repeated = []] = readList(value, place);
 	const fingerprint = parseFingerprint(name);
 	if (fingerprint === undefined) {
 		throw new FieldError(`${place}.fingerprint`, name, 'two digests with a dot between them');
@@ -90,5 +92,6 @@
 	return {
 		fingerprint, quietMs: readAmount(quiet, `${place}.quiet`, longestQuietMs) * tenthMs,
 		crashes: readCrashes(crashes, `${place}.crashes`), cleared: readCrashes(cleared, `${place}.cleared`),
+		repeated: readCrashes(repeated, `${place}.repeated`),
 	};
 }
--- a/src/lib/sync/suspect-entries.test.ts
+++ b/src/lib/sync/suspect-entries.test.ts
@@ -16,6 +16,7 @@
 	quietMs: 1500,
 	crashes: [1, 2, 3].map(startedAt => computeCrashKey({id: toBackendServerId('i-1'), startedAt})),
 	cleared: [],
+	repeated: [],
 };
 
 type Fixture = {
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -83,6 +83,8 @@
 	| {readonly kind: 'server-crashed'; readonly server: string; readonly atWork: number; readonly suspects: readonly string[]; readonly calls: readonly string[]}
 	| {readonly kind: 'request-suspected'; readonly fingerprint: string; readonly crashes: number; readonly from: string}
 	| {readonly kind: 'request-cleared'; readonly fingerprint: string; readonly crashes: number}
+	/** Several callers asked for it right after a crash, and no server has answered it. */
+	| {readonly kind: 'request-repeated'; readonly fingerprint: string}
 	| {readonly kind: 'crash-not-stored'; readonly crash: string; readonly reason: string}
 	| {readonly kind: 'quarantine-not-stored'; readonly fingerprint: string; readonly reason: string}
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
