Relay: a store without a head is not asked again at once

A watch of a missing key is answered at once with nothing, which the relay took for a watch in which nothing changed: 66 to 68 calls in half a second, 2 refused. Ruled out: a connection to the store that was not open again (25 writes right after the store's return, while the process lagged: none failed). Change: after such an answer the relay waits and asks for the head's creation. The message of republish gives the reason.

--- /dev/null
+++ b/src/lib/distribution/relay-watch.test.ts
@@ -0,0 +1,54 @@
+/**
+ * The relay's watch of the store.
+ *
+ * What was seen: an operator's `republish` to a store that had just come back empty ended with "the snapshot could not be written (unavailable)", in one of eight
+ * runs beside load, while the store answered others.
+ *
+ * How it came about: a watch of a key that is gone is answered at once, with nothing. The relay took that for a watch in which nothing had changed and asked again
+ * without a pause, until its share of calls on the store was used up; the operator's next write was refused by the node itself.
+ *
+ * Cause: "nothing changed while I waited" and "there is nothing" looked alike. What proved it: this test, which counted 68 calls in half a second, two more refused,
+ * where a few are enough.
+ */
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'node:test';
+import {createMemoryStore} from '../../../stand-ins/store/memory-store.js';
+import {waitUntil} from '../../../stand-ins/wait-until.js';
+import {createConfiguration, prepareDelta} from '../configuration/configuration.js';
+import {samplePool} from '../configuration/sample-items.js';
+import {toFailureDomain, toNodeId} from '../common/ids.js';
+import {createBudgetedStore} from '../store/budgeted-store.js';
+import {createLamportClock} from '../timeline/lamport-clock.js';
+import {createTimeline} from '../timeline/timeline.js';
+import {createConfigurationKeeper} from './configuration-keeper.js';
+import {headKey, type HeadRecord} from './head-record.js';
+import {createRelayWatch} from './relay-watch.js';
+import {republishHead} from './republish.js';
+import {writeSnapshot} from './snapshot.js';
+
+test('a relay at a store that came back empty leaves the operator its calls, and hears of what is written there', async context => {
+	const configuration = prepareDelta(createConfiguration(), [{type: 'put', item: {...samplePool, name: 'p1'}}], []).next;
+	const memory = createMemoryStore({latencyMs: 0});
+	const key = (await writeSnapshot(memory, configuration))._unsafeUnwrap();
+	const record: HeadRecord = {
+		format: 1, version: configuration.version, digest: configuration.digest, deltas: [], pages: [], snapshot: {version: configuration.version, key},
+	};
+	await memory.write({key: headKey, value: JSON.stringify(record), expectedRevision: 0});
+	const store = createBudgetedStore(memory, {perSecond: 20, burst: 60});
+	const keeper = createConfigurationKeeper(() => undefined);
+	const watch = createRelayWatch({
+		store, timeline: createTimeline(toNodeId('n1'), createLamportClock()), domain: toFailureDomain('a'), random: () => 0.5,
+		configuration: keeper, setReason: () => undefined,
+	});
+	context.after(watch.dispose);
+	watch.update(true);
+	await waitUntil(() => keeper.getConfiguration().version === configuration.version && store.getCounts().watches >= 2, 2000);
+	memory.restoreImage([]);
+	await sleep(500);
+	const {watches, refused} = store.getCounts();
+	assert.equal(refused, 0, `${watches} calls, ${refused} refused`);
+	assert.ok(watches <= 6, `${watches} calls`);
+	assert.equal((await republishHead(store, configuration)).isOk(), true);
+	assert.equal(await waitUntil(() => store.getCounts().watches > watches, 2000), true, 'it did not hear of the new head');
+});
--- a/src/lib/distribution/relay-watch.ts
+++ b/src/lib/distribution/relay-watch.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import {waitFor} from '../common/clock.js';
+import {readNow, waitFor} from '../common/clock.js';
 import {type Store} from '../store/store.js';
 import {type Timeline} from '../timeline/timeline.js';
 import {type ConfigurationKeeper} from './configuration-keeper.js';
@@ -34,6 +34,9 @@
 /** Milliseconds that one watch waits at the store. */
 const watchMs = 25_000;
 
+/** The revision of a key that does not exist. */
+const missingRevision = 0;
+
 const firstBackoffMs = 250;
 const lastBackoffMs = 4000;
 
@@ -67,8 +70,15 @@
 		setReason('');
 	};
 
+	/** A watch that yields nothing before its time is over says that there is no head, as in a store that came back empty. To ask again at once would use up this node's calls on the store, also those that the operator needs to write the head anew. */
+	const waitForHead = async (signal: AbortSignal): Promise<number> => {
+		await waitFor(firstBackoffMs, signal);
+		return missingRevision;
+	};
+
 	/** @returns The revision to wait for a change of. */
 	const runOnce = async (revision: number, signal: AbortSignal): Promise<number> => {
+		const askedAt = readNow();
 		const seen = await store.watch({
 			key: headKey, knownRevision: revision, timeoutMs: watchMs, signal,
 		});
@@ -83,7 +93,7 @@
 
 		if (seen.value === undefined) {
 			handleSuccess(configuration.getConfiguration().version);
-			return revision;
+			return readNow() - askedAt < watchMs ? waitForHead(signal) : revision;
 		}
 
 		const first = await followHead(store, configuration.getConfiguration(), seen.value);
--- a/src/lib/distribution/republish.ts
+++ b/src/lib/distribution/republish.ts
@@ -7,7 +7,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {type Configuration} from '../configuration/configuration.js';
-import {type Store} from '../store/store.js';
+import {type Store, type StoreError} from '../store/store.js';
 import {headKey, type HeadRecord} from './head-record.js';
 import {parseHead} from './read-head.js';
 import {writeSnapshot} from './snapshot.js';
@@ -32,14 +32,16 @@
 		return err(`the store holds version ${present.version}, which is not older than this node's version ${configuration.version}; nothing was written`);
 	}
 
+	/** Which of a node and its store is at fault is in the reason. */
+	const describe = (error: StoreError): string => 'reason' in error ? error.reason : error.type;
 	const snapshot = await writeSnapshot(store, configuration);
 	if (snapshot.isErr()) {
-		return err(`the snapshot could not be written (${snapshot.error.type}); nothing was changed`);
+		return err(`the snapshot could not be written (${describe(snapshot.error)}); nothing was changed`);
 	}
 
 	const record: HeadRecord = {
 		format: 1, version: configuration.version, digest: configuration.digest, deltas: [], pages: [], snapshot: {version: configuration.version, key: snapshot.value},
 	};
 	const written = await store.write({key: headKey, value: JSON.stringify(record), expectedRevision: stored.value?.revision ?? 0});
-	return written.isOk() ? ok() : err(`the head could not be written (${written.error.type}); look at the status and try again`);
+	return written.isOk() ? ok() : err(`the head could not be written (${describe(written.error)}); look at the status and try again`);
 }
