Trials: a call on trial that is turned away goes to no other server

Cause, by the attempts in the nodes' logs: the second copy found the trial's server unreachable, as the first had just ended it, and was passed on to the next choice. Ruled out: late word to the entry, whose attempt was under way before the crash. Change: one attempt for a call on trial that no server took. Test failing first, passes since.

--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -260,3 +260,18 @@
 	const {result, verdict} = await sendCall(context, createCall());
 	assert.deepEqual([result.type === 'failed' ? result.reason : '', verdict, sent.length], ['quarantined', 'not-run', 0]);
 });
+
+/**
+ * What was seen: ten seconds after the first crash a trial was due, and two servers ended under one page 0.1 s apart.
+ *
+ * How it came about: while the trial was ending its server, another copy came to that server's gate, found that the server refused connections, and was sent to the server that was now the first choice.
+ *
+ * Cause: a trial that was turned away was passed on like any call. The attempts in the nodes' logs showed it: `server-unreachable` at one server, `server-crashed` at the next.
+ */
+test('a call on trial that is turned away is given up, and goes to no other server', async () => {
+	const quarantine = createQuietQuarantine();
+	quarantine.noteCrash({id: toBackendServerId('i-1'), startedAt: 1}, [createSampleMark()]);
+	const {context, sent} = createFixture({a: [createNotRun('server-unreachable', 'refused', 500)], b: [answered]});
+	const {result, verdict} = await sendCall({...context, quarantine}, createCall());
+	assert.deepEqual([result.type === 'failed' ? result.reason : '', verdict, sent.length], ['server-unreachable', 'not-run', 1]);
+});
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -60,6 +60,9 @@
 	/** Arrivals at servers that may be: the first one, and one for each repeat that was taken from the allowance. */
 	let paidArrivals = 1;
 
+	/** The attempt that began last may crash its server. */
+	let isOnTrial = false;
+
 	const hasPaid = (): boolean => progress.countArrivals() + running.count() < paidArrivals;
 
 	const mayPay = (reason: RepeatReason): boolean =>
@@ -126,6 +129,7 @@
 
 		const plan = planNext(judgement);
 		if (plan.type === 'send') {
+			isOnTrial = judgement.type === 'trial';
 			start(plan);
 			return undefined;
 		}
@@ -141,7 +145,8 @@
 		}
 
 		if (!hasArrived(result)) {
-			return hasPaid() && mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals);
+			// Another copy may be what took the server away: to pass this one on would be a second trial beside it.
+			return !isOnTrial && hasPaid() && mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals);
 		}
 
 		return hasPaid() || takeRepeat(chooseRepeatReason(call, result));
