Demo: waits for what it waits for, stops its callers, and ends by itself within 55 s

Fixed waits are replaced by waits with a bound: the store answers, a process is gone, callers got 600 answers, none of theirs is under way at a node.

--- a/demo/callers.ts
+++ b/demo/callers.ts
@@ -9,6 +9,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent, request as sendRequest} from 'undici';
 import {createPage} from '../stand-ins/backend-server/page.js';
+import {waitUntil} from '../stand-ins/wait-until.js';
 import {type MeshNode} from './mesh.js';
 
 export type CallerCounts = {
@@ -23,8 +24,8 @@
 
 export type Callers = {
 	readonly getCounts: () => CallerCounts;
-	/** Nodes that callers stop using, as a caller's own health check would see to. */
-	readonly avoid: (node: string) => void;
+	/** A node that callers stop using, as a caller's own health check would see to. Waits until none of their calls is under way there. */
+	readonly avoid: (node: string) => Promise<void>;
 	readonly stop: () => Promise<void>;
 };
 
@@ -32,12 +33,17 @@
 export type Publication = {readonly key: string; readonly verdict: string; readonly status: number};
 
 const pauseMs = 4;
+
+/** No call of a caller takes longer. Milliseconds. */
+const longestCallMs = 5000;
+
 const chunkBytes = 65_536;
 
 /** Polls pages until stopped, from several callers at once. */
 export function startPolling(nodes: readonly MeshNode[], callers: number): Callers {
 	const agent = new Agent({connections: 4, pipelining: 1});
 	const avoided = new Set<string>();
+	const underWay = new Map<string, number>();
 	let counts: CallerCounts = {
 		calls: 0, whole: 0, wrong: 0, notRun: 0, mayHaveRun: 0, lost: 0,
 	};
@@ -50,6 +56,7 @@
 	const poll = async (node: MeshNode): Promise<void> => {
 		const path = `/logs/${randomUUID()}?page=${counts.calls}`;
 		add('calls');
+		underWay.set(node.id, (underWay.get(node.id) ?? 0) + 1);
 		try {
 			const reply = await sendRequest(`http://${node.callers}${path}`, {dispatcher: agent});
 			const body = await reply.body.text();
@@ -60,6 +67,8 @@
 			}
 		} catch {
 			add('lost');
+		} finally {
+			underWay.set(node.id, (underWay.get(node.id) ?? 0) - 1);
 		}
 	};
 
@@ -78,8 +87,9 @@
 	const running = Array.from({length: callers}, async (_, index) => run(index));
 	return {
 		getCounts: () => counts,
-		avoid(node) {
+		async avoid(node) {
 			avoided.add(node);
+			await waitUntil(() => (underWay.get(node) ?? 0) === 0, longestCallMs);
 		},
 		async stop() {
 			isStopping = true;
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -7,7 +7,6 @@
 import {readFile, rm, writeFile} from 'node:fs/promises';
 import {join} from 'node:path';
 import process from 'node:process';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {request as sendRequest} from 'undici';
 import {parse, stringify} from 'yaml';
 import {type NodeStatusAnswer} from '../src/index.js';
@@ -19,15 +18,23 @@
 	fetchBundle, publish, startPolling, uploadBundle, type Callers, type Publication,
 } from './callers.js';
 import {
-	fetchJson, prepareMesh, startNode, startServer, startStore, waitForServers, type Mesh, type MeshNode,
+	fetchJson, prepareMesh, startNode, startServer, startStore, waitForServers, waitForStore, type Mesh, type MeshNode,
 } from './mesh.js';
 import {startProcess, type RunningProcess} from './processes.js';
 
 const bundleBytes = 64 * 1024 * 1024;
 const callerCount = 8;
+
+/** Answers that callers get while something is looked at: enough that each node passes on a hundred. */
+const moreCalls = 600;
+
+/** The demo ends by itself within a minute, whatever hangs. Milliseconds. */
+const longestDemoMs = 55_000;
+
 const startedAt = Date.now();
 const processes = new Map<string, RunningProcess>();
 const broken: string[] = [];
+let stopCallers: (() => Promise<void>) | undefined;
 
 function tell(text: string): void {
 	process.stdout.write(`${((Date.now() - startedAt) / 1000).toFixed(2).padStart(7)} s  ${text}\n`);
@@ -40,6 +47,19 @@
 	}
 }
 
+/** Ends a process as a kill does, and waits until it is gone. */
+async function killProcess(name: string): Promise<void> {
+	const running = processes.get(name);
+	running?.child.kill('SIGKILL');
+	await running?.waitForEnd();
+}
+
+/** Waits until callers have got so many more whole answers. */
+async function waitForCalls(callers: Callers): Promise<void> {
+	const {whole} = callers.getCounts();
+	check(await waitUntil(() => callers.getCounts().whole >= whole + moreCalls, 10_000), `callers get ${moreCalls} answers`);
+}
+
 function keep(running: RunningProcess): RunningProcess {
 	processes.set(running.name, running);
 	return running;
@@ -76,10 +96,7 @@
 
 async function startMesh(mesh: Mesh): Promise<void> {
 	keep(startStore(mesh));
-	await waitUntil(async () => {
-		await fetchJson(`http://${mesh.storeAddress}/calls`);
-		return true;
-	}, 5000);
+	check(await waitForStore(mesh), 'the store answers');
 	tell('the stand-in of the platform\'s store is up');
 	for (const node of mesh.nodes) {
 		keep(startNode(node));
@@ -209,6 +226,7 @@
 	tell(await runCli(first, 'submit', new URL('../../examples/build-mesh.yaml', import.meta.url).pathname, '--wait'));
 
 	const callers = startPolling(mesh.nodes, callerCount);
+	stopCallers = callers.stop;
 	const publications: Publication[] = [];
 	tell(`${callerCount} callers poll pages through every node`);
 	publications.push(await publish(second, 'release-1'), await publish(third, 'release-1'));
@@ -226,24 +244,22 @@
 	tell(`${second.serverId} drains while calls run`);
 	await runCli(second, 'drain');
 	const before = await fetchLedger(second);
-	await sleep(2000);
+	await waitForCalls(callers);
 	const after = await fetchLedger(second);
-	tell(`${second.serverId} got ${after.requests - before.requests} new requests in the 2 s after it was drained`);
+	tell(`${second.serverId} got ${after.requests - before.requests} new requests while callers got ${moreCalls} answers after it was drained`);
 	check(after.requests === before.requests, 'a leaving backend server gets no new work');
 
+	await callers.avoid('node-6');
 	const {lost} = callers.getCounts();
 	tell('node-6 is killed');
-	callers.avoid('node-6');
-	await sleep(200);
-	processes.get('node-6')?.child.kill('SIGKILL');
+	await killProcess('node-6');
 	publications.push(await publish(first, 'release-2'));
-	await sleep(1500);
+	await waitForCalls(callers);
 	check(callers.getCounts().lost === lost, 'calls through other nodes go on when a node dies');
 
 	const storeCalls = await fetchJson<StoreCalls>(`http://${mesh.storeAddress}/calls`);
 	tell('the store is taken away');
-	processes.get('store')?.child.kill('SIGKILL');
-	await sleep(1500);
+	await killProcess('store');
 	const fenced = await publish(third, 'release-3');
 	publications.push(fenced);
 	tell(`release-3 while the store is down: ${fenced.status} ${fenced.verdict}`);
@@ -251,7 +267,7 @@
 	tell(`a submission while the store is down: ${refusal.split(': ').slice(1).join(': ').slice(0, 140)}`);
 	const live = mesh.nodes.filter(node => node.id !== 'node-6');
 	keep(startStore(mesh));
-	await sleep(500);
+	check(await waitForStore(mesh), 'the store answers again');
 	tell('the store is back, but empty, as after a loss: the fleet keeps what it has');
 	tell(await runCli(first, 'republish'));
 	convergenceMs.push(await reviseConfiguration(mesh, live, 2));
@@ -260,6 +276,7 @@
 	tell(`release-3 again: ${publications.at(-1)?.verdict}`);
 
 	await callers.stop();
+	stopCallers = undefined;
 	const statuses = await Promise.all(live.map(async node => fetchJson<NodeStatusAnswer>(`http://${node.operators}/v1/status`)));
 	const seconds = (Date.now() - startedAt) / 1000;
 	const bytes = statuses.reduce((total, status) => total + status.controlBytes.sent + status.controlBytes.received, 0) / statuses.length;
@@ -277,21 +294,44 @@
 	}
 
 	await Promise.all([...processes.values()].map(async running => running.waitForEnd()));
+	await stopCallers?.();
+}
+
+function tellEnd(): void {
+	process.stdout.write(broken.length === 0 ? 'Every promise held.\n' : `Broken:\n${broken.map(promise => `  ${promise}`).join('\n')}\n`);
+}
+
+function tellFailure(error: Error): void {
+	broken.push(error.message);
+	process.stdout.write(`${error.stack ?? ''}\n`);
+	for (const running of processes.values()) {
+		process.stdout.write(`--- ${running.name}\n${running.getOutput().slice(-1500)}\n`);
+	}
 }
 
 const mesh = await prepareMesh();
+
+/** What hangs cannot be stopped in order. */
+const giveUp = setTimeout(() => {
+	const error = new Error(`the demo was not done after ${longestDemoMs / 1000} s`);
+	tellFailure(error);
+	for (const {child} of processes.values()) {
+		child.kill('SIGKILL');
+	}
+
+	tellEnd();
+	// Nobody catches it, so this process ends here, with code 1.
+	throw error;
+}, longestDemoMs);
 try {
 	await runDemo(mesh);
 } catch (error) {
-	broken.push((error as Error).message);
-	process.stdout.write(`${(error as Error).stack ?? ''}\n`);
-	for (const running of processes.values()) {
-		process.stdout.write(`--- ${running.name}\n${running.getOutput().slice(-1500)}\n`);
-	}
+	tellFailure(error as Error);
 } finally {
 	await stopAll();
 	await rm(mesh.directory, {recursive: true, force: true});
 }
 
-process.stdout.write(broken.length === 0 ? 'Every promise held.\n' : `Broken:\n${broken.map(promise => `  ${promise}`).join('\n')}\n`);
+clearTimeout(giveUp);
+tellEnd();
 process.exitCode = broken.length === 0 ? 0 : 1;
--- a/demo/mesh.ts
+++ b/demo/mesh.ts
@@ -105,6 +105,14 @@
 	return await reply.body.json() as T;
 }
 
+/** Waits until the store answers. */
+export async function waitForStore(mesh: Mesh): Promise<boolean> {
+	return waitUntil(async () => {
+		await fetchJson(`http://${mesh.storeAddress}/calls`);
+		return true;
+	}, 5000);
+}
+
 export async function waitForServers(node: MeshNode, count: number): Promise<boolean> {
 	return waitUntil(async () => {
 		const servers = await fetchJson<readonly unknown[]>(`http://${node.operators}/v1/servers`);
