Log: a caller that leaves before the work on its request begins has a line

Cause: the entry returned before the only line that ends a call. Change: a line caller-left, kept like those of failed calls, and a story in explain.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -260,6 +260,9 @@
 		try {
 			await context.waitForWork(request.socket.bytesWritten === 0);
 			if (scope.getEnd() === 'cancelled') {
+				log.record('info', {
+					kind: 'caller-left', call: call.id, route: route.name, waitedMs: Math.round(readSteadyMs() - call.receivedAt),
+				});
 				return;
 			}
 
--- a/src/lib/timeline/explain-call.test.ts
+++ b/src/lib/timeline/explain-call.test.ts
@@ -56,6 +56,14 @@
 	assert.equal(story?.cause, 'no route matches host and path');
 });
 
+test('a request whose caller left before it was sent anywhere has a story', () => {
+	const story = explainCall([createLine('n1', 1, {
+		kind: 'caller-left', call: 'c1', route: 'r-logs', waitedMs: 40,
+	})], 'c1');
+	assert.match(story?.steps[0] ?? '', /caller left n1 within 40 ms/);
+	assert.equal(story?.cause, 'the caller left before the answer');
+});
+
 test('an id that no line speaks of has no story, and lines of other programs are passed over', () => {
 	assert.equal(explainCall([], 'c1'), undefined);
 	assert.equal(parseLogLine('listening on port 80'), undefined);
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -63,6 +63,10 @@
 			return `${line.node} refused it with ${line.status}: ${line.reason} (${line.host}${line.path}, version ${line.version} in force)`;
 		}
 
+		case 'caller-left': {
+			return `its caller left ${line.node} within ${line.waitedMs} ms, before it was sent anywhere`;
+		}
+
 		case 'call-finished': {
 			const place = `version ${line.version} in force, ${line.attempts.length} attempts (${line.verdict})`;
 			return `${line.node} answered ${line.status} after ${line.tookMs} ms with ${line.leftMs} ms left, ${place}: ${line.reason}`;
@@ -128,7 +132,7 @@
 const surroundingMs = 5000;
 
 function findCause(lines: readonly LogLine[]): string {
-	const end = lines.findLast(line => line.kind === 'call-finished' || line.kind === 'request-refused');
+	const end = lines.findLast(line => line.kind === 'call-finished' || line.kind === 'request-refused' || line.kind === 'caller-left');
 	if (end === undefined) {
 		return 'the logs do not hold its end: the node that took it ended first, the lines were left out (look for "lines-dropped"), or it was answered at the first try';
 	}
@@ -137,9 +141,13 @@
 		return end.reason;
 	}
 
-	const reason = end.kind === 'call-finished' ? end.reason.split(':')[0] ?? '' : '';
+	if (end.kind === 'caller-left') {
+		return causes.cancelled!;
+	}
+
+	const reason = end.reason.split(':')[0] ?? '';
 	if (reason === 'answered') {
-		return end.kind === 'call-finished' && end.status >= 500 ? 'the backend server itself failed it' : 'it was answered';
+		return end.status >= 500 ? 'the backend server itself failed it' : 'it was answered';
 	}
 
 	return causes[reason] ?? reason;
--- a/src/lib/timeline/line-log.ts
+++ b/src/lib/timeline/line-log.ts
@@ -43,7 +43,7 @@
 const failedCallsPerSecond = 200;
 
 /** Kinds that end the story of one request. */
-const endKinds: ReadonlySet<MeshEvent['kind']> = new Set<MeshEvent['kind']>(['call-finished', 'request-refused']);
+const endKinds: ReadonlySet<MeshEvent['kind']> = new Set<MeshEvent['kind']>(['call-finished', 'request-refused', 'caller-left']);
 
 /** Lines are gathered for this long before they are written. Milliseconds. */
 const flushMs = 200;
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -92,6 +92,8 @@
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptNote; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptNote[]}
 	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number}
+	/** The caller left before the work on its request began; it was sent to no server. */
+	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
 	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number}
 	| {readonly kind: 'lines-dropped'; readonly of: string; readonly count: number};
 /* eslint-enable @stylistic/max-len */
