--- a/src/lib/common/late-modules.ts
+++ b/src/lib/common/late-modules.ts
@@ -1,8 +1,7 @@
 /**
  * Modules of the runtime that a node does not need at its start, and often
- * never. Loading `node:crypto` takes 9 to 20 ms of processor time and `node:zlib`
- * 2 to 3, of some 220 until a node listens; neither is needed before the first
- * change of a configuration.
+ * never. Loading `node:crypto` and `node:zlib` is a tenth of what a start costs,
+ * and neither is needed before the first change of a configuration.
  *
  * @module
  */
--- a/src/lib/common/work-turns.ts
+++ b/src/lib/common/work-turns.ts
@@ -5,7 +5,7 @@
  *
  * The load that it answers: hundreds of callers that come back on new
  * connections at once, to a node that has just restarted or is the last one of its
- * failure domain. Turns of 30 to 50 ms took twenty connections a second there.
+ * failure domain.
  *
  * @module
  */
@@ -16,7 +16,7 @@
 	readonly begin: () => Promise<void>;
 };
 
-/** Requests of new connections whose work begins in one turn. Those of connections that are there already are not held up: with the bound on all of them 0.95 times as many reads were in time under overload (one day). Each takes about a millisecond of a small VM's core, so that a turn stays at a few. */
+/** Requests of new connections whose work begins in one turn. Those of connections that are there already are not held up, so that reads stay in time under overload. Each takes about a millisecond of a small VM's core, so that a turn stays at a few. */
 const begunPerTurn = 4;
 
 /**
--- a/src/lib/decisions/come-back.ts
+++ b/src/lib/decisions/come-back.ts
@@ -15,15 +15,14 @@
 };
 
 /**
- * Who was refused for want of a slot does not come back sooner than this share of the latency objective. From 0.15 to 2 objectives callers
- * get as many answers, in time and late, under each pattern of overload in the experiment: what comes back soon finds the slots
- * taken. The longer time costs nodes the fewest tries.
+ * Who was refused for want of a slot does not come back sooner than this share of the latency objective:
+ * what comes back soon finds the slots taken, and costs nodes a try.
  */
 const fullShare = 1;
 
 /**
  * Who was refused for another reason comes back sooner, while an answer can still be in time: whether a server turns the next
- * request away has nothing to do with this one. Under the pattern of shedding 1.05 times as much credit is earned (0.844 to 0.802).
+ * request away has nothing to do with this one.
  */
 const otherShare = 0.15;
 
--- a/src/lib/decisions/distances.ts
+++ b/src/lib/decisions/distances.ts
@@ -8,7 +8,7 @@
 
 /** What a server elsewhere has to be faster by, as a share of the latency objective. */
 const shares = {
-	/** A second node costs processor time on both VMs. In the experiment, where nodes cost none, 0 to 0.4 make no difference. */
+	/** A second node costs processor time on both VMs. */
 	otherNode: 0.1,
 	/** Bytes between failure domains are paid for. */
 	crossDomain: 0.15,
@@ -18,8 +18,7 @@
 
 /**
  * An answer within this share of the objective is as good as a sooner one: the fast servers are left to the calls that
- * other servers wait for with a slot. In the experiment's overload, 1.03 times as many pages are in time with 0.8 as with 0, and
- * 0.99 times as many publications, which share servers with the calls; with 0.4 it makes no difference there, and one day of high load earned 0.608 for 0.595, which is within noise.
+ * other servers wait for with a slot.
  */
 const soonEnoughShare = 0.4;
 
--- a/src/lib/forwarding/answer-reader.ts
+++ b/src/lib/forwarding/answer-reader.ts
@@ -4,8 +4,8 @@
  * next answer.
  *
  * Node.js has a client that does this. It builds four objects with streams and
- * listeners for each request; on a small VM, where code is mostly cold, a request
- * to the backend server took 1.1 ms of processor time with it (profiled). Calls cost a node a fifth to a third less without it.
+ * listeners for each request, which on a small VM, where code is mostly cold, is
+ * a good part of what a call costs its node.
  *
  * @module
  */
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -55,7 +55,7 @@
 /**
  * How long a node may take to answer that, from its next sign of life on. Milliseconds: a process that is eight times slower than usual still does.
  * That it was heard a while ago shows nothing: a node that stands still for a second, as small ones do under load, is heard as little as its
- * connections. In a mesh of 61 nodes whose heartbeats come every two seconds, 315 of some 900 failures of one day were requests whose connection was given up so.
+ * connections: to give these up fails requests that it would have answered.
  */
 const pongMs = 800;
 
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -171,8 +171,8 @@
 
 	/**
 	 * What may be repeated goes to another server as well when the nodes of all servers that are at work on it have fallen silent. The first attempt goes on: nodes whose links are full of large answers
-	 * are heard seldom and work all the same. To break it off first left calls with nowhere to go: 14 of 142 that ended with 502 or 504 in 34 seconds
-	 * of a mesh of 61 nodes, counted in the nodes' logs.
+	 * are heard seldom and work all the same. To break it off first would leave calls with nowhere to go
+	 * where all other servers are full.
 	 */
 	const handleDoubt = (): void => {
 		if (!mayRepeat || running.count() === 0 || !running.hasOnlyDoubted() || !mayAskAnother({isBulk: isBulk(route.type)}, progress.refusals)) {
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -104,7 +104,7 @@
 /**
  * Counts the requests that may be at a server at once. A slot that comes free would stand idle while its answer
  * comes to the gate and the next request goes back, some three milliseconds under load; a request that
- * is there already takes it at once. Under overload, with 13 slots, 1.02 times as much of the credit is earned (0.753 to 0.741, one day).
+ * is there already takes it at once.
  *
  * @param slots - Requests that the server works on at once.
  * @returns Requests that may be there.
@@ -220,7 +220,7 @@
 
 		const hasFailed = answer.status >= 500;
 		noteOutcome(hasFailed);
-		// A failure says nothing for a request: a server may give up on one, or a call of its may fail, before it comes to what crashes it. Where half of the runs failed so, 43 servers ended in 9 s when failures counted as answers, 2 since.
+		// A failure says nothing for a request: a server may give up on one, or a call of its may fail, before it comes to what crashes it.
 		if (!hasFailed) {
 			context.quarantine.noteAnswered(mark);
 		}
--- a/src/lib/peers/heartbeat-plan.ts
+++ b/src/lib/peers/heartbeat-plan.ts
@@ -17,8 +17,7 @@
 
 /**
  * Beyond that number, the nodes of the own domain get fewer: answers to requests tell how busy a server is as well, and are a sign of life.
- * Each datagram wakes a process, which costs it 0.2 ms of processor time (profiled). With 5 here and 3 to other domains, an idle node of 195 sends 28 of them
- * a second; with 12 and 5 it sent 57 and more.
+ * Each datagram wakes a process, which is most of what an idle node costs.
  */
 const ownDomainHeartbeatsBeyond = 5;
 
--- a/src/lib/peers/news-targets.ts
+++ b/src/lib/peers/news-targets.ts
@@ -3,10 +3,10 @@
  * decision part.
  *
  * The load that it answers: a mesh of hundreds of nodes in which nodes start all
- * day. Each datagram wakes a process, which costs it 0.2 ms of processor time, so
- * one word to everybody costs a mesh of 195 nodes 40 ms. News that a server takes
- * no work any more go to all: whoever missed them would lose a refusal. News
- * that it does may be late, at the cost of a server that is not used yet.
+ * day. Each datagram wakes a process, so one word to everybody costs the mesh
+ * more the larger it is. News that a server takes no work any more go to all:
+ * whoever missed them would lose a refusal. News that it does may be late, at
+ * the cost of a server that is not used yet.
  *
  * @module
  */
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -86,8 +86,7 @@
 type Lookup = NonNullable<SocketOptions['lookup']>;
 
 /**
- * Addresses are IP numbers. The runtime's own lookup yields them in a later turn all the same: 40 datagrams a second in rounds of 16 took 2.5 ms of
- * processor time with it and with a callback for each, 0.8 ms without both (bare sockets, cold code).
+ * Addresses are IP numbers. The runtime's own lookup yields them in a later turn all the same, which costs several times what a datagram does.
  */
 const takeAsIs: Lookup = (host, _options, handleFound) => {
 	handleFound(null, host, 4);
@@ -200,8 +199,8 @@
 	};
 
 	/**
-	 * Sends the heartbeats of a round. A node is looked at for its silence when its turn comes, so that a round costs what it sends: finding
-	 * whose turn it is takes 0.03 ms of processor time at 5,000 nodes where a walk over all took 1.3, at 13 the same (baseline code, `bench -- peer-slopes`).
+	 * Sends the heartbeats of a round. A node is looked at for its silence when its turn comes, so that a round costs what it sends
+	 * and not what the mesh holds.
 	 */
 	const sendHeartbeats = (now: number): void => {
 		const {ownDomain, otherDomain} = plan();
--- a/src/lib/peers/peer-table.ts
+++ b/src/lib/peers/peer-table.ts
@@ -37,7 +37,7 @@
 };
 
 /**
- * The other nodes. One table is changed in place: to copy it for each report cost 0.07 ms of processor time at 195 nodes (profiled).
+ * The other nodes. One table is changed in place, so that a report costs the same in any mesh.
  * A `Peer` that was handed out shows later changes.
  *
  * @internal
--- a/src/lib/quarantine/quarantine.ts
+++ b/src/lib/quarantine/quarantine.ts
@@ -3,8 +3,7 @@
  * was in work when the server beside it crashed, clears what the server answers,
  * and joins both with what the other nodes know.
  *
- * What it buys: a page that crashes whatever runs it, repeated every 180 ms at six nodes whose servers are back after 600 ms, ended 62 servers in 9 s,
- * and as many as its route allows attempts at once; with it 3 in 16 s, none later than 3 s after the third (whole nodes in one process, three runs).
+ * What it buys: a page that crashes whatever runs it, and comes again and again at any node, ends three servers and not all of them for as long as it comes.
  *
  * @module
  */
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -113,7 +113,7 @@
 		linkMbps: context.linkMbps, isFollowing: follower.isFollowing(), storeSeenMs: health.getSeenMs(readSteadyMs()), storeEra: store.getEra() ?? noEra,
 	});
 
-	/** Describes the other nodes of the failure domain one by one, since few of them are looked at: a look takes 0.025 ms at 200 nodes, not 0.15, three times a second (baseline code). */
+	/** Describes the other nodes of the failure domain one by one, since few of them are looked at. */
 	function * describeHeard(now: number): Generator<DomainNode> {
 		for (const peer of link.table.listOwnDomain()) {
 			const {report: {node, isLeaving, duties}, reportedAt, periodMs} = peer;
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -46,8 +46,7 @@
 
 /**
  * Nodes of each kind that are looked at, own failure domain and others apart. A choice then costs the same at 60 servers of a
- * service and at 600; all of them were looked at, estimated and sorted for each attempt before: 0.48 ms of a node's
- * processor time at 108 servers, a fifth of what a call cost it. Up to this number all are compared, as ever.
+ * service and at 600. Up to this number all are compared.
  */
 const mostLooks = 12;
 
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -54,7 +54,7 @@
 	];
 }
 
-/** Counts by labels. Names of labels are joined to their values when metrics are asked for, not at each event: that took 10 of 13 µs a call (baseline code, a hot loop). */
+/** Counts by labels. Names of labels are joined to their values when metrics are asked for, not at each event, so that a call costs no text. */
 type Counter = {
 	readonly add: (...values: ReadonlyArray<string | number>) => void;
 	readonly format: () => readonly string[];
--- a/src/lib/sidecar/peer-watch.ts
+++ b/src/lib/sidecar/peer-watch.ts
@@ -34,7 +34,7 @@
 
 /**
  * Milliseconds between two looks while requests wait for other nodes, or a question of this node does. An idle node looks with its rounds of heartbeats,
- * for which it is awake anyway: at this pace throughout it spent 1.3 of 5.0 ms of processor time a second on it (node-cost, one node).
+ * for which it is awake anyway.
  */
 const checkMs = 100;
 
@@ -85,7 +85,7 @@
 
 	/**
 	 * Takes bytes on a connection for a sign of life. On a link that is full of large answers datagrams are lost, question and report alike, and what goes over a
-	 * connection gets through: of the 14 calls of one day that were broken off for a silent node, 12 were at three such nodes.
+	 * connection gets through.
 	 */
 	const noteReceived = (): void => {
 		for (const [node] of silence.listAwaited()) {
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -113,8 +113,8 @@
 	const turns = createWorkTurns();
 	/**
 	 * Work on a caller's request begins once what arrived with it is heard; that on requests of new connections, a few a turn. A new connection may have waited in
-	 * the listening socket's queue for seconds while turns are short, and its caller have left: at the last node of a failure domain whose others had been killed,
-	 * 466 and 151 requests were sent on so late on two days, and hardly any caller was served for eight seconds.
+	 * the listening socket's queue for seconds while turns are short, and its caller have left, as at the last node of a failure domain whose
+	 * others have been killed.
 	 */
 	const waitForWork = async (isNewConnection: boolean): Promise<void> => {
 		await lag.catchUp(isNewConnection);
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -53,8 +53,8 @@
 const restMs = 450;
 
 /**
- * By how much longer it may rest. Watchers draw it: if all opened their watches at the same moment, a silence of the store as short as 200 ms could swallow all of them, and the next change was in force only when the
- * first of them had waited in vain (4.4 and 4.6 s, one of 50 short outages each in two runs). The first to open hears for the others. Milliseconds.
+ * By how much longer it may rest. Watchers draw it: if all opened their watches at the same moment, a silence of the store as short as 200 ms could swallow all of them, and the next change would be in force only when the
+ * first of them had waited in vain. The first to open hears for the others. Milliseconds.
  */
 const restSpreadMs = 600;
 
--- a/src/lib/sync/registration.ts
+++ b/src/lib/sync/registration.ts
@@ -64,7 +64,7 @@
 
 /**
  * Milliseconds between two looks at the store. Most renew the lease, which costs no more than a stale read, shows whether the store is reached, and finds
- * the lease ended soon enough to put this node's entry back within two seconds. To read the entry and to renew it apart was 1.5 times as many calls.
+ * the lease ended soon enough to put this node's entry back within two seconds.
  */
 const lookMs = 1000;
 
