--- a/src/lib/quarantine/ledger.test.ts
+++ b/src/lib/quarantine/ledger.test.ts
@@ -49,8 +49,8 @@
 
 test('a trial waits a moment after the first crash, and not after a later one, whose hold is over by then', () => {
 	const ledger = createAccused(1);
-	assert.equal(ledger.getSettleMs(fatal, 1050), 150);
-	assert.equal(ledger.getSettleMs(fatal, 1200), 0);
+	assert.equal(ledger.getSettleMs(fatal, 1050), 350);
+	assert.equal(ledger.getSettleMs(fatal, 1400), 0);
 	assert.equal(ledger.getSettleMs(innocent, 1050), 0);
 	assert.equal(createAccused(2).getSettleMs(fatal, 2050), 0);
 });
--- a/src/lib/quarantine/ledger.ts
+++ b/src/lib/quarantine/ledger.ts
@@ -59,7 +59,7 @@
  * that many ask for comes again. One that many ask for and nobody has answered is held back at once: its trial would most likely take
  * a second server while the first is away, and what servers are left then is what most others lose by.
  */
-const settleMs = 200;
+const settleMs = 400;
 
 /** How long a request is held back after its second crash. Milliseconds: several times what a server needs to come back, so that the next crash does not meet a service that lacks two servers already. */
 const holdMs = 10_000;
