--- a/src/lib/quarantine/trial-wait.ts
+++ b/src/lib/quarantine/trial-wait.ts
@@ -42,7 +42,7 @@
 	};
 
 	return {
-		async join(fingerprint) {
+		join(fingerprint): Promise<void> | undefined {
 			const first = waiting.get(fingerprint);
 			if (first !== undefined) {
 				handleRepeated(fingerprint);
