Quarantine: a crash whose next start listens already is counted

By reading: a node that stands still for longer than its server needs to come back (three seconds; nodes are frozen and slow for as long) reads the ends of its connections when the next start listens, and took each for a reset: the request went on to the next server, uncounted. Cause: that somebody listens was taken for the same start. Change: what was lost while somebody listened is kept for five seconds and accused when another start announces itself; not if a crash was seen since. Tests fail without it (the watch knew no replacement), pass since.

--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -318,6 +318,7 @@
 		describe: () => ({...slots.describe(), failureShare}),
 		noteCrashed() {
 			hasCrashed = true;
+			crashWatch.noteReplaced();
 		},
 		retire: stopTaking,
 		end() {
--- a/src/lib/quarantine/crash-watch.test.ts
+++ b/src/lib/quarantine/crash-watch.test.ts
@@ -81,3 +81,45 @@
 	assert.equal(await third, true);
 	assert.deepEqual(crashes, [['c']], 'what was lost while the server listened is no suspect');
 });
+
+/**
+ * What was seen, by reading: a node that stands still for longer than its server needs to come back reads the ends of its connections
+ * when the next start listens already. Each took the end for a reset, passed the request on, and a request that crashes servers ended the next one uncounted.
+ *
+ * Cause: that somebody listens was taken for a sign that it is the same start.
+ */
+test('what was lost while the next start listened already was in work at a crash, once that start is heard of', async context => {
+	const {watch, crashes, setEnded, advance} = createFixture(context);
+	setEnded(false);
+	const first = watch.noteLost('a');
+	await advance(3);
+	assert.equal(await first, false);
+	assert.equal(await watch.noteLost('b'), false);
+	await advance(1000);
+	watch.noteReplaced();
+	assert.deepEqual(crashes, [['a', 'b']]);
+	watch.noteReplaced();
+	assert.equal(crashes.length, 1);
+});
+
+test('what a full server reset long before it was replaced, or before a crash that was seen, is no suspect', async context => {
+	const {watch, crashes, setEnded, advance} = createFixture(context);
+	setEnded(false);
+	const early = watch.noteLost('early');
+	await advance(3);
+	await early;
+	await advance(5000);
+	watch.noteReplaced();
+	assert.deepEqual(crashes, []);
+
+	const reset = watch.noteLost('reset');
+	await advance(3);
+	await reset;
+	await advance(60);
+	setEnded(true);
+	const seen = watch.noteLost('seen');
+	await advance(3);
+	await seen;
+	watch.noteReplaced();
+	assert.deepEqual(crashes, [['seen']]);
+});
--- a/src/lib/quarantine/crash-watch.ts
+++ b/src/lib/quarantine/crash-watch.ts
@@ -19,6 +19,8 @@
 export type CrashWatch<Item> = {
 	/** Notes what was in work on a connection that was lost; yields whether the server has ended. */
 	readonly noteLost: (item: Item) => Promise<boolean>;
+	/** Another start has taken the server's place without a word: what listened when it was asked was that one, and what was lost shortly before was in work at a crash. */
+	readonly noteReplaced: () => void;
 };
 
 /** Connections of a process that ends are cut together; those that this process has not read yet are read within this time. Milliseconds. */
@@ -27,6 +29,12 @@
 /** A server that was found listening is not asked again for so many milliseconds: one that is full may reset many connections, and each question is a connection more. */
 const restMs = 50;
 
+/** Another start announces itself within this time after the end of the one before, as far as a node that stood still meanwhile can tell. Milliseconds. */
+const replacedMs = 5000;
+
+/** Lost requests whose server was found listening that are remembered at the most: several times what is in work at the largest servers of the users. */
+const mostUnexplained = 64;
+
 /**
  * @param context - How the server is asked, and who is told.
  * @returns A watch over one lifetime of a server.
@@ -36,6 +44,13 @@
 	let lost: Item[] = [];
 	let question: Promise<boolean> | undefined;
 	let foundListeningAt = Number.NEGATIVE_INFINITY;
+	/** Lost while the server, or its next start, was found listening. */
+	let unexplained: ReadonlyArray<{readonly item: Item; readonly at: number}> = [];
+
+	const keepUnexplained = (items: readonly Item[]): void => {
+		const at = readSteadyMs();
+		unexplained = [...unexplained, ...items.map(item => ({item, at}))].slice(-mostUnexplained);
+	};
 
 	const ask = async (): Promise<boolean> => {
 		await waitFor(gatherMs);
@@ -44,9 +59,11 @@
 		lost = [];
 		question = undefined;
 		if (isCrash) {
+			unexplained = [];
 			handleCrash(atWork);
 		} else {
 			foundListeningAt = readSteadyMs();
+			keepUnexplained(atWork);
 		}
 
 		return isCrash;
@@ -55,6 +72,7 @@
 	return {
 		async noteLost(item) {
 			if (question === undefined && readSteadyMs() - foundListeningAt < restMs) {
+				keepUnexplained([item]);
 				return false;
 			}
 
@@ -62,5 +80,13 @@
 			question ??= ask();
 			return question;
 		},
+		noteReplaced() {
+			const since = readSteadyMs() - replacedMs;
+			const atWork = unexplained.filter(({at}) => at > since).map(({item}) => item);
+			unexplained = [];
+			if (atWork.length > 0) {
+				handleCrash(atWork);
+			}
+		},
 	};
 }
