Quarantine: what is in work elsewhere when it crashes a server is broken off

Cause: word of a crash counted for requests to come, not for those in work (times of the calls that server-crashed names). Ruled out: slow word; it is everywhere within 10 ms, and the second copy runs for tens more. Change: on word of a new crash the gate closes the connection of a run with that fingerprint, unless this node saw it answered a moment ago. Its caller gets 502, may have run: true.

--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -67,6 +67,8 @@
 	readonly acquire: (request: SlotRequest) => Promise<SlotOutcome>;
 	readonly release: () => void;
 	readonly run: (call: SessionCall) => Promise<ForwardResult>;
+	/** Breaks off what is in work and may crash the server, since it has just crashed another one. */
+	readonly breakOff: (isSuspected: (mark: RequestMark) => boolean) => void;
 	readonly resize: (slots: number) => void;
 	readonly describe: () => SessionLoad;
 	/** It has ended without a word, since another start is there that took its place: what is lost from here on was in work then. A node that lags reads this before it reads the ends of the connections. */
@@ -143,6 +145,9 @@
 		address: announcement.address, maxConnections: context.maxConnections, idleMs: idleConnectionMs, connectMs,
 	});
 	const silence = createSilentConnections();
+	/** Requests that are at the server now. */
+	const atServer = new Map<SessionCall, RequestMark>();
+	const brokenOff = new WeakSet<SessionCall>();
 	let failureShare = 0;
 	let isEnded = false;
 	let hasCrashed = false;
@@ -265,6 +270,7 @@
 		}
 
 		const handleEnd = silence.begin(now);
+		atServer.set(call, mark);
 		const answer = await runExchange({
 			connections, id: call.id, method: call.method, target: call.target, body, scope: call.scope,
 			headers: {
@@ -280,6 +286,11 @@
 		});
 		handleEnd();
 		admission.end();
+		atServer.delete(call);
+		if (answer.type === 'failed' && brokenOff.has(call)) {
+			return createMayHaveRun('quarantined', 'broken off, since such a request has just crashed another backend server');
+		}
+
 		if (answer.type === 'failed') {
 			return answer.reason === 'connection-lost' ? judgeLost(call, mark, answer) : judgeFailure(answer);
 		}
@@ -312,6 +323,14 @@
 
 			return result;
 		},
+		breakOff(isSuspected) {
+			for (const [call, mark] of atServer) {
+				if (isSuspected(mark)) {
+					brokenOff.add(call);
+					call.scope.end('superseded');
+				}
+			}
+		},
 		resize(count) {
 			slots.resize(countPlaces(count));
 		},
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -146,6 +146,9 @@
 		handleCrash(report) {
 			void sync.tellCrash(report);
 		},
+		handleAccused(fingerprints) {
+			gate.breakOff(fingerprints);
+		},
 		handleQuarantined(records) {
 			sync.storeSuspects(records);
 		},
