Quarantine: what was given up while its server may be at work on it is accused of a crash

Cause: a server that does not drop a request goes on with it, and only what lost its connection counted as in work. Change: what was sent and given up stays a suspect until its time would be over, five seconds at the most; the server's end is asked for also if nothing else was in work. Test: failing without it, passes with it.

--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -175,6 +175,36 @@
 	assert.equal(moved.quarantine.judge(mark).type, 'free');
 });
 
+/**
+ * What was seen: a page ended a server after it had been broken off there at word of another crash (brankoviste-prod, a day with such requests); the crash named 12 other requests and not that one.
+ *
+ * Cause: a server that does not drop a request whose connection closes goes on with it, and what had been given up was not taken for in work.
+ */
+test('what was given up while the server may be at work on it is suspected when the server crashes, with or without others in work', async context => {
+	for (const isAlone of [true, false]) {
+		const fixture = await createFixture(context);
+		const left = fixture.createCall('left');
+		const sent = fixture.gate.run(left);
+		await waitForArrival(fixture);
+		left.scope.end('cancelled');
+		await sent;
+		assert.equal(fixture.quarantine.judge(mark).type, 'free');
+		const other = fixture.gate.run({...fixture.createCall('other'), target: '/logs/other'});
+		if (isAlone) {
+			await expectSoon('the other one arrives', () => fixture.arrived.includes('other'));
+			fixture.answerNext();
+			fixture.answerNext();
+			await other;
+		} else {
+			await expectSoon('the other one arrives', () => fixture.arrived.includes('other'));
+		}
+
+		fixture.announce({lifetime: later});
+		await other;
+		await expectSoon('it is suspected', () => fixture.quarantine.judge(mark).type === 'trial');
+	}
+});
+
 test('a server that leaves and ends has not crashed', async context => {
 	const fixture = await createFixture(context);
 	const sent = fixture.gate.run(fixture.createCall('first'));
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -117,6 +117,15 @@
 /** A request that was sent to the server. */
 type SentCall = {readonly id: string; readonly mark: RequestMark};
 
+/** One that ended here without an answer: a server that does not drop it works on it until then, in steady milliseconds. */
+type GivenUpCall = SentCall & {readonly until: number};
+
+/** A request that was given up is a suspect for so long at the most. Milliseconds: several times what most requests take. */
+const givenUpMs = 5000;
+
+/** Requests that were given up which are remembered at the most: several times what is in work at the largest servers of the users. */
+const mostGivenUp = 64;
+
 /**
  * @param call - A request.
  * @param body - Its body.
@@ -148,11 +157,26 @@
 	/** Requests that are at the server now. */
 	const atServer = new Map<SessionCall, RequestMark>();
 	const brokenOff = new WeakSet<SessionCall>();
+	let givenUp: readonly GivenUpCall[] = [];
 	let failureShare = 0;
 	let isEnded = false;
 	let hasCrashed = false;
 
-	const handleCrash = (atWork: readonly SentCall[]): void => {
+	const keepGivenUp = ({id, scope}: SessionCall, mark: RequestMark): void => {
+		const until = Math.min(scope.endsAt, readSteadyMs() + givenUpMs);
+		givenUp = [...givenUp, {id, mark, until}].slice(-mostGivenUp);
+	};
+
+	/** Whose caller left, or what was broken off, may be what crashed a server that worked on it all the same. */
+	const takeGivenUp = (): readonly SentCall[] => {
+		const now = readSteadyMs();
+		const current = givenUp.filter(({until}) => until > now);
+		givenUp = [];
+		return current;
+	};
+
+	const handleCrash = (lost: readonly SentCall[]): void => {
+		const atWork = [...lost, ...takeGivenUp()];
 		const named = atWork.slice(0, namedSuspects);
 		log.record('warn', {
 			kind: 'server-crashed', server: lifetime.id, atWork: atWork.length,
@@ -167,6 +191,13 @@
 		handleCrash,
 	});
 
+	/** Nothing else may have been in work when it ended. */
+	const checkGivenUp = (): void => {
+		for (const call of takeGivenUp()) {
+			void crashWatch.noteLost(call);
+		}
+	};
+
 	const noteOutcome = (hasFailed: boolean): void => {
 		failureShare = (failureShare * (1 - failureWeight)) + (hasFailed ? failureWeight : 0);
 	};
@@ -178,6 +209,7 @@
 
 		switch (failure.reason) {
 			case 'unreachable': {
+				checkGivenUp();
 				context.handleUnreachable(lifetime, failure.detail);
 				return createNotRun('server-unreachable', failure.detail, doubtMs);
 			}
@@ -287,6 +319,10 @@
 		handleEnd();
 		admission.end();
 		atServer.delete(call);
+		if (answer.type === 'failed' && answer.isSent && answer.reason !== 'connection-lost' && answer.reason !== 'wrong-answer') {
+			keepGivenUp(call, mark);
+		}
+
 		if (answer.type === 'failed' && brokenOff.has(call)) {
 			return createMayHaveRun('quarantined', 'broken off, since such a request has just crashed another backend server');
 		}
@@ -338,6 +374,7 @@
 		noteCrashed() {
 			hasCrashed = true;
 			crashWatch.noteReplaced();
+			checkGivenUp();
 		},
 		retire: stopTaking,
 		end() {
