Quarantine: runs are not broken off at word of a crash

Servers go on with such a request, so the stand-in's server crashes again whether or not its caller stays.

--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -176,7 +176,7 @@
 });
 
 /**
- * What was seen: a page ended a server after it had been broken off there at word of another crash (brankoviste-prod, a day with such requests); the crash named 12 other requests and not that one.
+ * What was seen: a page ended a server 4 ms after its run there had been given up; the crash named 12 other requests and not that one.
  *
  * Cause: a server that does not drop a request whose connection closes goes on with it, and what had been given up was not taken for in work.
  */
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -17,7 +17,6 @@
 import {
 	noLocalServer, type LocalServer, type LocalServerState, type ServerAnnouncement, type ServerLeave, type ServerStep,
 } from '../local-server/local-server.js';
-import {type Fingerprint} from '../quarantine/fingerprint.js';
 import {describeRefusal as describeQuarantine, type Quarantine} from '../quarantine/quarantine.js';
 import {type ServerReport, type ServerState} from '../peers/peer-report.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
@@ -64,8 +63,6 @@
 	readonly announce: (announcement: ServerAnnouncement) => void;
 	/** The server leaves; from here on it gets no new work. One that may be an earlier start's late word is refused, so that nobody relies on it. */
 	readonly leave: (leave: ServerLeave) => Result<undefined, CallRefusal>;
-	/** Breaks off what is in work here and may crash the server, since it has just crashed another one. */
-	readonly breakOff: (suspects: ReadonlySet<Fingerprint>) => void;
 	readonly describe: () => ServerReport | undefined;
 	readonly countRequests: () => number;
 	readonly dispose: () => void;
@@ -323,11 +320,6 @@
 			apply(acceptLeave(state, leave, now), 'it said that it leaves');
 			return ok(undefined);
 		},
-		breakOff(suspects) {
-			for (const one of session === undefined ? retired : [session, ...retired]) {
-				one.breakOff(mark => suspects.has(mark.getFingerprint()));
-			}
-		},
 		describe() {
 			const {current} = state;
 			if (current === undefined || session === undefined) {
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -67,8 +67,6 @@
 	readonly acquire: (request: SlotRequest) => Promise<SlotOutcome>;
 	readonly release: () => void;
 	readonly run: (call: SessionCall) => Promise<ForwardResult>;
-	/** Breaks off what is in work and may crash the server, since it has just crashed another one. */
-	readonly breakOff: (isSuspected: (mark: RequestMark) => boolean) => void;
 	readonly resize: (slots: number) => void;
 	readonly describe: () => SessionLoad;
 	/** It has ended without a word, since another start is there that took its place: what is lost from here on was in work then. A node that lags reads this before it reads the ends of the connections. */
@@ -154,9 +152,6 @@
 		address: announcement.address, maxConnections: context.maxConnections, idleMs: idleConnectionMs, connectMs,
 	});
 	const silence = createSilentConnections();
-	/** Requests that are at the server now. */
-	const atServer = new Map<SessionCall, RequestMark>();
-	const brokenOff = new WeakSet<SessionCall>();
 	let givenUp: readonly GivenUpCall[] = [];
 	let failureShare = 0;
 	let isEnded = false;
@@ -167,7 +162,7 @@
 		givenUp = [...givenUp, {id, mark, until}].slice(-mostGivenUp);
 	};
 
-	/** Whose caller left, or what was broken off, may be what crashed a server that worked on it all the same. */
+	/** What its caller left may be what crashed a server that worked on it all the same. */
 	const takeGivenUp = (): readonly SentCall[] => {
 		const now = readSteadyMs();
 		const current = givenUp.filter(({until}) => until > now);
@@ -302,7 +297,6 @@
 		}
 
 		const handleEnd = silence.begin(now);
-		atServer.set(call, mark);
 		const answer = await runExchange({
 			connections, id: call.id, method: call.method, target: call.target, body, scope: call.scope,
 			headers: {
@@ -318,15 +312,10 @@
 		});
 		handleEnd();
 		admission.end();
-		atServer.delete(call);
 		if (answer.type === 'failed' && answer.isSent && answer.reason !== 'connection-lost' && answer.reason !== 'wrong-answer') {
 			keepGivenUp(call, mark);
 		}
 
-		if (answer.type === 'failed' && brokenOff.has(call)) {
-			return createMayHaveRun('quarantined', 'broken off, since such a request has just crashed another backend server');
-		}
-
 		if (answer.type === 'failed') {
 			return answer.reason === 'connection-lost' ? judgeLost(call, mark, answer) : judgeFailure(answer);
 		}
@@ -359,14 +348,6 @@
 
 			return result;
 		},
-		breakOff(isSuspected) {
-			for (const [call, mark] of atServer) {
-				if (isSuspected(mark)) {
-					brokenOff.add(call);
-					call.scope.end('superseded');
-				}
-			}
-		},
 		resize(count) {
 			slots.resize(countPlaces(count));
 		},
--- a/src/lib/quarantine/quarantine.test.ts
+++ b/src/lib/quarantine/quarantine.test.ts
@@ -4,7 +4,6 @@
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {type CrashReport} from './crash-report.js';
-import {type Fingerprint} from './fingerprint.js';
 import {createQuarantine, type Quarantine} from './quarantine.js';
 import {type RequestMark} from './request-mark.js';
 import {createSampleMark} from './sample-quarantine.js';
@@ -17,8 +16,6 @@
 	readonly stored: readonly SuspectRecord[];
 	/** Crashes that were to be told through the store. */
 	readonly told: readonly CrashReport[];
-	/** Of what the node was told that others accuse, one list a message. */
-	readonly accused: ReadonlyArray<readonly Fingerprint[]>;
 	readonly setNow: (now: number) => void;
 };
 
@@ -28,7 +25,6 @@
 	mock.method(performance, 'now', () => now);
 	const stored: SuspectRecord[] = [];
 	const told: CrashReport[] = [];
-	const accused: Array<readonly Fingerprint[]> = [];
 	const quarantine = createQuarantine({
 		log: silentLog,
 		handleNews() {
@@ -37,9 +33,6 @@
 		handleCrash(report) {
 			told.push(report);
 		},
-		handleAccused(fingerprints) {
-			accused.push([...fingerprints]);
-		},
 		handleQuarantined(records) {
 			stored.push(...records);
 		},
@@ -49,7 +42,6 @@
 		countNews: () => news,
 		stored,
 		told,
-		accused,
 		setNow(next) {
 			now = next;
 		},
@@ -123,17 +115,3 @@
 	assert.equal(quarantine.judge(createPublication('good')).type, 'free');
 	assert.equal(quarantine.judge(createSampleMark('/publish')).type, 'free');
 });
-
-test('what another node accuses is told once for each crash, and not if this node saw it answered a moment ago', context => {
-	const first = createFixture(context);
-	const second = createFixture(context);
-	second.quarantine.noteAnswered(popular);
-	for (const startedAt of [1, 2]) {
-		first.quarantine.noteCrash(getServer(startedAt), [fatal, popular]);
-		second.quarantine.take(first.quarantine.describe(), 'n1');
-		second.quarantine.take(first.quarantine.describe(), 'n1');
-	}
-
-	assert.deepEqual(second.accused, [[fatal.getFingerprint()], [fatal.getFingerprint()]]);
-	assert.deepEqual(first.accused, []);
-});
--- a/src/lib/quarantine/quarantine.ts
+++ b/src/lib/quarantine/quarantine.ts
@@ -25,8 +25,6 @@
 	readonly handleNews: () => void;
 	/** Told of each crash of the server beside this node that accuses a request. */
 	readonly handleCrash: (report: CrashReport) => void;
-	/** Told of requests of which another node has just told a crash. */
-	readonly handleAccused: (fingerprints: ReadonlySet<Fingerprint>) => void;
 	/** Told of requests that are quarantined because of what this node saw. */
 	readonly handleQuarantined: (records: readonly SuspectRecord[]) => void;
 };
@@ -76,7 +74,7 @@
  * @returns A quarantine in which nothing is suspected.
  * @internal
  */
-export function createQuarantine({log, handleNews, handleCrash, handleAccused, handleQuarantined}: QuarantineContext): Quarantine {
+export function createQuarantine({log, handleNews, handleCrash, handleQuarantined}: QuarantineContext): Quarantine {
 	const ledger = createQuarantineLedger();
 	const answers = createRecentAnswers();
 	const trials = new Set<Fingerprint>();
@@ -107,11 +105,9 @@
 
 	const hasBeenAnswered = (mark: RequestMark, now: number): boolean => !mark.hasBody && answers.has(mark.getHead(), now);
 
-	const countCrashes = (fingerprint: Fingerprint, now: number): number => ledger.get(fingerprint, now)?.crashes.length ?? 0;
-
 	const tellSuspects = (fingerprints: readonly Fingerprint[], from: string, now: number): void => {
 		for (const fingerprint of fingerprints) {
-			const crashes = countCrashes(fingerprint, now);
+			const crashes = ledger.get(fingerprint, now)?.crashes.length ?? 0;
 			// What was in work at one crash is told by the line of the crash.
 			if (crashes > 1) {
 				log.record('warn', {
@@ -201,21 +197,10 @@
 		},
 		take(records, from) {
 			const now = readSteadyMs();
-			if (records.length === 0) {
-				return;
-			}
-
-			const before = new Map(records.map(({fingerprint}) => [fingerprint, countCrashes(fingerprint, now)]));
-			const changed = ledger.merge(records, now);
-			if (changed.length === 0) {
-				return;
-			}
-
-			forgiveAnswered(changed, now);
-			tellSuspects(changed, from, now);
-			const accused = new Set(changed.filter(fingerprint => countCrashes(fingerprint, now) > (before.get(fingerprint) ?? 0)));
-			if (accused.size > 0) {
-				handleAccused(accused);
+			const changed = records.length === 0 ? [] : ledger.merge(records, now);
+			if (changed.length > 0) {
+				forgiveAnswered(changed, now);
+				tellSuspects(changed, from, now);
 			}
 		},
 		describe: () => ledger.countRecords() === 0 ? [] : ledger.listPart(readSteadyMs()),
--- a/src/lib/quarantine/sample-quarantine.ts
+++ b/src/lib/quarantine/sample-quarantine.ts
@@ -12,7 +12,7 @@
  * @internal
  */
 export const createQuietQuarantine = (): Quarantine => createQuarantine({
-	log: silentLog, handleNews: () => undefined, handleCrash: () => undefined, handleAccused: () => undefined, handleQuarantined: () => undefined,
+	log: silentLog, handleNews: () => undefined, handleCrash: () => undefined, handleQuarantined: () => undefined,
 });
 
 /**
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -146,9 +146,6 @@
 		handleCrash(report) {
 			void sync.tellCrash(report);
 		},
-		handleAccused(fingerprints) {
-			gate.breakOff(fingerprints);
-		},
 		handleQuarantined(records) {
 			sync.storeSuspects(records);
 		},
--- a/stand-ins/wire-server/wire-server.ts
+++ b/stand-ins/wire-server/wire-server.ts
@@ -243,13 +243,9 @@
 
 		if (behaviour === 'answer' && isFatal(request.url ?? '')) {
 			const run = runs.at(-1)!;
-			const crash = setTimeout(() => {
+			setTimeout(() => {
 				endByCrash(run);
 			}, workMs);
-			// Whose connection closes is dropped, as by most servers.
-			response.once('close', () => {
-				clearTimeout(crash);
-			});
 			return;
 		}
 
