Product's own node: requests that crash backend servers are kept from them there as well

Change: the same quarantine: the gate accuses what was in work when its server ended (watch-runs), entries judge, trials have one server and one attempt, heartbeats carry what is known and a crash is told to thirty members at once. Not there: the store, streamed bodies.

--- a/scenarios/world.ts
+++ b/scenarios/world.ts
@@ -14,7 +14,7 @@
 	createNode, settingsSchema, toBackendServerId,
 	type ItemChange, type Node, type Settings, type Store, type StoreReadError, type SubmissionOutcome, type TimelineEvent,
 } from '../src/index.js';
-import {startBackendServer, type BackendServerStandIn} from '../stand-ins/backend-server/backend-server.js';
+import {startBackendServer, type BackendServerSettings, type BackendServerStandIn} from '../stand-ins/backend-server/backend-server.js';
 import {createMemoryStore, type MemoryStore} from '../stand-ins/store/memory-store.js';
 import {createListenAddresses} from '../stand-ins/loopback-addresses.js';
 import {waitUntil} from '../stand-ins/wait-until.js';
@@ -57,6 +57,8 @@
 	readonly servers: Map<string, BackendServerStandIn>;
 	readonly startNodes: (count: number, domains: number) => Promise<void>;
 	readonly startServer: (name: string, service: string, node: string, slots?: number) => Promise<void>;
+	/** Starts a backend server again at its address and under its id. */
+	readonly restartServer: (name: string) => Promise<BackendServerStandIn>;
 	readonly killNode: (name: string) => Promise<void>;
 	readonly restartNode: (name: string) => Promise<void>;
 	readonly submit: (node: string, changes: readonly ItemChange[], options?: {readonly id?: string; readonly bases?: Readonly<Record<string, number>>}) => Promise<SubmissionOutcome>;
@@ -108,6 +110,7 @@
 	const network = createCutNetwork();
 	const nodes = new Map<string, WorldNode>();
 	const servers = new Map<string, BackendServerStandIn>();
+	const serverSettings = new Map<string, BackendServerSettings>();
 	const agent = new Agent({connections: 50, pipelining: 1});
 	const bundleDirectory = await mkdtemp(join(tmpdir(), 'stonemoor-scenario-'));
 
@@ -193,9 +196,12 @@
 			await waitFor('every node is ready and knows the others', () => listRunning().every(({node}) => node.getStatus().isReady && node.getStatus().knownNodes >= count));
 		},
 		async startServer(name, service, node, slots = 12) {
-			servers.set(name, await startBackendServer({
+			const settings: BackendServerSettings = {
 				id: name, service, host: '127.0.0.1', port: 0, slots, connections: 130, announcements: getNode(node).settings.listen.announcements, bundleDirectory,
-			}));
+			};
+			const server = await startBackendServer(settings);
+			serverSettings.set(name, {...settings, port: Number(server.address.split(':')[1])});
+			servers.set(name, server);
 			await waitFor(`every node knows ${name}`, async () => {
 				const lists = await Promise.all(listRunning().map(async ({settings}) => {
 					const reply = await sendRequest(`http://${settings.listen.operators}/v1/servers`);
@@ -204,6 +210,11 @@
 				return lists.every(list => list.some(({server}) => server.id === toBackendServerId(name)));
 			});
 		},
+		async restartServer(name) {
+			const server = await startBackendServer(serverSettings.get(name)!);
+			servers.set(name, server);
+			return server;
+		},
 		async killNode(name) {
 			const worldNode = getNode(name);
 			worldNode.isRunning = false;
--- a/src/lib/calls/attempt.ts
+++ b/src/lib/calls/attempt.ts
@@ -7,6 +7,7 @@
 import {type CallId} from '../common/ids.js';
 import {type Verdict} from '../common/verdict.js';
 import {type WorkClass} from '../policy/decision.js';
+import {type RequestMark} from '../quarantine/request-mark.js';
 
 /** HTTP headers by lower-case name. @internal */
 export type HeaderMap = Readonly<Record<string, string | readonly string[] | undefined>>;
@@ -26,6 +27,8 @@
 	readonly signal: AbortSignal;
 	/** A slot that was reserved before, if any. */
 	readonly ticket?: string;
+	/** It as the quarantine looks at it; `undefined` for a body that is streamed, which nobody holds whole. */
+	readonly mark: RequestMark | undefined;
 };
 
 /** How an attempt ended. @internal */
@@ -53,10 +56,14 @@
 };
 
 /** @internal */
-export type FailureReason = 'shed' | 'draining' | 'no-server' | 'unreachable' | 'timeout' | 'cancelled' | 'connection-lost' | 'wrong-answer';
+export type FailureReason = 'shed' | 'draining' | 'no-server' | 'unreachable' | 'timeout' | 'cancelled' | 'connection-lost' | 'wrong-answer'
+	/** The backend server ended while it worked on it, which it may have caused. */
+	| 'server-crashed'
+	/** Backend servers crashed while such a request was in work: it is kept from the others. */
+	| 'quarantined';
 
 /** @internal */
-export const failureReasons: readonly FailureReason[] = ['shed', 'draining', 'no-server', 'unreachable', 'timeout', 'cancelled', 'connection-lost', 'wrong-answer'];
+export const failureReasons: readonly FailureReason[] = ['shed', 'draining', 'no-server', 'unreachable', 'timeout', 'cancelled', 'connection-lost', 'wrong-answer', 'server-crashed', 'quarantined'];
 
 /** When to come back if nothing better is known, in milliseconds. */
 const defaultRetryMs = 1000;
--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -11,6 +11,8 @@
 import {randomUUID} from 'node:crypto';
 import {readMicroseconds, readNow} from '../common/clock.js';
 import {toCallId, type CallId} from '../common/ids.js';
+import {anyHost} from '../routing/routing-table.js';
+import {createRequestMark, type RequestMark} from '../quarantine/request-mark.js';
 import {type RequestAttributes} from '../policy/request-attributes.js';
 import {type Store} from '../store/store.js';
 import {type RoutingSnapshot} from '../routing/routing-snapshot.js';
@@ -75,6 +77,19 @@
 	};
 }
 
+/** A body that is streamed is never held whole, so nothing is known of such a request. */
+function createBodyMark({method = 'GET', url: target = '/', headers}: IncomingMessage, plan: CallPlan, body: RequestBody): RequestMark | undefined {
+	if (body.type === 'stream') {
+		return undefined;
+	}
+
+	// Where any host will do, callers name the node that they ask: the same request would be another at each.
+	const host = plan.route.host === anyHost ? '' : headers.host ?? '';
+	return createRequestMark({
+		method, host, target, body: body.type === 'held' ? body.bytes : undefined,
+	});
+}
+
 function describeTaken(verdict: CallResult['verdict'], status: number | undefined): ProblemAnswer {
 	return verdict === 'ran'
 		? {
@@ -146,6 +161,7 @@
 			body,
 			deadline,
 			signal: createCallSignal(response, timeoutMs),
+			mark: createBodyMark(request, plan, body),
 		});
 	};
 
--- a/src/lib/calls/gate-client.ts
+++ b/src/lib/calls/gate-client.ts
@@ -9,6 +9,7 @@
 import {type Address, type BackendServerId} from '../common/ids.js';
 import {createConnector, type Network} from '../common/network.js';
 import {parseVerdict} from '../common/verdict.js';
+import {getBodyDigest} from '../quarantine/request-mark.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
 import {
 	createFailure, failureReasons, judgeClientError,
@@ -51,6 +52,8 @@
 		[meshHeaders.eventTime]: String(clock.getTime()),
 		[timeoutHeader]: String(Math.max(1, attempt.deadline - readNow())),
 		...attempt.ticket === undefined ? {} : {[meshHeaders.ticket]: attempt.ticket},
+		...attempt.mark === undefined || attempt.mark.host === '' ? {} : {[meshHeaders.routedHost]: attempt.mark.host},
+		...attempt.mark?.hasBody ? {[meshHeaders.bodyDigest]: getBodyDigest(attempt.mark)} : {},
 	};
 }
 
--- a/src/lib/calls/gate-server.ts
+++ b/src/lib/calls/gate-server.ts
@@ -10,6 +10,7 @@
 import {readNow} from '../common/clock.js';
 import {toBackendServerId, toCallId, type BackendServerId} from '../common/ids.js';
 import {type WorkClass} from '../policy/decision.js';
+import {createKnownMark, type RequestMark} from '../quarantine/request-mark.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
 import {type Attempt, type AttemptResult, type FailedAttempt} from './attempt.js';
 import {createCallSignal} from './call-signal.js';
@@ -40,6 +41,17 @@
 	return request.headers['transfer-encoding'] !== undefined || (getNumberHeader(request.headers, 'content-length') ?? 0) > 0;
 }
 
+/** A body that comes as a stream is known by the digest that the entry sent, or not at all. */
+function readMark(request: IncomingMessage): RequestMark | undefined {
+	const digest = getHeader(request.headers, meshHeaders.bodyDigest);
+	if (digest === undefined && hasBody(request)) {
+		return undefined;
+	}
+
+	const {method = 'GET', url: target = '/'} = request;
+	return createKnownMark({method, host: getHeader(request.headers, meshHeaders.routedHost) ?? '', target}, digest);
+}
+
 function readCall(request: IncomingMessage, response: ServerResponse): GateCall {
 	const timeoutMs = getNumberHeader(request.headers, timeoutHeader) ?? defaultTimeoutMs;
 	return {
@@ -54,6 +66,7 @@
 			deadline: readNow() + timeoutMs,
 			signal: createCallSignal(response, timeoutMs),
 			ticket: getHeader(request.headers, meshHeaders.ticket),
+			mark: readMark(request),
 		},
 	};
 }
--- a/src/lib/calls/headers.ts
+++ b/src/lib/calls/headers.ts
@@ -24,6 +24,10 @@
 	retryAfterMs: 'stonemoor-retry-after-ms',
 	answeredBy: 'stonemoor-answered-by',
 	eventTime: 'stonemoor-event-time',
+	/** Stands for a body that the entry holds; the gate reads it as a stream. */
+	bodyDigest: 'stonemoor-body-digest',
+	/** The host by which a request was routed; missing if any host would do, as where callers name a node. */
+	routedHost: 'stonemoor-routed-host',
 } as const;
 
 /** The time that is left, in milliseconds: callers may send it, backend servers receive it. @public */
--- a/src/lib/calls/local-servers.ts
+++ b/src/lib/calls/local-servers.ts
@@ -15,6 +15,7 @@
 import {type Timeline} from '../timeline/timeline.js';
 import {createFailure, type Attempt, type AttemptResult} from './attempt.js';
 import {createServerSender, type ServerSender} from './server-sender.js';
+import {type RunQuarantine} from './watch-runs.js';
 
 /** What a backend server says of itself, again and again. @public */
 export type Announcement = Omit<BackendServer, 'startedAt' | 'isDraining'>;
@@ -64,12 +65,13 @@
  * Creates the set of servers beside a node; it is empty until one announces itself.
  *
  * @param settings - Limits of the gates.
+ * @param quarantine - Judges what is sent to them.
  * @param timeline - Records who comes and goes.
  * @param handleChange - Told of the servers whenever the mesh should hear of a change.
  * @returns The servers.
  * @internal
  */
-export function createLocalServers(settings: AdmissionSettings, timeline: Timeline, handleChange: (servers: readonly BackendServer[]) => void): LocalServers {
+export function createLocalServers(settings: AdmissionSettings, quarantine: RunQuarantine, timeline: Timeline, handleChange: (servers: readonly BackendServer[]) => void): LocalServers {
 	const entries = new Map<BackendServerId, Entry>();
 	const tickets = new Map<string, Ticket>();
 	let isClosing = false;
@@ -118,7 +120,7 @@
 		const server: BackendServer = {...announcement, startedAt: readNow(), isDraining: false};
 		const gate = createGate(server.slots, settings);
 		entries.set(server.id, {
-			server, gate, sender: createServerSender(server, gate), heardAt: readNow(),
+			server, gate, sender: createServerSender(server, gate, quarantine), heardAt: readNow(),
 		});
 		timeline.record({kind: 'server-announced', server: server.id, service: server.service});
 		publish();
--- a/src/lib/calls/run-attempts.ts
+++ b/src/lib/calls/run-attempts.ts
@@ -8,8 +8,13 @@
 import {
 	type BackendServerId, type CallId, type FailureDomain, type NodeId,
 } from '../common/ids.js';
+import {toLifetimeKey} from '../common/server-lifetime.js';
 import {joinVerdicts, type Verdict} from '../common/verdict.js';
 import {listServers, type Directory, type DirectoryServer} from '../directory/directory.js';
+import {type Judgement} from '../quarantine/ledger.js';
+import {describeRefusal, type Quarantine} from '../quarantine/quarantine.js';
+import {type RequestMark} from '../quarantine/request-mark.js';
+import {chooseTrialServer} from '../quarantine/trial-server.js';
 import {chooseServer} from '../routing/choose-server.js';
 import {type ServerLoads} from '../routing/server-load.js';
 import {type CallSettings} from '../settings/settings.js';
@@ -33,6 +38,7 @@
 	readonly localServers: LocalServers;
 	readonly gateClient: GateClient;
 	readonly budget: RetryBudget;
+	readonly quarantine: Pick<Quarantine, 'judge'>;
 	readonly timeline: Timeline;
 	readonly random: () => number;
 };
@@ -47,6 +53,8 @@
 	readonly body: RequestBody;
 	readonly deadline: number;
 	readonly signal: AbortSignal;
+	/** It as the quarantine looks at it; `undefined` for a body that is streamed. */
+	readonly mark: RequestMark | undefined;
 };
 
 /** How a call ended. @internal */
@@ -58,12 +66,26 @@
 	readonly server: BackendServerId | undefined;
 };
 
+/** Whether a request may crash whatever runs it, so that it goes to no other server of its own accord. */
+const isSuspected = ({reason}: FailedAttempt): boolean => reason === 'server-crashed' || reason === 'quarantined';
+
+/** A request on trial has one server for all nodes, of those that this node has no reason to leave out. */
+function listFor({getDirectory, loads}: AttemptContext, service: string, judgement: Judgement): readonly DirectoryServer[] {
+	const servers = listServers(getDirectory(), service);
+	if (judgement.type !== 'trial') {
+		return servers;
+	}
+
+	const sound = servers.filter(({server: {id, isDraining}}) => !isDraining && loads.get(id).ejectedUntil <= readNow());
+	return chooseTrialServer(judgement.fingerprint, sound.map(one => ({...one, lifetime: toLifetimeKey(one.server)})));
+}
+
 const createNoServer = (service: string): FailedAttempt => createFailure('not-run', 'no-server', `no backend server of ${service} is known that could take the request`);
 
 function createAttempt(outgoing: OutgoingCall): Omit<Attempt, 'body'> {
-	const {call, method, path, headers, deadline, signal, plan} = outgoing;
+	const {call, method, path, headers, deadline, signal, plan, mark} = outgoing;
 	return {
-		call, method, path, headers, deadline, signal, workClass: plan.decision.workClass,
+		call, method, path, headers, deadline, signal, mark, workClass: plan.decision.workClass,
 	};
 }
 
@@ -121,7 +143,7 @@
 	timeline.record({
 		kind: 'attempt-failed', call, server: id, verdict: result.verdict, reason: result.reason,
 	});
-	if (result.reason === 'unreachable' || result.reason === 'connection-lost' || result.reason === 'no-server' || result.reason === 'draining') {
+	if (result.reason === 'unreachable' || result.reason === 'connection-lost' || result.reason === 'server-crashed' || result.reason === 'no-server' || result.reason === 'draining') {
 		const forMs = loads.eject(id, settings.ejectionMs);
 		timeline.record({
 			kind: 'server-ejected', server: id, reason: result.reason, forMs,
@@ -163,8 +185,15 @@
 	context.budget.noteCall();
 
 	for (let attempts = 0; ; attempts++) {
+		const judgement: Judgement = outgoing.mark === undefined ? {type: 'free'} : context.quarantine.judge(outgoing.mark);
+		if (judgement.type === 'refused') {
+			return {
+				result: createFailure('not-run', 'quarantined', describeRefusal(judgement), judgement.retryAfterMs), verdict, attempts, server: undefined,
+			};
+		}
+
 		const target = chooseServer({
-			servers: listServers(context.getDirectory(), plan.pool.service),
+			servers: listFor(context, plan.pool.service, judgement),
 			pool: plan.pool,
 			domain: context.domain,
 			tried,
@@ -202,7 +231,7 @@
 		context.loads.end(id);
 		last = result;
 		verdict = joinVerdicts(verdict, result.verdict);
-		if (isStreamOpen || !mayRetry(context, outgoing, verdict, attempts + 1)) {
+		if (isStreamOpen || judgement.type === 'trial' || isSuspected(result) || !mayRetry(context, outgoing, verdict, attempts + 1)) {
 			return {
 				result, verdict, attempts: attempts + 1, server: id,
 			};
--- a/src/lib/calls/server-sender.ts
+++ b/src/lib/calls/server-sender.ts
@@ -11,6 +11,7 @@
 import {
 	createFailure, judgeClientError, type Attempt, type AttemptResult,
 } from './attempt.js';
+import {watchRuns, type RunQuarantine} from './watch-runs.js';
 import {
 	filterHeaders, getHeader, meshHeaders, timeoutHeader, toOutgoingHeaders,
 } from './headers.js';
@@ -46,15 +47,25 @@
  *
  * @param server - The server.
  * @param gate - Its gate.
+ * @param quarantine - Judges what is about to be sent, and hears how it ended.
  * @returns The sender.
  * @internal
  */
-export function createServerSender(server: BackendServer, gate: Gate): ServerSender {
+export function createServerSender(server: BackendServer, gate: Gate, quarantine: RunQuarantine): ServerSender {
 	const pool = new Pool(`http://${server.address}`, {
 		connections: server.connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: {timeout: connectTimeoutMs},
 	});
 
+	let isClosing = false;
+	const runs = watchRuns(quarantine, server, () => isClosing);
+
 	const sendWithSlot = async (attempt: Attempt, slot: Slot): Promise<AttemptResult> => {
+		const admission = await runs.admit(attempt.mark);
+		if (admission.type === 'refused') {
+			slot.release();
+			return createFailure('not-run', 'quarantined', admission.detail, admission.retryAfterMs);
+		}
+
 		const startedAt = readMicroseconds();
 		try {
 			const answer = await pool.request({
@@ -69,6 +80,7 @@
 				signal: attempt.signal,
 			});
 			releaseAfter(answer.body, slot);
+			runs.watchAnswer(admission, answer.statusCode, answer.body);
 			// Only the server itself knows that it shed a request before it began on it, so its word on that is taken.
 			if (getHeader(answer.headers, meshHeaders.verdict) === 'not-run') {
 				answer.body.destroy();
@@ -90,7 +102,7 @@
 			};
 		} catch (error) {
 			slot.release();
-			return judgeClientError(error, attempt);
+			return runs.judgeLost(admission, judgeClientError(error, attempt));
 		}
 	};
 
@@ -109,6 +121,7 @@
 			return sendWithSlot(attempt, slot.value);
 		},
 		async dispose() {
+			isClosing = true;
 			await pool.destroy();
 		},
 	};
--- a/src/lib/distribution/relay-watch.test.ts
+++ b/src/lib/distribution/relay-watch.test.ts
@@ -37,9 +37,10 @@
 	await memory.write({key: headKey, value: JSON.stringify(record), expectedRevision: 0});
 	const store = createBudgetedStore(memory, {perSecond: 20, burst: 60});
 	const keeper = createConfigurationKeeper(() => undefined);
+	const noteReason = (): void => undefined;
 	const watch = createRelayWatch({
 		store, timeline: createTimeline(toNodeId('n1'), createLamportClock()), domain: toFailureDomain('a'), random: () => 0.5,
-		configuration: keeper, setReason: () => undefined,
+		configuration: keeper, setReason: noteReason,
 	});
 	context.after(watch.dispose);
 	watch.update(true);
--- a/src/lib/membership/gossip.ts
+++ b/src/lib/membership/gossip.ts
@@ -12,6 +12,7 @@
 import {formatAddress, parseAddress} from '../common/address.js';
 import {assertNever} from '../common/assert-never.js';
 import {readNow} from '../common/clock.js';
+import {shuffleList} from '../common/shuffle-list.js';
 import {
 	toNodeId, type Address, type FailureDomain, type NodeId,
 } from '../common/ids.js';
@@ -29,6 +30,8 @@
 	decodeRecords, decodeSummary, encodeRecord, encodeSummary,
 } from '../distribution/wire.js';
 import {GossipSchema, type Gossip as GossipMessage} from '../generated/stonemoor/v1/node_pb.js';
+import {type Quarantine} from '../quarantine/quarantine.js';
+import {decodeSuspect, encodeSuspect} from '../quarantine/suspect-record.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
 import {type Timeline} from '../timeline/timeline.js';
 import {
@@ -43,6 +46,8 @@
 	readonly start: () => void;
 	/** Looks again at who is suspected, after records changed. */
 	readonly handleRecords: (records: readonly NodeRecord[]) => void;
+	/** Tells some members at once of what must not wait for the next heartbeats; they pass it on with theirs. */
+	readonly announce: () => void;
 	readonly dispose: () => Promise<void>;
 };
 
@@ -62,6 +67,8 @@
 	readonly meter: ByteMeter;
 	readonly network: Network;
 	readonly random: () => number;
+	/** Requests that crash backend servers ride on each datagram, a bounded part of them. */
+	readonly quarantine: Pick<Quarantine, 'describe' | 'take'>;
 };
 
 type MessageKind = MessageInitShape<typeof GossipSchema>['kind'];
@@ -75,6 +82,9 @@
 /** Sequence numbers of heartbeats between relays, which the failure detector knows nothing of. */
 const relayCheckNumber = 0;
 
+/** Members that are told at once of what must not wait: each tells one more in every period. */
+const mostTold = 30;
+
 /** Forwarded heartbeats whose answers are awaited for others. */
 type Forwarded = {readonly origin: NodeId; readonly sequenceNumber: number; readonly at: number};
 
@@ -100,6 +110,8 @@
 	let lastRetryAt = 0;
 	let lastCheckedMs = 0;
 	const timers: NodeJS.Timeout[] = [];
+	/** What a server's end tells may come when this node has stopped. */
+	let isClosed = false;
 
 	const findGossipAddress = (id: NodeId): Address | undefined => getRecord(directory.getDirectory(), id)?.gossipAddress;
 
@@ -111,8 +123,13 @@
 			epoch: BigInt(directory.getOwnRecord().epoch),
 			sequenceNumber,
 			records: records.map(record => encodeRecord(record)),
+			suspects: context.quarantine.describe().map(suspect => JSON.stringify(encodeSuspect(suspect))),
 			kind,
 		});
+		if (isClosed) {
+			return;
+		}
+
 		const bytes = toBinary(GossipSchema, message);
 		const {host, port} = parseAddress(address);
 		meter.count({sent: bytes.length, received: 0});
@@ -199,6 +216,7 @@
 		decodeRecords(message.records).andTee(records => {
 			directory.merge(records, {type: 'push', from});
 		});
+		context.quarantine.take(message.suspects.map(text => decodeSuspect(JSON.parse(text), 'suspects')), from);
 		const {kind} = message;
 		switch (kind.case) {
 			case 'ping': {
@@ -326,7 +344,18 @@
 				}
 			}
 		},
+		announce() {
+			const others = shuffleList(members.listProbed(domain).filter(member => member !== self), random).slice(0, mostTold);
+			for (const member of others) {
+				send(member, {case: 'ping', value: {}}, relayCheckNumber);
+			}
+
+			for (const {gossipAddress} of distributor.listOtherWatchers()) {
+				sendTo(gossipAddress, {case: 'ping', value: {}}, relayCheckNumber);
+			}
+		},
 		async dispose() {
+			isClosed = true;
 			for (const timer of timers) {
 				clearInterval(timer);
 			}
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -27,6 +27,7 @@
 import {createPeers} from '../distribution/peers.js';
 import {createRelayWatch} from '../distribution/relay-watch.js';
 import {createReportedVersions} from '../distribution/reported-versions.js';
+import {createQuarantine} from '../quarantine/quarantine.js';
 import {republishHead} from '../distribution/republish.js';
 import {createStatusCollector} from '../distribution/status-collector.js';
 import {createSubmissionQueue} from '../distribution/submission-queue.js';
@@ -115,6 +116,21 @@
 	};
 
 	const configuration = createConfigurationKeeper(handleConfiguration);
+	const quarantine = createQuarantine({
+		log: {
+			record(_level, event) {
+				if (event.kind === 'request-suspected' || event.kind === 'request-repeated' || event.kind === 'request-cleared') {
+					timeline.record(event);
+				}
+			},
+		},
+		handleNews() {
+			gossip.announce();
+		},
+		// This node's store holds the configuration and idempotency keys alone: what crashed servers is told from node to node.
+		handleCrash: () => undefined,
+		handleQuarantined: () => undefined,
+	});
 	const directory = createDirectoryKeeper(createOwnRecord(settings), (records, source) => {
 		members.handleChange(records);
 		gossip.handleRecords(records);
@@ -134,7 +150,7 @@
 		self, domain, configuration, directory, distributor, peers,
 	});
 	const gossip = createGossip({
-		settings: settings.membership, self, domain, configuration, directory, members, distributor, status, reported, clock, timeline, meter, network, random,
+		settings: settings.membership, self, domain, configuration, directory, members, distributor, status, reported, clock, timeline, meter, network, random, quarantine,
 	});
 	const relayWatch = createRelayWatch({
 		store, configuration, timeline, domain, random, setReason: status.setReason,
@@ -143,7 +159,7 @@
 		configuration, directory, distributor, reported, status, clock, timeline, meter, random, isReady: () => isReady,
 	});
 
-	const localServers = createLocalServers(settings.admission, timeline, servers => {
+	const localServers = createLocalServers(settings.admission, quarantine, timeline, servers => {
 		directory.setServers(servers);
 	});
 	const gateClient = createGateClient(clock, network);
@@ -156,6 +172,7 @@
 		localServers,
 		gateClient,
 		budget: createRetryBudget(settings.calls),
+		quarantine,
 		timeline,
 		random,
 		getSnapshot: () => isReady ? snapshot : undefined,
--- a/src/lib/quarantine/fingerprint.ts
+++ b/src/lib/quarantine/fingerprint.ts
@@ -68,6 +68,14 @@
 	return `${head}.${body === undefined || body.length === 0 ? noBody : computeDigest(body)}` as Fingerprint;
 }
 
+/**
+ * @param head - Digest of the head.
+ * @param bodyDigest - Digest of the body; `undefined` if there is none.
+ * @returns The whole fingerprint. One that is no digest stands for a body that nothing is known of: it matches no other.
+ * @internal
+ */
+export const joinDigest = (head: HeadFingerprint, bodyDigest: string | undefined): Fingerprint => `${head}.${bodyDigest ?? noBody}` as Fingerprint;
+
 /**
  * @param identity - A request.
  * @returns Its fingerprint.
@@ -86,6 +94,13 @@
 	return fingerprint.slice(0, digestLength) as HeadFingerprint;
 }
 
+/**
+ * @param fingerprint - A fingerprint.
+ * @returns The part of it that the body makes.
+ * @internal
+ */
+export const cutHead = (fingerprint: Fingerprint): string => fingerprint.slice(digestLength + 1);
+
 /**
  * @param value - What came over the network.
  * @returns The fingerprint, or `undefined` if it is none.
--- a/src/lib/quarantine/request-mark.ts
+++ b/src/lib/quarantine/request-mark.ts
@@ -5,12 +5,14 @@
  * @module
  */
 import {
-	computeHeadFingerprint, formatHead, joinFingerprint, type Fingerprint, type HeadFingerprint, type RequestIdentity,
+	computeHeadFingerprint, cutHead, formatHead, joinDigest, joinFingerprint, type Fingerprint, type HeadFingerprint, type RequestIdentity,
 } from './fingerprint.js';
 
 /** @internal */
 export type RequestMark = {
 	readonly hasBody: boolean;
+	/** The host that counts. */
+	readonly host: string;
 	/** The head as text, for keys of maps. */
 	readonly getHead: () => string;
 	readonly getHeadFingerprint: () => HeadFingerprint;
@@ -24,6 +26,27 @@
  */
 export function createRequestMark(identity: RequestIdentity): RequestMark {
 	const {body} = identity;
+	return createMark(identity, body !== undefined && body.length > 0, head => joinFingerprint(head, body));
+}
+
+/**
+ * @param identity - A request whose body another node holds.
+ * @param bodyDigest - The digest of the body, by `getBodyDigest`; `undefined` if there is none.
+ * @returns Its mark.
+ * @internal
+ */
+export function createKnownMark(identity: Omit<RequestIdentity, 'body'>, bodyDigest: string | undefined): RequestMark {
+	return createMark(identity, bodyDigest !== undefined, head => joinDigest(head, bodyDigest));
+}
+
+/**
+ * @param mark - A request.
+ * @returns The digest of its body.
+ * @internal
+ */
+export const getBodyDigest = (mark: RequestMark): string => cutHead(mark.getFingerprint());
+
+function createMark(identity: Omit<RequestIdentity, 'body'>, hasBody: boolean, join: (head: HeadFingerprint) => Fingerprint): RequestMark {
 	let head: string | undefined;
 	let headFingerprint: HeadFingerprint | undefined;
 	let fingerprint: Fingerprint | undefined;
@@ -38,11 +61,12 @@
 	};
 
 	return {
-		hasBody: body !== undefined && body.length > 0,
+		hasBody,
+		host: identity.host,
 		getHead,
 		getHeadFingerprint,
 		getFingerprint() {
-			fingerprint ??= joinFingerprint(getHeadFingerprint(), body);
+			fingerprint ??= join(getHeadFingerprint());
 			return fingerprint;
 		},
 	};
--- a/src/lib/routing/routing-table.ts
+++ b/src/lib/routing/routing-table.ts
@@ -13,8 +13,8 @@
 	readonly byHost: ReadonlyMap<string, readonly Route[]>;
 };
 
-/** Hosts that are not named by any route. */
-const anyHost = '*';
+/** In a route, stands for each host that no route names. @internal */
+export const anyHost = '*';
 
 function compareRoutes(left: Route, right: Route): number {
 	return right.path.length - left.path.length
--- a/src/lib/sync/crash-entries.ts
+++ b/src/lib/sync/crash-entries.ts
@@ -71,7 +71,7 @@
 		}
 	};
 
-	const hand = (items: readonly StoreItem[]): void => {
+	const handleItems = (items: readonly StoreItem[]): void => {
 		const records = items.flatMap(item => decode(item));
 		if (records.length > 0) {
 			handleRecords(records);
@@ -98,7 +98,7 @@
 
 	return {
 		take(items) {
-			hand(items);
+			handleItems(items);
 			forgetOld(readSteadyMs());
 			for (const entry of own.values()) {
 				if (!entry.isWritten) {
@@ -112,7 +112,7 @@
 			await write(entry);
 			const read = await store.listItems(crashPrefix, {mayBeStale: false});
 			// Without an answer the next list tells.
-			hand(read.map(({items}) => items).unwrapOr([]));
+			handleItems(read.map(({items}) => items).unwrapOr([]));
 		},
 		handleRestored() {
 			for (const entry of own.values()) {
--- a/src/lib/timeline/timeline-event.ts
+++ b/src/lib/timeline/timeline-event.ts
@@ -27,6 +27,9 @@
 	| {readonly kind: 'server-draining'; readonly server: BackendServerId}
 	| {readonly kind: 'server-withdrawn'; readonly server: BackendServerId; readonly reason: string}
 	| {readonly kind: 'server-ejected'; readonly server: BackendServerId; readonly reason: string; readonly forMs: number}
+	| {readonly kind: 'request-suspected'; readonly fingerprint: string; readonly crashes: number; readonly from: string}
+	| {readonly kind: 'request-repeated'; readonly fingerprint: string}
+	| {readonly kind: 'request-cleared'; readonly fingerprint: string; readonly crashes: number}
 	| {readonly kind: 'attempt-failed'; readonly call: CallId; readonly server: BackendServerId; readonly verdict: Verdict; readonly reason: string}
 	| {readonly kind: 'call-finished'; readonly call: CallId; readonly route: string; readonly status: number; readonly verdict: Verdict; readonly version: number; readonly attempts: number};
 
--- a/stand-ins/backend-server/backend-server.ts
+++ b/stand-ins/backend-server/backend-server.ts
@@ -45,6 +45,8 @@
 	readonly cutAnswers: number;
 	/** Runs the request, then cuts the connection without an answer. */
 	readonly cutBeforeAnswer: number;
+	/** Ends without a word when it has worked on a request for this path; none if empty. */
+	readonly crashPath: string;
 	/** Answers before it has read the body. */
 	readonly answersEarly: boolean;
 	/** What the health endpoint says, whatever is true. */
@@ -71,10 +73,12 @@
 	readonly drain: () => Promise<void>;
 	/** Dies at once. */
 	readonly kill: () => Promise<void>;
+	/** Whether it listens. */
+	readonly isUp: () => boolean;
 };
 
 const soundBehaviour: BackendBehaviour = {
-	workMs: 2, coldMs: 0, coldRequests: 0, isShedding: false, cutAnswers: 0, cutBeforeAnswer: 0, answersEarly: false, claimedHealth: 'ok', claimedLoad: 0,
+	workMs: 2, coldMs: 0, coldRequests: 0, isShedding: false, cutAnswers: 0, cutBeforeAnswer: 0, crashPath: '', answersEarly: false, claimedHealth: 'ok', claimedLoad: 0,
 };
 
 const announceMs = 1000;
@@ -209,6 +213,11 @@
 
 		await readBody(request);
 		await work(createWorkSignal(request, response));
+		if (path === behaviour.crashPath) {
+			await close();
+			return;
+		}
+
 		const key = request.headers['idempotency-key'] as string | undefined;
 		const count = request.method === 'POST' ? countRun(key ?? path) : 0;
 		if (behaviour.cutBeforeAnswer > 0) {
@@ -354,5 +363,6 @@
 			await close();
 		},
 		kill: close,
+		isUp: () => server.listening,
 	};
 }
