--- a/scenarios/world.ts
+++ b/scenarios/world.ts
@@ -8,6 +8,7 @@
 import {mkdtemp, rm} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
+import process from 'node:process';
 import {err, errAsync, ok} from 'neverthrow';
 import {Agent, request as sendRequest} from 'undici';
 import {
@@ -69,7 +70,10 @@
 	readonly dispose: () => Promise<void>;
 };
 
-/** The scenarios of one process use one address after another, so that none meets a port of the one before. */
+/** Hosts that the addresses of one process have. */
+const mostHosts = 250;
+
+/** The scenarios of one process use one address after another, so that none meets a port of the one before. Test files run side by side, each with addresses of its own process. */
 let nextHost = 1;
 
 /** Stands for the platform's store where hosts are cut off from one another. */
@@ -80,8 +84,10 @@
 };
 
 function createHost(): string {
-	const host = `127.5.${Math.floor(nextHost / 250)}.${(nextHost % 250) + 1}`;
-	nextHost++;
+	const {pid} = process;
+	const host = `127.${32 + (Math.floor(pid / 256) % 8)}.${pid % 256}.${nextHost}`;
+	// Those of scenarios that have ended are used again.
+	nextHost = (nextHost % mostHosts) + 1;
 	return host;
 }
 
