Scenario of a draining server: counts from the node's acknowledgement, not from the question

The promise holds from the acknowledgement on: the step waits for the node's event, and gives what was on its way the same 50 ms.

--- a/scenarios/steps/call-steps.ts
+++ b/scenarios/steps/call-steps.ts
@@ -155,6 +155,8 @@
 	const reading = readPages(scene, count, scene.world.listRunning());
 	await sleep(100);
 	const draining = server.drain();
+	// Until its node has taken the word in, new work is right; what was on its way then arrives within a moment.
+	await waitFor(`${name} drains`, () => scene.world.listRunning().some(({events}) => events.some(event => event.kind === 'server-draining' && event.server === name)));
 	await sleep(50);
 	scene.requestsAfterDrain = server.getLedger().requests;
 	const {answers: _, ...rest} = scene;
