Configuration: what a node hears of, asks for in vain and reads is in its log

Nothing said when a node heard of a version, whom it asked, how that ended (every failure of fetchConfig was undefined) and how long a read of the store took, so that no hypothesis on a late node could be told from another. No change of what is decided.

--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {err, ok, type Result} from 'neverthrow';
 import {type Address} from '../common/ids.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type CallScope} from './call-scope.js';
@@ -25,11 +26,18 @@
 	readonly handleDoubt?: () => void;
 };
 
+/** Why a node did not hand its configuration over. @internal */
+export type ConfigFetchError = {
+	/** `nothing`: it has none, or sent what cannot be read. */
+	readonly type: Extract<ChannelResult, {readonly type: 'failed'}>['reason'] | 'nothing';
+	readonly reason: string;
+};
+
 /** @internal */
 export type GateClient = {
 	readonly send: (call: RemoteCall) => Promise<GateResult>;
-	/** Asks another node for the configuration in force, telling which version is there; `undefined` if it has none or does not answer. */
-	readonly fetchConfig: (gate: Address, version: number, scope: CallScope) => Promise<ConfigAnswer | undefined>;
+	/** Asks another node for the configuration in force, telling which version is there. */
+	readonly fetchConfig: (gate: Address, version: number, scope: CallScope) => Promise<Result<ConfigAnswer, ConfigFetchError>>;
 	/** When bytes last arrived from a gate, in steady milliseconds; 0 if none have on the connections that are in use. */
 	readonly getReceivedAt: (gate: Address) => number;
 	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. */
@@ -100,7 +108,12 @@
 			const result = await getChannel(gate, 'bulk').send({
 				type: 'config', head: encodeConfigRequest(version), body: undefined, scope,
 			});
-			return result.type === 'answered' ? decodeConfigAnswer(result.head, result.body) : undefined;
+			if (result.type === 'failed') {
+				return err({type: result.reason, reason: result.detail});
+			}
+
+			const answer = decodeConfigAnswer(result.head, result.body);
+			return answer === undefined ? err({type: 'nothing', reason: 'an answer without a configuration, or one that cannot be read'}) : ok(answer);
 		},
 		getReceivedAt: gate => Math.max(...channelKinds.map(kind => channels.get(`${kind} ${gate}`)?.getReceivedAt() ?? 0)),
 		renew(gate) {
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -203,6 +203,16 @@
 				kind: 'configuration-refused', version: report.version, from: report.node, reason,
 			});
 		},
+		handleHeard({node, version}) {
+			log.record('info', {
+				kind: 'configuration-heard', version, from: node, held: holder.getVersion(),
+			});
+		},
+		handleFailed({node, version}, {type, reason}, tookMs) {
+			log.record('info', {
+				kind: 'configuration-not-fetched', version, from: node, held: holder.getVersion(), outcome: type, reason, tookMs: Math.round(tookMs),
+			});
+		},
 	});
 
 	const tellFault = (error: unknown): void => {
--- a/src/lib/sidecar/newer-config.test.ts
+++ b/src/lib/sidecar/newer-config.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'node:test';
+import {err, ok} from 'neverthrow';
 import {toAddress, toFailureDomain, toNodeId} from '../common/ids.js';
 import {type ConfigAnswer} from '../forwarding/config-messages.js';
 import {createSampleReport} from '../peers/sample-report.js';
@@ -17,6 +18,7 @@
 	readonly asked: string[];
 	readonly adopted: string[];
 	readonly unusable: string[];
+	readonly failed: string[];
 	current: {version: number; text: string};
 	answer: Answer;
 };
@@ -32,7 +34,7 @@
 				throw fixture.answer;
 			}
 
-			return fixture.answer;
+			return fixture.answer === undefined ? err({type: 'nothing', reason: 'none'}) : ok(fixture.answer);
 		},
 		adoptText(text, source, steps) {
 			fixture.adopted.push(`${source}: ${text}${steps === undefined ? '' : ` by ${steps.length}`}`);
@@ -40,6 +42,10 @@
 		handleUnusable(_report, reason) {
 			fixture.unusable.push(reason);
 		},
+		handleHeard: () => undefined,
+		handleFailed(report, {reason}) {
+			fixture.failed.push(`${report.node}: ${reason}`);
+		},
 	});
 	const fixture: Fixture = {
 		current: {version: 7, text: 'seven'},
@@ -47,6 +53,7 @@
 		asked: [],
 		adopted: [],
 		unusable: [],
+		failed: [],
 		fetch: fetcher.handleReport,
 		getBehindMs: fetcher.getBehindMs,
 		noteStoreRead: fetcher.noteStoreRead,
@@ -90,17 +97,19 @@
 		isNear: () => true,
 		fetchConfig: async (_gate, _version, scope) => new Promise(resolve => {
 			const timer = setTimeout(() => {
-				resolve(whole);
+				resolve(ok(whole));
 			}, 1000);
 			scope.subscribe(() => {
 				clearTimeout(timer);
-				resolve(undefined);
+				resolve(err({type: 'timeout', reason: 'no answer in time'}));
 			});
 		}),
 		adoptText(text) {
 			adopted.push(text);
 		},
 		handleUnusable: () => undefined,
+		handleHeard: () => undefined,
+		handleFailed: () => undefined,
 	});
 	await fetchNewer(newer);
 	assert.deepEqual(adopted, ['nine']);
@@ -116,12 +125,14 @@
 			asked.push(gate);
 			return new Promise(resolve => {
 				scope.subscribe(() => {
-					resolve(undefined);
+					resolve(err({type: 'timeout', reason: 'no answer in time'}));
 				});
 			});
 		},
 		adoptText: () => undefined,
 		handleUnusable: () => undefined,
+		handleHeard: () => undefined,
+		handleFailed: () => undefined,
 	});
 	const other = createSampleReport({node: toNodeId('n3'), version: 9, gate: toAddress('10.0.0.3:1')});
 	const first = fetchNewer(newer);
@@ -139,6 +150,7 @@
 	await silent.fetch(newer);
 	assert.equal(silent.asked.length, 2);
 	assert.deepEqual(silent.adopted, []);
+	assert.deepEqual(silent.failed, [`${newer.node}: none`, `${newer.node}: none`], 'what came of asking is not told');
 	const failing = createFixture(false, new Error('x'));
 	await assert.rejects(failing.fetch(newer));
 	await assert.rejects(failing.fetch(newer));
--- a/src/lib/sidecar/newer-config.ts
+++ b/src/lib/sidecar/newer-config.ts
@@ -8,7 +8,7 @@
 import {type NodeId} from '../common/ids.js';
 import {createCallScope} from '../forwarding/call-scope.js';
 import {type ConfigAnswer} from '../forwarding/config-messages.js';
-import {type GateClient} from '../forwarding/gate-client.js';
+import {type ConfigFetchError, type GateClient} from '../forwarding/gate-client.js';
 import {type PeerReport} from '../peers/peer-report.js';
 import {type ConfigStep} from '../route-config/config-history.js';
 import {applyTextDelta} from '../route-config/text-delta.js';
@@ -28,6 +28,10 @@
 	readonly adoptText: (text: string, source: string, steps?: readonly ConfigStep[]) => void;
 	/** Told of an answer that cannot be used, and why. */
 	readonly handleUnusable: (report: PeerReport, reason: string) => void;
+	/** Told of a version that nobody told of before. */
+	readonly handleHeard: (report: PeerReport) => void;
+	/** Told of a node that was asked and handed nothing over, and how long that took in milliseconds. */
+	readonly handleFailed: (report: PeerReport, error: ConfigFetchError, tookMs: number) => void;
 };
 
 /** How long a node that watches the store waits for its own watch before it asks another node. Milliseconds. */
@@ -67,7 +71,7 @@
  * @internal
  */
 export function createNewerConfigFetcher(context: NewerConfigContext): NewerConfigFetcher {
-	const {getCurrent, hasOwnWatch, isNear, fetchConfig, adoptText, handleUnusable} = context;
+	const {getCurrent, hasOwnWatch, isNear, fetchConfig, adoptText, handleUnusable, handleHeard, handleFailed} = context;
 	/** When each node that is being asked was asked, in steady milliseconds. */
 	const asked = new Map<NodeId, number>();
 	let isWaiting = false;
@@ -133,12 +137,16 @@
 	};
 
 	const fetchFrom = async (report: PeerReport): Promise<void> => {
-		const scope = createCallScope(readSteadyMs() + fetchMs);
+		const startedAt = readSteadyMs();
+		const scope = createCallScope(startedAt + fetchMs);
 		const answer = await fetchConfig(report.gate, needsWhole ? 0 : getVersion(), scope);
 		scope.dispose();
-		if (answer !== undefined) {
-			take(report, answer);
+		if (answer.isErr()) {
+			handleFailed(report, answer.error, readSteadyMs() - startedAt);
+			return;
 		}
+
+		take(report, answer.value);
 	};
 
 	/** One node is asked at a time, and another one when that takes long: it may have fallen silent. */
@@ -206,6 +214,10 @@
 			return;
 		}
 
+		if (report.version > newest) {
+			handleHeard(report);
+		}
+
 		noteNewer(report.version);
 		const delayMs = computeDelay(report);
 		if (delayMs === 0) {
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -128,6 +128,13 @@
 		}
 	};
 
+	/** How long the store took; of a watch, most is the time until something changed. */
+	const tellRead = (call: 'read' | 'watch', startedAt: number): void => {
+		log.record('info', {
+			kind: 'configuration-read', call, version: holder.getVersion(), tookMs: Math.round(readSteadyMs() - startedAt),
+		});
+	};
+
 	const adoptItems = (items: readonly StoreItem[]): void => {
 		for (const item of items) {
 			if (item.key === key) {
@@ -152,6 +159,7 @@
 
 		({position} = read.value);
 		adoptItems(read.value.items);
+		tellRead('read', startedAt);
 		health.noteSuccess();
 		// A store without a configuration tells nothing of what others have.
 		if (read.value.items.length > 0) {
@@ -162,6 +170,7 @@
 	const watchOnce = async (after: StorePosition): Promise<void> => {
 		watching = new AbortController();
 		const {signal} = watching;
+		const startedAt = readSteadyMs();
 		const watched = await store.watchItems(key, after, Math.round(watchMs * (shortestWatchShare + ((1 - shortestWatchShare) * random()))), signal);
 		if (signal.aborted) {
 			position = undefined;
@@ -183,6 +192,7 @@
 		adoptItems(changes.flatMap(change => change.type === 'written' ? [change.item] : []));
 		health.noteSuccess();
 		if (changes.length > 0) {
+			tellRead('watch', startedAt);
 			await waitFor(restMs + (restSpreadMs * random()), disposed.signal);
 		}
 	};
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -62,6 +62,12 @@
 	| {readonly kind: 'node-failed'; readonly reason: string}
 	| {readonly kind: 'settings-reloaded'; readonly outcome: string; readonly reason?: string}
 	| {readonly kind: 'configuration-applied'; readonly version: number; readonly from: string; readonly routes: number}
+	/** Another node told of a version that is newer than any heard of before. */
+	| {readonly kind: 'configuration-heard'; readonly version: number; readonly from: string; readonly held: number}
+	/** Another node was asked for its configuration, and this came of it. */
+	| {readonly kind: 'configuration-not-fetched'; readonly version: number; readonly from: string; readonly held: number; readonly outcome: string; readonly reason: string; readonly tookMs: number}
+	/** The store was asked for the configuration, whole or for changes of it. */
+	| {readonly kind: 'configuration-read'; readonly call: string; readonly version: number; readonly tookMs: number}
 	| {readonly kind: 'configuration-refused'; readonly version: number; readonly from: string; readonly reason: string}
 	| {readonly kind: 'configuration-unknown'; readonly version: number; readonly reason: string; readonly count: number}
 	| {readonly kind: 'store-lost'; readonly reason: string; readonly call: string}
