Tests that fail on the code as it is: a full link and a connection that opens slowly

The way in which connections are opened is handed to the client so that a test can open them slowly; nothing is decided otherwise.

--- /dev/null
+++ b/src/lib/forwarding/full-link.test.ts
@@ -0,0 +1,112 @@
+/** What a node sends and asks while the link of its VM is full of large answers. */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	connect, createServer, Socket, type AddressInfo, type NetConnectOpts, type Server,
+} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type TestContext} from 'node:test';
+import {readSteadyMs} from '../common/clock.js';
+import {toAddress} from '../common/ids.js';
+import {silentLog} from '../timeline/mesh-log.js';
+import {silentRefusals} from '../timeline/refusals.js';
+import {createCallScope} from './call-scope.js';
+import {encodeConfigAnswer} from './config-messages.js';
+import {createGateClient} from './gate-client.js';
+import {createGateServer} from './gate-server.js';
+import {createLargeAnswers} from './large-answers.js';
+import {type LocalGate} from './local-gate.js';
+
+async function listen(context: TestContext, server: Server): Promise<number> {
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	context.after(() => {
+		server.close();
+	});
+	return (server.address() as AddressInfo).port;
+}
+
+const slowMbps = 10;
+
+/** Bytes that the link carries in so many milliseconds. */
+const countCarried = (ms: number): number => slowMbps * 1000 / 8 * ms;
+
+/** How long what is sent next may wait on the link behind large answers. Milliseconds: a new connection, a question and its answer are three such waits, and a call may wait 300 ms for the connection. */
+const mostQueueMs = 100;
+
+// Guards against nodes that serve by an older configuration since everything that they send waits behind their own large answers.
+test('the link of a VM is not handed more large answers than it carries, so that whatever else its node sends leaves soon', async context => {
+	let received = 0;
+	const port = await listen(context, createServer(socket => {
+		socket.on('data', bytes => {
+			received += bytes.length;
+		});
+		socket.on('error', () => undefined);
+	}));
+	const sockets = Array.from({length: 8}, () => connect(port, '127.0.0.1'));
+	await Promise.all(sockets.map(async socket => once(socket, 'connect')));
+	context.after(() => {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+	const answers = createLargeAnswers(slowMbps);
+	const startedAt = readSteadyMs();
+	for (let id = 0; id < 40; id++) {
+		answers.write(sockets[id % sockets.length]!, {type: 'answer', id, body: Buffer.alloc(90_000)});
+	}
+
+	for (let look = 0; look < 5; look++) {
+		await sleep(100);
+		const elapsedMs = readSteadyMs() - startedAt;
+		assert.ok(received <= countCarried(elapsedMs + mostQueueMs), `${received} bytes after ${Math.round(elapsedMs)} ms, of which the link carries ${Math.round(countCarried(elapsedMs))}`);
+	}
+
+	assert.ok(received >= countCarried(400) / 2, `${received} bytes left in half a second: the link is not used`);
+});
+
+/** Opens connections that are up after so many milliseconds, as over a link that is full. */
+function createSlowOpening(openMs: number): (options: NetConnectOpts) => Socket {
+	return options => {
+		const socket = new Socket();
+		// What is written meanwhile waits, as on any connection that is being opened.
+		Reflect.set(socket, 'connecting', true);
+		setTimeout(() => {
+			if (!socket.destroyed) {
+				socket.connect(options);
+			}
+		}, openMs);
+		return socket;
+	};
+}
+
+// Guards against a node that never gets a newer configuration since it gives each connection up before the link has let it through, and begins anew.
+test('a node that connections take longer to reach than a call waits for one is handed the configuration all the same', async context => {
+	const localGate: Partial<LocalGate> = {};
+	const gate = createGateServer({
+		gate: localGate as LocalGate,
+		getConfig: () => encodeConfigAnswer({type: 'whole', text: 'nine'}),
+		catchUp: async () => undefined,
+		log: silentLog,
+		refusals: silentRefusals,
+		linkMbps: 1000,
+	});
+	const address = toAddress(`127.0.0.1:${await listen(context, gate.server)}`);
+	const client = createGateClient({openSocket: createSlowOpening(500)});
+	context.after(async () => {
+		client.dispose();
+		await gate.dispose();
+	});
+	const startedAt = readSteadyMs();
+	// As a node asks that hears of the version again and again: within the time in which it has to be in force.
+	let answer;
+	while (answer === undefined && readSteadyMs() - startedAt < 2000) {
+		const scope = createCallScope(startedAt + 2000);
+		const fetched = await client.fetchConfig(address, 7, scope);
+		scope.dispose();
+		answer = fetched.unwrapOr(undefined);
+	}
+
+	assert.deepEqual(answer, {type: 'whole', text: 'nine'});
+});
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -11,7 +11,9 @@
 import {
 	createMayHaveRun, createNotRun, type ForwardFailure, type GateResult,
 } from './forward-result.js';
-import {openPeerChannel, type ChannelResult, type PeerChannel} from './peer-channel.js';
+import {
+	openPeerChannel, type ChannelResult, type OpenSocket, type PeerChannel,
+} from './peer-channel.js';
 import {decodeConfigAnswer, encodeConfigRequest, type ConfigAnswer} from './config-messages.js';
 import {decodePeerAnswer, encodePeerRequest, type PeerRequest} from './peer-messages.js';
 
@@ -66,11 +68,15 @@
 	return createNotRun(reason === 'unreachable' || reason === 'connection-lost' ? 'node-unreachable' : reason, detail);
 }
 
+/** @internal */
+export type GateClientOptions = {readonly openSocket?: OpenSocket};
+
 /**
+ * @param options - How it opens connections; as the runtime does, if it is not said.
  * @returns The client. No connection is made before the first request.
  * @internal
  */
-export function createGateClient(): GateClient {
+export function createGateClient({openSocket}: GateClientOptions = {}): GateClient {
 	/** The one that takes new requests, by gate and kind. */
 	const channels = new Map<string, PeerChannel>();
 	/** These, and others whose last requests are under way. */
@@ -88,7 +94,7 @@
 			if (channels.get(key) === channel) {
 				channels.delete(key);
 			}
-		});
+		}, openSocket);
 		open.add(channel);
 		channels.set(key, channel);
 		return channel;
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {connect} from 'node:net';
+import {connect, type NetConnectOpts, type Socket} from 'node:net';
 import {parseAddress} from '../common/address.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type Address} from '../common/ids.js';
@@ -83,6 +83,9 @@
 	livedAt: number | undefined;
 };
 
+/** Opens a connection. @internal */
+export type OpenSocket = (options: NetConnectOpts) => Socket;
+
 type Pending = {
 	readonly request: ChannelRequest;
 	readonly settle: (result: ChannelResult) => void;
@@ -95,12 +98,13 @@
  * @param address - Where the gate listens.
  * @param connectMs - Milliseconds until the connection must be up.
  * @param handleClosed - Called once when it has ended.
+ * @param openSocket - Opens the connection.
  * @returns The channel, connecting.
  * @internal
  */
-export function openPeerChannel(address: Address, connectMs: number, handleClosed: () => void): PeerChannel {
+export function openPeerChannel(address: Address, connectMs: number, handleClosed: () => void, openSocket: OpenSocket = connect): PeerChannel {
 	const {host, port} = parseAddress(address);
-	const socket = connect({host, port, noDelay: true});
+	const socket = openSocket({host, port, noDelay: true});
 	const reader = createFrameReader();
 	const pending = new Map<number, Pending>();
 	let nextId = 1;
