Large answers leave no faster than the link of the VM carries them

Cause: large answers were written four at a time, a place being given back as soon as the system had taken the bytes, which it does far faster than a link of 10 to 15 Mbit/s carries them. A quarter to a whole second of them lay before whatever else the node sent: its questions for the configuration, the opening of connections for them (which had 300 ms), its heartbeats, its refusals. A large answer that nobody waits for any more does not leave.

--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -13,7 +13,7 @@
 import {createCallScope, type CallScope} from './call-scope.js';
 import {countUnsent} from './connection-scopes.js';
 import {
-	createFrameReader, writeFrame, type Frame, type FrameReader,
+	createFrameReader, type Frame, type FrameReader,
 } from './frame.js';
 import {decodeConfigRequest, type EncodedConfigAnswer} from './config-messages.js';
 import {createMayHaveRun, type GateResult} from './forward-result.js';
@@ -100,7 +100,7 @@
 		one.scope.subscribe(() => {
 			reject(new Error('the caller has gone'));
 		});
-		writeFrame(connection.socket, {type: 'continue', id});
+		answers.write(connection.socket, {type: 'continue', id});
 	});
 
 	const runGate = async (connection: Connection, frame: Frame, request: PeerRequest, one: Incoming): Promise<GateResult> => {
@@ -130,7 +130,7 @@
 	};
 
 	const checkUnread = ({socket}: Connection, mostBytes = mostUnreadBytes): void => {
-		if (socket.writableLength > mostBytes) {
+		if (socket.writableLength + answers.countHeldBytes(socket) > mostBytes) {
 			throw new FloodError(`more than ${mostBytes} bytes of answers that are not read`);
 		}
 	};
@@ -169,19 +169,21 @@
 
 			case 'cancel': {
 				connection.incoming.get(frame.id)?.scope.end('cancelled');
+				answers.cancel(connection.socket, frame.id);
 				break;
 			}
 
 			case 'config': {
 				checkUnread(connection);
-				writeFrame(connection.socket, {type: 'answer', id: frame.id, ...getConfig(decodeConfigRequest(frame.head))});
+				// Whoever asks serves by an older version meanwhile.
+				answers.writeFirst(connection.socket, {type: 'answer', id: frame.id, ...getConfig(decodeConfigRequest(frame.head))});
 				break;
 			}
 
 			case 'ping': {
 				// Whoever asks whether the connection works may be waiting for large answers on it.
 				checkUnread(connection, mostHeldBytes);
-				writeFrame(connection.socket, {type: 'pong', id: frame.id});
+				answers.write(connection.socket, {type: 'pong', id: frame.id});
 				break;
 			}
 
@@ -261,6 +263,8 @@
 			for (const {socket} of connections) {
 				socket.destroy();
 			}
+
+			answers.dispose();
 		},
 	};
 }
--- a/src/lib/forwarding/large-answers.ts
+++ b/src/lib/forwarding/large-answers.ts
@@ -1,28 +1,57 @@
 /**
- * Sends large answers over the link of this VM a few at a time. A link with
- * many of them on their way holds what follows for as long as all of them take:
- * calls whose answers are a few hundred bytes wait for seconds behind films.
+ * Sends answers over the link of this VM, large ones piece by piece and no
+ * faster than the link carries them. Handed over all at once they would hold up
+ * whatever is sent after them, for as long as all of them take: a new
+ * connection, a question for the configuration, a heartbeat, a small answer.
  *
  * @module
  */
 import {type Socket} from 'node:net';
-import {writeFrame} from './frame.js';
-import {countTransfers} from './transfer-limit.js';
+import process from 'node:process';
+import {readSteadyMs} from '../common/clock.js';
+import {encodeFrameHead, writeFrame} from './frame.js';
+import {createLinkPacer} from './link-pacer.js';
+
+type AnswerFrame = Parameters<typeof writeFrame>[1];
 
 /** @internal */
 export type LargeAnswers = {
-	/** Writes a frame; one with a large body once there is room on the link. Each is written, in the order in which they came. */
-	readonly write: (socket: Socket, frame: Parameters<typeof writeFrame>[1]) => void;
-	/** Answers that wait for room on the link. */
+	/** Writes a frame; one with a large body when the link has room. Frames of one connection never mix. */
+	readonly write: (socket: Socket, frame: AnswerFrame) => void;
+	/** Writes a frame before all answers that wait for the link, whatever its size. */
+	readonly writeFirst: (socket: Socket, frame: AnswerFrame) => void;
+	/** Whoever asked does not wait any more: an answer that has not begun to leave stays here. */
+	readonly cancel: (socket: Socket, id: number) => void;
+	/** Answers that have not been handed to the system as a whole. */
 	readonly countWaiting: () => number;
+	/** Bytes that wait here for one connection. */
+	readonly countHeldBytes: (socket: Socket) => number;
+	readonly dispose: () => void;
 };
 
-/** Bodies above this size take part. Bytes: on the slowest links of the users it takes nine milliseconds, as long as a few small answers. */
+/** Bodies above this size take part. Bytes: on the slowest links of the users it takes twelve milliseconds, as long as a few small answers. */
 const largeBytes = 16_384;
 
-/** A place is given back after so many times the time that the link alone needs for the answer, and this long at least: a node that stands still must not keep the answers of others back. Milliseconds. */
-const patience = 4;
-const leastPatienceMs = 200;
+/** How long the system may take for a piece before another answer goes on. Milliseconds. */
+const leastWaitMs = 5;
+
+/** A large answer that waits, or is on its way. */
+type Sending = {
+	readonly socket: Socket;
+	readonly frame: AnswerFrame;
+	readonly body: Uint8Array;
+	/** Bytes of the body that were handed over. */
+	sentBytes: number;
+	hasBegun: boolean;
+	/** The system has not taken the last piece yet: whoever should read it does not. */
+	isBlocked: boolean;
+};
+
+/** Frames that came while another one was leaving on the same connection. */
+type Line = {
+	readonly behind: AnswerFrame[];
+	bytes: number;
+};
 
 /**
  * @param linkMbps - Megabits a second of the link.
@@ -30,53 +59,138 @@
  * @internal
  */
 export function createLargeAnswers(linkMbps: number): LargeAnswers {
-	const places = countTransfers(linkMbps);
-	const waiting: Array<() => void> = [];
-	let onTheirWay = 0;
-
-	const startNext = (): void => {
-		while (onTheirWay < places) {
-			const start = waiting.shift();
-			if (start === undefined) {
-				return;
-			}
+	const pacer = createLinkPacer(linkMbps);
+	/** In the order in which they came. The first that is not blocked goes on, so that few are on their way at once. */
+	let sendings: Sending[] = [];
+	/** Connections on which a large answer is on its way. */
+	const lines = new Map<Socket, Line>();
+	let timer: NodeJS.Timeout | undefined;
+
+	const writeNow = (socket: Socket, frame: AnswerFrame): void => {
+		pacer.note(frame.body?.length ?? 0, readSteadyMs());
+		writeFrame(socket, frame);
+	};
+
+	const drop = (sending: Sending): void => {
+		sendings = sendings.filter(one => one !== sending);
+	};
 
-			onTheirWay++;
-			start();
+	/** The connection is free again: what came meanwhile follows, up to the next large answer. */
+	const endLine = (socket: Socket): void => {
+		const line = lines.get(socket);
+		lines.delete(socket);
+		for (const frame of line?.behind ?? []) {
+			writeNow(socket, frame);
 		}
 	};
 
-	/** Gives a place back, when the answer is written or when whoever should read it does not. */
-	const createRelease = (bytes: number): (() => void) => {
-		let isReleased = false;
-		const release = (): void => {
-			if (isReleased) {
-				return;
+	const finish = (sending: Sending): void => {
+		drop(sending);
+		if (sending.hasBegun) {
+			endLine(sending.socket);
+		}
+	};
+
+	const begin = (sending: Sending): void => {
+		const {socket, frame} = sending;
+		sending.hasBegun = true;
+		lines.set(socket, {behind: [], bytes: 0});
+		socket.cork();
+		socket.write(encodeFrameHead(frame));
+		process.nextTick(() => {
+			socket.uncork();
+		});
+	};
+
+	const writePiece = (sending: Sending): void => {
+		const {socket, body} = sending;
+		if (!sending.hasBegun) {
+			begin(sending);
+		}
+
+		const piece = body.subarray(sending.sentBytes, sending.sentBytes + pacer.pieceBytes);
+		sending.sentBytes += piece.length;
+		sending.isBlocked = true;
+		pacer.note(piece.length, readSteadyMs());
+		socket.write(piece, () => {
+			sending.isBlocked = false;
+			if (sending.sentBytes >= body.length) {
+				finish(sending);
 			}
 
-			isReleased = true;
-			clearTimeout(timer);
-			onTheirWay--;
-			startNext();
-		};
+			sendMore();
+		});
+	};
+
+	/** One large answer at a time on a connection; one whose connection has closed takes no room. */
+	const mayContinue = ({socket, hasBegun, isBlocked, sentBytes, body}: Sending): boolean =>
+		!isBlocked && sentBytes < body.length && (hasBegun || !lines.has(socket));
+
+	const dropClosed = (): void => {
+		for (const sending of sendings.filter(({socket}) => socket.destroyed)) {
+			drop(sending);
+			lines.delete(sending.socket);
+		}
+	};
 
-		const timer = setTimeout(release, leastPatienceMs + (patience * bytes * 8 / 1000 / linkMbps));
-		return release;
+	const sendMore = (): void => {
+		clearTimeout(timer);
+		timer = undefined;
+		dropClosed();
+		const next = sendings.find(sending => mayContinue(sending));
+		if (next === undefined) {
+			return;
+		}
+
+		const waitMs = pacer.computeWaitMs(readSteadyMs());
+		if (waitMs === 0) {
+			writePiece(next);
+		}
+
+		// The system mostly takes a piece at once, and the same answer goes on; if it does not by then, another one does.
+		timer = setTimeout(sendMore, Math.max(waitMs, leastWaitMs));
+	};
+
+	const writeFirst = (socket: Socket, frame: AnswerFrame): void => {
+		const line = lines.get(socket);
+		if (line === undefined) {
+			writeNow(socket, frame);
+			return;
+		}
+
+		line.behind.push(frame);
+		line.bytes += frame.body?.length ?? 0;
 	};
 
 	return {
 		write(socket, frame) {
-			if ((frame.body?.length ?? 0) <= largeBytes) {
-				writeFrame(socket, frame);
+			const {body} = frame;
+			if (body === undefined || body.length <= largeBytes) {
+				writeFirst(socket, frame);
 				return;
 			}
 
-			waiting.push(() => {
-				const release = createRelease(frame.body?.length ?? 0);
-				writeFrame(socket, frame, release);
+			sendings.push({
+				socket, frame, body, sentBytes: 0, hasBegun: false, isBlocked: false,
 			});
-			startNext();
+			if (timer === undefined) {
+				sendMore();
+			}
+		},
+		writeFirst,
+		cancel(socket, id) {
+			const waiting = sendings.find(sending => sending.socket === socket && sending.frame.id === id && !sending.hasBegun);
+			if (waiting !== undefined) {
+				drop(waiting);
+			}
+		},
+		countWaiting: () => sendings.length,
+		countHeldBytes(socket) {
+			const waiting = sendings.filter(sending => sending.socket === socket);
+			return waiting.reduce((sum, {body, sentBytes}) => sum + body.length - sentBytes, lines.get(socket)?.bytes ?? 0);
+		},
+		dispose() {
+			clearTimeout(timer);
 		},
-		countWaiting: () => waiting.length,
 	};
 }
--- /dev/null
+++ b/src/lib/forwarding/link-pacer.ts
@@ -0,0 +1,41 @@
+/**
+ * When a node may hand its system more bytes for the link of its VM: the decision part. What the system has taken
+ * leaves in its order, and whatever is sent next waits behind it, so that large answers are handed over no faster than
+ * the link carries them.
+ *
+ * @module
+ */
+
+/** @internal */
+export type LinkPacer = {
+	/** Bytes that are handed over in one piece at the most. */
+	readonly pieceBytes: number;
+	/** Notes bytes that were handed over. Small ones are noted as well, and never wait. */
+	readonly note: (bytes: number, now: number) => void;
+	/** Milliseconds until the next piece may be handed over. */
+	readonly computeWaitMs: (now: number) => number;
+};
+
+/** Part of the link that large answers may fill. The rest is for headers of packets, acknowledgements and heartbeats, which are not counted here. */
+const shareOfLink = 0.9;
+
+/** What the link is handed ahead of time, in milliseconds of it: enough that it does not run dry between two turns of a busy process. */
+const aheadMs = 20;
+
+/**
+ * @param linkMbps - Megabits a second of the link.
+ * @returns The pacer of a link that carries nothing yet.
+ * @internal
+ */
+export function createLinkPacer(linkMbps: number): LinkPacer {
+	const bytesPerMs = linkMbps * 1000 / 8 * shareOfLink;
+	/** When the link has carried all that was handed over, in steady milliseconds. */
+	let carriedAt = 0;
+	return {
+		pieceBytes: Math.ceil(bytesPerMs * aheadMs),
+		note(bytes, now) {
+			carriedAt = Math.max(carriedAt, now) + (bytes / bytesPerMs);
+		},
+		computeWaitMs: now => Math.max(0, carriedAt - now - aheadMs),
+	};
+}
