Connections between nodes go on opening while a call goes elsewhere

Its class: a bound shorter than the way it is meant for, and a new start each time, so that slow becomes never. Change: 300 ms bound the call, which goes elsewhere as before, with nothing of it having left; the connection goes on opening for 2 s, and is not replaced when the node is found unreachable. The configuration is asked for on the connection of small answers, which is open where calls go, and waits for it.

--- a/src/lib/forwarding/full-link.test.ts
+++ b/src/lib/forwarding/full-link.test.ts
@@ -8,15 +8,18 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type TestContext} from 'node:test';
 import {readSteadyMs} from '../common/clock.js';
-import {toAddress} from '../common/ids.js';
+import {toAddress, toBackendServerId} from '../common/ids.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {silentRefusals} from '../timeline/refusals.js';
 import {createCallScope} from './call-scope.js';
 import {encodeConfigAnswer} from './config-messages.js';
+import {createNotRun} from './forward-result.js';
+import {createFrameReader, writeFrame} from './frame.js';
 import {createGateClient} from './gate-client.js';
 import {createGateServer} from './gate-server.js';
 import {createLargeAnswers} from './large-answers.js';
 import {type LocalGate} from './local-gate.js';
+import {encodePeerAnswer} from './peer-messages.js';
 
 async function listen(context: TestContext, server: Server): Promise<number> {
 	server.listen(0, '127.0.0.1');
@@ -110,3 +113,44 @@
 
 	assert.deepEqual(answer, {type: 'whole', text: 'nine'});
 });
+
+// Guards against a refusal that says "not run" for a request that leaves after all once the link lets its connection through.
+test('a call that has gone elsewhere before its connection was up never leaves, and the next one finds the connection open', async context => {
+	const heard: string[] = [];
+	const address = toAddress(`127.0.0.1:${await listen(context, createServer(socket => {
+		const reader = createFrameReader();
+		socket.on('data', bytes => {
+			for (const {type, id} of reader.read(bytes)) {
+				heard.push(type);
+				writeFrame(socket, {type: 'answer', id, ...encodePeerAnswer({result: createNotRun('full', 'all slots are taken'), load: undefined})});
+			}
+		});
+		socket.on('error', () => undefined);
+	}))}`);
+	let opened = 0;
+	const openSlowly = createSlowOpening(500);
+	const client = createGateClient({
+		openSocket(options) {
+			opened++;
+			return openSlowly(options);
+		},
+	});
+	context.after(client.dispose);
+	const send = async () => {
+		const scope = createCallScope(readSteadyMs() + 2000);
+		const {result} = await client.send({
+			gate: address, id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/', headers: {}, callerService: 'hall', rank: 1, mayWaitMs: 0, body: undefined, isBulk: false, scope,
+		});
+		scope.dispose();
+		return result.type === 'answered' ? 'answered' : `${result.verdict} ${result.reason}`;
+	};
+
+	assert.equal(await send(), 'not-run node-unreachable');
+	// As a node does with the connections of one that could not be reached.
+	client.renew(address);
+	await sleep(300);
+	assert.deepEqual(heard, []);
+	assert.equal(await send(), 'not-run full');
+	assert.deepEqual(heard, ['request']);
+	assert.equal(opened, 1);
+});
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -49,7 +49,7 @@
 	readonly dispose: () => void;
 };
 
-/** Longest time for a new connection, in milliseconds: a few times the slowest way between failure domains, so that a dark VM costs little. */
+/** How long a call waits for a new connection, in milliseconds: a few times the slowest way between failure domains, so that a dark VM costs little. */
 const connectMs = 300;
 
 /** Bodies above this size, in bytes, are sent once the gate has a slot for them: a refusal then costs no bytes between failure domains. */
@@ -111,7 +111,8 @@
 			return result.type === 'failed' ? {result: judgeFailure(result), load: undefined} : decodePeerAnswer(result.head, result.body);
 		},
 		async fetchConfig(gate, version, scope) {
-			const result = await getChannel(gate, 'bulk').send({
+			// Mostly steps of some hundred bytes, and a connection for large answers would have to be opened first.
+			const result = await getChannel(gate, 'small').send({
 				type: 'config', head: encodeConfigRequest(version), body: undefined, scope,
 			});
 			if (result.type === 'failed') {
@@ -125,8 +126,12 @@
 		renew(gate) {
 			for (const kind of channelKinds) {
 				const key = `${kind} ${gate}`;
-				channels.get(key)?.retire();
-				channels.delete(key);
+				const channel = channels.get(key);
+				// One that is still opening is new, and to begin anew would take longer.
+				if (channel?.isOpening() === false) {
+					channel.retire();
+					channels.delete(key);
+				}
 			}
 		},
 		checkSilence(now, getHeardAt) {
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -37,6 +37,8 @@
 	readonly gate: Address;
 	readonly send: (request: ChannelRequest) => Promise<ChannelResult>;
 	readonly isUsable: () => boolean;
+	/** The connection is not up yet. */
+	readonly isOpening: () => boolean;
 	/** When bytes last arrived, in steady milliseconds; 0 if none have. */
 	readonly getReceivedAt: () => number;
 	/**
@@ -89,14 +91,23 @@
 type Pending = {
 	readonly request: ChannelRequest;
 	readonly settle: (result: ChannelResult) => void;
+	/** Whether the request, with its body, may have left. */
 	isSent: boolean;
+	/** Runs while the request waits for the connection. */
+	openTimer: NodeJS.Timeout | undefined;
 };
 
+/**
+ * How long a connection may take to open. Milliseconds: over a link that is full it takes as long as what waits there, and to give up and begin anew would
+ * never get through. Packets are sent again after one second.
+ */
+const openMs = 2000;
+
 /**
  * Opens a channel.
  *
  * @param address - Where the gate listens.
- * @param connectMs - Milliseconds until the connection must be up.
+ * @param connectMs - Milliseconds that a call of a caller waits for the connection; it goes elsewhere then, and the connection goes on opening for others.
  * @param handleClosed - Called once when it has ended.
  * @param openSocket - Opens the connection.
  * @returns The channel, connecting.
@@ -117,8 +128,8 @@
 	let question: Question | undefined;
 
 	const timer = setTimeout(() => {
-		socket.destroy(new Error(`no connection within ${connectMs} ms`));
-	}, connectMs);
+		socket.destroy(new Error(`no connection within ${openMs} ms`));
+	}, Math.max(openMs, connectMs));
 
 	const closeIfIdle = (): void => {
 		if (isRetired && pending.size === 0) {
@@ -145,6 +156,28 @@
 		}
 	};
 
+	/** Writes a request. Before the connection is up nothing is, so that what is given up meanwhile never leaves. */
+	const transmit = (id: number, one: Pending): void => {
+		const {type, head, body} = one.request;
+		clearTimeout(one.openTimer);
+		one.isSent = type !== 'offer';
+		writeFrame(socket, {
+			type, id, head, ...one.isSent && body !== undefined ? {body} : {},
+		});
+	};
+
+	const waitForOpening = (id: number, one: Pending): void => {
+		if (one.request.type === 'config') {
+			return;
+		}
+
+		one.openTimer = setTimeout(() => {
+			finish(id, {
+				type: 'failed', isSent: false, reason: 'unreachable', detail: `no connection within ${connectMs} ms`,
+			});
+		}, connectMs);
+	};
+
 	const sendBody = (id: number): void => {
 		const one = pending.get(id);
 		if (one !== undefined && !one.isSent) {
@@ -202,6 +235,10 @@
 	socket.on('connect', () => {
 		clearTimeout(timer);
 		isConnected = true;
+		quietSince = readSteadyMs();
+		for (const [id, one] of pending) {
+			transmit(id, one);
+		}
 	});
 	socket.on('data', (bytes: Uint8Array) => {
 		receivedAt = readSteadyMs();
@@ -233,8 +270,7 @@
 		async send(request) {
 			return new Promise(resolve => {
 				const id = nextId++;
-				const {type, head, body, scope} = request;
-				const isWhole = type !== 'offer';
+				const {scope} = request;
 				if (pending.size === 0) {
 					quietSince = readSteadyMs();
 					question = undefined;
@@ -243,26 +279,35 @@
 				let stopListening = (): void => undefined;
 				const one: Pending = {
 					request,
-					isSent: isWhole,
+					isSent: false,
+					openTimer: undefined,
 					settle(result) {
+						clearTimeout(one.openTimer);
 						stopListening();
 						resolve(result);
 					},
 				};
 				pending.set(id, one);
-				writeFrame(socket, {
-					type, id, head, ...isWhole && body !== undefined ? {body} : {},
-				});
+				if (isConnected) {
+					transmit(id, one);
+				} else {
+					waitForOpening(id, one);
+				}
+
 				stopListening = scope.subscribe(reason => {
 					const {isSent} = one;
-					writeFrame(socket, {type: 'cancel', id});
+					if (isConnected) {
+						writeFrame(socket, {type: 'cancel', id});
+					}
+
 					finish(id, {
-						type: 'failed', isSent: isSent && isConnected, reason, detail: reason === 'timeout' ? 'no answer in time' : 'the caller has gone',
+						type: 'failed', isSent, reason, detail: reason === 'timeout' ? 'no answer in time' : 'the caller has gone',
 					});
 				});
 			});
 		},
 		isUsable: () => !isRetired && !socket.destroyed,
+		isOpening: () => !isConnected && !socket.destroyed,
 		getReceivedAt: () => receivedAt,
 		checkSilence(now, getHeardAt) {
 			if (!isConnected || pending.size === 0 || now - quietSince < quietMs) {
