Gates take no more requests for large answers than their link carries in time

Cause: slots were the only thing that was short for a gate; the link of its VM was not, although a server of downloads answers five times as fast as it carries. Change: an entry says how long a large answer may wait and still come in time; a gate that expects longer, from what waits and what its server is at work on, refuses at once with not-run, and others are asked, or the caller is told when to come back. The pattern is played without a network (decisions/link-demand.test.ts): waits stay under 0.9 s at four times the load, without the bound they pass 10 s, and the link is as full.

--- /dev/null
+++ b/src/lib/decisions/link-demand.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {
+	toAddress, toBackendServerId, toFailureDomain, toNodeId,
+} from '../common/ids.js';
+import {toLifetimeKey} from '../common/server-lifetime.js';
+import {computeAnswerWait, createLinkDemand} from './link-demand.js';
+import {type Candidate} from './rank-servers.js';
+
+const server: Candidate = {
+	id: toBackendServerId('a'), lifetime: toLifetimeKey({id: toBackendServerId('a'), startedAt: 1}),
+	node: toNodeId('n1'), gate: toAddress('10.0.0.1:1'), domain: toFailureDomain('a'), isLocal: false, slots: 14, isCold: false,
+	view: {
+		running: 0, waiting: 0, serviceMs: 200, failureShare: 0, own: 0, ownThen: 0, wayMs: 0, heardAt: 0,
+	},
+};
+
+test('an answer may wait for the link as long as it still comes in time, and a late one next to not at all', () => {
+	assert.equal(computeAnswerWait({targetLatencyMs: 1000, ageMs: 0}, server), 750);
+	assert.ok(computeAnswerWait({targetLatencyMs: 1000, ageMs: 3000}, server) <= 100);
+});
+
+/**
+ * Downloads at a server whose slots would take five times what its link carries: Poisson-like arrivals, work of 200 ms, answers of 90 KB over
+ * 10 Mbit/s. Yields how long each that was taken waited for the link, and the bytes that the link carried of those that it could have.
+ */
+function playDownloads(isBounded: boolean): {readonly waits: readonly number[]; readonly used: number} {
+	const demand = createLinkDemand(10);
+	const bytes = 90_000;
+	const bytesPerMs = 1250;
+	const workMs = 200;
+	const waits: number[] = [];
+	const ends: Array<{readonly at: number; readonly end: (bytes: number) => void}> = [];
+	let held = 0;
+	let carried = 0;
+	for (let now = 0; now < 20_000; now++) {
+		const leaves = Math.min(held, bytesPerMs);
+		held -= leaves;
+		carried += leaves;
+		while (ends.length > 0 && ends[0]!.at <= now) {
+			ends.shift()!.end(bytes);
+			waits.push(held / bytesPerMs);
+			held += bytes;
+		}
+
+		// Three requests each 50 ms: four times the link.
+		if (now % 50 < 3 && (!isBounded || demand.computeWaitMs(held, workMs) <= 750)) {
+			ends.push({at: now + workMs, end: demand.begin()});
+		}
+	}
+
+	return {waits, used: carried / (20_000 * bytesPerMs)};
+}
+
+// Guards against a link on which every answer is late, since more is begun than it carries.
+test('overload: what is begun for a full link is what it carries in time, and the link stays full', () => {
+	const bounded = playDownloads(true);
+	assert.ok(Math.max(...bounded.waits) <= 900, `${Math.max(...bounded.waits)} ms`);
+	assert.ok(bounded.used > 0.95, `${bounded.used} of the link`);
+	assert.ok(Math.max(...playDownloads(false).waits) > 10_000, 'the pattern does not fill the link');
+});
+
+test('what ended without an answer leaves no mark', () => {
+	const demand = createLinkDemand(10);
+	demand.begin()(0);
+	demand.begin()(125_000);
+	assert.equal(demand.computeWaitMs(0, 0), 0);
+	demand.begin();
+	assert.equal(demand.computeWaitMs(0, 0), 100);
+	assert.equal(demand.computeWaitMs(125_000, 50), 150);
+});
--- /dev/null
+++ b/src/lib/decisions/link-demand.ts
@@ -0,0 +1,55 @@
+/**
+ * Answers that share the link of a VM: how long one may wait for it, and how long one to a request that begins now is to
+ * wait. What a server answers faster than the link carries is late for all, however many of its slots are free.
+ *
+ * @module
+ */
+import {type CallFacts, computeWorkMs} from './plan-attempt.js';
+import {type Candidate} from './rank-servers.js';
+
+/** An answer that is late already may wait this long: a link that is nearly free is as good as a slot that is. Milliseconds. */
+const leastWaitMs = 100;
+
+/**
+ * @param call - A call whose answer is large.
+ * @param server - The server that would answer it.
+ * @returns Milliseconds for which its answer may wait for the link of the server's VM. One that waited longer would be late, and make others late that can still be in time.
+ * @internal
+ */
+export function computeAnswerWait({targetLatencyMs, ageMs}: Pick<CallFacts, 'targetLatencyMs' | 'ageMs'>, server: Candidate): number {
+	return Math.max(leastWaitMs, targetLatencyMs - ageMs - computeWorkMs(server));
+}
+
+/** Large answers that the server of a node is at work on. @internal */
+export type LinkDemand = {
+	/** Notes that the server begins to work on one; yields what is called with the bytes of the answer, 0 if none came. */
+	readonly begin: () => (bytes: number) => void;
+	/** Milliseconds for which the answer to a request that begins now is to wait, with so many bytes waiting and work that takes so long. */
+	readonly computeWaitMs: (heldBytes: number, serviceMs: number) => number;
+};
+
+/** Weight of the newest answer in what an answer is expected to have. */
+const newestWeight = 0.1;
+
+/**
+ * @param linkMbps - Megabits a second of the link.
+ * @returns The demand of a server that is at work on nothing.
+ * @internal
+ */
+export function createLinkDemand(linkMbps: number): LinkDemand {
+	const bytesPerMs = linkMbps * 1000 / 8;
+	let running = 0;
+	let meanBytes: number | undefined;
+	return {
+		begin() {
+			running++;
+			return bytes => {
+				running--;
+				if (bytes > 0) {
+					meanBytes = meanBytes === undefined ? bytes : meanBytes + ((bytes - meanBytes) * newestWeight);
+				}
+			};
+		},
+		computeWaitMs: (heldBytes, serviceMs) => Math.max(0, ((heldBytes + (running * (meanBytes ?? 0))) / bytesPerMs) - serviceMs),
+	};
+}
--- a/src/lib/decisions/plan-attempt.ts
+++ b/src/lib/decisions/plan-attempt.ts
@@ -82,6 +82,15 @@
 /** A call that a server waits for may wait for this share of what is left: without it the work of its caller is lost. */
 const awaitedShare = 0.4;
 
+/**
+ * @param server - A server.
+ * @returns Milliseconds that its work takes in the answers that are still to be in time.
+ * @internal
+ */
+export function computeWorkMs(server: Candidate): number {
+	return server.view.serviceMs * getColdFactor(server) * (1 + workMargin);
+}
+
 /**
  * Computes how long a call may be expected to wait.
  *
@@ -97,7 +106,7 @@
 	}
 
 	const {view, slots} = server;
-	const inTimeMs = targetLatencyMs - ageMs - (view.serviceMs * getColdFactor(server) * (1 + workMargin));
+	const inTimeMs = targetLatencyMs - ageMs - computeWorkMs(server);
 	if (inTimeMs <= 0) {
 		// It takes a slot that is free. If it waited, it would make others late that can still be in time.
 		return 0;
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -39,6 +39,8 @@
 	readonly server: Server;
 	/** Answers, or connections with answers, that have not left yet. */
 	readonly countUnsent: () => number;
+	/** Bytes of answers that wait for the link. */
+	readonly countHeldBytes: () => number;
 	/** Closes every connection once what was written to it has been read; settles when that is done, or does not come about soon. */
 	readonly dispose: () => Promise<void>;
 };
@@ -251,6 +253,7 @@
 	return {
 		server,
 		countUnsent: () => answers.countWaiting() + countUnsent(Array.from(connections, ({socket}) => socket)),
+		countHeldBytes: () => answers.countHeldBytes(),
 		async dispose() {
 			// A connection that is destroyed while something unread arrives on it is reset, and the system drops what had not been read there.
 			const closed = Promise.all(Array.from(connections, async ({socket}) => new Promise(resolve => {
--- a/src/lib/forwarding/large-answers.ts
+++ b/src/lib/forwarding/large-answers.ts
@@ -24,8 +24,8 @@
 	readonly cancel: (socket: Socket, id: number) => void;
 	/** Answers that have not been handed to the system as a whole. */
 	readonly countWaiting: () => number;
-	/** Bytes that wait here for one connection. */
-	readonly countHeldBytes: (socket: Socket) => number;
+	/** Bytes that wait here, for one connection or for all. */
+	readonly countHeldBytes: (socket?: Socket) => number;
 	readonly dispose: () => void;
 };
 
@@ -186,8 +186,12 @@
 		},
 		countWaiting: () => sendings.length,
 		countHeldBytes(socket) {
-			const waiting = sendings.filter(sending => sending.socket === socket);
-			return waiting.reduce((sum, {body, sentBytes}) => sum + body.length - sentBytes, lines.get(socket)?.bytes ?? 0);
+			let sum = 0;
+			for (const sending of sendings) {
+				sum += socket === undefined || sending.socket === socket ? sending.body.length - sending.sentBytes : 0;
+			}
+
+			return sum + (socket === undefined ? 0 : lines.get(socket)?.bytes ?? 0);
 		},
 		dispose() {
 			clearTimeout(timer);
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -30,6 +30,8 @@
 	readonly answerNext: () => void;
 	readonly announce: (changes?: Partial<ServerAnnouncement>) => void;
 	readonly createCall: (call: string) => GateCall;
+	/** Bytes of answers that wait for the link, which carries 875 a millisecond. */
+	heldBytes: number;
 };
 
 /** A gate before a server with one slot that answers when it is told to. */
@@ -48,13 +50,14 @@
 	const address = toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	const quarantine = createQuietQuarantine();
 	const gate = createLocalGate({
-		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine, isLeaving, linkMbps: 7,
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine, isLeaving, linkMbps: 7, countHeldBytes: () => fixture.heldBytes,
 	});
 	let sequence = 0;
 	const fixture: Fixture = {
 		gate,
 		quarantine,
 		arrived,
+		heldBytes: 0,
 		cutAll() {
 			server.closeAllConnections();
 		},
@@ -124,6 +127,26 @@
 	assert.deepEqual(fixture.arrived, ['first']);
 });
 
+test('a request whose large answer would wait longer for the link than it may is turned away at once, any other one runs', async context => {
+	const fixture = await createFixture(context);
+	fixture.heldBytes = 1_000_000;
+	const {result} = await fixture.gate.run({...fixture.createCall('late'), answerMayWaitMs: 700});
+	assert.ok(result.type === 'failed');
+	assert.deepEqual([result.reason, result.verdict, result.hasArrived], ['full', 'not-run', false]);
+	assert.ok(result.retryAfterMs > 700 && result.retryAfterMs < 1200, `${result.retryAfterMs} ms`);
+	assert.deepEqual(fixture.arrived, []);
+	const small = fixture.gate.run(fixture.createCall('small'));
+	await waitForArrival(fixture);
+	fixture.answerNext();
+	await small;
+	fixture.heldBytes = 300_000;
+	const patient = fixture.gate.run({...fixture.createCall('patient'), answerMayWaitMs: 700});
+	await expectSoon('it arrives', () => fixture.arrived.includes('patient'));
+	fixture.answerNext();
+	const answered = await patient;
+	assert.equal(answered.result.type, 'answered');
+});
+
 const later: ServerLifetime = {id, startedAt: 2000};
 
 test('when a server starts again, what was sent to the earlier start may have run, and its slot is free', async context => {
@@ -336,7 +359,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
-		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving: () => false, linkMbps: 7,
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving: () => false, linkMbps: 7, countHeldBytes: () => 0,
 	});
 	context.after(() => {
 		gate.dispose();
@@ -409,7 +432,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
-		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving: () => false, linkMbps: 7,
+		wire, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving: () => false, linkMbps: 7, countHeldBytes: () => 0,
 	});
 	context.after(() => {
 		gate.dispose();
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -17,6 +17,7 @@
 import {
 	noLocalServer, type LocalServer, type LocalServerState, type ServerAnnouncement, type ServerLeave, type ServerStep,
 } from '../local-server/local-server.js';
+import {createLinkDemand} from '../decisions/link-demand.js';
 import {describeRefusal as describeQuarantine, type Quarantine} from '../quarantine/quarantine.js';
 import {type ServerReport, type ServerState} from '../peers/peer-report.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
@@ -41,6 +42,8 @@
 	readonly hasBody: boolean;
 	/** Its body is large and comes from another VM. */
 	readonly isTransfer: boolean;
+	/** Milliseconds that its answer may be expected to wait for the link, if it is large and goes to another VM. */
+	readonly answerMayWaitMs?: number | undefined;
 };
 
 /** @internal */
@@ -55,6 +58,8 @@
 	readonly quarantine: ServerSessionContext['quarantine'] & Pick<Quarantine, 'countSuspects'>;
 	/** Megabits a second of this VM's link. */
 	readonly linkMbps: number;
+	/** Bytes of answers that wait for the link. */
+	readonly countHeldBytes: () => number;
 };
 
 /** @internal */
@@ -90,6 +95,7 @@
 	/** Sessions of servers of other ids that are at work still. */
 	let retired: readonly ServerSession[] = [];
 	const transfers = createTransferLimit(context.linkMbps);
+	const demand = createLinkDemand(context.linkMbps);
 	let requests = 0;
 	let isSilent = false;
 
@@ -259,12 +265,30 @@
 		}
 	};
 
+	/** Counts the answer among those that the link has to carry. */
+	const runForLink = async (at: ServerSession, call: GateCall): Promise<ForwardResult> => {
+		const end = demand.begin();
+		let bytes = 0;
+		try {
+			const result = await at.run(call);
+			bytes = result.type === 'answered' ? result.body.length : 0;
+			return result;
+		} finally {
+			end(bytes);
+		}
+	};
+
 	const admitAndRun = async (call: GateCall): Promise<ForwardResult> => {
 		const found = findSession(call);
 		if ('type' in found) {
 			return refuse(call, found);
 		}
 
+		const linkWaitMs = demand.computeWaitMs(context.countHeldBytes(), found.describe().serviceMs);
+		if (call.answerMayWaitMs !== undefined && linkWaitMs > call.answerMayWaitMs) {
+			return refuse(call, createNotRun('full', 'the link carries as many large answers as it can in time', linkWaitMs));
+		}
+
 		const slot = await found.acquire(describeWait(call));
 		if (slot.type !== 'run') {
 			return refuseWait(call, slot, slot.type === 'full' ? slot.reason : '');
@@ -277,7 +301,7 @@
 			return refuse(call, still);
 		}
 
-		return found.run(call);
+		return call.answerMayWaitMs === undefined ? found.run(call) : runForLink(found, call);
 	};
 
 	const getServerState = (server: LocalServer): ServerState => {
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -30,6 +30,8 @@
 	readonly leftMs: number;
 	/** Milliseconds that it may be expected to wait for a slot. */
 	readonly mayWaitMs: number;
+	/** Milliseconds that its answer may be expected to wait for the link, if it is large; `undefined` if it is not. */
+	readonly answerMayWaitMs?: number | undefined;
 };
 
 const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
@@ -58,8 +60,10 @@
  * @internal
  */
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
-	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs} = request;
-	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs))];
+	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs} = request;
+	// eslint-disable-next-line unicorn/no-null -- JSON has no other word for it.
+	const answerWait = answerMayWaitMs === undefined ? null : roundToTenth(answerMayWaitMs);
+	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait];
 }
 
 /** A body that is announced and does not come would be taken from the next request on the connection to the backend server. */
@@ -77,7 +81,7 @@
  * @internal
  */
 export function decodePeerRequest(head: unknown): PeerRequest {
-	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs] = readList(head, 'request');
+	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs] = readList(head, 'request');
 	const request: PeerRequest = {
 		id: readText(id, 'request.id'),
 		server: toBackendServerId(readText(server, 'request.server')),
@@ -89,6 +93,7 @@
 		rank: readAmount(rank, 'request.rank', longestMs),
 		leftMs: readAmount(leftMs, 'request.leftMs', longestMs),
 		mayWaitMs: readAmount(mayWaitMs, 'request.mayWaitMs', longestMs),
+		...answerMayWaitMs === undefined || answerMayWaitMs === null ? {} : {answerMayWaitMs: readAmount(answerMayWaitMs, 'request.answerMayWaitMs', longestMs)},
 	};
 	checkLength(request.headers, request.hasBody);
 	return request;
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -17,6 +17,8 @@
 	readonly target: Candidate;
 	/** Milliseconds that it may wait for a slot. */
 	readonly mayWaitMs: number;
+	/** Milliseconds that its answer may wait for the link, if it is large. */
+	readonly answerMayWaitMs: number | undefined;
 	/** Steady milliseconds. */
 	readonly startedAt: number;
 	/** The same by the clock that stands still while this VM is suspended. */
@@ -35,14 +37,14 @@
 	readonly count: () => number;
 	/** Whether nothing is heard of the nodes of all of them; so it is of none. */
 	readonly hasOnlyDoubted: () => boolean;
-	readonly start: (target: Candidate, mayWaitMs: number) => Attempt;
+	readonly start: (planned: Pick<Attempt, 'target' | 'mayWaitMs' | 'answerMayWaitMs'>) => Attempt;
 	/** Waits for what happens next to any of them. */
 	readonly waitForEvent: () => Promise<AttemptEvent>;
 	/** Breaks off all that are under way, since the call has its answer; yields them. */
 	readonly breakOff: () => readonly Attempt[];
 };
 
-async function sendOnce(context: SendContext, call: OutgoingCall, {target, mayWaitMs, scope}: Attempt, handleDoubt: () => void): Promise<GateResult> {
+async function sendOnce(context: SendContext, call: OutgoingCall, {target, mayWaitMs, answerMayWaitMs, scope}: Attempt, handleDoubt: () => void): Promise<GateResult> {
 	const common = {
 		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService,
 		mayWaitMs, rank: computeRank(call.route), scope,
@@ -52,7 +54,7 @@
 			...common, hasBody: call.body !== undefined, isTransfer: false, readBody: async () => call.body,
 		})
 		: context.gateClient.send({
-			...common, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type), handleDoubt,
+			...common, answerMayWaitMs, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type), handleDoubt,
 		});
 }
 
@@ -140,9 +142,9 @@
 	return {
 		count: () => running.size,
 		hasOnlyDoubted: () => [...running].every(attempt => doubted.has(attempt)),
-		start(target, mayWaitMs) {
+		start(planned) {
 			const attempt: Attempt = {
-				target, mayWaitMs, startedAt: readSteadyMs(), startedAwakeAt: readAwakeMs(), scope: createInnerScope(call.scope),
+				...planned, startedAt: readSteadyMs(), startedAwakeAt: readAwakeMs(), scope: createInnerScope(call.scope),
 			};
 			running.add(attempt);
 			void run(attempt);
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -7,8 +7,9 @@
 import {readSteadyMs} from '../common/clock.js';
 import {assertNever} from '../common/assert-never.js';
 import {type Verdict} from '../common/verdict.js';
-import {isBulk, isRepeatable} from '../route-config/route-config.js';
+import {hasLargeAnswers, isBulk, isRepeatable} from '../route-config/route-config.js';
 import {rankServers} from '../decisions/rank-servers.js';
+import {computeAnswerWait} from '../decisions/link-demand.js';
 import {computeDistances} from '../decisions/distances.js';
 import {
 	mayAskAnother, planAttempt, standardRules, type AttemptPlan, type CallFacts,
@@ -107,7 +108,8 @@
 	};
 
 	const start = ({target, mayWaitMs}: PlannedAttempt): void => {
-		progress.noteStart(running.start(target, mayWaitMs));
+		const answerMayWaitMs = hasLargeAnswers(route.type) ? computeAnswerWait(describeFacts(call, readSteadyMs()), target) : undefined;
+		progress.noteStart(running.start({target, mayWaitMs, answerMayWaitMs}));
 	};
 
 	const refuse = (failure: ForwardFailure): CallOutcome | undefined => {
--- a/src/lib/forwarding/suspended-gate.test.ts
+++ b/src/lib/forwarding/suspended-gate.test.ts
@@ -33,7 +33,7 @@
 		wire: {
 			callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run',
 		},
-		log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving: () => false, linkMbps: 7,
+		log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createQuietQuarantine(), isLeaving: () => false, linkMbps: 7, countHeldBytes: () => 0,
 	});
 	const scope = createCallScope(readSteadyMs() + 30_000);
 	context.after(() => {
--- a/src/lib/route-config/route-config.ts
+++ b/src/lib/route-config/route-config.ts
@@ -80,6 +80,15 @@
 	return type === 'safe' || type === 'download';
 }
 
+/**
+ * @param type - The type of a route.
+ * @returns Whether answers to its requests are large.
+ * @public
+ */
+export function hasLargeAnswers(type: RouteType): boolean {
+	return type === 'download';
+}
+
 /**
  * @param type - The type of a route.
  * @returns Whether bodies or answers of its requests are large: what they cost the links is more than what they cost a server.
