Large bodies keep to the pace of the link as large answers do

The same cause elsewhere: an entry wrote the body of an upload at once, before whatever else its node sent. One writer for the link serves entry and gate, and what nobody waits for any more stays. Links whose rate is not known are not paced.

--- a/src/lib/decisions/link-demand.ts
+++ b/src/lib/decisions/link-demand.ts
@@ -32,12 +32,12 @@
 const newestWeight = 0.1;
 
 /**
- * @param linkMbps - Megabits a second of the link.
+ * @param linkMbps - Megabits a second of the link; 0 if they are not known.
  * @returns The demand of a server that is at work on nothing.
  * @internal
  */
 export function createLinkDemand(linkMbps: number): LinkDemand {
-	const bytesPerMs = linkMbps * 1000 / 8;
+	const bytesPerMs = linkMbps > 0 ? linkMbps * 1000 / 8 : Number.POSITIVE_INFINITY;
 	let running = 0;
 	let meanBytes: number | undefined;
 	return {
--- a/src/lib/forwarding/full-link.test.ts
+++ b/src/lib/forwarding/full-link.test.ts
@@ -17,7 +17,7 @@
 import {createFrameReader, writeFrame} from './frame.js';
 import {createGateClient} from './gate-client.js';
 import {createGateServer} from './gate-server.js';
-import {createLargeAnswers} from './large-answers.js';
+import {createLinkWriter} from './link-writer.js';
 import {type LocalGate} from './local-gate.js';
 import {encodePeerAnswer} from './peer-messages.js';
 
@@ -54,7 +54,7 @@
 			socket.destroy();
 		}
 	});
-	const answers = createLargeAnswers(slowMbps);
+	const answers = createLinkWriter(slowMbps);
 	const startedAt = readSteadyMs();
 	for (let id = 0; id < 40; id++) {
 		answers.write(sockets[id % sockets.length]!, {type: 'answer', id, body: Buffer.alloc(90_000)});
@@ -93,7 +93,7 @@
 		catchUp: async () => undefined,
 		log: silentLog,
 		refusals: silentRefusals,
-		linkMbps: 1000,
+		link: createLinkWriter(1000),
 	});
 	const address = toAddress(`127.0.0.1:${await listen(context, gate.server)}`);
 	const client = createGateClient({openSocket: createSlowOpening(500)});
@@ -154,3 +154,44 @@
 	assert.deepEqual(heard, ['request']);
 	assert.equal(opened, 1);
 });
+
+// Guards against the same at a node whose callers upload: its own large bodies before whatever else it sends.
+test('the link of a VM is not handed more large bodies than it carries, and one that nobody waits for stays', async context => {
+	let received = 0;
+	const port = await listen(context, createServer(socket => {
+		const reader = createFrameReader();
+		socket.on('data', bytes => {
+			received += bytes.length;
+			for (const {type, id} of reader.read(bytes)) {
+				if (type === 'offer') {
+					writeFrame(socket, {type: 'continue', id});
+				}
+			}
+		});
+		socket.on('error', () => undefined);
+	}));
+	const link = createLinkWriter(slowMbps);
+	const client = createGateClient({link});
+	context.after(client.dispose);
+	const scopes = Array.from({length: 20}, () => createCallScope(readSteadyMs() + 20_000));
+	const startedAt = readSteadyMs();
+	for (const scope of scopes) {
+		void client.send({
+			gate: toAddress(`127.0.0.1:${port}`), id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/', headers: {'content-length': '90000'}, callerService: 'hall', rank: 1, mayWaitMs: 0,
+			body: Buffer.alloc(90_000), isBulk: true, scope,
+		});
+	}
+
+	for (let look = 0; look < 4; look++) {
+		await sleep(100);
+		const elapsedMs = readSteadyMs() - startedAt;
+		assert.ok(received <= countCarried(elapsedMs + mostQueueMs), `${received} bytes after ${Math.round(elapsedMs)} ms, of which the link carries ${Math.round(countCarried(elapsedMs))}`);
+	}
+
+	assert.ok(received >= countCarried(300) / 2, `${received} bytes left: the link is not used`);
+	for (const scope of scopes) {
+		scope.end('cancelled');
+	}
+
+	assert.equal(link.countWaiting(), 1, 'what has begun to leave goes on, and nothing else');
+});
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -12,7 +12,7 @@
 	createMayHaveRun, createNotRun, type ForwardFailure, type GateResult,
 } from './forward-result.js';
 import {
-	openPeerChannel, type ChannelResult, type OpenSocket, type PeerChannel,
+	openPeerChannel, type ChannelResult, type ChannelSurroundings, type PeerChannel,
 } from './peer-channel.js';
 import {decodeConfigAnswer, encodeConfigRequest, type ConfigAnswer} from './config-messages.js';
 import {decodePeerAnswer, encodePeerRequest, type PeerRequest} from './peer-messages.js';
@@ -68,15 +68,12 @@
 	return createNotRun(reason === 'unreachable' || reason === 'connection-lost' ? 'node-unreachable' : reason, detail);
 }
 
-/** @internal */
-export type GateClientOptions = {readonly openSocket?: OpenSocket};
-
 /**
- * @param options - How it opens connections; as the runtime does, if it is not said.
+ * @param surroundings - How connections are opened and written to.
  * @returns The client. No connection is made before the first request.
  * @internal
  */
-export function createGateClient({openSocket}: GateClientOptions = {}): GateClient {
+export function createGateClient(surroundings: ChannelSurroundings = {}): GateClient {
 	/** The one that takes new requests, by gate and kind. */
 	const channels = new Map<string, PeerChannel>();
 	/** These, and others whose last requests are under way. */
@@ -94,7 +91,7 @@
 			if (channels.get(key) === channel) {
 				channels.delete(key);
 			}
-		}, openSocket);
+		}, surroundings);
 		open.add(channel);
 		channels.set(key, channel);
 		return channel;
--- a/src/lib/forwarding/gate-server.test.ts
+++ b/src/lib/forwarding/gate-server.test.ts
@@ -8,6 +8,7 @@
 import {createNotRun} from './forward-result.js';
 import {createFrameReader, encodeFrameHead, type Frame} from './frame.js';
 import {createGateServer, type GateServerContext} from './gate-server.js';
+import {createLinkWriter} from './link-writer.js';
 
 type Gate = GateServerContext['gate'];
 
@@ -35,7 +36,7 @@
 		}),
 	};
 	const {server, dispose} = createGateServer({
-		gate: gate as Gate, getConfig: () => ({head: ['whole'], body: Buffer.alloc(configBytes)}), log: silentLog, linkMbps: 1000,
+		gate: gate as Gate, getConfig: () => ({head: ['whole'], body: Buffer.alloc(configBytes)}), log: silentLog, link: createLinkWriter(1000),
 		async catchUp() {
 			// Nothing lags here.
 		},
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -17,7 +17,7 @@
 } from './frame.js';
 import {decodeConfigRequest, type EncodedConfigAnswer} from './config-messages.js';
 import {createMayHaveRun, type GateResult} from './forward-result.js';
-import {createLargeAnswers} from './large-answers.js';
+import {type LinkWriter} from './link-writer.js';
 import {type LocalGate} from './local-gate.js';
 import {decodePeerRequest, encodePeerAnswer, type PeerRequest} from './peer-messages.js';
 
@@ -30,8 +30,8 @@
 	readonly catchUp: LoopLag['catchUp'];
 	readonly log: MeshLog;
 	readonly refusals: Refusals;
-	/** Megabits a second of this VM's link. */
-	readonly linkMbps: number;
+	/** Writes to the link of this VM. */
+	readonly link: LinkWriter;
 };
 
 /** @internal */
@@ -39,8 +39,6 @@
 	readonly server: Server;
 	/** Answers, or connections with answers, that have not left yet. */
 	readonly countUnsent: () => number;
-	/** Bytes of answers that wait for the link. */
-	readonly countHeldBytes: () => number;
 	/** Closes every connection once what was written to it has been read; settles when that is done, or does not come about soon. */
 	readonly dispose: () => Promise<void>;
 };
@@ -91,10 +89,9 @@
  * @internal
  */
 export function createGateServer(context: GateServerContext): GateServer {
-	const {gate, getConfig, catchUp, log, refusals} = context;
+	const {gate, getConfig, catchUp, log, refusals, link} = context;
 	const connections = new Set<Connection>();
 	let heldBytes = 0;
-	const answers = createLargeAnswers(context.linkMbps);
 
 	/** Asks for the body of an offer once a slot is held. */
 	const fetchBody = async (connection: Connection, id: number, one: Incoming): Promise<Uint8Array> => new Promise((resolve, reject) => {
@@ -102,7 +99,7 @@
 		one.scope.subscribe(() => {
 			reject(new Error('the caller has gone'));
 		});
-		answers.write(connection.socket, {type: 'continue', id});
+		link.write(connection.socket, {type: 'continue', id});
 	});
 
 	const runGate = async (connection: Connection, frame: Frame, request: PeerRequest, one: Incoming): Promise<GateResult> => {
@@ -132,7 +129,7 @@
 	};
 
 	const checkUnread = ({socket}: Connection, mostBytes = mostUnreadBytes): void => {
-		if (socket.writableLength + answers.countHeldBytes(socket) > mostBytes) {
+		if (socket.writableLength + link.countHeldBytes(socket) > mostBytes) {
 			throw new FloodError(`more than ${mostBytes} bytes of answers that are not read`);
 		}
 	};
@@ -145,7 +142,7 @@
 		connection.incoming.delete(frame.id);
 		scope.dispose();
 		try {
-			answers.write(connection.socket, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
+			link.write(connection.socket, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
 		} catch (error) {
 			log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
 			connection.socket.destroy();
@@ -171,21 +168,21 @@
 
 			case 'cancel': {
 				connection.incoming.get(frame.id)?.scope.end('cancelled');
-				answers.cancel(connection.socket, frame.id);
+				link.cancel(connection.socket, frame.id);
 				break;
 			}
 
 			case 'config': {
 				checkUnread(connection);
 				// Whoever asks serves by an older version meanwhile.
-				answers.writeFirst(connection.socket, {type: 'answer', id: frame.id, ...getConfig(decodeConfigRequest(frame.head))});
+				link.writeFirst(connection.socket, {type: 'answer', id: frame.id, ...getConfig(decodeConfigRequest(frame.head))});
 				break;
 			}
 
 			case 'ping': {
 				// Whoever asks whether the connection works may be waiting for large answers on it.
 				checkUnread(connection, mostHeldBytes);
-				answers.write(connection.socket, {type: 'pong', id: frame.id});
+				link.write(connection.socket, {type: 'pong', id: frame.id});
 				break;
 			}
 
@@ -252,8 +249,7 @@
 
 	return {
 		server,
-		countUnsent: () => answers.countWaiting() + countUnsent(Array.from(connections, ({socket}) => socket)),
-		countHeldBytes: () => answers.countHeldBytes(),
+		countUnsent: () => link.countWaiting() + countUnsent(Array.from(connections, ({socket}) => socket)),
 		async dispose() {
 			// A connection that is destroyed while something unread arrives on it is reset, and the system drops what had not been read there.
 			const closed = Promise.all(Array.from(connections, async ({socket}) => new Promise(resolve => {
@@ -266,8 +262,6 @@
 			for (const {socket} of connections) {
 				socket.destroy();
 			}
-
-			answers.dispose();
 		},
 	};
 }
--- a/src/lib/forwarding/leaving-gate.test.ts
+++ b/src/lib/forwarding/leaving-gate.test.ts
@@ -9,6 +9,7 @@
 import {createFrameReader, writeFrame} from './frame.js';
 import {type GateResult} from './forward-result.js';
 import {createGateServer, type GateServer} from './gate-server.js';
+import {createLinkWriter} from './link-writer.js';
 import {type LocalGate} from './local-gate.js';
 import {encodePeerRequest} from './peer-messages.js';
 
@@ -37,7 +38,7 @@
 		catchUp: waitForNothing,
 		log: silentLog,
 		refusals: {note: (refusal: unknown) => refused.push(refusal), dispose: () => undefined},
-		linkMbps: 1000,
+		link: createLinkWriter(1000),
 	});
 	await new Promise<void>(resolve => {
 		gate.server.listen(0, '127.0.0.1', resolve);
--- a/src/lib/forwarding/link-pacer.ts
+++ b/src/lib/forwarding/link-pacer.ts
@@ -23,12 +23,12 @@
 const aheadMs = 20;
 
 /**
- * @param linkMbps - Megabits a second of the link.
+ * @param linkMbps - Megabits a second of the link; 0 if they are not known, so that nothing waits.
  * @returns The pacer of a link that carries nothing yet.
  * @internal
  */
 export function createLinkPacer(linkMbps: number): LinkPacer {
-	const bytesPerMs = linkMbps * 1000 / 8 * shareOfLink;
+	const bytesPerMs = linkMbps > 0 ? linkMbps * 1000 / 8 * shareOfLink : Number.POSITIVE_INFINITY;
 	/** When the link has carried all that was handed over, in steady milliseconds. */
 	let carriedAt = 0;
 	return {
--- a/src/lib/forwarding/large-answers.test.ts
+++ b/src/lib/forwarding/link-writer.test.ts
@@ -6,7 +6,7 @@
 import test, {type TestContext} from 'node:test';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {createFrameReader, type Frame} from './frame.js';
-import {createLargeAnswers} from './large-answers.js';
+import {createLinkWriter} from './link-writer.js';
 
 /** Connections whose other ends read nothing until they are told to. */
 async function openPairs(context: TestContext, count: number): Promise<ReadonlyArray<{readonly near: Socket; readonly far: Socket; readonly frames: Frame[]}>> {
@@ -53,7 +53,7 @@
 
 test('over a slow link large answers leave one after the other, and small ones do not wait for them', async context => {
 	const pairs = await openPairs(context, 4);
-	const answers = createLargeAnswers(slowMbps);
+	const answers = createLinkWriter(slowMbps);
 	for (const {far} of pairs) {
 		far.resume();
 	}
@@ -74,7 +74,7 @@
 
 test('a connection that closes gives its place back', async context => {
 	const pairs = await openPairs(context, 3);
-	const answers = createLargeAnswers(fastMbps);
+	const answers = createLinkWriter(fastMbps);
 	for (const [id, {near}] of pairs.entries()) {
 		near.on('error', () => undefined);
 		answers.write(near, {type: 'answer', id, body: film});
@@ -88,7 +88,7 @@
 
 test('nodes that do not read what they are sent do not keep the answers of others back', async context => {
 	const pairs = await openPairs(context, 3);
-	const answers = createLargeAnswers(fastMbps);
+	const answers = createLinkWriter(fastMbps);
 	for (const [id, {near}] of pairs.entries()) {
 		answers.write(near, {type: 'answer', id, body: film});
 	}
@@ -101,7 +101,7 @@
 
 test('answers that wait for room on the link are counted until they leave', async context => {
 	const pairs = await openPairs(context, 4);
-	const answers = createLargeAnswers(fastMbps);
+	const answers = createLinkWriter(fastMbps);
 	for (const [id, {near}] of pairs.entries()) {
 		answers.write(near, {type: 'answer', id, body: film});
 	}
@@ -118,7 +118,7 @@
 
 test('an answer that nobody waits for any more does not leave, unless it has begun to', async context => {
 	const [pair] = await openPairs(context, 1);
-	const answers = createLargeAnswers(slowMbps);
+	const answers = createLinkWriter(slowMbps);
 	pair!.far.resume();
 	for (const id of [1, 2, 3]) {
 		answers.write(pair!.near, {type: 'answer', id, body: clip});
@@ -133,7 +133,7 @@
 
 test('what comes while a large answer leaves on the same connection follows it whole, and what goes first does not wait for others', async context => {
 	const pairs = await openPairs(context, 2);
-	const answers = createLargeAnswers(slowMbps);
+	const answers = createLinkWriter(slowMbps);
 	for (const {far} of pairs) {
 		far.resume();
 	}
--- a/src/lib/forwarding/large-answers.ts
+++ b/src/lib/forwarding/link-writer.ts
@@ -1,5 +1,5 @@
 /**
- * Sends answers over the link of this VM, large ones piece by piece and no
+ * Sends frames over the link of this VM, large ones piece by piece and no
  * faster than the link carries them. Handed over all at once they would hold up
  * whatever is sent after them, for as long as all of them take: a new
  * connection, a question for the configuration, a heartbeat, a small answer.
@@ -12,17 +12,17 @@
 import {encodeFrameHead, writeFrame} from './frame.js';
 import {createLinkPacer} from './link-pacer.js';
 
-type AnswerFrame = Parameters<typeof writeFrame>[1];
+type LinkFrame = Parameters<typeof writeFrame>[1];
 
 /** @internal */
-export type LargeAnswers = {
-	/** Writes a frame; one with a large body when the link has room. Frames of one connection never mix. */
-	readonly write: (socket: Socket, frame: AnswerFrame) => void;
-	/** Writes a frame before all answers that wait for the link, whatever its size. */
-	readonly writeFirst: (socket: Socket, frame: AnswerFrame) => void;
-	/** Whoever asked does not wait any more: an answer that has not begun to leave stays here. */
+export type LinkWriter = {
+	/** Writes a frame; one with a large body when the link has room. Frames of one connection never mix. Calls back once the connection has taken it. */
+	readonly write: (socket: Socket, frame: LinkFrame, handleWritten?: () => void) => void;
+	/** Writes a frame before all that wait for the link, whatever its size. */
+	readonly writeFirst: (socket: Socket, frame: LinkFrame) => void;
+	/** Nobody waits for a frame any more: one that has not begun to leave stays here. */
 	readonly cancel: (socket: Socket, id: number) => void;
-	/** Answers that have not been handed to the system as a whole. */
+	/** Large frames that have not been handed to the system as a whole. */
 	readonly countWaiting: () => number;
 	/** Bytes that wait here, for one connection or for all. */
 	readonly countHeldBytes: (socket?: Socket) => number;
@@ -32,13 +32,14 @@
 /** Bodies above this size take part. Bytes: on the slowest links of the users it takes twelve milliseconds, as long as a few small answers. */
 const largeBytes = 16_384;
 
-/** How long the system may take for a piece before another answer goes on. Milliseconds. */
+/** How long the system may take for a piece before another frame goes on. Milliseconds. */
 const leastWaitMs = 5;
 
-/** A large answer that waits, or is on its way. */
+/** A large frame that waits, or is on its way. */
 type Sending = {
 	readonly socket: Socket;
-	readonly frame: AnswerFrame;
+	readonly frame: LinkFrame;
+	readonly handleWritten: (() => void) | undefined;
 	readonly body: Uint8Array;
 	/** Bytes of the body that were handed over. */
 	sentBytes: number;
@@ -47,40 +48,43 @@
 	isBlocked: boolean;
 };
 
+/** A frame with whoever is told that it was taken. */
+type Written = readonly [frame: LinkFrame, handleWritten: (() => void) | undefined];
+
 /** Frames that came while another one was leaving on the same connection. */
 type Line = {
-	readonly behind: AnswerFrame[];
+	readonly behind: Written[];
 	bytes: number;
 };
 
 /**
  * @param linkMbps - Megabits a second of the link.
- * @returns What writes answers; none is on its way.
+ * @returns What writes frames; none is on its way.
  * @internal
  */
-export function createLargeAnswers(linkMbps: number): LargeAnswers {
+export function createLinkWriter(linkMbps: number): LinkWriter {
 	const pacer = createLinkPacer(linkMbps);
 	/** In the order in which they came. The first that is not blocked goes on, so that few are on their way at once. */
 	let sendings: Sending[] = [];
-	/** Connections on which a large answer is on its way. */
+	/** Connections on which a large frame is on its way. */
 	const lines = new Map<Socket, Line>();
 	let timer: NodeJS.Timeout | undefined;
 
-	const writeNow = (socket: Socket, frame: AnswerFrame): void => {
+	const writeNow = (socket: Socket, frame: LinkFrame, handleWritten?: () => void): void => {
 		pacer.note(frame.body?.length ?? 0, readSteadyMs());
-		writeFrame(socket, frame);
+		writeFrame(socket, frame, handleWritten);
 	};
 
 	const drop = (sending: Sending): void => {
 		sendings = sendings.filter(one => one !== sending);
 	};
 
-	/** The connection is free again: what came meanwhile follows, up to the next large answer. */
+	/** The connection is free again: what came meanwhile follows. */
 	const endLine = (socket: Socket): void => {
 		const line = lines.get(socket);
 		lines.delete(socket);
-		for (const frame of line?.behind ?? []) {
-			writeNow(socket, frame);
+		for (const [frame, handleWritten] of line?.behind ?? []) {
+			writeNow(socket, frame, handleWritten);
 		}
 	};
 
@@ -89,6 +93,8 @@
 		if (sending.hasBegun) {
 			endLine(sending.socket);
 		}
+
+		sending.handleWritten?.();
 	};
 
 	const begin = (sending: Sending): void => {
@@ -122,7 +128,7 @@
 		});
 	};
 
-	/** One large answer at a time on a connection; one whose connection has closed takes no room. */
+	/** One large frame at a time on a connection; one whose connection has closed takes no room. */
 	const mayContinue = ({socket, hasBegun, isBlocked, sentBytes, body}: Sending): boolean =>
 		!isBlocked && sentBytes < body.length && (hasBegun || !lines.has(socket));
 
@@ -147,31 +153,31 @@
 			writePiece(next);
 		}
 
-		// The system mostly takes a piece at once, and the same answer goes on; if it does not by then, another one does.
+		// The system mostly takes a piece at once, and the same frame goes on; if it does not by then, another one does.
 		timer = setTimeout(sendMore, Math.max(waitMs, leastWaitMs));
 	};
 
-	const writeFirst = (socket: Socket, frame: AnswerFrame): void => {
+	const writeFirst = (socket: Socket, frame: LinkFrame, handleWritten?: () => void): void => {
 		const line = lines.get(socket);
 		if (line === undefined) {
-			writeNow(socket, frame);
+			writeNow(socket, frame, handleWritten);
 			return;
 		}
 
-		line.behind.push(frame);
+		line.behind.push([frame, handleWritten]);
 		line.bytes += frame.body?.length ?? 0;
 	};
 
 	return {
-		write(socket, frame) {
+		write(socket, frame, handleWritten) {
 			const {body} = frame;
 			if (body === undefined || body.length <= largeBytes) {
-				writeFirst(socket, frame);
+				writeFirst(socket, frame, handleWritten);
 				return;
 			}
 
 			sendings.push({
-				socket, frame, body, sentBytes: 0, hasBegun: false, isBlocked: false,
+				socket, frame, handleWritten, body, sentBytes: 0, hasBegun: false, isBlocked: false,
 			});
 			if (timer === undefined) {
 				sendMore();
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -10,6 +10,7 @@
 import {type Address} from '../common/ids.js';
 import {type CallScope, type ScopeEnd} from './call-scope.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
+import {type LinkWriter} from './link-writer.js';
 
 /** What is asked of the other node. @internal */
 export type ChannelRequest = {
@@ -88,6 +89,16 @@
 /** Opens a connection. @internal */
 export type OpenSocket = (options: NetConnectOpts) => Socket;
 
+/** How connections are opened and written to. @internal */
+export type ChannelSurroundings = {
+	readonly openSocket?: OpenSocket;
+	/** Writes to the link of this VM. */
+	readonly link?: Pick<LinkWriter, 'write' | 'cancel'>;
+};
+
+/** A link of which nothing is known: everything is written at once. */
+const openLink: Pick<LinkWriter, 'write' | 'cancel'> = {write: writeFrame, cancel: () => undefined};
+
 type Pending = {
 	readonly request: ChannelRequest;
 	readonly settle: (result: ChannelResult) => void;
@@ -109,11 +120,11 @@
  * @param address - Where the gate listens.
  * @param connectMs - Milliseconds that a call of a caller waits for the connection; it goes elsewhere then, and the connection goes on opening for others.
  * @param handleClosed - Called once when it has ended.
- * @param openSocket - Opens the connection.
+ * @param surroundings - How it is opened and written to.
  * @returns The channel, connecting.
  * @internal
  */
-export function openPeerChannel(address: Address, connectMs: number, handleClosed: () => void, openSocket: OpenSocket = connect): PeerChannel {
+export function openPeerChannel(address: Address, connectMs: number, handleClosed: () => void, {openSocket = connect, link = openLink}: ChannelSurroundings = {}): PeerChannel {
 	const {host, port} = parseAddress(address);
 	const socket = openSocket({host, port, noDelay: true});
 	const reader = createFrameReader();
@@ -161,7 +172,7 @@
 		const {type, head, body} = one.request;
 		clearTimeout(one.openTimer);
 		one.isSent = type !== 'offer';
-		writeFrame(socket, {
+		link.write(socket, {
 			type, id, head, ...one.isSent && body !== undefined ? {body} : {},
 		});
 	};
@@ -182,7 +193,7 @@
 		const one = pending.get(id);
 		if (one !== undefined && !one.isSent) {
 			one.isSent = true;
-			writeFrame(socket, {type: 'body', id, body: one.request.body ?? Buffer.alloc(0)});
+			link.write(socket, {type: 'body', id, body: one.request.body ?? Buffer.alloc(0)});
 		}
 	};
 
@@ -227,7 +238,7 @@
 			askedAt: now, hasLeft: false, leftAt: undefined, livedAt: undefined,
 		};
 		question = next;
-		writeFrame(socket, {type: 'ping', id: 0}, () => {
+		link.write(socket, {type: 'ping', id: 0}, () => {
 			next.hasLeft = true;
 		});
 	};
@@ -297,7 +308,8 @@
 				stopListening = scope.subscribe(reason => {
 					const {isSent} = one;
 					if (isConnected) {
-						writeFrame(socket, {type: 'cancel', id});
+						link.cancel(socket, id);
+						link.write(socket, {type: 'cancel', id});
 					}
 
 					finish(id, {
@@ -345,7 +357,7 @@
 			isRetired = true;
 			closeIfIdle();
 			// A process that has restarted resets the connection when it gets this, and what waits for its earlier run ends at once.
-			writeFrame(socket, {type: 'ping', id: 0});
+			link.write(socket, {type: 'ping', id: 0});
 		},
 		dispose() {
 			isRetired = true;
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -15,6 +15,7 @@
 import {createEntryServer, type FinishedCall} from '../forwarding/entry-server.js';
 import {createGateClient} from '../forwarding/gate-client.js';
 import {createGateServer} from '../forwarding/gate-server.js';
+import {createLinkWriter} from '../forwarding/link-writer.js';
 import {createLocalGate} from '../forwarding/local-gate.js';
 import {createRetryAllowance} from '../decisions/retry-allowance.js';
 import {createAwaitedRoutes} from '../decisions/awaited-routes.js';
@@ -151,6 +152,7 @@
 		},
 	});
 
+	const linkWriter = createLinkWriter(settings.linkMbps);
 	const gate = createLocalGate({
 		wire,
 		log,
@@ -161,7 +163,7 @@
 		getMaxConnections: service => sync.holder.get()?.config.services.find(({name}) => name === service)?.maxConnections ?? defaultConnections,
 		isLeaving: () => isGateLeaving,
 		linkMbps: settings.linkMbps,
-		countHeldBytes: () => gateServer.countHeldBytes(),
+		countHeldBytes: linkWriter.countHeldBytes,
 	});
 
 	const describeSelf = (sequence: number): Omit<PeerReport, 'periods' | 'isProbe'> => ({
@@ -196,7 +198,7 @@
 		},
 	});
 
-	const gateClient = createGateClient();
+	const gateClient = createGateClient({link: linkWriter});
 	const sync = createConfigSync({
 		store, configKey: surroundings.configKey, decodeConfig: surroundings.decodeConfig, self, gossip: settings.listen.gossip, linkMbps: settings.linkMbps,
 		link, peerLimits, isNear, fetchConfig: gateClient.fetchConfig, log, refusals, random, handleAdopted,
@@ -264,7 +266,7 @@
 	});
 	const waitForLag = async (): Promise<void> => lag.catchUp();
 	const gateServer = createGateServer({
-		gate, getConfig: sync.answerConfig, catchUp: waitForLag, log, refusals, linkMbps: settings.linkMbps,
+		gate, getConfig: sync.answerConfig, catchUp: waitForLag, log, refusals, link: linkWriter,
 	});
 	const announcementServer = createAnnouncementServer({
 		...createOwnServerCalls({
@@ -312,6 +314,7 @@
 		gate.dispose();
 		gateServer.server.close();
 		await gateServer.dispose();
+		linkWriter.dispose();
 		for (const server of [entry.server, announcementServer, readinessServer, metricsServer]) {
 			server.close();
 			server.closeAllConnections();
