A node that knows that it is behind does not say that a route is not there

Change: a request that no route matches waits up to 200 ms for a version that is known of, and is refused with 503 and a time to come back if that does not come: it has not run, and a caller comes back after that. Requests that a route matches wait for nothing. What others claim and the store does not have is refuted by a read after a second; a node that watches the store itself reads anew then too, since a watch may hang (its watch was trusted without end).

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -53,6 +53,10 @@
 export type EntryContext = SendContext & {
 	readonly wire: WireHeaders;
 	readonly getConfig: () => HeldConfig | undefined;
+	/** Whether a newer configuration is known of than that one. */
+	readonly isBehind: () => boolean;
+	/** Waits until it is here, or a moment has passed. */
+	readonly waitForNewer: () => Promise<void>;
 	readonly splitter: ShareSplitter;
 	readonly returningCallers: ReturningCallers;
 	readonly awaitedRoutes: AwaitedRoutes;
@@ -101,6 +105,9 @@
 /** When a node without a configuration is worth asking again, in milliseconds. */
 const notReadyRetryMs = 250;
 
+/** When a node that is behind is worth asking again, in milliseconds: most get a newer configuration sooner. */
+const behindRetryMs = 300;
+
 /** When a route that leads nowhere may lead somewhere again: with the next configuration. Milliseconds: changes come many times an hour, not many times a second. */
 const unreadRetryMs = 1000;
 
@@ -173,13 +180,18 @@
 		refuse(call, status, reason, comeBackMs);
 	};
 
-	/** Refuses a request that no known route matches; one that may be meant for a route that could not be read is not told that there is none. */
+	/** Refuses a request that no known route matches; one that may be meant for a route that could not be read, or that is not here yet, is not told that there is none. */
 	const refuseUnrouted = (call: EntryCall, {config: {version, unreadHosts}}: HeldConfig): void => {
 		if (unreadHosts.has(cutPort(call.request.headers.host ?? ''))) {
 			refuseEarly(call, version, 503, 'no route that this node can read matches host and path', unreadRetryMs);
 			return;
 		}
 
+		if (context.isBehind()) {
+			refuseEarly(call, version, 503, 'no route matches host and path, and a newer version is known of that is not here yet', behindRetryMs);
+			return;
+		}
+
 		refuseEarly(call, version, 404, 'no route matches host and path');
 	};
 
@@ -223,16 +235,29 @@
 		});
 	};
 
-	const run = async (call: EntryCall): Promise<void> => {
+	const findRouteIn = ({index}: HeldConfig, {headers, url}: IncomingMessage): RouteRule | undefined => findRoute(index, headers.host ?? '', url ?? '/');
+
+	/** The configuration that a request is handled by: if no route of the one in force matches it and a newer one is known of, that one is waited for. */
+	const chooseConfig = async (request: IncomingMessage): Promise<HeldConfig | undefined> => {
 		const held = context.getConfig();
+		if (held === undefined || !context.isBehind() || findRouteIn(held, request) !== undefined) {
+			return held;
+		}
+
+		await context.waitForNewer();
+		return context.getConfig();
+	};
+
+	const run = async (call: EntryCall): Promise<void> => {
+		const {request} = call;
+		const held = context.isBehind() ? await chooseConfig(request) : context.getConfig();
 		if (held === undefined) {
 			refuseEarly(call, 0, 503, 'this node has no configuration yet', notReadyRetryMs);
 			return;
 		}
 
-		const {request} = call;
 		const {version, limits} = held.config;
-		const route = findRoute(held.index, request.headers.host ?? '', request.url ?? '/');
+		const route = findRouteIn(held, request);
 		if (route === undefined) {
 			refuseUnrouted(call, held);
 			return;
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -64,6 +64,10 @@
 	/** What a node is sent that has a version of the configuration. */
 	readonly answerConfig: (version: number) => EncodedConfigAnswer;
 	readonly isStoreReachable: () => boolean;
+	/** Whether a newer version is known of than the one in force here. */
+	readonly isBehind: () => boolean;
+	/** Waits until this node is not behind any more, or a moment has passed. */
+	readonly waitForNewer: () => Promise<void>;
 	/** Looks at the store anew: what is in force stays so. */
 	readonly startAnew: () => void;
 	/** Keeps quarantined requests in the store. */
@@ -79,6 +83,9 @@
 /** A node that has known of a newer version for this long and got it from nobody asks the store itself: it may hear the others and not reach them. Milliseconds: what is left of the time in which a change has to be in force is enough to read it. */
 const ownReadAfterMs = 1000;
 
+/** How long a request waits for a version that is known of and not here. Milliseconds: nearly all versions are handed over within it, and it is a part of the shortest latency objectives. */
+const newerWaitMs = 200;
+
 /** Between two questions to the store because of what other nodes say of it, in milliseconds. */
 const leastAskMs = 1000;
 
@@ -94,8 +101,15 @@
 	const {store, self, link, peerLimits, isNear, log, random} = context;
 	const disposed = new AbortController();
 
+	/** Those who wait for the next version. */
+	const waiting = new Set<() => void>();
+
 	const holder = createConfigHolder((held, source) => {
 		context.handleAdopted(held);
+		for (const handleAdopted of waiting) {
+			handleAdopted();
+		}
+
 		log.record('info', {
 			kind: 'configuration-applied', version: held.config.version, from: source, routes: held.config.routes.length,
 		});
@@ -215,6 +229,20 @@
 		},
 	});
 
+	const waitForNewer = async (): Promise<void> => {
+		const endsAt = readSteadyMs() + newerWaitMs;
+		for (let now = readSteadyMs(); newer.isBehind() && now < endsAt; now = readSteadyMs()) {
+			const adopted = new AbortController();
+			const handleAdopted = (): void => {
+				adopted.abort();
+			};
+
+			waiting.add(handleAdopted);
+			await waitFor(endsAt - now, adopted.signal);
+			waiting.delete(handleAdopted);
+		}
+	};
+
 	const tellFault = (error: unknown): void => {
 		log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
 	};
@@ -232,6 +260,17 @@
 		}
 	};
 
+	let resyncedAt = Number.NEGATIVE_INFINITY;
+
+	/** A watch may hang, or others may claim what is not there: a watcher that stands still asks the store as any other node does. */
+	const checkOwnWatch = (): void => {
+		const now = readSteadyMs();
+		if (follower.isFollowing() && newer.getBehindMs(now) > ownReadAfterMs && now - resyncedAt >= leastAskMs) {
+			resyncedAt = now;
+			follower.resync();
+		}
+	};
+
 	const handleReport = async (report: PeerReport): Promise<void> => {
 		try {
 			await newer.handleReport(report);
@@ -247,11 +286,14 @@
 			hearEra(report.duties.storeEra);
 			// Most reports tell of the version that is in force here: no work is begun for these.
 			if (report.version > holder.getVersion()) {
+				checkOwnWatch();
 				void handleReport(report);
 			}
 		},
 		answerConfig: createConfigAnswers(holder),
 		isStoreReachable: health.isReachable,
+		isBehind: newer.isBehind,
+		waitForNewer,
 		startAnew,
 		storeSuspects: suspects.write,
 		tellCrash: crashes.tell,
--- a/src/lib/sidecar/newer-config.ts
+++ b/src/lib/sidecar/newer-config.ts
@@ -61,6 +61,8 @@
 	readonly handleReport: (report: PeerReport) => Promise<void>;
 	/** The store has told what is newest, asked at a time in steady milliseconds: what nodes claimed beyond it before does not exist. */
 	readonly noteStoreRead: (startedAt: number) => void;
+	/** Whether a newer version is known of than the one in force here. */
+	readonly isBehind: () => boolean;
 	/** Milliseconds for which this node has known of a newer version without getting any. */
 	readonly getBehindMs: (now: number) => number;
 };
@@ -239,6 +241,7 @@
 	return {
 		handleReport,
 		noteStoreRead,
+		isBehind: () => getVersion() < newest,
 		getBehindMs: now => isStanding() ? now - behindSince : 0,
 	};
 }
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -257,6 +257,8 @@
 		watchSilence: silence.watch,
 		wire,
 		getConfig: sync.holder.get,
+		isBehind: sync.isBehind,
+		waitForNewer: sync.waitForNewer,
 		splitter,
 		returningCallers,
 		awaitedRoutes,
