stonemoor explain-version: how a version came into force on each node, from the logs

Two commands lead from a request that an older version answered to the stage that was late: explain ID names the version, then explain-version.

--- a/apps/cli/main.ts
+++ b/apps/cli/main.ts
@@ -8,6 +8,7 @@
 import yargs, {type Argv} from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {runExplain} from './commands/explain.js';
+import {runExplainVersion} from './commands/explain-version.js';
 import {
 	runCall, runDrain, runGet, runRepublish, runServers, runStatus,
 } from './commands/inspect.js';
@@ -62,6 +63,13 @@
 		}), options => {
 		runExplain(options);
 	})
+	.command('explain-version <number> [files..]', 'tell when each node had a version of the configuration in force and what the slow ones waited for, from the logs of sidecar nodes', builder => builder
+		.positional('number', {type: 'number', demandOption: true, describe: 'the version'})
+		.positional('files', {
+			type: 'string', array: true, default: [] as string[], describe: 'logs of all nodes',
+		}), options => {
+		runExplainVersion({...options, version: options.number});
+	})
 	.version(false)
 	.completion('completion', 'print a script for shell completion')
 	.demandCommand(1, 'a command is needed')
--- a/src/index.ts
+++ b/src/index.ts
@@ -56,6 +56,7 @@
 export {
 	explainCall, parseLogLine, type CallStory, type LogLine,
 } from './lib/timeline/explain-call.js';
+export {explainVersion, type VersionAtNode, type VersionStory} from './lib/timeline/explain-version.js';
 export {
 	formatEvent, isWanted, sortEvents,
 	type EventDetail, type EventKind, type TimelineEvent, type TimelineFilter,
