--- a/src/lib/forwarding/link-writer.ts
+++ b/src/lib/forwarding/link-writer.ts
@@ -97,7 +97,7 @@
 		sending.handleWritten?.();
 	};
 
-	const begin = (sending: Sending): void => {
+	const startSending = (sending: Sending): void => {
 		const {socket, frame} = sending;
 		sending.hasBegun = true;
 		lines.set(socket, {behind: [], bytes: 0});
@@ -111,7 +111,7 @@
 	const writePiece = (sending: Sending): void => {
 		const {socket, body} = sending;
 		if (!sending.hasBegun) {
-			begin(sending);
+			startSending(sending);
 		}
 
 		const piece = body.subarray(sending.sentBytes, sending.sentBytes + pacer.pieceBytes);
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -168,7 +168,7 @@
 	};
 
 	/** Writes a request. Before the connection is up nothing is, so that what is given up meanwhile never leaves. */
-	const transmit = (id: number, one: Pending): void => {
+	const sendFrame = (id: number, one: Pending): void => {
 		const {type, head, body} = one.request;
 		clearTimeout(one.openTimer);
 		one.isSent = type !== 'offer';
@@ -248,7 +248,7 @@
 		isConnected = true;
 		quietSince = readSteadyMs();
 		for (const [id, one] of pending) {
-			transmit(id, one);
+			sendFrame(id, one);
 		}
 	});
 	socket.on('data', (bytes: Uint8Array) => {
@@ -300,7 +300,7 @@
 				};
 				pending.set(id, one);
 				if (isConnected) {
-					transmit(id, one);
+					sendFrame(id, one);
 				} else {
 					waitForOpening(id, one);
 				}
--- a/src/lib/store/call-patience.ts
+++ b/src/lib/store/call-patience.ts
@@ -26,7 +26,7 @@
 /** A slow store's next answer may take this much longer than its last. */
 const margin = 2;
 
-const bound = (ms: number): number => Math.min(mostMs, Math.max(leastMs, ms));
+const trimPatience = (ms: number): number => Math.min(mostMs, Math.max(leastMs, ms));
 
 /**
  * @returns The patience with a store of which nothing is known.
@@ -37,11 +37,11 @@
 	return {
 		getMs: () => patienceMs,
 		noteAnswer(tookMs) {
-			patienceMs = bound(tookMs * margin);
+			patienceMs = trimPatience(tookMs * margin);
 		},
 		noteSilence(limitMs) {
 			// Calls that were under way together are one silence.
-			patienceMs = Math.max(patienceMs, bound(limitMs * margin));
+			patienceMs = Math.max(patienceMs, trimPatience(limitMs * margin));
 		},
 	};
 }
