--- a/src/lib/decisions/link-demand.test.ts
+++ b/src/lib/decisions/link-demand.test.ts
@@ -24,7 +24,7 @@
  * Downloads at a server whose slots would take five times what its link carries: Poisson-like arrivals, work of 200 ms, answers of 90 KB over
  * 10 Mbit/s. Yields how long each that was taken waited for the link, and the bytes that the link carried of those that it could have.
  */
-function playDownloads(isBounded: boolean): {readonly waits: readonly number[]; readonly used: number} {
+function runDownloads(isBounded: boolean): {readonly waits: readonly number[]; readonly used: number} {
 	const demand = createLinkDemand(10);
 	const bytes = 90_000;
 	const bytesPerMs = 1250;
@@ -54,10 +54,10 @@
 
 // Guards against a link on which every answer is late, since more is begun than it carries.
 test('overload: what is begun for a full link is what it carries in time, and the link stays full', () => {
-	const bounded = playDownloads(true);
+	const bounded = runDownloads(true);
 	assert.ok(Math.max(...bounded.waits) <= 900, `${Math.max(...bounded.waits)} ms`);
 	assert.ok(bounded.used > 0.95, `${bounded.used} of the link`);
-	assert.ok(Math.max(...playDownloads(false).waits) > 10_000, 'the pattern does not fill the link');
+	assert.ok(Math.max(...runDownloads(false).waits) > 10_000, 'the pattern does not fill the link');
 });
 
 test('what ended without an answer leaves no mark', () => {
--- a/src/lib/forwarding/full-link.test.ts
+++ b/src/lib/forwarding/full-link.test.ts
@@ -9,6 +9,7 @@
 import test, {type TestContext} from 'node:test';
 import {readSteadyMs} from '../common/clock.js';
 import {toAddress, toBackendServerId} from '../common/ids.js';
+import {createLoopLag} from '../common/loop-lag.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {silentRefusals} from '../timeline/refusals.js';
 import {createCallScope} from './call-scope.js';
@@ -90,7 +91,7 @@
 	const gate = createGateServer({
 		gate: localGate as LocalGate,
 		getConfig: () => encodeConfigAnswer({type: 'whole', text: 'nine'}),
-		catchUp: async () => undefined,
+		catchUp: createLoopLag().catchUp,
 		log: silentLog,
 		refusals: silentRefusals,
 		link: createLinkWriter(1000),
