--- a/src/lib/decisions/link-demand.ts
+++ b/src/lib/decisions/link-demand.ts
@@ -7,6 +7,18 @@
 import {type CallFacts, computeWorkMs} from './plan-attempt.js';
 import {type Candidate} from './rank-servers.js';
 
+/** Part of a link that large answers may fill. The rest is for headers of packets, acknowledgements and heartbeats, which are not counted. */
+const shareOfLink = 0.9;
+
+/**
+ * @param linkMbps - Megabits a second of a link; 0 if they are not known, so that nothing waits.
+ * @returns Bytes a millisecond at which large answers leave over it.
+ * @internal
+ */
+export function computeLinkPace(linkMbps: number): number {
+	return linkMbps > 0 ? linkMbps * 1000 / 8 * shareOfLink : Number.POSITIVE_INFINITY;
+}
+
 /** An answer that is late already may wait this long: a link that is nearly free is as good as a slot that is. Milliseconds. */
 const leastWaitMs = 100;
 
@@ -37,7 +49,7 @@
  * @internal
  */
 export function createLinkDemand(linkMbps: number): LinkDemand {
-	const bytesPerMs = linkMbps > 0 ? linkMbps * 1000 / 8 : Number.POSITIVE_INFINITY;
+	const bytesPerMs = computeLinkPace(linkMbps);
 	let running = 0;
 	let meanBytes: number | undefined;
 	return {
--- a/src/lib/forwarding/link-pacer.ts
+++ b/src/lib/forwarding/link-pacer.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import {computeLinkPace} from '../decisions/link-demand.js';
 
 /** @internal */
 export type LinkPacer = {
@@ -16,9 +17,6 @@
 	readonly computeWaitMs: (now: number) => number;
 };
 
-/** Part of the link that large answers may fill. The rest is for headers of packets, acknowledgements and heartbeats, which are not counted here. */
-const shareOfLink = 0.9;
-
 /** What the link is handed ahead of time, in milliseconds of it: enough that it does not run dry between two turns of a busy process. */
 const aheadMs = 20;
 
@@ -28,7 +26,7 @@
  * @internal
  */
 export function createLinkPacer(linkMbps: number): LinkPacer {
-	const bytesPerMs = linkMbps > 0 ? linkMbps * 1000 / 8 * shareOfLink : Number.POSITIVE_INFINITY;
+	const bytesPerMs = computeLinkPace(linkMbps);
 	/** When the link has carried all that was handed over, in steady milliseconds. */
 	let carriedAt = 0;
 	return {
