A node that is back is not waited for on a connection opened while it was away

What is heard of it now replaces such a connection; that it cannot be reached does not. Test: a connection that would open after a minute.

--- a/src/lib/forwarding/full-link.test.ts
+++ b/src/lib/forwarding/full-link.test.ts
@@ -80,7 +80,7 @@
 			if (!socket.destroyed) {
 				socket.connect(options);
 			}
-		}, openMs);
+		}, openMs).unref();
 		return socket;
 	};
 }
@@ -148,7 +148,7 @@
 
 	assert.equal(await send(), 'not-run node-unreachable');
 	// As a node does with the connections of one that could not be reached.
-	client.renew(address);
+	client.renew(address, 'unreachable');
 	await sleep(300);
 	assert.deepEqual(heard, []);
 	assert.equal(await send(), 'not-run full');
@@ -156,6 +156,32 @@
 	assert.equal(opened, 1);
 });
 
+test('a node that is back is not waited for on a connection that was being opened while it was away', async context => {
+	let opened = 0;
+	const client = createGateClient({
+		openSocket(options) {
+			opened++;
+			return createSlowOpening(opened === 1 ? 60_000 : 0)(options);
+		},
+	});
+	const localGate: Partial<LocalGate> = {};
+	const gate = createGateServer({
+		gate: localGate as LocalGate, getConfig: () => encodeConfigAnswer({type: 'whole', text: 'nine'}), catchUp: createLoopLag().catchUp, log: silentLog, refusals: silentRefusals, link: createLinkWriter(1000),
+	});
+	const address = toAddress(`127.0.0.1:${await listen(context, gate.server)}`);
+	context.after(async () => {
+		client.dispose();
+		await gate.dispose();
+	});
+	const scopes = [createCallScope(readSteadyMs() + 1000), createCallScope(readSteadyMs() + 1000)];
+	const first = client.fetchConfig(address, 7, scopes[0]!);
+	client.renew(address, 'back');
+	const second = await client.fetchConfig(address, 7, scopes[1]!);
+	assert.ok(second.isOk());
+	scopes[0]!.end('cancelled');
+	assert.ok((await first).isErr());
+});
+
 // Guards against the same at a node whose callers upload: its own large bodies before whatever else it sends.
 test('the link of a VM is not handed more large bodies than it carries, and one that nobody waits for stays', async context => {
 	let received = 0;
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -42,8 +42,8 @@
 	readonly fetchConfig: (gate: Address, version: number, scope: CallScope) => Promise<Result<ConfigAnswer, ConfigFetchError>>;
 	/** When bytes last arrived from a gate, in steady milliseconds; 0 if none have on the connections that are in use. */
 	readonly getReceivedAt: (gate: Address) => number;
-	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. */
-	readonly renew: (gate: Address) => void;
+	/** New requests get new connections: what was sent on the old ones may hang, or may still be answered. One that is still opening goes on, unless the node is back: what opens it may have been sent while nobody was there. */
+	readonly renew: (gate: Address, why: 'back' | 'unreachable') => void;
 	/** Takes connections that have gone silent although their nodes are heard out of use, so that new ones are made, and closes them later. Called every now and then. */
 	readonly checkSilence: (now: number, getHeardAt: (gate: Address) => number | undefined) => void;
 	readonly dispose: () => void;
@@ -120,12 +120,11 @@
 			return answer === undefined ? err({type: 'nothing', reason: 'an answer without a configuration, or one that cannot be read'}) : ok(answer);
 		},
 		getReceivedAt: gate => Math.max(...channelKinds.map(kind => channels.get(`${kind} ${gate}`)?.getReceivedAt() ?? 0)),
-		renew(gate) {
+		renew(gate, why) {
 			for (const kind of channelKinds) {
 				const key = `${kind} ${gate}`;
 				const channel = channels.get(key);
-				// One that is still opening is new, and to begin anew would take longer.
-				if (channel?.isOpening() === false) {
+				if (channel !== undefined && (why === 'back' || !channel.isOpening())) {
 					channel.retire();
 					channels.delete(key);
 				}
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -173,7 +173,7 @@
 
 	const handleReport = (report: PeerReport, news: PeerNews): void => {
 		if (news === 'restarted' || news === 'returned') {
-			gateClient.renew(report.gate);
+			gateClient.renew(report.gate, 'back');
 		}
 
 		if (report.server !== undefined) {
@@ -214,7 +214,7 @@
 	const renewConnections = (node: NodeId): void => {
 		const peer = link.table.get(node);
 		if (peer !== undefined) {
-			gateClient.renew(peer.report.gate);
+			gateClient.renew(peer.report.gate, 'unreachable');
 		}
 	};
 
