--- a/apps/cli/main.ts
+++ b/apps/cli/main.ts
@@ -63,7 +63,7 @@
 		}), options => {
 		runExplain(options);
 	})
-	.command('explain-version <number> [files..]', 'tell when each node had a version of the configuration in force and what the slow ones waited for, from the logs of sidecar nodes', builder => builder
+	.command('explain-version <number> [files..]', 'tell when each node had a version in force and what the slow ones waited for, from the logs of sidecar nodes', builder => builder
 		.positional('number', {type: 'number', demandOption: true, describe: 'the version'})
 		.positional('files', {
 			type: 'string', array: true, default: [] as string[], describe: 'logs of all nodes',
--- a/apps/cli/read-log-files.ts
+++ b/apps/cli/read-log-files.ts
@@ -24,7 +24,9 @@
 	const texts = text.split('\n').filter(line => line.trim() !== '');
 	const lines = texts.flatMap(line => parseLogLine(line) ?? []);
 	if (lines.length === 0 && texts[0] !== undefined) {
-		throw new CommandError(`${file === standardInput ? 'the standard input' : file}: holds no line of a node's log; the first is "${texts[0].slice(0, shownLength)}"; give what nodes write to their standard output`, exitCodes.usage);
+		const name = file === standardInput ? 'the standard input' : file;
+		const shown = texts[0].slice(0, shownLength);
+		throw new CommandError(`${name}: holds no line of a node's log; the first is "${shown}"; give what nodes write to their standard output`, exitCodes.usage);
 	}
 
 	return lines;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -63,7 +63,7 @@
 		.option('clocks-apart-ms', {type: 'number', default: 5, describe: 'by which the clocks of the other nodes differ at the most'})
 		.option('load', {type: 'boolean', default: true, describe: 'measure calls too'})
 		.option('flags', {type: 'string', default: '--max-old-space-size=128 --max-semi-space-size=4 --single-threaded --always-sparkplug --no-flush-bytecode --no-memory-reducer', describe: 'of Node.js, for the node'})
-		.option('profile', {type: 'string', describe: 'folder for profiles of the processor time'}), async options => runNodeCost({...options, flags: options.flags.split(' '), profile: options.profile}))
+		.option('profile', {type: 'string', describe: 'folder for profiles of the processor time'}), async options => runNodeCost({...options, flags: options.flags.split(' ')}))
 	.command('peer-slopes', 'what a node does for the others, by their number', builder => builder
 		.option('sizes', {
 			type: 'number', array: true, default: [13, 60, 200, 1000, 5000], describe: 'nodes',
--- a/src/lib/decisions/distances.ts
+++ b/src/lib/decisions/distances.ts
@@ -6,6 +6,9 @@
 import {isBulk, type RouteRule} from '../route-config/route-config.js';
 import {type RankingContext} from './rank-servers.js';
 
+/** What counts in the choice of a server beside its load. @internal */
+export type Distances = Pick<RankingContext, 'otherNodeMs' | 'crossDomainMs' | 'soonEnoughMs'>;
+
 /** What a server elsewhere has to be faster by, as a share of the latency objective. */
 const shares = {
 	/** A second node costs processor time on both VMs. */
@@ -29,7 +32,7 @@
  * @returns What counts in the choice of its server.
  * @internal
  */
-export function computeDistances({type, targetLatencyMs}: Pick<RouteRule, 'type' | 'targetLatencyMs'>, isAwaited: boolean, ageMs: number): Pick<RankingContext, 'otherNodeMs' | 'crossDomainMs' | 'soonEnoughMs'> {
+export function computeDistances({type, targetLatencyMs}: Pick<RouteRule, 'type' | 'targetLatencyMs'>, isAwaited: boolean, ageMs: number): Distances {
 	return {
 		soonEnoughMs: isAwaited ? 0 : Math.max(0, (targetLatencyMs * soonEnoughShare) - ageMs),
 		otherNodeMs: targetLatencyMs * shares.otherNode,
--- a/src/lib/forwarding/full-link.test.ts
+++ b/src/lib/forwarding/full-link.test.ts
@@ -8,7 +8,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type TestContext} from 'node:test';
 import {readSteadyMs} from '../common/clock.js';
-import {toAddress, toBackendServerId} from '../common/ids.js';
+import {toAddress, toBackendServerId, type Address} from '../common/ids.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {silentRefusals} from '../timeline/refusals.js';
@@ -85,8 +85,12 @@
 	};
 }
 
-// Guards against a node that never gets a newer configuration since it gives each connection up before the link has let it through, and begins anew.
-test('a node that connections take longer to reach than a call waits for one is handed the configuration all the same', async context => {
+const someCall = {
+	id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/', callerService: 'hall', rank: 1, mayWaitMs: 0,
+} as const;
+
+/** A gate that hands a configuration over. */
+async function startConfigGate(context: TestContext): Promise<Address> {
 	const localGate: Partial<LocalGate> = {};
 	const gate = createGateServer({
 		gate: localGate as LocalGate,
@@ -96,12 +100,15 @@
 		refusals: silentRefusals,
 		link: createLinkWriter(1000),
 	});
-	const address = toAddress(`127.0.0.1:${await listen(context, gate.server)}`);
+	context.after(gate.dispose);
+	return toAddress(`127.0.0.1:${await listen(context, gate.server)}`);
+}
+
+// Guards against a node that never gets a newer configuration since it gives each connection up before the link has let it through, and begins anew.
+test('a node that connections take longer to reach than a call waits for one is handed the configuration all the same', async context => {
+	const address = await startConfigGate(context);
 	const client = createGateClient({openSocket: createSlowOpening(500)});
-	context.after(async () => {
-		client.dispose();
-		await gate.dispose();
-	});
+	context.after(client.dispose);
 	const startedAt = readSteadyMs();
 	// As a node asks that hears of the version again and again: within the time in which it has to be in force.
 	let answer;
@@ -140,7 +147,7 @@
 	const send = async () => {
 		const scope = createCallScope(readSteadyMs() + 2000);
 		const {result} = await client.send({
-			gate: address, id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/', headers: {}, callerService: 'hall', rank: 1, mayWaitMs: 0, body: undefined, isBulk: false, scope,
+			...someCall, gate: address, headers: {}, body: undefined, isBulk: false, scope,
 		});
 		scope.dispose();
 		return result.type === 'answered' ? 'answered' : `${result.verdict} ${result.reason}`;
@@ -164,15 +171,8 @@
 			return createSlowOpening(opened === 1 ? 60_000 : 0)(options);
 		},
 	});
-	const localGate: Partial<LocalGate> = {};
-	const gate = createGateServer({
-		gate: localGate as LocalGate, getConfig: () => encodeConfigAnswer({type: 'whole', text: 'nine'}), catchUp: createLoopLag().catchUp, log: silentLog, refusals: silentRefusals, link: createLinkWriter(1000),
-	});
-	const address = toAddress(`127.0.0.1:${await listen(context, gate.server)}`);
-	context.after(async () => {
-		client.dispose();
-		await gate.dispose();
-	});
+	const address = await startConfigGate(context);
+	context.after(client.dispose);
 	const scopes = [createCallScope(readSteadyMs() + 1000), createCallScope(readSteadyMs() + 1000)];
 	const first = client.fetchConfig(address, 7, scopes[0]!);
 	client.renew(address, 'back');
@@ -204,8 +204,7 @@
 	const startedAt = readSteadyMs();
 	for (const scope of scopes) {
 		void client.send({
-			gate: toAddress(`127.0.0.1:${port}`), id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/', headers: {'content-length': '90000'}, callerService: 'hall', rank: 1, mayWaitMs: 0,
-			body: Buffer.alloc(90_000), isBulk: true, scope,
+			...someCall, gate: toAddress(`127.0.0.1:${port}`), headers: {'content-length': '90000'}, body: Buffer.alloc(90_000), isBulk: true, scope,
 		});
 	}
 
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -375,7 +375,8 @@
 		const scope = createCallScope(performance.now() + waitsMs);
 		context.after(scope.dispose);
 		const {result} = await gate.run({
-			id: call, server: id, method: 'GET', target: '/', headers: {host: 'mesh.example'}, readBody: async () => undefined, callerService: 'hall', rank: 1, mayWaitMs: 1000, hasBody: false, isTransfer: false, scope,
+			id: call, server: id, method: 'GET', target: '/', headers: {host: 'mesh.example'}, readBody: async () => undefined,
+			callerService: 'hall', rank: 1, mayWaitMs: 1000, hasBody: false, isTransfer: false, scope,
 		});
 		return result.type;
 	};
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -61,7 +61,6 @@
  */
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
 	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs} = request;
-	// eslint-disable-next-line unicorn/no-null -- JSON has no other word for it.
 	const answerWait = answerMayWaitMs === undefined ? null : roundToTenth(answerMayWaitMs);
 	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait];
 }
--- a/src/lib/peers/peer-link.test.ts
+++ b/src/lib/peers/peer-link.test.ts
@@ -26,7 +26,9 @@
 };
 
 /** A link whose own heartbeats are so seldom that a test sees none but those it causes. */
-async function startLink(context: TestContext, name: string, {getState = () => 'ready', handleReport = () => undefined}: LinkChanges = {}): Promise<PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>}> {
+type StartedLink = PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>};
+
+async function startLink(context: TestContext, name: string, {getState = () => 'ready', handleReport = () => undefined}: LinkChanges = {}): Promise<StartedLink> {
 	hosts++;
 	const address = toAddress(`127.78.${process.pid % 250}.${hosts}:7103`);
 	const node = toNodeId(name);
--- a/src/lib/sync/registration.test.ts
+++ b/src/lib/sync/registration.test.ts
@@ -65,7 +65,8 @@
 	};
 	const registration = createRegistration({
 		store: store as unknown as MeshStore, health: createStoreHealth(silentLog, () => undefined), self: toNodeId('n1'), gossip: toAddress('10.0.0.1:1'), log: silentLog,
-		random: () => 0.5, isFollowing: () => isFollowing, countPeers: () => peers, countSilent: () => silent, isKnown: () => false, refusals: silentRefusals, handleAddresses: () => undefined, handleOtherItems: () => undefined,
+		random: () => 0.5, isFollowing: () => isFollowing, countPeers: () => peers, countSilent: () => silent, isKnown: () => false, refusals: silentRefusals,
+		handleAddresses: () => undefined, handleOtherItems: () => undefined,
 	});
 	context.after(registration.dispose);
 	void registration.run();
