--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -891,7 +891,7 @@
 	{
 		promise: 'full link: a gate begins no more large answers than its link carries in time',
 		file: `${library}/forwarding/local-gate.js`,
-		from: 'linkWaitMs > call.answerMayWaitMs',
+		from: 'linkWaitMs > (call.answerMayWaitMs ?? 0)',
 		to: 'false',
 		tests: `${library}/forwarding/local-gate.test.js`,
 	},
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -265,6 +265,10 @@
 		}
 	};
 
+	/** How long the answer to a call would wait for the link. A small one does not wait. */
+	const computeLinkWait = (at: ServerSession, {answerMayWaitMs}: GateCall): number =>
+		answerMayWaitMs === undefined ? 0 : demand.computeWaitMs(context.countHeldBytes(), at.describe().serviceMs);
+
 	/** Counts the answer among those that the link has to carry. */
 	const runForLink = async (at: ServerSession, call: GateCall): Promise<ForwardResult> => {
 		const end = demand.begin();
@@ -284,8 +288,8 @@
 			return refuse(call, found);
 		}
 
-		const linkWaitMs = demand.computeWaitMs(context.countHeldBytes(), found.describe().serviceMs);
-		if (call.answerMayWaitMs !== undefined && linkWaitMs > call.answerMayWaitMs) {
+		const linkWaitMs = computeLinkWait(found, call);
+		if (linkWaitMs > (call.answerMayWaitMs ?? 0)) {
 			return refuse(call, createNotRun('full', 'the link carries as many large answers as it can in time', linkWaitMs));
 		}
 
