--- a/bench/node-cost/simulated-peer.ts
+++ b/bench/node-cost/simulated-peer.ts
@@ -75,7 +75,7 @@
 		version: options.version, isLeaving: false,
 		server: {
 			lifetime: {id: toBackendServerId(`i-${options.name}`), startedAt: 1}, service: options.service,
-			slots: 8, state: 'ready', coldMs: 0, running: 3, waiting: 0, serviceMs: options.workMs, failureShare: 0,
+			slots: 8, state: 'ready', coldMs: 0, running: 3, waiting: 0, serviceMs: options.workMs, failureShare: 0, version: 'v1',
 		},
 		duties: {
 			linkMbps: options.isFollowing ? 100 : 10, isFollowing: options.isFollowing, storeSeenMs: 50, storeEra: 1,
@@ -150,7 +150,7 @@
 			const scope = createCallScope(readSteadyMs() + callTimeoutMs);
 			const {result} = await client.send({
 				gate, body: undefined, isBulk: false, scope, id: Math.random().toString(16).slice(2), server: toBackendServerId(target), method: 'GET', target: path,
-				headers: {host: 'mesh.example', accept: '*/*', 'user-agent': 'caller'}, callerService: options.service, rank: 1, mayWaitMs: 0,
+				headers: {host: 'mesh.example', accept: '*/*', 'user-agent': 'caller'}, callerService: options.service, rank: 1, mayWaitMs: 0, isCounted: false,
 			});
 			scope.dispose();
 			return result.type === 'answered';
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -25,6 +25,8 @@
 	| 'server-crashed'
 	/** Backend servers crashed while they executed requests with this fingerprint, so the request is not sent to another server. */
 	| 'quarantined'
+	/** The version of the backend server gets no requests, or only some, because of a rollout. */
+	| 'version-withheld'
 	| 'wrong-answer'
 	| 'no-server'
 	| 'timeout'
@@ -32,7 +34,7 @@
 	| 'superseded';
 
 const reasons: readonly ForwardReason[] = [
-	'full', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
+	'full', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
 ];
 
 /** @internal */
--- a/src/lib/forwarding/full-link.test.ts
+++ b/src/lib/forwarding/full-link.test.ts
@@ -87,7 +87,7 @@
 }
 
 const someCall = {
-	id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/', callerService: 'hall', rank: 1, mayWaitMs: 0,
+	id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/', callerService: 'hall', rank: 1, mayWaitMs: 0, isCounted: false,
 } as const;
 
 /** Starts a gate server that responds to configuration requests. */
--- a/src/lib/forwarding/gate-client.test.ts
+++ b/src/lib/forwarding/gate-client.test.ts
@@ -39,7 +39,7 @@
 		const scope = createCallScope(performance.now() + 2000);
 		context.after(scope.dispose);
 		const {result} = await client.send({
-			id, server: toBackendServerId('i-1'), method: 'GET', target: '/', headers: {}, callerService: 'hall', rank: 1, mayWaitMs: 0, gate, body: undefined, isBulk, scope,
+			id, server: toBackendServerId('i-1'), method: 'GET', target: '/', headers: {}, callerService: 'hall', rank: 1, mayWaitMs: 0, isCounted: false, gate, body: undefined, isBulk, scope,
 		});
 		return result.type;
 	};
--- a/src/lib/forwarding/leaving-gate.test.ts
+++ b/src/lib/forwarding/leaving-gate.test.ts
@@ -65,7 +65,7 @@
 const sendRequest = (socket: Socket, id: number): void => {
 	writeFrame(socket, {
 		type: 'request', id, head: encodePeerRequest({
-			id: `c${id}`, server: toBackendServerId('i-1'), method: 'GET', target: '/', headers: {}, callerService: 'hall', rank: 1, mayWaitMs: 0, hasBody: false, leftMs: 20_000,
+			id: `c${id}`, server: toBackendServerId('i-1'), method: 'GET', target: '/', headers: {}, callerService: 'hall', rank: 1, mayWaitMs: 0, isCounted: false, hasBody: false, leftMs: 20_000,
 		}),
 	});
 };
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -9,6 +9,7 @@
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {createSilentQuarantine, createSampleFingerprint} from '../quarantine/sample-quarantine.js';
 import {computeLinkBytesPerMs} from '../decisions/link-demand.js';
+import {noRollouts} from '../rollout/no-rollouts.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
 import {type CallHeaderNames} from './call-headers.js';
@@ -51,7 +52,7 @@
 	const address = toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	const quarantine = createSilentQuarantine();
 	const gate = createLocalGate({
-		headerNames, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine, isLeaving, linkMbps: 7, countQueuedBytes: () => fixture.queuedBytes,
+		headerNames, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine, isLeaving, linkMbps: 7, countQueuedBytes: () => fixture.queuedBytes, rollouts: noRollouts, findRouteName: () => undefined,
 	});
 	let sequence = 0;
 	const fixture: Fixture = {
@@ -68,7 +69,7 @@
 		announce(changes = {}) {
 			sequence++;
 			gate.announce({
-				lifetime, service: 'logview', address, slots: 1, isDraining: false, coldMs: 0, sequence, ...changes,
+				lifetime, service: 'logview', version: 'v1', address, slots: 1, isDraining: false, coldMs: 0, sequence, ...changes,
 			});
 		},
 		createCall(call) {
@@ -76,7 +77,7 @@
 			context.after(scope.dispose);
 			return {
 				id: call, server: id, method: 'GET', target: '/logs/1', headers: {host: 'mesh.example'}, readBody: async () => undefined,
-				callerService: 'hall', rank: 1, mayWaitMs: 20_000, hasBody: false, isLargeUpload: false, scope,
+				callerService: 'hall', rank: 1, mayWaitMs: 20_000, isCounted: false, hasBody: false, isLargeUpload: false, scope,
 			};
 		},
 	};
@@ -287,7 +288,7 @@
 	fixture.announce({lifetime: later});
 	const report = fixture.gate.describe();
 	assert.deepEqual(report, {
-		lifetime: later, service: 'logview', slots: 1, state: 'ready', coldMs: 0, running: 0, waiting: 0, serviceMs: 60, failureShare: 0,
+		lifetime: later, service: 'logview', slots: 1, state: 'ready', coldMs: 0, running: 0, waiting: 0, serviceMs: 60, failureShare: 0, version: 'v1', tally: undefined,
 	});
 });
 
@@ -336,7 +337,7 @@
 	});
 	await Promise.all(['f1', 'f2', 'f3', 'f4'].map(async name => gate.run(fail(name))));
 	const whole = gate.run({
-		...createCall('u1'), hasBody: true, isLargeUpload: true, mayWaitMs: 0,
+		...createCall('u1'), hasBody: true, isLargeUpload: true, mayWaitMs: 0, isCounted: false,
 	});
 	await expectSoon('the upload arrives', () => arrived.length === 1);
 	answerNext();
@@ -360,7 +361,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
-		headerNames, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0,
+		headerNames, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, findRouteName: () => undefined,
 	});
 	context.after(() => {
 		gate.dispose();
@@ -368,7 +369,7 @@
 		server.closeAllConnections();
 	});
 	gate.announce({
-		lifetime, service: 'logview',
+		lifetime, service: 'logview', version: 'v1',
 		address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), slots: 8, isDraining: false, coldMs: 0, sequence: 1,
 	});
 	const run = async (call: string, waitsMs = 5000): Promise<string> => {
@@ -376,7 +377,7 @@
 		context.after(scope.dispose);
 		const {result} = await gate.run({
 			id: call, server: id, method: 'GET', target: '/', headers: {host: 'mesh.example'}, readBody: async () => undefined,
-			callerService: 'hall', rank: 1, mayWaitMs: 1000, hasBody: false, isLargeUpload: false, scope,
+			callerService: 'hall', rank: 1, mayWaitMs: 1000, isCounted: false, hasBody: false, isLargeUpload: false, scope,
 		});
 		return result.type;
 	};
@@ -434,7 +435,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
-		headerNames, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0,
+		headerNames, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, findRouteName: () => undefined,
 	});
 	context.after(() => {
 		gate.dispose();
@@ -444,14 +445,14 @@
 		}
 	});
 	gate.announce({
-		lifetime, service: 'logview', address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), slots: 1, isDraining: false, coldMs: 0, sequence: 1,
+		lifetime, service: 'logview', version: 'v1', address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), slots: 1, isDraining: false, coldMs: 0, sequence: 1,
 	});
 	const createCall = (call: string): GateCall => {
 		const scope = createCallScope(performance.now() + 3000);
 		context.after(scope.dispose);
 		return {
 			id: call, server: id, method: 'GET', target: '/', headers: {}, readBody: async () => undefined,
-			callerService: 'hall', rank: 1, mayWaitMs: 1000, hasBody: false, isLargeUpload: false, scope,
+			callerService: 'hall', rank: 1, mayWaitMs: 1000, isCounted: false, hasBody: false, isLargeUpload: false, scope,
 		};
 	};
 
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -19,6 +19,7 @@
 } from '../local-server/local-server.js';
 import {createLinkDemand} from '../decisions/link-demand.js';
 import {describeRefusal as describeQuarantine, type Quarantine} from '../quarantine/quarantine.js';
+import {type GateRollouts} from '../rollout/rollouts.js';
 import {type ServerReport, type ServerState} from '../peers/peer-report.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type CallHeaderNames} from './call-headers.js';
@@ -42,6 +43,8 @@
 	readonly hasBody: boolean;
 	/** Whether the body is large and comes from another VM. */
 	readonly isLargeUpload: boolean;
+	/** Whether the sender counts the request as one that may go to a version under test. */
+	readonly isCounted: boolean;
 	/** Maximum expected wait of the response for the link, in milliseconds; `undefined` unless the response is large and goes to another VM. */
 	readonly answerMayWaitMs?: number | undefined;
 };
@@ -56,6 +59,9 @@
 	readonly getMaxConnections: (service: string) => number;
 	readonly isLeaving: () => boolean;
 	readonly quarantine: ServerSessionContext['quarantine'] & Pick<Quarantine, 'countSuspects'>;
+	readonly rollouts: GateRollouts;
+	/** Returns the name of the route of a request; `undefined` if none matches. */
+	readonly findRouteName: (host: string, target: string) => string | undefined;
 	/** Bandwidth of this VM's link, in megabits per second. */
 	readonly linkMbps: number;
 	/** Returns the response bytes queued for the link. */
@@ -79,6 +85,9 @@
 /** How long before the deadline a waiting request is refused, so that the refusal arrives before the caller times out. */
 const refusalMarginMs = 40;
 
+/** Computes how much longer a server is slow after its start, in milliseconds. */
+const computeColdMs = ({announcement, heardAt}: LocalServer): number => Math.max(0, announcement.coldMs - (readSteadyMs() - heardAt));
+
 /**
  * Creates the gate. It refuses every request until a server announces itself.
  *
@@ -87,7 +96,7 @@
  * @internal
  */
 export function createLocalGate(context: LocalGateContext): LocalGate {
-	const {headerNames, log, handleChange, quarantine} = context;
+	const {headerNames, log, handleChange, quarantine, rollouts} = context;
 	let state: LocalServerState = noLocalServer;
 	let session: ServerSession | undefined;
 	/** The server of the session, kept after the state has forgotten that server. */
@@ -129,10 +138,25 @@
 		retiredSessions = [...retiredSessions.filter(retired => retired.describe().running > 0), closed];
 	};
 
+	/** Counts an outcome during a rollout of the service. */
+	const recordOutcome = (server: Pick<ServerReport, 'service' | 'lifetime'>, {headers, target}: SessionCall, hasFailed: boolean, tookMs: number): void => {
+		const {current} = state;
+		if (session === undefined || current === undefined || !rollouts.isCounting(server.service)) {
+			return;
+		}
+
+		const route = context.findRouteName(typeof headers.host === 'string' ? headers.host : '', target);
+		if (route !== undefined) {
+			rollouts.recordOutcome(server, {
+				route, hasFailed, tookMs, isCold: computeColdMs(current) > 0, isFullyLoaded: session.describe().running >= current.announcement.slots,
+			});
+		}
+	};
+
 	const openSession = ({announcement}: LocalServer): ServerSession => {
-		const {lifetime, service, slots, coldMs} = announcement;
+		const {lifetime, service, version, slots, coldMs} = announcement;
 		log.record('info', {
-			kind: 'server-announced', server: lifetime.id, startedAt: lifetime.startedAt, service, slots, coldMs,
+			kind: 'server-announced', server: lifetime.id, startedAt: lifetime.startedAt, service, version, slots, coldMs,
 		});
 		return openServerSession(announcement, {
 			headerNames,
@@ -140,6 +164,9 @@
 			maxConnections: context.getMaxConnections(service),
 			quarantine,
 			isLeaving: () => context.isLeaving() || (state.current?.isLeaving ?? false),
+			handleOutcome(call, hasFailed, tookMs) {
+				recordOutcome({lifetime, service}, call, hasFailed, tookMs);
+			},
 			handleUnreachable(contacted, reason) {
 				state = noteServerUnreachable(state, contacted, readSteadyMs() + unreachableBackoffMs);
 				log.record('warn', {kind: 'server-doubted', server: contacted.id, reason});
@@ -195,6 +222,11 @@
 			return createNotRun('draining', `backend server ${call.server} is draining and accepts no new requests`);
 		}
 
+		const admission = rollouts.admit(current.announcement, call.isCounted);
+		if (admission.type !== 'admitted') {
+			return createNotRun('version-withheld', admission.detail);
+		}
+
 		if (current.avoidUntil > readSteadyMs()) {
 			return createNotRun('server-unreachable', `backend server ${call.server} refused or timed out a recent connection`, unreachableBackoffMs);
 		}
@@ -312,13 +344,21 @@
 	};
 
 	const getServerState = (server: LocalServer): ServerState => {
-		if (server.isLeaving) {
+		if (server.isLeaving || rollouts.isWithheld(server.announcement)) {
 			return 'draining';
 		}
 
 		return server.avoidUntil > readSteadyMs() ? 'down' : 'ready';
 	};
 
+	/** Reports that the last request has ended at a server that accepts no more because of a rollout: the rollout waits for it. */
+	const announceIfIdle = (): void => {
+		const {current} = state;
+		if (requests === 0 && current !== undefined && !current.isLeaving && rollouts.isWithheld(current.announcement)) {
+			handleChange();
+		}
+	};
+
 	const reportSilence = ({announcement, heardAt}: LocalServer): void => {
 		const heardMsAgo = readSteadyMs() - heardAt;
 		if (heardMsAgo > silenceWarningMs && !isSilent) {
@@ -337,6 +377,7 @@
 				return {result, load: getLoad(arrivedAt)};
 			} finally {
 				requests--;
+				announceIfIdle();
 			}
 		},
 		announce(announcement) {
@@ -358,13 +399,15 @@
 			}
 
 			reportSilence(current);
-			const {announcement, heardAt} = current;
+			const {announcement} = current;
 			return {
 				lifetime: announcement.lifetime,
 				service: announcement.service,
 				slots: computeConcurrencyLimit(announcement.slots),
 				state: getServerState(current),
-				coldMs: Math.max(0, announcement.coldMs - (readSteadyMs() - heardAt)),
+				version: announcement.version,
+				coldMs: computeColdMs(current),
+				tally: rollouts.getTally(announcement),
 				...session.describe(),
 			};
 		},
--- a/src/lib/forwarding/outgoing-call.ts
+++ b/src/lib/forwarding/outgoing-call.ts
@@ -10,6 +10,7 @@
 import {type Candidate} from '../decisions/rank-servers.js';
 import {type Fingerprint} from '../quarantine/fingerprint.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
+import {type EntryRollouts, type VersionChoice} from '../rollout/rollouts.js';
 import {type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {type LoadView} from '../decisions/load-view.js';
 import {type MeshRetryBudget} from '../decisions/mesh-retry-budget.js';
@@ -52,8 +53,9 @@
 	readonly self: NodeId;
 	readonly callerService: string;
 	/** Lists the ready servers of a service, with their load as known for a request of a route. Returns a sample if there are many. */
-	readonly listCandidates: (needs: {readonly service: string; readonly route: string; readonly tried: ReadonlySet<LifetimeKey>; readonly trialOf?: Fingerprint | undefined}) => readonly Candidate[];
+	readonly listCandidates: (needs: {readonly service: string; readonly route: string; readonly tried: ReadonlySet<LifetimeKey>; readonly trialOf?: Fingerprint | undefined; readonly matches?: VersionChoice['matches'] | undefined}) => readonly Candidate[];
 	readonly quarantine: Pick<Quarantine, 'check'>;
+	readonly rollouts: EntryRollouts;
 	readonly domain: Candidate['domain'];
 	readonly localGate: LocalGate;
 	readonly gateClient: GateClient;
--- a/src/lib/forwarding/peer-messages.test.ts
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -14,7 +14,7 @@
 
 const request: PeerRequest = {
 	id: 'c1', server: toBackendServerId('i-1'), method: 'POST', target: '/a?b', headers: {host: 'mesh.example', 'x-list': ['a', 'b'], __proto__x: '\u00E9'}, hasBody: true,
-	callerService: 'hall', rank: 1.5, leftMs: 1200.5, mayWaitMs: 0,
+	callerService: 'hall', rank: 1.5, leftMs: 1200.5, mayWaitMs: 0, isCounted: false,
 };
 
 const sendHead = (head: unknown): unknown => {
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -32,6 +32,8 @@
 	readonly mayWaitMs: number;
 	/** The gate accepts a request with a large response only if the expected wait of the response for the link is at most this long, in milliseconds; `undefined` if the response is not large. */
 	readonly answerMayWaitMs?: number | undefined;
+	/** Whether the sender counts the request as one that may go to a version under test. */
+	readonly isCounted: boolean;
 };
 
 const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
@@ -60,9 +62,9 @@
  * @internal
  */
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
-	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs} = request;
+	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted} = request;
 	const answerWait = answerMayWaitMs === undefined ? null : roundToTenth(answerMayWaitMs);
-	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait];
+	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0];
 }
 
 /** Rejects a content length without a body: the backend server would read the missing body from the next request on the same connection. */
@@ -82,7 +84,7 @@
  * @internal
  */
 export function decodePeerRequest(head: unknown): PeerRequest {
-	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs] = readList(head, 'request');
+	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0] = readList(head, 'request');
 	const request: PeerRequest = {
 		id: readString(id, 'request.id'),
 		server: toBackendServerId(readString(server, 'request.server')),
@@ -94,6 +96,7 @@
 		rank: readAmount(rank, 'request.rank', maxTimeMs),
 		leftMs: readAmount(leftMs, 'request.leftMs', maxTimeMs),
 		mayWaitMs: readAmount(mayWaitMs, 'request.mayWaitMs', maxTimeMs),
+		isCounted: readFlag(isCounted, 'request.isCounted'),
 		...answerMayWaitMs === undefined || answerMayWaitMs === null ? {} : {answerMayWaitMs: readAmount(answerMayWaitMs, 'request.answerMayWaitMs', maxTimeMs)},
 	};
 	checkContentLength(request.headers, request.hasBody);
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -18,6 +18,8 @@
 	readonly mayWaitMs: number;
 	/** The gate accepts a request with a large response only if the expected wait of the response for the link is at most this long, in milliseconds; `undefined` if the response is not large. */
 	readonly answerMayWaitMs: number | undefined;
+	/** Whether this node counts the request as one that may go to a version under test. */
+	readonly isCounted: boolean;
 	/** In milliseconds of the steady clock. */
 	readonly startedAt: number;
 	/** In milliseconds of the clock that does not advance while this VM is suspended. */
@@ -36,17 +38,17 @@
 	readonly count: () => number;
 	/** Returns whether all attempts in flight have been reported as unresponsive; true if there are none. */
 	readonly areAllUnresponsive: () => boolean;
-	readonly start: (planned: Pick<Attempt, 'target' | 'mayWaitMs' | 'answerMayWaitMs'>) => Attempt;
+	readonly start: (planned: Pick<Attempt, 'target' | 'mayWaitMs' | 'answerMayWaitMs' | 'isCounted'>) => Attempt;
 	/** Waits for the next event of any attempt. */
 	readonly waitForEvent: () => Promise<AttemptEvent>;
 	/** Cancels all attempts in flight because the call has its response, and returns them. */
 	readonly cancelAll: () => readonly Attempt[];
 };
 
-async function sendToGate(context: SendContext, call: OutgoingCall, {target, mayWaitMs, answerMayWaitMs, scope}: Attempt, handleUnresponsive: () => void): Promise<GateResult> {
+async function sendToGate(context: SendContext, call: OutgoingCall, {target, mayWaitMs, answerMayWaitMs, isCounted, scope}: Attempt, handleUnresponsive: () => void): Promise<GateResult> {
 	const common = {
 		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService,
-		mayWaitMs, rank: computeRank(call.route), scope,
+		mayWaitMs, isCounted, rank: computeRank(call.route), scope,
 	};
 	return target.isLocal
 		? context.localGate.run({
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -8,6 +8,7 @@
 import {createLoadView, type LoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
 import {createSilentQuarantine, createSampleFingerprint} from '../quarantine/sample-quarantine.js';
+import {noRollouts} from '../rollout/no-rollouts.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createMeshRetryBudget} from '../decisions/mesh-retry-budget.js';
 import {createCallScope} from './call-scope.js';
@@ -46,7 +47,7 @@
 		},
 	} as unknown as GateClient;
 	const context: SendContext = {
-		self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog, quarantine: createSilentQuarantine(),
+		self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog, quarantine: createSilentQuarantine(), rollouts: noRollouts,
 		localGate: {} as unknown as LocalGate,
 		retryBudget: createMeshRetryBudget(() => ({ratio: 0.2, slack: 100, windowMs: 10_000}), () => 1),
 		random: () => 0,
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -16,6 +16,7 @@
 } from '../decisions/plan-attempt.js';
 import {type QuarantineDecision} from '../quarantine/suspect-table.js';
 import {describeRefusal as describeQuarantine} from '../quarantine/quarantine.js';
+import {type VersionChoice} from '../rollout/rollouts.js';
 import {type RetryReason} from '../decisions/mesh-retry-budget.js';
 import {createCallProgress, hasArrived} from './call-progress.js';
 import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
@@ -23,7 +24,7 @@
 import {createRunningAttempts, type Attempt, type AttemptEvent} from './running-attempts.js';
 
 /** A plan to start an attempt. */
-type PlannedAttempt = Extract<AttemptPlan, {readonly type: 'send'}>;
+type PlannedAttempt = Extract<AttemptPlan, {readonly type: 'send'}> & {readonly isCounted: boolean; readonly isTest: boolean};
 
 function computeCallState(call: OutgoingCall, now: number): CallState {
 	const {route, ageMs, isNestedCall} = call;
@@ -57,6 +58,7 @@
 	const progress = createCallProgress(service);
 	const running = createRunningAttempts(context, call);
 	context.retryBudget.recordRequest(service, call.isNestedCall, readSteadyMs());
+	context.rollouts.recordRequest(service, route.name);
 
 	/** How many servers the call may reach: one, plus one for each retry taken from the retry budget. */
 	let allowedArrivals = 1;
@@ -78,11 +80,14 @@
 		return true;
 	};
 
-	const planNext = (decision: QuarantineDecision): AttemptPlan => {
+	/** Whether the latest attempt counts as exposure to a version under test. */
+	let isTest = false;
+
+	const planAmong = (decision: QuarantineDecision, matches: VersionChoice['matches'] | undefined): AttemptPlan => {
 		const now = readSteadyMs();
 		const callState = computeCallState(call, now);
 		const candidates = context.listCandidates({
-			service, route: route.name, tried: progress.tried, trialOf: decision.type === 'trial' ? decision.fingerprint : undefined,
+			service, route: route.name, tried: progress.tried, trialOf: decision.type === 'trial' ? decision.fingerprint : undefined, matches,
 		});
 		const ranked = rankServers(candidates, {
 			domain: context.domain, random: context.random, ...computeRankingThresholds(route, call.isNestedCall, callState.ageMs),
@@ -90,7 +95,26 @@
 		return planAttempt(callState, progress, ranked, standardRules, now);
 	};
 
-	const describeRefusal = (plan: Exclude<AttemptPlan, PlannedAttempt>): ForwardFailure => {
+	/** Plans an attempt at a server of a version under test. Only the first attempt of a call goes there, so that its failure can be made good elsewhere. */
+	const planTest = (decision: QuarantineDecision): PlannedAttempt | undefined => {
+		const isFirst = progress.tried.size === 0 && progress.full.size === 0 && progress.refusals === 0;
+		const choice = isFirst && decision.type === 'free' ? context.rollouts.chooseTestedServers(service, route.name) : undefined;
+		const plan = choice === undefined ? undefined : planAmong(decision, choice.matches);
+		return plan?.type === 'send' ? {...plan, isCounted: true, isTest: true} : undefined;
+	};
+
+	const planNext = (decision: QuarantineDecision): PlannedAttempt | Exclude<AttemptPlan, {readonly type: 'send'}> => {
+		const test = planTest(decision);
+		if (test !== undefined) {
+			return test;
+		}
+
+		const choice = context.rollouts.chooseServers(service);
+		const plan = planAmong(decision, choice?.matches);
+		return plan.type === 'send' ? {...plan, isCounted: choice?.isCounted ?? false, isTest: false} : plan;
+	};
+
+	const describeRefusal = (plan: Exclude<AttemptPlan, {readonly type: 'send'}>): ForwardFailure => {
 		switch (plan.type) {
 			case 'no-server': {
 				const fallback = progress.getFallback();
@@ -107,9 +131,15 @@
 		}
 	};
 
-	const start = ({target, mayWaitMs}: PlannedAttempt): void => {
+	const start = ({target, mayWaitMs, isCounted, isTest: isTestPlanned}: PlannedAttempt): void => {
 		const answerMayWaitMs = hasLargeAnswers(route.type) ? computeMaxResponseWaitMs(computeCallState(call, readSteadyMs()), target) : undefined;
-		progress.recordStart(running.start({target, mayWaitMs, answerMayWaitMs}));
+		progress.recordStart(running.start({
+			target, mayWaitMs, answerMayWaitMs, isCounted,
+		}));
+		isTest = isTestPlanned;
+		if (isTest) {
+			context.rollouts.recordExposure(service, route.name);
+		}
 	};
 
 	const finishIfIdle = (failure: ForwardFailure): CallOutcome | undefined => {
@@ -156,6 +186,10 @@
 
 	const handleEnd = (attempt: Attempt, result: ForwardResult): CallOutcome | undefined => {
 		const record = progress.recordEnd(attempt, result);
+		if (isTest && !hasArrived(result)) {
+			context.rollouts.releaseExposure(service, route.name);
+		}
+
 		if (result.type === 'answered' && (result.status < 500 || !isRetryable)) {
 			return progress.finish(result, running.cancelAll());
 		}
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -48,6 +48,8 @@
 	readonly quarantine: Pick<Quarantine, 'check' | 'waitForTrial' | 'admitRun' | 'recordCrash' | 'recordResponse'>;
 	/** Whether the server or its node is leaving, so that the end of the server is not a crash. */
 	readonly isLeaving: () => boolean;
+	/** Called with each request that the server executed, and the time it took in milliseconds. */
+	readonly handleOutcome: (call: SessionCall, hasFailed: boolean, tookMs: number) => void;
 	/** Called when another server responded at the address (status 421). */
 	readonly handleMisdirected: (lifetime: ServerLifetime) => void;
 };
@@ -274,6 +276,21 @@
 		return id === call.id || (id === undefined && isRefusal);
 	};
 
+	/** Reports how a request ended at the server, unless the server refused it or the caller left. */
+	const reportOutcome = (call: SessionCall, result: ExchangeResponse | ExchangeFailure, tookMs: number): void => {
+		if (result.type === 'failed') {
+			if (result.isSent && result.reason !== 'cancelled' && result.reason !== 'superseded') {
+				context.handleOutcome(call, true, tookMs);
+			}
+
+			return;
+		}
+
+		if (result.status !== 421 && result.headers[headerNames.notRun] === undefined) {
+			context.handleOutcome(call, result.status >= 500, tookMs);
+		}
+	};
+
 	const send = async (call: SessionCall, body: Uint8Array | undefined): Promise<ForwardResult> => {
 		const fingerprint = createCallFingerprint(call, body);
 		const settled = context.quarantine.waitForTrial(fingerprint);
@@ -303,6 +320,7 @@
 		}
 
 		const finishRequest = halfOpenDetector.recordRequest(now);
+		const sentAt = readAwakeMs();
 		const result = await runExchange({
 			pool, id: call.id, method: call.method, target: call.target, body, scope: call.scope,
 			headers: {
@@ -318,6 +336,7 @@
 		});
 		finishRequest();
 		admission.end();
+		reportOutcome(call, result, readAwakeMs() - sentAt);
 		if (result.type === 'failed' && result.isSent && result.reason !== 'connection-lost' && result.reason !== 'wrong-answer') {
 			addAbandonedCall(call, fingerprint);
 		}
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -14,6 +14,7 @@
 import {createMeshRetryBudget} from '../decisions/mesh-retry-budget.js';
 import {createSampleRoute} from '../route-config/sample-config.js';
 import {createSilentQuarantine, createSampleFingerprint} from '../quarantine/sample-quarantine.js';
+import {noRollouts} from '../rollout/no-rollouts.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
 import {
@@ -82,7 +83,7 @@
 	return {
 		sent,
 		send: async () => sendCall({
-			self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog, quarantine: createSilentQuarantine(),
+			self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog, quarantine: createSilentQuarantine(), rollouts: noRollouts,
 			localGate: {} as unknown as LocalGate,
 			retryBudget: createMeshRetryBudget(() => ({ratio: 0, slack, windowMs: 10_000}), () => 1),
 			random: () => 0,
--- a/src/lib/forwarding/suspended-gate.test.ts
+++ b/src/lib/forwarding/suspended-gate.test.ts
@@ -10,6 +10,7 @@
 import {readSteadyMs} from '../common/clock.js';
 import {toAddress, toBackendServerId} from '../common/ids.js';
 import {createSilentQuarantine} from '../quarantine/sample-quarantine.js';
+import {noRollouts} from '../rollout/no-rollouts.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
 import {createLocalGate} from './local-gate.js';
@@ -33,7 +34,7 @@
 		headerNames: {
 			callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run',
 		},
-		log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0,
+		log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, findRouteName: () => undefined,
 	});
 	const scope = createCallScope(readSteadyMs() + 30_000);
 	context.after(() => {
@@ -43,14 +44,14 @@
 		server.closeAllConnections();
 	});
 	gate.announce({
-		lifetime: {id, startedAt: 1000}, service: 'logview', address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`),
+		lifetime: {id, startedAt: 1000}, service: 'logview', version: 'v1', address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`),
 		slots: 1, isDraining: false, coldMs: 0, sequence: 1,
 	});
 	const before = gate.describe()?.serviceMs ?? 0;
 	const startedAt = performance.now();
 	const sent = gate.run({
 		id: 'first', server: id, method: 'GET', target: '/logs/1', headers: {host: 'mesh.example'}, readBody: async () => undefined,
-		callerService: 'hall', rank: 1, mayWaitMs: 20_000, hasBody: false, isLargeUpload: false, scope,
+		callerService: 'hall', rank: 1, mayWaitMs: 20_000, isCounted: false, hasBody: false, isLargeUpload: false, scope,
 	});
 	await expectSoon('the request arrives', () => open.length === 1);
 	suspendedMs = 2500;
--- a/src/lib/forwarding/two-attempts.test.ts
+++ b/src/lib/forwarding/two-attempts.test.ts
@@ -10,6 +10,7 @@
 import {createMeshRetryBudget} from '../decisions/mesh-retry-budget.js';
 import {createSampleRoute} from '../route-config/sample-config.js';
 import {createSilentQuarantine, createSampleFingerprint} from '../quarantine/sample-quarantine.js';
+import {noRollouts} from '../rollout/no-rollouts.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createCallScope} from './call-scope.js';
 import {
@@ -49,7 +50,7 @@
 		},
 		send: async () => sendCall({
 			self: toNodeId('n1'), callerService: 'caller', domain, loads, log: silentLog, localGate: {} as unknown as LocalGate,
-			quarantine: createSilentQuarantine(),
+			quarantine: createSilentQuarantine(), rollouts: noRollouts,
 			listCandidates: () => ['a', 'b', 'c', 'd'].map((id): Candidate => ({
 				id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
 			})),
--- a/src/lib/local-server/local-server-updates.test.ts
+++ b/src/lib/local-server/local-server-updates.test.ts
@@ -10,7 +10,7 @@
 
 function createAnnouncement({id, startedAt, ...changes}: Partial<Omit<ServerAnnouncement, 'lifetime'>> & {readonly id?: string; readonly startedAt?: number} = {}): ServerAnnouncement {
 	return {
-		service: 'logview', address: toAddress('10.0.0.1:80'), slots: 12, isDraining: false, coldMs: 0, sequence: 1, ...changes, lifetime: createLifetime(id, startedAt),
+		service: 'logview', version: 'v1', address: toAddress('10.0.0.1:80'), slots: 12, isDraining: false, coldMs: 0, sequence: 1, ...changes, lifetime: createLifetime(id, startedAt),
 	};
 }
 
--- a/src/lib/local-server/local-server.ts
+++ b/src/lib/local-server/local-server.ts
@@ -11,6 +11,8 @@
 export type ServerAnnouncement = {
 	readonly lifetime: ServerLifetime;
 	readonly service: string;
+	/** Version of the software that the server runs. */
+	readonly version: string;
 	readonly address: Address;
 	readonly slots: number;
 	readonly isDraining: boolean;
--- a/src/lib/local-server/start-time-check.test.ts
+++ b/src/lib/local-server/start-time-check.test.ts
@@ -8,7 +8,7 @@
 const createLifetime = (startedAt: number): ServerLifetime => ({id: toBackendServerId('i-1'), startedAt});
 
 const createAnnouncement = (startedAt: number): ServerAnnouncement => ({
-	lifetime: createLifetime(startedAt), service: 'hall', address: toAddress('10.0.0.1:80'), slots: 4, isDraining: false, coldMs: 0, sequence: 1,
+	lifetime: createLifetime(startedAt), service: 'hall', version: 'v1', address: toAddress('10.0.0.1:80'), slots: 4, isDraining: false, coldMs: 0, sequence: 1,
 });
 
 const known = createAnnouncement(1000);
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -60,6 +60,8 @@
 	readonly announceToDomain: () => void;
 	/** Sends a report immediately to all nodes, for changes that must not wait for the next heartbeat. */
 	readonly announceToAll: () => void;
+	/** Sends a report immediately to some nodes. */
+	readonly announceTo: (peers: Iterable<Peer>) => void;
 	/** Requests a report from a node, because requests wait for it. */
 	readonly probe: (node: NodeId) => void;
 	/** Returns the number of silent nodes. A node counts from the turn of the rotation that finds it silent until it is heard or forgotten. */
@@ -378,6 +380,7 @@
 		announceToAll() {
 			sendToPeers(table.list());
 		},
+		announceTo: sendToPeers,
 		probe(node) {
 			const peer = table.get(node);
 			if (peer !== undefined) {
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -15,6 +15,8 @@
 } from '../common/read-input.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type StoreEra} from '../store/store-position.js';
+import {decodeTally, encodeTally, type OutcomeTally} from '../rollout/outcome-tally.js';
+import {decodeRecord, encodeRecord, type RolloutRecord} from '../rollout/rollout-record.js';
 import {decodeSuspect, encodeSuspect, type SuspectRecord} from '../quarantine/suspect-record.js';
 
 /** Whether a backend server takes requests. @internal */
@@ -34,6 +36,10 @@
 	readonly serviceMs: number;
 	/** Share of its latest requests that failed, 0 to 1. */
 	readonly failureShare: number;
+	/** Version of the software that the server runs; empty if its node did not report one. */
+	readonly version: string;
+	/** Outcomes of its requests during a rollout of its service; `undefined` otherwise. */
+	readonly tally?: OutcomeTally | undefined;
 };
 
 /** The content of one heartbeat. @internal */
@@ -59,6 +65,8 @@
 	readonly isProbe: boolean;
 	/** Requests that were running when servers crashed; a bounded number of the ones that the node knows. */
 	readonly suspects: readonly SuspectRecord[];
+	/** Rollouts that the node knows; `undefined` if it does not know whether there are any. */
+	readonly rollouts?: readonly RolloutRecord[] | undefined;
 };
 
 /** What a node can do, and does, for the other nodes of its failure domain. @internal */
@@ -98,6 +106,8 @@
 		Math.round(server.serviceMs),
 		Math.round(server.failureShare * unitsPerShare),
 		server.lifetime.startedAt,
+		server.version,
+		server.tally === undefined ? 0 : encodeTally(server.tally),
 	];
 }
 
@@ -130,6 +140,7 @@
 		[report.periods.ownDomainMs, report.periods.otherDomainMs],
 		report.isProbe ? 1 : 0,
 		report.suspects.map(suspect => encodeSuspect(suspect)),
+		report.rollouts === undefined ? 0 : report.rollouts.map(rollout => encodeRecord(rollout)),
 	]);
 }
 
@@ -145,16 +156,17 @@
 		return undefined;
 	}
 
-	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt] = value as unknown[];
+	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0] = value as unknown[];
 	const numbers = [slots, coldMs, running, waiting, serviceMs, failures];
 	const state = states[stateNumber as number];
-	if (!isText(id) || id === '' || !isText(service) || state === undefined || !numbers.every(number => isCount(number)) || !isTime(startedAt)) {
+	if (!isText(id) || id === '' || !isText(service) || state === undefined || !isText(version) || !numbers.every(number => isCount(number)) || !isTime(startedAt)) {
 		return undefined;
 	}
 
 	return {
 		lifetime: {id: toBackendServerId(id), startedAt}, service, slots: slots as number, state, coldMs: coldMs as number,
 		running: running as number, waiting: waiting as number, serviceMs: serviceMs as number, failureShare: (failures as number) / unitsPerShare,
+		version, ...tally === 0 ? {} : {tally: decodeTally(tally, 'server.tally')},
 	};
 }
 
@@ -199,8 +211,13 @@
 	return value === undefined ? [] : readList(value, 'suspects').map((suspect, index) => decodeSuspect(suspect, `suspects.${index}`));
 }
 
+/** Reads the rollouts of a report. A node that does not know whether there are any sends 0, and a node of an earlier release nothing. */
+function readRollouts(value: unknown): Pick<PeerReport, 'rollouts'> {
+	return value === undefined || value === 0 ? {} : {rollouts: readList(value, 'rollouts').map((rollout, index) => decodeRecord(rollout, `rollouts.${index}`))};
+}
+
 function readReport(value: unknown): PeerReport {
-	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, duties, periods, isProbe, suspects] = readList(value, 'report');
+	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, duties, periods, isProbe, suspects, rollouts] = readList(value, 'report');
 	return {
 		node: toNodeId(readName(node, 'node')),
 		run: readName(run, 'run'),
@@ -215,6 +232,7 @@
 		periods: readPeriods(periods),
 		isProbe: readFlag(isProbe, 'isProbe'),
 		suspects: readSuspects(suspects),
+		...readRollouts(rollouts),
 	};
 }
 
--- a/src/lib/peers/sample-report.ts
+++ b/src/lib/peers/sample-report.ts
@@ -20,7 +20,7 @@
 		node: toNodeId('n2'), run: 'r1', sequence: 1, domain: toFailureDomain('a'), gate: toAddress('10.0.0.2:1'), gossip: toAddress('10.0.0.2:2'), version: 3, isLeaving: false,
 		server: {
 			lifetime: {id: toBackendServerId('i-1'), startedAt: 1_764_723_600_123}, service: 'logview',
-			slots: 12, state: 'ready', coldMs: 0, running: 3, waiting: 1, serviceMs: 80, failureShare: 0.125,
+			slots: 12, state: 'ready', coldMs: 0, running: 3, waiting: 1, serviceMs: 80, failureShare: 0.125, version: 'v1',
 		},
 		duties: {
 			linkMbps: 1000, isFollowing: true, storeSeenMs: 300, storeEra: 1,
--- /dev/null
+++ b/src/lib/rollout/decide-stage.ts
@@ -0,0 +1,111 @@
+/**
+ * Decides when a rollout enters its next stage. A pure function: nodes, tests and
+ * the model run the same code.
+ *
+ * @module
+ */
+import {type RolloutRecord, type RolloutStage} from './rollout-record.js';
+import {type VersionVerdict} from './version-judge.js';
+
+/** What a node knows of a rollout. @internal */
+export type RolloutView = {
+	readonly record: RolloutRecord;
+	readonly verdict: VersionVerdict;
+	/** Slots of the servers of the target version that are ready and no longer slow after their start. */
+	readonly targetSlots: number;
+	/** Requests in work or waiting at all servers of the service. */
+	readonly demand: number;
+	/** Servers of other versions that may still have requests in work or accept new ones. */
+	readonly busyOthers: number;
+	/** How many of these have not been heard lately, such as those behind a network partition. */
+	readonly silentOthers: number;
+};
+
+/** @internal */
+export type StageDecision =
+	| {readonly type: 'stay'}
+	| {
+		readonly type: 'change';
+		readonly stage: RolloutStage;
+		readonly reason: string;
+		/** Whether the change applies only once the store has it. */
+		readonly needsStore: boolean;
+	};
+
+/** The first servers are observed for at least this share of the ordered duration, since a version may become bad after some time. */
+const soakShare = 0.4;
+
+/** Share of the ordered duration after which the load test ends even if the servers did not get enough requests. */
+const loadTestEndShare = 0.7;
+
+/** Share of the ordered duration after which a few outcomes per route are enough, if nearly all are good: a service that gets few requests never has more. */
+const fewOutcomesShare = 0.55;
+
+/** Slots of the target version needed to promote it, as a factor of the requests in work. With less reserve, many requests would wait. */
+const neededSlotFactor = 1.15;
+
+/** Share of the ordered duration after which silent servers of other versions are no longer waited for. */
+const silentWaitShare = 0.85;
+
+const stay: StageDecision = {type: 'stay'};
+
+function change(stage: RolloutStage, reason: string, needsStore = false): StageDecision {
+	return {
+		type: 'change', stage, reason, needsStore,
+	};
+}
+
+function decideCanary({record: {ageMs, durationMs}, verdict, targetSlots, demand}: RolloutView): StageDecision {
+	const isObserved = ageMs >= durationMs * soakShare && targetSlots >= demand * neededSlotFactor;
+	if (verdict.type !== 'good' || !isObserved || !(verdict.isCertain || ageMs >= durationMs * fewOutcomesShare)) {
+		return stay;
+	}
+
+	return change('loading', verdict.reason);
+}
+
+function decideLoading({record: {ageMs, durationMs}, verdict}: RolloutView): StageDecision {
+	if (verdict.type !== 'good') {
+		return stay;
+	}
+
+	return verdict.isProvenAtFullLoad || ageMs >= durationMs * loadTestEndShare
+		? change('promoting', `${verdict.isProvenAtFullLoad ? 'proven' : 'not proven'} at full load; ${verdict.reason}`)
+		: stay;
+}
+
+function decidePromoting({record: {ageMs, durationMs}, busyOthers, silentOthers}: RolloutView): StageDecision {
+	const waitedFor = ageMs >= durationMs * silentWaitShare ? busyOthers - silentOthers : busyOthers;
+	return waitedFor <= 0 ? change('completed', `no other server has requests; ${silentOthers} not heard`, true) : stay;
+}
+
+/**
+ * Decides the next stage of a rollout.
+ *
+ * A version that is not proven by the end of the ordered duration is rolled back. Until the others stop accepting requests, any node
+ * may roll back by itself. From then on the store decides between a roll-back and the completion, which ends the other servers.
+ *
+ * @param view - What this node knows.
+ * @returns The next stage and the reason, or that the rollout stays in its stage.
+ * @internal
+ */
+export function decideStage(view: RolloutView): StageDecision {
+	const {record: {stage, ageMs, durationMs}, verdict, targetSlots, demand} = view;
+	if (stage === 'completed' || stage === 'rolled-back') {
+		return stay;
+	}
+
+	if (verdict.type === 'bad') {
+		return change('rolled-back', verdict.reason, stage === 'promoting');
+	}
+
+	if (stage === 'promoting') {
+		return decidePromoting(view);
+	}
+
+	if (ageMs >= durationMs) {
+		return change('rolled-back', `not proven within ${durationMs} ms, with ${targetSlots} slots for ${Math.round(demand)} requests; ${verdict.reason}`);
+	}
+
+	return stage === 'canary' ? decideCanary(view) : decideLoading(view);
+}
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -15,12 +15,15 @@
 import {isHeard, type PeerLimits} from '../peers/peer-table.js';
 import {createConfigHolder, type ConfigHolder, type ActiveConfig} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
-import {type MeshStore} from '../store/mesh-store.js';
-import {noEra, type StoreEra} from '../store/store-position.js';
+import {type RolloutOrder, type RolloutRecord} from '../rollout/rollout-record.js';
+import {type StoreOutcome} from '../rollout/rollouts.js';
+import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
+import {noEra, type StoreEra, type StorePosition} from '../store/store-position.js';
 import {createCrashEntries, crashPrefix, type CrashEntries} from '../sync/crash-entries.js';
 import {createConfigFollower} from '../sync/config-follower.js';
 import {createRegistration} from '../sync/registration.js';
 import {isRelay, type DomainNode} from '../sync/relay-duty.js';
+import {createRolloutEntries, rolloutPrefix, type RolloutEntriesContext} from '../sync/rollout-entries.js';
 import {createStoreHealth} from '../sync/store-health.js';
 import {
 	createSuspectEntries, suspectPrefix, type SuspectEntries, type SuspectEntriesContext,
@@ -51,10 +54,19 @@
 	readonly random: () => number;
 	/** Lists the quarantined requests to store, and handles those found in the store. */
 	readonly suspects: Pick<SuspectEntriesContext, 'listQuarantined' | 'handleRecords'>;
+	/** The rollouts of this node; `undefined` if the platform has none. */
+	readonly rollouts: RolloutSyncContext | undefined;
 	/** Called with each configuration that becomes active. */
 	readonly handleConfigApplied: (active: ActiveConfig) => void;
 };
 
+/** The parts of rollouts that need the store. @internal */
+export type RolloutSyncContext = Pick<RolloutEntriesContext, 'format' | 'listRecords' | 'handleRecords'> & {
+	/** Decodes an order without its position. */
+	readonly decodeOrder: (key: string, value: string) => Result<Omit<RolloutOrder, 'position'>, string>;
+	readonly handleOrders: (orders: readonly RolloutOrder[]) => void;
+};
+
 /** @internal */
 export type ConfigSync = {
 	readonly holder: Pick<ConfigHolder, 'get' | 'getVersion'>;
@@ -75,6 +87,8 @@
 	readonly storeSuspects: SuspectEntries['write'];
 	/** Publishes a crash to the other nodes through the store. */
 	readonly publishCrash: CrashEntries['publish'];
+	/** Stores the stage of a rollout. */
+	readonly storeRollout: (record: RolloutRecord) => Promise<StoreOutcome>;
 	readonly start: () => void;
 	/** Removes this node's entry from the store. */
 	readonly withdraw: () => Promise<void>;
@@ -93,6 +107,15 @@
 /** Delay before a loop that threw an unexpected exception runs again. */
 const faultRetryMs = 1000;
 
+function findCommonPrefix(left: string, right: string): string {
+	let length = 0;
+	while (length < left.length && left[length] === right[length]) {
+		length++;
+	}
+
+	return left.slice(0, length);
+}
+
 /**
  * @param context - The store, the other nodes and the callbacks.
  * @returns The synchronization, not started yet.
@@ -154,8 +177,27 @@
 		return isRelay(self, listLiveDomainNodes(now), link.table.countDomains());
 	};
 
+	/** Decodes the orders among items of the store. Invalid ones are refused and change nothing. */
+	const handleOrderItems = (items: readonly StoreItem[], {era}: StorePosition): void => {
+		const {rollouts} = context;
+		if (rollouts === undefined) {
+			return;
+		}
+
+		const orders = items.filter(({key}) => key.startsWith(rollouts.format.orderPrefix)).flatMap(({key, value, revision}) => rollouts.decodeOrder(key, value).match(
+			order => [{...order, position: {era, revision}}],
+			problem => {
+				context.refusals.record({
+					kind: 'entry-refused', cause: 'unreadable', place: key, reason: problem,
+				});
+				return [];
+			},
+		));
+		rollouts.handleOrders(orders);
+	};
+
 	const follower = createConfigFollower({
-		store, health, holder, key: context.configKey, decode: context.decodeConfig, log, random, shouldFollow: shouldFollowStore, handleRead(startedAt) {
+		store, health, holder, key: context.configKey, prefix: context.rollouts === undefined ? undefined : findCommonPrefix(context.configKey, context.rollouts.format.orderPrefix), handleOtherItems: handleOrderItems, decode: context.decodeConfig, log, random, shouldFollow: shouldFollowStore, handleRead(startedAt) {
 			newerConfigFetcher.recordStoreRead(startedAt);
 		},
 	});
@@ -165,12 +207,18 @@
 	const crashes = createCrashEntries({
 		store, log, refusals: context.refusals, handleRecords: context.suspects.handleRecords,
 	});
+	const rolloutEntries = context.rollouts === undefined
+		? undefined
+		: createRolloutEntries({
+			store, log, refusals: context.refusals, random, countPeers: () => link.table.size, ...context.rollouts,
+		});
 	const registration = createRegistration({
 		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.table.size, countSilent: link.countSilent,
 		isKnown: link.table.hasGossipAddress, refusals: context.refusals, handleAddresses: link.addSeedAddresses,
 		handleOtherItems(items) {
 			crashes.reconcile(items.filter(({key}) => key.startsWith(crashPrefix)));
 			suspects.reconcile(items.filter(({key}) => key.startsWith(suspectPrefix)));
+			rolloutEntries?.reconcile(items.filter(({key}) => key.startsWith(rolloutPrefix)));
 		},
 	});
 
@@ -184,6 +232,7 @@
 		log.record('warn', {kind: 'store-restored', era});
 		crashes.handleRestored();
 		suspects.handleRestored();
+		rolloutEntries?.handleRestored();
 		resyncWithStore();
 	});
 
@@ -298,6 +347,7 @@
 		resyncWithStore,
 		storeSuspects: suspects.write,
 		publishCrash: crashes.publish,
+		storeRollout: async record => rolloutEntries === undefined ? 'unavailable' : rolloutEntries.write(record),
 		start() {
 			void retryOnFault(follower.run);
 			void retryOnFault(registration.run);
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -40,6 +40,8 @@
 	readonly route: string;
 	/** Servers that the call was already sent to, which are excluded. */
 	readonly tried: ReadonlySet<LifetimeKey>;
+	/** Returns whether a server may receive the call, by its version. If omitted, all may. */
+	readonly matches?: ((server: ServerReport) => boolean) | undefined;
 	/** Set if the request may crash backend servers. All nodes then choose the same server, so that only one such request is in flight in the whole mesh. */
 	readonly trialOf?: Fingerprint | undefined;
 };
@@ -92,7 +94,7 @@
  * @internal
  */
 export function listCandidates(query: CandidateQuery, sources: CandidateSources, now: number): readonly Candidate[] {
-	const {service, route, tried, trialOf} = query;
+	const {service, route, tried, trialOf, matches = () => true} = query;
 	const {own, peers, limits, loads, random} = sources;
 
 	/** Returns whether a server is excluded. A server that refused a trial remains in the list from which the trial server is chosen: choosing among the others would run the trial at several servers at the same time. */
@@ -101,7 +103,7 @@
 	const describeIfUsable = (peer: Peer): Candidate | undefined => {
 		const {server} = peer.report;
 		// The list of a service may contain a node whose server has changed since the list was built.
-		return server?.service === service && server.state === 'ready' && !isExcluded(toLifetimeKey(server.lifetime)) && isReachable(peer, limits, now)
+		return server?.service === service && server.state === 'ready' && matches(server) && !isExcluded(toLifetimeKey(server.lifetime)) && isReachable(peer, limits, now)
 			? describePeer({report: peer.report, server}, route, loads)
 			: undefined;
 	};
@@ -125,7 +127,7 @@
 		return found;
 	};
 
-	const localCandidates = own.server?.service === service && own.server.state === 'ready' && !isExcluded(toLifetimeKey(own.server.lifetime)) ? [describeLocal(sources, own.server, route, now)] : [];
+	const localCandidates = own.server?.service === service && own.server.state === 'ready' && matches(own.server) && !isExcluded(toLifetimeKey(own.server.lifetime)) ? [describeLocal(sources, own.server, route, now)] : [];
 	const listAll = (): readonly Candidate[] => [...localCandidates, ...[...peers.ownDomain, ...peers.otherDomains].flatMap(peer => describeIfUsable(peer) ?? [])];
 	if (trialOf !== undefined) {
 		return chooseTrialServer(trialOf, listAll()).filter(({lifetime}) => !tried.has(lifetime));
--- a/src/lib/sidecar/sidecar-settings.ts
+++ b/src/lib/sidecar/sidecar-settings.ts
@@ -41,6 +41,11 @@
 		readonly slack: number;
 		readonly windowMs: number;
 	};
+	/** Limits of rollouts; `undefined` if the platform has none. */
+	readonly rollouts?: {
+		/** Share of the requests of a service that a version under test may get, over all nodes. */
+		readonly maxExposure: number;
+	} | undefined;
 	/** Time from SIGTERM until the process must have exited. */
 	readonly shutdownMs: number;
 };
@@ -102,6 +107,20 @@
 	return value.map(seed => toAddress(seed as string));
 }
 
+function readRollouts(settings: Json): SidecarSettings['rollouts'] {
+	if (settings.rollouts === undefined) {
+		return undefined;
+	}
+
+	const rollouts = readObject(settings, 'rollouts');
+	const maxExposure = readNonNegativeNumber(rollouts, 'maxExposure', 'rollouts.');
+	if (maxExposure > 1) {
+		throw new SettingError(`rollouts.maxExposure: found ${maxExposure}, must be a share of 0 to 1`);
+	}
+
+	return {maxExposure};
+}
+
 function readSettings(settings: Json): SidecarSettings {
 	const listen = readObject(settings, 'listen');
 	const retries = readObject(settings, 'retries');
@@ -125,6 +144,7 @@
 			slack: readNonNegativeNumber(retries, 'slack', 'retries.'),
 			windowMs: readDuration(retries, 'window', 'retries.'),
 		},
+		rollouts: readRollouts(settings),
 		shutdownMs: readDuration(settings, 'shutdown', ''),
 	};
 }
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -7,7 +7,7 @@
 import {type Result} from 'neverthrow';
 import {updateClockOffsets, readSteadyMs, watchResume} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
-import {toLifetimeKey} from '../common/server-lifetime.js';
+import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createRequestStartLimiter} from '../common/request-start-limiter.js';
@@ -23,7 +23,12 @@
 import {createQuarantine} from '../quarantine/quarantine.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
-import {type PeerLimits, type PeerChange} from '../peers/peer-table.js';
+import {
+	isHeard, isReachable, type PeerLimits, type PeerChange,
+} from '../peers/peer-table.js';
+import {createRollouts, type KnownServer} from '../rollout/rollouts.js';
+import {type RolloutFormat} from '../sync/rollout-entries.js';
+import {findRoute} from '../route-config/route-index.js';
 import {type ActiveConfig} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
 import {createWeightedRoundRobin} from '../route-config/weighted-round-robin.js';
@@ -33,7 +38,7 @@
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {createRefusalLog} from '../timeline/refusal-log.js';
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
-import {createConfigSync} from './config-sync.js';
+import {createConfigSync, type RolloutSyncContext} from './config-sync.js';
 import {createHousekeeping} from './housekeeping.js';
 import {listCandidates, type CandidateQuery} from './list-candidates.js';
 import {createMeshMetrics} from './mesh-metrics.js';
@@ -51,6 +56,10 @@
 	/** Key of the configuration in the store. */
 	readonly configKey: string;
 	readonly decodeConfig: (text: string) => Result<RouteConfig, string>;
+	/** The platform's keys and formats of rollouts. */
+	readonly rolloutFormat: RolloutFormat;
+	/** Decodes an operator's order of a rollout, without its position. */
+	readonly decodeOrder: RolloutSyncContext['decodeOrder'];
 	/** Decodes a message of the backend server; yields `undefined` if there is no such method and path. */
 	readonly decodeServerMessage: AnnouncementContext['decode'];
 	readonly headerNames: CallHeaderNames;
@@ -152,11 +161,47 @@
 		},
 	});
 
+	const listPeerServers = (service: string): readonly KnownServer[] => {
+		const now = readSteadyMs();
+		const {ownDomain, otherDomains} = link.table.listService(service);
+		return [...ownDomain, ...otherDomains].flatMap(peer => peer.report.server === undefined
+			? []
+			: [{
+				server: peer.report.server, isHeard: isHeard(peer, peerLimits, now), isReachable: isReachable(peer, peerLimits, now),
+			}]);
+	};
+
+	const rollouts = createRollouts({
+		maxExposure: settings.rollouts?.maxExposure,
+		log,
+		random,
+		getOwnServer: () => gate.describe(),
+		listPeerServers,
+		handleUrgentChange() {
+			link.announceToAll();
+		},
+		storeRecord: async record => sync.storeRollout(record),
+	});
+
+	/** Sends the outcomes at the server of this node to the nodes that judge its version. */
+	const announceOutcomes = (tested: ReadonlySet<LifetimeKey>): void => {
+		const service = gate.describe()?.service;
+		if (tested.size > 0 && service !== undefined) {
+			const {ownDomain, otherDomains} = link.table.listService(service);
+			link.announceTo([...ownDomain, ...otherDomains].filter(({report}) => report.server !== undefined && tested.has(toLifetimeKey(report.server.lifetime))));
+		}
+	};
+
 	const linkWriter = createLinkWriter(settings.linkMbps);
 	const gate = createLocalGate({
 		headerNames,
 		log,
 		quarantine,
+		rollouts,
+		findRouteName(host, target) {
+			const active = sync.holder.get();
+			return active === undefined ? undefined : findRoute(active.index, host, target)?.name;
+		},
 		handleChange() {
 			link.announce();
 		},
@@ -168,7 +213,7 @@
 
 	const describeSelf = (sequence: number): Omit<PeerReport, 'periods' | 'isProbe'> => ({
 		node: self, run, sequence, domain, gate: settings.listen.gate, gossip: settings.listen.gossip, version: sync.holder.getVersion(), isLeaving: isGateLeaving, server: gate.describe(),
-		duties: sync.describeDuties(), suspects: quarantine.listBatch(),
+		duties: sync.describeDuties(), suspects: quarantine.listBatch(), rollouts: rollouts.listRecords(),
 	});
 
 	const handleReport = (report: PeerReport, change: PeerChange): void => {
@@ -181,6 +226,7 @@
 		}
 
 		quarantine.merge(report.suspects, report.node);
+		rollouts.merge(report.rollouts, report.node);
 		sync.handleReport(report);
 	};
 
@@ -195,6 +241,7 @@
 			updateClockOffsets();
 			livenessMonitor.handleRound(lateMs);
 			housekeeping.handleRound();
+			announceOutcomes(rollouts.handleRound());
 		},
 	});
 
@@ -208,6 +255,17 @@
 				quarantine.merge(records, 'store');
 			},
 		},
+		rollouts: settings.rollouts === undefined
+			? undefined
+			: {
+				format: dependencies.rolloutFormat,
+				decodeOrder: dependencies.decodeOrder,
+				listRecords: () => rollouts.listRecords() ?? [],
+				handleOrders: rollouts.handleOrders,
+				handleRecords(records) {
+					rollouts.merge(records, 'store');
+				},
+			},
 	});
 
 	/** Replaces the connections to a node: a network failure may have left them half-open, and requests sent on them would hang. */
@@ -243,6 +301,7 @@
 		listCandidates: listServers,
 		localGate: gate,
 		quarantine,
+		rollouts,
 		gateClient,
 		loads,
 		retryBudget: createMeshRetryBudget(() => settings.retries, countRetryBudgetNodes),
--- a/src/lib/store/mesh-store.ts
+++ b/src/lib/store/mesh-store.ts
@@ -32,6 +32,13 @@
 	/** The store has compacted this part of its history, or was restored from a backup: the caller must read again. */
 	| {readonly type: 'history-gone'};
 
+/** Writes that take effect together, if all keys have the expected revisions. @public */
+export type StoreCommit = {
+	/** Revision of the last write of each key; 0 for a key that must not exist. */
+	readonly expected: ReadonlyArray<{readonly key: string; readonly revision: number}>;
+	readonly writes: ReadonlyArray<{readonly key: string; readonly value: string}>;
+};
+
 /** @public */
 export type MeshStore = {
 	/** Reads one key; returns no item if it does not exist. Stale reads cost the store less. */
@@ -44,6 +51,8 @@
 	readonly putItem: (key: string, value: string, lease: StoreLease) => Promise<Result<StorePosition, StoreError>>;
 	/** Removes a key if its last write was at `writtenAt`; otherwise does nothing. */
 	readonly removeItem: (key: string, writtenAt: StorePosition) => Promise<Result<void, StoreError>>;
+	/** Writes keys without a lease if all expectations hold; otherwise fails with `conflict` and writes nothing. */
+	readonly commit: (commit: StoreCommit) => Promise<Result<StorePosition, StoreError>>;
 	readonly grantLease: (ttlMs: number) => Promise<Result<StoreLease, StoreError>>;
 	/** Renews a lease. Returns false if it has expired or is from an earlier era. */
 	readonly renewLease: (lease: StoreLease) => Promise<Result<boolean, StoreReadError>>;
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -21,6 +21,10 @@
 	readonly holder: ConfigHolder;
 	/** Key of the configuration in the store. */
 	readonly key: string;
+	/** Prefix of all keys to follow, among them that of the configuration; `undefined` to follow only the configuration. */
+	readonly prefix: string | undefined;
+	/** Called with the other items under the prefix, from the store at a position. */
+	readonly handleOtherItems: (items: readonly StoreItem[], position: StorePosition) => void;
 	readonly decode: (text: string) => Result<RouteConfig, string>;
 	readonly log: MeshLog;
 	readonly random: () => number;
@@ -82,7 +86,7 @@
  * @internal
  */
 export function createConfigFollower(context: ConfigFollowerContext): ConfigFollower {
-	const {store, health, holder, key, decode, log, random, shouldFollow, handleRead} = context;
+	const {store, health, holder, key, prefix, handleOtherItems, decode, log, random, shouldFollow, handleRead} = context;
 	const disposed = new AbortController();
 	let watchAbort = new AbortController();
 	/** Position up to which changes are known; `undefined` if the configuration must be read again. */
@@ -141,7 +145,12 @@
 		});
 	};
 
-	const applyItems = (items: readonly StoreItem[]): void => {
+	/** Applies the configuration among items. The other items go first, since a configuration makes this node ready for requests. */
+	const applyItems = (items: readonly StoreItem[], at: StorePosition): void => {
+		if (prefix !== undefined) {
+			handleOtherItems(items.filter(item => item.key !== key), at);
+		}
+
 		for (const item of items) {
 			if (item.key === key) {
 				applyText(item.value, 'store');
@@ -157,18 +166,18 @@
 
 	const readConfig = async (): Promise<void> => {
 		const startedAt = readSteadyMs();
-		const read = await store.readItem(key, {mayBeStale: false});
+		const read = await (prefix === undefined ? store.readItem(key, {mayBeStale: false}) : store.listItems(prefix, {mayBeStale: false}));
 		if (read.isErr()) {
 			await handleFailure('read the configuration', read.error.reason);
 			return;
 		}
 
 		({position} = read.value);
-		applyItems(read.value.items);
+		applyItems(read.value.items, read.value.position);
 		reportRead('read', startedAt);
 		health.recordSuccess();
 		// A store without a configuration does not disprove the newer versions that other nodes report.
-		if (read.value.items.length > 0) {
+		if (read.value.items.some(item => item.key === key)) {
 			handleRead(startedAt);
 		}
 	};
@@ -177,7 +186,7 @@
 		watchAbort = new AbortController();
 		const {signal} = watchAbort;
 		const startedAt = readSteadyMs();
-		const watched = await store.watchItems(key, after, Math.round(maxWatchMs * (minWatchFraction + ((1 - minWatchFraction) * random()))), signal);
+		const watched = await store.watchItems(prefix ?? key, after, Math.round(maxWatchMs * (minWatchFraction + ((1 - minWatchFraction) * random()))), signal);
 		if (signal.aborted) {
 			position = undefined;
 			return;
@@ -195,7 +204,7 @@
 
 		const {changes} = watched.value;
 		({position} = watched.value);
-		applyItems(changes.flatMap(change => change.type === 'written' ? [change.item] : []));
+		applyItems(changes.flatMap(change => change.type === 'written' ? [change.item] : []), watched.value.position);
 		health.recordSuccess();
 		if (changes.length > 0) {
 			reportRead('watch', startedAt);
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -82,7 +82,7 @@
 	| {readonly kind: 'peer-avoided'; readonly peer: string; readonly reason: string}
 	| {readonly kind: 'heartbeat-not-sent'; readonly address: string; readonly reason: string}
 	| {readonly kind: 'gossip-failed'; readonly reason: string}
-	| {readonly kind: 'server-announced'; readonly server: string; readonly startedAt: number; readonly service: string; readonly slots: number; readonly coldMs: number}
+	| {readonly kind: 'server-announced'; readonly server: string; readonly startedAt: number; readonly service: string; readonly version: string; readonly slots: number; readonly coldMs: number}
 	| {readonly kind: 'server-draining'; readonly server: string; readonly how: string}
 	| {readonly kind: 'server-silent'; readonly server: string; readonly heardMsAgo: number}
 	| {readonly kind: 'server-doubted'; readonly server: string; readonly reason: string}
@@ -93,6 +93,9 @@
 	| {readonly kind: 'request-repeated'; readonly fingerprint: string}
 	| {readonly kind: 'crash-not-stored'; readonly crash: string; readonly reason: string}
 	| {readonly kind: 'quarantine-not-stored'; readonly fingerprint: string; readonly reason: string}
+	/** A rollout was ordered, or entered its next stage. The reason contains the figures that decided it. */
+	| {readonly kind: 'rollout-stage'; readonly service: string; readonly targetVersion: string; readonly order: number; readonly stage: string; readonly reason: string; readonly ageMs: number; readonly from: string}
+	| {readonly kind: 'rollout-not-stored'; readonly service: string; readonly stage: string; readonly reason: string}
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
 	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
