--- a/src/lib/forwarding/config-messages.ts
+++ b/src/lib/forwarding/config-messages.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {getZlib} from '../common/lazy-modules.js';
+import {compressText, expandText} from '../common/compress-text.js';
 import {parseConfigSteps, type ConfigStep} from '../route-config/config-history.js';
 
 /** The configuration that a node gets from another node. @internal */
@@ -41,14 +41,6 @@
 /** Head and body of the frame of an answer. @internal */
 export type EncodedConfigAnswer = {readonly head: readonly [string]; readonly body: Uint8Array};
 
-/** Routes resemble each other, so even the fastest compression level makes a configuration about eight times smaller. */
-const compressionOptions = {level: 1} as const;
-
-/** Larger texts from another node are rejected while they are decompressed. The limit is several times the largest value of the users' store. */
-const maxInflatedBytes = 16_777_216;
-
-const compressText = (text: string): Uint8Array => getZlib().deflateRawSync(Buffer.from(text), compressionOptions);
-
 /**
  * Encodes an answer to a request for the configuration.
  *
@@ -73,7 +65,7 @@
 }
 
 function decodeBody(type: 'whole' | 'steps', body: Uint8Array): ConfigAnswer | undefined {
-	const text = getZlib().inflateRawSync(body, {maxOutputLength: maxInflatedBytes}).toString();
+	const text = expandText(body);
 	if (type === 'whole') {
 		return {type, text};
 	}
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -20,6 +20,7 @@
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
 import {noEra, type StoreEra, type StorePosition} from '../store/store-position.js';
 import {createCrashEntries, crashPrefix, type CrashEntries} from '../sync/crash-entries.js';
+import {createConfigCopy} from '../sync/config-copy.js';
 import {createConfigFollower} from '../sync/config-follower.js';
 import {createRegistration} from '../sync/registration.js';
 import {isRelay, type DomainNode} from '../sync/relay-duty.js';
@@ -196,8 +197,15 @@
 		rollouts.handleOrders(orders);
 	};
 
+	/** Returns whether this node watches the store and no other heard one that does has a lower name. One writer suffices. */
+	const isCopyWriter = (): boolean => follower.isFollowing() && [...link.table.list()].every(({report}) => !report.duties.isFollowing || report.isLeaving || report.node > self);
+
+	const copy = createConfigCopy({
+		store, refusals: context.refusals, linkMbps: context.linkMbps, isWriter: isCopyWriter,
+	});
+
 	const follower = createConfigFollower({
-		store, health, holder, key: context.configKey, prefix: context.rollouts === undefined ? undefined : findCommonPrefix(context.configKey, context.rollouts.format.orderPrefix), handleOtherItems: handleOrderItems, decode: context.decodeConfig, log, random, shouldFollow: shouldFollowStore, handleRead(startedAt) {
+		store, health, holder, key: context.configKey, prefix: context.rollouts === undefined ? undefined : findCommonPrefix(context.configKey, context.rollouts.format.orderPrefix), handleOtherItems: handleOrderItems, copy, otherPrefix: context.rollouts?.format.orderPrefix, decode: context.decodeConfig, log, random, shouldFollow: shouldFollowStore, handleRead(startedAt) {
 			newerConfigFetcher.recordStoreRead(startedAt);
 		},
 	});
@@ -357,6 +365,7 @@
 			disposed.abort();
 			registration.dispose();
 			follower.dispose();
+			copy.dispose();
 			store.dispose();
 		},
 	};
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -12,6 +12,7 @@
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
 import {type StorePosition} from '../store/store-position.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {type ConfigCopy} from './config-copy.js';
 import {type StoreHealth} from './store-health.js';
 
 /** @internal */
@@ -28,6 +29,10 @@
 	readonly decode: (text: string) => Result<RouteConfig, string>;
 	readonly log: MeshLog;
 	readonly random: () => number;
+	/** A copy of the configuration that a node behind a slow link reads at its start. */
+	readonly copy: Pick<ConfigCopy, 'read' | 'updateSoon'>;
+	/** Prefix of the other keys that must be known before the configuration is applied; `undefined` if there are none. */
+	readonly otherPrefix: string | undefined;
 	/** Returns whether this node should watch the store; the other nodes get changes from the nodes that do. */
 	readonly shouldFollow: () => boolean;
 	/** Called after a successful read of the configuration, with the time at which the read started, by `readSteadyMs`. */
@@ -86,7 +91,7 @@
  * @internal
  */
 export function createConfigFollower(context: ConfigFollowerContext): ConfigFollower {
-	const {store, health, holder, key, prefix, handleOtherItems, decode, log, random, shouldFollow, handleRead} = context;
+	const {store, health, holder, key, prefix, handleOtherItems, decode, log, random, copy, otherPrefix, shouldFollow, handleRead} = context;
 	const disposed = new AbortController();
 	let watchAbort = new AbortController();
 	/** Position up to which changes are known; `undefined` if the configuration must be read again. */
@@ -139,13 +144,20 @@
 	};
 
 	/** Logs how long a call took; for a watch, this is mostly the time until a change. */
-	const reportRead = (call: 'read' | 'watch', startedAt: number): void => {
+	const reportRead = (call: 'read' | 'watch' | 'copy', startedAt: number): void => {
 		log.record('info', {
 			kind: 'configuration-read', call, version: holder.getVersion(), tookMs: Math.round(readSteadyMs() - startedAt),
 		});
 	};
 
 	/** Applies the configuration among items. The other items go first, since a configuration makes this node ready for requests. */
+	const updateCopy = (): void => {
+		const active = holder.get();
+		if (active !== undefined && position !== undefined) {
+			copy.updateSoon({text: active.text, position});
+		}
+	};
+
 	const applyItems = (items: readonly StoreItem[], at: StorePosition): void => {
 		if (prefix !== undefined) {
 			handleOtherItems(items.filter(item => item.key !== key), at);
@@ -164,6 +176,43 @@
 		await waitFor(minRetryDelayMs * (1 + random()), disposed.signal);
 	};
 
+	/** Waits once, after the first configuration, until heartbeats have shown which other nodes watch the store. */
+	const delayStartup = async (): Promise<void> => {
+		if (!hasDelayedStartup && holder.get() !== undefined) {
+			hasDelayedStartup = true;
+			await waitFor(startupDelayMs, disposed.signal);
+		}
+	};
+
+	/** Reads the keys that must be known before the configuration is applied. Returns whether they are known. */
+	const readOtherItems = async (): Promise<boolean> => {
+		if (otherPrefix === undefined) {
+			return true;
+		}
+
+		const read = await store.listItems(otherPrefix, {mayBeStale: false});
+		if (read.isErr()) {
+			return false;
+		}
+
+		handleOtherItems(read.value.items, read.value.position);
+		return true;
+	};
+
+	/** Starts with the copy of the configuration, if there is one. */
+	const readCopy = async (): Promise<void> => {
+		const startedAt = readSteadyMs();
+		const copied = await copy.read();
+		if (copied === undefined || !(await readOtherItems())) {
+			return;
+		}
+
+		applyText(copied.text, 'copy');
+		({position} = copied);
+		reportRead('copy', startedAt);
+		await delayStartup();
+	};
+
 	const readConfig = async (): Promise<void> => {
 		const startedAt = readSteadyMs();
 		const read = await (prefix === undefined ? store.readItem(key, {mayBeStale: false}) : store.listItems(prefix, {mayBeStale: false}));
@@ -175,6 +224,7 @@
 		({position} = read.value);
 		applyItems(read.value.items, read.value.position);
 		reportRead('read', startedAt);
+		updateCopy();
 		health.recordSuccess();
 		// A store without a configuration does not disprove the newer versions that other nodes report.
 		if (read.value.items.some(item => item.key === key)) {
@@ -208,6 +258,7 @@
 		health.recordSuccess();
 		if (changes.length > 0) {
 			reportRead('watch', startedAt);
+			updateCopy();
 			await waitFor(minRewatchDelayMs + (rewatchJitterMs * random()), disposed.signal);
 		}
 	};
@@ -219,16 +270,13 @@
 		}
 	};
 
-	/** Waits once, after the first configuration, until heartbeats have shown which other nodes watch the store. */
-	const delayStartup = async (): Promise<void> => {
-		if (!hasDelayedStartup && holder.get() !== undefined) {
-			hasDelayedStartup = true;
-			await waitFor(startupDelayMs, disposed.signal);
-		}
-	};
-
 	return {
 		async run() {
+			if (holder.get() === undefined) {
+				setFollowing(shouldFollow());
+				await readCopy();
+			}
+
 			while (!disposed.signal.aborted) {
 				// Every node reads the configuration once at its start, since there may be no other node to get it from.
 				setFollowing(shouldFollow());
