--- a/bench/experiment/pattern.ts
+++ b/bench/experiment/pattern.ts
@@ -130,6 +130,43 @@
 	};
 }
 
+/** Few slots, objectives of about four service times, servers that differ in speed by three times, and hardly any worth for a late response: build logs, publications and bundles. */
+function createBuildPattern(name: string, load: number, disturbances: readonly Disturbance[]): Pattern {
+	const common = {...commonKindFields, lateWorth: 0.1};
+	return {
+		name, durationMs: 16_000, domains: 3, crossDomainOneWayMs: 1.4, callerOneWayMs: 1, forwardingMs: 3, disturbances,
+		services: [
+			{name: 'logs', slots: 6, speeds: fillSpeeds([0.5, 1, 1, 1.5], 10)},
+			{name: 'releases', slots: 6, speeds: fillSpeeds([0.7, 0.7, 1.6], 14)},
+			{name: 'bundles', slots: 6, speeds: fillSpeeds([0.7, 0.7, 1.6], 4)},
+		],
+		kinds: [
+			{
+				...common, name: 'log', service: 'logs', perSecond: 240 * load, workMs: 152, workSpread: 0.8, targetLatencyMs: 647, deadlineMs: 4316, timeoutMs: 2000,
+				calls: [{
+					kind: 'status', times: 1, share: 0.7, isConcurrent: true,
+				}],
+			},
+			{
+				...common, name: 'publish', service: 'releases', perSecond: 240 * load, workMs: 190, workSpread: 0.3, targetLatencyMs: 854, deadlineMs: 5339, timeoutMs: 2500,
+				priority: 1, worth: 2, lateWorth: 0.2, isRetryable: false, calls: [{
+					kind: 'look-up', times: 1, share: 0.7, isConcurrent: false,
+				}],
+			},
+			{
+				...common, name: 'upload', service: 'bundles', perSecond: 26 * load, workMs: 181, workSpread: 0.5, targetLatencyMs: 936, deadlineMs: 7017, timeoutMs: 3000,
+				priority: 1, worth: 2, lateWorth: 0.2, isRetryable: false,
+			},
+			{
+				...common, name: 'status', service: 'releases', perSecond: 0, workMs: 37, workSpread: 0.5, targetLatencyMs: 196, deadlineMs: 654, timeoutMs: 654, worth: 0, retries: 0,
+			},
+			{
+				...common, name: 'look-up', service: 'bundles', perSecond: 0, workMs: 37, workSpread: 0.5, targetLatencyMs: 196, deadlineMs: 654, timeoutMs: 654, worth: 0, retries: 0,
+			},
+		],
+	};
+}
+
 /** The patterns that `npm run experiment` can run. */
 export const patterns: readonly Pattern[] = [
 	createTieredPattern('calm', 0.7, []),
@@ -150,6 +187,14 @@
 	createTieredPattern('impatient callers', 1.1, [{
 		type: 'impatient', fromMs: 2000, toMs: 14_000, share: 0.3,
 	}]),
+	createBuildPattern('builds', 0.9, []),
+	createBuildPattern('builds, overload', 1.35, []),
+	createBuildPattern('builds, burst', 0.9, [{
+		type: 'burst', fromMs: 6000, toMs: 9000, factor: 1.7,
+	}]),
+	createBuildPattern('builds, servers gone', 0.9, [{
+		type: 'gone', fromMs: 4000, toMs: 10_000, service: 'releases', share: 0.4,
+	}]),
 	createLongWorkPattern(1),
 	{...createLongWorkPattern(1.3), name: 'long work, overload'},
 ];
--- a/bench/experiment/policy.ts
+++ b/bench/experiment/policy.ts
@@ -34,6 +34,11 @@
 /** Allows a wait for as long as an answer can still be in time, whatever the number of slots that become free until then. */
 const computeInTimeWait: ComputeMaxWaitMs = (call, server) => call.isNestedCall ? computeMaxWaitMs(call, server) : Math.max(0, call.targetLatencyMs - call.ageMs - (server.view.serviceMs * 1.25));
 
+/** Creates a rule that allows a wait for a number of slots to be released, as long as an answer can still be in time. */
+const createReleaseWait = (releases: number): ComputeMaxWaitMs => (call, server) => call.isNestedCall
+	? computeMaxWaitMs(call, server)
+	: Math.min(computeInTimeWait(call, server), server.view.serviceMs / Math.max(1, server.slots) * (releases + 1));
+
 /** Allows only nested calls to wait. */
 const waitOnlyIfNested: ComputeMaxWaitMs = (call, server) => call.isNestedCall ? computeMaxWaitMs(call, server) : 0;
 
@@ -54,6 +59,9 @@
 	{...standard, name: 'waits by share of the time left', computeMaxWaitMs: computeWaitByShare},
 	{...standard, name: 'late calls wait too', computeMaxWaitMs: computeLateWait},
 	{...standard, name: 'waits as long as in time', computeMaxWaitMs: computeInTimeWait},
+	{...standard, name: 'waits for four releases', computeMaxWaitMs: createReleaseWait(4)},
+	{...standard, name: 'waits for eight releases', computeMaxWaitMs: createReleaseWait(8)},
+	{...standard, name: 'waits for no release', computeMaxWaitMs: createReleaseWait(0)},
 	{...standard, name: 'nobody waits but calls', computeMaxWaitMs: waitOnlyIfNested},
 	{...standard, name: 'asked to wait at the first gate', immediateTries: 0},
 	{...standard, name: 'four gates asked at once', immediateTries: 4},
