--- a/src/lib/common/compress-text.ts
+++ b/src/lib/common/compress-text.ts
@@ -27,6 +27,6 @@
  * @throws Error when the bytes are malformed or the text is too long.
  * @internal
  */
-export function expandText(bytes: Uint8Array): string {
+export function decodeCompressedText(bytes: Uint8Array): string {
 	return getZlib().inflateRawSync(bytes, {maxOutputLength: maxExpandedBytes}).toString();
 }
--- a/src/lib/forwarding/config-messages.ts
+++ b/src/lib/forwarding/config-messages.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {compressText, expandText} from '../common/compress-text.js';
+import {compressText, decodeCompressedText} from '../common/compress-text.js';
 import {parseConfigSteps, type ConfigStep} from '../route-config/config-history.js';
 
 /** The configuration that a node gets from another node. @internal */
@@ -65,7 +65,7 @@
 }
 
 function decodeBody(type: 'whole' | 'steps', body: Uint8Array): ConfigAnswer | undefined {
-	const text = expandText(body);
+	const text = decodeCompressedText(body);
 	if (type === 'whole') {
 		return {type, text};
 	}
--- a/src/lib/sync/config-copy.ts
+++ b/src/lib/sync/config-copy.ts
@@ -9,7 +9,7 @@
  * @module
  */
 import {Buffer} from 'node:buffer';
-import {compressText, expandText} from '../common/compress-text.js';
+import {compressText, decodeCompressedText} from '../common/compress-text.js';
 import {waitFor} from '../common/clock.js';
 import {FieldError} from '../common/field-error.js';
 import {readCount, readList, readString} from '../common/read-input.js';
@@ -57,7 +57,7 @@
 
 function decodeCopy(value: string): CopiedConfig {
 	const [era, revision, compressed] = readList(JSON.parse(value), 'copy');
-	const text = expandText(Buffer.from(readString(compressed, 'copy.text'), 'base64'));
+	const text = decodeCompressedText(Buffer.from(readString(compressed, 'copy.text'), 'base64'));
 	if (text.length < minCopiedLength) {
 		throw new FieldError('copy.text', text.length, `a compressed text of at least ${minCopiedLength} characters`);
 	}
