--- a/apps/cli/main.ts
+++ b/apps/cli/main.ts
@@ -9,6 +9,7 @@
 import {hideBin} from 'yargs/helpers';
 import {runExplain} from './commands/explain.js';
 import {runExplainVersion} from './commands/explain-version.js';
+import {runRollout} from './commands/rollout.js';
 import {
 	runCall, runDrain, runGet, runRepublish, runServers, runStatus,
 } from './commands/inspect.js';
@@ -20,6 +21,10 @@
 
 const addFile = <T>(builder: Argv<T>): Argv<T & {file: string}> => builder.positional('file', {type: 'string', demandOption: true, describe: 'configuration document (YAML)'});
 
+const addLogFiles = <T>(builder: Argv<T>): Argv<T & {files: string[]}> => builder.positional('files', {
+	type: 'string', array: true, default: [] as string[], describe: 'logs of all nodes',
+});
+
 const addReplace = <T>(builder: Argv<T>): Argv<T & {replace: boolean}> => builder.option('replace', {type: 'boolean', default: false, describe: 'remove the items that the document does not contain'});
 
 const parser = yargs(hideBin(process.argv))
@@ -70,6 +75,16 @@
 		}), options => {
 		runExplainVersion({...options, version: options.number});
 	})
+	.command('rollout', 'explain rollouts of services, from the logs of sidecar nodes', builder => builder
+		.command('list [files..]', 'list the rollouts of all services with their stages', list => addLogFiles(list), ({files}) => {
+			runRollout({files, service: undefined, json: false});
+		})
+		.command('show <service> [files..]', 'explain the stages of the rollouts of a service and the figures that decided them', show => addLogFiles(show)
+			.positional('service', {type: 'string', demandOption: true, describe: 'the service'})
+			.option('json', {type: 'boolean', default: false, describe: 'print JSON'}), options => {
+			runRollout(options);
+		})
+		.demandCommand(1, 'no command given: list or show'))
 	.version(false)
 	.completion('completion', 'print a shell completion script')
 	.demandCommand(1, 'no command given')
--- a/src/index.ts
+++ b/src/index.ts
@@ -56,6 +56,7 @@
 export {
 	explainCall, parseLogLine, type CallExplanation, type LogLine,
 } from './lib/timeline/explain-call.js';
+export {explainRollouts, type RolloutExplanation, type RolloutStageExplanation} from './lib/timeline/explain-rollouts.js';
 export {explainVersion, type VersionAtNode, type VersionExplanation} from './lib/timeline/explain-version.js';
 export {
 	formatEvent, matchesFilter, sortEvents,
