--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -7,7 +7,7 @@
 import {type Result} from 'neverthrow';
 import {updateClockOffsets, readSteadyMs, watchResume} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
-import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
+import {toLifetimeKey} from '../common/server-lifetime.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createRequestStartLimiter} from '../common/request-start-limiter.js';
@@ -23,10 +23,8 @@
 import {createQuarantine} from '../quarantine/quarantine.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
-import {
-	isHeard, isReachable, type PeerLimits, type PeerChange,
-} from '../peers/peer-table.js';
-import {createRollouts, type KnownServer} from '../rollout/rollouts.js';
+import {type PeerLimits, type PeerChange} from '../peers/peer-table.js';
+import {createRollouts} from '../rollout/rollouts.js';
 import {type RolloutFormat} from '../sync/rollout-entries.js';
 import {findRoute} from '../route-config/route-index.js';
 import {type ActiveConfig} from '../route-config/config-holder.js';
@@ -48,6 +46,7 @@
 import {type SidecarSettings} from './sidecar-settings.js';
 import {createMetricsServer, createReadinessServer} from './status-servers.js';
 import {runGracefulShutdown} from './graceful-shutdown.js';
+import {createServiceServers} from './service-servers.js';
 import {createSilenceWatchers} from './silence-watchers.js';
 
 /** What a sidecar node needs from the platform and the process. @public */
@@ -161,37 +160,23 @@
 		},
 	});
 
-	const listPeerServers = (service: string): readonly KnownServer[] => {
-		const now = readSteadyMs();
-		const {ownDomain, otherDomains} = link.table.listService(service);
-		return [...ownDomain, ...otherDomains].flatMap(peer => peer.report.server === undefined
-			? []
-			: [{
-				server: peer.report.server, isHeard: isHeard(peer, peerLimits, now), isReachable: isReachable(peer, peerLimits, now),
-			}]);
+	const isInOwnDomain = (report: PeerReport): boolean => report.domain === domain;
+	const peerLimits: PeerLimits = {
+		silenceMs, probeMs, forgetMs: 60_000, avoidMs: 250, getPeriodMs: report => isInOwnDomain(report) ? report.periods.ownDomainMs : report.periods.otherDomainMs,
 	};
-
+	const serviceServers = createServiceServers(() => link, peerLimits);
 	const rollouts = createRollouts({
 		maxExposure: settings.rollouts?.maxExposure,
 		log,
 		random,
 		getOwnServer: () => gate.describe(),
-		listPeerServers,
+		listPeerServers: serviceServers.list,
 		handleUrgentChange() {
 			link.announceToAll();
 		},
 		storeRecord: async record => sync.storeRollout(record),
 	});
 
-	/** Sends the outcomes at the server of this node to the nodes that judge its version. */
-	const announceOutcomes = (tested: ReadonlySet<LifetimeKey>): void => {
-		const service = gate.describe()?.service;
-		if (tested.size > 0 && service !== undefined) {
-			const {ownDomain, otherDomains} = link.table.listService(service);
-			link.announceTo([...ownDomain, ...otherDomains].filter(({report}) => report.server !== undefined && tested.has(toLifetimeKey(report.server.lifetime))));
-		}
-	};
-
 	const linkWriter = createLinkWriter(settings.linkMbps);
 	const gate = createLocalGate({
 		headerNames,
@@ -230,10 +215,6 @@
 		sync.handleReport(report);
 	};
 
-	const isInOwnDomain = (report: PeerReport): boolean => report.domain === domain;
-	const peerLimits: PeerLimits = {
-		silenceMs, probeMs, forgetMs: 60_000, avoidMs: 250, getPeriodMs: report => isInOwnDomain(report) ? report.periods.ownDomainMs : report.periods.otherDomainMs,
-	};
 	const link = createPeerLink({
 		settings: {
 			...peerLimits, node: self, listen: settings.listen.gossip, domain, periodMs: heartbeatPeriodMs,
@@ -241,7 +222,7 @@
 			updateClockOffsets();
 			livenessMonitor.handleRound(lateMs);
 			housekeeping.handleRound();
-			announceOutcomes(rollouts.handleRound());
+			serviceServers.announceTo(settings.service, rollouts.handleRound());
 		},
 	});
 
