Roll-outs: the end of a roll-out that is in the store is never taken back

Found by checking two deciders with lost, late and refused writes (fast-check): a node that had not heard of the roll-back wrote 'completed' over 'rolled_back', since its stage goes further. An end of the same order in the store now makes every other write superseded; the property ran 500 times, and failed in its first run before.

--- a/src/lib/sync/rollout-entries.ts
+++ b/src/lib/sync/rollout-entries.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import {
-	decodeRecord, encodeRecord, mergeRecords, type RolloutRecord,
+	decodeRecord, encodeRecord, isRunning, mergeRecords, type RolloutRecord,
 } from '../rollout/rollout-record.js';
 import {type StoreOutcome} from '../rollout/rollouts.js';
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
@@ -57,8 +57,15 @@
 const isSameEntry = (left: RolloutRecord, right: RolloutRecord): boolean =>
 	left.stage === right.stage && left.targetVersion === right.targetVersion && left.position.revision === right.position.revision;
 
-/** Returns whether storing a record would change the stage or the order of the stored one. */
-const isNews = (stored: RolloutRecord | undefined, record: RolloutRecord): boolean => stored === undefined || !isSameEntry(stored, mergeRecords(stored, record));
+/** Returns whether a record may replace the stored one: it changes the stage or the order, and does not take back the end of a rollout. */
+function isNews(stored: RolloutRecord | undefined, record: RolloutRecord): boolean {
+	if (stored === undefined) {
+		return true;
+	}
+
+	const hasEnded = !isRunning(stored) && stored.position.revision === record.position.revision;
+	return !hasEnded && !isSameEntry(stored, mergeRecords(stored, record));
+}
 
 type StoredEntry = {readonly revision: number; readonly record: RolloutRecord | undefined};
 
