Roll-outs: one whose servers never come, or are lost while it is promoted, is rolled back

Only nodes beside servers of the target version decided, so with none of them the status stayed 'running' for ever, and with all of them lost while the others accepted nothing the service had no server. The node beside the first reachable server stands in then; the store decides while it is promoted.

--- a/src/lib/rollout/decide-stage.test.ts
+++ b/src/lib/rollout/decide-stage.test.ts
@@ -10,7 +10,7 @@
 const bad: VersionVerdict = {type: 'bad', reason: 'many failures'};
 
 const createView = (stage: RolloutView['record']['stage'], ageMs: number, changes: Partial<RolloutView> = {}): RolloutView => ({
-	record: createSampleRecord({stage, ageMs}), verdict: good, targetSlots: 60, demand: 30, busyOthers: 0, silentOthers: 0, ...changes,
+	record: createSampleRecord({stage, ageMs}), verdict: good, reachableTargets: 10, targetSlots: 60, demand: 30, busyOthers: 0, silentOthers: 0, ...changes,
 });
 
 const getStage = (view: RolloutView): string => {
@@ -48,10 +48,16 @@
 });
 
 test('a version that is not proven in time, or whose servers never come, is rolled back at the end of the ordered duration', () => {
-	assert.equal(getStage(createView('canary', 10_000, {verdict: {type: 'undecided', reason: 'no requests'}, targetSlots: 0})), 'rolled-back');
+	assert.equal(getStage(createView('canary', 10_000, {verdict: {type: 'undecided', reason: 'no requests'}, reachableTargets: 0, targetSlots: 0})), 'rolled-back');
 	assert.equal(getStage(createView('loading', 10_000)), 'rolled-back');
 });
 
+test('a rollout whose new servers are lost while the others accept no requests is rolled back by the store', () => {
+	assert.deepEqual(decideStage(createView('promoting', 6000, {reachableTargets: 0, busyOthers: 3})), {
+		type: 'change', stage: 'rolled-back', reason: 'no server of the version is left', needsStore: true,
+	});
+});
+
 test('a rollout that has ended stays as it is', () => {
 	for (const stage of ['rolled-back', 'completed'] as const) {
 		assert.equal(getStage(createView(stage, 20_000, {verdict: bad})), 'stay');
--- a/src/lib/rollout/decide-stage.ts
+++ b/src/lib/rollout/decide-stage.ts
@@ -11,6 +11,8 @@
 export type RolloutView = {
 	readonly record: RolloutRecord;
 	readonly verdict: VersionVerdict;
+	/** Servers of the target version that requests may be sent to. */
+	readonly reachableTargets: number;
 	/** Slots of the servers of the target version that are ready and no longer slow after their start. */
 	readonly targetSlots: number;
 	/** Requests in work or waiting at all servers of the service. */
@@ -74,7 +76,11 @@
 		: stay;
 }
 
-function decidePromoting({record: {ageMs, durationMs}, busyOthers, silentOthers}: RolloutView): StageDecision {
+function decidePromoting({record: {ageMs, durationMs}, reachableTargets, busyOthers, silentOthers}: RolloutView): StageDecision {
+	if (reachableTargets === 0) {
+		return change('rolled-back', 'no server of the version is left', true);
+	}
+
 	const waitedFor = ageMs >= durationMs * silentWaitShare ? busyOthers - silentOthers : busyOthers;
 	return waitedFor <= 0 ? change('completed', `no other server has requests; ${silentOthers} not heard`, true) : stay;
 }
--- a/src/lib/rollout/rollouts.ts
+++ b/src/lib/rollout/rollouts.ts
@@ -112,7 +112,14 @@
 type OwnTally = {readonly lifetime: LifetimeKey; readonly tally: OutcomeTally};
 
 /** What is cached of a service between two rounds. */
-type ServiceView = {readonly tested: ReadonlySet<LifetimeKey>; readonly hasOthers: boolean};
+type ServiceView = {
+	readonly tested: ReadonlySet<LifetimeKey>;
+	readonly hasOthers: boolean;
+	/** The server whose node decides if no server of the target version is reachable. */
+	readonly substitute: LifetimeKey | undefined;
+};
+
+const sortLifetimes = (servers: readonly ServerReport[]): readonly LifetimeKey[] => servers.map(({lifetime}) => toLifetimeKey(lifetime)).toSorted((left, right) => left < right ? -1 : 1);
 
 /**
  * @param context - The servers, the log and the store.
@@ -145,10 +152,12 @@
 
 	const computeView = ({service, targetVersion}: RolloutRecord): ServiceView => {
 		const servers = listServers(service);
-		const targets = servers.filter(({server, isReachable}) => server.version === targetVersion && server.state === 'ready' && isReachable);
+		const reachable = servers.filter(({isReachable}) => isReachable).map(({server}) => server);
+		const targets = sortLifetimes(reachable.filter(server => server.version === targetVersion && server.state === 'ready'));
 		return {
-			tested: new Set(targets.map(({server}) => toLifetimeKey(server.lifetime)).toSorted((left, right) => left < right ? -1 : 1).slice(0, testedServerCount)),
+			tested: new Set(targets.slice(0, testedServerCount)),
 			hasOthers: servers.some(({server}) => server.version !== targetVersion),
+			substitute: targets.length === 0 ? sortLifetimes(reachable)[0] : undefined,
 		};
 	};
 
@@ -260,6 +269,7 @@
 		const busy = others.filter(({server}) => server.state !== 'draining' || server.running + server.waiting > 0);
 		return {
 			record,
+			reachableTargets: servers.filter(({server, isReachable}) => server.version === record.targetVersion && server.state === 'ready' && isReachable).length,
 			verdict: judgeVersion(record, servers, tested),
 			targetSlots: targets.reduce((sum, {server}) => sum + server.slots, 0),
 			demand: updateDemand(servers.filter(({isHeard}) => isHeard).reduce((sum, {server}) => sum + server.running + server.waiting, 0)),
@@ -268,7 +278,7 @@
 		};
 	};
 
-	/** Decides on the next stage of a rollout whose target version the own server has. */
+	/** Decides on the next stage of a rollout of the own server's service. */
 	const advance = (record: RolloutRecord, tested: ReadonlySet<LifetimeKey>): void => {
 		const decision = decideStage(createRolloutView(record, tested));
 		if (decision.type === 'stay') {
@@ -368,13 +378,17 @@
 			}
 
 			const record = get(own.service);
-			if (record?.targetVersion !== own.version || !isRunning(record)) {
+			if (record === undefined || !isRunning(record)) {
 				return noLifetimes;
 			}
 
-			const {tested} = getView(record);
-			advance(record, tested);
-			return tested.has(toLifetimeKey(own.lifetime)) ? tested : noLifetimes;
+			const lifetime = toLifetimeKey(own.lifetime);
+			const {tested, substitute} = getView(record);
+			if (own.version === record.targetVersion || substitute === lifetime) {
+				advance(record, tested);
+			}
+
+			return tested.has(lifetime) ? tested : noLifetimes;
 		},
 	};
 }
