--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -351,14 +351,6 @@
 		return server.avoidUntil > readSteadyMs() ? 'down' : 'ready';
 	};
 
-	/** Reports that the last request has ended at a server that accepts no more because of a rollout: the rollout waits for it. */
-	const announceIfIdle = (): void => {
-		const {current} = state;
-		if (requests === 0 && current !== undefined && !current.isLeaving && rollouts.isWithheld(current.announcement)) {
-			handleChange();
-		}
-	};
-
 	const reportSilence = ({announcement, heardAt}: LocalServer): void => {
 		const heardMsAgo = readSteadyMs() - heardAt;
 		if (heardMsAgo > silenceWarningMs && !isSilent) {
@@ -377,7 +369,6 @@
 				return {result, load: getLoad(arrivedAt)};
 			} finally {
 				requests--;
-				announceIfIdle();
 			}
 		},
 		announce(announcement) {
--- a/src/lib/rollout/rollouts.ts
+++ b/src/lib/rollout/rollouts.ts
@@ -10,28 +10,15 @@
 import {type ServerReport} from '../peers/peer-report.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {admitAtGate, mayReceive, type VersionAdmission} from './admit-version.js';
-import {decideStage, type RolloutView} from './decide-stage.js';
 import {createExposureBudget} from './exposure-budget.js';
 import {
 	addOutcome, createTally, type Outcome, type OutcomeTally,
 } from './outcome-tally.js';
 import {
-	createRecord, isRejected, isRunning, type RolloutOrder, type RolloutRecord,
+	createRecord, isRunning, type RolloutOrder, type RolloutRecord,
 } from './rollout-record.js';
+import {createRolloutDecider, type KnownServer, type StoreOutcome} from './rollout-decider.js';
 import {createRolloutTable} from './rollout-table.js';
-import {createVersionJudge, type VersionJudge, type VersionVerdict} from './version-judge.js';
-
-/** A server of a service, as this node knows it. @internal */
-export type KnownServer = {
-	readonly server: ServerReport;
-	/** Whether its node was heard lately. */
-	readonly isHeard: boolean;
-	/** Whether requests may be sent to it. */
-	readonly isReachable: boolean;
-};
-
-/** Result of storing a record. `superseded`: the store has a record, or a later order, that goes before this one. @internal */
-export type StoreOutcome = 'stored' | 'superseded' | 'unavailable';
 
 /** @internal */
 export type RolloutsContext = {
@@ -88,7 +75,7 @@
 	readonly merge: (records: readonly RolloutRecord[] | undefined, from: string) => void;
 	/** Returns the known records; `undefined` until this node knows whether there are any. */
 	readonly listRecords: () => readonly RolloutRecord[] | undefined;
-	/** Moves the rollout of the own server's service to its next stage if it is due. Returns the servers that should get this node's outcomes now. */
+	/** Moves the rollout of the own server's service to its next stage if it is due. Returns the servers whose nodes decide on it and should get this node's report now. */
 	readonly handleRound: () => ReadonlySet<LifetimeKey>;
 };
 
@@ -101,12 +88,6 @@
 /** Share of that which is used before the load test, for which the rest is saved. */
 const canaryExposureShare = 0.6;
 
-/** Time before a record that could not be stored is stored again. */
-const storeRetryMs = 500;
-
-/** Weight of the newest round in the moving average of the demand, which covers about two seconds. */
-const demandWeight = 0.2;
-
 const noLifetimes: ReadonlySet<LifetimeKey> = new Set();
 
 type OwnTally = {readonly lifetime: LifetimeKey; readonly tally: OutcomeTally};
@@ -135,12 +116,6 @@
 	const replaced = new Set<LifetimeKey>();
 	let isInformed = maxExposure === undefined;
 	let ownTally: OwnTally | undefined;
-	let judge: {readonly orderRevision: number; readonly judge: VersionJudge} | undefined;
-	let storeAttemptedAt = Number.NEGATIVE_INFINITY;
-	let isStoring = false;
-	/** A decision of this node that is not in the store yet. */
-	let unstored: RolloutRecord | undefined;
-	let demand: number | undefined;
 
 	const get = (service: string): RolloutRecord | undefined => table.count() === 0 ? undefined : table.get(service, readSteadyMs());
 
@@ -200,35 +175,7 @@
 		handleUrgentChange();
 	};
 
-	/** Stores a record, at most once per retry interval. */
-	const store = async (record: RolloutRecord): Promise<StoreOutcome> => {
-		const now = readSteadyMs();
-		if (isStoring || now - storeAttemptedAt < storeRetryMs) {
-			return 'unavailable';
-		}
-
-		isStoring = true;
-		storeAttemptedAt = now;
-		try {
-			return await storeRecord(record);
-		} finally {
-			isStoring = false;
-		}
-	};
-
-	const storeThenChange = async (record: RolloutRecord): Promise<void> => {
-		if (await store(record) === 'stored') {
-			changeStage(record);
-		}
-	};
-
-	/** Stores a decision of this node. If the store is unavailable, the next round tries again. */
-	const storeDecision = async (record: RolloutRecord): Promise<void> => {
-		unstored = record;
-		if (await store(record) !== 'unavailable') {
-			unstored = undefined;
-		}
-	};
+	const decider = createRolloutDecider({storeRecord, handleDecision: changeStage});
 
 	const getOwnTally = ({service, lifetime}: Pick<ServerReport, 'service' | 'lifetime'>): OutcomeTally | undefined => {
 		const record = get(service);
@@ -244,59 +191,6 @@
 		return ownTally.tally;
 	};
 
-	const judgeVersion = (record: RolloutRecord, servers: readonly KnownServer[], tested: ReadonlySet<LifetimeKey>): VersionVerdict => {
-		const orderRevision = record.position.revision;
-		if (judge?.orderRevision !== orderRevision) {
-			judge = {orderRevision, judge: createVersionJudge()};
-		}
-
-		const withTally = servers.flatMap(({server}) => server.tally?.orderRevision === orderRevision ? [{server, tally: server.tally}] : []);
-		const targets = withTally.filter(({server}) => server.version === record.targetVersion && (record.stage === 'promoting' || tested.has(toLifetimeKey(server.lifetime))));
-		const baseline = withTally.filter(({server}) => server.version !== record.targetVersion && !isRejected(record, server.version));
-		return judge.judge.judge(targets.map(({server, tally}) => ({lifetime: toLifetimeKey(server.lifetime), tally})), baseline.map(({tally}) => tally));
-	};
-
-	/** Updates the moving average of the requests in work at all servers of the own service. */
-	const updateDemand = (requests: number): number => {
-		demand = demand === undefined ? requests : demand + (demandWeight * (requests - demand));
-		return demand;
-	};
-
-	const createRolloutView = (record: RolloutRecord, tested: ReadonlySet<LifetimeKey>): RolloutView => {
-		const servers = listServers(record.service);
-		const targets = servers.filter(({server, isReachable}) => server.version === record.targetVersion && server.state === 'ready' && server.coldMs === 0 && isReachable);
-		const others = servers.filter(({server}) => server.version !== record.targetVersion && !isRejected(record, server.version));
-		const busy = others.filter(({server}) => server.state !== 'draining' || server.running + server.waiting > 0);
-		return {
-			record,
-			reachableTargets: servers.filter(({server, isReachable}) => server.version === record.targetVersion && server.state === 'ready' && isReachable).length,
-			verdict: judgeVersion(record, servers, tested),
-			targetSlots: targets.reduce((sum, {server}) => sum + server.slots, 0),
-			demand: updateDemand(servers.filter(({isHeard}) => isHeard).reduce((sum, {server}) => sum + server.running + server.waiting, 0)),
-			busyOthers: busy.length,
-			silentOthers: busy.filter(({isHeard}) => !isHeard).length,
-		};
-	};
-
-	/** Decides on the next stage of a rollout of the own server's service. */
-	const advance = (record: RolloutRecord, tested: ReadonlySet<LifetimeKey>): void => {
-		const decision = decideStage(createRolloutView(record, tested));
-		if (decision.type === 'stay') {
-			return;
-		}
-
-		const next: RolloutRecord = {...record, stage: decision.stage, reason: decision.reason};
-		if (decision.needsStore) {
-			void storeThenChange(next);
-			return;
-		}
-
-		changeStage(next);
-		if (!isRunning(next)) {
-			void storeDecision(next);
-		}
-	};
-
 	/** Share of the requests of a route that may be sent to the target version. */
 	const computeExposureShare = ({stage}: RolloutRecord): number => (maxExposure ?? 0) * usedExposureShare * (stage === 'canary' ? canaryExposureShare : 1);
 
@@ -368,10 +262,7 @@
 		listRecords: () => isInformed ? table.list(readSteadyMs()) : undefined,
 		handleRound() {
 			views.clear();
-			if (unstored !== undefined) {
-				void storeDecision(unstored);
-			}
-
+			decider.storePending();
 			const own = getOwnServer();
 			if (own === undefined) {
 				return noLifetimes;
@@ -385,10 +276,12 @@
 			const lifetime = toLifetimeKey(own.lifetime);
 			const {tested, substitute} = getView(record);
 			if (own.version === record.targetVersion || substitute === lifetime) {
-				advance(record, tested);
+				decider.advance(record, listServers(record.service), tested);
 			}
 
-			return tested.has(lifetime) ? tested : noLifetimes;
+			// Heartbeats are too rare in a large mesh: the nodes that decide need the outcomes under test, and later that the others have finished.
+			const isReportNeeded = record.stage === 'promoting' ? own.version !== record.targetVersion : tested.has(lifetime);
+			return isReportNeeded ? tested : noLifetimes;
 		},
 	};
 }
--- a/src/lib/rollout/version-judge.test.ts
+++ b/src/lib/rollout/version-judge.test.ts
@@ -31,6 +31,13 @@
 	assert.equal(one.type, 'undecided');
 });
 
+test('of many servers of a version, a few faulty ones do not make it bad', () => {
+	const failing = [...createOutcomes(8), ...createOutcomes(6, {hasFailed: true})];
+	const createTargets = (faulty: number) => Array.from({length: 26}, (_, index) => createTarget(`s${index}`, index < faulty ? failing : createOutcomes(14)));
+	assert.equal(createVersionJudge().judge(createTargets(4), baseline).type, 'good');
+	assert.equal(createVersionJudge().judge(createTargets(12), baseline).type, 'bad');
+});
+
 test('the only server of a version needs more failures to count as bad', () => {
 	const judge = (failures: number) => createVersionJudge().judge([createTarget('a', createOutcomes(failures, {hasFailed: true}))], baseline).type;
 	assert.equal(judge(4), 'undecided');
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -16,7 +16,7 @@
 import {createConfigHolder, type ConfigHolder, type ActiveConfig} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
 import {type RolloutOrder, type RolloutRecord} from '../rollout/rollout-record.js';
-import {type StoreOutcome} from '../rollout/rollouts.js';
+import {type StoreOutcome} from '../rollout/rollout-decider.js';
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
 import {noEra, type StoreEra, type StorePosition} from '../store/store-position.js';
 import {createCrashEntries, crashPrefix, type CrashEntries} from '../sync/crash-entries.js';
--- a/src/lib/sidecar/service-servers.ts
+++ b/src/lib/sidecar/service-servers.ts
@@ -8,7 +8,7 @@
 import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
 import {type PeerLink} from '../peers/peer-link.js';
 import {isHeard, isReachable, type PeerLimits} from '../peers/peer-table.js';
-import {type KnownServer} from '../rollout/rollouts.js';
+import {type KnownServer} from '../rollout/rollout-decider.js';
 
 /** @internal */
 export type ServiceServers = {
--- a/src/lib/sync/rollout-entries.ts
+++ b/src/lib/sync/rollout-entries.ts
@@ -9,7 +9,7 @@
 import {
 	decodeRecord, encodeRecord, isRunning, mergeRecords, type RolloutRecord,
 } from '../rollout/rollout-record.js';
-import {type StoreOutcome} from '../rollout/rollouts.js';
+import {type StoreOutcome} from '../rollout/rollout-decider.js';
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
