--- a/src/lib/rollout/version-judge.test.ts
+++ b/src/lib/rollout/version-judge.test.ts
@@ -42,6 +42,8 @@
 	const judge = (failures: number) => createVersionJudge().judge([createTarget('a', createOutcomes(failures, {hasFailed: true}))], baseline).type;
 	assert.equal(judge(4), 'undecided');
 	assert.equal(judge(8), 'bad');
+	const others = [createTarget('a', createOutcomes(8, {hasFailed: true})), createTarget('b', [])];
+	assert.equal(createVersionJudge().judge(others, baseline).type, 'undecided', 'another server without outcomes does not agree yet');
 });
 
 test('failures that the other servers have as well do not count against a version', () => {
--- a/src/lib/rollout/version-judge.ts
+++ b/src/lib/rollout/version-judge.ts
@@ -50,7 +50,7 @@
 /** Cumulative sum at which a server counts as bad: about one false alarm in a thousand requests of a good server, and two have to agree. */
 const alarmThreshold = 7;
 
-/** Factor of the threshold for the only server, or for one whose others have no requests to compare with. */
+/** Factor of the threshold for the only server of a version. */
 const singleServerFactor = 2;
 
 /** Log-likelihood ratio at which a route counts as good: a bad version passes with a probability of 5 %. */
@@ -161,9 +161,9 @@
 		return next;
 	};
 
-	const isAlarm = (tested: readonly RouteSum[]): boolean => {
+	const isAlarm = (tested: readonly RouteSum[], targetCount: number): boolean => {
 		const alarms = tested.filter(({sum}) => sum >= alarmThreshold).length;
-		return alarms >= Math.max(minAgreeing.servers, tested.length * minAgreeing.share) || (tested.length === 1 && tested[0]!.sum >= alarmThreshold * singleServerFactor);
+		return alarms >= Math.max(minAgreeing.servers, tested.length * minAgreeing.share) || (targetCount === 1 && tested.length === 1 && tested[0]!.sum >= alarmThreshold * singleServerFactor);
 	};
 
 	const judgeRoute = (route: string, targets: readonly TargetServer[], baselines: readonly OutcomeTally[]): RouteFinding => {
@@ -178,7 +178,7 @@
 		const bad = counted.reduce((total, server) => total + server.bad, 0);
 		const [allRuns, allBad] = [tested.reduce((total, server) => total + server.runs, 0), tested.reduce((total, server) => total + server.bad, 0)];
 		return {
-			isBad: isAlarm(tested), ratio: computeRatio(runs - bad, bad, baseline.badShare),
+			isBad: isAlarm(tested, targets.length), ratio: computeRatio(runs - bad, bad, baseline.badShare),
 			text: `${route}: ${allBad} of ${allRuns} bad at ${tested.length} servers, ${(baseline.badShare * 100).toFixed(1)} % at the others`,
 		};
 	};
