Roll-outs: how certain a good version is decides how long it is observed

Change: a version is promoted at 40, 55 or 75 % of its time if a bad one would look so in 5 %, in 20 %, or less often than a good one.

--- a/src/lib/rollout/decide-stage.ts
+++ b/src/lib/rollout/decide-stage.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {type RolloutRecord, type RolloutStage} from './rollout-record.js';
-import {type VersionVerdict} from './version-judge.js';
+import {type Certainty, type VersionVerdict} from './version-judge.js';
 
 /** What a node knows of a rollout. @internal */
 export type RolloutView = {
@@ -34,14 +34,11 @@
 		readonly needsStore: boolean;
 	};
 
-/** The first servers are observed for at least this share of the ordered duration, since a version may become bad after some time. */
-const soakShare = 0.4;
-
 /** Share of the ordered duration after which the load test ends even if the servers did not get enough requests. */
 const loadTestEndShare = 0.7;
 
-/** Share of the ordered duration after which a few outcomes per route are enough, if nearly all are good: a service that gets few requests never has more. */
-const fewOutcomesShare = 0.55;
+/** Share of the ordered duration after which a certainty is enough: a service that gets few requests never has many outcomes. The first servers are observed for the first of these in any case, since a version may become bad after some time. */
+const certaintyShares: Readonly<Record<Certainty, number>> = {certain: 0.4, likely: 0.55, possible: 0.75};
 
 /** Slots of the target version needed to promote it, as a factor of the requests in work. With less reserve, many requests would wait. */
 const neededSlotFactor = 1.15;
@@ -58,12 +55,8 @@
 }
 
 function decideCanary({record: {ageMs, durationMs}, verdict, targetSlots, demand}: RolloutView): StageDecision {
-	const isObserved = ageMs >= durationMs * soakShare && targetSlots >= demand * neededSlotFactor;
-	if (verdict.type !== 'good' || !isObserved || !(verdict.isCertain || ageMs >= durationMs * fewOutcomesShare)) {
-		return stay;
-	}
-
-	return change('loading', verdict.reason);
+	const isProven = verdict.type === 'good' && ageMs >= durationMs * certaintyShares[verdict.certainty];
+	return isProven && targetSlots >= demand * neededSlotFactor ? change('loading', verdict.reason) : stay;
 }
 
 function decideLoading({record: {ageMs, durationMs}, verdict}: RolloutView): StageDecision {
--- a/src/lib/rollout/version-judge.ts
+++ b/src/lib/rollout/version-judge.ts
@@ -16,14 +16,22 @@
 	bucketsPerDoubling, countRuns, emptyRouteTally, fullLoadRoute, sumRouteTallies, type OutcomeTally, type RouteTally,
 } from './outcome-tally.js';
 
+/**
+ * How certain it is that a version is good: a bad one would look so in 5 % of all cases, in 20 %, or more often but less often
+ * than a good one.
+ *
+ * @internal
+ */
+export type Certainty = 'certain' | 'likely' | 'possible';
+
 /** @internal */
 export type VersionVerdict =
 	| {readonly type: 'undecided'; readonly reason: string}
 	| {
 		readonly type: 'good';
 		readonly reason: string;
-		/** Whether each route has enough outcomes; if not, there are only a few, but nearly all are good. */
-		readonly isCertain: boolean;
+		/** How certain this is of the route with the weakest evidence. */
+		readonly certainty: Certainty;
 		/** Whether the version was also good while all slots of its servers were in use. */
 		readonly isProvenAtFullLoad: boolean;
 	}
@@ -59,6 +67,9 @@
 /** Log-likelihood ratio at which a route with few outcomes counts as likely good: a bad version passes with a probability of 20 %. */
 const likelyThreshold = -1.6;
 
+/** Log-likelihood ratio below which the outcomes of a route are more probable for a good version than for a bad one. */
+const possibleThreshold = 0;
+
 /** An outcome is slow if its duration exceeds the lower quartile by this many buckets, a factor of eight. The quartile of a version that is slow for up to half of its requests hardly changes. */
 const slowBucketCount = 3 * bucketsPerDoubling;
 
@@ -77,6 +88,14 @@
 /** Number of servers that have to agree, if there are that many, and share of the servers: of many good ones, two may be faulty themselves. */
 const minAgreeing = {servers: 2, share: 1 / 3} as const;
 
+function computeCertainty(ratio: number): Certainty {
+	if (ratio <= acceptThreshold) {
+		return 'certain';
+	}
+
+	return ratio <= likelyThreshold ? 'likely' : 'possible';
+}
+
 type RouteBaseline = {
 	readonly badShare: number;
 	readonly failedShare: number;
@@ -199,14 +218,14 @@
 
 	const decideGood = (findings: ReadonlyMap<string, RouteFinding>, active: readonly string[]): VersionVerdict => {
 		const ratios = active.map(route => findings.get(route)?.ratio ?? 0);
-		const open = active.find((_, index) => ratios[index]! > likelyThreshold);
+		const open = active.find((_, index) => ratios[index]! >= possibleThreshold);
 		if (active.length === 0 || open !== undefined) {
 			return {type: 'undecided', reason: open === undefined ? 'too few requests at the other servers to compare with' : findings.get(open)?.text ?? `${open}: no requests at the tested servers`};
 		}
 
 		return {
 			type: 'good', reason: active.map(route => findings.get(route)?.text ?? '').join('; '),
-			isCertain: ratios.every(ratio => ratio <= acceptThreshold),
+			certainty: computeCertainty(Math.max(...ratios)),
 			isProvenAtFullLoad: (findings.get(fullLoadRoute)?.ratio ?? 0) <= acceptThreshold,
 		};
 	};
