Roll-outs: the others end only after the new version had the whole load for a while

The old servers, which could have taken over, had ended.

Change: 12 % of the ordered duration pass between 'promoting' and 'completed', in which the version is judged under the whole load.

--- a/bench/experiment/rollout-model.ts
+++ b/bench/experiment/rollout-model.ts
@@ -185,7 +185,7 @@
 		const isWarm = ageMs >= startMs + coldMs;
 		const decision = decideStage({
 			record: {...record, ageMs}, verdict: judge.judge(tested.map(({lifetime, tally}) => ({lifetime, tally})), others.map(({tally}) => tally)),
-			reachableTargets: targets.length, targetSlots: isWarm ? targets.length * slotCount : 0, demand: others.reduce((sum, {running}) => sum + running.filter(end => end > ageMs).length, 0),
+			reachableTargets: targets.length, promotedMs: 0, targetSlots: isWarm ? targets.length * slotCount : 0, demand: others.reduce((sum, {running}) => sum + running.filter(end => end > ageMs).length, 0),
 			busyOthers: 0, silentOthers: 0,
 		});
 		if (decision.type === 'change') {
--- a/src/lib/rollout/decide-stage.test.ts
+++ b/src/lib/rollout/decide-stage.test.ts
@@ -10,7 +10,7 @@
 const bad: VersionVerdict = {type: 'bad', reason: 'many failures'};
 
 const createView = (stage: RolloutView['record']['stage'], ageMs: number, changes: Partial<RolloutView> = {}): RolloutView => ({
-	record: createSampleRecord({stage, ageMs}), verdict: good, reachableTargets: 10, targetSlots: 60, demand: 30, busyOthers: 0, silentOthers: 0, ...changes,
+	record: createSampleRecord({stage, ageMs}), verdict: good, reachableTargets: 10, targetSlots: 60, promotedMs: 2000, demand: 30, busyOthers: 0, silentOthers: 0, ...changes,
 });
 
 const getStage = (view: RolloutView): string => {
@@ -44,6 +44,7 @@
 });
 
 test('a rollout is completed only when no other server may have requests; a silent one is waited for until shortly before the end', () => {
+	assert.equal(getStage(createView('promoting', 6000, {promotedMs: 1000})), 'stay');
 	assert.equal(getStage(createView('promoting', 6000, {busyOthers: 1})), 'stay');
 	assert.equal(getStage(createView('promoting', 6000, {busyOthers: 1, silentOthers: 1})), 'stay');
 	assert.equal(getStage(createView('promoting', 9000, {busyOthers: 1, silentOthers: 1})), 'completed');
--- a/src/lib/rollout/decide-stage.ts
+++ b/src/lib/rollout/decide-stage.ts
@@ -15,6 +15,8 @@
 	readonly reachableTargets: number;
 	/** Slots of the servers of the target version that are ready and no longer slow after their start. */
 	readonly targetSlots: number;
+	/** Time for which this node has known that the version is promoted, in milliseconds; 0 in other stages. */
+	readonly promotedMs: number;
 	/** Requests in work or waiting at all servers of the service. */
 	readonly demand: number;
 	/** Servers of other versions that may still have requests in work or accept new ones. */
@@ -43,6 +45,9 @@
 /** Slots of the target version needed to promote it, as a factor of the requests in work. With less reserve, many requests would wait. */
 const neededSlotFactor = 1.15;
 
+/** Share of the ordered duration for which the target version gets all requests before the others end, which could still take over. */
+const minPromotionShare = 0.12;
+
 /** Share of the ordered duration after which silent servers of other versions are no longer waited for. */
 const silentWaitShare = 0.85;
 
@@ -69,11 +74,15 @@
 		: stay;
 }
 
-function decidePromoting({record: {ageMs, durationMs}, reachableTargets, busyOthers, silentOthers}: RolloutView): StageDecision {
+function decidePromoting({record: {ageMs, durationMs}, reachableTargets, promotedMs, busyOthers, silentOthers}: RolloutView): StageDecision {
 	if (reachableTargets === 0) {
 		return change('rolled-back', 'no server of the version is left', true);
 	}
 
+	if (promotedMs < durationMs * minPromotionShare) {
+		return stay;
+	}
+
 	const waitedFor = ageMs >= durationMs * silentWaitShare ? busyOthers - silentOthers : busyOthers;
 	return waitedFor <= 0 ? change('completed', `no other server has requests; ${silentOthers} not heard`, true) : stay;
 }
--- a/src/lib/rollout/rollout-decider.ts
+++ b/src/lib/rollout/rollout-decider.ts
@@ -57,6 +57,7 @@
 	/** A decision of this node that is not in the store yet. */
 	let unstored: RolloutRecord | undefined;
 	let demand: number | undefined;
+	let promoted: {readonly orderRevision: number; readonly since: number} | undefined;
 
 	/** Stores a record, at most once per retry interval. */
 	const store = async (record: RolloutRecord): Promise<StoreOutcome> => {
@@ -100,6 +101,19 @@
 		return judge.judge.judge(targets.map(({server, tally}) => ({lifetime: toLifetimeKey(server.lifetime), tally})), baseline.map(({tally}) => tally));
 	};
 
+	/** Returns for how long this node has known that the version of a rollout is promoted. */
+	const updatePromotedMs = ({stage, position}: RolloutRecord): number => {
+		if (stage !== 'promoting') {
+			return 0;
+		}
+
+		if (promoted?.orderRevision !== position.revision) {
+			promoted = {orderRevision: position.revision, since: readSteadyMs()};
+		}
+
+		return readSteadyMs() - promoted.since;
+	};
+
 	/** Updates the moving average of the requests in work at all servers of the own service. */
 	const updateDemand = (requests: number): number => {
 		demand = demand === undefined ? requests : demand + (demandWeight * (requests - demand));
@@ -115,6 +129,7 @@
 			reachableTargets: targets.length,
 			verdict: judgeVersion(record, servers, tested),
 			targetSlots: targets.filter(({coldMs}) => coldMs === 0).reduce((sum, {slots}) => sum + slots, 0),
+			promotedMs: updatePromotedMs(record),
 			demand: updateDemand(servers.filter(({isHeard}) => isHeard).reduce((sum, {server}) => sum + server.running + server.waiting, 0)),
 			busyOthers: busy.length,
 			silentOthers: busy.filter(({isHeard}) => !isHeard).length,
--- a/src/lib/rollout/version-judge.ts
+++ b/src/lib/rollout/version-judge.ts
@@ -180,9 +180,9 @@
 		return next;
 	};
 
-	const isAlarm = (tested: readonly RouteSum[], targetCount: number): boolean => {
+	const isAlarm = (tested: readonly RouteSum[], isOnlyServer: boolean): boolean => {
 		const alarms = tested.filter(({sum}) => sum >= alarmThreshold).length;
-		return alarms >= Math.max(minAgreeing.servers, tested.length * minAgreeing.share) || (targetCount === 1 && tested.length === 1 && tested[0]!.sum >= alarmThreshold * singleServerFactor);
+		return alarms >= Math.max(minAgreeing.servers, tested.length * minAgreeing.share) || (isOnlyServer && tested.length === 1 && tested[0]!.sum >= alarmThreshold * singleServerFactor);
 	};
 
 	const judgeRoute = (route: string, targets: readonly TargetServer[], baselines: readonly OutcomeTally[]): RouteFinding => {
@@ -197,7 +197,7 @@
 		const bad = counted.reduce((total, server) => total + server.bad, 0);
 		const [allRuns, allBad] = [tested.reduce((total, server) => total + server.runs, 0), tested.reduce((total, server) => total + server.bad, 0)];
 		return {
-			isBad: isAlarm(tested, targets.length), ratio: computeRatio(runs - bad, bad, baseline.badShare),
+			isBad: isAlarm(tested, targets.length === 1), ratio: computeRatio(runs - bad, bad, baseline.badShare),
 			text: `${route}: ${allBad} of ${allRuns} bad at ${tested.length} servers, ${(baseline.badShare * 100).toFixed(1)} % at the others`,
 		};
 	};
