--- a/src/lib/rollout/decide-stage.test.ts
+++ b/src/lib/rollout/decide-stage.test.ts
@@ -54,7 +54,8 @@
 
 test('a version that is not proven in time, or whose servers never come, is rolled back at the end of the ordered duration', () => {
 	assert.equal(getStage(createView('canary', 10_000, {verdict: {type: 'undecided', reason: 'no requests'}, reachableTargets: 0, targetSlots: 0})), 'rolled-back');
-	assert.equal(getStage(createView('loading', 10_000)), 'rolled-back');
+	assert.equal(getStage(createView('loading', 9600, {verdict: {type: 'undecided', reason: 'no requests'}})), 'rolled-back');
+	assert.equal(getStage(createView('loading', 9400, {verdict: {type: 'undecided', reason: 'no requests'}})), 'stay');
 });
 
 test('a rollout whose new servers are lost while the others accept no requests is rolled back by the store', () => {
--- a/src/lib/rollout/decide-stage.ts
+++ b/src/lib/rollout/decide-stage.ts
@@ -51,6 +51,9 @@
 /** Share of the ordered duration after which silent servers of other versions are no longer waited for. */
 const silentWaitShare = 0.85;
 
+/** Share of the ordered duration after which a version that is not proven is rolled back, so that operators read it in time. */
+const endShare = 0.95;
+
 const stay: StageDecision = {type: 'stay'};
 
 function change(stage: RolloutStage, reason: string, needsStore = false): StageDecision {
@@ -111,8 +114,8 @@
 		return decidePromoting(view);
 	}
 
-	if (ageMs >= durationMs) {
-		return change('rolled-back', `not proven within ${durationMs} ms, with ${targetSlots} slots for ${Math.round(demand)} requests; ${verdict.reason}`);
+	if (ageMs >= durationMs * endShare) {
+		return change('rolled-back', `not proven in time, with ${targetSlots} slots for ${Math.round(demand)} requests; ${verdict.reason}`);
 	}
 
 	return stage === 'canary' ? decideCanary(view) : decideLoading(view);
