--- a/bench/main.ts
+++ b/bench/main.ts
@@ -16,6 +16,7 @@
 import {runPeerSlopes} from './peer-slopes.js';
 import {runNodeCost} from './node-cost/node-cost.js';
 import {runQuarantine} from './quarantine.js';
+import {runRolloutTable} from './experiment/rollout-table.js';
 import {runServerRestart} from './server-restart.js';
 import {runStoreRestore} from './store-restore.js';
 
@@ -51,6 +52,19 @@
 		.option('kinds', {type: 'boolean', default: false, describe: 'print a row for each kind of request'}), options => {
 		runExperiment({...options, csv: options.csv, svg: options.svg});
 	})
+	.command('rollouts', 'run a model of rollouts of good and bad versions, calm and beside other trouble', builder => builder
+		.option('seeds', {type: 'number', default: 20, describe: 'number of seeds for each row'})
+		.option('servers', {
+			type: 'number', array: true, default: [9, 32], describe: 'numbers of servers of the service',
+		})
+		.option('versions', {
+			type: 'string', array: true, default: [] as string[], describe: 'only these kinds of versions',
+		})
+		.option('troubles', {
+			type: 'string', array: true, default: [] as string[], describe: 'only these kinds of trouble',
+		}), options => {
+		runRolloutTable(options);
+	})
 	.command('node-cost', 'measure the cost of one node in meshes of different sizes', builder => builder
 		.option('sizes', {
 			type: 'number', array: true, default: [13, 61, 195, 390], describe: 'numbers of nodes',
