--- a/src/lib/rollout/rollouts.ts
+++ b/src/lib/rollout/rollouts.ts
@@ -247,7 +247,7 @@
 			}
 		},
 		getTally: getOwnTally,
-		isWithheld: ({service, version, lifetime}) => (!isInformed && maxExposure !== undefined)
+		isWithheld: ({service, version, lifetime}) => !isInformed
 			|| isReplaced({lifetime}) || (table.count() > 0 && admitAtGate(get(service), {version, isReplaced: false}, true, true).type === 'withheld'),
 		handleOrders(orders) {
 			isInformed = true;
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -204,8 +204,14 @@
 		store, refusals: context.refusals, linkMbps: context.linkMbps, isWriter: isCopyWriter,
 	});
 
+	const orderPrefix = context.rollouts?.format.orderPrefix;
 	const follower = createConfigFollower({
-		store, health, holder, key: context.configKey, prefix: context.rollouts === undefined ? undefined : findCommonPrefix(context.configKey, context.rollouts.format.orderPrefix), handleOtherItems: handleOrderItems, copy, otherPrefix: context.rollouts?.format.orderPrefix, decode: context.decodeConfig, log, random, shouldFollow: shouldFollowStore, handleRead(startedAt) {
+		store, health, holder, key: context.configKey, decode: context.decodeConfig, log, random, shouldFollow: shouldFollowStore,
+		prefix: orderPrefix === undefined ? undefined : findCommonPrefix(context.configKey, orderPrefix),
+		otherPrefix: orderPrefix,
+		handleOtherItems: handleOrderItems,
+		copy,
+		handleRead(startedAt) {
 			newerConfigFetcher.recordStoreRead(startedAt);
 		},
 	});
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -150,7 +150,7 @@
 		});
 	};
 
-	/** Applies the configuration among items. The other items go first, since a configuration makes this node ready for requests. */
+	/** Keeps the copy up to date after a read of the store. */
 	const updateCopy = (): void => {
 		const active = holder.get();
 		if (active !== undefined && position !== undefined) {
@@ -158,6 +158,7 @@
 		}
 	};
 
+	/** Applies the configuration among items. The other items go first, since a configuration makes this node ready for requests. */
 	const applyItems = (items: readonly StoreItem[], at: StorePosition): void => {
 		if (prefix !== undefined) {
 			handleOtherItems(items.filter(item => item.key !== key), at);
