--- a/src/lib/sidecar/sidecar-settings.test.ts
+++ b/src/lib/sidecar/sidecar-settings.test.ts
@@ -20,6 +20,8 @@
 	const settings = parseSidecarSettings(good)._unsafeUnwrap();
 	assert.equal(settings.retries.windowMs, 10_000);
 	assert.equal(settings.shutdownMs, 6000);
+	assert.equal(settings.rollouts, undefined);
+	assert.deepEqual(parseSidecarSettings({...good, rollouts: {maxExposure: 0.1}})._unsafeUnwrap().rollouts, {maxExposure: 0.1});
 });
 
 const bad: ReadonlyArray<readonly [string, unknown, RegExp]> = [
@@ -31,6 +33,8 @@
 	['a section', {...good, retries: undefined}, /retries: must be an object/],
 	['seeds', {...good, seeds: ['x']}, /seeds: must be a list of IP addresses with ports/],
 	['a seed without a port', {...good, seeds: ['127.0.0.1:0']}, /seeds: must be a list of IP addresses with ports/],
+	['a share', {...good, rollouts: {maxExposure: 1.5}}, /rollouts\.maxExposure: found 1\.5, must be a share of 0 to 1/],
+	['a missing share', {...good, rollouts: {}}, /rollouts\.maxExposure: found nothing, must be a non-negative number/],
 	['a file without settings', undefined, /settings: must be an object/],
 ];
 
--- a/stand-ins/settings-template.ts
+++ b/stand-ins/settings-template.ts
@@ -18,9 +18,13 @@
 	readonly graceMs: number;
 	/** Retries that all nodes together may send in a window in addition to the share `bounds.retry-budget-ratio`. */
 	readonly retrySlack: number;
+	/** Share of the requests that a version under test may get; omitted for a platform without rollouts. */
+	readonly maxExposure?: number;
 };
 
 const deployFolder = new URL('../../deploy/', import.meta.url);
+/** A part of the template that is rendered only if the platform has a value of this name. */
+const section = /{{#([\w.-]+)}}(.*?){{\/\1}}/gs;
 const placeholder = /{{([\w.-]+)(?:\|json)?}}/g;
 
 /** Returns whether a placeholder requests its value as JSON. A string is then rendered with quotes. */
@@ -38,13 +42,14 @@
  */
 export function renderSettings(parameters: NodeParameters): string {
 	const {callers, gate, announcements} = createListenAddresses(parameters.host);
-	const values: Readonly<Record<string, string | number>> = {
+	const values: Readonly<Record<string, string | number | undefined>> = {
 		'node-name': parameters.name, zone: parameters.failureDomain, service: parameters.service, ip: parameters.host, 'internal-ports.0': 7004,
 		'listen.outbound': callers, 'listen.inbound': gate, 'listen.control': announcements, 'listen.readiness': createReadinessAddress(parameters.host),
 		'platform.address': parameters.storeAddress, 'limits.link-mbps': 1000,
-		'bounds.retry-budget-ratio': 0.2, 'bounds.budget-slack': parameters.retrySlack, 'bounds.budget-window': '10s', 'bounds.grace-period': `${parameters.graceMs}ms`,
+		'bounds.retry-budget-ratio': 0.2, 'bounds.budget-slack': parameters.retrySlack, 'bounds.budget-window': '10s', 'bounds.grace-period': `${parameters.graceMs}ms`, 'bounds.max-exposure': parameters.maxExposure,
 	};
-	return readFileSync(new URL('settings.yaml', deployFolder), 'utf8').replaceAll(placeholder, (match, name: string) => {
+	const template = readFileSync(new URL('settings.yaml', deployFolder), 'utf8').replaceAll(section, (_match, name: string, content: string) => values[name] === undefined ? '' : content);
+	return template.replaceAll(placeholder, (match, name: string) => {
 		const value = values[name];
 		if (value === undefined) {
 			throw new Error(`deploy/settings.yaml has the placeholder ${name}, for which the stand-in has no value`);
