Roll-outs: no version is promoted that was not proven at full load; the status appears at once

A rule goes before a duty.

Change: the load test uses one server, and what is not proven there is rolled back at the end.

The status 'running' was written by nodes at random within seconds; a test on whole nodes once did not see it. The first relay writes it as soon as it has read the order.

--- a/bench/experiment/rollout-model.ts
+++ b/bench/experiment/rollout-model.ts
@@ -163,13 +163,16 @@
 		return free[Math.floor(random() * free.length)];
 	};
 
+	/** The servers under test; only one in the load test. */
+	const listTested = (): readonly ModelServer[] => record.stage === 'loading' ? tested.slice(0, 1) : tested;
+
 	const send = (now: number): void => {
 		const route = random() < routes[0].share ? routes[0].name : routes[1].name;
 		const budget = budgets[Math.floor(random() * entries)]!;
 		requests++;
 		budget.recordRequest('s', route, record.position);
 		const share = maxExposure * (record.stage === 'canary' ? canaryShare : loadingShare);
-		const target = now >= startMs && budget.hasRemaining('s', route, share) ? pickServer(tested, now) : undefined;
+		const target = now >= startMs && budget.hasRemaining('s', route, share) ? pickServer(listTested(), now) : undefined;
 		if (target !== undefined) {
 			budget.recordExposure('s', route);
 			exposed++;
@@ -184,7 +187,7 @@
 	const advance = (ageMs: number): void => {
 		const isWarm = ageMs >= startMs + coldMs;
 		const decision = decideStage({
-			record: {...record, ageMs}, verdict: judge.judge(tested.map(({lifetime, tally}) => ({lifetime, tally})), others.map(({tally}) => tally)),
+			record: {...record, ageMs}, verdict: judge.judge(listTested().map(({lifetime, tally}) => ({lifetime, tally})), others.map(({tally}) => tally)),
 			reachableTargets: targets.length, promotedMs: 0, targetSlots: isWarm ? targets.length * slotCount : 0, demand: others.reduce((sum, {running}) => sum + running.filter(end => end > ageMs).length, 0),
 			busyOthers: 0, silentOthers: 0,
 		});
--- a/src/lib/rollout/decide-stage.test.ts
+++ b/src/lib/rollout/decide-stage.test.ts
@@ -28,7 +28,8 @@
 	assert.equal(getStage(createView('canary', 7600, {verdict: {...good, certainty: 'possible'}})), 'loading');
 	assert.equal(getStage(createView('loading', 5500)), 'promoting');
 	assert.equal(getStage(createView('loading', 5500, {verdict: {...good, isProvenAtFullLoad: false}})), 'stay');
-	assert.equal(getStage(createView('loading', 7500, {verdict: {...good, isProvenAtFullLoad: false}})), 'promoting');
+	assert.equal(getStage(createView('loading', 9400, {verdict: {...good, isProvenAtFullLoad: false}})), 'stay');
+	assert.equal(getStage(createView('loading', 9600, {verdict: {...good, isProvenAtFullLoad: false}})), 'rolled-back');
 });
 
 test('a bad version is rolled back at any age, by the node alone until others stop accepting requests, and then by the store', () => {
--- a/src/lib/rollout/decide-stage.ts
+++ b/src/lib/rollout/decide-stage.ts
@@ -36,9 +36,6 @@
 		readonly needsStore: boolean;
 	};
 
-/** Share of the ordered duration after which the load test ends even if the servers did not get enough requests. */
-const loadTestEndShare = 0.7;
-
 /** Share of the ordered duration after which a certainty is enough: a service that gets few requests never has many outcomes. The first servers are observed for the first of these in any case, since a version may become bad after some time. */
 const certaintyShares: Readonly<Record<Certainty, number>> = {certain: 0.4, likely: 0.55, possible: 0.75};
 
@@ -67,14 +64,9 @@
 	return isProven && targetSlots >= demand * neededSlotFactor ? change('loading', verdict.reason) : stay;
 }
 
-function decideLoading({record: {ageMs, durationMs}, verdict}: RolloutView): StageDecision {
-	if (verdict.type !== 'good') {
-		return stay;
-	}
-
-	return verdict.isProvenAtFullLoad || ageMs >= durationMs * loadTestEndShare
-		? change('promoting', `${verdict.isProvenAtFullLoad ? 'proven' : 'not proven'} at full load; ${verdict.reason}`)
-		: stay;
+/** A version that was not proven at full load is not promoted: if it is bad under load, the others have ended when that shows. */
+function decideLoading({verdict}: RolloutView): StageDecision {
+	return verdict.type === 'good' && verdict.isProvenAtFullLoad ? change('promoting', `proven at full load; ${verdict.reason}`) : stay;
 }
 
 function decidePromoting({record: {ageMs, durationMs}, reachableTargets, promotedMs, busyOthers, silentOthers}: RolloutView): StageDecision {
--- a/src/lib/rollout/rollouts.ts
+++ b/src/lib/rollout/rollouts.ts
@@ -82,6 +82,9 @@
 /** Number of servers of a version that are tested first: a majority of them has to agree on a bad version. */
 const testedServerCount = 3;
 
+/** Number of servers in the load test: in a small service, the limit on the exposure does not fill the slots of more. */
+const loadedServerCount = 1;
+
 /** Share of the exposure limit that is used. The rest is a margin for retries and for requests that are counted but refused. */
 const usedExposureShare = 0.9;
 
@@ -125,12 +128,12 @@
 		return [...ownServers, ...listPeerServers(service)];
 	};
 
-	const computeView = ({service, targetVersion}: RolloutRecord): ServiceView => {
+	const computeView = ({service, targetVersion, stage}: RolloutRecord): ServiceView => {
 		const servers = listServers(service);
 		const reachable = servers.filter(({isReachable}) => isReachable).map(({server}) => server);
 		const targets = sortLifetimes(reachable.filter(server => server.version === targetVersion && server.state === 'ready'));
 		return {
-			tested: new Set(targets.slice(0, testedServerCount)),
+			tested: new Set(targets.slice(0, stage === 'loading' ? loadedServerCount : testedServerCount)),
 			hasOthers: servers.some(({server}) => server.version !== targetVersion),
 			substitute: targets.length === 0 ? sortLifetimes(reachable)[0] : undefined,
 		};
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -178,6 +178,17 @@
 		return isRelay(self, listLiveDomainNodes(now), link.table.countDomains());
 	};
 
+	/** Returns whether this node watches the store and no other one that does has a lower name. It alone writes what any relay could write; if there are two, both writes are harmless. */
+	const isFirstRelay = (): boolean => follower.isFollowing() && [...link.table.list()].every(({report}) => !report.duties.isFollowing || report.isLeaving || report.node > self);
+
+	/** Stores the records of orders that were just read, so that operators read soon that they are being carried out. */
+	const storeOrdered = (orders: readonly RolloutOrder[]): void => {
+		const services = new Set(orders.map(({service}) => service));
+		for (const record of context.rollouts?.listRecords().filter(({service}) => services.has(service)) ?? []) {
+			void rolloutEntries?.write(record);
+		}
+	};
+
 	/** Decodes the orders among items of the store. Invalid ones are refused and change nothing. */
 	const handleOrderItems = (items: readonly StoreItem[], {era}: StorePosition): void => {
 		const {rollouts} = context;
@@ -195,13 +206,13 @@
 			},
 		));
 		rollouts.handleOrders(orders);
+		if (isFirstRelay()) {
+			storeOrdered(orders);
+		}
 	};
 
-	/** Returns whether this node watches the store and no other heard one that does has a lower name. One writer suffices. */
-	const isCopyWriter = (): boolean => follower.isFollowing() && [...link.table.list()].every(({report}) => !report.duties.isFollowing || report.isLeaving || report.node > self);
-
 	const copy = createConfigCopy({
-		store, refusals: context.refusals, linkMbps: context.linkMbps, isWriter: isCopyWriter,
+		store, refusals: context.refusals, linkMbps: context.linkMbps, isWriter: isFirstRelay,
 	});
 
 	const orderPrefix = context.rollouts?.format.orderPrefix;
