Roll-outs: no version is found good while the others fail too often to compare with

Change: above a quarter of bad outcomes at the others a version stays undecided. The test failed before.

--- a/src/lib/rollout/version-judge.test.ts
+++ b/src/lib/rollout/version-judge.test.ts
@@ -54,6 +54,12 @@
 	assert.notEqual(type, 'bad');
 });
 
+test('a version is not found good while the other servers fail so often that a bad one would hardly differ', () => {
+	const failing = [...createOutcomes(60), ...createOutcomes(40, {hasFailed: true})];
+	const {type} = createVersionJudge().judge([createTarget('a', createOutcomes(100)), createTarget('b', createOutcomes(100))], [addOutcomes(failing)]);
+	assert.equal(type, 'undecided');
+});
+
 test('a version that is slow for half of its requests is bad; one at half the usual speed, or slow only after its start, is not', () => {
 	const judge = (outcomes: readonly Outcome[]) => createVersionJudge().judge([createTarget('a', outcomes), createTarget('b', outcomes)], baseline).type;
 	assert.equal(judge([...createOutcomes(10), ...createOutcomes(10, {tookMs: 900})]), 'bad');
--- a/src/lib/rollout/version-judge.ts
+++ b/src/lib/rollout/version-judge.ts
@@ -55,6 +55,9 @@
 /** Largest share of bad outcomes that is compared with. */
 const maxShare = 0.95;
 
+/** If more of the outcomes of a route are bad at the other servers, the version is not found good: a bad one would hardly differ. */
+const maxComparableShare = 0.25;
+
 /** Cumulative sum at which a server counts as bad: about one false alarm in a thousand requests of a good server, and two have to agree. */
 const alarmThreshold = 7;
 
@@ -151,7 +154,7 @@
 type RouteSum = {readonly runs: number; readonly bad: number; readonly cold: RouteTally['cold']; readonly sum: number};
 
 /** Findings about one route. */
-type RouteFinding = {readonly isBad: boolean; readonly ratio: number; readonly text: string};
+type RouteFinding = {readonly isBad: boolean; readonly isComparable: boolean; readonly ratio: number; readonly text: string};
 
 /**
  * @returns A judge without outcomes.
@@ -197,7 +200,7 @@
 		const bad = counted.reduce((total, server) => total + server.bad, 0);
 		const [allRuns, allBad] = [tested.reduce((total, server) => total + server.runs, 0), tested.reduce((total, server) => total + server.bad, 0)];
 		return {
-			isBad: isAlarm(tested, targets.length === 1), ratio: computeRatio(runs - bad, bad, baseline.badShare),
+			isComparable: baseline.badShare <= maxComparableShare, isBad: isAlarm(tested, targets.length === 1), ratio: computeRatio(runs - bad, bad, baseline.badShare),
 			text: `${route}: ${allBad} of ${allRuns} bad at ${tested.length} servers, ${(baseline.badShare * 100).toFixed(1)} % at the others`,
 		};
 	};
@@ -218,15 +221,16 @@
 
 	const decideGood = (findings: ReadonlyMap<string, RouteFinding>, active: readonly string[]): VersionVerdict => {
 		const ratios = active.map(route => findings.get(route)?.ratio ?? 0);
-		const open = active.find((_, index) => ratios[index]! >= possibleThreshold);
+		const open = active.find((route, index) => ratios[index]! >= possibleThreshold || !findings.get(route)?.isComparable);
 		if (active.length === 0 || open !== undefined) {
 			return {type: 'undecided', reason: open === undefined ? 'too few requests at the other servers to compare with' : findings.get(open)?.text ?? `${open}: no requests at the tested servers`};
 		}
 
+		const fullLoad = findings.get(fullLoadRoute);
 		return {
 			type: 'good', reason: active.map(route => findings.get(route)?.text ?? '').join('; '),
 			certainty: computeCertainty(Math.max(...ratios)),
-			isProvenAtFullLoad: (findings.get(fullLoadRoute)?.ratio ?? 0) <= acceptThreshold,
+			isProvenAtFullLoad: fullLoad !== undefined && fullLoad.isComparable && fullLoad.ratio <= acceptThreshold,
 		};
 	};
 
