--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -22,6 +22,7 @@
 import {type GateRollouts} from '../rollout/rollouts.js';
 import {type ServerReport, type ServerState} from '../peers/peer-report.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {type RefusalLog} from '../timeline/refusal-log.js';
 import {type CallHeaderNames} from './call-headers.js';
 import {
 	createNotRun, type ForwardFailure, type ForwardResult, type GateLoad, type GateResult,
@@ -53,6 +54,7 @@
 export type LocalGateContext = {
 	readonly headerNames: CallHeaderNames;
 	readonly log: MeshLog;
+	readonly refusals: Pick<RefusalLog, 'record'>;
 	/** Called when a change should be announced to the other nodes immediately. */
 	readonly handleChange: () => void;
 	/** Returns the maximum number of connections that the backend server accepts from this node. */
@@ -76,6 +78,8 @@
 	readonly leave: (leave: ServerLeave) => Result<undefined, AnnouncementRefusal>;
 	readonly describe: () => ServerReport | undefined;
 	readonly countRequests: () => number;
+	/** Returns the requests per second that the server takes; `undefined` if it names no limit, or if there is no server. */
+	readonly getLimit: () => number | undefined;
 	readonly dispose: () => void;
 };
 
@@ -161,6 +165,7 @@
 		return openServerSession(announcement, {
 			headerNames,
 			log,
+			refusals: context.refusals,
 			maxConnections: context.getMaxConnections(service),
 			quarantine,
 			isLeaving: () => context.isLeaving() || (state.current?.isLeaving ?? false),
@@ -403,6 +408,7 @@
 			};
 		},
 		countRequests: () => requests,
+		getLimit: () => session?.describe().limitPerSecond,
 		dispose() {
 			for (const retired of retiredSessions) {
 				retired.end();
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -14,6 +14,8 @@
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {createLazyFingerprint, type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {type RefusalLog} from '../timeline/refusal-log.js';
+import {readServerLimit} from '../server-notices/server-notice.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
 import {removeHopByHopHeaders, getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {runExchange, type ExchangeResponse, type ExchangeFailure} from './exchange.js';
@@ -41,6 +43,7 @@
 export type ServerSessionContext = {
 	readonly headerNames: CallHeaderNames;
 	readonly log: MeshLog;
+	readonly refusals: Pick<RefusalLog, 'record'>;
 	/** Maximum number of connections that the server accepts from this node. */
 	readonly maxConnections: number;
 	/** Called when the server could not be reached, or has crashed. */
@@ -61,6 +64,8 @@
 	readonly serviceMs: number;
 	/** Moving average of the share of failed requests, 0 to 1. */
 	readonly failureShare: number;
+	/** Requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
+	readonly limitPerSecond: number | undefined;
 };
 
 /** @internal */
@@ -161,6 +166,7 @@
 	const halfOpenDetector = createHalfOpenDetector();
 	let abandonedCalls: readonly AbandonedCall[] = [];
 	let failureShare = 0;
+	let limitPerSecond: number | undefined;
 	let isEnded = false;
 	let hasCrashed = false;
 
@@ -241,6 +247,24 @@
 		return isCrash && context.quarantine.check(fingerprint).type !== 'free' ? {...converted, reason: 'server-crashed'} : converted;
 	};
 
+	/** Applies the limit that a response names. A limit that cannot be read changes nothing. */
+	const recordLimit = (headers: IncomingHttpHeaders): void => {
+		const limit = readServerLimit(headers, headerNames);
+		if (limit.isErr()) {
+			context.refusals.record({
+				kind: 'limit-refused', cause: 'unreadable', place: lifetime.id, reason: limit.error,
+			});
+			return;
+		}
+
+		if (limit.value !== limitPerSecond) {
+			log.record('info', {
+				kind: 'server-limit-changed', server: lifetime.id, perSecond: limit.value, before: limitPerSecond,
+			});
+			limitPerSecond = limit.value;
+		}
+	};
+
 	const convertResponse = (response: ExchangeResponse, fingerprint: LazyFingerprint): ForwardResult => {
 		if (response.status === 421) {
 			// Another server has the address. It gets no requests until it has announced itself.
@@ -248,6 +272,8 @@
 			return {...createNotRun('gone', 'another backend server responds at the address'), hasArrived: true};
 		}
 
+		recordLimit(response.headers);
+
 		if (response.headers[headerNames.notRun] !== undefined) {
 			recordOutcome(true);
 			return {...createNotRun('shed', `backend server responded with status ${response.status} and did not execute the request`), hasArrived: true};
@@ -376,7 +402,7 @@
 		resize(count) {
 			slots.resize(computeConcurrencyLimit(count));
 		},
-		describe: () => ({...slots.describe(), failureShare}),
+		describe: () => ({...slots.describe(), failureShare, limitPerSecond}),
 		recordCrash() {
 			hasCrashed = true;
 			crashDetector.recordReplaced();
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -12,7 +12,8 @@
 export type Gauge = {
 	readonly name: string;
 	readonly help: string;
-	readonly read: () => number;
+	/** `undefined` if there is no value; the gauge is left out then. */
+	readonly read: () => number | undefined;
 };
 
 /** @internal */
@@ -54,6 +55,11 @@
 	];
 }
 
+function formatGauge({name, help, read}: Gauge): readonly string[] {
+	const value = read();
+	return value === undefined ? [] : [`# HELP ${name} ${help}`, `# TYPE ${name} gauge`, `${name} ${value}`];
+}
+
 /** A counter with labels. Label names are added when metrics are scraped, so that a call formats no text. */
 type Counter = {
 	readonly add: (...values: ReadonlyArray<string | number>) => void;
@@ -135,7 +141,7 @@
 				...refusals.format(),
 				...[...latencies].flatMap(([service, histogram]) => formatSummary('stonemoor_call_milliseconds', {service}, histogram)),
 				...formatSummary('stonemoor_loop_delay_milliseconds', {}, loopDelays),
-				...gauges.flatMap(({name, help, read}) => [`# HELP ${name} ${help}`, `# TYPE ${name} gauge`, `${name} ${read()}`]),
+				...gauges.flatMap(gauge => formatGauge(gauge)),
 			];
 			return `${lines.join('\n')}\n`;
 		},
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -20,8 +20,10 @@
 	readonly infoAgeMs?: number;
 };
 
-/** The kind of input that was refused: a datagram at the heartbeat address, input on a connection to the gate, a call at the announcement address, an entry of the store. @internal */
-export type RefusalKind = 'heartbeat-refused' | 'peer-refused' | 'announcement-refused' | 'entry-refused';
+/** The kind of input that was refused: a datagram at the heartbeat address, input on a connection to the gate, a call at the announcement address, an entry of the store, a header of a response. @internal */
+export type RefusalKind = 'heartbeat-refused' | 'peer-refused' | 'announcement-refused' | 'entry-refused'
+	/** A limit in a response of the backend server. */
+	| 'limit-refused';
 
 /** Why input was refused. @internal */
 export type RefusalCause =
@@ -84,6 +86,8 @@
 	| {readonly kind: 'gossip-failed'; readonly reason: string}
 	| {readonly kind: 'server-announced'; readonly server: string; readonly startedAt: number; readonly service: string; readonly version: string; readonly slots: number; readonly coldMs: number}
 	| {readonly kind: 'server-draining'; readonly server: string; readonly how: string}
+	/** The server named another limit, or none (`undefined`), in requests per second. */
+	| {readonly kind: 'server-limit-changed'; readonly server: string; readonly perSecond: number | undefined; readonly before: number | undefined}
 	| {readonly kind: 'server-silent'; readonly server: string; readonly heardMsAgo: number}
 	| {readonly kind: 'server-doubted'; readonly server: string; readonly reason: string}
 	| {readonly kind: 'server-crashed'; readonly server: string; readonly atWork: number; readonly suspects: readonly string[]; readonly calls: readonly string[]}
--- a/stand-ins/platform-server/platform-server.ts
+++ b/stand-ins/platform-server/platform-server.ts
@@ -73,6 +73,10 @@
 	readonly countInFlight: () => number;
 	/** Makes the server crash while it runs a request for a fatal target with the behaviour `answer`: it closes all its connections and stops listening. */
 	readonly crashOn: (isFatal: (target: string) => boolean, handleCrash: (run: PlatformServerRun) => void) => void;
+	/** Sets the limit that all responses name, or text that is no limit; `undefined` for none. */
+	readonly setLimit: (limit: number | string | undefined) => void;
+	/** Sets whether all responses say that the server is leaving. */
+	readonly setLeaving: (isLeaving: boolean) => void;
 	/** Changes the server's id, as if another server had been started at its address. */
 	readonly changeId: (id: string) => void;
 	readonly close: () => Promise<void>;
@@ -105,6 +109,16 @@
 	let disconnected = 0;
 	let slots = Infinity;
 	let inFlight = 0;
+	/** Headers of all responses, by name. */
+	const notices = new Map<string, string>();
+	const setNotice = (name: string, value: string | undefined): void => {
+		if (value === undefined) {
+			notices.delete(name);
+		} else {
+			notices.set(name, value);
+		}
+	};
+
 	const planned: PlatformServerBehaviour[] = [];
 	const runs: PlatformServerRun[] = [];
 	let isFatal = (_target: string): boolean => false;
@@ -113,6 +127,7 @@
 	const sendResponse = (response: ServerResponse, request: IncomingMessage, status: number, body: string): void => {
 		const call = getHeader(request, 'stonemoor-attempt-id');
 		response.writeHead(status, {
+			...Object.fromEntries(notices),
 			'content-length': Buffer.byteLength(body), 'stonemoor-attempt-id': call, 'stonemoor-response-signature': createSignature(call, body),
 		});
 		response.end(body);
@@ -121,7 +136,8 @@
 	const applyBehaviour = (behaviour: PlatformServerBehaviour, request: IncomingMessage, response: ServerResponse, body: string): void => {
 		const {socket} = request;
 		const call = getHeader(request, 'stonemoor-attempt-id');
-		const head = `HTTP/1.1 200 OK\r\nStonemoor-Attempt-Id: ${call}\r\nStonemoor-Response-Signature: ${createSignature(call, body)}\r\n`;
+		const noticeLines = [...notices].map(([name, value]) => `${name}: ${value}\r\n`).join('');
+		const head = `HTTP/1.1 200 OK\r\n${noticeLines}Stonemoor-Attempt-Id: ${call}\r\nStonemoor-Response-Signature: ${createSignature(call, body)}\r\n`;
 		switch (behaviour) {
 			case 'answer':
 			case 'early': {
@@ -173,7 +189,9 @@
 			}
 
 			case 'shed': {
-				response.writeHead(503, {'content-length': 0, 'stonemoor-attempt-id': call, 'stonemoor-not-executed': '1'});
+				response.writeHead(503, {
+					...Object.fromEntries(notices), 'content-length': 0, 'stonemoor-attempt-id': call, 'stonemoor-not-executed': '1',
+				});
 				response.end();
 				break;
 			}
@@ -301,6 +319,12 @@
 			isFatal = isFatalTarget;
 			handleCrash = handleEnd;
 		},
+		setLimit(limit) {
+			setNotice('server-limit', limit === undefined ? undefined : String(limit));
+		},
+		setLeaving(isLeaving) {
+			setNotice('server-leaving', isLeaving ? '1' : undefined);
+		},
 		changeId(next) {
 			id = next;
 		},
