Limits: a backend server gets no more requests than the limit that it names

What callers and servers saw: servers that named limits of 25.9 and 1 a second got 214 and 31 requests in 4 s (160 and 11 are allowed), as many as before they named them. Cause: no node read the limit; the gate sent as many requests as its server has slots. Change: the gate beside the server, where the requests of all nodes arrive, keeps a token bucket at the rate of the limit (burst a quarter of a second, two at least). The token is taken last before a request is sent, after its body has been read. A request that would wait longer than it may is refused at once as not run (limited, with the time to the next token); the entry tries the next server and comes back after that time, doubled with each refusal in a row and with jitter. Among callers the tokens are shared: one that got more than its share leaves one in reserve while others ask. A gate that restarted learns the limit from the first request of a node that knows it (a field that is sent only then) and starts without tokens. A limit below 0.5 lets a request through every 2 s, since only a response shows that it has ended. Metrics by caller and outcome; explain names the limit and the caller. Why it works: the sum is counted where it arises, so no cut between nodes matters; nothing runs where no limit is named.

--- a/src/lib/decisions/load-view.ts
+++ b/src/lib/decisions/load-view.ts
@@ -22,6 +22,12 @@
 	readonly roundTripMs: number;
 	/** When the gate last reported, in milliseconds of the steady clock. */
 	readonly reportedAt: number;
+	/** Requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
+	readonly limitPerSecond: number | undefined;
+	/** Until when the limit is expected to be used up, in milliseconds of the steady clock. */
+	readonly limitedUntil: number;
+	/** Refusals by the limit that have not been made up for by responses. */
+	readonly limitRefusals: number;
 };
 
 /** @internal */
@@ -33,14 +39,24 @@
 	readonly recordRoundTrip: (server: LifetimeKey, route: string, roundTripMs: number) => void;
 	readonly recordStart: (server: LifetimeKey) => void;
 	readonly recordEnd: (server: LifetimeKey) => void;
+	/** Records the limit that a response of the server names, or that it names none. */
+	readonly recordLimit: (server: LifetimeKey, limitPerSecond: number | undefined) => void;
+	/** Records that the gate refused a request since the limit is used up for the given time. */
+	readonly recordLimited: (server: LifetimeKey, waitMs: number, now: number) => void;
 	readonly retain: (isKnown: (server: LifetimeKey) => boolean) => void;
 };
 
+/** Longest time for which a server is avoided because its limit is used up, in milliseconds. A node learns only from requests that the limit has ended. */
+const maxLimitBackoffMs = 2000;
+
+/** With each refusal in a row the time doubles, up to this power of two: many nodes may share a limit. */
+const maxLimitBackoffPower = 6;
+
 /** Weight of the newest request in the moving average of round-trip times, which covers about five requests. */
 const smoothingFactor = 0.2;
 
 const unknownLoad: ServerView = {
-	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 0,
+	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 0, limitPerSecond: undefined, limitedUntil: 0, limitRefusals: 0,
 };
 
 /**
@@ -61,10 +77,14 @@
  * @param view - The known load of a server.
  * @param slots - Concurrency limit of the server.
  * @param now - Current time, in milliseconds of the steady clock.
- * @returns Milliseconds; 0 if a slot is likely to be free.
+ * @returns Milliseconds; 0 if a slot is likely to be free and the limit of the server is not used up.
  * @internal
  */
 export function estimateSlotWaitMs(view: ServerView, slots: number, now: number): number {
+	return Math.max(estimateQueueWaitMs(view, slots, now), view.limitedUntil - now);
+}
+
+function estimateQueueWaitMs(view: ServerView, slots: number, now: number): number {
 	const requests = estimateOutstanding(view);
 	if (requests < slots) {
 		return 0;
@@ -131,6 +151,22 @@
 			const view = get(server);
 			views.set(server, {...view, ownInFlight: Math.max(0, view.ownInFlight - 1)});
 		},
+		recordLimit(server, limitPerSecond) {
+			const view = get(server);
+			if (limitPerSecond === undefined && view.limitPerSecond === undefined) {
+				return;
+			}
+
+			const limitRefusals = limitPerSecond === undefined ? 0 : Math.max(0, view.limitRefusals - 1);
+			views.set(server, {
+				...view, limitPerSecond, limitRefusals, limitedUntil: limitPerSecond === undefined ? 0 : view.limitedUntil,
+			});
+		},
+		recordLimited(server, waitMs, now) {
+			const view = get(server);
+			const backoffMs = Math.min(maxLimitBackoffMs, waitMs * (2 ** Math.min(maxLimitBackoffPower, view.limitRefusals)));
+			views.set(server, {...view, limitRefusals: view.limitRefusals + 1, limitedUntil: Math.max(view.limitedUntil, now + backoffMs)});
+		},
 		retain(isKnown) {
 			for (const [server, view] of views) {
 				if (view.ownInFlight === 0 && !isKnown(server)) {
--- a/src/lib/decisions/plan-attempt.ts
+++ b/src/lib/decisions/plan-attempt.ts
@@ -41,8 +41,8 @@
 /** @internal */
 export type AttemptPlan =
 	| {readonly type: 'send'; readonly target: Candidate; readonly mayWaitMs: number}
-	/** Every server is busy for at least `waitMs` milliseconds. */
-	| {readonly type: 'refuse'; readonly waitMs: number}
+	/** Every server is busy, or its limit used up, for at least `waitMs` milliseconds. */
+	| {readonly type: 'refuse'; readonly waitMs: number; readonly isLimited: boolean}
 	/** The time left is too short for a response of any server. */
 	| {readonly type: 'too-late'}
 	| {readonly type: 'no-server'};
@@ -112,7 +112,9 @@
 	}
 
 	const slotReleaseMs = view.serviceMs / Math.max(1, slots);
-	return Math.min(inTimeMs, leftMs, slotReleaseMs === 0 ? inTimeMs : slotReleaseMs * (maxReleasesPerWait + 1));
+	const limitReleaseMs = view.limitPerSecond === undefined ? 0 : 1000 / view.limitPerSecond;
+	const releaseMs = Math.max(slotReleaseMs, limitReleaseMs);
+	return Math.min(inTimeMs, leftMs, releaseMs === 0 ? inTimeMs : releaseMs * (maxReleasesPerWait + 1));
 }
 
 /** Returns whether a server could not answer a call in the time left. A free slot is tried in any case, since only responses show that a server has become faster. */
@@ -160,7 +162,7 @@
 
 	// Reports do not tell how many waiting requests are ahead of a nested call, so it is always sent.
 	const isWaitTooLong = best.waitMs > best.mayWaitMs * waitToleranceFactor;
-	return isWaitTooLong && !call.isNestedCall ? {type: 'refuse', waitMs: best.waitMs} : {type: 'send', target: best.target, mayWaitMs: best.mayWaitMs};
+	return isWaitTooLong && !call.isNestedCall ? {type: 'refuse', waitMs: best.waitMs, isLimited: best.target.view.limitedUntil > now} : {type: 'send', target: best.target, mayWaitMs: best.mayWaitMs};
 }
 
 /**
--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -38,6 +38,9 @@
  */
 export const hasArrived = (result: ForwardResult): boolean => result.type === 'answered' || result.hasArrived;
 
+/** Number of refusals by the limits of servers that do not count as refusals by gates. */
+const maxFreeLimitRefusals = 3;
+
 const getVerdict = (result: ForwardResult): Verdict => result.type === 'answered' ? 'ran' : result.verdict;
 
 const describeOutcome = (result: ForwardResult): string => result.type === 'answered' ? String(result.status) : result.reason;
@@ -67,6 +70,7 @@
 	let verdict: Verdict = 'not-run';
 	let arrivals = 0;
 	let refusals = 0;
+	let limitRefusals = 0;
 	/** The shortest retry delay that a gate returned, in milliseconds; 0 if none did. */
 	let retryAfterMs = 0;
 	let fallback: ForwardResult = createNotRun('no-server', `no backend server of ${service} is known that could take the request`);
@@ -82,6 +86,16 @@
 		}
 	};
 
+	/** The first refusals by limits are not counted: they are rare, since this node avoids the server for a while, and the next server is likely to have room. */
+	const isFreeRefusal = (result: ForwardResult): boolean => {
+		if (result.type === 'answered' || result.reason !== 'limited') {
+			return false;
+		}
+
+		limitRefusals++;
+		return limitRefusals <= maxFreeLimitRefusals;
+	};
+
 	const createOutcome = (result: ForwardResult): CallOutcome => ({result, verdict, attempts: [...attemptRecords.values()]});
 
 	return {
@@ -99,13 +113,13 @@
 		},
 		recordEnd(attempt, result) {
 			const {target, mayWaitMs} = attempt;
-			if (result.type === 'failed' && result.reason === 'full' && mayWaitMs === 0) {
+			if (result.type === 'failed' && (result.reason === 'full' || result.reason === 'limited') && mayWaitMs === 0) {
 				tried.delete(target.lifetime);
 				full.add(target.lifetime);
 			}
 
 			arrivals += hasArrived(result) ? 1 : 0;
-			refusals += hasArrived(result) ? 0 : 1;
+			refusals += hasArrived(result) || isFreeRefusal(result) ? 0 : 1;
 			mergeResult(result);
 			const record = describeAttempt(attempt, getVerdict(result), describeOutcome(result));
 			attemptRecords.set(attempt, record);
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -171,7 +171,7 @@
 
 	const sendFailure = (call: EntryCall, failure: ForwardFailure, verdict: Verdict, targetLatencyMs: number): number => {
 		const status = chooseFailureStatus(failure, verdict);
-		refuse(call, status, failure.reason, status === 503 ? computeRetryAfterMs({waitMs: failure.retryAfterMs, targetLatencyMs, isOverloaded: failure.reason === 'full'}, random) : 0);
+		refuse(call, status, failure.reason, status === 503 ? computeRetryAfterMs({waitMs: failure.retryAfterMs, targetLatencyMs, isOverloaded: failure.reason === 'full' || failure.reason === 'limited'}, random) : 0);
 		return status;
 	};
 
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -10,6 +10,8 @@
 export type ForwardReason =
 	/** The gate has no free slot in time. */
 	| 'full'
+	/** The limit that the backend server named does not let the request start in time. */
+	| 'limited'
 	/** The backend server or its node is draining. */
 	| 'draining'
 	/** The backend server no longer runs beside that node. */
@@ -34,7 +36,7 @@
 	| 'superseded';
 
 const reasons: readonly ForwardReason[] = [
-	'full', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
+	'full', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
 ];
 
 /** @internal */
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -28,7 +28,7 @@
 	createNotRun, type ForwardFailure, type ForwardResult, type GateLoad, type GateResult,
 } from './forward-result.js';
 import {
-	computeConcurrencyLimit, createCallFingerprint, unreachableBackoffMs, openServerSession, type ServerSession, type ServerSessionContext, type SessionCall,
+	computeConcurrencyLimit, createCallFingerprint, createLimitedFailure, unreachableBackoffMs, openServerSession, type ServerSession, type ServerSessionContext, type SessionCall,
 } from './server-session.js';
 import {createUploadLimit} from './upload-limit.js';
 
@@ -36,10 +36,8 @@
 export type GateCall = SessionCall & {
 	/** Backend server that the sender chose. Any lifetime of this server may execute the request, since the request has not been sent to an earlier lifetime. */
 	readonly server: BackendServerId;
-	/** Priority; 0 is the highest. */
-	readonly rank: number;
-	/** Maximum expected wait for a slot, in milliseconds. */
-	readonly mayWaitMs: number;
+	/** Limit of the server that the sender knows, in requests per second; `undefined` if it knows of none. */
+	readonly limitPerSecond?: number | undefined;
 	/** Whether the request has a body, which is read once it holds a slot. */
 	readonly hasBody: boolean;
 	/** Whether the body is large and comes from another VM. */
@@ -62,6 +60,7 @@
 	readonly isLeaving: () => boolean;
 	readonly quarantine: ServerSessionContext['quarantine'] & Pick<Quarantine, 'countSuspects'>;
 	readonly rollouts: GateRollouts;
+	readonly countLimited: ServerSessionContext['countLimited'];
 	/** Returns the name of the route of a request; `undefined` if none matches. */
 	readonly findRouteName: (host: string, target: string) => string | undefined;
 	/** Bandwidth of this VM's link, in megabits per second. */
@@ -177,6 +176,7 @@
 				log.record('warn', {kind: 'server-doubted', server: contacted.id, reason});
 				handleChange();
 			},
+			countLimited: context.countLimited,
 			handleMisdirected(contacted) {
 				state = forgetServer(state, contacted, readSteadyMs());
 				handleChange();
@@ -236,7 +236,12 @@
 			return createNotRun('server-unreachable', `backend server ${call.server} refused or timed out a recent connection`, unreachableBackoffMs);
 		}
 
-		return session;
+		if (call.limitPerSecond !== undefined) {
+			session.suggestLimit(call.limitPerSecond);
+		}
+
+		const limitWaitMs = session.estimateLimitWaitMs(call);
+		return limitWaitMs > call.mayWaitMs ? createLimitedFailure(limitWaitMs) : session;
 	};
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
@@ -244,6 +249,7 @@
 		log.record('info', {
 			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, rank: call.rank,
 			running, waiting, serviceMs: Math.round(serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
+			...failure.reason === 'limited' ? {limitPerSecond: session?.getLimit(), caller: call.callerService} : {},
 		});
 		return failure;
 	};
@@ -345,7 +351,8 @@
 			return refuse(call, current);
 		}
 
-		return call.answerMayWaitMs === undefined ? found.run(call) : runWithLargeResponse(found, call);
+		const result = await (call.answerMayWaitMs === undefined ? found.run(call) : runWithLargeResponse(found, call));
+		return result.type === 'failed' && result.reason === 'limited' ? refuse(call, result) : result;
 	};
 
 	const getServerState = (server: LocalServer): ServerState => {
@@ -408,7 +415,7 @@
 			};
 		},
 		countRequests: () => requests,
-		getLimit: () => session?.describe().limitPerSecond,
+		getLimit: () => session?.getLimit(),
 		dispose() {
 			for (const retired of retiredSessions) {
 				retired.end();
--- a/src/lib/forwarding/outgoing-call.ts
+++ b/src/lib/forwarding/outgoing-call.ts
@@ -16,7 +16,7 @@
 import {type MeshRetryBudget} from '../decisions/mesh-retry-budget.js';
 import {type AttemptRecord, type MeshLog} from '../timeline/mesh-log.js';
 import {type CallScope} from './call-scope.js';
-import {type ForwardResult} from './forward-result.js';
+import {type ForwardResponse, type ForwardResult} from './forward-result.js';
 import {type GateClient} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
 
@@ -60,6 +60,8 @@
 	readonly localGate: LocalGate;
 	readonly gateClient: GateClient;
 	readonly loads: LoadView;
+	/** Records what the response of a backend server says of the server. */
+	readonly recordNotices: (server: LifetimeKey, headers: ForwardResponse['headers']) => void;
 	readonly retryBudget: MeshRetryBudget;
 	readonly log: MeshLog;
 	readonly random: () => number;
--- a/src/lib/forwarding/peer-messages.test.ts
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -30,7 +30,10 @@
 
 test('a request is decoded unchanged, and fields added by later versions are ignored', () => {
 	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(request))), request);
-	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), 'more'])), request);
+	const limited: PeerRequest = {...request, limitPerSecond: 23.4};
+	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(limited))), limited);
+	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(limited), 'more'])), limited);
+	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), null, 'more'])), request);
 });
 
 const places: ReadonlyArray<readonly [number, string, readonly unknown[]]> = [
@@ -45,6 +48,7 @@
 	[7, 'request.rank', [null, '1', -1, 1e300]],
 	[8, 'request.leftMs', [null, '1', -1, 1e300]],
 	[9, 'request.mayWaitMs', [null, '1', -1, 1e300]],
+	[12, 'request.limitPerSecond', ['1', -1, 1e300, true]],
 ];
 
 for (const [place, name, values] of places) {
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -34,6 +34,8 @@
 	readonly answerMayWaitMs?: number | undefined;
 	/** Whether the sender counts the request as one that may go to a version under test. */
 	readonly isCounted: boolean;
+	/** Limit that the backend server named in a response to the sender, in requests per second; `undefined` if it names none. */
+	readonly limitPerSecond?: number | undefined;
 };
 
 const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
@@ -62,9 +64,9 @@
  * @internal
  */
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
-	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted} = request;
+	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted, limitPerSecond} = request;
 	const answerWait = answerMayWaitMs === undefined ? null : roundToTenth(answerMayWaitMs);
-	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0];
+	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0, ...limitPerSecond === undefined ? [] : [limitPerSecond]];
 }
 
 /** Rejects a content length without a body: the backend server would read the missing body from the next request on the same connection. */
@@ -84,7 +86,7 @@
  * @internal
  */
 export function decodePeerRequest(head: unknown): PeerRequest {
-	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0] = readList(head, 'request');
+	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0, limitPerSecond] = readList(head, 'request');
 	const request: PeerRequest = {
 		id: readString(id, 'request.id'),
 		server: toBackendServerId(readString(server, 'request.server')),
@@ -98,6 +100,7 @@
 		mayWaitMs: readAmount(mayWaitMs, 'request.mayWaitMs', maxTimeMs),
 		isCounted: readFlag(isCounted, 'request.isCounted'),
 		...answerMayWaitMs === undefined || answerMayWaitMs === null ? {} : {answerMayWaitMs: readAmount(answerMayWaitMs, 'request.answerMayWaitMs', maxTimeMs)},
+		...limitPerSecond === undefined || limitPerSecond === null ? {} : {limitPerSecond: readAmount(limitPerSecond, 'request.limitPerSecond', maxTimeMs)},
 	};
 	checkContentLength(request.headers, request.hasBody);
 	return request;
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -45,10 +45,13 @@
 	readonly cancelAll: () => readonly Attempt[];
 };
 
+/** Jitter as a share of the time for which a server whose limit is used up is avoided, so that the nodes do not return together. */
+const limitJitterShare = 1;
+
 async function sendToGate(context: SendContext, call: OutgoingCall, {target, mayWaitMs, answerMayWaitMs, isCounted, scope}: Attempt, handleUnresponsive: () => void): Promise<GateResult> {
 	const common = {
 		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService,
-		mayWaitMs, isCounted, rank: computeRank(call.route), scope,
+		mayWaitMs, isCounted, rank: computeRank(call.route), scope, limitPerSecond: target.view.limitPerSecond,
 	};
 	return target.isLocal
 		? context.localGate.run({
@@ -106,6 +109,15 @@
 		context.loads.recordRoundTrip(target.lifetime, call.route.name, readAwakeMs() - startedAwakeAt - tookMs);
 	};
 
+	/** Records what the backend server says of itself in its response, and that its limit is used up. */
+	const recordNotices = ({target}: Attempt, result: ForwardResult): void => {
+		if (result.type === 'answered') {
+			context.recordNotices(target.lifetime, result.headers);
+		} else if (result.reason === 'limited') {
+			context.loads.recordLimited(target.lifetime, result.retryAfterMs * (1 + (limitJitterShare * context.random())), readSteadyMs());
+		}
+	};
+
 	const sendAttempt = async (attempt: Attempt): Promise<ForwardResult> => {
 		const {target, scope} = attempt;
 		const handleUnresponsive = (): void => {
@@ -118,6 +130,7 @@
 		try {
 			const {result, load} = await sendToGate(context, call, attempt, handleUnresponsive);
 			recordLoad(attempt, load);
+			recordNotices(attempt, result);
 			reportReachability(context, target, result);
 			return result;
 		} finally {
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -47,7 +47,7 @@
 		},
 	} as unknown as GateClient;
 	const context: SendContext = {
-		self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog, quarantine: createSilentQuarantine(), rollouts: noRollouts,
+		self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, recordNotices: () => undefined, log: silentLog, quarantine: createSilentQuarantine(), rollouts: noRollouts,
 		localGate: {} as unknown as LocalGate,
 		retryBudget: createMeshRetryBudget(() => ({ratio: 0.2, slack: 100, windowMs: 10_000}), () => 1),
 		random: () => 0,
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -126,7 +126,9 @@
 			}
 
 			case 'refuse': {
-				return createNotRun('full', `every backend server of ${service} is busy for ${Math.round(plan.waitMs)} ms or more`, plan.waitMs);
+				return plan.isLimited
+					? createNotRun('limited', `the limits of all backend servers of ${service} are used up for ${Math.round(plan.waitMs)} ms or more`, plan.waitMs)
+					: createNotRun('full', `every backend server of ${service} is busy for ${Math.round(plan.waitMs)} ms or more`, plan.waitMs);
 			}
 		}
 	};
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -15,6 +15,7 @@
 import {createLazyFingerprint, type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
+import {createServerLimiter, type LimitedOutcome} from '../server-notices/server-limiter.js';
 import {readServerLimit} from '../server-notices/server-notice.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
 import {removeHopByHopHeaders, getStringHeader, type CallHeaderNames} from './call-headers.js';
@@ -36,6 +37,10 @@
 	/** Reads the body, called once the request holds a slot. */
 	readonly readBody: () => Promise<Uint8Array | undefined>;
 	readonly callerService: string;
+	/** Priority; 0 is the highest. */
+	readonly rank: number;
+	/** Maximum expected wait, in milliseconds: for a slot, and once more for the limit of the server. */
+	readonly mayWaitMs: number;
 	readonly scope: CallScope;
 };
 
@@ -53,6 +58,8 @@
 	readonly isLeaving: () => boolean;
 	/** Called with each request that the server executed, and the time it took in milliseconds. */
 	readonly handleOutcome: (call: SessionCall, hasFailed: boolean, tookMs: number) => void;
+	/** Called with each request to a server that names a limit, and whether the limit let it through. */
+	readonly countLimited: (caller: string, outcome: LimitedOutcome) => void;
 	/** Called when another server responded at the address (status 421). */
 	readonly handleMisdirected: (lifetime: ServerLifetime) => void;
 };
@@ -64,8 +71,6 @@
 	readonly serviceMs: number;
 	/** Moving average of the share of failed requests, 0 to 1. */
 	readonly failureShare: number;
-	/** Requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
-	readonly limitPerSecond: number | undefined;
 };
 
 /** @internal */
@@ -75,6 +80,12 @@
 	readonly release: () => void;
 	readonly run: (call: SessionCall) => Promise<ForwardResult>;
 	readonly resize: (slots: number) => void;
+	/** Applies a limit that another node knows, until the server has responded to this node. */
+	readonly suggestLimit: (limitPerSecond: number) => void;
+	/** Returns how long the limit of the server is expected to delay a request, in milliseconds. */
+	readonly estimateLimitWaitMs: (call: Pick<SessionCall, 'callerService' | 'rank'>) => number;
+	/** Returns the requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
+	readonly getLimit: () => number | undefined;
 	readonly describe: () => SessionLoad;
 	/**
 	 * Records that the server has crashed, because another lifetime replaced it without a leave. Requests lost from then on
@@ -146,6 +157,15 @@
 	method, host: typeof headers.host === 'string' ? headers.host : '', target, body,
 });
 
+/**
+ * Creates the failure of a request that the limit of its server does not let start in time.
+ *
+ * @param waitMs - How long it would have to wait, in milliseconds.
+ * @returns The failure.
+ * @internal
+ */
+export const createLimitedFailure = (waitMs: number): ForwardFailure => createNotRun('limited', 'the limit that the backend server named is used up', waitMs);
+
 const sessionEndedFailure = createNotRun('gone', 'backend server has restarted or was replaced');
 
 /**
@@ -164,9 +184,9 @@
 		address: announcement.address, maxConnections: context.maxConnections, idleMs: idleConnectionMs, connectTimeoutMs,
 	});
 	const halfOpenDetector = createHalfOpenDetector();
+	const limiter = createServerLimiter(context.countLimited);
 	let abandonedCalls: readonly AbandonedCall[] = [];
 	let failureShare = 0;
-	let limitPerSecond: number | undefined;
 	let isEnded = false;
 	let hasCrashed = false;
 
@@ -257,11 +277,11 @@
 			return;
 		}
 
-		if (limit.value !== limitPerSecond) {
+		const before = limiter.getLimit();
+		if (limiter.apply(limit.value)) {
 			log.record('info', {
-				kind: 'server-limit-changed', server: lifetime.id, perSecond: limit.value, before: limitPerSecond,
+				kind: 'server-limit-changed', server: lifetime.id, perSecond: limit.value, before,
 			});
-			limitPerSecond = limit.value;
 		}
 	};
 
@@ -273,7 +293,6 @@
 		}
 
 		recordLimit(response.headers);
-
 		if (response.headers[headerNames.notRun] !== undefined) {
 			recordOutcome(true);
 			return {...createNotRun('shed', `backend server responded with status ${response.status} and did not execute the request`), hasArrived: true};
@@ -317,6 +336,15 @@
 		}
 	};
 
+	/** Waits until the limit lets a request start. It is the last wait before the request is sent, so that the limit holds for what arrives at the server. */
+	const waitForLimit = async ({callerService, rank, mayWaitMs, scope}: SessionCall): Promise<ForwardFailure | undefined> => {
+		const outcome = await limiter.acquire({
+			caller: callerService, rank, mayWaitMs, listenForEnd: scope.subscribe,
+		});
+		// A request whose call has ended is refused before it is sent.
+		return outcome.type === 'refused' ? createLimitedFailure(outcome.retryAfterMs) : undefined;
+	};
+
 	const send = async (call: SessionCall, body: Uint8Array | undefined): Promise<ForwardResult> => {
 		const fingerprint = createCallFingerprint(call, body);
 		const settled = context.quarantine.waitForTrial(fingerprint);
@@ -324,6 +352,11 @@
 			await settled;
 		}
 
+		const refusal = limiter.getLimit() === undefined ? undefined : await waitForLimit(call);
+		if (refusal !== undefined) {
+			return refusal;
+		}
+
 		const now = readSteadyMs();
 		const leftMs = Math.floor(call.scope.deadlineAt - now - deadlineMarginMs);
 		const ended = call.scope.getEndReason();
@@ -377,6 +410,7 @@
 	const stopAccepting = (): void => {
 		isEnded = true;
 		slots.close();
+		limiter.close();
 		pool.renew();
 	};
 
@@ -402,7 +436,10 @@
 		resize(count) {
 			slots.resize(computeConcurrencyLimit(count));
 		},
-		describe: () => ({...slots.describe(), failureShare, limitPerSecond}),
+		suggestLimit: limiter.suggest,
+		estimateLimitWaitMs: ({callerService, rank}) => limiter.estimateWaitMs({caller: callerService, rank}),
+		getLimit: limiter.getLimit,
+		describe: () => ({...slots.describe(), failureShare}),
 		recordCrash() {
 			hasCrashed = true;
 			crashDetector.recordReplaced();
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -83,7 +83,7 @@
 	return {
 		sent,
 		send: async () => sendCall({
-			self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, log: silentLog, quarantine: createSilentQuarantine(), rollouts: noRollouts,
+			self: toNodeId('n1'), callerService: 'caller', domain, listCandidates, gateClient, loads, recordNotices: () => undefined, log: silentLog, quarantine: createSilentQuarantine(), rollouts: noRollouts,
 			localGate: {} as unknown as LocalGate,
 			retryBudget: createMeshRetryBudget(() => ({ratio: 0, slack, windowMs: 10_000}), () => 1),
 			random: () => 0,
--- a/src/lib/forwarding/suspended-gate.test.ts
+++ b/src/lib/forwarding/suspended-gate.test.ts
@@ -34,7 +34,7 @@
 		headerNames: {
 			callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run', serverLimit: 'x-limit', serverLeaving: 'x-leaving',
 		},
-		log: silentLog, refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, findRouteName: () => undefined,
+		log: silentLog, refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
 	});
 	const scope = createCallScope(readSteadyMs() + 30_000);
 	context.after(() => {
--- a/src/lib/forwarding/two-attempts.test.ts
+++ b/src/lib/forwarding/two-attempts.test.ts
@@ -49,7 +49,7 @@
 			}
 		},
 		send: async () => sendCall({
-			self: toNodeId('n1'), callerService: 'caller', domain, loads, log: silentLog, localGate: {} as unknown as LocalGate,
+			self: toNodeId('n1'), callerService: 'caller', domain, loads, recordNotices: () => undefined, log: silentLog, localGate: {} as unknown as LocalGate,
 			quarantine: createSilentQuarantine(), rollouts: noRollouts,
 			listCandidates: () => ['a', 'b', 'c', 'd'].map((id): Candidate => ({
 				id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -97,13 +97,16 @@
 	const {service, route, tried, trialOf, matches = () => true} = query;
 	const {own, peers, limits, loads, random} = sources;
 
+	const isUsable = (server: ServerReport | undefined): server is ServerReport =>
+		server?.service === service && server.state === 'ready' && matches(server) && !isExcluded(toLifetimeKey(server.lifetime));
+
 	/** Returns whether a server is excluded. A server that refused a trial remains in the list from which the trial server is chosen: choosing among the others would run the trial at several servers at the same time. */
 	const isExcluded = (lifetime: LifetimeKey): boolean => trialOf === undefined && tried.has(lifetime);
 
 	const describeIfUsable = (peer: Peer): Candidate | undefined => {
 		const {server} = peer.report;
 		// The list of a service may contain a node whose server has changed since the list was built.
-		return server?.service === service && server.state === 'ready' && matches(server) && !isExcluded(toLifetimeKey(server.lifetime)) && isReachable(peer, limits, now)
+		return isUsable(server) && isReachable(peer, limits, now)
 			? describePeer({report: peer.report, server}, route, loads)
 			: undefined;
 	};
@@ -127,7 +130,7 @@
 		return found;
 	};
 
-	const localCandidates = own.server?.service === service && own.server.state === 'ready' && matches(own.server) && !isExcluded(toLifetimeKey(own.server.lifetime)) ? [describeLocal(sources, own.server, route, now)] : [];
+	const localCandidates = isUsable(own.server) ? [describeLocal(sources, own.server, route, now)] : [];
 	const listAll = (): readonly Candidate[] => [...localCandidates, ...[...peers.ownDomain, ...peers.otherDomains].flatMap(peer => describeIfUsable(peer) ?? [])];
 	if (trialOf !== undefined) {
 		return chooseTrialServer(trialOf, listAll()).filter(({lifetime}) => !tried.has(lifetime));
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -6,6 +6,7 @@
  */
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import {type FinishedCall} from '../forwarding/entry-server.js';
+import {type LimitedOutcome} from '../server-notices/server-limiter.js';
 import {type MeshLog, type RefusalCause, type RefusalKind} from '../timeline/mesh-log.js';
 
 /** A value that is read when metrics are scraped. @internal */
@@ -23,6 +24,8 @@
 	readonly recordLoopDelay: (milliseconds: number) => void;
 	/** Counts refused input, most of which has no log line of its own. */
 	readonly countRefusal: (kind: RefusalKind, cause: RefusalCause) => void;
+	/** Counts the requests to a backend server that names a limit. */
+	readonly countLimited: (caller: string, outcome: LimitedOutcome) => void;
 	/** Returns a log that counts each event and passes it on to a given log. */
 	readonly countEvents: (log: MeshLog) => MeshLog;
 	readonly format: (gauges: readonly Gauge[]) => string;
@@ -92,6 +95,7 @@
 	const attempts = createCounter('stonemoor_attempts_total', 'service', 'outcome');
 	const events = createCounter('stonemoor_events_total', 'kind', 'reason');
 	const refusals = createCounter('stonemoor_refusals_total', 'kind', 'cause');
+	const limited = createCounter('stonemoor_limited_requests_total', 'caller', 'outcome');
 	const latencies = new Map<string, Histogram>();
 	const loopDelays = createHistogram();
 
@@ -122,6 +126,9 @@
 		countRefusal(kind, cause) {
 			refusals.add(kind, cause);
 		},
+		countLimited(caller, outcome) {
+			limited.add(caller, outcome);
+		},
 		countEvents: log => ({
 			record(level, event) {
 				if (event.kind === 'gate-refused') {
@@ -139,6 +146,7 @@
 				...attempts.format(),
 				...events.format(),
 				...refusals.format(),
+				...limited.format(),
 				...[...latencies].flatMap(([service, histogram]) => formatSummary('stonemoor_call_milliseconds', {service}, histogram)),
 				...formatSummary('stonemoor_loop_delay_milliseconds', {}, loopDelays),
 				...gauges.flatMap(gauge => formatGauge(gauge)),
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -7,7 +7,8 @@
 import {type Result} from 'neverthrow';
 import {updateClockOffsets, readSteadyMs, watchResume} from '../common/clock.js';
 import {type NodeId} from '../common/ids.js';
-import {toLifetimeKey} from '../common/server-lifetime.js';
+import {type HeaderMap} from '../calls/attempt.js';
+import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createRequestStartLimiter} from '../common/request-start-limiter.js';
@@ -30,6 +31,7 @@
 import {type ActiveConfig} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
 import {createWeightedRoundRobin} from '../route-config/weighted-round-robin.js';
+import {readServerLimit} from '../server-notices/server-notice.js';
 import {createLoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
 import {type MeshStore} from '../store/mesh-store.js';
@@ -184,6 +186,7 @@
 		refusals,
 		quarantine,
 		rollouts,
+		countLimited: metrics.countLimited,
 		findRouteName(host, target) {
 			const active = sync.holder.get();
 			return active === undefined ? undefined : findRoute(active.index, host, target)?.name;
@@ -265,6 +268,14 @@
 		peers: link.table.listService(query.service), limits: peerLimits, loads, random,
 	}, readSteadyMs());
 
+	/** Records what a backend server says in a response that this node passes on. The node beside that server logs a limit that cannot be read. */
+	const recordNotices = (server: LifetimeKey, headers: HeaderMap): void => {
+		const limit = readServerLimit(headers, headerNames);
+		if (limit.isOk()) {
+			loads.recordLimit(server, limit.value);
+		}
+	};
+
 	const handleFinished = (call: FinishedCall): void => {
 		metrics.recordCall(call);
 		housekeeping.recordCall();
@@ -286,6 +297,7 @@
 		rollouts,
 		gateClient,
 		loads,
+		recordNotices,
 		retryBudget: createMeshRetryBudget(() => settings.retries, countRetryBudgetNodes),
 		log,
 		random,
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -56,7 +56,8 @@
 
 		case 'gate-refused': {
 			const load = `${line.running} running, ${line.waiting} waiting, ${line.serviceMs} ms each`;
-			return `the gate of ${line.server} on ${line.node} refused it (${line.reason}): ${load}, maximum wait ${line.mayWaitMs} ms`;
+			const limit = line.limitPerSecond === undefined ? '' : `, ${line.limitPerSecond} requests a second taken, caller ${line.caller}`;
+			return `the gate of ${line.server} on ${line.node} refused it (${line.reason}): ${load}, maximum wait ${line.mayWaitMs} ms${limit}`;
 		}
 
 		case 'request-refused': {
@@ -81,6 +82,7 @@
 /** Explanations of the reasons for operators. */
 const causeTexts: Readonly<Record<string, string>> = {
 	full: 'no backend server of the service had a slot in time: the service was overloaded, or many of its servers were down',
+	limited: 'the backend servers take fewer requests a second than callers send: each that was tried has used up the limit that it names (search for "server-limit-changed")',
 	draining: 'the backend servers that were tried were leaving',
 	gone: 'the backend server had restarted or been replaced, and this node did not know that yet',
 	'server-unreachable': 'the backend server could not be reached by the node beside it: it was down or starting',
@@ -109,6 +111,7 @@
 		}
 
 		case 'server-draining':
+		case 'server-limit-changed':
 		case 'server-doubted':
 		case 'server-crashed':
 		case 'server-announced': {
