--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -38,8 +38,8 @@
  */
 export const hasArrived = (result: ForwardResult): boolean => result.type === 'answered' || result.hasArrived;
 
-/** Number of refusals by the limits of servers that do not count as refusals by gates. */
-const maxFreeLimitRefusals = 3;
+/** Number of refusals by the limits of servers that do not count as refusals by gates. @internal */
+export const maxFreeLimitRefusals = 3;
 
 const getVerdict = (result: ForwardResult): Verdict => result.type === 'answered' ? 'ran' : result.verdict;
 
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -177,6 +177,9 @@
 				handleChange();
 			},
 			countLimited: context.countLimited,
+			handleLeaving(contacted) {
+				applyStep(acceptLeave(state, contacted, readSteadyMs()), 'server said in a response that it leaves');
+			},
 			handleMisdirected(contacted) {
 				state = forgetServer(state, contacted, readSteadyMs());
 				handleChange();
@@ -236,10 +239,6 @@
 			return createNotRun('server-unreachable', `backend server ${call.server} refused or timed out a recent connection`, unreachableBackoffMs);
 		}
 
-		if (call.limitPerSecond !== undefined) {
-			session.suggestLimit(call.limitPerSecond);
-		}
-
 		const limitWaitMs = session.estimateLimitWaitMs(call);
 		return limitWaitMs > call.mayWaitMs ? createLimitedFailure(limitWaitMs) : session;
 	};
@@ -355,6 +354,13 @@
 		return result.type === 'failed' && result.reason === 'limited' ? refuse(call, result) : result;
 	};
 
+	/** Applies the limit that the sender knows, since this node may have restarted and not know it yet. */
+	const applyKnownLimit = ({server, limitPerSecond}: GateCall): void => {
+		if (limitPerSecond !== undefined && state.current?.announcement.lifetime.id === server) {
+			session?.suggestLimit(limitPerSecond);
+		}
+	};
+
 	const getServerState = (server: LocalServer): ServerState => {
 		if (server.isLeaving || rollouts.isWithheld(server.announcement)) {
 			return 'draining';
@@ -375,6 +381,7 @@
 		async run(call) {
 			const arrivedAt = readSteadyMs();
 			requests++;
+			applyKnownLimit(call);
 			try {
 				const refusal = quarantine.countSuspects() === 0 ? undefined : await checkQuarantine(call);
 				const result = refusal ?? await (call.isLargeUpload ? runLargeUpload(call) : admitAndRun(call));
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -16,7 +16,7 @@
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {createServerLimiter, type LimitedOutcome} from '../server-notices/server-limiter.js';
-import {readServerLimit} from '../server-notices/server-notice.js';
+import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
 import {removeHopByHopHeaders, getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {runExchange, type ExchangeResponse, type ExchangeFailure} from './exchange.js';
@@ -60,6 +60,8 @@
 	readonly handleOutcome: (call: SessionCall, hasFailed: boolean, tookMs: number) => void;
 	/** Called with each request to a server that names a limit, and whether the limit let it through. */
 	readonly countLimited: (caller: string, outcome: LimitedOutcome) => void;
+	/** Called with each response in which the server says that it leaves. */
+	readonly handleLeaving: (lifetime: ServerLifetime) => void;
 	/** Called when another server responded at the address (status 421). */
 	readonly handleMisdirected: (lifetime: ServerLifetime) => void;
 };
@@ -285,6 +287,18 @@
 		}
 	};
 
+	/** Applies what the server says of itself in a response. A response with neither a signature nor a refusal may come from another process. */
+	const recordNotices = (headers: IncomingHttpHeaders): void => {
+		if (headers[headerNames.signature] === undefined && headers[headerNames.notRun] === undefined) {
+			return;
+		}
+
+		recordLimit(headers);
+		if (isLeavingNotice(headers, headerNames)) {
+			context.handleLeaving(lifetime);
+		}
+	};
+
 	const convertResponse = (response: ExchangeResponse, fingerprint: LazyFingerprint): ForwardResult => {
 		if (response.status === 421) {
 			// Another server has the address. It gets no requests until it has announced itself.
@@ -292,7 +306,7 @@
 			return {...createNotRun('gone', 'another backend server responds at the address'), hasArrived: true};
 		}
 
-		recordLimit(response.headers);
+		recordNotices(response.headers);
 		if (response.headers[headerNames.notRun] !== undefined) {
 			recordOutcome(true);
 			return {...createNotRun('shed', `backend server responded with status ${response.status} and did not execute the request`), hasArrived: true};
--- a/src/lib/sidecar/list-candidates.test.ts
+++ b/src/lib/sidecar/list-candidates.test.ts
@@ -8,6 +8,7 @@
 import {type ServerReport} from '../peers/peer-report.js';
 import {type Peer, type PeerLimits} from '../peers/peer-table.js';
 import {createSampleReport} from '../peers/sample-report.js';
+import {createLeavingServers} from '../server-notices/leaving-servers.js';
 import {createLoadView} from '../decisions/load-view.js';
 import {listCandidates, type CandidateSources} from './list-candidates.js';
 
@@ -39,7 +40,7 @@
 			node: toNodeId('n0'), gate: toAddress('10.0.0.1:1'), domain, server: own,
 		},
 		peers: {ownDomain: peers.filter(({report}) => report.domain === domain), otherDomains: peers.filter(({report}) => report.domain !== domain)},
-		limits, loads: createLoadView(), random,
+		limits, loads: createLoadView(), leaving: createLeavingServers(), random,
 	};
 	const query = {service: 'logview', route: 'logs', tried: new Set(tried.map(id => toLifetimeKey(toLifetime(id))))};
 	return listCandidates(query, sources, 5500).map(({id, isLocal}) => isLocal ? `own ${id}` : id);
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -12,6 +12,7 @@
 } from '../peers/peer-table.js';
 import {type Fingerprint} from '../quarantine/fingerprint.js';
 import {chooseTrialServer} from '../quarantine/trial-server.js';
+import {type LeavingServers} from '../server-notices/leaving-servers.js';
 import {estimateSlotWaitMs, type LoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
 
@@ -31,6 +32,8 @@
 	readonly peers: ServicePeers;
 	readonly limits: PeerLimits;
 	readonly loads: LoadView;
+	/** Servers whose responses said that they leave. */
+	readonly leaving: Pick<LeavingServers, 'has'>;
 	readonly random: () => number;
 };
 
@@ -95,10 +98,10 @@
  */
 export function listCandidates(query: CandidateQuery, sources: CandidateSources, now: number): readonly Candidate[] {
 	const {service, route, tried, trialOf, matches = () => true} = query;
-	const {own, peers, limits, loads, random} = sources;
+	const {own, peers, limits, loads, leaving, random} = sources;
 
 	const isUsable = (server: ServerReport | undefined): server is ServerReport =>
-		server?.service === service && server.state === 'ready' && matches(server) && !isExcluded(toLifetimeKey(server.lifetime));
+		server?.service === service && server.state === 'ready' && matches(server) && !isExcluded(toLifetimeKey(server.lifetime)) && !leaving.has(toLifetimeKey(server.lifetime));
 
 	/** Returns whether a server is excluded. A server that refused a trial remains in the list from which the trial server is chosen: choosing among the others would run the trial at several servers at the same time. */
 	const isExcluded = (lifetime: LifetimeKey): boolean => trialOf === undefined && tried.has(lifetime);
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -31,7 +31,8 @@
 import {type ActiveConfig} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
 import {createWeightedRoundRobin} from '../route-config/weighted-round-robin.js';
-import {readServerLimit} from '../server-notices/server-notice.js';
+import {createLeavingServers} from '../server-notices/leaving-servers.js';
+import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
 import {createLoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
 import {type MeshStore} from '../store/mesh-store.js';
@@ -120,6 +121,7 @@
 	const callerRetryDetector = createCallerRetryDetector();
 	const nestedCallDetector = createNestedCallDetector();
 	const loads = createLoadView();
+	const leaving = createLeavingServers();
 	const lag = createLoopLag();
 	const startLimiter = createRequestStartLimiter();
 	/**
@@ -265,7 +267,7 @@
 		own: {
 			node: self, gate: settings.listen.gate, domain, server: isGateLeaving ? undefined : gate.describe(),
 		},
-		peers: link.table.listService(query.service), limits: peerLimits, loads, random,
+		peers: link.table.listService(query.service), limits: peerLimits, loads, leaving, random,
 	}, readSteadyMs());
 
 	/** Records what a backend server says in a response that this node passes on. The node beside that server logs a limit that cannot be read. */
@@ -274,6 +276,10 @@
 		if (limit.isOk()) {
 			loads.recordLimit(server, limit.value);
 		}
+
+		if (isLeavingNotice(headers, headerNames)) {
+			leaving.add(server);
+		}
 	};
 
 	const handleFinished = (call: FinishedCall): void => {
