Product's node: limits and leaving that backend servers state in their responses

What servers would see: the product's own node, as the sidecar node before, sent as many requests as a server has slots and went on after it had said that it leaves. Cause: the same; the two nodes have gates of their own. Change: the sender at the gate has the limiter of the sidecar node, waits for a token last, and drains the server when it says so. Entries avoid a server whose limit is used up (limited), with the backoff of the sidecar node, now in one place (limit-view), and send the limit they know, with their name, by which shares are counted, only where there is one. A server that leaves stays out although its node restarts; only a new start beside the same run of the node ends that. Measured: three scenarios of calls.feature pass: a server that takes 3 a second gets at most 23 in 4 s of 60 requests a second and every page is answered; a limit of "-3" is recorded and ignored; nothing reaches a server that leaves.

--- a/scenarios/features/calls.feature
+++ b/scenarios/features/calls.feature
@@ -57,6 +57,25 @@
     Then the caller gets the verdict "ran"
     And release "r1" ran 1 time
 
+  Scenario: A backend server gets no more requests than the limit that it names
+    Given logview-1 names a limit of "3" in its responses
+    When pages are read 60 times a second through all nodes for 4 seconds
+    Then every response is complete and belongs to its request
+    And logview-1 got at most 23 requests meanwhile
+
+  Scenario: A limit that is no number is recorded and ignored
+    Given logview-1 names a limit of "-3" in its responses
+    When pages are read 60 times a second through all nodes for 1 seconds
+    Then every response is complete and belongs to its request
+    And the timeline of node-1 shows "server-limit-refused"
+
+  Scenario: A backend server that says in its responses that it leaves gets no further requests
+    Given logview-1 says in its responses that it leaves
+    When pages are read 60 times a second through all nodes for 1 seconds
+    And pages are read 60 times a second through all nodes for 1 seconds
+    Then every response is complete and belongs to its request
+    And logview-1 got at most 0 requests meanwhile
+
   Scenario: A request that a backend server sheds is sent to another one
     Given releasehall-1 sheds every request
     When releases "a" to "j" are concurrently published through all nodes
--- a/scenarios/run-scenarios.test.ts
+++ b/scenarios/run-scenarios.test.ts
@@ -93,7 +93,7 @@
 	const steps = scenario.steps.map(step => matchStep(step));
 	const world = await createWorld();
 	const state: ScenarioState = {
-		world, outcomes: [], answers: [], backup: [], requestsAfterDrain: 0, danglingRoutes: [], rawStatus: 0,
+		world, outcomes: [], answers: [], backup: [], requestsAfterDrain: 0, requestsBefore: new Map(), danglingRoutes: [], rawStatus: 0,
 	};
 	try {
 		for (const {text, definition, parameters} of steps) {
--- a/scenarios/steps/call-steps.ts
+++ b/scenarios/steps/call-steps.ts
@@ -39,6 +39,42 @@
 	await readPages(state, count, state.world.listRunning());
 });
 
+defineStep('pages are read {int} times a second through all nodes for {int} second(s)', async (state, perSecond: number, seconds: number) => {
+	const {world} = state;
+	state.requestsBefore = new Map(Array.from(world.servers, ([name, server]) => [name, server.getRequestCounts().requests]));
+	const nodes = world.listRunning();
+	const startedAt = Date.now();
+	const readPage = async (index: number): Promise<ScenarioState['answers'][number]> => {
+		const path = `/logs/${index}`;
+		return {path, answer: await world.call(nodes[index % nodes.length]!.name, {path})};
+	};
+
+	const calls: Array<ReturnType<typeof readPage>> = [];
+	for (let index = 0; index < perSecond * seconds; index++) {
+		await sleep(Math.max(0, startedAt + (index * 1000 / perSecond) - Date.now()));
+		calls.push(readPage(index));
+	}
+
+	state.answers = await Promise.all(calls);
+});
+
+defineStep('{word} got at most {int} requests meanwhile', ({world, requestsBefore}, name: string, most: number) => {
+	const count = world.getServer(name).getRequestCounts().requests - (requestsBefore.get(name) ?? 0);
+	assert.ok(count <= most, `${name} got ${count} requests`);
+});
+
+defineStep('{word} names a limit of {string} in its responses', (state, name: string, limit: string) => {
+	applyBehaviour(state, [name], {limit});
+});
+
+defineStep('{word} says in its responses that it leaves', (state, name: string) => {
+	applyBehaviour(state, [name], {saysItLeaves: true});
+});
+
+defineStep('the timeline of {word} shows {string}', ({world}, node: string, kind: string) => {
+	assert.ok(world.getNode(node).events.some(event => event.kind === kind));
+});
+
 defineStep('a caller reads a page through {word}', async (state, node: string) => {
 	await readPages(state, 1, [state.world.getNode(node)]);
 });
--- a/scenarios/steps/define-step.ts
+++ b/scenarios/steps/define-step.ts
@@ -18,6 +18,8 @@
 	backup: StoreBackup;
 	/** Requests that the server had received when its drain took effect. */
 	requestsAfterDrain: number;
+	/** Requests that each server had received before the last step that reads pages at a rate. */
+	requestsBefore: ReadonlyMap<string, number>;
 	/** Descriptions of the routes that were in force on a node without their pool, for the error message. */
 	danglingRoutes: readonly string[];
 	/** The status of the last response to a hand-written request; 0 if there was none. */
--- a/src/lib/calls/attempt.ts
+++ b/src/lib/calls/attempt.ts
@@ -29,6 +29,10 @@
 	readonly ticket?: string;
 	/** Fingerprint by which the quarantine recognizes the request; `undefined` for a streamed body, which is never buffered whole. */
 	readonly fingerprint: LazyFingerprint | undefined;
+	/** The node that received the request, by which the shares in a limit are counted; empty if the gate was not told. */
+	readonly entry: string;
+	/** Limit of the backend server that the entry knows, in requests per second; `undefined` if it knows of none. */
+	readonly limitPerSecond: number | undefined;
 };
 
 /** Result of an attempt. @internal */
@@ -56,14 +60,14 @@
 };
 
 /** @internal */
-export type FailureReason = 'shed' | 'draining' | 'no-server' | 'unreachable' | 'timeout' | 'cancelled' | 'connection-lost' | 'wrong-answer'
+export type FailureReason = 'shed' | 'limited' | 'draining' | 'no-server' | 'unreachable' | 'timeout' | 'cancelled' | 'connection-lost' | 'wrong-answer'
 	/** The backend server crashed while the request was in flight; the request may have caused the crash. */
 	| 'server-crashed'
 	/** Backend servers crashed while requests with this fingerprint were in flight, so it is not sent to further servers. */
 	| 'quarantined';
 
 /** @internal */
-export const failureReasons: readonly FailureReason[] = ['shed', 'draining', 'no-server', 'unreachable', 'timeout', 'cancelled', 'connection-lost', 'wrong-answer', 'server-crashed', 'quarantined'];
+export const failureReasons: readonly FailureReason[] = ['shed', 'limited', 'draining', 'no-server', 'unreachable', 'timeout', 'cancelled', 'connection-lost', 'wrong-answer', 'server-crashed', 'quarantined'];
 
 /** Delay before a retry if no better estimate is known. */
 const defaultRetryAfterMs = 1000;
--- a/src/lib/calls/gate-client.ts
+++ b/src/lib/calls/gate-client.ts
@@ -53,6 +53,7 @@
 		[timeoutHeader]: String(Math.max(1, attempt.deadline - readNow())),
 		...attempt.ticket === undefined ? {} : {[meshHeaders.ticket]: attempt.ticket},
 		...attempt.fingerprint === undefined || attempt.fingerprint.host === '' ? {} : {[meshHeaders.routedHost]: attempt.fingerprint.host},
+		...attempt.limitPerSecond === undefined ? {} : {[meshHeaders.knownLimit]: String(attempt.limitPerSecond), [meshHeaders.entry]: attempt.entry},
 		...attempt.fingerprint?.hasBody ? {[meshHeaders.bodyDigest]: getBodyDigest(attempt.fingerprint)} : {},
 	};
 }
--- a/src/lib/calls/gate-server.ts
+++ b/src/lib/calls/gate-server.ts
@@ -11,11 +11,12 @@
 import {toBackendServerId, toCallId, type BackendServerId} from '../common/ids.js';
 import {type WorkClass} from '../policy/decision.js';
 import {createLazyFingerprintOfDigest, type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
+import {readServerLimit} from '../server-notices/server-notice.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
 import {type Attempt, type AttemptResult, type FailedAttempt} from './attempt.js';
 import {createCallSignal} from './call-signal.js';
 import {
-	filterForwardableHeaders, getHeader, getNumberHeader, meshHeaders, timeoutHeader, toOutgoingHeaders,
+	filterForwardableHeaders, getHeader, getNumberHeader, meshHeaders, noticeHeaders, timeoutHeader, toOutgoingHeaders,
 } from './headers.js';
 import {type LocalServers} from './local-servers.js';
 
@@ -67,6 +68,9 @@
 			signal: createCallSignal(response, timeoutMs),
 			ticket: getHeader(request.headers, meshHeaders.ticket),
 			fingerprint: readFingerprint(request),
+			entry: getHeader(request.headers, meshHeaders.entry) ?? '',
+			// The entry is a node of the mesh. If its header cannot be read, the server names its limit in its next response.
+			limitPerSecond: readServerLimit(request.headers, {...noticeHeaders, serverLimit: meshHeaders.knownLimit}).unwrapOr(undefined),
 		},
 	};
 }
--- a/src/lib/calls/headers.ts
+++ b/src/lib/calls/headers.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {type IncomingHttpHeaders} from 'node:http';
+import {type NoticeHeaderNames} from '../server-notices/server-notice.js';
 import {type HeaderMap} from './attempt.js';
 
 /** Prefix of every header of the mesh. Headers with this prefix are removed from requests of callers. @internal */
@@ -24,12 +25,19 @@
 	retryAfterMs: 'stonemoor-retry-after-ms',
 	answeredBy: 'stonemoor-answered-by',
 	eventTime: 'stonemoor-event-time',
+	/** Limit of the backend server that the entry knows; absent if it knows of none. */
+	knownLimit: 'stonemoor-known-limit',
+	/** Name of the entry node; sent only with a known limit. */
+	entry: 'stonemoor-entry',
 	/** Digest of a body that the entry has buffered; the gate receives the body itself as a stream. */
 	bodyDigest: 'stonemoor-body-digest',
 	/** The host by which a request was routed; absent if the route accepts any host, as the Host header then names only the contacted node. */
 	routedHost: 'stonemoor-routed-host',
 } as const;
 
+/** Headers in which backend servers name a limit, or say that they leave. They are passed on to callers. @internal */
+export const noticeHeaders: NoticeHeaderNames = {serverLimit: 'server-limit', serverLeaving: 'server-leaving'};
+
 /** Time that is left until the deadline, in milliseconds: callers may send it, backend servers receive it. @public */
 export const timeoutHeader = 'request-timeout-ms';
 
--- a/src/lib/calls/local-servers.ts
+++ b/src/lib/calls/local-servers.ts
@@ -14,7 +14,7 @@
 import {type AdmissionSettings} from '../settings/settings.js';
 import {type Timeline} from '../timeline/timeline.js';
 import {createFailure, type Attempt, type AttemptResult} from './attempt.js';
-import {createServerSender, type ServerSender} from './server-sender.js';
+import {createServerSender, type LimitedAttempt, type ServerSender} from './server-sender.js';
 import {type RunQuarantine} from './run-tracker.js';
 
 /** The description that a backend server periodically sends of itself. @public */
@@ -31,13 +31,16 @@
 	readonly has: (id: BackendServerId) => boolean;
 	readonly send: (id: BackendServerId, attempt: Attempt) => Promise<AttemptResult>;
 	/** Reserves a slot for a request that follows later; resolves with the ticket of the slot. */
-	readonly reserve: (id: BackendServerId, request: SlotRequest) => Promise<Result<string, GateRefusal>>;
+	readonly reserve: (id: BackendServerId, request: SlotRequest & LimitedAttempt) => Promise<Result<string, ReserveRefusal>>;
 	readonly list: () => readonly LocalServer[];
 	/** Waits until no request is in flight or queued. Resolves with `false` if the timeout passes first. */
 	readonly waitUntilIdle: (timeoutMs: number) => Promise<boolean>;
 	readonly dispose: () => Promise<void>;
 };
 
+/** Why no slot was reserved. */
+type ReserveRefusal = Pick<GateRefusal, 'retryAfterMs'> & {readonly type: GateRefusal['type'] | 'limited'};
+
 /** @public */
 export type LocalServer = {
 	readonly server: BackendServer;
@@ -116,11 +119,22 @@
 		await entry.sender.dispose();
 	};
 
+	const createSender = (server: BackendServer, gate: Gate): ServerSender => createServerSender(server, gate, {
+		quarantine,
+		maxLimitWaitMs: settings.targetWaitMs,
+		timeline,
+		handleLeaving() {
+			if (entries.get(server.id)?.gate === gate) {
+				drain(server.id);
+			}
+		},
+	});
+
 	const addServer = (announcement: Announcement): void => {
 		const server: BackendServer = {...announcement, startedAt: readNow(), isDraining: false};
 		const gate = createGate(server.slots, settings);
 		entries.set(server.id, {
-			server, gate, sender: createServerSender(server, gate, quarantine), lastAnnouncedAt: readNow(),
+			server, gate, sender: createSender(server, gate), lastAnnouncedAt: readNow(),
 		});
 		timeline.record({kind: 'server-announced', server: server.id, service: server.service});
 		publish();
@@ -195,7 +209,12 @@
 				return err(unknownServerRefusal);
 			}
 
-			const slot = await entry.gate.acquire(request);
+			const refusal = entry.sender.checkLimit(request);
+			if (refusal !== undefined) {
+				return err({type: 'limited', retryAfterMs: refusal.retryAfterMs});
+			}
+
+			const slot: Result<Slot, ReserveRefusal> = await entry.gate.acquire(request);
 			return slot.andThen(reserved => {
 				const ticket = randomUUID();
 				const timer = setTimeout(() => {
--- a/src/lib/calls/problem-response.ts
+++ b/src/lib/calls/problem-response.ts
@@ -23,7 +23,7 @@
 };
 
 const statusByReason: Readonly<Record<FailureReason, number>> = {
-	shed: 503, draining: 503, 'no-server': 503, unreachable: 503, timeout: 504, cancelled: 499, 'connection-lost': 502, 'wrong-answer': 502, 'server-crashed': 502, quarantined: 503,
+	shed: 503, limited: 503, draining: 503, 'no-server': 503, unreachable: 503, timeout: 504, cancelled: 499, 'connection-lost': 502, 'wrong-answer': 502, 'server-crashed': 502, quarantined: 503,
 };
 
 /**
--- a/src/lib/calls/run-attempts.ts
+++ b/src/lib/calls/run-attempts.ts
@@ -17,6 +17,7 @@
 import {chooseTrialServer} from '../quarantine/trial-server.js';
 import {chooseServer} from '../routing/choose-server.js';
 import {type ServerLoads} from '../routing/server-load.js';
+import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
 import {type CallSettings} from '../settings/settings.js';
 import {type Timeline} from '../timeline/timeline.js';
 import {
@@ -24,6 +25,7 @@
 } from './attempt.js';
 import {type CallPlan} from './call-plan.js';
 import {type GateClient} from './gate-client.js';
+import {noticeHeaders} from './headers.js';
 import {type LocalServers} from './local-servers.js';
 import {type RequestBody} from './request-body.js';
 import {type RetryBudget} from './retry-budget.js';
@@ -82,10 +84,10 @@
 
 const createNoServerFailure = (service: string): FailedAttempt => createFailure('not-run', 'no-server', `no known backend server of ${service} can accept the request`);
 
-function createAttempt(outgoing: OutgoingCall): Omit<Attempt, 'body'> {
+function createAttempt({self, loads}: AttemptContext, target: DirectoryServer, outgoing: OutgoingCall): Omit<Attempt, 'body'> {
 	const {call, method, path, headers, deadline, signal, plan, fingerprint} = outgoing;
 	return {
-		call, method, path, headers, deadline, signal, fingerprint, workClass: plan.decision.workClass,
+		call, method, path, headers, deadline, signal, fingerprint, workClass: plan.decision.workClass, entry: self, limitPerSecond: loads.get(target.server.id).limitPerSecond,
 	};
 }
 
@@ -100,7 +102,7 @@
 async function sendStreamed(context: AttemptContext, target: DirectoryServer, attempt: Omit<Attempt, 'body'>, open: () => Attempt['body']): Promise<AttemptResult> {
 	const {server, node} = target;
 	if (node.id === context.self) {
-		const reserved = await context.localServers.reserve(server.id, {workClass: attempt.workClass, deadline: attempt.deadline, signal: attempt.signal});
+		const reserved = await context.localServers.reserve(server.id, attempt);
 		return reserved.match(
 			async ticket => context.localServers.send(server.id, {...attempt, ticket, body: open()}),
 			async ({type, retryAfterMs}) => createFailure('not-run', type, `the gate of ${server.id} rejected the upload (${type})`, retryAfterMs),
@@ -114,7 +116,7 @@
 }
 
 async function sendAttempt(context: AttemptContext, target: DirectoryServer, outgoing: OutgoingCall): Promise<AttemptResult> {
-	const attempt = createAttempt(outgoing);
+	const attempt = createAttempt(context, target, outgoing);
 	const {body} = outgoing;
 	switch (body.type) {
 		case 'none': {
@@ -131,12 +133,25 @@
 	}
 }
 
+/** Records what a backend server says of itself in a response. The node beside the server records a limit that cannot be read. */
+function recordNotices({loads}: AttemptContext, {server, node}: DirectoryServer, {headers}: AnsweredAttempt): void {
+	const limit = readServerLimit(headers, noticeHeaders);
+	if (limit.isOk()) {
+		loads.recordLimit(server.id, limit.value);
+	}
+
+	if (isLeavingNotice(headers, noticeHeaders)) {
+		loads.recordLeaving(server.id, {startedAt: server.startedAt, epoch: node.epoch});
+	}
+}
+
 /** Updates the load and ejection of a server from the result of an attempt. The load and ejection that this node observes take precedence over the directory. */
 function recordResult(context: AttemptContext, target: DirectoryServer, call: CallId, result: AttemptResult): void {
 	const {loads, settings, timeline} = context;
 	const {id} = target.server;
 	if (result.type === 'answered') {
 		loads.recordReport(id, result.load);
+		recordNotices(context, target, result);
 		return;
 	}
 
@@ -150,6 +165,10 @@
 		});
 	}
 
+	if (result.reason === 'limited') {
+		loads.recordLimited(id, result.retryAfterMs * (1 + context.random()));
+	}
+
 	if (result.reason === 'shed') {
 		loads.recordReport(id, target.server.slots * 2);
 	}
--- a/src/lib/calls/server-sender.ts
+++ b/src/lib/calls/server-sender.ts
@@ -8,18 +8,36 @@
 import {type Gate, type Slot} from '../admission/gate.js';
 import {readMicroseconds, readNow} from '../common/clock.js';
 import {type BackendServer} from '../directory/node-record.js';
+import {createServerLimiter, type LimitRequest} from '../server-notices/server-limiter.js';
+import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
+import {type Timeline} from '../timeline/timeline.js';
 import {
-	createFailure, toFailedAttempt, type Attempt, type AttemptResult,
+	createFailure, toFailedAttempt, type Attempt, type AttemptResult, type FailedAttempt, type HeaderMap,
 } from './attempt.js';
 import {createRunTracker, type RunQuarantine} from './run-tracker.js';
 import {
-	filterForwardableHeaders, getHeader, meshHeaders, timeoutHeader, toOutgoingHeaders,
+	filterForwardableHeaders, getHeader, meshHeaders, noticeHeaders, timeoutHeader, toOutgoingHeaders,
 } from './headers.js';
 
+/** What the limiter needs to know of a request. @internal */
+export type LimitedAttempt = Pick<Attempt, 'entry' | 'limitPerSecond' | 'workClass'>;
+
+/** @internal */
+export type ServerSenderContext = {
+	readonly quarantine: RunQuarantine;
+	/** The longest wait of a request for the limit of the server, in milliseconds. */
+	readonly maxLimitWaitMs: number;
+	readonly timeline: Timeline;
+	/** Called with each response in which the server says that it leaves. */
+	readonly handleLeaving: () => void;
+};
+
 /** @internal */
 export type ServerSender = {
 	/** Sends an attempt; waits for a slot first unless one is given. */
 	readonly send: (attempt: Attempt, slot?: Slot) => Promise<AttemptResult>;
+	/** Returns the failure of a request that the limit of the server does not let start in time; `undefined` if it does. */
+	readonly checkLimit: (request: LimitedAttempt) => FailedAttempt | undefined;
 	readonly dispose: () => Promise<void>;
 };
 
@@ -47,11 +65,11 @@
  *
  * @param server - The server.
  * @param gate - Its gate.
- * @param quarantine - Decides whether a request may be sent, and records how it ended.
+ * @param context - The dependencies of the sender.
  * @returns The sender.
  * @internal
  */
-export function createServerSender(server: BackendServer, gate: Gate, quarantine: RunQuarantine): ServerSender {
+export function createServerSender(server: BackendServer, gate: Gate, {quarantine, maxLimitWaitMs, timeline, handleLeaving}: ServerSenderContext): ServerSender {
 	const pool = new Pool(`http://${server.address}`, {
 		connections: server.connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: {timeout: connectTimeoutMs},
 	});
@@ -59,7 +77,65 @@
 	let isClosing = false;
 	const runTracker = createRunTracker(quarantine, server, () => isClosing);
 
+	const limiter = createServerLimiter(() => undefined);
+	let refusedLimit = '';
+
+	/** Applies the limit that a response names. A limit that cannot be read is recorded once and changes nothing. */
+	const applyLimit = (headers: HeaderMap): void => {
+		const limit = readServerLimit(headers, noticeHeaders);
+		if (limit.isErr()) {
+			if (limit.error !== refusedLimit) {
+				refusedLimit = limit.error;
+				timeline.record({kind: 'server-limit-refused', server: server.id, reason: limit.error});
+			}
+
+			return;
+		}
+
+		const before = limiter.getLimit();
+		if (limiter.apply(limit.value)) {
+			timeline.record({
+				kind: 'server-limit-changed', server: server.id, perSecond: limit.value, before,
+			});
+		}
+	};
+
+	const createLimitFailure = (waitMs: number): FailedAttempt => createFailure('not-run', 'limited', `the limit that ${server.id} named is used up`, Math.ceil(waitMs));
+
+	const createLimitRequest = ({entry, workClass}: LimitedAttempt): Pick<LimitRequest, 'caller' | 'rank'> => ({caller: entry, rank: workClass === 'interactive' ? 0 : 1});
+
+	const checkLimit = (request: LimitedAttempt): FailedAttempt | undefined => {
+		if (request.limitPerSecond !== undefined) {
+			limiter.suggest(request.limitPerSecond);
+		}
+
+		const waitMs = limiter.estimateWaitMs(createLimitRequest(request));
+		return waitMs > maxLimitWaitMs ? createLimitFailure(waitMs) : undefined;
+	};
+
+	/** Waits until the limit lets a request start. It is the last wait before the request is sent. */
+	const waitForLimit = async (attempt: Attempt): Promise<FailedAttempt | undefined> => {
+		const {signal} = attempt;
+		const outcome = await limiter.acquire({
+			...createLimitRequest(attempt),
+			mayWaitMs: maxLimitWaitMs,
+			listenForEnd(handleEnd) {
+				signal.addEventListener('abort', handleEnd, {once: true});
+				return () => {
+					signal.removeEventListener('abort', handleEnd);
+				};
+			},
+		});
+		return outcome.type === 'refused' ? createLimitFailure(outcome.retryAfterMs) : undefined;
+	};
+
 	const sendWithSlot = async (attempt: Attempt, slot: Slot): Promise<AttemptResult> => {
+		const refusal = limiter.getLimit() === undefined ? undefined : await waitForLimit(attempt);
+		if (refusal !== undefined) {
+			slot.release();
+			return refusal;
+		}
+
 		const admission = await runTracker.admit(attempt.fingerprint);
 		if (admission.type === 'refused') {
 			slot.release();
@@ -81,6 +157,11 @@
 			});
 			releaseAfterBody(response.body, slot);
 			runTracker.watchResponse(admission, response.statusCode, response.body);
+			applyLimit(response.headers);
+			if (isLeavingNotice(response.headers, noticeHeaders)) {
+				handleLeaving();
+			}
+
 			// Only the server knows whether it shed a request before executing it, so its verdict header is trusted.
 			if (getHeader(response.headers, meshHeaders.verdict) === 'not-run') {
 				response.body.destroy();
@@ -112,6 +193,11 @@
 				return sendWithSlot(attempt, reservedSlot);
 			}
 
+			const refusal = checkLimit(attempt);
+			if (refusal !== undefined) {
+				return refusal;
+			}
+
 			const slot = await gate.acquire({workClass: attempt.workClass, deadline: attempt.deadline, signal: attempt.signal});
 			if (slot.isErr()) {
 				const {type, retryAfterMs} = slot.error;
@@ -120,8 +206,10 @@
 
 			return sendWithSlot(attempt, slot.value);
 		},
+		checkLimit,
 		async dispose() {
 			isClosing = true;
+			limiter.close();
 			await pool.destroy();
 		},
 	};
--- a/src/lib/decisions/link-demand.test.ts
+++ b/src/lib/decisions/link-demand.test.ts
@@ -4,6 +4,7 @@
 	toAddress, toBackendServerId, toFailureDomain, toNodeId,
 } from '../common/ids.js';
 import {toLifetimeKey} from '../common/server-lifetime.js';
+import {unlimitedView} from '../server-notices/limit-view.js';
 import {computeMaxResponseWaitMs, computeLinkBytesPerMs, createLinkDemand} from './link-demand.js';
 import {type Candidate} from './rank-servers.js';
 
@@ -11,7 +12,7 @@
 	id: toBackendServerId('a'), lifetime: toLifetimeKey({id: toBackendServerId('a'), startedAt: 1}),
 	node: toNodeId('n1'), gate: toAddress('10.0.0.1:1'), domain: toFailureDomain('a'), isLocal: false, slots: 14, isCold: false,
 	view: {
-		running: 0, waiting: 0, serviceMs: 200, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 0, limitPerSecond: undefined, limitedUntil: 0, limitRefusals: 0,
+		running: 0, waiting: 0, serviceMs: 200, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 0, ...unlimitedView,
 	},
 };
 
--- a/src/lib/decisions/load-view.ts
+++ b/src/lib/decisions/load-view.ts
@@ -6,9 +6,12 @@
  * @module
  */
 import {type LifetimeKey} from '../common/server-lifetime.js';
+import {
+	applyLimitRefusal, applyNamedLimit, unlimitedView, type LimitView,
+} from '../server-notices/limit-view.js';
 
-/** Known load of one server. @internal */
-export type ServerView = {
+/** Known load of one server. Times are milliseconds of the steady clock. @internal */
+export type ServerView = LimitView & {
 	readonly running: number;
 	readonly waiting: number;
 	/** Average service time of a request in milliseconds; 0 if unknown. */
@@ -22,12 +25,6 @@
 	readonly roundTripMs: number;
 	/** When the gate last reported, in milliseconds of the steady clock. */
 	readonly reportedAt: number;
-	/** Requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
-	readonly limitPerSecond: number | undefined;
-	/** Until when the limit is expected to be used up, in milliseconds of the steady clock. */
-	readonly limitedUntil: number;
-	/** Refusals by the limit that have not been made up for by responses. */
-	readonly limitRefusals: number;
 };
 
 /** @internal */
@@ -46,17 +43,11 @@
 	readonly retain: (isKnown: (server: LifetimeKey) => boolean) => void;
 };
 
-/** Longest time for which a server is avoided because its limit is used up, in milliseconds. A node learns only from requests that the limit has ended. */
-const maxLimitBackoffMs = 2000;
-
-/** With each refusal in a row the time doubles, up to this power of two: many nodes may share a limit. */
-const maxLimitBackoffPower = 6;
-
 /** Weight of the newest request in the moving average of round-trip times, which covers about five requests. */
 const smoothingFactor = 0.2;
 
 const unknownLoad: ServerView = {
-	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 0, limitPerSecond: undefined, limitedUntil: 0, limitRefusals: 0,
+	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 0, ...unlimitedView,
 };
 
 /**
@@ -153,19 +144,13 @@
 		},
 		recordLimit(server, limitPerSecond) {
 			const view = get(server);
-			if (limitPerSecond === undefined && view.limitPerSecond === undefined) {
-				return;
+			if (limitPerSecond !== undefined || view.limitPerSecond !== undefined) {
+				views.set(server, {...view, ...applyNamedLimit(view, limitPerSecond)});
 			}
-
-			const limitRefusals = limitPerSecond === undefined ? 0 : Math.max(0, view.limitRefusals - 1);
-			views.set(server, {
-				...view, limitPerSecond, limitRefusals, limitedUntil: limitPerSecond === undefined ? 0 : view.limitedUntil,
-			});
 		},
 		recordLimited(server, waitMs, now) {
 			const view = get(server);
-			const backoffMs = Math.min(maxLimitBackoffMs, waitMs * (2 ** Math.min(maxLimitBackoffPower, view.limitRefusals)));
-			views.set(server, {...view, limitRefusals: view.limitRefusals + 1, limitedUntil: Math.max(view.limitedUntil, now + backoffMs)});
+			views.set(server, {...view, ...applyLimitRefusal(view, waitMs, now)});
 		},
 		retain(isKnown) {
 			for (const [server, view] of views) {
--- a/src/lib/decisions/plan-attempt.test.ts
+++ b/src/lib/decisions/plan-attempt.test.ts
@@ -5,6 +5,7 @@
 	toAddress, toBackendServerId, toFailureDomain, toNodeId,
 } from '../common/ids.js';
 import {toLifetimeKey} from '../common/server-lifetime.js';
+import {unlimitedView} from '../server-notices/limit-view.js';
 import {type Candidate} from './rank-servers.js';
 import {
 	computeMaxWaitMs, planAttempt, standardRules, type AttemptHistory, type CallState,
@@ -15,7 +16,7 @@
 		id: toBackendServerId(name), lifetime: toLifetimeKey({id: toBackendServerId(name), startedAt: 1}),
 		node: toNodeId(`n-${name}`), gate: toAddress('10.0.0.1:1'), domain: toFailureDomain('a'), isLocal: false, slots, isCold: false,
 		view: {
-			running: 0, waiting: 0, serviceMs: 100, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 1000, limitPerSecond: undefined, limitedUntil: 0, limitRefusals: 0, ...view,
+			running: 0, waiting: 0, serviceMs: 100, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 1000, ...unlimitedView, ...view,
 		},
 	};
 }
--- a/src/lib/routing/choose-server.ts
+++ b/src/lib/routing/choose-server.ts
@@ -94,12 +94,20 @@
 	return computeLoadScore(faster, context) <= fullLoadScore ? faster : undefined;
 }
 
+/** Returns whether a server has said that it leaves. If only its start time is another, a new lifetime has replaced it; if the node beside it restarted, that node has set the start time anew. */
+function isLeaving({server, node}: DirectoryServer, {getLoad}: ChoiceContext): boolean {
+	const {leaving} = getLoad(server.id);
+	return leaving !== undefined && (leaving.startedAt === server.startedAt || leaving.epoch !== node.epoch);
+}
+
 function listHealthy(context: ChoiceContext): readonly DirectoryServer[] {
-	const notDraining = context.servers.filter(({server}) => !server.isDraining);
+	const notDraining = context.servers.filter(entry => !entry.server.isDraining && !isLeaving(entry, context));
 	const isEjected = ({server}: DirectoryServer): boolean => context.getLoad(server.id).ejectedUntil > context.now;
 	const healthy = notDraining.filter(entry => !isEjected(entry) && entry.node.status === 'alive');
 	// If most of a pool looks unhealthy, this node's own observations are probably wrong, so ignore health.
-	return healthy.length < notDraining.length * panicThresholdShare ? notDraining : healthy;
+	const candidates = healthy.length < notDraining.length * panicThresholdShare ? notDraining : healthy;
+	// A server whose limit is used up is healthy, and would refuse the request.
+	return candidates.filter(({server}) => context.getLoad(server.id).limitedUntil <= context.now);
 }
 
 /**
--- a/src/lib/routing/server-load.ts
+++ b/src/lib/routing/server-load.ts
@@ -7,9 +7,12 @@
  */
 import {readNow} from '../common/clock.js';
 import {type BackendServerId} from '../common/ids.js';
+import {
+	applyLimitRefusal, applyNamedLimit, unlimitedView, type LimitView,
+} from '../server-notices/limit-view.js';
 
 /** Load and failures of one server. @internal */
-export type ServerLoad = {
+export type ServerLoad = LimitView & {
 	/** Requests of this node that are in flight to the server. */
 	readonly inFlight: number;
 	/** Requests executing or queued at the gate of the server, according to its last response. */
@@ -20,6 +23,8 @@
 	readonly firstSeenAt: number;
 	/** End of the ejection of the server, in milliseconds since the epoch; 0 if it is not ejected. */
 	readonly ejectedUntil: number;
+	/** The lifetime that said in a response that it leaves; `undefined` if none did. */
+	readonly leaving: LeavingServer | undefined;
 	/** Number of consecutive failures. */
 	readonly failures: number;
 	/** Exponentially weighted moving average of the milliseconds until a response began; 0 if there is none yet. */
@@ -28,6 +33,9 @@
 	readonly latencyAt: number;
 };
 
+/** The lifetime of a server, and the run of the node beside it, at the time when the server said that it leaves. @internal */
+export type LeavingServer = {readonly startedAt: number; readonly epoch: number};
+
 /** @internal */
 export type ServerLoads = {
 	readonly get: (id: BackendServerId) => ServerLoad;
@@ -41,6 +49,12 @@
 	readonly recordReport: (id: BackendServerId, requests: number) => void;
 	/** Ejects a server; each consecutive failure extends the ejection by `baseMs`. Returns its duration in milliseconds. */
 	readonly eject: (id: BackendServerId, baseMs: number) => number;
+	/** Records the limit that a response of the server names, or that it names none. */
+	readonly recordLimit: (id: BackendServerId, limitPerSecond: number | undefined) => void;
+	/** Records that the gate refused a request since the limit is used up for the given time. Each consecutive refusal doubles the time. */
+	readonly recordLimited: (id: BackendServerId, waitMs: number) => void;
+	/** Records that the server said in a response that it leaves. */
+	readonly recordLeaving: (id: BackendServerId, leaving: LeavingServer) => void;
 	/** Removes the servers for which `isKnown` returns false, except those with requests in flight. */
 	readonly retain: (isKnown: (id: BackendServerId) => boolean) => void;
 };
@@ -53,7 +67,7 @@
 
 function createLoad(now: number): ServerLoad {
 	return {
-		inFlight: 0, reportedRequests: 0, reportedAt: 0, firstSeenAt: now, ejectedUntil: 0, failures: 0, latencyMs: 0, latencyAt: 0,
+		inFlight: 0, reportedRequests: 0, reportedAt: 0, firstSeenAt: now, ejectedUntil: 0, failures: 0, latencyMs: 0, latencyAt: 0, leaving: undefined, ...unlimitedView,
 	};
 }
 
@@ -105,6 +119,18 @@
 			update(id, {failures, ejectedUntil: readNow() + forMs});
 			return forMs;
 		},
+		recordLimit(id, limitPerSecond) {
+			const load = get(id);
+			if (limitPerSecond !== undefined || load.limitPerSecond !== undefined) {
+				update(id, applyNamedLimit(load, limitPerSecond));
+			}
+		},
+		recordLimited(id, waitMs) {
+			update(id, applyLimitRefusal(get(id), waitMs, readNow()));
+		},
+		recordLeaving(id, leaving) {
+			update(id, {leaving});
+		},
 		retain(isKnown) {
 			for (const [id, load] of loads) {
 				if (load.inFlight === 0 && !isKnown(id)) {
--- a/src/lib/server-notices/limiter-state.ts
+++ b/src/lib/server-notices/limiter-state.ts
@@ -112,7 +112,7 @@
 	return refill({...refill(state, now), limitPerSecond}, now);
 }
 
-function decayUsage(usage: CallerUsage | undefined, now: number): CallerUsage {
+function computeUsage(usage: CallerUsage | undefined, now: number): CallerUsage {
 	if (usage === undefined) {
 		return {asked: 0, got: 0, updatedAt: now};
 	}
@@ -124,7 +124,7 @@
 /** Adds to the usage of a caller. If there are too many callers, forgets the one that is known longest. */
 function addUsage(state: LimiterState, caller: string, added: {readonly asked: number; readonly got: number}, now: number): LimiterState {
 	const usage = new Map(state.usage);
-	const {asked, got} = decayUsage(usage.get(caller), now);
+	const {asked, got} = computeUsage(usage.get(caller), now);
 	usage.delete(caller);
 	usage.set(caller, {asked: asked + added.asked, got: got + added.got, updatedAt: now});
 	if (usage.size > maxCallerCount) {
@@ -136,7 +136,7 @@
 
 /** Returns the tokens that have to be there for a request of a caller to start. */
 function countNeededTokens(state: LimiterState, caller: string, now: number): number {
-	const active = [...state.usage].map(([name, usage]) => ({name, ...decayUsage(usage, now)})).filter(({name, asked}) => name === caller || asked >= minAsked);
+	const active = [...state.usage].map(([name, usage]) => ({name, ...computeUsage(usage, now)})).filter(({name, asked}) => name === caller || asked >= minAsked);
 	if (active.length < 2) {
 		return 1;
 	}
--- a/src/lib/timeline/timeline-event.ts
+++ b/src/lib/timeline/timeline-event.ts
@@ -25,6 +25,10 @@
 	| {readonly kind: 'member-status'; readonly member: NodeId; readonly status: NodeStatus}
 	| {readonly kind: 'server-announced'; readonly server: BackendServerId; readonly service: string}
 	| {readonly kind: 'server-draining'; readonly server: BackendServerId}
+	/** The server named another limit, or none (`undefined`), in requests per second. */
+	| {readonly kind: 'server-limit-changed'; readonly server: BackendServerId; readonly perSecond: number | undefined; readonly before: number | undefined}
+	/** The limit that the server named cannot be read. */
+	| {readonly kind: 'server-limit-refused'; readonly server: BackendServerId; readonly reason: string}
 	| {readonly kind: 'server-withdrawn'; readonly server: BackendServerId; readonly reason: string}
 	| {readonly kind: 'server-ejected'; readonly server: BackendServerId; readonly reason: string; readonly forMs: number}
 	| {readonly kind: 'request-suspected'; readonly fingerprint: string; readonly crashes: number; readonly from: string}
--- a/stand-ins/backend-server/backend-server.ts
+++ b/stand-ins/backend-server/backend-server.ts
@@ -41,6 +41,10 @@
 	readonly coldRequests: number;
 	/** Whether it rejects every request with status 503 and the verdict `not-run`. */
 	readonly isShedding: boolean;
+	/** The limit that its responses name; none if empty. */
+	readonly limit: string;
+	/** Whether its responses say that it leaves. */
+	readonly saysItLeaves: boolean;
 	/** How many of the next responses end in the middle of the body, with the connection closed. */
 	readonly cutAnswers: number;
 	/** How many of the next requests run, but get no response: the connection is closed instead. */
@@ -79,7 +83,7 @@
 };
 
 const defaultBehaviour: BackendBehaviour = {
-	workMs: 2, coldMs: 0, coldRequests: 0, isShedding: false, cutAnswers: 0, cutBeforeAnswer: 0, crashPath: '', answersEarly: false, claimedHealth: 'ok', claimedLoad: 0,
+	workMs: 2, coldMs: 0, coldRequests: 0, isShedding: false, limit: '', saysItLeaves: false, cutAnswers: 0, cutBeforeAnswer: 0, crashPath: '', answersEarly: false, claimedHealth: 'ok', claimedLoad: 0,
 };
 
 const announcePeriodMs = 1000;
@@ -237,7 +241,11 @@
 			return;
 		}
 
-		sendText(response, 200, text, {'x-served-by': settings.id});
+		sendText(response, 200, text, {
+			'x-served-by': settings.id,
+			...behaviour.limit === '' ? {} : {'server-limit': behaviour.limit},
+			...behaviour.saysItLeaves ? {'server-leaving': '1'} : {},
+		});
 	};
 
 	const getRequestCounts = (): RequestCounts => ({
