--- a/bench/experiment/entry.ts
+++ b/bench/experiment/entry.ts
@@ -12,6 +12,7 @@
 import {mayTryAnotherGate, planAttempt, type CallState} from '../../src/lib/decisions/plan-attempt.js';
 import {rankServers, type Candidate} from '../../src/lib/decisions/rank-servers.js';
 import {type RetryReason} from '../../src/lib/decisions/mesh-retry-budget.js';
+import {maxFreeLimitRefusals} from '../../src/lib/forwarding/call-progress.js';
 import {type ModelServer} from './model-server.js';
 import {type RequestKind} from './pattern.js';
 import {type Simulation} from './simulation.js';
@@ -69,6 +70,7 @@
 	const ageMs = isNestedCall ? 0 : node.callerRetries.recordCall(kind.name, request.leftMs);
 	const history = {tried: new Set<Candidate['lifetime']>(), full: new Set<Candidate['lifetime']>(), refusals: 0};
 	let serverAttempts = 0;
+	let limitRefusals = 0;
 	let minimumWaitMs = Number.POSITIVE_INFINITY;
 	node.retryBudget.recordRequest(kind.service, isNestedCall, receivedAt);
 
@@ -120,6 +122,17 @@
 		}
 	};
 
+	/** Handles a refusal by the limit of a server, which the entry then avoids for a while. */
+	const handleLimited = (target: Candidate, mayWaitMs: number, retryAfterMs: number): void => {
+		if (policy.areLimitsAvoided) {
+			node.loads.recordLimited(target.lifetime, retryAfterMs * (1 + random()), events.getNow());
+		}
+
+		limitRefusals++;
+		history.refusals -= limitRefusals <= maxFreeLimitRefusals ? 1 : 0;
+		handleFull(target, mayWaitMs, retryAfterMs);
+	};
+
 	/** Handles a request that reached a server and was refused or failed there. */
 	const handleServerFailure = (target: Candidate, reason: Exclude<RetryReason, 'call-turned-away'>): void => {
 		serverAttempts++;
@@ -140,6 +153,7 @@
 			handleFinish(isAnswered);
 			sendAnswer(server, target, () => {
 				if (isAnswered) {
+					node.loads.recordLimit(target.lifetime, server.getLimit());
 					request.handleResult({type: 'answered'});
 				} else {
 					handleServerFailure(target, 'may-have-run');
@@ -168,6 +182,11 @@
 					handleFull(target, mayWaitMs, retryAfterMs);
 				});
 			},
+			handleLimited(retryAfterMs) {
+				sendAnswer(server, target, () => {
+					handleLimited(target, mayWaitMs, retryAfterMs);
+				});
+			},
 		});
 	};
 
--- a/bench/experiment/model-server.ts
+++ b/bench/experiment/model-server.ts
@@ -7,6 +7,9 @@
 import {
 	admitToQueue, createSlotQueue, estimateWaitMs, finishRequest, removeFromQueue, type SlotQueue,
 } from '../../src/lib/decisions/slot-queue.js';
+import {
+	admitLimited, createLimiterState, estimateTokenWaitMs, type LimiterState,
+} from '../../src/lib/server-notices/limiter-state.js';
 import {type EventQueue} from './event-queue.js';
 
 /** A request at a gate. Times are simulated milliseconds. */
@@ -17,6 +20,8 @@
 	/** Runs the request. Calls back when it releases its slot, with whether it was answered: only then its duration counts for the service time. */
 	readonly run: (handleFinish: (isAnswered: boolean) => void) => void;
 	readonly handleFull: (retryAfterMs: number) => void;
+	/** The limit of the server is used up. */
+	readonly handleLimited: (retryAfterMs: number) => void;
 };
 
 /** A simulated server with its gate. `node` is the index of its node, and `speed` a factor of its work rate. */
@@ -26,11 +31,13 @@
 	readonly node: number;
 	readonly slots: number;
 	readonly speed: number;
+	/** Returns the limit that the server names, in requests per second. */
+	readonly getLimit: () => number | undefined;
 	readonly requestSlot: (request: GateRequest) => () => void;
 	readonly getLoad: () => {readonly running: number; readonly waiting: number; readonly serviceMs: number};
 };
 
-type ModelServerOptions = Pick<ModelServer, 'id' | 'service' | 'node' | 'slots' | 'speed'>;
+type ModelServerOptions = Pick<ModelServer, 'id' | 'service' | 'node' | 'slots' | 'speed' | 'getLimit'>;
 
 /**
  * @param options - Identity, node, slots and speed of the server.
@@ -41,6 +48,7 @@
 export function createModelServer(options: ModelServerOptions, events: EventQueue, maximumWaitFactor: number): ModelServer {
 	let queue: SlotQueue = createSlotQueue(options.slots);
 	let nextId = 1;
+	let limiter: LimiterState | undefined;
 	const waiting = new Map<number, GateRequest>();
 
 	const run = (request: GateRequest): void => {
@@ -67,10 +75,32 @@
 		}
 	};
 
+	/** Returns how long the limit delays a request, in milliseconds; takes a token if that is 0. The model does not queue for tokens. */
+	const takeToken = (id: number, rank: number, now: number): number => {
+		const limit = options.getLimit();
+		if (limit === undefined) {
+			limiter = undefined;
+			return 0;
+		}
+
+		limiter ??= createLimiterState(limit, now);
+		const waitMs = estimateTokenWaitMs(limiter, {caller: '', rank}, now);
+		limiter = admitLimited(limiter, {
+			id, caller: '', rank, mayWaitMs: 0,
+		}, now).state;
+		return waitMs;
+	};
+
 	return {
 		...options,
 		requestSlot(request) {
 			const now = events.getNow();
+			const limitWaitMs = takeToken(nextId, request.rank, now);
+			if (limitWaitMs > 0) {
+				request.handleLimited(limitWaitMs);
+				return () => undefined;
+			}
+
 			const id = nextId++;
 			const waitUntil = Math.min(now + (request.mayWaitMs * maximumWaitFactor), request.deadlineAt);
 			const step = admitToQueue(queue, {
--- a/bench/experiment/pattern.ts
+++ b/bench/experiment/pattern.ts
@@ -55,6 +55,8 @@
 	| {readonly type: 'shedding'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number}
 	/** A share of the servers of a service is missing. */
 	| {readonly type: 'gone'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number}
+	/** A share of the servers of a service names a limit, in requests per second. */
+	| {readonly type: 'limited'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number; readonly perSecond: number}
 	/** A share of the callers ignores the retry delay of a refusal and retries immediately. */
 	| {readonly type: 'impatient'; readonly fromMs: number; readonly toMs: number; readonly share: number};
 
@@ -184,6 +186,9 @@
 	createTieredPattern('servers gone', 0.95, [{
 		type: 'gone', fromMs: 4000, toMs: 12_000, service: 'pages', share: 0.4,
 	}]),
+	createTieredPattern('limited servers', 0.8, [{
+		type: 'limited', fromMs: 4000, toMs: 12_000, service: 'pages', share: 0.4, perSecond: 25,
+	}]),
 	createTieredPattern('impatient callers', 1.1, [{
 		type: 'impatient', fromMs: 2000, toMs: 14_000, share: 0.3,
 	}]),
--- a/bench/experiment/policy.ts
+++ b/bench/experiment/policy.ts
@@ -20,6 +20,8 @@
 	readonly maximumWaitFactor: number;
 	/** Whether nodes detect nested calls and treat them differently from other requests. */
 	readonly areCallsKnown: boolean;
+	/** Whether an entry avoids a server for a while after a refusal by its limit. */
+	readonly areLimitsAvoided: boolean;
 	readonly computeRetryDelayMs: typeof computeRetryAfterMs;
 	readonly computeThresholds: typeof computeRankingThresholds;
 };
@@ -49,7 +51,7 @@
 const delayByShare = (share: number): typeof computeRetryAfterMs => ({waitMs, targetLatencyMs}, random) => Math.max(waitMs, targetLatencyMs * share) * (1 + (0.5 * random()));
 
 const standard: Policy = {
-	name: 'standard', computeMaxWaitMs, immediateTries: standardRules.immediateTries, maximumWaitFactor: 2, areCallsKnown: true,
+	name: 'standard', computeMaxWaitMs, immediateTries: standardRules.immediateTries, maximumWaitFactor: 2, areCallsKnown: true, areLimitsAvoided: true,
 	computeRetryDelayMs: computeRetryAfterMs, computeThresholds: computeRankingThresholds,
 };
 
@@ -68,6 +70,7 @@
 	{...standard, name: 'put out when the estimate was wrong', maximumWaitFactor: 1},
 	{...standard, name: 'kept for four times the estimate', maximumWaitFactor: 4},
 	{...standard, name: 'calls of servers not known', areCallsKnown: false},
+	{...standard, name: 'servers asked again at once in spite of their limits', areLimitsAvoided: false},
 	{...standard, name: 'back after 0.15 objectives', computeRetryDelayMs: delayByShare(0.15)},
 	{...standard, name: 'back after 2 objectives', computeRetryDelayMs: delayByShare(2)},
 	{...standard, name: 'every millisecond counts', computeThresholds: (...parameters) => ({...computeRankingThresholds(...parameters), fastEnoughMs: 0})},
--- a/bench/experiment/simulation.ts
+++ b/bench/experiment/simulation.ts
@@ -78,8 +78,19 @@
 		domain: `d${index % pattern.domains}`, loads: createLoadView(), nestedCalls: createNestedCallDetector(), callerRetries: createCallerRetryDetector(),
 		retryBudget: createMeshRetryBudget(() => retryBudgetLimits, () => serverPlans.length),
 	}));
-	const servers = serverPlans.map(({service, speed}, node) => createModelServer({
+	const listActiveDisturbances: Simulation['listActiveDisturbances'] = <Type extends Disturbance['type']>(type: Type) => {
+		const now = events.getNow();
+		return pattern.disturbances.filter((disturbance): disturbance is DisturbanceOf<Type> => disturbance.type === type && now >= disturbance.fromMs && now < disturbance.toMs);
+	};
+
+	const isAffected: Simulation['isAffected'] = ({service, share}, server) => {
+		const serviceServers = servers.filter(other => other.service === service);
+		return server.service === service && serviceServers.indexOf(server) < serviceServers.length * share;
+	};
+
+	const servers: readonly ModelServer[] = serverPlans.map(({service, speed}, node) => createModelServer({
 		id: `s${node}`, service: service.name, node, slots: service.slots, speed,
+		getLimit: () => listActiveDisturbances('limited').find(disturbance => isAffected(disturbance, servers[node]!))?.perSecond,
 	}, events, policy.maximumWaitFactor));
 
 	return {
@@ -88,14 +99,8 @@
 		counts: createOutcomeCounts(pattern.kinds.map(({name}) => name)),
 		getKind: name => kinds.get(name)!,
 		getRoute: name => routes.get(name)!,
-		listActiveDisturbances<Type extends Disturbance['type']>(type: Type): ReadonlyArray<DisturbanceOf<Type>> {
-			const now = events.getNow();
-			return pattern.disturbances.filter((disturbance): disturbance is DisturbanceOf<Type> => disturbance.type === type && now >= disturbance.fromMs && now < disturbance.toMs);
-		},
-		isAffected({service, share}, server) {
-			const serviceServers = servers.filter(other => other.service === service);
-			return server.service === service && serviceServers.indexOf(server) < serviceServers.length * share;
-		},
+		listActiveDisturbances,
+		isAffected,
 		getOneWayMs(from, to) {
 			if (from === to) {
 				return localOneWayMs;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 import {runCalls} from './calls/calls.js';
 import {runExperiment} from './experiment/experiment.js';
 import {runQuarantineCurve} from './experiment/quarantine-curve.js';
+import {runLimitTable} from './experiment/limit-table.js';
 import {runLargeSubmission} from './large-submission.js';
 import {runDistribution} from './distribution.js';
 import {runLogLines} from './log-lines.js';
@@ -65,6 +66,16 @@
 		}), options => {
 		runRolloutTable(options);
 	})
+	.command('limits', 'run a model of the limit of a backend server, kept at its gate or in shares at the entries', builder => builder
+		.option('seeds', {type: 'number', default: 10, describe: 'number of seeds for each row'})
+		.option('sizes', {
+			type: 'number', array: true, default: [13, 74, 195], describe: 'numbers of nodes',
+		})
+		.option('limits', {
+			type: 'number', array: true, default: [1, 23.4, 200], describe: 'limits in requests per second',
+		}), options => {
+		runLimitTable(options);
+	})
 	.command('node-cost', 'measure the cost of one node in meshes of different sizes', builder => builder
 		.option('sizes', {
 			type: 'number', array: true, default: [13, 61, 195, 390], describe: 'numbers of nodes',
