Soak: servers name limits and say that they leave; two checks of what they get

The checks are the platform's rules with the platform's bounds; each is given a record that breaks it.

--- a/soak/apply-fault.ts
+++ b/soak/apply-fault.ts
@@ -55,6 +55,7 @@
 		case 'server-link':
 		case 'server-crash':
 		case 'server-slow':
+		case 'server-limit':
 		case 'server-misbehave':
 		case 'server-lie':
 		case 'server-late':
@@ -201,6 +202,10 @@
 			return;
 		}
 
+		case 'server-limit': {
+			return getVm(fault.node).server.nameLimit(fault.perSecond, fault.forMs);
+		}
+
 		case 'server-lie': {
 			return getVm(fault.node).server.claimExtraSlots(fault.forMs);
 		}
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -95,7 +95,8 @@
 		const getHeader = (name: string): string | undefined => response.headers[name] as string | undefined;
 		return {
 			id, node, route, method, target, body, timeLeftMs, sentAt, endedAt, status: response.status, text: response.body,
-			signature: getHeader(platformHeaders.signature), echoedId: getHeader(platformHeaders.callId), hasLeft: response.status === 0 && endedAt - sentAt >= leaveAfterMs - 5,
+			signature: getHeader(platformHeaders.signature), echoedId: getHeader(platformHeaders.callId),
+			namesLimit: getHeader(platformHeaders.serverLimit) !== undefined, saysLeaving: getHeader(platformHeaders.serverLeaving) === '1', hasLeft: response.status === 0 && endedAt - sentAt >= leaveAfterMs - 5,
 		};
 	};
 
--- a/soak/checks/find-violations.test.ts
+++ b/soak/checks/find-violations.test.ts
@@ -22,7 +22,7 @@
 	const text = `page ${target} ${body}`;
 	return {
 		id, node: 'n0', route: logs!, method: 'GET', target, body, timeLeftMs: 1500, sentAt: start, endedAt: start + 30, status: 200,
-		text, signature: `sig.${id}.${text.length}`, echoedId: id, hasLeft: false, ...changes,
+		text, signature: `sig.${id}.${text.length}`, echoedId: id, namesLimit: false, saysLeaving: false, hasLeft: false, ...changes,
 	};
 }
 
@@ -39,7 +39,7 @@
 
 function createRecord(calls: readonly CallRecord[], changes: Partial<SoakRecord> = {}): SoakRecord {
 	return {
-		calls, runs: calls.map(call => createRun(call)), drains: [], lifetimes: [{node: 'n0', startedAt: 0, end: {type: 'running'}}],
+		calls, runs: calls.map(call => createRun(call)), drains: [], limits: [], lifetimes: [{node: 'n0', startedAt: 0, end: {type: 'running'}}],
 		changes: [{index: 0, writtenAt: 0}], disturbances: [], ending: undefined, ...changes,
 	};
 }
@@ -56,6 +56,31 @@
 	part: 'node', node: 'n0', what: 'pause', isPlanned: false, from: start - 1000, to: start - 500,
 };
 
+/** Calls through one node to one server, one every 50 ms, of which each names the limit. */
+const limitedCalls = Array.from({length: 100}, (_, index) => createCall({
+	id: `n0-${index}`, sentAt: start + (index * 50), endedAt: start + (index * 50) + 30, namesLimit: true,
+}));
+
+test('reports more requests than a limit allows, unless the node restarted or the limit had ended', () => {
+	const limit = {
+		server: 'i-1@1', perSecond: 2, from: start, to: start + 10_000,
+	};
+	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [limit]})), ['limits of servers']);
+	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [{...limit, perSecond: 20}]})), []);
+	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [{...limit, to: start + 2000}]})), []);
+	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [limit], disturbances: [{...pausedNode, from: start + 200, to: start + 400}]})), []);
+});
+
+test('reports a request to a server that leaves, through a node that had passed this on', () => {
+	const told = createCall({saysLeaving: true});
+	const createLater = (afterMs: number, node = 'n0'): CallRecord => createCall({
+		id: 'n0-2', node, sentAt: start + afterMs, endedAt: start + afterMs + 30,
+	});
+	assert.deepEqual(listBroken(createRecord([told, createLater(3000)])), ['a leaving server gets no new work']);
+	assert.deepEqual(listBroken(createRecord([told, createLater(1500)])), []);
+	assert.deepEqual(listBroken(createRecord([told, createLater(3000, 'n1')])), []);
+});
+
 test('reports nothing for a record without violations', () => {
 	assert.deepEqual(listBroken(createRecord([createCall(), createPublication({id: 'n0-2', target: '/publish/n0-2'})])), []);
 });
--- a/soak/checks/find-violations.ts
+++ b/soak/checks/find-violations.ts
@@ -6,6 +6,7 @@
 import {type SoakRecord, type Violation} from '../record.js';
 import {checkAnswers} from './check-answers.js';
 import {checkLosses} from './check-losses.js';
+import {checkLeavingNotices, checkLimits} from './check-notices.js';
 import {checkProcesses, checkRecovery} from './check-processes.js';
 import {checkDrains, checkRuns, checkUnsentRequests} from './check-runs.js';
 import {checkVersions, type VersionCheckSettings} from './check-versions.js';
@@ -29,6 +30,8 @@
 		...checkRuns(record, settings.getNodeService),
 		...checkUnsentRequests(record),
 		...checkDrains(record),
+		...checkLimits(record),
+		...checkLeavingNotices(record),
 		...checkVersions(record, settings),
 		...checkLosses(record),
 		...checkProcesses(record),
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -39,6 +39,8 @@
 	| {readonly type: 'server-crash'; readonly node: number; readonly times: number; readonly forMs: number; readonly keepsId: boolean}
 	| {readonly type: 'server-slow'; readonly node: number; readonly workMs: number; readonly forMs: number}
 	| {readonly type: 'server-misbehave'; readonly node: number; readonly behaviours: readonly PlatformServerBehaviour[]}
+	/** The server names a limit in all its responses. */
+	| {readonly type: 'server-limit'; readonly node: number; readonly perSecond: number; readonly forMs: number}
 	/** Announces more slots than the server has. */
 	| {readonly type: 'server-lie'; readonly node: number; readonly forMs: number}
 	/** Heartbeats of the server arrive late. */
@@ -75,6 +77,11 @@
 /** Restores of the store from a backup, per second. */
 const restoresPerSecond = 0.03;
 
+/** Limits that servers name, per second, in requests per second. A limit lasts longer than the time after which the mesh has to keep it. */
+const limitsPerSecond = 0.15;
+const namedLimits = [0.5, 2, 5] as const;
+const shortestLimitMs = 4000;
+
 /** Shortest and longest duration of a fault. */
 const shortestFaultMs = 200;
 const longestFaultMs = 5000;
@@ -167,8 +174,14 @@
 	const restores = pickPoissonTimes(restoreRandom, restoresPerSecond, untilMs).map((atMs): PlannedFault => ({
 		type: 'store-restored', ageMs: restorePicker.pickDurationMs(), forMs: Math.round(restorePicker.pickDurationMs() / 4), atMs,
 	}));
+	// So have limits.
+	const limitRandom = randomLcg(((seed * 30_269) % 65_536) / 65_536);
+	const limitPicker = createRandomPicker(limitRandom);
+	const limits = pickPoissonTimes(limitRandom, limitsPerSecond, untilMs).map((atMs): PlannedFault => ({
+		type: 'server-limit', node: limitPicker.pickInteger(nodes), perSecond: limitPicker.pickOne(namedLimits), forMs: shortestLimitMs + limitPicker.pickDurationMs(), atMs,
+	}));
 	const changesAtMs = pickPoissonTimes(random, changesPerSecond, untilMs).slice(0, maxConfigChanges);
 	return {
-		seed, seconds, nodes, changesAtMs, faults: [...faults, ...restores].toSorted((left, right) => left.atMs - right.atMs),
+		seed, seconds, nodes, changesAtMs, faults: [...faults, ...restores, ...limits].toSorted((left, right) => left.atMs - right.atMs),
 	};
 }
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -25,6 +25,9 @@
 	readonly signature: string | undefined;
 	/** Id of the request that the response belongs to, as the backend server states it. */
 	readonly echoedId: string | undefined;
+	/** Whether the response names a limit of its backend server, and whether it says that the server leaves. */
+	readonly namesLimit: boolean;
+	readonly saysLeaving: boolean;
 	/** Whether the caller disconnected before the response. */
 	readonly hasLeft: boolean;
 };
@@ -41,6 +44,9 @@
 /** The acknowledgement of a node that a server drains or leaves. */
 export type DrainRecord = {readonly server: string; readonly node: string; readonly ackedAt: number};
 
+/** A period during which a server named a limit in all its responses. Times are Unix milliseconds. */
+export type LimitRecord = {readonly server: string; readonly perSecond: number; readonly from: number; readonly to: number};
+
 /** How a process ended. */
 export type LifetimeEnd =
 	| {readonly type: 'running'}
@@ -87,6 +93,7 @@
 	readonly calls: readonly CallRecord[];
 	readonly runs: readonly RunRecord[];
 	readonly drains: readonly DrainRecord[];
+	readonly limits: readonly LimitRecord[];
 	readonly lifetimes: readonly Lifetime[];
 	readonly changes: readonly ChangeRecord[];
 	readonly disturbances: readonly Disturbance[];
--- a/soak/report.ts
+++ b/soak/report.ts
@@ -24,6 +24,7 @@
 		`executions: ${record.runs.length}, by behaviour of the server: ${countBy(record.runs, ({behaviour}) => behaviour)}`,
 		`disturbances: ${countBy(record.disturbances, ({what}) => what)}`,
 		`processes: ${record.lifetimes.length}, by end: ${countBy(record.lifetimes, ({end}) => end.type)}; configurations: ${record.changes.length}; acknowledged drains: ${record.drains.length}`,
+		`limits named: ${record.limits.length}`,
 	];
 }
 
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -81,6 +81,7 @@
 		calls, changes, disturbances, ending,
 		runs: mesh.vms.flatMap(({server}) => server.listRuns()),
 		drains: mesh.vms.flatMap(({server}) => server.listDrains()),
+		limits: mesh.vms.flatMap(({server}) => server.listLimits()),
 		lifetimes: mesh.vms.flatMap(({node}) => node.lifetimes),
 	};
 }
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -8,13 +8,14 @@
 import {startPlatformServer, type PlatformServerBehaviour, type PlatformServer} from '../stand-ins/platform-server/platform-server.js';
 import {sendHeartbeat, sendLeave} from '../stand-ins/platform-server/server-messages.js';
 import {startLinkProxy, type LinkMode} from './link-proxy.js';
-import {type DrainRecord, type RunRecord} from './record.js';
+import {type DrainRecord, type LimitRecord, type RunRecord} from './record.js';
 import {type SoakNode} from './soak-node.js';
 import {type Service} from './soak-config.js';
 
 export type SoakServer = {
 	readonly listRuns: () => readonly RunRecord[];
 	readonly listDrains: () => readonly DrainRecord[];
+	readonly listLimits: () => readonly LimitRecord[];
 	/** Counts the executions since a time, in Unix milliseconds, by the server that runs now. */
 	readonly countRunsSince: (at: number) => number;
 	/** Closes the server without notice, and starts a new one after `downMs`. */
@@ -25,6 +26,8 @@
 	readonly slowDown: (workMs: number, forMs: number) => Promise<void>;
 	/** Sets the behaviours of the next requests, one for each. */
 	readonly misbehave: (behaviours: readonly PlatformServerBehaviour[]) => void;
+	/** Names a limit in all responses, for `forMs`. */
+	readonly nameLimit: (perSecond: number, forMs: number) => Promise<void>;
 	/** Announces more slots than the server has, for `forMs`. */
 	readonly claimExtraSlots: (forMs: number) => Promise<void>;
 	readonly delayHeartbeats: (delayMs: number, forMs: number) => Promise<void>;
@@ -78,6 +81,7 @@
 	const address = `${node.parameters.host}:7011`;
 	const link = await startLinkProxy(address);
 	const lifetimes: ServerLifetime[] = [];
+	const limits: LimitRecord[] = [];
 	let current: ServerLifetime | undefined;
 	let lastIdNumber = 0;
 	let isClaimingExtraSlots = false;
@@ -173,6 +177,7 @@
 			...run, server: formatLifetimeId(lifetime), service, node: node.name,
 		}))),
 		listDrains: () => lifetimes.flatMap(lifetime => lifetime.drainAckedAt === undefined ? [] : [{server: formatLifetimeId(lifetime), node: node.name, ackedAt: lifetime.drainAckedAt}]),
+		listLimits: () => limits,
 		countRunsSince: at => current?.server.runs.filter(run => run.at >= at).length ?? 0,
 		async crash(downMs, keepsId) {
 			const lifetime = current;
@@ -191,6 +196,7 @@
 			}
 
 			lifetime.isDraining = saysDraining;
+			lifetime.server.setLeaving(true);
 			await retryUntilAcknowledged(async () => saysDraining ? sendAnnouncement(lifetime) : announceLeave(lifetime));
 			await sleep(drainPeriodMs);
 			if (saysDraining) {
@@ -214,6 +220,20 @@
 		misbehave(behaviours) {
 			current?.server.planBehaviours(...behaviours);
 		},
+		async nameLimit(perSecond, forMs) {
+			const lifetime = current;
+			if (lifetime === undefined) {
+				return;
+			}
+
+			const from = Date.now();
+			lifetime.server.setLimit(perSecond);
+			await sleep(forMs);
+			lifetime.server.setLimit(undefined);
+			limits.push({
+				server: formatLifetimeId(lifetime), perSecond, from, to: Date.now(),
+			});
+		},
 		async claimExtraSlots(forMs) {
 			await changeTemporarily(forMs, isOn => {
 				isClaimingExtraSlots = isOn;
