Limits: callers that are refused before they take a slot count as asking; a burst of half a second

What callers would lose: a request that the gate refuses before it takes a slot was not counted as asked for, so a caller that was always refused did not take part in the sharing, and the metric by caller missed it (found by reading the change). With two entries at a limit of 8, 0.82 of the limit was used: the burst of two requests is shorter than the entries stay away. Change: the check before the slot counts the caller and the refusal. The burst is half a second of the limit (at least two): a server gets at most one and a half times its limit in any second. A response halves the refusals that count for the backoff.

--- a/src/lib/calls/server-sender.ts
+++ b/src/lib/calls/server-sender.ts
@@ -102,15 +102,15 @@
 
 	const createLimitFailure = (waitMs: number): FailedAttempt => createFailure('not-run', 'limited', `the limit that ${server.id} named is used up`, Math.ceil(waitMs));
 
-	const createLimitRequest = ({entry, workClass}: LimitedAttempt): Pick<LimitRequest, 'caller' | 'rank'> => ({caller: entry, rank: workClass === 'interactive' ? 0 : 1});
+	const createLimitRequest = ({entry, workClass}: LimitedAttempt): Omit<LimitRequest, 'listenForEnd'> => ({caller: entry, rank: workClass === 'interactive' ? 0 : 1, mayWaitMs: maxLimitWaitMs});
 
 	const checkLimit = (request: LimitedAttempt): FailedAttempt | undefined => {
 		if (request.limitPerSecond !== undefined) {
 			limiter.suggest(request.limitPerSecond);
 		}
 
-		const waitMs = limiter.estimateWaitMs(createLimitRequest(request));
-		return waitMs > maxLimitWaitMs ? createLimitFailure(waitMs) : undefined;
+		const waitMs = limiter.refuseLate(createLimitRequest(request));
+		return waitMs === undefined ? undefined : createLimitFailure(waitMs);
 	};
 
 	/** Waits until the limit lets a request start. It is the last wait before the request is sent. */
@@ -118,7 +118,6 @@
 		const {signal} = attempt;
 		const outcome = await limiter.acquire({
 			...createLimitRequest(attempt),
-			mayWaitMs: maxLimitWaitMs,
 			listenForEnd(handleEnd) {
 				signal.addEventListener('abort', handleEnd, {once: true});
 				return () => {
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -28,7 +28,7 @@
 	createNotRun, type ForwardFailure, type ForwardResult, type GateLoad, type GateResult,
 } from './forward-result.js';
 import {
-	computeConcurrencyLimit, createCallFingerprint, createLimitedFailure, unreachableBackoffMs, openServerSession, type ServerSession, type ServerSessionContext, type SessionCall,
+	computeConcurrencyLimit, createCallFingerprint, unreachableBackoffMs, openServerSession, type ServerSession, type ServerSessionContext, type SessionCall,
 } from './server-session.js';
 import {createUploadLimit} from './upload-limit.js';
 
@@ -219,7 +219,7 @@
 		}
 	};
 
-	/** Returns the session for a call, or the reason why its server accepts no requests. */
+	/** Returns the session for a call, or the reason why its server does not take it. */
 	const findSession = (call: GateCall): ServerSession | ForwardFailure => {
 		const {current} = state;
 		if (session === undefined || current?.announcement.lifetime.id !== call.server) {
@@ -239,8 +239,7 @@
 			return createNotRun('server-unreachable', `backend server ${call.server} refused or timed out a recent connection`, unreachableBackoffMs);
 		}
 
-		const limitWaitMs = session.estimateLimitWaitMs(call);
-		return limitWaitMs > call.mayWaitMs ? createLimitedFailure(limitWaitMs) : session;
+		return session.refuseLimited(call) ?? session;
 	};
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -84,8 +84,8 @@
 	readonly resize: (slots: number) => void;
 	/** Applies a limit that another node knows, until the server has responded to this node. */
 	readonly suggestLimit: (limitPerSecond: number) => void;
-	/** Returns how long the limit of the server is expected to delay a request, in milliseconds. */
-	readonly estimateLimitWaitMs: (call: Pick<SessionCall, 'callerService' | 'rank'>) => number;
+	/** Refuses a request that the limit of the server is expected to delay for longer than it may wait. Returns `undefined` if it may go on. */
+	readonly refuseLimited: (call: Pick<SessionCall, 'callerService' | 'rank' | 'mayWaitMs'>) => ForwardFailure | undefined;
 	/** Returns the requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
 	readonly getLimit: () => number | undefined;
 	readonly describe: () => SessionLoad;
@@ -159,14 +159,8 @@
 	method, host: typeof headers.host === 'string' ? headers.host : '', target, body,
 });
 
-/**
- * Creates the failure of a request that the limit of its server does not let start in time.
- *
- * @param waitMs - How long it would have to wait, in milliseconds.
- * @returns The failure.
- * @internal
- */
-export const createLimitedFailure = (waitMs: number): ForwardFailure => createNotRun('limited', 'the limit that the backend server named is used up', waitMs);
+/** Creates the failure of a request that the limit of its server does not let start within `waitMs`. */
+const createLimitedFailure = (waitMs: number): ForwardFailure => createNotRun('limited', 'the limit that the backend server named is used up', waitMs);
 
 const sessionEndedFailure = createNotRun('gone', 'backend server has restarted or was replaced');
 
@@ -451,7 +445,10 @@
 			slots.resize(computeConcurrencyLimit(count));
 		},
 		suggestLimit: limiter.suggest,
-		estimateLimitWaitMs: ({callerService, rank}) => limiter.estimateWaitMs({caller: callerService, rank}),
+		refuseLimited({callerService, rank, mayWaitMs}) {
+			const waitMs = limiter.refuseLate({caller: callerService, rank, mayWaitMs});
+			return waitMs === undefined ? undefined : createLimitedFailure(waitMs);
+		},
 		getLimit: limiter.getLimit,
 		describe: () => ({...slots.describe(), failureShare}),
 		recordCrash() {
--- a/src/lib/server-notices/limit-view.ts
+++ b/src/lib/server-notices/limit-view.ts
@@ -11,7 +11,7 @@
 	readonly limitPerSecond: number | undefined;
 	/** Until when the limit is expected to be used up. */
 	readonly limitedUntil: number;
-	/** Refusals by the limit that have not been made up for by responses. */
+	/** Refusals by the limit in a row. A response halves them. */
 	readonly limitRefusals: number;
 };
 
@@ -35,7 +35,7 @@
 export function applyNamedLimit(view: LimitView, limitPerSecond: number | undefined): LimitView {
 	return limitPerSecond === undefined
 		? unlimitedView
-		: {limitPerSecond, limitedUntil: view.limitedUntil, limitRefusals: Math.max(0, view.limitRefusals - 1)};
+		: {limitPerSecond, limitedUntil: view.limitedUntil, limitRefusals: Math.floor(view.limitRefusals / 2)};
 }
 
 /**
--- a/src/lib/server-notices/limiter-state.ts
+++ b/src/lib/server-notices/limiter-state.ts
@@ -54,7 +54,7 @@
 const minPerSecond = 0.5;
 
 /** Length of the burst in seconds of the limit. */
-const burstSeconds = 0.25;
+const burstSeconds = 0.5;
 
 /** Shortest burst: one token, and the one that is kept in reserve. */
 const minBurst = 2;
@@ -171,6 +171,17 @@
 	return computeWaitMs(state, ahead + countNeededTokens(state, caller, now));
 }
 
+/**
+ * Records that a caller asked for a token that it did not get in time.
+ *
+ * @param state - The state.
+ * @param caller - The caller.
+ * @param now - Steady milliseconds.
+ * @returns The next state.
+ * @internal
+ */
+export const recordRefused = (state: LimiterState, caller: string, now: number): LimiterState => addUsage(state, caller, {asked: 1, got: 0}, now);
+
 /**
  * Starts, queues or refuses a request.
  *
--- a/src/lib/server-notices/server-limiter.ts
+++ b/src/lib/server-notices/server-limiter.ts
@@ -7,7 +7,7 @@
  */
 import {clampTimerMs, readSteadyMs} from '../common/clock.js';
 import {
-	admitLimited, changeLimit, computeNextStartMs, createLimiterState, estimateTokenWaitMs, removeLimited, startLimited,
+	admitLimited, changeLimit, computeNextStartMs, createLimiterState, estimateTokenWaitMs, recordRefused, removeLimited, startLimited,
 	type LimitedRequest, type LimiterState,
 } from './limiter-state.js';
 
@@ -32,8 +32,8 @@
 	readonly apply: (limitPerSecond: number | undefined) => boolean;
 	/** Applies a limit that another node knows, until the server has responded to this one. A restarted node learns of the limit so before it has sent a request. */
 	readonly suggest: (limitPerSecond: number) => void;
-	/** Returns the expected wait of a request in milliseconds, without admitting it; 0 if there is no limit. */
-	readonly estimateWaitMs: (request: Pick<LimitedRequest, 'caller' | 'rank'>) => number;
+	/** Refuses a request that is expected to wait longer than it may, before it takes a slot. Returns the expected wait in milliseconds; `undefined` if it may go on. */
+	readonly refuseLate: (request: Omit<LimitedRequest, 'id'>) => number | undefined;
 	/** Admits a request, at once or when its turn comes. */
 	readonly acquire: (request: LimitRequest) => Promise<LimitOutcome>;
 	readonly getLimit: () => number | undefined;
@@ -163,7 +163,21 @@
 				setLimit(limitPerSecond);
 			}
 		},
-		estimateWaitMs: request => state === undefined ? 0 : estimateTokenWaitMs(state, request, readSteadyMs()),
+		refuseLate(request) {
+			if (state === undefined) {
+				return undefined;
+			}
+
+			const now = readSteadyMs();
+			const waitMs = estimateTokenWaitMs(state, request, now);
+			if (waitMs <= request.mayWaitMs) {
+				return undefined;
+			}
+
+			state = recordRefused(state, request.caller, now);
+			countOutcome(request.caller, 'refused');
+			return waitMs;
+		},
 		acquire: async request => state === undefined ? {type: 'run'} : decideAndCount(state, request),
 		getLimit: () => state?.limitPerSecond,
 		close: finishAll,
