Product's node: a call for which all limits are used up is refused as limited; explained and measured failures

What callers saw: no-server with a second to wait, although each server takes the next request sooner (found by reading). Change: the refusal says limited and names the shortest time.

--- a/scenarios/features/calls.feature
+++ b/scenarios/features/calls.feature
@@ -63,6 +63,14 @@
     Then every response is complete and belongs to its request
     And logview-1 got at most 23 requests meanwhile
 
+  Scenario: Callers are refused as not run if the limits of all backend servers are used up
+    Given logview-1 names a limit of "1" in its responses
+    And logview-2 names a limit of "1" in its responses
+    When pages are read 60 times a second through all nodes for 2 seconds
+    And a caller reads a page through node-3 until it is refused
+    Then the caller gets the verdict "not-run"
+    And the caller gets a Retry-After header
+
   Scenario: A limit that is no number is recorded and ignored
     Given logview-1 names a limit of "-3" in its responses
     When pages are read 60 times a second through all nodes for 1 seconds
--- a/scenarios/steps/call-steps.ts
+++ b/scenarios/steps/call-steps.ts
@@ -79,6 +79,13 @@
 	await readPages(state, 1, [state.world.getNode(node)]);
 });
 
+defineStep('a caller reads a page through {word} until it is refused', async (state, node: string) => {
+	await waitFor('a call is refused', async () => {
+		await readPages(state, 1, [state.world.getNode(node)]);
+		return getLastAnswer(state).status === 503;
+	});
+});
+
 defineStep('a caller reads a page through {word} with the header {string}', async (state, node: string, header: string) => {
 	const [name = '', value = ''] = header.split(': ');
 	const path = '/logs/1';
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -44,6 +44,8 @@
 	readonly server: PlatformServer;
 	drainAckedAt: number | undefined;
 	isDraining: boolean;
+	/** Whether the server names a limit. */
+	isLimited: boolean;
 	/** Whether the server has sent its leave; it sends no heartbeats afterwards. */
 	hasLeft: boolean;
 	sequence: number;
@@ -127,7 +129,7 @@
 		server.setWorkMs(defaultWorkMs);
 		server.setSlots(slots);
 		current = {
-			id, startedAt: Date.now(), server, drainAckedAt: undefined, isDraining: false, hasLeft: false, sequence: 0,
+			id, startedAt: Date.now(), server, drainAckedAt: undefined, isDraining: false, isLimited: false, hasLeft: false, sequence: 0,
 		};
 		lifetimes.push(current);
 		link.setTarget(server.address);
@@ -222,14 +224,17 @@
 		},
 		async nameLimit(perSecond, forMs) {
 			const lifetime = current;
-			if (lifetime === undefined) {
+			// The end of a limit would end another one that overlaps it.
+			if (lifetime === undefined || lifetime.isLimited) {
 				return;
 			}
 
 			const from = Date.now();
+			lifetime.isLimited = true;
 			lifetime.server.setLimit(perSecond);
 			await sleep(forMs);
 			lifetime.server.setLimit(undefined);
+			lifetime.isLimited = false;
 			limits.push({
 				server: formatLifetimeId(lifetime), perSecond, from, to: Date.now(),
 			});
--- a/src/lib/calls/run-attempts.ts
+++ b/src/lib/calls/run-attempts.ts
@@ -82,7 +82,14 @@
 	return chooseTrialServer(quarantineDecision.fingerprint, available.map(one => ({...one, lifetime: toLifetimeKey(one.server)})));
 }
 
-const createNoServerFailure = (service: string): FailedAttempt => createFailure('not-run', 'no-server', `no known backend server of ${service} can accept the request`);
+/** Creates the failure of a call for which there is no server: the limits of all are used up, or there is none that could accept it. */
+function createUnsentFailure({getDirectory, loads}: AttemptContext, service: string): FailedAttempt {
+	const now = readNow();
+	const waits = listServers(getDirectory(), service).map(({server}) => loads.get(server.id).limitedUntil - now).filter(waitMs => waitMs > 0);
+	return waits.length > 0
+		? createFailure('not-run', 'limited', `the limits of the backend servers of ${service} are used up`, Math.ceil(Math.min(...waits)))
+		: createFailure('not-run', 'no-server', `no known backend server of ${service} can accept the request`);
+}
 
 function createAttempt({self, loads}: AttemptContext, target: DirectoryServer, outgoing: OutgoingCall): Omit<Attempt, 'body'> {
 	const {call, method, path, headers, deadline, signal, plan, fingerprint} = outgoing;
@@ -192,7 +199,7 @@
 	const {plan, call} = outgoing;
 	const tried = new Set<BackendServerId>();
 	let verdict: Verdict = 'not-run';
-	let lastFailure: FailedAttempt = createNoServerFailure(plan.pool.service);
+	let lastFailure: FailedAttempt | undefined;
 	let isStreamOpen = false;
 	const watched: OutgoingCall = outgoing.body.type === 'stream'
 		? {
@@ -217,14 +224,14 @@
 			domain: context.domain,
 			tried,
 			// After a lost connection, the same server may answer a retry. A server that shed the request or is unreachable would probably fail again.
-			mayReuse: lastFailure.reason === 'connection-lost',
+			mayReuse: lastFailure?.reason === 'connection-lost',
 			getLoad: context.loads.get,
 			now: readNow(),
 			random: context.random,
 		});
 		if (target === undefined) {
 			return {
-				result: lastFailure, verdict, attempts, server: undefined,
+				result: lastFailure ?? createUnsentFailure(context, plan.pool.service), verdict, attempts, server: undefined,
 			};
 		}
 
--- a/src/lib/sidecar/mesh-metrics.test.ts
+++ b/src/lib/sidecar/mesh-metrics.test.ts
@@ -33,3 +33,9 @@
 		'stonemoor_events_total{kind="gate-refused",reason="full"} 1',
 	]);
 });
+
+test('a gauge without a value is left out', () => {
+	const text = createMeshMetrics().format([{name: 'some', help: 'Some', read: () => 2}, {name: 'none', help: 'None', read: () => undefined}]);
+	assert.match(text, /^some 2$/m);
+	assert.doesNotMatch(text, /none/);
+});
