--- a/soak/checks/check-notices.ts
+++ b/soak/checks/check-notices.ts
@@ -38,24 +38,18 @@
 	isDisturbed(record, from, to, disturbance => disturbance.part === 'node' && disturbance.node === node)
 	|| record.lifetimes.some(lifetime => lifetime.node === node && lifetime.startedAt >= from && lifetime.startedAt <= to);
 
-function createFirstNotices(passed: readonly PassedNotice[], from: number): ReadonlyMap<string, number> {
-	const first = new Map<string, number>();
-	for (const {node, at} of passed) {
-		if (at >= from) {
-			first.set(node, Math.min(first.get(node) ?? Infinity, at));
-		}
-	}
-
-	return first;
+/** Returns whether a node had passed a notice on by a time, and has neither restarted nor paused between that and a later one. */
+function wasTold(record: SoakRecord, passed: readonly PassedNotice[], node: string, by: number, until: number): boolean {
+	const last = Math.max(...passed.filter(notice => notice.node === node && notice.at <= by).map(({at}) => at));
+	return Number.isFinite(last) && !hasNodeChanged(record, node, last, until);
 }
 
 /** Finds the first span in which a server got too many requests while it named a limit. */
 function checkLimit(record: SoakRecord, limit: LimitRecord, runs: readonly RunRecord[], passed: readonly PassedNotice[], getNode: (run: RunRecord) => string | undefined): readonly Violation[] {
-	const toldAt = createFirstNotices(passed, limit.from);
+	const current = passed.filter(({at}) => at >= limit.from);
 	const counted = runs.filter(run => {
 		const node = getNode(run);
-		const told = node === undefined ? undefined : toldAt.get(node);
-		return node !== undefined && told !== undefined && run.at >= told + noticeDelayMs && run.at <= limit.to && !hasNodeChanged(record, node, told, run.at);
+		return node !== undefined && run.at <= limit.to && wasTold(record, current, node, run.at - noticeDelayMs, run.at);
 	});
 	const allowed = (limitFactor * limit.perSecond * spanMs / 1000) + limitSlack;
 	const late = counted.find(({at}) => at >= limit.from + contactWindowMs && counted.filter(run => run.at > at - spanMs && run.at <= at).length > allowed);
@@ -95,11 +89,9 @@
 	const passedByServer = groupBy(passed, ({server}) => server);
 	return record.runs.flatMap(({id, server, at}) => {
 		const call = callById.get(id);
-		const told = call === undefined ? undefined : createFirstNotices(passedByServer.get(server) ?? [], 0).get(call.node);
-		const isLate = call !== undefined && told !== undefined && call.sentAt > told + drainTimeoutMs;
-		return isLate && !hasNodeChanged(record, call.node, told, at)
+		return call !== undefined && wasTold(record, passedByServer.get(server) ?? [], call.node, call.sentAt - drainTimeoutMs, at)
 			? [{
-				promise: 'a leaving server gets no new work', what: `${id} was sent to ${server} ${call.sentAt - told} ms after ${call.node} had passed on that it leaves`, at, call: id,
+				promise: 'a leaving server gets no new work', what: `${id} was sent to ${server} more than ${drainTimeoutMs} ms after ${call.node} had passed on that it leaves`, at, call: id,
 			}]
 			: [];
 	});
--- a/soak/checks/find-violations.test.ts
+++ b/soak/checks/find-violations.test.ts
@@ -68,7 +68,9 @@
 	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [limit]})), ['limits of servers']);
 	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [{...limit, perSecond: 20}]})), []);
 	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [{...limit, to: start + 2000}]})), []);
-	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [limit], disturbances: [{...pausedNode, from: start + 200, to: start + 400}]})), []);
+	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [limit], disturbances: [{...pausedNode, from: start, to: start + 20_000}]})), []);
+	// After a pause that ended, the node has passed the limit on again.
+	assert.deepEqual(listBroken(createRecord(limitedCalls, {limits: [limit], disturbances: [{...pausedNode, from: start + 200, to: start + 400}]})), ['limits of servers']);
 });
 
 test('reports a request to a server that leaves, through a node that had passed this on', () => {
@@ -78,6 +80,7 @@
 	});
 	assert.deepEqual(listBroken(createRecord([told, createLater(3000)])), ['a leaving server gets no new work']);
 	assert.deepEqual(listBroken(createRecord([told, createLater(1500)])), []);
+	assert.deepEqual(listBroken(createRecord([told, createLater(3000)], {disturbances: [{...pausedNode, from: start + 1000, to: start + 1200}]})), []);
 	assert.deepEqual(listBroken(createRecord([told, createLater(3000, 'n1')])), []);
 });
 
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -100,11 +100,11 @@
 	const {service, route, tried, trialOf, matches = () => true} = query;
 	const {own, peers, limits, loads, leaving, random} = sources;
 
-	const isUsable = (server: ServerReport | undefined): server is ServerReport =>
-		server?.service === service && server.state === 'ready' && matches(server) && !isExcluded(toLifetimeKey(server.lifetime)) && !leaving.has(toLifetimeKey(server.lifetime));
-
 	/** Returns whether a server is excluded. A server that refused a trial remains in the list from which the trial server is chosen: choosing among the others would run the trial at several servers at the same time. */
-	const isExcluded = (lifetime: LifetimeKey): boolean => trialOf === undefined && tried.has(lifetime);
+	const isExcluded = (lifetime: LifetimeKey): boolean => (trialOf === undefined && tried.has(lifetime)) || leaving.has(lifetime);
+
+	const isUsable = (server: ServerReport | undefined): server is ServerReport =>
+		server?.service === service && server.state === 'ready' && matches(server) && !isExcluded(toLifetimeKey(server.lifetime));
 
 	const describeIfUsable = (peer: Peer): Candidate | undefined => {
 		const {server} = peer.report;
