--- a/soak/checks/check-notices.ts
+++ b/soak/checks/check-notices.ts
@@ -39,7 +39,7 @@
 	|| record.lifetimes.some(lifetime => lifetime.node === node && lifetime.startedAt >= from && lifetime.startedAt <= to);
 
 /** Returns whether a node had passed a notice on by a time, and has neither restarted nor paused between that and a later one. */
-function wasTold(record: SoakRecord, passed: readonly PassedNotice[], node: string, by: number, until: number): boolean {
+function hasPassedOn(record: SoakRecord, passed: readonly PassedNotice[], node: string, by: number, until: number): boolean {
 	const last = Math.max(...passed.filter(notice => notice.node === node && notice.at <= by).map(({at}) => at));
 	return Number.isFinite(last) && !hasNodeChanged(record, node, last, until);
 }
@@ -49,7 +49,7 @@
 	const current = passed.filter(({at}) => at >= limit.from);
 	const counted = runs.filter(run => {
 		const node = getNode(run);
-		return node !== undefined && run.at <= limit.to && wasTold(record, current, node, run.at - noticeDelayMs, run.at);
+		return node !== undefined && run.at <= limit.to && hasPassedOn(record, current, node, run.at - noticeDelayMs, run.at);
 	});
 	const allowed = (limitFactor * limit.perSecond * spanMs / 1000) + limitSlack;
 	const late = counted.find(({at}) => at >= limit.from + contactWindowMs && counted.filter(run => run.at > at - spanMs && run.at <= at).length > allowed);
@@ -89,7 +89,7 @@
 	const passedByServer = groupBy(passed, ({server}) => server);
 	return record.runs.flatMap(({id, server, at}) => {
 		const call = callById.get(id);
-		return call !== undefined && wasTold(record, passedByServer.get(server) ?? [], call.node, call.sentAt - drainTimeoutMs, at)
+		return call !== undefined && hasPassedOn(record, passedByServer.get(server) ?? [], call.node, call.sentAt - drainTimeoutMs, at)
 			? [{
 				promise: 'a leaving server gets no new work', what: `${id} was sent to ${server} more than ${drainTimeoutMs} ms after ${call.node} had passed on that it leaves`, at, call: id,
 			}]
