--- a/src/lib/decisions/call-rank.ts
+++ b/src/lib/decisions/call-rank.ts
@@ -14,9 +14,10 @@
  * wait, the slots of their callers stay in use.
  *
  * @param route - The route.
+ * @param workspacePriority - Priority of the caller's workspace, which takes precedence over the route's; `undefined` if it has none.
  * @returns Its rank; lower ranks go first.
  * @internal
  */
-export function computeRank(route: RouteRule): number {
-	return (route.priority * ranksPerPriority) + Math.min(ranksPerPriority - 1, Math.round(route.targetLatencyMs));
+export function computeRank(route: Pick<RouteRule, 'priority' | 'targetLatencyMs'>, workspacePriority?: number): number {
+	return ((workspacePriority ?? route.priority) * ranksPerPriority) + Math.min(ranksPerPriority - 1, Math.round(route.targetLatencyMs));
 }
--- a/src/lib/forwarding/call-headers.ts
+++ b/src/lib/forwarding/call-headers.ts
@@ -8,9 +8,10 @@
 import {type HeaderMap} from '../calls/attempt.js';
 import {hopByHopHeaders} from '../calls/headers.js';
 import {type NoticeHeaderNames} from '../server-notices/server-notice.js';
+import {type WorkspaceHeaderNames} from '../workspaces/authenticate-request.js';
 
 /** Names of the headers that callers and backend servers use, in lower case. @internal */
-export type CallHeaderNames = NoticeHeaderNames & {
+export type CallHeaderNames = NoticeHeaderNames & WorkspaceHeaderNames & {
 	/** Id of one attempt by a caller. */
 	readonly callId: string;
 	/** Milliseconds for which the sender still waits for the response. */
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -21,6 +21,8 @@
 import {type WeightedRoundRobin} from '../route-config/weighted-round-robin.js';
 import {type AttemptRecord, type MeshLog} from '../timeline/mesh-log.js';
 import {type CallerRetryDetector} from '../decisions/caller-retry-detector.js';
+import {authenticateRequest, type Authentication} from '../workspaces/authenticate-request.js';
+import {type Workspace} from '../workspaces/workspace.js';
 import {createLazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {createByteBudget} from './byte-budget.js';
 import {createCallScope, deadlineGraceMs, type CallScope} from './call-scope.js';
@@ -28,7 +30,7 @@
 	removeHopByHopHeaders, getNumberHeader, getStringHeader, type CallHeaderNames,
 } from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
-import {type ForwardResponse, type ForwardFailure} from './forward-result.js';
+import {createNotRun, type ForwardResponse, type ForwardFailure} from './forward-result.js';
 import {
 	BodyTooLargeError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
 } from './read-body.js';
@@ -197,6 +199,43 @@
 		refuseAndLog(call, version, 404, 'no route matches host and path');
 	};
 
+	/** Refuses a request whose caller is not identified. Answers 503 to an unknown key that a newer configuration may contain. */
+	const refuseUnauthorized = (call: EntryCall, {config: {version}}: ActiveConfig, {cause}: Extract<Authentication, {readonly type: 'refused'}>): void => {
+		if (cause === 'unknown-key' && context.isConfigOutdated()) {
+			refuseAndLog(call, version, 503, 'the key is unknown, but this node has not received the newest configuration version yet', outdatedConfigRetryMs);
+			return;
+		}
+
+		refuseAndLog(call, version, 401, `not authorized: ${cause}`);
+	};
+
+	/** Returns a check of whether the key of a request is still valid and still belongs to the same workspace; after the configuration has changed, the key is looked up again. */
+	const createAccessCheck = ({request}: EntryCall, route: RouteRule, accepted: {readonly activeConfig: ActiveConfig; readonly workspace: Workspace | undefined}) => (): ForwardFailure | undefined => {
+		const current = context.getConfig();
+		if (current === undefined || current === accepted.activeConfig || (accepted.activeConfig.workspaces.isEmpty && current.workspaces.isEmpty)) {
+			return undefined;
+		}
+
+		const authentication = authenticate(current, request, route);
+		if (authentication.type === 'refused') {
+			return createNotRun('unauthorized', `the key is no longer valid: ${authentication.cause}`);
+		}
+
+		const name = authentication.type === 'authenticated' ? authentication.workspace.name : undefined;
+		return name === accepted.workspace?.name ? undefined : createNotRun('gone', 'the key was moved to another workspace while the request waited');
+	};
+
+	/** Returns the headers to forward. Where the configuration has workspaces, the key and the name that the caller sent are removed. */
+	const filterHeaders = ({workspaces}: ActiveConfig, {headers}: IncomingMessage): Record<string, string | string[]> => {
+		const filtered = removeHopByHopHeaders(headers);
+		if (!workspaces.isEmpty) {
+			Reflect.deleteProperty(filtered, headerNames.authorization);
+			Reflect.deleteProperty(filtered, headerNames.workspace);
+		}
+
+		return filtered;
+	};
+
 	const readCallBody = async (call: EntryCall, maxBodyBytes: number, scope: CallScope): Promise<Uint8Array | undefined | 'refused'> => {
 		if (!hasBody(call.request)) {
 			return undefined;
@@ -239,10 +278,19 @@
 
 	const findRouteIn = ({index}: ActiveConfig, {headers, url}: IncomingMessage): RouteRule | undefined => findRoute(index, headers.host ?? '', url ?? '/');
 
-	/** Returns the configuration to handle a request with. Waits for a newer configuration if one is known and the active one has no matching route. */
+	const authenticate = ({workspaces}: ActiveConfig, {rawHeaders}: IncomingMessage, {allowsAnonymous}: RouteRule): Authentication =>
+		authenticateRequest(workspaces, {rawHeaders, allowsAnonymous}, headerNames);
+
+	/** Whether a configuration has a route for a request, and knows its key. */
+	const isAccepted = (activeConfig: ActiveConfig, request: IncomingMessage): boolean => {
+		const route = findRouteIn(activeConfig, request);
+		return route !== undefined && authenticate(activeConfig, request, route).type !== 'refused';
+	};
+
+	/** Returns the configuration to handle a request with. Waits for a newer configuration if one is known and the active one does not accept the request. */
 	const chooseConfig = async (request: IncomingMessage): Promise<ActiveConfig | undefined> => {
 		const activeConfig = context.getConfig();
-		if (activeConfig === undefined || !context.isConfigOutdated() || findRouteIn(activeConfig, request) !== undefined) {
+		if (activeConfig === undefined || !context.isConfigOutdated() || isAccepted(activeConfig, request)) {
 			return activeConfig;
 		}
 
@@ -270,6 +318,13 @@
 			return;
 		}
 
+		const authentication = authenticate(activeConfig, request, route);
+		if (authentication.type === 'refused') {
+			refuseUnauthorized(call, activeConfig, authentication);
+			return;
+		}
+
+		const workspace = authentication.type === 'authenticated' ? authentication.workspace : undefined;
 		const service = context.weightedRoundRobin.pick(route);
 		if (service === undefined) {
 			refuseAndLog(call, version, 503, 'the route has no service with a weight above 0', unusableRouteRetryMs);
@@ -307,7 +362,7 @@
 				service,
 				method,
 				target,
-				headers: removeHopByHopHeaders(request.headers),
+				headers: filterHeaders(activeConfig, request),
 				body,
 				fingerprint: createLazyFingerprint({
 					method, host: request.headers.host ?? '', target, body,
@@ -316,6 +371,8 @@
 				isNestedCall,
 				ageMs,
 				scope,
+				workspace,
+				checkAccess: createAccessCheck(call, route, {activeConfig, workspace}),
 			});
 			finish(call, scope, activeConfig, {...outcome, route, service});
 		} finally {
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -29,6 +29,8 @@
 	| 'quarantined'
 	/** The version of the backend server gets no requests, or only some, because of a rollout. */
 	| 'version-withheld'
+	/** The key of the request is no longer valid. */
+	| 'unauthorized'
 	| 'wrong-answer'
 	| 'no-server'
 	| 'timeout'
@@ -36,7 +38,7 @@
 	| 'superseded';
 
 const reasons: readonly ForwardReason[] = [
-	'full', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
+	'full', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'unauthorized', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
 ];
 
 /** @internal */
--- a/src/lib/forwarding/outgoing-call.ts
+++ b/src/lib/forwarding/outgoing-call.ts
@@ -7,6 +7,7 @@
 import {type LifetimeKey} from '../common/server-lifetime.js';
 import {type Verdict} from '../common/verdict.js';
 import {type RouteRule} from '../route-config/route-config.js';
+import {type Workspace} from '../workspaces/workspace.js';
 import {type Candidate} from '../decisions/rank-servers.js';
 import {type Fingerprint} from '../quarantine/fingerprint.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
@@ -16,7 +17,7 @@
 import {type MeshRetryBudget} from '../decisions/mesh-retry-budget.js';
 import {type AttemptRecord, type MeshLog} from '../timeline/mesh-log.js';
 import {type CallScope} from './call-scope.js';
-import {type ForwardResponse, type ForwardResult} from './forward-result.js';
+import {type ForwardFailure, type ForwardResponse, type ForwardResult} from './forward-result.js';
 import {type GateClient} from './gate-client.js';
 import {type LocalGate} from './local-gate.js';
 
@@ -38,6 +39,10 @@
 	/** Estimated time from the caller's first attempt to the receipt of this one, in milliseconds. */
 	readonly ageMs: number;
 	readonly scope: CallScope;
+	/** The workspace of the caller; `undefined` if it has none. */
+	readonly workspace: Workspace | undefined;
+	/** Returns why the request must not be sent to a server any more; `undefined` while it may be. */
+	readonly checkAccess: () => ForwardFailure | undefined;
 };
 
 /** The outcome of a call. @internal */
--- a/src/lib/forwarding/peer-messages.test.ts
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -32,8 +32,11 @@
 	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(request))), request);
 	const limited: PeerRequest = {...request, limitPerSecond: 23.4};
 	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(limited))), limited);
-	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(limited), 'more'])), limited);
-	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), null, 'more'])), request);
+	const authenticated: PeerRequest = {...request, workspace: 'school 7'};
+	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(authenticated))), authenticated);
+	const both: PeerRequest = {...limited, workspace: 'school 7'};
+	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(both), 'more'])), both);
+	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), null, null, 'more'])), request);
 });
 
 const places: ReadonlyArray<readonly [number, string, readonly unknown[]]> = [
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -9,6 +9,7 @@
 	readAmount, readFlag, readList, readName, readString,
 } from '../common/read-input.js';
 import {parseVerdict, type Verdict} from '../common/verdict.js';
+import {isWorkspaceName, workspaceNameForm} from '../workspaces/workspace.js';
 import {
 	createMayHaveRun, parseForwardReason, type ForwardResponse, type ForwardFailure, type GateLoad, type GateResult,
 } from './forward-result.js';
@@ -36,6 +37,8 @@
 	readonly isCounted: boolean;
 	/** Limit that the backend server named in a response to the sender, in requests per second; `undefined` if it names none. */
 	readonly limitPerSecond?: number | undefined;
+	/** Name of the workspace of the caller; `undefined` if it has none. */
+	readonly workspace?: string | undefined;
 };
 
 const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
@@ -56,6 +59,15 @@
 /** Longer details from another node are cut to this many characters. */
 const maxDetailLength = 300;
 
+/** Omits the fields at the end that have no value. */
+function encodeOptionalFields(limitPerSecond: number | undefined, workspace: string | undefined): readonly unknown[] {
+	if (workspace !== undefined) {
+		return [limitPerSecond ?? null, workspace];
+	}
+
+	return limitPerSecond === undefined ? [] : [limitPerSecond];
+}
+
 /**
  * Encodes a request. The head is a list, because field names would take a third of its bytes.
  *
@@ -64,9 +76,19 @@
  * @internal
  */
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
-	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted, limitPerSecond} = request;
+	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted, limitPerSecond, workspace} = request;
 	const answerWait = answerMayWaitMs === undefined ? null : roundToTenth(answerMayWaitMs);
-	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0, ...limitPerSecond === undefined ? [] : [limitPerSecond]];
+	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0, ...encodeOptionalFields(limitPerSecond, workspace)];
+}
+
+/** Reads the name of a workspace, which becomes a header of the request to the backend server. */
+function readWorkspaceName(value: unknown, place: string): string {
+	const name = readString(value, place);
+	if (!isWorkspaceName(name)) {
+		throw new FieldError(place, value, workspaceNameForm);
+	}
+
+	return name;
 }
 
 /** Rejects a content length without a body: the backend server would read the missing body from the next request on the same connection. */
@@ -86,7 +108,7 @@
  * @internal
  */
 export function decodePeerRequest(head: unknown): PeerRequest {
-	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0, limitPerSecond] = readList(head, 'request');
+	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0, limitPerSecond, workspace] = readList(head, 'request');
 	const request: PeerRequest = {
 		id: readString(id, 'request.id'),
 		server: toBackendServerId(readString(server, 'request.server')),
@@ -101,6 +123,7 @@
 		isCounted: readFlag(isCounted, 'request.isCounted'),
 		...answerMayWaitMs === undefined || answerMayWaitMs === null ? {} : {answerMayWaitMs: readAmount(answerMayWaitMs, 'request.answerMayWaitMs', maxTimeMs)},
 		...limitPerSecond === undefined || limitPerSecond === null ? {} : {limitPerSecond: readAmount(limitPerSecond, 'request.limitPerSecond', maxTimeMs)},
+		...workspace === undefined || workspace === null ? {} : {workspace: readWorkspaceName(workspace, 'request.workspace')},
 	};
 	checkContentLength(request.headers, request.hasBody);
 	return request;
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -71,7 +71,7 @@
 function createCall(changes: Partial<OutgoingCall> = {}): OutgoingCall {
 	return {
 		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined, fingerprint: createSampleFingerprint(),
-		receivedAt: performance.now(), isNestedCall: false, ageMs: 0, scope: createCallScope(performance.now() + 1000), ...changes,
+		receivedAt: performance.now(), isNestedCall: false, workspace: undefined, checkAccess: () => undefined, ageMs: 0, scope: createCallScope(performance.now() + 1000), ...changes,
 	};
 }
 
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -155,6 +155,11 @@
 
 	/** Starts the next attempt. If none is allowed, returns the outcome of the call, or `undefined` while another attempt is in flight. */
 	const startNext = (): CallOutcome | undefined => {
+		const denial = call.checkAccess();
+		if (denial !== undefined) {
+			return finishIfIdle(denial);
+		}
+
 		// Checked again, because this node may have learned of crashes since the last attempt.
 		const decision = context.quarantine.check(call.fingerprint);
 		if (decision.type === 'refused') {
@@ -263,7 +268,7 @@
  */
 export function chooseFailureStatus(failure: ForwardFailure, verdict: Verdict): number {
 	if (verdict === 'not-run') {
-		return 503;
+		return failure.reason === 'unauthorized' ? 401 : 503;
 	}
 
 	return failure.reason === 'timeout' ? 504 : 502;
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -37,6 +37,8 @@
 	/** Reads the body, called once the request holds a slot. */
 	readonly readBody: () => Promise<Uint8Array | undefined>;
 	readonly callerService: string;
+	/** Name of the workspace of the caller; `undefined` if it has none. */
+	readonly workspace?: string | undefined;
 	/** Priority; 0 is the highest. */
 	readonly rank: number;
 	/** Maximum expected wait, in milliseconds: for a slot, and once more for the limit of the server. */
@@ -396,6 +398,7 @@
 				[headerNames.timeLeft]: String(leftMs),
 				[headerNames.expectedServer]: lifetime.id,
 				[headerNames.callerService]: call.callerService,
+				...call.workspace === undefined ? {} : {[headerNames.workspace]: call.workspace},
 				...body === undefined ? {} : {'content-length': String(body.length)},
 			},
 			isOwnResponse: createOwnResponseCheck(call),
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -78,7 +78,7 @@
 	} as unknown as GateClient;
 	const call: OutgoingCall = {
 		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined, fingerprint: createSampleFingerprint(),
-		receivedAt: performance.now(), isNestedCall: false, ageMs: 0, scope,
+		receivedAt: performance.now(), isNestedCall: false, workspace: undefined, checkAccess: () => undefined, ageMs: 0, scope,
 	};
 	return {
 		sent,
--- a/src/lib/forwarding/two-attempts.test.ts
+++ b/src/lib/forwarding/two-attempts.test.ts
@@ -79,7 +79,7 @@
 			},
 		}, {
 			id: 'c1', route: createSampleRoute({maxAttempts, type}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined, fingerprint: createSampleFingerprint(),
-			receivedAt: performance.now(), isNestedCall: false, ageMs: 0, scope,
+			receivedAt: performance.now(), isNestedCall: false, workspace: undefined, checkAccess: () => undefined, ageMs: 0, scope,
 		}),
 	};
 }
--- a/src/lib/route-config/config-holder.ts
+++ b/src/lib/route-config/config-holder.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {createWorkspaceIndex, type WorkspaceIndex} from '../workspaces/workspace-index.js';
 import {createConfigHistory, type ConfigStep} from './config-history.js';
 import {type RouteConfig} from './route-config.js';
 import {createRouteIndex, type RouteIndex} from './route-index.js';
@@ -13,6 +14,7 @@
 export type ActiveConfig = {
 	readonly config: RouteConfig;
 	readonly index: RouteIndex;
+	readonly workspaces: WorkspaceIndex;
 	/** The text in the store, which is also sent to other nodes. */
 	readonly text: string;
 };
@@ -62,7 +64,7 @@
 
 			// A single assignment, so that a request sees one whole configuration, and keeps it until it ends.
 			active = {
-				config, index: createRouteIndex(config), text,
+				config, index: createRouteIndex(config), workspaces: createWorkspaceIndex(config.workspaces), text,
 			};
 			handleApplied(active, source);
 			return true;
--- a/src/lib/route-config/route-config.ts
+++ b/src/lib/route-config/route-config.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import {type Workspace} from '../workspaces/workspace.js';
+
 /** Whether a request of a route may run more than once, and whether its body or response is large. @public */
 export type RouteType =
 	/** May run more than once. */
@@ -40,6 +42,8 @@
 	readonly targetLatencyMs: number;
 	/** Priority under overload; 0 is the highest. */
 	readonly priority: number;
+	/** Whether requests need no key where the configuration has workspaces. */
+	readonly allowsAnonymous: boolean;
 };
 
 /** Settings of a service. @public */
@@ -65,6 +69,8 @@
 	readonly routes: readonly RouteRule[];
 	readonly services: readonly ServiceRule[];
 	readonly limits: CallerLimits;
+	/** Empty if requests need no key. */
+	readonly workspaces: readonly Workspace[];
 	/** Hosts with rules whose prefix could not be decoded: a request to one of them that matches no route may belong to such a rule. */
 	readonly unreadHosts: ReadonlySet<string>;
 	/** Parts of the configuration that this node does not support, each with its place and a remedy. */
--- a/src/lib/route-config/sample-config.ts
+++ b/src/lib/route-config/sample-config.ts
@@ -13,7 +13,7 @@
 export function createSampleRoute(changes: Partial<RouteRule> = {}): RouteRule {
 	return {
 		name: 'logs', host: 'build.example', prefix: '/logs/', type: 'safe', services: [{service: 'logview', weight: 1}],
-		timeoutMs: 1200, maxAttempts: 2, targetLatencyMs: 400, priority: 2, ...changes,
+		timeoutMs: 1200, maxAttempts: 2, targetLatencyMs: 400, priority: 2, allowsAnonymous: false, ...changes,
 	};
 }
 
@@ -32,6 +32,7 @@
 		limits: {
 			maxHeaderBytes: 16_384, maxBodyBytes: 1_048_576, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 		},
+		workspaces: [],
 		unreadHosts: new Set(),
 		warnings: [],
 	};
--- a/src/lib/sidecar/config-answer-cache.test.ts
+++ b/src/lib/sidecar/config-answer-cache.test.ts
@@ -4,12 +4,13 @@
 import {type RouteConfig} from '../route-config/route-config.js';
 import {createRouteIndex} from '../route-config/route-index.js';
 import {computeTextDelta} from '../route-config/text-delta.js';
+import {createWorkspaceIndex} from '../workspaces/workspace-index.js';
 import {createConfigAnswerCache} from './config-answer-cache.js';
 
 type Holder = Parameters<typeof createConfigAnswerCache>[0];
 
 const config: RouteConfig = {
-	version: 7, routes: [], services: [], unreadHosts: new Set(), warnings: [],
+	version: 7, routes: [], services: [], workspaces: [], unreadHosts: new Set(), warnings: [],
 	limits: {
 		maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
 	},
@@ -18,7 +19,9 @@
 function createHolder(version: number, text: string): Holder {
 	const steps = [{from: version - 1, to: version, delta: computeTextDelta('{a}', text)}];
 	return {
-		get: () => ({config, text, index: createRouteIndex(config)}),
+		get: () => ({
+			config, text, index: createRouteIndex(config), workspaces: createWorkspaceIndex([]),
+		}),
 		getVersion: () => version,
 		listSteps: from => from === version - 1 ? steps : undefined,
 	};
