--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -137,6 +137,9 @@
 		maxHeaderSize: maxHeaderBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
 	});
 	const connections = watchConnections(server);
+	/** Set by the gate for each attempt. Without them, a request between nodes is about 100 bytes shorter. */
+	const gateHeaders = new Set([headerNames.callId, headerNames.timeLeft, headerNames.expectedServer, headerNames.callerService]);
+	const gateAndWorkspaceHeaders = new Set([...gateHeaders, headerNames.authorization, headerNames.workspace]);
 	let calls = 0;
 	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
 	let isClosing = false;
@@ -226,15 +229,8 @@
 	};
 
 	/** Returns the headers to forward. Where the configuration has workspaces, the key and the name that the caller sent are removed. */
-	const filterHeaders = ({workspaces}: ActiveConfig, {headers}: IncomingMessage): Record<string, string | string[]> => {
-		const filtered = removeHopByHopHeaders(headers);
-		if (!workspaces.isEmpty) {
-			Reflect.deleteProperty(filtered, headerNames.authorization);
-			Reflect.deleteProperty(filtered, headerNames.workspace);
-		}
-
-		return filtered;
-	};
+	const filterHeaders = ({workspaces}: ActiveConfig, {headers}: IncomingMessage): Record<string, string | string[]> =>
+		removeHopByHopHeaders(headers, workspaces.isEmpty ? gateHeaders : gateAndWorkspaceHeaders);
 
 	const readCallBody = async (call: EntryCall, maxBodyBytes: number, scope: CallScope): Promise<Uint8Array | undefined | 'refused'> => {
 		if (!hasBody(call.request)) {
