Forwarding: split the server session and the local gate by job

No change for callers. server-session.ts keeps the course of one request and its exported names; crash-watch.ts determines the requests in flight at a crash, convert-exchange.ts turns the end of an exchange into a result, and response-notices.ts is the one place that reads what a response says of its server. local-gate.ts keeps admission; local-sessions.ts applies announcements and opens and closes sessions.

--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -5,30 +5,25 @@
  *
  * @module
  */
-import {err, ok, type Result} from 'neverthrow';
+import {type Result} from 'neverthrow';
 import {type SlotOutcome, type SlotRequest} from '../admission/slot-pool.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type BackendServerId} from '../common/ids.js';
-import {isSameLifetime} from '../common/server-lifetime.js';
-import {
-	acceptAnnouncement, acceptLeave, noteServerUnreachable, forgetServer, isAmbiguousLeave,
-} from '../local-server/local-server-updates.js';
 import {type AnnouncementRefusal} from '../local-server/announcement-refusal.js';
-import {
-	noLocalServer, type LocalServer, type LocalServerState, type ServerAnnouncement, type ServerLeave, type ServerTransition,
-} from '../local-server/local-server.js';
+import {type ServerAnnouncement, type ServerLeave} from '../local-server/local-server.js';
 import {createLinkDemand} from '../decisions/link-demand.js';
 import {describeRefusal as describeQuarantine, type Quarantine} from '../quarantine/quarantine.js';
 import {type GateRollouts} from '../rollout/rollouts.js';
-import {type ServerReport, type ServerState} from '../peers/peer-report.js';
+import {type ServerReport} from '../peers/peer-report.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {type CallHeaderNames} from './call-headers.js';
 import {
 	createNotRun, type ForwardFailure, type ForwardResult, type GateLoad, type GateResult,
 } from './forward-result.js';
+import {createLocalSessions} from './local-sessions.js';
 import {
-	computeConcurrencyLimit, createCallFingerprint, unreachableBackoffMs, openServerSession, type ServerSession, type ServerSessionContext, type SessionCall,
+	createCallFingerprint, unreachableBackoffMs, type ServerSession, type ServerSessionContext, type SessionCall,
 } from './server-session.js';
 import {createUploadLimit} from './upload-limit.js';
 
@@ -82,15 +77,9 @@
 	readonly dispose: () => void;
 };
 
-/** Time without an announcement after which a warning is logged. The server stays in use while it responds to requests. */
-const silenceWarningMs = 8000;
-
 /** How long before the deadline a waiting request is refused, so that the refusal arrives before the caller times out. */
 const refusalMarginMs = 40;
 
-/** Computes how much longer a server is slow after its start, in milliseconds. */
-const computeColdMs = ({announcement, heardAt}: LocalServer): number => Math.max(0, announcement.coldMs - (readSteadyMs() - heardAt));
-
 /**
  * Creates the gate. It refuses every request until a server announces itself.
  *
@@ -99,19 +88,14 @@
  * @internal
  */
 export function createLocalGate(context: LocalGateContext): LocalGate {
-	const {headerNames, log, handleChange, quarantine, rollouts} = context;
-	let state: LocalServerState = noLocalServer;
-	let session: ServerSession | undefined;
-	/** The server of the session, kept after the state has forgotten that server. */
-	let sessionServer: LocalServer | undefined;
-	/** Sessions of servers with other ids that may still have running requests. */
-	let retiredSessions: readonly ServerSession[] = [];
+	const {log, quarantine, rollouts} = context;
+	const sessions = createLocalSessions(context);
 	const uploadLimit = createUploadLimit(context.linkMbps);
 	const linkDemand = createLinkDemand(context.linkMbps);
 	let requests = 0;
-	let isSilent = false;
 
 	const getLoad = (arrivedAt: number): GateLoad | undefined => {
+		const session = sessions.getSession();
 		if (session === undefined) {
 			return undefined;
 		}
@@ -122,106 +106,10 @@
 		};
 	};
 
-	/**
-	 * Closes the session of a replaced server. A server that restarted has lost its running requests. A server with another id may still finish its running
-	 * requests: it may have left in order, or the announcement of the new server was a late message.
-	 */
-	const closeSession = (closed: ServerSession, before: LocalServer, next: LocalServer): void => {
-		const hasSameId = before.announcement.lifetime.id === next.announcement.lifetime.id;
-		if (!before.isLeaving && (hasSameId || before.announcement.address === next.announcement.address)) {
-			closed.recordCrash();
-		}
-
-		if (hasSameId) {
-			closed.end();
-			return;
-		}
-
-		closed.retire();
-		retiredSessions = [...retiredSessions.filter(retired => retired.describe().running > 0), closed];
-	};
-
-	/** Counts an outcome during a rollout of the service. */
-	const recordOutcome = (server: Pick<ServerReport, 'service' | 'lifetime'>, {headers, target}: SessionCall, hasFailed: boolean, tookMs: number): void => {
-		const {current} = state;
-		if (session === undefined || current === undefined || !rollouts.isCounting(server.service)) {
-			return;
-		}
-
-		const route = context.findRouteName(typeof headers.host === 'string' ? headers.host : '', target);
-		if (route !== undefined) {
-			rollouts.recordOutcome(server, {
-				route, hasFailed, tookMs, isCold: computeColdMs(current) > 0, isFullyLoaded: session.describe().running >= current.announcement.slots,
-			});
-		}
-	};
-
-	const openSession = ({announcement}: LocalServer): ServerSession => {
-		const {lifetime, service, version, slots, coldMs} = announcement;
-		log.record('info', {
-			kind: 'server-announced', server: lifetime.id, startedAt: lifetime.startedAt, service, version, slots, coldMs,
-		});
-		return openServerSession(announcement, {
-			headerNames,
-			log,
-			refusals: context.refusals,
-			maxConnections: context.getMaxConnections(service),
-			quarantine,
-			isLeaving: () => context.isLeaving() || (state.current?.isLeaving ?? false),
-			handleOutcome(call, hasFailed, tookMs) {
-				recordOutcome({lifetime, service}, call, hasFailed, tookMs);
-			},
-			handleUnreachable(contacted, reason) {
-				state = noteServerUnreachable(state, contacted, readSteadyMs() + unreachableBackoffMs);
-				log.record('warn', {kind: 'server-doubted', server: contacted.id, reason});
-				handleChange();
-			},
-			countLimited: context.countLimited,
-			handleLeaving(contacted) {
-				applyStep(acceptLeave(state, contacted, readSteadyMs()), 'server said in a response that it leaves');
-			},
-			handleMisdirected(contacted) {
-				state = forgetServer(state, contacted, readSteadyMs());
-				handleChange();
-			},
-		});
-	};
-
-	const applyStep = (step: ServerTransition, how: string): void => {
-		const before = state.current;
-		state = step.state;
-		const {current} = state;
-		if (current === undefined) {
-			return;
-		}
-
-		isSilent = false;
-		if (before === undefined || !isSameLifetime(before.announcement.lifetime, current.announcement.lifetime)) {
-			if (session !== undefined && sessionServer !== undefined) {
-				closeSession(session, sessionServer, current);
-			}
-
-			session = openSession(current);
-		}
-
-		sessionServer = current;
-
-		if (step.change === 'draining') {
-			log.record('info', {kind: 'server-draining', server: current.announcement.lifetime.id, how});
-		}
-
-		if (step.change === 'changed') {
-			session?.resize(current.announcement.slots);
-		}
-
-		if (step.change !== 'none') {
-			handleChange();
-		}
-	};
-
 	/** Returns the session for a call, or the reason why its server does not take it. */
 	const findSession = (call: GateCall): ServerSession | ForwardFailure => {
-		const {current} = state;
+		const current = sessions.getServer();
+		const session = sessions.getSession();
 		if (session === undefined || current?.announcement.lifetime.id !== call.server) {
 			return createNotRun('gone', `backend server ${call.server} does not run beside this node`);
 		}
@@ -243,6 +131,7 @@
 	};
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
+		const session = sessions.getSession();
 		const {running = 0, waiting = 0, serviceMs = 0} = session?.describe() ?? {};
 		log.record('info', {
 			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, rank: call.rank,
@@ -355,24 +244,8 @@
 
 	/** Applies the limit that the sender knows, since this node may have restarted and not know it yet. */
 	const applyKnownLimit = ({server, limitPerSecond}: GateCall): void => {
-		if (limitPerSecond !== undefined && state.current?.announcement.lifetime.id === server) {
-			session?.suggestLimit(limitPerSecond);
-		}
-	};
-
-	const getServerState = (server: LocalServer): ServerState => {
-		if (server.isLeaving || rollouts.isWithheld(server.announcement)) {
-			return 'draining';
-		}
-
-		return server.avoidUntil > readSteadyMs() ? 'down' : 'ready';
-	};
-
-	const reportSilence = ({announcement, heardAt}: LocalServer): void => {
-		const heardMsAgo = readSteadyMs() - heardAt;
-		if (heardMsAgo > silenceWarningMs && !isSilent) {
-			isSilent = true;
-			log.record('warn', {kind: 'server-silent', server: announcement.lifetime.id, heardMsAgo: Math.round(heardMsAgo)});
+		if (limitPerSecond !== undefined && sessions.getServer()?.announcement.lifetime.id === server) {
+			sessions.getSession()?.suggestLimit(limitPerSecond);
 		}
 	};
 
@@ -389,45 +262,11 @@
 				requests--;
 			}
 		},
-		announce(announcement) {
-			applyStep(acceptAnnouncement(state, announcement, readSteadyMs()), 'server announced that it is draining');
-		},
-		leave(leave) {
-			const now = readSteadyMs();
-			if (isAmbiguousLeave(state, leave, now)) {
-				return err({cause: 'start', text: `start: found nothing, must be the start time of ${leave.id} that leaves, since it restarted a moment ago`});
-			}
-
-			applyStep(acceptLeave(state, leave, now), 'server announced that it leaves');
-			return ok(undefined);
-		},
-		describe() {
-			const {current} = state;
-			if (current === undefined || session === undefined) {
-				return undefined;
-			}
-
-			reportSilence(current);
-			const {announcement} = current;
-			return {
-				lifetime: announcement.lifetime,
-				service: announcement.service,
-				slots: computeConcurrencyLimit(announcement.slots),
-				state: getServerState(current),
-				version: announcement.version,
-				coldMs: computeColdMs(current),
-				tally: rollouts.getTally(announcement),
-				...session.describe(),
-			};
-		},
+		announce: sessions.announce,
+		leave: sessions.leave,
+		describe: sessions.describe,
 		countRequests: () => requests,
-		getLimit: () => session?.getLimit(),
-		dispose() {
-			for (const retired of retiredSessions) {
-				retired.end();
-			}
-
-			session?.end();
-		},
+		getLimit: () => sessions.getSession()?.getLimit(),
+		dispose: sessions.dispose,
 	};
 }
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -5,27 +5,26 @@
  *
  * @module
  */
-import {type IncomingHttpHeaders} from 'node:http';
 import {createSlotPool, type SlotOutcome, type SlotRequest} from '../admission/slot-pool.js';
 import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
-import {createCrashDetector} from '../quarantine/crash-detector.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {createLazyFingerprint, type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {createServerLimiter, type LimitedOutcome} from '../server-notices/server-limiter.js';
-import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
-import {removeHopByHopHeaders, getStringHeader, type CallHeaderNames} from './call-headers.js';
+import {getStringHeader, type CallHeaderNames} from './call-headers.js';
+import {createExchangeConverter, createOwnResponseCheck, sessionEndedFailure} from './convert-exchange.js';
+import {createCrashWatch} from './crash-watch.js';
 import {runExchange, type ExchangeResponse, type ExchangeFailure} from './exchange.js';
-import {
-	createMayHaveRun, createNotRun, type ForwardFailure, type ForwardResult,
-} from './forward-result.js';
+import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
-import {isRefusingConnections} from './refused-connection.js';
 import {createHalfOpenDetector} from './half-open-detector.js';
+import {createNoticeReader} from './response-notices.js';
+
+export {unreachableBackoffMs} from './convert-exchange.js';
 
 /** A request for the server that holds a slot. @internal */
 export type SessionCall = {
@@ -108,18 +107,6 @@
 /** Connect timeout. A backend server on the same VM accepts a connection in well under a millisecond. */
 const connectTimeoutMs = 400;
 
-/** Backoff after a failed connection to the server: a restart takes about as long. @internal */
-export const unreachableBackoffMs = 500;
-
-/** Timeout of the connection attempt that checks for a crash. A server on the same VM accepts or refuses a connection in well under a millisecond. The failure responses that wait for the check are delayed by at most this time. */
-const crashProbeTimeoutMs = 100;
-
-/** Maximum number of running requests that the log lists when a server crashes: as many as run at the users' largest server. */
-const maxLoggedSuspectCount = 20;
-
-/** Weight of the newest request in the moving average of failures, which covers about ten requests. */
-const failureWeight = 0.1;
-
 /** Subtracted from the remaining time that is forwarded to the server: the grace period of the call scope, and the latency to the server. */
 const deadlineMarginMs = deadlineGraceMs + 1;
 
@@ -137,18 +124,6 @@
  */
 export const computeConcurrencyLimit = (slots: number): number => slots + Math.floor(slots / slotsPerQueuedRequest);
 
-/** A request that was sent to the server. */
-type SentCall = {readonly id: string; readonly fingerprint: LazyFingerprint};
-
-/** A sent request that was abandoned without a response. Until `expiresAt` (steady milliseconds) the server may still execute it. */
-type AbandonedCall = SentCall & {readonly expiresAt: number};
-
-/** Maximum time for which an abandoned request is a crash suspect: several times the duration of most requests. */
-const abandonedCallTtlMs = 5000;
-
-/** Maximum number of remembered abandoned requests: several times the number of requests that run at the users' largest servers. */
-const maxAbandonedCallCount = 64;
-
 /**
  * Creates the fingerprint by which the quarantine identifies a request.
  *
@@ -164,8 +139,6 @@
 /** Creates the failure of a request that the limit of its server does not let start within `waitMs`. */
 const createLimitedFailure = (waitMs: number): ForwardFailure => createNotRun('limited', 'the limit that the backend server named is used up', waitMs);
 
-const sessionEndedFailure = createNotRun('gone', 'backend server has restarted or was replaced');
-
 /**
  * Opens a session. It connects to the server on the first request.
  *
@@ -183,153 +156,16 @@
 	});
 	const halfOpenDetector = createHalfOpenDetector();
 	const limiter = createServerLimiter(context.countLimited);
-	let abandonedCalls: readonly AbandonedCall[] = [];
-	let failureShare = 0;
 	let isEnded = false;
-	let hasCrashed = false;
-
-	const addAbandonedCall = ({id, scope}: SessionCall, fingerprint: LazyFingerprint): void => {
-		const expiresAt = Math.min(scope.deadlineAt, readSteadyMs() + abandonedCallTtlMs);
-		abandonedCalls = [...abandonedCalls, {id, fingerprint, expiresAt}].slice(-maxAbandonedCallCount);
-	};
-
-	/** Removes all abandoned calls and returns the ones that the server may still execute, since one of them may have crashed it. */
-	const removeAbandonedCalls = (): readonly SentCall[] => {
-		const now = readSteadyMs();
-		const current = abandonedCalls.filter(({expiresAt}) => expiresAt > now);
-		abandonedCalls = [];
-		return current;
-	};
-
-	const handleCrash = (lost: readonly SentCall[]): void => {
-		const inFlight = [...lost, ...removeAbandonedCalls()];
-		const logged = inFlight.slice(0, maxLoggedSuspectCount);
-		log.record('warn', {
-			kind: 'server-crashed', server: lifetime.id, atWork: inFlight.length,
-			suspects: logged.map(({fingerprint}) => fingerprint.getFingerprint()), calls: logged.map(({id}) => id),
-		});
-		context.quarantine.recordCrash(lifetime, inFlight.map(({fingerprint}) => fingerprint));
-		context.handleUnreachable(lifetime, 'backend server crashed');
-	};
-
-	const crashDetector = createCrashDetector<SentCall>({
-		hasEnded: async () => hasCrashed || (!isEnded && !context.isLeaving() && isRefusingConnections(announcement.address, crashProbeTimeoutMs)),
-		handleCrash,
+	const crashWatch = createCrashWatch({
+		lifetime, address: announcement.address, log, quarantine: context.quarantine, handleUnreachable: context.handleUnreachable,
+		isEnding: () => isEnded || context.isLeaving(),
+	});
+	const converter = createExchangeConverter({
+		lifetime, headerNames, crashWatch, quarantine: context.quarantine, hasEnded: () => isEnded,
+		handleUnreachable: context.handleUnreachable, handleMisdirected: context.handleMisdirected,
+		recordNotices: createNoticeReader(lifetime, limiter, context),
 	});
-
-	/** Reports abandoned calls to the crash detector, because they may be the only requests that were running when the server ended. */
-	const checkAbandonedCalls = (): void => {
-		for (const call of removeAbandonedCalls()) {
-			void crashDetector.recordLost(call);
-		}
-	};
-
-	const recordOutcome = (hasFailed: boolean): void => {
-		failureShare = (failureShare * (1 - failureWeight)) + (hasFailed ? failureWeight : 0);
-	};
-
-	const convertFailure = (failure: ExchangeFailure): ForwardFailure => {
-		if (isEnded && !failure.isSent) {
-			return sessionEndedFailure;
-		}
-
-		switch (failure.reason) {
-			case 'unreachable': {
-				checkAbandonedCalls();
-				context.handleUnreachable(lifetime, failure.detail);
-				return createNotRun('server-unreachable', failure.detail, unreachableBackoffMs);
-			}
-
-			case 'connection-lost':
-			case 'wrong-answer': {
-				recordOutcome(true);
-				return createMayHaveRun(failure.reason, failure.detail);
-			}
-
-			case 'timeout':
-			case 'cancelled':
-			case 'superseded': {
-				return failure.isSent ? createMayHaveRun(failure.reason, failure.detail) : createNotRun(failure.reason, failure.detail);
-			}
-		}
-	};
-
-	/**
-	 * Converts the failure of a request whose connection was lost. A request that was running when the server crashed is not
-	 * retried automatically, because a request that crashes every server would crash one server per attempt that its route allows.
-	 * A request that was recently answered elsewhere is retried as usual.
-	 */
-	const convertLostConnection = async ({id}: SessionCall, fingerprint: LazyFingerprint, failure: ExchangeFailure): Promise<ForwardFailure> => {
-		const isCrash = await crashDetector.recordLost({id, fingerprint});
-		const converted = convertFailure(failure);
-		return isCrash && context.quarantine.check(fingerprint).type !== 'free' ? {...converted, reason: 'server-crashed'} : converted;
-	};
-
-	/** Applies the limit that a response names. A limit that cannot be read changes nothing. */
-	const recordLimit = (headers: IncomingHttpHeaders): void => {
-		const limit = readServerLimit(headers, headerNames);
-		if (limit.isErr()) {
-			context.refusals.record({
-				kind: 'limit-refused', cause: 'unreadable', place: lifetime.id, reason: limit.error,
-			});
-			return;
-		}
-
-		const before = limiter.getLimit();
-		if (limiter.apply(limit.value)) {
-			log.record('info', {
-				kind: 'server-limit-changed', server: lifetime.id, perSecond: limit.value, before,
-			});
-		}
-	};
-
-	/** Applies what the server says of itself in a response. A response with neither a signature nor a refusal may come from another process. */
-	const recordNotices = (headers: IncomingHttpHeaders): void => {
-		if (headers[headerNames.signature] === undefined && headers[headerNames.notRun] === undefined) {
-			return;
-		}
-
-		recordLimit(headers);
-		if (isLeavingNotice(headers, headerNames)) {
-			context.handleLeaving(lifetime);
-		}
-	};
-
-	const convertResponse = (response: ExchangeResponse, fingerprint: LazyFingerprint): ForwardResult => {
-		if (response.status === 421) {
-			// Another server has the address. It gets no requests until it has announced itself.
-			context.handleMisdirected(lifetime);
-			return {...createNotRun('gone', 'another backend server responds at the address'), hasArrived: true};
-		}
-
-		recordNotices(response.headers);
-		if (response.headers[headerNames.notRun] !== undefined) {
-			recordOutcome(true);
-			return {...createNotRun('shed', `backend server responded with status ${response.status} and did not execute the request`), hasArrived: true};
-		}
-
-		if (response.status >= 200 && response.status < 300 && response.headers[headerNames.signature] === undefined) {
-			recordOutcome(true);
-			return createMayHaveRun('wrong-answer', 'successful response without the signature of a backend server');
-		}
-
-		const hasFailed = response.status >= 500;
-		recordOutcome(hasFailed);
-		// A failed request remains a suspect, because the server may fail it before it reaches the code that crashes.
-		if (!hasFailed) {
-			context.quarantine.recordResponse(fingerprint);
-		}
-
-		return {
-			type: 'answered', status: response.status, headers: removeHopByHopHeaders(response.headers), body: response.body,
-		};
-	};
-
-	const createOwnResponseCheck = (call: SessionCall) => (headers: IncomingHttpHeaders, status: number): boolean => {
-		const id = getStringHeader(headers, headerNames.callId);
-		const isRefusal = headers[headerNames.notRun] !== undefined || status === 421;
-		return id === call.id || (id === undefined && isRefusal);
-	};
 
 	/** Reports how a request ended at the server, unless the server refused it or the caller left. */
 	const reportOutcome = (call: SessionCall, result: ExchangeResponse | ExchangeFailure, tookMs: number): void => {
@@ -401,21 +237,17 @@
 				...call.workspace === undefined ? {} : {[headerNames.workspace]: call.workspace},
 				...body === undefined ? {} : {'content-length': String(body.length)},
 			},
-			isOwnResponse: createOwnResponseCheck(call),
+			isOwnResponse: createOwnResponseCheck(call.id, headerNames),
 			readCallId: headers => getStringHeader(headers, headerNames.callId),
 		});
 		finishRequest();
 		admission.end();
 		reportOutcome(call, result, readAwakeMs() - sentAt);
 		if (result.type === 'failed' && result.isSent && result.reason !== 'connection-lost' && result.reason !== 'wrong-answer') {
-			addAbandonedCall(call, fingerprint);
+			crashWatch.recordAbandoned({id: call.id, fingerprint, scope: call.scope});
 		}
 
-		if (result.type === 'failed') {
-			return result.reason === 'connection-lost' ? convertLostConnection(call, fingerprint, result) : convertFailure(result);
-		}
-
-		return convertResponse(result, fingerprint);
+		return converter.convert(call.id, fingerprint, result);
 	};
 
 	const stopAccepting = (): void => {
@@ -453,12 +285,8 @@
 			return waitMs === undefined ? undefined : createLimitedFailure(waitMs);
 		},
 		getLimit: limiter.getLimit,
-		describe: () => ({...slots.describe(), failureShare}),
-		recordCrash() {
-			hasCrashed = true;
-			crashDetector.recordReplaced();
-			checkAbandonedCalls();
-		},
+		describe: () => ({...slots.describe(), failureShare: converter.getFailureShare()}),
+		recordCrash: crashWatch.recordCrash,
 		retire: stopAccepting,
 		end() {
 			stopAccepting();
