Load reports: the gate reads them, and entries expect service times by the slowness of the moment

VMs are shared with other work: some servers take 2.5 times as long for half a second at a time. Entries learned of it from the average service time, which covers twenty requests and arrives with the next report, so a slow server kept getting requests until it was fast again, and was avoided from then on.

Responses may have a load report: running, waiting, slots and the slowness in percent. The gate validates it, learns the service time normalised by the slowness of each request, and passes on the slowness relative to its average over five seconds, in the load beside each answer and in heartbeats. Entries multiply the service time by it, with a weight that halves every 300 ms. Requests at a server that its gate did not send count as running. Absurd or old reports are not used. Both encodings omit the new field where a server reports nothing; an earlier release drops the load beside an answer that has it, and keeps its heartbeats.

--- a/src/lib/admission/slot-pool.ts
+++ b/src/lib/admission/slot-pool.ts
@@ -7,9 +7,10 @@
  */
 import {clampTimerMs, readSteadyMs} from '../common/clock.js';
 import {
-	admitToQueue, createSlotQueue, estimateWaitMs, finishRequest, removeFromQueue, resizeSlots,
+	admitToQueue, createSlotQueue, estimateWaitMs, finishRequest, getAverageServiceMs, recordReportedSlowness, removeFromQueue, resizeSlots,
 	type QueuedRequest, type SlotQueue,
 } from '../decisions/slot-queue.js';
+import {getRelativeSlowness} from '../decisions/slowness.js';
 
 /** A request for a slot. @internal */
 export type SlotRequest = {
@@ -32,15 +33,29 @@
 	/** The server has ended. */
 	| {readonly type: 'gone'};
 
+/** Times are milliseconds. @internal */
+export type SlotLoad = {
+	readonly running: number;
+	readonly waiting: number;
+	/** Average service time. */
+	readonly serviceMs: number;
+	/** How long work takes at the moment, as a factor of `serviceMs`; omitted if the server does not say. */
+	readonly slowness?: number;
+};
+
 /** @internal */
 export type SlotPool = {
 	readonly acquire: (request: SlotRequest) => Promise<SlotOutcome>;
-	/** Releases a slot. `tookMs` is the service time, or `undefined` if it says nothing about the server's speed. */
-	readonly release: (tookMs: number | undefined) => void;
+	/** Releases a slot. `tookMs` is the service time, or `undefined` if it says nothing about the server's speed; `slowness` is how slow the VM was meanwhile, as a factor of the usual time. */
+	readonly release: (tookMs: number | undefined, slowness?: number) => void;
+	/** Records how slow the VM of the server is, as a factor of the usual time. */
+	readonly recordSlowness: (slowness: number) => void;
+	/** Returns how slow the VM was at the last report; `undefined` if there was none. */
+	readonly getSlowness: () => number | undefined;
 	readonly resize: (slots: number) => void;
 	/** Ends the wait of all queued requests, because the server has ended. */
 	readonly close: () => void;
-	readonly describe: () => {readonly running: number; readonly waiting: number; readonly serviceMs: number};
+	readonly describe: () => SlotLoad;
 };
 
 /** A queued request waits for at most this multiple of `mayWaitMs`, because the estimated wait is rough. */
@@ -124,8 +139,8 @@
 				}
 			}
 		},
-		release(tookMs) {
-			const step = finishRequest(queue, tookMs, readSteadyMs());
+		release(tookMs, slowness) {
+			const step = finishRequest(queue, tookMs, readSteadyMs(), slowness);
 			queue = step.queue;
 			startQueued(step.started);
 		},
@@ -135,6 +150,14 @@
 				finish('gone');
 			}
 		},
-		describe: () => ({running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs}),
+		recordSlowness(slowness) {
+			queue = recordReportedSlowness(queue, slowness, readSteadyMs());
+		},
+		getSlowness: () => queue.slowness?.latest,
+		describe() {
+			const load = {running: queue.running, waiting: queue.waiting.length, serviceMs: getAverageServiceMs(queue)};
+			const slowness = queue.slowness === undefined ? undefined : getRelativeSlowness(queue.slowness, readSteadyMs());
+			return slowness === undefined ? load : {...load, slowness};
+		},
 	};
 }
--- a/src/lib/calls/headers.ts
+++ b/src/lib/calls/headers.ts
@@ -36,7 +36,7 @@
 } as const;
 
 /** Headers in which backend servers name a limit, or say that they leave. They are passed on to callers. @internal */
-export const noticeHeaders: NoticeHeaderNames = {serverLimit: 'server-limit', serverLeaving: 'server-leaving'};
+export const noticeHeaders: NoticeHeaderNames = {serverLimit: 'server-limit', serverLeaving: 'server-leaving', serverLoad: 'server-load'};
 
 /** Time that is left until the deadline, in milliseconds: callers may send it, backend servers receive it. @public */
 export const timeoutHeader = 'request-timeout-ms';
--- a/src/lib/decisions/load-view.ts
+++ b/src/lib/decisions/load-view.ts
@@ -9,13 +9,16 @@
 import {
 	applyLimitRefusal, applyNamedLimit, unlimitedView, type LimitView,
 } from '../server-notices/limit-view.js';
+import {estimateSlowness} from './slowness.js';
 
 /** Known load of one server. Times are milliseconds of the steady clock. @internal */
 export type ServerView = LimitView & {
 	readonly running: number;
 	readonly waiting: number;
-	/** Average service time of a request in milliseconds; 0 if unknown. */
+	/** Expected service time of a request in milliseconds; 0 if unknown. */
 	readonly serviceMs: number;
+	/** How long work took at the last report, as a factor of the average time; `undefined` if the server does not say. */
+	readonly slowness?: number | undefined;
 	readonly failureShare: number;
 	/** Requests of this node that are in flight to the server. */
 	readonly ownInFlight: number;
@@ -27,11 +30,15 @@
 	readonly reportedAt: number;
 };
 
+/** What a gate reports of its server. @internal */
+export type GateReport = Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare' | 'slowness'>>;
+
 /** @internal */
 export type LoadView = {
-	/** Returns the known load of a server, with the round-trip time of a route if it is given. */
-	readonly get: (server: LifetimeKey, route?: string) => ServerView;
-	readonly recordReport: (server: LifetimeKey, report: Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare'>>, now: number) => void;
+	/** Returns the known load of a server, with the round-trip time of a route and with the service time that is expected at a given time, if they are given. */
+	readonly get: (server: LifetimeKey, route?: string, now?: number) => ServerView;
+	/** Records a report of a gate. Its service time is the average one. A report without a slowness ends what was known of it. */
+	readonly recordReport: (server: LifetimeKey, report: GateReport, now: number) => void;
 	/** Records the round-trip time of a request of a route. */
 	readonly recordRoundTrip: (server: LifetimeKey, route: string, roundTripMs: number) => void;
 	readonly recordStart: (server: LifetimeKey) => void;
@@ -119,14 +126,15 @@
 	const roundTrips = createRouteAverages(smoothingFactor);
 	const get = (server: LifetimeKey): ServerView => views.get(server) ?? unknownLoad;
 	return {
-		get(server, route = '') {
+		get(server, route = '', now = undefined) {
 			const view = get(server);
-			return {...view, roundTripMs: roundTrips.get(server, route) ?? view.roundTripMs};
+			const roundTripMs = roundTrips.get(server, route) ?? view.roundTripMs;
+			return view.slowness === undefined || now === undefined ? {...view, roundTripMs} : {...view, roundTripMs, serviceMs: view.serviceMs * estimateSlowness(view.slowness, now - view.reportedAt)};
 		},
 		recordReport(server, report, now) {
 			const view = get(server);
 			views.set(server, {
-				...view, ...report, ownInFlightAtReport: view.ownInFlight, reportedAt: now,
+				...view, slowness: undefined, ...report, ownInFlightAtReport: view.ownInFlight, reportedAt: now,
 			});
 		},
 		recordRoundTrip(server, route, roundTripMs) {
--- a/src/lib/decisions/slot-queue.ts
+++ b/src/lib/decisions/slot-queue.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import {recordSlowness, type Slowness} from './slowness.js';
 
 /** A request that waits for a slot. @internal */
 export type QueuedRequest = {
@@ -23,10 +24,12 @@
 	readonly running: number;
 	/** Ordered by rank, then by arrival. */
 	readonly waiting: readonly QueuedRequest[];
-	/** Moving average of the time that a request holds its slot, in milliseconds. */
+	/** Moving average of the time that a request holds its slot while its VM has the usual speed, in milliseconds. */
 	readonly serviceMs: number;
 	/** Number of requests in the average. */
 	readonly sampleCount: number;
+	/** How slow the VM is, as the server reports it; `undefined` if it does not. */
+	readonly slowness: Slowness | undefined;
 };
 
 /** Decision about a request that arrives. @internal */
@@ -58,7 +61,7 @@
  */
 export function createSlotQueue(slots: number): SlotQueue {
 	return {
-		slots, running: 0, waiting: [], serviceMs: initialServiceMs, sampleCount: 0,
+		slots, running: 0, waiting: [], serviceMs: initialServiceMs, sampleCount: 0, slowness: undefined,
 	};
 }
 
@@ -70,7 +73,7 @@
  */
 export function estimateWaitMs(queue: SlotQueue, rank: number): number {
 	const ahead = queue.waiting.filter(waiting => waiting.rank <= rank).length;
-	return queue.running < queue.slots && ahead === 0 ? 0 : (ahead + 1) * queue.serviceMs / Math.max(1, queue.slots);
+	return queue.running < queue.slots && ahead === 0 ? 0 : (ahead + 1) * queue.serviceMs * (queue.slowness?.latest ?? 1) / Math.max(1, queue.slots);
 }
 
 function insertByRank(waiting: readonly QueuedRequest[], request: QueuedRequest): readonly QueuedRequest[] {
@@ -124,24 +127,45 @@
 	};
 }
 
-function recordServiceTime(queue: SlotQueue, tookMs: number): SlotQueue {
+function recordServiceTime(queue: SlotQueue, tookMs: number, slowness: number): SlotQueue {
 	const sampleCount = queue.sampleCount + 1;
 	const weight = Math.max(smoothingFactor, 1 / (sampleCount + initialSampleCount));
-	return {...queue, sampleCount, serviceMs: (queue.serviceMs * (1 - weight)) + (tookMs * weight)};
+	return {...queue, sampleCount, serviceMs: (queue.serviceMs * (1 - weight)) + (tookMs / slowness * weight)};
 }
 
+/**
+ * Records how slow the VM of the server is.
+ *
+ * @param queue - The queue.
+ * @param slowness - The reported slowness, as a factor of the usual time.
+ * @param now - Current time, in milliseconds of the steady clock.
+ * @returns The next state.
+ * @internal
+ */
+export function recordReportedSlowness(queue: SlotQueue, slowness: number, now: number): SlotQueue {
+	return {...queue, slowness: recordSlowness(queue.slowness, slowness, now)};
+}
+
+/**
+ * @param queue - The queue.
+ * @returns The service time in milliseconds at the average speed of the VM.
+ * @internal
+ */
+export const getAverageServiceMs = ({serviceMs, slowness}: SlotQueue): number => serviceMs * (slowness?.mean ?? 1);
+
 /**
  * Releases the slot of a request that has ended and starts requests that wait.
  *
  * @param queue - The queue.
  * @param tookMs - Milliseconds for which it held the slot; `undefined` if this time must not count as a sample of the service time.
  * @param now - Current time, in milliseconds of the steady clock.
+ * @param slowness - How slow the VM was meanwhile, as a factor of the usual time.
  * @returns The next state and the requests that start.
  * @internal
  */
-export function finishRequest(queue: SlotQueue, tookMs: number | undefined, now: number): {readonly queue: SlotQueue; readonly started: readonly QueuedRequest[]} {
+export function finishRequest(queue: SlotQueue, tookMs: number | undefined, now: number, slowness = 1): {readonly queue: SlotQueue; readonly started: readonly QueuedRequest[]} {
 	const released = {...queue, running: Math.max(0, queue.running - 1)};
-	return startQueued(tookMs === undefined ? released : recordServiceTime(released, tookMs), now);
+	return startQueued(tookMs === undefined ? released : recordServiceTime(released, tookMs, slowness), now);
 }
 
 /**
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -71,6 +71,8 @@
 	readonly serviceMs: number;
 	/** Milliseconds that this request spent at the gate and its server. The rest of the round-trip time is network time. */
 	readonly tookMs: number;
+	/** How long work takes there at the moment, as a factor of `serviceMs`; `undefined` if the server does not say. */
+	readonly slowness?: number | undefined;
 };
 
 /** The result of a request at a gate, with the load of its server. @internal */
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -16,7 +16,7 @@
 import {createLocalGate, type GateCall, type LocalGate} from './local-gate.js';
 
 const headerNames: CallHeaderNames = {
-	callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run', serverLimit: 'x-limit', serverLeaving: 'x-leaving', authorization: 'authorization', authorizationScheme: 'token', workspace: 'x-workspace',
+	callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run', serverLimit: 'x-limit', serverLeaving: 'x-leaving', serverLoad: 'x-load', authorization: 'authorization', authorizationScheme: 'token', workspace: 'x-workspace',
 };
 const id = toBackendServerId('i-1');
 const lifetime: ServerLifetime = {id, startedAt: 1000};
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -79,6 +79,8 @@
 	readonly countRequests: () => number;
 	/** Returns the requests per second that the server takes; `undefined` if it names no limit, or if there is no server. */
 	readonly getLimit: () => number | undefined;
+	/** Returns how slow the VM of the server was at its last report, as a factor of the usual time; `undefined` if the server does not say, or if there is none. */
+	readonly getSlowness: () => number | undefined;
 	readonly dispose: () => void;
 };
 
@@ -116,9 +118,9 @@
 			return undefined;
 		}
 
-		const {running, waiting, serviceMs} = session.describe();
+		const {running, waiting, serviceMs, slowness} = session.describe();
 		return {
-			running, waiting, serviceMs, tookMs: readSteadyMs() - arrivedAt,
+			running, waiting, serviceMs, tookMs: readSteadyMs() - arrivedAt, slowness,
 		};
 	};
 
@@ -243,10 +245,11 @@
 	};
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
-		const {running = 0, waiting = 0, serviceMs = 0} = session?.describe() ?? {};
+		const {running = 0, waiting = 0, serviceMs = 0, slowness} = session?.describe() ?? {};
 		log.record('info', {
 			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, rank: call.rank,
 			running, waiting, serviceMs: Math.round(serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
+			...slowness === undefined ? {} : {slowness: Math.round(slowness * 100) / 100},
 			...failure.reason === 'limited' ? {limitPerSecond: session?.getLimit(), caller: call.callerService} : {},
 		});
 		return failure;
@@ -422,6 +425,7 @@
 		},
 		countRequests: () => requests,
 		getLimit: () => session?.getLimit(),
+		getSlowness: () => session?.getSlowness(),
 		dispose() {
 			for (const retired of retiredSessions) {
 				retired.end();
--- a/src/lib/forwarding/peer-messages.test.ts
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -85,8 +85,10 @@
 	return decodePeerAnswer(sendHead(change(head)), body);
 }
 
+const withSlowness: GateResult = {...answered, load: {...answered.load!, slowness: 2.25}};
+
 test('answers are decoded unchanged', () => {
-	for (const result of [answered, refused]) {
+	for (const result of [answered, withSlowness, refused]) {
 		assert.deepEqual(send(result), result);
 	}
 });
@@ -128,6 +130,14 @@
 	}
 });
 
+test('a load with a malformed slowness, or with fields of a later release, is used without them', () => {
+	for (const slowness of [null, 'slow', 0, -1, 1e9, undefined]) {
+		assert.deepEqual(send(answered, head => changeHead(head, 1, [3, 1, 80, 12.5, slowness])), answered);
+	}
+
+	assert.deepEqual(send(answered, head => changeHead(head, 1, [3, 1, 80, 12.5, 2.25, {more: 1}])), withSlowness);
+});
+
 test('property: any head is decoded as a request or rejected, and no head is decoded as an answer with a stronger verdict than it states', () => {
 	const anyHead = fc.oneof(fc.jsonValue(), fc.tuple(fc.nat(9), fc.jsonValue()).map(([place, value]) => changeHead(encodePeerRequest(request), place, value)));
 	fc.assert(fc.property(anyHead, head => {
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -9,6 +9,7 @@
 	readAmount, readFlag, readList, readName, readString,
 } from '../common/read-input.js';
 import {parseVerdict, type Verdict} from '../common/verdict.js';
+import {isSlowness} from '../decisions/slowness.js';
 import {isWorkspaceName, workspaceNameForm} from '../workspaces/workspace.js';
 import {
 	createMayHaveRun, parseForwardReason, type ForwardResponse, type ForwardFailure, type GateLoad, type GateResult,
@@ -42,6 +43,7 @@
 };
 
 const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
+const roundToHundredth = (value: number): number => Math.round(value * 100) / 100;
 
 const isString = (value: unknown): value is string => typeof value === 'string';
 const isNonNegativeNumber = (value: unknown): value is number => typeof value === 'number' && Number.isFinite(value) && value >= 0;
@@ -129,19 +131,23 @@
 	return request;
 }
 
-function encodeLoad({running, waiting, serviceMs, tookMs}: GateLoad): readonly number[] {
-	return [running, waiting, Math.round(serviceMs), roundToTenth(tookMs)];
+/** Encodes a load. Fields that a server does not report are omitted at the end; fields of later releases follow them. */
+function encodeLoad({running, waiting, serviceMs, tookMs, slowness}: GateLoad): readonly number[] {
+	const known = [running, waiting, Math.round(serviceMs), roundToTenth(tookMs)];
+	return slowness === undefined ? known : [...known, roundToHundredth(slowness)];
 }
 
+/** Decodes a load. An optional field that is malformed counts as absent. */
 function decodeLoad(value: unknown): GateLoad | undefined {
-	if (!Array.isArray(value) || value.length !== 4 || !value.every(amount => isNonNegativeNumber(amount))) {
+	const [running, waiting, serviceMs, tookMs, slowness] = Array.isArray(value) ? value as unknown[] : [];
+	if (!isNonNegativeNumber(running) || !isNonNegativeNumber(waiting) || !isNonNegativeNumber(serviceMs) || !isNonNegativeNumber(tookMs)) {
 		return undefined;
 	}
 
-	const [running, waiting, serviceMs, tookMs] = value as [number, number, number, number];
-	return {
+	const load = {
 		running, waiting, serviceMs, tookMs,
 	};
+	return isSlowness(slowness) ? {...load, slowness} : load;
 }
 
 /**
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -6,7 +6,9 @@
  * @module
  */
 import {type IncomingHttpHeaders} from 'node:http';
-import {createSlotPool, type SlotOutcome, type SlotRequest} from '../admission/slot-pool.js';
+import {
+	createSlotPool, type SlotLoad, type SlotOutcome, type SlotRequest,
+} from '../admission/slot-pool.js';
 import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
@@ -16,6 +18,8 @@
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {createServerLimiter, type LimitedOutcome} from '../server-notices/server-limiter.js';
+import {createLoadReports, type LoadReports} from '../server-notices/load-reports.js';
+import {readServerLoad} from '../server-notices/server-load.js';
 import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
 import {removeHopByHopHeaders, getStringHeader, type CallHeaderNames} from './call-headers.js';
@@ -69,10 +73,7 @@
 };
 
 /** Load and failure rate of the server. @internal */
-export type SessionLoad = {
-	readonly running: number;
-	readonly waiting: number;
-	readonly serviceMs: number;
+export type SessionLoad = SlotLoad & {
 	/** Moving average of the share of failed requests, 0 to 1. */
 	readonly failureShare: number;
 };
@@ -90,6 +91,10 @@
 	readonly refuseLimited: (call: Pick<SessionCall, 'callerService' | 'rank' | 'mayWaitMs'>) => ForwardFailure | undefined;
 	/** Returns the requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
 	readonly getLimit: () => number | undefined;
+	/** Returns the latest load report of the server and its age in milliseconds; `undefined` if there is none or if it is old. */
+	readonly getLoadReport: () => ReturnType<LoadReports['getLatest']>;
+	/** Returns how slow the VM of the server was at its last report, as a factor of the usual time; `undefined` if the server does not say. */
+	readonly getSlowness: () => number | undefined;
 	readonly describe: () => SessionLoad;
 	/**
 	 * Records that the server has crashed, because another lifetime replaced it without a leave. Requests lost from then on
@@ -183,6 +188,7 @@
 	});
 	const halfOpenDetector = createHalfOpenDetector();
 	const limiter = createServerLimiter(context.countLimited);
+	const loadReports = createLoadReports();
 	let abandonedCalls: readonly AbandonedCall[] = [];
 	let failureShare = 0;
 	let isEnded = false;
@@ -283,6 +289,28 @@
 		}
 	};
 
+	/** Records the load that a response reports. A load that cannot be read changes nothing. */
+	const recordLoad = (headers: IncomingHttpHeaders): void => {
+		const load = readServerLoad(headers, headerNames);
+		if (load.isErr()) {
+			context.refusals.record({
+				kind: 'load-refused', cause: 'unreadable', place: lifetime.id, reason: load.error,
+			});
+			return;
+		}
+
+		const report = load.value;
+		if (report === undefined) {
+			return;
+		}
+
+		const now = readSteadyMs();
+		loadReports.record(report, slots.describe().running, now);
+		if (report.slowness !== undefined) {
+			slots.recordSlowness(report.slowness);
+		}
+	};
+
 	/** Applies what the server says of itself in a response. A response with neither a signature nor a refusal may come from another process. */
 	const recordNotices = (headers: IncomingHttpHeaders): void => {
 		if (headers[headerNames.signature] === undefined && headers[headerNames.notRun] === undefined) {
@@ -290,6 +318,7 @@
 		}
 
 		recordLimit(headers);
+		recordLoad(headers);
 		if (isLeavingNotice(headers, headerNames)) {
 			context.handleLeaving(lifetime);
 		}
@@ -432,6 +461,7 @@
 		},
 		async run(call) {
 			const startedAt = readAwakeMs();
+			const endRun = loadReports.startRun();
 			let result: ForwardResult = createNotRun('cancelled', 'request body did not arrive');
 			try {
 				const body = await call.readBody();
@@ -439,7 +469,7 @@
 			} catch (error) {
 				result = createNotRun('cancelled', `request body did not arrive: ${(error as Error).message}`);
 			} finally {
-				slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined);
+				slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined, endRun());
 			}
 
 			return result;
@@ -453,7 +483,12 @@
 			return waitMs === undefined ? undefined : createLimitedFailure(waitMs);
 		},
 		getLimit: limiter.getLimit,
-		describe: () => ({...slots.describe(), failureShare}),
+		getLoadReport: () => loadReports.getLatest(readSteadyMs()),
+		getSlowness: slots.getSlowness,
+		describe() {
+			const load = slots.describe();
+			return {...load, running: load.running + loadReports.countUnknownRequests(readSteadyMs()), failureShare};
+		},
 		recordCrash() {
 			hasCrashed = true;
 			crashDetector.recordReplaced();
--- a/src/lib/forwarding/suspended-gate.test.ts
+++ b/src/lib/forwarding/suspended-gate.test.ts
@@ -32,7 +32,7 @@
 	const id = toBackendServerId('i-1');
 	const gate = createLocalGate({
 		headerNames: {
-			callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run', serverLimit: 'x-limit', serverLeaving: 'x-leaving', authorization: 'authorization', authorizationScheme: 'token', workspace: 'x-workspace',
+			callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run', serverLimit: 'x-limit', serverLeaving: 'x-leaving', serverLoad: 'x-load', authorization: 'authorization', authorizationScheme: 'token', workspace: 'x-workspace',
 		},
 		log: silentLog, refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
 	});
--- a/src/lib/peers/peer-report.test.ts
+++ b/src/lib/peers/peer-report.test.ts
@@ -24,6 +24,17 @@
 	assert.deepEqual(decodeReport(encodeReport(bare))._unsafeUnwrap(), bare);
 });
 
+test('the slowness of a server is decoded, and counts as absent if it is malformed', () => {
+	const {server} = createSampleReport();
+	const report = createSampleReport({server: {...server!, slowness: 2.25}});
+	assert.deepEqual(decodeReport(encodeReport(report))._unsafeUnwrap(), report);
+	const encoded = JSON.parse(encodeReport(report)) as unknown[];
+	for (const value of ['slow', 0, -1, null, 1e9]) {
+		const changed = encoded.with(8, (encoded[8] as unknown[]).with(12, value));
+		assert.deepEqual(decodeReport(JSON.stringify(changed))._unsafeUnwrap(), createSampleReport());
+	}
+});
+
 test('fields that a later program adds are ignored', () => {
 	const later = JSON.stringify([...JSON.parse(encodeReport(createSampleReport())) as unknown[], {more: 1}]);
 	assert.deepEqual(decodeReport(later)._unsafeUnwrap(), createSampleReport());
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -14,6 +14,7 @@
 	readAddress, readAmount, readCount, readFlag, readList, readName,
 } from '../common/read-input.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
+import {isSlowness} from '../decisions/slowness.js';
 import {type StoreEra} from '../store/store-position.js';
 import {decodeTally, encodeTally, type OutcomeTally} from '../rollout/outcome-tally.js';
 import {decodeRecord, encodeRecord, type RolloutRecord} from '../rollout/rollout-record.js';
@@ -34,6 +35,8 @@
 	readonly waiting: number;
 	/** Average service time of its requests in milliseconds; 0 if unknown. */
 	readonly serviceMs: number;
+	/** How long work takes at the moment, as a factor of `serviceMs`; `undefined` if the server does not say. */
+	readonly slowness?: number | undefined;
 	/** Share of its latest requests that failed, 0 to 1. */
 	readonly failureShare: number;
 	/** Version of the software that the server runs; empty if its node did not report one. */
@@ -94,6 +97,9 @@
 /** Shares are encoded in thousandths, which is precise enough and short on the wire. */
 const unitsPerShare = 1000;
 
+/** A slowness is encoded in hundredths. */
+const unitsPerSlowness = 100;
+
 function encodeServer(server: ServerReport): readonly unknown[] {
 	return [
 		server.lifetime.id,
@@ -108,6 +114,7 @@
 		server.lifetime.startedAt,
 		server.version,
 		server.tally === undefined ? 0 : encodeTally(server.tally),
+		...server.slowness === undefined ? [] : [Math.round(server.slowness * unitsPerSlowness)],
 	];
 }
 
@@ -150,13 +157,19 @@
 /** Start times are safe integers, so that lifetimes compare exactly; other numbers could be rounded in transit. */
 const isTime = (value: unknown): value is number => Number.isSafeInteger(value) && (value as number) >= 0;
 
+/** Decodes the slowness of a server. A malformed one counts as absent. */
+function decodeSlowness(units: unknown): Pick<ServerReport, 'slowness'> {
+	const slowness = typeof units === 'number' ? units / unitsPerSlowness : undefined;
+	return isSlowness(slowness) ? {slowness} : {};
+}
+
 /** Decodes the server of a report. Returns `undefined` if it is malformed. */
 function decodeServer(value: unknown): ServerReport | undefined {
 	if (!Array.isArray(value)) {
 		return undefined;
 	}
 
-	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0] = value as unknown[];
+	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0, slownessUnits] = value as unknown[];
 	const numbers = [slots, coldMs, running, waiting, serviceMs, failures];
 	const state = states[stateNumber as number];
 	if (!isText(id) || id === '' || !isText(service) || state === undefined || !isText(version) || !numbers.every(number => isCount(number)) || !isTime(startedAt)) {
@@ -166,7 +179,7 @@
 	return {
 		lifetime: {id: toBackendServerId(id), startedAt}, service, slots: slots as number, state, coldMs: coldMs as number,
 		running: running as number, waiting: waiting as number, serviceMs: serviceMs as number, failureShare: (failures as number) / unitsPerShare,
-		version, ...tally === 0 ? {} : {tally: decodeTally(tally, 'server.tally')},
+		version, ...decodeSlowness(slownessUnits), ...tally === 0 ? {} : {tally: decodeTally(tally, 'server.tally')},
 	};
 }
 
--- a/src/lib/server-notices/server-notice.ts
+++ b/src/lib/server-notices/server-notice.ts
@@ -12,6 +12,8 @@
 	readonly serverLimit: string;
 	/** `1` if the server is leaving. */
 	readonly serverLeaving: string;
+	/** The load of the server: running, waiting and slots, and optionally its slowness in percent, separated by commas. */
+	readonly serverLoad: string;
 };
 
 /** @internal */
@@ -36,7 +38,7 @@
  * @returns Whether the server is leaving.
  * @internal
  */
-export const isLeavingNotice = (headers: Headers, {serverLeaving}: NoticeHeaderNames): boolean => headers[serverLeaving] === '1';
+export const isLeavingNotice = (headers: Headers, {serverLeaving}: Pick<NoticeHeaderNames, 'serverLeaving'>): boolean => headers[serverLeaving] === '1';
 
 /**
  * Reads the limit that a response names.
@@ -46,7 +48,7 @@
  * @returns Requests per second, or `undefined` if the response names none; or an error text if the value is not a decimal number of 0 or more.
  * @internal
  */
-export function readServerLimit(headers: Headers, {serverLimit}: NoticeHeaderNames): Result<number | undefined, string> {
+export function readServerLimit(headers: Headers, {serverLimit}: Pick<NoticeHeaderNames, 'serverLimit'>): Result<number | undefined, string> {
 	const value = headers[serverLimit];
 	if (value === undefined) {
 		return ok(undefined);
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -60,21 +60,21 @@
 
 /** Describes the server beside this node. Its numbers come from the local gate, so they are exact and current. */
 function describeLocal({own, loads}: CandidateSources, server: ServerReport, route: string, now: number): Candidate {
-	const {running, waiting, serviceMs, failureShare} = server;
+	const {running, waiting, serviceMs, slowness = 1, failureShare} = server;
 	const lifetime = toLifetimeKey(server.lifetime);
 	return {
 		id: server.lifetime.id, lifetime, node: own.node, gate: own.gate, domain: own.domain, isLocal: true, slots: server.slots, isCold: server.coldMs > 0,
 		view: {
-			...loads.get(lifetime, route), running, waiting, serviceMs, failureShare, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: now,
+			...loads.get(lifetime, route), running, waiting, serviceMs: serviceMs * slowness, failureShare, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: now,
 		},
 	};
 }
 
-function describePeer({report, server}: {readonly report: Peer['report']; readonly server: ServerReport}, route: string, loads: LoadView): Candidate {
+function describePeer({report, server}: {readonly report: Peer['report']; readonly server: ServerReport}, route: string, loads: LoadView, now: number): Candidate {
 	const {node, gate, domain} = report;
 	const lifetime = toLifetimeKey(server.lifetime);
 	return {
-		id: server.lifetime.id, lifetime, node, gate, domain, isLocal: false, slots: server.slots, isCold: server.coldMs > 0, view: loads.get(lifetime, route),
+		id: server.lifetime.id, lifetime, node, gate, domain, isLocal: false, slots: server.slots, isCold: server.coldMs > 0, view: loads.get(lifetime, route, now),
 	};
 }
 
@@ -110,7 +110,7 @@
 		const {server} = peer.report;
 		// The list of a service may contain a node whose server has changed since the list was built.
 		return isUsable(server) && isReachable(peer, limits, now)
-			? describePeer({report: peer.report, server}, route, loads)
+			? describePeer({report: peer.report, server}, route, loads, now)
 			: undefined;
 	};
 
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -345,6 +345,7 @@
 		{name: 'stonemoor_suspected_requests', help: 'Requests known to have been in work when backend servers crashed', read: quarantine.countSuspects},
 		{name: 'stonemoor_quarantine_refusals', help: 'Judgements that kept a request from backend servers, since the start', read: quarantine.countRefused},
 		{name: 'stonemoor_server_limit', help: 'Requests per second that the backend server takes; absent while it names no limit', read: gate.getLimit},
+		{name: 'stonemoor_server_slowness', help: 'How long work takes on the VM of the backend server, as a factor of the usual time; absent while the server does not say', read: gate.getSlowness},
 		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(sync.isStoreReachable())},
 	]);
 
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -23,7 +23,9 @@
 /** The kind of input that was refused: a datagram at the heartbeat address, input on a connection to the gate, a call at the announcement address, an entry of the store, a header of a response. @internal */
 export type RefusalKind = 'heartbeat-refused' | 'peer-refused' | 'announcement-refused' | 'entry-refused'
 	/** A limit in a response of the backend server. */
-	| 'limit-refused';
+	| 'limit-refused'
+	/** A load report in a response of the backend server. */
+	| 'load-refused';
 
 /** Why input was refused. @internal */
 export type RefusalCause =
@@ -104,7 +106,7 @@
 	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]}
-	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string}
+	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly slowness?: number | undefined; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string}
 	/** The caller left before its request was started; the request was not sent to any server. */
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
 	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number}
