--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -5,7 +5,9 @@
  *
  * @module
  */
-import {createSlotPool, type SlotOutcome, type SlotRequest} from '../admission/slot-pool.js';
+import {
+	createSlotPool, type SlotLoad, type SlotOutcome, type SlotRequest,
+} from '../admission/slot-pool.js';
 import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
@@ -14,6 +16,7 @@
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {createServerLimiter, type LimitedOutcome} from '../server-notices/server-limiter.js';
+import {createLoadReports, type LoadReports} from '../server-notices/load-reports.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
 import {getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {createExchangeConverter, createOwnResponseCheck, sessionEndedFailure} from './convert-exchange.js';
@@ -68,10 +71,7 @@
 };
 
 /** Load and failure rate of the server. @internal */
-export type SessionLoad = {
-	readonly running: number;
-	readonly waiting: number;
-	readonly serviceMs: number;
+export type SessionLoad = SlotLoad & {
 	/** Moving average of the share of failed requests, 0 to 1. */
 	readonly failureShare: number;
 };
@@ -89,6 +89,10 @@
 	readonly refuseLimited: (call: Pick<SessionCall, 'callerService' | 'rank' | 'mayWaitMs'>) => ForwardFailure | undefined;
 	/** Returns the requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
 	readonly getLimit: () => number | undefined;
+	/** Returns the latest load report of the server and its age in milliseconds; `undefined` if there is none or if it is old. */
+	readonly getLoadReport: () => ReturnType<LoadReports['getLatest']>;
+	/** Returns how slow the VM of the server was at its last report, as a factor of the usual time; `undefined` if the server does not say. */
+	readonly getSlowness: () => number | undefined;
 	readonly describe: () => SessionLoad;
 	/**
 	 * Records that the server has crashed, because another lifetime replaced it without a leave. Requests lost from then on
@@ -156,6 +160,7 @@
 	});
 	const halfOpenDetector = createHalfOpenDetector();
 	const limiter = createServerLimiter(context.countLimited);
+	const loadReports = createLoadReports();
 	let isEnded = false;
 	const crashWatch = createCrashWatch({
 		lifetime, address: announcement.address, log, quarantine: context.quarantine, handleUnreachable: context.handleUnreachable,
@@ -164,7 +169,7 @@
 	const converter = createExchangeConverter({
 		lifetime, headerNames, crashWatch, quarantine: context.quarantine, hasEnded: () => isEnded,
 		handleUnreachable: context.handleUnreachable, handleMisdirected: context.handleMisdirected,
-		recordNotices: createNoticeReader(lifetime, limiter, context),
+		recordNotices: createNoticeReader(lifetime, {limiter, slots, loadReports}, context),
 	});
 
 	/** Reports how a request ended at the server, unless the server refused it or the caller left. */
@@ -264,6 +269,7 @@
 		},
 		async run(call) {
 			const startedAt = readAwakeMs();
+			const endRun = loadReports.startRun();
 			let result: ForwardResult = createNotRun('cancelled', 'request body did not arrive');
 			try {
 				const body = await call.readBody();
@@ -271,7 +277,7 @@
 			} catch (error) {
 				result = createNotRun('cancelled', `request body did not arrive: ${(error as Error).message}`);
 			} finally {
-				slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined);
+				slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined, endRun());
 			}
 
 			return result;
@@ -285,7 +291,12 @@
 			return waitMs === undefined ? undefined : createLimitedFailure(waitMs);
 		},
 		getLimit: limiter.getLimit,
-		describe: () => ({...slots.describe(), failureShare: converter.getFailureShare()}),
+		getLoadReport: () => loadReports.getLatest(readSteadyMs()),
+		getSlowness: slots.getSlowness,
+		describe() {
+			const load = slots.describe();
+			return {...load, running: load.running + loadReports.countUnknownRequests(readSteadyMs()), failureShare: converter.getFailureShare()};
+		},
 		recordCrash: crashWatch.recordCrash,
 		retire: stopAccepting,
 		end() {
