Workspaces: no error about a configuration shows a key

A key in the wrong place (a text where a list or a number belongs, a number without quotation marks), or a damaged answer of the store, was quoted in the error, which nodes log. Errors about workspaces now describe a text by its length and a key by its type; syntax errors are not quoted.

--- a/src/lib/common/field-error.ts
+++ b/src/lib/common/field-error.ts
@@ -26,7 +26,13 @@
 
 /** Reports an invalid field: its place, the value found and the values allowed. @internal */
 export class FieldError extends Error {
-	constructor(place: string, found: unknown, allowed: string) {
-		super(`${place}: found ${describeValue(found)}, must be ${allowed}`);
+	/**
+	 * @param place - The name of the field.
+	 * @param found - The value found.
+	 * @param allowed - The values allowed.
+	 * @param description - Text in place of the value found, for a value that must not be logged.
+	 */
+	constructor(place: string, found: unknown, allowed: string, description = describeValue(found)) {
+		super(`${place}: found ${description}, must be ${allowed}`);
 	}
 }
--- a/src/lib/workspaces/authenticate-request.ts
+++ b/src/lib/workspaces/authenticate-request.ts
@@ -34,9 +34,19 @@
 	readonly allowsAnonymous: boolean;
 };
 
-const maxKeyLength = 256;
+const keyPattern = /^[\u0021-\u007E]{1,256}$/;
 
-const keyPattern = /^[\u0021-\u007E]+$/;
+/** The form of a key that a request can carry, for error messages. @internal */
+export const keyForm = '1 to 256 visible ASCII characters';
+
+/**
+ * @param key - A key.
+ * @returns Whether a request can carry it.
+ * @internal
+ */
+export const isKeyForm = (key: string): boolean => keyPattern.test(key);
+
+const anonymous: Authentication = {type: 'anonymous'};
 
 function listValues(rawHeaders: readonly string[], name: string): readonly string[] {
 	const values: string[] = [];
@@ -58,7 +68,7 @@
 	}
 
 	const key = value.slice(separator + 1);
-	return key.length <= maxKeyLength && keyPattern.test(key) ? key : undefined;
+	return isKeyForm(key) ? key : undefined;
 }
 
 /**
@@ -72,12 +82,12 @@
  */
 export function authenticateRequest(index: WorkspaceIndex, {rawHeaders, allowsAnonymous}: RequestCredentials, names: WorkspaceHeaderNames): Authentication {
 	if (index.isEmpty) {
-		return {type: 'anonymous'};
+		return anonymous;
 	}
 
 	const [value, ...others] = listValues(rawHeaders, names.authorization);
 	if (value === undefined) {
-		return allowsAnonymous ? {type: 'anonymous'} : {type: 'refused', cause: 'missing-key'};
+		return allowsAnonymous ? anonymous : {type: 'refused', cause: 'missing-key'};
 	}
 
 	if (others.length > 0) {
