Entry: a refusal of a request without a body keeps its connection

Node.js reports a request as complete only after the handler ran, so that each refusal without a wait closed the connection of its caller. Requests that the caller had pipelined behind it ran without an answer, and each further refusal cost a new connection. Only a body that has not been read is a reason to close the connection.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -142,7 +142,7 @@
 	let isClosing = false;
 
 	const getClosingHeaders = (request: IncomingMessage): {readonly connection?: string} =>
-		isClosing || !request.complete ? {connection: 'close'} : {};
+		isClosing || (!request.complete && hasBody(request)) ? {connection: 'close'} : {};
 
 	const refuse = ({id, request, response}: EntryCall, status: number, reason: string, retryAfterMs = 0): void => {
 		if (response.destroyed || response.headersSent) {
