Workspaces: keys checked over whole nodes; a removed key or a forged name never reaches a server

- A name of a workspace that a caller sent was passed on where the configuration has no workspaces.
It is always removed now, at the entry and again at the gate.
- A request whose key was withdrawn while it waited got 401 also from a node that knew of an even newer version, which may hold the key again; it gets 503 there.
A key that was moved was explained as a restarted server; it has a reason of its own.
- The second attempt beside a silent node was started without the check of the key (the new test of silent-node.test.ts fails without it).
- Refusals of callers are counted by cause, logged at a limited rate with the id of the request, and explained. 401 carries WWW-Authenticate.
- Calls are counted by workspace and outcome for the 50 busiest workspaces and the sum of the others; call-finished names the workspace.

--- a/scripts/check-boundary.ts
+++ b/scripts/check-boundary.ts
@@ -12,12 +12,13 @@
 
 /** Names of the platform's interface: headers, paths, keys and fields of its messages. */
 const platformNames: readonly RegExp[] = [
-	/stonemoor-(attempt-id|deadline-ms|response-signature|expected-instance|caller-service|not-executed|instance-id|server-load)/i,
+	/stonemoor-(attempt-id|deadline-ms|response-signature|expected-instance|caller-service|not-executed|instance-id|server-load|tenant)/i,
 	/\/v1\/(kv|rpc|ready)/,
 	/kv-(key|range|watch|txn|lease|keep)/,
 	/\bop\/config\b/,
 	/instances\.(heartbeat|leave)/,
 	/\b(route-type|target-latency|max-attempts|weighted-services|health-check-path|max-connections|cold-remaining|store-revision|allow-stale|has-more|ttl_time)\b/,
+	/\b(api-keys|allow-anonymous|rate-per-s|allowed-regions)\b/,
 	/STONEMOOR_CONFIG/,
 ];
 
--- a/soak/checks/find-violations.test.ts
+++ b/soak/checks/find-violations.test.ts
@@ -32,7 +32,7 @@
 
 function createRun(call: CallRecord, changes: Partial<RunRecord> = {}): RunRecord {
 	return {
-		id: call.id, at: call.sentAt + 5, behaviour: 'answer', method: call.method, target: call.target, body: call.body, callerService: 'logview', leftMs: 1400,
+		id: call.id, at: call.sentAt + 5, behaviour: 'answer', method: call.method, target: call.target, body: call.body, callerService: 'logview', leftMs: 1400, workspace: undefined, hasCredentials: false,
 		server: 'i-1@1', service: call.route === publish ? 'hall' : 'logview', node: 'n1', ...changes,
 	};
 }
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -19,18 +19,21 @@
 import {computeRetryAfterMs} from '../decisions/retry-after.js';
 import {normalizeHost, findRoute} from '../route-config/route-index.js';
 import {type WeightedRoundRobin} from '../route-config/weighted-round-robin.js';
-import {type AttemptRecord, type MeshLog} from '../timeline/mesh-log.js';
+import {
+	type AttemptRecord, type CallerCause, type LogLevel, type MeshLog,
+} from '../timeline/mesh-log.js';
+import {type RefusalLog} from '../timeline/refusal-log.js';
 import {type CallerRetryDetector} from '../decisions/caller-retry-detector.js';
-import {authenticateRequest, type Authentication} from '../workspaces/authenticate-request.js';
-import {type Workspace} from '../workspaces/workspace.js';
+import {describeAuthenticationFailure, type AuthenticationFailure} from '../workspaces/authenticate-request.js';
 import {createLazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {createByteBudget} from './byte-budget.js';
 import {createCallScope, deadlineGraceMs, type CallScope} from './call-scope.js';
 import {
-	removeHopByHopHeaders, getNumberHeader, getStringHeader, type CallHeaderNames,
-} from './call-headers.js';
+	authenticateCaller, createAccessCheck, filterCallerHeaders, outdatedConfigRetryMs,
+} from './caller-access.js';
+import {getNumberHeader, getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
-import {createNotRun, type ForwardResponse, type ForwardFailure} from './forward-result.js';
+import {type ForwardResponse, type ForwardFailure} from './forward-result.js';
 import {
 	BodyTooLargeError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
 } from './read-body.js';
@@ -42,9 +45,12 @@
 	readonly id: string;
 	readonly route: string;
 	readonly service: string;
+	/** Name of the workspace of the caller; `undefined` if it has none. */
+	readonly workspace: string | undefined;
 	readonly version: number;
 	readonly status: number;
 	readonly verdict: Verdict;
+	/** `answered`, or the reason of the failure, a colon and the details. */
 	readonly reason: string;
 	readonly tookMs: number;
 	readonly leftMs: number;
@@ -63,6 +69,7 @@
 	readonly callerRetryDetector: CallerRetryDetector;
 	readonly nestedCallDetector: NestedCallDetector;
 	readonly log: MeshLog;
+	readonly refusals: RefusalLog;
 	/** If this process lags behind, waits until input that has already arrived is read, so that the disconnect of a caller is noticed before work on its request starts. */
 	readonly waitForPendingInput: (isNewConnection: boolean) => Promise<void>;
 	/** Estimates how long a request that was read just now may have waited unread, in milliseconds. */
@@ -109,9 +116,6 @@
 /** Retry delay while this node has no configuration. */
 const noConfigRetryMs = 250;
 
-/** Retry delay while this node has an outdated configuration. Most nodes get the newer one within this time. */
-const outdatedConfigRetryMs = 300;
-
 /** Retry delay for a route that cannot be used until the configuration changes. That happens many times an hour, not many times a second, so an earlier retry would rarely succeed. */
 const unusableRouteRetryMs = 1000;
 
@@ -154,6 +158,7 @@
 			'content-type': 'application/json',
 			'content-length': body.length,
 			[headerNames.callId]: id,
+			...status === 401 ? {'www-authenticate': headerNames.authorizationScheme} : {},
 			...retryAfterMs > 0 ? {'retry-after': (retryAfterMs / 1000).toFixed(3)} : {},
 			...getClosingHeaders(request),
 		});
@@ -177,13 +182,23 @@
 		return status;
 	};
 
-	const refuseAndLog = (call: EntryCall, version: number, status: number, reason: string, retryAfterMs = 0): void => {
-		log.record('info', {
-			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version,
+	const logRefusal = (level: LogLevel, {id, request}: EntryCall, version: number, {status, reason}: {readonly status: number; readonly reason: string}): void => {
+		log.record(level, {
+			kind: 'request-refused', call: id, status, reason, host: request.headers.host ?? '', path: request.url ?? '', version,
 		});
+	};
+
+	const refuseAndLog = (call: EntryCall, version: number, status: number, reason: string, retryAfterMs = 0): void => {
+		logRefusal('info', call, version, {status, reason});
 		refuse(call, status, reason, retryAfterMs);
 	};
 
+	const recordCallerRefusal = ({id, request}: EntryCall, route: RouteRule, cause: CallerCause, reason: string): void => {
+		context.refusals.record({
+			kind: 'caller-refused', cause, place: `${request.socket.remoteAddress ?? ''} on route ${route.name}`, reason, call: id,
+		});
+	};
+
 	/** Refuses a request that matches no known route. Answers 503 instead of 404 if the route may exist: one of its host could not be read, or a newer configuration may contain it. */
 	const refuseUnmatched = (call: EntryCall, {config: {version, unreadHosts}}: ActiveConfig): void => {
 		if (unreadHosts.has(normalizeHost(call.request.headers.host ?? ''))) {
@@ -199,41 +214,19 @@
 		refuseAndLog(call, version, 404, 'no route matches host and path');
 	};
 
-	/** Refuses a request whose caller is not identified. Answers 503 to an unknown key that a newer configuration may contain. */
-	const refuseUnauthorized = (call: EntryCall, {config: {version}}: ActiveConfig, {cause}: Extract<Authentication, {readonly type: 'refused'}>): void => {
-		if (cause === 'unknown-key' && context.isConfigOutdated()) {
-			refuseAndLog(call, version, 503, 'the key is unknown, but this node has not received the newest configuration version yet', outdatedConfigRetryMs);
-			return;
-		}
-
-		refuseAndLog(call, version, 401, `not authorized: ${cause}`);
-	};
-
-	/** Returns a check of whether the key of a request is still valid and still belongs to the same workspace; after the configuration has changed, the key is looked up again. */
-	const createAccessCheck = ({request}: EntryCall, route: RouteRule, accepted: {readonly activeConfig: ActiveConfig; readonly workspace: Workspace | undefined}) => (): ForwardFailure | undefined => {
-		const current = context.getConfig();
-		if (current === undefined || current === accepted.activeConfig || (accepted.activeConfig.workspaces.isEmpty && current.workspaces.isEmpty)) {
-			return undefined;
-		}
-
-		const authentication = authenticate(current, request, route);
-		if (authentication.type === 'refused') {
-			return createNotRun('unauthorized', `the key is no longer valid: ${authentication.cause}`);
-		}
-
-		const name = authentication.type === 'authenticated' ? authentication.workspace.name : undefined;
-		return name === accepted.workspace?.name ? undefined : createNotRun('gone', 'the key was moved to another workspace while the request waited');
-	};
-
-	/** Returns the headers to forward. Where the configuration has workspaces, the key and the name that the caller sent are removed. */
-	const filterHeaders = ({workspaces}: ActiveConfig, {headers}: IncomingMessage): Record<string, string | string[]> => {
-		const filtered = removeHopByHopHeaders(headers);
-		if (!workspaces.isEmpty) {
-			Reflect.deleteProperty(filtered, headerNames.authorization);
-			Reflect.deleteProperty(filtered, headerNames.workspace);
-		}
-
-		return filtered;
+	/**
+	 * Refuses a request whose caller is not identified. Answers 503 to an unknown key that a newer configuration may contain. Refusals are logged at a limited rate,
+	 * since a caller with a wrong key may send as fast as it can.
+	 */
+	const refuseUnauthorized = (call: EntryCall, {config: {version}}: ActiveConfig, route: RouteRule, cause: AuthenticationFailure): void => {
+		const isOutdated = cause === 'unknown-key' && context.isConfigOutdated();
+		const reason = isOutdated
+			? 'the key is unknown, but this node has not received the newest configuration version yet'
+			: `not authorized: ${describeAuthenticationFailure(cause)}`;
+		const status = isOutdated ? 503 : 401;
+		recordCallerRefusal(call, route, isOutdated ? 'outdated-config' : cause, reason);
+		logRefusal('debug', call, version, {status, reason});
+		refuse(call, status, reason, isOutdated ? outdatedConfigRetryMs : 0);
 	};
 
 	const readCallBody = async (call: EntryCall, maxBodyBytes: number, scope: CallScope): Promise<Uint8Array | undefined | 'refused'> => {
@@ -260,16 +253,18 @@
 		}
 	};
 
-	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string}): void => {
+	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string; readonly workspace: string | undefined}): void => {
 		const {result, verdict, attempts} = outcome;
 		const now = readSteadyMs();
 		const status = result.type === 'answered' ? result.status : sendFailure(call, result, verdict, outcome.route.targetLatencyMs);
 		if (result.type === 'answered') {
 			sendAnswer(call, result);
+		} else if (result.reason === 'unauthorized') {
+			recordCallerRefusal(call, outcome.route, 'withdrawn-key', result.detail);
 		}
 
 		context.handleFinished({
-			id: call.id, route: outcome.route.name, service: outcome.service, version: activeConfig.config.version, status, verdict, attempts,
+			id: call.id, route: outcome.route.name, service: outcome.service, workspace: outcome.workspace, version: activeConfig.config.version, status, verdict, attempts,
 			reason: result.type === 'answered' ? 'answered' : `${result.reason}: ${result.detail}`,
 			tookMs: Math.round(now - call.receivedAt),
 			leftMs: Math.round(scope.deadlineAt - now),
@@ -278,13 +273,10 @@
 
 	const findRouteIn = ({index}: ActiveConfig, {headers, url}: IncomingMessage): RouteRule | undefined => findRoute(index, headers.host ?? '', url ?? '/');
 
-	const authenticate = ({workspaces}: ActiveConfig, {rawHeaders}: IncomingMessage, {allowsAnonymous}: RouteRule): Authentication =>
-		authenticateRequest(workspaces, {rawHeaders, allowsAnonymous}, headerNames);
-
 	/** Whether a configuration has a route for a request, and knows its key. */
 	const isAccepted = (activeConfig: ActiveConfig, request: IncomingMessage): boolean => {
 		const route = findRouteIn(activeConfig, request);
-		return route !== undefined && authenticate(activeConfig, request, route).type !== 'refused';
+		return route !== undefined && authenticateCaller(activeConfig, request, route, headerNames).type !== 'refused';
 	};
 
 	/** Returns the configuration to handle a request with. Waits for a newer configuration if one is known and the active one does not accept the request. */
@@ -318,9 +310,9 @@
 			return;
 		}
 
-		const authentication = authenticate(activeConfig, request, route);
+		const authentication = authenticateCaller(activeConfig, request, route, headerNames);
 		if (authentication.type === 'refused') {
-			refuseUnauthorized(call, activeConfig, authentication);
+			refuseUnauthorized(call, activeConfig, route, authentication.cause);
 			return;
 		}
 
@@ -362,7 +354,7 @@
 				service,
 				method,
 				target,
-				headers: filterHeaders(activeConfig, request),
+				headers: filterCallerHeaders(activeConfig, request, headerNames),
 				body,
 				fingerprint: createLazyFingerprint({
 					method, host: request.headers.host ?? '', target, body,
@@ -372,9 +364,13 @@
 				ageMs,
 				scope,
 				workspace,
-				checkAccess: createAccessCheck(call, route, {activeConfig, workspace}),
+				checkAccess: createAccessCheck(context, {
+					request, route, activeConfig, workspace,
+				}),
+			});
+			finish(call, scope, activeConfig, {
+				...outcome, route, service, workspace: workspace?.name,
 			});
-			finish(call, scope, activeConfig, {...outcome, route, service});
 		} finally {
 			bodyBudget.release(bufferedBytes);
 			removeFromConnection();
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -31,6 +31,10 @@
 	| 'version-withheld'
 	/** The key of the request is no longer valid. */
 	| 'unauthorized'
+	/** The key of the request belongs to another workspace now. */
+	| 'workspace-changed'
+	/** The key of the request is unknown to a node that knows of a newer configuration. */
+	| 'config-outdated'
 	| 'wrong-answer'
 	| 'no-server'
 	| 'timeout'
@@ -38,7 +42,7 @@
 	| 'superseded';
 
 const reasons: readonly ForwardReason[] = [
-	'full', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'unauthorized', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
+	'full', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'unauthorized', 'workspace-changed', 'config-outdated', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
 ];
 
 /** @internal */
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -222,7 +222,7 @@
 		}
 
 		// Runs ten times a second while a node is silent, so the cheap checks come first.
-		if (!hasAllowedArrival() && !mayTakeRetry('may-have-run')) {
+		if ((!hasAllowedArrival() && !mayTakeRetry('may-have-run')) || call.checkAccess() !== undefined) {
 			return;
 		}
 
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -398,7 +398,8 @@
 				[headerNames.timeLeft]: String(leftMs),
 				[headerNames.expectedServer]: lifetime.id,
 				[headerNames.callerService]: call.callerService,
-				...call.workspace === undefined ? {} : {[headerNames.workspace]: call.workspace},
+				// Replaces a header of the caller that the entry has not removed; `undefined` leaves it out.
+				[headerNames.workspace]: call.workspace,
 				...body === undefined ? {} : {'content-length': String(body.length)},
 			},
 			isOwnResponse: createOwnResponseCheck(call),
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -53,7 +53,7 @@
 });
 
 /** Creates four servers. The first one that gets the call works until `answer` is called; the others return the result of `answerOther`. */
-function createMesh(context: TestContext, answerOther: (call: RemoteCall) => Promise<ForwardResult>, slack = 100): MeshFixture {
+function createMesh(context: TestContext, answerOther: (call: RemoteCall) => Promise<ForwardResult>, slack = 100, checkAccess: OutgoingCall['checkAccess'] = () => undefined): MeshFixture {
 	const sent: RemoteCall[] = [];
 	const silenceHandlers = new Set<() => void>();
 	let settleFirst: (result: ForwardResult) => void = () => undefined;
@@ -78,7 +78,7 @@
 	} as unknown as GateClient;
 	const call: OutgoingCall = {
 		id: 'c1', route: createSampleRoute({maxAttempts: 2}), service: 'logview', method: 'GET', target: '/logs/1', headers: {}, body: undefined, fingerprint: createSampleFingerprint(),
-		receivedAt: performance.now(), isNestedCall: false, workspace: undefined, checkAccess: () => undefined, ageMs: 0, scope,
+		receivedAt: performance.now(), isNestedCall: false, workspace: undefined, checkAccess, ageMs: 0, scope,
 	};
 	return {
 		sent,
@@ -131,6 +131,20 @@
 	return {outcome};
 }
 
+// Guards against a second attempt that runs with a key that was withdrawn during the first.
+test('a call whose key was withdrawn is not sent to a second server, and is still answered by the silent node', async context => {
+	let isWithdrawn = false;
+	const mesh = createMesh(context, async () => createAnswer(200), 100, () => isWithdrawn ? createNotRun('unauthorized', 'withdrawn') : undefined);
+	const outcome = mesh.send();
+	await settle();
+	isWithdrawn = true;
+	mesh.reportSilence();
+	await settle();
+	assert.equal(mesh.sent.length, 1);
+	mesh.answer();
+	assert.equal(getStatus(await outcome), 200);
+});
+
 test('a call in flight at a silent node is answered by that node if no other server accepts the call', async context => {
 	const mesh = createMesh(context, async () => createNotRun('full', 'all slots are taken', 50));
 	const {outcome} = await sendAndReportSilence(mesh);
--- a/src/lib/sidecar/mesh-metrics.test.ts
+++ b/src/lib/sidecar/mesh-metrics.test.ts
@@ -6,7 +6,7 @@
 import {createMeshMetrics} from './mesh-metrics.js';
 
 const call: FinishedCall = {
-	id: 'c1', route: 'a "b"', service: 'hall', version: 1, status: 200, verdict: 'ran', reason: 'answered', tookMs: 12, leftMs: 100,
+	id: 'c1', route: 'a "b"', service: 'hall', workspace: undefined, version: 1, status: 200, verdict: 'ran', reason: 'answered', tookMs: 12, leftMs: 100,
 	attempts: [{
 		server: toBackendServerId('i1'), node: toNodeId('n1'), verdict: 'ran', outcome: '200', tookMs: 11, infoAgeMs: 3,
 	}],
@@ -34,6 +34,21 @@
 	]);
 });
 
+test('calls of a workspace are counted by the reason of their result, without its details', () => {
+	const metrics = createMeshMetrics();
+	metrics.recordCall({...call, workspace: 'alpha'});
+	metrics.recordCall({
+		...call, workspace: 'alpha', status: 503, verdict: 'not-run', reason: 'full: every backend server of hall is busy for 80 ms or more', attempts: [],
+	});
+	metrics.countWorkspaceCall('alpha', 'over-quota');
+	const lines = metrics.format([]).split('\n').filter(line => line.includes('workspace'));
+	assert.deepEqual(lines, [
+		'stonemoor_workspace_calls_total{workspace="alpha",outcome="answered"} 1',
+		'stonemoor_workspace_calls_total{workspace="alpha",outcome="full"} 1',
+		'stonemoor_workspace_calls_total{workspace="alpha",outcome="over-quota"} 1',
+	]);
+});
+
 test('a gauge without a value is left out', () => {
 	const text = createMeshMetrics().format([{name: 'some', help: 'Some', read: () => 2}, {name: 'none', help: 'None', read: () => undefined}]);
 	assert.match(text, /^some 2$/m);
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -7,6 +7,8 @@
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import {type FinishedCall} from '../forwarding/entry-server.js';
 import {type LimitedOutcome} from '../server-notices/server-limiter.js';
+import {workspaceCallsMetric} from '../workspaces/explain-workspaces.js';
+import {createWorkspaceCounter} from '../workspaces/workspace-counter.js';
 import {type MeshLog, type RefusalCause, type RefusalKind} from '../timeline/mesh-log.js';
 
 /** A value that is read when metrics are scraped. @internal */
@@ -19,7 +21,10 @@
 
 /** @internal */
 export type MeshMetrics = {
+	/** Counts a call by route, service, status and verdict, and by its workspace if it has one. */
 	readonly recordCall: (call: FinishedCall) => void;
+	/** Counts a request of a workspace that ended before it became a call. */
+	readonly countWorkspaceCall: (workspace: string, outcome: string) => void;
 	/** Records how late a timer fired: the time for which the event loop was busy or the process was paused. */
 	readonly recordLoopDelay: (milliseconds: number) => void;
 	/** Counts refused input, most of which has no log line of its own. */
@@ -96,6 +101,7 @@
 	const events = createCounter('stonemoor_events_total', 'kind', 'reason');
 	const refusals = createCounter('stonemoor_refusals_total', 'kind', 'cause');
 	const limited = createCounter('stonemoor_limited_requests_total', 'caller', 'outcome');
+	const workspaceCalls = createWorkspaceCounter();
 	const latencies = new Map<string, Histogram>();
 	const loopDelays = createHistogram();
 
@@ -118,8 +124,13 @@
 				attempts.add(service, outcome);
 			}
 
+			if (call.workspace !== undefined) {
+				workspaceCalls.add(call.workspace, call.reason.split(':', 1)[0]!);
+			}
+
 			getLatencyHistogram(service).recordValue(Math.min(maxLatencyMs, Math.max(1, call.tookMs)));
 		},
+		countWorkspaceCall: workspaceCalls.add,
 		recordLoopDelay(milliseconds) {
 			loopDelays.recordValue(Math.min(maxLatencyMs, Math.max(1, Math.round(milliseconds))));
 		},
@@ -147,6 +158,7 @@
 				...events.format(),
 				...refusals.format(),
 				...limited.format(),
+				...workspaceCalls.list().map(({workspace, outcome, count}) => `${workspaceCallsMetric}{${formatLabels({workspace, outcome})}} ${count}`),
 				...[...latencies].flatMap(([service, histogram]) => formatSummary('stonemoor_call_milliseconds', {service}, histogram)),
 				...formatSummary('stonemoor_loop_delay_milliseconds', {}, loopDelays),
 				...gauges.flatMap(gauge => formatGauge(gauge)),
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -306,6 +306,7 @@
 		recordNotices,
 		retryBudget: createMeshRetryBudget(() => settings.retries, countRetryBudgetNodes),
 		log,
+		refusals,
 		random,
 		noteUnreachable(node, reason) {
 			link.noteUnreachable(node);
--- a/src/lib/timeline/explain-call.test.ts
+++ b/src/lib/timeline/explain-call.test.ts
@@ -32,6 +32,26 @@
 	assert.match(explanation.cause, /overloaded/);
 });
 
+test('a request with an unknown key is explained by the log line of its refusal, whether or not its own line at debug level is there', () => {
+	const refusal = createLine('n1', 1, {
+		kind: 'caller-refused', cause: 'unknown-key', place: '10.0.0.9 on route logs', reason: 'not authorized: no workspace holds the key', count: 3, call: 'c1',
+	});
+	const own = createLine('n1', 1, {
+		kind: 'request-refused', call: 'c1', status: 401, reason: 'not authorized: no workspace holds the key', host: 'h', path: '/logs/1', version: 9,
+	});
+	const explanation = explainCall([refusal], 'c1');
+	assert.match(explanation?.steps[0] ?? '', /n1 refused it \(unknown-key\): not authorized: no workspace holds the key \(10\.0\.0\.9 on route logs, the last of 3 such refusals\)/);
+	assert.equal(explanation?.cause, 'not authorized: no workspace holds the key');
+	assert.equal(explainCall([own], 'c1')?.cause, 'not authorized: no workspace holds the key');
+});
+
+test('a request whose key was withdrawn while it waited is explained, with its workspace', () => {
+	const end = createEnd('unauthorized: the key was withdrawn while the request waited', 401, []);
+	const explanation = explainCall([createLine('n1', 3, {...end, workspace: 'alpha'} as MeshEvent)], 'c1');
+	assert.match(explanation?.steps[0] ?? '', /answered 401 .*workspace alpha, version 9/);
+	assert.match(explanation?.cause ?? '', /new configuration version withdrew it/);
+});
+
 test('for a request lost with its node, the steps include the events of that node', () => {
 	const lines = [
 		createLine('n1', 3, createEnd('connection-lost: socket hang up', 502, [createAttempt('connection-lost', {verdict: 'may-have-run'})])),
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -64,12 +64,18 @@
 			return `${line.node} refused it with ${line.status}: ${line.reason} (${line.host}${line.path}, version ${line.version} in force)`;
 		}
 
+		case 'caller-refused': {
+			const times = line.count > 1 ? `, the last of ${line.count} such refusals` : '';
+			return `${line.node} refused it (${line.cause}): ${line.reason} (${line.place}${times})`;
+		}
+
 		case 'caller-left': {
 			return `its caller disconnected from ${line.node} within ${line.waitedMs} ms, before it was sent to a server`;
 		}
 
 		case 'call-finished': {
-			const place = `version ${line.version} in force, ${line.attempts.length} attempts (${line.verdict})`;
+			const workspace = line.workspace === undefined ? '' : `workspace ${line.workspace}, `;
+			const place = `${workspace}version ${line.version} in force, ${line.attempts.length} attempts (${line.verdict})`;
 			return `${line.node} answered ${line.status} after ${line.tookMs} ms with ${line.leftMs} ms left, ${place}: ${line.reason}`;
 		}
 
@@ -91,6 +97,9 @@
 	'connection-lost': 'the connection was lost after the request had been sent: the backend server or its node ended, or closed the connection',
 	'server-crashed': 'the backend server crashed while the request was in flight there, and the request may be the cause: it was not sent to another server',
 	quarantined: 'backend servers crashed each time such a request was in flight: it is not sent to other servers (search for "request-suspected" and "server-crashed" with its fingerprint)',
+	unauthorized: 'the key was valid when the request arrived, and a new configuration version withdrew it while the request waited',
+	'workspace-changed': 'a new configuration version moved the key to another workspace while the request waited; the request may be sent again',
+	'config-outdated': 'the key is unknown to a node that had not received the newest configuration version yet; the request may be sent again',
 	'wrong-answer': 'the backend server sent an invalid response to this request',
 	'no-server': 'no backend server of the service was known',
 	timeout: 'its deadline passed before the backend server responded',
@@ -134,20 +143,25 @@
 /** Events within this time before or after the end of a request may explain its result. */
 const relatedEventsWindowMs = 5000;
 
+/** The last event of a request at the node that received it. */
+type EndLine = Extract<LogLine, {readonly kind: 'call-finished' | 'request-refused' | 'caller-left'}> | Extract<LogLine, {readonly cause: unknown}>;
+
+const isEnd = (line: LogLine): line is EndLine => line.kind === 'call-finished' || line.kind === 'request-refused' || line.kind === 'caller-refused' || line.kind === 'caller-left';
+
 function findCause(lines: readonly LogLine[]): string {
-	const end = lines.findLast(line => line.kind === 'call-finished' || line.kind === 'request-refused' || line.kind === 'caller-left');
+	const end = lines.findLast(line => isEnd(line));
 	if (end === undefined) {
 		return 'the logs do not contain the end of the request: the node that received it ended first, lines were dropped (search for "lines-dropped"), or the first attempt succeeded';
 	}
 
-	if (end.kind === 'request-refused') {
-		return end.reason;
-	}
-
 	if (end.kind === 'caller-left') {
 		return causeTexts.cancelled!;
 	}
 
+	if (end.kind !== 'call-finished') {
+		return end.reason;
+	}
+
 	const reason = end.reason.split(':')[0] ?? '';
 	if (reason === 'answered') {
 		return end.status >= 500 ? 'the backend server responded with an error' : 'the backend server responded';
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -23,7 +23,9 @@
 /** The kind of input that was refused: a datagram at the heartbeat address, input on a connection to the gate, a call at the announcement address, an entry of the store, a header of a response. @internal */
 export type RefusalKind = 'heartbeat-refused' | 'peer-refused' | 'announcement-refused' | 'entry-refused'
 	/** A limit in a response of the backend server. */
-	| 'limit-refused';
+	| 'limit-refused'
+	/** A request of a caller that is not identified. */
+	| 'caller-refused';
 
 /** Why input was refused. @internal */
 export type RefusalCause =
@@ -35,7 +37,15 @@
 	| 'flood'
 	/** It contains an address that does not answer. */
 	| 'no-answer'
-	| AnnouncementCause;
+	| AnnouncementCause
+	| CallerCause;
+
+/** Why a request of a caller that is not identified was refused. @internal */
+export type CallerCause = 'missing-key' | 'repeated-header' | 'malformed-credentials' | 'unknown-key'
+	/** The key is unknown to a node that knows of a newer configuration. */
+	| 'outdated-config'
+	/** The key was withdrawn while the request waited. */
+	| 'withdrawn-key';
 
 /** Why an announcement or leave of the backend server beside a node was refused. @internal */
 export type AnnouncementCause =
@@ -101,9 +111,9 @@
 	| {readonly kind: 'rollout-stage'; readonly service: string; readonly targetVersion: string; readonly order: number; readonly stage: string; readonly reason: string; readonly ageMs: number; readonly from: string}
 	| {readonly kind: 'rollout-not-stored'; readonly service: string; readonly stage: string; readonly reason: string}
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
-	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
+	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number; readonly call?: string}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
-	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]}
+	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly workspace?: string | undefined; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]}
 	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string}
 	/** The caller left before its request was started; the request was not sent to any server. */
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
--- a/src/lib/timeline/refusal-log.ts
+++ b/src/lib/timeline/refusal-log.ts
@@ -16,6 +16,8 @@
 	readonly place: string;
 	/** What is wrong with the input, and what is allowed. */
 	readonly reason: string;
+	/** The id of the refused request, if it is one. */
+	readonly call?: string;
 };
 
 /** @internal */
@@ -45,9 +47,9 @@
 export function createRefusalLog(log: MeshLog, count: (kind: RefusalKind, cause: RefusalCause) => void): RefusalLog {
 	const pending = new Map<string, PendingRefusals>();
 
-	const write = ({kind, cause, place, reason}: Refusal, times: number): void => {
+	const write = ({kind, cause, place, reason, call}: Refusal, times: number): void => {
 		log.record('warn', {
-			kind, cause, place: place.slice(0, maximumPlaceLength), reason, count: times,
+			kind, cause, place: place.slice(0, maximumPlaceLength), reason, count: times, ...call === undefined ? {} : {call},
 		});
 	};
 
--- a/src/lib/workspaces/authenticate-request.ts
+++ b/src/lib/workspaces/authenticate-request.ts
@@ -71,6 +71,31 @@
 	return isKeyForm(key) ? key : undefined;
 }
 
+/**
+ * @param cause - Why a request is not authenticated.
+ * @returns What is wrong with the request, for its caller.
+ * @internal
+ */
+export function describeAuthenticationFailure(cause: AuthenticationFailure): string {
+	switch (cause) {
+		case 'missing-key': {
+			return 'the request has no key, and its route requires one';
+		}
+
+		case 'repeated-header': {
+			return 'the request has credentials more than once';
+		}
+
+		case 'malformed-credentials': {
+			return `the credentials are not the scheme, one space, and a key of ${keyForm}`;
+		}
+
+		case 'unknown-key': {
+			return 'no workspace holds the key';
+		}
+	}
+}
+
 /**
  * Authenticates a request.
  *
--- a/stand-ins/platform-server/platform-server.ts
+++ b/stand-ins/platform-server/platform-server.ts
@@ -54,6 +54,10 @@
 	readonly callerService: string;
 	/** The time left until the deadline when the request was sent to the server, in milliseconds. */
 	readonly leftMs: number;
+	/** Name of the workspace that the request runs under. */
+	readonly workspace: string | undefined;
+	/** Whether the request carried credentials, which only the entry may see. */
+	readonly hasCredentials: boolean;
 	readonly body: string;
 };
 
@@ -227,6 +231,8 @@
 			target: request.url ?? '',
 			callerService: getHeader(request, 'stonemoor-caller-service'),
 			leftMs: Number(getHeader(request, 'stonemoor-deadline-ms')),
+			workspace: request.headers['stonemoor-tenant'] as string | undefined,
+			hasCredentials: request.headers.authorization !== undefined,
 			body,
 		});
 	};
