Command line: stonemoor workspaces

Under overload, operators could not see which workspace sends too much, who is answered, and why others are refused: lines of answered requests are written at debug level only. The command reads the metrics of nodes twice and prints the difference by workspace and reason, summed over the nodes.

--- a/apps/cli/main.ts
+++ b/apps/cli/main.ts
@@ -17,6 +17,7 @@
 	runCheck, runDiff, runSubmission, runSubmit,
 } from './commands/submit.js';
 import {runTimeline} from './commands/timeline.js';
+import {runWorkspaces} from './commands/workspaces.js';
 import {CommandError, exitCodes} from './exit-codes.js';
 
 const addFile = <T>(builder: Argv<T>): Argv<T & {file: string}> => builder.positional('file', {type: 'string', demandOption: true, describe: 'configuration document (YAML)'});
@@ -75,6 +76,11 @@
 		}), options => {
 		runExplainVersion({...options, version: options.number});
 	})
+	.command('workspaces <addresses..>', 'show which workspaces send requests, and why those that are not answered are refused, from the metrics of sidecar nodes', builder => builder
+		.positional('addresses', {
+			type: 'string', array: true, demandOption: true, describe: 'IP:PORT of the metrics of each node',
+		})
+		.option('seconds', {type: 'number', default: 5, describe: 'time between the two readings of the metrics'}), async options => runWorkspaces(options))
 	.command('rollout', 'explain rollouts of services, from the logs of sidecar nodes', builder => builder
 		.command('list [files..]', 'list the rollouts of all services with their stages', list => addLogFiles(list), ({files}) => {
 			runRollout({files, service: undefined, json: false});
--- a/src/index.ts
+++ b/src/index.ts
@@ -57,6 +57,9 @@
 	explainCall, parseLogLine, type CallExplanation, type LogLine,
 } from './lib/timeline/explain-call.js';
 export {explainRollouts, type RolloutExplanation, type RolloutStageExplanation} from './lib/timeline/explain-rollouts.js';
+export {
+	explainWorkspaces, type MetricsReadings, type WorkspaceExplanation, type WorkspacesExplanation,
+} from './lib/workspaces/explain-workspaces.js';
 export {explainVersion, type VersionAtNode, type VersionExplanation} from './lib/timeline/explain-version.js';
 export {
 	formatEvent, matchesFilter, sortEvents,
