Soak: callers use keys

Callers use keys that are held, moved, withdrawn by a later version, or unknown, or none. New promises: each request under its workspace (a withdrawn or moved key runs no request that was sent after the bound of a configuration change, at an undisturbed node), servers see no key, a known key is accepted. 401 is a status that states that a request was not executed.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -10,7 +10,9 @@
 import {sendCall} from '../platform/test-mesh.js';
 import {platformHeaders} from '../platform/platform-headers.js';
 import {type CallRecord} from './record.js';
-import {getRoutePrefix, steadyRoutes, type SoakRoute} from './soak-config.js';
+import {
+	getRoutePrefix, keys, steadyRoutes, type SoakRoute,
+} from './soak-config.js';
 
 /** Settings of the callers beside one node. */
 export type CallerSettings = {
@@ -51,6 +53,12 @@
 /** How many configurations such requests choose from: the next one, which is not written yet, and the latest before it. */
 const probedConfigCount = 4;
 
+/** One of this many requests uses a key that depends on the configuration in force. */
+const changingKeyOneIn = 6;
+
+/** One of this many requests has no key, or one that no configuration holds. */
+const noKeyOneIn = 20;
+
 /** Size of the body of an upload. */
 const uploadBytes = 60_000;
 
@@ -65,6 +73,14 @@
 	return ([{type: 'since', index}, {type: 'until', index}, {type: 'turn'}] as const)[pickInteger(3)]!;
 }
 
+function pickKey(pickInteger: PickInteger): string | undefined {
+	if (pickInteger(noKeyOneIn) === 0) {
+		return [undefined, keys.unknown][pickInteger(2)];
+	}
+
+	return pickInteger(changingKeyOneIn) === 0 ? keys.changing : keys.steady[pickInteger(keys.steady.length)];
+}
+
 /**
  * Starts the callers of one node.
  *
@@ -87,14 +103,15 @@
 		const body = isSafe ? '' : `${id} `.padEnd(isUpload ? uploadBytes : 100, 'x');
 		const timeLeftMs = callerTimeoutsMs[pickInteger(callerTimeoutsMs.length)]!;
 		const leaveAfterMs = pickInteger(earlyDisconnectOneIn) === 0 ? 5 + pickInteger(60) : timeLeftMs + disconnectMarginMs;
+		const key = pickKey(pickInteger);
 		const sentAt = Date.now();
 		const response = await sendCall(address, target, {
-			method, id, timeLeftMs, disconnectAfterMs: leaveAfterMs, agent, body: isSafe ? undefined : body,
+			method, id, timeLeftMs, disconnectAfterMs: leaveAfterMs, agent, body: isSafe ? undefined : body, headers: key === undefined ? {} : {authorization: `Token ${key}`},
 		});
 		const endedAt = Date.now();
 		const getHeader = (name: string): string | undefined => response.headers[name] as string | undefined;
 		return {
-			id, node, route, method, target, body, timeLeftMs, sentAt, endedAt, status: response.status, text: response.body,
+			id, node, route, method, target, key, body, timeLeftMs, sentAt, endedAt, status: response.status, text: response.body,
 			signature: getHeader(platformHeaders.signature), echoedId: getHeader(platformHeaders.callId),
 			namesLimit: getHeader(platformHeaders.serverLimit) !== undefined, saysLeaving: getHeader(platformHeaders.serverLeaving) === '1', hasLeft: response.status === 0 && endedAt - sentAt >= leaveAfterMs - 5,
 		};
--- a/soak/checks/check-runs.ts
+++ b/soak/checks/check-runs.ts
@@ -10,7 +10,7 @@
 import {getRunLimit, getRouteService} from '../soak-config.js';
 
 /** Statuses of responses which state that the request was not executed and never will be. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const notRunStatuses: ReadonlySet<number> = new Set([401, 408, 421, 429, 503]);
 
 /** By how much the time limit that a server receives may exceed that of the caller. */
 const deadlineToleranceMs = 500;
--- a/soak/checks/check-versions.ts
+++ b/soak/checks/check-versions.ts
@@ -18,7 +18,7 @@
 const notFound = 404;
 
 /** Returns the indexes of the configurations that were written until a time. */
-function listWrittenConfigs(changes: readonly ChangeRecord[], until: number): readonly number[] {
+export function listWrittenConfigs(changes: readonly ChangeRecord[], until: number): readonly number[] {
 	return changes.filter(({writtenAt}) => writtenAt <= until).map(({index}) => index);
 }
 
@@ -59,14 +59,25 @@
 	readonly applyMs: number;
 };
 
+/**
+ * Returns whether the node that a request was sent to must have had the configurations that were written long enough before.
+ *
+ * @param record - What was observed.
+ * @param call - The request.
+ * @param bounds - The time limit.
+ * @returns Whether neither the node nor the store was disturbed around that time.
+ */
+export function isCalmNode(record: SoakRecord, call: CallRecord, {applyMs}: VersionCheckSettings): boolean {
+	return !isDisturbed(record, call.sentAt - applyMs - marginMs, call.endedAt, ({part, node}) => part === 'store' || ((part === 'node' || part === 'store-link') && node === call.node));
+}
+
 function checkLag(record: SoakRecord, {call, highest}: ConfigRange, {applyMs}: VersionCheckSettings): readonly Violation[] {
 	const due = Math.max(0, ...listWrittenConfigs(record.changes, call.sentAt - applyMs));
 	if (highest >= due) {
 		return [];
 	}
 
-	const isCalm = !isDisturbed(record, call.sentAt - applyMs - marginMs, call.endedAt, ({part, node}) => part === 'store' || ((part === 'node' || part === 'store-link') && node === call.node));
-	return isCalm
+	return isCalmNode(record, call, {applyMs})
 		? [{
 			promise: 'in force in time', at: call.endedAt, call: call.id,
 			what: `${call.id} on the undisturbed node ${call.node} was handled by configuration ${highest} or older, though ${due} had been written at least ${applyMs} ms before`,
--- a/soak/checks/find-violations.test.ts
+++ b/soak/checks/find-violations.test.ts
@@ -7,7 +7,7 @@
 import {
 	type CallRecord, type Disturbance, type Lifetime, type RunRecord, type SoakRecord,
 } from '../record.js';
-import {steadyRoutes} from '../soak-config.js';
+import {getKeyWorkspace, keys, steadyRoutes} from '../soak-config.js';
 import {findViolations} from './find-violations.js';
 
 const [logs, , publish] = steadyRoutes;
@@ -21,7 +21,7 @@
 	const body = changes.body ?? '';
 	const text = `page ${target} ${body}`;
 	return {
-		id, node: 'n0', route: logs!, method: 'GET', target, body, timeLeftMs: 1500, sentAt: start, endedAt: start + 30, status: 200,
+		id, node: 'n0', route: logs!, method: 'GET', target, key: keys.steady[0], body, timeLeftMs: 1500, sentAt: start, endedAt: start + 30, status: 200,
 		text, signature: `sig.${id}.${text.length}`, echoedId: id, namesLimit: false, saysLeaving: false, hasLeft: false, ...changes,
 	};
 }
@@ -32,7 +32,7 @@
 
 function createRun(call: CallRecord, changes: Partial<RunRecord> = {}): RunRecord {
 	return {
-		id: call.id, at: call.sentAt + 5, behaviour: 'answer', method: call.method, target: call.target, body: call.body, callerService: 'logview', leftMs: 1400, workspace: undefined, hasCredentials: false,
+		id: call.id, at: call.sentAt + 5, behaviour: 'answer', method: call.method, target: call.target, body: call.body, callerService: 'logview', leftMs: 1400, workspace: getKeyWorkspace(call.key, 0), hasCredentials: false,
 		server: 'i-1@1', service: call.route === publish ? 'hall' : 'logview', node: 'n1', ...changes,
 	};
 }
@@ -209,3 +209,41 @@
 	assert.deepEqual(listBroken(createRecord([createPublication(refused)], {runs: [], ending})), ['the mesh recovers']);
 	assert.deepEqual(listBroken(createRecord([], {ending})), ['the mesh recovers']);
 });
+
+test('reports a run under a workspace that does not hold the key, a run without a valid key, and a server that saw credentials', () => {
+	const call = createCall();
+	const listForRun = (own: CallRecord, run: Partial<RunRecord>): readonly string[] => listBroken(createRecord([own], {runs: [createRun(own, run)]}));
+	assert.deepEqual(listForRun(call, {}), []);
+	assert.deepEqual(listForRun(call, {workspace: 'two'}), ['each request under its workspace']);
+	assert.deepEqual(listForRun(call, {workspace: undefined}), ['each request under its workspace']);
+	assert.deepEqual(listForRun(call, {hasCredentials: true}), ['servers see no key']);
+	for (const key of [keys.unknown, undefined]) {
+		assert.deepEqual(listForRun(createCall({key}), {workspace: undefined}), ['each request under its workspace']);
+	}
+});
+
+test('reports a run with a key that was withdrawn or moved longer ago than a configuration may take, unless the node was disturbed', () => {
+	const call = createCall({key: keys.changing});
+	const listFor = (age: number, index: number, disturbances: readonly Disturbance[] = []): readonly string[] => listBroken(createRecord([call], {
+		changes: [{index: 0, writtenAt: 0}, {index, writtenAt: call.sentAt - age}], disturbances,
+	}));
+	// The second configuration moves the key, the third withdraws it.
+	for (const index of [1, 2]) {
+		assert.deepEqual(listFor(5000, index), ['each request under its workspace']);
+		assert.deepEqual(listFor(3000, index), []);
+		assert.deepEqual(listFor(5000, index, [pausedNode]), []);
+	}
+});
+
+test('reports a 401 for a key that every configuration holds that may be in force, and none for one that was withdrawn', () => {
+	const listFor = (key: string | undefined, index: number, age: number): readonly string[] => {
+		const call = createCall({...refused, status: 401, key});
+		return listBroken(createRecord([call], {runs: [], changes: [{index: 0, writtenAt: 0}, {index, writtenAt: call.sentAt - age}]}));
+	};
+
+	assert.deepEqual(listFor(keys.steady[0], 1, 5000), ['a known key is accepted']);
+	assert.deepEqual(listFor(keys.changing, 1, 1000), ['a known key is accepted']);
+	assert.deepEqual(listFor(keys.changing, 2, 1000), []);
+	assert.deepEqual(listFor(keys.unknown, 1, 1000), []);
+	assert.deepEqual(listFor(undefined, 1, 1000), []);
+});
--- a/soak/checks/find-violations.ts
+++ b/soak/checks/find-violations.ts
@@ -10,6 +10,7 @@
 import {checkProcesses, checkRecovery} from './check-processes.js';
 import {checkDrains, checkRuns, checkUnsentRequests} from './check-runs.js';
 import {checkVersions, type VersionCheckSettings} from './check-versions.js';
+import {checkWorkspaces} from './check-workspaces.js';
 
 /** Settings of the checks. */
 export type CheckSettings = VersionCheckSettings & {
@@ -33,6 +34,7 @@
 		...checkLimits(record),
 		...checkLeavingNotices(record),
 		...checkVersions(record, settings),
+		...checkWorkspaces(record, settings),
 		...checkLosses(record),
 		...checkProcesses(record),
 		...checkRecovery(record),
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -14,6 +14,8 @@
 	readonly route: SoakRoute;
 	readonly method: string;
 	readonly target: string;
+	/** The key that the caller sent, if any. */
+	readonly key: string | undefined;
 	readonly body: string;
 	readonly timeLeftMs: number;
 	readonly sentAt: number;
--- a/soak/soak-config.ts
+++ b/soak/soak-config.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {createTestConfig, type TestRoute} from '../platform/test-mesh.js';
+import {createTestConfig, type TestRoute, type TestWorkspace} from '../platform/test-mesh.js';
 
 /** Services of the mesh, assigned to the nodes in turn. */
 export const services = ['logview', 'hall', 'builds'] as const;
@@ -96,6 +96,33 @@
 	return route.isSafe ? route.attempts : 1;
 }
 
+/** Keys that callers use. */
+export const keys = {
+	/** Held by one workspace each in every configuration. */
+	steady: ['K-steady-one', 'K-steady-two'],
+	/** Held by one workspace or the other, or withdrawn, depending on the configuration. */
+	changing: 'K-changing',
+	/** Held by no configuration. */
+	unknown: 'K-unknown',
+} as const;
+
+const steadyKeys: ReadonlyArray<string | undefined> = keys.steady;
+
+/** The workspaces, in the order of their steady keys. */
+const workspaceNames = ['one', 'two'] as const;
+
+/** Configurations in turn give the changing key to the first workspace, to the second, and to none. */
+const changingKeyPeriod = 3;
+
+/** @returns The workspace that holds a key in the configuration with an index; `undefined` if none does, or there is no key. */
+export function getKeyWorkspace(key: string | undefined, index: number): string | undefined {
+	return key === keys.changing ? workspaceNames[index % changingKeyPeriod] : workspaceNames[steadyKeys.indexOf(key)];
+}
+
+function createWorkspaces(index: number): readonly TestWorkspace[] {
+	return workspaceNames.map(name => ({name, keys: [...keys.steady, keys.changing].filter(key => getKeyWorkspace(key, index) === name)}));
+}
+
 /** The maximum number of configuration changes in a soak. */
 export const maxConfigChanges = 40;
 
@@ -120,5 +147,5 @@
 export function createSoakConfig(index: number): unknown {
 	const changingRoutes = Array.from({length: maxConfigChanges}, (_, offset): readonly SoakRoute[] => [{type: 'since', index: offset + 1}, {type: 'until', index: offset + 1}]).flat();
 	const routes = [...steadyRoutes, {type: 'turn'} as const, ...changingRoutes].flatMap(route => createTestRoute(route, index));
-	return createTestConfig(1 + (index * versionIncrement) + (index % 2), routes);
+	return createTestConfig(1 + (index * versionIncrement) + (index % 2), routes, createWorkspaces(index));
 }
