Entry: headers of workspaces are left out while copying; one-shot digest

Deleting properties from the copied headers, and a hash object per request, made up half of what a key costs the entry.

--- a/src/lib/forwarding/call-headers.ts
+++ b/src/lib/forwarding/call-headers.ts
@@ -34,14 +34,15 @@
  * Removes hop-by-hop headers, including the ones that the `connection` header names.
  *
  * @param headers - The headers as received.
+ * @param omitted - Names of further headers to remove, in lower case.
  * @returns The headers that may be forwarded, in a new object.
  * @internal
  */
-export function removeHopByHopHeaders(headers: IncomingHttpHeaders | HeaderMap): Record<string, string | string[]> {
+export function removeHopByHopHeaders(headers: IncomingHttpHeaders | HeaderMap, omitted: readonly string[] = []): Record<string, string | string[]> {
 	const connectionOptions = listConnectionHeaders(headers.connection as string | undefined);
 	const endToEndHeaders: Record<string, string | string[]> = {};
 	for (const [name, value] of Object.entries(headers)) {
-		if (value !== undefined && !hopByHopHeaders.has(name) && !connectionOptions.includes(name)) {
+		if (value !== undefined && !hopByHopHeaders.has(name) && !connectionOptions.includes(name) && !omitted.includes(name)) {
 			endToEndHeaders[name] = value as string | string[];
 		}
 	}
--- a/src/lib/forwarding/caller-access.ts
+++ b/src/lib/forwarding/caller-access.ts
@@ -90,14 +90,9 @@
  * @internal
  */
 export function filterCallerHeaders({workspaces}: ActiveConfig, {headers}: CredentialedRequest, names: WorkspaceHeaderNames): Record<string, string | string[]> {
-	const filtered = removeHopByHopHeaders(headers);
-	if (filtered[names.workspace] !== undefined) {
-		Reflect.deleteProperty(filtered, names.workspace);
-	}
-
 	if (!workspaces.isEmpty) {
-		Reflect.deleteProperty(filtered, names.authorization);
+		return removeHopByHopHeaders(headers, [names.workspace, names.authorization]);
 	}
 
-	return filtered;
+	return headers[names.workspace] === undefined ? removeHopByHopHeaders(headers) : removeHopByHopHeaders(headers, [names.workspace]);
 }
--- a/src/lib/workspaces/workspace-index.ts
+++ b/src/lib/workspaces/workspace-index.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {createHash} from 'node:crypto';
+import {hash} from 'node:crypto';
 import {type Workspace} from './workspace.js';
 
 /** Workspaces by the digests of their keys. @internal */
@@ -14,7 +14,7 @@
 	readonly findByKey: (key: string) => Workspace | undefined;
 };
 
-const computeKeyDigest = (key: string): string => createHash('sha256').update(key).digest('base64');
+const computeKeyDigest = (key: string): string => hash('sha256', key, 'base64');
 
 /**
  * @param workspaces - The workspaces of a configuration.
