--- a/src/lib/workspaces/workspace-counter.ts
+++ b/src/lib/workspaces/workspace-counter.ts
@@ -25,11 +25,16 @@
 /** Name of the sums; it is no valid name of a workspace. @internal */
 export const otherWorkspaces = '';
 
-/** Workspaces with series of their own: the demand is skewed, so that these make up most of it. */
-const maxListed = 50;
+/** Bounds of a counter. @internal */
+export type WorkspaceCounterLimits = {
+	/** Workspaces that are listed by name. */
+	readonly maxListed: number;
+	/** Workspaces that are counted apart. */
+	readonly maxCounted: number;
+};
 
-/** Workspaces that are counted apart, which bounds the memory at a few hundred kilobytes. Configurations may rename workspaces for as long as a node runs. */
-const maxCounted = 1000;
+/** The demand is skewed, so that 50 workspaces make up most of it. The counts of 1000 take a few hundred kilobytes; configurations may rename workspaces for as long as a node runs. */
+const defaultLimits: WorkspaceCounterLimits = {maxListed: 50, maxCounted: 1000};
 
 type Outcomes = Map<string, number>;
 
@@ -41,14 +46,28 @@
 
 const listOutcomes = (workspace: string, outcomes: Outcomes): readonly WorkspaceCount[] => [...outcomes].map(([outcome, count]) => ({workspace, outcome, count}));
 
+const rankBusiest = (byWorkspace: ReadonlyMap<string, Outcomes>): ReadonlyArray<readonly [string, Outcomes]> =>
+	[...byWorkspace].toSorted(([, left], [, right]) => sumCounts(right) - sumCounts(left));
+
 /**
+ * @param limits - The bounds of the counter.
  * @returns A counter without requests.
  * @internal
  */
-export function createWorkspaceCounter(): WorkspaceCounter {
+export function createWorkspaceCounter({maxListed, maxCounted}: WorkspaceCounterLimits = defaultLimits): WorkspaceCounter {
 	const byWorkspace = new Map<string, Outcomes>();
 	const others: Outcomes = new Map();
 
+	/** Adds the counts of the less busy half to the sums. */
+	const mergeLeastBusy = (): void => {
+		for (const [workspace, outcomes] of rankBusiest(byWorkspace).slice(Math.floor(maxCounted / 2))) {
+			byWorkspace.delete(workspace);
+			for (const [outcome, count] of outcomes) {
+				add(others, outcome, count);
+			}
+		}
+	};
+
 	const getOutcomes = (workspace: string): Outcomes => {
 		const known = byWorkspace.get(workspace);
 		if (known !== undefined) {
@@ -56,7 +75,7 @@
 		}
 
 		if (byWorkspace.size >= maxCounted) {
-			return others;
+			mergeLeastBusy();
 		}
 
 		const outcomes: Outcomes = new Map();
@@ -69,7 +88,7 @@
 			add(getOutcomes(workspace), outcome, 1);
 		},
 		list() {
-			const ranked = [...byWorkspace].toSorted(([, left], [, right]) => sumCounts(right) - sumCounts(left));
+			const ranked = rankBusiest(byWorkspace);
 			const rest = new Map(others);
 			for (const [, outcomes] of ranked.slice(maxListed)) {
 				for (const [outcome, count] of outcomes) {
