--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -195,7 +195,7 @@
 
 	const recordCallerRefusal = ({id, request}: EntryCall, route: RouteRule, cause: CallerCause, reason: string): void => {
 		context.refusals.record({
-			kind: 'caller-refused', cause, place: `${request.socket.remoteAddress ?? ''} on route ${route.name}`, reason, call: id,
+			kind: 'caller-refused', cause, place: `${request.socket.remoteAddress ?? 'a closed connection'} on route ${route.name}`, reason, call: id,
 		});
 	};
 
