--- /dev/null
+++ b/src/lib/decisions/server-requests.test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {createServerRequests, type LoadReport, type ServerRequests} from './server-requests.js';
+
+const thresholdMs = 400;
+
+const createReport = (running: number): LoadReport => ({running, waiting: 0, slots: 6});
+
+/** Sends a request and answers it 30 ms later, with a report of the requests at the server beside it. Returns the time after that. */
+function runShort(requests: ServerRequests, now: number, othersAtServer: number, isOwnCounted = true): number {
+	const request = requests.send(now);
+	requests.recordResponse(request, createReport(othersAtServer + (isOwnCounted ? 1 : 0)), now + 30, 0);
+	requests.finish(request, true);
+	return now + 31;
+}
+
+/** Shows whether the server counts the request that it answers. */
+function runSole(requests: ServerRequests, isOwnCounted = true): number {
+	return runShort(requests, runShort(requests, 0, 0, isOwnCounted), 0, isOwnCounted);
+}
+
+function runMany(requests: ServerRequests, now: number, othersAtServer: number, until: number, isOwnCounted = true): number {
+	let at = now;
+	while (at < until) {
+		at = runShort(requests, at, othersAtServer, isOwnCounted);
+	}
+
+	return at;
+}
+
+for (const isOwnCounted of [true, false]) {
+	// Guards against breaking off the longest honest requests, of a route that is far slower than the others.
+	test(`a slow request that the server reports is never hung, if the server ${isOwnCounted ? 'counts' : 'does not count'} the request it answers`, () => {
+		const requests = createServerRequests();
+		const start = runSole(requests, isOwnCounted);
+		requests.send(start);
+		const now = runMany(requests, start, 1, start + 5000, isOwnCounted);
+		assert.deepEqual(requests.findHung(thresholdMs, now), []);
+	});
+
+	// Guards against a request that occupies its caller until its deadline, although the server has no such request.
+	test(`a request that the reports lack is hung after the threshold, not before, if the server ${isOwnCounted ? 'counts' : 'does not count'} the request it answers`, () => {
+		const requests = createServerRequests();
+		const start = runSole(requests, isOwnCounted);
+		const lost = requests.send(start);
+		let now = runMany(requests, start, 0, start + 360, isOwnCounted);
+		assert.deepEqual(requests.findHung(thresholdMs, now), []);
+		now = runMany(requests, now, 0, start + 410, isOwnCounted);
+		const [hang, ...others] = requests.findHung(thresholdMs, now);
+		assert.deepEqual(others, []);
+		assert.equal(hang?.request, lost);
+		assert.equal(hang.kind, 'not-reported');
+		assert.ok(hang.isServerIdle);
+	});
+}
+
+// Guards against breaking off an honest request by a report that was made while the response to another one was on its way.
+test('single reports that show too few requests are no evidence', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	requests.send(start);
+	let now = start;
+	for (let round = 0; round < 50; round++) {
+		// The response of this request has left the server when it reports, and arrives later.
+		const onItsWay = requests.send(now);
+		now = runShort(requests, now, 1);
+		requests.recordResponse(onItsWay, createReport(2), now, 0);
+		requests.finish(onItsWay, true);
+		assert.deepEqual(requests.findHung(thresholdMs, now), [], `round ${round}`);
+	}
+});
+
+test('while the server has fewer missing requests than late ones, none of them is hung', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	const honest = requests.send(start);
+	const lost = requests.send(start);
+	const now = runMany(requests, start, 1, start + 1000);
+	assert.deepEqual(requests.findHung(thresholdMs, now), []);
+	requests.finish(honest, true);
+	const later = runMany(requests, now, 0, now + 300);
+	assert.deepEqual(requests.findHung(thresholdMs, later).map(({request}) => request), [lost]);
+});
+
+test('a request that the server was reported to have only for a time is hung once it no longer is', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	requests.send(start);
+	const reportedUntil = runMany(requests, start, 1, start + 500);
+	assert.equal(requests.findHung(thresholdMs, reportedUntil).length, 0);
+	const now = runMany(requests, reportedUntil, 0, reportedUntil + 300);
+	assert.equal(requests.findHung(thresholdMs, now).length, 1);
+});
+
+test('without a report since, a request is hung if one sent later was answered, and not if none was', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	requests.send(start);
+	assert.deepEqual(requests.findHung(thresholdMs, start + 1000), []);
+	const later = requests.send(start + 1);
+	requests.recordResponse(later, undefined, start + 40, 0);
+	requests.finish(later, true);
+	const [hang] = requests.findHung(thresholdMs, start + 1000);
+	assert.deepEqual([hang?.kind, hang?.isServerIdle], ['overtaken', false]);
+});
+
+test('a request whose response has begun to arrive is not hung', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	const download = requests.send(start);
+	requests.recordResponse(download, undefined, start + 10, 0);
+	const now = runMany(requests, start, 0, start + 1000);
+	assert.deepEqual(requests.findHung(thresholdMs, now), []);
+	assert.equal(requests.getOldestSentAt(), undefined);
+});
+
+test('a hang tells how many requests that were in flight when it was sent have been answered, without those given up', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	const ahead = Array.from({length: 5}, () => requests.send(start));
+	requests.send(start);
+	requests.finish(ahead[0]!, false);
+	for (const request of ahead.slice(1, 4)) {
+		requests.recordResponse(request, createReport(2), start + 30, 0);
+		requests.finish(request, true);
+	}
+
+	requests.recordResponse(ahead[4]!, createReport(1), start + 60, 0);
+	const now = runMany(requests, start + 60, 0, start + 600);
+	const [hang] = requests.findHung(thresholdMs, now);
+	assert.equal(hang?.answeredAhead, 3);
+});
+
+test('requests at the server that the gate does not know are bounded from both sides', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	requests.send(start);
+	const answered = requests.send(start);
+	requests.send(start + 25);
+	// The request sent last may not have arrived yet: the server has one or two requests that the gate does not know.
+	assert.deepEqual(requests.recordResponse(answered, createReport(4), start + 30, 0), {maxUnknown: 2, minUnknown: 1});
+});
--- /dev/null
+++ b/src/lib/decisions/server-requests.ts
@@ -0,0 +1,236 @@
+/**
+ * The requests that a gate has at its backend server, compared with the load reports of that
+ * server. It answers the load of a server that never responds to a request that it could not queue:
+ * such a request takes far longer than others, and the server does not count it.
+ *
+ * A slow request is not a hang. It is regarded as lost only if the server has answered requests sent
+ * later without a load report, or if its reports show fewer requests than the gate has sent.
+ *
+ * @module
+ */
+
+/** What a backend server reports of its load. @internal */
+export type LoadReport = {
+	readonly running: number;
+	readonly waiting: number;
+	/** Requests that it executes at the same time. */
+	readonly slots: number;
+};
+
+/** A request at the server. Times are milliseconds of the clock that does not advance while this VM is suspended. @internal */
+export type SentRequest = {
+	/** Numbers the requests in the order in which they were sent. */
+	readonly id: number;
+	readonly sentAt: number;
+	/** Requests in flight when it was sent, without those given up since. */
+	aheadCount: number;
+	/** Whether no byte of its response has arrived. */
+	isSilent: boolean;
+};
+
+/** Why a request counts as hung: the server does not report it, or has answered later ones. @internal */
+export type HangKind = 'not-reported' | 'overtaken';
+
+/** A request that the server will not answer. @internal */
+export type Hang = {
+	readonly request: SentRequest;
+	readonly kind: HangKind;
+	/** Requests that were in flight when it was sent, and have been answered since. */
+	readonly answeredAhead: number;
+	/** Whether the server reported that it has no request at all, so that it cannot be at work on this one. */
+	readonly isServerIdle: boolean;
+	/** How long it has taken, in milliseconds. */
+	readonly ageMs: number;
+};
+
+/** What a load report says beside the requests that the gate knows. @internal */
+export type ReportComparison = {
+	/** How many given-up requests, or requests of others, the server may have at most. */
+	readonly maxUnknown: number;
+	/** How many it has at least. */
+	readonly minUnknown: number;
+};
+
+/** @internal */
+export type ServerRequests = {
+	readonly send: (now: number) => SentRequest;
+	/** Records that the response to a request begins to arrive, and its load report. */
+	readonly recordResponse: (request: SentRequest, report: LoadReport | undefined, now: number, heldCount: number) => ReportComparison | undefined;
+	/** Records that a request was answered, or was given up. */
+	readonly finish: (request: SentRequest, isAnswered: boolean) => void;
+	/** Returns the requests that count as hung if they take longer than `thresholdMs`. */
+	readonly findHung: (thresholdMs: number, now: number) => readonly Hang[];
+	/** Returns when the request that was sent first, of those without a response, was sent; `undefined` if there are none. */
+	readonly getOldestSentAt: () => number | undefined;
+	readonly count: () => number;
+};
+
+/** A load report, compared with the requests in flight when it arrived. */
+type ComparedReport = {
+	readonly at: number;
+	/** Id of the request sent last. */
+	readonly lastId: number;
+	/** Requests without a response, except the one that carried the report. */
+	readonly silentCount: number;
+	/** How many of them the server does not count. */
+	readonly missing: number;
+	readonly isServerIdle: boolean;
+};
+
+/** A request that was sent this long ago, in milliseconds, has arrived at the server on the same VM. */
+const arrivalMs = 20;
+
+/** A response that the server had finished before a report has arrived this long after the report, in milliseconds. @internal */
+export const responseMs = 20;
+
+/** Number of reports that are kept: more than are needed as evidence. */
+const maxReportCount = 32;
+
+/**
+ * Reports in a row that show too few requests before a request counts as hung. Single reports miss requests that are on
+ * their way to the server, and responses on their way back, which happens to a third of them at a busy server.
+ */
+const minReportCount = 8;
+
+/** Responses to a sole request that show whether the server counts the request that it answers. */
+const minSoleCount = 2;
+
+/**
+ * @returns The requests of a server that has none.
+ * @internal
+ */
+export function createServerRequests(): ServerRequests {
+	/** In the order in which they were sent. */
+	const inFlight = new Map<number, SentRequest>();
+	let nextId = 1;
+	let lastAnsweredId = 0;
+	/** Newest last. */
+	const reports: ComparedReport[] = [];
+	/** Whether the server counts the request with whose response it sends a report; `undefined` if unknown. */
+	let isOwnCounted: boolean | undefined;
+	let soleCount = 0;
+
+	const learnOwnCount = (reported: number, knownCount: number): void => {
+		if (reported === 0) {
+			isOwnCounted = false;
+		} else if (knownCount === 0 && isOwnCounted === undefined) {
+			soleCount++;
+			isOwnCounted = soleCount >= minSoleCount ? true : undefined;
+		}
+	};
+
+	const compareReport = ({running, waiting}: LoadReport, now: number, heldCount: number): ReportComparison => {
+		const reported = running + waiting;
+		let silentCount = 0;
+		let arrivedCount = 0;
+		for (const {isSilent, sentAt} of inFlight.values()) {
+			silentCount += isSilent ? 1 : 0;
+			arrivedCount += isSilent && now - sentAt >= arrivalMs ? 1 : 0;
+		}
+
+		const others = inFlight.size - 1;
+		learnOwnCount(reported, others + heldCount);
+		const leastOwn = isOwnCounted === true ? 1 : 0;
+		const mostOwn = isOwnCounted === false ? 0 : 1;
+		const comparison = {maxUnknown: Math.max(0, reported - leastOwn - arrivedCount), minUnknown: Math.max(0, reported - mostOwn - others)};
+		const compared: ComparedReport = {
+			at: now, lastId: nextId - 1, silentCount, missing: silentCount - (reported - leastOwn), isServerIdle: reported === leastOwn,
+		};
+		reports.push(compared);
+		if (reports.length > maxReportCount) {
+			reports.shift();
+		}
+
+		return comparison;
+	};
+
+	/** Returns the reports on which a request that was sent at a time must be found, newest first. */
+	const listCovering = ({id, sentAt}: SentRequest): readonly ComparedReport[] =>
+		reports.filter(report => report.lastId >= id && report.at >= sentAt + arrivalMs).toReversed();
+
+	/** Whether the reports show that the server has none of the requests that take too long. Fewer missing requests than these may be any of them. */
+	const areNotReported = (covering: readonly ComparedReport[], lateCount: number, now: number): boolean => {
+		const firstOther = covering.findIndex(({missing}) => missing < lateCount);
+		const evidence = firstOther === -1 ? covering : covering.slice(0, firstOther);
+		const isOldEnough = ({at}: ComparedReport): boolean => now - at >= responseMs;
+		// Without other requests at the server, a report misses none that is on its way.
+		return evidence.some(report => isOldEnough(report) && (evidence.length >= minReportCount || report.silentCount <= lateCount));
+	};
+
+	const countAnsweredAhead = ({id, aheadCount}: SentRequest): number => {
+		let stillAhead = 0;
+		for (const otherId of inFlight.keys()) {
+			stillAhead += otherId < id ? 1 : 0;
+		}
+
+		return Math.max(0, aheadCount - stillAhead);
+	};
+
+	const listLate = (thresholdMs: number, now: number): readonly SentRequest[] => {
+		const late: SentRequest[] = [];
+		for (const request of inFlight.values()) {
+			if (now - request.sentAt <= thresholdMs) {
+				break;
+			}
+
+			if (request.isSilent) {
+				late.push(request);
+			}
+		}
+
+		return late;
+	};
+
+	return {
+		send(now) {
+			const request: SentRequest = {
+				id: nextId++, sentAt: now, aheadCount: inFlight.size, isSilent: true,
+			};
+			inFlight.set(request.id, request);
+			return request;
+		},
+		recordResponse(request, report, now, heldCount) {
+			request.isSilent = false;
+			return report === undefined ? undefined : compareReport(report, now, heldCount);
+		},
+		finish(request, isAnswered) {
+			inFlight.delete(request.id);
+			if (isAnswered) {
+				lastAnsweredId = Math.max(lastAnsweredId, request.id);
+				return;
+			}
+
+			for (const other of inFlight.values()) {
+				other.aheadCount -= other.id > request.id ? 1 : 0;
+			}
+		},
+		findHung(thresholdMs, now) {
+			const late = listLate(thresholdMs, now);
+			const lastLate = late.at(-1);
+			if (lastLate === undefined) {
+				return [];
+			}
+
+			const covering = listCovering(lastLate);
+			const toHang = (kind: HangKind) => (request: SentRequest): Hang => ({
+				request, kind, answeredAhead: countAnsweredAhead(request), isServerIdle: kind === 'not-reported' && isOwnCounted !== undefined && covering[0]!.isServerIdle,
+				ageMs: now - request.sentAt,
+			});
+			if (covering.length === 0) {
+				return late.filter(({id}) => id < lastAnsweredId).map(request => toHang('overtaken')(request));
+			}
+
+			return areNotReported(covering, late.length, now) ? late.map(request => toHang('not-reported')(request)) : [];
+		},
+		getOldestSentAt() {
+			for (const {isSilent, sentAt} of inFlight.values()) {
+				if (isSilent) {
+					return sentAt;
+				}
+			}
+
+			return undefined;
+		},
+		count: () => inFlight.size,
+	};
+}
--- a/src/lib/forwarding/convert-exchange.ts
+++ b/src/lib/forwarding/convert-exchange.ts
@@ -90,6 +90,7 @@
 			}
 
 			case 'connection-lost':
+			case 'hung':
 			case 'wrong-answer': {
 				recordOutcome(true);
 				return createMayHaveRun(failure.reason, failure.detail);
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -22,6 +22,10 @@
 	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number) => boolean;
 	/** Returns the call id that a response carries. */
 	readonly readCallId: (headers: IncomingHttpHeaders) => string | undefined;
+	/** Called with the headers of the response before its body has arrived. */
+	readonly handleHead?: (headers: IncomingHttpHeaders) => void;
+	/** Registers a callback that ends the exchange because the server will not respond to it. */
+	readonly listenForHang?: (handleHang: (detail: string) => void) => void;
 };
 
 /** The complete response. @internal */
@@ -37,7 +41,7 @@
 	readonly type: 'failed';
 	/** Whether any byte of the request may have reached the server. */
 	readonly isSent: boolean;
-	readonly reason: 'unreachable' | 'connection-lost' | 'wrong-answer' | ScopeEndReason;
+	readonly reason: 'unreachable' | 'connection-lost' | 'wrong-answer' | 'hung' | ScopeEndReason;
 	readonly detail: string;
 };
 
@@ -164,6 +168,7 @@
 
 			isHeadChecked = true;
 			if (exchange.isOwnResponse(head.headers, head.status)) {
+				exchange.handleHead?.(head.headers);
 				return true;
 			}
 
@@ -267,6 +272,9 @@
 			fail(reason, reason === 'timeout' ? 'no response before the deadline' : 'call was cancelled');
 		});
 		if (!isSettled) {
+			exchange.listenForHang?.(detail => {
+				fail('hung', detail);
+			});
 			void start();
 		}
 	});
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -23,6 +23,8 @@
 	/** The backend server reported that it did not execute the request. */
 	| 'shed'
 	| 'connection-lost'
+	/** The backend server will not respond to the request: it does not report it, or has responded to later ones. */
+	| 'hung'
 	/** The backend server crashed while it executed the request, possibly because of it. */
 	| 'server-crashed'
 	/** Backend servers crashed while they executed requests with this fingerprint, so the request is not sent to another server. */
@@ -38,7 +40,24 @@
 	| 'superseded';
 
 const reasons: readonly ForwardReason[] = [
-	'full', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'unauthorized', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
+	'full',
+	'limited',
+	'draining',
+	'gone',
+	'server-unreachable',
+	'node-unreachable',
+	'shed',
+	'connection-lost',
+	'hung',
+	'server-crashed',
+	'quarantined',
+	'version-withheld',
+	'unauthorized',
+	'wrong-answer',
+	'no-server',
+	'timeout',
+	'cancelled',
+	'superseded',
 ];
 
 /** @internal */
--- /dev/null
+++ b/src/lib/forwarding/hang-watch.ts
@@ -0,0 +1,326 @@
+/**
+ * Protects the backend server beside this node from more requests than it can hold, and
+ * the callers from requests that it never responds to. The decisions are in `server-requests.ts`,
+ * `concurrency-limit.ts` and `held-slots.ts`; this module holds their state and the timers.
+ *
+ * Hangs are looked for, and slots held, only while the server sends load reports.
+ *
+ * @module
+ */
+import {clampTimerMs, readAwakeMs, readSteadyMs} from '../common/clock.js';
+import {type BackendServerId} from '../common/ids.js';
+import {
+	computeCapacity, computeSlotLimit, createConcurrencyLimit, lowerAfterHang, recordAnswer, type ConcurrencyLimit,
+} from '../decisions/concurrency-limit.js';
+import {
+	getNextDeadline, releaseExpired, releaseReported, type HeldRequests, type HeldStep,
+} from '../decisions/held-slots.js';
+import {
+	createServerRequests, responseMs, type Hang, type LoadReport, type ReportComparison, type SentRequest,
+} from '../decisions/server-requests.js';
+import {createServiceTimes} from '../decisions/service-times.js';
+import {type LogLevel, type MeshLog} from '../timeline/mesh-log.js';
+import {type ExchangeResult} from './exchange.js';
+
+/** @internal */
+export type HangWatchContext = {
+	readonly server: BackendServerId;
+	readonly log: MeshLog;
+	/** Changes how many requests may be at the server at the same time, held ones included. */
+	readonly resize: (slots: number) => void;
+	/** Releases the slot of a request that was given up. */
+	readonly releaseSlot: () => void;
+};
+
+/** A request that is to be watched. @internal */
+export type WatchedCall = {
+	readonly id: string;
+	/** When the server stops working on it at the latest, in milliseconds of the steady clock. */
+	readonly deadlineAt: number;
+	/** Returns whether the request may be run twice, so that it may be tried elsewhere although the server could be at work on it. */
+	readonly isRepeatable: () => boolean;
+};
+
+/** @internal */
+export type WatchedRequest = {
+	/** Registers the function that ends the request because the server will not respond to it. */
+	readonly listenForHang: (handleHang: (detail: string) => void) => void;
+	/** Records that the response begins to arrive, with the load report in its headers. */
+	readonly recordResponse: (report: LoadReport | undefined) => void;
+	/** Records the end of the request. Returns whether its slot stays taken; `releaseSlot` is called later then. */
+	readonly finish: (result: ExchangeResult) => boolean;
+};
+
+/** @internal */
+export type HangWatch = {
+	readonly watch: (call: WatchedCall) => WatchedRequest;
+	/** Applies the number of slots that the server announced. */
+	readonly announceSlots: (slots: number) => void;
+	/** Returns how many requests may be at the server, as the other nodes are told. */
+	readonly getCapacity: () => number;
+	/** Returns how many requests the gate sends to the server at the same time, held ones included. */
+	readonly getSlotLimit: () => number;
+	/** Stops all timers, because the server has ended. */
+	readonly dispose: () => void;
+};
+
+/** A request counts as hung only after this multiple of the 99th percentile of the service times. */
+const hangFactor = 4;
+
+/** No request counts as hung sooner, in milliseconds: pauses of a VM with a quarter of a core take this long. It is below the shortest latency objective of the users. */
+const minHangMs = 150;
+
+/** Longest careful start in milliseconds: the usual time of the longest requests on a slow VM. Usually the first response ends it. */
+const maxCarefulMs = 500;
+
+/** Requests of others at the server are forgotten this long after the last report, in milliseconds. Ones that take longer are reported again. */
+const maxForeignMs = 500;
+
+/** Time for which the highest count of requests of others is used, in milliseconds: some reports of a busy server. */
+const foreignMemoryMs = 100;
+
+/** A warning about a hang is logged at most once in this time, in milliseconds; further hangs are logged at debug level. */
+const minWarningIntervalMs = 1000;
+
+/** Whether the server may still work on a request after its end, because the gate or the caller gave it up before its deadline. */
+const mayStillRun = (result: ExchangeResult): boolean =>
+	result.type === 'failed' && result.isSent && (result.reason === 'cancelled' || result.reason === 'superseded' || result.reason === 'hung' || result.reason === 'wrong-answer');
+
+/** A request with the function that ends it. */
+type Watched = {
+	readonly call: WatchedCall;
+	readonly request: SentRequest;
+	handleHang: ((detail: string) => void) | undefined;
+	hang: Hang | undefined;
+};
+
+/**
+ * Creates the watch of a server that has not answered yet.
+ *
+ * @param slots - Requests that the server executes at the same time.
+ * @param isCareful - Whether the server may still work on requests of an earlier run of this node.
+ * @param context - The server and the slots.
+ * @returns The watch.
+ * @internal
+ */
+export function createHangWatch(slots: number, isCareful: boolean, context: HangWatchContext): HangWatch {
+	const requests = createServerRequests();
+	const serviceTimes = createServiceTimes();
+	const watchedById = new Map<number, Watched>();
+	let limit = createConcurrencyLimit(slots, isCareful);
+	let slotLimit = computeSlotLimit(limit);
+	let held: HeldRequests = [];
+	/** Whether the server sends load reports. */
+	let hasReported = false;
+	let isDisposed = false;
+	let isCheckPending = false;
+	/** When the count of requests of others was last as high as now, in milliseconds of the steady clock. */
+	let foreignAt = 0;
+	let lastWarningAt = Number.NEGATIVE_INFINITY;
+	let checkTimer: NodeJS.Timeout | undefined;
+	let carefulTimer: NodeJS.Timeout | undefined;
+	let foreignTimer: NodeJS.Timeout | undefined;
+	let heldTimer: NodeJS.Timeout | undefined;
+
+	const applyLimit = (next: ConcurrencyLimit): void => {
+		if (next === limit || isDisposed) {
+			return;
+		}
+
+		limit = next;
+		const nextLimit = computeSlotLimit(limit);
+		if (nextLimit !== slotLimit) {
+			slotLimit = nextLimit;
+			context.resize(slotLimit);
+		}
+	};
+
+	const applyHeld = (step: HeldStep): void => {
+		clearTimeout(heldTimer);
+		held = step.held;
+		applyLimit({...limit, held: held.length});
+		for (const _ of step.released) {
+			context.releaseSlot();
+		}
+
+		const deadlineAt = getNextDeadline(held);
+		if (deadlineAt !== undefined && !isDisposed) {
+			heldTimer = setTimeout(() => {
+				applyHeld(releaseExpired(held, readSteadyMs()));
+			}, clampTimerMs(deadlineAt - readSteadyMs()) + 1);
+		}
+	};
+
+	/** Applies a count of requests of others. Requests on their way only lower a count, so a lower one counts only after a while. */
+	const applyForeign = (foreign: number): void => {
+		const now = readSteadyMs();
+		if (foreign < limit.foreign && now - foreignAt < foreignMemoryMs) {
+			return;
+		}
+
+		foreignAt = now;
+		clearTimeout(foreignTimer);
+		if (foreign > 0 && !isDisposed) {
+			foreignTimer = setTimeout(() => {
+				applyForeign(0);
+			}, maxForeignMs);
+		}
+
+		if (foreign !== limit.foreign) {
+			applyLimit({...limit, foreign});
+		}
+	};
+
+	const applyReport = (report: LoadReport, {minUnknown, maxUnknown}: ReportComparison): void => {
+		hasReported = true;
+		if (report.slots !== limit.reportedSlots) {
+			applyLimit({...limit, reportedSlots: report.slots});
+		}
+
+		if (held.length > maxUnknown) {
+			applyHeld(releaseReported(held, maxUnknown));
+		}
+
+		applyForeign(Math.max(0, minUnknown - held.length));
+	};
+
+	const endCarefulStart = (): void => {
+		clearTimeout(carefulTimer);
+		if (limit.isCareful) {
+			applyLimit({...limit, isCareful: false});
+		}
+	};
+
+	const getUsualMs = (): number | undefined => hasReported && !isDisposed ? serviceTimes.getPercentile() : undefined;
+
+	const computeThresholdMs = (usualMs: number): number => Math.max(minHangMs, usualMs * hangFactor);
+
+	const chooseLogLevel = (now: number): LogLevel => {
+		if (now - lastWarningAt < minWarningIntervalMs) {
+			return 'debug';
+		}
+
+		lastWarningAt = now;
+		return 'warn';
+	};
+
+	const handleHang = (watched: Watched, hang: Hang, usualMs: number): void => {
+		watched.hang = hang;
+		applyLimit(lowerAfterHang(limit, hang.answeredAhead));
+		// A request that must not run twice gets its response up to its deadline, unless the server has no request at all.
+		const isEnded = hang.isServerIdle || watched.call.isRepeatable();
+		context.log.record(chooseLogLevel(readAwakeMs()), {
+			kind: 'request-hung', call: watched.call.id, server: context.server, reason: hang.kind,
+			ageMs: Math.round(hang.ageMs), usualMs: Math.round(usualMs), isEnded, limit: computeCapacity(limit),
+		});
+		if (isEnded) {
+			watched.handleHang?.(hang.kind === 'not-reported'
+				? 'the backend server does not report the request among those that it has'
+				: 'the backend server has responded to requests that were sent later');
+		}
+	};
+
+	const check = (): void => {
+		isCheckPending = false;
+		const usualMs = getUsualMs();
+		if (usualMs === undefined) {
+			return;
+		}
+
+		for (const hang of requests.findHung(computeThresholdMs(usualMs), readAwakeMs())) {
+			const watched = watchedById.get(hang.request.id);
+			if (watched !== undefined && watched.hang === undefined) {
+				handleHang(watched, hang, usualMs);
+			}
+		}
+
+		scheduleCheck(false);
+	};
+
+	/** Runs the check after the sockets have been read, so that a response that has arrived is delivered. */
+	const checkAfterReads = (): void => {
+		checkTimer = undefined;
+		setImmediate(check);
+	};
+
+	/** Schedules a check for when the oldest request may count as hung. If that time has passed, only a response can bring evidence. */
+	const scheduleCheck = (hasEvidence: boolean): void => {
+		const usualMs = isCheckPending ? undefined : getUsualMs();
+		const oldestSentAt = usualMs === undefined ? undefined : requests.getOldestSentAt();
+		if (usualMs === undefined || oldestSentAt === undefined) {
+			return;
+		}
+
+		const dueMs = oldestSentAt + computeThresholdMs(usualMs) - readAwakeMs();
+		if (dueMs >= 0) {
+			isCheckPending = true;
+			checkTimer = setTimeout(checkAfterReads, clampTimerMs(Math.ceil(dueMs) + 1));
+		} else if (hasEvidence) {
+			isCheckPending = true;
+			checkTimer = setTimeout(checkAfterReads, responseMs + 1);
+		}
+	};
+
+	const recordAnswered = ({sentAt}: SentRequest, status: number): void => {
+		applyLimit(recordAnswer(limit));
+		if (hasReported && status < 500) {
+			serviceTimes.record(readAwakeMs() - sentAt);
+		}
+	};
+
+	return {
+		watch(call) {
+			if (limit.isCareful && carefulTimer === undefined) {
+				carefulTimer = setTimeout(endCarefulStart, maxCarefulMs);
+			}
+
+			const request = requests.send(readAwakeMs());
+			const watched: Watched = {
+				call, request, handleHang: undefined, hang: undefined,
+			};
+			watchedById.set(request.id, watched);
+			return {
+				listenForHang(handle) {
+					watched.handleHang = handle;
+				},
+				recordResponse(report) {
+					const comparison = requests.recordResponse(request, report, readAwakeMs(), held.length);
+					if (report !== undefined && comparison !== undefined) {
+						applyReport(report, comparison);
+					}
+
+					endCarefulStart();
+					scheduleCheck(true);
+				},
+				finish(result) {
+					const isAnswered = result.type === 'answered';
+					watchedById.delete(request.id);
+					requests.finish(request, isAnswered);
+					if (isAnswered) {
+						recordAnswered(request, result.status);
+						return false;
+					}
+
+					const isHeld = !isDisposed && hasReported && mayStillRun(result) && watched.hang?.kind !== 'not-reported' && call.deadlineAt > readSteadyMs();
+					if (isHeld) {
+						applyHeld({held: [...held, {id: request.id, deadlineAt: call.deadlineAt}], released: []});
+					}
+
+					return isHeld;
+				},
+			};
+		},
+		announceSlots(announcedSlots) {
+			applyLimit({...limit, announcedSlots});
+		},
+		getCapacity: () => computeCapacity(limit),
+		getSlotLimit: () => slotLimit,
+		dispose() {
+			isDisposed = true;
+			clearTimeout(checkTimer);
+			clearTimeout(carefulTimer);
+			clearTimeout(foreignTimer);
+			clearTimeout(heldTimer);
+		},
+	};
+}
--- /dev/null
+++ b/src/lib/forwarding/hanging-server.test.ts
@@ -0,0 +1,250 @@
+/**
+ * A gate over real sockets, with a server that never responds to some requests and
+ * does not count them in its load reports.
+ */
+import assert from 'node:assert/strict';
+import {createServer, type IncomingHttpHeaders} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test, {type TestContext} from 'node:test';
+import {expectSoon} from '../../../stand-ins/wait-until.js';
+import {toAddress, toBackendServerId} from '../common/ids.js';
+import {type LoadReport} from '../decisions/server-requests.js';
+import {createSilentQuarantine} from '../quarantine/sample-quarantine.js';
+import {noRollouts} from '../rollout/no-rollouts.js';
+import {type MeshEvent} from '../timeline/mesh-log.js';
+import {createCallScope, type CallScope} from './call-scope.js';
+import {type CallHeaderNames} from './call-headers.js';
+import {type GateResult} from './forward-result.js';
+import {createLocalGate, type LocalGate} from './local-gate.js';
+
+const headerNames: CallHeaderNames = {
+	callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run',
+	serverLimit: 'x-limit', serverLeaving: 'x-leaving', authorization: 'authorization', authorizationScheme: 'token', workspace: 'x-workspace',
+};
+
+const server = toBackendServerId('i-1');
+const slots = 6;
+const workMs = 10;
+const slowMs = 800;
+
+/** Start time of a server that started after its node. */
+const startedLater = Date.now() + 3_600_000;
+
+type Fixture = {
+	readonly gate: LocalGate;
+	readonly events: MeshEvent[];
+	/** Targets of the requests that arrived, by connection. */
+	readonly targetsBySocket: Map<Socket, string[]>;
+	/** Returns the largest number of requests that the server had at the same time since the last call. */
+	readonly takeMaxRunning: () => number;
+	readonly run: (target: string, scope?: CallScope) => Promise<GateResult>;
+	/** Runs short requests one after the other. */
+	readonly runShort: (count: number) => Promise<void>;
+	readonly announce: (startedAt?: number) => void;
+	/** Work of others that the server reports. */
+	foreign: number;
+};
+
+type FixtureOptions = {readonly sendsReports?: boolean; readonly isRepeatable?: boolean};
+
+function readServerLoad(headers: IncomingHttpHeaders): LoadReport | undefined {
+	const value = headers['x-load'];
+	const [running, waiting, reportedSlots] = typeof value === 'string' ? value.split(',').map(Number) : [];
+	return running === undefined || waiting === undefined || reportedSlots === undefined ? undefined : {running, waiting, slots: reportedSlots};
+}
+
+async function createFixture(context: TestContext, {sendsReports = true, isRepeatable = true}: FixtureOptions = {}): Promise<Fixture> {
+	const targetsBySocket = new Map<Socket, string[]>();
+	const events: MeshEvent[] = [];
+	let running = 0;
+	let maxRunning = 0;
+	const stub = createServer((request, response) => {
+		const target = request.url ?? '';
+		const targets = targetsBySocket.get(request.socket) ?? [];
+		targetsBySocket.set(request.socket, [...targets, target]);
+		if (target.startsWith('/lost')) {
+			return;
+		}
+
+		running++;
+		maxRunning = Math.max(maxRunning, running);
+		setTimeout(() => {
+			response.setHeader(headerNames.callId, String(request.headers[headerNames.callId]));
+			response.setHeader(headerNames.signature, 's');
+			if (sendsReports) {
+				response.setHeader('x-load', `${running + fixture.foreign},0,${slots}`);
+			}
+
+			running--;
+			response.end('page');
+		}, target.startsWith('/slow') ? slowMs : workMs);
+	});
+	await new Promise<void>(resolve => {
+		stub.listen(0, '127.0.0.1', resolve);
+	});
+	const address = toAddress(`127.0.0.1:${(stub.address() as AddressInfo).port}`);
+	const gate = createLocalGate({
+		headerNames,
+		log: {
+			record(_level, event) {
+				events.push(event);
+			},
+		},
+		refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 40, quarantine: createSilentQuarantine(), isLeaving: () => false,
+		linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
+		readServerLoad, isRepeatableRoute: () => isRepeatable,
+	});
+	let lastId = 0;
+	const fixture: Fixture = {
+		gate,
+		events,
+		targetsBySocket,
+		foreign: 0,
+		takeMaxRunning() {
+			const taken = maxRunning;
+			maxRunning = running;
+			return taken;
+		},
+		async run(target, scope = createCallScope(performance.now() + 2000)) {
+			lastId++;
+			context.after(scope.dispose);
+			return gate.run({
+				id: `c${lastId}`, server, method: 'GET', target, headers: {host: 'mesh.example'}, readBody: async () => undefined,
+				callerService: 'hall', rank: 1, mayWaitMs: 1500, isCounted: false, hasBody: false, isLargeUpload: false, scope,
+			});
+		},
+		async runShort(count) {
+			for (let index = 0; index < count; index++) {
+				const {result} = await fixture.run('/short');
+				assert.equal(result.type, 'answered');
+			}
+		},
+		announce(startedAt = startedLater) {
+			gate.announce({
+				lifetime: {id: server, startedAt}, service: 'logview', version: 'v1', address, slots, isDraining: false, coldMs: 0, sequence: 1,
+			});
+		},
+	};
+	context.after(() => {
+		gate.dispose();
+		stub.close();
+		stub.closeAllConnections();
+	});
+	return fixture;
+}
+
+/** Runs enough requests for the gate to know the service times. */
+async function prepareServiceTimes(fixture: Fixture): Promise<void> {
+	fixture.announce();
+	await fixture.runShort(110);
+}
+
+// Guards against a caller that waits for its deadline, and against later requests on a connection that the server no longer reads.
+test('a request that the server lost ends as possibly run, its connection is closed, and the limit drops and recovers', async context => {
+	const fixture = await createFixture(context);
+	await prepareServiceTimes(fixture);
+	const startedAt = performance.now();
+	const lost = fixture.run('/lost');
+	const short = fixture.runShort(60);
+	const {result} = await lost;
+	const tookMs = performance.now() - startedAt;
+	await short;
+	assert.ok(result.type === 'failed');
+	assert.deepEqual([result.verdict, result.reason, result.hasArrived], ['may-have-run', 'hung', true]);
+	assert.ok(tookMs < 1000, `${tookMs} ms`);
+	const targets = [...fixture.targetsBySocket.values()].find(list => list.includes('/lost'))!;
+	assert.equal(targets.at(-1), '/lost', 'a later request used the connection');
+	const hangs = fixture.events.flatMap(event => event.kind === 'request-hung' ? [event] : []);
+	assert.deepEqual(hangs.map(({reason, limit, isEnded}) => ({reason, limit, isEnded})), [{reason: 'not-reported', limit: 1, isEnded: true}]);
+	await fixture.runShort(30);
+	assert.equal(fixture.gate.getSlotLimit(), slots);
+});
+
+for (const isRepeatable of [true, false]) {
+	// Guards against breaking off the longest honest requests.
+	test(`a request that takes eighty times as long as others is answered if the server reports it (${isRepeatable ? 'may run twice' : 'must not run twice'})`, async context => {
+		const fixture = await createFixture(context, {isRepeatable});
+		await prepareServiceTimes(fixture);
+		const slow = Promise.all([fixture.run('/slow/1'), fixture.run('/slow/2')]);
+		await Promise.all(Array.from({length: 4}, async () => fixture.runShort(70)));
+		for (const {result} of await slow) {
+			assert.equal(result.type, 'answered');
+		}
+
+		assert.deepEqual(fixture.events.filter(({kind}) => kind === 'request-hung'), []);
+	});
+}
+
+test('a request that must not run twice is not ended before its deadline while the server works on others', async context => {
+	const fixture = await createFixture(context, {isRepeatable: false});
+	await prepareServiceTimes(fixture);
+	let hasEnded = false;
+	const lost = (async () => {
+		const {result} = await fixture.run('/lost', createCallScope(performance.now() + 1200));
+		hasEnded = true;
+		return result;
+	})();
+	const others: Array<Promise<unknown>> = [fixture.run('/slow'), fixture.runShort(70)];
+	await sleep(slowMs / 2);
+	others.push(fixture.run('/slow'));
+	await sleep(600);
+	assert.ok(!hasEnded);
+	await Promise.all(others);
+	const result = await lost;
+	assert.ok(result.type === 'failed');
+	assert.deepEqual([result.verdict, result.reason], ['may-have-run', 'timeout']);
+});
+
+test('a server without load reports keeps its requests until their deadlines', async context => {
+	const fixture = await createFixture(context, {sendsReports: false});
+	await prepareServiceTimes(fixture);
+	const lost = fixture.run('/lost', createCallScope(performance.now() + 900));
+	await fixture.runShort(70);
+	const {result} = await lost;
+	assert.ok(result.type === 'failed');
+	assert.equal(result.reason, 'timeout');
+	assert.equal(fixture.gate.getSlotLimit(), slots);
+});
+
+// Guards against requests beyond the slots of a server that goes on with work whose caller has left.
+test('requests whose callers left keep their slots while the server reports them', async context => {
+	const fixture = await createFixture(context);
+	await prepareServiceTimes(fixture);
+	const scopes = Array.from({length: 4}, () => createCallScope(performance.now() + 2000));
+	const left = Promise.all(scopes.map(async scope => fixture.run('/slow', scope)));
+	await expectSoon('the server has the requests', () => fixture.takeMaxRunning() === 4);
+	for (const scope of scopes) {
+		scope.end('cancelled');
+	}
+
+	await left;
+	await Promise.all(Array.from({length: 12}, async () => fixture.runShort(10)));
+	assert.equal(fixture.takeMaxRunning(), slots);
+	await sleep(slowMs);
+	await fixture.runShort(1);
+	fixture.takeMaxRunning();
+	await Promise.all(Array.from({length: 12}, async () => fixture.runShort(2)));
+	assert.equal(fixture.takeMaxRunning(), slots, 'the slots are free again');
+	assert.equal(fixture.gate.describe()?.running, 0);
+});
+
+// Guards against a restarted gate that fills a server which still works for its earlier run.
+test('a gate that started after its server uses half of the slots until the first report, and then what the report leaves', async context => {
+	const fixture = await createFixture(context);
+	fixture.foreign = 2;
+	fixture.announce(Date.now() - 60_000);
+	const first = Promise.all(Array.from({length: 6}, async () => fixture.run('/slow')));
+	await sleep(workMs * 5);
+	assert.equal(fixture.takeMaxRunning(), 3);
+	await first;
+	await fixture.runShort(3);
+	fixture.takeMaxRunning();
+	await Promise.all(Array.from({length: 12}, async () => fixture.runShort(3)));
+	assert.equal(fixture.takeMaxRunning(), 4);
+	fixture.foreign = 0;
+	await fixture.runShort(20);
+	fixture.takeMaxRunning();
+	await Promise.all(Array.from({length: 12}, async () => fixture.runShort(3)));
+	assert.equal(fixture.takeMaxRunning(), 6);
+});
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -58,6 +58,9 @@
 	readonly countLimited: ServerSessionContext['countLimited'];
 	/** Returns the name of the route of a request; `undefined` if none matches. */
 	readonly findRouteName: (host: string, target: string) => string | undefined;
+	/** Returns whether the requests of a route may be run twice; false for all requests if omitted. */
+	readonly isRepeatableRoute?: ((host: string, target: string) => boolean) | undefined;
+	readonly readServerLoad?: ServerSessionContext['readServerLoad'];
 	/** Bandwidth of this VM's link, in megabits per second. */
 	readonly linkMbps: number;
 	/** Returns the response bytes queued for the link. */
@@ -74,6 +77,8 @@
 	readonly countRequests: () => number;
 	/** Returns the requests per second that the server takes; `undefined` if it names no limit, or if there is no server. */
 	readonly getLimit: () => number | undefined;
+	/** Returns how many requests may be at the server at the same time; `undefined` if there is no server. */
+	readonly getSlotLimit: () => number | undefined;
 	readonly dispose: () => void;
 };
 
@@ -267,6 +272,7 @@
 		describe: sessions.describe,
 		countRequests: () => requests,
 		getLimit: () => sessions.getSession()?.getLimit(),
+		getSlotLimit: () => sessions.getSession()?.getSlotLimit(),
 		dispose: sessions.dispose,
 	};
 }
--- a/src/lib/forwarding/local-sessions.ts
+++ b/src/lib/forwarding/local-sessions.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import {err, ok, type Result} from 'neverthrow';
-import {readSteadyMs} from '../common/clock.js';
+import {readNow, readSteadyMs} from '../common/clock.js';
 import {isSameLifetime} from '../common/server-lifetime.js';
 import {
 	acceptAnnouncement, acceptLeave, noteServerUnreachable, forgetServer, isAmbiguousLeave,
@@ -17,11 +17,11 @@
 import {type GateRollouts} from '../rollout/rollouts.js';
 import {type ServerReport, type ServerState} from '../peers/peer-report.js';
 import {
-	computeConcurrencyLimit, openServerSession, unreachableBackoffMs, type ServerSession, type ServerSessionContext, type SessionCall,
+	openServerSession, unreachableBackoffMs, type ServerSession, type ServerSessionContext, type SessionCall,
 } from './server-session.js';
 
 /** @internal */
-export type LocalSessionsContext = Pick<ServerSessionContext, 'headerNames' | 'log' | 'refusals' | 'quarantine' | 'isLeaving' | 'countLimited'> & {
+export type LocalSessionsContext = Pick<ServerSessionContext, 'headerNames' | 'log' | 'refusals' | 'quarantine' | 'isLeaving' | 'countLimited' | 'readServerLoad'> & {
 	/** Called when a change should be announced to the other nodes immediately. */
 	readonly handleChange: () => void;
 	/** Returns the maximum number of connections that the backend server accepts from this node. */
@@ -29,6 +29,8 @@
 	readonly rollouts: Pick<GateRollouts, 'isCounting' | 'recordOutcome' | 'isWithheld' | 'getTally'>;
 	/** Returns the name of the route of a request; `undefined` if none matches. */
 	readonly findRouteName: (host: string, target: string) => string | undefined;
+	/** Returns whether the requests of a route may be run twice; false for all requests if omitted. */
+	readonly isRepeatableRoute?: ((host: string, target: string) => boolean) | undefined;
 };
 
 /** @internal */
@@ -68,6 +70,8 @@
 	/** Sessions of servers with other ids that may still have running requests. */
 	let retiredSessions: readonly ServerSession[] = [];
 	let isSilent = false;
+	/** Milliseconds since the epoch, as the start times of servers. */
+	const createdAt = readNow();
 
 	/**
 	 * Closes the session of a replaced server. A server that restarted has lost its running requests. A server with another id may still finish its running
@@ -124,6 +128,10 @@
 				handleChange();
 			},
 			countLimited: context.countLimited,
+			readServerLoad: context.readServerLoad,
+			isRepeatable: ({headers, target}) => context.isRepeatableRoute?.(typeof headers.host === 'string' ? headers.host : '', target) ?? false,
+			// A server that started before this node may have requests of an earlier run of it.
+			hasEarlierWork: session === undefined && lifetime.startedAt < createdAt,
 			handleLeaving(contacted) {
 				applyStep(acceptLeave(state, contacted, readSteadyMs()), 'server said in a response that it leaves');
 			},
@@ -208,7 +216,6 @@
 			return {
 				lifetime: announcement.lifetime,
 				service: announcement.service,
-				slots: computeConcurrencyLimit(announcement.slots),
 				state: getServerState(current),
 				version: announcement.version,
 				coldMs: computeColdMs(current),
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -5,9 +5,11 @@
  *
  * @module
  */
+import {type IncomingHttpHeaders} from 'node:http';
 import {createSlotPool, type SlotOutcome, type SlotRequest} from '../admission/slot-pool.js';
 import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
+import {type LoadReport} from '../decisions/server-requests.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {createLazyFingerprint, type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
@@ -20,10 +22,12 @@
 import {createCrashWatch} from './crash-watch.js';
 import {runExchange, type ExchangeResponse, type ExchangeFailure} from './exchange.js';
 import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
+import {createHangWatch} from './hang-watch.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
 import {createHalfOpenDetector} from './half-open-detector.js';
 import {createNoticeReader} from './response-notices.js';
 
+export {computeConcurrencyLimit} from '../decisions/concurrency-limit.js';
 export {unreachableBackoffMs} from './convert-exchange.js';
 
 /** A request for the server that holds a slot. @internal */
@@ -65,6 +69,12 @@
 	readonly handleLeaving: (lifetime: ServerLifetime) => void;
 	/** Called when another server responded at the address (status 421). */
 	readonly handleMisdirected: (lifetime: ServerLifetime) => void;
+	/** Reads the load report in the headers of a response; `undefined` if it has none that is valid. Without this function, hangs are not looked for. */
+	readonly readServerLoad?: ((headers: IncomingHttpHeaders) => LoadReport | undefined) | undefined;
+	/** Returns whether a request may be run twice. */
+	readonly isRepeatable?: ((call: SessionCall) => boolean) | undefined;
+	/** Whether the server may still work on requests of an earlier run of this node. */
+	readonly hasEarlierWork?: boolean;
 };
 
 /** Load and failure rate of the server. @internal */
@@ -74,6 +84,8 @@
 	readonly serviceMs: number;
 	/** Moving average of the share of failed requests, 0 to 1. */
 	readonly failureShare: number;
+	/** Requests that the server can hold. */
+	readonly slots: number;
 };
 
 /** @internal */
@@ -90,6 +102,8 @@
 	/** Returns the requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
 	readonly getLimit: () => number | undefined;
 	readonly describe: () => SessionLoad;
+	/** Returns how many requests the gate sends to the server at the same time, given-up ones that it may still work on included. */
+	readonly getSlotLimit: () => number;
 	/**
 	 * Records that the server has crashed, because another lifetime replaced it without a leave. Requests lost from then on
 	 * were running at the crash: a node that lags learns of the new lifetime before it reads the closed connections.
@@ -110,20 +124,6 @@
 /** Subtracted from the remaining time that is forwarded to the server: the grace period of the call scope, and the latency to the server. */
 const deadlineMarginMs = deadlineGraceMs + 1;
 
-/** For each group of this many slots, the gate sends one request more than the server executes. The extra request waits at the server for about an eighth of a service time, regardless of its rank. */
-const slotsPerQueuedRequest = 8;
-
-/**
- * Computes how many requests may be at a server at the same time, more than it executes. Without the extra requests a free slot
- * would be idle while its response travels to the gate and the next request to the server, about three milliseconds under
- * load. A request that already waits at the server takes the slot immediately.
- *
- * @param slots - Requests that the server executes concurrently.
- * @returns The maximum number of requests at the server.
- * @internal
- */
-export const computeConcurrencyLimit = (slots: number): number => slots + Math.floor(slots / slotsPerQueuedRequest);
-
 /**
  * Creates the fingerprint by which the quarantine identifies a request.
  *
@@ -150,7 +150,17 @@
 export function openServerSession(announcement: ServerAnnouncement, context: ServerSessionContext): ServerSession {
 	const {headerNames, log} = context;
 	const {lifetime} = announcement;
-	const slots = createSlotPool(computeConcurrencyLimit(announcement.slots));
+	const hangWatch = createHangWatch(announcement.slots, context.hasEarlierWork ?? false, {
+		server: lifetime.id,
+		log,
+		resize(count) {
+			slots.resize(count);
+		},
+		releaseSlot() {
+			slots.release(undefined);
+		},
+	});
+	const slots = createSlotPool(hangWatch.getSlotLimit());
 	const pool = createServerConnectionPool({
 		address: announcement.address, maxConnections: context.maxConnections, idleMs: idleConnectionMs, connectTimeoutMs,
 	});
@@ -182,6 +192,10 @@
 		}
 	};
 
+	/** Returns the load report of a response. A response without a signature may come from another process, and a refused request is not part of the load. */
+	const readLoad = (headers: IncomingHttpHeaders): LoadReport | undefined =>
+		headers[headerNames.signature] === undefined || headers[headerNames.notRun] !== undefined ? undefined : context.readServerLoad?.(headers);
+
 	/** Waits until the limit lets a request start. It is the last wait before the request is sent, so that the limit holds for what arrives at the server. */
 	const waitForLimit = async ({callerService, rank, mayWaitMs, scope}: SessionCall): Promise<ForwardFailure | undefined> => {
 		const outcome = await limiter.acquire({
@@ -191,7 +205,8 @@
 		return outcome.type === 'refused' ? createLimitedFailure(outcome.retryAfterMs) : undefined;
 	};
 
-	const send = async (call: SessionCall, body: Uint8Array | undefined): Promise<ForwardResult> => {
+	/** Sends a request that holds a slot. Calls `keepSlot` if the slot is still taken when the request has its result. */
+	const send = async (call: SessionCall, body: Uint8Array | undefined, keepSlot: () => void): Promise<ForwardResult> => {
 		const fingerprint = createCallFingerprint(call, body);
 		const settled = context.quarantine.waitForTrial(fingerprint);
 		if (settled !== undefined) {
@@ -225,6 +240,7 @@
 		}
 
 		const finishRequest = halfOpenDetector.recordRequest(now);
+		const watched = hangWatch.watch({id: call.id, deadlineAt: call.scope.deadlineAt, isRepeatable: () => context.isRepeatable?.(call) ?? false});
 		const sentAt = readAwakeMs();
 		const result = await runExchange({
 			pool, id: call.id, method: call.method, target: call.target, body, scope: call.scope,
@@ -239,8 +255,16 @@
 			},
 			isOwnResponse: createOwnResponseCheck(call.id, headerNames),
 			readCallId: headers => getStringHeader(headers, headerNames.callId),
+			handleHead(headers) {
+				watched.recordResponse(readLoad(headers));
+			},
+			listenForHang: watched.listenForHang,
 		});
 		finishRequest();
+		if (watched.finish(result)) {
+			keepSlot();
+		}
+
 		admission.end();
 		reportOutcome(call, result, readAwakeMs() - sentAt);
 		if (result.type === 'failed' && result.isSent && result.reason !== 'connection-lost' && result.reason !== 'wrong-answer') {
@@ -254,6 +278,7 @@
 		isEnded = true;
 		slots.close();
 		limiter.close();
+		hangWatch.dispose();
 		pool.renew();
 	};
 
@@ -265,27 +290,31 @@
 		async run(call) {
 			const startedAt = readAwakeMs();
 			let result: ForwardResult = createNotRun('cancelled', 'request body did not arrive');
+			let isSlotKept = false;
 			try {
 				const body = await call.readBody();
-				result = await send(call, body);
+				result = await send(call, body, () => {
+					isSlotKept = true;
+				});
 			} catch (error) {
 				result = createNotRun('cancelled', `request body did not arrive: ${(error as Error).message}`);
 			} finally {
-				slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined);
+				if (!isSlotKept) {
+					slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined);
+				}
 			}
 
 			return result;
 		},
-		resize(count) {
-			slots.resize(computeConcurrencyLimit(count));
-		},
+		resize: hangWatch.announceSlots,
 		suggestLimit: limiter.suggest,
 		refuseLimited({callerService, rank, mayWaitMs}) {
 			const waitMs = limiter.refuseLate({caller: callerService, rank, mayWaitMs});
 			return waitMs === undefined ? undefined : createLimitedFailure(waitMs);
 		},
 		getLimit: limiter.getLimit,
-		describe: () => ({...slots.describe(), failureShare: converter.getFailureShare()}),
+		describe: () => ({...slots.describe(), failureShare: converter.getFailureShare(), slots: hangWatch.getCapacity()}),
+		getSlotLimit: hangWatch.getSlotLimit,
 		recordCrash: crashWatch.recordCrash,
 		retire: stopAccepting,
 		end() {
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -131,7 +131,7 @@
 		},
 		countEvents: log => ({
 			record(level, event) {
-				if (event.kind === 'gate-refused') {
+				if (event.kind === 'gate-refused' || event.kind === 'request-hung') {
 					events.add(event.kind, event.reason);
 				} else {
 					events.add(event.kind);
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -29,7 +29,7 @@
 import {type RolloutFormat} from '../sync/rollout-entries.js';
 import {findRoute} from '../route-config/route-index.js';
 import {type ActiveConfig} from '../route-config/config-holder.js';
-import {type RouteConfig} from '../route-config/route-config.js';
+import {isRepeatable, type RouteConfig} from '../route-config/route-config.js';
 import {createWeightedRoundRobin} from '../route-config/weighted-round-robin.js';
 import {createLeavingServers} from '../server-notices/leaving-servers.js';
 import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
@@ -193,6 +193,11 @@
 			const active = sync.holder.get();
 			return active === undefined ? undefined : findRoute(active.index, host, target)?.name;
 		},
+		isRepeatableRoute(host, target) {
+			const active = sync.holder.get();
+			const route = active === undefined ? undefined : findRoute(active.index, host, target);
+			return route !== undefined && isRepeatable(route.type);
+		},
 		handleChange() {
 			link.announce();
 		},
@@ -345,6 +350,7 @@
 		{name: 'stonemoor_suspected_requests', help: 'Requests known to have been in work when backend servers crashed', read: quarantine.countSuspects},
 		{name: 'stonemoor_quarantine_refusals', help: 'Judgements that kept a request from backend servers, since the start', read: quarantine.countRefused},
 		{name: 'stonemoor_server_limit', help: 'Requests per second that the backend server takes; absent while it names no limit', read: gate.getLimit},
+		{name: 'stonemoor_concurrency_limit', help: 'Requests that the gate sends to the backend server at the same time; absent while there is no server', read: gate.getSlotLimit},
 		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(sync.isStoreReachable())},
 	]);
 
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -101,6 +101,8 @@
 	| {readonly kind: 'rollout-stage'; readonly service: string; readonly targetVersion: string; readonly order: number; readonly stage: string; readonly reason: string; readonly ageMs: number; readonly from: string}
 	| {readonly kind: 'rollout-not-stored'; readonly service: string; readonly stage: string; readonly reason: string}
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
+	/** The server will not respond to a request. `limit` is the number of requests that the gate sends to it at the same time from now on. */
+	| {readonly kind: 'request-hung'; readonly call: string; readonly server: string; readonly reason: string; readonly ageMs: number; readonly usualMs: number; readonly isEnded: boolean; readonly limit: number}
 	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]}
