--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -8,14 +8,10 @@
  *
  * @module
  */
+import {type ServerLoadReport} from '../server-notices/server-load.js';
 
 /** What a backend server reports of its load. @internal */
-export type LoadReport = {
-	readonly running: number;
-	readonly waiting: number;
-	/** Requests that it executes at the same time. */
-	readonly slots: number;
-};
+export type LoadReport = Pick<ServerLoadReport, 'running' | 'waiting' | 'slots'>;
 
 /** A request at the server. Times are milliseconds of the clock that does not advance while this VM is suspended. @internal */
 export type SentRequest = {
--- a/src/lib/forwarding/hanging-server.test.ts
+++ b/src/lib/forwarding/hanging-server.test.ts
@@ -3,13 +3,12 @@
  * does not count them in its load reports.
  */
 import assert from 'node:assert/strict';
-import {createServer, type IncomingHttpHeaders} from 'node:http';
+import {createServer} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type TestContext} from 'node:test';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {toAddress, toBackendServerId} from '../common/ids.js';
-import {type LoadReport} from '../decisions/server-requests.js';
 import {createSilentQuarantine} from '../quarantine/sample-quarantine.js';
 import {noRollouts} from '../rollout/no-rollouts.js';
 import {type MeshEvent} from '../timeline/mesh-log.js';
@@ -20,7 +19,7 @@
 
 const headerNames: CallHeaderNames = {
 	callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run',
-	serverLimit: 'x-limit', serverLeaving: 'x-leaving', authorization: 'authorization', authorizationScheme: 'token', workspace: 'x-workspace',
+	serverLimit: 'x-limit', serverLoad: 'x-load', serverLeaving: 'x-leaving', authorization: 'authorization', authorizationScheme: 'token', workspace: 'x-workspace',
 };
 
 const server = toBackendServerId('i-1');
@@ -48,12 +47,6 @@
 
 type FixtureOptions = {readonly sendsReports?: boolean; readonly isRepeatable?: boolean};
 
-function readServerLoad(headers: IncomingHttpHeaders): LoadReport | undefined {
-	const value = headers['x-load'];
-	const [running, waiting, reportedSlots] = typeof value === 'string' ? value.split(',').map(Number) : [];
-	return running === undefined || waiting === undefined || reportedSlots === undefined ? undefined : {running, waiting, slots: reportedSlots};
-}
-
 async function createFixture(context: TestContext, {sendsReports = true, isRepeatable = true}: FixtureOptions = {}): Promise<Fixture> {
 	const targetsBySocket = new Map<Socket, string[]>();
 	const events: MeshEvent[] = [];
@@ -73,7 +66,7 @@
 			response.setHeader(headerNames.callId, String(request.headers[headerNames.callId]));
 			response.setHeader(headerNames.signature, 's');
 			if (sendsReports) {
-				response.setHeader('x-load', `${running + fixture.foreign},0,${slots}`);
+				response.setHeader(headerNames.serverLoad, `${running + fixture.foreign},0,${slots}`);
 			}
 
 			running--;
@@ -93,7 +86,7 @@
 		},
 		refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 40, quarantine: createSilentQuarantine(), isLeaving: () => false,
 		linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
-		readServerLoad, isRepeatableRoute: () => isRepeatable,
+		isRepeatableRoute: () => isRepeatable,
 	});
 	let lastId = 0;
 	const fixture: Fixture = {
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -60,7 +60,6 @@
 	readonly findRouteName: (host: string, target: string) => string | undefined;
 	/** Returns whether the requests of a route may be run twice; false for all requests if omitted. */
 	readonly isRepeatableRoute?: ((host: string, target: string) => boolean) | undefined;
-	readonly readServerLoad?: ServerSessionContext['readServerLoad'];
 	/** Bandwidth of this VM's link, in megabits per second. */
 	readonly linkMbps: number;
 	/** Returns the response bytes queued for the link. */
@@ -79,6 +78,8 @@
 	readonly getLimit: () => number | undefined;
 	/** Returns how many requests may be at the server at the same time; `undefined` if there is no server. */
 	readonly getSlotLimit: () => number | undefined;
+	/** Returns how slow the VM of the server was at its last report, as a factor of the usual time; `undefined` if the server does not say, or if there is none. */
+	readonly getSlowness: () => number | undefined;
 	readonly dispose: () => void;
 };
 
@@ -105,9 +106,9 @@
 			return undefined;
 		}
 
-		const {running, waiting, serviceMs} = session.describe();
+		const {running, waiting, serviceMs, slowness} = session.describe();
 		return {
-			running, waiting, serviceMs, tookMs: readSteadyMs() - arrivedAt,
+			running, waiting, serviceMs, tookMs: readSteadyMs() - arrivedAt, slowness,
 		};
 	};
 
@@ -137,10 +138,11 @@
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
 		const session = sessions.getSession();
-		const {running = 0, waiting = 0, serviceMs = 0} = session?.describe() ?? {};
+		const {running = 0, waiting = 0, serviceMs = 0, slowness} = session?.describe() ?? {};
 		log.record('info', {
 			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, rank: call.rank,
 			running, waiting, serviceMs: Math.round(serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
+			...slowness === undefined ? {} : {slowness: Math.round(slowness * 100) / 100},
 			...failure.reason === 'limited' ? {limitPerSecond: session?.getLimit(), caller: call.callerService} : {},
 		});
 		return failure;
@@ -273,6 +275,7 @@
 		countRequests: () => requests,
 		getLimit: () => sessions.getSession()?.getLimit(),
 		getSlotLimit: () => sessions.getSession()?.getSlotLimit(),
+		getSlowness: () => sessions.getSession()?.getSlowness(),
 		dispose: sessions.dispose,
 	};
 }
--- a/src/lib/forwarding/local-sessions.ts
+++ b/src/lib/forwarding/local-sessions.ts
@@ -21,7 +21,7 @@
 } from './server-session.js';
 
 /** @internal */
-export type LocalSessionsContext = Pick<ServerSessionContext, 'headerNames' | 'log' | 'refusals' | 'quarantine' | 'isLeaving' | 'countLimited' | 'readServerLoad'> & {
+export type LocalSessionsContext = Pick<ServerSessionContext, 'headerNames' | 'log' | 'refusals' | 'quarantine' | 'isLeaving' | 'countLimited'> & {
 	/** Called when a change should be announced to the other nodes immediately. */
 	readonly handleChange: () => void;
 	/** Returns the maximum number of connections that the backend server accepts from this node. */
@@ -128,7 +128,6 @@
 				handleChange();
 			},
 			countLimited: context.countLimited,
-			readServerLoad: context.readServerLoad,
 			isRepeatable: ({headers, target}) => context.isRepeatableRoute?.(typeof headers.host === 'string' ? headers.host : '', target) ?? false,
 			// A server that started before this node may have requests of an earlier run of it.
 			hasEarlierWork: session === undefined && lifetime.startedAt < createdAt,
--- a/src/lib/forwarding/response-notices.ts
+++ b/src/lib/forwarding/response-notices.ts
@@ -1,11 +1,15 @@
 /**
  * The only place that reads what a response says of its backend server: the limit
- * that it names, and whether it leaves.
+ * that it names, its load, and whether it leaves.
  *
  * @module
  */
 import {type IncomingHttpHeaders} from 'node:http';
 import {type ServerLifetime} from '../common/server-lifetime.js';
+import {type SlotPool} from '../admission/slot-pool.js';
+import {readSteadyMs} from '../common/clock.js';
+import {type LoadReports} from '../server-notices/load-reports.js';
+import {readServerLoad, type ServerLoadReport} from '../server-notices/server-load.js';
 import {type ServerLimiter} from '../server-notices/server-limiter.js';
 import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
@@ -21,17 +25,32 @@
 	readonly handleLeaving: (lifetime: ServerLifetime) => void;
 };
 
+/** The state of a session that notices change. @internal */
+export type NoticeTargets = {
+	readonly limiter: Pick<ServerLimiter, 'apply' | 'getLimit'>;
+	readonly slots: Pick<SlotPool, 'describe' | 'recordSlowness'>;
+	readonly loadReports: Pick<LoadReports, 'record'>;
+};
+
+/** Applies what the headers of a response say of its server. @internal */
+export type NoticeReader = {
+	/** Records the load report as soon as the headers have arrived, since it describes that moment. Returns it if the server executed the request. */
+	readonly recordLoad: (headers: IncomingHttpHeaders) => ServerLoadReport | undefined;
+	/** Applies the other notices of a complete response. */
+	readonly recordNotices: (headers: IncomingHttpHeaders) => void;
+};
+
 /**
- * Creates a function that applies the notices in the headers of a response. A response with neither a signature nor a
+ * Creates the reader of the notices of one server. A response with neither a signature nor a
  * refusal may come from another process and changes nothing.
  *
  * @param lifetime - The lifetime of the server.
- * @param limiter - The limiter that gets the limit of the server.
+ * @param targets - The parts of the session that the notices change.
  * @param context - The names of the headers, and the dependencies.
- * @returns The function.
+ * @returns The reader.
  * @internal
  */
-export function createNoticeReader(lifetime: ServerLifetime, limiter: Pick<ServerLimiter, 'apply' | 'getLimit'>, context: ResponseNoticesContext): (headers: IncomingHttpHeaders) => void {
+export function createNoticeReader(lifetime: ServerLifetime, {limiter, slots, loadReports}: NoticeTargets, context: ResponseNoticesContext): NoticeReader {
 	const {headerNames, log} = context;
 
 	/** Applies the limit that a response names. A limit that cannot be read changes nothing. */
@@ -52,14 +71,46 @@
 		}
 	};
 
-	return headers => {
-		if (headers[headerNames.signature] === undefined && headers[headerNames.notRun] === undefined) {
-			return;
+	const isFromServer = (headers: IncomingHttpHeaders): boolean => headers[headerNames.signature] !== undefined || headers[headerNames.notRun] !== undefined;
+
+	/** Records the load that a response reports. A load that cannot be read changes nothing. */
+	const recordLoad = (headers: IncomingHttpHeaders): ServerLoadReport | undefined => {
+		if (!isFromServer(headers)) {
+			return undefined;
+		}
+
+		const load = readServerLoad(headers, headerNames);
+		if (load.isErr()) {
+			context.refusals.record({
+				kind: 'load-refused', cause: 'unreadable', place: lifetime.id, reason: load.error,
+			});
+			return undefined;
+		}
+
+		const report = load.value;
+		if (report === undefined) {
+			return undefined;
 		}
 
-		recordLimit(headers);
-		if (isLeavingNotice(headers, headerNames)) {
-			context.handleLeaving(lifetime);
+		loadReports.record(report, slots.describe().running, readSteadyMs());
+		if (report.slowness !== undefined) {
+			slots.recordSlowness(report.slowness);
 		}
+
+		return headers[headerNames.notRun] === undefined ? report : undefined;
+	};
+
+	return {
+		recordLoad,
+		recordNotices(headers) {
+			if (!isFromServer(headers)) {
+				return;
+			}
+
+			recordLimit(headers);
+			if (isLeavingNotice(headers, headerNames)) {
+				context.handleLeaving(lifetime);
+			}
+		},
 	};
 }
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -5,17 +5,18 @@
  *
  * @module
  */
-import {type IncomingHttpHeaders} from 'node:http';
-import {createSlotPool, type SlotOutcome, type SlotRequest} from '../admission/slot-pool.js';
+import {
+	createSlotPool, type SlotLoad, type SlotOutcome, type SlotRequest,
+} from '../admission/slot-pool.js';
 import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
-import {type LoadReport} from '../decisions/server-requests.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
 import {type Quarantine} from '../quarantine/quarantine.js';
 import {createLazyFingerprint, type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {createServerLimiter, type LimitedOutcome} from '../server-notices/server-limiter.js';
+import {createLoadReports, type LoadReports} from '../server-notices/load-reports.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
 import {getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {createExchangeConverter, createOwnResponseCheck, sessionEndedFailure} from './convert-exchange.js';
@@ -69,8 +70,6 @@
 	readonly handleLeaving: (lifetime: ServerLifetime) => void;
 	/** Called when another server responded at the address (status 421). */
 	readonly handleMisdirected: (lifetime: ServerLifetime) => void;
-	/** Reads the load report in the headers of a response; `undefined` if it has none that is valid. Without this function, hangs are not looked for. */
-	readonly readServerLoad?: ((headers: IncomingHttpHeaders) => LoadReport | undefined) | undefined;
 	/** Returns whether a request may be run twice. */
 	readonly isRepeatable?: ((call: SessionCall) => boolean) | undefined;
 	/** Whether the server may still work on requests of an earlier run of this node. */
@@ -78,10 +77,7 @@
 };
 
 /** Load and failure rate of the server. @internal */
-export type SessionLoad = {
-	readonly running: number;
-	readonly waiting: number;
-	readonly serviceMs: number;
+export type SessionLoad = SlotLoad & {
 	/** Moving average of the share of failed requests, 0 to 1. */
 	readonly failureShare: number;
 	/** Requests that the server can hold. */
@@ -101,6 +97,10 @@
 	readonly refuseLimited: (call: Pick<SessionCall, 'callerService' | 'rank' | 'mayWaitMs'>) => ForwardFailure | undefined;
 	/** Returns the requests per second that the server takes from all nodes together; `undefined` if it names no limit. */
 	readonly getLimit: () => number | undefined;
+	/** Returns the latest load report of the server and its age in milliseconds; `undefined` if there is none or if it is old. */
+	readonly getLoadReport: () => ReturnType<LoadReports['getLatest']>;
+	/** Returns how slow the VM of the server was at its last report, as a factor of the usual time; `undefined` if the server does not say. */
+	readonly getSlowness: () => number | undefined;
 	readonly describe: () => SessionLoad;
 	/** Returns how many requests the gate sends to the server at the same time, given-up ones that it may still work on included. */
 	readonly getSlotLimit: () => number;
@@ -166,15 +166,17 @@
 	});
 	const halfOpenDetector = createHalfOpenDetector();
 	const limiter = createServerLimiter(context.countLimited);
+	const loadReports = createLoadReports();
 	let isEnded = false;
 	const crashWatch = createCrashWatch({
 		lifetime, address: announcement.address, log, quarantine: context.quarantine, handleUnreachable: context.handleUnreachable,
 		isEnding: () => isEnded || context.isLeaving(),
 	});
+	const notices = createNoticeReader(lifetime, {limiter, slots, loadReports}, context);
 	const converter = createExchangeConverter({
 		lifetime, headerNames, crashWatch, quarantine: context.quarantine, hasEnded: () => isEnded,
 		handleUnreachable: context.handleUnreachable, handleMisdirected: context.handleMisdirected,
-		recordNotices: createNoticeReader(lifetime, limiter, context),
+		recordNotices: notices.recordNotices,
 	});
 
 	/** Reports how a request ended at the server, unless the server refused it or the caller left. */
@@ -192,10 +194,6 @@
 		}
 	};
 
-	/** Returns the load report of a response. A response without a signature may come from another process, and a refused request is not part of the load. */
-	const readLoad = (headers: IncomingHttpHeaders): LoadReport | undefined =>
-		headers[headerNames.signature] === undefined || headers[headerNames.notRun] !== undefined ? undefined : context.readServerLoad?.(headers);
-
 	/** Waits until the limit lets a request start. It is the last wait before the request is sent, so that the limit holds for what arrives at the server. */
 	const waitForLimit = async ({callerService, rank, mayWaitMs, scope}: SessionCall): Promise<ForwardFailure | undefined> => {
 		const outcome = await limiter.acquire({
@@ -256,7 +254,7 @@
 			isOwnResponse: createOwnResponseCheck(call.id, headerNames),
 			readCallId: headers => getStringHeader(headers, headerNames.callId),
 			handleHead(headers) {
-				watched.recordResponse(readLoad(headers));
+				watched.recordResponse(notices.recordLoad(headers));
 			},
 			listenForHang: watched.listenForHang,
 		});
@@ -289,6 +287,7 @@
 		},
 		async run(call) {
 			const startedAt = readAwakeMs();
+			const endRun = loadReports.startRun();
 			let result: ForwardResult = createNotRun('cancelled', 'request body did not arrive');
 			let isSlotKept = false;
 			try {
@@ -300,7 +299,7 @@
 				result = createNotRun('cancelled', `request body did not arrive: ${(error as Error).message}`);
 			} finally {
 				if (!isSlotKept) {
-					slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined);
+					slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined, endRun());
 				}
 			}
 
@@ -313,8 +312,15 @@
 			return waitMs === undefined ? undefined : createLimitedFailure(waitMs);
 		},
 		getLimit: limiter.getLimit,
-		describe: () => ({...slots.describe(), failureShare: converter.getFailureShare(), slots: hangWatch.getCapacity()}),
 		getSlotLimit: hangWatch.getSlotLimit,
+		getLoadReport: () => loadReports.getLatest(readSteadyMs()),
+		getSlowness: slots.getSlowness,
+		describe() {
+			const load = slots.describe();
+			return {
+				...load, running: load.running + loadReports.countUnknownRequests(readSteadyMs()), failureShare: converter.getFailureShare(), slots: hangWatch.getCapacity(),
+			};
+		},
 		recordCrash: crashWatch.recordCrash,
 		retire: stopAccepting,
 		end() {
