Soak: servers that hang when they are full

A fault makes a server hang when it is full until it ends, lose a request, and work slowly for a while. Checks: no gate causes a hang or uses a hung connection again, and a hang that the gate could notice is over within the objective; each has a test that shows that it reports its violation.

--- a/soak/apply-fault.ts
+++ b/soak/apply-fault.ts
@@ -56,6 +56,7 @@
 		case 'server-crash':
 		case 'server-slow':
 		case 'server-limit':
+		case 'server-hang':
 		case 'server-misbehave':
 		case 'server-lie':
 		case 'server-late':
@@ -206,6 +207,10 @@
 			return getVm(fault.node).server.nameLimit(fault.perSecond, fault.forMs);
 		}
 
+		case 'server-hang': {
+			return getVm(fault.node).server.hangWhenFull(fault.forMs);
+		}
+
 		case 'server-lie': {
 			return getVm(fault.node).server.claimExtraSlots(fault.forMs);
 		}
--- a/soak/checks/find-violations.test.ts
+++ b/soak/checks/find-violations.test.ts
@@ -39,7 +39,7 @@
 
 function createRecord(calls: readonly CallRecord[], changes: Partial<SoakRecord> = {}): SoakRecord {
 	return {
-		calls, runs: calls.map(call => createRun(call)), drains: [], limits: [], lifetimes: [{node: 'n0', startedAt: 0, end: {type: 'running'}}],
+		calls, runs: calls.map(call => createRun(call)), drains: [], limits: [], hangs: [], lifetimes: [{node: 'n0', startedAt: 0, end: {type: 'running'}}],
 		changes: [{index: 0, writtenAt: 0}], disturbances: [], ending: undefined, ...changes,
 	};
 }
@@ -84,6 +84,24 @@
 	assert.deepEqual(listBroken(createRecord([told, createLater(3000, 'n1')])), []);
 });
 
+test('reports a hang that a gate caused, a connection that is used again, and a hang that lasts, unless its cause is another fault', () => {
+	const request = createCall();
+	const others = Array.from({length: 60}, (_, index) => createCall({id: `n0-${index + 10}`, sentAt: start + ((index - 50) * 20), endedAt: start + ((index - 50) * 20) + 30}));
+	const hang = {
+		at: start, id: request.id, isOwnFault: true, isConnectionHung: false, closedAt: start + 300, server: 'i-1@1', node: 'n1',
+	};
+	const listFound = (changes: Partial<typeof hang>, disturbances: readonly Disturbance[] = []): readonly string[] => listBroken(createRecord([...others, request], {hangs: [{...hang, ...changes}], disturbances}));
+	assert.deepEqual(listFound({}), []);
+	assert.deepEqual(listFound({isOwnFault: false}), ['no hang by a gate']);
+	assert.deepEqual(listFound({isConnectionHung: true}), ['no hang by a gate']);
+	assert.deepEqual(listFound({closedAt: start + 700}), ['hangs are over']);
+	const lie: Disturbance = {
+		...pausedNode, part: 'server', node: 'n1', what: 'server-lie',
+	};
+	assert.deepEqual(listFound({isOwnFault: false}, [lie]), []);
+	assert.deepEqual(listFound({closedAt: start + 700}, [lie]), []);
+});
+
 test('reports nothing for a record without violations', () => {
 	assert.deepEqual(listBroken(createRecord([createCall(), createPublication({id: 'n0-2', target: '/publish/n0-2'})])), []);
 });
--- a/soak/checks/find-violations.ts
+++ b/soak/checks/find-violations.ts
@@ -5,6 +5,7 @@
  */
 import {type SoakRecord, type Violation} from '../record.js';
 import {checkAnswers} from './check-answers.js';
+import {checkHangs} from './check-hangs.js';
 import {checkLosses} from './check-losses.js';
 import {checkLeavingNotices, checkLimits} from './check-notices.js';
 import {checkProcesses, checkRecovery} from './check-processes.js';
@@ -32,6 +33,7 @@
 		...checkDrains(record),
 		...checkLimits(record),
 		...checkLeavingNotices(record),
+		...checkHangs(record),
 		...checkVersions(record, settings),
 		...checkLosses(record),
 		...checkProcesses(record),
--- a/soak/plan.test.ts
+++ b/soak/plan.test.ts
@@ -10,6 +10,6 @@
 
 test('every kind of fault is generated, between the fault-free times', () => {
 	const faults = Array.from({length: 10}, (_, index) => planSoak({seed: index, seconds: 60, nodes: 10}).faults).flat();
-	assert.equal(new Set(faults.map(({type}) => type)).size, 20);
+	assert.equal(new Set(faults.map(({type}) => type)).size, 21);
 	assert.ok(faults.every(({atMs}) => atMs >= faultFreeMs.start && atMs < 60_000 - faultFreeMs.end));
 });
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -41,6 +41,8 @@
 	| {readonly type: 'server-misbehave'; readonly node: number; readonly behaviours: readonly PlatformServerBehaviour[]}
 	/** The server names a limit in all its responses. */
 	| {readonly type: 'server-limit'; readonly node: number; readonly perSecond: number; readonly forMs: number}
+	/** The server hangs when it is full, until it ends, and loses a request. */
+	| {readonly type: 'server-hang'; readonly node: number; readonly forMs: number}
 	/** Announces more slots than the server has. */
 	| {readonly type: 'server-lie'; readonly node: number; readonly forMs: number}
 	/** Heartbeats of the server arrive late. */
@@ -82,6 +84,10 @@
 const namedLimits = [0.5, 2, 5] as const;
 const shortestLimitMs = 4000;
 
+/** Servers that hang when they are full, per second. */
+const hangsPerSecond = 0.15;
+const shortestHangMs = 2000;
+
 /** Shortest and longest duration of a fault. */
 const shortestFaultMs = 200;
 const longestFaultMs = 5000;
@@ -180,8 +186,14 @@
 	const limits = pickPoissonTimes(limitRandom, limitsPerSecond, untilMs).map((atMs): PlannedFault => ({
 		type: 'server-limit', node: limitPicker.pickInteger(nodes), perSecond: limitPicker.pickOne(namedLimits), forMs: shortestLimitMs + limitPicker.pickDurationMs(), atMs,
 	}));
+	// So have hangs.
+	const hangRandom = randomLcg(((seed * 50_021) % 65_536) / 65_536);
+	const hangPicker = createRandomPicker(hangRandom);
+	const hangs = pickPoissonTimes(hangRandom, hangsPerSecond, untilMs).map((atMs): PlannedFault => ({
+		type: 'server-hang', node: hangPicker.pickInteger(nodes), forMs: shortestHangMs + hangPicker.pickDurationMs(), atMs,
+	}));
 	const changesAtMs = pickPoissonTimes(random, changesPerSecond, untilMs).slice(0, maxConfigChanges);
 	return {
-		seed, seconds, nodes, changesAtMs, faults: [...faults, ...restores, ...limits].toSorted((left, right) => left.atMs - right.atMs),
+		seed, seconds, nodes, changesAtMs, faults: [...faults, ...restores, ...limits, ...hangs].toSorted((left, right) => left.atMs - right.atMs),
 	};
 }
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {type HungRequest} from '../stand-ins/platform-server/hanging-queue.js';
 import {type PlatformServerRun} from '../stand-ins/platform-server/platform-server.js';
 import {type SoakRoute} from './soak-config.js';
 
@@ -47,6 +48,9 @@
 /** A period during which a server named a limit in all its responses. Times are Unix milliseconds. */
 export type LimitRecord = {readonly server: string; readonly perSecond: number; readonly from: number; readonly to: number};
 
+/** A request that a server never responded to. */
+export type HangRecord = HungRequest & {readonly server: string; readonly node: string};
+
 /** How a process ended. */
 export type LifetimeEnd =
 	| {readonly type: 'running'}
@@ -94,6 +98,7 @@
 	readonly runs: readonly RunRecord[];
 	readonly drains: readonly DrainRecord[];
 	readonly limits: readonly LimitRecord[];
+	readonly hangs: readonly HangRecord[];
 	readonly lifetimes: readonly Lifetime[];
 	readonly changes: readonly ChangeRecord[];
 	readonly disturbances: readonly Disturbance[];
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -82,6 +82,7 @@
 		runs: mesh.vms.flatMap(({server}) => server.listRuns()),
 		drains: mesh.vms.flatMap(({server}) => server.listDrains()),
 		limits: mesh.vms.flatMap(({server}) => server.listLimits()),
+		hangs: mesh.vms.flatMap(({server}) => server.listHangs()),
 		lifetimes: mesh.vms.flatMap(({node}) => node.lifetimes),
 	};
 }
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -6,10 +6,13 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type PlatformServerBehaviour} from '../stand-ins/platform-server/apply-behaviour.js';
+import {type HangingQueue} from '../stand-ins/platform-server/hanging-queue.js';
 import {startPlatformServer, type PlatformServer} from '../stand-ins/platform-server/platform-server.js';
 import {sendHeartbeat, sendLeave} from '../stand-ins/platform-server/server-messages.js';
 import {startLinkProxy, type LinkMode} from './link-proxy.js';
-import {type DrainRecord, type LimitRecord, type RunRecord} from './record.js';
+import {
+	type DrainRecord, type HangRecord, type LimitRecord, type RunRecord,
+} from './record.js';
 import {type SoakNode} from './soak-node.js';
 import {type Service} from './soak-config.js';
 
@@ -17,6 +20,8 @@
 	readonly listRuns: () => readonly RunRecord[];
 	readonly listDrains: () => readonly DrainRecord[];
 	readonly listLimits: () => readonly LimitRecord[];
+	/** Lists the requests that the server never responded to since `hangWhenFull`. */
+	readonly listHangs: () => readonly HangRecord[];
 	/** Counts the executions since a time, in Unix milliseconds, by the server that runs now. */
 	readonly countRunsSince: (at: number) => number;
 	/** Closes the server without notice, and starts a new one after `downMs`. */
@@ -29,6 +34,8 @@
 	readonly misbehave: (behaviours: readonly PlatformServerBehaviour[]) => void;
 	/** Names a limit in all responses, for `forMs`. */
 	readonly nameLimit: (perSecond: number, forMs: number) => Promise<void>;
+	/** Makes the server hang when it is full, until it ends. After half of `forMs` it loses a request, and then works slowly for the other half. */
+	readonly hangWhenFull: (forMs: number) => Promise<void>;
 	/** Announces more slots than the server has, for `forMs`. */
 	readonly claimExtraSlots: (forMs: number) => Promise<void>;
 	readonly delayHeartbeats: (delayMs: number, forMs: number) => Promise<void>;
@@ -45,6 +52,8 @@
 	readonly server: PlatformServer;
 	drainAckedAt: number | undefined;
 	isDraining: boolean;
+	/** Set if the server hangs when it is full. */
+	queue: HangingQueue | undefined;
 	/** Whether the server names a limit. */
 	isLimited: boolean;
 	/** Whether the server has sent its leave; it sends no heartbeats afterwards. */
@@ -58,6 +67,15 @@
 /** Slots that the server announces while it overstates them. */
 const claimedSlots = 32;
 
+/** Requests that wait at a server that hangs when it is full. */
+const places = 2;
+
+/** Time that a request takes at such a server: so long that the callers of the mesh fill it. */
+const hangingWorkMs = 150;
+
+/** Time after which the next request has arrived at a server and its loss has been noticed. */
+const lostRequestMs = 1000;
+
 /** Time that a request takes when no fault slows the server down. */
 const defaultWorkMs = 20;
 
@@ -130,7 +148,7 @@
 		server.setWorkMs(defaultWorkMs);
 		server.setSlots(slots);
 		current = {
-			id, startedAt: Date.now(), server, drainAckedAt: undefined, isDraining: false, isLimited: false, hasLeft: false, sequence: 0,
+			id, startedAt: Date.now(), server, drainAckedAt: undefined, isDraining: false, queue: undefined, isLimited: false, hasLeft: false, sequence: 0,
 		};
 		lifetimes.push(current);
 		link.setTarget(server.address);
@@ -181,6 +199,7 @@
 		}))),
 		listDrains: () => lifetimes.flatMap(lifetime => lifetime.drainAckedAt === undefined ? [] : [{server: formatLifetimeId(lifetime), node: node.name, ackedAt: lifetime.drainAckedAt}]),
 		listLimits: () => limits,
+		listHangs: () => lifetimes.flatMap(lifetime => (lifetime.queue?.hung ?? []).map(request => ({...request, server: formatLifetimeId(lifetime), node: node.name}))),
 		countRunsSince: at => current?.server.runs.filter(run => run.at >= at).length ?? 0,
 		async crash(downMs, keepsId) {
 			const lifetime = current;
@@ -240,6 +259,21 @@
 				server: formatLifetimeId(lifetime), perSecond, from, to: Date.now(),
 			});
 		},
+		async hangWhenFull(forMs) {
+			const lifetime = current;
+			if (lifetime === undefined || lifetime.queue !== undefined) {
+				return;
+			}
+
+			const queue = lifetime.server.hangWhenFull({slots, places});
+			lifetime.queue = queue;
+			await sleep(forMs / 2);
+			queue.loseNext(1);
+			await sleep(lostRequestMs);
+			lifetime.server.setWorkMs(hangingWorkMs);
+			await sleep(forMs / 2);
+			lifetime.server.setWorkMs(defaultWorkMs);
+		},
 		async claimExtraSlots(forMs) {
 			await changeTemporarily(forMs, isOn => {
 				isClaimingExtraSlots = isOn;
--- a/stand-ins/platform-server/hanging-queue.ts
+++ b/stand-ins/platform-server/hanging-queue.ts
@@ -25,6 +25,8 @@
 	readonly isOwnFault: boolean;
 	/** Whether an earlier request on its connection hung. */
 	readonly isConnectionHung: boolean;
+	/** When its connection was closed, in Unix milliseconds; `undefined` while it is open. */
+	readonly closedAt: number | undefined;
 };
 
 export type HangingQueue = {
@@ -44,15 +46,19 @@
  * @returns The queue of an idle server.
  */
 export function createHangingQueue({slots, places, reportedSlots = slots}: HangingQueueOptions): HangingQueue {
-	const hung: HungRequest[] = [];
+	const hung: Array<HungRequest & {closedAt: number | undefined}> = [];
 	const hungSockets = new WeakSet<Socket>();
 	const waiting: Array<() => void> = [];
 	let running = 0;
 	let toLose = 0;
 
-	const hang = (id: string, socket: Socket, isOwnFault: boolean): void => {
-		hung.push({
-			at: Date.now(), id, isOwnFault, isConnectionHung: hungSockets.has(socket),
+	const recordHang = (id: string, socket: Socket, isOwnFault: boolean): void => {
+		const request: HungRequest & {closedAt: number | undefined} = {
+			at: Date.now(), id, isOwnFault, isConnectionHung: hungSockets.has(socket), closedAt: undefined,
+		};
+		hung.push(request);
+		socket.once('close', () => {
+			request.closedAt = Date.now();
 		});
 		hungSockets.add(socket);
 	};
@@ -63,7 +69,7 @@
 			if (isFull || toLose > 0 || hungSockets.has(socket)) {
 				const isOwnFault = !isFull && toLose > 0;
 				toLose -= isOwnFault ? 1 : 0;
-				hang(id, socket, isOwnFault);
+				recordHang(id, socket, isOwnFault);
 				return false;
 			}
 
--- a/stand-ins/platform-server/platform-server.ts
+++ b/stand-ins/platform-server/platform-server.ts
@@ -141,6 +141,7 @@
 				request, response, body: `page ${request.url}`, notices,
 			});
 			request.resume();
+			admittedBy?.finish();
 			return;
 		}
 
