--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -58,6 +58,8 @@
 	readonly countLimited: ServerSessionContext['countLimited'];
 	/** Returns the name of the route of a request; `undefined` if none matches. */
 	readonly findRouteName: (host: string, target: string) => string | undefined;
+	/** Returns whether the requests of a route may be run twice; false for all requests if omitted. */
+	readonly isRepeatableRoute?: ((host: string, target: string) => boolean) | undefined;
 	/** Bandwidth of this VM's link, in megabits per second. */
 	readonly linkMbps: number;
 	/** Returns the response bytes queued for the link. */
@@ -74,6 +76,8 @@
 	readonly countRequests: () => number;
 	/** Returns the requests per second that the server takes; `undefined` if it names no limit, or if there is no server. */
 	readonly getLimit: () => number | undefined;
+	/** Returns how many requests may be at the server at the same time; `undefined` if there is no server. */
+	readonly getSlotLimit: () => number | undefined;
 	/** Returns how slow the VM of the server was at its last report, as a factor of the usual time; `undefined` if the server does not say, or if there is none. */
 	readonly getSlowness: () => number | undefined;
 	readonly dispose: () => void;
@@ -270,6 +274,7 @@
 		describe: sessions.describe,
 		countRequests: () => requests,
 		getLimit: () => sessions.getSession()?.getLimit(),
+		getSlotLimit: () => sessions.getSession()?.getSlotLimit(),
 		getSlowness: () => sessions.getSession()?.getSlowness(),
 		dispose: sessions.dispose,
 	};
--- a/src/lib/forwarding/response-notices.ts
+++ b/src/lib/forwarding/response-notices.ts
@@ -9,7 +9,7 @@
 import {type SlotPool} from '../admission/slot-pool.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type LoadReports} from '../server-notices/load-reports.js';
-import {readServerLoad} from '../server-notices/server-load.js';
+import {readServerLoad, type ServerLoadReport} from '../server-notices/server-load.js';
 import {type ServerLimiter} from '../server-notices/server-limiter.js';
 import {isLeavingNotice, readServerLimit} from '../server-notices/server-notice.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
@@ -32,17 +32,25 @@
 	readonly loadReports: Pick<LoadReports, 'record'>;
 };
 
+/** Applies what the headers of a response say of its server. @internal */
+export type NoticeReader = {
+	/** Records the load report as soon as the headers have arrived, since it describes that moment. Returns it if the server executed the request. */
+	readonly recordLoad: (headers: IncomingHttpHeaders) => ServerLoadReport | undefined;
+	/** Applies the other notices of a complete response. */
+	readonly recordNotices: (headers: IncomingHttpHeaders) => void;
+};
+
 /**
- * Creates a function that applies the notices in the headers of a response. A response with neither a signature nor a
+ * Creates the reader of the notices of one server. A response with neither a signature nor a
  * refusal may come from another process and changes nothing.
  *
  * @param lifetime - The lifetime of the server.
  * @param targets - The parts of the session that the notices change.
  * @param context - The names of the headers, and the dependencies.
- * @returns The function.
+ * @returns The reader.
  * @internal
  */
-export function createNoticeReader(lifetime: ServerLifetime, {limiter, slots, loadReports}: NoticeTargets, context: ResponseNoticesContext): (headers: IncomingHttpHeaders) => void {
+export function createNoticeReader(lifetime: ServerLifetime, {limiter, slots, loadReports}: NoticeTargets, context: ResponseNoticesContext): NoticeReader {
 	const {headerNames, log} = context;
 
 	/** Applies the limit that a response names. A limit that cannot be read changes nothing. */
@@ -63,36 +71,46 @@
 		}
 	};
 
+	const isFromServer = (headers: IncomingHttpHeaders): boolean => headers[headerNames.signature] !== undefined || headers[headerNames.notRun] !== undefined;
+
 	/** Records the load that a response reports. A load that cannot be read changes nothing. */
-	const recordLoad = (headers: IncomingHttpHeaders): void => {
+	const recordLoad = (headers: IncomingHttpHeaders): ServerLoadReport | undefined => {
+		if (!isFromServer(headers)) {
+			return undefined;
+		}
+
 		const load = readServerLoad(headers, headerNames);
 		if (load.isErr()) {
 			context.refusals.record({
 				kind: 'load-refused', cause: 'unreadable', place: lifetime.id, reason: load.error,
 			});
-			return;
+			return undefined;
 		}
 
 		const report = load.value;
 		if (report === undefined) {
-			return;
+			return undefined;
 		}
 
 		loadReports.record(report, slots.describe().running, readSteadyMs());
 		if (report.slowness !== undefined) {
 			slots.recordSlowness(report.slowness);
 		}
+
+		return headers[headerNames.notRun] === undefined ? report : undefined;
 	};
 
-	return headers => {
-		if (headers[headerNames.signature] === undefined && headers[headerNames.notRun] === undefined) {
-			return;
-		}
+	return {
+		recordLoad,
+		recordNotices(headers) {
+			if (!isFromServer(headers)) {
+				return;
+			}
 
-		recordLimit(headers);
-		recordLoad(headers);
-		if (isLeavingNotice(headers, headerNames)) {
-			context.handleLeaving(lifetime);
-		}
+			recordLimit(headers);
+			if (isLeavingNotice(headers, headerNames)) {
+				context.handleLeaving(lifetime);
+			}
+		},
 	};
 }
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -23,10 +23,12 @@
 import {createCrashWatch} from './crash-watch.js';
 import {runExchange, type ExchangeResponse, type ExchangeFailure} from './exchange.js';
 import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
+import {createHangWatch} from './hang-watch.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
 import {createHalfOpenDetector} from './half-open-detector.js';
 import {createNoticeReader} from './response-notices.js';
 
+export {computeConcurrencyLimit} from '../decisions/concurrency-limit.js';
 export {unreachableBackoffMs} from './convert-exchange.js';
 
 /** A request for the server that holds a slot. @internal */
@@ -68,12 +70,18 @@
 	readonly handleLeaving: (lifetime: ServerLifetime) => void;
 	/** Called when another server responded at the address (status 421). */
 	readonly handleMisdirected: (lifetime: ServerLifetime) => void;
+	/** Returns whether a request may be run twice. */
+	readonly isRepeatable?: ((call: SessionCall) => boolean) | undefined;
+	/** Whether the server may still work on requests of an earlier run of this node. */
+	readonly hasEarlierWork?: boolean;
 };
 
 /** Load and failure rate of the server. @internal */
 export type SessionLoad = SlotLoad & {
 	/** Moving average of the share of failed requests, 0 to 1. */
 	readonly failureShare: number;
+	/** Requests that the server can hold. */
+	readonly slots: number;
 };
 
 /** @internal */
@@ -94,6 +102,8 @@
 	/** Returns how slow the VM of the server was at its last report, as a factor of the usual time; `undefined` if the server does not say. */
 	readonly getSlowness: () => number | undefined;
 	readonly describe: () => SessionLoad;
+	/** Returns how many requests the gate sends to the server at the same time, given-up ones that it may still work on included. */
+	readonly getSlotLimit: () => number;
 	/**
 	 * Records that the server has crashed, because another lifetime replaced it without a leave. Requests lost from then on
 	 * were running at the crash: a node that lags learns of the new lifetime before it reads the closed connections.
@@ -114,20 +124,6 @@
 /** Subtracted from the remaining time that is forwarded to the server: the grace period of the call scope, and the latency to the server. */
 const deadlineMarginMs = deadlineGraceMs + 1;
 
-/** For each group of this many slots, the gate sends one request more than the server executes. The extra request waits at the server for about an eighth of a service time, regardless of its rank. */
-const slotsPerQueuedRequest = 8;
-
-/**
- * Computes how many requests may be at a server at the same time, more than it executes. Without the extra requests a free slot
- * would be idle while its response travels to the gate and the next request to the server, about three milliseconds under
- * load. A request that already waits at the server takes the slot immediately.
- *
- * @param slots - Requests that the server executes concurrently.
- * @returns The maximum number of requests at the server.
- * @internal
- */
-export const computeConcurrencyLimit = (slots: number): number => slots + Math.floor(slots / slotsPerQueuedRequest);
-
 /**
  * Creates the fingerprint by which the quarantine identifies a request.
  *
@@ -154,7 +150,17 @@
 export function openServerSession(announcement: ServerAnnouncement, context: ServerSessionContext): ServerSession {
 	const {headerNames, log} = context;
 	const {lifetime} = announcement;
-	const slots = createSlotPool(computeConcurrencyLimit(announcement.slots));
+	const hangWatch = createHangWatch(announcement.slots, context.hasEarlierWork ?? false, {
+		server: lifetime.id,
+		log,
+		resize(count) {
+			slots.resize(count);
+		},
+		releaseSlot() {
+			slots.release(undefined);
+		},
+	});
+	const slots = createSlotPool(hangWatch.getSlotLimit());
 	const pool = createServerConnectionPool({
 		address: announcement.address, maxConnections: context.maxConnections, idleMs: idleConnectionMs, connectTimeoutMs,
 	});
@@ -166,10 +172,11 @@
 		lifetime, address: announcement.address, log, quarantine: context.quarantine, handleUnreachable: context.handleUnreachable,
 		isEnding: () => isEnded || context.isLeaving(),
 	});
+	const notices = createNoticeReader(lifetime, {limiter, slots, loadReports}, context);
 	const converter = createExchangeConverter({
 		lifetime, headerNames, crashWatch, quarantine: context.quarantine, hasEnded: () => isEnded,
 		handleUnreachable: context.handleUnreachable, handleMisdirected: context.handleMisdirected,
-		recordNotices: createNoticeReader(lifetime, {limiter, slots, loadReports}, context),
+		recordNotices: notices.recordNotices,
 	});
 
 	/** Reports how a request ended at the server, unless the server refused it or the caller left. */
@@ -196,7 +203,8 @@
 		return outcome.type === 'refused' ? createLimitedFailure(outcome.retryAfterMs) : undefined;
 	};
 
-	const send = async (call: SessionCall, body: Uint8Array | undefined): Promise<ForwardResult> => {
+	/** Sends a request that holds a slot. Calls `keepSlot` if the slot is still taken when the request has its result. */
+	const send = async (call: SessionCall, body: Uint8Array | undefined, keepSlot: () => void): Promise<ForwardResult> => {
 		const fingerprint = createCallFingerprint(call, body);
 		const settled = context.quarantine.waitForTrial(fingerprint);
 		if (settled !== undefined) {
@@ -230,6 +238,7 @@
 		}
 
 		const finishRequest = halfOpenDetector.recordRequest(now);
+		const watched = hangWatch.watch({id: call.id, deadlineAt: call.scope.deadlineAt, isRepeatable: () => context.isRepeatable?.(call) ?? false});
 		const sentAt = readAwakeMs();
 		const result = await runExchange({
 			pool, id: call.id, method: call.method, target: call.target, body, scope: call.scope,
@@ -245,8 +254,16 @@
 			},
 			isOwnResponse: createOwnResponseCheck(call.id, headerNames),
 			readCallId: headers => getStringHeader(headers, headerNames.callId),
+			handleHead(headers) {
+				watched.recordResponse(notices.recordLoad(headers));
+			},
+			listenForHang: watched.listenForHang,
 		});
 		finishRequest();
+		if (watched.finish(result)) {
+			keepSlot();
+		}
+
 		admission.end();
 		reportOutcome(call, result, readAwakeMs() - sentAt);
 		if (result.type === 'failed' && result.isSent && result.reason !== 'connection-lost' && result.reason !== 'wrong-answer') {
@@ -260,6 +277,7 @@
 		isEnded = true;
 		slots.close();
 		limiter.close();
+		hangWatch.dispose();
 		pool.renew();
 	};
 
@@ -272,31 +290,37 @@
 			const startedAt = readAwakeMs();
 			const endRun = loadReports.startRun();
 			let result: ForwardResult = createNotRun('cancelled', 'request body did not arrive');
+			let isSlotKept = false;
 			try {
 				const body = await call.readBody();
-				result = await send(call, body);
+				result = await send(call, body, () => {
+					isSlotKept = true;
+				});
 			} catch (error) {
 				result = createNotRun('cancelled', `request body did not arrive: ${(error as Error).message}`);
 			} finally {
-				slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined, endRun());
+				if (!isSlotKept) {
+					slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined, endRun());
+				}
 			}
 
 			return result;
 		},
-		resize(count) {
-			slots.resize(computeConcurrencyLimit(count));
-		},
+		resize: hangWatch.announceSlots,
 		suggestLimit: limiter.suggest,
 		refuseLimited({callerService, rank, mayWaitMs}) {
 			const waitMs = limiter.refuseLate({caller: callerService, rank, mayWaitMs});
 			return waitMs === undefined ? undefined : createLimitedFailure(waitMs);
 		},
 		getLimit: limiter.getLimit,
+		getSlotLimit: hangWatch.getSlotLimit,
 		getLoadReport: () => loadReports.getLatest(readSteadyMs()),
 		getSlowness: slots.getSlowness,
 		describe() {
 			const load = slots.describe();
-			return {...load, running: load.running + loadReports.countUnknownRequests(readSteadyMs()), failureShare: converter.getFailureShare()};
+			return {
+				...load, running: load.running + loadReports.countUnknownRequests(readSteadyMs()), failureShare: converter.getFailureShare(), slots: hangWatch.getCapacity(),
+			};
 		},
 		recordCrash: crashWatch.recordCrash,
 		retire: stopAccepting,
