Load reports: usable

Entries hear how slow a VM is up to 0.4 s after it changed, and VMs change every 0.6 s, so the choice of the entry alone hardly avoids slow ones. An entry now tells the gate how slow the server may be: 1.3 times as slow as the entry expects, and at least 1.15 times its average. A slower server's gate turns the request away as not run (`slow`, logged at debug level), with its present load; the request goes to the next server. Two gates may do so; the third one takes the request. Nothing is sent where servers report nothing.

The model has VMs whose speed is drawn anew every 0.6 s, failure domains that take turns at their peak, heavy requests and links; it samples servers as nodes do (decisions/list-sample.ts, moved out of list-candidates.ts).

Tests: decisions, forwarding, sidecar, admission, platform sidecar and server-limits, model.

--- a/bench/experiment/entry.ts
+++ b/bench/experiment/entry.ts
@@ -4,14 +4,14 @@
  *
  * @module
  */
-import {
-	toAddress, toBackendServerId, toFailureDomain, toNodeId,
-} from '../../src/lib/common/ids.js';
-import {toLifetimeKey} from '../../src/lib/common/server-lifetime.js';
+import {toAddress, toFailureDomain} from '../../src/lib/common/ids.js';
 import {computeRank} from '../../src/lib/decisions/call-rank.js';
 import {mayTryAnotherGate, planAttempt, type CallState} from '../../src/lib/decisions/plan-attempt.js';
-import {rankServers, type Candidate} from '../../src/lib/decisions/rank-servers.js';
+import {type Candidate} from '../../src/lib/decisions/rank-servers.js';
+import {listSample} from '../../src/lib/decisions/list-sample.js';
 import {type RetryReason} from '../../src/lib/decisions/mesh-retry-budget.js';
+import {isBulk} from '../../src/lib/route-config/route-config.js';
+import {computeMaxResponseWaitMs} from '../../src/lib/decisions/link-demand.js';
 import {maxFreeLimitRefusals} from '../../src/lib/forwarding/call-progress.js';
 import {type ModelServer} from './model-server.js';
 import {type RequestKind} from './pattern.js';
@@ -35,22 +35,41 @@
 /** Runs a request that holds a slot, and reports whether it was answered. */
 export type RunAtServer = (request: EntryRequest, server: ModelServer, handleRun: (isAnswered: boolean) => void) => void;
 
-function listCandidates({servers, nodes, policy, events, listActiveDisturbances, isAffected}: Simulation, node: number, kind: RequestKind): readonly Candidate[] {
+const gate = toAddress('10.0.0.1:1');
+
+/** Lists the servers that an entry node may choose, sampled as real nodes do. */
+function listCandidates({getServers, nodes, events, random, listActiveDisturbances, isAffected}: Simulation, node: number, kind: RequestKind): readonly Candidate[] {
+	const now = events.getNow();
 	const goneDisturbances = listActiveDisturbances('gone');
-	return servers.filter(server => server.service === kind.service && !goneDisturbances.some(disturbance => isAffected(disturbance, server))).map(server => {
-		const id = toBackendServerId(server.id);
-		const lifetime = toLifetimeKey({id, startedAt: 0});
-		const view = nodes[node]!.loads.get(lifetime, kind.name);
+	const lostDomains = new Set(listActiveDisturbances('domain-lost').map(({domain}) => `d${domain}`));
+	const own = nodes[node]!;
+
+	const describe = (server: ModelServer): Candidate | undefined => {
+		const {domain} = nodes[server.node]!;
+		if (lostDomains.has(domain) || goneDisturbances.some(disturbance => isAffected(disturbance, server))) {
+			return undefined;
+		}
+
 		const isLocal = server.node === node;
+		const view = own.loads.get(server.lifetime, kind.name, now);
+		const {slowness = 1, ...load} = server.getLoad();
 		return {
-			id, lifetime, node: toNodeId(`n${server.node}`), gate: toAddress('10.0.0.1:1'), domain: toFailureDomain(nodes[server.node]!.domain), isLocal, slots: server.slots, isCold: false,
+			id: server.id, lifetime: server.lifetime, node: nodes[server.node]!.id, gate, domain: toFailureDomain(domain), isLocal, slots: server.slots, isCold: false,
 			view: isLocal
 				? {
-					...view, ...server.getLoad(), ownInFlight: 0, ownInFlightAtReport: 0, reportedAt: events.getNow(),
+					...view, ...load, serviceMs: load.serviceMs * slowness, ownInFlight: 0, ownInFlightAtReport: 0, reportedAt: now,
 				}
 				: view,
 		};
-	});
+	};
+
+	const {local, ownDomain, otherDomains} = getServers(node, kind.service);
+	const listNear = (list: readonly ModelServer[]): readonly Candidate[] => listSample(list, describe, random, now);
+	return [
+		...listNear(local),
+		...listNear(ownDomain),
+		...listNear(otherDomains),
+	];
 }
 
 /**
@@ -61,7 +80,7 @@
  * @param runAtServer - Runs the request once it has a slot.
  */
 export function sendEntryRequest(simulation: Simulation, request: EntryRequest, runAtServer: RunAtServer): void {
-	const {policy, events, random, servers, listActiveDisturbances} = simulation;
+	const {policy, events, random, servers, nodes, listActiveDisturbances} = simulation;
 	const {kind} = request;
 	const node = simulation.nodes[request.node]!;
 	const route = simulation.getRoute(kind.name);
@@ -71,6 +90,7 @@
 	const history = {tried: new Set<Candidate['lifetime']>(), full: new Set<Candidate['lifetime']>(), refusals: 0};
 	let serverAttempts = 0;
 	let limitRefusals = 0;
+	let slowRefusals = 0;
 	let minimumWaitMs = Number.POSITIVE_INFINITY;
 	node.retryBudget.recordRequest(kind.service, isNestedCall, receivedAt);
 
@@ -81,7 +101,7 @@
 	};
 
 	const getCallState = (): CallState => ({
-		targetLatencyMs: kind.targetLatencyMs, ageMs: ageMs + events.getNow() - receivedAt, leftMs: getLeftMs(), isNestedCall, isBulk: false,
+		targetLatencyMs: kind.targetLatencyMs, ageMs: ageMs + events.getNow() - receivedAt, leftMs: getLeftMs(), isNestedCall, isBulk: isBulk(route.type),
 	});
 
 	const tryNextGate = (): void => {
@@ -90,7 +110,7 @@
 		}
 
 		const callState = getCallState();
-		const ranked = rankServers(listCandidates(simulation, request.node, kind), {domain: toFailureDomain(node.domain), random, ...policy.computeThresholds(route, isNestedCall, callState.ageMs)});
+		const ranked = policy.rank(listCandidates(simulation, request.node, kind), {domain: toFailureDomain(node.domain), random, ...policy.computeThresholds(route, isNestedCall, callState.ageMs)});
 		const plan = planAttempt(callState, history, ranked, policy, events.getNow());
 		if (plan.type !== 'send') {
 			refuse(plan.type === 'refuse' ? plan.waitMs : 0, plan.type === 'refuse');
@@ -101,12 +121,13 @@
 	};
 
 	/** Sends the answer of a gate to the entry node, with the load of the server. */
-	const sendAnswer = (server: ModelServer, target: Candidate, handle: () => void): void => {
-		const oneWayMs = simulation.getOneWayMs(server.node, request.node);
+	const sendAnswer = (server: ModelServer, target: Candidate, linkMs: number, handle: () => void): void => {
+		const oneWayMs = simulation.getOneWayMs(server.node, request.node) + linkMs;
+		const load = server.getLoad();
 		events.schedule(oneWayMs, () => {
 			node.loads.recordEnd(target.lifetime);
-			node.loads.recordReport(target.lifetime, server.getLoad(), events.getNow());
-			node.loads.recordRoundTrip(target.lifetime, kind.name, oneWayMs * 2);
+			node.loads.recordReport(target.lifetime, load, events.getNow());
+			node.loads.recordRoundTrip(target.lifetime, kind.name, (oneWayMs * 2) - linkMs);
 			handle();
 		});
 	};
@@ -115,7 +136,7 @@
 		minimumWaitMs = Math.min(minimumWaitMs, retryAfterMs);
 		history.refusals++;
 		(mayWaitMs === 0 ? history.full : history.tried).add(target.lifetime);
-		if (mayTryAnotherGate({isBulk: false}, history.refusals)) {
+		if (mayTryAnotherGate({isBulk: isBulk(route.type)}, history.refusals)) {
 			tryNextGate();
 		} else {
 			refuse(retryAfterMs, true);
@@ -151,7 +172,12 @@
 	const run = (server: ModelServer, target: Candidate, handleFinish: (isAnswered: boolean) => void): void => {
 		runAtServer(request, server, isAnswered => {
 			handleFinish(isAnswered);
-			sendAnswer(server, target, () => {
+			if (isAnswered && nodes[server.node]!.domain !== node.domain) {
+				simulation.counts.get(kind.name)!.crossDomainBytes += kind.bytes ?? 0;
+			}
+
+			const linkMs = isAnswered && kind.type === 'download' && !target.isLocal ? server.sendLarge(kind.bytes ?? 0) : 0;
+			sendAnswer(server, target, linkMs, () => {
 				if (isAnswered) {
 					node.loads.recordLimit(target.lifetime, server.getLimit());
 					request.handleResult({type: 'answered'});
@@ -164,26 +190,34 @@
 
 	const requestSlot = (server: ModelServer, target: Candidate, mayWaitMs: number): void => {
 		if (listActiveDisturbances('shedding').some(shedding => shedding.service === kind.service && random() < shedding.share)) {
-			sendAnswer(server, target, () => {
+			sendAnswer(server, target, 0, () => {
 				handleServerFailure(target, 'turned-away');
 			});
 			return;
 		}
 
 		server.requestSlot({
+			maxSlowness: target.isLocal ? undefined : policy.computeMaxSlowness(target.view, slowRefusals, events.getNow()),
+			handleSlow() {
+				sendAnswer(server, target, 0, () => {
+					slowRefusals++;
+					tryNextGate();
+				});
+			},
 			rank: computeRank(route),
 			mayWaitMs,
 			deadlineAt: events.getNow() + getLeftMs(),
+			largeResponse: kind.type === 'download' && !target.isLocal ? {bytes: kind.bytes ?? 0, mayWaitMs: computeMaxResponseWaitMs(getCallState(), target)} : undefined,
 			run(handleFinish) {
 				run(server, target, handleFinish);
 			},
 			handleFull(retryAfterMs) {
-				sendAnswer(server, target, () => {
+				sendAnswer(server, target, 0, () => {
 					handleFull(target, mayWaitMs, retryAfterMs);
 				});
 			},
 			handleLimited(retryAfterMs) {
-				sendAnswer(server, target, () => {
+				sendAnswer(server, target, 0, () => {
 					handleLimited(target, mayWaitMs, retryAfterMs);
 				});
 			},
@@ -191,7 +225,7 @@
 	};
 
 	const send = (target: Candidate, mayWaitMs: number): void => {
-		const server = servers.find(({id}) => id === target.id)!;
+		const server = servers.find(({lifetime}) => lifetime === target.lifetime)!;
 		node.loads.recordStart(target.lifetime);
 		events.schedule(simulation.getOneWayMs(request.node, server.node), () => {
 			requestSlot(server, target, mayWaitMs);
--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -6,13 +6,13 @@
  */
 import {writeFileSync} from 'node:fs';
 import process from 'node:process';
-import {mean, sampleStandardDeviation} from 'simple-statistics';
+import {mean, quantile, sampleStandardDeviation} from 'simple-statistics';
 import {formatMarkdown} from '../statistics.js';
 import {runPattern} from './mesh-model.js';
 import {patterns, type Pattern} from './pattern.js';
 import {policies, type Policy} from './policy.js';
 import {renderPlot} from './plot.js';
-import {type KindCounts, type OutcomeCounts} from './outcome-counts.js';
+import {type CountedField, type OutcomeCounts} from './outcome-counts.js';
 
 /** Command line options. */
 export type ExperimentOptions = {
@@ -64,15 +64,19 @@
 	return parts.length === 0 ? items : items.filter(({name}) => parts.some(part => name.includes(part)));
 }
 
-function sumKind(countsBySeed: readonly OutcomeCounts[], name: string, field: keyof KindCounts): number {
+function sumKind(countsBySeed: readonly OutcomeCounts[], name: string, field: CountedField): number {
 	return countsBySeed.reduce((sum, counts) => sum + counts.get(name)![field], 0);
 }
 
 const formatShare = (part: number, whole: number): string => whole === 0 ? '–' : (part / whole).toFixed(3);
 
+const formatQuantile = (latencies: readonly number[], share: number): string => latencies.length === 0 ? '–' : quantile([...latencies], share).toFixed(0);
+
 function formatKinds({pattern, policy, countsBySeed}: ExperimentResult): ReadonlyArray<readonly string[]> {
-	return pattern.kinds.map(({name}) => {
-		const sum = (field: keyof KindCounts): number => sumKind(countsBySeed, name, field);
+	return pattern.kinds.map(kind => {
+		const {name} = kind;
+		const latencies = countsBySeed.flatMap(counts => counts.get(name)!.latencies);
+		const sum = (field: CountedField): number => sumKind(countsBySeed, name, field);
 		const requests = sum('requests');
 		return [
 			pattern.name,
@@ -85,11 +89,15 @@
 			formatShare(sum('refusedLate'), requests),
 			formatShare(sum('failed'), requests),
 			formatShare(sum('wastedSlotMs'), sum('slotMs')),
+			formatQuantile(latencies, 0.5),
+			formatQuantile(latencies, 0.99),
+			(sum('crossDomainBytes') / 1_000_000 / countsBySeed.length).toFixed(1),
+			formatShare(sum('slotMs'), (pattern.durationMs) * countsBySeed.length * (pattern.services.find(service => service.name === kind.service)!.slots * pattern.services.find(service => service.name === kind.service)!.speeds.length)),
 		];
 	});
 }
 
-const kindHeader = ['pattern', 'rules', 'kind', 'asked', 'in time', 'late', 'refused at once', 'refused later', 'failed', 'slot time nobody got'];
+const kindHeader = ['pattern', 'rules', 'kind', 'asked', 'in time', 'late', 'refused at once', 'refused later', 'failed', 'slot time nobody got', 'p50 ms', 'p99 ms', 'MB between domains', 'share of slots'];
 
 /** Compares each set of rules with the first one, seed by seed. */
 function formatComparison(results: readonly ExperimentResult[]): ReadonlyArray<readonly string[]> {
--- a/bench/experiment/mesh-model.ts
+++ b/bench/experiment/mesh-model.ts
@@ -9,8 +9,6 @@
  * @module
  */
 import {randomExponential, randomLogNormal} from 'd3-random';
-import {toBackendServerId} from '../../src/lib/common/ids.js';
-import {toLifetimeKey} from '../../src/lib/common/server-lifetime.js';
 import {sendEntryRequest, type EntryRequest, type EntryResult} from './entry.js';
 import {type ModelServer} from './model-server.js';
 import {type Pattern, type RequestKind} from './pattern.js';
@@ -30,17 +28,34 @@
 /** Maximum work of a request, as a multiple of the mean. */
 const maximumWorkFactor = 6;
 
+/** Returns the work of a request at a server, in milliseconds at the usual speed of its VM. */
 function pickWorkMs({random, listActiveDisturbances, isAffected}: Simulation, kind: RequestKind, server: ModelServer): number {
 	const mean = Math.log(kind.workMs) - ((kind.workSpread ** 2) / 2);
 	const work = Math.min(randomLogNormal.source(random)(mean, kind.workSpread)(), kind.workMs * maximumWorkFactor);
 	const slowness = listActiveDisturbances('slow').filter(disturbance => isAffected(disturbance, server)).reduce((product, disturbance) => product * disturbance.factor, 1);
-	return work * slowness / server.speed;
+	const heavyFactor = kind.heavy !== undefined && random() < kind.heavy.share ? kind.heavy.factor : 1;
+	return work * heavyFactor * slowness / server.speed;
+}
+
+/** Returns how long work takes that starts now, while the speed of the VM changes. */
+function computeDurationMs({events, getSlowness, getNextChange}: Simulation, workMs: number, {node}: ModelServer): number {
+	const startedAt = events.getNow();
+	let now = startedAt;
+	for (let left = workMs; left > 0;) {
+		const slowness = getSlowness(node, now);
+		const doneMs = Math.min(left, (getNextChange(now) - now) / slowness);
+		left -= doneMs;
+		now += doneMs * slowness;
+	}
+
+	return now - startedAt;
 }
 
 function countResult({counts}: Simulation, kind: RequestKind, result: EntryResult, tookMs: number, heldMs: number): void {
 	const kindCounts = counts.get(kind.name)!;
 	switch (result.type) {
 		case 'answered': {
+			kindCounts.latencies.push(tookMs);
 			kindCounts[tookMs <= kind.targetLatencyMs ? 'inTime' : 'late']++;
 			break;
 		}
@@ -121,7 +136,7 @@
 	/** Runs a request at a server: its work, and then its nested calls. The request holds its slot until they end. */
 	const runAtServer = (request: EntryRequest, server: ModelServer, handleRun: (isAnswered: boolean) => void): void => {
 		const startedAt = events.getNow();
-		events.schedule(pickWorkMs(simulation, request.kind, server), () => {
+		events.schedule(computeDurationMs(simulation, pickWorkMs(simulation, request.kind, server), server), () => {
 			sendCalls(request, server.node, isAnswered => {
 				const kindCounts = counts.get(request.kind.name)!;
 				const tookMs = events.getNow() - startedAt;
@@ -150,11 +165,25 @@
 	return startRequest;
 }
 
+/** Picks the node of a caller: in each failure domain in proportion to its demand, and in none that is lost. */
+function pickEntryNode({random, nodes, pattern, events, listActiveDisturbances}: Simulation): number {
+	const lost = listActiveDisturbances('domain-lost');
+	const {domains, swing} = pattern;
+	for (;;) {
+		const node = Math.floor(random() * nodes.length);
+		const demand = swing === undefined ? 1 : 1 + (swing.share * Math.sin(2 * Math.PI * ((events.getNow() / swing.periodMs) + (node % domains / domains))));
+		const isPicked = swing === undefined || random() * (1 + swing.share) < demand;
+		if (isPicked && !lost.some(({domain}) => domain === node % domains)) {
+			return node;
+		}
+	}
+}
+
 /** Starts one caller, which retries a refused request, and a failed one if it is retryable. */
 function startCaller(simulation: Simulation, kind: RequestKind, startRequest: StartEntryRequest): void {
 	const {events, random, pattern, counts} = simulation;
 	const startedAt = events.getNow();
-	const node = Math.floor(random() * simulation.nodes.length);
+	const node = pickEntryNode(simulation);
 	const isImpatient = simulation.listActiveDisturbances('impatient').some(({share}) => random() < share);
 	const isCounted = startedAt > warmUpMs;
 	counts.get(kind.name)!.requests += isCounted ? 1 : 0;
@@ -204,7 +233,7 @@
 		const report = server.getLoad();
 		for (const [index, node] of nodes.entries()) {
 			events.schedule(simulation.getOneWayMs(server.node, index), () => {
-				node.loads.recordReport(toLifetimeKey({id: toBackendServerId(server.id), startedAt: 0}), report, events.getNow());
+				node.loads.recordReport(server.lifetime, report, events.getNow());
 			});
 		}
 
--- a/bench/experiment/outcome-counts.ts
+++ b/bench/experiment/outcome-counts.ts
@@ -17,8 +17,15 @@
 	/** Milliseconds for which requests held slots, and the part of requests that were not answered or that had ended before. */
 	slotMs: number;
 	wastedSlotMs: number;
+	/** Bytes of bodies and responses between failure domains. */
+	crossDomainBytes: number;
+	/** Latencies of the answered requests, in milliseconds. */
+	readonly latencies: number[];
 };
 
+/** The fields that are numbers. */
+export type CountedField = Exclude<keyof KindCounts, 'latencies'>;
+
 /** Counts by kind of request. */
 export type OutcomeCounts = ReadonlyMap<string, KindCounts>;
 
@@ -31,6 +38,6 @@
  */
 export function createOutcomeCounts(names: readonly string[]): OutcomeCounts {
 	return new Map(names.map(name => [name, {
-		requests: 0, inTime: 0, late: 0, refusedAtOnce: 0, refusedLate: 0, failed: 0, slotMs: 0, wastedSlotMs: 0,
+		requests: 0, inTime: 0, late: 0, refusedAtOnce: 0, refusedLate: 0, failed: 0, slotMs: 0, wastedSlotMs: 0, crossDomainBytes: 0, latencies: [],
 	}]));
 }
--- a/bench/experiment/pattern.ts
+++ b/bench/experiment/pattern.ts
@@ -35,6 +35,12 @@
 	readonly retries: number;
 	readonly isRetryable: boolean;
 	readonly calls: readonly CallPlan[];
+	/** Share of the requests that take several times the work; none if omitted. */
+	readonly heavy?: {readonly share: number; readonly factor: number};
+	/** Whether the body or the response is large; `safe` or `unsafe`, by `isRetryable`, if omitted. */
+	readonly type?: 'download' | 'upload';
+	/** Bytes of the body and the response together; 0 if omitted. */
+	readonly bytes?: number;
 };
 
 /** A service and its servers. */
@@ -55,6 +61,8 @@
 	| {readonly type: 'shedding'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number}
 	/** A share of the servers of a service is missing. */
 	| {readonly type: 'gone'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number}
+	/** All servers of a failure domain are missing, and its callers use the nodes of the others. */
+	| {readonly type: 'domain-lost'; readonly fromMs: number; readonly toMs: number; readonly domain: number}
 	/** A share of the servers of a service names a limit, in requests per second. */
 	| {readonly type: 'limited'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number; readonly perSecond: number}
 	/** A share of the callers ignores the retry delay of a refusal and retries immediately. */
@@ -74,6 +82,14 @@
 	readonly services: readonly ServicePlan[];
 	readonly kinds: readonly RequestKind[];
 	readonly disturbances: readonly Disturbance[];
+	/** The VMs are shared with other work: a share of them, drawn anew every `everyMs`, takes longer by a factor. */
+	readonly sharedVms?: {readonly share: number; readonly factor: number; readonly everyMs: number};
+	/** Whether servers report their load and slowness in responses. */
+	readonly hasLoadReports?: boolean;
+	/** The demand of each failure domain swings by a share, with a phase shift between domains. */
+	readonly swing?: {readonly share: number; readonly periodMs: number};
+	/** Capacity of the link of each server's VM in megabits per second, repeated; unlimited if omitted. */
+	readonly linkMbps?: readonly number[];
 };
 
 const fillSpeeds = (speeds: readonly number[], count: number): readonly number[] => Array.from({length: count}, (_, index) => speeds[index % speeds.length] ?? 1);
@@ -169,6 +185,35 @@
 	};
 }
 
+/** Servers that differ in speed and momentary slowness, and failure domains that take turns at their peak. */
+function createUnevenPattern(name: string, load: number, disturbances: readonly Disturbance[]): Pattern {
+	const common = {...commonKindFields, heavy: {share: 0.03, factor: 7}};
+	const speeds = [0.55, 1.15, 0.85, 1.4, 0.7, 1, 1.3];
+	return {
+		name, durationMs: 20_000, domains: 3, crossDomainOneWayMs: 1.4, callerOneWayMs: 1, forwardingMs: 3, disturbances,
+		sharedVms: {share: 0.15, factor: 2.5, everyMs: 600}, hasLoadReports: true, swing: {share: 0.55, periodMs: 15_000}, linkMbps: [10, 15, 12],
+		services: [
+			{name: 'logs', slots: 6, speeds: fillSpeeds(speeds, 50)},
+			{name: 'releases', slots: 6, speeds: fillSpeeds(speeds, 15)},
+		],
+		kinds: [
+			{
+				...common, name: 'log', service: 'logs', perSecond: 740 * load, workMs: 130, workSpread: 0.5, targetLatencyMs: 632, deadlineMs: 4000, timeoutMs: 2000, bytes: 3000,
+			},
+			{
+				...common, name: 'status', service: 'logs', perSecond: 450 * load, workMs: 42, workSpread: 0.4, targetLatencyMs: 231, deadlineMs: 1500, timeoutMs: 1000, bytes: 1000,
+			},
+			{
+				...common, name: 'download', service: 'logs', perSecond: 300 * load, workMs: 150, workSpread: 0.5, targetLatencyMs: 893, deadlineMs: 5000, timeoutMs: 3000, type: 'download', bytes: 90_000,
+			},
+			{
+				...common, name: 'publish', service: 'releases', perSecond: 290 * load, workMs: 150, workSpread: 0.4, targetLatencyMs: 754, deadlineMs: 5000, timeoutMs: 3000,
+				priority: 1, worth: 2, lateWorth: 0.4, isRetryable: false, bytes: 6000,
+			},
+		],
+	};
+}
+
 /** The patterns that `npm run experiment` can run. */
 export const patterns: readonly Pattern[] = [
 	createTieredPattern('calm', 0.7, []),
@@ -202,4 +247,11 @@
 	}]),
 	createLongWorkPattern(1),
 	{...createLongWorkPattern(1.3), name: 'long work, overload'},
+	createUnevenPattern('uneven servers, calm', 0.9, []),
+	createUnevenPattern('uneven servers, full', 1.25, []),
+	createUnevenPattern('uneven servers, overload', 1.5, []),
+	createUnevenPattern('uneven servers, domain lost', 0.75, [{
+		type: 'domain-lost', fromMs: 7000, toMs: 13_000, domain: 1,
+	}]),
+	{...createUnevenPattern('uneven servers, no reports', 1.25, []), hasLoadReports: false},
 ];
--- a/bench/experiment/plot.ts
+++ b/bench/experiment/plot.ts
@@ -7,7 +7,7 @@
 import {scaleBand, scaleLinear} from 'd3-scale';
 import {stack} from 'd3-shape';
 import {type ExperimentResult} from './experiment.js';
-import {type KindCounts} from './outcome-counts.js';
+import {type CountedField} from './outcome-counts.js';
 
 const outcomes = ['inTime', 'late', 'refusedAtOnce', 'refusedLate', 'failed'] as const;
 const colours: Readonly<Record<typeof outcomes[number], string>> = {
@@ -26,7 +26,7 @@
 
 function createBar({pattern, policy, countsBySeed}: ExperimentResult): Bar {
 	const callers = pattern.kinds.filter(({perSecond}) => perSecond > 0);
-	const sum = (field: keyof KindCounts): number => countsBySeed.reduce((total, counts) => total + callers.reduce((kinds, {name}) => kinds + counts.get(name)![field], 0), 0);
+	const sum = (field: CountedField): number => countsBySeed.reduce((total, counts) => total + callers.reduce((kinds, {name}) => kinds + counts.get(name)![field], 0), 0);
 	const requests = Math.max(1, sum('requests'));
 	return {
 		name: `${pattern.name}: ${policy.name}`, inTime: sum('inTime') / requests, late: sum('late') / requests, refusedAtOnce: sum('refusedAtOnce') / requests,
--- a/bench/experiment/policy.ts
+++ b/bench/experiment/policy.ts
@@ -4,8 +4,12 @@
  *
  * @module
  */
+import {computeMaxSlowness} from '../../src/lib/decisions/slow-server.js';
 import {computeRetryAfterMs} from '../../src/lib/decisions/retry-after.js';
 import {computeRankingThresholds} from '../../src/lib/decisions/ranking-thresholds.js';
+import {shuffleList} from '../../src/lib/common/shuffle-list.js';
+import {estimateOutstanding} from '../../src/lib/decisions/load-view.js';
+import {rankServers, type Candidate, type RankingContext} from '../../src/lib/decisions/rank-servers.js';
 import {
 	computeMaxWaitMs, standardRules, type CallState, type ComputeMaxWaitMs,
 } from '../../src/lib/decisions/plan-attempt.js';
@@ -24,6 +28,10 @@
 	readonly areLimitsAvoided: boolean;
 	readonly computeRetryDelayMs: typeof computeRetryAfterMs;
 	readonly computeThresholds: typeof computeRankingThresholds;
+	/** Whether gates and entries use the load reports of servers. */
+	readonly usesLoadReports: boolean;
+	readonly rank: typeof rankServers;
+	readonly computeMaxSlowness: typeof computeMaxSlowness;
 };
 
 /** Allows a wait of a share of the target latency, or of the time left if that is longer, whether or not an answer can be in time. */
@@ -50,14 +58,49 @@
 /** Creates a rule that delays retries by at least a share of the target latency, with jitter. */
 const delayByShare = (share: number): typeof computeRetryAfterMs => ({waitMs, targetLatencyMs}, random) => Math.max(waitMs, targetLatencyMs * share) * (1 + (0.5 * random()));
 
+/** Expected completion: the work ahead over the slots, and the own service time, without regard to fast enough. */
+function estimateCompletionMs({view, slots, isLocal, domain}: Candidate, context: RankingContext): number {
+	const serviceMs = view.serviceMs === 0 ? 60 : view.serviceMs;
+	const ahead = Math.max(0, estimateOutstanding(view) + 1 - slots);
+	const penaltyMs = isLocal ? 0 : (domain === context.domain ? context.otherNodePenaltyMs * 0.2 : context.crossDomainPenaltyMs);
+	return serviceMs + (ahead * serviceMs / slots * 2) + (serviceMs * view.failureShare * 4) + view.roundTripMs + penaltyMs;
+}
+
+/** Compares a few random servers by expected completion. */
+const rankByChoices = (near: number, far: number): typeof rankServers => (candidates, context) => {
+	const shuffled = shuffleList(candidates, context.random);
+	let nearLeft = near;
+	let farLeft = far;
+	return shuffled.map(candidate => {
+		const isNear = candidate.isLocal || candidate.domain === context.domain;
+		const isCompared = isNear ? nearLeft-- > 0 : farLeft-- > 0;
+		return {candidate, isOther: Number(!isCompared), ms: estimateCompletionMs(candidate, context)};
+	}).toSorted((left, right) => left.isOther - right.isOther || left.ms - right.ms).map(({candidate}) => candidate);
+};
+
+/** Draws servers in proportion to the square of their speed, those with the lower penalty first. */
+const rankByWeight: typeof rankServers = (candidates, context) => candidates
+	.map(candidate => ({candidate, key: -Math.log(1 - context.random()) * (estimateCompletionMs(candidate, context) ** 2)}))
+	.toSorted((left, right) => left.key - right.key).map(({candidate}) => candidate);
+
 const standard: Policy = {
 	name: 'standard', computeMaxWaitMs, immediateTries: standardRules.immediateTries, maximumWaitFactor: 2, areCallsKnown: true, areLimitsAvoided: true,
-	computeRetryDelayMs: computeRetryAfterMs, computeThresholds: computeRankingThresholds,
+	computeRetryDelayMs: computeRetryAfterMs, computeThresholds: computeRankingThresholds, usesLoadReports: true, rank: rankServers, computeMaxSlowness,
 };
 
 /** The sets of rules that can be compared. The first one is that of real nodes. */
 export const policies: readonly Policy[] = [
 	standard,
+	{...standard, name: 'load reports not used', usesLoadReports: false},
+	{...standard, name: 'slow servers do not turn away', computeMaxSlowness: () => undefined},
+	{
+		...standard, name: 'two choices', rank: rankByChoices(2, 1), computeMaxSlowness: () => undefined,
+	},
+	{...standard, name: 'two choices, turned away', rank: rankByChoices(2, 1)},
+	{
+		...standard, name: 'weighted by speed', rank: rankByWeight, computeMaxSlowness: () => undefined,
+	},
+	{...standard, name: 'weighted by speed, turned away', rank: rankByWeight},
 	{...standard, name: 'waits by share of the time left', computeMaxWaitMs: computeWaitByShare},
 	{...standard, name: 'late calls wait too', computeMaxWaitMs: computeLateWait},
 	{...standard, name: 'waits as long as in time', computeMaxWaitMs: computeInTimeWait},
--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -7,6 +7,7 @@
 import {type LifetimeKey} from '../common/server-lifetime.js';
 import {mergeVerdicts, type Verdict} from '../common/verdict.js';
 import {type AttemptHistory} from '../decisions/plan-attempt.js';
+import {maxSlowRefusals} from '../decisions/slow-server.js';
 import {type AttemptRecord} from '../timeline/mesh-log.js';
 import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
 import {type CallOutcome} from './outgoing-call.js';
@@ -14,6 +15,8 @@
 
 /** @internal */
 export type CallProgress = AttemptHistory & {
+	/** Number of gates that turned the call away since their servers were slow. */
+	readonly slowRefusals: number;
 	/** Returns the verdict over all attempts that have ended. */
 	readonly getVerdict: () => Verdict;
 	/** Returns how many ended attempts reached a backend server. */
@@ -71,6 +74,7 @@
 	let arrivals = 0;
 	let refusals = 0;
 	let limitRefusals = 0;
+	let slowRefusals = 0;
 	/** The shortest retry delay that a gate returned, in milliseconds; 0 if none did. */
 	let retryAfterMs = 0;
 	let fallback: ForwardResult = createNotRun('no-server', `no backend server of ${service} is known that could take the request`);
@@ -86,8 +90,13 @@
 		}
 	};
 
-	/** The first refusals by limits are not counted: they are rare, since this node avoids the server for a while, and the next server is likely to have room. */
+	/** The first refusals by limits are not counted: they are rare, since this node avoids the server for a while, and the next server is likely to have room. Nor are the few by slow servers, which have room. */
 	const isFreeRefusal = (result: ForwardResult): boolean => {
+		if (result.type === 'failed' && result.reason === 'slow') {
+			slowRefusals++;
+			return slowRefusals <= maxSlowRefusals;
+		}
+
 		if (result.type === 'answered' || result.reason !== 'limited') {
 			return false;
 		}
@@ -104,6 +113,9 @@
 		get refusals() {
 			return refusals;
 		},
+		get slowRefusals() {
+			return slowRefusals;
+		},
 		getVerdict: () => verdict,
 		countArrivals: () => arrivals,
 		getFallback: () => fallback,
@@ -118,6 +130,11 @@
 				full.add(target.lifetime);
 			}
 
+			// The call may return to a slow server: every other one may be slower, or busy.
+			if (result.type === 'failed' && result.reason === 'slow') {
+				tried.delete(target.lifetime);
+			}
+
 			arrivals += hasArrived(result) ? 1 : 0;
 			refusals += hasArrived(result) || isFreeRefusal(result) ? 0 : 1;
 			mergeResult(result);
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -12,6 +12,8 @@
 	| 'full'
 	/** The limit that the backend server named does not let the request start in time. */
 	| 'limited'
+	/** The VM of the backend server has become slow, and another server may be faster. */
+	| 'slow'
 	/** The backend server or its node is draining. */
 	| 'draining'
 	/** The backend server no longer runs beside that node. */
@@ -38,7 +40,7 @@
 	| 'superseded';
 
 const reasons: readonly ForwardReason[] = [
-	'full', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'unauthorized', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
+	'full', 'limited', 'slow', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'unauthorized', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
 ];
 
 /** @internal */
--- a/src/lib/forwarding/gate-load.test.ts
+++ b/src/lib/forwarding/gate-load.test.ts
@@ -23,7 +23,8 @@
 type Fixture = {
 	readonly gate: LocalGate;
 	/** Sends a request, to which the server responds with the given headers in addition to the id of the call. */
-	readonly send: (headers: Readonly<Record<string, string>>) => Promise<GateResult>;
+	readonly send: (headers: Readonly<Record<string, string>>, maxSlowness?: number) => Promise<GateResult>;
+	readonly countArrived: () => number;
 	/** Reasons of the refused input. */
 	readonly refused: string[];
 };
@@ -31,7 +32,9 @@
 async function createFixture(context: TestContext): Promise<Fixture> {
 	let headers: Readonly<Record<string, string>> = {};
 	const refused: string[] = [];
+	let arrived = 0;
 	const server = createServer((request, response) => {
+		arrived++;
 		response.writeHead(200, {...headers, [headerNames.callId]: String(request.headers[headerNames.callId])}).end('page');
 	});
 	await new Promise<void>(resolve => {
@@ -54,13 +57,13 @@
 		server.closeAllConnections();
 	});
 	return {
-		gate, refused, async send(responseHeaders) {
+		gate, refused, countArrived: () => arrived, async send(responseHeaders, maxSlowness) {
 			headers = responseHeaders;
 			const scope = createCallScope(readSteadyMs() + 30_000);
 			context.after(scope.dispose);
 			return gate.run({
 				id: 'call-1', server: id, method: 'GET', target: '/logs/1', headers: {host: 'mesh.example'}, readBody: async () => undefined,
-				callerService: 'hall', rank: 1, mayWaitMs: 20_000, isCounted: false, hasBody: false, isLargeUpload: false, scope,
+				callerService: 'hall', rank: 1, mayWaitMs: 20_000, isCounted: false, hasBody: false, isLargeUpload: false, scope, maxSlowness,
 			});
 		},
 	};
@@ -109,3 +112,17 @@
 	const {load} = await send({'x-signature': 's', 'x-load': '5,1,6,100'});
 	assert.equal(load?.running, 5);
 });
+
+test('a gate whose server has become slow turns away a request that may go elsewhere, as not run, and runs the others', async context => {
+	const {gate, send, countArrived} = await createFixture(context);
+	const slow = {'x-signature': 's', 'x-load': '1,0,6,250'};
+	await send(slow);
+	const {result, load} = await send(slow, 1.3);
+	assert.ok(result.type === 'failed');
+	assert.deepEqual([result.reason, result.verdict, result.hasArrived], ['slow', 'not-run', false]);
+	assert.ok(load!.slowness! > 1.3);
+	assert.equal(countArrived(), 1);
+	assert.equal(gate.countRequests(), 0);
+	assert.equal((await send(slow, 3)).result.type, 'answered');
+	assert.equal((await send(slow)).result.type, 'answered');
+});
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -46,6 +46,8 @@
 	readonly isCounted: boolean;
 	/** Maximum expected wait of the response for the link, in milliseconds; `undefined` unless the response is large and goes to another VM. */
 	readonly answerMayWaitMs?: number | undefined;
+	/** The request is turned away if the server is slower than this at the moment, as a factor of its average service time; `undefined` if it must not be. */
+	readonly maxSlowness?: number | undefined;
 };
 
 /** @internal */
@@ -246,7 +248,8 @@
 
 	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
 		const {running = 0, waiting = 0, serviceMs = 0, slowness} = session?.describe() ?? {};
-		log.record('info', {
+		// The entry sends a request that meets a slow server to another one, so that it needs no line of its own.
+		log.record(failure.reason === 'slow' ? 'debug' : 'info', {
 			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, rank: call.rank,
 			running, waiting, serviceMs: Math.round(serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
 			...slowness === undefined ? {} : {slowness: Math.round(slowness * 100) / 100},
@@ -356,6 +359,12 @@
 		return result.type === 'failed' && result.reason === 'limited' ? refuse(call, result) : result;
 	};
 
+	/** Turns a request away whose server has become slow, before it takes a slot or a place in the wait queue. */
+	const refuseSlow = ({server, maxSlowness}: GateCall): ForwardFailure | undefined => {
+		const slowness = maxSlowness === undefined || state.current?.announcement.lifetime.id !== server ? undefined : session?.describe().slowness;
+		return slowness !== undefined && slowness > maxSlowness! ? createNotRun('slow', `the VM of the backend server takes ${slowness.toFixed(2)} times as long as on average`) : undefined;
+	};
+
 	/** Applies the limit that the sender knows, since this node may have restarted and not know it yet. */
 	const applyKnownLimit = ({server, limitPerSecond}: GateCall): void => {
 		if (limitPerSecond !== undefined && state.current?.announcement.lifetime.id === server) {
@@ -384,6 +393,12 @@
 			const arrivedAt = readSteadyMs();
 			requests++;
 			applyKnownLimit(call);
+			const slow = refuseSlow(call);
+			if (slow !== undefined) {
+				requests--;
+				return {result: refuse(call, slow), load: getLoad(arrivedAt)};
+			}
+
 			try {
 				const refusal = quarantine.countSuspects() === 0 ? undefined : await checkQuarantine(call);
 				const result = refusal ?? await (call.isLargeUpload ? runLargeUpload(call) : admitAndRun(call));
--- a/src/lib/forwarding/peer-messages.test.ts
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -35,8 +35,12 @@
 	const authenticated: PeerRequest = {...request, workspace: 'school 7'};
 	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(authenticated))), authenticated);
 	const both: PeerRequest = {...limited, workspace: 'school 7'};
-	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(both), 'more'])), both);
-	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), null, null, 'more'])), request);
+	const redirected: PeerRequest = {...request, maxSlowness: 1.3};
+	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(redirected))), redirected);
+	const all: PeerRequest = {...both, maxSlowness: 1.3};
+	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(both))), both);
+	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(all), 'more'])), all);
+	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), null, null, null, 'more'])), request);
 });
 
 const places: ReadonlyArray<readonly [number, string, readonly unknown[]]> = [
@@ -52,6 +56,7 @@
 	[8, 'request.leftMs', [null, '1', -1, 1e300]],
 	[9, 'request.mayWaitMs', [null, '1', -1, 1e300]],
 	[12, 'request.limitPerSecond', ['1', -1, 1e300, true]],
+	[14, 'request.maxSlowness', ['1', -1, 1e300, true]],
 ];
 
 for (const [place, name, values] of places) {
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -40,6 +40,8 @@
 	readonly limitPerSecond?: number | undefined;
 	/** Name of the workspace of the caller; `undefined` if it has none. */
 	readonly workspace?: string | undefined;
+	/** The gate turns the request away if its server is slower than this, as a factor of its average service time; `undefined` if it must not. */
+	readonly maxSlowness?: number | undefined;
 };
 
 const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
@@ -61,13 +63,10 @@
 /** Longer details from another node are cut to this many characters. */
 const maxDetailLength = 300;
 
-/** Omits the fields at the end that have no value. */
-function encodeOptionalFields(limitPerSecond: number | undefined, workspace: string | undefined): readonly unknown[] {
-	if (workspace !== undefined) {
-		return [limitPerSecond ?? null, workspace];
-	}
-
-	return limitPerSecond === undefined ? [] : [limitPerSecond];
+/** Encodes optional fields. Those at the end that have no value are omitted. */
+function encodeOptionalFields(...fields: ReadonlyArray<string | number | undefined>): readonly unknown[] {
+	const last = fields.findLastIndex(field => field !== undefined);
+	return fields.slice(0, last + 1).map(field => field ?? null);
 }
 
 /**
@@ -78,9 +77,9 @@
  * @internal
  */
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
-	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted, limitPerSecond, workspace} = request;
+	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted, limitPerSecond, workspace, maxSlowness} = request;
 	const answerWait = answerMayWaitMs === undefined ? null : roundToTenth(answerMayWaitMs);
-	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0, ...encodeOptionalFields(limitPerSecond, workspace)];
+	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0, ...encodeOptionalFields(limitPerSecond, workspace, maxSlowness === undefined ? undefined : roundToHundredth(maxSlowness))];
 }
 
 /** Reads the name of a workspace, which becomes a header of the request to the backend server. */
@@ -110,7 +109,7 @@
  * @internal
  */
 export function decodePeerRequest(head: unknown): PeerRequest {
-	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0, limitPerSecond, workspace] = readList(head, 'request');
+	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0, limitPerSecond, workspace, maxSlowness] = readList(head, 'request');
 	const request: PeerRequest = {
 		id: readString(id, 'request.id'),
 		server: toBackendServerId(readString(server, 'request.server')),
@@ -126,6 +125,7 @@
 		...answerMayWaitMs === undefined || answerMayWaitMs === null ? {} : {answerMayWaitMs: readAmount(answerMayWaitMs, 'request.answerMayWaitMs', maxTimeMs)},
 		...limitPerSecond === undefined || limitPerSecond === null ? {} : {limitPerSecond: readAmount(limitPerSecond, 'request.limitPerSecond', maxTimeMs)},
 		...workspace === undefined || workspace === null ? {} : {workspace: readWorkspaceName(workspace, 'request.workspace')},
+		...maxSlowness === undefined || maxSlowness === null ? {} : {maxSlowness: readAmount(maxSlowness, 'request.maxSlowness', maxTimeMs)},
 	};
 	checkContentLength(request.headers, request.hasBody);
 	return request;
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -18,6 +18,8 @@
 	readonly mayWaitMs: number;
 	/** The gate accepts a request with a large response only if the expected wait of the response for the link is at most this long, in milliseconds; `undefined` if the response is not large. */
 	readonly answerMayWaitMs: number | undefined;
+	/** The gate turns the request away if its server is slower than this, as a factor of its average service time; `undefined` if it must not. */
+	readonly maxSlowness?: number | undefined;
 	/** Whether this node counts the request as one that may go to a version under test. */
 	readonly isCounted: boolean;
 	/** In milliseconds of the steady clock. */
@@ -38,7 +40,7 @@
 	readonly count: () => number;
 	/** Returns whether all attempts in flight have been reported as unresponsive; true if there are none. */
 	readonly areAllUnresponsive: () => boolean;
-	readonly start: (planned: Pick<Attempt, 'target' | 'mayWaitMs' | 'answerMayWaitMs' | 'isCounted'>) => Attempt;
+	readonly start: (planned: Pick<Attempt, 'target' | 'mayWaitMs' | 'answerMayWaitMs' | 'maxSlowness' | 'isCounted'>) => Attempt;
 	/** Waits for the next event of any attempt. */
 	readonly waitForEvent: () => Promise<AttemptEvent>;
 	/** Cancels all attempts in flight because the call has its response, and returns them. */
@@ -48,7 +50,7 @@
 /** Jitter as a share of the time for which a server whose limit is used up is avoided, so that the nodes do not return together. */
 const limitJitterShare = 1;
 
-async function sendToGate(context: SendContext, call: OutgoingCall, {target, mayWaitMs, answerMayWaitMs, isCounted, scope}: Attempt, handleUnresponsive: () => void): Promise<GateResult> {
+async function sendToGate(context: SendContext, call: OutgoingCall, {target, mayWaitMs, answerMayWaitMs, maxSlowness, isCounted, scope}: Attempt, handleUnresponsive: () => void): Promise<GateResult> {
 	const common = {
 		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService,
 		mayWaitMs, isCounted, rank: computeRank(call.route, call.workspace?.priority), scope, limitPerSecond: target.view.limitPerSecond, workspace: call.workspace?.name,
@@ -58,7 +60,7 @@
 			...common, hasBody: call.body !== undefined, isLargeUpload: false, readBody: async () => call.body,
 		})
 		: context.gateClient.send({
-			...common, answerMayWaitMs, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type), handleUnresponsive,
+			...common, answerMayWaitMs, maxSlowness, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type), handleUnresponsive,
 		});
 }
 
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -94,6 +94,35 @@
 	assert.equal(outcome.result.type === 'failed' ? outcome.result.retryAfterMs : 0, 80);
 });
 
+test('a call that slow servers turn away goes to other servers without counting as refused, and the third gate has to take it', async () => {
+	const slow = [createNotRun('slow', 'x'), createNotRun('slow', 'x')];
+	const {context, sent, loads} = createFixture({a: slow, b: slow, c: slow});
+	for (const id of ['a', 'b', 'c']) {
+		loads.recordReport(toKey(id), {slowness: 1}, performance.now());
+	}
+
+	const outcome = await sendCall(context, createCall(unsafe));
+	assert.equal(outcome.verdict, 'ran');
+	assert.deepEqual(sent.map(({maxSlowness}) => maxSlowness === undefined), [false, false, true]);
+	// All of these gates had room, so the call may wait at none of them.
+	assert.deepEqual(sent.map(({mayWaitMs}) => mayWaitMs), [0, 0, 0]);
+});
+
+// Guards against a call that goes from gate to gate until its deadline.
+test('a gate that turns a call away as slow although it must not counts as a refusal', async () => {
+	const slow = Array.from({length: 40}, () => createNotRun('slow', 'x'));
+	const {context, sent} = createFixture({a: slow, b: slow});
+	const outcome = await sendCall(context, createCall());
+	assert.equal(outcome.verdict, 'not-run');
+	assert.ok(sent.length <= 6, `${sent.length} attempts`);
+});
+
+test('without load reports, no gate may turn a call away as slow', async () => {
+	const {context, sent} = createFixture({a: [], b: []});
+	await sendCall(context, createCall());
+	assert.deepEqual(sent.map(({maxSlowness}) => maxSlowness), [undefined]);
+});
+
 test('a call that may have run is sent again only if it is retryable, and never answered with 503', async () => {
 	const lost = createMayHaveRun('connection-lost', 'x');
 	const safe = createFixture({a: [lost], b: [lost]});
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -10,6 +10,7 @@
 import {hasLargeAnswers, isBulk, isRepeatable} from '../route-config/route-config.js';
 import {rankServers} from '../decisions/rank-servers.js';
 import {computeMaxResponseWaitMs} from '../decisions/link-demand.js';
+import {computeMaxSlowness} from '../decisions/slow-server.js';
 import {computeRankingThresholds} from '../decisions/ranking-thresholds.js';
 import {
 	mayTryAnotherGate, planAttempt, standardRules, type AttemptPlan, type CallState,
@@ -134,9 +135,11 @@
 	};
 
 	const start = ({target, mayWaitMs, isCounted, isTest: isTestPlanned}: PlannedAttempt): void => {
-		const answerMayWaitMs = hasLargeAnswers(route.type) ? computeMaxResponseWaitMs(computeCallState(call, readSteadyMs()), target) : undefined;
+		const now = readSteadyMs();
+		const maxSlowness = target.isLocal || isTrial ? undefined : computeMaxSlowness(target.view, progress.slowRefusals, now);
+		const answerMayWaitMs = hasLargeAnswers(route.type) ? computeMaxResponseWaitMs(computeCallState(call, now), target) : undefined;
 		progress.recordStart(running.start({
-			target, mayWaitMs, answerMayWaitMs, isCounted,
+			target, mayWaitMs, answerMayWaitMs, maxSlowness, isCounted,
 		}));
 		isTest = isTestPlanned;
 		if (isTest) {
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -13,8 +13,9 @@
 import {type Fingerprint} from '../quarantine/fingerprint.js';
 import {chooseTrialServer} from '../quarantine/trial-server.js';
 import {type LeavingServers} from '../server-notices/leaving-servers.js';
-import {estimateSlotWaitMs, type LoadView} from '../decisions/load-view.js';
+import {type LoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
+import {listSample} from '../decisions/list-sample.js';
 
 /** This node and the backend server beside it. @internal */
 export type OwnNode = {
@@ -49,15 +50,6 @@
 	readonly trialOf?: Fingerprint | undefined;
 };
 
-/**
- * Number of peers that are sampled from the own failure domain, and again from the others. The cost of a choice is then the same for 60 servers of a
- * service as for 600. A list of up to this length is searched completely.
- */
-const maxSampledPeers = 12;
-
-/** The search of the own failure domain, or of the others, ends after this many servers with a free slot. The ranking compares three servers of the own failure domain and four of the others. */
-const enoughFreeServers = 4;
-
 /** Describes the server beside this node. Its numbers come from the local gate, so they are exact and current. */
 function describeLocal({own, loads}: CandidateSources, server: ServerReport, route: string, now: number): Candidate {
 	const {running, waiting, serviceMs, slowness = 1, failureShare} = server;
@@ -78,15 +70,6 @@
 	};
 }
 
-/** Returns random indexes of a list, each at most once, or all indexes if the list is short. */
-function pickIndexes(length: number, random: () => number): Iterable<number> {
-	if (length <= maxSampledPeers) {
-		return Array.from({length}, (_, index) => index);
-	}
-
-	return new Set(Array.from({length: maxSampledPeers}, () => Math.floor(random() * length)));
-}
-
 /**
  * Lists the servers that a call may be sent to.
  *
@@ -114,24 +97,7 @@
 			: undefined;
 	};
 
-	const findSampled = (list: readonly Peer[]): readonly Candidate[] => {
-		const found: Candidate[] = [];
-		let freeServers = 0;
-		for (const index of pickIndexes(list.length, random)) {
-			const candidate = describeIfUsable(list[index]!);
-			if (candidate === undefined) {
-				continue;
-			}
-
-			found.push(candidate);
-			freeServers += estimateSlotWaitMs(candidate.view, candidate.slots, now) === 0 ? 1 : 0;
-			if (freeServers >= enoughFreeServers && list.length > maxSampledPeers) {
-				break;
-			}
-		}
-
-		return found;
-	};
+	const findSampled = (list: readonly Peer[]): readonly Candidate[] => listSample(list, describeIfUsable, random, now);
 
 	const localCandidates = isUsable(own.server) ? [describeLocal(sources, own.server, route, now)] : [];
 	const listAll = (): readonly Candidate[] => [...localCandidates, ...[...peers.ownDomain, ...peers.otherDomains].flatMap(peer => describeIfUsable(peer) ?? [])];
