--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -12,6 +12,8 @@
 	| 'full'
 	/** The limit that the backend server named does not let the request start in time. */
 	| 'limited'
+	/** The VM of the backend server has become slow, and another server may be faster. */
+	| 'slow'
 	/** The backend server or its node is draining. */
 	| 'draining'
 	/** The backend server no longer runs beside that node. */
