--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -48,6 +48,7 @@
 const reasons: readonly ForwardReason[] = [
 	'full',
 	'limited',
+	'slow',
 	'draining',
 	'gone',
 	'server-unreachable',
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -254,7 +254,7 @@
 
 	/** Turns a request away whose server has become slow, before it takes a slot or a place in the wait queue. */
 	const refuseSlow = ({server, maxSlowness}: GateCall): ForwardFailure | undefined => {
-		const slowness = maxSlowness === undefined || state.current?.announcement.lifetime.id !== server ? undefined : session?.describe().slowness;
+		const slowness = maxSlowness === undefined || sessions.getServer()?.announcement.lifetime.id !== server ? undefined : sessions.getSession()?.describe().slowness;
 		return slowness !== undefined && slowness > maxSlowness! ? createNotRun('slow', `the VM of the backend server takes ${slowness.toFixed(2)} times as long as on average`) : undefined;
 	};
 
