Quotas: usable

Callers of a workspace could send any number of requests: rate-per-s and burst of a workspace were read and not applied.

Nodes lend their parts of each quota to a coordinator, which grants tokens to entries. A request over the quota gets 429 with Retry-After, one for which no coordinator answers in time gets 503 as not run.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -22,6 +22,7 @@
 import {type AttemptRecord, type MeshLog} from '../timeline/mesh-log.js';
 import {type CallerRetryDetector} from '../decisions/caller-retry-detector.js';
 import {authenticateRequest, type Authentication} from '../workspaces/authenticate-request.js';
+import {type QuotaDecision, type Quotas} from '../quotas/quotas.js';
 import {type Workspace} from '../workspaces/workspace.js';
 import {createLazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {createByteBudget} from './byte-budget.js';
@@ -49,6 +50,8 @@
 	readonly tookMs: number;
 	readonly leftMs: number;
 	readonly attempts: readonly AttemptRecord[];
+	/** How the request got a token of the quota of its workspace; absent if there is no quota. */
+	readonly quota?: 'granted' | 'waited' | 'returned';
 };
 
 /** @internal */
@@ -62,6 +65,7 @@
 	readonly weightedRoundRobin: WeightedRoundRobin;
 	readonly callerRetryDetector: CallerRetryDetector;
 	readonly nestedCallDetector: NestedCallDetector;
+	readonly quotas: Pick<Quotas, 'acquire'>;
 	readonly log: MeshLog;
 	/** If this process lags behind, waits until input that has already arrived is read, so that the disconnect of a caller is noticed before work on its request starts. */
 	readonly waitForPendingInput: (isNewConnection: boolean) => Promise<void>;
@@ -94,6 +98,33 @@
 	readonly sendContinue: () => void;
 };
 
+/** The longest wait for a token of a quota, in milliseconds, and the longest as a share of the latency objective, which leaves most of it for the work. */
+const maxQuotaWaitMs = 150;
+const quotaWaitShare = 1 / 8;
+
+type GrantedToken = Extract<QuotaDecision, {readonly type: 'granted'}>;
+
+/** Stands for the token of a request without a quota. */
+const noToken: GrantedToken = {type: 'granted', hasWaited: false, giveBack: () => undefined};
+
+function describeToken(token: GrantedToken, mayHaveRun: boolean): FinishedCall['quota'] {
+	if (token === noToken) {
+		return undefined;
+	}
+
+	if (!mayHaveRun) {
+		return 'returned';
+	}
+
+	return token.hasWaited ? 'waited' : 'granted';
+}
+
+function releaseToken(token: GrantedToken | undefined, mayHaveRun: boolean): void {
+	if (!mayHaveRun) {
+		token?.giveBack();
+	}
+}
+
 /** The largest request head that is accepted. */
 const maxHeaderBytes = 65_536;
 
@@ -149,7 +180,7 @@
 			return;
 		}
 
-		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 ? 'not-run' : undefined})}\n`);
+		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 || status === 429 ? 'not-run' : undefined})}\n`);
 		response.writeHead(status, {
 			'content-type': 'application/json',
 			'content-length': body.length,
@@ -177,6 +208,12 @@
 		return status;
 	};
 
+	const logCallerLeft = ({id, receivedAt}: EntryCall, route: RouteRule): void => {
+		log.record('info', {
+			kind: 'caller-left', call: id, route: route.name, waitedMs: Math.round(readSteadyMs() - receivedAt),
+		});
+	};
+
 	const refuseAndLog = (call: EntryCall, version: number, status: number, reason: string, retryAfterMs = 0): void => {
 		log.record('info', {
 			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version,
@@ -209,6 +246,41 @@
 		refuseAndLog(call, version, 401, `not authorized: ${cause}`);
 	};
 
+	/** Refuses a request that got no token of the quota of its workspace. */
+	const refuseForQuota = (call: EntryCall, version: number, {name}: Workspace, decision: Extract<QuotaDecision, {readonly type: 'over' | 'unknown'}>): void => {
+		const status = decision.type === 'over' ? 429 : 503;
+		const reason = decision.type === 'over' ? 'its workspace is over its quota' : 'no coordinator of the quota of its workspace has answered in time';
+		log.record('info', {
+			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version, workspace: name, quota: decision.type,
+		});
+		refuse(call, status, reason, decision.retryAfterMs);
+	};
+
+	/** Takes a token of the quota of the workspace. Returns `undefined` if the request was refused, or if its caller has left. */
+	const acquireToken = async (call: EntryCall, version: number, route: RouteRule, scope: CallScope, workspace: Workspace | undefined): Promise<GrantedToken | undefined> => {
+		if (workspace?.ratePerSecond === undefined) {
+			return noToken;
+		}
+
+		const decision = await context.quotas.acquire(workspace, Math.min(maxQuotaWaitMs, route.targetLatencyMs * quotaWaitShare), scope);
+		switch (decision.type) {
+			case 'granted': {
+				return decision;
+			}
+
+			case 'cancelled': {
+				logCallerLeft(call, route);
+				return undefined;
+			}
+
+			case 'over':
+			case 'unknown': {
+				refuseForQuota(call, version, workspace, decision);
+				return undefined;
+			}
+		}
+	};
+
 	/** Returns a check of whether the key of a request is still valid and still belongs to the same workspace; after the configuration has changed, the key is looked up again. */
 	const createAccessCheck = ({request}: EntryCall, route: RouteRule, accepted: {readonly activeConfig: ActiveConfig; readonly workspace: Workspace | undefined}) => (): ForwardFailure | undefined => {
 		const current = context.getConfig();
@@ -260,7 +332,7 @@
 		}
 	};
 
-	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string}): void => {
+	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string; readonly quota: FinishedCall['quota']}): void => {
 		const {result, verdict, attempts} = outcome;
 		const now = readSteadyMs();
 		const status = result.type === 'answered' ? result.status : sendFailure(call, result, verdict, outcome.route.targetLatencyMs);
@@ -273,6 +345,7 @@
 			reason: result.type === 'answered' ? 'answered' : `${result.reason}: ${result.detail}`,
 			tookMs: Math.round(now - call.receivedAt),
 			leftMs: Math.round(scope.deadlineAt - now),
+			...outcome.quota === undefined ? {} : {quota: outcome.quota},
 		});
 	};
 
@@ -337,14 +410,20 @@
 		const ageMs = isNestedCall ? 0 : context.callerRetryDetector.recordCall(route.name, callerTimeoutMs);
 		const timeLeftMs = Math.min(callerTimeoutMs, route.timeoutMs);
 		let bufferedBytes = 0;
+		let token: GrantedToken | undefined;
+		// Set once the call is sent, since an unexpected error may follow.
+		let mayHaveRun = false;
 		const scope = createCallScope(call.receivedAt + timeLeftMs + deadlineGraceMs);
 		const removeFromConnection = connections.add(request.socket, scope);
 		try {
 			await context.waitForPendingInput(request.socket.bytesWritten === 0);
 			if (scope.getEndReason() === 'cancelled') {
-				log.record('info', {
-					kind: 'caller-left', call: call.id, route: route.name, waitedMs: Math.round(readSteadyMs() - call.receivedAt),
-				});
+				logCallerLeft(call, route);
+				return;
+			}
+
+			token = await acquireToken(call, version, route, scope, workspace);
+			if (token === undefined) {
 				return;
 			}
 
@@ -356,6 +435,7 @@
 			bufferedBytes = body?.length ?? 0;
 
 			const {method = 'GET', url: target = '/'} = request;
+			mayHaveRun = true;
 			const outcome = await sendCall(context, {
 				id: call.id,
 				route,
@@ -374,8 +454,12 @@
 				workspace,
 				checkAccess: createAccessCheck(call, route, {activeConfig, workspace}),
 			});
-			finish(call, scope, activeConfig, {...outcome, route, service});
+			mayHaveRun = outcome.verdict !== 'not-run';
+			finish(call, scope, activeConfig, {
+				...outcome, route, service, quota: describeToken(token, mayHaveRun),
+			});
 		} finally {
+			releaseToken(token, mayHaveRun);
 			bodyBudget.release(bufferedBytes);
 			removeFromConnection();
 			scope.dispose();
--- a/src/lib/forwarding/frame.ts
+++ b/src/lib/forwarding/frame.ts
@@ -31,9 +31,11 @@
 	/** Checks whether the connection is alive. */
 	| 'ping'
 	/** The answer to a `ping`. */
-	| 'pong';
+	| 'pong'
+	/** Asks for tokens of quotas. */
+	| 'quota';
 
-const frameTypes: readonly FrameType[] = ['request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config', 'ping', 'pong'];
+const frameTypes: readonly FrameType[] = ['request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config', 'ping', 'pong', 'quota'];
 
 /** @internal */
 export type Frame = {
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -8,7 +8,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type Address} from '../common/ids.js';
 import {readSteadyMs} from '../common/clock.js';
-import {type CallScope} from './call-scope.js';
+import {createCallScope, type CallScope} from './call-scope.js';
 import {
 	createMayHaveRun, createNotRun, type ForwardFailure, type GateResult,
 } from './forward-result.js';
@@ -41,6 +41,8 @@
 	readonly send: (call: RemoteCall) => Promise<GateResult>;
 	/** Requests the active configuration of another node; `version` is the one that this node has. */
 	readonly fetchConfig: (gate: Address, version: number, scope: CallScope) => Promise<Result<ConfigAnswer, ConfigFetchError>>;
+	/** Sends an ask for tokens of quotas; resolves with the head of the answer, or with `undefined` if none arrives in time. */
+	readonly askQuota: (gate: Address, head: unknown) => Promise<unknown>;
 	/** Returns when bytes last arrived from a gate, in milliseconds of the steady clock; 0 if none have on its current connections. */
 	readonly getLastReceivedAt: (gate: Address) => number;
 	/**
@@ -56,6 +58,9 @@
 /** How long a call waits for a new connection: a few times the highest latency between failure domains, so that an unreachable VM delays a call only briefly. */
 const connectWaitMs = 300;
 
+/** How long an ask for tokens may take. Most tokens have expired after that, and another node can be asked. */
+const quotaTimeoutMs = 500;
+
 /** Larger bodies are sent once the gate has a slot for the request, so that a refused request transfers no body between failure domains. */
 const maxInlineBodyBytes = 4096;
 
@@ -125,6 +130,14 @@
 			const answer = decodeConfigAnswer(result.head, result.body);
 			return answer === undefined ? err({type: 'nothing', reason: 'the answer contains no configuration, or is malformed'}) : ok(answer);
 		},
+		async askQuota(gate, head) {
+			const scope = createCallScope(readSteadyMs() + quotaTimeoutMs);
+			const result = await getChannel(gate, 'small').send({
+				type: 'quota', head, body: undefined, scope,
+			});
+			scope.dispose();
+			return result.type === 'failed' ? undefined : result.head;
+		},
 		getLastReceivedAt: gate => Math.max(...channelKinds.map(kind => channels.get(`${kind} ${gate}`)?.getLastReceivedAt() ?? 0)),
 		renewConnections(gate, reason) {
 			for (const kind of channelKinds) {
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -26,6 +26,8 @@
 	readonly gate: LocalGate;
 	/** Returns the response to a node that has the given version of the configuration. */
 	readonly getConfig: (version: number) => EncodedConfigAnswer;
+	/** Answers an ask for tokens of quotas; throws if it is malformed. */
+	readonly answerQuotaAsk?: (head: unknown) => unknown;
 	/** Waits until pending input has been handled if the event loop of this process lags. */
 	readonly waitForPendingInput: LoopLag['waitForPendingInput'];
 	readonly log: MeshLog;
@@ -91,7 +93,7 @@
  * @internal
  */
 export function createGateServer(context: GateServerContext): GateServer {
-	const {gate, getConfig, waitForPendingInput, log, refusals, link} = context;
+	const {gate, getConfig, answerQuotaAsk, waitForPendingInput, log, refusals, link} = context;
 	const connections = new Set<Connection>();
 	let bufferedBytes = 0;
 
@@ -188,10 +190,17 @@
 				break;
 			}
 
+			case 'quota': {
+				checkUnread(connection);
+				// Without a head, the other node takes the answer for a missing one.
+				link.write(connection.socket, {type: 'answer', id: frame.id, head: answerQuotaAsk?.(frame.head)});
+				break;
+			}
+
 			case 'continue':
 			case 'answer':
 			case 'pong': {
-				throw new FieldError('frame.type', frame.type, 'request, offer, body, cancel, config or ping');
+				throw new FieldError('frame.type', frame.type, 'request, offer, body, cancel, config, ping or quota');
 			}
 		}
 	};
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -14,7 +14,7 @@
 
 /** A request to the other node. @internal */
 export type ChannelRequest = {
-	readonly type: 'request' | 'offer' | 'config';
+	readonly type: 'request' | 'offer' | 'config' | 'quota';
 	readonly head: unknown;
 	readonly body: Uint8Array | undefined;
 	readonly scope: CallScope;
@@ -220,7 +220,8 @@
 			case 'body':
 			case 'cancel':
 			case 'config':
-			case 'ping': {
+			case 'ping':
+			case 'quota': {
 				socket.destroy(new Error(`unexpected frame of type ${type} from a gate`));
 				break;
 			}
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -6,6 +6,7 @@
  */
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import {type FinishedCall} from '../forwarding/entry-server.js';
+import {type QuotaOutcome} from '../quotas/quotas.js';
 import {type LimitedOutcome} from '../server-notices/server-limiter.js';
 import {type MeshLog, type RefusalCause, type RefusalKind} from '../timeline/mesh-log.js';
 
@@ -26,6 +27,8 @@
 	readonly countRefusal: (kind: RefusalKind, cause: RefusalCause) => void;
 	/** Counts the requests to a backend server that names a limit. */
 	readonly countLimited: (caller: string, outcome: LimitedOutcome) => void;
+	/** Counts the requests of workspaces with a quota. */
+	readonly countQuota: (workspace: string, outcome: QuotaOutcome) => void;
 	/** Returns a log that counts each event and passes it on to a given log. */
 	readonly countEvents: (log: MeshLog) => MeshLog;
 	readonly format: (gauges: readonly Gauge[]) => string;
@@ -96,6 +99,7 @@
 	const events = createCounter('stonemoor_events_total', 'kind', 'reason');
 	const refusals = createCounter('stonemoor_refusals_total', 'kind', 'cause');
 	const limited = createCounter('stonemoor_limited_requests_total', 'caller', 'outcome');
+	const quotas = createCounter('stonemoor_quota_requests_total', 'workspace', 'outcome');
 	const latencies = new Map<string, Histogram>();
 	const loopDelays = createHistogram();
 
@@ -129,6 +133,9 @@
 		countLimited(caller, outcome) {
 			limited.add(caller, outcome);
 		},
+		countQuota(workspace, outcome) {
+			quotas.add(workspace, outcome);
+		},
 		countEvents: log => ({
 			record(level, event) {
 				if (event.kind === 'gate-refused') {
@@ -147,6 +154,7 @@
 				...events.format(),
 				...refusals.format(),
 				...limited.format(),
+				...quotas.format(),
 				...[...latencies].flatMap(([service, histogram]) => formatSummary('stonemoor_call_milliseconds', {service}, histogram)),
 				...formatSummary('stonemoor_loop_delay_milliseconds', {}, loopDelays),
 				...gauges.flatMap(gauge => formatGauge(gauge)),
--- a/src/lib/sidecar/sidecar-settings.ts
+++ b/src/lib/sidecar/sidecar-settings.ts
@@ -10,6 +10,7 @@
 import {
 	toAddress, toFailureDomain, toNodeId, type Address, type FailureDomain, type NodeId,
 } from '../common/ids.js';
+import {type QuotaTolerance} from '../quotas/quota-plan.js';
 
 /** @public */
 export type SidecarSettings = {
@@ -46,6 +47,8 @@
 		/** Share of the requests of a service that a version under test may get, over all nodes. */
 		readonly maxExposure: number;
 	} | undefined;
+	/** Tolerance of the quotas of workspaces; `undefined` for the defaults. */
+	readonly quotas?: QuotaTolerance | undefined;
 	/** Time from SIGTERM until the process must have exited. */
 	readonly shutdownMs: number;
 };
@@ -121,6 +124,20 @@
 	return {maxExposure};
 }
 
+function readQuotas(settings: Json): SidecarSettings['quotas'] {
+	if (settings.quotas === undefined) {
+		return undefined;
+	}
+
+	const quotas = readObject(settings, 'quotas');
+	const windowMs = readDuration(quotas, 'window', 'quotas.');
+	if (windowMs === 0) {
+		throw new SettingError('quotas.window: found 0, must be a duration above 0');
+	}
+
+	return {windowMs, overage: readNonNegativeNumber(quotas, 'overage', 'quotas.'), slack: readNonNegativeNumber(quotas, 'slack', 'quotas.')};
+}
+
 function readSettings(settings: Json): SidecarSettings {
 	const listen = readObject(settings, 'listen');
 	const retries = readObject(settings, 'retries');
@@ -145,6 +162,7 @@
 			windowMs: readDuration(retries, 'window', 'retries.'),
 		},
 		rollouts: readRollouts(settings),
+		quotas: readQuotas(settings),
 		shutdownMs: readDuration(settings, 'shutdown', ''),
 	};
 }
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -6,7 +6,7 @@
  */
 import {type Result} from 'neverthrow';
 import {updateClockOffsets, readSteadyMs, watchResume} from '../common/clock.js';
-import {type NodeId} from '../common/ids.js';
+import {type Address, type NodeId} from '../common/ids.js';
 import {type HeaderMap} from '../calls/attempt.js';
 import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
 import {listenAt} from '../common/listen-at.js';
@@ -24,7 +24,9 @@
 import {createQuarantine} from '../quarantine/quarantine.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
-import {type PeerLimits, type PeerChange} from '../peers/peer-table.js';
+import {isReachable, type PeerLimits, type PeerChange} from '../peers/peer-table.js';
+import {createQuotas} from '../quotas/quotas.js';
+import {defaultQuotaTolerance} from '../quotas/quota-plan.js';
 import {createRollouts} from '../rollout/rollouts.js';
 import {type RolloutFormat} from '../sync/rollout-entries.js';
 import {findRoute} from '../route-config/route-index.js';
@@ -140,6 +142,7 @@
 
 	const handleConfigApplied = ({config}: ActiveConfig): void => {
 		entry.applyLimits(config.limits);
+		quotas.applyWorkspaces(config.workspaces);
 		if (!wasReady) {
 			wasReady = true;
 			log.record('info', {kind: 'node-ready', version: config.version});
@@ -233,9 +236,35 @@
 	});
 
 	const gateClient = createGateClient({link: linkWriter});
+	const quotas = createQuotas({
+		tolerance: settings.quotas ?? defaultQuotaTolerance,
+		self,
+		run,
+		* listPeers() {
+			const now = readSteadyMs();
+			for (const peer of link.table.list()) {
+				yield {
+					node: peer.report.node, heardAt: peer.heardAt, isLeaving: peer.report.isLeaving, isReachable: isReachable(peer, peerLimits, now),
+				};
+			}
+		},
+		async sendAsk(node, head) {
+			const peer = link.table.get(node);
+			return peer === undefined ? undefined : gateClient.askQuota(peer.report.gate, head);
+		},
+		random,
+		countOutcome: metrics.countQuota,
+	});
+	/** Sends heartbeats to the addresses that the store lists, and counts the nodes there. */
+	const handleListedAddresses = (addresses: readonly Address[]): void => {
+		const unknown = addresses.filter(address => address !== settings.listen.gossip && !link.table.hasGossipAddress(address));
+		quotas.noteListed(unknown.length + link.table.size + 1);
+		link.addSeedAddresses(addresses);
+	};
+
 	const sync = createConfigSync({
 		store, configKey: dependencies.configKey, decodeConfig: dependencies.decodeConfig, self, gossip: settings.listen.gossip, linkMbps: settings.linkMbps,
-		link, peerLimits, isInOwnDomain, fetchConfig: gateClient.fetchConfig, log, refusals, random, handleConfigApplied,
+		link: {...link, addSeedAddresses: handleListedAddresses}, peerLimits, isInOwnDomain, fetchConfig: gateClient.fetchConfig, log, refusals, random, handleConfigApplied,
 		suspects: {
 			listQuarantined: quarantine.listQuarantined,
 			handleRecords(records) {
@@ -321,13 +350,14 @@
 		weightedRoundRobin,
 		callerRetryDetector,
 		nestedCallDetector,
+		quotas,
 		handleFinished,
 		waitForPendingInput,
 		estimateUnreadMs: lag.estimateUnreadMs,
 	});
 	const waitForPendingGateInput = async (): Promise<void> => lag.waitForPendingInput();
 	const gateServer = createGateServer({
-		gate, getConfig: sync.getConfigAnswer, waitForPendingInput: waitForPendingGateInput, log, refusals, link: linkWriter,
+		gate, getConfig: sync.getConfigAnswer, answerQuotaAsk: quotas.answerAsk, waitForPendingInput: waitForPendingGateInput, log, refusals, link: linkWriter,
 	});
 	const announcementServer = createAnnouncementServer({
 		...createLocalServerMessageHandler({
@@ -345,6 +375,7 @@
 		{name: 'stonemoor_suspected_requests', help: 'Requests known to have been in work when backend servers crashed', read: quarantine.countSuspects},
 		{name: 'stonemoor_quarantine_refusals', help: 'Judgements that kept a request from backend servers, since the start', read: quarantine.countRefused},
 		{name: 'stonemoor_server_limit', help: 'Requests per second that the backend server takes; absent while it names no limit', read: gate.getLimit},
+		{name: 'stonemoor_quota_asks', help: 'Asks for tokens of quotas sent to other nodes, since the start', read: quotas.countAsks},
 		{name: 'stonemoor_store_reachable', help: '1 if the last call on the store was answered', read: () => Number(sync.isStoreReachable())},
 	]);
 
@@ -370,6 +401,7 @@
 		livenessMonitor.dispose();
 		housekeeping.dispose();
 		sync.dispose();
+		quotas.dispose();
 		link.dispose();
 		refusals.dispose();
 		gateClient.dispose();
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -103,11 +103,11 @@
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
 	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
-	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]}
+	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]; readonly quota?: string}
 	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string}
 	/** The caller left before its request was started; the request was not sent to any server. */
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
-	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number}
+	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number; readonly workspace?: string; readonly quota?: 'over' | 'unknown'}
 	| {readonly kind: 'lines-dropped'; readonly of: string; readonly count: number};
 /* eslint-enable @stylistic/max-len */
 
--- a/stand-ins/settings-template.ts
+++ b/stand-ins/settings-template.ts
@@ -20,6 +20,8 @@
 	readonly retrySlack: number;
 	/** Share of the requests that a version under test may get; omitted for a platform without rollouts. */
 	readonly maxExposure?: number;
+	/** Tolerance of the quotas of workspaces; omitted for a platform without quotas. */
+	readonly quotas?: {readonly window: string; readonly overage: number; readonly slack: number};
 };
 
 const deployFolder = new URL('../../deploy/', import.meta.url);
@@ -47,6 +49,7 @@
 		'listen.outbound': callers, 'listen.inbound': gate, 'listen.control': announcements, 'listen.readiness': createReadinessAddress(parameters.host),
 		'platform.address': parameters.storeAddress, 'limits.link-mbps': 1000,
 		'bounds.retry-budget-ratio': 0.2, 'bounds.budget-slack': parameters.retrySlack, 'bounds.budget-window': '10s', 'bounds.grace-period': `${parameters.graceMs}ms`, 'bounds.max-exposure': parameters.maxExposure,
+		'bounds.quota-window': parameters.quotas?.window, 'bounds.quota-overage': parameters.quotas?.overage, 'bounds.quota-slack': parameters.quotas?.slack,
 	};
 	const template = readFileSync(new URL('settings.yaml', deployFolder), 'utf8').replaceAll(section, (_match, name: string, content: string) => values[name] === undefined ? '' : content);
 	return template.replaceAll(placeholder, (match, name: string) => {
