--- a/src/lib/quotas/quota-ledger.ts
+++ b/src/lib/quotas/quota-ledger.ts
@@ -57,7 +57,7 @@
 const minRetryMs = 50;
 const maxPaceMs = 400;
 
-/** Entries may ask for more than they are sure to need while at least this share of the burst is left. */
+/** Entries may ask for more than they are sure to need while at least this share of the burst is left, and a token for each of them. */
 const plentyShare = 0.5;
 
 /**
@@ -122,11 +122,12 @@
 		const share = group.loans.getShare();
 		const capacity = computeCapacity(workspace, bucket.plan, group, share, now);
 		const perMs = bucket.plan.ratePerMs * share;
-		const paceMs = Math.min(maxPaceMs, group.loans.countWanting(now) * askGapMs);
+		const wanting = group.loans.countWanting(now);
+		const paceMs = Math.min(maxPaceMs, wanting * askGapMs);
 		return {
 			tokens,
 			retryMs: capacity < 1 || perMs === 0 ? undefined : Math.max(minRetryMs, paceMs, (1 - bucket.tokens) / perMs),
-			isPlenty: bucket.tokens >= capacity * plentyShare,
+			isPlenty: bucket.tokens >= Math.max(capacity * plentyShare, wanting),
 		};
 	};
 
--- a/src/lib/quotas/quota-stock.ts
+++ b/src/lib/quotas/quota-stock.ts
@@ -40,9 +40,6 @@
 /** Tokens that expire within this time are replaced ahead, in milliseconds: two ticks and a round trip on a busy VM. */
 const leadMs = 200;
 
-/** While the quota is nearly used up, the least number of requests expected within the time to live for which tokens are asked ahead. With fewer, many tokens would expire unused. */
-const minScarceForecast = 2;
-
 /** While there are many tokens, the least number of expected requests for which one is asked ahead. */
 const minPlentyForecast = 0.2;
 
@@ -65,7 +62,7 @@
 	let demandPerMs = 0;
 	let demandAt = 0;
 	let dryUntil = 0;
-	let isPlenty = true;
+	let isPlenty = false;
 	let refused = 0;
 	let refusedAt = 0;
 
@@ -87,12 +84,15 @@
 	const estimateDemandPerMs = (now: number): number => computeDecayed(demandPerMs, now - demandAt, demandDecayMs);
 
 	const countUseful = (now: number): number => {
-		const forecast = estimateDemandPerMs(now) * plan.ttlMs;
-		if (forecast < (isPlenty ? minPlentyForecast : minScarceForecast)) {
-			return 0;
+		const demand = estimateDemandPerMs(now);
+		const forecast = demand * plan.ttlMs;
+		if (isPlenty) {
+			return forecast < minPlentyForecast ? 0 : Math.max(0, Math.ceil(forecast + Math.sqrt(forecast)) - countUsable(now));
 		}
 
-		return Math.max(0, (isPlenty ? Math.ceil(forecast + Math.sqrt(forecast)) : Math.floor(forecast)) - countUsable(now));
+		// Fewer requests than this come in about one of six times. Part of the spread is that of the average itself.
+		const sure = forecast - Math.sqrt(forecast * (1 + (plan.ttlMs / (2 * demandDecayMs))));
+		return Math.max(0, Math.floor(sure) - countUsable(now));
 	};
 
 	const insert = (tokens: number, expiresAt: number): void => {
