--- a/bench/main.ts
+++ b/bench/main.ts
@@ -16,6 +16,7 @@
 import {runLogLines} from './log-lines.js';
 import {runPeerSlopes} from './peer-slopes.js';
 import {runNodeCost} from './node-cost/node-cost.js';
+import {runQuotaTable} from './experiment/quota-table.js';
 import {runQuarantine} from './quarantine.js';
 import {runRolloutTable} from './experiment/rollout-table.js';
 import {runServerRestart} from './server-restart.js';
@@ -76,6 +77,13 @@
 		}), options => {
 		runLimitTable(options);
 	})
+	.command('quotas', 'run a model of the quota of a workspace, lent to a coordinator or kept in shares', builder => builder
+		.option('sizes', {
+			type: 'number', array: true, default: [13, 75, 300], describe: 'numbers of nodes',
+		})
+		.option('seconds', {type: 'number', default: 20, describe: 'seconds of each row'}), options => {
+		runQuotaTable(options);
+	})
 	.command('node-cost', 'measure the cost of one node in meshes of different sizes', builder => builder
 		.option('sizes', {
 			type: 'number', array: true, default: [13, 61, 195, 390], describe: 'numbers of nodes',
