--- a/bench/experiment/quota-alternatives.ts
+++ b/bench/experiment/quota-alternatives.ts
@@ -67,12 +67,14 @@
 		node.share = design === 'even-shares' ? 1 / (heardCount + 1) : (own === 0 ? 0 : own / (own + heardDemand));
 	};
 
+	const areConnected = (left: number, right: number): boolean => isOnSecondSide === undefined || isOnSecondSide(left) === isOnSecondSide(right);
+
 	const sendHeartbeats = (index: number): void => {
 		const node = nodes[index]!;
 		if (isRunning(node)) {
 			const demand = estimateDemand(node);
 			for (const [other, peer] of nodes.entries()) {
-				if (other !== index && isRunning(peer) && (isOnSecondSide === undefined || isOnSecondSide(index) === isOnSecondSide(other))) {
+				if (other !== index && isRunning(peer) && areConnected(index, other)) {
 					peer.heard.set(index, {at: events.getNow(), demand});
 				}
 			}
@@ -107,19 +109,32 @@
 
 	for (const fault of model.faults) {
 		events.schedule(quotaModelWarmUpMs + fault.at, () => {
-			if (fault.type === 'cut') {
-				({isOnSecondSide} = fault);
-			} else if (fault.type === 'freeze') {
-				for (const index of fault.nodes) {
-					nodes[index]!.frozenUntil = events.getNow() + fault.forMs;
+			switch (fault.type) {
+				case 'cut': {
+					({isOnSecondSide} = fault);
+
+					break;
 				}
-			} else if (fault.type === 'restart') {
-				for (const index of fault.nodes) {
-					Object.assign(nodes[index]!, {isDown: true});
-					events.schedule(fault.downMs, () => {
-						Object.assign(nodes[index]!, {...create(), isDown: false});
-					});
+
+				case 'freeze': {
+					for (const index of fault.nodes) {
+						nodes[index]!.frozenUntil = events.getNow() + fault.forMs;
+					}
+
+					break;
+				}
+
+				case 'restart': {
+					for (const index of fault.nodes) {
+						Object.assign(nodes[index]!, {isDown: true});
+						events.schedule(fault.downMs, () => {
+							Object.assign(nodes[index]!, {...create(), isDown: false});
+						});
+					}
+
+					break;
 				}
+			// No default
 			}
 		});
 	}
--- a/bench/experiment/quota-model.test.ts
+++ b/bench/experiment/quota-model.test.ts
@@ -35,6 +35,7 @@
 	fc.record({
 		type: fc.constant('loss' as const), at, lost: fc.constantFrom(0, 0.1, 0.5), late: fc.constantFrom(0, 0.1, 0.5),
 	}),
+	fc.record({type: fc.constant('rush' as const), at, forMs: fc.integer({min: 0, max: 5000})}),
 	fc.record({type: fc.constant('limit' as const), at, limit: limitArbitrary}),
 	fc.record({
 		type: fc.constant('demand' as const), at, perSecond: fc.constantFrom(0, 10, 100, 600), unevenShare: fc.constantFrom(0, 2 / 3, 1),
@@ -67,11 +68,11 @@
 
 test('property: no window has more requests than the quota allows, whatever partitions, freezes, restarts, lost and late messages and changes come together', () => {
 	fc.assert(fc.property(
-		toleranceArbitrary, fc.integer({min: 1, max: 12}), limitArbitrary, fc.constantFrom(20, 100, 600), fc.constantFrom(0, 2 / 3, 1), fc.array(fault, {maxLength: 12}), fc.nat(1_000_000),
+		toleranceArbitrary, fc.integer({min: 1, max: 12}), limitArbitrary, fc.constantFrom(20, 100, 600), fc.constantFrom(0, 2 / 3, 1), fc.boolean(), fc.array(fault, {maxLength: 12}), fc.nat(1_000_000),
 		// eslint-disable-next-line max-params -- one parameter for each generated value
-		(tolerance, nodes, limit, demandPerSecond, unevenShare, faults, seed) => {
+		(tolerance, nodes, limit, demandPerSecond, unevenShare, isHoarding, faults, seed) => {
 			const {ranAt} = runQuotaModel({
-				nodes, tolerance, limit, demandPerSecond, unevenShare, faults, durationMs, random: createModelRandom(seed),
+				nodes, tolerance, limit, demandPerSecond, unevenShare, isHoarding, faults: [...faults, {type: 'rush', at: 9000, forMs: 5000}], durationMs, random: createModelRandom(seed),
 			});
 			assert.equal(findExcess(tolerance, ranAt, limit, faults), undefined);
 		},
--- a/bench/experiment/quota-model.ts
+++ b/bench/experiment/quota-model.ts
@@ -28,6 +28,8 @@
 	| {readonly type: 'loss'; readonly at: number; readonly lost: number; readonly late: number}
 	/** The limit changes, at each node up to a second later. */
 	| {readonly type: 'limit'; readonly at: number; readonly limit: QuotaLimit}
+	/** All nodes use all tokens that they can get, for a while. */
+	| {readonly type: 'rush'; readonly at: number; readonly forMs: number}
 	/** Requests per second, and the share of them that comes at the first fifth of the nodes. */
 	| {readonly type: 'demand'; readonly at: number; readonly perSecond: number; readonly unevenShare: number};
 
@@ -38,6 +40,8 @@
 	readonly demandPerSecond: number;
 	/** Share of the requests that comes at the first fifth of the nodes. */
 	readonly unevenShare: number;
+	/** Whether entries ask for all tokens that they can get, and use them only in a rush: the worst that entries could do. */
+	readonly isHoarding?: boolean;
 	readonly faults: readonly QuotaFault[];
 	readonly durationMs: number;
 	readonly random: () => number;
@@ -64,6 +68,8 @@
 const maxWaitMs = 60;
 const askTimeoutMs = 500;
 const maxLateMs = 3000;
+const rushStepMs = 10;
+const hoardedTokens = 10_000;
 
 type ModelNode = {
 	readonly id: NodeId;
@@ -102,12 +108,13 @@
 	let messages = 0;
 	let unknown = 0;
 
+	const countWaiting = ({waiting}: Pick<ModelNode, 'waiting'>): number => model.isHoarding ? hoardedTokens : waiting.length;
 	const createCore = (node: Pick<ModelNode, 'id' | 'run' | 'clockMs'>, getWaiting: () => number, now: number): QuotaCore =>
 		createQuotaCore(node.id, `${node.id}-${node.run}`, now + node.clockMs, getWaiting);
 	const nodes: ModelNode[] = Array.from({length: count}, (_, index) => {
 		const base = {id: toNodeId(`n${index}`), run: 0, clockMs: Math.floor(random() * 1_000_000)};
 		const node: ModelNode = {
-			...base, core: createCore(base, () => node.waiting.length, 0), isDown: false, frozenUntil: 0, heard: new Map(), waiting: [], limit: model.limit,
+			...base, core: createCore(base, () => countWaiting(node), 0), isDown: false, frozenUntil: 0, heard: new Map(), waiting: [], limit: model.limit,
 		};
 		return node;
 	});
@@ -131,7 +138,7 @@
 		});
 	};
 
-	const deliver = (from: number, to: number, handle: () => void): void => {
+	const sendMessage = (from: number, to: number, handle: () => void): void => {
 		messages++;
 		if (!areConnected(from, to) || random() < loss.lost) {
 			return;
@@ -186,7 +193,7 @@
 			return;
 		}
 
-		const head = JSON.parse(JSON.stringify(encodeQuotaAsk(planned.ask))) as unknown;
+		const head = structuredClone(encodeQuotaAsk(planned.ask)) as unknown;
 		if (planned.to === node.id) {
 			const answer = encodeQuotaAnswer(node.core.answer(decodeQuotaAsk(head), readClock(node)));
 			scheduleAt(node, events.getNow(), () => {
@@ -209,9 +216,9 @@
 			finish(undefined);
 		});
 		const {run} = node;
-		deliver(from, to, () => {
+		sendMessage(from, to, () => {
 			const answer = encodeQuotaAnswer(nodes[to]!.core.answer(decodeQuotaAsk(head), readClock(nodes[to]!)));
-			deliver(to, from, () => {
+			sendMessage(to, from, () => {
 				if (node.run === run) {
 					finish(answer);
 				}
@@ -267,7 +274,7 @@
 		node.clockMs = Math.floor(random() * 1_000_000) - events.getNow();
 		node.waiting = [];
 		node.heard.clear();
-		node.core = createCore(node, () => node.waiting.length, events.getNow());
+		node.core = createCore(node, () => countWaiting(node), events.getNow());
 		applyLimit(node);
 		if (isListed) {
 			node.core.nodes.noteListed(count, readClock(node));
@@ -300,7 +307,7 @@
 			scheduleNextRequest();
 			const some = random() < unevenShare ? Math.ceil(count / 5) : count;
 			const node = nodes[Math.floor(random() * some)]!;
-			if (demandPerSecond > 0 && !node.isDown && events.getNow() >= node.frozenUntil) {
+			if (demandPerSecond > 0 && !model.isHoarding && !node.isDown && events.getNow() >= node.frozenUntil) {
 				handleRequest(node);
 			}
 		});
@@ -360,6 +367,24 @@
 				break;
 			}
 
+			case 'rush': {
+				const until = events.getNow() + fault.forMs;
+				const takeAll = (): void => {
+					for (const node of nodes) {
+						while (!node.isDown && events.getNow() >= node.frozenUntil && node.core.client.getStock(workspace)!.take(readClock(node)) !== undefined) {
+							ranAt.push(events.getNow());
+						}
+					}
+
+					if (events.getNow() < until) {
+						scheduleEvent(events.getNow() + rushStepMs, takeAll);
+					}
+				};
+
+				takeAll();
+				break;
+			}
+
 			case 'demand': {
 				demandPerSecond = fault.perSecond;
 				unevenShare = fault.unevenShare;
--- a/bench/experiment/quota-table.ts
+++ b/bench/experiment/quota-table.ts
@@ -47,7 +47,7 @@
 
 /** Plans the faults of a trouble. */
 export function planFaults(trouble: QuotaTrouble, nodes: number, durationMs: number): readonly QuotaFault[] {
-	const rounds = (periodMs: number): readonly number[] => Array.from({length: Math.floor(durationMs / periodMs)}, (_, round) => round);
+	const listRounds = (periodMs: number): readonly number[] => Array.from({length: Math.floor(durationMs / periodMs)}, (_, round) => round);
 	switch (trouble) {
 		case 'none':
 		case 'uneven': {
@@ -59,13 +59,13 @@
 		}
 
 		case 'restarts': {
-			return rounds(2000).map(round => ({
+			return listRounds(2000).map(round => ({
 				type: 'restart', at: round * 2000, nodes: listTenth(nodes, round), downMs: 500, isListed: true,
 			}));
 		}
 
 		case 'freezes': {
-			return rounds(3000).map(round => ({
+			return listRounds(3000).map(round => ({
 				type: 'freeze', at: round * 3000, nodes: listTenth(nodes, round), forMs: 2000,
 			}));
 		}
--- /dev/null
+++ b/src/lib/quotas/quota-nodes.test.ts
@@ -0,0 +1,52 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {toNodeId} from '../common/ids.js';
+import {createQuotaNodes} from './quota-nodes.js';
+
+const createPeer = (name: string, heardAt: number, isLeaving = false) => ({node: toNodeId(name), heardAt, isLeaving});
+
+test('a new process that nobody has told the number of nodes relies on nothing', () => {
+	const nodes = createQuotaNodes(toNodeId('n1'));
+	nodes.updatePeers([createPeer('n2', 100)], 100);
+	assert.equal(nodes.countKnown(100_000), 0);
+});
+
+test('a new process relies on the list of the store once no further node has appeared for a while', () => {
+	const nodes = createQuotaNodes(toNodeId('n1'));
+	nodes.noteListed(2, 100);
+	nodes.updatePeers([createPeer('n2', 900)], 900);
+	assert.equal(nodes.countKnown(1500), 0);
+	nodes.updatePeers([createPeer('n2', 900), createPeer('n3', 1600)], 1600);
+	assert.equal(nodes.countKnown(2500), 0);
+	assert.equal(nodes.countKnown(2700), 3);
+});
+
+test('a new process relies on a node that is not new, and counts as many nodes as that one', () => {
+	const nodes = createQuotaNodes(toNodeId('n1'));
+	nodes.noteKnown(toNodeId('n2'), 0, 100);
+	assert.equal(nodes.countKnown(100), 0);
+	nodes.noteKnown(toNodeId('n2'), 75, 200);
+	assert.equal(nodes.count(200), 75);
+	assert.ok(nodes.countKnown(200) > 0);
+	nodes.noteKnown(toNodeId('n2'), 70, 300);
+	assert.equal(nodes.count(300), 70);
+});
+
+test('what others have told is not passed on, so that an outdated number does not circulate', () => {
+	const nodes = createQuotaNodes(toNodeId('n1'));
+	nodes.noteKnown(toNodeId('n2'), 75, 200);
+	assert.equal(nodes.countKnown(200), 1);
+});
+
+test('a silent node counts for an hour after the membership table has forgotten it, and one that has left for a short time', () => {
+	const nodes = createQuotaNodes(toNodeId('n1'));
+	nodes.updatePeers([createPeer('n2', 0), createPeer('n3', 0, true)], 0);
+	nodes.updatePeers([], 10_000);
+	assert.equal(nodes.count(10_000), 3);
+	nodes.updatePeers([], 20_000);
+	assert.equal(nodes.count(20_000), 2);
+	nodes.updatePeers([], 3_500_000);
+	assert.equal(nodes.count(3_500_000), 2);
+	nodes.updatePeers([], 3_700_000);
+	assert.equal(nodes.count(3_700_000), 1);
+});
