--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -25,6 +25,8 @@
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {type CallerRetryDetector} from '../decisions/caller-retry-detector.js';
 import {describeAuthenticationFailure, type AuthenticationFailure} from '../workspaces/authenticate-request.js';
+import {type QuotaDecision, type Quotas} from '../quotas/quotas.js';
+import {type Workspace} from '../workspaces/workspace.js';
 import {createLazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {createByteBudget} from './byte-budget.js';
 import {createCallScope, deadlineGraceMs, type CallScope} from './call-scope.js';
@@ -55,6 +57,8 @@
 	readonly tookMs: number;
 	readonly leftMs: number;
 	readonly attempts: readonly AttemptRecord[];
+	/** How the request got a token of the quota of its workspace; absent if there is no quota. */
+	readonly quota?: 'granted' | 'waited' | 'returned';
 };
 
 /** @internal */
@@ -68,6 +72,7 @@
 	readonly weightedRoundRobin: WeightedRoundRobin;
 	readonly callerRetryDetector: CallerRetryDetector;
 	readonly nestedCallDetector: NestedCallDetector;
+	readonly quotas: Pick<Quotas, 'acquire'>;
 	readonly log: MeshLog;
 	readonly refusals: RefusalLog;
 	/** If this process lags behind, waits until input that has already arrived is read, so that the disconnect of a caller is noticed before work on its request starts. */
@@ -101,6 +106,33 @@
 	readonly sendContinue: () => void;
 };
 
+/** The longest wait for a token of a quota, in milliseconds, and the longest as a share of the latency objective, which leaves most of it for the work. */
+const maxQuotaWaitMs = 150;
+const quotaWaitShare = 1 / 8;
+
+type GrantedToken = Extract<QuotaDecision, {readonly type: 'granted'}>;
+
+/** Stands for the token of a request without a quota. */
+const noToken: GrantedToken = {type: 'granted', hasWaited: false, giveBack: () => undefined};
+
+function describeToken(token: GrantedToken, mayHaveRun: boolean): FinishedCall['quota'] {
+	if (token === noToken) {
+		return undefined;
+	}
+
+	if (!mayHaveRun) {
+		return 'returned';
+	}
+
+	return token.hasWaited ? 'waited' : 'granted';
+}
+
+function releaseToken(token: GrantedToken | undefined, mayHaveRun: boolean): void {
+	if (!mayHaveRun) {
+		token?.giveBack();
+	}
+}
+
 /** The largest request head that is accepted. */
 const maxHeaderBytes = 65_536;
 
@@ -153,7 +185,7 @@
 			return;
 		}
 
-		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 ? 'not-run' : undefined})}\n`);
+		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 || status === 429 ? 'not-run' : undefined})}\n`);
 		response.writeHead(status, {
 			'content-type': 'application/json',
 			'content-length': body.length,
@@ -193,6 +225,12 @@
 		refuse(call, status, reason, retryAfterMs);
 	};
 
+	const logCallerLeft = ({id, receivedAt}: EntryCall, route: RouteRule): void => {
+		log.record('info', {
+			kind: 'caller-left', call: id, route: route.name, waitedMs: Math.round(readSteadyMs() - receivedAt),
+		});
+	};
+
 	const recordCallerRefusal = ({id, request}: EntryCall, route: RouteRule, cause: CallerCause, reason: string): void => {
 		context.refusals.record({
 			kind: 'caller-refused', cause, place: `${request.socket.remoteAddress ?? 'a closed connection'} on route ${route.name}`, reason, call: id,
@@ -229,6 +267,41 @@
 		refuse(call, status, reason, isOutdated ? outdatedConfigRetryMs : 0);
 	};
 
+	/** Refuses a request that got no token of the quota of its workspace. */
+	const refuseForQuota = (call: EntryCall, version: number, {name}: Workspace, decision: Extract<QuotaDecision, {readonly type: 'over' | 'unknown'}>): void => {
+		const status = decision.type === 'over' ? 429 : 503;
+		const reason = decision.type === 'over' ? 'its workspace is over its quota' : 'no coordinator of the quota of its workspace has answered in time';
+		log.record('info', {
+			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version, workspace: name, quota: decision.type,
+		});
+		refuse(call, status, reason, decision.retryAfterMs);
+	};
+
+	/** Takes a token of the quota of the workspace. Returns `undefined` if the request was refused, or if its caller has left. */
+	const acquireToken = async (call: EntryCall, version: number, route: RouteRule, scope: CallScope, workspace: Workspace | undefined): Promise<GrantedToken | undefined> => {
+		if (workspace?.ratePerSecond === undefined) {
+			return noToken;
+		}
+
+		const decision = await context.quotas.acquire(workspace, Math.min(maxQuotaWaitMs, route.targetLatencyMs * quotaWaitShare), scope);
+		switch (decision.type) {
+			case 'granted': {
+				return decision;
+			}
+
+			case 'cancelled': {
+				logCallerLeft(call, route);
+				return undefined;
+			}
+
+			case 'over':
+			case 'unknown': {
+				refuseForQuota(call, version, workspace, decision);
+				return undefined;
+			}
+		}
+	};
+
 	const readCallBody = async (call: EntryCall, maxBodyBytes: number, scope: CallScope): Promise<Uint8Array | undefined | 'refused'> => {
 		if (!hasBody(call.request)) {
 			return undefined;
@@ -253,7 +326,7 @@
 		}
 	};
 
-	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string; readonly workspace: string | undefined}): void => {
+	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string; readonly workspace: string | undefined; readonly quota: FinishedCall['quota']}): void => {
 		const {result, verdict, attempts} = outcome;
 		const now = readSteadyMs();
 		const status = result.type === 'answered' ? result.status : sendFailure(call, result, verdict, outcome.route.targetLatencyMs);
@@ -268,6 +341,7 @@
 			reason: result.type === 'answered' ? 'answered' : `${result.reason}: ${result.detail}`,
 			tookMs: Math.round(now - call.receivedAt),
 			leftMs: Math.round(scope.deadlineAt - now),
+			...outcome.quota === undefined ? {} : {quota: outcome.quota},
 		});
 	};
 
@@ -329,14 +403,20 @@
 		const ageMs = isNestedCall ? 0 : context.callerRetryDetector.recordCall(route.name, callerTimeoutMs);
 		const timeLeftMs = Math.min(callerTimeoutMs, route.timeoutMs);
 		let bufferedBytes = 0;
+		let token: GrantedToken | undefined;
+		// Set once the call is sent, since an unexpected error may follow.
+		let mayHaveRun = false;
 		const scope = createCallScope(call.receivedAt + timeLeftMs + deadlineGraceMs);
 		const removeFromConnection = connections.add(request.socket, scope);
 		try {
 			await context.waitForPendingInput(request.socket.bytesWritten === 0);
 			if (scope.getEndReason() === 'cancelled') {
-				log.record('info', {
-					kind: 'caller-left', call: call.id, route: route.name, waitedMs: Math.round(readSteadyMs() - call.receivedAt),
-				});
+				logCallerLeft(call, route);
+				return;
+			}
+
+			token = await acquireToken(call, version, route, scope, workspace);
+			if (token === undefined) {
 				return;
 			}
 
@@ -348,6 +428,7 @@
 			bufferedBytes = body?.length ?? 0;
 
 			const {method = 'GET', url: target = '/'} = request;
+			mayHaveRun = true;
 			const outcome = await sendCall(context, {
 				id: call.id,
 				route,
@@ -368,10 +449,12 @@
 					request, route, activeConfig, workspace,
 				}),
 			});
+			mayHaveRun = outcome.verdict !== 'not-run';
 			finish(call, scope, activeConfig, {
-				...outcome, route, service, workspace: workspace?.name,
+				...outcome, route, service, workspace: workspace?.name, quota: describeToken(token, mayHaveRun),
 			});
 		} finally {
+			releaseToken(token, mayHaveRun);
 			bodyBudget.release(bufferedBytes);
 			removeFromConnection();
 			scope.dispose();
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -6,6 +6,7 @@
  */
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import {type FinishedCall} from '../forwarding/entry-server.js';
+import {type QuotaOutcome} from '../quotas/quotas.js';
 import {type LimitedOutcome} from '../server-notices/server-limiter.js';
 import {workspaceCallsMetric} from '../workspaces/explain-workspaces.js';
 import {createWorkspaceCounter} from '../workspaces/workspace-counter.js';
@@ -31,6 +32,8 @@
 	readonly countRefusal: (kind: RefusalKind, cause: RefusalCause) => void;
 	/** Counts the requests to a backend server that names a limit. */
 	readonly countLimited: (caller: string, outcome: LimitedOutcome) => void;
+	/** Counts the requests of workspaces with a quota. */
+	readonly countQuota: (workspace: string, outcome: QuotaOutcome) => void;
 	/** Returns a log that counts each event and passes it on to a given log. */
 	readonly countEvents: (log: MeshLog) => MeshLog;
 	readonly format: (gauges: readonly Gauge[]) => string;
@@ -102,6 +105,7 @@
 	const refusals = createCounter('stonemoor_refusals_total', 'kind', 'cause');
 	const limited = createCounter('stonemoor_limited_requests_total', 'caller', 'outcome');
 	const workspaceCalls = createWorkspaceCounter();
+	const quotas = createCounter('stonemoor_quota_requests_total', 'workspace', 'outcome');
 	const latencies = new Map<string, Histogram>();
 	const loopDelays = createHistogram();
 
@@ -140,6 +144,9 @@
 		countLimited(caller, outcome) {
 			limited.add(caller, outcome);
 		},
+		countQuota(workspace, outcome) {
+			quotas.add(workspace, outcome);
+		},
 		countEvents: log => ({
 			record(level, event) {
 				if (event.kind === 'gate-refused' || event.kind === 'request-hung') {
@@ -159,6 +166,7 @@
 				...refusals.format(),
 				...limited.format(),
 				...workspaceCalls.list().map(({workspace, outcome, count}) => `${workspaceCallsMetric}{${formatLabels({workspace, outcome})}} ${count}`),
+				...quotas.format(),
 				...[...latencies].flatMap(([service, histogram]) => formatSummary('stonemoor_call_milliseconds', {service}, histogram)),
 				...formatSummary('stonemoor_loop_delay_milliseconds', {}, loopDelays),
 				...gauges.flatMap(gauge => formatGauge(gauge)),
