--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -26,6 +26,8 @@
 	readonly quarantine: Quarantine;
 	/** Ids of the calls that arrived. */
 	readonly arrived: string[];
+	/** The workspace of each call that arrived. */
+	readonly workspaces: Array<string | undefined>;
 	/** Closes all connections to the server. */
 	readonly closeConnections: () => void;
 	/** Responds to the oldest unanswered call. */
@@ -39,8 +41,10 @@
 /** Creates a gate for a server with one slot that responds only on `answerNext`. */
 async function createFixture(context: TestContext, isLeaving: () => boolean = () => false): Promise<Fixture> {
 	const arrived: string[] = [];
+	const workspaces: Array<string | undefined> = [];
 	const open: ServerResponse[] = [];
 	const server = createServer((request, response) => {
+		workspaces.push(request.headers[headerNames.workspace] as string | undefined);
 		arrived.push(String(request.headers[headerNames.callId]));
 		response.setHeader(headerNames.callId, String(request.headers[headerNames.callId]));
 		response.setHeader(headerNames.signature, 's');
@@ -59,6 +63,7 @@
 		gate,
 		quarantine,
 		arrived,
+		workspaces,
 		queuedBytes: 0,
 		closeConnections() {
 			server.closeAllConnections();
@@ -102,6 +107,20 @@
 	assert.ok(!fixture.arrived.includes('late'));
 }
 
+// Guards against a name of a workspace that reaches the server in the headers of the request, from an entry that has not removed it.
+test('the server sees the workspace that the entry named, and no other', async context => {
+	const fixture = await createFixture(context);
+	const headers = {host: 'mesh.example', 'x-workspace': 'forged'};
+	for (const workspace of ['alpha', undefined]) {
+		const answer = fixture.gate.run({...fixture.createCall(`of ${workspace}`), headers, workspace});
+		await expectSoon('the call arrives', () => fixture.arrived.includes(`of ${workspace}`));
+		fixture.answerNext();
+		await answer;
+	}
+
+	assert.deepEqual(fixture.workspaces, ['alpha', undefined]);
+});
+
 test('a server that announced draining or sent a leave gets no requests from its own gate', async context => {
 	const draining = await createFixture(context);
 	draining.announce({isDraining: true});
