Admission by priority: usable

Callers of the most urgent kind were refused or answered late while less urgent requests held the slots. Entries refused by expected wait and counted every waiting request as ahead, also those that a gate would have let the urgent one pass; all entries chose the same server with the shortest reported wait, whose gate then refused most of them; and late work took free slots at slow servers while a fast server could have answered in time after a short wait.

- A gate that refused a request which could have waited holds back less urgent ones for 300 ms: they get a free slot, but do not queue.
It stops as soon as a slot is idle.
- Gates report the least urgent priority that they accept, and how many requests wait by priority, at the end of their load in answers and heartbeats.
Absent or malformed numbers have no effect.
- Entries do not send to gates that hold a request back (for 450 ms after the report), refuse if all do, and count only requests ahead of it as its wait.
A call that would be late at a server is less urgent there than any that can be in time.
- The estimated wait is compared with a random factor between 0.5 and 1.5, and a free slot at a server too slow for the objective is used only if no server can answer in time.
- Nested calls rank before all other requests, whatever their priority.

--- a/bench/experiment/entry.ts
+++ b/bench/experiment/entry.ts
@@ -81,7 +81,7 @@
 	};
 
 	const getCallState = (): CallState => ({
-		targetLatencyMs: kind.targetLatencyMs, ageMs: ageMs + events.getNow() - receivedAt, leftMs: getLeftMs(), isNestedCall, isBulk: false,
+		targetLatencyMs: kind.targetLatencyMs, ageMs: ageMs + events.getNow() - receivedAt, leftMs: getLeftMs(), isNestedCall, isBulk: false, priority: isNestedCall ? 0 : kind.priority,
 	});
 
 	const tryNextGate = (): void => {
@@ -91,9 +91,10 @@
 
 		const callState = getCallState();
 		const ranked = rankServers(listCandidates(simulation, request.node, kind), {domain: toFailureDomain(node.domain), random, ...policy.computeThresholds(route, isNestedCall, callState.ageMs)});
-		const plan = planAttempt(callState, history, ranked, policy, events.getNow());
+		const plan = planAttempt(callState, history, ranked, {...policy, random}, events.getNow());
 		if (plan.type !== 'send') {
-			refuse(plan.type === 'refuse' ? plan.waitMs : 0, plan.type === 'refuse');
+			const isOverloaded = plan.type === 'refuse' || plan.type === 'hold-back';
+			refuse(isOverloaded ? plan.waitMs : 0, isOverloaded);
 			return;
 		}
 
@@ -171,7 +172,7 @@
 		}
 
 		server.requestSlot({
-			rank: computeRank(route),
+			rank: computeRank(route, {isNestedCall}),
 			mayWaitMs,
 			deadlineAt: events.getNow() + getLeftMs(),
 			run(handleFinish) {
--- a/bench/experiment/mesh-model.ts
+++ b/bench/experiment/mesh-model.ts
@@ -191,7 +191,7 @@
 
 function startCallers(simulation: Simulation, kind: RequestKind, startRequest: StartEntryRequest): void {
 	const {events, random} = simulation;
-	const factor = simulation.listActiveDisturbances('burst').reduce((product, disturbance) => product * disturbance.factor, 1);
+	const factor = simulation.listActiveDisturbances('burst').filter(burst => burst.kind === undefined || burst.kind === kind.name).reduce((product, disturbance) => product * disturbance.factor, 1);
 	events.schedule(randomExponential.source(random)(kind.perSecond * factor / 1000)(), () => {
 		startCaller(simulation, kind, startRequest);
 		startCallers(simulation, kind, startRequest);
--- a/bench/experiment/model-server.ts
+++ b/bench/experiment/model-server.ts
@@ -5,12 +5,14 @@
  * @module
  */
 import {
-	admitToQueue, createSlotQueue, estimateWaitMs, finishRequest, removeFromQueue, type SlotQueue,
+	admitToQueue, createSlotQueue, describePriorities, estimateWaitMs, finishRequest, recordRefusal, removeFromQueue, type SlotQueue,
 } from '../../src/lib/decisions/slot-queue.js';
 import {
 	admitLimited, createLimiterState, estimateTokenWaitMs, type LimiterState,
 } from '../../src/lib/server-notices/limiter-state.js';
+import {type PoolLoad} from '../../src/lib/admission/slot-pool.js';
 import {type EventQueue} from './event-queue.js';
+import {type Policy} from './policy.js';
 
 /** A request at a gate. Times are simulated milliseconds. */
 export type GateRequest = {
@@ -34,7 +36,7 @@
 	/** Returns the limit that the server names, in requests per second. */
 	readonly getLimit: () => number | undefined;
 	readonly requestSlot: (request: GateRequest) => () => void;
-	readonly getLoad: () => {readonly running: number; readonly waiting: number; readonly serviceMs: number};
+	readonly getLoad: () => PoolLoad;
 };
 
 type ModelServerOptions = Pick<ModelServer, 'id' | 'service' | 'node' | 'slots' | 'speed' | 'getLimit'>;
@@ -42,10 +44,11 @@
 /**
  * @param options - Identity, node, slots and speed of the server.
  * @param events - The event queue of the simulation.
- * @param maximumWaitFactor - A waiting request is evicted after its allowed wait multiplied by this factor.
+ * @param policy - The rules of the gate.
  * @returns An idle server.
  */
-export function createModelServer(options: ModelServerOptions, events: EventQueue, maximumWaitFactor: number): ModelServer {
+export function createModelServer(options: ModelServerOptions, events: EventQueue, policy: Pick<Policy, 'maximumWaitFactor' | 'arePrioritiesReported'>): ModelServer {
+	const {maximumWaitFactor, arePrioritiesReported} = policy;
 	let queue: SlotQueue = createSlotQueue(options.slots);
 	let nextId = 1;
 	let limiter: LimiterState | undefined;
@@ -70,7 +73,7 @@
 		const request = waiting.get(id);
 		if (request !== undefined) {
 			waiting.delete(id);
-			queue = removeFromQueue(queue, id);
+			queue = recordRefusal(removeFromQueue(queue, id), request.rank, events.getNow());
 			request.handleFull(estimateWaitMs(queue, request.rank));
 		}
 	};
@@ -137,6 +140,8 @@
 				}
 			};
 		},
-		getLoad: () => ({running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs}),
+		getLoad: () => ({
+			running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs, ...arePrioritiesReported ? describePriorities(queue, events.getNow()) : {},
+		}),
 	};
 }
--- a/bench/experiment/pattern.ts
+++ b/bench/experiment/pattern.ts
@@ -47,8 +47,8 @@
 
 /** A temporary change of load or servers. */
 export type Disturbance =
-	/** Multiplies the rate of new requests by a factor. */
-	| {readonly type: 'burst'; readonly fromMs: number; readonly toMs: number; readonly factor: number}
+	/** Multiplies the rate of new requests, or of those of one kind, by a factor. */
+	| {readonly type: 'burst'; readonly fromMs: number; readonly toMs: number; readonly factor: number; readonly kind?: string}
 	/** Slows a share of the servers of a service down by a factor. */
 	| {readonly type: 'slow'; readonly fromMs: number; readonly toMs: number; readonly service: string; readonly share: number; readonly factor: number}
 	/** The servers of a service refuse a share of their requests. */
@@ -169,6 +169,38 @@
 	};
 }
 
+/**
+ * Two priorities at servers whose speeds differ by three times, with few slots and objectives of less than two service times: the
+ * more urgent requests alone fit into the capacity, both together exceed it. A late response is worth little for the more urgent ones.
+ */
+function createPriorityPattern(name: string, load: number, disturbances: readonly Disturbance[]): Pattern {
+	return {
+		name, durationMs: 16_000, domains: 3, crossDomainOneWayMs: 1.4, callerOneWayMs: 1, forwardingMs: 2, disturbances,
+		services: [
+			{name: 'front', slots: 6, speeds: fillSpeeds([0.5, 0.8, 1, 1.2, 1.5], 14)},
+			{name: 'back', slots: 6, speeds: fillSpeeds([0.5, 0.8, 1, 1.2, 1.5], 11)},
+		],
+		kinds: [
+			{
+				...commonKindFields, name: 'urgent', service: 'front', perSecond: 160 * load, workMs: 210, workSpread: 0.4, targetLatencyMs: 504, deadlineMs: 3000, timeoutMs: 2000,
+				priority: 0, worth: 1.4, lateWorth: 0.17, calls: [{
+					kind: 'look-up', times: 2, share: 0.7, isConcurrent: false,
+				}],
+			},
+			{
+				...commonKindFields, name: 'normal', service: 'front', perSecond: 100 * load, workMs: 276, workSpread: 0.4, targetLatencyMs: 807, deadlineMs: 4800, timeoutMs: 2500,
+				priority: 1, worth: 1.5, lateWorth: 0.45, isRetryable: false,
+			},
+			{
+				...commonKindFields, name: 'browse', service: 'back', perSecond: 130 * load, workMs: 120, workSpread: 0.5, targetLatencyMs: 350, deadlineMs: 2100, timeoutMs: 1500,
+			},
+			{
+				...commonKindFields, name: 'look-up', service: 'back', perSecond: 0, workMs: 52, workSpread: 0.4, targetLatencyMs: 180, deadlineMs: 600, timeoutMs: 600, priority: 1, worth: 0, retries: 0,
+			},
+		],
+	};
+}
+
 /** The patterns that `npm run experiment` can run. */
 export const patterns: readonly Pattern[] = [
 	createTieredPattern('calm', 0.7, []),
@@ -202,4 +234,12 @@
 	}]),
 	createLongWorkPattern(1),
 	{...createLongWorkPattern(1.3), name: 'long work, overload'},
+	createPriorityPattern('two priorities', 0.9, []),
+	createPriorityPattern('two priorities, overload', 1.3, []),
+	createPriorityPattern('two priorities, burst of one kind', 0.95, [{
+		type: 'burst', fromMs: 6000, toMs: 11_000, factor: 2.6, kind: 'normal',
+	}]),
+	createPriorityPattern('two priorities, callers that repeat at once', 1.1, [{
+		type: 'impatient', fromMs: 4000, toMs: 12_000, share: 0.5,
+	}]),
 ];
--- a/bench/experiment/simulation.ts
+++ b/bench/experiment/simulation.ts
@@ -91,7 +91,7 @@
 	const servers: readonly ModelServer[] = serverPlans.map(({service, speed}, node) => createModelServer({
 		id: `s${node}`, service: service.name, node, slots: service.slots, speed,
 		getLimit: () => listActiveDisturbances('limited').find(disturbance => isAffected(disturbance, servers[node]!))?.perSecond,
-	}, events, policy.maximumWaitFactor));
+	}, events, policy));
 
 	return {
 		pattern, policy, events, nodes, servers,
--- a/src/lib/admission/slot-pool.test.ts
+++ b/src/lib/admission/slot-pool.test.ts
@@ -26,7 +26,9 @@
 	};
 
 	const asked = [ask('second', 2), ask('first', 1)];
-	assert.deepEqual(pool.describe(), {running: 1, waiting: 2, serviceMs: 60});
+	assert.deepEqual(pool.describe(), {
+		running: 1, waiting: 2, serviceMs: 60, waitingByPriority: [2],
+	});
 	pool.release(undefined);
 	await asked[1];
 	pool.release(undefined);
@@ -37,7 +39,9 @@
 
 test('a request that may not wait is refused immediately, with a retry delay', async () => {
 	const pool = await createBusyPool();
-	assert.deepEqual(await pool.acquire(createRequest({mayWaitMs: 0})), {type: 'full', reason: 'no slot in time', retryAfterMs: 60});
+	assert.deepEqual(await pool.acquire(createRequest({mayWaitMs: 0})), {
+		type: 'full', reason: 'no slot in time', retryAfterMs: 60, isHeldBack: false,
+	});
 });
 
 test('a request that times out or is cancelled while queued gets no slot', async () => {
@@ -53,7 +57,9 @@
 	leave();
 	const outcomes: SlotOutcome[] = await Promise.all([late, left]);
 	assert.deepEqual(outcomes.map(({type}) => type), ['full', 'cancelled']);
-	assert.deepEqual(pool.describe(), {running: 1, waiting: 0, serviceMs: 60});
+	assert.deepEqual(pool.describe(), {
+		running: 1, waiting: 0, serviceMs: 60, leastUrgent: 0,
+	});
 });
 
 test('queued requests get the slots that a resize adds', async () => {
--- a/src/lib/admission/slot-pool.ts
+++ b/src/lib/admission/slot-pool.ts
@@ -6,8 +6,9 @@
  * @module
  */
 import {clampTimerMs, readSteadyMs} from '../common/clock.js';
+import {type PriorityLoad} from '../decisions/priority-admission.js';
 import {
-	admitToQueue, createSlotQueue, estimateWaitMs, finishRequest, removeFromQueue, resizeSlots,
+	admitToQueue, createSlotQueue, describePriorities, estimateWaitMs, finishRequest, recordRefusal, removeFromQueue, resizeSlots,
 	type QueuedRequest, type SlotQueue,
 } from '../decisions/slot-queue.js';
 
@@ -27,11 +28,19 @@
 export type SlotOutcome =
 	/** The request holds a slot, which the caller has to release. */
 	| {readonly type: 'run'}
-	| {readonly type: 'full'; readonly reason: string; readonly retryAfterMs: number}
+	/** `isHeldBack` tells that the request was refused in favour of more urgent ones. */
+	| {readonly type: 'full'; readonly reason: string; readonly retryAfterMs: number; readonly isHeldBack: boolean}
 	| {readonly type: 'cancelled'}
 	/** The server has ended. */
 	| {readonly type: 'gone'};
 
+/** The requests of a pool, by state and by priority. @internal */
+export type PoolLoad = PriorityLoad & {
+	readonly running: number;
+	readonly waiting: number;
+	readonly serviceMs: number;
+};
+
 /** @internal */
 export type SlotPool = {
 	readonly acquire: (request: SlotRequest) => Promise<SlotOutcome>;
@@ -40,7 +49,7 @@
 	readonly resize: (slots: number) => void;
 	/** Ends the wait of all queued requests, because the server has ended. */
 	readonly close: () => void;
-	readonly describe: () => {readonly running: number; readonly waiting: number; readonly serviceMs: number};
+	readonly describe: () => PoolLoad;
 };
 
 /** A queued request waits for at most this multiple of `mayWaitMs`, because the estimated wait is rough. */
@@ -76,7 +85,14 @@
 				queue = removeFromQueue(queue, queued.id);
 			}
 
-			resolve(outcome === 'late' ? {type: 'full', reason: 'no slot became free in time', retryAfterMs: estimateWaitMs(queue, request.rank)} : {type: outcome});
+			if (outcome === 'late') {
+				queue = recordRefusal(queue, request.rank, readSteadyMs());
+				resolve({
+					type: 'full', reason: 'no slot became free in time', retryAfterMs: estimateWaitMs(queue, request.rank), isHeldBack: false,
+				});
+			} else {
+				resolve({type: outcome});
+			}
 		};
 
 		const timer = setTimeout(() => {
@@ -111,7 +127,10 @@
 				}
 
 				case 'full': {
-					return {type: 'full', reason: 'no slot in time', retryAfterMs: step.decision.retryAfterMs};
+					const {retryAfterMs, isHeldBack} = step.decision;
+					return {
+						type: 'full', reason: isHeldBack ? 'more urgent requests were refused' : 'no slot in time', retryAfterMs, isHeldBack,
+					};
 				}
 
 				case 'wait': {
@@ -135,6 +154,8 @@
 				finish('gone');
 			}
 		},
-		describe: () => ({running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs}),
+		describe: () => ({
+			running: queue.running, waiting: queue.waiting.length, serviceMs: queue.serviceMs, ...describePriorities(queue, readSteadyMs()),
+		}),
 	};
 }
--- a/src/lib/decisions/load-view.ts
+++ b/src/lib/decisions/load-view.ts
@@ -9,9 +9,10 @@
 import {
 	applyLimitRefusal, applyNamedLimit, unlimitedView, type LimitView,
 } from '../server-notices/limit-view.js';
+import {countLessUrgent, type PriorityLoad} from './priority-admission.js';
 
 /** Known load of one server. Times are milliseconds of the steady clock. @internal */
-export type ServerView = LimitView & {
+export type ServerView = LimitView & PriorityLoad & {
 	readonly running: number;
 	readonly waiting: number;
 	/** Average service time of a request in milliseconds; 0 if unknown. */
@@ -31,7 +32,7 @@
 export type LoadView = {
 	/** Returns the known load of a server, with the round-trip time of a route if it is given. */
 	readonly get: (server: LifetimeKey, route?: string) => ServerView;
-	readonly recordReport: (server: LifetimeKey, report: Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare'>>, now: number) => void;
+	readonly recordReport: (server: LifetimeKey, report: Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare' | 'leastUrgent' | 'waitingByPriority'>>, now: number) => void;
 	/** Records the round-trip time of a request of a route. */
 	readonly recordRoundTrip: (server: LifetimeKey, route: string, roundTripMs: number) => void;
 	readonly recordStart: (server: LifetimeKey) => void;
@@ -59,6 +60,20 @@
 	return Math.max(view.ownInFlight, view.running + view.waiting + view.ownInFlight - view.ownInFlightAtReport);
 }
 
+/** How long a report that a gate holds back less urgent requests is valid, in milliseconds. A gate that still does so reports it again in its next heartbeat, 400 ms later at the earliest. */
+const holdBackMs = 450;
+
+/**
+ * @param view - The known load of a server.
+ * @param priority - Priority of a request.
+ * @param now - Current time, in milliseconds of the steady clock.
+ * @returns Whether the gate of the server would refuse the request in favour of more urgent ones.
+ * @internal
+ */
+export function isPriorityHeldBack({leastUrgent, reportedAt}: ServerView, priority: number, now: number): boolean {
+	return leastUrgent !== undefined && priority > leastUrgent && now - reportedAt < holdBackMs;
+}
+
 /**
  * Estimates how long a request would wait for a slot. The queue of the last
  * report is assumed to shrink at the average rate since. If all slots were in use
@@ -68,14 +83,15 @@
  * @param view - The known load of a server.
  * @param slots - Concurrency limit of the server.
  * @param now - Current time, in milliseconds of the steady clock.
+ * @param priority - Priority of the request, which goes ahead of less urgent ones that wait; the least urgent one if omitted.
  * @returns Milliseconds; 0 if a slot is likely to be free and the limit of the server is not used up.
  * @internal
  */
-export function estimateSlotWaitMs(view: ServerView, slots: number, now: number): number {
-	return Math.max(estimateQueueWaitMs(view, slots, now), view.limitedUntil - now);
+export function estimateSlotWaitMs(view: ServerView, slots: number, now: number, priority = Number.POSITIVE_INFINITY): number {
+	return Math.max(estimateQueueWaitMs(view, slots, now, priority), view.limitedUntil - now);
 }
 
-function estimateQueueWaitMs(view: ServerView, slots: number, now: number): number {
+function estimateQueueWaitMs(view: ServerView, slots: number, now: number, priority: number): number {
 	const requests = estimateOutstanding(view);
 	if (requests < slots) {
 		return 0;
@@ -83,7 +99,7 @@
 
 	const slotMs = view.serviceMs / Math.max(1, slots);
 	const endedCount = slotMs === 0 ? 0 : Math.max(0, now - view.reportedAt) / slotMs;
-	const waiting = Math.max(0, requests - slots - endedCount);
+	const waiting = Math.max(0, requests - countLessUrgent(view, view.waiting, priority) - slots - endedCount);
 	return (waiting + 1) * slotMs;
 }
 
@@ -126,7 +142,7 @@
 		recordReport(server, report, now) {
 			const view = get(server);
 			views.set(server, {
-				...view, ...report, ownInFlightAtReport: view.ownInFlight, reportedAt: now,
+				...view, leastUrgent: undefined, waitingByPriority: undefined, ...report, ownInFlightAtReport: view.ownInFlight, reportedAt: now,
 			});
 		},
 		recordRoundTrip(server, route, roundTripMs) {
--- a/src/lib/decisions/plan-attempt.ts
+++ b/src/lib/decisions/plan-attempt.ts
@@ -11,7 +11,7 @@
  * @module
  */
 import {type LifetimeKey} from '../common/server-lifetime.js';
-import {estimateSlotWaitMs} from './load-view.js';
+import {estimateSlotWaitMs, isPriorityHeldBack} from './load-view.js';
 import {getColdStartFactor, type Candidate} from './rank-servers.js';
 
 /** State of a call at the time of the decision. @internal */
@@ -26,6 +26,8 @@
 	readonly isNestedCall: boolean;
 	/** Whether the request body or the response is large. */
 	readonly isBulk: boolean;
+	/** Its priority; 0 is the most urgent. Less urgent requests that wait at a gate are not ahead of it. A nested call is the most urgent one, whatever its priority. */
+	readonly priority: number;
 };
 
 /** Earlier attempts of a call. @internal */
@@ -43,6 +45,8 @@
 	| {readonly type: 'send'; readonly target: Candidate; readonly mayWaitMs: number}
 	/** Every server is busy, or its limit used up, for at least `waitMs` milliseconds. */
 	| {readonly type: 'refuse'; readonly waitMs: number; readonly isLimited: boolean}
+	/** Every server holds back requests of this priority, since it had to refuse more urgent ones. */
+	| {readonly type: 'hold-back'; readonly waitMs: number}
 	/** The time left is too short for a response of any server. */
 	| {readonly type: 'too-late'}
 	| {readonly type: 'no-server'};
@@ -55,6 +59,8 @@
 	readonly computeMaxWaitMs: ComputeMaxWaitMs;
 	/** Number of gates that may only give a call a free slot. After them, a gate may also queue the call. */
 	readonly immediateTries: number;
+	/** Returns numbers from 0 up to 1. */
+	readonly random: () => number;
 };
 
 /** Number of gates that may only give a call a free slot. After them, a gate may also queue the call. Calls with large bodies gain more from another server, and a refusal costs them very little: their bottleneck is the link. */
@@ -78,6 +84,9 @@
 /** A call waits for at most this many slots to be released. A queue of this length keeps the slots busy, and each additional request delays all that follow. */
 const maxReleasesPerWait = 2;
 
+/** Range of the random factor on estimated waits. Reports are up to one heartbeat old: if all nodes chose the shortest known wait, they would all choose the same server, whose gate refuses most of them. */
+const waitJitterShare = 1;
+
 /** A nested call may wait for this share of the time left, since the work of its caller is lost if it is refused. */
 const nestedCallWaitShare = 0.4;
 
@@ -90,6 +99,9 @@
 	return server.view.serviceMs * getColdStartFactor(server) * (1 + workMarginShare);
 }
 
+/** Returns how long a call may wait at a server and still be answered in time, in milliseconds; negative if it is late there. */
+const computeInTimeMs = ({targetLatencyMs, ageMs}: CallState, server: Candidate): number => targetLatencyMs - ageMs - computeWorkMs(server);
+
 /**
  * Computes the longest acceptable wait of a call.
  *
@@ -99,13 +111,13 @@
  * @internal
  */
 export function computeMaxWaitMs(call: CallState, server: Candidate): number {
-	const {targetLatencyMs, ageMs, leftMs, isNestedCall} = call;
+	const {leftMs, isNestedCall} = call;
 	if (isNestedCall) {
 		return leftMs * nestedCallWaitShare;
 	}
 
 	const {view, slots} = server;
-	const inTimeMs = targetLatencyMs - ageMs - computeWorkMs(server);
+	const inTimeMs = computeInTimeMs(call, server);
 	if (inTimeMs <= 0) {
 		// A late call may only use a free slot. If it waited, it would delay others that can still be in time.
 		return 0;
@@ -118,16 +130,37 @@
 }
 
 /** Returns whether a server could not answer a call in the time left. A free slot is tried in any case, since only responses show that a server has become faster. */
-function isTooLate({leftMs}: CallState, {view, slots}: Candidate, now: number): boolean {
+function isTooLate({leftMs, priority}: CallState, {view, slots}: Candidate, now: number): boolean {
 	if (leftMs < minAttemptMs) {
 		return true;
 	}
 
-	return estimateSlotWaitMs(view, slots, now) > 0 && leftMs < view.serviceMs * minWorkShare;
+	return estimateSlotWaitMs(view, slots, now, priority) > 0 && leftMs < view.serviceMs * minWorkShare;
+}
+
+/** Returns whether a call is expected to be answered in time if it gets a slot of a server at once. The caller of a nested call waits in any case. */
+const isInTime = (call: CallState, server: Candidate): boolean => call.isNestedCall || computeInTimeMs(call, server) > 0;
+
+/** Returns whether the gate of a server holds a call back in favour of more urgent ones. A call that would be answered late there is less urgent than any that can be in time. */
+const isHeldBackAt = (call: CallState, server: Candidate, now: number): boolean =>
+	!call.isNestedCall && isPriorityHeldBack(server.view, isInTime(call, server) ? call.priority : Number.POSITIVE_INFINITY, now);
+
+function findLowest<Item>(items: readonly Item[], compute: (item: Item) => number): Item | undefined {
+	let lowest: Item | undefined;
+	let lowestValue = Number.POSITIVE_INFINITY;
+	for (const item of items) {
+		const value = compute(item);
+		if (lowest === undefined || value < lowestValue) {
+			lowest = item;
+			lowestValue = value;
+		}
+	}
+
+	return lowest;
 }
 
 /** The rules that nodes use. @internal */
-export const standardRules: PlanRules = {computeMaxWaitMs, immediateTries: immediateTryLimits.small};
+export const standardRules: Omit<PlanRules, 'random'> = {computeMaxWaitMs, immediateTries: immediateTryLimits.small};
 
 /**
  * Plans the next attempt of a call.
@@ -141,21 +174,33 @@
  * @internal
  */
 export function planAttempt(call: CallState, history: AttemptHistory, ranked: readonly Candidate[], rules: PlanRules, now: number): AttemptPlan {
-	const eligible = ranked.filter(({lifetime}) => !history.tried.has(lifetime));
-	if (eligible.length > 0 && eligible.every(server => isTooLate(call, server, now))) {
+	const untried = ranked.filter(({lifetime}) => !history.tried.has(lifetime));
+	if (untried.length > 0 && untried.every(server => isTooLate(call, server, now))) {
 		return {type: 'too-late'};
 	}
 
+	const estimateWaitMs = ({view, slots}: Candidate): number => estimateSlotWaitMs(view, slots, now, call.priority);
+	const eligible = untried.filter(server => !isHeldBackAt(call, server, now));
+	if (eligible.length === 0 && untried.length > 0) {
+		return {type: 'hold-back', waitMs: Math.min(...untried.map(server => estimateWaitMs(server)))};
+	}
+
 	const tryLimit = call.isBulk ? immediateTryLimits.bulk : rules.immediateTries;
-	const withFreeSlot = eligible.find(({lifetime, view, slots}) => !history.full.has(lifetime) && estimateSlotWaitMs(view, slots, now) === 0);
-	if (withFreeSlot !== undefined && history.refusals < tryLimit && eligible.length > 1) {
-		return {type: 'send', target: withFreeSlot, mayWaitMs: 0};
+	const mayTakeFreeSlot = history.refusals < tryLimit && eligible.length > 1;
+	const hasFreeSlot = (server: Candidate): boolean => !history.full.has(server.lifetime) && estimateWaitMs(server) === 0;
+	const free = mayTakeFreeSlot ? eligible.find(server => hasFreeSlot(server) && isInTime(call, server)) : undefined;
+	if (free !== undefined) {
+		return {type: 'send', target: free, mayWaitMs: 0};
+	}
+
+	const waits = eligible.map(target => ({target, waitMs: estimateWaitMs(target), mayWaitMs: rules.computeMaxWaitMs(call, target)}));
+	const acceptable = waits.filter(({waitMs, mayWaitMs}) => mayWaitMs > 0 && waitMs <= mayWaitMs * waitToleranceFactor);
+	const lateFree = mayTakeFreeSlot && acceptable.length === 0 ? eligible.find(server => hasFreeSlot(server)) : undefined;
+	if (lateFree !== undefined) {
+		return {type: 'send', target: lateFree, mayWaitMs: 0};
 	}
 
-	const waits = eligible.map(target => ({target, waitMs: estimateSlotWaitMs(target.view, target.slots, now), mayWaitMs: rules.computeMaxWaitMs(call, target)}));
-	// The server with the shortest wait among those where the wait is acceptable.
-	const byWait = waits.toSorted((left, right) => left.waitMs - right.waitMs);
-	const best = byWait.find(({waitMs, mayWaitMs}) => waitMs <= mayWaitMs * waitToleranceFactor) ?? byWait[0];
+	const best = findLowest(acceptable, ({waitMs}) => waitMs * (1 + ((rules.random() - 0.5) * waitJitterShare))) ?? findLowest(waits, ({waitMs}) => waitMs);
 	if (best === undefined) {
 		return {type: 'no-server'};
 	}
--- a/src/lib/decisions/slot-queue.test.ts
+++ b/src/lib/decisions/slot-queue.test.ts
@@ -28,8 +28,9 @@
 test('a request that could not start in time is refused immediately with a retry delay', () => {
 	const queue = admitAll(createSlotQueue(1), [createRequest(1), createRequest(2)]);
 	const {decision, queue: after} = admitToQueue(queue, createRequest(3, 0, 100), 0);
-	assert.deepEqual(decision, {type: 'full', retryAfterMs: 120});
-	assert.equal(after, queue);
+	assert.deepEqual(decision, {type: 'full', retryAfterMs: 120, isHeldBack: false});
+	assert.deepEqual(after, {...queue, shortage: {priority: 0, until: 300}});
+	assert.equal(admitToQueue(queue, createRequest(3, 0, 0), 0).queue, queue);
 	assert.equal(admitToQueue(queue, createRequest(3, 0, 0), 0).decision.type, 'full');
 });
 
--- a/src/lib/decisions/slot-queue.ts
+++ b/src/lib/decisions/slot-queue.ts
@@ -6,6 +6,10 @@
  * @module
  */
 
+import {
+	countByPriority, isHeldBack, recordShortage, type PriorityLoad, type Shortage,
+} from './priority-admission.js';
+
 /** A request that waits for a slot. @internal */
 export type QueuedRequest = {
 	readonly id: number;
@@ -27,6 +31,8 @@
 	readonly serviceMs: number;
 	/** Number of requests in the average. */
 	readonly sampleCount: number;
+	/** The latest shortage of slots; `undefined` if no request was refused for want of one. */
+	readonly shortage: Shortage | undefined;
 };
 
 /** Decision about a request that arrives. @internal */
@@ -34,7 +40,8 @@
 	| {readonly type: 'run'}
 	/** `evicted` is the request that was last in the full queue and had to leave it. */
 	| {readonly type: 'wait'; readonly evicted: QueuedRequest | undefined}
-	| {readonly type: 'full'; readonly retryAfterMs: number};
+	/** `isHeldBack` tells that the request was refused in favour of more urgent ones, before the queue was full. */
+	| {readonly type: 'full'; readonly retryAfterMs: number; readonly isHeldBack: boolean};
 
 /** Weight of the newest sample in the moving average of service times, which covers about twenty requests. The first samples weigh more: after a restart of the node the estimate decides how many may wait while all callers retry at the same time. */
 const smoothingFactor = 0.05;
@@ -58,7 +65,7 @@
  */
 export function createSlotQueue(slots: number): SlotQueue {
 	return {
-		slots, running: 0, waiting: [], serviceMs: initialServiceMs, sampleCount: 0,
+		slots, running: 0, waiting: [], serviceMs: initialServiceMs, sampleCount: 0, shortage: undefined,
 	};
 }
 
@@ -95,8 +102,17 @@
 	}
 
 	const waitMs = estimateWaitMs(queue, request.rank);
+	const refuse = (isRefusedForOthers: boolean): {readonly queue: SlotQueue; readonly decision: SlotDecision} => ({
+		// A request that may not wait looks for a free slot only, so its refusal does not show a shortage.
+		queue: isRefusedForOthers || request.startBy <= now ? queue : recordRefusal(queue, request.rank, now),
+		decision: {type: 'full', retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(waitMs)), isHeldBack: isRefusedForOthers},
+	});
+	if (isHeldBack(queue.shortage, request.rank, now)) {
+		return refuse(true);
+	}
+
 	if (now + waitMs > request.startBy) {
-		return {queue, decision: {type: 'full', retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(waitMs))}};
+		return refuse(false);
 	}
 
 	const waiting = insertByRank(queue.waiting, request);
@@ -106,12 +122,38 @@
 
 	const evicted = waiting.at(-1);
 	if (evicted?.id === request.id) {
-		return {queue, decision: {type: 'full', retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(waitMs))}};
+		return refuse(false);
 	}
 
 	return {queue: {...queue, waiting: waiting.slice(0, -1)}, decision: {type: 'wait', evicted}};
 }
 
+/**
+ * Records that a request which could have waited was refused for want of a slot.
+ *
+ * @param queue - The queue.
+ * @param rank - Rank of the request.
+ * @param now - Current time, in milliseconds of the steady clock.
+ * @returns The next state.
+ * @internal
+ */
+export function recordRefusal(queue: SlotQueue, rank: number, now: number): SlotQueue {
+	return {...queue, shortage: recordShortage(queue.shortage, rank, now)};
+}
+
+/**
+ * @param queue - The queue.
+ * @param now - Current time, in milliseconds of the steady clock.
+ * @returns What entries need to know of the queue to send requests by their priority. While slots are idle, every priority is accepted.
+ * @internal
+ */
+export function describePriorities({running, slots, waiting, shortage}: SlotQueue, now: number): PriorityLoad {
+	return {
+		...shortage !== undefined && shortage.until > now && running >= slots ? {leastUrgent: shortage.priority} : {},
+		...waiting.length > 0 ? {waitingByPriority: countByPriority(waiting)} : {},
+	};
+}
+
 function startQueued(queue: SlotQueue, now: number): {readonly queue: SlotQueue; readonly started: readonly QueuedRequest[]} {
 	const inTime = queue.waiting.filter(waiting => waiting.waitUntil > now);
 	const free = Math.max(0, queue.slots - queue.running);
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -5,6 +5,7 @@
  */
 import {type HeaderMap} from '../calls/attempt.js';
 import {type Verdict} from '../common/verdict.js';
+import {type PriorityLoad} from '../decisions/priority-admission.js';
 
 /** Why an attempt has no response. @internal */
 export type ForwardReason =
@@ -65,7 +66,7 @@
 export type ForwardResult = ForwardResponse | ForwardFailure;
 
 /** The load of the backend server behind a gate. @internal */
-export type GateLoad = {
+export type GateLoad = PriorityLoad & {
 	readonly running: number;
 	readonly waiting: number;
 	readonly serviceMs: number;
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -116,9 +116,9 @@
 			return undefined;
 		}
 
-		const {running, waiting, serviceMs} = session.describe();
+		const {running, waiting, serviceMs, leastUrgent, waitingByPriority} = session.describe();
 		return {
-			running, waiting, serviceMs, tookMs: readSteadyMs() - arrivedAt,
+			running, waiting, serviceMs, tookMs: readSteadyMs() - arrivedAt, leastUrgent, waitingByPriority,
 		};
 	};
 
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -10,6 +10,7 @@
 } from '../common/read-input.js';
 import {parseVerdict, type Verdict} from '../common/verdict.js';
 import {isWorkspaceName, workspaceNameForm} from '../workspaces/workspace.js';
+import {decodePriorityLoad, encodePriorityLoad} from '../decisions/priority-admission.js';
 import {
 	createMayHaveRun, parseForwardReason, type ForwardResponse, type ForwardFailure, type GateLoad, type GateResult,
 } from './forward-result.js';
@@ -129,18 +130,22 @@
 	return request;
 }
 
-function encodeLoad({running, waiting, serviceMs, tookMs}: GateLoad): readonly number[] {
-	return [running, waiting, Math.round(serviceMs), roundToTenth(tookMs)];
+function encodeLoad({running, waiting, serviceMs, tookMs, ...priorityLoad}: GateLoad): readonly number[] {
+	return [running, waiting, Math.round(serviceMs), roundToTenth(tookMs), ...encodePriorityLoad(priorityLoad)];
 }
 
 function decodeLoad(value: unknown): GateLoad | undefined {
-	if (!Array.isArray(value) || value.length !== 4 || !value.every(amount => isNonNegativeNumber(amount))) {
+	if (!Array.isArray(value)) {
+		return undefined;
+	}
+
+	const [running, waiting, serviceMs, tookMs, ...priorities] = value as readonly unknown[];
+	if (!isNonNegativeNumber(running) || !isNonNegativeNumber(waiting) || !isNonNegativeNumber(serviceMs) || !isNonNegativeNumber(tookMs)) {
 		return undefined;
 	}
 
-	const [running, waiting, serviceMs, tookMs] = value as [number, number, number, number];
 	return {
-		running, waiting, serviceMs, tookMs,
+		running, waiting, serviceMs, tookMs, ...decodePriorityLoad(priorities),
 	};
 }
 
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -51,7 +51,8 @@
 async function sendToGate(context: SendContext, call: OutgoingCall, {target, mayWaitMs, answerMayWaitMs, isCounted, scope}: Attempt, handleUnresponsive: () => void): Promise<GateResult> {
 	const common = {
 		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService,
-		mayWaitMs, isCounted, rank: computeRank(call.route, call.workspace?.priority), scope, limitPerSecond: target.view.limitPerSecond, workspace: call.workspace?.name,
+		mayWaitMs, isCounted, rank: computeRank(call.route, {workspacePriority: call.workspace?.priority, isNestedCall: call.isNestedCall}),
+		scope, limitPerSecond: target.view.limitPerSecond, workspace: call.workspace?.name,
 	};
 	return target.isLocal
 		? context.localGate.run({
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -12,7 +12,7 @@
 import {computeMaxResponseWaitMs} from '../decisions/link-demand.js';
 import {computeRankingThresholds} from '../decisions/ranking-thresholds.js';
 import {
-	mayTryAnotherGate, planAttempt, standardRules, type AttemptPlan, type CallState,
+	mayTryAnotherGate, planAttempt, standardRules, type AttemptPlan, type CallState, type PlanRules,
 } from '../decisions/plan-attempt.js';
 import {type QuarantineDecision} from '../quarantine/suspect-table.js';
 import {describeRefusal as describeQuarantine} from '../quarantine/quarantine.js';
@@ -27,9 +27,10 @@
 type PlannedAttempt = Extract<AttemptPlan, {readonly type: 'send'}> & {readonly isCounted: boolean; readonly isTest: boolean};
 
 function computeCallState(call: OutgoingCall, now: number): CallState {
-	const {route, ageMs, isNestedCall} = call;
+	const {route, ageMs, isNestedCall, workspace} = call;
 	return {
 		targetLatencyMs: route.targetLatencyMs, ageMs: ageMs + now - call.receivedAt, leftMs: call.scope.deadlineAt - now, isNestedCall, isBulk: isBulk(route.type),
+		priority: isNestedCall ? 0 : workspace?.priority ?? route.priority,
 	};
 }
 
@@ -55,6 +56,7 @@
 export async function sendCall(context: SendContext, call: OutgoingCall): Promise<CallOutcome> {
 	const {route, service, scope} = call;
 	const isRetryable = isRepeatable(route.type);
+	const rules: PlanRules = {...standardRules, random: context.random};
 	const progress = createCallProgress(service);
 	const running = createRunningAttempts(context, call);
 	context.retryBudget.recordRequest(service, call.isNestedCall, readSteadyMs());
@@ -92,7 +94,7 @@
 		const ranked = rankServers(candidates, {
 			domain: context.domain, random: context.random, ...computeRankingThresholds(route, call.isNestedCall, callState.ageMs),
 		});
-		return planAttempt(callState, progress, ranked, standardRules, now);
+		return planAttempt(callState, progress, ranked, rules, now);
 	};
 
 	/** Plans an attempt at a server of a version under test. Only the first attempt of a call goes there, so that its failure can be made good elsewhere. */
@@ -125,6 +127,10 @@
 				return createNotRun('timeout', 'too little time is left for an answer');
 			}
 
+			case 'hold-back': {
+				return createNotRun('full', `every backend server of ${service} holds back this request in favour of more urgent ones`, plan.waitMs);
+			}
+
 			case 'refuse': {
 				return plan.isLimited
 					? createNotRun('limited', `the limits of all backend servers of ${service} are used up for ${Math.round(plan.waitMs)} ms or more`, plan.waitMs)
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -6,7 +6,9 @@
  * @module
  */
 import {type IncomingHttpHeaders} from 'node:http';
-import {createSlotPool, type SlotOutcome, type SlotRequest} from '../admission/slot-pool.js';
+import {
+	createSlotPool, type PoolLoad, type SlotOutcome, type SlotRequest,
+} from '../admission/slot-pool.js';
 import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type ServerAnnouncement} from '../local-server/local-server.js';
@@ -69,10 +71,7 @@
 };
 
 /** Load and failure rate of the server. @internal */
-export type SessionLoad = {
-	readonly running: number;
-	readonly waiting: number;
-	readonly serviceMs: number;
+export type SessionLoad = PoolLoad & {
 	/** Moving average of the share of failed requests, 0 to 1. */
 	readonly failureShare: number;
 };
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -15,6 +15,7 @@
 } from '../common/read-input.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type StoreEra} from '../store/store-position.js';
+import {decodePriorityLoad, encodePriorityLoad, type PriorityLoad} from '../decisions/priority-admission.js';
 import {decodeTally, encodeTally, type OutcomeTally} from '../rollout/outcome-tally.js';
 import {decodeRecord, encodeRecord, type RolloutRecord} from '../rollout/rollout-record.js';
 import {decodeSuspect, encodeSuspect, type SuspectRecord} from '../quarantine/suspect-record.js';
@@ -23,7 +24,7 @@
 export type ServerState = 'ready' | 'draining' | 'down';
 
 /** The state of a backend server, reported by the node beside it. @internal */
-export type ServerReport = {
+export type ServerReport = PriorityLoad & {
 	readonly lifetime: ServerLifetime;
 	readonly service: string;
 	readonly slots: number;
@@ -108,6 +109,7 @@
 		server.lifetime.startedAt,
 		server.version,
 		server.tally === undefined ? 0 : encodeTally(server.tally),
+		...encodePriorityLoad(server),
 	];
 }
 
@@ -156,7 +158,7 @@
 		return undefined;
 	}
 
-	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0] = value as unknown[];
+	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0, ...priorities] = value as unknown[];
 	const numbers = [slots, coldMs, running, waiting, serviceMs, failures];
 	const state = states[stateNumber as number];
 	if (!isText(id) || id === '' || !isText(service) || state === undefined || !isText(version) || !numbers.every(number => isCount(number)) || !isTime(startedAt)) {
@@ -166,7 +168,7 @@
 	return {
 		lifetime: {id: toBackendServerId(id), startedAt}, service, slots: slots as number, state, coldMs: coldMs as number,
 		running: running as number, waiting: waiting as number, serviceMs: serviceMs as number, failureShare: (failures as number) / unitsPerShare,
-		version, ...tally === 0 ? {} : {tally: decodeTally(tally, 'server.tally')},
+		version, ...tally === 0 ? {} : {tally: decodeTally(tally, 'server.tally')}, ...decodePriorityLoad(priorities),
 	};
 }
 
