Fair shares: a workspace over its share is refused first

When one workspace asked for eight times its usual load, all workspaces of the priority were refused and delayed alike, since neither gates nor entries told workspaces apart.

- Gates count the requests of each workspace that got a slot: over 3 s, and over 30 s as its usual rate.
A workspace clearly above its usual rate is over its share.
Where requests of others had to be refused within 300 ms, it gets a slot that is free, but does not queue.
Workspaces without requests are forgotten after a minute.
- Among waiting requests of one priority, workspaces take turns by start-time fair queueing, weighted by their usual rates, and a full queue evicts the request that is furthest ahead.
Requests without a workspace go first within a priority and keep their order.
- The refusal has the reason `over-share`.
After two of them without a granted slot, an entry refuses requests of that workspace for 500 ms.
Callers that are held back are told to return after that time.
- gate-refused has the fields `fullCause` and `workspace`.

--- a/bench/experiment/entry.ts
+++ b/bench/experiment/entry.ts
@@ -82,6 +82,7 @@
 
 	const getCallState = (): CallState => ({
 		targetLatencyMs: kind.targetLatencyMs, ageMs: ageMs + events.getNow() - receivedAt, leftMs: getLeftMs(), isNestedCall, isBulk: false, priority: isNestedCall ? 0 : kind.priority,
+		isOverShare: policy.areSharesKept && kind.workspace !== undefined && node.loads.shareRefusals.isOverShare(kind.workspace, events.getNow()),
 	});
 
 	const tryNextGate = (): void => {
@@ -93,7 +94,7 @@
 		const ranked = rankServers(listCandidates(simulation, request.node, kind), {domain: toFailureDomain(node.domain), random, ...policy.computeThresholds(route, isNestedCall, callState.ageMs)});
 		const plan = planAttempt(callState, history, ranked, {...policy, random}, events.getNow());
 		if (plan.type !== 'send') {
-			const isOverloaded = plan.type === 'refuse' || plan.type === 'hold-back';
+			const isOverloaded = plan.type === 'refuse' || plan.type === 'hold-back' || plan.type === 'over-share';
 			refuse(isOverloaded ? plan.waitMs : 0, isOverloaded);
 			return;
 		}
@@ -174,12 +175,21 @@
 		server.requestSlot({
 			rank: computeRank(route, {isNestedCall}),
 			mayWaitMs,
+			workspace: policy.areSharesKept ? kind.workspace : undefined,
 			deadlineAt: events.getNow() + getLeftMs(),
 			run(handleFinish) {
+				if (kind.workspace !== undefined) {
+					node.loads.shareRefusals.recordGrant(kind.workspace);
+				}
+
 				run(server, target, handleFinish);
 			},
-			handleFull(retryAfterMs) {
+			handleFull(retryAfterMs, cause) {
 				sendAnswer(server, target, () => {
+					if (cause === 'over-share') {
+						node.loads.shareRefusals.record(kind.workspace!, events.getNow());
+					}
+
 					handleFull(target, mayWaitMs, retryAfterMs);
 				});
 			},
--- a/bench/experiment/model-server.ts
+++ b/bench/experiment/model-server.ts
@@ -5,11 +5,12 @@
  * @module
  */
 import {
-	admitToQueue, createSlotQueue, describePriorities, estimateWaitMs, finishRequest, recordRefusal, removeFromQueue, type SlotQueue,
+	admitToQueue, createSlotQueue, describePriorities, estimateWaitMs, finishRequest, recordRefusal, removeFromQueue, type FullCause, type QueuedRequest, type SlotQueue,
 } from '../../src/lib/decisions/slot-queue.js';
 import {
 	admitLimited, createLimiterState, estimateTokenWaitMs, type LimiterState,
 } from '../../src/lib/server-notices/limiter-state.js';
+import {createFairShares} from '../../src/lib/decisions/fair-shares.js';
 import {type PoolLoad} from '../../src/lib/admission/slot-pool.js';
 import {type EventQueue} from './event-queue.js';
 import {type Policy} from './policy.js';
@@ -21,7 +22,8 @@
 	readonly deadlineAt: number;
 	/** Runs the request. Calls back when it releases its slot, with whether it was answered: only then its duration counts for the service time. */
 	readonly run: (handleFinish: (isAnswered: boolean) => void) => void;
-	readonly handleFull: (retryAfterMs: number) => void;
+	readonly handleFull: (retryAfterMs: number, cause: FullCause) => void;
+	readonly workspace: string | undefined;
 	/** The limit of the server is used up. */
 	readonly handleLimited: (retryAfterMs: number) => void;
 };
@@ -54,27 +56,46 @@
 	let limiter: LimiterState | undefined;
 	const waiting = new Map<number, GateRequest>();
 
-	const run = (request: GateRequest): void => {
+	const shares = createFairShares(0);
+
+	/** Counts a request that arrives towards the share of its workspace. */
+	const stampShare = ({workspace}: GateRequest, now: number): Pick<QueuedRequest, 'startTag' | 'isOverShare'> => workspace === undefined
+		? {}
+		: {isOverShare: shares.isOverShare(workspace, now), startTag: shares.stamp(workspace, queue.serviceMs, now)};
+
+	const giveBack = ({workspace}: GateRequest): void => {
+		if (workspace !== undefined) {
+			shares.giveBack(workspace, queue.serviceMs, events.getNow());
+		}
+	};
+
+	const run = (request: GateRequest, {startTag}: QueuedRequest): void => {
+		if (request.workspace !== undefined && startTag !== undefined) {
+			shares.recordStart(request.workspace, startTag, events.getNow());
+		}
+
 		const startedAt = events.getNow();
 		request.run(isAnswered => {
 			const step = finishRequest(queue, isAnswered ? events.getNow() - startedAt : undefined, events.getNow());
 			queue = step.queue;
-			for (const {id} of step.started) {
-				const next = waiting.get(id);
-				waiting.delete(id);
+			for (const started of step.started) {
+				const next = waiting.get(started.id);
+				waiting.delete(started.id);
 				if (next !== undefined) {
-					run(next);
+					run(next, started);
 				}
 			}
 		});
 	};
 
-	const evict = (id: number): void => {
+	const evict = (queued: QueuedRequest): void => {
+		const {id} = queued;
 		const request = waiting.get(id);
 		if (request !== undefined) {
 			waiting.delete(id);
-			queue = recordRefusal(removeFromQueue(queue, id), request.rank, events.getNow());
-			request.handleFull(estimateWaitMs(queue, request.rank));
+			queue = recordRefusal(removeFromQueue(queue, id), queued, events.getNow());
+			giveBack(request);
+			request.handleFull(estimateWaitMs(queue, queued), 'no-slot');
 		}
 	};
 
@@ -106,29 +127,31 @@
 
 			const id = nextId++;
 			const waitUntil = Math.min(now + (request.mayWaitMs * maximumWaitFactor), request.deadlineAt);
-			const step = admitToQueue(queue, {
-				id, rank: request.rank, startBy: now + request.mayWaitMs, waitUntil,
-			}, now);
+			const queued: QueuedRequest = {
+				id, rank: request.rank, startBy: now + request.mayWaitMs, waitUntil, ...stampShare(request, now),
+			};
+			const step = admitToQueue(queue, queued, now);
 			queue = step.queue;
 			switch (step.decision.type) {
 				case 'run': {
-					run(request);
+					run(request, queued);
 					break;
 				}
 
 				case 'full': {
-					request.handleFull(step.decision.retryAfterMs);
+					giveBack(request);
+					request.handleFull(step.decision.retryAfterMs, step.decision.cause);
 					break;
 				}
 
 				case 'wait': {
 					waiting.set(id, request);
 					if (step.decision.evicted !== undefined) {
-						evict(step.decision.evicted.id);
+						evict(step.decision.evicted);
 					}
 
 					events.schedule(waitUntil - now, () => {
-						evict(id);
+						evict(queued);
 					});
 					break;
 				}
--- a/bench/experiment/pattern.ts
+++ b/bench/experiment/pattern.ts
@@ -35,6 +35,8 @@
 	readonly retries: number;
 	readonly isRetryable: boolean;
 	readonly calls: readonly CallPlan[];
+	/** Workspace of the callers; `undefined` if they have none. */
+	readonly workspace?: string;
 };
 
 /** A service and its servers. */
@@ -201,6 +203,21 @@
 	};
 }
 
+/** Share of the requests of each workspace; the last one stands for many small ones. */
+const workspaceShares = [0.27, 0.15, 0.1, 0.06, 0.05, 0.05, 0.04, 0.04, 0.03, 0.03, 0.02, 0.02, 0.02, 0.02, 0.01, 0.01, 0.01, 0.01, 0.06] as const;
+
+/** Workspaces of one priority and of skewed sizes, which together need nine tenths of the capacity. `w3` is the fourth largest. */
+function createWorkspacePattern(name: string, disturbances: readonly Disturbance[]): Pattern {
+	return {
+		name, durationMs: 30_000, domains: 3, crossDomainOneWayMs: 1.4, callerOneWayMs: 1, forwardingMs: 2, disturbances,
+		services: [{name: 'front', slots: 6, speeds: fillSpeeds([0.5, 0.8, 1, 1.2, 1.5], 14)}],
+		kinds: workspaceShares.map((share, index) => ({
+			...commonKindFields, name: `w${index}`, workspace: `w${index}`, service: 'front', perSecond: 290 * share, workMs: 250, workSpread: 0.4,
+			targetLatencyMs: 700, deadlineMs: 4200, timeoutMs: 2500, priority: 1,
+		})),
+	};
+}
+
 /** The patterns that `npm run experiment` can run. */
 export const patterns: readonly Pattern[] = [
 	createTieredPattern('calm', 0.7, []),
@@ -233,6 +250,10 @@
 		type: 'gone', fromMs: 4000, toMs: 10_000, service: 'releases', share: 0.4,
 	}]),
 	createLongWorkPattern(1),
+	createWorkspacePattern('workspaces', []),
+	createWorkspacePattern('workspaces, one greedy', [{
+		type: 'burst', fromMs: 14_000, toMs: 23_000, factor: 8, kind: 'w3',
+	}]),
 	{...createLongWorkPattern(1.3), name: 'long work, overload'},
 	createPriorityPattern('two priorities', 0.9, []),
 	createPriorityPattern('two priorities, overload', 1.3, []),
--- a/bench/experiment/policy.ts
+++ b/bench/experiment/policy.ts
@@ -24,6 +24,8 @@
 	readonly areLimitsAvoided: boolean;
 	/** Whether gates report which priorities wait, and which ones they hold back. */
 	readonly arePrioritiesReported: boolean;
+	/** Whether gates keep the shares of workspaces. */
+	readonly areSharesKept: boolean;
 	readonly computeRetryDelayMs: typeof computeRetryAfterMs;
 	readonly computeThresholds: typeof computeRankingThresholds;
 };
@@ -53,7 +55,7 @@
 const delayByShare = (share: number): typeof computeRetryAfterMs => ({waitMs, targetLatencyMs}, random) => Math.max(waitMs, targetLatencyMs * share) * (1 + (0.5 * random()));
 
 const standard: Policy = {
-	name: 'standard', computeMaxWaitMs, immediateTries: standardRules.immediateTries, maximumWaitFactor: 2, areCallsKnown: true, areLimitsAvoided: true, arePrioritiesReported: true,
+	name: 'standard', computeMaxWaitMs, immediateTries: standardRules.immediateTries, maximumWaitFactor: 2, areCallsKnown: true, areLimitsAvoided: true, arePrioritiesReported: true, areSharesKept: true,
 	computeRetryDelayMs: computeRetryAfterMs, computeThresholds: computeRankingThresholds,
 };
 
@@ -73,6 +75,7 @@
 	{...standard, name: 'kept for four times the estimate', maximumWaitFactor: 4},
 	{...standard, name: 'calls of servers not known', areCallsKnown: false},
 	{...standard, name: 'servers asked again at once in spite of their limits', areLimitsAvoided: false},
+	{...standard, name: 'workspaces not told apart', areSharesKept: false},
 	{...standard, name: 'priorities not reported by gates', arePrioritiesReported: false},
 	{...standard, name: 'back after 0.15 objectives', computeRetryDelayMs: delayByShare(0.15)},
 	{...standard, name: 'back after 2 objectives', computeRetryDelayMs: delayByShare(2)},
--- a/src/lib/admission/slot-pool.test.ts
+++ b/src/lib/admission/slot-pool.test.ts
@@ -40,7 +40,7 @@
 test('a request that may not wait is refused immediately, with a retry delay', async () => {
 	const pool = await createBusyPool();
 	assert.deepEqual(await pool.acquire(createRequest({mayWaitMs: 0})), {
-		type: 'full', reason: 'no slot in time', retryAfterMs: 60, isHeldBack: false,
+		type: 'full', reason: 'no slot in time', retryAfterMs: 60, cause: 'no-slot',
 	});
 });
 
--- a/src/lib/admission/slot-pool.ts
+++ b/src/lib/admission/slot-pool.ts
@@ -6,10 +6,11 @@
  * @module
  */
 import {clampTimerMs, readSteadyMs} from '../common/clock.js';
+import {createFairShares} from '../decisions/fair-shares.js';
 import {type PriorityLoad} from '../decisions/priority-admission.js';
 import {
 	admitToQueue, createSlotQueue, describePriorities, estimateWaitMs, finishRequest, recordRefusal, removeFromQueue, resizeSlots,
-	type QueuedRequest, type SlotQueue,
+	type FullCause, type QueuedRequest, type SlotQueue,
 } from '../decisions/slot-queue.js';
 
 /** A request for a slot. @internal */
@@ -20,6 +21,8 @@
 	readonly mayWaitMs: number;
 	/** When its wait ends at the latest, in steady milliseconds. */
 	readonly lastAt: number;
+	/** Name of the caller's workspace; `undefined` if it has none. */
+	readonly workspace?: string | undefined;
 	/** Registers a callback that is called once when the request is cancelled; returns a function that unregisters it. */
 	readonly listenForCancel: (handleCancel: () => void) => () => void;
 };
@@ -28,8 +31,7 @@
 export type SlotOutcome =
 	/** The request holds a slot, which the caller has to release. */
 	| {readonly type: 'run'}
-	/** `isHeldBack` tells that the request was refused in favour of more urgent ones. */
-	| {readonly type: 'full'; readonly reason: string; readonly retryAfterMs: number; readonly isHeldBack: boolean}
+	| {readonly type: 'full'; readonly reason: string; readonly retryAfterMs: number; readonly cause: FullCause}
 	| {readonly type: 'cancelled'}
 	/** The server has ended. */
 	| {readonly type: 'gone'};
@@ -55,6 +57,12 @@
 /** A queued request waits for at most this multiple of `mayWaitMs`, because the estimated wait is rough. */
 const waitToleranceFactor = 2;
 
+const fullReasons: Readonly<Record<FullCause, string>> = {
+	'no-slot': 'no slot in time',
+	'more-urgent': 'more urgent requests were refused',
+	'over-share': 'the workspace is over its share, and requests of others were refused',
+};
+
 type FinishWait = (outcome: 'run' | 'late' | 'cancelled' | 'gone') => void;
 
 /**
@@ -68,6 +76,24 @@
 	let queue: SlotQueue = createSlotQueue(count);
 	let nextId = 1;
 	const finishById = new Map<number, FinishWait>();
+	const shares = createFairShares(readSteadyMs());
+
+	/** Counts a request that arrives towards the share of its workspace. */
+	const stampShare = ({workspace}: SlotRequest, now: number): Pick<QueuedRequest, 'startTag' | 'isOverShare'> => workspace === undefined
+		? {}
+		: {isOverShare: shares.isOverShare(workspace, now), startTag: shares.stamp(workspace, queue.serviceMs, now)};
+
+	const settleShare = ({workspace}: SlotRequest, {startTag}: QueuedRequest, hasStarted: boolean): void => {
+		if (workspace === undefined || startTag === undefined) {
+			return;
+		}
+
+		if (hasStarted) {
+			shares.recordStart(workspace, startTag, readSteadyMs());
+		} else {
+			shares.giveBack(workspace, queue.serviceMs, readSteadyMs());
+		}
+	};
 
 	const startQueued = (started: readonly QueuedRequest[]): void => {
 		for (const {id} of started) {
@@ -85,10 +111,11 @@
 				queue = removeFromQueue(queue, queued.id);
 			}
 
+			settleShare(request, queued, outcome === 'run');
 			if (outcome === 'late') {
-				queue = recordRefusal(queue, request.rank, readSteadyMs());
+				queue = recordRefusal(queue, queued, readSteadyMs());
 				resolve({
-					type: 'full', reason: 'no slot became free in time', retryAfterMs: estimateWaitMs(queue, request.rank), isHeldBack: false,
+					type: 'full', reason: 'no slot became free in time', retryAfterMs: estimateWaitMs(queue, queued), cause: 'no-slot',
 				});
 			} else {
 				resolve({type: outcome});
@@ -118,18 +145,21 @@
 				rank: request.rank,
 				startBy: now + request.mayWaitMs,
 				waitUntil: Math.min(now + (request.mayWaitMs * waitToleranceFactor), request.lastAt),
+				...stampShare(request, now),
 			};
 			const step = admitToQueue(queue, queued, now);
 			queue = step.queue;
 			switch (step.decision.type) {
 				case 'run': {
+					settleShare(request, queued, true);
 					return {type: 'run'};
 				}
 
 				case 'full': {
-					const {retryAfterMs, isHeldBack} = step.decision;
+					settleShare(request, queued, false);
+					const {retryAfterMs, cause} = step.decision;
 					return {
-						type: 'full', reason: isHeldBack ? 'more urgent requests were refused' : 'no slot in time', retryAfterMs, isHeldBack,
+						type: 'full', reason: fullReasons[cause], retryAfterMs, cause,
 					};
 				}
 
--- a/src/lib/decisions/load-view.ts
+++ b/src/lib/decisions/load-view.ts
@@ -10,6 +10,7 @@
 	applyLimitRefusal, applyNamedLimit, unlimitedView, type LimitView,
 } from '../server-notices/limit-view.js';
 import {countLessUrgent, type PriorityLoad} from './priority-admission.js';
+import {createShareRefusals, type ShareRefusals} from './share-refusals.js';
 
 /** Known load of one server. Times are milliseconds of the steady clock. @internal */
 export type ServerView = LimitView & PriorityLoad & {
@@ -41,6 +42,8 @@
 	readonly recordLimit: (server: LifetimeKey, limitPerSecond: number | undefined) => void;
 	/** Records that the gate refused a request since the limit is used up for the given time. */
 	readonly recordLimited: (server: LifetimeKey, waitMs: number, now: number) => void;
+	/** Workspaces that gates refused since they are over their share. */
+	readonly shareRefusals: ShareRefusals;
 	readonly retain: (isKnown: (server: LifetimeKey) => boolean) => void;
 };
 
@@ -60,8 +63,8 @@
 	return Math.max(view.ownInFlight, view.running + view.waiting + view.ownInFlight - view.ownInFlightAtReport);
 }
 
-/** How long a report that a gate holds back less urgent requests is valid, in milliseconds. A gate that still does so reports it again in its next heartbeat, 400 ms later at the earliest. */
-const holdBackMs = 450;
+/** How long a report that a gate holds back less urgent requests is valid, in milliseconds. A gate that still does so reports it again in its next heartbeat, 400 ms later at the earliest. @internal */
+export const holdBackMs = 450;
 
 /**
  * @param view - The known load of a server.
@@ -133,8 +136,10 @@
 export function createLoadView(): LoadView {
 	const views = new Map<LifetimeKey, ServerView>();
 	const roundTrips = createRouteAverages(smoothingFactor);
+	const shareRefusals = createShareRefusals();
 	const get = (server: LifetimeKey): ServerView => views.get(server) ?? unknownLoad;
 	return {
+		shareRefusals,
 		get(server, route = '') {
 			const view = get(server);
 			return {...view, roundTripMs: roundTrips.get(server, route) ?? view.roundTripMs};
--- a/src/lib/decisions/plan-attempt.test.ts
+++ b/src/lib/decisions/plan-attempt.test.ts
@@ -22,7 +22,7 @@
 }
 
 const call: CallState = {
-	targetLatencyMs: 200, ageMs: 0, leftMs: 1200, isNestedCall: false, isBulk: false, priority: 0,
+	targetLatencyMs: 200, ageMs: 0, leftMs: 1200, isNestedCall: false, isBulk: false, priority: 0, isOverShare: false,
 };
 const rules: PlanRules = {...standardRules, random: () => 0.5};
 const nothingYet: AttemptHistory = {tried: new Set(), full: new Set(), refusals: 0};
@@ -67,7 +67,7 @@
 const services = fc.array(views, {minLength: 1, maxLength: 200}).map(all => all.map(({slots, ...view}, index) => createServer(`s${index}`, slots, view)));
 const calls = fc.record({
 	targetLatencyMs: fc.integer({min: 5, max: 5000}), ageMs: fc.integer({min: 0, max: 5000}), leftMs: fc.integer({min: 1, max: 20_000}),
-	isNestedCall: fc.constant(false), isBulk: fc.boolean(), priority: fc.integer({min: 0, max: 3}),
+	isNestedCall: fc.constant(false), isBulk: fc.boolean(), priority: fc.integer({min: 0, max: 3}), isOverShare: fc.constant(false),
 });
 
 test('property: at any service, only calls that can be answered in time wait', () => {
--- a/src/lib/decisions/plan-attempt.ts
+++ b/src/lib/decisions/plan-attempt.ts
@@ -11,8 +11,9 @@
  * @module
  */
 import {type LifetimeKey} from '../common/server-lifetime.js';
-import {estimateSlotWaitMs, isPriorityHeldBack} from './load-view.js';
+import {estimateSlotWaitMs, holdBackMs, isPriorityHeldBack} from './load-view.js';
 import {getColdStartFactor, type Candidate} from './rank-servers.js';
+import {shareMemoryMs} from './share-refusals.js';
 
 /** State of a call at the time of the decision. @internal */
 export type CallState = {
@@ -28,6 +29,8 @@
 	readonly isBulk: boolean;
 	/** Its priority; 0 is the most urgent. Less urgent requests that wait at a gate are not ahead of it. A nested call is the most urgent one, whatever its priority. */
 	readonly priority: number;
+	/** Whether gates said that its workspace is over its share. */
+	readonly isOverShare: boolean;
 };
 
 /** Earlier attempts of a call. @internal */
@@ -47,6 +50,8 @@
 	| {readonly type: 'refuse'; readonly waitMs: number; readonly isLimited: boolean}
 	/** Every server holds back requests of this priority, since it had to refuse more urgent ones. */
 	| {readonly type: 'hold-back'; readonly waitMs: number}
+	/** The workspace of the call is over its share, and gates had to refuse requests of others. */
+	| {readonly type: 'over-share'; readonly waitMs: number}
 	/** The time left is too short for a response of any server. */
 	| {readonly type: 'too-late'}
 	| {readonly type: 'no-server'};
@@ -182,7 +187,13 @@
 	const estimateWaitMs = ({view, slots}: Candidate): number => estimateSlotWaitMs(view, slots, now, call.priority);
 	const eligible = untried.filter(server => !isHeldBackAt(call, server, now));
 	if (eligible.length === 0 && untried.length > 0) {
-		return {type: 'hold-back', waitMs: Math.min(...untried.map(server => estimateWaitMs(server)))};
+		// Callers that return earlier would be held back again.
+		return {type: 'hold-back', waitMs: Math.max(holdBackMs, Math.min(...untried.map(server => estimateWaitMs(server))))};
+	}
+
+	// Gates found the workspace over its share only while all of their slots were in use. A slot that was free at the last report is left to the other workspaces.
+	if (call.isOverShare && !call.isNestedCall && untried.length > 0) {
+		return {type: 'over-share', waitMs: Math.max(shareMemoryMs, Math.min(...untried.map(server => estimateWaitMs(server))))};
 	}
 
 	const tryLimit = call.isBulk ? immediateTryLimits.bulk : rules.immediateTries;
--- a/src/lib/decisions/priority-admission.test.ts
+++ b/src/lib/decisions/priority-admission.test.ts
@@ -24,7 +24,7 @@
 	return queue;
 }
 
-const getType = (decision: SlotDecision): string => decision.type === 'full' && decision.isHeldBack ? 'held back' : decision.type;
+const getType = (decision: SlotDecision): string => decision.type === 'full' && decision.cause === 'more-urgent' ? 'held back' : decision.type;
 
 test('overload: less urgent requests do not queue where more urgent ones were refused a moment ago', () => {
 	const queue = createShortQueue();
--- a/src/lib/decisions/slot-queue.test.ts
+++ b/src/lib/decisions/slot-queue.test.ts
@@ -28,7 +28,7 @@
 test('a request that could not start in time is refused immediately with a retry delay', () => {
 	const queue = admitAll(createSlotQueue(1), [createRequest(1), createRequest(2)]);
 	const {decision, queue: after} = admitToQueue(queue, createRequest(3, 0, 100), 0);
-	assert.deepEqual(decision, {type: 'full', retryAfterMs: 120, isHeldBack: false});
+	assert.deepEqual(decision, {type: 'full', retryAfterMs: 120, cause: 'no-slot'});
 	assert.deepEqual(after, {...queue, shortage: {priority: 0, until: 300}});
 	assert.equal(admitToQueue(queue, createRequest(3, 0, 0), 0).queue, queue);
 	assert.equal(admitToQueue(queue, createRequest(3, 0, 0), 0).decision.type, 'full');
@@ -70,7 +70,7 @@
 test('additional slots start waiting requests, and removed requests do not start', () => {
 	const queue = removeFromQueue(admitAll(createSlotQueue(1), [createRequest(1), createRequest(2), createRequest(3)]), 2);
 	assert.deepEqual(resizeSlots(queue, 2, 0).started.map(({id}) => id), [3]);
-	assert.equal(estimateWaitMs(createSlotQueue(1), 0), 0);
+	assert.equal(estimateWaitMs(createSlotQueue(1), {rank: 0}), 0);
 });
 
 const listInTime = (queue: SlotQueue, now: number): readonly QueuedRequest[] => queue.waiting.filter(({waitUntil}) => waitUntil > now);
--- a/src/lib/decisions/slot-queue.ts
+++ b/src/lib/decisions/slot-queue.ts
@@ -7,7 +7,7 @@
  */
 
 import {
-	countByPriority, isHeldBack, recordShortage, type PriorityLoad, type Shortage,
+	countByPriority, getPriority, isHeldBack, recordShortage, type PriorityLoad, type Shortage,
 } from './priority-admission.js';
 
 /** A request that waits for a slot. @internal */
@@ -19,13 +19,20 @@
 	readonly startBy: number;
 	/** When the request stops waiting, in milliseconds of the steady clock. It is later than `startBy`, since the estimated wait is inexact. */
 	readonly waitUntil: number;
+	/** Start tag of the request in the fair order of workspaces; `undefined` if it has no workspace. */
+	readonly startTag?: number | undefined;
+	/** Whether its workspace gets more slots than its share. */
+	readonly isOverShare?: boolean | undefined;
 };
 
+/** What the place of a request in the queue depends on. @internal */
+export type QueuePlace = Pick<QueuedRequest, 'rank' | 'startTag'>;
+
 /** @internal */
 export type SlotQueue = {
 	readonly slots: number;
 	readonly running: number;
-	/** Ordered by rank, then by arrival. */
+	/** Ordered by priority. Within a priority, requests without a workspace go first, by rank and arrival, and then the others, by their start tags. */
 	readonly waiting: readonly QueuedRequest[];
 	/** Moving average of the time that a request holds its slot, in milliseconds. */
 	readonly serviceMs: number;
@@ -35,13 +42,21 @@
 	readonly shortage: Shortage | undefined;
 };
 
+/** Why a request is refused while all slots are in use. @internal */
+export type FullCause =
+	/** It would have to wait for too long. */
+	| 'no-slot'
+	/** More urgent requests had to be refused a moment ago. */
+	| 'more-urgent'
+	/** Its workspace is over its share, and requests of others had to be refused a moment ago. */
+	| 'over-share';
+
 /** Decision about a request that arrives. @internal */
 export type SlotDecision =
 	| {readonly type: 'run'}
 	/** `evicted` is the request that was last in the full queue and had to leave it. */
 	| {readonly type: 'wait'; readonly evicted: QueuedRequest | undefined}
-	/** `isHeldBack` tells that the request was refused in favour of more urgent ones, before the queue was full. */
-	| {readonly type: 'full'; readonly retryAfterMs: number; readonly isHeldBack: boolean};
+	| {readonly type: 'full'; readonly retryAfterMs: number; readonly cause: FullCause};
 
 /** Weight of the newest sample in the moving average of service times, which covers about twenty requests. The first samples weigh more: after a restart of the node the estimate decides how many may wait while all callers retry at the same time. */
 const smoothingFactor = 0.05;
@@ -69,19 +84,33 @@
 	};
 }
 
+/** Returns whether a request that waits is ahead of one that arrives. */
+function isAhead(waiting: QueuePlace, arriving: QueuePlace): boolean {
+	const distance = getPriority(waiting.rank) - getPriority(arriving.rank);
+	if (distance !== 0) {
+		return distance < 0;
+	}
+
+	if (waiting.startTag === undefined || arriving.startTag === undefined) {
+		return waiting.startTag === undefined && (arriving.startTag !== undefined || waiting.rank <= arriving.rank);
+	}
+
+	return waiting.startTag <= arriving.startTag;
+}
+
 /**
  * @param queue - The queue.
- * @param rank - Rank of a request.
+ * @param place - Rank and start tag of a request.
  * @returns Estimated milliseconds until a request that arrives now would start.
  * @internal
  */
-export function estimateWaitMs(queue: SlotQueue, rank: number): number {
-	const ahead = queue.waiting.filter(waiting => waiting.rank <= rank).length;
+export function estimateWaitMs(queue: SlotQueue, place: QueuePlace): number {
+	const ahead = queue.waiting.filter(waiting => isAhead(waiting, place)).length;
 	return queue.running < queue.slots && ahead === 0 ? 0 : (ahead + 1) * queue.serviceMs / Math.max(1, queue.slots);
 }
 
 function insertByRank(waiting: readonly QueuedRequest[], request: QueuedRequest): readonly QueuedRequest[] {
-	const foundIndex = waiting.findIndex(other => other.rank > request.rank);
+	const foundIndex = waiting.findIndex(other => !isAhead(other, request));
 	const index = foundIndex === -1 ? waiting.length : foundIndex;
 	return [...waiting.slice(0, index), request, ...waiting.slice(index)];
 }
@@ -96,23 +125,24 @@
  * @internal
  */
 export function admitToQueue(queue: SlotQueue, request: QueuedRequest, now: number): {readonly queue: SlotQueue; readonly decision: SlotDecision} {
-	const isFirst = !queue.waiting.some(waiting => waiting.rank <= request.rank);
+	const isFirst = !queue.waiting.some(waiting => isAhead(waiting, request));
 	if (queue.running < queue.slots && isFirst) {
 		return {queue: {...queue, running: queue.running + 1}, decision: {type: 'run'}};
 	}
 
-	const waitMs = estimateWaitMs(queue, request.rank);
-	const refuse = (isRefusedForOthers: boolean): {readonly queue: SlotQueue; readonly decision: SlotDecision} => ({
+	const waitMs = estimateWaitMs(queue, request);
+	const refuse = (cause: FullCause): {readonly queue: SlotQueue; readonly decision: SlotDecision} => ({
 		// A request that may not wait looks for a free slot only, so its refusal does not show a shortage.
-		queue: isRefusedForOthers || request.startBy <= now ? queue : recordRefusal(queue, request.rank, now),
-		decision: {type: 'full', retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(waitMs)), isHeldBack: isRefusedForOthers},
+		queue: cause !== 'no-slot' || request.startBy <= now ? queue : recordRefusal(queue, request, now),
+		decision: {type: 'full', retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(waitMs)), cause},
 	});
-	if (isHeldBack(queue.shortage, request.rank, now)) {
-		return refuse(true);
+	const heldBack = findHoldBack(queue.shortage, request, now);
+	if (heldBack !== undefined) {
+		return refuse(heldBack);
 	}
 
 	if (now + waitMs > request.startBy) {
-		return refuse(false);
+		return refuse('no-slot');
 	}
 
 	const waiting = insertByRank(queue.waiting, request);
@@ -122,23 +152,33 @@
 
 	const evicted = waiting.at(-1);
 	if (evicted?.id === request.id) {
-		return refuse(false);
+		return refuse('no-slot');
 	}
 
 	return {queue: {...queue, waiting: waiting.slice(0, -1)}, decision: {type: 'wait', evicted}};
 }
 
 /**
- * Records that a request which could have waited was refused for want of a slot.
+ * Records that a request which could have waited was refused for want of a slot. Refusals of a workspace over its share do
+ * not hold back others.
  *
  * @param queue - The queue.
- * @param rank - Rank of the request.
+ * @param request - The request.
  * @param now - Current time, in milliseconds of the steady clock.
  * @returns The next state.
  * @internal
  */
-export function recordRefusal(queue: SlotQueue, rank: number, now: number): SlotQueue {
-	return {...queue, shortage: recordShortage(queue.shortage, rank, now)};
+export function recordRefusal(queue: SlotQueue, {rank, isOverShare}: Pick<QueuedRequest, 'rank' | 'isOverShare'>, now: number): SlotQueue {
+	return isOverShare === true ? queue : {...queue, shortage: recordShortage(queue.shortage, rank, now)};
+}
+
+/** Returns why a request is held back in favour of others; `undefined` if it is not. */
+function findHoldBack(shortage: Shortage | undefined, {rank, isOverShare}: QueuedRequest, now: number): FullCause | undefined {
+	if (isHeldBack(shortage, rank, now)) {
+		return 'more-urgent';
+	}
+
+	return isOverShare === true && shortage !== undefined && shortage.until > now && shortage.priority === getPriority(rank) ? 'over-share' : undefined;
 }
 
 /**
--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -8,7 +8,7 @@
 import {mergeVerdicts, type Verdict} from '../common/verdict.js';
 import {type AttemptHistory} from '../decisions/plan-attempt.js';
 import {type AttemptRecord} from '../timeline/mesh-log.js';
-import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
+import {createNotRun, isCapacityReason, type ForwardFailure, type ForwardResult} from './forward-result.js';
 import {type CallOutcome} from './outgoing-call.js';
 import {type Attempt} from './running-attempts.js';
 
@@ -113,7 +113,7 @@
 		},
 		recordEnd(attempt, result) {
 			const {target, mayWaitMs} = attempt;
-			if (result.type === 'failed' && (result.reason === 'full' || result.reason === 'limited') && mayWaitMs === 0) {
+			if (result.type === 'failed' && isCapacityReason(result.reason) && mayWaitMs === 0) {
 				tried.delete(target.lifetime);
 				full.add(target.lifetime);
 			}
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -30,7 +30,9 @@
 	removeHopByHopHeaders, getNumberHeader, getStringHeader, type CallHeaderNames,
 } from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
-import {createNotRun, type ForwardResponse, type ForwardFailure} from './forward-result.js';
+import {
+	createNotRun, isCapacityReason, type ForwardResponse, type ForwardFailure,
+} from './forward-result.js';
 import {
 	BodyTooLargeError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
 } from './read-body.js';
@@ -173,7 +175,7 @@
 
 	const sendFailure = (call: EntryCall, failure: ForwardFailure, verdict: Verdict, targetLatencyMs: number): number => {
 		const status = chooseFailureStatus(failure, verdict);
-		refuse(call, status, failure.reason, status === 503 ? computeRetryAfterMs({waitMs: failure.retryAfterMs, targetLatencyMs, isOverloaded: failure.reason === 'full' || failure.reason === 'limited'}, random) : 0);
+		refuse(call, status, failure.reason, status === 503 ? computeRetryAfterMs({waitMs: failure.retryAfterMs, targetLatencyMs, isOverloaded: isCapacityReason(failure.reason)}, random) : 0);
 		return status;
 	};
 
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -11,6 +11,8 @@
 export type ForwardReason =
 	/** The gate has no free slot in time. */
 	| 'full'
+	/** The gate has no free slot, and the workspace of the request is over its share. */
+	| 'over-share'
 	/** The limit that the backend server named does not let the request start in time. */
 	| 'limited'
 	/** The backend server or its node is draining. */
@@ -39,9 +41,18 @@
 	| 'superseded';
 
 const reasons: readonly ForwardReason[] = [
-	'full', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'unauthorized', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
+	'full', 'over-share', 'limited', 'draining', 'gone', 'server-unreachable', 'node-unreachable', 'shed', 'connection-lost', 'server-crashed', 'quarantined', 'version-withheld', 'unauthorized', 'wrong-answer', 'no-server', 'timeout', 'cancelled', 'superseded',
 ];
 
+/**
+ * @param reason - Why an attempt has no response.
+ * @returns Whether no slot was free for the request, so that an early retry would be refused again.
+ * @internal
+ */
+export function isCapacityReason(reason: ForwardReason): boolean {
+	return reason === 'full' || reason === 'over-share' || reason === 'limited';
+}
+
 /** @internal */
 export type ForwardResponse = {
 	readonly type: 'answered';
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -17,6 +17,7 @@
 import {
 	noLocalServer, type LocalServer, type LocalServerState, type ServerAnnouncement, type ServerLeave, type ServerTransition,
 } from '../local-server/local-server.js';
+import {type FullCause} from '../decisions/slot-queue.js';
 import {createLinkDemand} from '../decisions/link-demand.js';
 import {describeRefusal as describeQuarantine, type Quarantine} from '../quarantine/quarantine.js';
 import {type GateRollouts} from '../rollout/rollouts.js';
@@ -242,24 +243,26 @@
 		return session.refuseLimited(call) ?? session;
 	};
 
-	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
+	const refuse = (call: GateCall, failure: ForwardFailure, cause?: FullCause): ForwardFailure => {
 		const {running = 0, waiting = 0, serviceMs = 0} = session?.describe() ?? {};
 		log.record('info', {
 			kind: 'gate-refused', call: call.id, server: call.server, reason: failure.reason, rank: call.rank,
 			running, waiting, serviceMs: Math.round(serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
 			...failure.reason === 'limited' ? {limitPerSecond: session?.getLimit(), caller: call.callerService} : {},
+			...cause === undefined ? {} : {fullCause: cause},
+			...call.workspace === undefined ? {} : {workspace: call.workspace},
 		});
 		return failure;
 	};
 
-	const createSlotRequest = ({rank, mayWaitMs, scope}: GateCall): SlotRequest => ({
-		rank, mayWaitMs, lastAt: scope.deadlineAt - refusalMarginMs, listenForCancel: scope.subscribe,
+	const createSlotRequest = ({rank, mayWaitMs, scope, workspace}: GateCall): SlotRequest => ({
+		rank, mayWaitMs, workspace, lastAt: scope.deadlineAt - refusalMarginMs, listenForCancel: scope.subscribe,
 	});
 
 	const handleSlotRefusal = (call: GateCall, outcome: Exclude<SlotOutcome, {readonly type: 'run'}>, reason: string): ForwardFailure => {
 		switch (outcome.type) {
 			case 'full': {
-				return refuse(call, createNotRun('full', reason, outcome.retryAfterMs));
+				return refuse(call, createNotRun(outcome.cause === 'over-share' ? 'over-share' : 'full', reason, outcome.retryAfterMs), outcome.cause);
 			}
 
 			case 'gone': {
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -26,11 +26,11 @@
 /** A plan to start an attempt. */
 type PlannedAttempt = Extract<AttemptPlan, {readonly type: 'send'}> & {readonly isCounted: boolean; readonly isTest: boolean};
 
-function computeCallState(call: OutgoingCall, now: number): CallState {
+function computeCallState(call: OutgoingCall, now: number, isOverShare = false): CallState {
 	const {route, ageMs, isNestedCall, workspace} = call;
 	return {
 		targetLatencyMs: route.targetLatencyMs, ageMs: ageMs + now - call.receivedAt, leftMs: call.scope.deadlineAt - now, isNestedCall, isBulk: isBulk(route.type),
-		priority: isNestedCall ? 0 : workspace?.priority ?? route.priority,
+		priority: isNestedCall ? 0 : workspace?.priority ?? route.priority, isOverShare,
 	};
 }
 
@@ -87,7 +87,7 @@
 
 	const planAmong = (decision: QuarantineDecision, matches: VersionChoice['matches'] | undefined): AttemptPlan => {
 		const now = readSteadyMs();
-		const callState = computeCallState(call, now);
+		const callState = computeCallState(call, now, call.workspace !== undefined && context.loads.shareRefusals.isOverShare(call.workspace.name, now));
 		const candidates = context.listCandidates({
 			service, route: route.name, tried: progress.tried, trialOf: decision.type === 'trial' ? decision.fingerprint : undefined, matches,
 		});
@@ -131,6 +131,10 @@
 				return createNotRun('full', `every backend server of ${service} holds back this request in favour of more urgent ones`, plan.waitMs);
 			}
 
+			case 'over-share': {
+				return createNotRun('over-share', `every backend server of ${service} is busy, and the workspace ${call.workspace?.name ?? ''} is over its share`, plan.waitMs);
+			}
+
 			case 'refuse': {
 				return plan.isLimited
 					? createNotRun('limited', `the limits of all backend servers of ${service} are used up for ${Math.round(plan.waitMs)} ms or more`, plan.waitMs)
@@ -197,8 +201,22 @@
 		return hasAllowedArrival() || takeRetry(chooseRetryReason(call, result));
 	};
 
+	/** Records whether the gate found the workspace of the call over its share. */
+	const recordShare = (result: ForwardResult): void => {
+		if (call.workspace === undefined) {
+			return;
+		}
+
+		if (hasArrived(result)) {
+			context.loads.shareRefusals.recordGrant(call.workspace.name);
+		} else if (result.type === 'failed' && result.reason === 'over-share') {
+			context.loads.shareRefusals.record(call.workspace.name, readSteadyMs());
+		}
+	};
+
 	const handleEnd = (attempt: Attempt, result: ForwardResult): CallOutcome | undefined => {
 		const record = progress.recordEnd(attempt, result);
+		recordShare(result);
 		if (isTest && !hasArrived(result)) {
 			context.rollouts.releaseExposure(service, route.name);
 		}
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {type FullCause} from '../decisions/slot-queue.js';
 import {type Verdict} from '../common/verdict.js';
 
 /** @internal */
@@ -104,7 +105,7 @@
 	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]}
-	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string}
+	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string; readonly fullCause?: FullCause | undefined; readonly workspace?: string | undefined}
 	/** The caller left before its request was started; the request was not sent to any server. */
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
 	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number}
