--- a/bench/experiment/model-server.ts
+++ b/bench/experiment/model-server.ts
@@ -9,13 +9,17 @@
 import {createLinkDemand, computeLinkBytesPerMs} from '../../src/lib/decisions/link-demand.js';
 import {getRelativeSlowness} from '../../src/lib/decisions/slowness.js';
 import {
-	admitToQueue, createSlotQueue, estimateWaitMs, finishRequest, getAverageServiceMs, recordReportedSlowness, removeFromQueue, type SlotQueue,
+	admitToQueue, createSlotQueue, describePriorities, estimateWaitMs, finishRequest, getAverageServiceMs, recordRefusal, recordReportedSlowness, removeFromQueue,
+	type FullCause, type QueuedRequest, type SlotQueue,
 } from '../../src/lib/decisions/slot-queue.js';
 import {
 	admitLimited, createLimiterState, estimateTokenWaitMs, type LimiterState,
 } from '../../src/lib/server-notices/limiter-state.js';
 import {createLoadReports} from '../../src/lib/server-notices/load-reports.js';
+import {createFairShares} from '../../src/lib/decisions/fair-shares.js';
+import {type SlotLoad} from '../../src/lib/admission/slot-pool.js';
 import {type EventQueue} from './event-queue.js';
+import {type Policy} from './policy.js';
 
 /** A request at a gate. Times are simulated milliseconds. */
 export type GateRequest = {
@@ -29,7 +33,8 @@
 	/** The gate turns the request away if its server is slower than this, as a factor of its average service time. */
 	readonly maxSlowness: number | undefined;
 	readonly handleSlow: () => void;
-	readonly handleFull: (retryAfterMs: number) => void;
+	readonly handleFull: (retryAfterMs: number, cause: FullCause) => void;
+	readonly workspace: string | undefined;
 	/** The limit of the server is used up. */
 	readonly handleLimited: (retryAfterMs: number) => void;
 };
@@ -51,7 +56,7 @@
 	/** Puts a large response on the link. Returns the milliseconds until it is sent. */
 	readonly sendLarge: (bytes: number) => number;
 	readonly requestSlot: (request: GateRequest) => () => void;
-	readonly getLoad: () => {readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly slowness?: number};
+	readonly getLoad: () => SlotLoad;
 };
 
 type ModelServerOptions = Pick<ModelServer, 'id' | 'lifetime' | 'service' | 'node' | 'slots' | 'speed' | 'getLimit' | 'linkMbps' | 'getSlowness'>;
@@ -59,10 +64,11 @@
 /**
  * @param options - Identity, node, slots and speed of the server.
  * @param events - The event queue of the simulation.
- * @param maximumWaitFactor - A waiting request is evicted after its allowed wait multiplied by this factor.
+ * @param policy - The rules of the gate.
  * @returns An idle server.
  */
-export function createModelServer(options: ModelServerOptions, events: EventQueue, maximumWaitFactor: number): ModelServer {
+export function createModelServer(options: ModelServerOptions, events: EventQueue, policy: Pick<Policy, 'maximumWaitFactor' | 'arePrioritiesReported'>): ModelServer {
+	const {maximumWaitFactor, arePrioritiesReported} = policy;
 	let queue: SlotQueue = createSlotQueue(options.slots);
 	let nextId = 1;
 	let limiter: LimiterState | undefined;
@@ -85,7 +91,24 @@
 		}
 	};
 
-	const run = (request: GateRequest): void => {
+	const shares = createFairShares(0);
+
+	/** Counts a request that arrives towards the share of its workspace. */
+	const stampShare = ({workspace}: GateRequest, now: number): Pick<QueuedRequest, 'startTag' | 'isOverShare'> => workspace === undefined
+		? {}
+		: {isOverShare: shares.isOverShare(workspace, now), startTag: shares.stamp(workspace, queue.serviceMs, now)};
+
+	const giveBack = ({workspace}: GateRequest): void => {
+		if (workspace !== undefined) {
+			shares.giveBack(workspace, queue.serviceMs, events.getNow());
+		}
+	};
+
+	const run = (request: GateRequest, {startTag}: QueuedRequest): void => {
+		if (request.workspace !== undefined && startTag !== undefined) {
+			shares.recordStart(request.workspace, startTag, events.getNow());
+		}
+
 		const startedAt = events.getNow();
 		const endRun = reports.startRun();
 		const endLarge = request.largeResponse === undefined ? undefined : linkDemand.begin();
@@ -97,22 +120,24 @@
 
 			const step = finishRequest(queue, isAnswered ? events.getNow() - startedAt : undefined, events.getNow(), endRun());
 			queue = step.queue;
-			for (const {id} of step.started) {
-				const next = waiting.get(id);
-				waiting.delete(id);
+			for (const started of step.started) {
+				const next = waiting.get(started.id);
+				waiting.delete(started.id);
 				if (next !== undefined) {
-					run(next);
+					run(next, started);
 				}
 			}
 		});
 	};
 
-	const evict = (id: number): void => {
+	const evict = (queued: QueuedRequest): void => {
+		const {id} = queued;
 		const request = waiting.get(id);
 		if (request !== undefined) {
 			waiting.delete(id);
-			queue = removeFromQueue(queue, id);
-			request.handleFull(estimateWaitMs(queue, request.rank));
+			queue = recordRefusal(removeFromQueue(queue, id), queued, events.getNow());
+			giveBack(request);
+			request.handleFull(estimateWaitMs(queue, queued), 'no-slot');
 		}
 	};
 
@@ -149,35 +174,37 @@
 
 			const linkWaitMs = request.largeResponse === undefined ? 0 : linkDemand.estimateWaitMs(countQueuedBytes(), getAverageServiceMs(queue));
 			if (linkWaitMs > (request.largeResponse?.mayWaitMs ?? 0)) {
-				request.handleFull(linkWaitMs);
+				request.handleFull(linkWaitMs, 'no-slot');
 				return () => undefined;
 			}
 
 			const id = nextId++;
 			const waitUntil = Math.min(now + (request.mayWaitMs * maximumWaitFactor), request.deadlineAt);
-			const step = admitToQueue(queue, {
-				id, rank: request.rank, startBy: now + request.mayWaitMs, waitUntil,
-			}, now);
+			const queued: QueuedRequest = {
+				id, rank: request.rank, startBy: now + request.mayWaitMs, waitUntil, ...stampShare(request, now),
+			};
+			const step = admitToQueue(queue, queued, now);
 			queue = step.queue;
 			switch (step.decision.type) {
 				case 'run': {
-					run(request);
+					run(request, queued);
 					break;
 				}
 
 				case 'full': {
-					request.handleFull(step.decision.retryAfterMs);
+					giveBack(request);
+					request.handleFull(step.decision.retryAfterMs, step.decision.cause);
 					break;
 				}
 
 				case 'wait': {
 					waiting.set(id, request);
 					if (step.decision.evicted !== undefined) {
-						evict(step.decision.evicted.id);
+						evict(step.decision.evicted);
 					}
 
 					events.schedule(waitUntil - now, () => {
-						evict(id);
+						evict(queued);
 					});
 					break;
 				}
@@ -195,7 +222,9 @@
 		},
 		getLoad() {
 			const slowness = getRelativeSlowness(queue.slowness, events.getNow());
-			const load = {running: queue.running, waiting: queue.waiting.length, serviceMs: getAverageServiceMs(queue)};
+			const load = {
+				running: queue.running, waiting: queue.waiting.length, serviceMs: getAverageServiceMs(queue), ...arePrioritiesReported ? describePriorities(queue, events.getNow()) : {},
+			};
 			return slowness === undefined ? load : {...load, slowness};
 		},
 	};
--- a/bench/experiment/policy.ts
+++ b/bench/experiment/policy.ts
@@ -26,6 +26,10 @@
 	readonly areCallsKnown: boolean;
 	/** Whether an entry avoids a server for a while after a refusal by its limit. */
 	readonly areLimitsAvoided: boolean;
+	/** Whether gates report which priorities wait, and which ones they hold back. */
+	readonly arePrioritiesReported: boolean;
+	/** Whether gates keep the shares of workspaces. */
+	readonly areSharesKept: boolean;
 	readonly computeRetryDelayMs: typeof computeRetryAfterMs;
 	readonly computeThresholds: typeof computeRankingThresholds;
 	/** Whether gates and entries use the load reports of servers. */
@@ -84,7 +88,7 @@
 	.toSorted((left, right) => left.key - right.key).map(({candidate}) => candidate);
 
 const standard: Policy = {
-	name: 'standard', computeMaxWaitMs, immediateTries: standardRules.immediateTries, maximumWaitFactor: 2, areCallsKnown: true, areLimitsAvoided: true,
+	name: 'standard', computeMaxWaitMs, immediateTries: standardRules.immediateTries, maximumWaitFactor: 2, areCallsKnown: true, areLimitsAvoided: true, arePrioritiesReported: true, areSharesKept: true,
 	computeRetryDelayMs: computeRetryAfterMs, computeThresholds: computeRankingThresholds, usesLoadReports: true, rank: rankServers, computeMaxSlowness,
 };
 
@@ -114,6 +118,8 @@
 	{...standard, name: 'kept for four times the estimate', maximumWaitFactor: 4},
 	{...standard, name: 'calls of servers not known', areCallsKnown: false},
 	{...standard, name: 'servers asked again at once in spite of their limits', areLimitsAvoided: false},
+	{...standard, name: 'workspaces not told apart', areSharesKept: false},
+	{...standard, name: 'priorities not reported by gates', arePrioritiesReported: false},
 	{...standard, name: 'back after 0.15 objectives', computeRetryDelayMs: delayByShare(0.15)},
 	{...standard, name: 'back after 2 objectives', computeRetryDelayMs: delayByShare(2)},
 	{...standard, name: 'every millisecond counts', computeThresholds: (...parameters) => ({...computeRankingThresholds(...parameters), fastEnoughMs: 0})},
--- a/bench/experiment/simulation.ts
+++ b/bench/experiment/simulation.ts
@@ -127,7 +127,7 @@
 		linkMbps: pattern.linkMbps === undefined ? 0 : pattern.linkMbps[node % pattern.linkMbps.length]!,
 		getSlowness: () => pattern.hasLoadReports === true && policy.usesLoadReports ? sharedVms.getSlowness(node, events.getNow()) : undefined,
 		getLimit: () => listActiveDisturbances('limited').find(disturbance => isAffected(disturbance, servers[node]!))?.perSecond,
-	}, events, policy.maximumWaitFactor));
+	}, events, policy));
 
 	const nearServers = new Map<string, NearServers>();
 	const listNear = (node: number, service: string): NearServers => {
--- a/src/lib/decisions/slot-queue.ts
+++ b/src/lib/decisions/slot-queue.ts
@@ -6,6 +6,9 @@
  * @module
  */
 import {recordSlowness, type Slowness} from './slowness.js';
+import {
+	countByPriority, getPriority, isHeldBack, recordShortage, type PriorityLoad, type Shortage,
+} from './priority-admission.js';
 
 /** A request that waits for a slot. @internal */
 export type QueuedRequest = {
@@ -16,13 +19,20 @@
 	readonly startBy: number;
 	/** When the request stops waiting, in milliseconds of the steady clock. It is later than `startBy`, since the estimated wait is inexact. */
 	readonly waitUntil: number;
+	/** Start tag of the request in the fair order of workspaces; `undefined` if it has no workspace. */
+	readonly startTag?: number | undefined;
+	/** Whether its workspace gets more slots than its share. */
+	readonly isOverShare?: boolean | undefined;
 };
 
+/** What the place of a request in the queue depends on. @internal */
+export type QueuePlace = Pick<QueuedRequest, 'rank' | 'startTag'>;
+
 /** @internal */
 export type SlotQueue = {
 	readonly slots: number;
 	readonly running: number;
-	/** Ordered by rank, then by arrival. */
+	/** Ordered by priority. Within a priority, requests without a workspace go first, by rank and arrival, and then the others, by their start tags. */
 	readonly waiting: readonly QueuedRequest[];
 	/** Moving average of the time that a request holds its slot while its VM has the usual speed, in milliseconds. */
 	readonly serviceMs: number;
@@ -30,14 +40,25 @@
 	readonly sampleCount: number;
 	/** How slow the VM is, as the server reports it; `undefined` if it does not. */
 	readonly slowness: Slowness | undefined;
+	/** The latest shortage of slots; `undefined` if no request was refused for want of one. */
+	readonly shortage: Shortage | undefined;
 };
 
+/** Why a request is refused while all slots are in use. @internal */
+export type FullCause =
+	/** It would have to wait for too long. */
+	| 'no-slot'
+	/** More urgent requests had to be refused a moment ago. */
+	| 'more-urgent'
+	/** Its workspace is over its share, and requests of others had to be refused a moment ago. */
+	| 'over-share';
+
 /** Decision about a request that arrives. @internal */
 export type SlotDecision =
 	| {readonly type: 'run'}
 	/** `evicted` is the request that was last in the full queue and had to leave it. */
 	| {readonly type: 'wait'; readonly evicted: QueuedRequest | undefined}
-	| {readonly type: 'full'; readonly retryAfterMs: number};
+	| {readonly type: 'full'; readonly retryAfterMs: number; readonly cause: FullCause};
 
 /** Weight of the newest sample in the moving average of service times, which covers about twenty requests. The first samples weigh more: after a restart of the node the estimate decides how many may wait while all callers retry at the same time. */
 const smoothingFactor = 0.05;
@@ -61,23 +82,37 @@
  */
 export function createSlotQueue(slots: number): SlotQueue {
 	return {
-		slots, running: 0, waiting: [], serviceMs: initialServiceMs, sampleCount: 0, slowness: undefined,
+		slots, running: 0, waiting: [], serviceMs: initialServiceMs, sampleCount: 0, slowness: undefined, shortage: undefined,
 	};
 }
 
+/** Returns whether a request that waits is ahead of one that arrives. */
+function isAhead(waiting: QueuePlace, arriving: QueuePlace): boolean {
+	const distance = getPriority(waiting.rank) - getPriority(arriving.rank);
+	if (distance !== 0) {
+		return distance < 0;
+	}
+
+	if (waiting.startTag === undefined || arriving.startTag === undefined) {
+		return waiting.startTag === undefined && (arriving.startTag !== undefined || waiting.rank <= arriving.rank);
+	}
+
+	return waiting.startTag <= arriving.startTag;
+}
+
 /**
  * @param queue - The queue.
- * @param rank - Rank of a request.
+ * @param place - Rank and start tag of a request.
  * @returns Estimated milliseconds until a request that arrives now would start.
  * @internal
  */
-export function estimateWaitMs(queue: SlotQueue, rank: number): number {
-	const ahead = queue.waiting.filter(waiting => waiting.rank <= rank).length;
+export function estimateWaitMs(queue: SlotQueue, place: QueuePlace): number {
+	const ahead = queue.waiting.filter(waiting => isAhead(waiting, place)).length;
 	return queue.running < queue.slots && ahead === 0 ? 0 : (ahead + 1) * queue.serviceMs * (queue.slowness?.latest ?? 1) / Math.max(1, queue.slots);
 }
 
 function insertByRank(waiting: readonly QueuedRequest[], request: QueuedRequest): readonly QueuedRequest[] {
-	const foundIndex = waiting.findIndex(other => other.rank > request.rank);
+	const foundIndex = waiting.findIndex(other => !isAhead(other, request));
 	const index = foundIndex === -1 ? waiting.length : foundIndex;
 	return [...waiting.slice(0, index), request, ...waiting.slice(index)];
 }
@@ -92,14 +127,24 @@
  * @internal
  */
 export function admitToQueue(queue: SlotQueue, request: QueuedRequest, now: number): {readonly queue: SlotQueue; readonly decision: SlotDecision} {
-	const isFirst = !queue.waiting.some(waiting => waiting.rank <= request.rank);
+	const isFirst = !queue.waiting.some(waiting => isAhead(waiting, request));
 	if (queue.running < queue.slots && isFirst) {
 		return {queue: {...queue, running: queue.running + 1}, decision: {type: 'run'}};
 	}
 
-	const waitMs = estimateWaitMs(queue, request.rank);
+	const waitMs = estimateWaitMs(queue, request);
+	const refuse = (cause: FullCause): {readonly queue: SlotQueue; readonly decision: SlotDecision} => ({
+		// A request that may not wait looks for a free slot only, so its refusal does not show a shortage.
+		queue: cause !== 'no-slot' || request.startBy <= now ? queue : recordRefusal(queue, request, now),
+		decision: {type: 'full', retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(waitMs)), cause},
+	});
+	const heldBack = findHoldBack(queue.shortage, request, now);
+	if (heldBack !== undefined) {
+		return refuse(heldBack);
+	}
+
 	if (now + waitMs > request.startBy) {
-		return {queue, decision: {type: 'full', retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(waitMs))}};
+		return refuse('no-slot');
 	}
 
 	const waiting = insertByRank(queue.waiting, request);
@@ -109,12 +154,48 @@
 
 	const evicted = waiting.at(-1);
 	if (evicted?.id === request.id) {
-		return {queue, decision: {type: 'full', retryAfterMs: Math.max(minRetryAfterMs, Math.ceil(waitMs))}};
+		return refuse('no-slot');
 	}
 
 	return {queue: {...queue, waiting: waiting.slice(0, -1)}, decision: {type: 'wait', evicted}};
 }
 
+/**
+ * Records that a request which could have waited was refused for want of a slot. Refusals of a workspace over its share do
+ * not hold back others.
+ *
+ * @param queue - The queue.
+ * @param request - The request.
+ * @param now - Current time, in milliseconds of the steady clock.
+ * @returns The next state.
+ * @internal
+ */
+export function recordRefusal(queue: SlotQueue, {rank, isOverShare}: Pick<QueuedRequest, 'rank' | 'isOverShare'>, now: number): SlotQueue {
+	return isOverShare === true ? queue : {...queue, shortage: recordShortage(queue.shortage, rank, now)};
+}
+
+/** Returns why a request is held back in favour of others; `undefined` if it is not. */
+function findHoldBack(shortage: Shortage | undefined, {rank, isOverShare}: QueuedRequest, now: number): FullCause | undefined {
+	if (isHeldBack(shortage, rank, now)) {
+		return 'more-urgent';
+	}
+
+	return isOverShare === true && shortage !== undefined && shortage.until > now && shortage.priority === getPriority(rank) ? 'over-share' : undefined;
+}
+
+/**
+ * @param queue - The queue.
+ * @param now - Current time, in milliseconds of the steady clock.
+ * @returns What entries need to know of the queue to send requests by their priority. While slots are idle, every priority is accepted.
+ * @internal
+ */
+export function describePriorities({running, slots, waiting, shortage}: SlotQueue, now: number): PriorityLoad {
+	return {
+		...shortage !== undefined && shortage.until > now && running >= slots ? {leastUrgent: shortage.priority} : {},
+		...waiting.length > 0 ? {waitingByPriority: countByPriority(waiting)} : {},
+	};
+}
+
 function startQueued(queue: SlotQueue, now: number): {readonly queue: SlotQueue; readonly started: readonly QueuedRequest[]} {
 	const inTime = queue.waiting.filter(waiting => waiting.waitUntil > now);
 	const free = Math.max(0, queue.slots - queue.running);
--- a/src/lib/decisions/slowness.test.ts
+++ b/src/lib/decisions/slowness.test.ts
@@ -53,8 +53,8 @@
 	});
 	assert.ok(Math.abs(queue.serviceMs - 100) < 0.01, `${queue.serviceMs}`);
 	assert.ok(Math.abs(getAverageServiceMs(queue) - 121) < 12, `${getAverageServiceMs(queue)}`);
-	assert.ok(Math.abs(estimateWaitMs(queue, 0) - 100) < 0.01);
-	assert.ok(Math.abs(estimateWaitMs(recordReportedSlowness(queue, 2.5, 42_000), 0) - 250) < 0.01);
+	assert.ok(Math.abs(estimateWaitMs(queue, {rank: 0}) - 100) < 0.01);
+	assert.ok(Math.abs(estimateWaitMs(recordReportedSlowness(queue, 2.5, 42_000), {rank: 0}) - 250) < 0.01);
 });
 
 test('without reports the learnt service time is the plain average', () => {
