Fair shares: operators see who was held back, and why

Tests cover the load by priority in answers and heartbeats, the counter, and an entry that refuses a workspace after two gates found it over its share.

--- a/bench/experiment/model-server.ts
+++ b/bench/experiment/model-server.ts
@@ -59,11 +59,11 @@
 	const shares = createFairShares(0);
 
 	/** Counts a request that arrives towards the share of its workspace. */
-	const stampShare = ({workspace}: GateRequest, now: number): Pick<QueuedRequest, 'startTag' | 'isOverShare'> => workspace === undefined
+	const addToShare = ({workspace}: GateRequest, now: number): Pick<QueuedRequest, 'startTag' | 'isOverShare'> => workspace === undefined
 		? {}
 		: {isOverShare: shares.isOverShare(workspace, now), startTag: shares.stamp(workspace, queue.serviceMs, now)};
 
-	const giveBack = ({workspace}: GateRequest): void => {
+	const releaseShare = ({workspace}: GateRequest): void => {
 		if (workspace !== undefined) {
 			shares.giveBack(workspace, queue.serviceMs, events.getNow());
 		}
@@ -94,7 +94,7 @@
 		if (request !== undefined) {
 			waiting.delete(id);
 			queue = recordRefusal(removeFromQueue(queue, id), queued, events.getNow());
-			giveBack(request);
+			releaseShare(request);
 			request.handleFull(estimateWaitMs(queue, queued), 'no-slot');
 		}
 	};
@@ -128,7 +128,7 @@
 			const id = nextId++;
 			const waitUntil = Math.min(now + (request.mayWaitMs * maximumWaitFactor), request.deadlineAt);
 			const queued: QueuedRequest = {
-				id, rank: request.rank, startBy: now + request.mayWaitMs, waitUntil, ...stampShare(request, now),
+				id, rank: request.rank, startBy: now + request.mayWaitMs, waitUntil, ...addToShare(request, now),
 			};
 			const step = admitToQueue(queue, queued, now);
 			queue = step.queue;
@@ -139,7 +139,7 @@
 				}
 
 				case 'full': {
-					giveBack(request);
+					releaseShare(request);
 					request.handleFull(step.decision.retryAfterMs, step.decision.cause);
 					break;
 				}
--- a/src/lib/admission/slot-pool.ts
+++ b/src/lib/admission/slot-pool.ts
@@ -79,7 +79,7 @@
 	const shares = createFairShares(readSteadyMs());
 
 	/** Counts a request that arrives towards the share of its workspace. */
-	const stampShare = ({workspace}: SlotRequest, now: number): Pick<QueuedRequest, 'startTag' | 'isOverShare'> => workspace === undefined
+	const addToShare = ({workspace}: SlotRequest, now: number): Pick<QueuedRequest, 'startTag' | 'isOverShare'> => workspace === undefined
 		? {}
 		: {isOverShare: shares.isOverShare(workspace, now), startTag: shares.stamp(workspace, queue.serviceMs, now)};
 
@@ -145,7 +145,7 @@
 				rank: request.rank,
 				startBy: now + request.mayWaitMs,
 				waitUntil: Math.min(now + (request.mayWaitMs * waitToleranceFactor), request.lastAt),
-				...stampShare(request, now),
+				...addToShare(request, now),
 			};
 			const step = admitToQueue(queue, queued, now);
 			queue = step.queue;
--- a/src/lib/decisions/fair-shares.test.ts
+++ b/src/lib/decisions/fair-shares.test.ts
@@ -140,7 +140,7 @@
 }
 
 /** Plays arrivals at one gate with six slots and 280 ms of work; returns the share of the requests of each workspace that ran. */
-function playGate(arrivals: readonly Arrival[]): ReadonlyMap<string, number> {
+function runGate(arrivals: readonly Arrival[]): ReadonlyMap<string, number> {
 	const workMs = 280;
 	const shares = createFairShares(0);
 	let queue: SlotQueue = {...createSlotQueue(6), serviceMs: workMs};
@@ -195,8 +195,8 @@
 	const usual: ReadonlyArray<readonly [string, number, number, number]> = [
 		['large', 6, 0, 40_000], ['middle', 4, 0, 40_000], ['small', 2, 0, 40_000], ['smaller', 1.5, 0, 40_000], ['greedy', 2, 0, 40_000],
 	];
-	const before = playGate(listArrivals(usual));
-	const after = playGate(listArrivals([...usual, ['greedy', 14, 20_000, 29_000]]));
+	const before = runGate(listArrivals(usual));
+	const after = runGate(listArrivals([...usual, ['greedy', 14, 20_000, 29_000]]));
 	for (const workspace of ['large', 'middle', 'small', 'smaller']) {
 		assert.ok(after.get(workspace)! > before.get(workspace)! - 0.02, `${workspace}: ${before.get(workspace)} to ${after.get(workspace)}`);
 	}
--- a/src/lib/decisions/fair-shares.ts
+++ b/src/lib/decisions/fair-shares.ts
@@ -71,7 +71,7 @@
 	/** Usual rates start at 0. Until the gate has run for a while they are too low by this factor. */
 	const getLearnedShare = (now: number): number => 1 - Math.exp(-Math.max(1, now - startedAt) / usualMs);
 
-	const sweep = (now: number): void => {
+	const forgetIdle = (now: number): void => {
 		if (now - sweptAt < sweepIntervalMs) {
 			return;
 		}
@@ -88,7 +88,7 @@
 	const update = (workspace: string, now: number): Account => {
 		const account = accounts.get(workspace);
 		if (account === undefined) {
-			sweep(now);
+			forgetIdle(now);
 			const created: Account = {
 				recent: 0, usual: 0, updatedAt: now, finishTag: 0,
 			};
--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -8,7 +8,9 @@
 import {mergeVerdicts, type Verdict} from '../common/verdict.js';
 import {type AttemptHistory} from '../decisions/plan-attempt.js';
 import {type AttemptRecord} from '../timeline/mesh-log.js';
-import {createNotRun, isCapacityReason, type ForwardFailure, type ForwardResult} from './forward-result.js';
+import {
+	createNotRun, isCapacityReason, type ForwardFailure, type ForwardResult,
+} from './forward-result.js';
 import {type CallOutcome} from './outgoing-call.js';
 import {type Attempt} from './running-attempts.js';
 
--- a/src/lib/forwarding/peer-messages.test.ts
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -122,6 +122,18 @@
 	assert.deepEqual(result.type === 'failed' && [result.verdict, result.retryAfterMs, result.detail.length], ['not-run', 3_600_000, 300]);
 });
 
+test('the priorities that a gate accepts and that wait there are decoded unchanged, and ignored if they are malformed', () => {
+	const load = {
+		running: 3, waiting: 4, serviceMs: 80, tookMs: 12.5,
+	};
+	for (const priorities of [{leastUrgent: 1}, {waitingByPriority: [1, 3]}, {leastUrgent: 0, waitingByPriority: [4]}]) {
+		assert.deepEqual(send({...answered, load: {...load, ...priorities}}).load, {...load, ...priorities});
+	}
+
+	assert.deepEqual(send(answered, head => changeHead(head, 1, [3, 4, 80, 12.5, 'x', -9])).load, load);
+	assert.deepEqual(send({...refused, result: createNotRun('over-share', 'x', 500)}).result, createNotRun('over-share', 'x', 500));
+});
+
 test('a malformed load is ignored', () => {
 	for (const load of [null, 5, [1, 2, 3], [1, 2, 3, -1], [1, 2, 3, '4'], [1, 2, 3, null]]) {
 		assert.equal(send(answered, head => changeHead(head, 1, load)).load, undefined);
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -10,6 +10,7 @@
 import {createSilentQuarantine, createSampleFingerprint} from '../quarantine/sample-quarantine.js';
 import {noRollouts} from '../rollout/no-rollouts.js';
 import {silentLog} from '../timeline/mesh-log.js';
+import {type Workspace} from '../workspaces/workspace.js';
 import {createMeshRetryBudget} from '../decisions/mesh-retry-budget.js';
 import {createCallScope} from './call-scope.js';
 import {
@@ -273,3 +274,20 @@
 	const {result, verdict} = await sendCall({...context, quarantine}, createCall());
 	assert.deepEqual([result.type === 'failed' ? result.reason : '', verdict, sent.length], ['server-unreachable', 'not-run', 1]);
 });
+
+const press: Workspace = {
+	name: 'press', keys: [], priority: undefined, ratePerSecond: undefined, burst: 0,
+};
+
+test('a workspace that two gates found over its share is refused without asking others, until it is forgotten', async () => {
+	const overShare = [createNotRun('over-share', 'x', 80), createNotRun('over-share', 'x', 80)];
+	const {context, sent, loads} = createFixture({a: overShare, b: overShare, c: overShare});
+	const outcome = await sendCall(context, createCall({workspace: press}));
+	assert.equal(sent.length, 2);
+	assert.deepEqual(outcome.result.type === 'failed' ? [outcome.result.reason, outcome.result.verdict, outcome.result.retryAfterMs] : [], ['over-share', 'not-run', 500]);
+	await sendCall(context, createCall({workspace: press}));
+	assert.equal(sent.length, 2);
+	await sendCall(context, createCall());
+	assert.ok(sent.length > 2);
+	assert.equal(loads.shareRefusals.isOverShare(press.name, performance.now() + 600), false);
+});
--- a/src/lib/peers/peer-report.test.ts
+++ b/src/lib/peers/peer-report.test.ts
@@ -24,6 +24,12 @@
 	assert.deepEqual(decodeReport(encodeReport(bare))._unsafeUnwrap(), bare);
 });
 
+test('the priorities that a gate accepts and that wait there are decoded unchanged', () => {
+	const {server} = createSampleReport();
+	const report = createSampleReport({server: {...server!, leastUrgent: 0, waitingByPriority: [2, 1]}});
+	assert.deepEqual(decodeReport(encodeReport(report))._unsafeUnwrap(), report);
+});
+
 test('fields that a later program adds are ignored', () => {
 	const later = JSON.stringify([...JSON.parse(encodeReport(createSampleReport())) as unknown[], {more: 1}]);
 	assert.deepEqual(decodeReport(later)._unsafeUnwrap(), createSampleReport());
--- a/src/lib/sidecar/mesh-metrics.test.ts
+++ b/src/lib/sidecar/mesh-metrics.test.ts
@@ -34,6 +34,23 @@
 	]);
 });
 
+test('requests that a gate refused in favour of others are counted by cause, priority and workspace', () => {
+	const metrics = createMeshMetrics();
+	const log = metrics.countEvents(silentLog);
+	const refusal = {
+		kind: 'gate-refused', call: 'c', server: 's', reason: 'full', rank: 1_000_300, running: 1, waiting: 1, serviceMs: 1, mayWaitMs: 1,
+	} as const;
+	log.record('info', {...refusal, fullCause: 'no-slot'});
+	log.record('info', {...refusal, fullCause: 'more-urgent'});
+	log.record('info', {
+		...refusal, reason: 'over-share', fullCause: 'over-share', workspace: 'press',
+	});
+	assert.deepEqual(metrics.format([]).split('\n').filter(line => line.includes('held_back')), [
+		'stonemoor_held_back_requests_total{cause="more-urgent",priority="1",workspace=""} 1',
+		'stonemoor_held_back_requests_total{cause="over-share",priority="1",workspace="press"} 1',
+	]);
+});
+
 test('a gauge without a value is left out', () => {
 	const text = createMeshMetrics().format([{name: 'some', help: 'Some', read: () => 2}, {name: 'none', help: 'None', read: () => undefined}]);
 	assert.match(text, /^some 2$/m);
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -6,8 +6,11 @@
  */
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import {type FinishedCall} from '../forwarding/entry-server.js';
+import {getPriority} from '../decisions/priority-admission.js';
 import {type LimitedOutcome} from '../server-notices/server-limiter.js';
-import {type MeshLog, type RefusalCause, type RefusalKind} from '../timeline/mesh-log.js';
+import {
+	type MeshEvent, type MeshLog, type RefusalCause, type RefusalKind,
+} from '../timeline/mesh-log.js';
 
 /** A value that is read when metrics are scraped. @internal */
 export type Gauge = {
@@ -96,6 +99,7 @@
 	const events = createCounter('stonemoor_events_total', 'kind', 'reason');
 	const refusals = createCounter('stonemoor_refusals_total', 'kind', 'cause');
 	const limited = createCounter('stonemoor_limited_requests_total', 'caller', 'outcome');
+	const heldBack = createCounter('stonemoor_held_back_requests_total', 'cause', 'priority', 'workspace');
 	const latencies = new Map<string, Histogram>();
 	const loopDelays = createHistogram();
 
@@ -110,6 +114,13 @@
 		return histogram;
 	};
 
+	/** Counts a request that a gate refused in favour of others, by what it was held back for. */
+	const countHeldBack = ({fullCause, rank, workspace = ''}: Extract<MeshEvent, {readonly kind: 'gate-refused'}>): void => {
+		if (fullCause !== undefined && fullCause !== 'no-slot') {
+			heldBack.add(fullCause, getPriority(rank), workspace);
+		}
+	};
+
 	return {
 		recordCall(call) {
 			const {route, service, status, verdict} = call;
@@ -133,6 +144,7 @@
 			record(level, event) {
 				if (event.kind === 'gate-refused') {
 					events.add(event.kind, event.reason);
+					countHeldBack(event);
 				} else {
 					events.add(event.kind);
 				}
@@ -147,6 +159,7 @@
 				...events.format(),
 				...refusals.format(),
 				...limited.format(),
+				...heldBack.format(),
 				...[...latencies].flatMap(([service, histogram]) => formatSummary('stonemoor_call_milliseconds', {service}, histogram)),
 				...formatSummary('stonemoor_loop_delay_milliseconds', {}, loopDelays),
 				...gauges.flatMap(gauge => formatGauge(gauge)),
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -82,6 +82,7 @@
 /** Explanations of the reasons for operators. */
 const causeTexts: Readonly<Record<string, string>> = {
 	full: 'no backend server of the service had a slot in time: the service was overloaded, or many of its servers were down',
+	'over-share': 'there were not enough slots, and the workspace of the caller asked for clearly more than it usually does (search for "over-share")',
 	limited: 'the backend servers take fewer requests a second than callers send: each that was tried has used up the limit that it names (search for "server-limit-changed")',
 	draining: 'the backend servers that were tried were leaving',
 	gone: 'the backend server had restarted or been replaced, and this node did not know that yet',
