Load by priority: one list in answers and heartbeats

The numbers were appended one by one, so a node that appends another field to the load would have had it read as a count of waiting requests. They are one nested list now, which is left out if nothing waits or is held back; fields after it are ignored. A test covers a later field.

--- a/src/lib/decisions/priority-admission.test.ts
+++ b/src/lib/decisions/priority-admission.test.ts
@@ -83,9 +83,9 @@
 		leastUrgent: fc.integer({min: 0, max: 9}), waitingByPriority: fc.array(fc.integer({min: 0, max: 99}), {minLength: 1, maxLength: 4}),
 	}, {requiredKeys: [], noNullPrototype: true});
 	fc.assert(fc.property(loads, load => {
-		assert.deepEqual(decodePriorityLoad(encodePriorityLoad(load)), load);
+		assert.deepEqual(decodePriorityLoad(encodePriorityLoad(load)[0]), load);
 	}));
-	for (const values of [[], [-2], ['1'], [1.5], [null], [0, -1], [0, 1, 1, 1, 1, 1], [0, Number.NaN]]) {
+	for (const values of [undefined, null, 0, 'x', {}, [], [-2], ['1'], [1.5], [null], [0, -1], [0, 1, 1, 1, 1, 1], [0, Number.NaN]]) {
 		assert.deepEqual(decodePriorityLoad(values), {});
 	}
 });
--- a/src/lib/decisions/priority-admission.ts
+++ b/src/lib/decisions/priority-admission.ts
@@ -44,24 +44,25 @@
 const countedPriorities = 4;
 
 /**
- * Encodes the part of a load that depends on priorities, as numbers at the end of a list.
+ * Encodes the part of a load that depends on priorities.
  *
  * @param load - The load.
- * @returns The numbers; none if no request waits or is held back.
+ * @returns One list of numbers to append to a message; nothing if no request waits or is held back.
  * @internal
  */
-export function encodePriorityLoad({leastUrgent, waitingByPriority = []}: PriorityLoad): readonly number[] {
-	return leastUrgent === undefined && waitingByPriority.length === 0 ? [] : [leastUrgent ?? acceptsAllValue, ...waitingByPriority];
+export function encodePriorityLoad({leastUrgent, waitingByPriority = []}: PriorityLoad): ReadonlyArray<readonly number[]> {
+	return leastUrgent === undefined && waitingByPriority.length === 0 ? [] : [[leastUrgent ?? acceptsAllValue, ...waitingByPriority]];
 }
 
 /**
- * Decodes numbers of another node.
+ * Decodes a list of another node.
  *
- * @param values - The numbers at the end of a list.
- * @returns The load; without any field if the numbers are absent or malformed, so that all requests are treated alike.
+ * @param value - The list.
+ * @returns The load; without any field if the list is absent or malformed, so that all requests are treated alike.
  * @internal
  */
-export function decodePriorityLoad([leastUrgent, ...counts]: readonly unknown[]): PriorityLoad {
+export function decodePriorityLoad(value: unknown): PriorityLoad {
+	const [leastUrgent, ...counts] = Array.isArray(value) ? value as readonly unknown[] : [];
 	const isCount = (value: unknown): value is number => Number.isInteger(value) && (value as number) >= 0 && (value as number) <= maxWaitingCount;
 	if ((leastUrgent !== acceptsAllValue && !isCount(leastUrgent)) || counts.length > countedPriorities || !counts.every(count => isCount(count))) {
 		return {};
--- a/src/lib/forwarding/peer-messages.test.ts
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -130,7 +130,8 @@
 		assert.deepEqual(send({...answered, load: {...load, ...priorities}}).load, {...load, ...priorities});
 	}
 
-	assert.deepEqual(send(answered, head => changeHead(head, 1, [3, 4, 80, 12.5, 'x', -9])).load, load);
+	assert.deepEqual(send(answered, head => changeHead(head, 1, [3, 4, 80, 12.5, ['x', -9]])).load, load);
+	assert.deepEqual(send(answered, head => changeHead(head, 1, [3, 4, 80, 12.5, [1], 'a later field'])).load, {...load, leastUrgent: 1});
 	assert.deepEqual(send({...refused, result: createNotRun('over-share', 'x', 500)}).result, createNotRun('over-share', 'x', 500));
 });
 
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -130,7 +130,7 @@
 	return request;
 }
 
-function encodeLoad({running, waiting, serviceMs, tookMs, ...priorityLoad}: GateLoad): readonly number[] {
+function encodeLoad({running, waiting, serviceMs, tookMs, ...priorityLoad}: GateLoad): readonly unknown[] {
 	return [running, waiting, Math.round(serviceMs), roundToTenth(tookMs), ...encodePriorityLoad(priorityLoad)];
 }
 
@@ -139,7 +139,7 @@
 		return undefined;
 	}
 
-	const [running, waiting, serviceMs, tookMs, ...priorities] = value as readonly unknown[];
+	const [running, waiting, serviceMs, tookMs, priorities] = value as readonly unknown[];
 	if (!isNonNegativeNumber(running) || !isNonNegativeNumber(waiting) || !isNonNegativeNumber(serviceMs) || !isNonNegativeNumber(tookMs)) {
 		return undefined;
 	}
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -158,7 +158,7 @@
 		return undefined;
 	}
 
-	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0, ...priorities] = value as unknown[];
+	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0, priorities] = value as unknown[];
 	const numbers = [slots, coldMs, running, waiting, serviceMs, failures];
 	const state = states[stateNumber as number];
 	if (!isText(id) || id === '' || !isText(service) || state === undefined || !isText(version) || !numbers.every(number => isCount(number)) || !isTime(startedAt)) {
