--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -9,7 +9,9 @@
 import {type AttemptHistory} from '../decisions/plan-attempt.js';
 import {maxSlowRefusals} from '../decisions/slow-server.js';
 import {type AttemptRecord} from '../timeline/mesh-log.js';
-import {createNotRun, isCapacityReason, type ForwardFailure, type ForwardResult} from './forward-result.js';
+import {
+	createNotRun, isCapacityReason, type ForwardFailure, type ForwardResult,
+} from './forward-result.js';
 import {type CallOutcome} from './outgoing-call.js';
 import {type Attempt} from './running-attempts.js';
 
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -136,7 +136,7 @@
 const noSlowness = 0;
 
 /** Encodes a load. The slowness and the fields of priorities follow the others in this order, and are omitted at the end if there are none; fields of later releases follow them. */
-function encodeLoad({running, waiting, serviceMs, tookMs, slowness, ...priorityLoad}: GateLoad): readonly number[] {
+function encodeLoad({running, waiting, serviceMs, tookMs, slowness, ...priorityLoad}: GateLoad): readonly unknown[] {
 	const priorities = encodePriorityLoad(priorityLoad);
 	const known = [running, waiting, Math.round(serviceMs), roundToTenth(tookMs)];
 	return slowness === undefined && priorities.length === 0 ? known : [...known, slowness === undefined ? noSlowness : roundToHundredth(slowness), ...priorities];
@@ -148,7 +148,7 @@
 		return undefined;
 	}
 
-	const [running, waiting, serviceMs, tookMs, slowness, ...priorities] = value as readonly unknown[];
+	const [running, waiting, serviceMs, tookMs, slowness, priorities] = value as readonly unknown[];
 	if (!isNonNegativeNumber(running) || !isNonNegativeNumber(waiting) || !isNonNegativeNumber(serviceMs) || !isNonNegativeNumber(tookMs)) {
 		return undefined;
 	}
--- a/src/lib/peers/peer-report.test.ts
+++ b/src/lib/peers/peer-report.test.ts
@@ -35,6 +35,14 @@
 	}
 });
 
+test('the priorities that a gate accepts and that wait there are decoded unchanged', () => {
+	const {server} = createSampleReport();
+	for (const load of [{leastUrgent: 0, waitingByPriority: [2, 1]}, {slowness: 2.25, leastUrgent: 0, waitingByPriority: [2, 1]}]) {
+		const report = createSampleReport({server: {...server!, ...load}});
+		assert.deepEqual(decodeReport(encodeReport(report))._unsafeUnwrap(), report);
+	}
+});
+
 test('fields that a later program adds are ignored', () => {
 	const later = JSON.stringify([...JSON.parse(encodeReport(createSampleReport())) as unknown[], {more: 1}]);
 	assert.deepEqual(decodeReport(later)._unsafeUnwrap(), createSampleReport());
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -102,7 +102,7 @@
 const unitsPerSlowness = 100;
 
 /** Encodes what is omitted at the end if there is none of it: the slowness, 0 if the server does not report it, and then the fields of priorities. */
-function encodeOptionalLoad(server: ServerReport): readonly number[] {
+function encodeOptionalLoad(server: ServerReport): readonly unknown[] {
 	const priorities = encodePriorityLoad(server);
 	return server.slowness === undefined && priorities.length === 0 ? [] : [Math.round((server.slowness ?? 0) * unitsPerSlowness), ...priorities];
 }
@@ -176,7 +176,7 @@
 		return undefined;
 	}
 
-	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0, slownessUnits, ...priorities] = value as unknown[];
+	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0, slownessUnits, priorities] = value as unknown[];
 	const numbers = [slots, coldMs, running, waiting, serviceMs, failures];
 	const state = states[stateNumber as number];
 	if (!isText(id) || id === '' || !isText(service) || state === undefined || !isText(version) || !numbers.every(number => isCount(number)) || !isTime(startedAt)) {
