Candidates: the own server's priorities are those of its current report

Less urgent callers would have been refused the server beside their node for as long as no request of that node to it succeeded: the view of the own server has the current time, so a hold-back of an earlier answer never became too old. The priorities now come from the report of the gate, like its counts.

--- a/bench/experiment/entry.ts
+++ b/bench/experiment/entry.ts
@@ -57,7 +57,7 @@
 			id: server.id, lifetime: server.lifetime, node: nodes[server.node]!.id, gate, domain: toFailureDomain(domain), isLocal, slots: server.slots, isCold: false,
 			view: isLocal
 				? {
-					...view, ...load, serviceMs: load.serviceMs * slowness, ownInFlight: 0, ownInFlightAtReport: 0, reportedAt: now,
+					...view, leastUrgent: undefined, waitingByPriority: undefined, ...load, serviceMs: load.serviceMs * slowness, ownInFlight: 0, ownInFlightAtReport: 0, reportedAt: now,
 				}
 				: view,
 		};
--- a/src/lib/sidecar/list-candidates.test.ts
+++ b/src/lib/sidecar/list-candidates.test.ts
@@ -85,3 +85,17 @@
 		assert.deepEqual(list(peers, {random: () => drawn}), [`i-n${left}`]);
 	}));
 });
+
+// Guards against a gate that holds back less urgent requests of its own node forever, since the view of the own server is always of the current time.
+test('the priorities that the gate of this node accepts are those of its current report, not those of an earlier answer', () => {
+	const loads = createLoadView();
+	loads.recordReport(toLifetimeKey(server.lifetime), {leastUrgent: 0, waitingByPriority: [3]}, 1000);
+	const listOwn = (own: ServerReport): ReadonlyArray<readonly [number | undefined, readonly number[] | undefined]> => listCandidates({service: 'logview', route: 'logs', tried: new Set()}, {
+		own: {
+			node: toNodeId('n0'), gate: toAddress('10.0.0.1:1'), domain: toFailureDomain('a'), server: own,
+		},
+		peers: {ownDomain: [], otherDomains: []}, limits, loads, leaving: createLeavingServers(), random: () => 0.5,
+	}, 5500).map(({view}) => [view.leastUrgent, view.waitingByPriority]);
+	assert.deepEqual(listOwn(server), [[undefined, undefined]]);
+	assert.deepEqual(listOwn({...server, leastUrgent: 1, waitingByPriority: [0, 2]}), [[1, [0, 2]]]);
+});
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -52,12 +52,12 @@
 
 /** Describes the server beside this node. Its numbers come from the local gate, so they are exact and current. */
 function describeLocal({own, loads}: CandidateSources, server: ServerReport, route: string, now: number): Candidate {
-	const {running, waiting, serviceMs, slowness = 1, failureShare} = server;
+	const {running, waiting, serviceMs, slowness = 1, failureShare, leastUrgent, waitingByPriority} = server;
 	const lifetime = toLifetimeKey(server.lifetime);
 	return {
 		id: server.lifetime.id, lifetime, node: own.node, gate: own.gate, domain: own.domain, isLocal: true, slots: server.slots, isCold: server.coldMs > 0,
 		view: {
-			...loads.get(lifetime, route), running, waiting, serviceMs: serviceMs * slowness, failureShare, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: now,
+			...loads.get(lifetime, route), running, waiting, serviceMs: serviceMs * slowness, failureShare, leastUrgent, waitingByPriority, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: now,
 		},
 	};
 }
