--- a/bench/experiment/entry.ts
+++ b/bench/experiment/entry.ts
@@ -57,7 +57,7 @@
 			id: server.id, lifetime: server.lifetime, node: nodes[server.node]!.id, gate, domain: toFailureDomain(domain), isLocal, slots: server.slots, isCold: false,
 			view: isLocal
 				? {
-					...view, ...load, serviceMs: load.serviceMs * slowness, ownInFlight: 0, ownInFlightAtReport: 0, reportedAt: now,
+					...view, leastUrgent: undefined, waitingByPriority: undefined, ...load, serviceMs: load.serviceMs * slowness, ownInFlight: 0, ownInFlightAtReport: 0, reportedAt: now,
 				}
 				: view,
 		};
@@ -101,7 +101,8 @@
 	};
 
 	const getCallState = (): CallState => ({
-		targetLatencyMs: kind.targetLatencyMs, ageMs: ageMs + events.getNow() - receivedAt, leftMs: getLeftMs(), isNestedCall, isBulk: isBulk(route.type),
+		targetLatencyMs: kind.targetLatencyMs, ageMs: ageMs + events.getNow() - receivedAt, leftMs: getLeftMs(), isNestedCall, isBulk: isBulk(route.type), priority: isNestedCall ? 0 : kind.priority,
+		isOverShare: policy.areSharesKept && kind.workspace !== undefined && node.loads.shareRefusals.isOverShare(kind.workspace, events.getNow()),
 	});
 
 	const tryNextGate = (): void => {
@@ -111,9 +112,10 @@
 
 		const callState = getCallState();
 		const ranked = policy.rank(listCandidates(simulation, request.node, kind), {domain: toFailureDomain(node.domain), random, ...policy.computeThresholds(route, isNestedCall, callState.ageMs)});
-		const plan = planAttempt(callState, history, ranked, policy, events.getNow());
+		const plan = planAttempt(callState, history, ranked, {...policy, random}, events.getNow());
 		if (plan.type !== 'send') {
-			refuse(plan.type === 'refuse' ? plan.waitMs : 0, plan.type === 'refuse');
+			const isOverloaded = plan.type === 'refuse' || plan.type === 'hold-back' || plan.type === 'over-share';
+			refuse(isOverloaded ? plan.waitMs : 0, isOverloaded);
 			return;
 		}
 
@@ -204,15 +206,24 @@
 					tryNextGate();
 				});
 			},
-			rank: computeRank(route),
+			rank: computeRank(route, {isNestedCall}),
 			mayWaitMs,
+			workspace: policy.areSharesKept ? kind.workspace : undefined,
 			deadlineAt: events.getNow() + getLeftMs(),
 			largeResponse: kind.type === 'download' && !target.isLocal ? {bytes: kind.bytes ?? 0, mayWaitMs: computeMaxResponseWaitMs(getCallState(), target)} : undefined,
 			run(handleFinish) {
+				if (kind.workspace !== undefined) {
+					node.loads.shareRefusals.recordGrant(kind.workspace);
+				}
+
 				run(server, target, handleFinish);
 			},
-			handleFull(retryAfterMs) {
+			handleFull(retryAfterMs, cause) {
 				sendAnswer(server, target, 0, () => {
+					if (cause === 'over-share') {
+						node.loads.shareRefusals.record(kind.workspace!, events.getNow());
+					}
+
 					handleFull(target, mayWaitMs, retryAfterMs);
 				});
 			},
--- a/src/lib/admission/slot-pool.ts
+++ b/src/lib/admission/slot-pool.ts
@@ -6,9 +6,11 @@
  * @module
  */
 import {clampTimerMs, readSteadyMs} from '../common/clock.js';
+import {createFairShares} from '../decisions/fair-shares.js';
+import {type PriorityLoad} from '../decisions/priority-admission.js';
 import {
-	admitToQueue, createSlotQueue, estimateWaitMs, finishRequest, getAverageServiceMs, recordReportedSlowness, removeFromQueue, resizeSlots,
-	type QueuedRequest, type SlotQueue,
+	admitToQueue, createSlotQueue, describePriorities, estimateWaitMs, finishRequest, getAverageServiceMs, recordRefusal, recordReportedSlowness, removeFromQueue, resizeSlots,
+	type FullCause, type QueuedRequest, type SlotQueue,
 } from '../decisions/slot-queue.js';
 import {getRelativeSlowness} from '../decisions/slowness.js';
 
@@ -20,6 +22,8 @@
 	readonly mayWaitMs: number;
 	/** When its wait ends at the latest, in steady milliseconds. */
 	readonly lastAt: number;
+	/** Name of the caller's workspace; `undefined` if it has none. */
+	readonly workspace?: string | undefined;
 	/** Registers a callback that is called once when the request is cancelled; returns a function that unregisters it. */
 	readonly listenForCancel: (handleCancel: () => void) => () => void;
 };
@@ -28,13 +32,13 @@
 export type SlotOutcome =
 	/** The request holds a slot, which the caller has to release. */
 	| {readonly type: 'run'}
-	| {readonly type: 'full'; readonly reason: string; readonly retryAfterMs: number}
+	| {readonly type: 'full'; readonly reason: string; readonly retryAfterMs: number; readonly cause: FullCause}
 	| {readonly type: 'cancelled'}
 	/** The server has ended. */
 	| {readonly type: 'gone'};
 
-/** Times are milliseconds. @internal */
-export type SlotLoad = {
+/** The requests of a pool, by state and by priority, and its service time. Times are milliseconds. @internal */
+export type SlotLoad = PriorityLoad & {
 	readonly running: number;
 	readonly waiting: number;
 	/** Average service time. */
@@ -61,6 +65,12 @@
 /** A queued request waits for at most this multiple of `mayWaitMs`, because the estimated wait is rough. */
 const waitToleranceFactor = 2;
 
+const fullReasons: Readonly<Record<FullCause, string>> = {
+	'no-slot': 'no slot in time',
+	'more-urgent': 'more urgent requests were refused',
+	'over-share': 'the workspace is over its share, and requests of others were refused',
+};
+
 type FinishWait = (outcome: 'run' | 'late' | 'cancelled' | 'gone') => void;
 
 /**
@@ -74,6 +84,24 @@
 	let queue: SlotQueue = createSlotQueue(count);
 	let nextId = 1;
 	const finishById = new Map<number, FinishWait>();
+	const shares = createFairShares(readSteadyMs());
+
+	/** Counts a request that arrives towards the share of its workspace. */
+	const addToShare = ({workspace}: SlotRequest, now: number): Pick<QueuedRequest, 'startTag' | 'isOverShare'> => workspace === undefined
+		? {}
+		: {isOverShare: shares.isOverShare(workspace, now), startTag: shares.stamp(workspace, queue.serviceMs, now)};
+
+	const settleShare = ({workspace}: SlotRequest, {startTag}: QueuedRequest, hasStarted: boolean): void => {
+		if (workspace === undefined || startTag === undefined) {
+			return;
+		}
+
+		if (hasStarted) {
+			shares.recordStart(workspace, startTag, readSteadyMs());
+		} else {
+			shares.giveBack(workspace, queue.serviceMs, readSteadyMs());
+		}
+	};
 
 	const startQueued = (started: readonly QueuedRequest[]): void => {
 		for (const {id} of started) {
@@ -91,7 +119,15 @@
 				queue = removeFromQueue(queue, queued.id);
 			}
 
-			resolve(outcome === 'late' ? {type: 'full', reason: 'no slot became free in time', retryAfterMs: estimateWaitMs(queue, request.rank)} : {type: outcome});
+			settleShare(request, queued, outcome === 'run');
+			if (outcome === 'late') {
+				queue = recordRefusal(queue, queued, readSteadyMs());
+				resolve({
+					type: 'full', reason: 'no slot became free in time', retryAfterMs: estimateWaitMs(queue, queued), cause: 'no-slot',
+				});
+			} else {
+				resolve({type: outcome});
+			}
 		};
 
 		const timer = setTimeout(() => {
@@ -117,16 +153,22 @@
 				rank: request.rank,
 				startBy: now + request.mayWaitMs,
 				waitUntil: Math.min(now + (request.mayWaitMs * waitToleranceFactor), request.lastAt),
+				...addToShare(request, now),
 			};
 			const step = admitToQueue(queue, queued, now);
 			queue = step.queue;
 			switch (step.decision.type) {
 				case 'run': {
+					settleShare(request, queued, true);
 					return {type: 'run'};
 				}
 
 				case 'full': {
-					return {type: 'full', reason: 'no slot in time', retryAfterMs: step.decision.retryAfterMs};
+					settleShare(request, queued, false);
+					const {retryAfterMs, cause} = step.decision;
+					return {
+						type: 'full', reason: fullReasons[cause], retryAfterMs, cause,
+					};
 				}
 
 				case 'wait': {
@@ -155,8 +197,11 @@
 		},
 		getSlowness: () => queue.slowness?.latest,
 		describe() {
-			const load = {running: queue.running, waiting: queue.waiting.length, serviceMs: getAverageServiceMs(queue)};
-			const slowness = queue.slowness === undefined ? undefined : getRelativeSlowness(queue.slowness, readSteadyMs());
+			const now = readSteadyMs();
+			const load = {
+				running: queue.running, waiting: queue.waiting.length, serviceMs: getAverageServiceMs(queue), ...describePriorities(queue, now),
+			};
+			const slowness = queue.slowness === undefined ? undefined : getRelativeSlowness(queue.slowness, now);
 			return slowness === undefined ? load : {...load, slowness};
 		},
 	};
--- a/src/lib/decisions/load-view.ts
+++ b/src/lib/decisions/load-view.ts
@@ -9,10 +9,12 @@
 import {
 	applyLimitRefusal, applyNamedLimit, unlimitedView, type LimitView,
 } from '../server-notices/limit-view.js';
+import {countLessUrgent, type PriorityLoad} from './priority-admission.js';
+import {createShareRefusals, type ShareRefusals} from './share-refusals.js';
 import {estimateSlowness} from './slowness.js';
 
 /** Known load of one server. Times are milliseconds of the steady clock. @internal */
-export type ServerView = LimitView & {
+export type ServerView = LimitView & PriorityLoad & {
 	readonly running: number;
 	readonly waiting: number;
 	/** Expected service time of a request in milliseconds; 0 if unknown. */
@@ -31,7 +33,7 @@
 };
 
 /** What a gate reports of its server. @internal */
-export type GateReport = Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare' | 'slowness'>>;
+export type GateReport = Partial<Pick<ServerView, 'running' | 'waiting' | 'serviceMs' | 'failureShare' | 'slowness' | 'leastUrgent' | 'waitingByPriority'>>;
 
 /** @internal */
 export type LoadView = {
@@ -47,6 +49,8 @@
 	readonly recordLimit: (server: LifetimeKey, limitPerSecond: number | undefined) => void;
 	/** Records that the gate refused a request since the limit is used up for the given time. */
 	readonly recordLimited: (server: LifetimeKey, waitMs: number, now: number) => void;
+	/** Workspaces that gates refused since they are over their share. */
+	readonly shareRefusals: ShareRefusals;
 	readonly retain: (isKnown: (server: LifetimeKey) => boolean) => void;
 };
 
@@ -66,6 +70,20 @@
 	return Math.max(view.ownInFlight, view.running + view.waiting + view.ownInFlight - view.ownInFlightAtReport);
 }
 
+/** How long a report that a gate holds back less urgent requests is valid, in milliseconds. A gate that still does so reports it again in its next heartbeat, 400 ms later at the earliest. @internal */
+export const holdBackMs = 450;
+
+/**
+ * @param view - The known load of a server.
+ * @param priority - Priority of a request.
+ * @param now - Current time, in milliseconds of the steady clock.
+ * @returns Whether the gate of the server would refuse the request in favour of more urgent ones.
+ * @internal
+ */
+export function isPriorityHeldBack({leastUrgent, reportedAt}: ServerView, priority: number, now: number): boolean {
+	return leastUrgent !== undefined && priority > leastUrgent && now - reportedAt < holdBackMs;
+}
+
 /**
  * Estimates how long a request would wait for a slot. The queue of the last
  * report is assumed to shrink at the average rate since. If all slots were in use
@@ -75,14 +93,15 @@
  * @param view - The known load of a server.
  * @param slots - Concurrency limit of the server.
  * @param now - Current time, in milliseconds of the steady clock.
+ * @param priority - Priority of the request, which goes ahead of less urgent ones that wait; the least urgent one if omitted.
  * @returns Milliseconds; 0 if a slot is likely to be free and the limit of the server is not used up.
  * @internal
  */
-export function estimateSlotWaitMs(view: ServerView, slots: number, now: number): number {
-	return Math.max(estimateQueueWaitMs(view, slots, now), view.limitedUntil - now);
+export function estimateSlotWaitMs(view: ServerView, slots: number, now: number, priority = Number.POSITIVE_INFINITY): number {
+	return Math.max(estimateQueueWaitMs(view, slots, now, priority), view.limitedUntil - now);
 }
 
-function estimateQueueWaitMs(view: ServerView, slots: number, now: number): number {
+function estimateQueueWaitMs(view: ServerView, slots: number, now: number, priority: number): number {
 	const requests = estimateOutstanding(view);
 	if (requests < slots) {
 		return 0;
@@ -90,7 +109,7 @@
 
 	const slotMs = view.serviceMs / Math.max(1, slots);
 	const endedCount = slotMs === 0 ? 0 : Math.max(0, now - view.reportedAt) / slotMs;
-	const waiting = Math.max(0, requests - slots - endedCount);
+	const waiting = Math.max(0, requests - countLessUrgent(view, view.waiting, priority) - slots - endedCount);
 	return (waiting + 1) * slotMs;
 }
 
@@ -124,8 +143,10 @@
 export function createLoadView(): LoadView {
 	const views = new Map<LifetimeKey, ServerView>();
 	const roundTrips = createRouteAverages(smoothingFactor);
+	const shareRefusals = createShareRefusals();
 	const get = (server: LifetimeKey): ServerView => views.get(server) ?? unknownLoad;
 	return {
+		shareRefusals,
 		get(server, route = '', now = undefined) {
 			const view = get(server);
 			const roundTripMs = roundTrips.get(server, route) ?? view.roundTripMs;
@@ -134,7 +155,7 @@
 		recordReport(server, report, now) {
 			const view = get(server);
 			views.set(server, {
-				...view, slowness: undefined, ...report, ownInFlightAtReport: view.ownInFlight, reportedAt: now,
+				...view, slowness: undefined, leastUrgent: undefined, waitingByPriority: undefined, ...report, ownInFlightAtReport: view.ownInFlight, reportedAt: now,
 			});
 		},
 		recordRoundTrip(server, route, roundTripMs) {
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -5,11 +5,14 @@
  */
 import {type HeaderMap} from '../calls/attempt.js';
 import {type Verdict} from '../common/verdict.js';
+import {type PriorityLoad} from '../decisions/priority-admission.js';
 
 /** Why an attempt has no response. @internal */
 export type ForwardReason =
 	/** The gate has no free slot in time. */
 	| 'full'
+	/** The gate has no free slot, and the workspace of the request is over its share. */
+	| 'over-share'
 	/** The limit that the backend server named does not let the request start in time. */
 	| 'limited'
 	/** The VM of the backend server has become slow, and another server may be faster. */
@@ -47,6 +50,7 @@
 
 const reasons: readonly ForwardReason[] = [
 	'full',
+	'over-share',
 	'limited',
 	'slow',
 	'draining',
@@ -69,6 +73,15 @@
 	'superseded',
 ];
 
+/**
+ * @param reason - Why an attempt has no response.
+ * @returns Whether no slot was free for the request, so that an early retry would be refused again.
+ * @internal
+ */
+export function isCapacityReason(reason: ForwardReason): boolean {
+	return reason === 'full' || reason === 'over-share' || reason === 'limited';
+}
+
 /** @internal */
 export type ForwardResponse = {
 	readonly type: 'answered';
@@ -93,7 +106,7 @@
 export type ForwardResult = ForwardResponse | ForwardFailure;
 
 /** The load of the backend server behind a gate. @internal */
-export type GateLoad = {
+export type GateLoad = PriorityLoad & {
 	readonly running: number;
 	readonly waiting: number;
 	readonly serviceMs: number;
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -10,6 +10,7 @@
 import {readSteadyMs} from '../common/clock.js';
 import {type BackendServerId} from '../common/ids.js';
 import {type AnnouncementRefusal} from '../local-server/announcement-refusal.js';
+import {type FullCause} from '../decisions/slot-queue.js';
 import {type ServerAnnouncement, type ServerLeave} from '../local-server/local-server.js';
 import {createLinkDemand} from '../decisions/link-demand.js';
 import {describeRefusal as describeQuarantine, type Quarantine} from '../quarantine/quarantine.js';
@@ -108,9 +109,9 @@
 			return undefined;
 		}
 
-		const {running, waiting, serviceMs, slowness} = session.describe();
+		const {running, waiting, serviceMs, slowness, leastUrgent, waitingByPriority} = session.describe();
 		return {
-			running, waiting, serviceMs, tookMs: readSteadyMs() - arrivedAt, slowness,
+			running, waiting, serviceMs, tookMs: readSteadyMs() - arrivedAt, slowness, leastUrgent, waitingByPriority,
 		};
 	};
 
@@ -138,7 +139,7 @@
 		return session.refuseLimited(call) ?? session;
 	};
 
-	const refuse = (call: GateCall, failure: ForwardFailure): ForwardFailure => {
+	const refuse = (call: GateCall, failure: ForwardFailure, cause?: FullCause): ForwardFailure => {
 		const session = sessions.getSession();
 		const {running = 0, waiting = 0, serviceMs = 0, slowness} = session?.describe() ?? {};
 		// The entry sends a request that meets a slow server to another one, so that it needs no line of its own.
@@ -147,18 +148,20 @@
 			running, waiting, serviceMs: Math.round(serviceMs), mayWaitMs: Math.round(call.mayWaitMs),
 			...slowness === undefined ? {} : {slowness: Math.round(slowness * 100) / 100},
 			...failure.reason === 'limited' ? {limitPerSecond: session?.getLimit(), caller: call.callerService} : {},
+			...cause === undefined ? {} : {fullCause: cause},
+			...call.workspace === undefined ? {} : {workspace: call.workspace},
 		});
 		return failure;
 	};
 
-	const createSlotRequest = ({rank, mayWaitMs, scope}: GateCall): SlotRequest => ({
-		rank, mayWaitMs, lastAt: scope.deadlineAt - refusalMarginMs, listenForCancel: scope.subscribe,
+	const createSlotRequest = ({rank, mayWaitMs, scope, workspace}: GateCall): SlotRequest => ({
+		rank, mayWaitMs, workspace, lastAt: scope.deadlineAt - refusalMarginMs, listenForCancel: scope.subscribe,
 	});
 
 	const handleSlotRefusal = (call: GateCall, outcome: Exclude<SlotOutcome, {readonly type: 'run'}>, reason: string): ForwardFailure => {
 		switch (outcome.type) {
 			case 'full': {
-				return refuse(call, createNotRun('full', reason, outcome.retryAfterMs));
+				return refuse(call, createNotRun(outcome.cause === 'over-share' ? 'over-share' : 'full', reason, outcome.retryAfterMs), outcome.cause);
 			}
 
 			case 'gone': {
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -11,6 +11,7 @@
 import {parseVerdict, type Verdict} from '../common/verdict.js';
 import {isSlowness} from '../decisions/slowness.js';
 import {isWorkspaceName, workspaceNameForm} from '../workspaces/workspace.js';
+import {decodePriorityLoad, encodePriorityLoad} from '../decisions/priority-admission.js';
 import {
 	createMayHaveRun, parseForwardReason, type ForwardResponse, type ForwardFailure, type GateLoad, type GateResult,
 } from './forward-result.js';
@@ -131,21 +132,29 @@
 	return request;
 }
 
-/** Encodes a load. Fields that a server does not report are omitted at the end; fields of later releases follow them. */
-function encodeLoad({running, waiting, serviceMs, tookMs, slowness}: GateLoad): readonly number[] {
+/** Stands for a slowness that the server does not report, where other fields follow it. */
+const noSlowness = 0;
+
+/** Encodes a load. The slowness and the fields of priorities follow the others in this order, and are omitted at the end if there are none; fields of later releases follow them. */
+function encodeLoad({running, waiting, serviceMs, tookMs, slowness, ...priorityLoad}: GateLoad): readonly unknown[] {
+	const priorities = encodePriorityLoad(priorityLoad);
 	const known = [running, waiting, Math.round(serviceMs), roundToTenth(tookMs)];
-	return slowness === undefined ? known : [...known, roundToHundredth(slowness)];
+	return slowness === undefined && priorities.length === 0 ? known : [...known, slowness === undefined ? noSlowness : roundToHundredth(slowness), ...priorities];
 }
 
 /** Decodes a load. An optional field that is malformed counts as absent. */
 function decodeLoad(value: unknown): GateLoad | undefined {
-	const [running, waiting, serviceMs, tookMs, slowness] = Array.isArray(value) ? value as unknown[] : [];
+	if (!Array.isArray(value)) {
+		return undefined;
+	}
+
+	const [running, waiting, serviceMs, tookMs, slowness, priorities] = value as readonly unknown[];
 	if (!isNonNegativeNumber(running) || !isNonNegativeNumber(waiting) || !isNonNegativeNumber(serviceMs) || !isNonNegativeNumber(tookMs)) {
 		return undefined;
 	}
 
 	const load = {
-		running, waiting, serviceMs, tookMs,
+		running, waiting, serviceMs, tookMs, ...decodePriorityLoad(priorities),
 	};
 	return isSlowness(slowness) ? {...load, slowness} : load;
 }
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -16,6 +16,7 @@
 import {type ServerLifetime} from '../common/server-lifetime.js';
 import {isSlowness} from '../decisions/slowness.js';
 import {type StoreEra} from '../store/store-position.js';
+import {decodePriorityLoad, encodePriorityLoad, type PriorityLoad} from '../decisions/priority-admission.js';
 import {decodeTally, encodeTally, type OutcomeTally} from '../rollout/outcome-tally.js';
 import {decodeRecord, encodeRecord, type RolloutRecord} from '../rollout/rollout-record.js';
 import {decodeSuspect, encodeSuspect, type SuspectRecord} from '../quarantine/suspect-record.js';
@@ -24,7 +25,7 @@
 export type ServerState = 'ready' | 'draining' | 'down';
 
 /** The state of a backend server, reported by the node beside it. @internal */
-export type ServerReport = {
+export type ServerReport = PriorityLoad & {
 	readonly lifetime: ServerLifetime;
 	readonly service: string;
 	readonly slots: number;
@@ -100,6 +101,12 @@
 /** A slowness is encoded in hundredths. */
 const unitsPerSlowness = 100;
 
+/** Encodes what is omitted at the end if there is none of it: the slowness, 0 if the server does not report it, and then the fields of priorities. */
+function encodeOptionalLoad(server: ServerReport): readonly unknown[] {
+	const priorities = encodePriorityLoad(server);
+	return server.slowness === undefined && priorities.length === 0 ? [] : [Math.round((server.slowness ?? 0) * unitsPerSlowness), ...priorities];
+}
+
 function encodeServer(server: ServerReport): readonly unknown[] {
 	return [
 		server.lifetime.id,
@@ -114,7 +121,7 @@
 		server.lifetime.startedAt,
 		server.version,
 		server.tally === undefined ? 0 : encodeTally(server.tally),
-		...server.slowness === undefined ? [] : [Math.round(server.slowness * unitsPerSlowness)],
+		...encodeOptionalLoad(server),
 	];
 }
 
@@ -169,7 +176,7 @@
 		return undefined;
 	}
 
-	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0, slownessUnits] = value as unknown[];
+	const [id, service, slots, stateNumber, coldMs, running, waiting, serviceMs, failures, startedAt, version = '', tally = 0, slownessUnits, priorities] = value as unknown[];
 	const numbers = [slots, coldMs, running, waiting, serviceMs, failures];
 	const state = states[stateNumber as number];
 	if (!isText(id) || id === '' || !isText(service) || state === undefined || !isText(version) || !numbers.every(number => isCount(number)) || !isTime(startedAt)) {
@@ -179,7 +186,7 @@
 	return {
 		lifetime: {id: toBackendServerId(id), startedAt}, service, slots: slots as number, state, coldMs: coldMs as number,
 		running: running as number, waiting: waiting as number, serviceMs: serviceMs as number, failureShare: (failures as number) / unitsPerShare,
-		version, ...decodeSlowness(slownessUnits), ...tally === 0 ? {} : {tally: decodeTally(tally, 'server.tally')},
+		version, ...decodeSlowness(slownessUnits), ...tally === 0 ? {} : {tally: decodeTally(tally, 'server.tally')}, ...decodePriorityLoad(priorities),
 	};
 }
 
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -7,10 +7,13 @@
 import Int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import {type FinishedCall} from '../forwarding/entry-server.js';
 import {type QuotaOutcome} from '../quotas/quotas.js';
+import {getPriority} from '../decisions/priority-admission.js';
 import {type LimitedOutcome} from '../server-notices/server-limiter.js';
 import {workspaceCallsMetric} from '../workspaces/explain-workspaces.js';
 import {createWorkspaceCounter} from '../workspaces/workspace-counter.js';
-import {type MeshLog, type RefusalCause, type RefusalKind} from '../timeline/mesh-log.js';
+import {
+	type MeshEvent, type MeshLog, type RefusalCause, type RefusalKind,
+} from '../timeline/mesh-log.js';
 
 /** A value that is read when metrics are scraped. @internal */
 export type Gauge = {
@@ -106,6 +109,7 @@
 	const limited = createCounter('stonemoor_limited_requests_total', 'caller', 'outcome');
 	const workspaceCalls = createWorkspaceCounter();
 	const quotas = createCounter('stonemoor_quota_requests_total', 'workspace', 'outcome');
+	const heldBack = createCounter('stonemoor_held_back_requests_total', 'cause', 'priority', 'workspace');
 	const latencies = new Map<string, Histogram>();
 	const loopDelays = createHistogram();
 
@@ -120,6 +124,13 @@
 		return histogram;
 	};
 
+	/** Counts a request that a gate refused in favour of others, by what it was held back for. */
+	const countHeldBack = ({fullCause, rank, workspace = ''}: Extract<MeshEvent, {readonly kind: 'gate-refused'}>): void => {
+		if (fullCause !== undefined && fullCause !== 'no-slot') {
+			heldBack.add(fullCause, getPriority(rank), workspace);
+		}
+	};
+
 	return {
 		recordCall(call) {
 			const {route, service, status, verdict} = call;
@@ -149,6 +160,10 @@
 		},
 		countEvents: log => ({
 			record(level, event) {
+				if (event.kind === 'gate-refused') {
+					countHeldBack(event);
+				}
+
 				if (event.kind === 'gate-refused' || event.kind === 'request-hung') {
 					events.add(event.kind, event.reason);
 				} else {
@@ -167,6 +182,7 @@
 				...limited.format(),
 				...workspaceCalls.list().map(({workspace, outcome, count}) => `${workspaceCallsMetric}{${formatLabels({workspace, outcome})}} ${count}`),
 				...quotas.format(),
+				...heldBack.format(),
 				...[...latencies].flatMap(([service, histogram]) => formatSummary('stonemoor_call_milliseconds', {service}, histogram)),
 				...formatSummary('stonemoor_loop_delay_milliseconds', {}, loopDelays),
 				...gauges.flatMap(gauge => formatGauge(gauge)),
