--- a/src/lib/forwarding/hang-watch.ts
+++ b/src/lib/forwarding/hang-watch.ts
@@ -45,8 +45,8 @@
 export type WatchedRequest = {
 	/** Registers the function that ends the request because the server will not respond to it. */
 	readonly listenForHang: (handleHang: (detail: string) => void) => void;
-	/** Records that the response begins to arrive, with the load report in its headers. */
-	readonly recordResponse: (report: LoadReport | undefined) => void;
+	/** Records that the response begins to arrive, with the load report in its headers. One without a signature or with a refusal does not show how busy the server is. */
+	readonly recordResponse: (report: LoadReport | undefined, isExecuted: boolean) => void;
 	/** Records the end of the request. Returns whether its slot stays taken; `releaseSlot` is called later then. */
 	readonly finish: (result: ExchangeResult) => boolean;
 };
@@ -283,13 +283,16 @@
 				listenForHang(handle) {
 					watched.handleHang = handle;
 				},
-				recordResponse(report) {
+				recordResponse(report, isExecuted) {
 					const comparison = requests.recordResponse(request, report, readAwakeMs(), held.length);
 					if (report !== undefined && comparison !== undefined) {
 						applyReport(report, comparison);
 					}
 
-					endCarefulStart();
+					if (isExecuted) {
+						endCarefulStart();
+					}
+
 					scheduleCheck(true);
 				},
 				finish(result) {
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -254,7 +254,7 @@
 			isOwnResponse: createOwnResponseCheck(call.id, headerNames),
 			readCallId: headers => getStringHeader(headers, headerNames.callId),
 			handleHead(headers) {
-				watched.recordResponse(notices.recordLoad(headers));
+				watched.recordResponse(notices.recordLoad(headers), headers[headerNames.signature] !== undefined && headers[headerNames.notRun] === undefined);
 			},
 			listenForHang: watched.listenForHang,
 		});
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -60,6 +60,11 @@
 			return `the gate of ${line.server} on ${line.node} refused it (${line.reason}): ${load}, maximum wait ${line.mayWaitMs} ms${limit}`;
 		}
 
+		case 'request-hung': {
+			const next = line.isEnded ? 'its connection was closed' : 'the node waits for its deadline';
+			return `${line.server} will not respond to it (${line.reason}): ${line.ageMs} ms, ${line.usualMs} ms for 99 in 100 requests; ${next}, ${line.limit} requests at a time from now on`;
+		}
+
 		case 'request-refused': {
 			return `${line.node} refused it with ${line.status}: ${line.reason} (${line.host}${line.path}, version ${line.version} in force)`;
 		}
@@ -89,6 +94,7 @@
 	'node-unreachable': 'the node beside the backend server could not be reached: it was down, starting, or partitioned from the network',
 	shed: 'the backend servers reported that they did not execute it',
 	'connection-lost': 'the connection was lost after the request had been sent: the backend server or its node ended, or closed the connection',
+	hung: 'the backend server did not respond to it and will not: it does not report it, or has responded to requests sent later (search for "request-hung")',
 	'server-crashed': 'the backend server crashed while the request was in flight there, and the request may be the cause: it was not sent to another server',
 	quarantined: 'backend servers crashed each time such a request was in flight: it is not sent to other servers (search for "request-suspected" and "server-crashed" with its fingerprint)',
 	'wrong-answer': 'the backend server sent an invalid response to this request',
