Hanging servers: what a report counts is learnt under load; requests of others have to last

Whether a report counts the request that carries it was learnt only from requests alone at the server; a request whose caller had left early still counted as running, and was not released since that was unknown.

Requests of others lower the limit only if they last 20 ms, so that a health check costs no slot. A session that ends releases the slots that it holds, so that it is not kept for them. The stand-in's server queues a request that it has room for instead of shedding it.

--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -88,8 +88,11 @@
  */
 const minReportCount = 8;
 
-/** Responses to a sole request that show whether the server counts the request that it answers. */
-const minSoleCount = 2;
+/** Reports of more requests than the gate knows, after which the server is taken to count the request that it answers. */
+const minOwnReports = 5;
+
+/** Time over which these reports are spread, in milliseconds. Work of an earlier run of the gate, which looks alike, is mostly over by then. */
+const ownLearningMs = 500;
 
 /**
  * @returns The requests of a server that has none.
@@ -104,14 +107,17 @@
 	const reports: ComparedReport[] = [];
 	/** Whether the server counts the request with whose response it sends a report; `undefined` if unknown. */
 	let isOwnCounted: boolean | undefined;
-	let soleCount = 0;
+	let ownReports = 0;
+	let firstOwnReportAt = 0;
 
-	const learnOwnCount = (reported: number, knownCount: number): void => {
+	/** Requests on their way only make a report smaller, so one that exceeds the other known requests counts the one that it answers. */
+	const learnOwnCount = (reported: number, otherCount: number, now: number): void => {
 		if (reported === 0) {
 			isOwnCounted = false;
-		} else if (knownCount === 0 && isOwnCounted === undefined) {
-			soleCount++;
-			isOwnCounted = soleCount >= minSoleCount ? true : undefined;
+		} else if (reported > otherCount && isOwnCounted === undefined) {
+			firstOwnReportAt = ownReports === 0 ? now : firstOwnReportAt;
+			ownReports++;
+			isOwnCounted = ownReports >= minOwnReports && now - firstOwnReportAt >= ownLearningMs ? true : undefined;
 		}
 	};
 
@@ -125,10 +131,10 @@
 		}
 
 		const others = inFlight.size - 1;
-		learnOwnCount(reported, others + heldCount);
+		learnOwnCount(reported, others + heldCount, now);
 		const leastOwn = isOwnCounted === true ? 1 : 0;
 		const mostOwn = isOwnCounted === false ? 0 : 1;
-		const comparison = {maxUnknown: Math.max(0, reported - leastOwn - arrivedCount), minUnknown: Math.max(0, reported - mostOwn - others)};
+		const comparison = {maxUnknown: Math.max(0, reported - mostOwn - arrivedCount), minUnknown: Math.max(0, reported - mostOwn - others)};
 		const compared: ComparedReport = {
 			at: now, lastId: nextId - 1, silentCount, missing: silentCount - (reported - leastOwn), isServerIdle: reported === leastOwn,
 		};
--- a/src/lib/forwarding/hang-watch.ts
+++ b/src/lib/forwarding/hang-watch.ts
@@ -1,7 +1,7 @@
 /**
  * Protects the backend server beside this node from more requests than it can hold, and
  * the callers from requests that it never responds to. The decisions are in `server-requests.ts`,
- * `concurrency-limit.ts` and `held-slots.ts`; this module holds their state and the timers.
+ * `concurrency-limit.ts`, `held-slots.ts` and `foreign-requests.ts`; this module holds their state and the timers.
  *
  * Hangs are looked for, and slots held, only while the server sends load reports.
  *
@@ -12,6 +12,7 @@
 import {
 	computeCapacity, computeSlotLimit, createConcurrencyLimit, lowerAfterHang, recordAnswer, type ConcurrencyLimit,
 } from '../decisions/concurrency-limit.js';
+import {noForeignRequests, recordForeignRequests, type ForeignRequests} from '../decisions/foreign-requests.js';
 import {
 	getNextDeadline, releaseExpired, releaseReported, type HeldRequests, type HeldStep,
 } from '../decisions/held-slots.js';
@@ -60,7 +61,7 @@
 	readonly getCapacity: () => number;
 	/** Returns how many requests the gate sends to the server at the same time, held ones included. */
 	readonly getSlotLimit: () => number;
-	/** Stops all timers, because the server has ended. */
+	/** Stops all timers and releases the slots that are held, because the server has ended. */
 	readonly dispose: () => void;
 };
 
@@ -76,9 +77,6 @@
 /** Requests of others at the server are forgotten this long after the last report, in milliseconds. Ones that take longer are reported again. */
 const maxForeignMs = 500;
 
-/** Time for which the highest count of requests of others is used, in milliseconds: some reports of a busy server. */
-const foreignMemoryMs = 100;
-
 /** A warning about a hang is logged at most once in this time, in milliseconds; further hangs are logged at debug level. */
 const minWarningIntervalMs = 1000;
 
@@ -114,8 +112,7 @@
 	let hasReported = false;
 	let isDisposed = false;
 	let isCheckPending = false;
-	/** When the count of requests of others was last as high as now, in milliseconds of the steady clock. */
-	let foreignAt = 0;
+	let foreign: ForeignRequests = noForeignRequests;
 	let lastWarningAt = Number.NEGATIVE_INFINITY;
 	let checkTimer: NodeJS.Timeout | undefined;
 	let carefulTimer: NodeJS.Timeout | undefined;
@@ -151,23 +148,17 @@
 		}
 	};
 
-	/** Applies a count of requests of others. Requests on their way only lower a count, so a lower one counts only after a while. */
-	const applyForeign = (foreign: number): void => {
-		const now = readSteadyMs();
-		if (foreign < limit.foreign && now - foreignAt < foreignMemoryMs) {
-			return;
-		}
-
-		foreignAt = now;
+	const applyForeign = (next: ForeignRequests): void => {
+		foreign = next;
 		clearTimeout(foreignTimer);
-		if (foreign > 0 && !isDisposed) {
+		if (foreign.count > 0 && !isDisposed) {
 			foreignTimer = setTimeout(() => {
-				applyForeign(0);
+				applyForeign(noForeignRequests);
 			}, maxForeignMs);
 		}
 
-		if (foreign !== limit.foreign) {
-			applyLimit({...limit, foreign});
+		if (foreign.count !== limit.foreign) {
+			applyLimit({...limit, foreign: foreign.count});
 		}
 	};
 
@@ -181,7 +172,7 @@
 			applyHeld(releaseReported(held, maxUnknown));
 		}
 
-		applyForeign(Math.max(0, minUnknown - held.length));
+		applyForeign(recordForeignRequests(foreign, Math.max(0, minUnknown - held.length), limit.isCareful, readSteadyMs()));
 	};
 
 	const endCarefulStart = (): void => {
@@ -324,6 +315,7 @@
 			clearTimeout(carefulTimer);
 			clearTimeout(foreignTimer);
 			clearTimeout(heldTimer);
+			applyHeld({held: [], released: held});
 		},
 	};
 }
--- a/stand-ins/platform-server/platform-server.ts
+++ b/stand-ins/platform-server/platform-server.ts
@@ -121,7 +121,7 @@
 	};
 
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const behaviour = inFlight < slots ? planned.shift() ?? 'answer' : 'shed';
+		const behaviour = queue !== undefined || inFlight < slots ? planned.shift() ?? 'answer' : 'shed';
 		const expected = request.headers['stonemoor-expected-instance'];
 		if (expected !== undefined && expected !== id) {
 			request.resume();
