--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -19,18 +19,23 @@
 import {computeRetryAfterMs} from '../decisions/retry-after.js';
 import {normalizeHost, findRoute} from '../route-config/route-index.js';
 import {type WeightedRoundRobin} from '../route-config/weighted-round-robin.js';
-import {type AttemptRecord, type MeshLog} from '../timeline/mesh-log.js';
+import {
+	type AttemptRecord, type CallerCause, type LogLevel, type MeshLog,
+} from '../timeline/mesh-log.js';
+import {type RefusalLog} from '../timeline/refusal-log.js';
 import {type CallerRetryDetector} from '../decisions/caller-retry-detector.js';
-import {authenticateRequest, type Authentication} from '../workspaces/authenticate-request.js';
+import {describeAuthenticationFailure, type AuthenticationFailure} from '../workspaces/authenticate-request.js';
+import {type QuotaDecision, type Quotas} from '../quotas/quotas.js';
 import {type Workspace} from '../workspaces/workspace.js';
 import {createLazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {createByteBudget} from './byte-budget.js';
 import {createCallScope, deadlineGraceMs, type CallScope} from './call-scope.js';
 import {
-	removeHopByHopHeaders, getNumberHeader, getStringHeader, type CallHeaderNames,
-} from './call-headers.js';
+	authenticateCaller, createAccessCheck, filterCallerHeaders, outdatedConfigRetryMs,
+} from './caller-access.js';
+import {getNumberHeader, getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
-import {createNotRun, type ForwardResponse, type ForwardFailure} from './forward-result.js';
+import {type ForwardResponse, type ForwardFailure} from './forward-result.js';
 import {
 	BodyTooLargeError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
 } from './read-body.js';
@@ -42,13 +47,18 @@
 	readonly id: string;
 	readonly route: string;
 	readonly service: string;
+	/** Name of the workspace of the caller; `undefined` if it has none. */
+	readonly workspace: string | undefined;
 	readonly version: number;
 	readonly status: number;
 	readonly verdict: Verdict;
+	/** `answered`, or the reason of the failure, a colon and the details. */
 	readonly reason: string;
 	readonly tookMs: number;
 	readonly leftMs: number;
 	readonly attempts: readonly AttemptRecord[];
+	/** How the request got a token of the quota of its workspace; absent if there is no quota. */
+	readonly quota?: 'granted' | 'waited' | 'returned';
 };
 
 /** @internal */
@@ -62,7 +72,9 @@
 	readonly weightedRoundRobin: WeightedRoundRobin;
 	readonly callerRetryDetector: CallerRetryDetector;
 	readonly nestedCallDetector: NestedCallDetector;
+	readonly quotas: Pick<Quotas, 'acquire'>;
 	readonly log: MeshLog;
+	readonly refusals: RefusalLog;
 	/** If this process lags behind, waits until input that has already arrived is read, so that the disconnect of a caller is noticed before work on its request starts. */
 	readonly waitForPendingInput: (isNewConnection: boolean) => Promise<void>;
 	/** Estimates how long a request that was read just now may have waited unread, in milliseconds. */
@@ -94,6 +106,33 @@
 	readonly sendContinue: () => void;
 };
 
+/** The longest wait for a token of a quota, in milliseconds, and the longest as a share of the latency objective, which leaves most of it for the work. */
+const maxQuotaWaitMs = 150;
+const quotaWaitShare = 1 / 8;
+
+type GrantedToken = Extract<QuotaDecision, {readonly type: 'granted'}>;
+
+/** Stands for the token of a request without a quota. */
+const noToken: GrantedToken = {type: 'granted', hasWaited: false, giveBack: () => undefined};
+
+function describeToken(token: GrantedToken, mayHaveRun: boolean): FinishedCall['quota'] {
+	if (token === noToken) {
+		return undefined;
+	}
+
+	if (!mayHaveRun) {
+		return 'returned';
+	}
+
+	return token.hasWaited ? 'waited' : 'granted';
+}
+
+function releaseToken(token: GrantedToken | undefined, mayHaveRun: boolean): void {
+	if (!mayHaveRun) {
+		token?.giveBack();
+	}
+}
+
 /** The largest request head that is accepted. */
 const maxHeaderBytes = 65_536;
 
@@ -109,9 +148,6 @@
 /** Retry delay while this node has no configuration. */
 const noConfigRetryMs = 250;
 
-/** Retry delay while this node has an outdated configuration. Most nodes get the newer one within this time. */
-const outdatedConfigRetryMs = 300;
-
 /** Retry delay for a route that cannot be used until the configuration changes. That happens many times an hour, not many times a second, so an earlier retry would rarely succeed. */
 const unusableRouteRetryMs = 1000;
 
@@ -137,26 +173,24 @@
 		maxHeaderSize: maxHeaderBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
 	});
 	const connections = watchConnections(server);
-	/** Set by the gate for each attempt. Without them, a request between nodes is about 100 bytes shorter. */
-	const gateHeaders = new Set([headerNames.callId, headerNames.timeLeft, headerNames.expectedServer, headerNames.callerService]);
-	const gateAndWorkspaceHeaders = new Set([...gateHeaders, headerNames.authorization, headerNames.workspace]);
 	let calls = 0;
 	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
 	let isClosing = false;
 
 	const getClosingHeaders = (request: IncomingMessage): {readonly connection?: string} =>
-		isClosing || !request.complete ? {connection: 'close'} : {};
+		isClosing || (!request.complete && hasBody(request)) ? {connection: 'close'} : {};
 
 	const refuse = ({id, request, response}: EntryCall, status: number, reason: string, retryAfterMs = 0): void => {
 		if (response.destroyed || response.headersSent) {
 			return;
 		}
 
-		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 ? 'not-run' : undefined})}\n`);
+		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 || status === 429 ? 'not-run' : undefined})}\n`);
 		response.writeHead(status, {
 			'content-type': 'application/json',
 			'content-length': body.length,
 			[headerNames.callId]: id,
+			...status === 401 ? {'www-authenticate': headerNames.authorizationScheme} : {},
 			...retryAfterMs > 0 ? {'retry-after': (retryAfterMs / 1000).toFixed(3)} : {},
 			...getClosingHeaders(request),
 		});
@@ -180,11 +214,27 @@
 		return status;
 	};
 
+	const logRefusal = (level: LogLevel, {id, request}: EntryCall, version: number, {status, reason}: {readonly status: number; readonly reason: string}): void => {
+		log.record(level, {
+			kind: 'request-refused', call: id, status, reason, host: request.headers.host ?? '', path: request.url ?? '', version,
+		});
+	};
+
 	const refuseAndLog = (call: EntryCall, version: number, status: number, reason: string, retryAfterMs = 0): void => {
+		logRefusal('info', call, version, {status, reason});
+		refuse(call, status, reason, retryAfterMs);
+	};
+
+	const logCallerLeft = ({id, receivedAt}: EntryCall, route: RouteRule): void => {
 		log.record('info', {
-			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version,
+			kind: 'caller-left', call: id, route: route.name, waitedMs: Math.round(readSteadyMs() - receivedAt),
+		});
+	};
+
+	const recordCallerRefusal = ({id, request}: EntryCall, route: RouteRule, cause: CallerCause, reason: string): void => {
+		context.refusals.record({
+			kind: 'caller-refused', cause, place: `${request.socket.remoteAddress ?? 'a closed connection'} on route ${route.name}`, reason, call: id,
 		});
-		refuse(call, status, reason, retryAfterMs);
 	};
 
 	/** Refuses a request that matches no known route. Answers 503 instead of 404 if the route may exist: one of its host could not be read, or a newer configuration may contain it. */
@@ -202,35 +252,55 @@
 		refuseAndLog(call, version, 404, 'no route matches host and path');
 	};
 
-	/** Refuses a request whose caller is not identified. Answers 503 to an unknown key that a newer configuration may contain. */
-	const refuseUnauthorized = (call: EntryCall, {config: {version}}: ActiveConfig, {cause}: Extract<Authentication, {readonly type: 'refused'}>): void => {
-		if (cause === 'unknown-key' && context.isConfigOutdated()) {
-			refuseAndLog(call, version, 503, 'the key is unknown, but this node has not received the newest configuration version yet', outdatedConfigRetryMs);
-			return;
-		}
+	/**
+	 * Refuses a request whose caller is not identified. Answers 503 to an unknown key that a newer configuration may contain. Refusals are logged at a limited rate,
+	 * since a caller with a wrong key may send as fast as it can.
+	 */
+	const refuseUnauthorized = (call: EntryCall, {config: {version}}: ActiveConfig, route: RouteRule, cause: AuthenticationFailure): void => {
+		const isOutdated = cause === 'unknown-key' && context.isConfigOutdated();
+		const reason = isOutdated
+			? 'the key is unknown, but this node has not received the newest configuration version yet'
+			: `not authorized: ${describeAuthenticationFailure(cause)}`;
+		const status = isOutdated ? 503 : 401;
+		recordCallerRefusal(call, route, isOutdated ? 'outdated-config' : cause, reason);
+		logRefusal('debug', call, version, {status, reason});
+		refuse(call, status, reason, isOutdated ? outdatedConfigRetryMs : 0);
+	};
 
-		refuseAndLog(call, version, 401, `not authorized: ${cause}`);
+	/** Refuses a request that got no token of the quota of its workspace. */
+	const refuseForQuota = (call: EntryCall, version: number, {name}: Workspace, decision: Extract<QuotaDecision, {readonly type: 'over' | 'unknown'}>): void => {
+		const status = decision.type === 'over' ? 429 : 503;
+		const reason = decision.type === 'over' ? 'its workspace is over its quota' : 'no coordinator of the quota of its workspace has answered in time';
+		log.record('info', {
+			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version, workspace: name, quota: decision.type,
+		});
+		refuse(call, status, reason, decision.retryAfterMs);
 	};
 
-	/** Returns a check of whether the key of a request is still valid and still belongs to the same workspace; after the configuration has changed, the key is looked up again. */
-	const createAccessCheck = ({request}: EntryCall, route: RouteRule, accepted: {readonly activeConfig: ActiveConfig; readonly workspace: Workspace | undefined}) => (): ForwardFailure | undefined => {
-		const current = context.getConfig();
-		if (current === undefined || current === accepted.activeConfig || (accepted.activeConfig.workspaces.isEmpty && current.workspaces.isEmpty)) {
-			return undefined;
+	/** Takes a token of the quota of the workspace. Returns `undefined` if the request was refused, or if its caller has left. */
+	const acquireToken = async (call: EntryCall, version: number, route: RouteRule, scope: CallScope, workspace: Workspace | undefined): Promise<GrantedToken | undefined> => {
+		if (workspace?.ratePerSecond === undefined) {
+			return noToken;
 		}
 
-		const authentication = authenticate(current, request, route);
-		if (authentication.type === 'refused') {
-			return createNotRun('unauthorized', `the key is no longer valid: ${authentication.cause}`);
-		}
+		const decision = await context.quotas.acquire(workspace, Math.min(maxQuotaWaitMs, route.targetLatencyMs * quotaWaitShare), scope);
+		switch (decision.type) {
+			case 'granted': {
+				return decision;
+			}
 
-		const name = authentication.type === 'authenticated' ? authentication.workspace.name : undefined;
-		return name === accepted.workspace?.name ? undefined : createNotRun('gone', 'the key was moved to another workspace while the request waited');
-	};
+			case 'cancelled': {
+				logCallerLeft(call, route);
+				return undefined;
+			}
 
-	/** Returns the headers to forward. Where the configuration has workspaces, the key and the name that the caller sent are removed. */
-	const filterHeaders = ({workspaces}: ActiveConfig, {headers}: IncomingMessage): Record<string, string | string[]> =>
-		removeHopByHopHeaders(headers, workspaces.isEmpty ? gateHeaders : gateAndWorkspaceHeaders);
+			case 'over':
+			case 'unknown': {
+				refuseForQuota(call, version, workspace, decision);
+				return undefined;
+			}
+		}
+	};
 
 	const readCallBody = async (call: EntryCall, maxBodyBytes: number, scope: CallScope): Promise<Uint8Array | undefined | 'refused'> => {
 		if (!hasBody(call.request)) {
@@ -256,31 +326,31 @@
 		}
 	};
 
-	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string}): void => {
+	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string; readonly workspace: string | undefined; readonly quota: FinishedCall['quota']}): void => {
 		const {result, verdict, attempts} = outcome;
 		const now = readSteadyMs();
 		const status = result.type === 'answered' ? result.status : sendFailure(call, result, verdict, outcome.route.targetLatencyMs);
 		if (result.type === 'answered') {
 			sendAnswer(call, result);
+		} else if (result.reason === 'unauthorized') {
+			recordCallerRefusal(call, outcome.route, 'withdrawn-key', result.detail);
 		}
 
 		context.handleFinished({
-			id: call.id, route: outcome.route.name, service: outcome.service, version: activeConfig.config.version, status, verdict, attempts,
+			id: call.id, route: outcome.route.name, service: outcome.service, workspace: outcome.workspace, version: activeConfig.config.version, status, verdict, attempts,
 			reason: result.type === 'answered' ? 'answered' : `${result.reason}: ${result.detail}`,
 			tookMs: Math.round(now - call.receivedAt),
 			leftMs: Math.round(scope.deadlineAt - now),
+			...outcome.quota === undefined ? {} : {quota: outcome.quota},
 		});
 	};
 
 	const findRouteIn = ({index}: ActiveConfig, {headers, url}: IncomingMessage): RouteRule | undefined => findRoute(index, headers.host ?? '', url ?? '/');
 
-	const authenticate = ({workspaces}: ActiveConfig, {rawHeaders}: IncomingMessage, {allowsAnonymous}: RouteRule): Authentication =>
-		authenticateRequest(workspaces, {rawHeaders, allowsAnonymous}, headerNames);
-
 	/** Whether a configuration has a route for a request, and knows its key. */
 	const isAccepted = (activeConfig: ActiveConfig, request: IncomingMessage): boolean => {
 		const route = findRouteIn(activeConfig, request);
-		return route !== undefined && authenticate(activeConfig, request, route).type !== 'refused';
+		return route !== undefined && authenticateCaller(activeConfig, request, route, headerNames).type !== 'refused';
 	};
 
 	/** Returns the configuration to handle a request with. Waits for a newer configuration if one is known and the active one does not accept the request. */
@@ -314,9 +384,9 @@
 			return;
 		}
 
-		const authentication = authenticate(activeConfig, request, route);
+		const authentication = authenticateCaller(activeConfig, request, route, headerNames);
 		if (authentication.type === 'refused') {
-			refuseUnauthorized(call, activeConfig, authentication);
+			refuseUnauthorized(call, activeConfig, route, authentication.cause);
 			return;
 		}
 
@@ -333,14 +403,20 @@
 		const ageMs = isNestedCall ? 0 : context.callerRetryDetector.recordCall(route.name, callerTimeoutMs);
 		const timeLeftMs = Math.min(callerTimeoutMs, route.timeoutMs);
 		let bufferedBytes = 0;
+		let token: GrantedToken | undefined;
+		// Set once the call is sent, since an unexpected error may follow.
+		let mayHaveRun = false;
 		const scope = createCallScope(call.receivedAt + timeLeftMs + deadlineGraceMs);
 		const removeFromConnection = connections.add(request.socket, scope);
 		try {
 			await context.waitForPendingInput(request.socket.bytesWritten === 0);
 			if (scope.getEndReason() === 'cancelled') {
-				log.record('info', {
-					kind: 'caller-left', call: call.id, route: route.name, waitedMs: Math.round(readSteadyMs() - call.receivedAt),
-				});
+				logCallerLeft(call, route);
+				return;
+			}
+
+			token = await acquireToken(call, version, route, scope, workspace);
+			if (token === undefined) {
 				return;
 			}
 
@@ -352,13 +428,14 @@
 			bufferedBytes = body?.length ?? 0;
 
 			const {method = 'GET', url: target = '/'} = request;
+			mayHaveRun = true;
 			const outcome = await sendCall(context, {
 				id: call.id,
 				route,
 				service,
 				method,
 				target,
-				headers: filterHeaders(activeConfig, request),
+				headers: filterCallerHeaders(activeConfig, request, headerNames),
 				body,
 				fingerprint: createLazyFingerprint({
 					method, host: request.headers.host ?? '', target, body,
@@ -368,10 +445,16 @@
 				ageMs,
 				scope,
 				workspace,
-				checkAccess: createAccessCheck(call, route, {activeConfig, workspace}),
+				checkAccess: createAccessCheck(context, {
+					request, route, activeConfig, workspace,
+				}),
+			});
+			mayHaveRun = outcome.verdict !== 'not-run';
+			finish(call, scope, activeConfig, {
+				...outcome, route, service, workspace: workspace?.name, quota: describeToken(token, mayHaveRun),
 			});
-			finish(call, scope, activeConfig, {...outcome, route, service});
 		} finally {
+			releaseToken(token, mayHaveRun);
 			bodyBudget.release(bufferedBytes);
 			removeFromConnection();
 			scope.dispose();
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -12,6 +12,8 @@
 	| 'full'
 	/** The limit that the backend server named does not let the request start in time. */
 	| 'limited'
+	/** The VM of the backend server has become slow, and another server may be faster. */
+	| 'slow'
 	/** The backend server or its node is draining. */
 	| 'draining'
 	/** The backend server no longer runs beside that node. */
@@ -33,6 +35,10 @@
 	| 'version-withheld'
 	/** The key of the request is no longer valid. */
 	| 'unauthorized'
+	/** The key of the request belongs to another workspace now. */
+	| 'workspace-changed'
+	/** The key of the request is unknown to a node that knows of a newer configuration. */
+	| 'config-outdated'
 	| 'wrong-answer'
 	| 'no-server'
 	| 'timeout'
@@ -42,6 +48,7 @@
 const reasons: readonly ForwardReason[] = [
 	'full',
 	'limited',
+	'slow',
 	'draining',
 	'gone',
 	'server-unreachable',
@@ -53,6 +60,8 @@
 	'quarantined',
 	'version-withheld',
 	'unauthorized',
+	'workspace-changed',
+	'config-outdated',
 	'wrong-answer',
 	'no-server',
 	'timeout',
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -25,7 +25,9 @@
 	/** A limit in a response of the backend server. */
 	| 'limit-refused'
 	/** A load report in a response of the backend server. */
-	| 'load-refused';
+	| 'load-refused'
+	/** A request of a caller that is not identified. */
+	| 'caller-refused';
 
 /** Why input was refused. @internal */
 export type RefusalCause =
@@ -37,7 +39,15 @@
 	| 'flood'
 	/** It contains an address that does not answer. */
 	| 'no-answer'
-	| AnnouncementCause;
+	| AnnouncementCause
+	| CallerCause;
+
+/** Why a request of a caller that is not identified was refused. @internal */
+export type CallerCause = 'missing-key' | 'repeated-header' | 'malformed-credentials' | 'unknown-key'
+	/** The key is unknown to a node that knows of a newer configuration. */
+	| 'outdated-config'
+	/** The key was withdrawn while the request waited. */
+	| 'withdrawn-key';
 
 /** Why an announcement or leave of the backend server beside a node was refused. @internal */
 export type AnnouncementCause =
@@ -105,13 +115,13 @@
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
 	/** The server will not respond to a request. `limit` is the number of requests that the gate sends to it at the same time from now on. */
 	| {readonly kind: 'request-hung'; readonly call: string; readonly server: string; readonly reason: string; readonly ageMs: number; readonly usualMs: number; readonly isEnded: boolean; readonly limit: number}
-	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number}
+	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number; readonly call?: string}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
-	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]}
+	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly workspace?: string | undefined; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]; readonly quota?: 'granted' | 'waited' | 'returned'}
 	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly slowness?: number | undefined; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string}
 	/** The caller left before its request was started; the request was not sent to any server. */
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
-	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number}
+	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number; readonly workspace?: string; readonly quota?: 'over' | 'unknown'}
 	| {readonly kind: 'lines-dropped'; readonly of: string; readonly count: number};
 /* eslint-enable @stylistic/max-len */
 
