Load reports: overflow leaves a third of the slots to the domain that it goes to

Failure domains take turns at their peak.

An entry now counts a third of the slots of a server in another domain as taken, where servers report their load. A request that would be refused takes such a slot after all, so no capacity is lost, also where the own domain has no server.

The model records demand, work, waiting and overflow of each domain over time (`--domain-svg`). Results are a module of their own, which ends the import cycle of experiment.ts and plot.ts.

--- a/bench/experiment/entry.ts
+++ b/bench/experiment/entry.ts
@@ -38,7 +38,7 @@
 const gate = toAddress('10.0.0.1:1');
 
 /** Lists the servers that an entry node may choose, sampled as real nodes do. */
-function listCandidates({getServers, nodes, events, random, listActiveDisturbances, isAffected}: Simulation, node: number, kind: RequestKind): readonly Candidate[] {
+function listCandidates({getServers, policy, nodes, events, random, listActiveDisturbances, isAffected}: Simulation, node: number, kind: RequestKind): readonly Candidate[] {
 	const now = events.getNow();
 	const goneDisturbances = listActiveDisturbances('gone');
 	const lostDomains = new Set(listActiveDisturbances('domain-lost').map(({domain}) => `d${domain}`));
@@ -54,7 +54,7 @@
 		const view = own.loads.get(server.lifetime, kind.name, now);
 		const {slowness = 1, ...load} = server.getLoad();
 		return {
-			id: server.id, lifetime: server.lifetime, node: nodes[server.node]!.id, gate, domain: toFailureDomain(domain), isLocal, slots: server.slots, isCold: false,
+			id: server.id, lifetime: server.lifetime, node: nodes[server.node]!.id, gate, domain: toFailureDomain(domain), isLocal, slots: server.slots, reservedSlots: domain === own.domain ? 0 : policy.countReservedSlots(server.slots, view), isCold: false,
 			view: isLocal
 				? {
 					...view, ...load, serviceMs: load.serviceMs * slowness, ownInFlight: 0, ownInFlightAtReport: 0, reportedAt: now,
@@ -170,6 +170,7 @@
 	};
 
 	const run = (server: ModelServer, target: Candidate, handleFinish: (isAnswered: boolean) => void): void => {
+		simulation.series.recordRun(request.node, server.node);
 		runAtServer(request, server, isAnswered => {
 			handleFinish(isAnswered);
 			if (isAnswered && nodes[server.node]!.domain !== node.domain) {
--- a/bench/experiment/experiment.ts
+++ b/bench/experiment/experiment.ts
@@ -8,10 +8,11 @@
 import process from 'node:process';
 import {mean, quantile, sampleStandardDeviation} from 'simple-statistics';
 import {formatMarkdown} from '../statistics.js';
-import {runPattern} from './mesh-model.js';
+import {type ExperimentResult} from './experiment-result.js';
+import {runPattern, runWithSeries} from './mesh-model.js';
 import {patterns, type Pattern} from './pattern.js';
-import {policies, type Policy} from './policy.js';
-import {renderPlot} from './plot.js';
+import {policies} from './policy.js';
+import {renderDomainPlot, renderPlot} from './plot.js';
 import {type CountedField, type OutcomeCounts} from './outcome-counts.js';
 
 /** Command line options. */
@@ -23,18 +24,12 @@
 	/** Paths of a CSV file for the counts and of an SVG file for a plot. */
 	readonly csv: string | undefined;
 	readonly svg: string | undefined;
+	/** Path of an SVG file for the demand, work and waiting of each failure domain over time, of the first pattern and set of rules that are chosen. */
+	readonly domainSvg: string | undefined;
 	/** Prints a row for each kind of request. */
 	readonly kinds: boolean;
 };
 
-/** Results of one set of rules under one pattern. */
-export type ExperimentResult = {
-	readonly pattern: Pattern;
-	readonly policy: Policy;
-	/** Counts of each seed. */
-	readonly countsBySeed: readonly OutcomeCounts[];
-};
-
 /** Computes the worth of all answers, as a share of the worth if each request were answered in time. */
 export function computeCredit(pattern: Pattern, counts: OutcomeCounts): number {
 	let possible = 0;
@@ -99,6 +94,10 @@
 
 const kindHeader = ['pattern', 'rules', 'kind', 'asked', 'in time', 'late', 'refused at once', 'refused later', 'failed', 'slot time nobody got', 'p50 ms', 'p99 ms', 'MB between domains', 'share of slots'];
 
+const bytesPerMegabyte = 1_000_000;
+
+const sumBytes = (counts: OutcomeCounts): number => [...counts.values()].reduce((sum, {crossDomainBytes}) => sum + crossDomainBytes, 0);
+
 /** Compares each set of rules with the first one, seed by seed. */
 function formatComparison(results: readonly ExperimentResult[]): ReadonlyArray<readonly string[]> {
 	const [first] = results;
@@ -111,6 +110,7 @@
 			result.pattern.name,
 			result.policy.name,
 			mean([...own]).toFixed(3),
+			mean(result.countsBySeed.map(counts => sumBytes(counts) / bytesPerMegabyte)).toFixed(0),
 			result === first ? '' : `${mean(differences).toFixed(3)} ± ${computeConfidenceHalfWidth(differences).toFixed(3)}`,
 		];
 	});
@@ -120,7 +120,7 @@
 export function runExperiment(options: ExperimentOptions): void {
 	const chosenPolicies = filterByName(policies, options.policies);
 	const results: ExperimentResult[] = [];
-	process.stdout.write(`${formatMarkdown(options.kinds ? kindHeader : ['pattern', 'rules', 'credit', 'against the first rules'], [])}\n`);
+	process.stdout.write(`${formatMarkdown(options.kinds ? kindHeader : ['pattern', 'rules', 'credit', 'MB between domains', 'against the first rules'], [])}\n`);
 	for (const pattern of filterByName(patterns, options.patterns)) {
 		const patternResults = chosenPolicies.map((policy): ExperimentResult => ({
 			pattern, policy, countsBySeed: Array.from({length: options.seeds}, (_, seed) => runPattern(pattern, policy, seed + 1)),
@@ -138,6 +138,11 @@
 		writeFileSync(options.csv, `${lines.join('\n')}\n`);
 	}
 
+	const [first] = results;
+	if (options.domainSvg !== undefined && first !== undefined) {
+		writeFileSync(options.domainSvg, renderDomainPlot(runWithSeries(first.pattern, first.policy, 1).series));
+	}
+
 	if (options.svg !== undefined) {
 		writeFileSync(options.svg, renderPlot(results));
 	}
--- a/bench/experiment/mesh-model.ts
+++ b/bench/experiment/mesh-model.ts
@@ -10,6 +10,7 @@
  */
 import {randomExponential, randomLogNormal} from 'd3-random';
 import {sendEntryRequest, type EntryRequest, type EntryResult} from './entry.js';
+import {type DomainSample} from './domain-series.js';
 import {type ModelServer} from './model-server.js';
 import {type Pattern, type RequestKind} from './pattern.js';
 import {type Policy} from './policy.js';
@@ -184,6 +185,7 @@
 	const {events, random, pattern, counts} = simulation;
 	const startedAt = events.getNow();
 	const node = pickEntryNode(simulation);
+	simulation.series.recordDemand(node);
 	const isImpatient = simulation.listActiveDisturbances('impatient').some(({share}) => random() < share);
 	const isCounted = startedAt > warmUpMs;
 	counts.get(kind.name)!.requests += isCounted ? 1 : 0;
@@ -250,6 +252,18 @@
  * @returns The counts of the requests, by kind and outcome.
  */
 export function runPattern(pattern: Pattern, policy: Policy, seed: number): OutcomeCounts {
+	return runWithSeries(pattern, policy, seed).counts;
+}
+
+/**
+ * Simulates a load pattern.
+ *
+ * @param pattern - The load, the servers and their disturbances.
+ * @param policy - The rules of the nodes.
+ * @param seed - The seed of all random numbers.
+ * @returns The counts, and the state of each failure domain over time.
+ */
+export function runWithSeries(pattern: Pattern, policy: Policy, seed: number): {readonly counts: OutcomeCounts; readonly series: readonly DomainSample[]} {
 	const simulation = createSimulation(pattern, policy, seed);
 	const startRequest = createRequestStarter(simulation);
 	for (const server of simulation.servers) {
@@ -260,6 +274,7 @@
 		startCallers(simulation, kind, startRequest);
 	}
 
+	simulation.series.start(simulation);
 	simulation.events.runUntil(pattern.durationMs);
-	return simulation.counts;
+	return {counts: simulation.counts, series: simulation.series.list()};
 }
--- a/bench/experiment/plot.ts
+++ b/bench/experiment/plot.ts
@@ -1,12 +1,13 @@
 /**
- * Draws the outcomes of callers' requests: one bar for each set of rules under
- * each pattern.
+ * Draws the outcomes of callers' requests, one bar for each set of rules under each
+ * pattern, and the failure domains over time.
  *
  * @module
  */
 import {scaleBand, scaleLinear} from 'd3-scale';
-import {stack} from 'd3-shape';
-import {type ExperimentResult} from './experiment.js';
+import {line, stack} from 'd3-shape';
+import {type DomainSample} from './domain-series.js';
+import {type ExperimentResult} from './experiment-result.js';
 import {type CountedField} from './outcome-counts.js';
 
 const outcomes = ['inTime', 'late', 'refusedAtOnce', 'refusedLate', 'failed'] as const;
@@ -63,3 +64,45 @@
 		'',
 	].join('\n');
 }
+
+/** Pixels of one panel of the plot over time. */
+const panel = {
+	width: 1000, height: 170, left: 60, gap: 30,
+} as const;
+
+const series = [
+	{name: 'demand: requests that entered in 250 ms', read: ({demand}: DomainSample) => demand},
+	{name: 'of these, run in another failure domain', read: ({spilled}: DomainSample) => spilled},
+	{name: 'work: requests at servers of the domain', read: ({running}: DomainSample) => running},
+	{name: 'waiting at gates of the domain', read: ({waiting}: DomainSample) => waiting},
+] as const;
+
+const domainColours = ['#2a7f4f', '#d9a300', '#3f6fa8', '#b3392f'];
+
+/**
+ * @param samples - The state of each failure domain over time.
+ * @returns An SVG document with one panel for each measure and one line for each domain.
+ */
+export function renderDomainPlot(samples: readonly DomainSample[]): string {
+	const domains = [...new Set(samples.map(({domain}) => domain))];
+	const x = scaleLinear([0, Math.max(1, ...samples.map(({at}) => at))], [panel.left, panel.width - 20]);
+	const panels = series.flatMap(({name, read}, index) => {
+		const top = (index * (panel.height + panel.gap)) + panel.gap;
+		const y = scaleLinear([0, Math.max(1, ...samples.map(sample => read(sample)))], [top + panel.height, top]).nice();
+		const draw = line<DomainSample>(({at}) => x(at), sample => y(read(sample)));
+		return [
+			`<text x="${panel.left}" y="${top - 8}">${name}</text>`,
+			...y.ticks(4).map(tick => `<text x="${panel.left - 6}" y="${y(tick) + 4}" text-anchor="end">${tick}</text><line x1="${panel.left}" x2="${panel.width - 20}" y1="${y(tick)}" y2="${y(tick)}" stroke="#ddd"/>`),
+			...domains.map((domain, place) => `<path d="${draw(samples.filter(sample => sample.domain === domain)) ?? ''}" fill="none" stroke="${domainColours[place % domainColours.length]}"/>`),
+		];
+	});
+	const height = (series.length * (panel.height + panel.gap)) + panel.gap;
+	return [
+		`<svg xmlns="http://www.w3.org/2000/svg" width="${panel.width}" height="${height}" font-family="sans-serif" font-size="11">`,
+		'<rect width="100%" height="100%" fill="white"/>',
+		...panels,
+		...x.ticks(10).map(tick => `<text x="${x(tick)}" y="${height - 8}" text-anchor="middle">${tick / 1000} s</text>`),
+		'</svg>',
+		'',
+	].join('\n');
+}
--- a/bench/experiment/policy.ts
+++ b/bench/experiment/policy.ts
@@ -9,7 +9,9 @@
 import {computeRankingThresholds} from '../../src/lib/decisions/ranking-thresholds.js';
 import {shuffleList} from '../../src/lib/common/shuffle-list.js';
 import {estimateOutstanding} from '../../src/lib/decisions/load-view.js';
+import {countReservedSlots} from '../../src/lib/decisions/reserved-slots.js';
 import {rankServers, type Candidate, type RankingContext} from '../../src/lib/decisions/rank-servers.js';
+import {isBulk} from '../../src/lib/route-config/route-config.js';
 import {
 	computeMaxWaitMs, standardRules, type CallState, type ComputeMaxWaitMs,
 } from '../../src/lib/decisions/plan-attempt.js';
@@ -32,6 +34,8 @@
 	readonly usesLoadReports: boolean;
 	readonly rank: typeof rankServers;
 	readonly computeMaxSlowness: typeof computeMaxSlowness;
+	/** Slots that entries leave to requests of a server's own failure domain. */
+	readonly countReservedSlots: typeof countReservedSlots;
 };
 
 /** Allows a wait of a share of the target latency, or of the time left if that is longer, whether or not an answer can be in time. */
@@ -83,15 +87,25 @@
 	.map(candidate => ({candidate, key: -Math.log(1 - context.random()) * (estimateCompletionMs(candidate, context) ** 2)}))
 	.toSorted((left, right) => left.key - right.key).map(({candidate}) => candidate);
 
+const rankAmong = (ownDomain: number, otherDomains: number): typeof rankServers => (candidates, context) => rankServers(candidates, context, {ownDomain, otherDomains});
+
+const computePrices = (small: number, bulk: number): typeof computeRankingThresholds => (route, ...parameters) => ({
+	...computeRankingThresholds(route, ...parameters), crossDomainPenaltyMs: route.targetLatencyMs * (isBulk(route.type) ? bulk : small),
+});
+
 const standard: Policy = {
 	name: 'standard', computeMaxWaitMs, immediateTries: standardRules.immediateTries, maximumWaitFactor: 2, areCallsKnown: true, areLimitsAvoided: true,
-	computeRetryDelayMs: computeRetryAfterMs, computeThresholds: computeRankingThresholds, usesLoadReports: true, rank: rankServers, computeMaxSlowness,
+	computeRetryDelayMs: computeRetryAfterMs, computeThresholds: computeRankingThresholds, usesLoadReports: true, rank: rankServers, computeMaxSlowness, countReservedSlots,
 };
 
 /** The sets of rules that can be compared. The first one is that of real nodes. */
 export const policies: readonly Policy[] = [
 	standard,
 	{...standard, name: 'load reports not used', usesLoadReports: false},
+	{...standard, name: 'no slots reserved', countReservedSlots: () => 0},
+	{
+		...standard, name: 'priced', rank: rankAmong(12, 3), computeThresholds: computePrices(0.4, 1),
+	},
 	{...standard, name: 'slow servers do not turn away', computeMaxSlowness: () => undefined},
 	{
 		...standard, name: 'two choices', rank: rankByChoices(2, 1), computeMaxSlowness: () => undefined,
--- a/bench/experiment/simulation.ts
+++ b/bench/experiment/simulation.ts
@@ -13,6 +13,7 @@
 import {createCallerRetryDetector, type CallerRetryDetector} from '../../src/lib/decisions/caller-retry-detector.js';
 import {createSampleRoute} from '../../src/lib/route-config/sample-config.js';
 import {type RouteRule} from '../../src/lib/route-config/route-config.js';
+import {createDomainSeries, type DomainSeries} from './domain-series.js';
 import {createEventQueue, type EventQueue} from './event-queue.js';
 import {createModelServer, type ModelServer} from './model-server.js';
 import {type Disturbance, type Pattern, type RequestKind} from './pattern.js';
@@ -46,6 +47,7 @@
 	readonly events: EventQueue;
 	readonly random: () => number;
 	readonly counts: OutcomeCounts;
+	readonly series: DomainSeries;
 	readonly nodes: readonly ModelNode[];
 	readonly servers: readonly ModelServer[];
 	/** Returns the servers of a service by their distance from a node. */
@@ -142,6 +144,7 @@
 
 	return {
 		pattern, policy, events, nodes, servers,
+		series: createDomainSeries(node => nodes[node]!.domain),
 		random: randomLcg(seed / seedDivisor),
 		counts: createOutcomeCounts(pattern.kinds.map(({name}) => name)),
 		getServers(node, service) {
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -50,8 +50,11 @@
 		})
 		.option('csv', {type: 'string', describe: 'CSV file for the counts'})
 		.option('svg', {type: 'string', describe: 'SVG file for a plot'})
+		.option('domain-svg', {type: 'string', describe: 'SVG file for the failure domains over time, of the first pattern and set of rules'})
 		.option('kinds', {type: 'boolean', default: false, describe: 'print a row for each kind of request'}), options => {
-		runExperiment({...options, csv: options.csv, svg: options.svg});
+		runExperiment({
+			...options, csv: options.csv, svg: options.svg, domainSvg: options['domain-svg'],
+		});
 	})
 	.command('rollouts', 'run a model of rollouts of good and bad versions, calm and beside other trouble', builder => builder
 		.option('seeds', {type: 'number', default: 20, describe: 'number of seeds for each row'})
--- a/src/lib/decisions/plan-attempt.ts
+++ b/src/lib/decisions/plan-attempt.ts
@@ -117,6 +117,9 @@
 	return Math.min(inTimeMs, leftMs, releaseMs === 0 ? inTimeMs : releaseMs * (maxReleasesPerWait + 1));
 }
 
+/** Estimates how long a call would wait at a server, in milliseconds. Slots that are reserved for requests of the server's own failure domain count as taken. */
+const estimateWaitAt = ({view, slots, reservedSlots = 0}: Candidate, now: number): number => estimateSlotWaitMs(view, Math.max(1, slots - reservedSlots), now);
+
 /** Returns whether a server could not answer a call in the time left. A free slot is tried in any case, since only responses show that a server has become faster. */
 function isTooLate({leftMs}: CallState, {view, slots}: Candidate, now: number): boolean {
 	if (leftMs < minAttemptMs) {
@@ -147,12 +150,12 @@
 	}
 
 	const tryLimit = call.isBulk ? immediateTryLimits.bulk : rules.immediateTries;
-	const withFreeSlot = eligible.find(({lifetime, view, slots}) => !history.full.has(lifetime) && estimateSlotWaitMs(view, slots, now) === 0);
+	const withFreeSlot = eligible.find(target => !history.full.has(target.lifetime) && estimateWaitAt(target, now) === 0);
 	if (withFreeSlot !== undefined && history.refusals < tryLimit && eligible.length > 1) {
 		return {type: 'send', target: withFreeSlot, mayWaitMs: 0};
 	}
 
-	const waits = eligible.map(target => ({target, waitMs: estimateSlotWaitMs(target.view, target.slots, now), mayWaitMs: rules.computeMaxWaitMs(call, target)}));
+	const waits = eligible.map(target => ({target, waitMs: estimateWaitAt(target, now), mayWaitMs: rules.computeMaxWaitMs(call, target)}));
 	// The server with the shortest wait among those where the wait is acceptable.
 	const byWait = waits.toSorted((left, right) => left.waitMs - right.waitMs);
 	const best = byWait.find(({waitMs, mayWaitMs}) => waitMs <= mayWaitMs * waitToleranceFactor) ?? byWait[0];
@@ -160,6 +163,12 @@
 		return {type: 'no-server'};
 	}
 
+	// A call that would be refused takes a reserved slot.
+	const withReservedSlot = best.waitMs > best.mayWaitMs * waitToleranceFactor ? eligible.find(({lifetime, view, slots}) => !history.full.has(lifetime) && estimateSlotWaitMs(view, slots, now) === 0) : undefined;
+	if (withReservedSlot !== undefined && history.refusals < tryLimit && eligible.length > 1) {
+		return {type: 'send', target: withReservedSlot, mayWaitMs: 0};
+	}
+
 	// Reports do not tell how many waiting requests are ahead of a nested call, so it is always sent.
 	const isWaitTooLong = best.waitMs > best.mayWaitMs * waitToleranceFactor;
 	return isWaitTooLong && !call.isNestedCall ? {type: 'refuse', waitMs: best.waitMs, isLimited: best.target.view.limitedUntil > now} : {type: 'send', target: best.target, mayWaitMs: best.mayWaitMs};
--- a/src/lib/decisions/rank-servers.ts
+++ b/src/lib/decisions/rank-servers.ts
@@ -21,6 +21,8 @@
 	/** Whether the server runs beside this node. */
 	readonly isLocal: boolean;
 	readonly slots: number;
+	/** Slots that this node leaves to requests of the server's own failure domain; 0 if omitted. */
+	readonly reservedSlots?: number;
 	readonly isCold: boolean;
 	readonly view: ServerView;
 };
@@ -37,6 +39,9 @@
 	readonly random: () => number;
 };
 
+/** Numbers of servers that are compared. @internal */
+export type ShortlistSizes = {readonly ownDomain: number; readonly otherDomains: number};
+
 /** Service time assumed for a server without a report, so that it gets requests. */
 const assumedServiceMs = 60;
 
@@ -63,7 +68,7 @@
  * chose the best of forty servers, all would choose the same one until the next heartbeat. The best of a few random servers is
  * nearly as good and differs between nodes. In services as small as those at the users' first sites, all servers are compared.
  */
-const shortlistSizes = {ownDomain: 3, otherDomains: 4} as const;
+const shortlistSizes: ShortlistSizes = {ownDomain: 3, otherDomains: 4};
 
 /**
  * @param candidate - A server.
@@ -95,14 +100,14 @@
 	return Math.max(context.fastEnoughMs, expectedMs + (view.roundTripMs * roundTripFactor)) + penaltyMs;
 }
 
-function pickShortlist(candidates: readonly Candidate[], {domain, random}: RankingContext): ReadonlySet<Candidate> {
+function pickShortlist(candidates: readonly Candidate[], {domain, random}: RankingContext, sizes: ShortlistSizes): ReadonlySet<Candidate> {
 	const shuffled = shuffleList(candidates, random);
 	const near = shuffled.filter(candidate => !candidate.isLocal && candidate.domain === domain);
 	const far = shuffled.filter(candidate => !candidate.isLocal && candidate.domain !== domain);
 	return new Set([
 		...shuffled.filter(({isLocal}) => isLocal),
-		...near.slice(0, shortlistSizes.ownDomain),
-		...far.slice(0, shortlistSizes.otherDomains),
+		...near.slice(0, sizes.ownDomain),
+		...far.slice(0, sizes.otherDomains),
 	]);
 }
 
@@ -111,11 +116,12 @@
  *
  * @param candidates - Servers that may receive the request.
  * @param context - Failure domain of this node, and the thresholds.
+ * @param sizes - Numbers of servers that are compared.
  * @returns The same servers, the one to try first at the front.
  * @internal
  */
-export function rankServers(candidates: readonly Candidate[], context: RankingContext): readonly Candidate[] {
-	const shortlist = pickShortlist(candidates, context);
+export function rankServers(candidates: readonly Candidate[], context: RankingContext, sizes = shortlistSizes): readonly Candidate[] {
+	const shortlist = pickShortlist(candidates, context, sizes);
 	return candidates
 		.map(candidate => ({candidate, isOther: Number(!shortlist.has(candidate)), answerMs: estimateResponseMs(candidate, context)}))
 		.toSorted((left, right) => left.isOther - right.isOther || left.answerMs - right.answerMs)
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -15,6 +15,7 @@
 import {type LeavingServers} from '../server-notices/leaving-servers.js';
 import {type LoadView} from '../decisions/load-view.js';
 import {type Candidate} from '../decisions/rank-servers.js';
+import {countReservedSlots} from '../decisions/reserved-slots.js';
 import {listSample} from '../decisions/list-sample.js';
 
 /** This node and the backend server beside it. @internal */
@@ -62,11 +63,13 @@
 	};
 }
 
-function describePeer({report, server}: {readonly report: Peer['report']; readonly server: ServerReport}, route: string, loads: LoadView, now: number): Candidate {
+function describePeer({report, server}: {readonly report: Peer['report']; readonly server: ServerReport}, route: string, {loads, own}: CandidateSources, now: number): Candidate {
 	const {node, gate, domain} = report;
 	const lifetime = toLifetimeKey(server.lifetime);
+	const view = loads.get(lifetime, route, now);
 	return {
-		id: server.lifetime.id, lifetime, node, gate, domain, isLocal: false, slots: server.slots, isCold: server.coldMs > 0, view: loads.get(lifetime, route, now),
+		id: server.lifetime.id, lifetime, node, gate, domain, isLocal: false, slots: server.slots, isCold: server.coldMs > 0, view,
+		reservedSlots: domain === own.domain ? 0 : countReservedSlots(server.slots, view),
 	};
 }
 
@@ -81,7 +84,7 @@
  */
 export function listCandidates(query: CandidateQuery, sources: CandidateSources, now: number): readonly Candidate[] {
 	const {service, route, tried, trialOf, matches = () => true} = query;
-	const {own, peers, limits, loads, leaving, random} = sources;
+	const {own, peers, limits, leaving, random} = sources;
 
 	/** Returns whether a server is excluded. A server that refused a trial remains in the list from which the trial server is chosen: choosing among the others would run the trial at several servers at the same time. */
 	const isExcluded = (lifetime: LifetimeKey): boolean => (trialOf === undefined && tried.has(lifetime)) || leaving.has(lifetime);
@@ -93,7 +96,7 @@
 		const {server} = peer.report;
 		// The list of a service may contain a node whose server has changed since the list was built.
 		return isUsable(server) && isReachable(peer, limits, now)
-			? describePeer({report: peer.report, server}, route, loads, now)
+			? describePeer({report: peer.report, server}, route, sources, now)
 			: undefined;
 	};
 
