--- a/src/lib/forwarding/call-progress.ts
+++ b/src/lib/forwarding/call-progress.ts
@@ -55,6 +55,7 @@
 function describeAttempt({target, startedAt}: Attempt, verdict: Verdict, outcome: string): AttemptRecord {
 	return {
 		server: target.id, node: target.node, verdict, outcome, tookMs: Math.round(readSteadyMs() - startedAt), infoAgeMs: Math.round(startedAt - target.view.reportedAt),
+		...target.view.slowness === undefined ? {} : {slowness: Math.round(target.view.slowness * 100) / 100},
 	};
 }
 
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -18,6 +18,8 @@
 	readonly tookMs: number;
 	/** Age of the report on which the choice of the server was based, in milliseconds. */
 	readonly infoAgeMs?: number;
+	/** How slow the VM of the server was by that report, as a factor of the average time; absent if the server does not say. */
+	readonly slowness?: number;
 };
 
 /** The kind of input that was refused: a datagram at the heartbeat address, input on a connection to the gate, a call at the announcement address, an entry of the store, a header of a response. @internal */
