--- a/src/lib/decisions/plan-attempt.ts
+++ b/src/lib/decisions/plan-attempt.ts
@@ -134,6 +134,10 @@
 	return Math.min(inTimeMs, leftMs, releaseMs === 0 ? inTimeMs : releaseMs * (maxReleasesPerWait + 1));
 }
 
+/** Estimates how long a call would wait at a server, in milliseconds. Slots that are reserved for requests of the server's own failure domain count as taken. */
+const estimateWaitAt = ({view, slots, reservedSlots = 0}: Candidate, {priority}: Pick<CallState, 'priority'>, now: number): number =>
+	estimateSlotWaitMs(view, Math.max(1, slots - reservedSlots), now, priority);
+
 /** Returns whether a server could not answer a call in the time left. A free slot is tried in any case, since only responses show that a server has become faster. */
 function isTooLate({leftMs, priority}: CallState, {view, slots}: Candidate, now: number): boolean {
 	if (leftMs < minAttemptMs) {
@@ -184,7 +188,7 @@
 		return {type: 'too-late'};
 	}
 
-	const estimateWaitMs = ({view, slots}: Candidate): number => estimateSlotWaitMs(view, slots, now, call.priority);
+	const estimateWaitMs = (server: Candidate): number => estimateWaitAt(server, call, now);
 	const eligible = untried.filter(server => !isHeldBackAt(call, server, now));
 	if (eligible.length === 0 && untried.length > 0) {
 		// Callers that return earlier would be held back again.
@@ -206,9 +210,13 @@
 
 	const waits = eligible.map(target => ({target, waitMs: estimateWaitMs(target), mayWaitMs: rules.computeMaxWaitMs(call, target)}));
 	const acceptable = waits.filter(({waitMs, mayWaitMs}) => mayWaitMs > 0 && waitMs <= mayWaitMs * waitToleranceFactor);
-	const lateFree = mayTakeFreeSlot && acceptable.length === 0 ? eligible.find(server => hasFreeSlot(server)) : undefined;
-	if (lateFree !== undefined) {
-		return {type: 'send', target: lateFree, mayWaitMs: 0};
+	// A call that would be refused takes a slot in which it is late, or one that is reserved.
+	const hasReservedSlot = ({lifetime, view, slots}: Candidate): boolean => !history.full.has(lifetime) && estimateSlotWaitMs(view, slots, now, call.priority) === 0;
+	const lastFree = mayTakeFreeSlot && acceptable.length === 0
+		? eligible.find(server => hasReservedSlot(server) && isInTime(call, server)) ?? eligible.find(server => hasReservedSlot(server))
+		: undefined;
+	if (lastFree !== undefined) {
+		return {type: 'send', target: lastFree, mayWaitMs: 0};
 	}
 
 	const best = findLowest(acceptable, ({waitMs}) => waitMs * (1 + ((rules.random() - 0.5) * waitJitterShare))) ?? findLowest(waits, ({waitMs}) => waitMs);
