Quotas: a node that knows fewer nodes than it was told of gives no number to others

A restarted node that another had told of 75 nodes, and that had heard three, told three to the next restarted node, which then relied on it. A number now counts as evidence only from a node that has heard as many as it was told of.

--- a/bench/experiment/quota-alternatives.ts
+++ b/bench/experiment/quota-alternatives.ts
@@ -6,7 +6,9 @@
  */
 import {createTokenBucket, takeToken, type TokenBucket} from '../../src/lib/common/token-bucket.js';
 import {createEventQueue} from './event-queue.js';
-import {quotaModelWarmUpMs, type QuotaModel, type QuotaModelOutcome} from './quota-model.js';
+import {
+	quotaModelWarmUpMs, type QuotaFault, type QuotaModel, type QuotaModelOutcome,
+} from './quota-model.js';
 
 export type QuotaAlternative =
 	/** Each node may use one part of as many as it has heard of lately. */
@@ -107,35 +109,27 @@
 		});
 	};
 
-	for (const fault of model.faults) {
-		events.schedule(quotaModelWarmUpMs + fault.at, () => {
-			switch (fault.type) {
-				case 'cut': {
-					({isOnSecondSide} = fault);
-
-					break;
-				}
-
-				case 'freeze': {
-					for (const index of fault.nodes) {
-						nodes[index]!.frozenUntil = events.getNow() + fault.forMs;
-					}
-
-					break;
-				}
-
-				case 'restart': {
-					for (const index of fault.nodes) {
-						Object.assign(nodes[index]!, {isDown: true});
-						events.schedule(fault.downMs, () => {
-							Object.assign(nodes[index]!, {...create(), isDown: false});
-						});
-					}
+	const applyFault = (fault: QuotaFault): void => {
+		if (fault.type === 'cut') {
+			({isOnSecondSide} = fault);
+		}
 
-					break;
-				}
-			// No default
+		for (const index of fault.type === 'freeze' || fault.type === 'restart' ? fault.nodes : []) {
+			const node = nodes[index]!;
+			if (fault.type === 'freeze') {
+				node.frozenUntil = events.getNow() + fault.forMs;
+			} else if (fault.type === 'restart') {
+				node.isDown = true;
+				events.schedule(fault.downMs, () => {
+					Object.assign(node, {...create(), isDown: false});
+				});
 			}
+		}
+	};
+
+	for (const fault of model.faults) {
+		events.schedule(quotaModelWarmUpMs + fault.at, () => {
+			applyFault(fault);
 		});
 	}
 
--- a/bench/experiment/quota-model.test.ts
+++ b/bench/experiment/quota-model.test.ts
@@ -68,7 +68,14 @@
 
 test('property: no window has more requests than the quota allows, whatever partitions, freezes, restarts, lost and late messages and changes come together', () => {
 	fc.assert(fc.property(
-		toleranceArbitrary, fc.integer({min: 1, max: 12}), limitArbitrary, fc.constantFrom(20, 100, 600), fc.constantFrom(0, 2 / 3, 1), fc.boolean(), fc.array(fault, {maxLength: 12}), fc.nat(1_000_000),
+		toleranceArbitrary,
+		fc.integer({min: 1, max: 12}),
+		limitArbitrary,
+		fc.constantFrom(20, 100, 600),
+		fc.constantFrom(0, 2 / 3, 1),
+		fc.boolean(),
+		fc.array(fault, {maxLength: 12}),
+		fc.nat(1_000_000),
 		// eslint-disable-next-line max-params -- one parameter for each generated value
 		(tolerance, nodes, limit, demandPerSecond, unevenShare, isHoarding, faults, seed) => {
 			const {ranAt} = runQuotaModel({
--- a/src/lib/quotas/quota-client.ts
+++ b/src/lib/quotas/quota-client.ts
@@ -123,7 +123,7 @@
 		const groups = listGroups(to);
 		const released = listReleased(to, now);
 		const {wants, isUrgent} = listWants(groups, now);
-		const isSettled = nodes.countKnown(now) > 0;
+		const isSettled = nodes.isSettled(now);
 		const isLoanDue = now - state.askedAt >= renewMs || (isSettled && groups.some(group => lending.isLendable(group, to, now)));
 		if (!isUrgent && !isLoanDue && released.length === 0) {
 			return undefined;
--- a/src/lib/quotas/quota-core.ts
+++ b/src/lib/quotas/quota-core.ts
@@ -32,7 +32,9 @@
 export function createQuotaCore(self: NodeId, run: string, startedAt: number, countWaiting: (workspace: string) => number): QuotaCore {
 	const nodes = createQuotaNodes(self);
 	const client = createQuotaClient(self, nodes, startedAt, countWaiting);
-	const ledger = createQuotaLedger(run, {countNodes: nodes.count, countKnown: nodes.countKnown, listNodes: nodes.list});
+	const ledger = createQuotaLedger(run, {
+		countNodes: nodes.count, isSettled: nodes.isSettled, countKnown: nodes.countKnown, listNodes: nodes.list,
+	});
 	return {
 		nodes,
 		client,
--- a/src/lib/quotas/quota-ledger.test.ts
+++ b/src/lib/quotas/quota-ledger.test.ts
@@ -13,7 +13,9 @@
 const nodes = [toNodeId('n1'), toNodeId('n2')];
 
 const create = (known = 2) => {
-	const ledger = createQuotaLedger('run', {countNodes: () => 2, countKnown: () => known, listNodes: () => nodes});
+	const ledger = createQuotaLedger('run', {
+		countNodes: () => 2, isSettled: () => known > 0, countKnown: () => known, listNodes: () => nodes,
+	});
 	ledger.applyPlans(new Map([[workspace, plan]]), 0);
 	return ledger;
 };
@@ -73,7 +75,9 @@
 	const small = computeQuotaPlan({windowMs: 5000, overage: 0.1, slack: 20}, {ratePerSecond: 3, burst: 0});
 	let tokens = 0;
 	for (const lone of many) {
-		const ledger = createQuotaLedger('run', {countNodes: () => 100, countKnown: () => 100, listNodes: () => many});
+		const ledger = createQuotaLedger('run', {
+			countNodes: () => 100, isSettled: () => true, countKnown: () => 100, listNodes: () => many,
+		});
 		ledger.applyPlans(new Map([[workspace, small]]), 0);
 		for (let at = 0; at < 60_000; at += 500) {
 			ledger.handleAsk(ask(lone, at, 0, {nodes: 100}), at);
--- a/src/lib/quotas/quota-ledger.ts
+++ b/src/lib/quotas/quota-ledger.ts
@@ -20,7 +20,9 @@
 export type QuotaMeshView = {
 	/** Returns the number of nodes that may hold a part, never too few. */
 	readonly countNodes: (now: number) => number;
-	/** Returns the number of nodes that this node knows of itself; 0 while it may know too few. */
+	/** Returns whether this node knows enough of the mesh to accept loans. */
+	readonly isSettled: (now: number) => boolean;
+	/** Returns the number of nodes that this node knows of itself, for others to rely on; 0 while it may know too few. */
 	readonly countKnown: (now: number) => number;
 	/** Lists the ids of all known nodes, with this one. */
 	readonly listNodes: () => readonly NodeId[];
@@ -169,7 +171,7 @@
 			}
 		},
 		handleAsk(ask, now) {
-			const isSettling = mesh.countKnown(now) === 0;
+			const isSettling = !mesh.isSettled(now);
 			if (!isSettling) {
 				acceptLoans(ask, now);
 			}
--- a/src/lib/quotas/quota-messages.ts
+++ b/src/lib/quotas/quota-messages.ts
@@ -27,7 +27,7 @@
 	readonly asker: NodeId;
 	/** Number of nodes by which the asker computes its part. */
 	readonly nodes: number;
-	/** Number of nodes that the asker knows of itself; 0 if it has just started and may know too few. */
+	/** Number of nodes that the asker knows of itself; 0 if it may know too few. */
 	readonly known: number;
 	/** The last stamp received from the coordinator; `undefined` if nothing is lent. */
 	readonly stamp: QuotaStamp | undefined;
@@ -65,7 +65,7 @@
 /** Maximum number of tokens of a want: several times what one node handles in the longest time to live. @internal */
 export const maxWantTokens = 100_000;
 
-const maxNodeCount = 1_000_000;
+const maxNodeCount = 100_000;
 const maxRetryMs = 3_600_000;
 
 const readNodeCount = (value: unknown, place: string): number => Math.trunc(readAmount(value, place, maxNodeCount));
--- a/src/lib/quotas/quota-nodes.ts
+++ b/src/lib/quotas/quota-nodes.ts
@@ -26,7 +26,9 @@
 	readonly noteListed: (count: number, now: number) => void;
 	/** Returns the number of nodes that may hold a part. */
 	readonly count: (now: number) => number;
-	/** Returns the number of nodes that this node knows of itself; 0 while it may know too few. */
+	/** Returns whether this node knows enough of the mesh to lend its parts and to accept loans. */
+	readonly isSettled: (now: number) => boolean;
+	/** Returns the number of nodes that this node knows of itself, for others to rely on; 0 while it may know too few. */
 	readonly countKnown: (now: number) => number;
 	/** Lists the known nodes, with this one. */
 	readonly list: () => readonly NodeId[];
@@ -47,6 +49,9 @@
 /** How long the number of nodes that the store listed counts: until this process has heard all of them that can be reached. */
 const listedMs = 60_000;
 
+/** How long the number that another node told counts: until this process has heard the others, or the sender tells a new number. */
+const toldMs = 60_000;
+
 /** Of each other node, what it told last. */
 type Told = {readonly known: number; readonly at: number};
 
@@ -61,7 +66,7 @@
 	let listed = {count: 0, at: Number.NEGATIVE_INFINITY};
 	let grownAt = Number.NEGATIVE_INFINITY;
 	let hasList = false;
-	let isSettled = false;
+	let hasEvidence = false;
 	let toldCount = 0;
 	let ids: readonly NodeId[] | undefined;
 
@@ -82,7 +87,7 @@
 		}
 
 		for (const [node, {at}] of told) {
-			if (now - at > rememberMs) {
+			if (now - at > toldMs) {
 				told.delete(node);
 			}
 		}
@@ -90,6 +95,11 @@
 		updateToldCount();
 	};
 
+	const isSettled = (now: number): boolean => {
+		hasEvidence ||= hasList && now - grownAt > quietMs;
+		return hasEvidence;
+	};
+
 	const countListed = (now: number): number => now - listed.at > listedMs ? 0 : listed.count;
 
 	return {
@@ -111,7 +121,7 @@
 			}
 
 			// The sender is settled, so its count suffices; a new process needs no other evidence.
-			isSettled = true;
+			hasEvidence = true;
 			const before = told.get(sender)?.known ?? 0;
 			told.set(sender, {known, at: now});
 			if (known > toldCount) {
@@ -129,9 +139,10 @@
 			grownAt = Number.isFinite(grownAt) ? grownAt : now;
 		},
 		count: now => Math.max(heard.size + 1, toldCount, countListed(now)),
+		isSettled,
 		countKnown(now) {
-			isSettled ||= hasList && now - grownAt > quietMs;
-			return isSettled ? Math.max(heard.size + 1, countListed(now)) : 0;
+			const known = Math.max(heard.size + 1, countListed(now));
+			return isSettled(now) && known >= toldCount ? known : 0;
 		},
 		list() {
 			ids ??= [self, ...heard.keys()];
