Hanging servers: a gate starts carefully only beside a server that is clearly older than its node

A VM that had just started served half of the slots until the first response: two of six calls got 503 where all fit (suspended-vm.test.ts, both clock steps). An earlier run of the node can only exist if the server is older by the time that a node needs to start. With the change both pass, and the restart test still does.

--- a/src/lib/forwarding/local-sessions.ts
+++ b/src/lib/forwarding/local-sessions.ts
@@ -54,6 +54,9 @@
 /** Computes how much longer a server is slow after its start, in milliseconds. */
 const computeColdMs = ({announcement, heardAt}: LocalServer): number => Math.max(0, announcement.coldMs - (readSteadyMs() - heardAt));
 
+/** Milliseconds by which a server is older than this node if an earlier run of the node has sent requests to it: a node takes about this long to start and to hear of its server. When a VM starts, both start together. */
+const minEarlierRunMs = 1000;
+
 /**
  * Creates the sessions of a node whose server has not announced itself.
  *
@@ -129,8 +132,8 @@
 			},
 			countLimited: context.countLimited,
 			isRepeatable: ({headers, target}) => context.isRepeatableRoute?.(typeof headers.host === 'string' ? headers.host : '', target) ?? false,
-			// A server that started before this node may have requests of an earlier run of it.
-			hasEarlierWork: session === undefined && lifetime.startedAt < createdAt,
+			// A server that is clearly older than this node may have requests of an earlier run of it.
+			hasEarlierWork: session === undefined && lifetime.startedAt < createdAt - minEarlierRunMs,
 			handleLeaving(contacted) {
 				applyStep(acceptLeave(state, contacted, readSteadyMs()), 'server said in a response that it leaves');
 			},
