Quotas: coordinators on VMs with fast links, tokens that live longer

Now a token may use 0.7 of the tolerated overage, and only VMs with at least half of the fastest link coordinate.

--- a/src/lib/quotas/quota-group.ts
+++ b/src/lib/quotas/quota-group.ts
@@ -61,6 +61,28 @@
 	};
 }
 
+/** A node that may become a coordinator. @internal */
+export type CoordinatorCandidate = {
+	readonly node: NodeId;
+	/** Bandwidth of the link of its VM, in megabits per second. Larger VMs have faster links. */
+	readonly linkMbps: number;
+};
+
+/** Nodes with at least this share of the fastest link may be coordinators. */
+const minLinkShare = 0.5;
+
+/**
+ * Leaves out the nodes of small VMs. A coordinator gets several asks a second from each node, which would take a good part of the processor time of a small VM.
+ *
+ * @param candidates - The nodes that can be reached, with this one.
+ * @returns The nodes with the fastest links; all of them if their links are alike.
+ * @internal
+ */
+export function selectFastNodes(candidates: readonly CoordinatorCandidate[]): readonly NodeId[] {
+	const fastest = candidates.reduce((most, {linkMbps}) => Math.max(most, linkMbps), 0);
+	return candidates.filter(({linkMbps}) => linkMbps >= fastest * minLinkShare).map(({node}) => node);
+}
+
 /**
  * Counts the nodes that precede a node in an order that differs for each workspace.
  *
--- a/src/lib/quotas/quota-plan.ts
+++ b/src/lib/quotas/quota-plan.ts
@@ -46,7 +46,7 @@
 const minTtlMs = 200;
 
 /** Shares of the overage and of the slack for the time to live. The rest covers requests that wait between taking a token and running. */
-const ttlOverageShare = 0.5;
+const ttlOverageShare = 0.7;
 const ttlSlackShare = 0.25;
 
 /** Shares of the overage and of the slack for a larger burst, which saves tokens that arrive between two asks. */
--- a/src/lib/quotas/quotas.test.ts
+++ b/src/lib/quotas/quotas.test.ts
@@ -31,9 +31,9 @@
 	const asks: QuotaAsk[] = [];
 	const outcomes: QuotaOutcome[] = [];
 	const quotas = createQuotas({
-		tolerance: defaultQuotaTolerance, self, run: 'r', random: () => 0.5,
+		tolerance: defaultQuotaTolerance, self, linkMbps: 10, run: 'r', random: () => 0.5,
 		listPeers: () => [{
-			node: coordinator, heardAt: performance.now(), isLeaving: false, isReachable: true,
+			node: coordinator, heardAt: performance.now(), isLeaving: false, isReachable: true, linkMbps: 10,
 		}],
 		async sendAsk(_to, head) {
 			const ask = decodeQuotaAsk(head);
--- a/src/lib/quotas/quotas.ts
+++ b/src/lib/quotas/quotas.ts
@@ -8,6 +8,7 @@
 import {type NodeId} from '../common/ids.js';
 import {type Workspace} from '../workspaces/workspace.js';
 import {type PlannedAsk, quotaTickMs} from './quota-client.js';
+import {selectFastNodes, type CoordinatorCandidate} from './quota-group.js';
 import {createQuotaCore} from './quota-core.js';
 import {
 	decodeQuotaAnswer, decodeQuotaAsk, encodeQuotaAnswer, encodeQuotaAsk,
@@ -36,7 +37,7 @@
 export type QuotaOutcome = 'granted' | 'waited' | 'over' | 'unknown' | 'returned';
 
 /** Another node. @internal */
-export type ReachablePeer = QuotaPeer & {
+export type ReachablePeer = QuotaPeer & CoordinatorCandidate & {
 	/** Whether messages can be sent to it now. */
 	readonly isReachable: boolean;
 };
@@ -45,6 +46,8 @@
 export type QuotaContext = {
 	readonly tolerance: QuotaTolerance;
 	readonly self: NodeId;
+	/** Bandwidth of the link of this VM, in megabits per second. */
+	readonly linkMbps: number;
 	/** Random id of this run of the process. */
 	readonly run: string;
 	/** Lists the other nodes, also silent ones. */
@@ -107,7 +110,7 @@
 		chosenAt = now;
 		const peers = [...context.listPeers()];
 		nodes.updatePeers(peers, now);
-		client.chooseCoordinators([self, ...peers.filter(({isReachable}) => isReachable).map(({node}) => node)], now);
+		client.chooseCoordinators(selectFastNodes([{node: self, linkMbps: context.linkMbps}, ...peers.filter(({isReachable}) => isReachable)]), now);
 	};
 
 	const createGrant = (workspace: string, stock: QuotaStock, expiresAt: number, hasWaited: boolean): QuotaDecision => {
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -244,12 +244,13 @@
 	const quotas = createQuotas({
 		tolerance: settings.quotas ?? defaultQuotaTolerance,
 		self,
+		linkMbps: settings.linkMbps,
 		run,
 		* listPeers() {
 			const now = readSteadyMs();
 			for (const peer of link.table.list()) {
 				yield {
-					node: peer.report.node, heardAt: peer.heardAt, isLeaving: peer.report.isLeaving, isReachable: isReachable(peer, peerLimits, now),
+					node: peer.report.node, heardAt: peer.heardAt, isLeaving: peer.report.isLeaving, isReachable: isReachable(peer, peerLimits, now), linkMbps: peer.report.duties.linkMbps,
 				};
 			}
 		},
