--- a/src/lib/quotas/quota-group.ts
+++ b/src/lib/quotas/quota-group.ts
@@ -79,7 +79,7 @@
  * @internal
  */
 export function selectFastNodes(candidates: readonly CoordinatorCandidate[]): readonly NodeId[] {
-	const fastest = candidates.reduce((most, {linkMbps}) => Math.max(most, linkMbps), 0);
+	const fastest = Math.max(0, ...candidates.map(({linkMbps}) => linkMbps));
 	return candidates.filter(({linkMbps}) => linkMbps >= fastest * minLinkShare).map(({node}) => node);
 }
 
