--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -5,7 +5,6 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -16,31 +15,31 @@
 import {type CallerLimits, type RouteRule} from '../route-config/route-config.js';
 import {type ActiveConfig} from '../route-config/config-holder.js';
 import {type NestedCallDetector} from '../decisions/nested-call-detector.js';
-import {computeRetryAfterMs} from '../decisions/retry-after.js';
-import {normalizeHost, findRoute} from '../route-config/route-index.js';
+import {findRoute} from '../route-config/route-index.js';
 import {type WeightedRoundRobin} from '../route-config/weighted-round-robin.js';
 import {
-	type AttemptRecord, type CallerCause, type LogLevel, type MeshLog,
+	type AttemptRecord, type MeshLog,
 } from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {type CallerRetryDetector} from '../decisions/caller-retry-detector.js';
-import {describeAuthenticationFailure, type AuthenticationFailure} from '../workspaces/authenticate-request.js';
-import {type QuotaDecision, type Quotas} from '../quotas/quotas.js';
+import {type Quotas} from '../quotas/quotas.js';
 import {type Workspace} from '../workspaces/workspace.js';
 import {createLazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {createByteBudget} from './byte-budget.js';
 import {createCallScope, deadlineGraceMs, type CallScope} from './call-scope.js';
-import {
-	authenticateCaller, createAccessCheck, filterCallerHeaders, outdatedConfigRetryMs,
-} from './caller-access.js';
+import {authenticateCaller, createAccessCheck, filterCallerHeaders} from './caller-access.js';
 import {getNumberHeader, getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
-import {isCapacityReason, type ForwardResponse, type ForwardFailure} from './forward-result.js';
+import {type ForwardResponse} from './forward-result.js';
 import {
 	BodyTooLargeError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
 } from './read-body.js';
 import {type CallOutcome, type SendContext} from './outgoing-call.js';
-import {chooseFailureStatus, sendCall} from './send-call.js';
+import {createEntryRefusals, unusableRouteRetryMs, type EntryCall} from './entry-refusals.js';
+import {
+	computeMaxTokenWaitMs, describeToken, noToken, releaseToken, type GrantedToken, type TokenUse,
+} from './quota-token.js';
+import {sendCall} from './send-call.js';
 
 /** A finished call, for logs and metrics. @internal */
 export type FinishedCall = {
@@ -58,7 +57,7 @@
 	readonly leftMs: number;
 	readonly attempts: readonly AttemptRecord[];
 	/** How the request got a token of the quota of its workspace; absent if there is no quota. */
-	readonly quota?: 'granted' | 'waited' | 'returned';
+	readonly quota?: TokenUse;
 };
 
 /** @internal */
@@ -95,44 +94,6 @@
 	readonly stopListening: () => void;
 };
 
-/** A request of a caller, with its response. */
-type EntryCall = {
-	readonly id: string;
-	readonly request: IncomingMessage;
-	readonly response: ServerResponse;
-	/** In milliseconds of the steady clock, with the estimated time unread subtracted. */
-	readonly receivedAt: number;
-	/** Sends `100 Continue` if the caller waits for it. */
-	readonly sendContinue: () => void;
-};
-
-/** The longest wait for a token of a quota, in milliseconds, and the longest as a share of the latency objective, which leaves most of it for the work. */
-const maxQuotaWaitMs = 150;
-const quotaWaitShare = 1 / 8;
-
-type GrantedToken = Extract<QuotaDecision, {readonly type: 'granted'}>;
-
-/** Stands for the token of a request without a quota. */
-const noToken: GrantedToken = {type: 'granted', hasWaited: false, giveBack: () => undefined};
-
-function describeToken(token: GrantedToken, mayHaveRun: boolean): FinishedCall['quota'] {
-	if (token === noToken) {
-		return undefined;
-	}
-
-	if (!mayHaveRun) {
-		return 'returned';
-	}
-
-	return token.hasWaited ? 'waited' : 'granted';
-}
-
-function releaseToken(token: GrantedToken | undefined, mayHaveRun: boolean): void {
-	if (!mayHaveRun) {
-		token?.giveBack();
-	}
-}
-
 /** The largest request head that is accepted. */
 const maxHeaderBytes = 65_536;
 
@@ -148,9 +109,6 @@
 /** Retry delay while this node has no configuration. */
 const noConfigRetryMs = 250;
 
-/** Retry delay for a route that cannot be used until the configuration changes. That happens many times an hour, not many times a second, so an earlier retry would rarely succeed. */
-const unusableRouteRetryMs = 1000;
-
 /** Returns the status for a request whose body could not be read. Such a request was not executed. */
 function chooseBodyErrorStatus(error: unknown): number {
 	if (error instanceof BodyTimeoutError) {
@@ -168,7 +126,7 @@
  * @internal
  */
 export function createEntryServer(context: EntryContext): EntryServer {
-	const {headerNames, log, random} = context;
+	const {headerNames, log} = context;
 	const server = createServer({
 		maxHeaderSize: maxHeaderBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
 	});
@@ -176,26 +134,8 @@
 	let calls = 0;
 	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
 	let isClosing = false;
-
-	const getClosingHeaders = (request: IncomingMessage): {readonly connection?: string} =>
-		isClosing || (!request.complete && hasBody(request)) ? {connection: 'close'} : {};
-
-	const refuse = ({id, request, response}: EntryCall, status: number, reason: string, retryAfterMs = 0): void => {
-		if (response.destroyed || response.headersSent) {
-			return;
-		}
-
-		const body = Buffer.from(`${JSON.stringify({reason, verdict: status === 503 || status === 429 ? 'not-run' : undefined})}\n`);
-		response.writeHead(status, {
-			'content-type': 'application/json',
-			'content-length': body.length,
-			[headerNames.callId]: id,
-			...status === 401 ? {'www-authenticate': headerNames.authorizationScheme} : {},
-			...retryAfterMs > 0 ? {'retry-after': (retryAfterMs / 1000).toFixed(3)} : {},
-			...getClosingHeaders(request),
-		});
-		response.end(body);
-	};
+	const refusals = createEntryRefusals(context, () => isClosing);
+	const {refuseAndLog, logCallerLeft} = refusals;
 
 	const sendAnswer = (call: EntryCall, answer: ForwardResponse): void => {
 		const {request, response} = call;
@@ -204,86 +144,17 @@
 		}
 
 		const lengthHeaders = request.method === 'HEAD' ? {} : {'content-length': String(answer.body.length)};
-		response.writeHead(answer.status, {...answer.headers as Record<string, string | string[]>, ...lengthHeaders, ...getClosingHeaders(request)});
+		response.writeHead(answer.status, {...answer.headers as Record<string, string | string[]>, ...lengthHeaders, ...refusals.getClosingHeaders(request)});
 		response.end(answer.body);
 	};
 
-	const sendFailure = (call: EntryCall, failure: ForwardFailure, verdict: Verdict, targetLatencyMs: number): number => {
-		const status = chooseFailureStatus(failure, verdict);
-		refuse(call, status, failure.reason, status === 503 ? computeRetryAfterMs({waitMs: failure.retryAfterMs, targetLatencyMs, isOverloaded: isCapacityReason(failure.reason)}, random) : 0);
-		return status;
-	};
-
-	const logRefusal = (level: LogLevel, {id, request}: EntryCall, version: number, {status, reason}: {readonly status: number; readonly reason: string}): void => {
-		log.record(level, {
-			kind: 'request-refused', call: id, status, reason, host: request.headers.host ?? '', path: request.url ?? '', version,
-		});
-	};
-
-	const refuseAndLog = (call: EntryCall, version: number, status: number, reason: string, retryAfterMs = 0): void => {
-		logRefusal('info', call, version, {status, reason});
-		refuse(call, status, reason, retryAfterMs);
-	};
-
-	const logCallerLeft = ({id, receivedAt}: EntryCall, route: RouteRule): void => {
-		log.record('info', {
-			kind: 'caller-left', call: id, route: route.name, waitedMs: Math.round(readSteadyMs() - receivedAt),
-		});
-	};
-
-	const recordCallerRefusal = ({id, request}: EntryCall, route: RouteRule, cause: CallerCause, reason: string): void => {
-		context.refusals.record({
-			kind: 'caller-refused', cause, place: `${request.socket.remoteAddress ?? 'a closed connection'} on route ${route.name}`, reason, call: id,
-		});
-	};
-
-	/** Refuses a request that matches no known route. Answers 503 instead of 404 if the route may exist: one of its host could not be read, or a newer configuration may contain it. */
-	const refuseUnmatched = (call: EntryCall, {config: {version, unreadHosts}}: ActiveConfig): void => {
-		if (unreadHosts.has(normalizeHost(call.request.headers.host ?? ''))) {
-			refuseAndLog(call, version, 503, 'no route that this node can read matches host and path', unusableRouteRetryMs);
-			return;
-		}
-
-		if (context.isConfigOutdated()) {
-			refuseAndLog(call, version, 503, 'no route matches host and path, but this node has not received the newest configuration version yet', outdatedConfigRetryMs);
-			return;
-		}
-
-		refuseAndLog(call, version, 404, 'no route matches host and path');
-	};
-
-	/**
-	 * Refuses a request whose caller is not identified. Answers 503 to an unknown key that a newer configuration may contain. Refusals are logged at a limited rate,
-	 * since a caller with a wrong key may send as fast as it can.
-	 */
-	const refuseUnauthorized = (call: EntryCall, {config: {version}}: ActiveConfig, route: RouteRule, cause: AuthenticationFailure): void => {
-		const isOutdated = cause === 'unknown-key' && context.isConfigOutdated();
-		const reason = isOutdated
-			? 'the key is unknown, but this node has not received the newest configuration version yet'
-			: `not authorized: ${describeAuthenticationFailure(cause)}`;
-		const status = isOutdated ? 503 : 401;
-		recordCallerRefusal(call, route, isOutdated ? 'outdated-config' : cause, reason);
-		logRefusal('debug', call, version, {status, reason});
-		refuse(call, status, reason, isOutdated ? outdatedConfigRetryMs : 0);
-	};
-
-	/** Refuses a request that got no token of the quota of its workspace. */
-	const refuseForQuota = (call: EntryCall, version: number, {name}: Workspace, decision: Extract<QuotaDecision, {readonly type: 'over' | 'unknown'}>): void => {
-		const status = decision.type === 'over' ? 429 : 503;
-		const reason = decision.type === 'over' ? 'its workspace is over its quota' : 'no coordinator of the quota of its workspace has answered in time';
-		log.record('info', {
-			kind: 'request-refused', call: call.id, status, reason, host: call.request.headers.host ?? '', path: call.request.url ?? '', version, workspace: name, quota: decision.type,
-		});
-		refuse(call, status, reason, decision.retryAfterMs);
-	};
-
 	/** Takes a token of the quota of the workspace. Returns `undefined` if the request was refused, or if its caller has left. */
 	const acquireToken = async (call: EntryCall, version: number, route: RouteRule, scope: CallScope, workspace: Workspace | undefined): Promise<GrantedToken | undefined> => {
 		if (workspace?.ratePerSecond === undefined) {
 			return noToken;
 		}
 
-		const decision = await context.quotas.acquire(workspace, Math.min(maxQuotaWaitMs, route.targetLatencyMs * quotaWaitShare), scope);
+		const decision = await context.quotas.acquire(workspace, computeMaxTokenWaitMs(route), scope);
 		switch (decision.type) {
 			case 'granted': {
 				return decision;
@@ -296,7 +167,7 @@
 
 			case 'over':
 			case 'unknown': {
-				refuseForQuota(call, version, workspace, decision);
+				refusals.refuseForQuota(call, version, workspace, decision);
 				return undefined;
 			}
 		}
@@ -329,11 +200,11 @@
 	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string; readonly workspace: string | undefined; readonly quota: FinishedCall['quota']}): void => {
 		const {result, verdict, attempts} = outcome;
 		const now = readSteadyMs();
-		const status = result.type === 'answered' ? result.status : sendFailure(call, result, verdict, outcome.route.targetLatencyMs);
+		const status = result.type === 'answered' ? result.status : refusals.sendFailure(call, result, verdict, outcome.route.targetLatencyMs);
 		if (result.type === 'answered') {
 			sendAnswer(call, result);
 		} else if (result.reason === 'unauthorized') {
-			recordCallerRefusal(call, outcome.route, 'withdrawn-key', result.detail);
+			refusals.recordCallerRefusal(call, outcome.route, 'withdrawn-key', result.detail);
 		}
 
 		context.handleFinished({
@@ -375,7 +246,7 @@
 		const {version, limits} = activeConfig.config;
 		const route = findRouteIn(activeConfig, request);
 		if (route === undefined) {
-			refuseUnmatched(call, activeConfig);
+			refusals.refuseUnmatched(call, activeConfig);
 			return;
 		}
 
@@ -386,7 +257,7 @@
 
 		const authentication = authenticateCaller(activeConfig, request, route, headerNames);
 		if (authentication.type === 'refused') {
-			refuseUnauthorized(call, activeConfig, route, authentication.cause);
+			refusals.refuseUnauthorized(call, activeConfig, route, authentication.cause);
 			return;
 		}
 
--- a/src/lib/quotas/quota-group.ts
+++ b/src/lib/quotas/quota-group.ts
@@ -78,7 +78,7 @@
  * @returns The nodes with the fastest links; all of them if their links are alike.
  * @internal
  */
-export function selectFastNodes(candidates: readonly CoordinatorCandidate[]): readonly NodeId[] {
+export function pickFastNodes(candidates: readonly CoordinatorCandidate[]): readonly NodeId[] {
 	const fastest = Math.max(0, ...candidates.map(({linkMbps}) => linkMbps));
 	return candidates.filter(({linkMbps}) => linkMbps >= fastest * minLinkShare).map(({node}) => node);
 }
--- a/src/lib/quotas/quotas.ts
+++ b/src/lib/quotas/quotas.ts
@@ -8,7 +8,7 @@
 import {type NodeId} from '../common/ids.js';
 import {type Workspace} from '../workspaces/workspace.js';
 import {type PlannedAsk, quotaTickMs} from './quota-client.js';
-import {selectFastNodes, type CoordinatorCandidate} from './quota-group.js';
+import {pickFastNodes, type CoordinatorCandidate} from './quota-group.js';
 import {createQuotaCore} from './quota-core.js';
 import {
 	decodeQuotaAnswer, decodeQuotaAsk, encodeQuotaAnswer, encodeQuotaAsk,
@@ -110,7 +110,7 @@
 		chosenAt = now;
 		const peers = [...context.listPeers()];
 		nodes.updatePeers(peers, now);
-		client.chooseCoordinators(selectFastNodes([{node: self, linkMbps: context.linkMbps}, ...peers.filter(({isReachable}) => isReachable)]), now);
+		client.chooseCoordinators(pickFastNodes([{node: self, linkMbps: context.linkMbps}, ...peers.filter(({isReachable}) => isReachable)]), now);
 	};
 
 	const createGrant = (workspace: string, stock: QuotaStock, expiresAt: number, hasWaited: boolean): QuotaDecision => {
