--- a/src/lib/forwarding/quota-token.ts
+++ b/src/lib/forwarding/quota-token.ts
@@ -6,9 +6,9 @@
 import {type QuotaDecision} from '../quotas/quotas.js';
 import {type RouteRule} from '../route-config/route-config.js';
 
-/** The longest wait for a token of a quota, in milliseconds, and the longest as a share of the latency objective, which leaves most of it for the work. */
-const maxQuotaWaitMs = 150;
-const quotaWaitShare = 1 / 8;
+/** The longest wait for a token of a quota, in milliseconds, and the longest as a share of the latency objective. A caller that is refused returns after 300 ms or more, so that waiting is better. */
+const maxQuotaWaitMs = 300;
+const quotaWaitShare = 0.4;
 
 /** @internal */
 export type GrantedToken = Extract<QuotaDecision, {readonly type: 'granted'}>;
