Gate: a line for each slot that was held for a request that had been given up, and for each request that took too long

Two known failures could not be told apart by logs: requests that hung at servers that the gate had filled, and one request of some 900 that ended at its deadline although its server had lost it. The new lines say how long a slot was held and what released it, and what the load reports showed of a request that ended without a response.

--- a/src/lib/decisions/held-slots.test.ts
+++ b/src/lib/decisions/held-slots.test.ts
@@ -1,8 +1,14 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {getNextDeadline, releaseExpired, releaseReported} from './held-slots.js';
+import {
+	getNextDeadline, releaseExpired, releaseReported, type HeldRequest,
+} from './held-slots.js';
 
-const held = [{id: 1, deadlineAt: 300}, {id: 2, deadlineAt: 100}, {id: 3, deadlineAt: 200}];
+const createHeld = (id: number, deadlineAt: number): HeldRequest => ({
+	id, call: `call-${id}`, sentAt: 0, heldAt: 10, deadlineAt,
+});
+
+const held = [createHeld(1, 300), createHeld(2, 100), createHeld(3, 200)];
 
 const listIds = (requests: ReadonlyArray<{readonly id: number}>): readonly number[] => requests.map(({id}) => id);
 
--- a/src/lib/decisions/held-slots.ts
+++ b/src/lib/decisions/held-slots.ts
@@ -5,16 +5,23 @@
  * @module
  */
 
-/** A request that was given up. @internal */
+/** A request that was given up. Times are milliseconds of the steady clock. @internal */
 export type HeldRequest = {
 	readonly id: number;
-	/** When its server stops working on it at the latest, in milliseconds of the steady clock. */
+	/** Id of the call, for the log. */
+	readonly call: string;
+	readonly sentAt: number;
+	readonly heldAt: number;
+	/** When its server stops working on it at the latest. */
 	readonly deadlineAt: number;
 };
 
 /** In the order in which they were given up. @internal */
 export type HeldRequests = readonly HeldRequest[];
 
+/** Why a held slot is released: a load report shows that the server no longer has the request, its deadline has passed, or the server has ended. @internal */
+export type ReleaseCause = 'reported' | 'deadline' | 'server-ended';
+
 /** The requests that still count as running, and those that no longer do. @internal */
 export type HeldStep = {readonly held: HeldRequests; readonly released: HeldRequests};
 
--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -47,6 +47,18 @@
 	readonly minUnknown: number;
 };
 
+/** The evidence on a request that takes too long. @internal */
+export type Silence = {
+	/** Load reports on which it should have been. */
+	readonly covering: number;
+	/** How many requests the newest of them lacks; 0 without any. */
+	readonly missing: number;
+	/** Requests that take too long, this one included. */
+	readonly late: number;
+	/** Whether the reports show that the server has none of the late requests. If so, the request ended before the gate looked at them. */
+	readonly isShown: boolean;
+};
+
 /** @internal */
 export type ServerRequests = {
 	readonly send: (now: number) => SentRequest;
@@ -56,6 +68,8 @@
 	readonly finish: (request: SentRequest, isAnswered: boolean) => void;
 	/** Returns the requests that count as hung if they take longer than `thresholdMs`. */
 	readonly findHung: (thresholdMs: number, now: number) => readonly Hang[];
+	/** Describes the evidence on a request that takes longer than `thresholdMs`; `undefined` if it does not, or if its response has begun to arrive. */
+	readonly describeSilence: (request: SentRequest, thresholdMs: number, now: number) => Silence | undefined;
 	/** Returns when the request that was sent first, of those without a response, was sent; `undefined` if there are none. */
 	readonly getOldestSentAt: () => number | undefined;
 	readonly count: () => number;
@@ -224,6 +238,17 @@
 
 			return areNotReported(covering, late.length, now) ? late.map(request => toHang('not-reported')(request)) : [];
 		},
+		describeSilence(request, thresholdMs, now) {
+			if (!request.isSilent || now - request.sentAt <= thresholdMs) {
+				return undefined;
+			}
+
+			const covering = listCovering(request);
+			const late = listLate(thresholdMs, now).length;
+			return {
+				covering: covering.length, missing: covering[0]?.missing ?? 0, late, isShown: areNotReported(covering, late, now),
+			};
+		},
 		getOldestSentAt() {
 			for (const {isSilent, sentAt} of inFlight.values()) {
 				if (isSilent) {
--- a/src/lib/forwarding/hang-watch.ts
+++ b/src/lib/forwarding/hang-watch.ts
@@ -1,7 +1,7 @@
 /**
  * Protects the backend server beside this node from more requests than it can hold, and
  * the callers from requests that it never responds to. The decisions are in `server-requests.ts`,
- * `concurrency-limit.ts`, `held-slots.ts` and `foreign-requests.ts`; this module holds their state and the timers.
+ * `concurrency-limit.ts` and `foreign-requests.ts`; this module holds their state and the timers.
  *
  * Hangs are looked for, and slots held, only while the server sends load reports.
  *
@@ -13,15 +13,13 @@
 	computeCapacity, computeSlotLimit, createConcurrencyLimit, lowerAfterHang, recordAnswer, type ConcurrencyLimit,
 } from '../decisions/concurrency-limit.js';
 import {noForeignRequests, recordForeignRequests, type ForeignRequests} from '../decisions/foreign-requests.js';
-import {
-	getNextDeadline, releaseExpired, releaseReported, type HeldRequests, type HeldStep,
-} from '../decisions/held-slots.js';
 import {
 	createServerRequests, responseMs, type Hang, type LoadReport, type ReportComparison, type SentRequest,
 } from '../decisions/server-requests.js';
 import {createServiceTimes} from '../decisions/service-times.js';
 import {type LogLevel, type MeshLog} from '../timeline/mesh-log.js';
 import {type ExchangeResult} from './exchange.js';
+import {createHeldRequests} from './held-requests.js';
 
 /** @internal */
 export type HangWatchContext = {
@@ -107,7 +105,6 @@
 	const watchedById = new Map<number, Watched>();
 	let limit = createConcurrencyLimit(slots, isCareful);
 	let slotLimit = computeSlotLimit(limit);
-	let held: HeldRequests = [];
 	/** Whether the server sends load reports. */
 	let hasReported = false;
 	let isDisposed = false;
@@ -117,7 +114,6 @@
 	let checkTimer: NodeJS.Timeout | undefined;
 	let carefulTimer: NodeJS.Timeout | undefined;
 	let foreignTimer: NodeJS.Timeout | undefined;
-	let heldTimer: NodeJS.Timeout | undefined;
 
 	const applyLimit = (next: ConcurrencyLimit): void => {
 		if (next === limit || isDisposed) {
@@ -132,21 +128,14 @@
 		}
 	};
 
-	const applyHeld = (step: HeldStep): void => {
-		clearTimeout(heldTimer);
-		held = step.held;
-		applyLimit({...limit, held: held.length});
-		for (const _ of step.released) {
-			context.releaseSlot();
-		}
-
-		const deadlineAt = getNextDeadline(held);
-		if (deadlineAt !== undefined && !isDisposed) {
-			heldTimer = setTimeout(() => {
-				applyHeld(releaseExpired(held, readSteadyMs()));
-			}, clampTimerMs(deadlineAt - readSteadyMs()) + 1);
-		}
-	};
+	const held = createHeldRequests({
+		server: context.server,
+		log: context.log,
+		handleChange(count) {
+			applyLimit({...limit, held: count});
+		},
+		releaseSlot: context.releaseSlot,
+	});
 
 	const applyForeign = (next: ForeignRequests): void => {
 		foreign = next;
@@ -168,11 +157,8 @@
 			applyLimit({...limit, reportedSlots: report.slots});
 		}
 
-		if (held.length > maxUnknown) {
-			applyHeld(releaseReported(held, maxUnknown));
-		}
-
-		applyForeign(recordForeignRequests(foreign, Math.max(0, minUnknown - held.length), limit.isCareful, readSteadyMs()));
+		held.applyReport(maxUnknown);
+		applyForeign(recordForeignRequests(foreign, Math.max(0, minUnknown - held.count()), limit.isCareful, readSteadyMs()));
 	};
 
 	const endCarefulStart = (): void => {
@@ -211,6 +197,17 @@
 		}
 	};
 
+	/** Logs a request that ended without a response after the time at which requests count as hung. */
+	const logOverdue = ({call, request}: Watched): void => {
+		const usualMs = getUsualMs();
+		const silence = usualMs === undefined ? undefined : requests.describeSilence(request, computeThresholdMs(usualMs), readAwakeMs());
+		if (usualMs !== undefined && silence !== undefined) {
+			context.log.record('info', {
+				kind: 'request-overdue', call: call.id, server: context.server, ageMs: Math.round(readAwakeMs() - request.sentAt), usualMs: Math.round(usualMs), ...silence,
+			});
+		}
+	};
+
 	const check = (): void => {
 		isCheckPending = false;
 		const usualMs = getUsualMs();
@@ -275,7 +272,7 @@
 					watched.handleHang = handle;
 				},
 				recordResponse(report, isExecuted) {
-					const comparison = requests.recordResponse(request, report, readAwakeMs(), held.length);
+					const comparison = requests.recordResponse(request, report, readAwakeMs(), held.count());
 					if (report !== undefined && comparison !== undefined) {
 						applyReport(report, comparison);
 					}
@@ -289,6 +286,10 @@
 				finish(result) {
 					const isAnswered = result.type === 'answered';
 					watchedById.delete(request.id);
+					if (!isAnswered && watched.hang === undefined) {
+						logOverdue(watched);
+					}
+
 					requests.finish(request, isAnswered);
 					if (isAnswered) {
 						recordAnswered(request, result.status);
@@ -297,7 +298,9 @@
 
 					const isHeld = !isDisposed && hasReported && mayStillRun(result) && watched.hang?.kind !== 'not-reported' && call.deadlineAt > readSteadyMs();
 					if (isHeld) {
-						applyHeld({held: [...held, {id: request.id, deadlineAt: call.deadlineAt}], released: []});
+						held.hold({
+							id: request.id, call: call.id, sentAt: readSteadyMs() - (readAwakeMs() - request.sentAt), deadlineAt: call.deadlineAt,
+						});
 					}
 
 					return isHeld;
@@ -314,8 +317,7 @@
 			clearTimeout(checkTimer);
 			clearTimeout(carefulTimer);
 			clearTimeout(foreignTimer);
-			clearTimeout(heldTimer);
-			applyHeld({held: [], released: held});
+			held.dispose();
 		},
 	};
 }
--- a/src/lib/sidecar/mesh-metrics.ts
+++ b/src/lib/sidecar/mesh-metrics.ts
@@ -164,7 +164,7 @@
 					countHeldBack(event);
 				}
 
-				if (event.kind === 'gate-refused' || event.kind === 'request-hung') {
+				if (event.kind === 'gate-refused' || event.kind === 'request-hung' || event.kind === 'held-slot-released') {
 					events.add(event.kind, event.reason);
 				} else {
 					events.add(event.kind);
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -65,6 +65,15 @@
 			return `${line.server} will not respond to it (${line.reason}): ${line.ageMs} ms, ${line.usualMs} ms for 99 in 100 requests; ${next}, ${line.limit} requests at a time from now on`;
 		}
 
+		case 'request-overdue': {
+			const evidence = line.isShown ? 'its load reports lack it, but the node had not looked at them' : `${line.covering} load reports since, which do not show that it was lost`;
+			return `${line.server} did not respond to it within ${line.ageMs} ms, ${line.usualMs} ms for 99 in 100 requests; ${evidence}`;
+		}
+
+		case 'held-slot-released': {
+			return `its slot at ${line.server} was held for ${line.heldMs} ms after it had been given up (${line.reason})`;
+		}
+
 		case 'request-refused': {
 			return `${line.node} refused it with ${line.status}: ${line.reason} (${line.host}${line.path}, version ${line.version} in force)`;
 		}
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {type ReleaseCause} from '../decisions/held-slots.js';
 import {type FullCause} from '../decisions/slot-queue.js';
 import {type Verdict} from '../common/verdict.js';
 
@@ -118,6 +119,10 @@
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
 	/** The server will not respond to a request. `limit` is the number of requests that the gate sends to it at the same time from now on. */
 	| {readonly kind: 'request-hung'; readonly call: string; readonly server: string; readonly reason: string; readonly ageMs: number; readonly usualMs: number; readonly isEnded: boolean; readonly limit: number}
+	/** A slot that was held for a request that had been given up is free again. Times are milliseconds; `ageMs` is the time since the request was sent. */
+	| {readonly kind: 'held-slot-released'; readonly call: string; readonly server: string; readonly reason: ReleaseCause; readonly heldMs: number; readonly ageMs: number; readonly stillHeld: number}
+	/** A request that took too long ended without a response, and was not found to hang. `covering` is the number of load reports on which it should have been, `isShown` whether they show that the server does not have it. */
+	| {readonly kind: 'request-overdue'; readonly call: string; readonly server: string; readonly ageMs: number; readonly usualMs: number; readonly covering: number; readonly missing: number; readonly late: number; readonly isShown: boolean}
 	| {readonly kind: RefusalKind; readonly cause: RefusalCause; readonly place: string; readonly reason: string; readonly count: number; readonly call?: string}
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly workspace?: string | undefined; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]; readonly quota?: 'granted' | 'waited' | 'returned'}
