Hanging servers: each request that takes too long is looked at, also after another one was found to hang

Cause: the next look was scheduled for the oldest request without a response. If that one had just been found to hang, or was left at the server until its deadline, its time had passed and no timer was set; only a later response led to a look.

The decision is a pure function now: the first request that was not found to hang and has not taken too long yet, or soon after a response while one has. With fewer than eight reports the second hang was not shown either, because a report was compared with the requests that are late now; a report of a server without requests is enough.

Test before: 'two requests that the server lost at different times both end' got timeout, expected hung.

--- a/src/lib/decisions/server-requests.test.ts
+++ b/src/lib/decisions/server-requests.test.ts
@@ -119,7 +119,7 @@
 	requests.recordResponse(download, undefined, start + 10, 0);
 	const now = runMany(requests, start, 0, start + 1000);
 	assert.deepEqual(requests.findHung(thresholdMs, now), []);
-	assert.equal(requests.getOldestSentAt(), undefined);
+	assert.equal(requests.computeNextCheck(thresholdMs, now, true), undefined);
 });
 
 test('a hang tells how many requests that were in flight when it was sent have been answered, without those given up', () => {
@@ -148,3 +148,34 @@
 	// The request sent last may not have arrived yet: the server has one or two requests that the gate does not know.
 	assert.deepEqual(requests.recordResponse(answered, createReport(4), start + 30, 0), {maxUnknown: 2, minUnknown: 1});
 });
+
+// Guards against a request that keeps its caller until the deadline, because it was to be looked at only after the next response, and none follows.
+test('with three of four slots lost, each request is looked at when it has taken too long, also without a response since', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	const first = requests.send(start);
+	const second = requests.send(start + 60);
+	const third = requests.send(start + 90);
+	runMany(requests, start + 120, 0, start + 250);
+	assert.equal(requests.computeNextCheck(thresholdMs, start + 250, false), start + thresholdMs);
+	const [hang] = requests.findHung(thresholdMs, start + thresholdMs + 1);
+	assert.equal(hang?.request, first);
+	assert.equal(requests.computeNextCheck(thresholdMs, start + thresholdMs + 1, false), start + 60 + thresholdMs);
+	requests.finish(first, false);
+	assert.deepEqual(requests.findHung(thresholdMs, start + thresholdMs + 61).map(({request}) => request), [second], 'the first is still reported as hung, or the second is not');
+	// The second stays in flight, as a request that must not run twice does.
+	assert.equal(requests.computeNextCheck(thresholdMs, start + thresholdMs + 61, false), start + 90 + thresholdMs);
+	assert.deepEqual(requests.findHung(thresholdMs, start + thresholdMs + 91).map(({request}) => request), [third]);
+	assert.equal(requests.computeNextCheck(thresholdMs, start + thresholdMs + 91, true), undefined);
+});
+
+// Guards against evidence that waits for the next request to take too long.
+test('a response is looked at soon while a request has taken too long, and the next one is not due yet', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	requests.send(start);
+	const now = start + thresholdMs + 50;
+	requests.send(now - 10);
+	assert.equal(requests.computeNextCheck(thresholdMs, now, false), now - 10 + thresholdMs);
+	assert.ok(requests.computeNextCheck(thresholdMs, now, true)! < now + 50);
+});
--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -22,6 +22,8 @@
 	aheadCount: number;
 	/** Whether no byte of its response has arrived. */
 	isSilent: boolean;
+	/** Whether it was found to hang. */
+	isHung: boolean;
 };
 
 /** Why a request counts as hung: the server does not report it, or has answered later ones. @internal */
@@ -66,12 +68,15 @@
 	readonly recordResponse: (request: SentRequest, report: LoadReport | undefined, now: number, heldCount: number) => ReportComparison | undefined;
 	/** Records that a request was answered, or was given up. */
 	readonly finish: (request: SentRequest, isAnswered: boolean) => void;
-	/** Returns the requests that count as hung if they take longer than `thresholdMs`. */
+	/** Returns the requests that count as hung if they take longer than `thresholdMs`, each once. */
 	readonly findHung: (thresholdMs: number, now: number) => readonly Hang[];
 	/** Describes the evidence on a request that takes longer than `thresholdMs`; `undefined` if it does not, or if its response has begun to arrive. */
 	readonly describeSilence: (request: SentRequest, thresholdMs: number, now: number) => Silence | undefined;
-	/** Returns when the request that was sent first, of those without a response, was sent; `undefined` if there are none. */
-	readonly getOldestSentAt: () => number | undefined;
+	/**
+	 * Returns when to look for hung requests again: when the next request will have taken `thresholdMs`, or as soon as a response
+	 * that has just arrived (`hasEvidence`) may show that one which has taken longer is hung; `undefined` if there is neither.
+	 */
+	readonly computeNextCheck: (thresholdMs: number, now: number, hasEvidence: boolean) => number | undefined;
 	readonly count: () => number;
 };
 
@@ -90,8 +95,8 @@
 /** A request that was sent this long ago, in milliseconds, has arrived at the server on the same VM. */
 const arrivalMs = 20;
 
-/** A response that the server had finished before a report has arrived this long after the report, in milliseconds. @internal */
-export const responseMs = 20;
+/** A response that the server had finished before a report has arrived this long after the report, in milliseconds. */
+const responseMs = 20;
 
 /** Number of reports that are kept: more than are needed as evidence. */
 const maxReportCount = 32;
@@ -169,8 +174,8 @@
 		const firstOther = covering.findIndex(({missing}) => missing < lateCount);
 		const evidence = firstOther === -1 ? covering : covering.slice(0, firstOther);
 		const isOldEnough = ({at}: ComparedReport): boolean => now - at >= responseMs;
-		// Without other requests at the server, a report misses none that is on its way.
-		return evidence.some(report => isOldEnough(report) && (evidence.length >= minReportCount || report.silentCount <= lateCount));
+		// Without other requests at the server, a report misses none that is on its way. A server without any request has none of them, however many there are.
+		return evidence.some(report => isOldEnough(report) && (evidence.length >= minReportCount || report.silentCount <= lateCount || report.isServerIdle));
 	};
 
 	const countAnsweredAhead = ({id, aheadCount}: SentRequest): number => {
@@ -200,7 +205,7 @@
 	return {
 		send(now) {
 			const request: SentRequest = {
-				id: nextId++, sentAt: now, aheadCount: inFlight.size, isSilent: true,
+				id: nextId++, sentAt: now, aheadCount: inFlight.size, isSilent: true, isHung: false,
 			};
 			inFlight.set(request.id, request);
 			return request;
@@ -227,16 +232,25 @@
 				return [];
 			}
 
+			const take = (requests: readonly SentRequest[]): readonly SentRequest[] => {
+				const found = requests.filter(({isHung}) => !isHung);
+				for (const request of found) {
+					request.isHung = true;
+				}
+
+				return found;
+			};
+
 			const covering = listCovering(lastLate);
 			const toHang = (kind: HangKind) => (request: SentRequest): Hang => ({
 				request, kind, answeredAhead: countAnsweredAhead(request), isServerIdle: kind === 'not-reported' && isOwnCounted !== undefined && covering[0]!.isServerIdle,
 				ageMs: now - request.sentAt,
 			});
 			if (covering.length === 0) {
-				return late.filter(({id}) => id < lastAnsweredId).map(request => toHang('overtaken')(request));
+				return take(late.filter(({id}) => id < lastAnsweredId)).map(request => toHang('overtaken')(request));
 			}
 
-			return areNotReported(covering, late.length, now) ? late.map(request => toHang('not-reported')(request)) : [];
+			return areNotReported(covering, late.length, now) ? take(late).map(request => toHang('not-reported')(request)) : [];
 		},
 		describeSilence(request, thresholdMs, now) {
 			if (!request.isSilent || now - request.sentAt <= thresholdMs) {
@@ -249,10 +263,18 @@
 				covering: covering.length, missing: covering[0]?.missing ?? 0, late, isShown: areNotReported(covering, late, now),
 			};
 		},
-		getOldestSentAt() {
-			for (const {isSilent, sentAt} of inFlight.values()) {
-				if (isSilent) {
-					return sentAt;
+		computeNextCheck(thresholdMs, now, hasEvidence) {
+			for (const {isSilent, isHung, sentAt} of inFlight.values()) {
+				if (!isSilent || isHung) {
+					continue;
+				}
+
+				if (now <= sentAt + thresholdMs) {
+					return sentAt + thresholdMs;
+				}
+
+				if (hasEvidence) {
+					return now + responseMs;
 				}
 			}
 
--- a/src/lib/forwarding/hang-watch.ts
+++ b/src/lib/forwarding/hang-watch.ts
@@ -14,7 +14,7 @@
 } from '../decisions/concurrency-limit.js';
 import {noForeignRequests, recordForeignRequests, type ForeignRequests} from '../decisions/foreign-requests.js';
 import {
-	createServerRequests, responseMs, type Hang, type LoadReport, type ReportComparison, type SentRequest,
+	createServerRequests, type Hang, type LoadReport, type ReportComparison, type SentRequest,
 } from '../decisions/server-requests.js';
 import {createServiceTimes} from '../decisions/service-times.js';
 import {type LogLevel, type MeshLog} from '../timeline/mesh-log.js';
@@ -108,7 +108,8 @@
 	/** Whether the server sends load reports. */
 	let hasReported = false;
 	let isDisposed = false;
-	let isCheckPending = false;
+	/** When the next check is due, in milliseconds of the clock that does not advance while this VM is suspended; `undefined` if none is. */
+	let checkAt: number | undefined;
 	let foreign: ForeignRequests = noForeignRequests;
 	let lastWarningAt = Number.NEGATIVE_INFINITY;
 	let checkTimer: NodeJS.Timeout | undefined;
@@ -209,7 +210,7 @@
 	};
 
 	const check = (): void => {
-		isCheckPending = false;
+		checkAt = undefined;
 		const usualMs = getUsualMs();
 		if (usualMs === undefined) {
 			return;
@@ -217,7 +218,7 @@
 
 		for (const hang of requests.findHung(computeThresholdMs(usualMs), readAwakeMs())) {
 			const watched = watchedById.get(hang.request.id);
-			if (watched !== undefined && watched.hang === undefined) {
+			if (watched !== undefined) {
 				handleHang(watched, hang, usualMs);
 			}
 		}
@@ -231,22 +232,18 @@
 		setImmediate(check);
 	};
 
-	/** Schedules a check for when the oldest request may count as hung. If that time has passed, only a response can bring evidence. */
+	/** Schedules the next check, unless one is due sooner. */
 	const scheduleCheck = (hasEvidence: boolean): void => {
-		const usualMs = isCheckPending ? undefined : getUsualMs();
-		const oldestSentAt = usualMs === undefined ? undefined : requests.getOldestSentAt();
-		if (usualMs === undefined || oldestSentAt === undefined) {
+		const usualMs = getUsualMs();
+		const now = readAwakeMs();
+		const nextAt = usualMs === undefined ? undefined : requests.computeNextCheck(computeThresholdMs(usualMs), now, hasEvidence);
+		if (nextAt === undefined || (checkAt !== undefined && checkAt <= nextAt)) {
 			return;
 		}
 
-		const dueMs = oldestSentAt + computeThresholdMs(usualMs) - readAwakeMs();
-		if (dueMs >= 0) {
-			isCheckPending = true;
-			checkTimer = setTimeout(checkAfterReads, clampTimerMs(Math.ceil(dueMs) + 1));
-		} else if (hasEvidence) {
-			isCheckPending = true;
-			checkTimer = setTimeout(checkAfterReads, responseMs + 1);
-		}
+		checkAt = nextAt;
+		clearTimeout(checkTimer);
+		checkTimer = setTimeout(checkAfterReads, clampTimerMs(Math.ceil(nextAt - now) + 1));
 	};
 
 	const recordAnswered = ({sentAt}: SentRequest, status: number): void => {
--- a/src/lib/forwarding/hanging-server.test.ts
+++ b/src/lib/forwarding/hanging-server.test.ts
@@ -190,6 +190,20 @@
 	assert.deepEqual([result.verdict, result.reason], ['may-have-run', 'timeout']);
 });
 
+// Guards against a request that waits for its deadline because another one was found to hang after the last response.
+test('two requests that the server lost at different times both end, although no response follows the first end', async context => {
+	const fixture = await createFixture(context);
+	await prepareServiceTimes(fixture);
+	const first = fixture.run('/lost/1');
+	await fixture.runShort(4);
+	const second = fixture.run('/lost/2');
+	await fixture.runShort(5);
+	for (const {result} of await Promise.all([first, second])) {
+		assert.ok(result.type === 'failed');
+		assert.equal(result.reason, 'hung');
+	}
+});
+
 test('a server without load reports keeps its requests until their deadlines', async context => {
 	const fixture = await createFixture(context, {sendsReports: false});
 	await prepareServiceTimes(fixture);
