Hanging servers: a server is not idle while slots are held for callers that left

Callers saw refusals while two servers of six slots ran 74 to 84 of 320 possible requests in 4 s: with 30 callers that leave after 140 of 150 ms, 15 to 17 of some 400 tries of the callers that stay were served. The more time callers gave, the worse.

Cause: a slot is held until a report shows that the work is gone, reports come with responses, and once the callers of all requests had left no response was on its way. Evidence: held-slot-released; 30 of 51 slots were held until the deadline, 1,101 ms on average, where 10 ms of work were left.

The connections of the last requests, and of those that are nearly done, stay open for at most 300 ms: the response releases its own slot, its report the others. If all slots are held nevertheless, one request more is sent. A server never gets more than the usual limit and half of it, which it queues, as at a restart of the gate.

The state of foreign requests has a module of its own, since hang-watch.ts had grown.

--- a/src/lib/decisions/concurrency-limit.test.ts
+++ b/src/lib/decisions/concurrency-limit.test.ts
@@ -60,3 +60,19 @@
 	assert.equal(computeSlotLimit({...usual, reportedSlots: 8}), 9);
 	assert.equal(computeSlotLimit({...usual, reportedSlots: 400}), 18);
 });
+
+// Guards against a server that stands idle until the deadlines of requests that were given up, because nothing is sent that could report it.
+test('if all slots are held, one request more is sent, until half of the slots are in the queue', () => {
+	const small = createConcurrencyLimit(6, false);
+	assert.deepEqual([5, 6, 7, 8, 9, 10].map(held => computeSlotLimit({...small, held})), [6, 7, 8, 9, 6, 6]);
+	assert.equal(computeSlotLimit({...createConcurrencyLimit(1, false), held: 1}), 1);
+});
+
+// Guards against hangs of a server whose queue holds work of others, or has proved smaller than it announced.
+test('no request more is sent while a server may hold less, or work that the gate did not send', () => {
+	const small = createConcurrencyLimit(6, false);
+	assert.equal(computeSlotLimit({...small, foreign: 3, held: 6}), 3);
+	assert.equal(computeSlotLimit({...small, foreign: 1, held: 6}), 7);
+	assert.equal(computeSlotLimit({...createConcurrencyLimit(6, true), held: 3}), 3);
+	assert.equal(computeSlotLimit({...lowerAfterHang(small, 3), held: 6}), 6);
+});
--- a/src/lib/decisions/concurrency-limit.ts
+++ b/src/lib/decisions/concurrency-limit.ts
@@ -30,6 +30,9 @@
 /** Part of the limit that is used while the server may still work on requests of an earlier run. That run had as many at most, so the sum exceeds the limit by no more than half, which servers queue. */
 const carefulShare = 0.5;
 
+/** Requests that servers queue beside those that they execute, at least, as a part of the limit. */
+const queuedShare = 0.5;
+
 /**
  * Computes how many requests may be at a server at the same time, more than it executes. Without the extra requests a free slot
  * would be idle while its response travels to the gate and the next request to the server, about three milliseconds under
@@ -67,17 +70,24 @@
 	return Math.min(computeUsualLimit(limit), limit.hangLimit ?? Number.POSITIVE_INFINITY);
 }
 
+/** Returns whether the limit leaves room for one request beside the held ones in the queue of the server, which has proved no smaller than it announced. */
+function hasQueueRoom({isCareful, hangLimit, foreign, held}: ConcurrencyLimit, usual: number): boolean {
+	return !isCareful && hangLimit === undefined && held + foreign < usual + Math.floor(usual * queuedShare);
+}
+
 /**
  * Computes the limit that the gate applies. Held requests count as running, and the limit after a hang is one of live requests.
  *
  * @param limit - The state.
  * @returns Requests that may be running at the same time, held ones included; at least one, so that the server can report that it is free again.
+ * If all slots are held, one request more, which the server queues: its response reports which of them are free.
  * @internal
  */
 export function computeSlotLimit(limit: ConcurrencyLimit): number {
 	const usual = computeUsualLimit(limit);
 	const started = limit.isCareful ? Math.floor(usual * carefulShare) : usual;
-	return Math.min(Math.max(1, started - limit.foreign), (limit.hangLimit ?? Number.POSITIVE_INFINITY) + limit.held);
+	const slots = Math.min(Math.max(1, started - limit.foreign), (limit.hangLimit ?? Number.POSITIVE_INFINITY) + limit.held);
+	return limit.held >= slots && hasQueueRoom(limit, usual) ? limit.held + 1 : slots;
 }
 
 /**
--- a/src/lib/decisions/held-slots.ts
+++ b/src/lib/decisions/held-slots.ts
@@ -19,8 +19,8 @@
 /** In the order in which they were given up. @internal */
 export type HeldRequests = readonly HeldRequest[];
 
-/** Why a held slot is released: a load report shows that the server no longer has the request, its deadline has passed, or the server has ended. @internal */
-export type ReleaseCause = 'reported' | 'deadline' | 'server-ended';
+/** Why a held slot is released: a load report shows that the server no longer has the request, its deadline has passed, its late response has arrived, or the server has ended. @internal */
+export type ReleaseCause = 'reported' | 'deadline' | 'responded' | 'server-ended';
 
 /** The requests that still count as running, and those that no longer do. @internal */
 export type HeldStep = {readonly held: HeldRequests; readonly released: HeldRequests};
@@ -50,6 +50,57 @@
 	return {held: held.filter(({deadlineAt}) => deadlineAt > now), released: held.filter(({deadlineAt}) => deadlineAt <= now)};
 }
 
+/** The requests at a server whose slots may be held. @internal */
+export type OpenRequests = {
+	/** Requests whose responses are expected, the one whose caller leaves not included. */
+	readonly expected: number;
+	/** Requests that were given up and still count as running. */
+	readonly held: number;
+	/** Requests that may be at the server, held ones included. */
+	readonly slotLimit: number;
+	/** Time since the request whose caller leaves was sent, in milliseconds. */
+	readonly ageMs: number;
+	/** Average service time, in milliseconds. */
+	readonly serviceMs: number;
+};
+
+/** How long a connection stays open after the caller has left, in milliseconds. Backend servers must not work on requests of callers that left half a second ago; the rest is for the way of the close. */
+const maxLateMs = 300;
+
+/** Responses that should be expected at any time, as a part of the slots, so that load reports arrive several times in a service time. */
+const minExpectedShare = 0.25;
+
+/** A request is taken to be nearly done from this part of the average service time on. */
+const nearlyDoneShare = 0.75;
+
+/** A request that was nearly done is closed after this multiple of the average service time, since it is a long one. */
+const longShare = 1.5;
+
+/**
+ * Decides whether the connection of a request whose caller leaves stays open for the response, while at least half of the slots
+ * are in use. It does in two cases:
+ *
+ * - Few other responses, or none, would bring a load report. The held slots would be idle until the deadlines, or until a further
+ *   request has its response.
+ * - The request is nearly done. Its response tells when the slot is free, which the close would not.
+ *
+ * @param open - The requests at the server.
+ * @returns How long the connection stays open, in milliseconds; `undefined` if it is closed.
+ * @internal
+ */
+export function computeLateWaitMs({expected, held, slotLimit, ageMs, serviceMs}: OpenRequests): number | undefined {
+	if ((held + expected + 1) * 2 < slotLimit) {
+		return undefined;
+	}
+
+	if (expected < slotLimit * minExpectedShare) {
+		return maxLateMs;
+	}
+
+	const isNearlyDone = ageMs >= serviceMs * nearlyDoneShare && ageMs < serviceMs * longShare;
+	return isNearlyDone ? Math.min(maxLateMs, (serviceMs * longShare) - ageMs) : undefined;
+}
+
 /**
  * @param held - The requests given up.
  * @returns The first deadline, in milliseconds of the steady clock; `undefined` if there are none.
--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -77,7 +77,8 @@
 	 * that has just arrived (`hasEvidence`) may show that one which has taken longer is hung; `undefined` if there is neither.
 	 */
 	readonly computeNextCheck: (thresholdMs: number, now: number, hasEvidence: boolean) => number | undefined;
-	readonly count: () => number;
+	/** Returns the number of requests in flight whose responses are expected, without those that were found to hang. */
+	readonly countExpected: () => number;
 };
 
 /** A load report, compared with the requests in flight when it arrived. */
@@ -280,6 +281,6 @@
 
 			return undefined;
 		},
-		count: () => inFlight.size,
+		countExpected: () => [...inFlight.values()].filter(({isHung}) => !isHung).length,
 	};
 }
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -8,6 +8,14 @@
 import {type CallScope, type ScopeEndReason} from './call-scope.js';
 import {type AssignedCall, type ServerConnection, type ServerConnectionPool} from './server-connection-pool.js';
 
+/** What happens to the connection of a request whose caller has left. @internal */
+export type LateResponseHandlers = {
+	/** Called when the caller has left. Returns how long the connection stays open for the response, in milliseconds; `undefined` to close it. */
+	readonly computeWaitMs: () => number | undefined;
+	/** Called once with the end of the request if the connection stayed open. */
+	readonly handleEnd: (result: ExchangeResult) => void;
+};
+
 /** A request to the backend server. @internal */
 export type ExchangeRequest = {
 	readonly pool: ServerConnectionPool;
@@ -26,6 +34,8 @@
 	readonly handleHead?: (headers: IncomingHttpHeaders) => void;
 	/** Registers a callback that ends the exchange because the server will not respond to it. */
 	readonly listenForHang?: (handleHang: (detail: string) => void) => void;
+	/** Without it, the connection is closed as soon as the caller has left. */
+	readonly lateResponse?: LateResponseHandlers;
 };
 
 /** The complete response. @internal */
@@ -110,7 +120,7 @@
  * Sends a request and reads the complete response.
  *
  * @param exchange - The request.
- * @returns The response, or the failure; never rejects.
+ * @returns The response, or the failure; never rejects. A request whose caller has left fails immediately, also if its connection stays open.
  * @internal
  */
 export async function runExchange(exchange: ExchangeRequest): Promise<ExchangeResult> {
@@ -124,11 +134,20 @@
 		let isDuplicate = false;
 		// A no-op at first: a scope that has already ended calls its handler before subscribe returns.
 		let stopListening = (): void => undefined;
+		/** Whether the caller has left and the connection is open for the response. */
+		let isLate = false;
+		let lateTimer: NodeJS.Timeout | undefined;
 
 		const settle = (result: ExchangeResult): void => {
 			isSettled = true;
 			stopListening();
-			resolve(result);
+			if (!isLate) {
+				resolve(result);
+				return;
+			}
+
+			clearTimeout(lateTimer);
+			exchange.lateResponse?.handleEnd(result);
 		};
 
 		const fail = (reason: ExchangeFailure['reason'], detail: string): void => {
@@ -246,6 +265,23 @@
 			});
 		};
 
+		/** Fails the request whose caller has left, and keeps its connection open for the response. Returns whether it does. */
+		const waitForLateResponse = (reason: ScopeEndReason, detail: string): boolean => {
+			const waitMs = connection?.isConnected() ? exchange.lateResponse?.computeWaitMs() : undefined;
+			if (waitMs === undefined) {
+				return false;
+			}
+
+			isLate = true;
+			lateTimer = setTimeout(() => {
+				fail(reason, detail);
+			}, waitMs);
+			resolve({
+				type: 'failed', isSent: true, reason, detail,
+			});
+			return true;
+		};
+
 		const start = async (): Promise<void> => {
 			try {
 				const head = encodeRequestHead(exchange);
@@ -269,7 +305,11 @@
 		};
 
 		stopListening = exchange.scope.subscribe(reason => {
-			fail(reason, reason === 'timeout' ? 'no response before the deadline' : 'call was cancelled');
+			if (reason === 'timeout') {
+				fail(reason, 'no response before the deadline');
+			} else if (!waitForLateResponse(reason, 'call was cancelled')) {
+				fail(reason, 'call was cancelled');
+			}
 		});
 		if (!isSettled) {
 			exchange.listenForHang?.(detail => {
--- a/src/lib/forwarding/hang-watch.ts
+++ b/src/lib/forwarding/hang-watch.ts
@@ -1,7 +1,7 @@
 /**
  * Protects the backend server beside this node from more requests than it can hold, and
- * the callers from requests that it never responds to. The decisions are in `server-requests.ts`,
- * `concurrency-limit.ts` and `foreign-requests.ts`; this module holds their state and the timers.
+ * the callers from requests that it never responds to. The decisions are in `server-requests.ts`
+ * and `concurrency-limit.ts`; this module holds their state and the timers.
  *
  * Hangs are looked for, and slots held, only while the server sends load reports.
  *
@@ -12,13 +12,14 @@
 import {
 	computeCapacity, computeSlotLimit, createConcurrencyLimit, lowerAfterHang, recordAnswer, type ConcurrencyLimit,
 } from '../decisions/concurrency-limit.js';
-import {noForeignRequests, recordForeignRequests, type ForeignRequests} from '../decisions/foreign-requests.js';
+import {computeLateWaitMs, type HeldRequest} from '../decisions/held-slots.js';
 import {
 	createServerRequests, type Hang, type LoadReport, type ReportComparison, type SentRequest,
 } from '../decisions/server-requests.js';
 import {createServiceTimes} from '../decisions/service-times.js';
 import {type LogLevel, type MeshLog} from '../timeline/mesh-log.js';
 import {type ExchangeResult} from './exchange.js';
+import {createForeignWork} from './foreign-work.js';
 import {createHeldRequests} from './held-requests.js';
 
 /** @internal */
@@ -29,6 +30,8 @@
 	readonly resize: (slots: number) => void;
 	/** Releases the slot of a request that was given up. */
 	readonly releaseSlot: () => void;
+	/** Returns the average service time in milliseconds. */
+	readonly getServiceMs: () => number;
 };
 
 /** A request that is to be watched. @internal */
@@ -46,8 +49,12 @@
 	readonly listenForHang: (handleHang: (detail: string) => void) => void;
 	/** Records that the response begins to arrive, with the load report in its headers. One without a signature or with a refusal does not show how busy the server is. */
 	readonly recordResponse: (report: LoadReport | undefined, isExecuted: boolean) => void;
-	/** Records the end of the request. Returns whether its slot stays taken; `releaseSlot` is called later then. */
+	/** Records that the caller has left. Returns how long the connection stays open for the response, in milliseconds; `undefined` to close it. */
+	readonly leave: () => number | undefined;
+	/** Records the end of the request for its caller. Returns whether its slot stays taken; `releaseSlot` is called later then. */
 	readonly finish: (result: ExchangeResult) => boolean;
+	/** Records the end of a request whose connection stayed open after its caller had left. */
+	readonly finishLate: (result: ExchangeResult) => void;
 };
 
 /** @internal */
@@ -72,9 +79,6 @@
 /** Longest careful start in milliseconds: the usual time of the longest requests on a slow VM. Usually the first response ends it. */
 const maxCarefulMs = 500;
 
-/** Requests of others at the server are forgotten this long after the last report, in milliseconds. Ones that take longer are reported again. */
-const maxForeignMs = 500;
-
 /** A warning about a hang is logged at most once in this time, in milliseconds; further hangs are logged at debug level. */
 const minWarningIntervalMs = 1000;
 
@@ -88,6 +92,8 @@
 	readonly request: SentRequest;
 	handleHang: ((detail: string) => void) | undefined;
 	hang: Hang | undefined;
+	/** When its caller left, in milliseconds of the steady clock, while its connection is open for the response. */
+	leftAt: number | undefined;
 };
 
 /**
@@ -110,11 +116,9 @@
 	let isDisposed = false;
 	/** When the next check is due, in milliseconds of the clock that does not advance while this VM is suspended; `undefined` if none is. */
 	let checkAt: number | undefined;
-	let foreign: ForeignRequests = noForeignRequests;
 	let lastWarningAt = Number.NEGATIVE_INFINITY;
 	let checkTimer: NodeJS.Timeout | undefined;
 	let carefulTimer: NodeJS.Timeout | undefined;
-	let foreignTimer: NodeJS.Timeout | undefined;
 
 	const applyLimit = (next: ConcurrencyLimit): void => {
 		if (next === limit || isDisposed) {
@@ -138,19 +142,11 @@
 		releaseSlot: context.releaseSlot,
 	});
 
-	const applyForeign = (next: ForeignRequests): void => {
-		foreign = next;
-		clearTimeout(foreignTimer);
-		if (foreign.count > 0 && !isDisposed) {
-			foreignTimer = setTimeout(() => {
-				applyForeign(noForeignRequests);
-			}, maxForeignMs);
-		}
-
-		if (foreign.count !== limit.foreign) {
-			applyLimit({...limit, foreign: foreign.count});
+	const foreign = createForeignWork(count => {
+		if (count !== limit.foreign) {
+			applyLimit({...limit, foreign: count});
 		}
-	};
+	});
 
 	const applyReport = (report: LoadReport, {minUnknown, maxUnknown}: ReportComparison): void => {
 		hasReported = true;
@@ -159,7 +155,7 @@
 		}
 
 		held.applyReport(maxUnknown);
-		applyForeign(recordForeignRequests(foreign, Math.max(0, minUnknown - held.count()), limit.isCareful, readSteadyMs()));
+		foreign.applyReport(Math.max(0, minUnknown - held.count()), limit.isCareful);
 	};
 
 	const endCarefulStart = (): void => {
@@ -253,6 +249,33 @@
 		}
 	};
 
+	const describeGivenUp = ({call, request}: Watched): Omit<HeldRequest, 'heldAt'> => ({
+		id: request.id, call: call.id, sentAt: readSteadyMs() - (readAwakeMs() - request.sentAt), deadlineAt: call.deadlineAt,
+	});
+
+	/** Records the end of a request. Returns whether its slot is held. */
+	const finish = (watched: Watched, result: ExchangeResult): boolean => {
+		const {request, call} = watched;
+		const isAnswered = result.type === 'answered';
+		watchedById.delete(request.id);
+		if (!isAnswered && watched.hang === undefined) {
+			logOverdue(watched);
+		}
+
+		requests.finish(request, isAnswered);
+		if (isAnswered) {
+			recordAnswered(request, result.status);
+			return false;
+		}
+
+		const isHeld = !isDisposed && hasReported && mayStillRun(result) && watched.hang?.kind !== 'not-reported' && call.deadlineAt > readSteadyMs();
+		if (isHeld) {
+			held.hold(describeGivenUp(watched));
+		}
+
+		return isHeld;
+	};
+
 	return {
 		watch(call) {
 			if (limit.isCareful && carefulTimer === undefined) {
@@ -261,7 +284,7 @@
 
 			const request = requests.send(readAwakeMs());
 			const watched: Watched = {
-				call, request, handleHang: undefined, hang: undefined,
+				call, request, handleHang: undefined, hang: undefined, leftAt: undefined,
 			};
 			watchedById.set(request.id, watched);
 			return {
@@ -280,27 +303,25 @@
 
 					scheduleCheck(true);
 				},
-				finish(result) {
-					const isAnswered = result.type === 'answered';
-					watchedById.delete(request.id);
-					if (!isAnswered && watched.hang === undefined) {
-						logOverdue(watched);
-					}
-
-					requests.finish(request, isAnswered);
-					if (isAnswered) {
-						recordAnswered(request, result.status);
-						return false;
+				leave() {
+					if (isDisposed || !hasReported || watched.hang !== undefined) {
+						return undefined;
 					}
 
-					const isHeld = !isDisposed && hasReported && mayStillRun(result) && watched.hang?.kind !== 'not-reported' && call.deadlineAt > readSteadyMs();
-					if (isHeld) {
-						held.hold({
-							id: request.id, call: call.id, sentAt: readSteadyMs() - (readAwakeMs() - request.sentAt), deadlineAt: call.deadlineAt,
-						});
+					const waitMs = computeLateWaitMs({
+						expected: requests.countExpected() - 1, held: held.count(), slotLimit, ageMs: readAwakeMs() - request.sentAt, serviceMs: context.getServiceMs(),
+					});
+					watched.leftAt = waitMs === undefined ? undefined : readSteadyMs();
+					return waitMs;
+				},
+				finish: result => watched.leftAt !== undefined || finish(watched, result),
+				finishLate(result) {
+					if (finish(watched, result)) {
+						return;
 					}
 
-					return isHeld;
+					held.recordResponse({...describeGivenUp(watched), heldAt: watched.leftAt ?? readSteadyMs()});
+					context.releaseSlot();
 				},
 			};
 		},
@@ -313,7 +334,7 @@
 			isDisposed = true;
 			clearTimeout(checkTimer);
 			clearTimeout(carefulTimer);
-			clearTimeout(foreignTimer);
+			foreign.dispose();
 			held.dispose();
 		},
 	};
--- a/src/lib/forwarding/hanging-server.test.ts
+++ b/src/lib/forwarding/hanging-server.test.ts
@@ -237,6 +237,51 @@
 	assert.equal(fixture.gate.describe()?.running, 0);
 });
 
+/** Fills the slots with long requests whose callers then leave. */
+async function leaveAllSlots(fixture: Fixture): Promise<void> {
+	const scopes = Array.from({length: slots}, () => createCallScope(performance.now() + 2000));
+	const left = Promise.all(scopes.map(async scope => fixture.run('/slow', scope)));
+	await expectSoon('the server has the requests', () => fixture.takeMaxRunning() === slots);
+	for (const scope of scopes) {
+		scope.end('cancelled');
+	}
+
+	for (const {result} of await left) {
+		assert.ok(result.type === 'failed');
+		assert.deepEqual([result.verdict, result.reason], ['may-have-run', 'cancelled']);
+	}
+}
+
+// Guards against a server that gets nothing until the deadlines of requests whose callers left.
+test('if the callers of all slots leave, a request is sent soon, and its response shows which slots are free', async context => {
+	const fixture = await createFixture(context);
+	await prepareServiceTimes(fixture);
+	await leaveAllSlots(fixture);
+	const startedAt = performance.now();
+	await fixture.runShort(1);
+	const tookMs = performance.now() - startedAt;
+	assert.ok(tookMs < slowMs - 150, `${tookMs} ms`);
+	assert.ok(fixture.takeMaxRunning() <= slots + (slots / 2));
+	await sleep(slowMs);
+	await fixture.runShort(1);
+	assert.equal(fixture.gate.describe()?.running, 0);
+	assert.equal(fixture.gate.getSlotLimit(), slots);
+});
+
+// Guards against a slot that is never released because the connection ends while the response is awaited.
+test('a slot whose response is awaited after its caller left is free again if the server closes the connection', async context => {
+	const fixture = await createFixture(context);
+	await prepareServiceTimes(fixture);
+	await leaveAllSlots(fixture);
+	const awaited = [...fixture.targetsBySocket].filter(([socket, targets]) => !socket.destroyed && targets.at(-1) === '/slow');
+	assert.ok(awaited.length > 0);
+	for (const [socket] of awaited) {
+		socket.destroy();
+	}
+
+	await expectSoon('their slots are free', () => fixture.gate.describe()?.running === slots - awaited.length);
+});
+
 // Guards against a restarted gate that fills a server which still works for its earlier run.
 test('a gate that started after its server uses half of the slots until the first report, and then what the report leaves', async context => {
 	const fixture = await createFixture(context);
--- a/src/lib/forwarding/held-requests.ts
+++ b/src/lib/forwarding/held-requests.ts
@@ -28,6 +28,8 @@
 	/** Releases requests until at most `maxCount` are held, which the server may still have by its load report. */
 	readonly applyReport: (maxCount: number) => void;
 	readonly count: () => number;
+	/** Logs that the late response to a request has arrived, or that its connection has ended. It was not held, and its caller releases its slot. */
+	readonly recordResponse: (request: HeldRequest) => void;
 	/** Stops the timer and releases all slots, because the server has ended. */
 	readonly dispose: () => void;
 };
@@ -82,6 +84,9 @@
 			}
 		},
 		count: () => held.length,
+		recordResponse(request) {
+			logRelease(request, 'responded');
+		},
 		dispose() {
 			isDisposed = true;
 			apply({held: [], released: held}, 'server-ended');
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -159,6 +159,7 @@
 		releaseSlot() {
 			slots.release(undefined);
 		},
+		getServiceMs: () => slots.describe().serviceMs,
 	});
 	const slots = createSlotPool(hangWatch.getSlotLimit());
 	const pool = createServerConnectionPool({
@@ -258,6 +259,7 @@
 				watched.recordResponse(notices.recordLoad(headers), headers[headerNames.signature] !== undefined && headers[headerNames.notRun] === undefined);
 			},
 			listenForHang: watched.listenForHang,
+			lateResponse: {computeWaitMs: watched.leave, handleEnd: watched.finishLate},
 		});
 		finishRequest();
 		if (watched.finish(result)) {
