Hanging servers: slots are held for callers that left also before the server's first response

Requests hung that no fault of a server caused: up to ten at a server that holds nine, while callers leave after 60 of 150 ms ('callers that leave early: no request hangs', 2 of 3 runs of the whole file, 0 of 3 alone).

Cause: slots were held only once the server had sent a load report, so that before its first response each slot was free as soon as its caller left. Evidence: at the server that overflowed six requests arrive within 2 ms, and four more 70 ms later, with no held-slot-released line before; it had run no request yet in six of six such runs, and had in six of six without a hang. Warm, twelve runs of six loads never had more than six at a server, which rules out releases by reports.

The slot is held unless the server is known to send no reports; its first response tells. Servers queue at least one request, which the test of a server with one slot needs.

The search for hangs has a module of its own, since hang-watch.ts had grown.

--- a/src/lib/decisions/concurrency-limit.ts
+++ b/src/lib/decisions/concurrency-limit.ts
@@ -30,7 +30,7 @@
 /** Part of the limit that is used while the server may still work on requests of an earlier run. That run had as many at most, so the sum exceeds the limit by no more than half, which servers queue. */
 const carefulShare = 0.5;
 
-/** Requests that servers queue beside those that they execute, at least, as a part of the limit. */
+/** Requests that servers queue beside those that they execute, as a part of the limit: at least these, and at least one. */
 const queuedShare = 0.5;
 
 /**
@@ -72,7 +72,7 @@
 
 /** Returns whether the limit leaves room for one request beside the held ones in the queue of the server, which has proved no smaller than it announced. */
 function hasQueueRoom({isCareful, hangLimit, foreign, held}: ConcurrencyLimit, usual: number): boolean {
-	return !isCareful && hangLimit === undefined && held + foreign < usual + Math.floor(usual * queuedShare);
+	return !isCareful && hangLimit === undefined && held + foreign < usual + Math.max(1, Math.floor(usual * queuedShare));
 }
 
 /**
--- a/src/lib/decisions/held-slots.ts
+++ b/src/lib/decisions/held-slots.ts
@@ -19,8 +19,8 @@
 /** In the order in which they were given up. @internal */
 export type HeldRequests = readonly HeldRequest[];
 
-/** Why a held slot is released: a load report shows that the server no longer has the request, its deadline has passed, its late response has arrived, or the server has ended. @internal */
-export type ReleaseCause = 'reported' | 'deadline' | 'responded' | 'server-ended';
+/** Why a held slot is released: a load report shows that the server no longer has the request, its deadline has passed, its late response has arrived, the server sends no load reports, or it has ended. @internal */
+export type ReleaseCause = 'reported' | 'deadline' | 'responded' | 'no-reports' | 'server-ended';
 
 /** The requests that still count as running, and those that no longer do. @internal */
 export type HeldStep = {readonly held: HeldRequests; readonly released: HeldRequests};
--- a/src/lib/forwarding/hang-watch.ts
+++ b/src/lib/forwarding/hang-watch.ts
@@ -3,11 +3,11 @@
  * the callers from requests that it never responds to. The decisions are in `server-requests.ts`
  * and `concurrency-limit.ts`; this module holds their state and the timers.
  *
- * Hangs are looked for, and slots held, only while the server sends load reports.
+ * Hangs are looked for only if the server sends load reports. Slots are held unless it is known to send none.
  *
  * @module
  */
-import {clampTimerMs, readAwakeMs, readSteadyMs} from '../common/clock.js';
+import {readAwakeMs, readSteadyMs} from '../common/clock.js';
 import {type BackendServerId} from '../common/ids.js';
 import {
 	computeCapacity, computeSlotLimit, createConcurrencyLimit, lowerAfterHang, recordAnswer, type ConcurrencyLimit,
@@ -20,6 +20,7 @@
 import {type LogLevel, type MeshLog} from '../timeline/mesh-log.js';
 import {type ExchangeResult} from './exchange.js';
 import {createForeignWork} from './foreign-work.js';
+import {createHangSearch} from './hang-search.js';
 import {createHeldRequests} from './held-requests.js';
 
 /** @internal */
@@ -70,12 +71,6 @@
 	readonly dispose: () => void;
 };
 
-/** A request counts as hung only after this multiple of the 99th percentile of the service times. */
-const hangFactor = 4;
-
-/** No request counts as hung sooner, in milliseconds: pauses of a VM with a quarter of a core take this long. It is below the shortest latency objective of the users. */
-const minHangMs = 150;
-
 /** Longest careful start in milliseconds: the usual time of the longest requests on a slow VM. Usually the first response ends it. */
 const maxCarefulMs = 500;
 
@@ -86,6 +81,9 @@
 const mayStillRun = (result: ExchangeResult): boolean =>
 	result.type === 'failed' && result.isSent && (result.reason === 'cancelled' || result.reason === 'superseded' || result.reason === 'hung' || result.reason === 'wrong-answer');
 
+/** Whether the server sends load reports: unknown until it has executed a request. */
+type Reporting = 'unknown' | 'reports' | 'no-reports';
+
 /** A request with the function that ends it. */
 type Watched = {
 	readonly call: WatchedCall;
@@ -111,13 +109,9 @@
 	const watchedById = new Map<number, Watched>();
 	let limit = createConcurrencyLimit(slots, isCareful);
 	let slotLimit = computeSlotLimit(limit);
-	/** Whether the server sends load reports. */
-	let hasReported = false;
+	let reporting: Reporting = 'unknown';
 	let isDisposed = false;
-	/** When the next check is due, in milliseconds of the clock that does not advance while this VM is suspended; `undefined` if none is. */
-	let checkAt: number | undefined;
 	let lastWarningAt = Number.NEGATIVE_INFINITY;
-	let checkTimer: NodeJS.Timeout | undefined;
 	let carefulTimer: NodeJS.Timeout | undefined;
 
 	const applyLimit = (next: ConcurrencyLimit): void => {
@@ -149,7 +143,7 @@
 	});
 
 	const applyReport = (report: LoadReport, {minUnknown, maxUnknown}: ReportComparison): void => {
-		hasReported = true;
+		reporting = 'reports';
 		if (report.slots !== limit.reportedSlots) {
 			applyLimit({...limit, reportedSlots: report.slots});
 		}
@@ -158,6 +152,17 @@
 		foreign.applyReport(Math.max(0, minUnknown - held.count()), limit.isCareful);
 	};
 
+	/** Whether the slot of a request that is given up stays taken. The first requests may be given up before any response shows whether the server sends reports. */
+	const mayHoldSlots = (): boolean => !isDisposed && reporting !== 'no-reports';
+
+	/** Records that the server executed a request without sending a report. No report will release the held slots. */
+	const recordMissingReport = (): void => {
+		if (reporting === 'unknown') {
+			reporting = 'no-reports';
+			held.releaseAll('no-reports');
+		}
+	};
+
 	const endCarefulStart = (): void => {
 		clearTimeout(carefulTimer);
 		if (limit.isCareful) {
@@ -165,9 +170,7 @@
 		}
 	};
 
-	const getUsualMs = (): number | undefined => hasReported && !isDisposed ? serviceTimes.getPercentile() : undefined;
-
-	const computeThresholdMs = (usualMs: number): number => Math.max(minHangMs, usualMs * hangFactor);
+	const getUsualMs = (): number | undefined => reporting === 'reports' && !isDisposed ? serviceTimes.getPercentile() : undefined;
 
 	const chooseLogLevel = (now: number): LogLevel => {
 		if (now - lastWarningAt < minWarningIntervalMs) {
@@ -194,57 +197,29 @@
 		}
 	};
 
-	/** Logs a request that ended without a response after the time at which requests count as hung. */
-	const logOverdue = ({call, request}: Watched): void => {
-		const usualMs = getUsualMs();
-		const silence = usualMs === undefined ? undefined : requests.describeSilence(request, computeThresholdMs(usualMs), readAwakeMs());
-		if (usualMs !== undefined && silence !== undefined) {
-			context.log.record('info', {
-				kind: 'request-overdue', call: call.id, server: context.server, ageMs: Math.round(readAwakeMs() - request.sentAt), usualMs: Math.round(usualMs), ...silence,
-			});
-		}
-	};
-
-	const check = (): void => {
-		checkAt = undefined;
-		const usualMs = getUsualMs();
-		if (usualMs === undefined) {
-			return;
-		}
-
-		for (const hang of requests.findHung(computeThresholdMs(usualMs), readAwakeMs())) {
+	const hangSearch = createHangSearch({
+		requests, getUsualMs,
+		handleHang(hang, usualMs) {
 			const watched = watchedById.get(hang.request.id);
 			if (watched !== undefined) {
 				handleHang(watched, hang, usualMs);
 			}
-		}
-
-		scheduleCheck(false);
-	};
-
-	/** Runs the check after the sockets have been read, so that a response that has arrived is delivered. */
-	const checkAfterReads = (): void => {
-		checkTimer = undefined;
-		setImmediate(check);
-	};
+		},
+	});
 
-	/** Schedules the next check, unless one is due sooner. */
-	const scheduleCheck = (hasEvidence: boolean): void => {
-		const usualMs = getUsualMs();
-		const now = readAwakeMs();
-		const nextAt = usualMs === undefined ? undefined : requests.computeNextCheck(computeThresholdMs(usualMs), now, hasEvidence);
-		if (nextAt === undefined || (checkAt !== undefined && checkAt <= nextAt)) {
-			return;
+	/** Logs a request that ended without a response after the time at which requests count as hung. */
+	const logOverdue = ({call, request}: Watched): void => {
+		const silence = hangSearch.describeSilence(request);
+		if (silence !== undefined) {
+			context.log.record('info', {
+				kind: 'request-overdue', call: call.id, server: context.server, ageMs: Math.round(readAwakeMs() - request.sentAt), ...silence,
+			});
 		}
-
-		checkAt = nextAt;
-		clearTimeout(checkTimer);
-		checkTimer = setTimeout(checkAfterReads, clampTimerMs(Math.ceil(nextAt - now) + 1));
 	};
 
 	const recordAnswered = ({sentAt}: SentRequest, status: number): void => {
 		applyLimit(recordAnswer(limit));
-		if (hasReported && status < 500) {
+		if (reporting === 'reports' && status < 500) {
 			serviceTimes.record(readAwakeMs() - sentAt);
 		}
 	};
@@ -268,7 +243,7 @@
 			return false;
 		}
 
-		const isHeld = !isDisposed && hasReported && mayStillRun(result) && watched.hang?.kind !== 'not-reported' && call.deadlineAt > readSteadyMs();
+		const isHeld = mayHoldSlots() && mayStillRun(result) && watched.hang?.kind !== 'not-reported' && call.deadlineAt > readSteadyMs();
 		if (isHeld) {
 			held.hold(describeGivenUp(watched));
 		}
@@ -295,16 +270,18 @@
 					const comparison = requests.recordResponse(request, report, readAwakeMs(), held.count());
 					if (report !== undefined && comparison !== undefined) {
 						applyReport(report, comparison);
+					} else if (isExecuted) {
+						recordMissingReport();
 					}
 
 					if (isExecuted) {
 						endCarefulStart();
 					}
 
-					scheduleCheck(true);
+					hangSearch.schedule(true);
 				},
 				leave() {
-					if (isDisposed || !hasReported || watched.hang !== undefined) {
+					if (!mayHoldSlots() || watched.hang !== undefined) {
 						return undefined;
 					}
 
@@ -332,7 +309,7 @@
 		getSlotLimit: () => slotLimit,
 		dispose() {
 			isDisposed = true;
-			clearTimeout(checkTimer);
+			hangSearch.dispose();
 			clearTimeout(carefulTimer);
 			foreign.dispose();
 			held.dispose();
--- a/src/lib/forwarding/hanging-server.test.ts
+++ b/src/lib/forwarding/hanging-server.test.ts
@@ -268,6 +268,20 @@
 	assert.equal(fixture.gate.getSlotLimit(), slots);
 });
 
+// Guards against requests beyond the slots of a server of which nothing is known, not even whether it sends load reports.
+test('callers that leave before the first response keep their slots taken, until it shows that the server sends no load reports', async context => {
+	for (const sendsReports of [true, false]) {
+		const fixture = await createFixture(context, {sendsReports});
+		fixture.announce();
+		await leaveAllSlots(fixture);
+		await sleep(workMs);
+		assert.equal(fixture.gate.describe()?.running, slots, 'a slot was released');
+		await fixture.runShort(1);
+		assert.equal(fixture.gate.describe()?.running, sendsReports ? slots : 0, `the server sends ${sendsReports ? '' : 'no '}reports`);
+		assert.ok(fixture.takeMaxRunning() <= slots + (slots / 2));
+	}
+});
+
 // Guards against a slot that is never released because the connection ends while the response is awaited.
 test('a slot whose response is awaited after its caller left is free again if the server closes the connection', async context => {
 	const fixture = await createFixture(context);
--- a/src/lib/forwarding/held-requests.ts
+++ b/src/lib/forwarding/held-requests.ts
@@ -30,6 +30,8 @@
 	readonly count: () => number;
 	/** Logs that the late response to a request has arrived, or that its connection has ended. It was not held, and its caller releases its slot. */
 	readonly recordResponse: (request: HeldRequest) => void;
+	/** Releases all slots. */
+	readonly releaseAll: (cause: ReleaseCause) => void;
 	/** Stops the timer and releases all slots, because the server has ended. */
 	readonly dispose: () => void;
 };
@@ -72,6 +74,10 @@
 		scheduleExpiry();
 	};
 
+	const releaseAll = (cause: ReleaseCause): void => {
+		apply({held: [], released: held}, cause);
+	};
+
 	return {
 		hold(request) {
 			held = [...held, {...request, heldAt: readSteadyMs()}];
@@ -87,9 +93,10 @@
 		recordResponse(request) {
 			logRelease(request, 'responded');
 		},
+		releaseAll,
 		dispose() {
 			isDisposed = true;
-			apply({held: [], released: held}, 'server-ended');
+			releaseAll('server-ended');
 		},
 	};
 }
