Retries: one that reaches no server stays in the budget, on sidecar nodes and on the product's own node

Callers got the first failure although their route allows another attempt: calls of a service with one full server, or whose other servers are all full, used up the retries without making any. On the product's own node that hits all services, since the budget is one for all.

Cause: a retry was taken when an attempt had failed, before it was known that a further server takes the request.

The product's own node takes the retry once the server is chosen. On sidecar nodes a retry allows an arrival at any of several gates; what reached none when the call ends, with no attempt in flight, is given back to its slice of the window. What may have arrived is never given back, so the bound over all nodes is as it was.

--- a/src/lib/calls/run-attempts.ts
+++ b/src/lib/calls/run-attempts.ts
@@ -181,10 +181,10 @@
 	}
 }
 
-function mayRetry(context: AttemptContext, outgoing: OutgoingCall, verdict: Verdict, attempts: number): boolean {
+function mayRetry(outgoing: OutgoingCall, verdict: Verdict, attempts: number): boolean {
 	const {decision} = outgoing.plan;
 	const isSafe = verdict === 'not-run' || decision.isRepeatable;
-	return isSafe && attempts < decision.attempts && !outgoing.signal.aborted && readNow() < outgoing.deadline && context.budget.tryAcquire();
+	return isSafe && attempts < decision.attempts && !outgoing.signal.aborted && readNow() < outgoing.deadline;
 }
 
 /**
@@ -199,7 +199,7 @@
 	const {plan, call} = outgoing;
 	const tried = new Set<BackendServerId>();
 	let verdict: Verdict = 'not-run';
-	let lastFailure: FailedAttempt | undefined;
+	let last: {readonly failure: FailedAttempt; readonly server: BackendServerId} | undefined;
 	let isStreamOpen = false;
 	const watched: OutgoingCall = outgoing.body.type === 'stream'
 		? {
@@ -224,14 +224,21 @@
 			domain: context.domain,
 			tried,
 			// After a lost connection, the same server may answer a retry. A server that shed the request or is unreachable would probably fail again.
-			mayReuse: lastFailure?.reason === 'connection-lost',
+			mayReuse: last?.failure.reason === 'connection-lost',
 			getLoad: context.loads.get,
 			now: readNow(),
 			random: context.random,
 		});
 		if (target === undefined) {
 			return {
-				result: lastFailure ?? createUnsentFailure(context, plan.pool.service), verdict, attempts, server: undefined,
+				result: last?.failure ?? createUnsentFailure(context, plan.pool.service), verdict, attempts, server: undefined,
+			};
+		}
+
+		// Only now is it certain that the attempt is made, so that the budget counts no others.
+		if (last !== undefined && !context.budget.tryAcquire()) {
+			return {
+				result: last.failure, verdict, attempts, server: last.server,
 			};
 		}
 
@@ -255,9 +262,9 @@
 		}
 
 		context.loads.recordEnd(id);
-		lastFailure = result;
+		last = {failure: result, server: id};
 		verdict = mergeVerdicts(verdict, result.verdict);
-		if (isStreamOpen || quarantineDecision.type === 'trial' || isCrashSuspected(result) || !mayRetry(context, outgoing, verdict, attempts + 1)) {
+		if (isStreamOpen || quarantineDecision.type === 'trial' || isCrashSuspected(result) || !mayRetry(outgoing, verdict, attempts + 1)) {
 			return {
 				result, verdict, attempts: attempts + 1, server: id,
 			};
--- a/src/lib/decisions/mesh-retry-budget.test.ts
+++ b/src/lib/decisions/mesh-retry-budget.test.ts
@@ -132,3 +132,14 @@
 	budget.recordRequest('logview', false, 0);
 	assert.equal(budget.tryAcquire('logview', 'may-have-run', 0), true);
 });
+
+// Guards against a budget that grows by retries which no longer count.
+test('a retry that is given back may be taken again, and changes nothing once it has left the window', () => {
+	const budget = createMeshRetryBudget(() => limits, () => 12);
+	const all = takeAll(budget, 'logview', 0);
+	budget.giveBack('logview', 'turned-away', 0, 500);
+	assert.equal(takeAll(budget, 'logview', 600), 1);
+	const later = limits.windowMs * 2;
+	budget.giveBack('logview', 'turned-away', 0, later);
+	assert.equal(takeAll(budget, 'logview', later), all);
+});
--- a/src/lib/decisions/mesh-retry-budget.ts
+++ b/src/lib/decisions/mesh-retry-budget.ts
@@ -34,6 +34,8 @@
 	readonly recordRequest: (service: string, isNestedCall: boolean, now: number) => void;
 	/** Takes one retry from the budget; returns whether one was left. */
 	readonly tryAcquire: (service: string, reason: RetryReason, now: number) => boolean;
+	/** Returns a retry to the budget that was taken at `takenAt` and reached no backend server. */
+	readonly giveBack: (service: string, reason: RetryReason, takenAt: number, now: number) => void;
 	/** Returns how many retries this node may still send to a service. */
 	readonly countRemaining: (service: string, reason: RetryReason, now: number) => number;
 };
@@ -163,6 +165,15 @@
 			slice.possibleReruns += reason === 'may-have-run' ? 1 : 0;
 			return true;
 		},
+		giveBack(service, reason, takenAt, now) {
+			const slice = getRecentSlices(service, now).findLast(({startedAt}) => startedAt <= takenAt);
+			if (slice === undefined) {
+				return;
+			}
+
+			slice.retries--;
+			slice.possibleReruns -= reason === 'may-have-run' ? 1 : 0;
+		},
 		countRemaining,
 	};
 }
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -320,3 +320,23 @@
 	assert.ok(sent.length > 2);
 	assert.equal(loads.shareRefusals.isOverShare(press.name, performance.now() + 600), false);
 });
+
+// Guards against calls that get no second attempt because others took the retries and found every further server full.
+test('a retry that every further server refuses before it is sent is returned to the budget', async () => {
+	const full = createNotRun('full', 'x', 80);
+	const retryBudget = createMeshRetryBudget(() => ({ratio: 0, slack: 10, windowMs: 10_000}), () => 1);
+	const countRetries = (): number => retryBudget.countRemaining('logview', 'may-have-run', performance.now());
+	const before = countRetries();
+	assert.ok(before > 0);
+	const {context, sent} = createFixture({a: Array.from({length: 9}, () => failed), b: Array.from({length: 99}, () => full)}, {retryBudget});
+	for (let count = 0; count < 5; count++) {
+		const {result, verdict} = await sendCall(context, createCall());
+		assert.deepEqual([result.type === 'answered' ? result.status : result.reason, verdict], [500, 'ran']);
+	}
+
+	assert.ok(sent.some(({server}) => server === 'b'));
+	assert.equal(countRetries(), before);
+	const spent = createFixture({a: [failed, failed, failed], b: [failed, failed, failed]}, {retryBudget});
+	await sendCall(spent.context, createCall());
+	assert.equal(countRetries(), before - 1, 'a retry that was sent counts');
+});
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -66,6 +66,9 @@
 	/** How many servers the call may reach: one, plus one for each retry taken from the retry budget. */
 	let allowedArrivals = 1;
 
+	/** The retries taken, in their order. */
+	const takenRetries: Array<{readonly reason: RetryReason; readonly at: number}> = [];
+
 	/** Whether the latest attempt is a trial of a quarantined request, which may crash its server. */
 	let isTrial = false;
 
@@ -75,14 +78,24 @@
 		progress.countArrivals() + running.count() < route.maxAttempts && context.retryBudget.countRemaining(service, reason, readSteadyMs()) > 0;
 
 	const takeRetry = (reason: RetryReason): boolean => {
-		if (progress.countArrivals() + running.count() >= route.maxAttempts || !context.retryBudget.tryAcquire(service, reason, readSteadyMs())) {
+		const now = readSteadyMs();
+		if (progress.countArrivals() + running.count() >= route.maxAttempts || !context.retryBudget.tryAcquire(service, reason, now)) {
 			return false;
 		}
 
 		allowedArrivals++;
+		takenRetries.push({reason, at: now});
 		return true;
 	};
 
+	/** Returns the retries to the budget that reached no server, once no attempt is in flight. */
+	const giveBackRetries = (): void => {
+		const now = readSteadyMs();
+		for (const {reason, at} of takenRetries.splice(Math.max(0, progress.countArrivals() - 1))) {
+			context.retryBudget.giveBack(service, reason, at, now);
+		}
+	};
+
 	/** Whether the latest attempt counts as exposure to a version under test. */
 	let isTest = false;
 
@@ -163,6 +176,7 @@
 		}
 
 		progress.recordRefusal(failure);
+		giveBackRetries();
 		return progress.finishWithFallback();
 	};
 
@@ -229,7 +243,12 @@
 		}
 
 		if (!mayTryNext(result)) {
-			return running.count() > 0 ? undefined : progress.finishWithFallback();
+			if (running.count() > 0) {
+				return undefined;
+			}
+
+			giveBackRetries();
+			return progress.finishWithFallback();
 		}
 
 		// Refusals by gates are routine and only logged at debug level; the log line of the finished call contains them.
