--- a/stand-ins/wait-until.ts
+++ b/stand-ins/wait-until.ts
@@ -17,7 +17,8 @@
  * @returns Whether the condition held within the timeout.
  */
 export async function waitUntil(condition: () => boolean | Promise<boolean>, timeoutMs: number, pollMs: number = defaultPollMs): Promise<boolean> {
-	const deadline = Date.now() + timeoutMs;
+	// The time of day may jump, also when this VM has been suspended.
+	const deadline = performance.now() + timeoutMs;
 	do {
 		const holds = await settle((async () => condition())());
 		if (holds === true) {
@@ -25,7 +26,7 @@
 		}
 
 		await sleep(pollMs);
-	} while (Date.now() < deadline);
+	} while (performance.now() < deadline);
 
 	return false;
 }
