--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -159,8 +159,10 @@
 	{
 		promise: 'sidecar: a refused second attempt does not end a call while its attempt on an unresponsive node is in flight',
 		file: `${library}/forwarding/send-call.js`,
-		from: 'return running.count() > 0 ? undefined : progress.finishWithFallback();',
-		to: 'return progress.finishWithFallback();',
+		from: `if (running.count() > 0) {
+                return undefined;`,
+		to: `if (false) {
+                return undefined;`,
 		tests: `${library}/forwarding`,
 	},
 	{
@@ -221,9 +223,9 @@
 	},
 	{
 		promise: 'sidecar: a leave without a start time is refused while its lifetime is ambiguous after a restart',
-		file: `${library}/forwarding/local-gate.js`,
-		from: 'isAmbiguousLeave(state, leave, now)',
-		to: 'false',
+		file: `${library}/forwarding/local-sessions.js`,
+		from: 'if (isAmbiguousLeave(state, leave, now)) {',
+		to: 'if (false) {',
 		tests: 'platform',
 	},
 	{
@@ -256,8 +258,8 @@
 	},
 	{
 		promise: 'sidecar: a response with the id of another request is not forwarded',
-		file: `${library}/forwarding/server-session.js`,
-		from: 'return id === call.id ||',
+		file: `${library}/forwarding/convert-exchange.js`,
+		from: 'return foundId === id ||',
 		to: 'return true ||',
 		tests: 'platform',
 	},
@@ -487,8 +489,8 @@
 	},
 	{
 		promise: 'sidecar: a request in flight at an ended lifetime of a server is abandoned',
-		file: `${library}/forwarding/local-gate.js`,
-		from: 'session?.end();',
+		file: `${library}/forwarding/local-sessions.js`,
+		from: 'closed.end();',
 		to: '',
 		tests: `${library}/forwarding`,
 	},
@@ -739,8 +741,8 @@
 	},
 	{
 		promise: 'quarantine: requests in flight at a crash become suspects',
-		file: `${library}/forwarding/server-session.js`,
-		from: 'context.quarantine.recordCrash(lifetime, inFlight.map(({ fingerprint }) => fingerprint));',
+		file: `${library}/forwarding/crash-watch.js`,
+		from: 'quarantine.recordCrash(lifetime, inFlight.map(({ fingerprint }) => fingerprint));',
 		to: '',
 		tests: 'platform/crashing-requests.test.js',
 	},
@@ -774,7 +776,7 @@
 	},
 	{
 		promise: 'quarantine: a server that was replaced without a leave has crashed',
-		file: `${library}/forwarding/local-gate.js`,
+		file: `${library}/forwarding/local-sessions.js`,
 		from: 'closed.recordCrash();',
 		to: '',
 		tests: `${library}/forwarding/local-gate.test.js`,
@@ -921,7 +923,7 @@
 	},
 	{
 		promise: 'behind: a node with an outdated configuration does not answer 404',
-		file: `${library}/forwarding/entry-server.js`,
+		file: `${library}/forwarding/entry-refusals.js`,
 		from: 'if (context.isConfigOutdated()) {',
 		to: 'if (false) {',
 		tests: 'platform/outdated-config.test.js',
@@ -936,14 +938,14 @@
 	{
 		promise: 'workspace: a server never sees a key',
 		file: `${library}/forwarding/caller-access.js`,
-		from: '[names.workspace, names.authorization]',
-		to: '[names.workspace]',
+		from: '[...replaced, names.authorization]',
+		to: 'replaced',
 		tests: 'platform/keys-in-output.test.js',
 	},
 	{
-		promise: 'workspace: a caller cannot choose its workspace',
-		file: `${library}/forwarding/caller-access.js`,
-		from: 'headers[names.workspace] === undefined ? ',
+		promise: 'workspace: a server gets the workspace that holds the key',
+		file: `${library}/forwarding/server-session.js`,
+		from: '[headerNames.workspace]: call.workspace,',
 		to: '',
 		tests: 'platform/workspaces.test.js',
 	},
@@ -970,7 +972,7 @@
 	},
 	{
 		promise: 'workspace: a node that is behind does not answer 401 to an unknown key',
-		file: `${library}/forwarding/entry-server.js`,
+		file: `${library}/forwarding/entry-refusals.js`,
 		from: 'cause === \'unknown-key\' && context.isConfigOutdated()',
 		to: 'false',
 		tests: 'platform/outdated-config.test.js',
@@ -1003,4 +1005,46 @@
 		to: 'false',
 		tests: `${library}/workspaces`,
 	},
+	{
+		promise: 'hang: slots are held for callers that left before the first response',
+		file: `${library}/forwarding/hang-watch.js`,
+		from: '!isDisposed && reporting !== \'no-reports\'',
+		to: '!isDisposed && reporting === \'reports\'',
+		tests: `${library}/forwarding/hanging-server.test.js`,
+	},
+	{
+		promise: 'hang: a server is not idle while slots are held for callers that left',
+		file: `${library}/forwarding/exchange.js`,
+		from: 'else if (!waitForLateResponse(reason, \'call was cancelled\')) {',
+		to: 'else {',
+		tests: 'platform/leaving-callers.test.js',
+	},
+	{
+		promise: 'hang: a request more is sent if all slots are held',
+		file: `${library}/decisions/concurrency-limit.js`,
+		from: 'limit.held >= slots && hasQueueRoom(limit, usual)',
+		to: 'false',
+		tests: `${library}/forwarding/hanging-server.test.js`,
+	},
+	{
+		promise: 'hang: each request that takes too long is looked at',
+		file: `${library}/decisions/server-requests.js`,
+		from: 'if (now <= sentAt + thresholdMs) {',
+		to: 'if (now > sentAt + thresholdMs) { return undefined; } else {',
+		tests: `${library}/forwarding/hanging-server.test.js`,
+	},
+	{
+		promise: 'retry: no attempt is made without a retry of the budget',
+		file: `${library}/calls/run-attempts.js`,
+		from: 'last !== undefined && !context.budget.tryAcquire()',
+		to: 'false',
+		tests: `${library}/calls`,
+	},
+	{
+		promise: 'retry: a retry that reaches no server is given back',
+		file: `${library}/forwarding/send-call.js`,
+		from: 'context.retryBudget.giveBack(service, reason, at, now);',
+		to: '',
+		tests: `${library}/forwarding/send-call.test.js`,
+	},
 ];
