--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -1029,8 +1029,8 @@
 	{
 		promise: 'hang: each request that takes too long is looked at',
 		file: `${library}/decisions/server-requests.js`,
-		from: 'if (now <= sentAt + thresholdMs) {',
-		to: 'if (now > sentAt + thresholdMs) { return undefined; } else {',
+		from: 'if (!isSilent || isHung) {',
+		to: 'if (isSilent && now > sentAt + thresholdMs && !hasEvidence) { return undefined; } if (!isSilent) {',
 		tests: `${library}/forwarding/hanging-server.test.js`,
 	},
 	{
