Review: a SIGTERM drops the answer to a request that was pipelined behind another

A client that has sent two safe requests on one kept connection shortly before the second readiness miss gets the answer to the first with `Connection: close`, and nothing to the second, although both were passed on and both backend servers have answered (rule LOST). At fault, as far as known: getClosingHeaders in forwarding/entry-refusals.ts, which closes the connection with any response from 2.3 s after the SIGTERM on, also if further requests on that connection are in flight.

--- /dev/null
+++ b/review/1/run.js
@@ -0,0 +1,140 @@
+/**
+ * LOST around a SIGTERM: a client pipelines two safe requests on a kept connection of a node
+ * that is stopped in order. Both are passed on to backend servers.
+ *
+ * @module
+ */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {
+	createConfig, readMs, runCase, waitFor,
+} from '../harness.js';
+import {openConnection} from '../pipelining-client.js';
+
+/** Figures of the sheet: grace period, time budget of `log-read`, and the pause between two questions for readiness. */
+const graceMs = 6000;
+const budgetMs = 2500;
+const readinessPeriodMs = 1000;
+/** Within the sheet's work of `log-read`, 120 ms on average and 720 ms at most. */
+const workMs = 650;
+/** A client sends a pair this often. */
+const pairPeriodMs = 100;
+/** Requests are counted until one second after the grace period. */
+const countedMs = graceMs + 1000;
+
+const play = async (mesh, hasTrouble) => {
+	mesh.store.putConfig(createConfig(1, [{prefix: '/logs/', service: 'logview'}]));
+	const nodes = [];
+	for (const [index, zone] of ['hall-a', 'hall-b', 'hall-c'].entries()) {
+		nodes.push(await mesh.startNode({name: `n${index + 1}`, zone, service: 'logview'}));
+	}
+
+	const servers = [];
+	for (const [index, node] of nodes.entries()) {
+		servers.push(await mesh.startServer(node, {id: `i-${index + 1}`, workMs: () => workMs}));
+	}
+
+	const [stopped] = nodes;
+	const sent = new Map();
+	const connections = [];
+	let count = 0;
+	let termAt;
+	const handleEnd = (request, end) => {
+		const known = sent.get(request.id);
+		known.endedAt = readMs();
+		known.end = end;
+		mesh.record({
+			event: end.status === 0 ? 'client-connection-ended' : 'client-answered', id: request.id, status: end.status, afterClosingAnswer: end.isClosing,
+		});
+	};
+
+	const sendPair = () => {
+		let connection = connections.find(candidate => candidate.isIdle());
+		if (connection === undefined) {
+			connection = openConnection(stopped.outbound, handleEnd);
+			connections.push(connection);
+		}
+
+		const pair = [0, 1].map(place => {
+			count++;
+			return {
+				id: `r${count}`, target: `/logs/${count}`, leftMs: budgetMs, place,
+			};
+		});
+		for (const request of pair) {
+			sent.set(request.id, {...request, sentAt: readMs()});
+			mesh.record({event: 'client-sends', id: request.id, place: request.place});
+		}
+
+		connection.send(pair);
+	};
+
+	await waitFor('a request is served', async () => {
+		if (sent.size === 0) {
+			sendPair();
+		}
+
+		return [...sent.values()].some(({end}) => end?.status === 200);
+	});
+
+	// The client asks for readiness once a second and sends no new work after two misses.
+	let misses = 0;
+	let isAsking = true;
+	let askedAt = 0;
+	const ask = async () => {
+		const isReady = await mesh.isReady(stopped);
+		misses = isReady ? 0 : misses + 1;
+		mesh.record({event: 'readiness', isReady});
+		askedAt = readMs();
+	};
+
+	const asking = (async () => {
+		while (isAsking) {
+			await ask();
+			await sleep(readinessPeriodMs);
+		}
+	})();
+	const startedAt = readMs();
+	while (readMs() - startedAt < 6000) {
+		if (misses < 2) {
+			sendPair();
+		}
+
+		// The signal comes shortly after a question, so that the second miss is nearly two seconds away.
+		if (hasTrouble && termAt === undefined && readMs() - startedAt > 2000 && readMs() - askedAt < pairPeriodMs * 2) {
+			termAt = readMs();
+			mesh.signal(stopped, 'SIGTERM');
+		}
+
+		await sleep(pairPeriodMs);
+	}
+
+	await sleep(countedMs - 4000);
+	isAsking = false;
+	await asking;
+	for (const connection of connections) {
+		connection.close();
+	}
+
+	const runs = servers.flatMap(server => server.runs);
+	const broken = [];
+	for (const {id, sentAt, endedAt, end} of sent.values()) {
+		const ran = runs.filter(run => run.id === id);
+		const isCounted = end?.status === 0 && ran.length > 0 && endedAt - sentAt < budgetMs;
+		// The worker may still be at work in the last sixth of the grace period.
+		const isExcused = ran.some(run => termAt !== undefined && run.endedAt - termAt >= graceMs * 5 / 6);
+		if (isCounted && !isExcused) {
+			const {server, at, isCut} = ran[0];
+			const outcome = isCut ? 'its server was cut off at work' : 'its server had answered';
+			const sending = `request ${id}, sent ${sentAt - termAt} ms after SIGTERM, was passed on to ${server} ${at - termAt} ms after it`;
+			broken.push(`LOST: ${sending}, and its connection ended without an answer after ${endedAt - sentAt} ms; ${outcome}`);
+		}
+	}
+
+	const ends = [...sent.values()].map(({end}) => end?.status);
+	process.stdout.write(`${ends.length} requests sent, ${ends.filter(status => status === 200).length} answered with 200, ${ends.filter(status => status === undefined).length} open\n`);
+	return broken;
+};
+
+process.exitCode = await runCase(fileURLToPath(new URL('.', import.meta.url)), play);
