Review: a leave is forgotten when the node that acknowledged it is killed

A backend server that leaves without reporting `draining` gets requests for many seconds after its leave was acknowledged, if the node beside it is killed and a heartbeat that was sent before the leave arrives late at the restarted process (rule DRAIN). At fault, as far as known: ended lifetimes are kept only in the memory of that node (local-server/local-server-updates.ts), and the peer table accepts a lifetime as ready that it has known as leaving.

--- /dev/null
+++ b/review/2/run.js
@@ -0,0 +1,98 @@
+/**
+ * DRAIN after a kill: a server says that it leaves, the node beside it acknowledges that and is
+ * killed, and a heartbeat that the server had sent before arrives late at the restarted node.
+ *
+ * @module
+ */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {
+	createConfig, readMs, runCase, sendRequest, waitFor,
+} from '../harness.js';
+
+/** Figures of the sheet. */
+const drainTimeoutMs = 2000;
+const contactWindowMs = 3000;
+const budgetMs = 2500;
+const workMs = 30;
+/** How late the heartbeat arrives. */
+const lateMs = 2500;
+/** How long the server goes on serving after the acknowledgement of its leave. */
+const servesMs = 9000;
+const callPeriodMs = 20;
+/** A process that was killed is started again after this delay. */
+const restartMs = 500;
+/** Zone and service of each machine. The client is on the last one, whose zone has one server of the service. */
+const machines = [['hall-a', 'logview'], ['hall-b', 'logview'], ['hall-a', 'releasehall']];
+
+const play = async (mesh, hasTrouble) => {
+	mesh.store.putConfig(createConfig(1, [{prefix: '/logs/', service: 'logview'}, {prefix: '/hall/', service: 'releasehall'}]));
+	const nodes = [];
+	for (const [index, [zone, service]] of machines.entries()) {
+		nodes.push(await mesh.startNode({name: `n${index + 1}`, zone, service}));
+	}
+
+	const servers = [];
+	for (const [index, node] of nodes.entries()) {
+		servers.push(await mesh.startServer(node, {id: `i-${index + 1}`, workMs: () => workMs}));
+	}
+
+	const [killed, , entry] = nodes;
+	const [leaving] = servers;
+	let count = 0;
+	let isCalling = true;
+	const sent = new Map();
+	const call = async () => {
+		count++;
+		const id = `r${count}`;
+		sent.set(id, readMs());
+		const headers = {host: 'mesh.example', 'stonemoor-attempt-id': id, 'stonemoor-deadline-ms': String(budgetMs)};
+		const {status} = await sendRequest(entry.outbound, `/logs/${count}`, {headers, timeoutMs: budgetMs});
+		mesh.record({event: 'client-answered', id, status});
+		return status;
+	};
+
+	await waitFor('the leaving server serves requests', async () => {
+		await call();
+		return leaving.runs.length > 0;
+	});
+	const calling = (async () => {
+		while (isCalling) {
+			call();
+			await sleep(callPeriodMs);
+		}
+	})();
+
+	await sleep(2000);
+	// The server sends a heartbeat, which is delayed on its way, and then says that it leaves.
+	const lateHeartbeat = leaving.createHeartbeat();
+	const lateAt = readMs() + lateMs;
+	leaving.stopHeartbeats();
+	const {status} = await leaving.sendLeave();
+	const leftAt = readMs();
+	mesh.record({event: 'leave-acknowledged', server: leaving.id, status});
+	let restartedAt = 0;
+	if (hasTrouble) {
+		mesh.signal(killed, 'SIGKILL');
+		await sleep(restartMs);
+		await mesh.startProcess(killed);
+		await waitFor('the killed node is ready again', async () => mesh.isReady(killed), lateMs);
+		restartedAt = readMs();
+	}
+
+	await sleep(Math.max(0, lateAt - readMs()));
+	const beat = await leaving.sendHeartbeat(lateHeartbeat);
+	mesh.record({event: 'late-heartbeat', server: leaving.id, status: beat.status});
+	await sleep(Math.max(0, leftAt + servesMs - readMs()));
+	isCalling = false;
+	await calling;
+	await sleep(500);
+	// Counted from when the killed machine is in touch again, so that all machines on the way are.
+	const boundAt = Math.max(leftAt + drainTimeoutMs, restartedAt + contactWindowMs);
+	const late = leaving.runs.filter(({at}) => at > boundAt);
+	process.stdout.write(`${sent.size} requests sent, ${late.length} of them reached ${leaving.id} more than ${boundAt - leftAt} ms after its leave was acknowledged\n`);
+	return late.map(({id, at}) => `DRAIN: request ${id}, sent ${sent.get(id) - leftAt} ms after the leave of ${leaving.id} was acknowledged, reached it ${at - leftAt} ms after that`);
+};
+
+process.exitCode = await runCase(fileURLToPath(new URL('.', import.meta.url)), play);
