--- a/review/harness.js
+++ b/review/harness.js
@@ -141,23 +141,34 @@
 	};
 }
 
+/** The TCP ports of a node and of the server beside it. */
+const usedPorts = [7001, 7002, 7004, 7006, 7007, 7011, 9464];
+
+async function isPortFree(host, port) {
+	const probe = createNetServer();
+	const isFree = await new Promise(resolve => {
+		probe.once('error', () => {
+			resolve(false);
+		});
+		probe.listen(port, host, () => {
+			resolve(true);
+		});
+	});
+	if (isFree) {
+		await new Promise(resolve => {
+			probe.close(resolve);
+		});
+	}
+
+	return isFree;
+}
+
 /** Picks a loopback address on which the ports of a node are free. */
 async function findFreeHost() {
 	for (let tries = 0; tries < 50; tries++) {
 		const host = `127.${100 + Math.floor(Math.random() * 100)}.${1 + Math.floor(Math.random() * 250)}.${1 + Math.floor(Math.random() * 250)}`;
-		const probe = createNetServer();
-		const isFree = await new Promise(resolve => {
-			probe.once('error', () => {
-				resolve(false);
-			});
-			probe.listen(7001, host, () => {
-				resolve(true);
-			});
-		});
-		if (isFree) {
-			await new Promise(resolve => {
-				probe.close(resolve);
-			});
+		const areFree = await Promise.all(usedPorts.map(async port => isPortFree(host, port)));
+		if (areFree.every(Boolean)) {
 			return host;
 		}
 	}
