Review: scripts that read TROUBLE themselves, end whatever happens, and stay inside the doses

Case 1 kills the node 1 s after the acknowledgement, with one of four workers leaving. Case 2 waits for the contact window before the SIGTERM and excuses the timeout of the route.

--- a/review/1/run.js
+++ b/review/1/run.js
@@ -17,16 +17,20 @@
 const budgetMs = 3000;
 const workMs = 160;
 /** How late the heartbeat arrives. */
-const lateMs = 2500;
+const lateMs = 3000;
+/** The node is killed this long after its acknowledgement. */
+const killAfterMs = 1000;
 /** How long the server goes on serving after the acknowledgement of its leave. Then it exits. */
 const servesMs = 9000;
 const callPeriodMs = 40;
 /** A process that was killed is started again after this delay. */
 const restartMs = 500;
-/** Zone and service of each machine. The client is on the last one, whose zone has one server of the service. */
-const machines = [['hall-a', 'releasehall'], ['hall-b', 'releasehall'], ['hall-a', 'logview']];
+/** Zone and service of each machine: the four of `releasehall` as on the sheet, and that of the client, in the zone of the server that leaves. */
+const machines = [['hall-b', 'releasehall'], ['hall-a', 'releasehall'], ['hall-a', 'releasehall'], ['hall-c', 'releasehall'], ['hall-b', 'logview']];
+/** With TROUBLE=0 the node is not killed. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
-const play = async (mesh, hasTrouble) => {
+const play = async mesh => {
 	mesh.store.putConfig(createConfig(1, [
 		{prefix: '/logs/', service: 'logview'},
 		{
@@ -43,7 +47,8 @@
 		servers.push(await mesh.startServer(node, {id: `i-${index + 1}`, workMs: () => workMs}));
 	}
 
-	const [killed, , entry] = nodes;
+	const [killed] = nodes;
+	const entry = nodes.at(-1);
 	const [leaving] = servers;
 	let count = 0;
 	let isCalling = true;
@@ -53,6 +58,7 @@
 		const id = `r${count}`;
 		const request = {at: readMs(), status: undefined};
 		sent.set(id, request);
+		mesh.record({event: 'client-sends', id});
 		const headers = {host: 'mesh.example', 'stonemoor-attempt-id': id, 'stonemoor-deadline-ms': String(budgetMs)};
 		const {status} = await sendRequest(entry.outbound, `/publish/${count}`, {
 			method: 'POST', headers, body: 'artifact', timeoutMs: budgetMs,
@@ -66,13 +72,14 @@
 		return leaving.runs.length > 0;
 	});
 	const calling = (async () => {
-		while (isCalling) {
+		while (isCalling && mesh.isOpen()) {
 			call();
 			await sleep(callPeriodMs);
 		}
 	})();
 
-	await sleep(2000);
+	// All machines are in touch then.
+	await sleep(contactWindowMs);
 	// The server sends a heartbeat, which is delayed on its way, and then says that it leaves.
 	const lateHeartbeat = leaving.createHeartbeat();
 	const lateAt = readMs() + lateMs;
@@ -82,6 +89,7 @@
 	mesh.record({event: 'leave-acknowledged', server: leaving.id, status});
 	let restartedAt = 0;
 	if (hasTrouble) {
+		await sleep(killAfterMs);
 		mesh.signal(killed, 'SIGKILL');
 		await sleep(restartMs);
 		await mesh.startProcess(killed);
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,13 @@
 #!/usr/bin/env bash
-exec node "$(dirname "${BASH_SOURCE[0]}")/run.js"
+# Plays the case; see claim.txt. With TROUBLE=0 the same without the disruption. Exits with 1 if the
+# rule was broken, 0 if it held, and 2 if the case could not run.
+set -uo pipefail
+
+export TROUBLE="${TROUBLE-1}"
+if [[ $TROUBLE != 0 && $TROUBLE != 1 ]]; then
+	echo "TROUBLE: found \"$TROUBLE\", must be 0 or 1" >&2
+	exit 2
+fi
+
+folder=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)
+exec bash "$folder/../run-case.sh" "$folder"
--- a/review/2/run.js
+++ b/review/2/run.js
@@ -12,9 +12,11 @@
 } from '../harness.js';
 import {openConnection} from '../pipelining-client.js';
 
-/** Figures of the sheet: grace period, time budget of `log-read`, and the pause between two questions for readiness. */
+/** Figures of the sheet: grace period, contact window, time budget and timeout of `log-read`; and the pause between two questions for readiness. */
 const graceMs = 6000;
+const contactWindowMs = 3000;
 const budgetMs = 2500;
+const timeoutMs = 1200;
 const readinessPeriodMs = 1000;
 /** Within the sheet's work of `log-read`, 120 ms on average and 720 ms at most. */
 const workMs = 650;
@@ -22,8 +24,13 @@
 const pairPeriodMs = 100;
 /** Requests are counted until one second after the grace period. */
 const countedMs = graceMs + 1000;
+/** A worker may still be at work in the last sixth of the grace period, on a request sent no later than this after the signal. */
+const lastSixthMs = graceMs * 5 / 6;
+const sentInTimeMs = 3000;
+/** With TROUBLE=0 the node gets no signal. */
+const hasTrouble = process.env.TROUBLE !== '0';
 
-const play = async (mesh, hasTrouble) => {
+const play = async mesh => {
 	mesh.store.putConfig(createConfig(1, [{prefix: '/logs/', service: 'logview'}]));
 	const nodes = [];
 	// In one zone, so that more than half of its nodes are in while one is stopped, and the client stops after two misses.
@@ -91,27 +98,30 @@
 	};
 
 	const asking = (async () => {
-		while (isAsking) {
+		while (isAsking && mesh.isOpen()) {
 			await ask();
 			await sleep(readinessPeriodMs);
 		}
 	})();
+	// No process has been started within the contact window when the signal comes.
 	const startedAt = readMs();
-	while (readMs() - startedAt < 6000) {
+	while (termAt === undefined || readMs() - termAt < 3000) {
 		if (misses < 2) {
 			sendPair();
 		}
 
 		// The signal comes shortly after a question, so that the second miss is nearly two seconds away.
-		if (hasTrouble && termAt === undefined && readMs() - startedAt > 2000 && readMs() - askedAt < pairPeriodMs * 2) {
+		if (termAt === undefined && readMs() - startedAt > contactWindowMs && readMs() - askedAt < pairPeriodMs * 2) {
 			termAt = readMs();
-			mesh.signal(stopped, 'SIGTERM');
+			if (hasTrouble) {
+				mesh.signal(stopped, 'SIGTERM');
+			}
 		}
 
 		await sleep(pairPeriodMs);
 	}
 
-	await sleep(countedMs - 4000);
+	await sleep(Math.max(0, termAt + countedMs - readMs()));
 	isAsking = false;
 	await asking;
 	for (const connection of connections) {
@@ -122,9 +132,9 @@
 	const broken = [];
 	for (const {id, sentAt, endedAt, end} of sent.values()) {
 		const ran = runs.filter(run => run.id === id);
-		const isCounted = end?.status === 0 && ran.length > 0 && endedAt - sentAt < budgetMs;
-		// The worker may still be at work in the last sixth of the grace period.
-		const isExcused = ran.some(run => termAt !== undefined && run.endedAt - termAt >= graceMs * 5 / 6);
+		const isInTime = endedAt - sentAt < Math.min(timeoutMs, budgetMs);
+		const isCounted = end?.status === 0 && ran.length > 0 && isInTime && endedAt - termAt <= countedMs;
+		const isExcused = sentAt - termAt <= sentInTimeMs && ran.some(run => run.endedAt - termAt >= lastSixthMs);
 		if (isCounted && !isExcused) {
 			const {server, at, isCut} = ran[0];
 			const outcome = isCut ? 'its server was cut off at work' : 'its server had answered';
--- a/review/harness.js
+++ b/review/harness.js
@@ -10,6 +10,7 @@
 import {
 	closeSync, existsSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
+import {createSocket} from 'node:dgram';
 import {createServer, request as openRequest} from 'node:http';
 import {createServer as createNetServer} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -78,10 +79,12 @@
 
 /**
  * Creates a backend server as the platform's pages describe it. It runs a request for the time
- * that `workMs` returns, echoes its id, and rejects a request for another instance with 421.
+ * that `workMs` returns, echoes its id, tells its load, and rejects a request for another instance
+ * with 421.
  */
-export async function startServer({id, host, port, service, workMs, record}) {
+export async function startServer({id, host, port, service, workMs, slots, record}) {
 	const runs = [];
+	const describeLoad = () => `${runs.filter(({endedAt}) => endedAt === undefined).length},0,${slots}`;
 	const server = createServer((request, response) => {
 		const attempt = request.headers['stonemoor-attempt-id'];
 		const expected = request.headers['stonemoor-expected-instance'];
@@ -113,7 +116,7 @@
 			record({event: 'server-answers', server: id, id: attempt});
 			const body = `page of ${request.url} for ${attempt}`;
 			response.writeHead(200, {
-				'content-length': Buffer.byteLength(body), 'stonemoor-attempt-id': attempt, 'stonemoor-response-signature': `sig.${attempt}.${body.length}`,
+				'content-length': Buffer.byteLength(body), 'stonemoor-attempt-id': attempt, 'stonemoor-response-signature': `sig.${attempt}.${body.length}`, 'stonemoor-server-load': describeLoad(),
 			});
 			response.end(body);
 		}, workMs(request.url));
@@ -142,7 +145,7 @@
 }
 
 /** The TCP ports of a node and of the server beside it. */
-const usedPorts = [7001, 7002, 7004, 7006, 7007, 7011, 9464];
+const usedPorts = [7001, 7002, 7006, 7007, 7011, 9464];
 
 async function isPortFree(host, port) {
 	const probe = createNetServer();
@@ -163,11 +166,29 @@
 	return isFree;
 }
 
+/** The UDP port of a node, for heartbeats. */
+const heartbeatPort = 7004;
+
+async function isHeartbeatPortFree(host) {
+	const probe = createSocket('udp4');
+	return new Promise(resolve => {
+		probe.once('error', () => {
+			probe.close();
+			resolve(false);
+		});
+		probe.bind(heartbeatPort, host, () => {
+			probe.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
 /** Picks a loopback address on which the ports of a node are free. */
 async function findFreeHost() {
 	for (let tries = 0; tries < 50; tries++) {
 		const host = `127.${100 + Math.floor(Math.random() * 100)}.${1 + Math.floor(Math.random() * 250)}.${1 + Math.floor(Math.random() * 250)}`;
-		const areFree = await Promise.all(usedPorts.map(async port => isPortFree(host, port)));
+		const areFree = await Promise.all([isHeartbeatPortFree(host), ...usedPorts.map(async port => isPortFree(host, port))]);
 		if (areFree.every(Boolean)) {
 			return host;
 		}
@@ -204,11 +225,25 @@
 	const lines = [];
 	const cleanups = [];
 	const children = new Set();
-	// Ends the processes also if the script fails.
+	let isOpen = true;
+	const finish = () => {
+		writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+		if (process.env.KEEP_LOGS === '1') {
+			process.stdout.write(`logs of the nodes: ${work}\n`);
+		} else {
+			rmSync(work, {recursive: true, force: true});
+		}
+	};
+
+	// Ends the processes also if the script fails or is stopped.
 	process.once('exit', () => {
 		for (const child of children) {
 			child.kill('SIGKILL');
 		}
+
+		if (isOpen) {
+			finish();
+		}
 	});
 	const startedAt = readMs();
 	const record = event => {
@@ -242,6 +277,8 @@
 		record,
 		work,
 		isReady,
+		/** Returns false once the case has ended; loops of a case end then. */
+		isOpen: () => isOpen,
 		/** Starts a node with its settings rendered from `deploy/settings.yaml`. */
 		async startNode({name, zone, service, ...parameters}) {
 			const host = await findFreeHost();
@@ -266,7 +303,7 @@
 		/** Starts a server beside a node, which sends heartbeats until it is stopped. */
 		async startServer(node, {id, workMs, slots = 12}) {
 			const server = await startServer({
-				id, host: node.host, port: node.serverPort, service: node.service, workMs, record,
+				id, host: node.host, port: node.serverPort, service: node.service, workMs, slots, record,
 			});
 			let sequence = 0;
 			const createHeartbeat = (state = 'ready') => {
@@ -314,13 +351,8 @@
 			}));
 			await Promise.all(ended);
 			await store.close();
-			writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
-			if (process.env.KEEP_LOGS === '1') {
-				process.stdout.write(`logs of the nodes: ${work}\n`);
-				return;
-			}
-
-			rmSync(work, {recursive: true, force: true});
+			isOpen = false;
+			finish();
 		},
 	};
 }
@@ -329,32 +361,35 @@
 const maxPrintedCount = 5;
 
 /** Longest run of a case. */
-const limitMs = 110_000;
+const limitMs = 100_000;
 
 async function failAfterLimit(signal) {
 	await sleep(limitMs, undefined, {signal, ref: false});
 	throw new CannotRunError(`the case took longer than ${limitMs} ms`);
 }
 
+/** Exit codes of the program of a case. 1 is left to Node.js, which ends with it after an uncaught error. */
+const exitCodes = {held: 0, cannotRun: 2, broken: 10};
+
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+	process.once(signal, () => {
+		process.exit(exitCodes.cannotRun);
+	});
+}
+
 /**
  * Runs a case.
  *
  * @param folder - The folder of the case, which gets the record.
- * @param play - Plays the case, without the disruption if its second argument is false; returns how the rule was broken.
- * @returns The exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+ * @param play - Plays the case; returns how the rule was broken.
+ * @returns The exit code, which `run-case.sh` turns into that of the script.
  */
 export async function runCase(folder, play) {
-	const trouble = process.env.TROUBLE ?? '1';
-	if (trouble !== '0' && trouble !== '1') {
-		process.stderr.write(`TROUBLE: found ${JSON.stringify(trouble)}, must be 0 or 1\n`);
-		return 2;
-	}
-
 	const ended = new AbortController();
 	let mesh;
 	try {
 		mesh = await createMesh(folder);
-		const broken = await Promise.race([play(mesh, trouble === '1'), failAfterLimit(ended.signal)]);
+		const broken = await Promise.race([play(mesh), failAfterLimit(ended.signal)]);
 		for (const [index, text] of broken.entries()) {
 			mesh.record({event: 'rule-broken', text});
 			if (index < maxPrintedCount) {
@@ -363,11 +398,11 @@
 		}
 
 		process.stdout.write(broken.length === 0 ? 'the rule held\n' : `the rule was broken ${broken.length} times\n`);
-		return broken.length === 0 ? 0 : 1;
+		return broken.length === 0 ? exitCodes.held : exitCodes.broken;
 	} catch (error) {
 		process.stderr.write(`cannot run: ${error instanceof CannotRunError ? error.message : error.stack}\n`);
 		mesh?.record({event: 'cannot-run', reason: error.message});
-		return 2;
+		return exitCodes.cannotRun;
 	} finally {
 		ended.abort();
 		await mesh?.close();
