--- a/review/1/run.js
+++ b/review/1/run.ts
@@ -6,9 +6,8 @@
  */
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {
-	createConfig, readMs, runCase, sendRequest, waitFor,
+	CannotRunError, createConfig, readMs, runCase, sendRequest, waitFor, type Mesh, type MeshServer, type Node,
 } from '../harness.js';
 
 /** Figures of the sheet. */
@@ -26,23 +25,29 @@
 /** A process that was killed is started again after this delay. */
 const restartMs = 500;
 /** Zone and service of each machine: the four of `releasehall` as on the sheet, and that of the client, in the zone of the server that leaves. */
-const machines = [['hall-b', 'releasehall'], ['hall-a', 'releasehall'], ['hall-a', 'releasehall'], ['hall-c', 'releasehall'], ['hall-b', 'logview']];
+const machines: ReadonlyArray<readonly [string, string]> = [['hall-b', 'releasehall'], ['hall-a', 'releasehall'], ['hall-a', 'releasehall'], ['hall-c', 'releasehall'], ['hall-b', 'logview']];
 /** With TROUBLE=0 the node is not killed. */
 const hasTrouble = process.env.TROUBLE !== '0';
 
-const play = async mesh => {
-	mesh.store.putConfig(createConfig(1, [
+/** What the client knows of a request. */
+type Sent = {
+	readonly at: number;
+	status: number | undefined;
+};
+
+const play = async (mesh: Mesh): Promise<readonly string[]> => {
+	mesh.store.putConfig(createConfig([
 		{prefix: '/logs/', service: 'logview'},
 		{
 			prefix: '/publish/', service: 'releasehall', type: 'unsafe', timeout: '1500ms', latency: '500ms',
 		},
 	]));
-	const nodes = [];
+	const nodes: Node[] = [];
 	for (const [index, [zone, service]] of machines.entries()) {
 		nodes.push(await mesh.startNode({name: `n${index + 1}`, zone, service}));
 	}
 
-	const servers = [];
+	const servers: MeshServer[] = [];
 	for (const [index, node] of nodes.entries()) {
 		servers.push(await mesh.startServer(node, {id: `i-${index + 1}`, workMs: () => workMs}));
 	}
@@ -50,13 +55,17 @@
 	const [killed] = nodes;
 	const entry = nodes.at(-1);
 	const [leaving] = servers;
+	if (killed === undefined || entry === undefined || leaving === undefined) {
+		throw new CannotRunError('a machine is missing');
+	}
+
 	let count = 0;
 	let isCalling = true;
-	const sent = new Map();
-	const call = async () => {
+	const sent = new Map<string, Sent>();
+	const call = async (): Promise<void> => {
 		count++;
 		const id = `r${count}`;
-		const request = {at: readMs(), status: undefined};
+		const request: Sent = {at: readMs(), status: undefined};
 		sent.set(id, request);
 		mesh.record({event: 'client-sends', id});
 		const headers = {host: 'mesh.example', 'stonemoor-attempt-id': id, 'stonemoor-deadline-ms': String(budgetMs)};
@@ -71,12 +80,14 @@
 		await call();
 		return leaving.runs.length > 0;
 	});
-	const calling = (async () => {
+	const keepCalling = async (): Promise<void> => {
 		while (isCalling && mesh.isOpen()) {
-			call();
+			void call();
 			await sleep(callPeriodMs);
 		}
-	})();
+	};
+
+	const calling = keepCalling();
 
 	// All machines are in touch then.
 	await sleep(contactWindowMs);
@@ -92,7 +103,7 @@
 		await sleep(killAfterMs);
 		mesh.signal(killed, 'SIGKILL');
 		await sleep(restartMs);
-		await mesh.startProcess(killed);
+		mesh.startProcess(killed);
 		await waitFor('the killed node is ready again', async () => mesh.isReady(killed), lateMs);
 		restartedAt = readMs();
 	}
@@ -111,10 +122,10 @@
 	// Counted from when the killed machine is in touch again, so that all machines on the way are.
 	const boundAt = Math.max(leftAt + drainTimeoutMs, restartedAt + contactWindowMs);
 	const late = leaving.runs.filter(({at}) => at > boundAt);
-	const cut = late.filter(({isCut}) => isCut).map(({id}) => `${id} answered ${sent.get(id).status}`);
+	const cut = late.filter(({isCut}) => isCut).map(({id}) => `${id} answered ${sent.get(id)?.status ?? 'nothing'}`);
 	process.stdout.write(`${sent.size} requests sent, ${late.length} of them reached ${leaving.id} more than ${boundAt - leftAt} ms after its leave was acknowledged\n`);
 	process.stdout.write(`of these, cut off at work as it exited: ${cut.join(', ') || 'none'}\n`);
-	return late.map(({id, at}) => `DRAIN: request ${id}, sent ${sent.get(id).at - leftAt} ms after the leave of ${leaving.id} was acknowledged, reached it ${at - leftAt} ms after that`);
+	return late.map(({id, at}) => `DRAIN: request ${id}, sent ${(sent.get(id)?.at ?? at) - leftAt} ms after the leave of ${leaving.id} was acknowledged, reached it ${at - leftAt} ms after that`);
 };
 
-process.exitCode = await runCase(fileURLToPath(new URL('.', import.meta.url)), play);
+process.exitCode = await runCase(play);
--- a/review/2/run.js
+++ b/review/2/run.ts
@@ -6,11 +6,12 @@
  */
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {fileURLToPath} from 'node:url';
 import {
-	createConfig, readMs, runCase, waitFor,
+	CannotRunError, createConfig, readMs, runCase, waitFor, type Mesh, type MeshServer, type Node, type Run,
 } from '../harness.js';
-import {openConnection} from '../pipelining-client.js';
+import {
+	openConnection, type PipelinedRequest, type PipeliningConnection, type RequestEnd,
+} from '../pipelining-client.js';
 
 /** Figures of the sheet: grace period, contact window, time budget and timeout of `log-read`; and the pause between two questions for readiness. */
 const graceMs = 6000;
@@ -30,26 +31,62 @@
 /** With TROUBLE=0 the node gets no signal. */
 const hasTrouble = process.env.TROUBLE !== '0';
 
-const play = async mesh => {
-	mesh.store.putConfig(createConfig(1, [{prefix: '/logs/', service: 'logview'}]));
-	const nodes = [];
+/** What the client knows of a request. */
+type Sent = PipelinedRequest & {
+	readonly sentAt: number;
+	endedAt: number | undefined;
+	end: RequestEnd | undefined;
+};
+
+/** Returns how the rule was broken. */
+function listLostRequests(sent: readonly Sent[], runs: readonly Run[], termAt: number): readonly string[] {
+	return sent.flatMap(({id, sentAt, endedAt, end}) => {
+		const ran = runs.filter(run => run.id === id);
+		const [first] = ran;
+		if (first === undefined || endedAt === undefined || end?.status !== 0) {
+			return [];
+		}
+
+		const isInTime = endedAt - sentAt < Math.min(timeoutMs, budgetMs);
+		const isExcused = sentAt - termAt <= sentInTimeMs && ran.some(run => run.endedAt === undefined || run.endedAt - termAt >= lastSixthMs);
+		if (!isInTime || isExcused || endedAt - termAt > countedMs) {
+			return [];
+		}
+
+		const outcome = first.isCut ? 'its server was cut off at work' : 'its server had answered';
+		const sending = `request ${id}, sent ${sentAt - termAt} ms after SIGTERM, was passed on to ${first.server} ${first.at - termAt} ms after it`;
+		return [`LOST: ${sending}, and its connection ended without an answer after ${endedAt - sentAt} ms; ${outcome}`];
+	});
+}
+
+const play = async (mesh: Mesh): Promise<readonly string[]> => {
+	mesh.store.putConfig(createConfig([{prefix: '/logs/', service: 'logview'}]));
+	const nodes: Node[] = [];
 	// In one zone, so that more than half of its nodes are in while one is stopped, and the client stops after two misses.
 	for (const name of ['n1', 'n2', 'n3']) {
 		nodes.push(await mesh.startNode({name, zone: 'hall-a', service: 'logview'}));
 	}
 
-	const servers = [];
+	const servers: MeshServer[] = [];
 	for (const [index, node] of nodes.entries()) {
 		servers.push(await mesh.startServer(node, {id: `i-${index + 1}`, workMs: () => workMs}));
 	}
 
 	const [stopped] = nodes;
-	const sent = new Map();
-	const connections = [];
+	if (stopped === undefined) {
+		throw new CannotRunError('a node is missing');
+	}
+
+	const sent = new Map<string, Sent>();
+	const connections: PipeliningConnection[] = [];
 	let count = 0;
-	let termAt;
-	const handleEnd = (request, end) => {
+	let termAt: number | undefined;
+	const handleEnd = (request: PipelinedRequest, end: RequestEnd): void => {
 		const known = sent.get(request.id);
+		if (known === undefined) {
+			return;
+		}
+
 		known.endedAt = readMs();
 		known.end = end;
 		mesh.record({
@@ -57,21 +94,23 @@
 		});
 	};
 
-	const sendPair = () => {
+	const sendPair = (): void => {
 		let connection = connections.find(candidate => candidate.isIdle());
 		if (connection === undefined) {
 			connection = openConnection(stopped.outbound, handleEnd);
 			connections.push(connection);
 		}
 
-		const pair = [0, 1].map(place => {
+		const pair = [0, 1].map((place): PipelinedRequest => {
 			count++;
 			return {
 				id: `r${count}`, target: `/logs/${count}`, leftMs: budgetMs, place,
 			};
 		});
 		for (const request of pair) {
-			sent.set(request.id, {...request, sentAt: readMs()});
+			sent.set(request.id, {
+				...request, sentAt: readMs(), endedAt: undefined, end: undefined,
+			});
 			mesh.record({event: 'client-sends', id: request.id, place: request.place});
 		}
 
@@ -90,19 +129,21 @@
 	let misses = 0;
 	let isAsking = true;
 	let askedAt = 0;
-	const ask = async () => {
+	const ask = async (): Promise<void> => {
 		const isReady = await mesh.isReady(stopped);
 		misses = isReady ? 0 : misses + 1;
 		mesh.record({event: 'readiness', isReady});
 		askedAt = readMs();
 	};
 
-	const asking = (async () => {
+	const keepAsking = async (): Promise<void> => {
 		while (isAsking && mesh.isOpen()) {
 			await ask();
 			await sleep(readinessPeriodMs);
 		}
-	})();
+	};
+
+	const asking = keepAsking();
 	// No process has been started within the contact window when the signal comes.
 	const startedAt = readMs();
 	while (termAt === undefined || readMs() - termAt < 3000) {
@@ -128,24 +169,10 @@
 		connection.close();
 	}
 
-	const runs = servers.flatMap(server => server.runs);
-	const broken = [];
-	for (const {id, sentAt, endedAt, end} of sent.values()) {
-		const ran = runs.filter(run => run.id === id);
-		const isInTime = endedAt - sentAt < Math.min(timeoutMs, budgetMs);
-		const isCounted = end?.status === 0 && ran.length > 0 && isInTime && endedAt - termAt <= countedMs;
-		const isExcused = sentAt - termAt <= sentInTimeMs && ran.some(run => run.endedAt - termAt >= lastSixthMs);
-		if (isCounted && !isExcused) {
-			const {server, at, isCut} = ran[0];
-			const outcome = isCut ? 'its server was cut off at work' : 'its server had answered';
-			const sending = `request ${id}, sent ${sentAt - termAt} ms after SIGTERM, was passed on to ${server} ${at - termAt} ms after it`;
-			broken.push(`LOST: ${sending}, and its connection ended without an answer after ${endedAt - sentAt} ms; ${outcome}`);
-		}
-	}
-
+	const broken = listLostRequests([...sent.values()], servers.flatMap(server => server.runs), termAt);
 	const ends = [...sent.values()].map(({end}) => end?.status);
 	process.stdout.write(`${ends.length} requests sent, ${ends.filter(status => status === 200).length} answered with 200, ${ends.filter(status => status === undefined).length} open\n`);
 	return broken;
 };
 
-process.exitCode = await runCase(fileURLToPath(new URL('.', import.meta.url)), play);
+process.exitCode = await runCase(play);
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the cases start, into target/review. Needs the
-# packages that the build of the deploy file has installed, and no network.
+# Builds the programs of the cases, with the stand-ins that they start, into target/review. Needs
+# the packages that the build of the deploy file has installed, and no network.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 if [[ ! -x node_modules/.bin/esbuild ]]; then
@@ -8,7 +8,7 @@
 	exit 2
 fi
 
-node_modules/.bin/esbuild \
-	stand-ins/platform-store/platform-store.ts stand-ins/settings-template.ts \
-	--bundle --platform=node --target=node20 --format=esm --outdir=target/review --outbase=stand-ins \
-	--entry-names=[name] --out-extension:.js=.mjs --log-level=warning
+for case in 1 2; do
+	node_modules/.bin/esbuild "review/$case/run.ts" --bundle --platform=node --target=node20 \
+		--format=esm --outfile="target/review/case-$case.mjs" --log-level=warning
+done
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -3,7 +3,13 @@
 # held, and 2 if the case could not run, and ends the program if it takes too long.
 set -uo pipefail
 
-timeout --kill-after=5 110 node "$1/run.js" &
+program_file="$1/../../target/review/case-$(basename "$1").mjs"
+if [[ ! -f $program_file ]]; then
+	echo "$program_file is missing; run review/build.sh first" >&2
+	exit 2
+fi
+
+timeout --kill-after=5 110 node "$program_file" "$1" &
 program=$!
 trap 'kill -TERM "$program" 2>/dev/null' TERM INT HUP
 wait "$program"
