--- a/review/1/run.ts
+++ b/review/1/run.ts
@@ -1,6 +1,6 @@
 /**
- * DRAIN after a kill: a server says that it leaves, the node beside it acknowledges that and is
- * killed, and a heartbeat that the server had sent before arrives late at the restarted node.
+ * DRAIN after a restart: a server says that it leaves, the node beside it acknowledges that and is
+ * stopped, and a heartbeat that the server had sent before arrives late at the restarted node.
  *
  * @module
  */
@@ -13,21 +13,25 @@
 /** Figures of the sheet. */
 const drainTimeoutMs = 2000;
 const contactWindowMs = 3000;
+const graceMs = 6000;
 const budgetMs = 3000;
 const workMs = 160;
 /** How late the heartbeat arrives. */
 const lateMs = 3000;
-/** The node is killed this long after its acknowledgement. */
-const killAfterMs = 1000;
+/** The leave comes this long after the SIGTERM of the node, or this long before its SIGKILL. */
+const leaveAfterTermMs = 2000;
+const leaveBeforeKillMs = 1000;
 /** How long the server goes on serving after the acknowledgement of its leave. Then it exits. */
 const servesMs = 9000;
 const callPeriodMs = 40;
-/** A process that was killed is started again after this delay. */
+/** A process that has ended is started again after this delay. */
 const restartMs = 500;
 /** Zone and service of each machine: the four of `releasehall` as on the sheet, and that of the client, in the zone of the server that leaves. */
 const machines: ReadonlyArray<readonly [string, string]> = [['hall-b', 'releasehall'], ['hall-a', 'releasehall'], ['hall-a', 'releasehall'], ['hall-c', 'releasehall'], ['hall-b', 'logview']];
-/** With TROUBLE=0 the node is not killed. */
+/** With TROUBLE=0 the node gets no signal. */
 const hasTrouble = process.env.TROUBLE !== '0';
+/** SIGTERM, as in a planned restart, or SIGKILL. */
+const isKilled = process.env.SIGNAL === 'SIGKILL';
 
 /** What the client knows of a request. */
 type Sent = {
@@ -52,10 +56,10 @@
 		servers.push(await mesh.startServer(node, {id: `i-${index + 1}`, workMs: () => workMs}));
 	}
 
-	const [killed] = nodes;
+	const [stopped] = nodes;
 	const entry = nodes.at(-1);
 	const [leaving] = servers;
-	if (killed === undefined || entry === undefined || leaving === undefined) {
+	if (stopped === undefined || entry === undefined || leaving === undefined) {
 		throw new CannotRunError('a machine is missing');
 	}
 
@@ -91,6 +95,17 @@
 
 	// All machines are in touch then.
 	await sleep(contactWindowMs);
+	const stop = (): void => {
+		if (hasTrouble) {
+			mesh.signal(stopped, isKilled ? 'SIGKILL' : 'SIGTERM');
+		}
+	};
+
+	if (!isKilled) {
+		stop();
+		await sleep(leaveAfterTermMs);
+	}
+
 	// The server sends a heartbeat, which is delayed on its way, and then says that it leaves.
 	const lateHeartbeat = leaving.createHeartbeat();
 	const lateAt = readMs() + lateMs;
@@ -98,13 +113,21 @@
 	const {status} = await leaving.sendLeave();
 	const leftAt = readMs();
 	mesh.record({event: 'leave-acknowledged', server: leaving.id, status});
+	if (status !== 200) {
+		throw new CannotRunError(`the leave was answered with status ${status}, not acknowledged`);
+	}
+
+	if (isKilled) {
+		await sleep(leaveBeforeKillMs);
+		stop();
+	}
+
 	let restartedAt = 0;
 	if (hasTrouble) {
-		await sleep(killAfterMs);
-		mesh.signal(killed, 'SIGKILL');
+		await waitFor('the node has ended', async () => stopped.child === undefined, graceMs);
 		await sleep(restartMs);
-		mesh.startProcess(killed);
-		await waitFor('the killed node is ready again', async () => mesh.isReady(killed), lateMs);
+		mesh.startProcess(stopped);
+		await waitFor('the restarted node is ready', async () => mesh.isReady(stopped), lateMs);
 		restartedAt = readMs();
 	}
 
@@ -119,7 +142,7 @@
 	isCalling = false;
 	await calling;
 	await sleep(budgetMs);
-	// Counted from when the killed machine is in touch again, so that all machines on the way are.
+	// Counted from when the restarted machine is in touch again, so that all machines on the way are.
 	const boundAt = Math.max(leftAt + drainTimeoutMs, restartedAt + contactWindowMs);
 	const late = leaving.runs.filter(({at}) => at > boundAt);
 	const cut = late.filter(({isCut}) => isCut).map(({id}) => `${id} answered ${sent.get(id)?.status ?? 'nothing'}`);
