Review: the server that leaves says so in its answers; case 2 says how narrow it is

PROTOCOL.md: a worker that is leaving answers with Connection: close, and its status check fails. A leave is sent without a content type, as on the wire.

--- a/review/2/run.ts
+++ b/review/2/run.ts
@@ -49,7 +49,7 @@
 
 		const isInTime = endedAt - sentAt < Math.min(timeoutMs, budgetMs);
 		const isExcused = sentAt - termAt <= sentInTimeMs && ran.some(run => run.endedAt === undefined || run.endedAt - termAt >= lastSixthMs);
-		if (!isInTime || isExcused || endedAt - termAt > countedMs) {
+		if (!isInTime || isExcused || endedAt < termAt || endedAt - termAt > countedMs) {
 			return [];
 		}
 
--- a/review/harness.ts
+++ b/review/harness.ts
@@ -110,6 +110,8 @@
 type Server = {
 	readonly id: string;
 	readonly runs: readonly Run[];
+	/** From now on, status checks fail, and each response closes its connection. */
+	readonly startLeaving: () => void;
 	readonly close: () => void;
 };
 
@@ -123,6 +125,8 @@
  */
 async function startServer(host: string, port: number, {id, workMs, slots, record}: ServerOptions): Promise<Server> {
 	const runs: Run[] = [];
+	let isLeaving = false;
+	const getClosingHeaders = (): Readonly<Record<string, string>> => isLeaving ? {connection: 'close'} : {};
 	const describeLoad = (): string => `${runs.filter(({endedAt}) => endedAt === undefined).length},0,${slots}`;
 	const server = createServer((request, response) => {
 		const attempt = readHeader(request.headers, 'stonemoor-attempt-id') ?? '';
@@ -130,7 +134,7 @@
 		const target = request.url ?? '';
 		request.resume();
 		if (target === '/healthz') {
-			response.writeHead(200, {'stonemoor-instance-id': id, 'content-length': 0});
+			response.writeHead(isLeaving ? 503 : 200, {'stonemoor-instance-id': id, 'content-length': 0, ...getClosingHeaders()});
 			response.end();
 			return;
 		}
@@ -139,7 +143,7 @@
 			record({
 				event: 'server-rejects', server: id, id: attempt, status: 421,
 			});
-			response.writeHead(421, {'content-length': 0, 'stonemoor-attempt-id': attempt});
+			response.writeHead(421, {'content-length': 0, 'stonemoor-attempt-id': attempt, ...getClosingHeaders()});
 			response.end();
 			return;
 		}
@@ -157,6 +161,7 @@
 			const body = `page of ${target} for ${attempt}`;
 			response.writeHead(200, {
 				'content-length': Buffer.byteLength(body), 'stonemoor-attempt-id': attempt, 'stonemoor-response-signature': `sig.${attempt}.${body.length}`, 'stonemoor-server-load': describeLoad(),
+				...getClosingHeaders(),
 			});
 			response.end(body);
 		}, workMs(target));
@@ -179,6 +184,9 @@
 	return {
 		id,
 		runs,
+		startLeaving() {
+			isLeaving = true;
+		},
 		close() {
 			server.close();
 			server.closeAllConnections();
@@ -400,11 +408,14 @@
 				});
 			};
 
-			const sendCall = async (call: string, body: string): Promise<Response> => sendRequest(node.control, `/v1/rpc?call=${call}&of=${id}`, {
+			const sendHeartbeat = async (body: string): Promise<Response> => sendRequest(node.control, `/v1/rpc?call=instances.heartbeat&of=${id}`, {
 				method: 'POST', headers: {'content-type': 'application/json'}, body,
 			});
-			const sendHeartbeat = async (body: string): Promise<Response> => sendCall('instances.heartbeat', body);
-			const sendLeave = async (): Promise<Response> => sendCall('instances.leave', '');
+			const sendLeave = async (): Promise<Response> => {
+				server.startLeaving();
+				return sendRequest(node.control, `/v1/rpc?call=instances.leave&of=${id}`, {method: 'POST', body: ''});
+			};
+
 			const {status} = await sendHeartbeat(createHeartbeat());
 			if (status !== 200) {
 				throw new CannotRunError(`node ${node.name} refused the heartbeat of ${id} with status ${status}`);
