Departures of backend servers outlast the node that acknowledged them

What callers saw: a server said that it leaves, the node beside it acknowledged that and was stopped or killed.

The caller's node uses an outdated report. Ruled out: n5 wrote peer-seen n1 "restarted" without a server at 16.957 and "ready" at 18.590, and sent requests from then on (report 1 to 41 ms old).

Cause: what a node acknowledges is a promise of the mesh, and it was kept only in the memory of one process. The table of the other nodes holds the last report only, so what they had heard was replaced by what the restarted node said. The class: an acknowledgement that no second place keeps.

Change: a departure (node, server, start) is written to the store before it is acknowledged (two calls, a lease of ten minutes; an acknowledgement waits 500 ms at most), and is in the reports of the node for 20 s. Other nodes remember it, send the server nothing, and tell a node that starts, or that calls such a server ready. A node that starts applies no announcement of a ready server before it has read the store, for 0.9 s at most. If neither the store nor another node can be reached, the leave is answered with 503: it applies, but nobody may rely on it. The same holds for drains, for leaves that arrive before any announcement, and for servers that say in a response that they leave.

Why it works: whichever of the store and the other nodes is reachable at the leave and at the restart holds the departure; the gate then refuses the server for good, as in the run that acknowledged it.

New for operators: lines server-departed and departure-not-stored, refusal cause unkept, metric stonemoor_departed_servers.

--- a/bench/node-cost/node-cost.ts
+++ b/bench/node-cost/node-cost.ts
@@ -36,6 +36,8 @@
 	readonly routes: number;
 	/** Maximum difference between the clocks of the other nodes, in milliseconds. A heartbeat period means unsynchronized clocks. */
 	readonly clocksApartMs: number;
+	/** Share of the other nodes whose backend server has just been replaced, so that their reports contain its departure. */
+	readonly departing: number;
 	/** Whether to measure calls too, and not only the start and the idle node. */
 	readonly load: boolean;
 	/** Path of the bundle that the deploy file builds. */
@@ -95,13 +97,13 @@
 	return file;
 }
 
-function createPeers(nodes: number, {clocksApartMs, workMs}: NodeCostOptions): readonly SimulatedPeer[] {
+function createPeers(nodes: number, {clocksApartMs, workMs, departing}: NodeCostOptions): readonly SimulatedPeer[] {
 	const nodesOfDomain = Math.ceil(nodes / domainCount);
 	return Array.from({length: nodes - 1}, (_, index) => {
 		const address = `127.${addressOffset + 120}.${Math.floor((index + 1) / 250)}.${((index + 1) % 250) + 1}`;
 		return createSimulatedPeer({
 			name: `p${index + 1}`, failureDomain: `d${(index + 1) % domainCount}`, service: services[(index + 1) % 9 < 5 ? 0 : ((index + 1) % 9 < 8 ? 1 : 2)],
-			gate: toAddress(`${address}:7002`), gossip: toAddress(`${address}:7004`), nodesOfDomain, nodes, workMs, clockOffsetMs: Math.floor(Math.random() * clocksApartMs), isFollowing: index + 1 <= domainCount * watchersPerDomain, version: 1,
+			gate: toAddress(`${address}:7002`), gossip: toAddress(`${address}:7004`), nodesOfDomain, nodes, workMs, clockOffsetMs: Math.floor(Math.random() * clocksApartMs), isFollowing: index + 1 <= domainCount * watchersPerDomain, version: 1, isDeparting: index < departing * (nodes - 1),
 		});
 	});
 }
--- a/bench/node-cost/simulated-peer.ts
+++ b/bench/node-cost/simulated-peer.ts
@@ -39,6 +39,8 @@
 	readonly isFollowing: boolean;
 	/** Version of the configuration that it reports. */
 	readonly version: number;
+	/** Whether its reports contain the departure of an earlier backend server. */
+	readonly isDeparting: boolean;
 };
 
 /** @internal */
@@ -79,7 +81,7 @@
 		},
 		duties: {
 			linkMbps: options.isFollowing ? 100 : 10, isFollowing: options.isFollowing, storeSeenMs: 50, storeEra: 1,
-		}, periods: computePeriods(plan, heartbeatPeriodMs), isProbe: false, suspects: [],
+		}, periods: computePeriods(plan, heartbeatPeriodMs), isProbe: false, suspects: [], departures: options.isDeparting ? [{node: toNodeId(options.name), lifetime: {id: toBackendServerId(`i-${options.name}-before`), startedAt: 1}}] : [],
 	});
 
 	const sendReport = (node: Address): void => {
--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -1047,4 +1047,32 @@
 		to: '',
 		tests: `${library}/forwarding/send-call.test.js`,
 	},
+	{
+		promise: 'departure: it is written to the store',
+		file: `${library}/departures/server-departures.js`,
+		from: 'void write(departure);',
+		to: '',
+		tests: 'platform/departures.test.js',
+	},
+	{
+		promise: 'departure: other nodes tell a node that restarts',
+		file: `${library}/departures/departure-table.js`,
+		from: '[...listOwnRecent(now), ...listOf(receiver)]',
+		to: 'listOwnRecent(now)',
+		tests: 'platform/departures.test.js',
+	},
+	{
+		promise: 'departure: a node that starts waits for the store before it uses a server',
+		file: `${library}/sidecar/local-server-messages.js`,
+		from: 'await departures.waitUntilKnown();',
+		to: '',
+		tests: 'platform/departures.test.js',
+	},
+	{
+		promise: 'departure: it is acknowledged only if the store or another node keeps it',
+		file: `${library}/departures/server-departures.js`,
+		from: '!hasUnstored() || hasHeardNode()',
+		to: 'true',
+		tests: 'platform/departures.test.js',
+	},
 ];
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -9,6 +9,7 @@
 import {type SlotOutcome, type SlotRequest} from '../admission/slot-pool.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type BackendServerId} from '../common/ids.js';
+import {type ServerLifetime} from '../common/server-lifetime.js';
 import {type AnnouncementRefusal} from '../local-server/announcement-refusal.js';
 import {type FullCause} from '../decisions/slot-queue.js';
 import {type ServerAnnouncement, type ServerLeave} from '../local-server/local-server.js';
@@ -53,6 +54,8 @@
 	readonly refusals: Pick<RefusalLog, 'record'>;
 	/** Called when a change should be announced to the other nodes immediately. */
 	readonly handleChange: () => void;
+	/** Called with lifetimes that are excluded from requests for good, before this is acknowledged; not called if omitted. */
+	readonly handleDeparted?: ((lifetimes: readonly ServerLifetime[]) => void) | undefined;
 	/** Returns the maximum number of connections that the backend server accepts from this node. */
 	readonly getMaxConnections: (service: string) => number;
 	readonly isLeaving: () => boolean;
@@ -75,6 +78,8 @@
 	readonly announce: (announcement: ServerAnnouncement) => void;
 	/** Handles a leave of the server, which gets no new requests from then on. Returns a refusal if the leave may be a late message of an earlier lifetime. */
 	readonly leave: (leave: ServerLeave) => Result<undefined, AnnouncementRefusal>;
+	/** Handles the departure of a lifetime that an earlier run of this node acknowledged. */
+	readonly applyDeparture: (lifetime: ServerLifetime) => void;
 	readonly describe: () => ServerReport | undefined;
 	readonly countRequests: () => number;
 	/** Returns the requests per second that the server takes; `undefined` if it names no limit, or if there is no server. */
@@ -289,6 +294,7 @@
 		},
 		announce: sessions.announce,
 		leave: sessions.leave,
+		applyDeparture: sessions.applyDeparture,
 		describe: sessions.describe,
 		countRequests: () => requests,
 		getLimit: () => sessions.getSession()?.getLimit(),
--- a/src/lib/forwarding/local-sessions.ts
+++ b/src/lib/forwarding/local-sessions.ts
@@ -6,11 +6,12 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {readNow, readSteadyMs} from '../common/clock.js';
-import {isSameLifetime} from '../common/server-lifetime.js';
+import {isSameLifetime, type ServerLifetime} from '../common/server-lifetime.js';
 import {
 	acceptAnnouncement, acceptLeave, noteServerUnreachable, forgetServer, isAmbiguousLeave,
 } from '../local-server/local-server-updates.js';
 import {type AnnouncementRefusal} from '../local-server/announcement-refusal.js';
+import {listNewlyDeparted} from '../local-server/list-departed.js';
 import {
 	noLocalServer, type LocalServer, type LocalServerState, type ServerAnnouncement, type ServerLeave, type ServerTransition,
 } from '../local-server/local-server.js';
@@ -24,6 +25,8 @@
 export type LocalSessionsContext = Pick<ServerSessionContext, 'headerNames' | 'log' | 'refusals' | 'quarantine' | 'isLeaving' | 'countLimited'> & {
 	/** Called when a change should be announced to the other nodes immediately. */
 	readonly handleChange: () => void;
+	/** Called with lifetimes that are excluded from requests for good, before this is acknowledged; not called if omitted. */
+	readonly handleDeparted?: ((lifetimes: readonly ServerLifetime[]) => void) | undefined;
 	/** Returns the maximum number of connections that the backend server accepts from this node. */
 	readonly getMaxConnections: (service: string) => number;
 	readonly rollouts: Pick<GateRollouts, 'isCounting' | 'recordOutcome' | 'isWithheld' | 'getTally'>;
@@ -42,6 +45,8 @@
 	readonly announce: (announcement: ServerAnnouncement) => void;
 	/** Handles a leave of the server, which gets no new requests from then on. Returns a refusal if the leave may be a late message of an earlier lifetime. */
 	readonly leave: (leave: ServerLeave) => Result<undefined, AnnouncementRefusal>;
+	/** Handles the departure of a lifetime that an earlier run of this node acknowledged. */
+	readonly applyDeparture: (lifetime: ServerLifetime) => void;
 	/** Returns the report of the server for the other nodes. */
 	readonly describe: () => ServerReport | undefined;
 	/** Ends all sessions. */
@@ -146,7 +151,12 @@
 
 	const applyStep = (step: ServerTransition, how: string): void => {
 		const before = state.current;
+		const departed = listNewlyDeparted(state, step.state);
 		state = step.state;
+		if (departed.length > 0) {
+			context.handleDeparted?.(departed);
+		}
+
 		const {current} = state;
 		if (current === undefined) {
 			return;
@@ -207,6 +217,9 @@
 			applyStep(acceptLeave(state, leave, now), 'server announced that it leaves');
 			return ok(undefined);
 		},
+		applyDeparture(lifetime) {
+			applyStep(acceptLeave(state, lifetime, readSteadyMs()), 'server left during an earlier run of this node');
+		},
 		describe() {
 			const {current} = state;
 			if (current === undefined || session === undefined) {
--- a/src/lib/peers/peer-link.test.ts
+++ b/src/lib/peers/peer-link.test.ts
@@ -11,24 +11,28 @@
 import {silentRefusalLog} from '../timeline/refusal-log.js';
 import {createPeerLink, type PeerLink} from './peer-link.js';
 import {type PeerLimits} from './peer-table.js';
-import {encodeReport, type ServerState} from './peer-report.js';
+import {encodeReport, type PeerReport, type ServerState} from './peer-report.js';
 import {createSampleReport} from './sample-report.js';
 
 const limits: PeerLimits = {
 	silenceMs: 60_000, probeMs: 60_000, forgetMs: 600_000, avoidMs: 250, getPeriodMs: () => 60_000,
 };
 
+/** A lifetime that the reports to one node call departed. */
+const {lifetime} = createSampleReport().server!;
+
 let hosts = 0;
 
 type LinkChanges = {
 	readonly getState?: () => ServerState;
-	readonly handleReport?: () => void;
+	readonly handleReport?: (report: PeerReport) => void;
+	readonly isRefuted?: (report: PeerReport) => boolean;
 };
 
 /** A link whose heartbeat period is so long that a test sees only the heartbeats that it triggers. */
 type StartedLink = PeerLink & {readonly node: NodeId; readonly address: ReturnType<typeof toAddress>};
 
-async function startLink(context: TestContext, name: string, {getState = () => 'ready', handleReport = () => undefined}: LinkChanges = {}): Promise<StartedLink> {
+async function startLink(context: TestContext, name: string, {getState = () => 'ready', handleReport = () => undefined, isRefuted = () => false}: LinkChanges = {}): Promise<StartedLink> {
 	hosts++;
 	const address = toAddress(`127.78.${process.pid % 250}.${hosts}:7103`);
 	const node = toNodeId(name);
@@ -36,9 +40,10 @@
 		settings: {
 			...limits, node, listen: address, domain: toFailureDomain('a'), periodMs: 60_000,
 		},
-		describeSelf: sequence => createSampleReport({
-			node, gossip: address, sequence, server: {...createSampleReport().server!, state: getState()},
+		describeSelf: (sequence, receiver) => createSampleReport({
+			node, gossip: address, sequence, server: {...createSampleReport().server!, state: getState()}, departures: receiver === undefined ? [] : [{node: receiver, lifetime}],
 		}),
+		isRefuted,
 		isFollowing: () => false,
 		log: silentLog,
 		refusals: silentRefusalLog,
@@ -63,6 +68,25 @@
 	assert.equal(first.table.get(second.node)?.probedAt, undefined);
 });
 
+// Guards against a restarted node that uses a server for as long as it runs, because nobody tells it that the server has left.
+test('a node that starts, and one whose report is refuted, is told of its departures at once', async context => {
+	let isRefuted = false;
+	const told: PeerReport[] = [];
+	const first = await startLink(context, 'n1', {isRefuted: () => isRefuted});
+	const second = await startLink(context, 'n2', {
+		handleReport(report) {
+			told.push(report);
+		},
+	});
+	first.addSeedAddresses([second.address]);
+	const countTold = (): number => told.filter(({departures}) => departures.some(({node}) => node === second.node)).length;
+	await expectSoon('the node that starts is told', () => countTold() > 0);
+	const before = countTold();
+	isRefuted = true;
+	second.announce();
+	await expectSoon('the refuted node is told', () => countTold() > before);
+});
+
 test('announcements, probes and seed addresses after dispose are ignored without an error', async context => {
 	const first = await startLink(context, 'n1');
 	const second = await startLink(context, 'n2');
--- a/src/lib/peers/peer-link.ts
+++ b/src/lib/peers/peer-link.ts
@@ -32,8 +32,10 @@
 /** @internal */
 export type PeerLinkContext = {
 	readonly settings: PeerLinkSettings;
-	/** Returns the current report of this node. */
-	readonly describeSelf: (sequence: number) => Omit<PeerReport, 'periods' | 'isProbe'>;
+	/** Returns the current report of this node, for all nodes or for one of them. */
+	readonly describeSelf: (sequence: number, receiver?: NodeId) => Omit<PeerReport, 'periods' | 'isProbe'>;
+	/** Returns whether a report contradicts what this node knows, so that its sender is told at once. */
+	readonly isRefuted: (report: PeerReport) => boolean;
 	/** Whether other nodes rely on this node to watch the store. */
 	readonly isFollowing: () => boolean;
 	readonly log: MeshLog;
@@ -108,7 +110,7 @@
  * @internal
  */
 export function createPeerLink(context: PeerLinkContext): PeerLink {
-	const {settings, describeSelf, isFollowing, log, refusals, handleReport, handleRound, random} = context;
+	const {settings, describeSelf, isRefuted, isFollowing, log, refusals, handleReport, handleRound, random} = context;
 	const socket = createSocket({type: 'udp4', lookup: resolveNumericAddress});
 	const seedAttemptsLeft = new Map<Address, number>();
 	const table = createPeerTable(settings.domain, settings);
@@ -159,9 +161,9 @@
 		return planHeartbeats({ownDomainNodes, otherDomainNodes: table.size - ownDomainNodes, isFollowing: isFollowing()});
 	};
 
-	const encodeSelf = (isProbe = false): Uint8Array => {
+	const encodeSelf = (isProbe = false, receiver?: NodeId): Uint8Array => {
 		sequence++;
-		return Buffer.from(encodeReport({...describeSelf(sequence), periods: computePeriods(plan(), settings.periodMs), isProbe}));
+		return Buffer.from(encodeReport({...describeSelf(sequence, receiver), periods: computePeriods(plan(), settings.periodMs), isProbe}));
 	};
 
 	const sendToPeers = (peers: Iterable<Peer>): void => {
@@ -287,10 +289,10 @@
 	};
 
 	/** Returns whether this node answers a report with its own immediately. Takes a token of the rate limit if so. */
-	const mayAnswer = ({node, isProbe}: PeerReport, change: PeerChange): boolean => {
+	const mayAnswer = (report: PeerReport, change: PeerChange): boolean => {
 		const now = readSteadyMs();
 		const isNew = change === 'joined' || change === 'restarted';
-		if (!isNew && !(isProbe && admitProbe(node, now))) {
+		if (!isNew && !isRefuted(report) && !(report.isProbe && admitProbe(report.node, now))) {
 			return false;
 		}
 
@@ -328,8 +330,8 @@
 		}
 
 		if (mayAnswer(report, change)) {
-			// A new node knows no other nodes, and a node that probes has waiting requests: neither should wait for the next period.
-			send(encodeSelf(), report.gossip);
+			// A new node knows no other nodes, a node that probes has waiting requests, and a refuted one sends requests to a server that has departed: none of them should wait for the next period.
+			send(encodeSelf(false, report.node), report.gossip);
 		}
 
 		handleReport(report, change);
--- a/src/lib/peers/peer-report.test.ts
+++ b/src/lib/peers/peer-report.test.ts
@@ -2,6 +2,7 @@
 import test from 'node:test';
 import fc from 'fast-check';
 import {isReachableAddress} from '../common/address.js';
+import {toBackendServerId, toNodeId} from '../common/ids.js';
 import {decodeReport, encodeReport} from './peer-report.js';
 import {createSampleReport} from './sample-report.js';
 
@@ -101,3 +102,12 @@
 		}
 	}), {seed, numRuns: 2000});
 });
+
+// Guards against a restarted node that cannot be told of a departure, and against a node that refuses the reports of an earlier program.
+test('departures are decoded as encoded, and a report without them has none', () => {
+	const report = createSampleReport({departures: [{node: toNodeId('n1'), lifetime: {id: toBackendServerId('i-1'), startedAt: 0}}]});
+	assert.deepEqual(decodeReport(encodeReport(report))._unsafeUnwrap(), report);
+	const withoutDepartures = (JSON.parse(encodeReport(report)) as unknown[]).slice(0, 14);
+	assert.deepEqual(decodeReport(JSON.stringify(withoutDepartures))._unsafeUnwrap(), createSampleReport());
+	assert.match(decodeReport(JSON.stringify([...withoutDepartures, [['n1', 'i-1', -1]]]))._unsafeUnwrapErr(), /departures\.0\.startedAt/);
+});
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -14,6 +14,7 @@
 	readAddress, readAmount, readCount, readFlag, readList, readName,
 } from '../common/read-input.js';
 import {type ServerLifetime} from '../common/server-lifetime.js';
+import {decodeDeparture, encodeDeparture, type Departure} from '../departures/departure.js';
 import {isSlowness} from '../decisions/slowness.js';
 import {type StoreEra} from '../store/store-position.js';
 import {decodePriorityLoad, encodePriorityLoad, type PriorityLoad} from '../decisions/priority-admission.js';
@@ -71,6 +72,8 @@
 	readonly suspects: readonly SuspectRecord[];
 	/** Rollouts that the node knows; `undefined` if it does not know whether there are any. */
 	readonly rollouts?: readonly RolloutRecord[] | undefined;
+	/** Recent departures of the backend server beside the sender, and those of the one beside the receiver that the sender knows. */
+	readonly departures: readonly Departure[];
 };
 
 /** What a node can do, and does, for the other nodes of its failure domain. @internal */
@@ -155,6 +158,7 @@
 		report.isProbe ? 1 : 0,
 		report.suspects.map(suspect => encodeSuspect(suspect)),
 		report.rollouts === undefined ? 0 : report.rollouts.map(rollout => encodeRecord(rollout)),
+		report.departures.map(departure => encodeDeparture(departure)),
 	]);
 }
 
@@ -236,8 +240,12 @@
 	return value === undefined || value === 0 ? {} : {rollouts: readList(value, 'rollouts').map((rollout, index) => decodeRecord(rollout, `rollouts.${index}`))};
 }
 
+function readDepartures(value: unknown): readonly Departure[] {
+	return value === undefined ? [] : readList(value, 'departures').map((departure, index) => decodeDeparture(departure, `departures.${index}`));
+}
+
 function readReport(value: unknown): PeerReport {
-	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, duties, periods, isProbe, suspects, rollouts] = readList(value, 'report');
+	const [node, run, sequence, domain, gate, gossip, version, isLeaving, server, duties, periods, isProbe, suspects, rollouts, departures] = readList(value, 'report');
 	return {
 		node: toNodeId(readName(node, 'node')),
 		run: readName(run, 'run'),
@@ -253,6 +261,7 @@
 		isProbe: readFlag(isProbe, 'isProbe'),
 		suspects: readSuspects(suspects),
 		...readRollouts(rollouts),
+		departures: readDepartures(departures),
 	};
 }
 
--- a/src/lib/peers/sample-report.ts
+++ b/src/lib/peers/sample-report.ts
@@ -28,6 +28,7 @@
 		periods: {ownDomainMs: 400, otherDomainMs: 400},
 		isProbe: false,
 		suspects: [],
+		departures: [],
 		...changes,
 	};
 }
--- a/src/lib/sidecar/announcement-server.ts
+++ b/src/lib/sidecar/announcement-server.ts
@@ -8,7 +8,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Buffer} from 'node:buffer';
-import {ok, type Result} from 'neverthrow';
+import {ok, ResultAsync, type Result} from 'neverthrow';
 import {readBody} from '../forwarding/read-body.js';
 import {type AnnouncementRefusal} from '../local-server/announcement-refusal.js';
 import {type ServerAnnouncement, type ServerLeave} from '../local-server/local-server.js';
@@ -24,8 +24,8 @@
 export type AnnouncementContext = {
 	/** Decodes a message; yields `undefined` if there is no such method and path. */
 	readonly decode: (method: string, target: string, body: string) => Result<ServerMessage | undefined, AnnouncementRefusal>;
-	/** Applies a message, or returns why it is refused. */
-	readonly handleMessage: (message: ServerMessage) => Result<undefined, AnnouncementRefusal>;
+	/** Applies a message, or returns why it is refused. Resolves once the message may be acknowledged. */
+	readonly handleMessage: (message: ServerMessage) => Promise<Result<undefined, AnnouncementRefusal>>;
 	readonly refusals: RefusalLog;
 };
 
@@ -54,13 +54,21 @@
 		refusals.record({
 			kind: 'announcement-refused', cause, place, reason,
 		});
-		sendResponse(response, 400, JSON.stringify({error: reason}));
+		sendResponse(response, cause === 'unkept' ? 503 : 400, JSON.stringify({error: reason}));
 	};
 
-	const apply = (request: IncomingMessage, body: string): MessageOutcome => {
+	const applyDecoded = async (message: ServerMessage | undefined): Promise<Result<MessageOutcome, AnnouncementRefusal>> => {
+		if (message === undefined) {
+			return ok({type: 'no-such-call'});
+		}
+
+		const applied = await handleMessage(message);
+		return applied.map(() => ({type: 'taken'}));
+	};
+
+	const apply = async (request: IncomingMessage, body: string): Promise<MessageOutcome> => {
 		try {
-			const outcome = decode(request.method ?? 'GET', request.url ?? '/', body)
-				.andThen((message): Result<MessageOutcome, AnnouncementRefusal> => message === undefined ? ok({type: 'no-such-call'}) : handleMessage(message).map(() => ({type: 'taken'})));
+			const outcome = await decode(request.method ?? 'GET', request.url ?? '/', body).asyncAndThen(message => new ResultAsync(applyDecoded(message)));
 			return outcome.match(taken => taken, ({cause, text}) => ({type: 'refused', cause, reason: text}));
 		} catch (error) {
 			// An unexpected exception must neither terminate the node nor acknowledge the message.
@@ -77,8 +85,8 @@
 			return;
 		}
 
-		// The message takes effect before the response is sent, so that the backend server can rely on the acknowledgement.
-		const outcome = apply(request, body);
+		// The message takes effect, and outlasts a restart of this node, before the response is sent, so that the backend server can rely on the acknowledgement.
+		const outcome = await apply(request, body);
 		switch (outcome.type) {
 			case 'taken': {
 				sendResponse(response, 200, '{}');
--- a/src/lib/sidecar/config-sync.test.ts
+++ b/src/lib/sidecar/config-sync.test.ts
@@ -43,7 +43,7 @@
 			silenceMs: 1000, probeMs: 500, forgetMs: 60_000, avoidMs: 250, getPeriodMs: () => 400,
 		},
 		isInOwnDomain: () => true, fetchConfig: async () => err({type: 'nothing', reason: 'none'}), log: silentLog, refusals: silentRefusalLog, random: () => 0,
-		suspects: {listQuarantined: () => [], handleRecords: () => undefined}, rollouts: undefined, handleConfigApplied: () => undefined,
+		suspects: {listQuarantined: () => [], handleRecords: () => undefined}, handleListedDepartures: () => undefined, rollouts: undefined, handleConfigApplied: () => undefined,
 	});
 	context.after(sync.dispose);
 	sync.start();
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -19,6 +19,9 @@
 import {type StoreOutcome} from '../rollout/rollout-decider.js';
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
 import {noEra, type StoreEra, type StorePosition} from '../store/store-position.js';
+import {
+	createDepartureEntries, departurePrefix, type DepartureEntries, type DepartureEntriesContext,
+} from '../sync/departure-entries.js';
 import {createCrashEntries, crashPrefix, type CrashEntries} from '../sync/crash-entries.js';
 import {createConfigCopy} from '../sync/config-copy.js';
 import {createConfigFollower} from '../sync/config-follower.js';
@@ -55,6 +58,8 @@
 	readonly random: () => number;
 	/** Lists the quarantined requests to store, and handles those found in the store. */
 	readonly suspects: Pick<SuspectEntriesContext, 'listQuarantined' | 'handleRecords'>;
+	/** Handles the departures of backend servers found in the store. */
+	readonly handleListedDepartures: DepartureEntriesContext['handleListed'];
 	/** The rollouts of this node; `undefined` if the platform has none. */
 	readonly rollouts: RolloutSyncContext | undefined;
 	/** Called with each configuration that becomes active. */
@@ -88,6 +93,10 @@
 	readonly storeSuspects: SuspectEntries['write'];
 	/** Publishes a crash to the other nodes through the store. */
 	readonly publishCrash: CrashEntries['publish'];
+	/** Writes the departure of the backend server beside this node to the store. */
+	readonly publishDeparture: DepartureEntries['publish'];
+	/** Returns whether departures of the backend server beside this node are not known to be in the store. */
+	readonly hasUnstoredDepartures: DepartureEntries['hasUnwritten'];
 	/** Stores the stage of a rollout. */
 	readonly storeRollout: (record: RolloutRecord) => Promise<StoreOutcome>;
 	readonly start: () => void;
@@ -232,6 +241,9 @@
 	const crashes = createCrashEntries({
 		store, log, refusals: context.refusals, handleRecords: context.suspects.handleRecords,
 	});
+	const departures = createDepartureEntries({
+		store, log, refusals: context.refusals, handleListed: context.handleListedDepartures,
+	});
 	const rolloutEntries = context.rollouts === undefined
 		? undefined
 		: createRolloutEntries({
@@ -241,6 +253,7 @@
 		store, health, self, gossip: context.gossip, log, random, isFollowing: () => follower.isFollowing(), countPeers: () => link.table.size, countSilent: link.countSilent,
 		isKnown: link.table.hasGossipAddress, refusals: context.refusals, handleAddresses: link.addSeedAddresses,
 		handleOtherItems(items) {
+			departures.reconcile(items.filter(({key}) => key.startsWith(departurePrefix)));
 			crashes.reconcile(items.filter(({key}) => key.startsWith(crashPrefix)));
 			suspects.reconcile(items.filter(({key}) => key.startsWith(suspectPrefix)));
 			rolloutEntries?.reconcile(items.filter(({key}) => key.startsWith(rolloutPrefix)));
@@ -256,6 +269,7 @@
 	store.watchEra(era => {
 		log.record('warn', {kind: 'store-restored', era});
 		crashes.handleRestored();
+		departures.handleRestored();
 		suspects.handleRestored();
 		rolloutEntries?.handleRestored();
 		resyncWithStore();
@@ -372,6 +386,8 @@
 		resyncWithStore,
 		storeSuspects: suspects.write,
 		publishCrash: crashes.publish,
+		publishDeparture: departures.publish,
+		hasUnstoredDepartures: departures.hasUnwritten,
 		storeRollout: async record => rolloutEntries === undefined ? 'unavailable' : rolloutEntries.write(record),
 		start() {
 			void retryOnFault(follower.run);
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -9,6 +9,7 @@
 import {type Address, type NodeId} from '../common/ids.js';
 import {type HeaderMap} from '../calls/attempt.js';
 import {toLifetimeKey, type LifetimeKey} from '../common/server-lifetime.js';
+import {createServerDepartures} from '../departures/server-departures.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
 import {createRequestStartLimiter} from '../common/request-start-limiter.js';
@@ -24,7 +25,9 @@
 import {createQuarantine} from '../quarantine/quarantine.js';
 import {createPeerLink} from '../peers/peer-link.js';
 import {type PeerReport} from '../peers/peer-report.js';
-import {isReachable, type PeerLimits, type PeerChange} from '../peers/peer-table.js';
+import {
+	isHeard, isReachable, type PeerLimits, type PeerChange,
+} from '../peers/peer-table.js';
 import {createQuotas} from '../quotas/quotas.js';
 import {defaultQuotaTolerance} from '../quotas/quota-plan.js';
 import {createRollouts} from '../rollout/rollouts.js';
@@ -124,6 +127,17 @@
 	const nestedCallDetector = createNestedCallDetector();
 	const loads = createLoadView();
 	const leaving = createLeavingServers();
+	const departures = createServerDepartures({
+		self,
+		log,
+		leaving,
+		publish: async departure => sync.publishDeparture(departure),
+		hasUnstored: () => sync.hasUnstoredDepartures(),
+		hasHeardNode: () => [...link.table.list()].some(peer => isHeard(peer, peerLimits, readSteadyMs())),
+		handleOwnDeparted(lifetime) {
+			gate.applyDeparture(lifetime);
+		},
+	});
 	const lag = createLoopLag();
 	const startLimiter = createRequestStartLimiter();
 	/**
@@ -204,15 +218,17 @@
 		handleChange() {
 			link.announce();
 		},
+		handleDeparted: departures.recordOwn,
 		getMaxConnections: service => sync.holder.get()?.config.services.find(({name}) => name === service)?.maxConnections ?? defaultMaxConnections,
 		isLeaving: () => isGateLeaving,
 		linkMbps: settings.linkMbps,
 		countQueuedBytes: linkWriter.countQueuedBytes,
 	});
 
-	const describeSelf = (sequence: number): Omit<PeerReport, 'periods' | 'isProbe'> => ({
+	const describeSelf = (sequence: number, receiver?: NodeId): Omit<PeerReport, 'periods' | 'isProbe'> => ({
 		node: self, run, sequence, domain, gate: settings.listen.gate, gossip: settings.listen.gossip, version: sync.holder.getVersion(), isLeaving: isGateLeaving, server: gate.describe(),
 		duties: sync.describeDuties(), suspects: quarantine.listBatch(), rollouts: rollouts.listRecords(),
+		departures: departures.listFor(receiver),
 	});
 
 	const handleReport = (report: PeerReport, change: PeerChange): void => {
@@ -224,6 +240,7 @@
 			loads.recordReport(toLifetimeKey(report.server.lifetime), report.server, readSteadyMs());
 		}
 
+		departures.handleReport(report);
 		quarantine.merge(report.suspects, report.node);
 		rollouts.merge(report.rollouts, report.node);
 		sync.handleReport(report);
@@ -232,7 +249,7 @@
 	const link = createPeerLink({
 		settings: {
 			...peerLimits, node: self, listen: settings.listen.gossip, domain, periodMs: heartbeatPeriodMs,
-		}, describeSelf, isFollowing: () => sync.describeDuties().isFollowing, log, refusals, random, handleReport, handleRound(lateMs) {
+		}, describeSelf, isRefuted: departures.isRefuted, isFollowing: () => sync.describeDuties().isFollowing, log, refusals, random, handleReport, handleRound(lateMs) {
 			updateClockOffsets();
 			livenessMonitor.handleRound(lateMs);
 			housekeeping.handleRound();
@@ -277,6 +294,7 @@
 				quarantine.merge(records, 'store');
 			},
 		},
+		handleListedDepartures: departures.handleListed,
 		rollouts: settings.rollouts === undefined
 			? undefined
 			: {
@@ -368,7 +386,7 @@
 	});
 	const announcementServer = createAnnouncementServer({
 		...createLocalServerMessageHandler({
-			decode: dependencies.decodeServerMessage, service: settings.service, listPeers: link.table.list, gate,
+			decode: dependencies.decodeServerMessage, service: settings.service, listPeers: link.table.list, gate, departures,
 		}), refusals,
 	});
 
@@ -381,6 +399,7 @@
 		{name: 'stonemoor_entry_calls', help: 'Calls of callers under way', read: () => entry.countCalls()},
 		{name: 'stonemoor_suspected_requests', help: 'Requests known to have been in work when backend servers crashed', read: quarantine.countSuspects},
 		{name: 'stonemoor_quarantine_refusals', help: 'Judgements that kept a request from backend servers, since the start', read: quarantine.countRefused},
+		{name: 'stonemoor_departed_servers', help: 'Backend servers known to have drained or left, which get no requests', read: departures.count},
 		{name: 'stonemoor_server_limit', help: 'Requests per second that the backend server takes; absent while it names no limit', read: gate.getLimit},
 		{name: 'stonemoor_concurrency_limit', help: 'Requests that the gate sends to the backend server at the same time; absent while there is no server', read: gate.getSlotLimit},
 		{name: 'stonemoor_server_slowness', help: 'How long work takes on the VM of the backend server, as a factor of the usual time; absent while the server does not say', read: gate.getSlowness},
@@ -409,6 +428,7 @@
 		unwatchResume();
 		livenessMonitor.dispose();
 		housekeeping.dispose();
+		departures.dispose();
 		sync.dispose();
 		quotas.dispose();
 		link.dispose();
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -65,6 +65,8 @@
 	| 'field'
 	/** The state of the server is unknown. */
 	| 'state'
+	/** The departure would be forgotten if this node restarted. */
+	| 'unkept'
 	/** The server reports another service than the one in the settings of this node. */
 	| 'service';
 
@@ -102,6 +104,9 @@
 	| {readonly kind: 'gossip-failed'; readonly reason: string}
 	| {readonly kind: 'server-announced'; readonly server: string; readonly startedAt: number; readonly service: string; readonly version: string; readonly slots: number; readonly coldMs: number}
 	| {readonly kind: 'server-draining'; readonly server: string; readonly how: string}
+	/** The server drained or left during an earlier run of this node, as the store or another node reports. */
+	| {readonly kind: 'server-departed'; readonly server: string; readonly startedAt: number; readonly from: string}
+	| {readonly kind: 'departure-not-stored'; readonly server: string; readonly reason: string}
 	/** The server named another limit, or none (`undefined`), in requests per second. */
 	| {readonly kind: 'server-limit-changed'; readonly server: string; readonly perSecond: number | undefined; readonly before: number | undefined}
 	| {readonly kind: 'server-silent'; readonly server: string; readonly heardMsAgo: number}
