A node that shuts down answers all requests that it has read from a connection

What callers saw: after a SIGTERM, a caller that had sent two requests on one connection got the answer to the first; then the connection ended.

The answer before it closes the connection. Each lost request ended 0 to 1 ms after the answer before it, which said "connection: close" (record: afterClosingAnswer true), 2.37 to 2.57 s after the SIGTERM. 2. The connections that are closed as idle when the node stops listening. Ruled out: that is 2.7 s after it. 3. The exit of the process. Ruled out: it ended 2.76 s after it. 4. The caller closed. Ruled out by the same record: the node ended the connection, and its line "call-finished" says "cancelled: the caller no longer waits", which is not true. No line told a close of the node from one of the caller; what a node drops now has a line of its own, request-not-admitted.

Cause: from 2.3 s after the SIGTERM on, each response closed its connection, whatever had been read behind it. Node.js drops the responses that wait behind one that closes. The class: the end of a connection is decided for one request, and other requests are in work on it.

A response closes its connection only if no request was read behind it; from then on nothing read there is passed on, which the caller sends again. The same holds for refusals, which close in the same way. When the node stops listening, a connection is idle only if all its responses are sent (before: if no call was registered, which a request that waits for a newer configuration is not), no further request is admitted on the others, and they close after their last response. So a caller that goes on sending cannot hold a connection until the exit.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -181,10 +181,24 @@
 	},
 	{
 		promise: 'sidecar: a node that shuts down does not close connections with unsent responses',
-		file: `${library}/forwarding/connection-scopes.js`,
-		from: 'calls.size === 0 && socket.writableLength === 0',
-		to: 'calls.size === 0',
-		tests: 'platform',
+		file: `${library}/common/caller-connections.js`,
+		from: 'if (open.length === 0) {',
+		to: 'if (open.every(({ response }) => response.writableEnded)) {',
+		tests: 'platform/shutdown.test.js',
+	},
+	{
+		promise: 'connection: a response closes it only if no request was read behind it',
+		file: `${library}/common/request-order.js`,
+		from: 'position === admittedCount - 1',
+		to: 'true',
+		tests: 'platform/pipelining.test.js',
+	},
+	{
+		promise: 'connection: a request behind a response that closes is not passed on',
+		file: `${library}/common/caller-connections.js`,
+		from: 'order.stop();\n                if (open',
+		to: 'if (open',
+		tests: `${library}/common/caller-connections.test.js`,
 	},
 	{
 		promise: 'sidecar: an unresponsive connection stays open for a while, so that its requests may still be answered',
@@ -1066,7 +1080,7 @@
 		file: `${library}/sidecar/local-server-messages.js`,
 		from: 'await departures.waitUntilKnown();',
 		to: '',
-		tests: 'platform/departures.test.js',
+		tests: `${library}/sidecar/local-server-messages.test.js`,
 	},
 	{
 		promise: 'departure: it is acknowledged only if the store or another node keeps it',
--- /dev/null
+++ b/src/lib/common/caller-connections.test.ts
@@ -0,0 +1,129 @@
+import assert from 'node:assert/strict';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {connect, type AddressInfo} from 'node:net';
+import test, {type TestContext} from 'node:test';
+import {expectSoon} from '../../../stand-ins/wait-until.js';
+import {watchCallerConnections, type CallerConnections} from './caller-connections.js';
+
+type Fixture = {
+	readonly connections: CallerConnections;
+	/** Paths of the requests that were admitted. */
+	readonly admitted: readonly string[];
+	/** Paths of the requests that were not admitted. */
+	readonly dropped: readonly string[];
+	/** Answers an admitted request. With `isClosing`, its response closes the connection if it may. */
+	readonly answer: (path: string, isClosing?: boolean) => void;
+	readonly send: (text: string) => void;
+	/** Returns everything that the caller received. */
+	readonly getReceived: () => string;
+	readonly hasEnded: () => boolean;
+};
+
+const createRequest = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\n\r\n`;
+
+/** Starts a server and a caller with one connection. */
+async function startFixture(context: TestContext): Promise<Fixture> {
+	const open = new Map<string, {readonly request: IncomingMessage; readonly response: ServerResponse}>();
+	const admitted: string[] = [];
+	const dropped: string[] = [];
+	const server = createServer((request, response) => {
+		const path = request.url ?? '';
+		if (!connections.admit(request, response)) {
+			dropped.push(path);
+			return;
+		}
+
+		admitted.push(path);
+		open.set(path, {request, response});
+	});
+	const connections = watchCallerConnections(server);
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	context.after(() => {
+		socket.destroy();
+		server.close();
+		server.closeAllConnections();
+	});
+	let received = '';
+	let isEnded = false;
+	socket.setEncoding('latin1');
+	socket.on('data', (text: string) => {
+		received += text;
+	});
+	socket.on('error', () => undefined);
+	socket.once('close', () => {
+		isEnded = true;
+	});
+	return {
+		connections,
+		admitted,
+		dropped,
+		answer(path, isClosing = true) {
+			const {request, response} = open.get(path)!;
+			response.writeHead(200, {'content-length': path.length, ...isClosing && connections.close(request) ? {connection: 'close'} : {}});
+			response.end(path);
+		},
+		send(text) {
+			socket.write(text);
+		},
+		getReceived: () => received,
+		hasEnded: () => isEnded,
+	};
+}
+
+const listBodies = (received: string): readonly string[] => [...received.matchAll(/\r\n\r\n(\/[a-z])/g)].map(([, body]) => body!);
+
+// Guards against an answer that is dropped although its request was passed on, because the answer before it closed the connection.
+test('responses close the connection only after the last request that was read, in whichever order they are ready', async context => {
+	for (const order of [['/a', '/b', '/c'], ['/c', '/b', '/a'], ['/b', '/c', '/a']]) {
+		const {send, admitted, answer, getReceived, hasEnded} = await startFixture(context);
+		send(['/a', '/b', '/c'].map(path => createRequest(path)).join(''));
+		await expectSoon('all are read', () => admitted.length === 3);
+		for (const path of order) {
+			answer(path);
+		}
+
+		await expectSoon('the connection ends', hasEnded);
+		assert.deepEqual(listBodies(getReceived()), ['/a', '/b', '/c']);
+		assert.match(getReceived(), /connection: close\r\n[^/]*\/c$/is);
+	}
+});
+
+// Guards against a request that is passed on although its answer cannot be sent any more.
+test('a request behind a response that closes is not admitted', async context => {
+	const {send, admitted, dropped, answer, getReceived, hasEnded} = await startFixture(context);
+	send(createRequest('/a') + createRequest('/b'));
+	await expectSoon('both are read', () => admitted.length === 2);
+	answer('/b');
+	send(createRequest('/c'));
+	await expectSoon('the third is dropped', () => dropped.length === 1);
+	answer('/a');
+	await expectSoon('the connection ends', hasEnded);
+	assert.deepEqual(listBodies(getReceived()), ['/a', '/b']);
+});
+
+// Guards against a shutdown that closes a connection while a request that was read from it is in work.
+test('stopping closes idle connections at once and the others after their last response', async context => {
+	const idle = await startFixture(context);
+	idle.send(createRequest('/a'));
+	await expectSoon('it is read', () => idle.admitted.length === 1);
+	idle.answer('/a', false);
+	await expectSoon('it is answered', () => listBodies(idle.getReceived()).length === 1);
+	idle.connections.stop();
+	await expectSoon('the idle connection ends', idle.hasEnded);
+
+	const busy = await startFixture(context);
+	busy.send(createRequest('/a') + createRequest('/b'));
+	await expectSoon('both are read', () => busy.admitted.length === 2);
+	busy.answer('/b', false);
+	assert.equal(busy.connections.countUnsent(), 1, 'the second response waits behind the first');
+	busy.connections.stop();
+	busy.send(createRequest('/c'));
+	await expectSoon('the third is dropped', () => busy.dropped.length === 1);
+	busy.answer('/a');
+	await expectSoon('the connection ends', busy.hasEnded);
+	assert.deepEqual(listBodies(busy.getReceived()), ['/a', '/b']);
+	assert.equal(busy.connections.countUnsent(), 0);
+});
--- /dev/null
+++ b/src/lib/common/caller-connections.ts
@@ -0,0 +1,103 @@
+/**
+ * Tracks the connections of callers to an HTTP server, and ends each without losing
+ * the responses to requests that were read from it. Node.js alone drops them if an
+ * earlier response closes the connection.
+ *
+ * @module
+ */
+import {
+	type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {Server as NetServer, type Socket} from 'node:net';
+import {createRequestOrder, type RequestOrder} from './request-order.js';
+
+/** @internal */
+export type CallerConnections = {
+	/** Admits a request that was read. Returns false if it must not be handled: a response before it closes the connection, and the caller sends it again. */
+	readonly admit: (request: IncomingMessage, response: ServerResponse) => boolean;
+	/** Returns whether the response to a request may close its connection. If so, no further request is admitted there. */
+	readonly close: (request: IncomingMessage) => boolean;
+	/** Returns the number of connections with responses that were handed over and are not sent yet. */
+	readonly countUnsent: () => number;
+	/** Stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. */
+	readonly stop: () => void;
+};
+
+/** A request whose response is not sent yet. */
+type OpenExchange = {readonly request: IncomingMessage; readonly response: ServerResponse; readonly position: number};
+
+type Connection = {
+	readonly order: RequestOrder;
+	/** In the order of the requests. */
+	readonly open: OpenExchange[];
+};
+
+/**
+ * Tracks the connections that a server accepts from now on.
+ *
+ * @param server - The server.
+ * @returns Its connections.
+ * @internal
+ */
+export function watchCallerConnections(server: Server): CallerConnections {
+	const connections = new Map<Socket, Connection>();
+	let isStopped = false;
+
+	server.on('connection', (socket: Socket) => {
+		connections.set(socket, {order: createRequestOrder(), open: []});
+		socket.once('close', () => {
+			connections.delete(socket);
+		});
+	});
+
+	const finish = (socket: Socket, connection: Connection, exchange: OpenExchange): void => {
+		connection.open.splice(connection.open.indexOf(exchange), 1);
+		if (isStopped && connection.open.length === 0) {
+			socket.destroySoon();
+		}
+	};
+
+	return {
+		admit(request, response) {
+			const {socket} = request;
+			const connection = connections.get(socket);
+			const position = connection?.order.admit();
+			if (connection === undefined || position === undefined) {
+				// Reads and drops the body, so that the responses before it are sent.
+				request.resume();
+				return false;
+			}
+
+			const exchange: OpenExchange = {request, response, position};
+			connection.open.push(exchange);
+			response.once('close', () => {
+				finish(socket, connection, exchange);
+			});
+			return true;
+		},
+		close(request) {
+			const connection = connections.get(request.socket);
+			const exchange = connection?.open.find(open => open.request === request);
+			return connection === undefined || exchange === undefined || connection.order.close(exchange.position);
+		},
+		countUnsent() {
+			let count = 0;
+			for (const {open} of connections.values()) {
+				count += open.some(({response}) => response.writableEnded) ? 1 : 0;
+			}
+
+			return count;
+		},
+		stop() {
+			isStopped = true;
+			// The HTTP server's own `close` treats a connection as idle once its response was handed to the socket, and would cut off bytes that were not sent yet.
+			NetServer.prototype.close.call(server);
+			for (const [socket, {order, open}] of connections) {
+				order.stop();
+				if (open.length === 0) {
+					socket.destroy();
+				}
+			}
+		},
+	};
+}
--- a/src/lib/forwarding/connection-scopes.ts
+++ b/src/lib/forwarding/connection-scopes.ts
@@ -1,6 +1,6 @@
 /**
  * Cancels the calls of a connection when it closes, because their caller no longer
- * waits for the responses. Counts the connections with unsent response bytes.
+ * waits for the responses.
  *
  * @module
  */
@@ -12,28 +12,8 @@
 export type ConnectionScopes = {
 	/** Adds a call to its connection. Returns a function that removes it. */
 	readonly add: (socket: Socket, scope: CallScope) => () => void;
-	/** Returns the number of connections with response bytes that the caller has not read yet. */
-	readonly countUnsentConnections: () => number;
-	/** Closes connections without calls and without unsent response bytes. */
-	readonly closeIdle: () => void;
 };
 
-/**
- * Counts connections whose write buffer is not empty because the other end reads too slowly.
- *
- * @param sockets - Connections.
- * @returns The number of connections with bytes that the operating system has not accepted yet.
- * @internal
- */
-export function countUnsentConnections(sockets: Iterable<Socket>): number {
-	let count = 0;
-	for (const {writableLength} of sockets) {
-		count += writableLength > 0 ? 1 : 0;
-	}
-
-	return count;
-}
-
 /**
  * Tracks the calls of each connection that a server accepts from now on.
  *
@@ -75,13 +55,5 @@
 				calls.delete(scope);
 			};
 		},
-		countUnsentConnections: () => countUnsentConnections(scopes.keys()),
-		closeIdle() {
-			for (const [socket, calls] of scopes) {
-				if (calls.size === 0 && socket.writableLength === 0) {
-					socket.destroy();
-				}
-			}
-		},
 	};
 }
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -8,7 +8,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {watchCallerConnections} from '../common/caller-connections.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type LoopLag} from '../common/loop-lag.js';
 import {type Verdict} from '../common/verdict.js';
@@ -86,11 +86,11 @@
 	readonly server: Server;
 	readonly applyLimits: (limits: CallerLimits) => void;
 	readonly countCalls: () => number;
-	/** Returns the number of connections on which bytes of responses have not been sent yet. */
+	/** Returns the number of connections with responses that have not been sent yet. */
 	readonly countUnsentAnswers: () => number;
-	/** Makes each response from now on close its connection. */
+	/** Makes each connection close from now on after the response to the last request that was read from it. */
 	readonly startClosing: () => void;
-	/** Stops accepting connections and closes the idle ones. */
+	/** Stops accepting connections and requests, and closes the idle connections. */
 	readonly stopListening: () => void;
 };
 
@@ -130,11 +130,12 @@
 	const server = createServer({
 		maxHeaderSize: maxHeaderBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
 	});
-	const connections = watchConnections(server);
+	const connections = watchCallerConnections(server);
+	const scopes = watchConnections(server);
 	let calls = 0;
 	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
 	let isClosing = false;
-	const refusals = createEntryRefusals(context, () => isClosing);
+	const refusals = createEntryRefusals(context, connections.close, () => isClosing);
 	const {refuseAndLog, logCallerLeft} = refusals;
 
 	const sendAnswer = (call: EntryCall, answer: ForwardResponse): void => {
@@ -278,7 +279,7 @@
 		// Set once the call is sent, since an unexpected error may follow.
 		let mayHaveRun = false;
 		const scope = createCallScope(call.receivedAt + timeLeftMs + deadlineGraceMs);
-		const removeFromConnection = connections.add(request.socket, scope);
+		const removeFromConnection = scopes.add(request.socket, scope);
 		try {
 			await context.waitForPendingInput(request.socket.bytesWritten === 0);
 			if (scope.getEndReason() === 'cancelled') {
@@ -347,6 +348,11 @@
 
 	const handle = (request: IncomingMessage, response: ServerResponse, sendContinue: () => void): void => {
 		const id = getStringHeader(request.headers, headerNames.callId) ?? '';
+		if (!connections.admit(request, response)) {
+			log.record('info', {kind: 'request-not-admitted', call: id});
+			return;
+		}
+
 		void runAndCatch({
 			id, request, response, receivedAt: readSteadyMs() - context.estimateUnreadMs(), sendContinue,
 		});
@@ -368,14 +374,10 @@
 			server.headersTimeout = limits.headerTimeoutMs;
 		},
 		countCalls: () => calls,
-		countUnsentAnswers: connections.countUnsentConnections,
+		countUnsentAnswers: connections.countUnsent,
 		startClosing() {
 			isClosing = true;
 		},
-		stopListening() {
-			// The HTTP server's own `close` treats a connection as idle once its response was handed to the socket, and would cut off bytes that were not sent yet.
-			NetServer.prototype.close.call(server);
-			connections.closeIdle();
-		},
+		stopListening: connections.stop,
 	};
 }
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -11,7 +11,6 @@
 import {type MeshLog, type RefusalCause} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {createCallScope, type CallScope} from './call-scope.js';
-import {countUnsentConnections} from './connection-scopes.js';
 import {
 	createFrameReader, type Frame, type FrameReader,
 } from './frame.js';
@@ -260,7 +259,7 @@
 
 	return {
 		server,
-		countUnsentResponses: () => link.countQueued() + countUnsentConnections(Array.from(connections, ({socket}) => socket)),
+		countUnsentResponses: () => link.countQueued() + [...connections].filter(({socket}) => socket.writableLength > 0).length,
 		async dispose() {
 			// Destroying a socket with unread input sends a reset, and the other node then loses bytes that it has not read yet. An orderly end avoids this.
 			const closed = Promise.all(Array.from(connections, async ({socket}) => new Promise(resolve => {
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -132,6 +132,8 @@
 	| {readonly kind: 'attempt-failed'; readonly call: string; readonly route: string; readonly attempt: AttemptRecord; readonly next: string}
 	| {readonly kind: 'call-finished'; readonly call: string; readonly route: string; readonly workspace?: string | undefined; readonly version: number; readonly status: number; readonly verdict: Verdict; readonly reason: string; readonly tookMs: number; readonly leftMs: number; readonly attempts: readonly AttemptRecord[]; readonly quota?: 'granted' | 'waited' | 'returned'}
 	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly slowness?: number | undefined; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string; readonly fullCause?: FullCause | undefined; readonly workspace?: string | undefined}
+	/** The request was read behind a response that closes its connection, and was not passed on; the caller sends it again. */
+	| {readonly kind: 'request-not-admitted'; readonly call: string}
 	/** The caller left before its request was started; the request was not sent to any server. */
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
 	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number; readonly workspace?: string; readonly quota?: 'over' | 'unknown'}
