Bytes that are no request do not take the responses before them away

What callers saw: a caller that sends a request and, before its response, bytes that are no request (or too long a head, or one that comes too slowly) got 400 where the response to its request was due, and the connection ended. The request had been passed on, and its server worked for nobody.

Cause: no listener for "clientError". Node.js then writes its own 400 (408, 413, 431) at once if the response in work has not begun, and destroys the connection with all that waits on it.

Change: the error is answered after the responses to the complete requests before it, with the same statuses. A request whose own body is in error gets it at once, as before.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -200,6 +200,13 @@
 		to: 'if (open',
 		tests: `${library}/common/caller-connections.test.js`,
 	},
+	{
+		promise: 'connection: bytes that are no request do not end it before the responses',
+		file: `${library}/common/caller-connections.js`,
+		from: 'open.some(({ request }) => request.complete)',
+		to: 'false',
+		tests: 'platform/pipelining.test.js',
+	},
 	{
 		promise: 'sidecar: an unresponsive connection stays open for a while, so that its requests may still be answered',
 		file: `${library}/forwarding/peer-channel.js`,
--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -104,6 +104,28 @@
 	assert.deepEqual(listBodies(getReceived()), ['/a', '/b']);
 });
 
+// Guards against an answer that is lost because its caller has sent bytes behind its request that are none.
+test('a request in work is answered before bytes behind it that are no request, and these get 400', async context => {
+	const {send, admitted, answer, getReceived, hasEnded} = await startFixture(context);
+	send(`${createRequest('/a')}${createRequest('/b')}no request\r\n\r\n`);
+	await expectSoon('both are read', () => admitted.length === 2);
+	send('more of it');
+	answer('/b', false);
+	answer('/a', false);
+	await expectSoon('the connection ends', hasEnded);
+	assert.deepEqual(listBodies(getReceived()), ['/a', '/b']);
+	assert.ok(getReceived().endsWith('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n'), getReceived());
+});
+
+test('bytes that are no request, and a body that breaks off in error, get 400 at once', async context => {
+	for (const text of ['no request\r\n\r\n', 'POST /a HTTP/1.1\r\nHost: mesh.example\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n']) {
+		const {send, getReceived, hasEnded} = await startFixture(context);
+		send(text);
+		await expectSoon('the connection ends', hasEnded);
+		assert.match(getReceived(), /^HTTP\/1\.1 400 /);
+	}
+});
+
 // Guards against a shutdown that closes a connection while a request that was read from it is in work.
 test('stopping closes idle connections at once and the others after their last response', async context => {
 	const idle = await startFixture(context);
--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -1,7 +1,7 @@
 /**
  * Tracks the connections of callers to an HTTP server, and ends each without losing
  * the responses to requests that were read from it. Node.js alone drops them if an
- * earlier response closes the connection.
+ * earlier response closes the connection, or if bytes that are no request follow.
  *
  * @module
  */
@@ -30,8 +30,28 @@
 	readonly order: RequestOrder;
 	/** In the order of the requests. */
 	readonly open: OpenExchange[];
+	/** Status line for bytes that are no request, sent after the responses to the requests before them. */
+	errorStatus: string | undefined;
 };
 
+/** The statuses that Node.js sends by default. */
+const errorStatuses: ReadonlyMap<string, string> = new Map([
+	['HPE_HEADER_OVERFLOW', '431 Request Header Fields Too Large'],
+	['HPE_CHUNK_EXTENSIONS_OVERFLOW', '413 Payload Too Large'],
+	['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
+]);
+
+const defaultErrorStatus = '400 Bad Request';
+
+/** Answers bytes that are no request, unless a response is under way already, and closes the connection. */
+function sendError(socket: Socket, {open: [exchange]}: Connection, status: string): void {
+	if (socket.writable && !exchange?.response.headersSent) {
+		socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+	}
+
+	socket.destroySoon();
+}
+
 /**
  * Tracks the connections that a server accepts from now on.
  *
@@ -44,19 +64,46 @@
 	let isStopped = false;
 
 	server.on('connection', (socket: Socket) => {
-		connections.set(socket, {order: createRequestOrder(), open: []});
+		connections.set(socket, {order: createRequestOrder(), open: [], errorStatus: undefined});
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
 	});
 
+	/** Whether a response is still to come that the caller can read before an error. A request whose own body is in error gets no response. */
+	const isAnswering = ({open}: Connection): boolean => open.some(({request}) => request.complete);
+
 	const finish = (socket: Socket, connection: Connection, exchange: OpenExchange): void => {
 		connection.open.splice(connection.open.indexOf(exchange), 1);
-		if (isStopped && connection.open.length === 0) {
+		if (socket.destroyed) {
+			return;
+		}
+
+		if (connection.errorStatus !== undefined && !isAnswering(connection)) {
+			sendError(socket, connection, connection.errorStatus);
+		} else if (isStopped && connection.open.length === 0) {
 			socket.destroySoon();
 		}
 	};
 
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+		const connection = connections.get(socket);
+		if (connection === undefined || error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		if (connection.errorStatus !== undefined) {
+			return;
+		}
+
+		connection.order.stop();
+		connection.errorStatus = errorStatuses.get(error.code ?? '') ?? defaultErrorStatus;
+		if (!isAnswering(connection)) {
+			sendError(socket, connection, connection.errorStatus);
+		}
+	});
+
 	return {
 		admit(request, response) {
 			const {socket} = request;
