The product's own node answers all requests that it has read from a connection

What callers saw: as on sidecar nodes, while a node shuts down the answers behind the first one on a connection were dropped, and bytes that are no request took the answer before them away.

Cause: "connection: close" with each response while draining, and Node.js's own handling of "clientError".

Change: the entry uses the tracker of connections of the sidecar nodes (common/caller-connections.ts), which also replaces the HTTP server's own close.

--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -10,6 +10,7 @@
 } from 'node:http';
 import {pipeline} from 'node:stream';
 import {randomUUID} from 'node:crypto';
+import {watchCallerConnections} from '../common/caller-connections.js';
 import {readMicroseconds, readNow} from '../common/clock.js';
 import {toCallId, type CallId} from '../common/ids.js';
 import {anyHost} from '../routing/routing-table.js';
@@ -40,7 +41,7 @@
 export type EntryServer = {
 	readonly server: Server;
 	readonly countCalls: () => number;
-	/** Stops listening, closes idle connections, and adds `connection: close` to the remaining responses. */
+	/** Stops listening, closes idle connections, and closes the others after their last response. */
 	readonly startDraining: () => void;
 };
 
@@ -139,7 +140,8 @@
 			...toOutgoingHeaders(result.headers),
 			[meshHeaders.verdict]: verdict,
 			[meshHeaders.call]: call.id,
-			...isDraining || !call.request.complete ? {connection: 'close'} : {},
+			// The response to a request that was read behind this one would be dropped.
+			...(isDraining || !call.request.complete) && connections.close(call.request) ? {connection: 'close'} : {},
 		});
 		const addedMicroseconds = readMicroseconds() - call.startedAt - result.serverMicroseconds;
 		// On an error, pipeline destroys the caller's connection, so that a truncated response does not look complete.
@@ -241,6 +243,10 @@
 	};
 
 	const handle = (request: IncomingMessage, response: ServerResponse, handleReadStart: () => void): void => {
+		if (!connections.admit(request, response)) {
+			return;
+		}
+
 		const call: Call = {
 			id: toCallId(randomUUID()), request, response, startedAt: readMicroseconds(), handleReadStart,
 		};
@@ -262,13 +268,14 @@
 		});
 	});
 
+	const connections = watchCallerConnections(server);
+
 	return {
 		server,
 		countCalls: () => calls,
 		startDraining() {
 			isDraining = true;
-			server.close();
-			server.closeIdleConnections();
+			connections.stop();
 		},
 	};
 }
