A drain on the product's own node outlasts a restart of that node

What callers saw: a backend server that drains goes on announcing itself until its work is done. If the node beside it restarted meanwhile, the next announcement put it into use again.

Cause: the drain was kept in the memory of the node that acknowledged it. Its published record said so, but the record of the next run replaced it, and a node ignores records of its own earlier runs.

Change: a record tells servers that leave (by their own word or an operator's) from those that drain because their node shuts down. A node keeps announcements waiting until it has joined, 0.9 s at most. No call to the store: 16,000 nodes that restart together would read it 16,000 times.

--- a/src/lib/calls/announcement-api.ts
+++ b/src/lib/calls/announcement-api.ts
@@ -22,14 +22,21 @@
 	connections: z.int().min(1).max(maximumSlots),
 }).readonly();
 
+/** What the interface needs of the other nodes. @internal */
+export type AnnouncementMesh = {
+	readonly waitUntilJoined: () => Promise<void>;
+	readonly pushOwnRecord: () => Promise<boolean>;
+};
+
 /**
  * Creates the HTTP interface for announcements.
  *
  * @param servers - The backend servers beside this node.
+ * @param mesh - `waitUntilJoined` waits until this node has learned from others which of its servers leave, for a short time at most. `pushOwnRecord` tells other nodes of a drain or its end, and resolves with whether one has received it.
  * @returns The Hono application.
  * @internal
  */
-export function createAnnouncementApi(servers: LocalServers): Hono {
+export function createAnnouncementApi(servers: LocalServers, mesh: AnnouncementMesh): Hono {
 	const app = new Hono();
 
 	app.post('/v1/announcements', async context => {
@@ -40,19 +47,22 @@
 			return context.json({reason: 'bad-announcement', problems}, 400);
 		}
 
+		await mesh.waitUntilJoined();
 		servers.announce(parsed.data);
 		return context.json({announced: parsed.data.id});
 	});
 
 	app.get('/v1/announcements', context => context.json(servers.list()));
 
-	app.post('/v1/announcements/:id/drain', context => {
+	app.post('/v1/announcements/:id/drain', async context => {
 		const id = toBackendServerId(context.req.param('id'));
-		return servers.drain(id) ? context.json({draining: id}) : context.json({reason: 'unknown-server'}, 404);
+		return servers.drain(id) ? context.json({draining: id, kept: await mesh.pushOwnRecord()}) : context.json({reason: 'unknown-server'}, 404);
 	});
 
-	app.delete('/v1/announcements/:id', context => {
+	app.delete('/v1/announcements/:id', async context => {
 		servers.withdraw(toBackendServerId(context.req.param('id')), 'it withdrew');
+		// Otherwise a node that restarts now would drain a later start of the server.
+		await mesh.pushOwnRecord();
 		return context.json({withdrawn: context.req.param('id')});
 	});
 
--- a/src/lib/calls/local-servers.ts
+++ b/src/lib/calls/local-servers.ts
@@ -18,14 +18,17 @@
 import {type RunQuarantine} from './run-tracker.js';
 
 /** The description that a backend server periodically sends of itself. @public */
-export type Announcement = Omit<BackendServer, 'startedAt' | 'isDraining'>;
+export type Announcement = Omit<BackendServer, 'startedAt' | 'isDraining' | 'isLeaving'>;
 
 /** @public */
 export type LocalServers = {
 	readonly announce: (announcement: Announcement) => void;
-	/** Stops giving new requests to the server. Returns whether the server is known. */
+	/** Stops giving new requests to the server, also after a restart of this node. Returns whether the server is known. */
 	readonly drain: (id: BackendServerId) => boolean;
+	/** Stops giving new requests to all servers until this node ends. */
 	readonly drainAll: () => void;
+	/** Drains servers that were leaving in earlier runs of this node, once they announce themselves. */
+	readonly restoreDrains: (ids: readonly BackendServerId[]) => void;
 	/** Removes a server that has withdrawn or has stopped announcing itself. */
 	readonly withdraw: (id: BackendServerId, reason: string) => void;
 	readonly has: (id: BackendServerId) => boolean;
@@ -77,27 +80,39 @@
 export function createLocalServers(settings: AdmissionSettings, quarantine: RunQuarantine, timeline: Timeline, handleChange: (servers: readonly BackendServer[]) => void): LocalServers {
 	const entries = new Map<BackendServerId, Entry>();
 	const tickets = new Map<string, Ticket>();
+	/** Servers that were leaving in an earlier run of this node and have not announced themselves in this one. */
+	const leavingBefore = new Set<BackendServerId>();
 	let isClosing = false;
 
 	const publish = (): void => {
 		handleChange([...entries.values()].map(entry => entry.server));
 	};
 
-	const drain = (id: BackendServerId): boolean => {
-		const entry = entries.get(id);
-		if (entry === undefined || entry.server.isDraining) {
-			return entry !== undefined;
+	const startDraining = (entry: Entry, isLeaving: boolean): void => {
+		const {server, gate} = entry;
+		if (server.isDraining && (server.isLeaving === true || !isLeaving)) {
+			return;
 		}
 
 		// The gate closes before the change is published: requests that other nodes still send are rejected and not executed, however late these nodes learn of it.
-		entry.gate.startDraining();
-		entries.set(id, {...entry, server: {...entry.server, isDraining: true}});
-		timeline.record({kind: 'server-draining', server: id});
+		gate.startDraining();
+		entries.set(server.id, {...entry, server: {...server, isDraining: true, ...isLeaving ? {isLeaving} : {}}});
+		timeline.record({kind: 'server-draining', server: server.id});
 		publish();
+	};
+
+	const drain = (id: BackendServerId): boolean => {
+		const entry = entries.get(id);
+		if (entry === undefined) {
+			return false;
+		}
+
+		startDraining(entry, true);
 		return true;
 	};
 
 	const withdraw = (id: BackendServerId, reason: string): void => {
+		leavingBefore.delete(id);
 		const entry = entries.get(id);
 		if (entry === undefined) {
 			return;
@@ -131,8 +146,15 @@
 	});
 
 	const addServer = (announcement: Announcement): void => {
-		const server: BackendServer = {...announcement, startedAt: readNow(), isDraining: false};
+		const isLeaving = leavingBefore.delete(announcement.id);
+		const server: BackendServer = {
+			...announcement, startedAt: readNow(), isDraining: isLeaving, ...isLeaving ? {isLeaving} : {},
+		};
 		const gate = createGate(server.slots, settings);
+		if (isLeaving) {
+			gate.startDraining();
+		}
+
 		entries.set(server.id, {
 			server, gate, sender: createSender(server, gate), lastAnnouncedAt: readNow(),
 		});
@@ -183,8 +205,15 @@
 		},
 		drain,
 		drainAll() {
-			for (const id of entries.keys()) {
-				drain(id);
+			for (const entry of entries.values()) {
+				startDraining(entry, false);
+			}
+		},
+		restoreDrains(ids) {
+			for (const id of ids) {
+				if (!drain(id)) {
+					leavingBefore.add(id);
+				}
 			}
 		},
 		withdraw,
--- a/src/lib/calls/run-attempts.test.ts
+++ b/src/lib/calls/run-attempts.test.ts
@@ -33,7 +33,7 @@
 			...budgetSettings, bufferedBodyBytes: 65_536, ejectionMs: 100, drainMs: 1000,
 		},
 		localServers: {
-			announce: refuseCall, drain: refuseCall, drainAll: refuseCall, withdraw: refuseCall, has: refuseCall, send: refuseCall, reserve: refuseCall, list: refuseCall, waitUntilIdle: refuseCall, dispose: refuseCall,
+			announce: refuseCall, drain: refuseCall, drainAll: refuseCall, restoreDrains: refuseCall, withdraw: refuseCall, has: refuseCall, send: refuseCall, reserve: refuseCall, list: refuseCall, waitUntilIdle: refuseCall, dispose: refuseCall,
 		},
 		gateClient: {
 			async send(_address, server) {
--- a/src/lib/directory/node-record.ts
+++ b/src/lib/directory/node-record.ts
@@ -19,6 +19,8 @@
 	/** Start time in milliseconds since the epoch, by the clock of its node. With the ID, it identifies the lifetime of the server. */
 	readonly startedAt: number;
 	readonly isDraining: boolean;
+	/** Whether it drains because it or an operator said so, and not only because its node shuts down. It then drains after a restart of its node, too. */
+	readonly isLeaving?: boolean;
 };
 
 /** @public */
--- a/src/lib/distribution/control-service.ts
+++ b/src/lib/distribution/control-service.ts
@@ -20,6 +20,7 @@
 import {type ConfigurationKeeper} from './configuration-keeper.js';
 import {type Distributor} from './distributor.js';
 import {createFullStateLimit, type FullStateLimit} from './full-state-limit.js';
+import {type ReportedDrains} from './reported-drains.js';
 import {type ReportedVersions} from './reported-versions.js';
 import {type StatusCollector} from './status-collector.js';
 import {
@@ -32,6 +33,7 @@
 	readonly directory: DirectoryKeeper;
 	readonly distributor: Distributor;
 	readonly reported: ReportedVersions;
+	readonly reportedDrains: ReportedDrains;
 	readonly status: StatusCollector;
 	readonly clock: LamportClock;
 	readonly timeline: Timeline;
@@ -90,7 +92,7 @@
 }
 
 function createRoutes(context: ControlServiceContext): (router: ConnectRouter) => void {
-	const {configuration, directory, distributor, reported, status, clock, timeline} = context;
+	const {configuration, directory, distributor, reported, reportedDrains, status, clock, timeline} = context;
 	const updateClock = ({eventTime}: EventTimed): void => {
 		clock.witness(Number(eventTime));
 	};
@@ -146,11 +148,13 @@
 				}
 
 				const floor = reported.get(joiner.id);
+				const leavingServers = [...reportedDrains.get(joiner.id)];
 				directory.merge([joiner], {type: 'own'});
 				return {
 					eventTime: getTime(),
 					version: configuration.getConfiguration().version,
 					floor,
+					leavingServers,
 					ready: context.isReady(),
 					members: listDomainRecords(directory.getDirectory(), joiner.failureDomain).map(record => encodeRecord(record)),
 					helpers: listHelpers(context, joiner.id).map(record => encodeRecord(record)),
--- a/src/lib/distribution/wire.ts
+++ b/src/lib/distribution/wire.ts
@@ -144,6 +144,7 @@
 		connections: message.connections,
 		startedAt: Number(message.startedAt),
 		isDraining: message.draining,
+		...message.leaving ? {isLeaving: true} : {},
 	};
 }
 
@@ -156,7 +157,9 @@
 	return create(NodeRecordSchema, {
 		...record,
 		epoch: BigInt(record.epoch),
-		servers: record.servers.map(server => ({...server, startedAt: BigInt(server.startedAt), draining: server.isDraining})),
+		servers: record.servers.map(server => ({
+			...server, startedAt: BigInt(server.startedAt), draining: server.isDraining, leaving: server.isLeaving ?? false,
+		})),
 	});
 }
 
--- a/src/lib/membership/gossip.ts
+++ b/src/lib/membership/gossip.ts
@@ -23,6 +23,7 @@
 import {type NodeRecord} from '../directory/node-record.js';
 import {type ConfigurationKeeper} from '../distribution/configuration-keeper.js';
 import {type Distributor} from '../distribution/distributor.js';
+import {type ReportedDrains} from '../distribution/reported-drains.js';
 import {type ReportedVersions} from '../distribution/reported-versions.js';
 import {type StatusCollector} from '../distribution/status-collector.js';
 import {createAntiEntropy} from '../distribution/anti-entropy.js';
@@ -64,6 +65,7 @@
 	readonly distributor: Distributor;
 	readonly status: StatusCollector;
 	readonly reported: ReportedVersions;
+	readonly reportedDrains: Pick<ReportedDrains, 'prune'>;
 	readonly clock: LamportClock;
 	readonly timeline: Timeline;
 	readonly meter: ByteMeter;
@@ -99,7 +101,7 @@
  */
 export function createGossip(context: GossipContext): Gossip {
 	const {
-		settings, self, domain, directory, members, distributor, status, reported, clock, meter, random,
+		settings, self, domain, directory, members, distributor, status, reported, reportedDrains, clock, meter, random,
 	} = context;
 	const socket = context.network.createDatagramSocket(parseAddress(directory.getOwnRecord().gossipAddress).host);
 	let detector: DetectorState = createDetectorState(readNow());
@@ -307,6 +309,7 @@
 		if (now - lastCleanupAt > settings.periodMs * 10) {
 			lastCleanupAt = now;
 			reported.prune();
+			reportedDrains.prune();
 			directory.removeOldTombstones();
 			for (const [key, waiting] of forwardedPings) {
 				if (now - waiting.sentAt > settings.periodMs) {
--- a/src/lib/membership/join-mesh.test.ts
+++ b/src/lib/membership/join-mesh.test.ts
@@ -60,6 +60,7 @@
 				ready: peer.isNotReady !== true,
 				version: peer.version,
 				floor: peer.floor ?? 0,
+				leavingServers: [],
 				members: (peer.members ?? []).map(name => encodePeer(name)),
 				helpers: (peer.helpers ?? []).map(name => encodePeer(name)),
 			};
@@ -88,7 +89,7 @@
 	} as unknown as Distributor;
 	return {
 		store, sources, peers, context: {
-			seeds: [toAddress('seed')], store, configuration, directory, distributor, peers: {getClient, dispose: () => undefined} satisfies Peers, clock: createLamportClock(), random: () => 0,
+			seeds: [toAddress('seed')], store, configuration, directory, distributor, peers: {getClient, dispose: () => undefined} satisfies Peers, clock: createLamportClock(), random: () => 0, handleLeavingServers: () => undefined,
 		},
 	};
 }
--- a/src/lib/membership/join-mesh.ts
+++ b/src/lib/membership/join-mesh.ts
@@ -6,7 +6,9 @@
  * @module
  */
 import {waitFor} from '../common/clock.js';
-import {toAddress, type Address, type NodeId} from '../common/ids.js';
+import {
+	toAddress, toBackendServerId, type Address, type BackendServerId, type NodeId,
+} from '../common/ids.js';
 import {getRecord, listRecords} from '../directory/directory.js';
 import {isUsable} from '../directory/node-record.js';
 import {type DirectoryKeeper} from '../directory/directory-keeper.js';
@@ -29,6 +31,8 @@
 	readonly peers: Peers;
 	readonly clock: LamportClock;
 	readonly random: () => number;
+	/** Called with the servers beside this node that were reported as leaving in earlier runs; also if there are none. */
+	readonly handleLeavingServers: (servers: readonly BackendServerId[]) => void;
 };
 
 /** Number of seeds that get a join request in one round. */
@@ -66,13 +70,14 @@
 	readonly helpers: readonly Address[];
 };
 
-async function sendJoinRequest({peers, clock, directory}: JoinContext, address: Address, signal: AbortSignal): Promise<JoinResult | undefined> {
+async function sendJoinRequest({peers, clock, directory, handleLeavingServers}: JoinContext, address: Address, signal: AbortSignal): Promise<JoinResult | undefined> {
 	try {
-		const {eventTime, members, helpers, version, floor, ready} = await peers.getClient(address).join(
+		const {eventTime, members, helpers, version, floor, ready, leavingServers} = await peers.getClient(address).join(
 			{eventTime: BigInt(clock.getTime()), record: encodeRecord(directory.getOwnRecord())},
 			{timeoutMs: peerTimeoutMs, signal},
 		);
 		clock.witness(Number(eventTime));
+		handleLeavingServers(leavingServers.map(id => toBackendServerId(id)));
 		decodeRecords(members).andTee(records => {
 			directory.merge(records, {type: 'pull'});
 		});
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -16,6 +16,7 @@
 import {createLocalServers} from '../calls/local-servers.js';
 import {createRetryBudget} from '../calls/retry-budget.js';
 import {parseAddress} from '../common/address.js';
+import {readNow, waitFor} from '../common/clock.js';
 import {createByteMeter} from '../common/byte-meter.js';
 import {createSystemNetwork, type Network} from '../common/network.js';
 import {createDirectoryKeeper} from '../directory/directory-keeper.js';
@@ -24,8 +25,10 @@
 import {createConfigurationKeeper, type ConfigurationChange} from '../distribution/configuration-keeper.js';
 import {createControlServer} from '../distribution/control-service.js';
 import {createDistributor} from '../distribution/distributor.js';
+import {createOwnRecordPusher} from '../distribution/own-record-pusher.js';
 import {createPeers} from '../distribution/peers.js';
 import {createRelayWatch} from '../distribution/relay-watch.js';
+import {createReportedDrains} from '../distribution/reported-drains.js';
 import {createReportedVersions} from '../distribution/reported-versions.js';
 import {createQuarantine} from '../quarantine/quarantine.js';
 import {republishHead} from '../distribution/republish.js';
@@ -71,6 +74,9 @@
 	readonly getStatus: () => NodeStatusResponse;
 };
 
+/** How long after its start a node keeps announcements of its servers waiting until it has joined. Without other nodes or the store, a node does not join. */
+const maxJoinWaitMs = 900;
+
 /** Interval at which the node checks whether it has to watch the store. */
 const relayDutyCheckMs = 250;
 
@@ -100,9 +106,13 @@
 	const peers = createPeers(meter, network);
 	const store = createBudgetedStore(options.store, {perSecond: settings.store.callsPerSecond, burst: settings.store.burst});
 	const reported = createReportedVersions();
+	const reportedDrains = createReportedDrains();
 	const joinAbort = new AbortController();
+	/** Aborted when this node has joined, or ends. */
+	const joined = new AbortController();
 	const loads = createServerLoads();
 	const metrics = createCallMetrics();
+	const createdAt = readNow();
 	let isReady = false;
 	let isDraining = false;
 	let snapshot: RoutingSnapshot | undefined;
@@ -141,22 +151,28 @@
 		}
 
 		distributor.handleRecords(records, source);
+		for (const record of records) {
+			reportedDrains.record(record);
+		}
 	});
 	const members = createMemberList(directory.getDirectory);
 	const distributor = createDistributor({
 		settings: settings.distribution, self, domain, controlAddress: settings.listen.control, configuration, directory, members, peers, clock, timeline,
 	});
+	const pushOwnRecord = createOwnRecordPusher({
+		self, domain, directory, members, distributor, peers, clock,
+	});
 	const status = createStatusCollector({
 		self, domain, configuration, directory, distributor, peers,
 	});
 	const gossip = createGossip({
-		settings: settings.membership, self, domain, configuration, directory, members, distributor, status, reported, clock, timeline, meter, network, random, quarantine,
+		settings: settings.membership, self, domain, configuration, directory, members, distributor, status, reported, reportedDrains, clock, timeline, meter, network, random, quarantine,
 	});
 	const relayWatch = createRelayWatch({
 		store, configuration, timeline, domain, random, setLagReason: status.setLagReason,
 	});
 	const control = createControlServer({
-		configuration, directory, distributor, reported, status, clock, timeline, meter, random, isReady: () => isReady,
+		configuration, directory, distributor, reported, reportedDrains, status, clock, timeline, meter, random, isReady: () => isReady,
 	});
 
 	const localServers = createLocalServers(settings.admission, quarantine, timeline, servers => {
@@ -244,13 +260,22 @@
 			return result.isErr() ? result.error : '';
 		},
 		localServers,
+		pushOwnRecord,
 		loads,
 		metrics,
 		timeline,
 		random,
 	});
+	/** A server that announces itself may have been leaving in an earlier run of this node, which other nodes know. */
+	const waitUntilJoined = async (): Promise<void> => {
+		const leftMs = createdAt + maxJoinWaitMs - readNow();
+		if (!joined.signal.aborted && leftMs > 0) {
+			await waitFor(leftMs, joined.signal);
+		}
+	};
+
 	const operatorServer = createHttpServer(getRequestListener(operatorApi.fetch));
-	const announcementServer = createHttpServer(getRequestListener(createAnnouncementApi(localServers).fetch));
+	const announcementServer = createHttpServer(getRequestListener(createAnnouncementApi(localServers, {waitUntilJoined, pushOwnRecord}).fetch));
 	let relayDutyTimer: NodeJS.Timeout | undefined;
 	let loadCleanupTimer: NodeJS.Timeout | undefined;
 
@@ -268,8 +293,10 @@
 	const join = async (): Promise<void> => {
 		const context = {
 			seeds: settings.seeds, store, configuration, directory, distributor, peers, clock, random,
+			handleLeavingServers: localServers.restoreDrains,
 		};
 		isReady = await joinMesh(context, joinAbort.signal);
+		joined.abort();
 		if (isReady) {
 			timeline.record({kind: 'node-ready', version: configuration.getConfiguration().version});
 			await joinUnknownSeeds(context, joinAbort.signal);
@@ -292,6 +319,7 @@
 
 	const dispose = async (): Promise<void> => {
 		joinAbort.abort();
+		joined.abort();
 		clearInterval(relayDutyTimer);
 		clearInterval(loadCleanupTimer);
 		relayWatch.dispose();
--- a/src/lib/operators/operator-api.ts
+++ b/src/lib/operators/operator-api.ts
@@ -44,6 +44,8 @@
 	/** Writes this node's configuration to a store that has lost it. Returns an empty string, or why it was refused. */
 	readonly republish: () => Promise<string>;
 	readonly localServers: LocalServers;
+	/** Tells other nodes of a drain; resolves with whether one has received it. */
+	readonly pushOwnRecord: () => Promise<boolean>;
 	readonly loads: ServerLoads;
 	readonly metrics: CallMetrics;
 	readonly timeline: Timeline;
@@ -200,13 +202,17 @@
 		}
 
 		if (body.data.server === undefined) {
-			context.localServers.drainAll();
-			return exchange.json({draining: context.localServers.list().map(({server}) => server.id)});
+			const draining = context.localServers.list().map(({server}) => server.id);
+			for (const id of draining) {
+				context.localServers.drain(id);
+			}
+
+			return exchange.json({draining, kept: await context.pushOwnRecord()});
 		}
 
 		const id = toBackendServerId(body.data.server);
 		return context.localServers.drain(id)
-			? exchange.json({draining: [id]})
+			? exchange.json({draining: [id], kept: await context.pushOwnRecord()})
 			: exchange.json({reason: 'unknown-server', problems: [`backend server ${id} is not beside this node; "stonemoor servers" lists the node of each server`]}, 404);
 	});
 
