--- a/scenarios/pipelining.test.ts
+++ b/scenarios/pipelining.test.ts
@@ -4,9 +4,9 @@
  */
 import assert from 'node:assert/strict';
 import {readFile} from 'node:fs/promises';
-import {connect} from 'node:net';
 import test, {type TestContext} from 'node:test';
 import {parseConfigurationDocument} from '../src/index.js';
+import {openRawCaller, type RawCaller} from '../stand-ins/raw-caller.js';
 import {createWorld, waitFor, type World} from './world.js';
 
 async function startWorld(context: TestContext, workMs: number): Promise<World> {
@@ -22,38 +22,11 @@
 	return world;
 }
 
-type Connection = {
-	readonly send: (text: string) => void;
-	/** Returns the statuses of the responses. */
-	readonly listStatuses: () => readonly number[];
-	readonly hasEnded: () => boolean;
-};
-
 const createRequest = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\n\r\n`;
 
-function openConnection(context: TestContext, world: World): Connection {
-	const socket = connect({host: world.getNode('node-1').host, port: 7001});
-	let received = '';
-	let isEnded = false;
-	socket.setEncoding('latin1');
-	socket.on('data', (text: string) => {
-		received += text;
-	});
-	socket.on('error', () => undefined);
-	socket.once('close', () => {
-		isEnded = true;
-	});
-	context.after(() => {
-		socket.destroy();
-	});
-	return {
-		send(text) {
-			socket.write(text);
-		},
-		listStatuses: () => [...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => Number(status)),
-		hasEnded: () => isEnded,
-	};
-}
+const openConnection = (context: TestContext, world: World): RawCaller => openRawCaller(context, world.getNode('node-1').settings.listen.callers);
+
+const listStatuses = (caller: RawCaller): readonly number[] => caller.listResponses().map(({status}) => status);
 
 const countRequests = (world: World): number => world.getServer('logview-2').getRequestCounts().requests;
 
@@ -67,7 +40,7 @@
 	await entry.node.drain();
 	entry.isRunning = false;
 	await waitFor('the connection ends', connection.hasEnded);
-	assert.deepEqual(connection.listStatuses(), [200, 200, 200]);
+	assert.deepEqual(listStatuses(connection), [200, 200, 200]);
 });
 
 test('a request is answered although bytes that are no request follow it', async context => {
@@ -75,5 +48,5 @@
 	const connection = openConnection(context, world);
 	connection.send(`${createRequest('/logs/a')}no request\r\n\r\n`);
 	await waitFor('the connection ends', connection.hasEnded);
-	assert.deepEqual(connection.listStatuses(), [200, 400]);
+	assert.deepEqual(listStatuses(connection), [200, 400]);
 });
--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {connect, type AddressInfo} from 'node:net';
+import {type AddressInfo} from 'node:net';
 import test, {type TestContext} from 'node:test';
+import {openRawCaller, type RawCaller, type RawResponse} from '../../../stand-ins/raw-caller.js';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {watchCallerConnections, type CallerConnections} from './caller-connections.js';
 
@@ -14,10 +15,7 @@
 	/** Answers an admitted request. With `isClosing`, its response closes the connection if it may. */
 	readonly answer: (path: string, isClosing?: boolean) => void;
 	readonly send: (text: string) => void;
-	/** Returns everything that the caller received. */
-	readonly getReceived: () => string;
-	readonly hasEnded: () => boolean;
-};
+} & Pick<RawCaller, 'listResponses' | 'hasEnded'>;
 
 const createRequest = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\n\r\n`;
 
@@ -40,22 +38,11 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
-	const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	const caller = openRawCaller(context, `127.0.0.1:${(server.address() as AddressInfo).port}`);
 	context.after(() => {
-		socket.destroy();
 		server.close();
 		server.closeAllConnections();
 	});
-	let received = '';
-	let isEnded = false;
-	socket.setEncoding('latin1');
-	socket.on('data', (text: string) => {
-		received += text;
-	});
-	socket.on('error', () => undefined);
-	socket.once('close', () => {
-		isEnded = true;
-	});
 	return {
 		connections,
 		admitted,
@@ -65,20 +52,18 @@
 			response.writeHead(200, {'content-length': path.length, ...isClosing && connections.close(request) ? {connection: 'close'} : {}});
 			response.end(path);
 		},
-		send(text) {
-			socket.write(text);
-		},
-		getReceived: () => received,
-		hasEnded: () => isEnded,
+		send: caller.send,
+		listResponses: caller.listResponses,
+		hasEnded: caller.hasEnded,
 	};
 }
 
-const listBodies = (received: string): readonly string[] => [...received.matchAll(/\r\n\r\n(\/[a-z])/g)].map(([, body]) => body!);
+const listBodies = (responses: readonly RawResponse[]): readonly string[] => responses.map(({text}) => text.split('\r\n\r\n')[1] ?? '').filter(body => body !== '');
 
 // Guards against an answer that is dropped although its request was passed on, because the answer before it closed the connection.
 test('responses close the connection only after the last request that was read, in whichever order they are ready', async context => {
 	for (const order of [['/a', '/b', '/c'], ['/c', '/b', '/a'], ['/b', '/c', '/a']]) {
-		const {send, admitted, answer, getReceived, hasEnded} = await startFixture(context);
+		const {send, admitted, answer, listResponses, hasEnded} = await startFixture(context);
 		send(['/a', '/b', '/c'].map(path => createRequest(path)).join(''));
 		await expectSoon('all are read', () => admitted.length === 3);
 		for (const path of order) {
@@ -86,14 +71,14 @@
 		}
 
 		await expectSoon('the connection ends', hasEnded);
-		assert.deepEqual(listBodies(getReceived()), ['/a', '/b', '/c']);
-		assert.match(getReceived(), /connection: close\r\n[^/]*\/c$/is);
+		assert.deepEqual(listBodies(listResponses()), ['/a', '/b', '/c']);
+		assert.deepEqual(listResponses().map(({isClosing}) => isClosing), [false, false, true]);
 	}
 });
 
 // Guards against a request that is passed on although its answer cannot be sent any more.
 test('a request behind a response that closes is not admitted', async context => {
-	const {send, admitted, dropped, answer, getReceived, hasEnded} = await startFixture(context);
+	const {send, admitted, dropped, answer, listResponses, hasEnded} = await startFixture(context);
 	send(createRequest('/a') + createRequest('/b'));
 	await expectSoon('both are read', () => admitted.length === 2);
 	answer('/b');
@@ -101,28 +86,28 @@
 	await expectSoon('the third is dropped', () => dropped.length === 1);
 	answer('/a');
 	await expectSoon('the connection ends', hasEnded);
-	assert.deepEqual(listBodies(getReceived()), ['/a', '/b']);
+	assert.deepEqual(listBodies(listResponses()), ['/a', '/b']);
 });
 
 // Guards against an answer that is lost because its caller has sent bytes behind its request that are none.
 test('a request in work is answered before bytes behind it that are no request, and these get 400', async context => {
-	const {send, admitted, answer, getReceived, hasEnded} = await startFixture(context);
+	const {send, admitted, answer, listResponses, hasEnded} = await startFixture(context);
 	send(`${createRequest('/a')}${createRequest('/b')}no request\r\n\r\n`);
 	await expectSoon('both are read', () => admitted.length === 2);
 	send('more of it');
 	answer('/b', false);
 	answer('/a', false);
 	await expectSoon('the connection ends', hasEnded);
-	assert.deepEqual(listBodies(getReceived()), ['/a', '/b']);
-	assert.ok(getReceived().endsWith('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n'), getReceived());
+	assert.deepEqual(listBodies(listResponses()), ['/a', '/b']);
+	assert.deepEqual(listResponses().map(({status, isClosing}) => [status, isClosing]), [[200, false], [200, false], [400, true]]);
 });
 
 test('bytes that are no request, and a body that breaks off in error, get 400 at once', async context => {
 	for (const text of ['no request\r\n\r\n', 'POST /a HTTP/1.1\r\nHost: mesh.example\r\nTransfer-Encoding: chunked\r\n\r\nno chunk\r\n']) {
-		const {send, getReceived, hasEnded} = await startFixture(context);
+		const {send, listResponses, hasEnded} = await startFixture(context);
 		send(text);
 		await expectSoon('the connection ends', hasEnded);
-		assert.match(getReceived(), /^HTTP\/1\.1 400 /);
+		assert.deepEqual(listResponses().map(({status}) => status), [400]);
 	}
 });
 
@@ -132,7 +117,7 @@
 	idle.send(createRequest('/a'));
 	await expectSoon('it is read', () => idle.admitted.length === 1);
 	idle.answer('/a', false);
-	await expectSoon('it is answered', () => listBodies(idle.getReceived()).length === 1);
+	await expectSoon('it is answered', () => listBodies(idle.listResponses()).length === 1);
 	idle.connections.stop();
 	await expectSoon('the idle connection ends', idle.hasEnded);
 
@@ -146,6 +131,6 @@
 	await expectSoon('the third is dropped', () => busy.dropped.length === 1);
 	busy.answer('/a');
 	await expectSoon('the connection ends', busy.hasEnded);
-	assert.deepEqual(listBodies(busy.getReceived()), ['/a', '/b']);
+	assert.deepEqual(listBodies(busy.listResponses()), ['/a', '/b']);
 	assert.equal(busy.connections.countUnsent(), 0);
 });
--- a/src/lib/sync/crash-entries.ts
+++ b/src/lib/sync/crash-entries.ts
@@ -7,16 +7,15 @@
  *
  * @module
  */
-import {readSteadyMs} from '../common/clock.js';
 import {
 	decodeCrashReport, encodeCrashReport, toSuspectRecords, type CrashReport,
 } from '../quarantine/crash-report.js';
-import {parseCrashKey, type CrashKey, type SuspectRecord} from '../quarantine/suspect-record.js';
+import {parseCrashKey, type SuspectRecord} from '../quarantine/suspect-record.js';
 import {FieldError} from '../common/field-error.js';
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
-import {putLeased} from './put-leased.js';
+import {createOwnEntries} from './own-entries.js';
 
 /** @internal */
 export type CrashEntriesContext = {
@@ -43,16 +42,13 @@
 /** TTL of an entry: the time for which nodes remember the requests in flight at a crash. */
 const entryTtlMs = 60_000;
 
-/** An entry of this node. */
-type OwnEntry = {readonly report: CrashReport; readonly createdAt: number; isWritten: boolean};
-
 /**
  * @param context - The store, the logs, and the handler of records.
  * @returns The crash entries, with none of this node yet.
  * @internal
  */
 export function createCrashEntries({store, log, refusals, handleRecords}: CrashEntriesContext): CrashEntries {
-	const ownEntries = new Map<CrashKey, OwnEntry>();
+	const ownEntries = createOwnEntries(store, entryTtlMs);
 
 	const decode = ({key, value}: StoreItem): readonly SuspectRecord[] => {
 		try {
@@ -78,46 +74,23 @@
 		}
 	};
 
-	const write = async (entry: OwnEntry): Promise<void> => {
-		const {report} = entry;
-		entry.isWritten = true;
-		const put = await putLeased(store, `${crashPrefix}${report.crash}`, encodeCrashReport(report), entryTtlMs);
-		if (put.isErr()) {
-			entry.isWritten = false;
-			log.record('warn', {kind: 'crash-not-stored', crash: report.crash, reason: put.error});
-		}
-	};
-
-	const removeExpired = (now: number): void => {
-		for (const [crash, {createdAt}] of ownEntries) {
-			if (now - createdAt > entryTtlMs) {
-				ownEntries.delete(crash);
-			}
-		}
-	};
-
 	return {
 		reconcile(items) {
 			handleItems(items);
-			removeExpired(readSteadyMs());
-			for (const entry of ownEntries.values()) {
-				if (!entry.isWritten) {
-					void write(entry);
-				}
-			}
+			ownEntries.retry();
 		},
 		async publish(report) {
-			const entry: OwnEntry = {report, createdAt: readSteadyMs(), isWritten: false};
-			ownEntries.set(report.crash, entry);
-			await write(entry);
+			await ownEntries.write({
+				key: `${crashPrefix}${report.crash}`,
+				value: encodeCrashReport(report),
+				handleFailure(reason) {
+					log.record('warn', {kind: 'crash-not-stored', crash: report.crash, reason});
+				},
+			});
 			const read = await store.listItems(crashPrefix, {mayBeStale: false});
 			// If this list fails, the next regular one returns the entries.
 			handleItems(read.map(({items}) => items).unwrapOr([]));
 		},
-		handleRestored() {
-			for (const entry of ownEntries.values()) {
-				entry.isWritten = false;
-			}
-		},
+		handleRestored: ownEntries.handleRestored,
 	};
 }
--- a/src/lib/sync/departure-entries.ts
+++ b/src/lib/sync/departure-entries.ts
@@ -4,13 +4,12 @@
  *
  * @module
  */
-import {readSteadyMs} from '../common/clock.js';
 import {computeDigest} from '../common/digest.js';
 import {decodeDeparture, encodeDeparture, type Departure} from '../departures/departure.js';
 import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
-import {putLeased} from './put-leased.js';
+import {createOwnEntries, type OwnEntries} from './own-entries.js';
 
 /** @internal */
 export type DepartureEntriesContext = {
@@ -22,15 +21,11 @@
 };
 
 /** @internal */
-export type DepartureEntries = {
+export type DepartureEntries = Pick<OwnEntries, 'hasUnwritten' | 'handleRestored'> & {
 	/** Handles the listed entries, and retries those of this node that are not written. */
 	readonly reconcile: (items: readonly StoreItem[]) => void;
 	/** Writes an entry. Resolves when the write has succeeded or failed. */
 	readonly publish: (departure: Departure) => Promise<void>;
-	/** Returns whether entries of this node are not known to be in the store. */
-	readonly hasUnwritten: () => boolean;
-	/** Must be called when the store was restored from a backup. Marks all entries of this node as not written. */
-	readonly handleRestored: () => void;
 };
 
 /** Prefix of the keys of departures. @internal */
@@ -39,9 +34,6 @@
 /** TTL of an entry: the longest that stores grant. A server that leaves runs for seconds, and its messages arrive seconds late. */
 const entryTtlMs = 600_000;
 
-/** An entry of this node. */
-type OwnEntry = {readonly departure: Departure; readonly createdAt: number; isWriting: boolean; isWritten: boolean};
-
 /** Computes the key of a departure. It contains a digest, since ids of servers may be as long as the longest key. */
 const computeKey = (departure: Departure): string => `${departurePrefix}${computeDigest(JSON.stringify(encodeDeparture(departure)))}`;
 
@@ -51,7 +43,7 @@
  * @internal
  */
 export function createDepartureEntries({store, log, refusals, handleListed}: DepartureEntriesContext): DepartureEntries {
-	const ownEntries = new Map<string, OwnEntry>();
+	const ownEntries = createOwnEntries(store, entryTtlMs);
 
 	const decode = ({key, value}: StoreItem): readonly Departure[] => {
 		try {
@@ -64,48 +56,19 @@
 		}
 	};
 
-	const write = async (key: string, entry: OwnEntry): Promise<void> => {
-		const {departure} = entry;
-		entry.isWriting = true;
-		const put = await putLeased(store, key, JSON.stringify(encodeDeparture(departure)), entryTtlMs);
-		entry.isWriting = false;
-		entry.isWritten = put.isOk();
-		if (put.isErr()) {
-			log.record('warn', {kind: 'departure-not-stored', server: departure.lifetime.id, reason: put.error});
-		}
-	};
-
-	const removeExpired = (now: number): void => {
-		for (const [key, {createdAt}] of ownEntries) {
-			if (now - createdAt > entryTtlMs) {
-				ownEntries.delete(key);
-			}
-		}
-	};
-
 	return {
 		reconcile(items) {
 			handleListed(items.flatMap(item => decode(item)));
-			removeExpired(readSteadyMs());
-			for (const [key, entry] of ownEntries) {
-				if (!entry.isWritten && !entry.isWriting) {
-					void write(key, entry);
-				}
-			}
-		},
-		async publish(departure) {
-			const key = computeKey(departure);
-			const entry: OwnEntry = {
-				departure, createdAt: readSteadyMs(), isWriting: false, isWritten: false,
-			};
-			ownEntries.set(key, entry);
-			await write(key, entry);
-		},
-		hasUnwritten: () => [...ownEntries.values()].some(({isWritten}) => !isWritten),
-		handleRestored() {
-			for (const entry of ownEntries.values()) {
-				entry.isWritten = false;
-			}
+			ownEntries.retry();
 		},
+		publish: async departure => ownEntries.write({
+			key: computeKey(departure),
+			value: JSON.stringify(encodeDeparture(departure)),
+			handleFailure(reason) {
+				log.record('warn', {kind: 'departure-not-stored', server: departure.lifetime.id, reason});
+			},
+		}),
+		hasUnwritten: ownEntries.hasUnwritten,
+		handleRestored: ownEntries.handleRestored,
 	};
 }
