--- a/src/lib/calls/announcement-api.ts
+++ b/src/lib/calls/announcement-api.ts
@@ -56,7 +56,7 @@
 
 	app.post('/v1/announcements/:id/drain', async context => {
 		const id = toBackendServerId(context.req.param('id'));
-		return servers.drain(id) ? context.json({draining: id, kept: await mesh.pushOwnRecord()}) : context.json({reason: 'unknown-server'}, 404);
+		return servers.drain(id) ? context.json({draining: id, replicated: await mesh.pushOwnRecord()}) : context.json({reason: 'unknown-server'}, 404);
 	});
 
 	app.delete('/v1/announcements/:id', async context => {
--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -141,7 +141,7 @@
 			[meshHeaders.verdict]: verdict,
 			[meshHeaders.call]: call.id,
 			// The response to a request that was read behind this one would be dropped.
-			...(isDraining || !call.request.complete) && connections.close(call.request) ? {connection: 'close'} : {},
+			...(isDraining || !call.request.complete) && connections.tryClose(call.request) ? {connection: 'close'} : {},
 		});
 		const addedMicroseconds = readMicroseconds() - call.startedAt - result.serverMicroseconds;
 		// On an error, pipeline destroys the caller's connection, so that a truncated response does not look complete.
--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -49,7 +49,7 @@
 		dropped,
 		answer(path, isClosing = true) {
 			const {request, response} = open.get(path)!;
-			response.writeHead(200, {'content-length': path.length, ...isClosing && connections.close(request) ? {connection: 'close'} : {}});
+			response.writeHead(200, {'content-length': path.length, ...isClosing && connections.tryClose(request) ? {connection: 'close'} : {}});
 			response.end(path);
 		},
 		send: caller.send,
--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -16,7 +16,7 @@
 	/** Admits a request that was read. Returns false if it must not be handled: a response before it closes the connection, and the caller sends it again. */
 	readonly admit: (request: IncomingMessage, response: ServerResponse) => boolean;
 	/** Returns whether the response to a request may close its connection. If so, no further request is admitted there. */
-	readonly close: (request: IncomingMessage) => boolean;
+	readonly tryClose: (request: IncomingMessage) => boolean;
 	/** Returns the number of connections with responses that were handed over and are not sent yet. */
 	readonly countUnsent: () => number;
 	/** Stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. */
@@ -122,10 +122,10 @@
 			});
 			return true;
 		},
-		close(request) {
+		tryClose(request) {
 			const connection = connections.get(request.socket);
 			const exchange = connection?.open.find(open => open.request === request);
-			return connection === undefined || exchange === undefined || connection.order.close(exchange.position);
+			return connection === undefined || exchange === undefined || connection.order.tryClose(exchange.position);
 		},
 		countUnsent() {
 			let count = 0;
--- a/src/lib/common/request-order.test.ts
+++ b/src/lib/common/request-order.test.ts
@@ -7,9 +7,9 @@
 test('a response closes its connection only if no request was admitted behind it', () => {
 	const order = createRequestOrder();
 	const [first, second] = [order.admit()!, order.admit()!];
-	assert.equal(order.close(first), false);
-	assert.equal(order.close(second), true);
-	assert.equal(order.close(first), false, 'the first one is still in work');
+	assert.equal(order.tryClose(first), false);
+	assert.equal(order.tryClose(second), true);
+	assert.equal(order.tryClose(first), false, 'the first one is still in work');
 	assert.equal(order.admit(), undefined, 'what is read behind a response that closes is not handled');
 });
 
@@ -18,7 +18,7 @@
 	const last = order.admit()!;
 	order.stop();
 	assert.equal(order.admit(), undefined);
-	assert.equal(order.close(last), true);
+	assert.equal(order.tryClose(last), true);
 });
 
 // The seed is fixed, so that each run tests the same sequences.
@@ -36,7 +36,7 @@
 			}
 
 			const position = admitted[step];
-			if (position !== undefined && order.close(position)) {
+			if (position !== undefined && order.tryClose(position)) {
 				closedAfter = position;
 			}
 		}
--- a/src/lib/common/request-order.ts
+++ b/src/lib/common/request-order.ts
@@ -12,7 +12,7 @@
 	/** Admits the next request that was read. Returns its position, or `undefined` if it must not be handled, because its response would not be sent. */
 	readonly admit: () => number | undefined;
 	/** Returns whether the response to a request may close the connection: no request was admitted behind it. If so, no further one is. */
-	readonly close: (position: number) => boolean;
+	readonly tryClose: (position: number) => boolean;
 	/** Admits no further requests. */
 	readonly stop: () => void;
 };
@@ -26,7 +26,7 @@
 	let isStopped = false;
 	return {
 		admit: () => isStopped ? undefined : admittedCount++,
-		close(position) {
+		tryClose(position) {
 			const isLast = position === admittedCount - 1;
 			isStopped ||= isLast;
 			return isLast;
--- a/src/lib/departures/server-departures.test.ts
+++ b/src/lib/departures/server-departures.test.ts
@@ -82,21 +82,21 @@
 	assert.equal(await hasSettled(stored), false);
 	endWrites();
 	assert.equal(await hasSettled(stored), true);
-	assert.equal(departures.areKept(), true);
+	assert.equal(departures.areReplicated(), true);
 
 	departures.recordOwn([{...lifetime, startedAt: 2000}]);
 	const slow = departures.waitUntilStored();
 	context.mock.timers.tick(1000);
 	assert.equal(await hasSettled(slow), true);
-	assert.equal(departures.areKept(), true, 'the other node keeps it');
+	assert.equal(departures.areReplicated(), true, 'the other node has it');
 });
 
 // Guards against an acknowledgement that nothing keeps, on a node that reaches neither the store nor another node.
-test('a departure that is not in the store is not kept if no other node is heard', context => {
+test('a departure that is not in the store is not replicated if no other node is heard', context => {
 	const {departures} = createFixture(context, false);
-	assert.equal(departures.areKept(), true);
+	assert.equal(departures.areReplicated(), true);
 	departures.recordOwn([lifetime]);
-	assert.equal(departures.areKept(), false);
+	assert.equal(departures.areReplicated(), false);
 });
 
 // Guards against a late announcement that is applied before the store has told that its server has left.
--- a/src/lib/departures/server-departures.ts
+++ b/src/lib/departures/server-departures.ts
@@ -46,7 +46,7 @@
 	/** Waits until the departures recorded so far are in the store, or their writes have failed, at most `maxWaitForWriteMs`. */
 	readonly waitUntilStored: () => Promise<void>;
 	/** Returns whether the departures of the server beside this node outlast a restart of this node: the store or another node knows them. */
-	readonly areKept: () => boolean;
+	readonly areReplicated: () => boolean;
 	readonly count: () => number;
 	readonly dispose: () => void;
 };
@@ -133,7 +133,7 @@
 			await Promise.race([Promise.all(openWrites), waitFor(maxWaitForWriteMs, ended.signal)]);
 			ended.abort();
 		},
-		areKept: () => !hasUnstored() || hasHeardNode(),
+		areReplicated: () => !hasUnstored() || hasHeardNode(),
 		count: table.count,
 		dispose() {
 			listed.abort();
--- a/src/lib/forwarding/entry-refusals.ts
+++ b/src/lib/forwarding/entry-refusals.ts
@@ -52,17 +52,17 @@
 
 /**
  * @param context - The names of the headers, and the logs.
- * @param mayClose - Returns whether the response to a request may close its connection, which admits no further requests then.
+ * @param tryClose - Returns whether the response to a request may close its connection. If so, the connection admits no further requests.
  * @param isClosing - Whether each connection is closed after its next response.
  * @returns Functions that answer requests with refusals.
  * @internal
  */
-export function createEntryRefusals(context: EntryRefusalContext, mayClose: (request: IncomingMessage) => boolean, isClosing: () => boolean) {
+export function createEntryRefusals(context: EntryRefusalContext, tryClose: (request: IncomingMessage) => boolean, isClosing: () => boolean) {
 	const {headerNames, log, random} = context;
 
 	/** A response closes its connection only if no request was read behind it: the response to that request would be dropped, although a backend server may run it. */
 	const getClosingHeaders = (request: IncomingMessage): {readonly connection?: string} =>
-		(isClosing() || (!request.complete && hasBody(request))) && mayClose(request) ? {connection: 'close'} : {};
+		(isClosing() || (!request.complete && hasBody(request))) && tryClose(request) ? {connection: 'close'} : {};
 
 	const refuse = ({id, request, response}: EntryCall, status: number, reason: string, retryAfterMs = 0): void => {
 		if (response.destroyed || response.headersSent) {
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -135,7 +135,7 @@
 	let calls = 0;
 	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
 	let isClosing = false;
-	const refusals = createEntryRefusals(context, connections.close, () => isClosing);
+	const refusals = createEntryRefusals(context, connections.tryClose, () => isClosing);
 	const {refuseAndLog, logCallerLeft} = refusals;
 
 	const sendAnswer = (call: EntryCall, answer: ForwardResponse): void => {
--- a/src/lib/operators/operator-api.ts
+++ b/src/lib/operators/operator-api.ts
@@ -207,12 +207,12 @@
 				context.localServers.drain(id);
 			}
 
-			return exchange.json({draining, kept: await context.pushOwnRecord()});
+			return exchange.json({draining, replicated: await context.pushOwnRecord()});
 		}
 
 		const id = toBackendServerId(body.data.server);
 		return context.localServers.drain(id)
-			? exchange.json({draining: [id], kept: await context.pushOwnRecord()})
+			? exchange.json({draining: [id], replicated: await context.pushOwnRecord()})
 			: exchange.json({reason: 'unknown-server', problems: [`backend server ${id} is not beside this node; "stonemoor servers" lists the node of each server`]}, 404);
 	});
 
--- a/src/lib/sidecar/announcement-server.ts
+++ b/src/lib/sidecar/announcement-server.ts
@@ -54,7 +54,7 @@
 		refusals.record({
 			kind: 'announcement-refused', cause, place, reason,
 		});
-		sendResponse(response, cause === 'unkept' ? 503 : 400, JSON.stringify({error: reason}));
+		sendResponse(response, cause === 'not-replicated' ? 503 : 400, JSON.stringify({error: reason}));
 	};
 
 	const applyDecoded = async (message: ServerMessage | undefined): Promise<Result<MessageOutcome, AnnouncementRefusal>> => {
--- a/src/lib/sidecar/local-server-messages.test.ts
+++ b/src/lib/sidecar/local-server-messages.test.ts
@@ -13,14 +13,14 @@
 	readonly handler: LocalServerMessageHandler;
 	/** What was applied to the gate, and what the handler waited for, in order. */
 	readonly steps: readonly string[];
-	areKept: boolean;
+	areReplicated: boolean;
 };
 
 function createFixture(): Fixture {
 	const steps: string[] = [];
 	const fixture: Fixture = {
 		steps,
-		areKept: true,
+		areReplicated: true,
 		handler: createLocalServerMessageHandler({
 			decode: () => ok(undefined),
 			service: 'logview',
@@ -41,7 +41,7 @@
 				async waitUntilStored() {
 					steps.push('stored');
 				},
-				areKept: () => fixture.areKept,
+				areReplicated: () => fixture.areReplicated,
 			},
 		}),
 	};
@@ -57,12 +57,12 @@
 });
 
 // Guards against a server that gets requests while its leave waits for the store.
-test('a drain and a leave are applied at once, and acknowledged once they are kept', async () => {
+test('a drain and a leave are applied at once, and acknowledged once they are replicated', async () => {
 	const fixture = createFixture();
 	assert.ok((await fixture.handler.handleMessage({type: 'announce', announcement: {...announcement, isDraining: true}})).isOk());
 	assert.ok((await fixture.handler.handleMessage({type: 'leave', leave: {id: announcement.lifetime.id, startedAt: undefined}})).isOk());
 	assert.deepEqual(fixture.steps, ['announce', 'stored', 'leave', 'stored']);
-	fixture.areKept = false;
+	fixture.areReplicated = false;
 	const refused = await fixture.handler.handleMessage({type: 'leave', leave: {id: announcement.lifetime.id, startedAt: undefined}});
-	assert.equal(refused._unsafeUnwrapErr().cause, 'unkept');
+	assert.equal(refused._unsafeUnwrapErr().cause, 'not-replicated');
 });
--- a/src/lib/sidecar/local-server-messages.ts
+++ b/src/lib/sidecar/local-server-messages.ts
@@ -24,7 +24,7 @@
 	readonly service: string;
 	readonly listPeers: () => Iterable<Peer>;
 	readonly gate: Pick<LocalGate, 'announce' | 'leave'>;
-	readonly departures: Pick<ServerDepartures, 'waitUntilKnown' | 'waitUntilStored' | 'areKept'>;
+	readonly departures: Pick<ServerDepartures, 'waitUntilKnown' | 'waitUntilStored' | 'areReplicated'>;
 };
 
 /** @internal */
@@ -39,7 +39,7 @@
 }
 
 /** The server gets no requests from this run of the node, but a later run would not know that. */
-const unkeptDeparture: AnnouncementRefusal = {cause: 'unkept', text: 'neither the store nor another node can be reached to keep the departure; send it again'};
+const unreplicatedDeparture: AnnouncementRefusal = {cause: 'not-replicated', text: 'neither the store nor another node can be reached to replicate the departure; send it again'};
 
 const isDeparture = (message: ServerMessage): boolean => message.type === 'leave' || message.announcement.isDraining;
 
@@ -79,7 +79,7 @@
 
 			const applied = apply(message);
 			await departures.waitUntilStored();
-			return applied.andThen(() => departures.areKept() ? ok(undefined) : err(unkeptDeparture));
+			return applied.andThen(() => departures.areReplicated() ? ok(undefined) : err(unreplicatedDeparture));
 		},
 	};
 }
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -66,7 +66,7 @@
 	/** The state of the server is unknown. */
 	| 'state'
 	/** The departure would be forgotten if this node restarted. */
-	| 'unkept'
+	| 'not-replicated'
 	/** The server reports another service than the one in the settings of this node. */
 	| 'service';
 
