--- a/scenarios/drained-servers.test.ts
+++ b/scenarios/drained-servers.test.ts
@@ -60,12 +60,12 @@
 	};
 }
 
-const announcementsPort = (world: World): number => Number(world.getNode('node-2').settings.listen.announcements.split(':')[1]);
-const operatorsPort = (world: World): number => Number(world.getNode('node-2').settings.listen.operators.split(':')[1]);
+const getAnnouncementsPort = (world: World): number => Number(world.getNode('node-2').settings.listen.announcements.split(':')[1]);
+const getOperatorsPort = (world: World): number => Number(world.getNode('node-2').settings.listen.operators.split(':')[1]);
 
 test('a server that drains gets no requests after the node beside it was killed and has restarted twice', async context => {
 	const {world, callNode, restart, countReached} = await startFixture(context);
-	assert.equal(await callNode(announcementsPort(world), 'POST', '/v1/announcements/logview-1/drain'), 200);
+	assert.equal(await callNode(getAnnouncementsPort(world), 'POST', '/v1/announcements/logview-1/drain'), 200);
 	await restart();
 	assert.equal(await countReached(), 0);
 	await restart();
@@ -74,7 +74,7 @@
 
 test('a server that an operator drains gets no requests after the node beside it has shut down and restarted', async context => {
 	const {world, callNode, restart, countReached} = await startFixture(context);
-	assert.equal(await callNode(operatorsPort(world), 'POST', '/v1/drain', JSON.stringify({server: 'logview-1'})), 200);
+	assert.equal(await callNode(getOperatorsPort(world), 'POST', '/v1/drain', JSON.stringify({server: 'logview-1'})), 200);
 	const beside = world.getNode('node-2');
 	await beside.node.drain();
 	beside.isRunning = false;
@@ -89,8 +89,8 @@
 	beside.isRunning = false;
 	await restart();
 	await waitFor('a page is served', async () => (await world.call('node-1', {path: '/logs/first'})).status === 200);
-	assert.equal(await callNode(announcementsPort(world), 'POST', '/v1/announcements/logview-1/drain'), 200);
-	assert.equal(await callNode(announcementsPort(world), 'DELETE', '/v1/announcements/logview-1'), 200);
+	assert.equal(await callNode(getAnnouncementsPort(world), 'POST', '/v1/announcements/logview-1/drain'), 200);
+	assert.equal(await callNode(getAnnouncementsPort(world), 'DELETE', '/v1/announcements/logview-1'), 200);
 	await restart();
 	await waitFor('a page is served', async () => (await world.call('node-1', {path: '/logs/first'})).status === 200);
 	assert.ok(await countReached() > 0);
