--- a/bench/main.ts
+++ b/bench/main.ts
@@ -15,6 +15,7 @@
 import {runDistribution} from './distribution.js';
 import {runLogLines} from './log-lines.js';
 import {runPeerSlopes} from './peer-slopes.js';
+import {runRequestCost} from './request-cost/request-cost.js';
 import {runNodeCost} from './node-cost/node-cost.js';
 import {runQuotaTable} from './experiment/quota-table.js';
 import {runQuarantine} from './quarantine.js';
@@ -101,6 +102,13 @@
 		.option('load', {type: 'boolean', default: true, describe: 'also measure calls'})
 		.option('flags', {type: 'string', default: '--max-old-space-size=128 --max-semi-space-size=4 --single-threaded --always-sparkplug --no-flush-bytecode --no-memory-reducer', describe: 'Node.js flags of the node'})
 		.option('profile', {type: 'string', describe: 'folder for CPU profiles'}), async options => runNodeCost({...options, flags: options.flags.split(' ')}))
+	.command('request-cost', 'measure the processor time of a request by stage, beside that of another revision', builder => builder
+		.option('base', {type: 'string', default: '', describe: 'revision to compare with; none if omitted'})
+		.option('rate', {type: 'number', default: 300, describe: 'requests of callers a second, over all nodes'})
+		.option('seconds', {type: 'number', default: 20, describe: 'seconds of load'})
+		.option('slots', {type: 'number', default: 13, describe: 'requests that a backend server runs at the same time'})
+		.option('seed', {type: 'number', default: 1, describe: 'seed of the load'})
+		.option('functions', {type: 'number', default: 0, describe: 'number of functions to list'}), async options => runRequestCost(options))
 	.command('peer-slopes', 'measure the periodic work of a node by the number of nodes', builder => builder
 		.option('sizes', {
 			type: 'number', array: true, default: [13, 60, 200, 1000, 5000], describe: 'numbers of nodes',
