Gate: responses without an end take a bounded amount of memory together

A backend server in trouble may send bytes without end. Each response was bounded (96 MB), all together were not: 13 of them, as many as a server has slots, took 1,005 MB (bodies without a length) and 572 MB (one endless chunk) at the gate, on VMs that kill a process at 350 MB. Endless heads were bounded already, at 16 KB each.

The bytes of all responses that are being read are counted; beyond 80 MB the largest one is ended, so that small ones do not pay for it. Its verdict is may-have-run, its slot is free at once. Test: endless-response.test.ts; with the counting taken out, two of three fail with the figures above (peak allowed: 280 MB).

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -676,6 +676,13 @@
 		to: '(deadlineAt - readSteadyMs())',
 		tests: `${library}/forwarding/call-scope.test.js`,
 	},
+	{
+		promise: 'sidecar: bytes: responses without an end take a bounded amount of memory',
+		file: `${library}/forwarding/server-session.js`,
+		from: 'memory: responseMemory',
+		to: 'memory: undefined',
+		tests: `${library}/forwarding/endless-response.test.js`,
+	},
 	{
 		promise: 'sidecar: bytes: the complete configuration is encoded once for each version',
 		file: `${library}/sidecar/config-answer-cache.js`,
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -6,6 +6,7 @@
 import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
 import {createResponseParser, type CompleteResponse} from './response-parser.js';
 import {type CallScope, type ScopeEndReason} from './call-scope.js';
+import {type ResponseMemory} from './response-memory.js';
 import {type AssignedCall, type ServerConnection, type ServerConnectionPool} from './server-connection-pool.js';
 
 /** What happens to the connection of a request whose caller has left. @internal */
@@ -26,6 +27,8 @@
 	readonly headers: OutgoingHttpHeaders;
 	readonly body: Uint8Array | undefined;
 	readonly scope: CallScope;
+	/** The memory that the response counts against; not counted if omitted. */
+	readonly memory?: ResponseMemory;
 	/** Whether a response belongs to this request. Any other response closes its connection, unless it is a duplicate response to the connection's previous request. */
 	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number) => boolean;
 	/** Returns the call id that a response carries. */
@@ -140,6 +143,10 @@
 
 		const settle = (result: ExchangeResult): void => {
 			isSettled = true;
+			if (account !== undefined) {
+				exchange.memory?.close(account);
+			}
+
 			stopListening();
 			if (!isLate) {
 				resolve(result);
@@ -161,6 +168,10 @@
 			connection?.destroy();
 		};
 
+		const account = exchange.memory?.open(() => {
+			fail('connection-lost', 'the response takes too much memory');
+		});
+
 		/** Returns the connection to the pool only if no bytes follow the response. */
 		const finish = ({isReusable, ...response}: CompleteResponse): void => {
 			if (isSettled) {
@@ -230,6 +241,10 @@
 		};
 
 		const handleBytes = (bytes: Uint8Array): void => {
+			if (account !== undefined) {
+				exchange.memory?.add(account, bytes.length);
+			}
+
 			try {
 				let left: Uint8Array | undefined = bytes;
 				while (left !== undefined && !isSettled) {
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -24,6 +24,7 @@
 import {runExchange, type ExchangeResponse, type ExchangeFailure} from './exchange.js';
 import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
 import {createHangWatch} from './hang-watch.js';
+import {createResponseMemory} from './response-memory.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
 import {createHalfOpenDetector} from './half-open-detector.js';
 import {createNoticeReader} from './response-notices.js';
@@ -121,6 +122,9 @@
 /** Connect timeout. A backend server on the same VM accepts a connection in well under a millisecond. */
 const connectTimeoutMs = 400;
 
+/** Limit for the responses of all requests that are being read: as much as the entry buffers for request bodies. */
+const maxBufferedResponseBytes = 83_886_080;
+
 /** Subtracted from the remaining time that is forwarded to the server: the grace period of the call scope, and the latency to the server. */
 const deadlineMarginMs = deadlineGraceMs + 1;
 
@@ -166,6 +170,7 @@
 		address: announcement.address, maxConnections: context.maxConnections, idleMs: idleConnectionMs, connectTimeoutMs,
 	});
 	const halfOpenDetector = createHalfOpenDetector();
+	const responseMemory = createResponseMemory(maxBufferedResponseBytes);
 	const limiter = createServerLimiter(context.countLimited);
 	const loadReports = createLoadReports();
 	let isEnded = false;
@@ -242,7 +247,7 @@
 		const watched = hangWatch.watch({id: call.id, deadlineAt: call.scope.deadlineAt, isRepeatable: () => context.isRepeatable?.(call) ?? false});
 		const sentAt = readAwakeMs();
 		const result = await runExchange({
-			pool, id: call.id, method: call.method, target: call.target, body, scope: call.scope,
+			pool, id: call.id, method: call.method, target: call.target, body, scope: call.scope, memory: responseMemory,
 			headers: {
 				...call.headers as Record<string, string | string[]>,
 				[headerNames.callId]: call.id,
