--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -672,8 +672,8 @@
 	{
 		promise: 'sidecar: bytes: a deadline beyond the maximum delay of timers does not pass immediately',
 		file: `${library}/forwarding/call-scope.js`,
-		from: 'clampTimerMs(deadlineAt - readSteadyMs())',
-		to: '(deadlineAt - readSteadyMs())',
+		from: 'clampTimerMs(delayMs)',
+		to: 'delayMs',
 		tests: `${library}/forwarding/call-scope.test.js`,
 	},
 	{
@@ -854,7 +854,7 @@
 	{
 		promise: 'suspension: a call whose deadline has passed during a suspension ends at the resume',
 		file: `${library}/forwarding/call-scope.js`,
-		from: '        timer = startTimer();\n',
+		from: '        timer.timeout = startTimer(timer.scope);\n',
 		to: '',
 		tests: 'platform/suspended-vm.test.js',
 	},
--- a/src/lib/admission/slot-pool.ts
+++ b/src/lib/admission/slot-pool.ts
@@ -60,6 +60,9 @@
 	/** Ends the wait of all queued requests, because the server has ended. */
 	readonly close: () => void;
 	readonly describe: () => SlotLoad;
+	readonly countRunning: () => number;
+	/** Returns the average service time in milliseconds. */
+	readonly getServiceMs: () => number;
 };
 
 /** A queued request waits for at most this multiple of `mayWaitMs`, because the estimated wait is rough. */
@@ -198,11 +201,18 @@
 		getSlowness: () => queue.slowness?.latest,
 		describe() {
 			const now = readSteadyMs();
-			const load = {
-				running: queue.running, waiting: queue.waiting.length, serviceMs: getAverageServiceMs(queue), ...describePriorities(queue, now),
-			};
-			const slowness = queue.slowness === undefined ? undefined : getRelativeSlowness(queue.slowness, now);
-			return slowness === undefined ? load : {...load, slowness};
+			const load: {-readonly [Field in keyof SlotLoad]: SlotLoad[Field]} = {running: queue.running, waiting: queue.waiting.length, serviceMs: getAverageServiceMs(queue)};
+			if (queue.waiting.length > 0 || queue.shortage !== undefined) {
+				Object.assign(load, describePriorities(queue, now));
+			}
+
+			if (queue.slowness !== undefined) {
+				load.slowness = getRelativeSlowness(queue.slowness, now);
+			}
+
+			return load;
 		},
+		countRunning: () => queue.running,
+		getServiceMs: () => getAverageServiceMs(queue),
 	};
 }
--- a/src/lib/decisions/list-sample.ts
+++ b/src/lib/decisions/list-sample.ts
@@ -13,12 +13,8 @@
 /** The search of the own failure domain, or of the others, ends after this many servers with a free slot. The ranking compares three servers of the own failure domain and four of the others. */
 const enoughFreeServers = 4;
 
-/** Returns random indexes of a list, each at most once, or all indexes if the list is short. */
+/** Returns random indexes of a list, each at most once. */
 function pickIndexes(length: number, random: () => number): Iterable<number> {
-	if (length <= maxSampled) {
-		return Array.from({length}, (_, index) => index);
-	}
-
 	return new Set(Array.from({length: maxSampled}, () => Math.floor(random() * length)));
 }
 
@@ -32,6 +28,17 @@
  */
 export function listSample<Item>(list: readonly Item[], describe: (item: Item) => Candidate | undefined, random: () => number, now: number): readonly Candidate[] {
 	const found: Candidate[] = [];
+	if (list.length <= maxSampled) {
+		for (const item of list) {
+			const candidate = describe(item);
+			if (candidate !== undefined) {
+				found.push(candidate);
+			}
+		}
+
+		return found;
+	}
+
 	let freeServers = 0;
 	for (const index of pickIndexes(list.length, random)) {
 		const candidate = describe(list[index]!);
@@ -41,7 +48,7 @@
 
 		found.push(candidate);
 		freeServers += estimateSlotWaitMs(candidate.view, candidate.slots, now) === 0 ? 1 : 0;
-		if (freeServers >= enoughFreeServers && list.length > maxSampled) {
+		if (freeServers >= enoughFreeServers) {
 			break;
 		}
 	}
--- a/src/lib/decisions/load-view.ts
+++ b/src/lib/decisions/load-view.ts
@@ -57,9 +57,26 @@
 /** Weight of the newest request in the moving average of round-trip times, which covers about five requests. */
 const smoothingFactor = 0.2;
 
-const unknownLoad: ServerView = {
-	running: 0, waiting: 0, serviceMs: 0, failureShare: 0, ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 0, ...unlimitedView,
-};
+/** The view of one server, changed in place: it changes several times with each request, and a copy for each change would be most of what a request allocates here. */
+type MutableView = {-readonly [Field in keyof Required<ServerView>]: ServerView[Field]};
+
+/** Creates the view of a server without any report. All fields are set, so that all views have the same shape. */
+function createView(): MutableView {
+	return {
+		running: 0, waiting: 0, serviceMs: 0, slowness: undefined, failureShare: 0, leastUrgent: undefined, waitingByPriority: undefined,
+		ownInFlight: 0, ownInFlightAtReport: 0, roundTripMs: 0, reportedAt: 0, limitPerSecond: unlimitedView.limitPerSecond, limitedUntil: unlimitedView.limitedUntil, limitRefusals: unlimitedView.limitRefusals,
+	};
+}
+
+/** Copies a view for the request that it is read for. The fields are listed, because a spread of so many is several times as dear. */
+function describeView(view: MutableView, serviceMs: number, roundTripMs: number): ServerView {
+	return {
+		running: view.running, waiting: view.waiting, serviceMs, slowness: view.slowness, failureShare: view.failureShare, leastUrgent: view.leastUrgent, waitingByPriority: view.waitingByPriority,
+		ownInFlight: view.ownInFlight, ownInFlightAtReport: view.ownInFlightAtReport, roundTripMs, reportedAt: view.reportedAt, limitPerSecond: view.limitPerSecond, limitedUntil: view.limitedUntil, limitRefusals: view.limitRefusals,
+	};
+}
+
+const unknownView = createView();
 
 /**
  * @param view - The known load of a server.
@@ -141,45 +158,62 @@
  * @internal
  */
 export function createLoadView(): LoadView {
-	const views = new Map<LifetimeKey, ServerView>();
+	const views = new Map<LifetimeKey, MutableView>();
 	const roundTrips = createRouteAverages(smoothingFactor);
 	const shareRefusals = createShareRefusals();
-	const get = (server: LifetimeKey): ServerView => views.get(server) ?? unknownLoad;
+	const getOrCreate = (server: LifetimeKey): MutableView => {
+		const known = views.get(server);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const view = createView();
+		views.set(server, view);
+		return view;
+	};
+
 	return {
 		shareRefusals,
 		get(server, route = '', now = undefined) {
-			const view = get(server);
+			const view = views.get(server) ?? unknownView;
 			const roundTripMs = roundTrips.get(server, route) ?? view.roundTripMs;
-			return view.slowness === undefined || now === undefined ? {...view, roundTripMs} : {...view, roundTripMs, serviceMs: view.serviceMs * estimateSlowness(view.slowness, now - view.reportedAt)};
+			const slownessNow = view.slowness === undefined || now === undefined ? 1 : estimateSlowness(view.slowness, now - view.reportedAt);
+			return describeView(view, view.serviceMs * slownessNow, roundTripMs);
 		},
 		recordReport(server, report, now) {
-			const view = get(server);
-			views.set(server, {
-				...view, slowness: undefined, leastUrgent: undefined, waitingByPriority: undefined, ...report, ownInFlightAtReport: view.ownInFlight, reportedAt: now,
-			});
+			const view = getOrCreate(server);
+			view.running = report.running ?? view.running;
+			view.waiting = report.waiting ?? view.waiting;
+			view.serviceMs = report.serviceMs ?? view.serviceMs;
+			view.failureShare = report.failureShare ?? view.failureShare;
+			view.slowness = report.slowness;
+			view.leastUrgent = report.leastUrgent;
+			view.waitingByPriority = report.waitingByPriority;
+			view.ownInFlightAtReport = view.ownInFlight;
+			view.reportedAt = now;
 		},
 		recordRoundTrip(server, route, roundTripMs) {
-			const view = get(server);
+			const view = getOrCreate(server);
 			roundTrips.record(server, route, Math.max(0, roundTripMs));
-			views.set(server, {...view, roundTripMs: (view.roundTripMs * (1 - smoothingFactor)) + (Math.max(0, roundTripMs) * smoothingFactor)});
+			view.roundTripMs = (view.roundTripMs * (1 - smoothingFactor)) + (Math.max(0, roundTripMs) * smoothingFactor);
 		},
 		recordStart(server) {
-			const view = get(server);
-			views.set(server, {...view, ownInFlight: view.ownInFlight + 1});
+			getOrCreate(server).ownInFlight++;
 		},
 		recordEnd(server) {
-			const view = get(server);
-			views.set(server, {...view, ownInFlight: Math.max(0, view.ownInFlight - 1)});
+			const view = getOrCreate(server);
+			view.ownInFlight = Math.max(0, view.ownInFlight - 1);
 		},
 		recordLimit(server, limitPerSecond) {
-			const view = get(server);
-			if (limitPerSecond !== undefined || view.limitPerSecond !== undefined) {
-				views.set(server, {...view, ...applyNamedLimit(view, limitPerSecond)});
+			const limited = views.get(server)?.limitPerSecond;
+			if (limitPerSecond !== undefined || limited !== undefined) {
+				const view = getOrCreate(server);
+				Object.assign(view, applyNamedLimit(view, limitPerSecond));
 			}
 		},
 		recordLimited(server, waitMs, now) {
-			const view = get(server);
-			views.set(server, {...view, ...applyLimitRefusal(view, waitMs, now)});
+			const view = getOrCreate(server);
+			Object.assign(view, applyLimitRefusal(view, waitMs, now));
 		},
 		retain(isKnown) {
 			for (const [server, view] of views) {
--- a/src/lib/decisions/mesh-retry-budget.ts
+++ b/src/lib/decisions/mesh-retry-budget.ts
@@ -74,9 +74,19 @@
 
 	/** Returns the slices that still count and removes the others. A slice counts until its end has left the window. */
 	const getRecentSlices = (service: string, now: number): WindowSlice[] => {
-		const kept = (services.get(service) ?? []).filter(({startedAt}) => now - startedAt < getLimits().windowMs + getSliceMs());
-		services.set(service, kept);
-		return kept;
+		const known = services.get(service);
+		if (known === undefined) {
+			const created: WindowSlice[] = [];
+			services.set(service, created);
+			return created;
+		}
+
+		const keptMs = getLimits().windowMs + getSliceMs();
+		while (known.length > 0 && now - known[0]!.startedAt >= keptMs) {
+			known.shift();
+		}
+
+		return known;
 	};
 
 	const getCurrentSlice = (slices: WindowSlice[], now: number): WindowSlice => {
--- a/src/lib/decisions/nested-call-detector.ts
+++ b/src/lib/decisions/nested-call-detector.ts
@@ -44,20 +44,38 @@
 
 	const hasEnoughTraffic = (requests: number, total: number): boolean => requests >= total * minTrafficShare;
 
+	/** Whether a route with enough traffic has an objective that is a multiple of this one. */
+	const hasLongerRoute = (routes: ReadonlyMap<string, RouteTraffic>, targetLatencyMs: number, total: number): boolean => {
+		for (const other of routes.values()) {
+			if (hasEnoughTraffic(other.requests, total) && targetLatencyMs <= other.targetLatencyMs * nestedTargetShare) {
+				return true;
+			}
+		}
+
+		return false;
+	};
+
 	return {
 		recordCall(service, route, targetLatencyMs) {
 			const routes = services.get(service) ?? new Map<string, RouteTraffic>();
 			services.set(service, routes);
 			const known = routes.get(route);
-			const requests = (known?.targetLatencyMs === targetLatencyMs ? known.requests : 0) + 1;
-			routes.set(route, {requests, targetLatencyMs});
-			const all = [...routes.values()];
-			const total = all.reduce((sum, traffic) => sum + traffic.requests, 0);
+			if (known?.targetLatencyMs === targetLatencyMs) {
+				known.requests++;
+			} else {
+				routes.set(route, {requests: 1, targetLatencyMs});
+			}
+
+			let total = 0;
+			for (const {requests} of routes.values()) {
+				total += requests;
+			}
+
 			if (total >= halvingRequestCount) {
 				halveCounts(routes);
 			}
 
-			return all.some(other => hasEnoughTraffic(other.requests, total) && targetLatencyMs <= other.targetLatencyMs * nestedTargetShare);
+			return hasLongerRoute(routes, targetLatencyMs, total);
 		},
 		retain(routeNames) {
 			for (const routes of services.values()) {
--- a/src/lib/decisions/priority-admission.ts
+++ b/src/lib/decisions/priority-admission.ts
@@ -28,6 +28,10 @@
 	readonly waitingByPriority?: readonly number[] | undefined;
 };
 
+const noWaiting: readonly number[] = [];
+
+const noPriorityLoad: PriorityLoad = {};
+
 /** Encodes that the gate accepts all priorities. */
 const acceptsAllValue = -1;
 
@@ -50,7 +54,7 @@
  * @returns One list of numbers to append to a message; nothing if no request waits or is held back.
  * @internal
  */
-export function encodePriorityLoad({leastUrgent, waitingByPriority = []}: PriorityLoad): ReadonlyArray<readonly number[]> {
+export function encodePriorityLoad({leastUrgent, waitingByPriority = noWaiting}: PriorityLoad): ReadonlyArray<readonly number[]> {
 	return leastUrgent === undefined && waitingByPriority.length === 0 ? [] : [[leastUrgent ?? acceptsAllValue, ...waitingByPriority]];
 }
 
@@ -62,6 +66,10 @@
  * @internal
  */
 export function decodePriorityLoad(value: unknown): PriorityLoad {
+	if (value === undefined) {
+		return noPriorityLoad;
+	}
+
 	const [leastUrgent, ...counts] = Array.isArray(value) ? value as readonly unknown[] : [];
 	const isCount = (value: unknown): value is number => Number.isInteger(value) && (value as number) >= 0 && (value as number) <= maxWaitingCount;
 	if ((leastUrgent !== acceptsAllValue && !isCount(leastUrgent)) || counts.length > countedPriorities || !counts.every(count => isCount(count))) {
--- a/src/lib/decisions/rank-servers.ts
+++ b/src/lib/decisions/rank-servers.ts
@@ -100,7 +100,12 @@
 	return Math.max(context.fastEnoughMs, expectedMs + (view.roundTripMs * roundTripFactor)) + penaltyMs;
 }
 
-function pickShortlist(candidates: readonly Candidate[], {domain, random}: RankingContext, sizes: ShortlistSizes): ReadonlySet<Candidate> {
+/** Returns the servers that are compared; `undefined` if there are so few that all are. */
+function pickShortlist(candidates: readonly Candidate[], {domain, random}: RankingContext, sizes: ShortlistSizes): ReadonlySet<Candidate> | undefined {
+	if (candidates.length <= Math.min(sizes.ownDomain, sizes.otherDomains)) {
+		return undefined;
+	}
+
 	const shuffled = shuffleList(candidates, random);
 	const near = shuffled.filter(candidate => !candidate.isLocal && candidate.domain === domain);
 	const far = shuffled.filter(candidate => !candidate.isLocal && candidate.domain !== domain);
@@ -123,7 +128,7 @@
 export function rankServers(candidates: readonly Candidate[], context: RankingContext, sizes = shortlistSizes): readonly Candidate[] {
 	const shortlist = pickShortlist(candidates, context, sizes);
 	return candidates
-		.map(candidate => ({candidate, isOther: Number(!shortlist.has(candidate)), answerMs: estimateResponseMs(candidate, context)}))
+		.map(candidate => ({candidate, isOther: Number(shortlist?.has(candidate) === false), answerMs: estimateResponseMs(candidate, context)}))
 		.toSorted((left, right) => left.isOther - right.isOther || left.answerMs - right.answerMs)
 		.map(({candidate}) => candidate);
 }
--- a/src/lib/decisions/slot-queue.ts
+++ b/src/lib/decisions/slot-queue.ts
@@ -197,6 +197,10 @@
 }
 
 function startQueued(queue: SlotQueue, now: number): {readonly queue: SlotQueue; readonly started: readonly QueuedRequest[]} {
+	if (queue.waiting.length === 0) {
+		return {queue, started: queue.waiting};
+	}
+
 	const inTime = queue.waiting.filter(waiting => waiting.waitUntil > now);
 	const free = Math.max(0, queue.slots - queue.running);
 	const started = inTime.slice(0, free);
--- a/src/lib/forwarding/call-headers.ts
+++ b/src/lib/forwarding/call-headers.ts
@@ -41,7 +41,8 @@
 export function removeHopByHopHeaders(headers: IncomingHttpHeaders | HeaderMap, omitted: readonly string[] = []): Record<string, string | string[]> {
 	const connectionOptions = listConnectionHeaders(headers.connection as string | undefined);
 	const endToEndHeaders: Record<string, string | string[]> = {};
-	for (const [name, value] of Object.entries(headers)) {
+	for (const name of Object.keys(headers)) {
+		const value = headers[name];
 		if (value !== undefined && !hopByHopHeaders.has(name) && !connectionOptions.includes(name) && !omitted.includes(name)) {
 			endToEndHeaders[name] = value as string | string[];
 		}
--- a/src/lib/forwarding/call-scope.ts
+++ b/src/lib/forwarding/call-scope.ts
@@ -25,9 +25,13 @@
 	readonly dispose: () => void;
 };
 
-type ScopeState = Omit<CallScope, 'dispose'> & {readonly removeHandlers: () => void};
-
-function createScopeState(deadlineAt: number, handleEnded: () => void): ScopeState {
+/**
+ * Creates a scope that something else ends.
+ *
+ * @param deadlineAt - Its deadline.
+ * @param release - Releases what would end the scope. Called when it has ended and when it is disposed.
+ */
+function createScope(deadlineAt: number, release: () => void): CallScope {
 	const handlers = new Set<(reason: ScopeEndReason) => void>();
 	let endReason: ScopeEndReason | undefined;
 	return {
@@ -39,7 +43,7 @@
 			}
 
 			endReason = reason;
-			handleEnded();
+			release();
 			for (const handleEnd of handlers) {
 				handleEnd(reason);
 			}
@@ -57,12 +61,38 @@
 				handlers.delete(handleEnd);
 			};
 		},
-		removeHandlers() {
+		dispose() {
+			release();
 			handlers.clear();
 		},
 	};
 }
 
+/** The running timers of scopes. */
+type ScopeTimer = {readonly scope: CallScope; timeout: NodeJS.Timeout};
+
+const runningTimers = new Set<ScopeTimer>();
+
+/** Delays of timers are rounded up to multiples of this. The runtime keeps a list for each different delay, and most calls would need one of their own. */
+const timerStepMs = 8;
+
+const startTimer = (scope: CallScope): NodeJS.Timeout => {
+	const delayMs = Math.ceil((scope.deadlineAt - readSteadyMs()) / timerStepMs) * timerStepMs;
+	return setTimeout(endAtDeadline, clampTimerMs(delayMs), scope);
+};
+
+function endAtDeadline(scope: CallScope): void {
+	scope.end('timeout');
+}
+
+// Timers do not advance while this VM is suspended. After a resume they are set anew; a scope whose deadline has passed ends right after all resume handlers have run.
+watchResume(() => {
+	for (const timer of runningTimers) {
+		clearTimeout(timer.timeout);
+		timer.timeout = startTimer(timer.scope);
+	}
+});
+
 /**
  * Creates the scope of a call and starts its timer.
  *
@@ -71,29 +101,13 @@
  * @internal
  */
 export function createCallScope(deadlineAt: number): CallScope {
-	const stopTimer = (): void => {
-		clearTimeout(timer);
-		unwatch();
-	};
-
-	const {removeHandlers, ...state} = createScopeState(deadlineAt, stopTimer);
-	const startTimer = (): NodeJS.Timeout => setTimeout(() => {
-		state.end('timeout');
-	}, clampTimerMs(deadlineAt - readSteadyMs()));
-
-	let timer = startTimer();
-	// Timers do not advance while this VM is suspended. After a resume the timer is set anew; a scope whose deadline has passed ends right after all resume handlers have run.
-	const unwatch = watchResume(() => {
-		clearTimeout(timer);
-		timer = startTimer();
+	const scope = createScope(deadlineAt, () => {
+		clearTimeout(timer.timeout);
+		runningTimers.delete(timer);
 	});
-	return {
-		...state,
-		dispose() {
-			stopTimer();
-			removeHandlers();
-		},
-	};
+	const timer: ScopeTimer = {scope, timeout: startTimer(scope)};
+	runningTimers.add(timer);
+	return scope;
 }
 
 /**
@@ -104,13 +118,11 @@
  * @internal
  */
 export function createChildScope(parent: CallScope): CallScope {
-	const {removeHandlers, ...state} = createScopeState(parent.deadlineAt, () => undefined);
-	const unsubscribe = parent.subscribe(state.end);
-	return {
-		...state,
-		dispose() {
-			unsubscribe();
-			removeHandlers();
-		},
-	};
+	// Until the parent is subscribed to, there is nothing to stop: a parent that has ended ends the child before `subscribe` returns.
+	let stopListening = (): void => undefined;
+	const scope = createScope(parent.deadlineAt, () => {
+		stopListening();
+	});
+	stopListening = parent.subscribe(scope.end);
+	return scope;
 }
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import {Buffer} from 'node:buffer';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -100,6 +101,9 @@
 /** Idle connections are kept this much longer than the configured idle timeout, because a request may be in transit when that timeout expires. */
 const keepAliveGraceMs = 1000;
 
+/** Responses up to this size are sent in one write. Larger ones would cost more to convert than a second write. */
+const maxJoinedBodyBytes = 16_384;
+
 /** Limit for the bodies of all requests together: a third of the memory that a process has on the smallest VMs of the users. */
 const maxBufferedBodyBytes = 83_886_080;
 
@@ -144,8 +148,19 @@
 			return;
 		}
 
-		const lengthHeaders = request.method === 'HEAD' ? {} : {'content-length': String(answer.body.length)};
-		response.writeHead(answer.status, {...answer.headers as Record<string, string | string[]>, ...lengthHeaders, ...refusals.getClosingHeaders(request)});
+		const headers: Record<string, string | string[]> = {...answer.headers as Record<string, string | string[]>};
+		Object.assign(headers, refusals.getClosingHeaders(request));
+		if (request.method !== 'HEAD') {
+			headers['content-length'] = String(answer.body.length);
+		}
+
+		response.writeHead(answer.status, headers);
+		if (answer.body.length <= maxJoinedBodyBytes) {
+			// As text, the body is sent in one write with the head.
+			response.end(Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength).toString('latin1'), 'latin1');
+			return;
+		}
+
 		response.end(answer.body);
 	};
 
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -97,7 +97,8 @@
  */
 export function encodeRequestHead({method, target, headers, body}: Pick<ExchangeRequest, 'method' | 'target' | 'headers' | 'body'>): string {
 	let fields = '';
-	for (const [name, value] of Object.entries(headers)) {
+	for (const name of Object.keys(headers)) {
+		const value = headers[name];
 		if (value !== undefined) {
 			fields += encodeField(name, value);
 		}
@@ -173,14 +174,16 @@
 		});
 
 		/** Returns the connection to the pool only if no bytes follow the response. */
-		const finish = ({isReusable, ...response}: CompleteResponse): void => {
+		const finish = ({status, headers, body, isReusable}: CompleteResponse): void => {
 			if (isSettled) {
 				return;
 			}
 
-			settle({type: 'answered', ...response});
+			settle({
+				type: 'answered', status, headers, body,
+			});
 			if (isReusable && !parser.hasExcessBytes()) {
-				connection?.release(readKeepAliveMs(response.headers));
+				connection?.release(readKeepAliveMs(headers));
 			} else {
 				connection?.destroy();
 			}
--- a/src/lib/forwarding/frame.ts
+++ b/src/lib/forwarding/frame.ts
@@ -68,6 +68,12 @@
 
 const emptyBody = Buffer.alloc(0);
 
+/** Bodies up to this size are copied behind the head of their frame: one write of a few kilobytes is cheaper than two. */
+const maxCopiedBodyBytes = 16_384;
+
+/** A frame to send; head and body may be omitted. */
+type EncodableFrame = Pick<Frame, 'type' | 'id'> & Partial<Frame>;
+
 /**
  * Encodes the part of a frame that precedes its body.
  *
@@ -75,15 +81,24 @@
  * @returns The bytes that precede the body.
  * @internal
  */
-export function encodeFrameHead({type, id, head, body = emptyBody}: Pick<Frame, 'type' | 'id'> & Partial<Frame>): Uint8Array {
+export function encodeFrameHead(frame: EncodableFrame): Uint8Array {
+	return encodeFrame(frame, 0);
+}
+
+/** Encodes a frame up to the first `bodyBytes` bytes of its body. */
+function encodeFrame({type, id, head, body = emptyBody}: EncodableFrame, bodyBytes: number): Uint8Array {
 	const text = head === undefined ? '' : JSON.stringify(head);
 	const headBytes = Buffer.byteLength(text);
-	const bytes = Buffer.allocUnsafe(lengthFieldBytes + fixedHeaderBytes + headBytes);
+	const bytes = Buffer.allocUnsafe(lengthFieldBytes + fixedHeaderBytes + headBytes + bodyBytes);
 	bytes.writeUInt32LE(fixedHeaderBytes + headBytes + body.length, 0);
 	bytes.writeUInt8(frameTypes.indexOf(type), 4);
 	bytes.writeUInt32LE(id, 5);
 	bytes.writeUInt32LE(headBytes, 9);
 	bytes.write(text, lengthFieldBytes + fixedHeaderBytes);
+	if (bodyBytes > 0) {
+		bytes.set(body, lengthFieldBytes + fixedHeaderBytes + headBytes);
+	}
+
 	return bytes;
 }
 
@@ -95,22 +110,30 @@
  * @param handleWritten - Called once the frame was handed to the operating system, or when it cannot be.
  * @internal
  */
-export function writeFrame(socket: Socket, frame: Parameters<typeof encodeFrameHead>[0], handleWritten?: () => void): void {
+export function writeFrame(socket: Socket, frame: EncodableFrame, handleWritten?: () => void): void {
 	if (socket.destroyed) {
 		handleWritten?.();
 		return;
 	}
 
-	socket.cork();
-	const hasBody = frame.body !== undefined && frame.body.length > 0;
-	socket.write(encodeFrameHead(frame), hasBody ? undefined : handleWritten);
-	if (hasBody) {
-		socket.write(frame.body, handleWritten);
+	const bodyBytes = frame.body?.length ?? 0;
+	// A socket that is corked already has frames of this iteration, and is uncorked after them.
+	if (socket.writableCorked === 0) {
+		socket.cork();
+		process.nextTick(flushSocket, socket);
 	}
 
-	process.nextTick(() => {
-		socket.uncork();
-	});
+	if (bodyBytes <= maxCopiedBodyBytes) {
+		socket.write(encodeFrame(frame, bodyBytes), handleWritten);
+		return;
+	}
+
+	socket.write(encodeFrameHead(frame));
+	socket.write(frame.body!, handleWritten);
+}
+
+function flushSocket(socket: Socket): void {
+	socket.uncork();
 }
 
 /** Decodes frames from a stream of bytes. @internal */
@@ -122,7 +145,7 @@
 };
 
 /** Wraps the same memory in a `Buffer`, for its methods that read numbers. */
-const toBuffer = ({buffer, byteOffset, byteLength}: Uint8Array) => Buffer.from(buffer, byteOffset, byteLength);
+const toBuffer = (bytes: Uint8Array) => Buffer.isBuffer(bytes) ? bytes : Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
 
 /** Checks the fixed part that precedes the head of a frame. */
 function checkFixedHeader(start: ReturnType<typeof toBuffer>, length: number): void {
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -112,7 +112,11 @@
 		async send(call) {
 			const {gate, body, scope} = call;
 			const isLarge = body !== undefined && body.length > maxInlineBodyBytes;
-			const head = encodePeerRequest({...call, hasBody: body !== undefined, leftMs: scope.deadlineAt - readSteadyMs()});
+			const head = encodePeerRequest({
+				id: call.id, server: call.server, method: call.method, target: call.target, headers: call.headers, hasBody: body !== undefined, callerService: call.callerService, rank: call.rank,
+				leftMs: scope.deadlineAt - readSteadyMs(), mayWaitMs: call.mayWaitMs, answerMayWaitMs: call.answerMayWaitMs, isCounted: call.isCounted,
+				limitPerSecond: call.limitPerSecond, workspace: call.workspace, maxSlowness: call.maxSlowness,
+			});
 			const result = await getChannel(gate, isLarge || call.isBulk ? 'bulk' : 'small').send({
 				type: isLarge ? 'offer' : 'request', head, body, scope, handleUnresponsive: call.handleUnresponsive,
 			});
--- a/src/lib/forwarding/link-writer.ts
+++ b/src/lib/forwarding/link-writer.ts
@@ -73,7 +73,11 @@
 	let timer: NodeJS.Timeout | undefined;
 
 	const writeNow = (socket: Socket, frame: LinkFrame, handleWritten?: () => void): void => {
-		pacer.record(frame.body?.length ?? 0, readSteadyMs());
+		const bodyBytes = frame.body?.length ?? 0;
+		if (bodyBytes > 0) {
+			pacer.record(bodyBytes, readSteadyMs());
+		}
+
 		writeFrame(socket, frame, handleWritten);
 	};
 
--- a/src/lib/forwarding/local-sessions.ts
+++ b/src/lib/forwarding/local-sessions.ts
@@ -228,15 +228,14 @@
 
 			reportSilence(current);
 			const {announcement} = current;
-			return {
+			return Object.assign(session.describe(), {
 				lifetime: announcement.lifetime,
 				service: announcement.service,
 				state: getServerState(current),
 				version: announcement.version,
 				coldMs: computeColdMs(current),
 				tally: rollouts.getTally(announcement),
-				...session.describe(),
-			};
+			});
 		},
 		dispose() {
 			for (const retired of retiredSessions) {
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -80,7 +80,12 @@
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
 	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted, limitPerSecond, workspace, maxSlowness} = request;
 	const answerWait = answerMayWaitMs === undefined ? null : roundToTenth(answerMayWaitMs);
-	return [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0, ...encodeOptionalFields(limitPerSecond, workspace, maxSlowness === undefined ? undefined : roundToHundredth(maxSlowness))];
+	const head: unknown[] = [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0];
+	if (limitPerSecond !== undefined || workspace !== undefined || maxSlowness !== undefined) {
+		head.push(...encodeOptionalFields(limitPerSecond, workspace, maxSlowness === undefined ? undefined : roundToHundredth(maxSlowness)));
+	}
+
+	return head;
 }
 
 /** Reads the name of a workspace, which becomes a header of the request to the backend server. */
@@ -93,6 +98,8 @@
 	return name;
 }
 
+const isPresent = (field: unknown): boolean => field !== undefined && field !== null;
+
 /** Rejects a content length without a body: the backend server would read the missing body from the next request on the same connection. */
 function checkContentLength(headers: ForwardedHeaders, hasBody: boolean): void {
 	const length = headers['content-length'];
@@ -111,7 +118,7 @@
  */
 export function decodePeerRequest(head: unknown): PeerRequest {
 	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0, limitPerSecond, workspace, maxSlowness] = readList(head, 'request');
-	const request: PeerRequest = {
+	const request: {-readonly [Field in keyof PeerRequest]: PeerRequest[Field]} = {
 		id: readString(id, 'request.id'),
 		server: toBackendServerId(readString(server, 'request.server')),
 		method: readName(method, 'request.method'),
@@ -123,11 +130,24 @@
 		leftMs: readAmount(leftMs, 'request.leftMs', maxTimeMs),
 		mayWaitMs: readAmount(mayWaitMs, 'request.mayWaitMs', maxTimeMs),
 		isCounted: readFlag(isCounted, 'request.isCounted'),
-		...answerMayWaitMs === undefined || answerMayWaitMs === null ? {} : {answerMayWaitMs: readAmount(answerMayWaitMs, 'request.answerMayWaitMs', maxTimeMs)},
-		...limitPerSecond === undefined || limitPerSecond === null ? {} : {limitPerSecond: readAmount(limitPerSecond, 'request.limitPerSecond', maxTimeMs)},
-		...workspace === undefined || workspace === null ? {} : {workspace: readWorkspaceName(workspace, 'request.workspace')},
-		...maxSlowness === undefined || maxSlowness === null ? {} : {maxSlowness: readAmount(maxSlowness, 'request.maxSlowness', maxTimeMs)},
 	};
+	// Most requests have none of these fields, so that assignments are cheaper than spreads of objects that are mostly empty.
+	if (isPresent(answerMayWaitMs)) {
+		request.answerMayWaitMs = readAmount(answerMayWaitMs, 'request.answerMayWaitMs', maxTimeMs);
+	}
+
+	if (isPresent(limitPerSecond)) {
+		request.limitPerSecond = readAmount(limitPerSecond, 'request.limitPerSecond', maxTimeMs);
+	}
+
+	if (isPresent(workspace)) {
+		request.workspace = readWorkspaceName(workspace, 'request.workspace');
+	}
+
+	if (isPresent(maxSlowness)) {
+		request.maxSlowness = readAmount(maxSlowness, 'request.maxSlowness', maxTimeMs);
+	}
+
 	checkContentLength(request.headers, request.hasBody);
 	return request;
 }
@@ -136,9 +156,10 @@
 const noSlowness = 0;
 
 /** Encodes a load. The slowness and the fields of priorities follow the others in this order, and are omitted at the end if there are none; fields of later releases follow them. */
-function encodeLoad({running, waiting, serviceMs, tookMs, slowness, ...priorityLoad}: GateLoad): readonly unknown[] {
-	const priorities = encodePriorityLoad(priorityLoad);
+function encodeLoad(load: GateLoad): readonly unknown[] {
+	const {running, waiting, serviceMs, tookMs, slowness} = load;
 	const known = [running, waiting, Math.round(serviceMs), roundToTenth(tookMs)];
+	const priorities = encodePriorityLoad(load);
 	return slowness === undefined && priorities.length === 0 ? known : [...known, slowness === undefined ? noSlowness : roundToHundredth(slowness), ...priorities];
 }
 
--- a/src/lib/forwarding/response-notices.ts
+++ b/src/lib/forwarding/response-notices.ts
@@ -28,7 +28,7 @@
 /** The state of a session that notices change. @internal */
 export type NoticeTargets = {
 	readonly limiter: Pick<ServerLimiter, 'apply' | 'getLimit'>;
-	readonly slots: Pick<SlotPool, 'describe' | 'recordSlowness'>;
+	readonly slots: Pick<SlotPool, 'countRunning' | 'recordSlowness'>;
 	readonly loadReports: Pick<LoadReports, 'record'>;
 };
 
@@ -92,7 +92,7 @@
 			return undefined;
 		}
 
-		loadReports.record(report, slots.describe().running, readSteadyMs());
+		loadReports.record(report, slots.countRunning(), readSteadyMs());
 		if (report.slowness !== undefined) {
 			slots.recordSlowness(report.slowness);
 		}
--- a/src/lib/forwarding/running-attempts.ts
+++ b/src/lib/forwarding/running-attempts.ts
@@ -27,6 +27,8 @@
 	/** In milliseconds of the clock that does not advance while this VM is suspended. */
 	readonly startedAwakeAt: number;
 	readonly scope: CallScope;
+	/** Whether the node of the server, or the connection to it, was reported as unresponsive. */
+	isUnresponsive: boolean;
 };
 
 /** An event of an attempt. @internal */
@@ -50,19 +52,23 @@
 /** Jitter as a share of the time for which a server whose limit is used up is avoided, so that the nodes do not return together. */
 const limitJitterShare = 1;
 
-async function sendToGate(context: SendContext, call: OutgoingCall, {target, mayWaitMs, answerMayWaitMs, maxSlowness, isCounted, scope}: Attempt, handleUnresponsive: () => void): Promise<GateResult> {
-	const common = {
-		id: call.id, server: target.id, method: call.method, target: call.target, headers: call.headers, callerService: context.callerService,
-		mayWaitMs, isCounted, rank: computeRank(call.route, {workspacePriority: call.workspace?.priority, isNestedCall: call.isNestedCall}),
-		scope, limitPerSecond: target.view.limitPerSecond, workspace: call.workspace?.name,
-	};
-	return target.isLocal
-		? context.localGate.run({
-			...common, hasBody: call.body !== undefined, isLargeUpload: false, readBody: async () => call.body,
-		})
-		: context.gateClient.send({
-			...common, answerMayWaitMs, maxSlowness, gate: target.gate, body: call.body, isBulk: isBulk(call.route.type), handleUnresponsive,
+async function sendToGate(context: SendContext, call: OutgoingCall, attempt: Attempt, handleUnresponsive: () => void): Promise<GateResult> {
+	const {id, method, target, headers, body, route, workspace, isNestedCall} = call;
+	const {target: server, mayWaitMs, isCounted, scope} = attempt;
+	const {callerService} = context;
+	const {limitPerSecond} = server.view;
+	const rank = computeRank(route, {workspacePriority: workspace?.priority, isNestedCall});
+	if (server.isLocal) {
+		return context.localGate.run({
+			id, server: server.id, method, target, headers, callerService, mayWaitMs, isCounted, rank, scope, limitPerSecond, workspace: workspace?.name,
+			hasBody: body !== undefined, isLargeUpload: false, readBody: async () => body,
 		});
+	}
+
+	return context.gateClient.send({
+		id, server: server.id, method, target, headers, callerService, mayWaitMs, isCounted, rank, scope, limitPerSecond, workspace: workspace?.name,
+		answerMayWaitMs: attempt.answerMayWaitMs, maxSlowness: attempt.maxSlowness, gate: server.gate, body, isBulk: isBulk(route.type), handleUnresponsive,
+	});
 }
 
 /** Records whether the target node could be reached. The result of a call takes precedence over the node's own reports. */
@@ -88,7 +94,6 @@
  */
 export function createRunningAttempts(context: SendContext, call: OutgoingCall): RunningAttempts {
 	const running = new Set<Attempt>();
-	const unresponsive = new WeakSet<Attempt>();
 	const events: AttemptEvent[] = [];
 	let handleEvent: ((event: AttemptEvent) => void) | undefined;
 
@@ -107,9 +112,8 @@
 			return;
 		}
 
-		const {tookMs, ...view} = load;
-		context.loads.recordReport(target.lifetime, view, readSteadyMs());
-		context.loads.recordRoundTrip(target.lifetime, call.route.name, readAwakeMs() - startedAwakeAt - tookMs);
+		context.loads.recordReport(target.lifetime, load, readSteadyMs());
+		context.loads.recordRoundTrip(target.lifetime, call.route.name, readAwakeMs() - startedAwakeAt - load.tookMs);
 	};
 
 	/** Records what the backend server says of itself in its response, and that its limit is used up. */
@@ -124,7 +128,7 @@
 	const sendAttempt = async (attempt: Attempt): Promise<ForwardResult> => {
 		const {target, scope} = attempt;
 		const handleUnresponsive = (): void => {
-			unresponsive.add(attempt);
+			attempt.isUnresponsive = true;
 			dispatchEvent({type: 'unresponsive', attempt});
 		};
 
@@ -160,10 +164,19 @@
 
 	return {
 		count: () => running.size,
-		areAllUnresponsive: () => [...running].every(attempt => unresponsive.has(attempt)),
+		areAllUnresponsive() {
+			for (const {isUnresponsive} of running) {
+				if (!isUnresponsive) {
+					return false;
+				}
+			}
+
+			return true;
+		},
 		start(planned) {
 			const attempt: Attempt = {
-				...planned, startedAt: readSteadyMs(), startedAwakeAt: readAwakeMs(), scope: createChildScope(call.scope),
+				target: planned.target, mayWaitMs: planned.mayWaitMs, answerMayWaitMs: planned.answerMayWaitMs, maxSlowness: planned.maxSlowness, isCounted: planned.isCounted,
+				startedAt: readSteadyMs(), startedAwakeAt: readAwakeMs(), scope: createChildScope(call.scope), isUnresponsive: false,
 			};
 			running.add(attempt);
 			void run(attempt);
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -163,7 +163,7 @@
 		releaseSlot() {
 			slots.release(undefined);
 		},
-		getServiceMs: () => slots.describe().serviceMs,
+		getServiceMs: () => slots.getServiceMs(),
 	});
 	const slots = createSlotPool(hangWatch.getSlotLimit());
 	const pool = createServerConnectionPool({
@@ -233,7 +233,7 @@
 			return sessionEndedFailure;
 		}
 
-		if (halfOpenDetector.areSuspected(slots.describe().serviceMs, now)) {
+		if (halfOpenDetector.areSuspected(slots.getServiceMs(), now)) {
 			pool.renew();
 			log.record('info', {kind: 'connections-renewed', server: lifetime.id, reason: 'a request has waited far longer than the average service time'});
 		}
@@ -324,10 +324,9 @@
 		getLoadReport: () => loadReports.getLatest(readSteadyMs()),
 		getSlowness: slots.getSlowness,
 		describe() {
-			const load = slots.describe();
-			return {
-				...load, running: load.running + loadReports.countUnknownRequests(readSteadyMs()), failureShare: converter.getFailureShare(), slots: hangWatch.getCapacity(),
-			};
+			return Object.assign(slots.describe(), {
+				running: slots.countRunning() + loadReports.countUnknownRequests(readSteadyMs()), failureShare: converter.getFailureShare(), slots: hangWatch.getCapacity(),
+			});
 		},
 		recordCrash: crashWatch.recordCrash,
 		retire: stopAccepting,
--- a/src/lib/sidecar/list-candidates.ts
+++ b/src/lib/sidecar/list-candidates.ts
@@ -52,9 +52,8 @@
 };
 
 /** Describes the server beside this node. Its numbers come from the local gate, so they are exact and current. */
-function describeLocal({own, loads}: CandidateSources, server: ServerReport, route: string, now: number): Candidate {
+function describeLocal({own, loads}: CandidateSources, server: ServerReport, lifetime: LifetimeKey, route: string, now: number): Candidate {
 	const {running, waiting, serviceMs, slowness = 1, failureShare, leastUrgent, waitingByPriority} = server;
-	const lifetime = toLifetimeKey(server.lifetime);
 	return {
 		id: server.lifetime.id, lifetime, node: own.node, gate: own.gate, domain: own.domain, isLocal: true, slots: server.slots, isCold: server.coldMs > 0,
 		view: {
@@ -63,9 +62,8 @@
 	};
 }
 
-function describePeer({report, server}: {readonly report: Peer['report']; readonly server: ServerReport}, route: string, {loads, own}: CandidateSources, now: number): Candidate {
+function describePeer({report, server, lifetime}: {readonly report: Peer['report']; readonly server: ServerReport; readonly lifetime: LifetimeKey}, route: string, {loads, own}: CandidateSources, now: number): Candidate {
 	const {node, gate, domain} = report;
-	const lifetime = toLifetimeKey(server.lifetime);
 	const view = loads.get(lifetime, route, now);
 	return {
 		id: server.lifetime.id, lifetime, node, gate, domain, isLocal: false, slots: server.slots, isCold: server.coldMs > 0, view,
@@ -83,26 +81,40 @@
  * @internal
  */
 export function listCandidates(query: CandidateQuery, sources: CandidateSources, now: number): readonly Candidate[] {
-	const {service, route, tried, trialOf, matches = () => true} = query;
+	const {service, route, tried, trialOf, matches} = query;
 	const {own, peers, limits, leaving, random} = sources;
 
 	/** Returns whether a server is excluded. A server that refused a trial remains in the list from which the trial server is chosen: choosing among the others would run the trial at several servers at the same time. */
 	const isExcluded = (lifetime: LifetimeKey): boolean => (trialOf === undefined && tried.has(lifetime)) || leaving.has(lifetime);
 
-	const isUsable = (server: ServerReport | undefined): server is ServerReport =>
-		server?.service === service && server.state === 'ready' && matches(server) && !isExcluded(toLifetimeKey(server.lifetime));
+	/** Returns the lifetime of a server that may receive the call. */
+	const findUsableLifetime = (server: ServerReport): LifetimeKey | undefined => {
+		if (server.service !== service || server.state !== 'ready' || matches?.(server) === false) {
+			return undefined;
+		}
+
+		const lifetime = toLifetimeKey(server.lifetime);
+		return isExcluded(lifetime) ? undefined : lifetime;
+	};
 
 	const describeIfUsable = (peer: Peer): Candidate | undefined => {
-		const {server} = peer.report;
+		const {report} = peer;
+		const {server} = report;
 		// The list of a service may contain a node whose server has changed since the list was built.
-		return isUsable(server) && isReachable(peer, limits, now)
-			? describePeer({report: peer.report, server}, route, sources, now)
+		const lifetime = server === undefined ? undefined : findUsableLifetime(server);
+		return server !== undefined && lifetime !== undefined && isReachable(peer, limits, now)
+			? describePeer({report, server, lifetime}, route, sources, now)
 			: undefined;
 	};
 
+	const listLocal = (): readonly Candidate[] => {
+		const lifetime = own.server === undefined ? undefined : findUsableLifetime(own.server);
+		return own.server === undefined || lifetime === undefined ? [] : [describeLocal(sources, own.server, lifetime, route, now)];
+	};
+
 	const findSampled = (list: readonly Peer[]): readonly Candidate[] => listSample(list, describeIfUsable, random, now);
 
-	const localCandidates = isUsable(own.server) ? [describeLocal(sources, own.server, route, now)] : [];
+	const localCandidates = listLocal();
 	const listAll = (): readonly Candidate[] => [...localCandidates, ...[...peers.ownDomain, ...peers.otherDomains].flatMap(peer => describeIfUsable(peer) ?? [])];
 	if (trialOf !== undefined) {
 		return chooseTrialServer(trialOf, listAll()).filter(({lifetime}) => !tried.has(lifetime));
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -318,7 +318,8 @@
 
 	const listServers = (query: CandidateQuery): readonly Candidate[] => listCandidates(query, {
 		own: {
-			node: self, gate: settings.listen.gate, domain, server: isGateLeaving ? undefined : gate.describe(),
+			// The gate is asked only for calls to its service, since its answer is exact and not free.
+			node: self, gate: settings.listen.gate, domain, server: isGateLeaving || query.service !== settings.service ? undefined : gate.describe(),
 		},
 		peers: link.table.listService(query.service), limits: peerLimits, loads, leaving, random,
 	}, readSteadyMs());
@@ -340,7 +341,10 @@
 		housekeeping.recordCall();
 		const isOrdinary = call.status < 500 && call.attempts.filter(({verdict}) => verdict !== 'not-run').length <= 1;
 		const level = isOrdinary ? 'debug' : 'info';
-		log.record(level, {kind: 'call-finished', call: call.id, ...omitId(call)});
+		log.record(level, {
+			kind: 'call-finished', call: call.id, route: call.route, workspace: call.workspace, version: call.version, status: call.status, verdict: call.verdict,
+			reason: call.reason, tookMs: call.tookMs, leftMs: call.leftMs, attempts: call.attempts, ...call.quota === undefined ? {} : {quota: call.quota},
+		});
 	};
 
 	/** Returns how many nodes share the slack of the retry budget. Just after its start a node knows few of them and does not know how much slack it used before the restart. */
@@ -497,7 +501,3 @@
 	return Math.floor(random() * Number.MAX_SAFE_INTEGER).toString(36);
 }
 
-function omitId(call: FinishedCall): Omit<FinishedCall, 'id' | 'service'> {
-	const {id: _id, service: _service, ...rest} = call;
-	return rest;
-}
