--- a/src/lib/forwarding/endless-response.test.ts
+++ b/src/lib/forwarding/endless-response.test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
-import {Buffer} from 'node:buffer';
-import {createServer, type AddressInfo, type Socket} from 'node:net';
 import process from 'node:process';
 import test, {type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {startEndlessServer} from '../../../stand-ins/endless-server.js';
 import {toAddress, toBackendServerId} from '../common/ids.js';
 import {createSilentQuarantine} from '../quarantine/sample-quarantine.js';
 import {noRollouts} from '../rollout/no-rollouts.js';
@@ -19,44 +18,19 @@
 const deadlineMs = 5000;
 /** As many as the users' servers have. */
 const slots = 13;
-const chunk = Buffer.alloc(65_536, 'x');
-
-/** Sends bytes as fast as they are read until the connection closes. */
-function sendEndlessly(socket: Socket): void {
-	const send = (): void => {
-		let mayContinue = true;
-		while (mayContinue && !socket.destroyed) {
-			mayContinue = socket.write(chunk);
-		}
-	};
-
-	socket.on('drain', send);
-	send();
-}
 
 /** Starts a gate beside a server that begins each response with a text and never ends it. */
 async function startGate(context: TestContext, responseStart: (call: string) => string): Promise<LocalGate> {
-	const server = createServer(socket => {
-		socket.on('error', () => undefined);
-		socket.once('data', (bytes: Uint8Array) => {
-			const call = /x-call: (\S+)/.exec(Buffer.from(bytes).toString('latin1'))?.[1] ?? '';
-			socket.write(responseStart(call), 'latin1');
-			sendEndlessly(socket);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
+	const address = await startEndlessServer(context, head => responseStart(/x-call: (\S+)/.exec(head)?.[1] ?? ''));
 	const gate = createLocalGate({
 		headerNames, log: silentLog, refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false,
 		linkMbps: 1000, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
 	});
 	context.after(() => {
 		gate.dispose();
-		server.close();
 	});
 	gate.announce({
-		lifetime: {id, startedAt: Date.now()}, service: 'pages', version: 'v1', address: toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), slots, isDraining: false, coldMs: 0, sequence: 1,
+		lifetime: {id, startedAt: Date.now()}, service: 'pages', version: 'v1', address: toAddress(address), slots, isDraining: false, coldMs: 0, sequence: 1,
 	});
 	return gate;
 }
--- /dev/null
+++ b/stand-ins/endless-server.ts
@@ -0,0 +1,48 @@
+/**
+ * A stand-in for a backend server in trouble: it begins each response and sends bytes
+ * without end until its connection is closed.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {type TestContext} from 'node:test';
+
+const chunk = Buffer.alloc(65_536, 'x');
+
+/** Sends bytes as fast as they are read. */
+function sendEndlessly(socket: Socket): void {
+	const sendMore = (): void => {
+		let mayContinue = true;
+		while (mayContinue && !socket.destroyed) {
+			mayContinue = socket.write(chunk);
+		}
+	};
+
+	socket.on('drain', sendMore);
+	sendMore();
+}
+
+/**
+ * Starts the server.
+ *
+ * @param context - The test, which ends the server.
+ * @param createStart - Returns the beginning of the response to a request head.
+ * @returns `IP:PORT` at which it listens.
+ */
+export async function startEndlessServer(context: TestContext, createStart: (requestHead: string) => string): Promise<string> {
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', (bytes: Uint8Array) => {
+			socket.write(createStart(Buffer.from(bytes).toString('latin1')), 'latin1');
+			sendEndlessly(socket);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	context.after(() => {
+		server.close();
+	});
+	return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
--- a/stand-ins/platform-server/calling-server.ts
+++ b/stand-ins/platform-server/calling-server.ts
@@ -10,8 +10,8 @@
 } from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {sendCall} from '../../platform/test-mesh.js';
-import {getHeader} from './apply-behaviour.js';
 import {getRequestKind, type RequestKind} from '../../bench/request-cost/load-pattern.js';
+import {getHeader} from './apply-behaviour.js';
 
 /** A running backend server. */
 export type CallingServer = {
