Review: a stopping node closes the connection of an upload without an answer

A caller's upload, read whole 0.8 s after SIGTERM and on its way over a 10 Mbit/s link, ends with a closed connection 5.2 s after the SIGTERM, 2.2 s before its time budget. The shutdown closes the connections of callers with closeAllConnections in the same turn in which it fails the outgoing requests, unless another node has a connection to this gate.

--- /dev/null
+++ b/review/5/case.ts
@@ -0,0 +1,68 @@
+/**
+ * A node gets SIGTERM, and then an upload whose body is on its way to another machine until the node exits.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {sendRequest} from '../mesh-2/client.js';
+import {createConfig, grownBounds} from '../mesh-2/deployment.js';
+import {runInMesh, type MachineOptions} from '../mesh-2/mesh.js';
+
+/** Bandwidth of the small machines of the deployment. */
+const linkMbps = 10;
+
+/** Takes 4.8 s over such a link. */
+const bodyBytes = 6_000_000;
+
+/** Between SIGTERM and the upload. The platform has not found the node unready twice by then. */
+const sendAfterMs = 800;
+
+/** Bound `grace-period` of the deployment. */
+const graceMs = 6000;
+
+const createMachine = (name: string, zone: string, service: string): MachineOptions => ({
+	name, zone, service, linkMbps, worker: {slots: 8, queue: 32, computeWorkMs: () => 200},
+});
+
+void runInMesh('review/5', {
+	bounds: grownBounds,
+	config: createConfig(),
+	machines: [
+		createMachine('log-a-1', 'hall-a', 'logview'),
+		createMachine('log-a-2', 'hall-a', 'logview'),
+		createMachine('dep-a', 'hall-a', 'depstore'),
+		createMachine('dep-b', 'hall-b', 'depstore'),
+		createMachine('log-b', 'hall-b', 'logview'),
+		createMachine('rel-b', 'hall-b', 'releasehall'),
+	],
+}, async ({record, machines, getMachine}, hasTrouble) => {
+	const machine = getMachine('log-a-1');
+	for (const {host, name} of machines.filter(({service}) => service === 'logview')) {
+		for (let count = 0; count < 3; count++) {
+			await sendRequest({
+				machine: host, call: `read-${name}-${count}`, method: 'GET', host: 'agencies.example', path: `/logs/${count}`, deadlineMs: 2500,
+			}, record);
+		}
+	}
+
+	let killTimer: NodeJS.Timeout | undefined;
+	if (hasTrouble) {
+		machine.signalNode('SIGTERM');
+		killTimer = setTimeout(() => {
+			machine.signalNode('SIGKILL');
+		}, graceMs);
+	}
+
+	await sleep(sendAfterMs);
+	const outcome = await sendRequest({
+		machine: machine.host, call: 'upload', method: 'POST', host: 'agencies.example', path: '/bundles/1', deadlineMs: 6559, body: Buffer.alloc(bodyBytes, 'b'),
+	}, record);
+	clearTimeout(killTimer);
+	const arrival = machines.flatMap(({worker}) => worker.arrivals).find(({call}) => call === 'upload');
+	const isAtWork = arrival?.startedAt !== undefined && arrival.endedAt === undefined;
+	const tookMs = (outcome.endedAt - outcome.sentAt).toFixed(0);
+	record.write(`the upload ended as ${outcome.end}, ${tookMs} ms after its last byte; it reached ${arrival === undefined ? 'no worker' : 'a worker'}`);
+	const hasEndedEarly = outcome.end === 'closed' && !isAtWork;
+	return !hasEndedEarly && (hasTrouble || (outcome.status === 200 && outcome.isSigned));
+});
