Review: a mesh on slow links applies the last of many versions too late

Callers' requests are run by the old service of a route up to 4.8 s after the ack of the version that moved it (config-apply 2.5 s), at all six machines, after twelve versions of a configuration of 397 KB in 4 s. Each relay's watch receives every version that was written meanwhile, 0.42 s each over a link of 10 Mbit/s (watchOnce in config-follower.ts).

--- a/review/mesh-2/deployment.ts
+++ b/review/mesh-2/deployment.ts
@@ -31,13 +31,30 @@
 	name, 'health-check-path': '/healthz', 'max-connections': 500, protocol: 'h1', tls: false,
 });
 
+export type ConfigOptions = {
+	/** The version. */
+	readonly version?: number;
+	/** Routes that get no requests. */
+	readonly idleRouteCount?: number;
+	/** Service of the route for reads of logs. */
+	readonly logService?: string;
+	/** The operator's comment in the name of the first idle route, which differs between versions. */
+	readonly mark?: string;
+};
+
+/** Version of the first configuration. */
+export const firstVersion = 7;
+
 /**
- * @param version - The version, as eight hexadecimal digits.
+ * @param options - What differs between versions.
  * @returns The configuration of the build mesh, with a route for each kind of request.
  */
-export function createConfig(version = '00000007'): unknown {
+export function createConfig({version = firstVersion, idleRouteCount = 0, logService = 'logview', mark = ''}: ConfigOptions = {}): unknown {
+	const idleRules = Array.from({length: idleRouteCount}, (_, index) => createRule({
+		name: `r-idle-${index}${index === 0 ? mark : ''}`, prefix: `/idle-${index}/`, type: 'safe', service: 'logview', targetLatency: '833ms', timeout: '2500ms', priority: 2,
+	}));
 	return {
-		version,
+		version: version.toString(16).padStart(8, '0'),
 		limits: {
 			'max-header-bytes': 16_384, 'max-body-bytes': 67_108_864, 'header-timeout': '3000ms', 'idle-timeout': '15000ms',
 		},
@@ -45,7 +62,7 @@
 			host: 'agencies.example',
 			rules: [
 				createRule({
-					name: 'r-logs', prefix: '/logs/', type: 'safe', service: 'logview', targetLatency: '833ms', timeout: '2500ms', priority: 2,
+					name: 'r-logs', prefix: '/logs/', type: 'safe', service: logService, targetLatency: '833ms', timeout: '2500ms', priority: 2,
 				}),
 				createRule({
 					name: 'r-releases', prefix: '/releases/', type: 'unsafe', service: 'releasehall', targetLatency: '1033ms', timeout: '3000ms', priority: 1,
@@ -53,6 +70,7 @@
 				createRule({
 					name: 'r-bundles', prefix: '/bundles/', type: 'upload', service: 'depstore', targetLatency: '1093ms', timeout: '6500ms', priority: 1,
 				}),
+				...idleRules,
 			],
 		}],
 		clusters: ['logview', 'releasehall', 'depstore'].map(name => createCluster(name)),
--- a/review/mesh-2/mesh.ts
+++ b/review/mesh-2/mesh.ts
@@ -15,6 +15,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {startPlatformStore, type PlatformStore} from '../../stand-ins/platform-store/platform-store.js';
 import {checkReadiness} from './client.js';
+import {startStoreLink, type StoreLink} from './link.js';
 import {openRecord, type CaseRecord} from './record.js';
 import {
 	ports, readRunCommand, renderTemplate,
@@ -51,6 +52,8 @@
 	/** The configuration that the operator writes before traffic starts. */
 	readonly config: unknown;
 	readonly machines: readonly MachineOptions[];
+	/** Whether what the store sends to a machine takes as long as the link of the machine needs. */
+	readonly isStoreBehindLinks?: boolean;
 };
 
 export type Mesh = {
@@ -100,13 +103,13 @@
 }
 
 /** What all machines of a mesh share. */
-type SharedParts = {readonly store: PlatformStore; readonly record: CaseRecord; readonly bounds: MeshOptions['bounds']};
+type SharedParts = {readonly storeAddress: string; readonly record: CaseRecord; readonly bounds: MeshOptions['bounds']};
 
-async function startMachine(options: MachineOptions, host: string, folder: string, {store, record, bounds}: SharedParts): Promise<Machine> {
+async function startMachine(options: MachineOptions, host: string, folder: string, {storeAddress, record, bounds}: SharedParts): Promise<Machine> {
 	const {name, zone, service, linkMbps} = options;
 	const settingsFile = path.join(folder, `${name}.yaml`);
 	writeFileSync(settingsFile, renderTemplate({
-		name, zone, service, host, linkMbps, storeAddress: store.address, bounds,
+		name, zone, service, host, linkMbps, storeAddress, bounds,
 	}));
 	const [program = '', ...words] = readRunCommand(settingsFile);
 	const startNode = (): ChildProcess => {
@@ -162,6 +165,7 @@
 	const record = openRecord(path.join(folder, 'record.txt'));
 	const temporary = mkdtempSync(path.join(tmpdir(), 'stonemoor-review-'));
 	const machines: Machine[] = [];
+	const links: StoreLink[] = [];
 	let exitCode: number = exitCodes.cannotRun;
 	let store: PlatformStore | undefined;
 	try {
@@ -173,7 +177,15 @@
 		store.putConfig(options.config);
 		const network = await findNetwork(options.machines.length);
 		for (const [index, machine] of options.machines.entries()) {
-			machines.push(await startMachine(machine, `${network}.${index + 1}`, temporary, {store, record, bounds: options.bounds}));
+			const host = `${network}.${index + 1}`;
+			let storeAddress = store.address;
+			if (options.isStoreBehindLinks) {
+				const link = await startStoreLink(host, storeAddress, machine.linkMbps);
+				links.push(link);
+				storeAddress = link.address;
+			}
+
+			machines.push(await startMachine(machine, host, temporary, {storeAddress, record, bounds: options.bounds}));
 		}
 
 		const startedAt = record.getTime();
@@ -208,6 +220,7 @@
 
 	await Promise.all(machines.map(async machine => stopNode(machine)));
 	await Promise.all(machines.map(async ({worker}) => worker.close()));
+	await Promise.all(links.map(async link => link.close()));
 	await store?.close();
 	record.close();
 	if (process.env.KEEP_LOGS === undefined) {
