--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -448,8 +448,15 @@
 		}
 	};
 
-	/** Counts requests in flight. A request whose response is not fully sent is among them: exiting now would truncate the response. */
-	const countInFlight = (): number => entry.countCalls() + gate.countRequests() + entry.countUnsentAnswers() + gateServer.countUnsentResponses();
+	/** Counts requests in flight by the place where they are. A request whose response is not fully sent is among them: exiting now would truncate the response. */
+	const describeInFlight = () => ({
+		calls: entry.countCalls(), gateRequests: gate.countRequests(), unsentAnswers: entry.countUnsentAnswers(), unsentResponses: gateServer.countUnsentResponses(),
+	});
+
+	const countInFlight = (): number => {
+		const {calls, gateRequests, unsentAnswers, unsentResponses} = describeInFlight();
+		return calls + gateRequests + unsentAnswers + unsentResponses;
+	};
 
 	return {
 		async start() {
@@ -489,7 +496,9 @@
 				stopListening: entry.stopListening,
 				countInFlight,
 			}, settings.shutdownMs);
-			log.record('info', {kind: 'node-stopped', requests: countInFlight(), afterMs: Math.round(afterMs)});
+			log.record('info', {
+				kind: 'node-stopped', requests: countInFlight(), ...describeInFlight(), queuedBytes: linkWriter.countQueuedBytes(), afterMs: Math.round(afterMs),
+			});
 			await dispose();
 		},
 		dispose,
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -76,7 +76,8 @@
 	| {readonly kind: 'node-started'; readonly run: string; readonly service: string; readonly address: string}
 	| {readonly kind: 'node-ready'; readonly version: number}
 	| {readonly kind: 'node-draining'; readonly reason: string; readonly requests: number}
-	| {readonly kind: 'node-stopped'; readonly requests: number; readonly afterMs: number}
+	/** `requests` is the sum of the counts by place: a request of a caller is counted again while its response is sent, or while the gate has it. */
+	| {readonly kind: 'node-stopped'; readonly requests: number; readonly calls: number; readonly gateRequests: number; readonly unsentAnswers: number; readonly unsentResponses: number; readonly queuedBytes: number; readonly afterMs: number}
 	| {readonly kind: 'node-paused'; readonly forMs: number}
 	| {readonly kind: 'node-suspended'; readonly forMs: number}
 	| {readonly kind: 'node-failed'; readonly reason: string}
