--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -175,10 +175,45 @@
 	{
 		promise: 'sidecar: a node that shuts down waits until its responses are sent',
 		file: `${library}/sidecar/sidecar.js`,
-		from: ' + entry.countUnsentAnswers() + gateServer.countUnsentResponses()',
+		from: ' + unsentAnswers + unsentResponses',
 		to: '',
 		tests: 'platform',
 	},
+	{
+		promise: 'sidecar: a node that shuts down answers the requests of its callers before it exits',
+		file: `${library}/sidecar/sidecar.js`,
+		from: 'entry.stopAt(time);',
+		to: '',
+		tests: 'platform/stopping-node.test.js',
+	},
+	{
+		promise: 'sidecar: a node that shuts down refuses uploads of other nodes that cannot arrive before it exits',
+		file: `${library}/sidecar/sidecar.js`,
+		from: 'gateServer.stopAt(time);',
+		to: '',
+		tests: 'platform/stopping-node.test.js',
+	},
+	{
+		promise: 'sidecar: a node that shuts down ends uploads at once that it cannot send before it exits',
+		file: `${library}/sidecar/sidecar.js`,
+		from: 'gateClient.endLateUploads();',
+		to: '',
+		tests: 'platform/stopping-node.test.js',
+	},
+	{
+		promise: 'full link: an upload that cannot be sent in the time left is refused at once',
+		file: `${library}/decisions/plan-attempt.js`,
+		from: 'leftMs - (isLocal ? 0 : bodyMs)',
+		to: 'leftMs',
+		tests: `${library}/decisions/plan-attempt.test.js`,
+	},
+	{
+		promise: 'full link: the rest of a body is withdrawn when its call ends',
+		file: `${library}/forwarding/link-writer.js`,
+		from: 'isInPieces ? sentBytes < body.length : !isStarted',
+		to: '!isStarted',
+		tests: `${library}/forwarding/peer-channel.test.js`,
+	},
 	{
 		promise: 'sidecar: a node that shuts down does not close connections with unsent responses',
 		file: `${library}/common/caller-connections.js`,
@@ -854,8 +889,8 @@
 	{
 		promise: 'suspension: a call whose deadline has passed during a suspension ends at the resume',
 		file: `${library}/forwarding/call-scope.js`,
-		from: '        timer.timeout = startTimer(timer.scope);\n',
-		to: '',
+		from: '    for (const timer of runningTimers) {\n        restartTimer(timer);',
+		to: '    for (const timer of runningTimers) {',
 		tests: 'platform/suspended-vm.test.js',
 	},
 	{
@@ -889,8 +924,8 @@
 	{
 		promise: 'full link: a queued frame of a cancelled request is not sent',
 		file: `${library}/forwarding/link-writer.js`,
-		from: 'if (queued !== undefined) {',
-		to: 'if (false) {',
+		from: '            remove(queued);\n',
+		to: '',
 		tests: `${library}/forwarding/link-writer.test.js`,
 	},
 	{
--- a/src/lib/decisions/plan-attempt.test.ts
+++ b/src/lib/decisions/plan-attempt.test.ts
@@ -57,6 +57,15 @@
 	assert.equal(planAttempt({...call, leftMs: 10}, nothingYet, [createServer('a', 10)], rules, 1000).type, 'too-late');
 });
 
+// Guards against an upload that takes its link, and a slot, although it cannot arrive before its deadline.
+test('a call whose body cannot be sent to another VM in the time left goes to the own server, or is refused', () => {
+	const upload: CallState = {...call, leftMs: 3000, bodyMs: 2990};
+	assert.equal(planAttempt(upload, nothingYet, [createServer('a', 10), createServer('b', 10)], rules, 1000).type, 'too-late');
+	const plan = planAttempt(upload, nothingYet, [createServer('a', 10), {...createServer('own', 10), isLocal: true}], rules, 1000);
+	assert.equal(plan.type === 'send' ? plan.target.id : '', 'own');
+	assert.equal(planAttempt({...upload, bodyMs: 2900}, nothingYet, [createServer('a', 10), createServer('b', 10)], rules, 1000).type, 'send');
+});
+
 test('a slow server with a free slot is tried again even if the time left is shorter than its service time', () => {
 	assert.equal(planAttempt({...call, leftMs: 200}, nothingYet, [createServer('a', 10, {serviceMs: 60_000})], rules, 1000).type, 'send');
 });
--- a/src/lib/decisions/plan-attempt.ts
+++ b/src/lib/decisions/plan-attempt.ts
@@ -31,6 +31,8 @@
 	readonly priority: number;
 	/** Whether gates said that its workspace is over its share. */
 	readonly isOverShare: boolean;
+	/** Shortest time in which its body can be sent to another VM, in milliseconds; 0 if omitted. */
+	readonly bodyMs?: number;
 };
 
 /** Earlier attempts of a call. @internal */
@@ -138,8 +140,18 @@
 const estimateWaitAt = ({view, slots, reservedSlots = 0}: Candidate, {priority}: Pick<CallState, 'priority'>, now: number): number =>
 	estimateSlotWaitMs(view, Math.max(1, slots - reservedSlots), now, priority);
 
+/** Returns how much of the time left remains once a server has the whole request, in milliseconds. */
+const computeLeftAtServerMs = ({leftMs, bodyMs = 0}: CallState, {isLocal}: Candidate): number => leftMs - (isLocal ? 0 : bodyMs);
+
+/** Excludes servers that could not have the whole request in time. */
+const keepReachableInTime = (call: CallState, servers: readonly Candidate[]): readonly Candidate[] =>
+	call.bodyMs === undefined || call.bodyMs === 0 ? servers : servers.filter(server => computeLeftAtServerMs(call, server) >= minAttemptMs);
+
 /** Returns whether a server could not answer a call in the time left. A free slot is tried in any case, since only responses show that a server has become faster. */
-function isTooLate({leftMs, priority}: CallState, {view, slots}: Candidate, now: number): boolean {
+function isTooLate(call: CallState, server: Candidate, now: number): boolean {
+	const {priority} = call;
+	const {view, slots} = server;
+	const leftMs = computeLeftAtServerMs(call, server);
 	if (leftMs < minAttemptMs) {
 		return true;
 	}
@@ -183,11 +195,12 @@
  * @internal
  */
 export function planAttempt(call: CallState, history: AttemptHistory, ranked: readonly Candidate[], rules: PlanRules, now: number): AttemptPlan {
-	const untried = ranked.filter(({lifetime}) => !history.tried.has(lifetime));
-	if (untried.length > 0 && untried.every(server => isTooLate(call, server, now))) {
+	const remaining = ranked.filter(({lifetime}) => !history.tried.has(lifetime));
+	if (remaining.length > 0 && remaining.every(server => isTooLate(call, server, now))) {
 		return {type: 'too-late'};
 	}
 
+	const untried = keepReachableInTime(call, remaining);
 	const estimateWaitMs = (server: Candidate): number => estimateWaitAt(server, call, now);
 	const eligible = untried.filter(server => !isHeldBackAt(call, server, now));
 	if (eligible.length === 0 && untried.length > 0) {
--- a/src/lib/forwarding/call-scope.test.ts
+++ b/src/lib/forwarding/call-scope.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'node:test';
-import {createCallScope} from './call-scope.js';
+import {createCallScope, createChildScope} from './call-scope.js';
 
 test('a scope with a deadline beyond the longest timer delay does not end immediately', async context => {
 	for (const endsAt of [2 ** 31, 2 ** 40, Number.MAX_SAFE_INTEGER, 1e300]) {
@@ -11,3 +11,21 @@
 		assert.equal(scope.getEndReason(), undefined, String(endsAt));
 	}
 });
+
+test('a scope ends at the time by which its node must have answered, if that is before its deadline', async context => {
+	const scope = createCallScope(performance.now() + 10_000);
+	const child = createChildScope(scope);
+	const early = createCallScope(performance.now() + 20);
+	context.after(() => {
+		scope.dispose();
+		early.dispose();
+	});
+	const stopAt = performance.now() + 60;
+	scope.stopAt(stopAt);
+	early.stopAt(stopAt);
+	assert.equal(child.deadlineAt, stopAt);
+	await sleep(45);
+	assert.deepEqual([scope.getEndReason(), early.getEndReason()], [undefined, 'timeout']);
+	await sleep(45);
+	assert.deepEqual([scope.getEndReason(), child.getEndReason(), early.getEndReason()], ['stopping', 'stopping', 'timeout']);
+});
--- a/src/lib/forwarding/call-scope.ts
+++ b/src/lib/forwarding/call-scope.ts
@@ -10,8 +10,8 @@
 /** A scope ends this long after the deadline that the backend server is given, because a response sent right at that deadline is still on its way. @internal */
 export const deadlineGraceMs = 15;
 
-/** Why a call ended before its response. @internal */
-export type ScopeEndReason = 'timeout' | 'cancelled' | 'superseded';
+/** Why a call ended before its response; `stopping`: this node shuts down. @internal */
+export type ScopeEndReason = 'timeout' | 'cancelled' | 'superseded' | 'stopping';
 
 /** @internal */
 export type CallScope = {
@@ -25,17 +25,25 @@
 	readonly dispose: () => void;
 };
 
+/** The scope of a call, whose deadline can be moved. @internal */
+export type RootScope = CallScope & {
+	/** Makes the scope end at a time by which this node must have answered, if that is before its deadline. */
+	readonly stopAt: (time: number) => void;
+};
+
 /**
  * Creates a scope that something else ends.
  *
- * @param deadlineAt - Its deadline.
+ * @param getDeadlineAt - Returns its deadline.
  * @param release - Releases what would end the scope. Called when it has ended and when it is disposed.
  */
-function createScope(deadlineAt: number, release: () => void): CallScope {
+function createScope(getDeadlineAt: () => number, release: () => void): CallScope {
 	const handlers = new Set<(reason: ScopeEndReason) => void>();
 	let endReason: ScopeEndReason | undefined;
 	return {
-		deadlineAt,
+		get deadlineAt() {
+			return getDeadlineAt();
+		},
 		getEndReason: () => endReason,
 		end(reason) {
 			if (endReason !== undefined) {
@@ -69,27 +77,27 @@
 }
 
 /** The running timers of scopes. */
-type ScopeTimer = {readonly scope: CallScope; timeout: NodeJS.Timeout};
+type ScopeTimer = {readonly scope: CallScope; timeout: NodeJS.Timeout | undefined; endReason: ScopeEndReason};
 
 const runningTimers = new Set<ScopeTimer>();
 
 /** Delays of timers are rounded up to multiples of this. The runtime keeps a list for each different delay, and most calls would need one of their own. */
 const timerStepMs = 8;
 
-const startTimer = (scope: CallScope): NodeJS.Timeout => {
-	const delayMs = Math.ceil((scope.deadlineAt - readSteadyMs()) / timerStepMs) * timerStepMs;
-	return setTimeout(endAtDeadline, clampTimerMs(delayMs), scope);
+const restartTimer = (timer: ScopeTimer): void => {
+	clearTimeout(timer.timeout);
+	const delayMs = Math.ceil((timer.scope.deadlineAt - readSteadyMs()) / timerStepMs) * timerStepMs;
+	timer.timeout = setTimeout(endAtDeadline, clampTimerMs(delayMs), timer);
 };
 
-function endAtDeadline(scope: CallScope): void {
-	scope.end('timeout');
+function endAtDeadline({scope, endReason}: ScopeTimer): void {
+	scope.end(endReason);
 }
 
 // Timers do not advance while this VM is suspended. After a resume they are set anew; a scope whose deadline has passed ends right after all resume handlers have run.
 watchResume(() => {
 	for (const timer of runningTimers) {
-		clearTimeout(timer.timeout);
-		timer.timeout = startTimer(timer.scope);
+		restartTimer(timer);
 	}
 });
 
@@ -100,14 +108,24 @@
  * @returns A scope that ends by itself at that time.
  * @internal
  */
-export function createCallScope(deadlineAt: number): CallScope {
-	const scope = createScope(deadlineAt, () => {
+export function createCallScope(deadlineAt: number): RootScope {
+	let endsAt = deadlineAt;
+	const scope = createScope(() => endsAt, () => {
 		clearTimeout(timer.timeout);
 		runningTimers.delete(timer);
 	});
-	const timer: ScopeTimer = {scope, timeout: startTimer(scope)};
+	const timer: ScopeTimer = {scope, timeout: undefined, endReason: 'timeout'};
+	restartTimer(timer);
 	runningTimers.add(timer);
-	return scope;
+	return Object.assign(scope, {
+		stopAt(time: number) {
+			if (time < endsAt && runningTimers.has(timer)) {
+				endsAt = time;
+				timer.endReason = 'stopping';
+				restartTimer(timer);
+			}
+		},
+	});
 }
 
 /**
@@ -120,7 +138,7 @@
 export function createChildScope(parent: CallScope): CallScope {
 	// Until the parent is subscribed to, there is nothing to stop: a parent that has ended ends the child before `subscribe` returns.
 	let stopListening = (): void => undefined;
-	const scope = createScope(parent.deadlineAt, () => {
+	const scope = createScope(() => parent.deadlineAt, () => {
 		stopListening();
 	});
 	stopListening = parent.subscribe(scope.end);
--- a/src/lib/forwarding/connection-scopes.ts
+++ b/src/lib/forwarding/connection-scopes.ts
@@ -6,12 +6,14 @@
  */
 import {type Server} from 'node:http';
 import {type Socket} from 'node:net';
-import {type CallScope} from './call-scope.js';
+import {type RootScope} from './call-scope.js';
 
 /** @internal */
 export type ConnectionScopes = {
 	/** Adds a call to its connection. Returns a function that removes it. */
-	readonly add: (socket: Socket, scope: CallScope) => () => void;
+	readonly add: (socket: Socket, scope: RootScope) => () => void;
+	/** Ends the calls that are in flight at a time by which this node must have answered, those that are added later included. In milliseconds of the steady clock. */
+	readonly stopAt: (time: number) => void;
 };
 
 /**
@@ -22,9 +24,10 @@
  * @internal
  */
 export function watchConnections(server: Server): ConnectionScopes {
-	const scopes = new Map<Socket, Set<CallScope>>();
+	const scopes = new Map<Socket, Set<RootScope>>();
+	let stopTime = Number.POSITIVE_INFINITY;
 	server.on('connection', (socket: Socket) => {
-		const calls = new Set<CallScope>();
+		const calls = new Set<RootScope>();
 		scopes.set(socket, calls);
 		const cancelCalls = (): void => {
 			for (const scope of calls) {
@@ -50,10 +53,19 @@
 				return () => undefined;
 			}
 
+			scope.stopAt(stopTime);
 			calls.add(scope);
 			return () => {
 				calls.delete(scope);
 			};
 		},
+		stopAt(time) {
+			stopTime = time;
+			for (const calls of scopes.values()) {
+				for (const scope of calls) {
+					scope.stopAt(time);
+				}
+			}
+		},
 	};
 }
--- a/src/lib/forwarding/convert-exchange.ts
+++ b/src/lib/forwarding/convert-exchange.ts
@@ -98,7 +98,8 @@
 
 			case 'timeout':
 			case 'cancelled':
-			case 'superseded': {
+			case 'superseded':
+			case 'stopping': {
 				return failure.isSent ? createMayHaveRun(failure.reason, failure.detail) : createNotRun(failure.reason, failure.detail);
 			}
 		}
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -33,7 +33,7 @@
 import {watchConnections} from './connection-scopes.js';
 import {type ForwardResponse} from './forward-result.js';
 import {
-	BodyTooLargeError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
+	BodyTooLargeError, BodyStoppedError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
 } from './read-body.js';
 import {type CallOutcome, type SendContext} from './outgoing-call.js';
 import {createEntryRefusals, unusableRouteRetryMs, type EntryCall} from './entry-refusals.js';
@@ -93,6 +93,8 @@
 	readonly startClosing: () => void;
 	/** Stops accepting connections and requests, and closes the idle connections. */
 	readonly stopListening: () => void;
+	/** Answers all requests by a time, those that arrive later included. In milliseconds of the steady clock. */
+	readonly stopAt: (time: number) => void;
 };
 
 /** The largest request head that is accepted. */
@@ -115,6 +117,10 @@
 
 /** Returns the status for a request whose body could not be read. Such a request was not executed. */
 function chooseBodyErrorStatus(error: unknown): number {
+	if (error instanceof BodyMemoryError || error instanceof BodyStoppedError) {
+		return 503;
+	}
+
 	if (error instanceof BodyTimeoutError) {
 		return 408;
 	}
@@ -164,6 +170,16 @@
 		response.end(answer.body);
 	};
 
+	/** Handles a call whose scope ended before it was sent: its caller has left, or this node shuts down. */
+	const handleEndBeforeSending = (call: EntryCall, version: number, route: RouteRule, scope: CallScope): void => {
+		if (scope.getEndReason() === 'stopping') {
+			refuseAndLog(call, version, 503, 'this node shuts down');
+			return;
+		}
+
+		logCallerLeft(call, route);
+	};
+
 	/** Takes a token of the quota of the workspace. Returns `undefined` if the request was refused, or if its caller has left. */
 	const acquireToken = async (call: EntryCall, version: number, route: RouteRule, scope: CallScope, workspace: Workspace | undefined): Promise<GrantedToken | undefined> => {
 		if (workspace?.ratePerSecond === undefined) {
@@ -177,7 +193,7 @@
 			}
 
 			case 'cancelled': {
-				logCallerLeft(call, route);
+				handleEndBeforeSending(call, version, route, scope);
 				return undefined;
 			}
 
@@ -200,15 +216,13 @@
 				// A closed connection needs no handling here: `readBody` handles the `close` event of the request.
 				if (reason === 'timeout') {
 					handleEnd();
+				} else if (reason === 'stopping') {
+					handleEnd(new BodyStoppedError('this node shuts down, and the body of the request has not arrived'));
 				}
 			}));
 		} catch (error) {
-			if (error instanceof BodyMemoryError) {
-				refuseAndLog(call, context.getConfig()?.config.version ?? 0, 503, error.message, bodyMemoryRetryMs);
-				return 'refused';
-			}
-
-			refuseAndLog(call, context.getConfig()?.config.version ?? 0, chooseBodyErrorStatus(error), (error as Error).message);
+			const retryAfterMs = error instanceof BodyMemoryError ? bodyMemoryRetryMs : 0;
+			refuseAndLog(call, context.getConfig()?.config.version ?? 0, chooseBodyErrorStatus(error), (error as Error).message, retryAfterMs);
 			return 'refused';
 		}
 	};
@@ -394,5 +408,6 @@
 			isClosing = true;
 		},
 		stopListening: connections.stop,
+		stopAt: scopes.stopAt,
 	};
 }
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -323,8 +323,8 @@
 		};
 
 		stopListening = exchange.scope.subscribe(reason => {
-			if (reason === 'timeout') {
-				fail(reason, 'no response before the deadline');
+			if (reason === 'timeout' || reason === 'stopping') {
+				fail(reason, reason === 'timeout' ? 'no response before the deadline' : 'no response before this node had to stop');
 			} else if (!waitForLateResponse(reason, 'call was cancelled')) {
 				fail(reason, 'call was cancelled');
 			}
--- a/src/lib/forwarding/forward-result.ts
+++ b/src/lib/forwarding/forward-result.ts
@@ -46,7 +46,9 @@
 	| 'no-server'
 	| 'timeout'
 	| 'cancelled'
-	| 'superseded';
+	| 'superseded'
+	/** A node that handles the request shuts down. */
+	| 'stopping';
 
 const reasons: readonly ForwardReason[] = [
 	'full',
@@ -71,6 +73,7 @@
 	'timeout',
 	'cancelled',
 	'superseded',
+	'stopping',
 ];
 
 /**
--- a/src/lib/forwarding/frame.test.ts
+++ b/src/lib/forwarding/frame.test.ts
@@ -8,7 +8,7 @@
 } from './frame.js';
 
 const frame = fc.record({
-	type: fc.constantFrom<FrameType>('request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config', 'ping', 'pong', 'quota'),
+	type: fc.constantFrom<FrameType>('request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config', 'ping', 'pong', 'quota', 'piece'),
 	id: fc.nat(4_000_000),
 	head: fc.option(fc.record({target: fc.string(), headers: fc.dictionary(fc.string(), fc.string(), {noNullPrototype: true})}, {noNullPrototype: true}), {nil: undefined}),
 	body: fc.uint8Array({maxLength: 2000}),
@@ -39,7 +39,7 @@
 		return bytes;
 	};
 
-	assert.throws(() => createFrameReader().read(change(bytes => bytes.writeUInt8(99, 4))), /frame\.type: found 99, must be less than 10/);
+	assert.throws(() => createFrameReader().read(change(bytes => bytes.writeUInt8(99, 4))), /frame\.type: found 99, must be less than 11/);
 	assert.throws(() => createFrameReader().read(change(bytes => bytes.writeUInt32LE(1000, 9))), /frame\.headLength: found 1000/);
 	assert.throws(() => createFrameReader().read(change(bytes => bytes.writeUInt32LE(8, 0))), /frame\.length: found 8/);
 	assert.throws(() => createFrameReader().read(change(bytes => {
--- a/src/lib/forwarding/frame.ts
+++ b/src/lib/forwarding/frame.ts
@@ -20,7 +20,7 @@
 	| 'offer'
 	/** Requests the body of an offer. */
 	| 'continue'
-	/** The body of an offer. */
+	/** The body of an offer, or its last part. */
 	| 'body'
 	/** The answer, which ends a request. */
 	| 'answer'
@@ -33,9 +33,11 @@
 	/** The answer to a `ping`. */
 	| 'pong'
 	/** Asks for tokens of quotas. */
-	| 'quota';
+	| 'quota'
+	/** A part of the body of an offer, which is not the last one. */
+	| 'piece';
 
-const frameTypes: readonly FrameType[] = ['request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config', 'ping', 'pong', 'quota'];
+const frameTypes: readonly FrameType[] = ['request', 'offer', 'continue', 'body', 'answer', 'cancel', 'config', 'ping', 'pong', 'quota', 'piece'];
 
 /** @internal */
 export type Frame = {
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -13,13 +13,13 @@
 	createMayHaveRun, createNotRun, type ForwardFailure, type GateResult,
 } from './forward-result.js';
 import {
-	openPeerChannel, type ChannelResult, type ChannelOptions, type PeerChannel,
+	openPeerChannel, unpacedLink, type ChannelResult, type ChannelOptions, type PeerChannel,
 } from './peer-channel.js';
 import {decodeConfigAnswer, encodeConfigRequest, type ConfigAnswer} from './config-messages.js';
 import {decodePeerAnswer, encodePeerRequest, type PeerRequest} from './peer-messages.js';
 
 /** A request to the backend server beside another node. @internal */
-export type RemoteCall = Omit<PeerRequest, 'hasBody' | 'leftMs'> & {
+export type RemoteCall = Omit<PeerRequest, 'hasBody' | 'leftMs' | 'bodyMs'> & {
 	readonly gate: Address;
 	readonly body: Uint8Array | undefined;
 	/** Whether the body or the response is large. */
@@ -52,6 +52,10 @@
 	readonly renewConnections: (gate: Address, reason: 'back' | 'unreachable') => void;
 	/** Stops using connections on which nothing arrives although heartbeats of their nodes arrive, and closes them later. Must be called periodically. */
 	readonly checkLiveness: (now: number, getHeardAt: (gate: Address) => number | undefined) => void;
+	/** Returns the shortest time in which a body can be sent to another node, in milliseconds; 0 for one that is sent with its request. */
+	readonly computeSendMs: (body: Uint8Array | undefined) => number;
+	/** Ends the requests whose bodies cannot be sent before their deadlines. They have not been executed. */
+	readonly endLateUploads: () => void;
 	readonly dispose: () => void;
 };
 
@@ -90,6 +94,10 @@
 	/** All channels that are open, including retired ones with requests in flight. */
 	const openChannels = new Set<PeerChannel>();
 
+	const {computeSendMs} = options.link ?? unpacedLink;
+
+	const computeBodyMs = (body: Uint8Array | undefined): number => body === undefined || body.length <= maxInlineBodyBytes ? 0 : computeSendMs(body.length);
+
 	const getChannel = (gate: Address, kind: ChannelKind): PeerChannel => {
 		const key = `${kind} ${gate}`;
 		const current = channels.get(key);
@@ -115,7 +123,7 @@
 			const head = encodePeerRequest({
 				id: call.id, server: call.server, method: call.method, target: call.target, headers: call.headers, hasBody: body !== undefined, callerService: call.callerService, rank: call.rank,
 				leftMs: scope.deadlineAt - readSteadyMs(), mayWaitMs: call.mayWaitMs, answerMayWaitMs: call.answerMayWaitMs, isCounted: call.isCounted,
-				limitPerSecond: call.limitPerSecond, workspace: call.workspace, maxSlowness: call.maxSlowness,
+				limitPerSecond: call.limitPerSecond, workspace: call.workspace, maxSlowness: call.maxSlowness, bodyMs: isLarge ? computeBodyMs(body) : undefined,
 			});
 			const result = await getChannel(gate, isLarge || call.isBulk ? 'bulk' : 'small').send({
 				type: isLarge ? 'offer' : 'request', head, body, scope, handleUnresponsive: call.handleUnresponsive,
@@ -158,6 +166,13 @@
 				channel.checkLiveness(now, () => getHeardAt(channel.gate));
 			}
 		},
+		computeSendMs: computeBodyMs,
+		endLateUploads() {
+			const now = readSteadyMs();
+			for (const channel of openChannels) {
+				channel.endLateUploads(now);
+			}
+		},
 		dispose() {
 			for (const channel of openChannels) {
 				channel.dispose();
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -10,7 +10,10 @@
 import {FieldError} from '../common/field-error.js';
 import {type MeshLog, type RefusalCause} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
-import {createCallScope, type CallScope} from './call-scope.js';
+import {
+	BodyNotReceivedError, createIncomingBody, encodeContinue, type IncomingBody,
+} from './body-pieces.js';
+import {createCallScope, type RootScope, type ScopeEndReason} from './call-scope.js';
 import {
 	createFrameReader, type Frame, type FrameReader,
 } from './frame.js';
@@ -40,15 +43,17 @@
 	readonly server: Server;
 	/** Returns the number of queued large responses plus the number of connections with unsent bytes. */
 	readonly countUnsentResponses: () => number;
+	/** Answers all requests by a time, those that arrive later included. Ends a request at once if its body cannot have arrived by then. In milliseconds of the steady clock. */
+	readonly stopAt: (time: number) => void;
 	/** Closes each connection once the other node has read what was written to it. Resolves when all are closed, or after a timeout. */
 	readonly dispose: () => Promise<void>;
 };
 
 /** A request in flight on a connection. */
 type IncomingRequest = {
-	readonly scope: CallScope;
-	/** Receives the body of an offered request; `undefined` if the gate has not requested it. */
-	handleBody: ((body: Uint8Array) => void) | undefined;
+	readonly scope: RootScope;
+	/** The body of an offered request; `undefined` unless the gate waits for it. */
+	body: IncomingBody | undefined;
 };
 
 type Connection = {
@@ -56,8 +61,11 @@
 	/** Remote address for log records, stored because a closed socket no longer has it. */
 	readonly peerAddress: string;
 	readonly requests: Map<number, IncomingRequest>;
-	/** Bytes buffered for an incomplete frame. */
+	readonly reader: FrameReader;
+	/** Bytes buffered for an incomplete frame and for incomplete bodies. */
 	bufferedBytes: number;
+	/** Bytes buffered for incomplete bodies that arrive in pieces. */
+	pieceBytes: number;
 };
 
 /** Another node exceeds a limit on what this node buffers or keeps for it. */
@@ -66,7 +74,7 @@
 /** Maximum number of requests in flight on one connection, many times the number that the users' nodes have. */
 const maxIncomingRequestCount = 4096;
 
-/** Maximum bytes buffered for incomplete frames over all connections: a third of the memory of a process on the users' smallest VMs, and as much as the entry buffers for request bodies. */
+/** Maximum bytes buffered for incomplete frames and bodies over all connections: a third of the memory of a process on the users' smallest VMs, and as much as the entry buffers for request bodies. */
 const maxBufferedBytes = 83_886_080;
 
 /** Maximum unsent response bytes on a connection that requests the configuration: several times the largest configuration, and more than the users' fastest links carry in a second. */
@@ -78,6 +86,13 @@
  */
 const closeTimeoutMs = 300;
 
+const endDetails: Readonly<Record<ScopeEndReason, string>> = {
+	timeout: 'it was not complete before the deadline',
+	cancelled: 'call was cancelled',
+	superseded: 'call was cancelled',
+	stopping: 'it is not complete before the node of the backend server has to stop',
+};
+
 function cancelRequests({requests}: Connection): void {
 	for (const {scope} of requests.values()) {
 		scope.end('cancelled');
@@ -95,16 +110,50 @@
 	const {gate, getConfig, answerQuotaAsk, waitForPendingInput, log, refusals, link} = context;
 	const connections = new Set<Connection>();
 	let bufferedBytes = 0;
+	let stopTime = Number.POSITIVE_INFINITY;
+
+	const updateBufferedBytes = (connection: Connection, bytes: number): void => {
+		bufferedBytes += bytes - connection.bufferedBytes;
+		connection.bufferedBytes = bytes;
+	};
+
+	const countBufferedBytes = ({reader, pieceBytes}: Connection): number => reader.countBufferedBytes() + pieceBytes;
+
+	/** Stops waiting for the body of a request. */
+	const closeBody = (connection: Connection, incoming: IncomingRequest): void => {
+		connection.pieceBytes -= incoming.body?.countBytes() ?? 0;
+		incoming.body = undefined;
+		updateBufferedBytes(connection, connection.socket.destroyed ? 0 : countBufferedBytes(connection));
+	};
 
 	/** Requests the body of an offered request, once the request holds a slot. */
-	const fetchBody = async (connection: Connection, id: number, incoming: IncomingRequest): Promise<Uint8Array> => new Promise((resolve, reject) => {
-		incoming.handleBody = resolve;
-		incoming.scope.subscribe(() => {
-			reject(new Error('call was cancelled'));
+	const fetchBody = async (connection: Connection, id: number, {bodyMs = 0}: PeerRequest, incoming: IncomingRequest): Promise<Uint8Array> => new Promise((resolve, reject) => {
+		const {scope} = incoming;
+		const expectedAt = readSteadyMs() + bodyMs;
+		if (expectedAt > scope.deadlineAt) {
+			reject(new BodyNotReceivedError('timeout', 'the sender cannot send it before the deadline'));
+			return;
+		}
+
+		incoming.body = createIncomingBody(expectedAt, body => {
+			closeBody(connection, incoming);
+			resolve(body);
+		});
+		scope.subscribe(reason => {
+			closeBody(connection, incoming);
+			reject(new BodyNotReceivedError(reason, endDetails[reason]));
 		});
-		link.write(connection.socket, {type: 'continue', id});
+		link.write(connection.socket, {type: 'continue', id, head: encodeContinue()});
 	});
 
+	const handlePiece = (connection: Connection, {id, body}: Frame): void => {
+		const incoming = connection.requests.get(id)?.body;
+		if (incoming !== undefined) {
+			incoming.addPiece(body);
+			connection.pieceBytes += body.length;
+		}
+	};
+
 	const runAtGate = async (connection: Connection, frame: Frame, request: PeerRequest, incoming: IncomingRequest): Promise<GateResult> => {
 		try {
 			await waitForPendingInput();
@@ -112,7 +161,7 @@
 				...request,
 				scope: incoming.scope,
 				isLargeUpload: frame.type === 'offer',
-				readBody: async () => frame.type === 'offer' ? fetchBody(connection, frame.id, incoming) : (request.hasBody ? frame.body : undefined),
+				readBody: async () => frame.type === 'offer' ? fetchBody(connection, frame.id, request, incoming) : (request.hasBody ? frame.body : undefined),
 			});
 		} catch (error) {
 			log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
@@ -139,7 +188,8 @@
 
 	const handleRequest = async (connection: Connection, frame: Frame, request: PeerRequest): Promise<void> => {
 		const scope = createCallScope(readSteadyMs() + request.leftMs);
-		const incoming: IncomingRequest = {scope, handleBody: undefined};
+		scope.stopAt(stopTime);
+		const incoming: IncomingRequest = {scope, body: undefined};
 		connection.requests.set(frame.id, incoming);
 		const result = await runAtGate(connection, frame, request, incoming);
 		connection.requests.delete(frame.id);
@@ -165,7 +215,12 @@
 			}
 
 			case 'body': {
-				connection.requests.get(frame.id)?.handleBody?.(frame.body);
+				connection.requests.get(frame.id)?.body?.finish(frame.body);
+				break;
+			}
+
+			case 'piece': {
+				handlePiece(connection, frame);
 				break;
 			}
 
@@ -199,16 +254,11 @@
 			case 'continue':
 			case 'answer':
 			case 'pong': {
-				throw new FieldError('frame.type', frame.type, 'request, offer, body, cancel, config, ping or quota');
+				throw new FieldError('frame.type', frame.type, 'request, offer, body, piece, cancel, config, ping or quota');
 			}
 		}
 	};
 
-	const updateBufferedBytes = (connection: Connection, bytes: number): void => {
-		bufferedBytes += bytes - connection.bufferedBytes;
-		connection.bufferedBytes = bytes;
-	};
-
 	const refuse = (connection: Connection, cause: RefusalCause, reason: string): void => {
 		refusals.record({
 			kind: 'peer-refused', cause, place: connection.peerAddress, reason,
@@ -218,23 +268,22 @@
 		updateBufferedBytes(connection, 0);
 	};
 
-	/** Handles the frames in received bytes and accounts for the bytes of an incomplete frame. */
-	const readBytes = (connection: Connection, reader: FrameReader, bytes: Uint8Array): void => {
-		for (const frame of reader.read(bytes)) {
+	/** Handles the frames in received bytes and accounts for the bytes of an incomplete frame and of incomplete bodies. */
+	const readBytes = (connection: Connection, bytes: Uint8Array): void => {
+		for (const frame of connection.reader.read(bytes)) {
 			handleFrame(connection, frame);
 		}
 
-		updateBufferedBytes(connection, reader.countBufferedBytes());
+		updateBufferedBytes(connection, countBufferedBytes(connection));
 		if (bufferedBytes > maxBufferedBytes) {
-			throw new FloodError(`more than ${maxBufferedBytes} bytes of incomplete frames over all connections`);
+			throw new FloodError(`more than ${maxBufferedBytes} bytes of incomplete frames and bodies over all connections`);
 		}
 	};
 
 	const server = createServer({noDelay: true}, socket => {
 		const connection: Connection = {
-			socket, peerAddress: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, requests: new Map(), bufferedBytes: 0,
+			socket, peerAddress: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, requests: new Map(), reader: createFrameReader(), bufferedBytes: 0, pieceBytes: 0,
 		};
-		const reader = createFrameReader();
 		connections.add(connection);
 		socket.on('data', (bytes: Uint8Array) => {
 			if (socket.destroyed) {
@@ -242,7 +291,7 @@
 			}
 
 			try {
-				readBytes(connection, reader, bytes);
+				readBytes(connection, bytes);
 			} catch (error) {
 				refuse(connection, error instanceof FloodError ? 'flood' : 'unreadable', (error as Error).message);
 			}
@@ -251,15 +300,24 @@
 			// The close event that follows cancels the requests.
 		});
 		socket.once('close', () => {
-			updateBufferedBytes(connection, 0);
 			connections.delete(connection);
 			cancelRequests(connection);
+			updateBufferedBytes(connection, 0);
 		});
 	});
 
 	return {
 		server,
 		countUnsentResponses: () => link.countQueued() + [...connections].filter(({socket}) => socket.writableLength > 0).length,
+		stopAt(time) {
+			stopTime = time;
+			for (const {scope, body} of [...connections].flatMap(({requests}) => [...requests.values()])) {
+				scope.stopAt(time);
+				if (body !== undefined && body.expectedAt > time) {
+					scope.end('stopping');
+				}
+			}
+		},
 		async dispose() {
 			// Destroying a socket with unread input sends a reset, and the other node then loses bytes that it has not read yet. An orderly end avoids this.
 			const closed = Promise.all(Array.from(connections, async ({socket}) => new Promise(resolve => {
--- a/src/lib/forwarding/link-pacer.ts
+++ b/src/lib/forwarding/link-pacer.ts
@@ -15,6 +15,10 @@
 	readonly record: (bytes: number, now: number) => void;
 	/** Returns the milliseconds until the next write is allowed. */
 	readonly computeWaitMs: (now: number) => number;
+	/** Returns how long the link takes to carry that many bytes alone, in milliseconds. */
+	readonly computeSendMs: (bytes: number) => number;
+	/** Returns the milliseconds until the link has carried what was written and that many bytes more. */
+	readonly estimateMs: (bytes: number, now: number) => number;
 };
 
 /** How far writes may be ahead of the link. Enough to keep the link busy between two event loop iterations of a busy process. */
@@ -37,5 +41,7 @@
 			drainedAt = Math.max(drainedAt, now) + (bytes / bytesPerMs);
 		},
 		computeWaitMs: now => Math.max(0, drainedAt - now - burstMs),
+		computeSendMs: bytes => bytes / bytesPerMs,
+		estimateMs: (bytes, now) => Math.max(0, drainedAt - now) + (bytes / bytesPerMs),
 	};
 }
--- a/src/lib/forwarding/link-writer.test.ts
+++ b/src/lib/forwarding/link-writer.test.ts
@@ -145,3 +145,26 @@
 	await expectSoon('all have arrived', () => pairs.every(({frames}) => frames.length === 2));
 	assert.deepEqual(pairs.map(({frames}) => frames.map(({id, body}) => [id, body.length])), [[[1, largeBody.length], [0, 0]], [[3, 40_000], [2, largeBody.length]]]);
 });
+
+// Guards against a body that its sender gives up and a gate gets all the same, and against small frames that wait for it.
+test('a body in pieces lets other frames of its connection pass, and what is not written of it is withdrawn', async context => {
+	const [pair] = await openPairs(context, 1);
+	const answers = createLinkWriter(slowMbps);
+	pair!.far.resume();
+	answers.writeInPieces(pair!.near, {type: 'body', id: 1, body: largeBody});
+	answers.writeInPieces(pair!.near, {type: 'body', id: 2, body: largeBody});
+	await expectSoon('a piece has arrived', () => pair!.frames.length > 0);
+	const estimateMs = answers.estimateMs(pair!.near, 2) ?? 0;
+	assert.ok(estimateMs > 400 && estimateMs < 800, `${estimateMs} ms`);
+	answers.write(pair!.near, {type: 'cancel', id: 9});
+	await expectSoon('the small frame has arrived', () => pair!.frames.some(({id}) => id === 9));
+	assert.equal(answers.cancel(pair!.near, 1), true);
+	assert.equal(answers.cancel(pair!.near, 1), false);
+	await expectSoon('the second body has arrived', () => pair!.frames.some(({type, id}) => type === 'body' && id === 2));
+	assert.equal(pair!.frames.some(({type, id}) => type === 'body' && id === 1), false);
+	const second = pair!.frames.filter(({id}) => id === 2);
+	assert.equal(second.reduce((sum, {body}) => sum + body.length, 0), largeBody.length);
+	assert.deepEqual(second.map(({type}) => type), [...second.slice(1).map(() => 'piece'), 'body']);
+	assert.equal(answers.cancel(pair!.near, 2), false);
+	assert.equal(answers.countQueued(), 0);
+});
--- a/src/lib/forwarding/link-writer.ts
+++ b/src/lib/forwarding/link-writer.ts
@@ -20,8 +20,17 @@
 	readonly write: (socket: Socket, frame: LinkFrame, handleWritten?: () => void) => void;
 	/** Writes a frame of any size before all queued large frames, but never inside one that is already being written on the same connection. */
 	readonly writeUrgent: (socket: Socket, frame: LinkFrame) => void;
-	/** Removes a queued large frame whose receiver no longer needs it. A frame that has been partly written is completed. */
-	readonly cancel: (socket: Socket, id: number) => void;
+	/** Writes a large body as frames of type `piece` that end with the given frame. Other frames of the connection are sent between them, and what is not written can be cancelled. */
+	readonly writeInPieces: (socket: Socket, frame: LinkFrame) => void;
+	/**
+	 * Removes a queued large frame whose receiver no longer needs it. A frame that has been partly written is completed, unless it is written in pieces.
+	 * Returns whether the frame was removed, so that the receiver never gets all of it.
+	 */
+	readonly cancel: (socket: Socket, id: number) => boolean;
+	/** Returns the shortest time in which the link carries a body, in milliseconds. */
+	readonly computeSendMs: (bytes: number) => number;
+	/** Estimates the time until a queued large frame is completely written, in milliseconds; `undefined` if it is not queued. */
+	readonly estimateMs: (socket: Socket, id: number) => number | undefined;
 	/** Returns the number of large frames that are not completely written. */
 	readonly countQueued: () => number;
 	/** Returns the queued bytes of one connection, or of the large frames of all connections. */
@@ -41,6 +50,7 @@
 	readonly frame: LinkFrame;
 	readonly handleWritten: (() => void) | undefined;
 	readonly body: Uint8Array;
+	readonly isInPieces: boolean;
 	/** Bytes of the body that have been written. */
 	sentBytes: number;
 	isStarted: boolean;
@@ -57,6 +67,15 @@
 	bytes: number;
 };
 
+function sumUnsentBytes(frames: readonly LargeFrame[]): number {
+	let sum = 0;
+	for (const {body, sentBytes} of frames) {
+		sum += body.length - sentBytes;
+	}
+
+	return sum;
+}
+
 /**
  * Creates a writer with nothing queued.
  *
@@ -96,7 +115,7 @@
 
 	const finish = (large: LargeFrame): void => {
 		remove(large);
-		if (large.isStarted) {
+		if (large.isStarted && !large.isInPieces) {
 			flushQueue(large.socket);
 		}
 
@@ -115,8 +134,8 @@
 	};
 
 	const writePiece = (large: LargeFrame): void => {
-		const {socket, body} = large;
-		if (!large.isStarted) {
+		const {socket, frame, body, isInPieces} = large;
+		if (!large.isStarted && !isInPieces) {
 			startFrame(large);
 		}
 
@@ -124,19 +143,28 @@
 		large.sentBytes += piece.length;
 		large.isBlocked = true;
 		pacer.record(piece.length, readSteadyMs());
-		socket.write(piece, () => {
+		const handlePieceWritten = (): void => {
 			large.isBlocked = false;
 			if (large.sentBytes >= body.length) {
 				finish(large);
 			}
 
 			sendNext();
-		});
+		};
+
+		if (isInPieces) {
+			writeFrame(socket, {...frame, type: large.sentBytes < body.length ? 'piece' : frame.type, body: piece}, handlePieceWritten);
+		} else {
+			socket.write(piece, handlePieceWritten);
+		}
 	};
 
-	/** Whether the next piece of a frame may be written. Each connection writes one large frame at a time. */
-	const mayContinue = ({socket, isStarted, isBlocked, sentBytes, body}: LargeFrame): boolean =>
-		!isBlocked && sentBytes < body.length && (isStarted || !queues.has(socket));
+	/** Whether the next piece of a frame may be written. Nothing may be written inside a whole frame of the same connection. */
+	const mayContinue = ({socket, isStarted, isBlocked, isInPieces, sentBytes, body}: LargeFrame): boolean =>
+		!isBlocked && sentBytes < body.length && (!queues.has(socket) || (isStarted && !isInPieces));
+
+	/** Whether a frame can be removed. Its receiver takes bytes after an incomplete frame for a part of it. */
+	const isRemovable = ({isInPieces, isStarted, sentBytes, body}: LargeFrame): boolean => isInPieces ? sentBytes < body.length : !isStarted;
 
 	const removeClosed = (): void => {
 		for (const large of largeFrames.filter(({socket}) => socket.destroyed)) {
@@ -174,37 +202,51 @@
 		queue.bytes += frame.body?.length ?? 0;
 	};
 
+	const writeLarge = (large: Pick<LargeFrame, 'socket' | 'frame' | 'handleWritten' | 'isInPieces'>): void => {
+		const {body} = large.frame;
+		if (body === undefined || body.length <= largeBodyBytes) {
+			writeUrgent(large.socket, large.frame, large.handleWritten);
+			return;
+		}
+
+		largeFrames.push({
+			...large, body, sentBytes: 0, isStarted: false, isBlocked: false,
+		});
+		if (timer === undefined) {
+			sendNext();
+		}
+	};
+
 	return {
 		write(socket, frame, handleWritten) {
-			const {body} = frame;
-			if (body === undefined || body.length <= largeBodyBytes) {
-				writeUrgent(socket, frame, handleWritten);
-				return;
-			}
-
-			largeFrames.push({
-				socket, frame, handleWritten, body, sentBytes: 0, isStarted: false, isBlocked: false,
+			writeLarge({
+				socket, frame, handleWritten, isInPieces: false,
 			});
-			if (timer === undefined) {
-				sendNext();
-			}
 		},
 		writeUrgent,
-		cancel(socket, id) {
-			const queued = largeFrames.find(large => large.socket === socket && large.frame.id === id && !large.isStarted);
-			if (queued !== undefined) {
-				remove(queued);
-			}
+		writeInPieces(socket, frame) {
+			writeLarge({
+				socket, frame, handleWritten: undefined, isInPieces: true,
+			});
 		},
-		countQueued: () => largeFrames.length,
-		countQueuedBytes(socket) {
-			let sum = 0;
-			for (const large of largeFrames) {
-				sum += socket === undefined || large.socket === socket ? large.body.length - large.sentBytes : 0;
+		cancel(socket, id) {
+			const queued = largeFrames.find(large => large.socket === socket && large.frame.id === id && isRemovable(large));
+			if (queued === undefined) {
+				return false;
 			}
 
-			return sum + (socket === undefined ? 0 : queues.get(socket)?.bytes ?? 0);
+			remove(queued);
+			return true;
+		},
+		computeSendMs: pacer.computeSendMs,
+		estimateMs(socket, id) {
+			const index = largeFrames.findIndex(large => large.socket === socket && large.frame.id === id);
+			return index === -1 ? undefined : pacer.estimateMs(sumUnsentBytes(largeFrames.slice(0, index + 1)), readSteadyMs());
 		},
+		countQueued: () => largeFrames.length,
+		countQueuedBytes: socket => socket === undefined
+			? sumUnsentBytes(largeFrames)
+			: sumUnsentBytes(largeFrames.filter(large => large.socket === socket)) + (queues.get(socket)?.bytes ?? 0),
 		dispose() {
 			clearTimeout(timer);
 		},
--- a/src/lib/forwarding/peer-channel.test.ts
+++ b/src/lib/forwarding/peer-channel.test.ts
@@ -2,12 +2,16 @@
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type TestContext} from 'node:test';
 import {toAddress} from '../common/ids.js';
+import {encodeContinue} from './body-pieces.js';
 import {createCallScope} from './call-scope.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
-import {openPeerChannel, type ChannelResult, type PeerChannel} from './peer-channel.js';
+import {createLinkWriter} from './link-writer.js';
+import {
+	openPeerChannel, type ChannelOptions, type ChannelResult, type PeerChannel,
+} from './peer-channel.js';
 
 /** Starts a gate that passes each frame to the handler, and opens a channel to it. */
-async function openChannelTo(context: TestContext, handleFrame: (frame: Frame, socket: Socket) => void): Promise<PeerChannel> {
+async function openChannelTo(context: TestContext, handleFrame: (frame: Frame, socket: Socket) => void, options: ChannelOptions = {}): Promise<PeerChannel> {
 	const server = createServer(socket => {
 		const reader = createFrameReader();
 		socket.on('data', (bytes: Uint8Array) => {
@@ -20,7 +24,7 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
-	const channel = openPeerChannel(toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), 5000, () => undefined);
+	const channel = openPeerChannel(toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`), 5000, () => undefined, options);
 	context.after(() => {
 		channel.dispose();
 		server.close();
@@ -144,3 +148,74 @@
 	assert.deepEqual(frames.map(({type}) => type), ['request', 'ping']);
 	assert.equal(checked.getResult(), 'waiting');
 });
+
+/** Bandwidth at which `uploadBody` takes 0.3 s, in megabits per second. */
+const slowMbps = 10;
+const uploadBody = new Uint8Array(300_000);
+
+type UploadFixture = {
+	readonly channel: PeerChannel;
+	readonly frames: readonly Frame[];
+	/** Sends an upload that ends after a time. */
+	readonly upload: (endsAfterMs: number) => Promise<ChannelResult>;
+};
+
+/** Starts a gate that asks for the body of each offer with the given head. */
+async function startUploads(context: TestContext, continueHead: unknown): Promise<UploadFixture> {
+	const frames: Frame[] = [];
+	const channel = await openChannelTo(context, (frame, socket) => {
+		frames.push(frame);
+		if (frame.type === 'offer') {
+			writeFrame(socket, {type: 'continue', id: frame.id, head: continueHead});
+		}
+	}, {link: createLinkWriter(slowMbps)});
+	return {
+		channel,
+		frames,
+		async upload(endsAfterMs) {
+			const scope = createCallScope(performance.now() + endsAfterMs);
+			context.after(scope.dispose);
+			return channel.send({
+				type: 'offer', head: [], body: uploadBody, scope,
+			});
+		},
+	};
+}
+
+const hasBody = (frames: readonly Frame[]): boolean => frames.some(({type, body}) => type === 'body' && body.length > 0);
+
+// Guards against an unknown verdict on an upload of which the gate never had the whole body, and against one that the gate runs although its caller has left.
+test('an upload whose body ends on its way was not sent, and its gate is told at once', async context => {
+	const {frames, upload} = await startUploads(context, encodeContinue());
+	const result = await upload(150);
+	assert.ok(result.type === 'failed');
+	assert.equal(result.isSent, false);
+	await settle();
+	assert.equal(frames.at(-1)?.type, 'cancel');
+	await settle();
+	assert.equal(hasBody(frames), false);
+});
+
+// Guards against a gate of an earlier release that gets frames which it does not know.
+test('the body of an upload is sent whole to a gate that does not accept pieces', async context => {
+	const {frames, upload} = await startUploads(context, undefined);
+	const result = await upload(600);
+	assert.ok(result.type === 'failed');
+	assert.equal(result.isSent, true);
+	assert.deepEqual(frames.map(({type}) => type).filter(type => type !== 'cancel'), ['offer', 'body']);
+	assert.equal(frames[1]!.body.length, uploadBody.length);
+});
+
+test('only uploads that cannot be sent before their deadlines are ended early', async context => {
+	const {channel, upload} = await startUploads(context, encodeContinue());
+	const startedAt = performance.now();
+	const late = upload(250);
+	const inTime = upload(2000);
+	await settle();
+	channel.endLateUploads(performance.now());
+	const result = await late;
+	assert.ok(result.type === 'failed');
+	assert.equal(result.isSent, false);
+	assert.ok(performance.now() - startedAt < 200);
+	assert.equal(await Promise.race([inTime, settle()]), undefined);
+});
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -9,6 +9,7 @@
 import {readSteadyMs} from '../common/clock.js';
 import {type Address} from '../common/ids.js';
 import {type CallScope, type ScopeEndReason} from './call-scope.js';
+import {maySendPieces} from './body-pieces.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
 import {type LinkWriter} from './link-writer.js';
 
@@ -48,6 +49,8 @@
 	 * of the steady clock.
 	 */
 	readonly checkLiveness: (now: number, getHeardAt: () => number | undefined) => void;
+	/** Ends the requests whose bodies cannot be sent before their deadlines. They have not been executed. */
+	readonly endLateUploads: (now: number) => void;
 	/** Accepts no more requests, and closes the connection once those in flight have ended. */
 	readonly retire: () => void;
 	readonly dispose: () => void;
@@ -94,16 +97,27 @@
 export type ChannelOptions = {
 	readonly openSocket?: OpenSocket;
 	/** Writes frames at the rate of the network link of this VM. */
-	readonly link?: Pick<LinkWriter, 'write' | 'cancel'>;
+	readonly link?: ChannelLink;
 };
 
-/** Used if the speed of the link is unknown: writes everything immediately. */
-const unpacedLink: Pick<LinkWriter, 'write' | 'cancel'> = {write: writeFrame, cancel: () => undefined};
+type ChannelLink = Pick<LinkWriter, 'write' | 'writeInPieces' | 'cancel' | 'computeSendMs' | 'estimateMs'>;
+
+/** Used if the speed of the link is unknown: writes everything immediately. @internal */
+export const unpacedLink: ChannelLink = {
+	write: writeFrame, writeInPieces: writeFrame, cancel: () => false, computeSendMs: () => 0, estimateMs: () => undefined,
+};
+
+const endDetails: Readonly<Record<ScopeEndReason, string>> = {
+	timeout: 'no answer before the deadline',
+	cancelled: 'the caller no longer waits for the answer',
+	superseded: 'the caller no longer waits for the answer',
+	stopping: 'this node shuts down',
+};
 
 type PendingRequest = {
 	readonly request: ChannelRequest;
 	readonly settle: (result: ChannelResult) => void;
-	/** Whether the request, with its body, may have been sent. */
+	/** Whether the request was handed over for sending, with its body. */
 	isSent: boolean;
 	/** Set while the request waits for the connection to open. */
 	connectWaitTimer: NodeJS.Timeout | undefined;
@@ -149,6 +163,9 @@
 		}
 	};
 
+	/** Withdraws what is not written of a request. Returns whether the other node may have all of it. */
+	const withdraw = (id: number, {isSent, request}: PendingRequest): boolean => isSent && !(request.type === 'offer' && link.cancel(socket, id));
+
 	const finish = (id: number, result: ChannelResult): void => {
 		const pendingRequest = pending.get(id);
 		pending.delete(id);
@@ -157,10 +174,10 @@
 	};
 
 	const failAll = (): void => {
-		for (const [id, {isSent}] of pending) {
+		for (const [id, pendingRequest] of pending) {
 			finish(id, isConnected
 				? {
-					type: 'failed', isSent, reason: 'connection-lost', detail: failureDetail,
+					type: 'failed', isSent: withdraw(id, pendingRequest), reason: 'connection-lost', detail: failureDetail,
 				}
 				: {
 					type: 'failed', isSent: false, reason: 'unreachable', detail: failureDetail,
@@ -190,24 +207,45 @@
 		}, connectWaitMs);
 	};
 
-	const sendBody = (id: number): void => {
+	const sendBody = (id: number, continueHead: unknown): void => {
 		const pendingRequest = pending.get(id);
-		if (pendingRequest !== undefined && !pendingRequest.isSent) {
-			pendingRequest.isSent = true;
-			link.write(socket, {type: 'body', id, body: pendingRequest.request.body ?? Buffer.alloc(0)});
+		if (pendingRequest === undefined || pendingRequest.isSent) {
+			return;
+		}
+
+		pendingRequest.isSent = true;
+		const frame = {type: 'body', id, body: pendingRequest.request.body ?? Buffer.alloc(0)} as const;
+		if (maySendPieces(continueHead)) {
+			link.writeInPieces(socket, frame);
+		} else {
+			link.write(socket, frame);
 		}
 	};
 
+	/** Ends a request of which the other node gets no more. */
+	const cancel = (id: number, pendingRequest: PendingRequest, reason: ScopeEndReason, detail: string): void => {
+		const isSent = withdraw(id, pendingRequest);
+		if (isConnected) {
+			link.write(socket, {type: 'cancel', id});
+		}
+
+		finish(id, {
+			type: 'failed', isSent, reason, detail,
+		});
+	};
+
 	const handleFrame = ({type, id, head, body}: Frame): void => {
 		switch (type) {
 			case 'answer': {
+				// A gate may refuse a request before it has the whole body.
+				link.cancel(socket, id);
 				// The body is a view of the joined chunks, which may be large: code that keeps an answer for long must copy it.
 				finish(id, {type: 'answered', head, body});
 				break;
 			}
 
 			case 'continue': {
-				sendBody(id);
+				sendBody(id, head);
 				break;
 			}
 
@@ -218,6 +256,7 @@
 			case 'request':
 			case 'offer':
 			case 'body':
+			case 'piece':
 			case 'cancel':
 			case 'config':
 			case 'ping':
@@ -308,15 +347,7 @@
 				}
 
 				stopListening = scope.subscribe(reason => {
-					const {isSent} = pendingRequest;
-					if (isConnected) {
-						link.cancel(socket, id);
-						link.write(socket, {type: 'cancel', id});
-					}
-
-					finish(id, {
-						type: 'failed', isSent, reason, detail: reason === 'timeout' ? 'no answer before the deadline' : 'the caller no longer waits for the answer',
-					});
+					cancel(id, pendingRequest, reason, endDetails[reason]);
 				});
 			});
 		},
@@ -355,6 +386,15 @@
 
 			reportUnresponsive();
 		},
+		endLateUploads(now) {
+			for (const [id, pendingRequest] of pending) {
+				const {request: {type, body, scope}, isSent} = pendingRequest;
+				const sendMs = type !== 'offer' || body === undefined ? undefined : (isSent ? link.estimateMs(socket, id) : link.computeSendMs(body.length));
+				if (sendMs !== undefined && now + sendMs > scope.deadlineAt) {
+					cancel(id, pendingRequest, 'timeout', 'the rest of the body cannot be sent before the deadline');
+				}
+			}
+		},
 		retire() {
 			isRetired = true;
 			closeIfIdle();
--- a/src/lib/forwarding/peer-messages.test.ts
+++ b/src/lib/forwarding/peer-messages.test.ts
@@ -37,10 +37,12 @@
 	const both: PeerRequest = {...limited, workspace: 'school 7'};
 	const redirected: PeerRequest = {...request, maxSlowness: 1.3};
 	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(redirected))), redirected);
-	const all: PeerRequest = {...both, maxSlowness: 1.3};
+	const offered: PeerRequest = {...request, bodyMs: 3600};
+	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(offered))), offered);
+	const all: PeerRequest = {...both, maxSlowness: 1.3, bodyMs: 3600};
 	assert.deepEqual(decodePeerRequest(sendHead(encodePeerRequest(both))), both);
 	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(all), 'more'])), all);
-	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), null, null, null, 'more'])), request);
+	assert.deepEqual(decodePeerRequest(sendHead([...encodePeerRequest(request), null, null, null, null, 'more'])), request);
 });
 
 const places: ReadonlyArray<readonly [number, string, readonly unknown[]]> = [
--- a/src/lib/forwarding/peer-messages.ts
+++ b/src/lib/forwarding/peer-messages.ts
@@ -43,6 +43,8 @@
 	readonly workspace?: string | undefined;
 	/** The gate turns the request away if its server is slower than this, as a factor of its average service time; `undefined` if it must not. */
 	readonly maxSlowness?: number | undefined;
+	/** Shortest time in which the body can arrive once the gate asks for it, in milliseconds; `undefined` if it comes with the request, or if the sender does not say. */
+	readonly bodyMs?: number | undefined;
 };
 
 const roundToTenth = (value: number): number => Math.round(value * 10) / 10;
@@ -78,11 +80,12 @@
  * @internal
  */
 export function encodePeerRequest(request: PeerRequest): readonly unknown[] {
-	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted, limitPerSecond, workspace, maxSlowness} = request;
+	const {id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted, limitPerSecond, workspace, maxSlowness, bodyMs} = request;
 	const answerWait = answerMayWaitMs === undefined ? null : roundToTenth(answerMayWaitMs);
 	const head: unknown[] = [id, server, method, target, headers, hasBody ? 1 : 0, callerService, rank, roundToTenth(Math.max(0, leftMs)), roundToTenth(Math.max(0, mayWaitMs)), answerWait, isCounted ? 1 : 0];
-	if (limitPerSecond !== undefined || workspace !== undefined || maxSlowness !== undefined) {
-		head.push(...encodeOptionalFields(limitPerSecond, workspace, maxSlowness === undefined ? undefined : roundToHundredth(maxSlowness)));
+	if (limitPerSecond !== undefined || workspace !== undefined || maxSlowness !== undefined || bodyMs !== undefined) {
+		const slowness = maxSlowness === undefined ? undefined : roundToHundredth(maxSlowness);
+		head.push(...encodeOptionalFields(limitPerSecond, workspace, slowness, bodyMs === undefined ? undefined : Math.ceil(bodyMs)));
 	}
 
 	return head;
@@ -117,7 +120,7 @@
  * @internal
  */
 export function decodePeerRequest(head: unknown): PeerRequest {
-	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0, limitPerSecond, workspace, maxSlowness] = readList(head, 'request');
+	const [id, server, method, target, headers, hasBody, callerService, rank, leftMs, mayWaitMs, answerMayWaitMs, isCounted = 0, limitPerSecond, workspace, maxSlowness, bodyMs] = readList(head, 'request');
 	const request: {-readonly [Field in keyof PeerRequest]: PeerRequest[Field]} = {
 		id: readString(id, 'request.id'),
 		server: toBackendServerId(readString(server, 'request.server')),
@@ -148,6 +151,10 @@
 		request.maxSlowness = readAmount(maxSlowness, 'request.maxSlowness', maxTimeMs);
 	}
 
+	if (isPresent(bodyMs)) {
+		request.bodyMs = readAmount(bodyMs, 'request.bodyMs', maxTimeMs);
+	}
+
 	checkContentLength(request.headers, request.hasBody);
 	return request;
 }
--- a/src/lib/forwarding/read-body.ts
+++ b/src/lib/forwarding/read-body.ts
@@ -13,6 +13,9 @@
 /** The deadline of the call passed before the body had arrived. @internal */
 export class BodyTimeoutError extends Error {}
 
+/** This node shuts down before the body has arrived. @internal */
+export class BodyStoppedError extends Error {}
+
 /** The memory for bodies is taken by other requests. @internal */
 export class BodyMemoryError extends Error {}
 
@@ -32,16 +35,16 @@
  * @param request - The request.
  * @param maxBytes - The size limit of the body, in bytes.
  * @param budget - Memory for all bodies together. The caller releases the bytes of a returned body; this function releases them if it throws.
- * @param subscribeToEnd - Calls the handler when the deadline of the call passes; returns a function that unsubscribes.
+ * @param subscribeToEnd - Calls the handler when the body is no longer needed, with an error unless the deadline of the call has passed; returns a function that unsubscribes.
  * @returns The body.
- * @throws BodyTooLargeError, BodyMemoryError or BodyTimeoutError, or another error when the connection fails or closes within the body.
+ * @throws BodyTooLargeError, BodyMemoryError BodyTimeoutError or the error of `subscribeToEnd`, or another error when the connection fails or closes within the body.
  * @internal
  */
 export async function readBody(
 	request: IncomingMessage,
 	maxBytes: number,
 	budget: ByteBudget = unlimitedBudget,
-	subscribeToEnd: (handleEnd: () => void) => () => void = () => () => undefined,
+	subscribeToEnd: (handleEnd: (error?: Error) => void) => () => void = () => () => undefined,
 ): Promise<Uint8Array> {
 	return new Promise((resolve, reject) => {
 		const chunks: Uint8Array[] = [];
@@ -93,10 +96,10 @@
 				fail(new Error('the connection closed within the body'));
 			}
 		});
-		stopListening = subscribeToEnd(() => {
+		stopListening = subscribeToEnd((error = new BodyTimeoutError('the deadline of the request passed before its body had arrived')) => {
 			if (!isSettled) {
 				isSettled = true;
-				fail(new BodyTimeoutError('the deadline of the request passed before its body had arrived'));
+				fail(error);
 			}
 		});
 	});
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -27,11 +27,11 @@
 /** A plan to start an attempt. */
 type PlannedAttempt = Extract<AttemptPlan, {readonly type: 'send'}> & {readonly isCounted: boolean; readonly isTest: boolean};
 
-function computeCallState(call: OutgoingCall, now: number, isOverShare = false): CallState {
+function computeCallState(call: OutgoingCall, now: number, isOverShare = false, bodyMs = 0): CallState {
 	const {route, ageMs, isNestedCall, workspace} = call;
 	return {
 		targetLatencyMs: route.targetLatencyMs, ageMs: ageMs + now - call.receivedAt, leftMs: call.scope.deadlineAt - now, isNestedCall, isBulk: isBulk(route.type),
-		priority: isNestedCall ? 0 : workspace?.priority ?? route.priority, isOverShare,
+		priority: isNestedCall ? 0 : workspace?.priority ?? route.priority, isOverShare, bodyMs,
 	};
 }
 
@@ -101,7 +101,8 @@
 
 	const planAmong = (decision: QuarantineDecision, matches: VersionChoice['matches'] | undefined): AttemptPlan => {
 		const now = readSteadyMs();
-		const callState = computeCallState(call, now, call.workspace !== undefined && context.loads.shareRefusals.isOverShare(call.workspace.name, now));
+		const isOverShare = call.workspace !== undefined && context.loads.shareRefusals.isOverShare(call.workspace.name, now);
+		const callState = computeCallState(call, now, isOverShare, context.gateClient.computeSendMs(call.body));
 		const candidates = context.listCandidates({
 			service, route: route.name, tried: progress.tried, trialOf: decision.type === 'trial' ? decision.fingerprint : undefined, matches,
 		});
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -24,6 +24,7 @@
 import {runExchange, type ExchangeResponse, type ExchangeFailure} from './exchange.js';
 import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
 import {createHangWatch} from './hang-watch.js';
+import {BodyNotReceivedError} from './body-pieces.js';
 import {createResponseMemory} from './response-memory.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
 import {createHalfOpenDetector} from './half-open-detector.js';
@@ -39,7 +40,7 @@
 	readonly target: string;
 	/** Headers to forward. */
 	readonly headers: Readonly<Record<string, string | readonly string[]>>;
-	/** Reads the body, called once the request holds a slot. */
+	/** Reads the body, called once the request holds a slot. May reject with a `BodyNotReceivedError`. */
 	readonly readBody: () => Promise<Uint8Array | undefined>;
 	readonly callerService: string;
 	/** Name of the workspace of the caller; `undefined` if it has none. */
@@ -304,7 +305,7 @@
 					isSlotKept = true;
 				});
 			} catch (error) {
-				result = createNotRun('cancelled', `request body did not arrive: ${(error as Error).message}`);
+				result = createNotRun(error instanceof BodyNotReceivedError ? error.reason : 'cancelled', `request body did not arrive: ${(error as Error).message}`);
 			} finally {
 				if (!isSlotKept) {
 					slots.release(result.type === 'answered' && result.status < 500 ? readAwakeMs() - startedAt : undefined, endRun());
--- a/src/lib/sidecar/graceful-shutdown.test.ts
+++ b/src/lib/sidecar/graceful-shutdown.test.ts
@@ -21,6 +21,7 @@
 
 	const run = async (): Promise<void> => {
 		await runGracefulShutdown({
+			answerBy: () => undefined,
 			withdraw: note('withdraw'), closeGate: note('close gate'), closeAfterAnswers: note('close after answers'), stopListening: note('stop listening'),
 			countInFlight: () => performance.now() - startedAt < inFlightUntilMs ? 1 : 0,
 		}, limitMs);
--- a/src/lib/sidecar/graceful-shutdown.ts
+++ b/src/lib/sidecar/graceful-shutdown.ts
@@ -7,6 +7,8 @@
 
 /** The steps of a shutdown. @internal */
 export type ShutdownSteps = {
+	/** Makes each request end with an answer by a time, in milliseconds of the steady clock: at once if it cannot be executed by then. */
+	readonly answerBy: (time: number) => void;
 	/** Removes the node's entry from the store. */
 	readonly withdraw: () => void;
 	/** Stops accepting requests for the backend server and announces that to the other nodes. */
@@ -28,8 +30,11 @@
 /** The node accepts connections until this time, since callers may still connect. */
 const stopListeningAfterMs = 2700;
 
-/** The node stops waiting for requests in flight this long before its deadline. */
-const exitMarginMs = 900;
+/** Requests that are still in flight this long before the deadline of the node are answered with a failure. */
+const answerMarginMs = 900;
+
+/** The node stops waiting for its answers to be sent this long before its deadline. */
+const exitMarginMs = 600;
 
 const inFlightPollMs = 25;
 
@@ -44,6 +49,7 @@
 export async function runGracefulShutdown(steps: ShutdownSteps, limitMs: number): Promise<number> {
 	const startedAt = readSteadyMs();
 	const waitUntil = async (afterMs: number): Promise<void> => waitFor(Math.max(0, startedAt + afterMs - readSteadyMs()));
+	steps.answerBy(startedAt + limitMs - answerMarginMs);
 	steps.withdraw();
 	await waitUntil(gateOpenMs);
 	steps.closeGate();
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -485,6 +485,11 @@
 			isLeaving = true;
 			log.record('info', {kind: 'node-draining', reason: 'signal', requests: countInFlight()});
 			const afterMs = await runGracefulShutdown({
+				answerBy(time) {
+					entry.stopAt(time);
+					gateServer.stopAt(time);
+					gateClient.endLateUploads();
+				},
 				withdraw() {
 					void sync.withdraw();
 				},
--- a/stand-ins/platform-server/apply-behaviour.ts
+++ b/stand-ins/platform-server/apply-behaviour.ts
@@ -10,6 +10,8 @@
 export type PlatformServerBehaviour =
 	/** Runs the request and responds with status 200. */
 	| 'answer'
+	/** Runs the request and responds with status 200, without the body of the request. */
+	| 'brief'
 	/** Runs the request and closes the connection without a response. */
 	| 'lose'
 	/** Sends fewer body bytes than its `Content-Length` says, then closes the connection. */
@@ -80,6 +82,11 @@
 			break;
 		}
 
+		case 'brief': {
+			sendResponse(responder, 200, 'done');
+			break;
+		}
+
 		case 'lose': {
 			socket.destroy();
 			break;
