Own node: requests in flight are answered before the exit

Calls end when the time for them is over: not run if nothing was sent, else with an unknown verdict, and the node keeps running for its usual 300 ms while the answers are sent. A response that has begun goes on until the exit, as before.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -214,6 +214,13 @@
 		to: '!isStarted',
 		tests: `${library}/forwarding/peer-channel.test.js`,
 	},
+	{
+		promise: 'own node: a node that shuts down answers the requests of its callers before it exits',
+		file: `${library}/calls/entry-server.js`,
+		from: 'signals.endAll();',
+		to: '',
+		tests: 'scenarios/stopping-node.test.js',
+	},
 	{
 		promise: 'sidecar: a node that shuts down does not close connections with unsent responses',
 		file: `${library}/common/caller-connections.js`,
--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -19,7 +19,7 @@
 import {type Store} from '../store/store.js';
 import {type RoutingSnapshot} from '../routing/routing-snapshot.js';
 import {type CallMetrics} from './call-metrics.js';
-import {createCallSignal} from './call-signal.js';
+import {createCallSignals} from './call-signal.js';
 import {planCall, type CallPlan} from './call-plan.js';
 import {
 	filterForwardableHeaders, getNumberHeader, meshHeaders, timeoutHeader, toOutgoingHeaders,
@@ -43,6 +43,8 @@
 	readonly countCalls: () => number;
 	/** Stops listening, closes idle connections, and closes the others after their last response. */
 	readonly startDraining: () => void;
+	/** Answers all requests in flight, since this node stops. */
+	readonly endCalls: () => void;
 };
 
 /** A request of a caller, until its response ends. */
@@ -112,6 +114,9 @@
 export function createEntryServer(context: EntryContext): EntryServer {
 	let calls = 0;
 	let isDraining = false;
+	const signals = createCallSignals();
+	/** Calls whose buffered body is being read. */
+	const reading = new Set<Call>();
 
 	const finish = ({id}: Call, finished: FinishedCall): void => {
 		const {route, version, status, verdict, attempts, addedMicroseconds} = finished;
@@ -132,7 +137,7 @@
 		const {result, verdict, attempts} = outcome;
 		const finished = {route: plan.route.name, version: plan.version, attempts};
 		if (result.type === 'failed') {
-			finishWithProblem(call, createProblemResponse(result, verdict), finished);
+			finishWithProblem(call, createProblemResponse(signals.explain(result), verdict), finished);
 			return;
 		}
 
@@ -163,7 +168,7 @@
 			headers: filterForwardableHeaders(request.headers),
 			body,
 			deadline,
-			signal: createCallSignal(response, timeoutMs),
+			signal: signals.create(response, timeoutMs),
 			fingerprint: createRequestFingerprint(request, plan, body),
 		});
 	};
@@ -222,7 +227,13 @@
 			return;
 		}
 
+		reading.add(call);
 		const body = await prepareBody(call.request, context.settings.bufferedBodyBytes, call.handleReadStart);
+		const isAnswered = !reading.delete(call);
+		if (isAnswered) {
+			return;
+		}
+
 		if (body.isErr()) {
 			finishWithProblem(call, {
 				status: 400, reason: 'cut-request', verdict: 'not-run', detail: `the request's body ended early: ${body.error}`,
@@ -277,5 +288,14 @@
 			isDraining = true;
 			connections.stop();
 		},
+		endCalls() {
+			signals.endAll();
+			for (const call of reading) {
+				reading.delete(call);
+				finishWithProblem(call, {
+					status: 503, reason: 'draining', verdict: 'not-run', detail: 'this node has stopped, and the body of the request has not arrived', retryAfterMs: 0,
+				}, {route: '', version: 0, attempts: 0});
+			}
+		},
 	};
 }
--- a/src/lib/calls/gate-server.ts
+++ b/src/lib/calls/gate-server.ts
@@ -14,7 +14,7 @@
 import {readServerLimit} from '../server-notices/server-notice.js';
 import {type LamportClock} from '../timeline/lamport-clock.js';
 import {type Attempt, type AttemptResult, type FailedAttempt} from './attempt.js';
-import {createCallSignal} from './call-signal.js';
+import {createCallSignals, type CallSignals} from './call-signal.js';
 import {
 	filterForwardableHeaders, getHeader, getNumberHeader, meshHeaders, noticeHeaders, timeoutHeader, toOutgoingHeaders,
 } from './headers.js';
@@ -53,7 +53,7 @@
 	return createLazyFingerprintOfDigest({method, host: getHeader(request.headers, meshHeaders.routedHost) ?? '', target}, digest);
 }
 
-function readCall(request: IncomingMessage, response: ServerResponse): GateCall {
+function readCall(request: IncomingMessage, response: ServerResponse, signals: CallSignals): GateCall {
 	const timeoutMs = getNumberHeader(request.headers, timeoutHeader) ?? defaultTimeoutMs;
 	return {
 		server: toBackendServerId(getHeader(request.headers, meshHeaders.server) ?? ''),
@@ -65,7 +65,7 @@
 			body: hasBody(request) ? request : undefined,
 			workClass: readWorkClass(request),
 			deadline: readNow() + timeoutMs,
-			signal: createCallSignal(response, timeoutMs),
+			signal: signals.create(response, timeoutMs),
 			ticket: getHeader(request.headers, meshHeaders.ticket),
 			fingerprint: readFingerprint(request),
 			entry: getHeader(request.headers, meshHeaders.entry) ?? '',
@@ -111,6 +111,13 @@
 	pipeline(result.body, response, () => undefined);
 }
 
+/** @internal */
+export type GateServer = {
+	readonly server: Server;
+	/** Answers all requests in flight, since this node stops. */
+	readonly endCalls: () => void;
+};
+
 /**
  * Creates the HTTP server of the gate port.
  *
@@ -119,9 +126,11 @@
  * @returns The server, not listening yet.
  * @internal
  */
-export function createGateServer(servers: LocalServers, clock: LamportClock): Server {
+export function createGateServer(servers: LocalServers, clock: LamportClock): GateServer {
+	const signals = createCallSignals();
+
 	const reserve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const {server, attempt} = readCall(request, response);
+		const {server, attempt} = readCall(request, response, signals);
 		const ticket = await servers.reserve(server, attempt);
 		ticket.match(
 			text => {
@@ -137,8 +146,9 @@
 	};
 
 	const forward = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-		const {server, attempt} = readCall(request, response);
-		sendResult(response, attempt.call, await servers.send(server, attempt));
+		const {server, attempt} = readCall(request, response, signals);
+		const result = await servers.send(server, attempt);
+		sendResult(response, attempt.call, result.type === 'failed' ? signals.explain(result) : result);
 	};
 
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -150,7 +160,10 @@
 		}
 	};
 
-	return createServer({keepAliveTimeout: keepAliveMs, noDelay: true, requestTimeout: 0}, (request, response) => {
-		void handle(request, response);
-	});
+	return {
+		server: createServer({keepAliveTimeout: keepAliveMs, noDelay: true, requestTimeout: 0}, (request, response) => {
+			void handle(request, response);
+		}),
+		endCalls: signals.endAll,
+	};
 }
--- a/src/lib/drain/drain-node.test.ts
+++ b/src/lib/drain/drain-node.test.ts
@@ -15,6 +15,9 @@
 			log.push('idle');
 			return true;
 		},
+		endCalls() {
+			log.push('end');
+		},
 		leave() {
 			log.push('left');
 		},
@@ -34,7 +37,7 @@
 		},
 	}));
 	assert.equal(isDone, true);
-	assert.deepEqual(log.filter(entry => !entry.startsWith('calls')), ['gates', 'entry', 'idle', 'left']);
+	assert.deepEqual(log.filter(entry => !entry.startsWith('calls')), ['gates', 'entry', 'idle', 'end', 'left']);
 	assert.ok(log.indexOf('calls 0') < log.indexOf('left'));
 });
 
--- a/src/lib/drain/drain-node.ts
+++ b/src/lib/drain/drain-node.ts
@@ -16,13 +16,15 @@
 	readonly countCalls: () => number;
 	/** Waits until the backend servers beside the node have no requests. Returns false on timeout. */
 	readonly waitUntilIdle: (timeoutMs: number) => Promise<boolean>;
+	/** Ends all calls in flight with an answer. */
+	readonly endCalls: () => void;
 	/** Publishes that the node has left the mesh. */
 	readonly leave: () => void;
 	/** Milliseconds within which calls in flight have to end. */
 	readonly drainMs: number;
 };
 
-/** How long a draining node still accepts connections, so that callers that are just connecting do not fail, and how long it keeps running after it has published that it left. */
+/** How long a draining node still accepts connections, so that callers that are just connecting do not fail, and how long it keeps running after it has published that it left and has answered the last calls. */
 const lingerMs = 300;
 
 const pollIntervalMs = 20;
@@ -49,6 +51,7 @@
 	const deadline = readNow() + context.drainMs;
 	const hasNoCalls = await waitForCalls(context.countCalls, deadline);
 	const hasIdleServers = await context.waitUntilIdle(Math.max(0, deadline - readNow()));
+	context.endCalls();
 	context.leave();
 	await waitFor(lingerMs);
 	return hasNoCalls && hasIdleServers;
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -310,7 +310,7 @@
 		return [
 			{name: 'gossip', address: listen.gossip, listen: async () => gossip.listen(gossipEndpoint.host, gossipEndpoint.port)},
 			{name: 'control', address: listen.control, listen: async () => control.listen(controlEndpoint.host, controlEndpoint.port)},
-			{name: 'gate', address: listen.gate, listen: async () => listenOn(gateServer, listen.gate)},
+			{name: 'gate', address: listen.gate, listen: async () => listenOn(gateServer.server, listen.gate)},
 			{name: 'operators', address: listen.operators, listen: async () => listenOn(operatorServer, listen.operators)},
 			{name: 'announcements', address: listen.announcements, listen: async () => listenOn(announcementServer, listen.announcements)},
 			{name: 'callers', address: listen.callers, listen: async () => listenOn(entry.server, listen.callers)},
@@ -330,7 +330,7 @@
 			control.dispose(),
 			localServers.dispose(),
 			gateClient.dispose(),
-			closeServer(gateServer),
+			closeServer(gateServer.server),
 			closeServer(entry.server),
 			closeServer(operatorServer),
 			closeServer(announcementServer),
@@ -359,6 +359,10 @@
 				startDrainingEntry: entry.startDraining,
 				countCalls: entry.countCalls,
 				waitUntilIdle: localServers.waitUntilIdle,
+				endCalls() {
+					entry.endCalls();
+					gateServer.endCalls();
+				},
 				leave() {
 					directory.setOwnStatus('left');
 				},
