--- a/src/lib/store/mesh-store.ts
+++ b/src/lib/store/mesh-store.ts
@@ -15,10 +15,20 @@
 	readonly revision: number;
 };
 
+/** How an answer of the store arrived over the link of this VM. @public */
+export type StoreTransfer = {
+	/** When its head arrived, in milliseconds of the steady clock. */
+	readonly startedAt: number;
+	/** Bytes of its body. */
+	readonly bytes: number;
+};
+
 /** The keys that a read returned. The keys may be newer than `position`, not older. @public */
 export type StoreItems = {
 	readonly items: readonly StoreItem[];
 	readonly position: StorePosition;
+	/** How the last answer arrived; `undefined` if the store does not tell. */
+	readonly transfer?: StoreTransfer;
 };
 
 /** A change of one key. @public */
@@ -28,7 +38,7 @@
 
 /** Result of a watch. @public */
 export type WatchResult =
-	| {readonly type: 'changes'; readonly changes: readonly StoreChange[]; readonly position: StorePosition}
+	| {readonly type: 'changes'; readonly changes: readonly StoreChange[]; readonly position: StorePosition; readonly transfer?: StoreTransfer}
 	/** The store has compacted this part of its history, or was restored from a backup: the caller must read again. */
 	| {readonly type: 'history-gone'};
 
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -9,7 +9,7 @@
 import {type ConfigStep} from '../route-config/config-history.js';
 import {type ConfigHolder} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
-import {type MeshStore, type StoreItem} from '../store/mesh-store.js';
+import {type MeshStore, type StoreItem, type StoreTransfer} from '../store/mesh-store.js';
 import {type StorePosition} from '../store/store-position.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {type ConfigCopy} from './config-copy.js';
@@ -144,9 +144,11 @@
 	};
 
 	/** Logs how long a call took; for a watch, this is mostly the time until a change. */
-	const reportRead = (call: 'read' | 'watch' | 'copy', startedAt: number): void => {
+	const reportRead = (call: 'read' | 'watch' | 'copy', startedAt: number, answer?: {readonly items: number; readonly transfer: StoreTransfer | undefined}): void => {
+		const now = readSteadyMs();
 		log.record('info', {
-			kind: 'configuration-read', call, version: holder.getVersion(), tookMs: Math.round(readSteadyMs() - startedAt),
+			kind: 'configuration-read', call, version: holder.getVersion(), tookMs: Math.round(now - startedAt),
+			...answer?.transfer === undefined ? {} : {items: answer.items, bytes: answer.transfer.bytes, transferMs: Math.round(now - answer.transfer.startedAt)},
 		});
 	};
 
@@ -224,7 +226,7 @@
 
 		({position} = read.value);
 		applyItems(read.value.items, read.value.position);
-		reportRead('read', startedAt);
+		reportRead('read', startedAt, {items: read.value.items.length, transfer: read.value.transfer});
 		updateCopy();
 		health.recordSuccess();
 		// A store without a configuration does not disprove the newer versions that other nodes report.
@@ -258,7 +260,7 @@
 		applyItems(changes.flatMap(change => change.type === 'written' ? [change.item] : []), watched.value.position);
 		health.recordSuccess();
 		if (changes.length > 0) {
-			reportRead('watch', startedAt);
+			reportRead('watch', startedAt, {items: changes.length, transfer: watched.value.transfer});
 			updateCopy();
 			await waitFor(minRewatchDelayMs + (rewatchJitterMs * random()), disposed.signal);
 		}
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -87,8 +87,8 @@
 	| {readonly kind: 'configuration-heard'; readonly version: number; readonly from: string; readonly held: number}
 	/** The configuration was requested from another node, which did not return a usable one. */
 	| {readonly kind: 'configuration-not-fetched'; readonly version: number; readonly from: string; readonly held: number; readonly outcome: string; readonly reason: string; readonly tookMs: number}
-	/** The configuration, or its changes, were read from the store. */
-	| {readonly kind: 'configuration-read'; readonly call: string; readonly version: number; readonly tookMs: number}
+	/** The configuration, or its changes, were read from the store. `transferMs` is the time from the head of the answer to its end. */
+	| {readonly kind: 'configuration-read'; readonly call: string; readonly version: number; readonly tookMs: number; readonly items?: number; readonly bytes?: number; readonly transferMs?: number}
 	| {readonly kind: 'configuration-refused'; readonly version: number; readonly from: string; readonly reason: string}
 	| {readonly kind: 'configuration-unknown'; readonly version: number; readonly reason: string; readonly count: number}
 	| {readonly kind: 'store-lost'; readonly reason: string; readonly call: string}
