Configuration: nodes keep 48 steps instead of 12, and send the whole text only if it is shorter

A node that lacked thirteen versions, as after four seconds of changes each 0.3 s, got the whole configuration from another node: 397 KB, 0.35 s of a link of 10 Mbit/s, for some kilobytes of steps. The steps of the history insert at most as many characters together as one step could before; nodes of earlier releases take up to 64 steps.

The older test of the history plays 60 versions instead of 30, so that old steps leave it.

--- a/src/lib/route-config/config-history.ts
+++ b/src/lib/route-config/config-history.ts
@@ -21,14 +21,14 @@
 	readonly listSteps: (from: number) => readonly ConfigStep[] | undefined;
 };
 
-/** Steps in the history. During a burst of changes a node lacks one or two; a node that lacks many was disconnected, and fetches the whole configuration. */
-const maxStoredStepCount = 12;
+/** Steps in the history: as many as a node lacks after several seconds of quick changes. A node that lacks more was disconnected, and fetches the whole configuration. */
+const maxStoredStepCount = 48;
 
 /** Steps accepted in one message of another node: several times what a node keeps. */
 const maxReceivedStepCount = 64;
 
-/** A larger step clears the history, since the whole configuration is not much larger. A change of one route takes about 300 characters, adding 1,600 routes about 340,000. */
-const maxStepCharacters = 524_288;
+/** Characters that all steps of the history insert. A larger step clears it, since the whole configuration is not much larger. A change of one route takes about 300 characters, adding 1,600 routes about 340,000. */
+const maxStoredCharacters = 524_288;
 
 /**
  * @returns An empty history.
@@ -38,13 +38,16 @@
 	let steps: readonly ConfigStep[] = [];
 	return {
 		add(step) {
-			if (step === undefined || countInsertedCharacters(step) > maxStepCharacters) {
+			if (step === undefined || countInsertedCharacters([step]) > maxStoredCharacters) {
 				steps = [];
 				return;
 			}
 
 			const isNext = steps.length === 0 || steps.at(-1)!.to === step.from;
 			steps = [...isNext ? steps : [], step].slice(-maxStoredStepCount);
+			while (countInsertedCharacters(steps) > maxStoredCharacters) {
+				steps = steps.slice(1);
+			}
 		},
 		listSteps(from) {
 			const start = steps.findIndex(step => step.from === from);
@@ -53,11 +56,15 @@
 	};
 }
 
-/** Returns the number of characters that a step inserts, which make up most of its size. */
-function countInsertedCharacters({delta}: ConfigStep): number {
+/**
+ * @param steps - Steps of a configuration.
+ * @returns The number of characters that they insert, which make up most of their size.
+ * @internal
+ */
+export function countInsertedCharacters(steps: readonly ConfigStep[]): number {
 	let length = 0;
-	for (const step of delta.steps) {
-		length += typeof step === 'string' ? step.length : 0;
+	for (const part of steps.flatMap(({delta}) => delta.steps)) {
+		length += typeof part === 'string' ? part.length : 0;
 	}
 
 	return length;
--- a/src/lib/route-config/text-delta.test.ts
+++ b/src/lib/route-config/text-delta.test.ts
@@ -60,14 +60,14 @@
 
 test('the history drops old steps and does not keep large ones', () => {
 	const history = createConfigHistory();
-	for (let version = 1; version <= 30; version++) {
+	for (let version = 1; version <= 60; version++) {
 		history.add(createStep(version, version + 1));
 	}
 
 	assert.equal(history.listSteps(5), undefined);
-	assert.equal(history.listSteps(25)?.length, 6);
-	history.add({from: 31, to: 32, delta: computeTextDelta('', 'x'.repeat(600_000))});
-	assert.equal(history.listSteps(31), undefined);
+	assert.equal(history.listSteps(55)?.length, 6);
+	history.add({from: 61, to: 62, delta: computeTextDelta('', 'x'.repeat(600_000))});
+	assert.equal(history.listSteps(61), undefined);
 });
 
 test('a delta that copies the old text many times is rejected once the result exceeds the size limit, even if its digest matches', () => {
--- a/src/lib/sidecar/config-answer-cache.ts
+++ b/src/lib/sidecar/config-answer-cache.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {encodeConfigAnswer, type EncodedConfigAnswer} from '../forwarding/config-messages.js';
+import {countInsertedCharacters, type ConfigStep} from '../route-config/config-history.js';
 import {type ConfigHolder} from '../route-config/config-holder.js';
 
 /**
@@ -22,6 +23,9 @@
 		return encodeConfigAnswer(active === undefined ? undefined : {type: 'whole', text: active.text});
 	};
 
+	/** Whether steps take less of the link than the whole configuration. */
+	const areShorter = (steps: readonly ConfigStep[]): boolean => countInsertedCharacters(steps) <= (holder.get()?.text.length ?? 0);
+
 	return version => {
 		if (holder.getVersion() !== cachedVersion) {
 			cachedVersion = holder.getVersion();
@@ -30,8 +34,8 @@
 		}
 
 		const steps = holder.listSteps(version);
-		if (steps === undefined) {
-			// All versions without known steps share one answer, so that arbitrary version numbers do not fill the cache.
+		if (steps === undefined || !areShorter(steps)) {
+			// All versions without usable steps share one answer, so that arbitrary version numbers do not fill the cache.
 			wholeAnswer ??= encodeWholeAnswer();
 			return wholeAnswer;
 		}
