Configuration: the newest of many versions is read, instead of all of them received

Cause: the answer to a watch holds every version since its position, one behind the other, 0.42 s each. How late a node was grew with the number of versions.

Change: a slow answer is given up at its second change, and the newest configuration is read. The delay before the next watch counts from the beginning of the answer. A node that is behind says so in its heartbeats, waits for its own watch no longer, and asks the nodes that are ahead of the others.

Cost: a change alone takes one call and one transfer as before.

Existing tests: a read tells its bytes, and fixtures tell the newest known version.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -179,6 +179,34 @@
 		to: '',
 		tests: 'platform',
 	},
+	{
+		promise: 'sidecar: the last of many versions is received instead of all',
+		file: `${library}/sync/answer-pace.js`,
+		from: 'changes > 1 && elapsedMs >= slowAnswerMs',
+		to: 'false',
+		tests: `${library}/sync/config-series.test.js`,
+	},
+	{
+		promise: 'sidecar: the delay before the next watch includes the time that the answer took',
+		file: `${library}/sync/answer-pace.js`,
+		from: ' - sinceAnswerMs',
+		to: '',
+		tests: `${library}/sync/config-series.test.js`,
+	},
+	{
+		promise: 'sidecar: a node whose link delays a newer configuration says that it is behind',
+		file: `${library}/sidecar/config-sync.js`,
+		from: 'follower.getReceivingMs(now), ',
+		to: '',
+		tests: `${library}/sidecar/config-sync.test.js`,
+	},
+	{
+		promise: 'sidecar: a node that is behind asks a node that is ahead',
+		file: `${library}/sidecar/newer-config-fetcher.js`,
+		from: '|| isBehindOthers(report) ',
+		to: '',
+		tests: `${library}/sidecar/newer-config-fetcher.test.js`,
+	},
 	{
 		promise: 'sidecar: a node that shuts down answers the requests of its callers before it exits',
 		file: `${library}/sidecar/sidecar.js`,
@@ -211,7 +239,7 @@
 		promise: 'full link: the rest of a body is withdrawn when its call ends',
 		file: `${library}/forwarding/link-writer.js`,
 		from: 'isInPieces ? sentBytes < body.length : !isStarted',
-		to: '!isStarted',
+		to: '!isInPieces && !isStarted',
 		tests: `${library}/forwarding/peer-channel.test.js`,
 	},
 	{
@@ -357,7 +385,7 @@
 	{
 		promise: 'sidecar: a lower configuration version is rejected',
 		file: `${library}/sync/config-follower.js`,
-		from: 'if (isOlder) {',
+		from: 'if (version < holder.getVersion()) {',
 		to: 'if (false) {',
 		tests: 'platform',
 	},
--- a/src/lib/peers/peer-report.ts
+++ b/src/lib/peers/peer-report.ts
@@ -82,7 +82,7 @@
 	readonly linkMbps: number;
 	/** Whether it watches the store for the other nodes. */
 	readonly isFollowing: boolean;
-	/** Milliseconds since the store last answered it; `undefined` if its last call failed. */
+	/** Milliseconds since the store last answered it, or since it has known that it is behind; `undefined` if its last call failed. */
 	readonly storeSeenMs: number | undefined;
 	/** How often the store was restored from a backup, as the store last reported; 0 if unknown. */
 	readonly storeEra: StoreEra;
--- a/src/lib/sidecar/config-sync.test.ts
+++ b/src/lib/sidecar/config-sync.test.ts
@@ -11,7 +11,7 @@
 import {createConfigSync, type ConfigSync} from './config-sync.js';
 
 /** Starts a node without peers, with a store in era 1 that holds no configuration and whose watches hang. */
-function startSync(context: TestContext): {readonly sync: ConfigSync; readonly countReads: () => number} {
+function startSync(context: TestContext, changes: Partial<MeshStore> = {}): {readonly sync: ConfigSync; readonly countReads: () => number} {
 	let reads = 0;
 	const position = {era: 1, revision: 5};
 	const store: Partial<MeshStore> = {
@@ -31,6 +31,7 @@
 		getEra: () => 1,
 		watchEra: () => undefined,
 		dispose: () => undefined,
+		...changes,
 	};
 	const link = {
 		table: {
@@ -83,3 +84,19 @@
 	await sleep(50);
 	assert.equal(countReads(), 3);
 });
+
+// Guards against nodes that rely on a relay whose other calls on the store succeed while its link delays a newer configuration.
+test('a node whose link delays a newer configuration does not report that it has just confirmed its own', async context => {
+	const {sync} = startSync(context, {
+		watchItems: async (_prefix, _after, _waitMs, signal, receive) => new Promise(resolve => {
+			receive?.({changes: 1, elapsedMs: 0});
+			signal.addEventListener('abort', () => {
+				resolve(err({type: 'unavailable', reason: 'aborted'}));
+			});
+		}),
+	});
+	await sleep(1400);
+	const {isFollowing, storeSeenMs = 0} = sync.describeDuties();
+	assert.equal(isFollowing, true);
+	assert.ok(storeSeenMs >= 1300, `${storeSeenMs} ms`);
+});
--- a/src/lib/sidecar/config-sync.ts
+++ b/src/lib/sidecar/config-sync.ts
@@ -157,8 +157,15 @@
 		follower.resync();
 	});
 
+	/** Returns for how many milliseconds this node has not been known to have the newest configuration; `undefined` if its last call on the store failed. */
+	const getUnconfirmedMs = (): number | undefined => {
+		const now = readSteadyMs();
+		const answerAgeMs = health.getLastAnswerAgeMs(now);
+		return answerAgeMs === undefined ? undefined : Math.max(answerAgeMs, follower.getReceivingMs(now), newerConfigFetcher.getStalledMs(now));
+	};
+
 	const describeDuties = (): NodeDuties => ({
-		linkMbps: context.linkMbps, isFollowing: follower.isFollowing(), storeSeenMs: health.getLastAnswerAgeMs(readSteadyMs()), storeEra: store.getEra() ?? noEra,
+		linkMbps: context.linkMbps, isFollowing: follower.isFollowing(), storeSeenMs: getUnconfirmedMs(), storeEra: store.getEra() ?? noEra,
 	});
 
 	/** Yields the other live nodes of the failure domain. A generator, since the caller reads only a few of them. */
@@ -231,6 +238,7 @@
 		otherPrefix: orderPrefix,
 		handleOtherItems: handleOrderItems,
 		copy,
+		getNewestKnownVersion: () => newerConfigFetcher.getNewestKnownVersion(),
 		handleRead(startedAt) {
 			newerConfigFetcher.recordStoreRead(startedAt);
 		},
@@ -297,7 +305,7 @@
 			const active = holder.get();
 			return active === undefined ? undefined : {version: active.config.version, text: active.text};
 		},
-		isWatchingStore: () => follower.isFollowing() && health.isReachable(),
+		isWatchingStore: () => follower.isFollowing() && health.isReachable() && !follower.isBehind(),
 		isInOwnDomain,
 		fetchConfig: context.fetchConfig,
 		applyText: follower.applyText,
--- a/src/lib/sidecar/newer-config-fetcher.test.ts
+++ b/src/lib/sidecar/newer-config-fetcher.test.ts
@@ -227,3 +227,28 @@
 	await fixture.fetch(newer);
 	assert.equal(fixture.fetches.length, 2);
 });
+
+const createClaim = (name: string, version: number, domain = 'a') => createSampleReport({
+	node: toNodeId(name), version, domain: toFailureDomain(domain), gate: toAddress(`10.0.0.${version}:1`),
+});
+
+// Guards against a node that gets a version that is replaced already, and then needs another fetch, while it knows of a node that is ahead.
+test('a node that others are ahead of is not asked, unless nothing has come for a while', async context => {
+	let now = 1000;
+	context.mock.method(performance, 'now', () => now);
+	const fixture = createFixture(false, undefined);
+	await fixture.fetch(createClaim('n2', 12));
+	await fixture.fetch(createClaim('n3', 9));
+	assert.deepEqual(fixture.fetches, ['10.0.0.12:1 has 7']);
+	now += 800;
+	await fixture.fetch(createClaim('n3', 9));
+	assert.deepEqual(fixture.fetches, ['10.0.0.12:1 has 7', '10.0.0.9:1 has 7']);
+});
+
+test('a delayed fetch asks the node that is ahead by then', async () => {
+	const fixture = createFixture(false, undefined);
+	const delayed = fixture.fetch(createClaim('n2', 9, 'b'));
+	await fixture.fetch(createClaim('n3', 12, 'c'));
+	await delayed;
+	assert.deepEqual(fixture.fetches, ['10.0.0.12:1 has 7']);
+});
--- a/src/lib/sidecar/newer-config-fetcher.ts
+++ b/src/lib/sidecar/newer-config-fetcher.ts
@@ -20,7 +20,7 @@
 export type NewerConfigContext = {
 	/** Returns the active configuration; `undefined` if there is none. */
 	readonly getCurrent: () => CurrentConfig | undefined;
-	/** Returns whether this node watches the store itself and can reach it. */
+	/** Returns whether this node watches the store itself, can reach it, and is not behind what the store sends. */
 	readonly isWatchingStore: () => boolean;
 	/** Returns whether another node is in the failure domain of this node. */
 	readonly isInOwnDomain: (report: PeerReport) => boolean;
@@ -52,7 +52,7 @@
 const maxClaims = 4000;
 
 /** A version that a node reported; refuted once a read of the store that started later returned nothing newer than the active version. */
-type VersionClaim = {readonly version: number; readonly heardAt: number; isRefuted: boolean};
+type VersionClaim = {readonly report: PeerReport; readonly heardAt: number; isRefuted: boolean};
 
 /** @internal */
 export type NewerConfigFetcher = {
@@ -60,6 +60,8 @@
 	readonly handleReport: (report: PeerReport) => Promise<void>;
 	/** Records a finished read of the store, with its start in steady milliseconds. Versions newer than the active one that nodes reported before the start do not exist. */
 	readonly recordStoreRead: (startedAt: number) => void;
+	/** Returns the newest version that this node knows of, its active one included. */
+	readonly getNewestKnownVersion: () => number;
 	/** Returns whether this node knows of a newer version than its active one. */
 	readonly isOutdated: () => boolean;
 	/** Returns for how many milliseconds this node has known of a newer version without getting any newer one. */
@@ -83,6 +85,8 @@
 	/** Newer versions that nodes reported while the active version was `claimsBaseVersion`. */
 	const claims = new Map<NodeId, VersionClaim>();
 	let claimsBaseVersion = 0;
+	/** The claim of the newest version among those that are not refuted. */
+	let newestClaim: VersionClaim | undefined;
 	/** Set if steps could not be applied: the next fetch requests the whole configuration. */
 	let needsWholeConfig = false;
 
@@ -149,14 +153,20 @@
 		applyAnswer(report, answer.value);
 	};
 
+	/** Returns whether this node is outdated and its version has not changed. While changes follow quickly, a node is always outdated; what matters is that it makes progress. */
+	const isStalled = (): boolean => getVersion() < newestKnownVersion && getVersion() === stalledVersion;
+
 	/** Returns whether a fetch from a node may start. Only one fetch runs, and a second one if the first takes long, since its node may have become unreachable. */
 	const mayFetchFrom = (node: NodeId): boolean => {
 		const now = readSteadyMs();
 		return !fetchStartTimes.has(node) && fetchStartTimes.size < maxConcurrentFetches && [...fetchStartTimes.values()].every(startedAt => now - startedAt > secondFetchAfterMs);
 	};
 
+	/** Returns whether another node is ahead of the one that reports, so that this node would be outdated after a fetch. Once nothing has come for a while, any newer version helps. */
+	const isBehindOthers = ({version}: PeerReport): boolean => version < (newestClaim?.report.version ?? 0) && (!isStalled() || readSteadyMs() - stalledSince <= secondFetchAfterMs);
+
 	const fetchIfAllowed = async (report: PeerReport): Promise<void> => {
-		if (report.version <= getVersion() || !mayFetchFrom(report.node)) {
+		if (report.version <= getVersion() || isBehindOthers(report) || !mayFetchFrom(report.node)) {
 			return;
 		}
 
@@ -168,9 +178,6 @@
 		}
 	};
 
-	/** Returns whether this node is outdated and its version has not changed. While changes follow quickly, a node is always outdated; what matters is that it makes progress. */
-	const isStalled = (): boolean => getVersion() < newestKnownVersion && getVersion() === stalledVersion;
-
 	const recordNewerVersion = (version: number): void => {
 		if (!isStalled()) {
 			stalledSince = readSteadyMs();
@@ -180,29 +187,44 @@
 		newestKnownVersion = Math.max(newestKnownVersion, version);
 	};
 
+	const isNewerClaim = (claim: VersionClaim, other: VersionClaim | undefined): boolean => other === undefined || claim.report.version > other.report.version;
+
+	const findNewestClaim = (): VersionClaim | undefined => {
+		let newest: VersionClaim | undefined;
+		for (const claim of claims.values()) {
+			newest = !claim.isRefuted && isNewerClaim(claim, newest) ? claim : newest;
+		}
+
+		return newest;
+	};
+
 	/** Records the version that a node reports. Claims are dropped when the active version changes, since a refuted version may exist by then. */
-	const recordClaim = ({node, version}: PeerReport): VersionClaim => {
+	const recordClaim = (report: PeerReport): VersionClaim => {
+		const {node, version} = report;
 		if (claimsBaseVersion !== getVersion() || claims.size >= maxClaims) {
 			claimsBaseVersion = getVersion();
 			claims.clear();
+			newestClaim = undefined;
 		}
 
 		const known = claims.get(node);
-		if (known?.version === version) {
+		if (known?.report.version === version) {
 			return known;
 		}
 
-		const claim: VersionClaim = {version, heardAt: readSteadyMs(), isRefuted: false};
+		const claim: VersionClaim = {report, heardAt: readSteadyMs(), isRefuted: false};
 		claims.set(node, claim);
+		newestClaim = known === undefined ? (isNewerClaim(claim, newestClaim) ? claim : newestClaim) : findNewestClaim();
 		return claim;
 	};
 
 	const recordStoreRead = (startedAt: number): void => {
-		newestKnownVersion = getVersion();
 		for (const claim of claims.values()) {
 			claim.isRefuted ||= claim.heardAt < startedAt;
-			newestKnownVersion = claim.isRefuted ? newestKnownVersion : Math.max(newestKnownVersion, claim.version);
 		}
+
+		newestClaim = findNewestClaim();
+		newestKnownVersion = Math.max(getVersion(), newestClaim?.report.version ?? 0);
 	};
 
 	const handleReport = async (report: PeerReport): Promise<void> => {
@@ -233,12 +255,13 @@
 		hasDelayedFetch = true;
 		await waitFor(delayMs);
 		hasDelayedFetch = false;
-		await fetchIfAllowed(report);
+		await fetchIfAllowed(newestClaim?.report ?? report);
 	};
 
 	return {
 		handleReport,
 		recordStoreRead,
+		getNewestKnownVersion: () => Math.max(getVersion(), newestKnownVersion),
 		isOutdated: () => getVersion() < newestKnownVersion,
 		getStalledMs: now => isStalled() ? now - stalledSince : 0,
 	};
--- a/src/lib/store/mesh-store.ts
+++ b/src/lib/store/mesh-store.ts
@@ -36,9 +36,22 @@
 	| {readonly type: 'written'; readonly item: StoreItem}
 	| {readonly type: 'removed'; readonly key: string; readonly revision: number};
 
+/** The answer to a watch while it arrives. @public */
+export type ArrivingAnswer = {
+	/** Changes of which at least the beginning has arrived. */
+	readonly changes: number;
+	/** Milliseconds since its head arrived. */
+	readonly elapsedMs: number;
+};
+
+/** Called while the answer to a watch arrives, at least at its head. Returns whether to receive the rest. @public */
+export type AnswerReceiver = (answer: ArrivingAnswer) => boolean;
+
 /** Result of a watch. @public */
 export type WatchResult =
 	| {readonly type: 'changes'; readonly changes: readonly StoreChange[]; readonly position: StorePosition; readonly transfer?: StoreTransfer}
+	/** The receiver gave the answer up. The caller must read again. */
+	| {readonly type: 'given-up'}
 	/** The store has compacted this part of its history, or was restored from a backup: the caller must read again. */
 	| {readonly type: 'history-gone'};
 
@@ -56,7 +69,7 @@
 	/** Reads all keys with a prefix. Stale reads cost the store less. */
 	readonly listItems: (prefix: string, options: {readonly mayBeStale: boolean}) => Promise<Result<StoreItems, StoreReadError>>;
 	/** Waits up to `waitMs` milliseconds for changes of keys with a prefix that follow a position. Returns an empty list if there are none. */
-	readonly watchItems: (prefix: string, after: StorePosition, waitMs: number, signal: AbortSignal) => Promise<Result<WatchResult, StoreReadError>>;
+	readonly watchItems: (prefix: string, after: StorePosition, waitMs: number, signal: AbortSignal, receive?: AnswerReceiver) => Promise<Result<WatchResult, StoreReadError>>;
 	/** Writes a key at any revision. Fails without writing if the lease is known to be from an earlier era. */
 	readonly putItem: (key: string, value: string, lease: StoreLease) => Promise<Result<StorePosition, StoreError>>;
 	/** Removes a key if its last write was at `writtenAt`; otherwise does nothing. */
--- a/src/lib/sync/config-follower.test.ts
+++ b/src/lib/sync/config-follower.test.ts
@@ -39,7 +39,7 @@
 	};
 	const follower = createConfigFollower({
 		store: store as MeshStore, health: createStoreHealth(silentLog, () => undefined), holder: createConfigHolder(() => undefined), prefix: undefined, handleOtherItems: () => undefined, otherPrefix: undefined, copy: {read: async () => undefined, updateSoon: () => undefined}, key: 'k', decode: () => err('none'),
-		log: silentLog, random: () => randomValue, shouldFollow: () => true, handleRead: () => undefined,
+		log: silentLog, random: () => randomValue, shouldFollow: () => true, getNewestKnownVersion: () => 0, handleRead: () => undefined,
 	});
 	context.after(follower.dispose);
 	void follower.run();
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -9,9 +9,12 @@
 import {type ConfigStep} from '../route-config/config-history.js';
 import {type ConfigHolder} from '../route-config/config-holder.js';
 import {type RouteConfig} from '../route-config/route-config.js';
-import {type MeshStore, type StoreItem, type StoreTransfer} from '../store/mesh-store.js';
+import {
+	type ArrivingAnswer, type MeshStore, type StoreItem, type StoreTransfer, type WatchResult,
+} from '../store/mesh-store.js';
 import {type StorePosition} from '../store/store-position.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
+import {computeRewatchDelayMs, isBehindLink, shouldGiveUpAnswer} from './answer-pace.js';
 import {type ConfigCopy} from './config-copy.js';
 import {type StoreHealth} from './store-health.js';
 
@@ -35,6 +38,8 @@
 	readonly otherPrefix: string | undefined;
 	/** Returns whether this node should watch the store; the other nodes get changes from the nodes that do. */
 	readonly shouldFollow: () => boolean;
+	/** Returns the newest version that this node knows of, its active one included. */
+	readonly getNewestKnownVersion: () => number;
 	/** Called after a successful read of the configuration, with the time at which the read started, by `readSteadyMs`. */
 	readonly handleRead: (startedAt: number) => void;
 };
@@ -49,6 +54,10 @@
 	readonly applyText: (text: string, source: string, steps?: readonly ConfigStep[]) => void;
 	/** Returns whether this node watches the store. */
 	readonly isFollowing: () => boolean;
+	/** Returns for how many milliseconds a configuration newer than the active one has been arriving from the store; 0 if none is. */
+	readonly getReceivingMs: (now: number) => number;
+	/** Returns whether the link of this node delays a newer configuration that the store is sending. */
+	readonly isBehind: () => boolean;
 	readonly dispose: () => void;
 };
 
@@ -61,15 +70,6 @@
  */
 const minWatchFraction = 0.3;
 
-/** Minimum delay between a change and the next watch, so that several quick changes are read together. A quarter of the shortest deadline for applying a change. */
-const minRewatchDelayMs = 450;
-
-/**
- * Maximum random addition to this delay. If all nodes reopened their watches at the same moment, a stall of the store of only 200 ms could lose all of these calls,
- * and the next change would be applied only when the first watch timed out. With jitter, the first node to reopen its watch gets the change for the others.
- */
-const rewatchJitterMs = 600;
-
 /**
  * Delay between the first configuration and the first watch: two heartbeat periods, in which a node learns from the heartbeats which nodes watch the store. Without
  * it, all nodes that start together would open watches. Meanwhile the node gets changes from the others.
@@ -91,15 +91,21 @@
  * @internal
  */
 export function createConfigFollower(context: ConfigFollowerContext): ConfigFollower {
-	const {store, health, holder, key, prefix, handleOtherItems, decode, log, random, copy, otherPrefix, shouldFollow, handleRead} = context;
+	const {store, health, holder, key, prefix, handleOtherItems, decode, log, random, copy, otherPrefix, shouldFollow, getNewestKnownVersion, handleRead} = context;
 	const disposed = new AbortController();
 	let watchAbort = new AbortController();
 	/** Position up to which changes are known; `undefined` if the configuration must be read again. */
 	let position: StorePosition | undefined;
+	/** The version at that position; `undefined` if the store has none that can be applied. */
+	let positionVersion: number | undefined;
 	let rejectedText: string | undefined;
 	let loggedWarnings: ReadonlySet<string> = new Set();
 	let isFollowing = false;
 	let hasDelayedStartup = false;
+	/** Since when the store has been sending a newer configuration, in steady milliseconds; `undefined` if it is not known to. */
+	let receivingSince: number | undefined;
+	/** Whether the next read replaces a watch, so that the next one is delayed. */
+	let isReadInsteadOfWatch = false;
 
 	/** Logs the warnings that the previous configuration did not have. */
 	const reportWarnings = ({version, warnings}: RouteConfig): void => {
@@ -112,9 +118,14 @@
 		loggedWarnings = new Set(warnings);
 	};
 
-	const applyText = (text: string, source: string, steps?: readonly ConfigStep[]): void => {
-		if (text === holder.get()?.text || text === rejectedText) {
-			return;
+	/** Returns the version of the text, also if it is not newer; `undefined` if it is not valid. */
+	const applyText = (text: string, source: string, steps?: readonly ConfigStep[]): number | undefined => {
+		if (text === rejectedText) {
+			return undefined;
+		}
+
+		if (text === holder.get()?.text) {
+			return holder.getVersion();
 		}
 
 		const decoded = decode(text);
@@ -124,15 +135,15 @@
 			log.record('error', {
 				kind: 'configuration-refused', version: holder.getVersion(), from: source, reason: decoded.error,
 			});
-			return;
+			return undefined;
 		}
 
-		const isOlder = decoded.value.version < holder.getVersion();
-		if (isOlder) {
+		const {version} = decoded.value;
+		if (version < holder.getVersion()) {
 			log.record('warn', {
-				kind: 'configuration-refused', version: decoded.value.version, from: source, reason: `version ${holder.getVersion()} is in force; older versions are rejected`,
+				kind: 'configuration-refused', version, from: source, reason: `version ${holder.getVersion()} is in force; older versions are rejected`,
 			});
-			return;
+			return version;
 		}
 
 		const isApplied = holder.applyIfNewer({
@@ -141,6 +152,8 @@
 		if (isApplied) {
 			reportWarnings(decoded.value);
 		}
+
+		return version;
 	};
 
 	/** Logs how long a call took; for a watch, this is mostly the time until a change. */
@@ -166,13 +179,31 @@
 			handleOtherItems(items.filter(item => item.key !== key), at);
 		}
 
-		for (const item of items) {
-			if (item.key === key) {
-				applyText(item.value, 'store');
-			}
+		// Only the last of several versions counts.
+		const latest = items.findLast(item => item.key === key);
+		if (latest !== undefined) {
+			positionVersion = applyText(latest.value, 'store');
+		}
+	};
+
+	/** Returns whether the store is known to have a newer configuration than at the position. A watch would return all versions since, a read only the newest one. */
+	const isNewerKnown = (): boolean => positionVersion !== undefined && getNewestKnownVersion() > positionVersion;
+
+	const runOnce = async (): Promise<void> => {
+		if (position !== undefined && !isNewerKnown()) {
+			await watchOnce(position);
+			return;
 		}
+
+		isReadInsteadOfWatch ||= position !== undefined;
+		await readConfig();
 	};
 
+	/** Waits before the next watch, after an answer with a change that began to arrive at a time. */
+	const delayRewatch = async (answeredAt: number): Promise<void> => waitFor(computeRewatchDelayMs(readSteadyMs() - answeredAt, random()), disposed.signal);
+
+	const getReceivingMs = (now: number): number => receivingSince === undefined ? 0 : now - receivingSince;
+
 	const handleFailure = async (call: string, reason: string): Promise<void> => {
 		health.recordFailure(call, reason);
 		position = undefined;
@@ -210,7 +241,7 @@
 			return;
 		}
 
-		applyText(copied.text, 'copy');
+		positionVersion = applyText(copied.text, 'copy');
 		({position} = copied);
 		reportRead('copy', startedAt);
 		await delayStartup();
@@ -218,7 +249,11 @@
 
 	const readConfig = async (): Promise<void> => {
 		const startedAt = readSteadyMs();
+		const isInsteadOfWatch = isReadInsteadOfWatch;
+		isReadInsteadOfWatch = false;
+		receivingSince ??= startedAt;
 		const read = await (prefix === undefined ? store.readItem(key, {mayBeStale: false}) : store.listItems(prefix, {mayBeStale: false}));
+		receivingSince = undefined;
 		if (read.isErr()) {
 			await handleFailure('read the configuration', read.error.reason);
 			return;
@@ -233,13 +268,49 @@
 		if (read.value.items.some(item => item.key === key)) {
 			handleRead(startedAt);
 		}
+
+		if (isInsteadOfWatch) {
+			await delayRewatch(startedAt);
+		}
+	};
+
+	/** Follows the arrival of an answer with changes. Returns whether to receive the rest. */
+	const handleArrival = (answer: ArrivingAnswer): boolean => {
+		if (answer.changes === 0) {
+			return true;
+		}
+
+		receivingSince ??= readSteadyMs() - answer.elapsedMs;
+		return !shouldGiveUpAnswer(answer);
+	};
+
+	/** Reads the newest configuration in place of an answer that holds several. */
+	const giveUpAnswer = (): void => {
+		log.record('info', {kind: 'configuration-answer-given-up', version: holder.getVersion(), afterMs: Math.round(getReceivingMs(readSteadyMs()))});
+		health.recordSuccess();
+		position = undefined;
+		isReadInsteadOfWatch = true;
+	};
+
+	const handleChanges = async ({changes, position: at, transfer}: Extract<WatchResult, {readonly type: 'changes'}>, startedAt: number): Promise<void> => {
+		position = at;
+		applyItems(changes.flatMap(change => change.type === 'written' ? [change.item] : []), at);
+		health.recordSuccess();
+		if (changes.length > 0) {
+			reportRead('watch', startedAt, {items: changes.length, transfer});
+			updateCopy();
+			await delayRewatch(transfer?.startedAt ?? readSteadyMs());
+		}
 	};
 
 	const watchOnce = async (after: StorePosition): Promise<void> => {
 		watchAbort = new AbortController();
 		const {signal} = watchAbort;
 		const startedAt = readSteadyMs();
-		const watched = await store.watchItems(prefix ?? key, after, Math.round(maxWatchMs * (minWatchFraction + ((1 - minWatchFraction) * random()))), signal);
+		const waitMs = Math.round(maxWatchMs * (minWatchFraction + ((1 - minWatchFraction) * random())));
+		const watched = await store.watchItems(prefix ?? key, after, waitMs, signal, handleArrival);
+		const isGivenUp = watched.isOk() && watched.value.type === 'given-up';
+		receivingSince = isGivenUp ? receivingSince : undefined;
 		if (signal.aborted) {
 			position = undefined;
 			return;
@@ -250,19 +321,21 @@
 			return;
 		}
 
-		if (watched.value.type === 'history-gone') {
-			position = undefined;
-			return;
-		}
+		switch (watched.value.type) {
+			case 'given-up': {
+				giveUpAnswer();
+				break;
+			}
 
-		const {changes} = watched.value;
-		({position} = watched.value);
-		applyItems(changes.flatMap(change => change.type === 'written' ? [change.item] : []), watched.value.position);
-		health.recordSuccess();
-		if (changes.length > 0) {
-			reportRead('watch', startedAt, {items: changes.length, transfer: watched.value.transfer});
-			updateCopy();
-			await waitFor(minRewatchDelayMs + (rewatchJitterMs * random()), disposed.signal);
+			case 'history-gone': {
+				position = undefined;
+				break;
+			}
+
+			case 'changes': {
+				await handleChanges(watched.value, startedAt);
+				break;
+			}
 		}
 	};
 
@@ -284,7 +357,7 @@
 				// Every node reads the configuration once at its start, since there may be no other node to get it from.
 				setFollowing(shouldFollow());
 				if (isFollowing || holder.get() === undefined) {
-					await (position === undefined ? readConfig() : watchOnce(position));
+					await runOnce();
 					await delayStartup();
 					continue;
 				}
@@ -296,8 +369,12 @@
 		resync() {
 			watchAbort.abort();
 		},
-		applyText,
+		applyText(text, source, steps) {
+			applyText(text, source, steps);
+		},
 		isFollowing: () => isFollowing,
+		getReceivingMs,
+		isBehind: () => isBehindLink(getReceivingMs(readSteadyMs())),
 		dispose() {
 			disposed.abort();
 			watchAbort.abort();
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -89,6 +89,8 @@
 	| {readonly kind: 'configuration-not-fetched'; readonly version: number; readonly from: string; readonly held: number; readonly outcome: string; readonly reason: string; readonly tookMs: number}
 	/** The configuration, or its changes, were read from the store. `transferMs` is the time from the head of the answer to its end. */
 	| {readonly kind: 'configuration-read'; readonly call: string; readonly version: number; readonly tookMs: number; readonly items?: number; readonly bytes?: number; readonly transferMs?: number}
+	/** An answer of the store held several versions and arrived slowly, so that the newest one is read in its place. */
+	| {readonly kind: 'configuration-answer-given-up'; readonly version: number; readonly afterMs: number}
 	| {readonly kind: 'configuration-refused'; readonly version: number; readonly from: string; readonly reason: string}
 	| {readonly kind: 'configuration-unknown'; readonly version: number; readonly reason: string; readonly count: number}
 	| {readonly kind: 'store-lost'; readonly reason: string; readonly call: string}
