--- a/src/lib/forwarding/local-sessions.ts
+++ b/src/lib/forwarding/local-sessions.ts
@@ -172,6 +172,9 @@
 		}
 
 		sessionServer = current;
+		if (current.isLeaving) {
+			session?.startDraining();
+		}
 
 		if (step.change === 'draining') {
 			log.record('info', {kind: 'server-draining', server: current.announcement.lifetime.id, how});
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -27,6 +27,7 @@
 import {BodyNotReceivedError} from './body-pieces.js';
 import {createResponseMemory} from './response-memory.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
+import {createServerDrain} from './server-drain.js';
 import {createHalfOpenDetector} from './half-open-detector.js';
 import {createNoticeReader} from './response-notices.js';
 
@@ -78,6 +79,9 @@
 	readonly hasEarlierWork?: boolean;
 };
 
+/** The body of a request, and how long it took to arrive once the request had a slot, in milliseconds. */
+type ReadBody = {readonly body: Uint8Array | undefined; readonly bodyMs: number};
+
 /** Load and failure rate of the server. @internal */
 export type SessionLoad = SlotLoad & {
 	/** Moving average of the share of failed requests, 0 to 1. */
@@ -111,6 +115,8 @@
 	 * were running at the crash: a node that lags learns of the new lifetime before it reads the closed connections.
 	 */
 	readonly recordCrash: () => void;
+	/** Records that the server drains. Later calls have no effect. */
+	readonly startDraining: () => void;
 	/** Stops new requests because another server has replaced this one. Requests that wait for a slot are refused immediately; running requests may still finish. */
 	readonly retire: () => void;
 	/** Ends the session and closes its connections. Requests in flight fail as `may-have-run`. */
@@ -175,6 +181,7 @@
 	const limiter = createServerLimiter(context.countLimited);
 	const loadReports = createLoadReports();
 	let isEnded = false;
+	const drain = createServerDrain();
 	const crashWatch = createCrashWatch({
 		lifetime, address: announcement.address, log, quarantine: context.quarantine, handleUnreachable: context.handleUnreachable,
 		isEnding: () => isEnded || context.isLeaving(),
@@ -211,7 +218,7 @@
 	};
 
 	/** Sends a request that holds a slot. Calls `keepSlot` if the slot is still taken when the request has its result. */
-	const send = async (call: SessionCall, body: Uint8Array | undefined, keepSlot: () => void): Promise<ForwardResult> => {
+	const send = async (call: SessionCall, {body, bodyMs}: ReadBody, keepSlot: () => void): Promise<ForwardResult> => {
 		const fingerprint = createCallFingerprint(call, body);
 		const settled = context.quarantine.waitForTrial(fingerprint);
 		if (settled !== undefined) {
@@ -244,6 +251,13 @@
 			return createNotRun('quarantined', admission.detail, admission.retryAfterMs);
 		}
 
+		const drainedMs = drain.getElapsedMs();
+		if (drainedMs !== undefined) {
+			log.record('info', {
+				kind: 'request-sent-while-draining', call: call.id, server: lifetime.id, drainedMs: Math.round(drainedMs), bodyMs: Math.round(bodyMs),
+			});
+		}
+
 		const finishRequest = halfOpenDetector.recordRequest(now);
 		const watched = hangWatch.watch({id: call.id, deadlineAt: call.scope.deadlineAt, isRepeatable: () => context.isRepeatable?.(call) ?? false});
 		const sentAt = readAwakeMs();
@@ -301,7 +315,7 @@
 			let isSlotKept = false;
 			try {
 				const body = await call.readBody();
-				result = await send(call, body, () => {
+				result = await send(call, {body, bodyMs: readAwakeMs() - startedAt}, () => {
 					isSlotKept = true;
 				});
 			} catch (error) {
@@ -329,6 +343,7 @@
 				running: slots.countRunning() + loadReports.countUnknownRequests(readSteadyMs()), failureShare: converter.getFailureShare(), slots: hangWatch.getCapacity(),
 			});
 		},
+		startDraining: drain.start,
 		recordCrash: crashWatch.recordCrash,
 		retire: stopAccepting,
 		end() {
