Gate: an upload whose body arrives too long after a drain is not sent to the server

Cause: the gate checked for a drain when a request got its slot, and asked for the body only then.

Change: when a drain begins, requests whose bodies can't arrive in time are refused at once as not run, and go to another server; a body that comes too late is not sent.

Existing tests: fixtures name the new setting.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -179,6 +179,20 @@
 		to: '',
 		tests: 'platform',
 	},
+	{
+		promise: 'sidecar: a body that arrives too late at a server that drains is not sent to it',
+		file: `${library}/forwarding/server-drain.js`,
+		from: 'isOver() ? { type: \'draining\' } : ',
+		to: '',
+		tests: `${library}/forwarding/server-drain.test.js`,
+	},
+	{
+		promise: 'sidecar: bodies that cannot arrive in time at a server that drains are refused at once',
+		file: `${library}/forwarding/local-sessions.js`,
+		from: 'session?.startDraining();',
+		to: '',
+		tests: 'platform/draining-uploads.test.js',
+	},
 	{
 		promise: 'sidecar: the last of many versions is received instead of all',
 		file: `${library}/sync/answer-pace.js`,
--- a/src/lib/forwarding/endless-response.test.ts
+++ b/src/lib/forwarding/endless-response.test.ts
@@ -23,6 +23,7 @@
 async function startGate(context: TestContext, responseStart: (call: string) => string): Promise<LocalGate> {
 	const address = await startEndlessServer(context, head => responseStart(/x-call: (\S+)/.exec(head)?.[1] ?? ''));
 	const gate = createLocalGate({
+		drainMs: 2500,
 		headerNames, log: silentLog, refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false,
 		linkMbps: 1000, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
 	});
--- a/src/lib/forwarding/gate-load.test.ts
+++ b/src/lib/forwarding/gate-load.test.ts
@@ -41,6 +41,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
+		drainMs: 2500,
 		headerNames, log: silentLog, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
 		refusals: {
 			record({kind, reason}) {
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -121,7 +121,11 @@
 
 	/** Stops waiting for the body of a request. */
 	const closeBody = (connection: Connection, incoming: IncomingRequest): void => {
-		connection.pieceBytes -= incoming.body?.countBytes() ?? 0;
+		if (incoming.body === undefined) {
+			return;
+		}
+
+		connection.pieceBytes -= incoming.body.countBytes();
 		incoming.body = undefined;
 		updateBufferedBytes(connection, connection.socket.destroyed ? 0 : countBufferedBytes(connection));
 	};
@@ -161,6 +165,7 @@
 				...request,
 				scope: incoming.scope,
 				isLargeUpload: frame.type === 'offer',
+				bodyMs: frame.type === 'offer' ? request.bodyMs ?? 0 : undefined,
 				readBody: async () => frame.type === 'offer' ? fetchBody(connection, frame.id, request, incoming) : (request.hasBody ? frame.body : undefined),
 			});
 		} catch (error) {
@@ -193,6 +198,7 @@
 		connection.requests.set(frame.id, incoming);
 		const result = await runAtGate(connection, frame, request, incoming);
 		connection.requests.delete(frame.id);
+		closeBody(connection, incoming);
 		scope.dispose();
 		try {
 			link.write(connection.socket, {type: 'answer', id: frame.id, ...encodePeerAnswer(result)});
--- a/src/lib/forwarding/hanging-server.test.ts
+++ b/src/lib/forwarding/hanging-server.test.ts
@@ -78,6 +78,7 @@
 	});
 	const address = toAddress(`127.0.0.1:${(stub.address() as AddressInfo).port}`);
 	const gate = createLocalGate({
+		drainMs: 2500,
 		headerNames,
 		log: {
 			record(_level, event) {
--- a/src/lib/forwarding/local-gate.test.ts
+++ b/src/lib/forwarding/local-gate.test.ts
@@ -56,6 +56,7 @@
 	const address = toAddress(`127.0.0.1:${(server.address() as AddressInfo).port}`);
 	const quarantine = createSilentQuarantine();
 	const gate = createLocalGate({
+		drainMs: 2500,
 		headerNames, log: silentLog, refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 10, quarantine, isLeaving, linkMbps: 7, countQueuedBytes: () => fixture.queuedBytes, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
 	});
 	let sequence = 0;
@@ -380,6 +381,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
+		drainMs: 2500,
 		headerNames, log: silentLog, refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
 	});
 	context.after(() => {
@@ -454,6 +456,7 @@
 		server.listen(0, '127.0.0.1', resolve);
 	});
 	const gate = createLocalGate({
+		drainMs: 2500,
 		headerNames, log: silentLog, refusals: {record: () => undefined}, handleChange: () => undefined, getMaxConnections: () => 10, quarantine: createSilentQuarantine(), isLeaving: () => false, linkMbps: 7, countQueuedBytes: () => 0, rollouts: noRollouts, countLimited: () => undefined, findRouteName: () => undefined,
 	});
 	context.after(() => {
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -59,6 +59,8 @@
 	/** Returns the maximum number of connections that the backend server accepts from this node. */
 	readonly getMaxConnections: (service: string) => number;
 	readonly isLeaving: () => boolean;
+	/** How long a server takes requests after it began to drain, in milliseconds. */
+	readonly drainMs: number;
 	readonly quarantine: ServerSessionContext['quarantine'] & Pick<Quarantine, 'countSuspects'>;
 	readonly rollouts: GateRollouts;
 	readonly countLimited: ServerSessionContext['countLimited'];
--- a/src/lib/forwarding/local-sessions.ts
+++ b/src/lib/forwarding/local-sessions.ts
@@ -30,6 +30,8 @@
 	/** Returns the maximum number of connections that the backend server accepts from this node. */
 	readonly getMaxConnections: (service: string) => number;
 	readonly rollouts: Pick<GateRollouts, 'isCounting' | 'recordOutcome' | 'isWithheld' | 'getTally'>;
+	/** How long a server takes requests after it began to drain, in milliseconds. */
+	readonly drainMs: number;
 	/** Returns the name of the route of a request; `undefined` if none matches. */
 	readonly findRouteName: (host: string, target: string) => string | undefined;
 	/** Returns whether the requests of a route may be run twice; false for all requests if omitted. */
@@ -136,6 +138,7 @@
 				handleChange();
 			},
 			countLimited: context.countLimited,
+			drainMs: context.drainMs,
 			isRepeatable: ({headers, target}) => context.isRepeatableRoute?.(typeof headers.host === 'string' ? headers.host : '', target) ?? false,
 			// A server that is clearly older than this node may have requests of an earlier run of it.
 			hasEarlierWork: session === undefined && lifetime.startedAt < createdAt - minEarlierRunMs,
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -27,7 +27,7 @@
 import {BodyNotReceivedError} from './body-pieces.js';
 import {createResponseMemory} from './response-memory.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
-import {createServerDrain} from './server-drain.js';
+import {createServerDrain, type AwaitedBody} from './server-drain.js';
 import {createHalfOpenDetector} from './half-open-detector.js';
 import {createNoticeReader} from './response-notices.js';
 
@@ -43,6 +43,8 @@
 	readonly headers: Readonly<Record<string, string | readonly string[]>>;
 	/** Reads the body, called once the request holds a slot. May reject with a `BodyNotReceivedError`. */
 	readonly readBody: () => Promise<Uint8Array | undefined>;
+	/** Shortest time in which the body can arrive, in milliseconds; `undefined` if it has arrived. */
+	readonly bodyMs?: number | undefined;
 	readonly callerService: string;
 	/** Name of the workspace of the caller; `undefined` if it has none. */
 	readonly workspace?: string | undefined;
@@ -77,6 +79,8 @@
 	readonly isRepeatable?: ((call: SessionCall) => boolean) | undefined;
 	/** Whether the server may still work on requests of an earlier run of this node. */
 	readonly hasEarlierWork?: boolean;
+	/** How long the server takes requests after it began to drain, in milliseconds. */
+	readonly drainMs: number;
 };
 
 /** The body of a request, and how long it took to arrive once the request had a slot, in milliseconds. */
@@ -147,6 +151,9 @@
 	method, host: typeof headers.host === 'string' ? headers.host : '', target, body,
 });
 
+/** Creates the failure of a request that would reach its server too long after that began to drain. */
+const createDrainingFailure = ({id}: ServerLifetime): ForwardFailure => createNotRun('draining', `backend server ${id} is draining, and the request would reach it too late`);
+
 /** Creates the failure of a request that the limit of its server does not let start within `waitMs`. */
 const createLimitedFailure = (waitMs: number): ForwardFailure => createNotRun('limited', 'the limit that the backend server named is used up', waitMs);
 
@@ -181,7 +188,7 @@
 	const limiter = createServerLimiter(context.countLimited);
 	const loadReports = createLoadReports();
 	let isEnded = false;
-	const drain = createServerDrain();
+	const drain = createServerDrain(context.drainMs);
 	const crashWatch = createCrashWatch({
 		lifetime, address: announcement.address, log, quarantine: context.quarantine, handleUnreachable: context.handleUnreachable,
 		isEnding: () => isEnded || context.isLeaving(),
@@ -241,6 +248,10 @@
 			return sessionEndedFailure;
 		}
 
+		if (drain.isOver()) {
+			return createDrainingFailure(lifetime);
+		}
+
 		if (halfOpenDetector.areSuspected(slots.getServiceMs(), now)) {
 			pool.renew();
 			log.record('info', {kind: 'connections-renewed', server: lifetime.id, reason: 'a request has waited far longer than the average service time'});
@@ -314,10 +325,14 @@
 			let result: ForwardResult = createNotRun('cancelled', 'request body did not arrive');
 			let isSlotKept = false;
 			try {
-				const body = await call.readBody();
-				result = await send(call, {body, bodyMs: readAwakeMs() - startedAt}, () => {
-					isSlotKept = true;
-				});
+				const awaited: AwaitedBody = call.bodyMs === undefined
+					? {type: 'arrived', body: await call.readBody()}
+					: await drain.waitForBody(call.readBody, call.bodyMs);
+				result = awaited.type === 'draining'
+					? createDrainingFailure(lifetime)
+					: await send(call, {body: awaited.body, bodyMs: readAwakeMs() - startedAt}, () => {
+						isSlotKept = true;
+					});
 			} catch (error) {
 				result = createNotRun(error instanceof BodyNotReceivedError ? error.reason : 'cancelled', `request body did not arrive: ${(error as Error).message}`);
 			} finally {
--- a/src/lib/forwarding/suspended-gate.test.ts
+++ b/src/lib/forwarding/suspended-gate.test.ts
@@ -31,6 +31,7 @@
 	});
 	const id = toBackendServerId('i-1');
 	const gate = createLocalGate({
+		drainMs: 2500,
 		headerNames: {
 			callId: 'x-call', timeLeft: 'x-left', expectedServer: 'x-server', callerService: 'x-caller', signature: 'x-signature', notRun: 'x-not-run', serverLimit: 'x-limit', serverLeaving: 'x-leaving', serverLoad: 'x-load', authorization: 'authorization', authorizationScheme: 'token', workspace: 'x-workspace',
 		},
--- a/src/lib/sidecar/settings-change.test.ts
+++ b/src/lib/sidecar/settings-change.test.ts
@@ -6,7 +6,7 @@
 
 const address = toAddress('127.0.0.1:7001');
 const settings: SidecarSettings = {
-	node: toNodeId('n1'), failureDomain: toFailureDomain('a'), service: 'logview', storeAddress: address, linkMbps: 10, seeds: [], shutdownMs: 6000,
+	node: toNodeId('n1'), failureDomain: toFailureDomain('a'), service: 'logview', storeAddress: address, linkMbps: 10, seeds: [], drainMs: 2500, shutdownMs: 6000,
 	listen: {
 		callers: address, gate: address, gossip: address, readiness: address, announcements: address, metrics: address,
 	},
--- a/src/lib/sidecar/sidecar-settings.ts
+++ b/src/lib/sidecar/sidecar-settings.ts
@@ -49,6 +49,8 @@
 	} | undefined;
 	/** Tolerance of the quotas of workspaces; `undefined` for the defaults. */
 	readonly quotas?: QuotaTolerance | undefined;
+	/** How long the backend server takes requests after it announced that it drains. Without it, a request whose body has not arrived by then is refused. */
+	readonly drainMs: number;
 	/** Time from SIGTERM until the process must have exited. */
 	readonly shutdownMs: number;
 };
@@ -163,6 +165,7 @@
 		},
 		rollouts: readRollouts(settings),
 		quotas: readQuotas(settings),
+		drainMs: settings.drain === undefined ? 0 : readDuration(settings, 'drain', ''),
 		shutdownMs: readDuration(settings, 'shutdown', ''),
 	};
 }
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -221,6 +221,7 @@
 		handleDeparted: departures.recordOwn,
 		getMaxConnections: service => sync.holder.get()?.config.services.find(({name}) => name === service)?.maxConnections ?? defaultMaxConnections,
 		isLeaving: () => isGateLeaving,
+		drainMs: settings.drainMs,
 		linkMbps: settings.linkMbps,
 		countQueuedBytes: linkWriter.countQueuedBytes,
 	});
