Configuration: a version that the store lacks costs one read; connection liveness and applying have modules of their own

Also: what is not written of a body when its connection closes counts as not sent, and a node without a configuration isn't behind its link.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -293,7 +293,7 @@
 	},
 	{
 		promise: 'sidecar: an unresponsive connection stays open for a while, so that its requests may still be answered',
-		file: `${library}/forwarding/peer-channel.js`,
+		file: `${library}/forwarding/connection-liveness.js`,
 		from: 'now - nodeHeardAt > connectionLostMs',
 		to: 'true',
 		tests: `${library}/forwarding`,
@@ -398,7 +398,7 @@
 	},
 	{
 		promise: 'sidecar: a lower configuration version is rejected',
-		file: `${library}/sync/config-follower.js`,
+		file: `${library}/sync/config-applier.js`,
 		from: 'if (version < holder.getVersion()) {',
 		to: 'if (false) {',
 		tests: 'platform',
@@ -426,15 +426,15 @@
 	},
 	{
 		promise: 'sidecar: a connection that does not answer pings is unresponsive while heartbeats of its node arrive',
-		file: `${library}/forwarding/peer-channel.js`,
+		file: `${library}/forwarding/connection-liveness.js`,
 		from: 'nodeHeardAt === undefined || now - nodeHeardAt <= pongTimeoutMs',
 		to: 'true',
 		tests: `${library}/forwarding`,
 	},
 	{
 		promise: 'sidecar: a connection that does not answer pings is kept while its node sends no heartbeats',
-		file: `${library}/forwarding/peer-channel.js`,
-		from: '(getHeardAt() ?? 0) > probe.writtenAt ? now : undefined',
+		file: `${library}/forwarding/connection-liveness.js`,
+		from: '(getHeardAt() ?? 0) > sent.writtenAt ? now : undefined',
 		to: 'now',
 		tests: `${library}/forwarding`,
 	},
--- a/src/lib/forwarding/link-writer.ts
+++ b/src/lib/forwarding/link-writer.ts
@@ -161,13 +161,14 @@
 
 	/** Whether the next piece of a frame may be written. Nothing may be written inside a whole frame of the same connection. */
 	const mayContinue = ({socket, isStarted, isBlocked, isInPieces, sentBytes, body}: LargeFrame): boolean =>
-		!isBlocked && sentBytes < body.length && (!queues.has(socket) || (isStarted && !isInPieces));
+		!isBlocked && !socket.destroyed && sentBytes < body.length && (!queues.has(socket) || (isStarted && !isInPieces));
 
 	/** Whether a frame can be removed. Its receiver takes bytes after an incomplete frame for a part of it. */
 	const isRemovable = ({isInPieces, isStarted, sentBytes, body}: LargeFrame): boolean => isInPieces ? sentBytes < body.length : !isStarted;
 
+	/** Removes the frames of closed connections. Frames in pieces are left to their sender, which cancels them and learns so that they were not sent. */
 	const removeClosed = (): void => {
-		for (const large of largeFrames.filter(({socket}) => socket.destroyed)) {
+		for (const large of largeFrames.filter(({socket, isInPieces}) => socket.destroyed && !isInPieces)) {
 			remove(large);
 			queues.delete(large.socket);
 		}
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -10,6 +10,7 @@
 import {type Address} from '../common/ids.js';
 import {type CallScope, type ScopeEndReason} from './call-scope.js';
 import {maySendPieces} from './body-pieces.js';
+import {createConnectionLiveness} from './connection-liveness.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
 import {type LinkWriter} from './link-writer.js';
 
@@ -56,40 +57,6 @@
 	readonly dispose: () => void;
 };
 
-/** The connection is probed if nothing arrives for this long while requests are in flight. Most answers arrive sooner. */
-const probeAfterQuietMs = 300;
-
-/**
- * How long a node may take to answer a probe, counted from the first time it is heard after the probe was sent. A process that is eight times slower than usual
- * still answers in time. An earlier heartbeat does not show that the node is running: a node that pauses for a second, as small VMs do under load, sends
- * neither heartbeats nor answers, and closing its connections would fail requests that it would have answered.
- */
-const pongTimeoutMs = 800;
-
-/**
- * How long after its node was heard a connection without an answer to its probe is closed, which fails its requests. TCP, whose retransmission timeout starts at
- * 200 ms and doubles, has retransmitted four times by then. Until then, requests that may be retried are also sent elsewhere, and answers that
- * arrive are still delivered: packet loss looks like a lost connection, and closing wastes the work already done.
- */
-const connectionLostMs = 3000;
-
-/**
- * A probe that was not written after this long is queued behind a body that is sent slowly or not at all; the two cases cannot be distinguished here. The connection then
- * takes no new requests, and requests that may be retried are also sent elsewhere. It is not closed, because the body may be one that must not be sent twice.
- */
-const probeWriteTimeoutMs = 2000;
-
-/** A `ping` that checks whether the connection is alive. Times are in milliseconds of the steady clock. */
-type LivenessProbe = {
-	readonly queuedAt: number;
-	/** Whether the operating system has accepted the ping. */
-	isWritten: boolean;
-	/** When a liveness check first found the ping written. */
-	writtenAt: number | undefined;
-	/** When a liveness check first found that the other node was heard after `writtenAt`. */
-	nodeHeardAt: number | undefined;
-};
-
 /** Opens a TCP connection. @internal */
 export type OpenSocket = (options: NetConnectOpts) => Socket;
 
@@ -148,10 +115,8 @@
 	let isConnected = false;
 	let isRetired = false;
 	let failureDetail = '';
-	/** When bytes last arrived, the connection opened, or a request was sent while none was in flight, whichever is latest. In milliseconds of the steady clock. */
-	let quietSince = 0;
 	let lastReceivedAt = 0;
-	let probe: LivenessProbe | undefined;
+	const liveness = createConnectionLiveness();
 
 	const connectTimer = setTimeout(() => {
 		socket.destroy(new Error(`no connection within ${connectTimeoutMs} ms`));
@@ -274,28 +239,17 @@
 		}
 	};
 
-	const sendProbe = (now: number): void => {
-		const next: LivenessProbe = {
-			queuedAt: now, isWritten: false, writtenAt: undefined, nodeHeardAt: undefined,
-		};
-		probe = next;
-		link.write(socket, {type: 'ping', id: 0}, () => {
-			next.isWritten = true;
-		});
-	};
-
 	socket.on('connect', () => {
 		clearTimeout(connectTimer);
 		isConnected = true;
-		quietSince = readSteadyMs();
+		liveness.recordActivity(readSteadyMs());
 		for (const [id, pendingRequest] of pending) {
 			sendFrame(id, pendingRequest);
 		}
 	});
 	socket.on('data', (bytes: Uint8Array) => {
 		lastReceivedAt = readSteadyMs();
-		quietSince = lastReceivedAt;
-		probe = undefined;
+		liveness.recordActivity(lastReceivedAt);
 		try {
 			for (const frame of reader.read(bytes)) {
 				handleFrame(frame);
@@ -324,8 +278,7 @@
 				const id = nextId++;
 				const {scope} = request;
 				if (pending.size === 0) {
-					quietSince = readSteadyMs();
-					probe = undefined;
+					liveness.recordActivity(readSteadyMs());
 				}
 
 				let stopListening = (): void => undefined;
@@ -355,36 +308,31 @@
 		isConnecting: () => !isConnected && !socket.destroyed,
 		getLastReceivedAt: () => lastReceivedAt,
 		checkLiveness(now, getHeardAt) {
-			if (!isConnected || pending.size === 0 || now - quietSince < probeAfterQuietMs) {
+			if (!isConnected || pending.size === 0) {
 				return;
 			}
 
-			if (probe === undefined) {
-				sendProbe(now);
-				return;
-			}
-
-			if (!probe.isWritten) {
-				if (now - probe.queuedAt > probeWriteTimeoutMs) {
-					reportUnresponsive();
+			const step = liveness.check(now, getHeardAt);
+			switch (step.type) {
+				case 'wait': {
+					break;
 				}
 
-				return;
-			}
+				case 'probe': {
+					link.write(socket, {type: 'ping', id: 0}, step.handleWritten);
+					break;
+				}
 
-			probe.writtenAt ??= now;
-			probe.nodeHeardAt ??= (getHeardAt() ?? 0) > probe.writtenAt ? now : undefined;
-			const {nodeHeardAt} = probe;
-			if (nodeHeardAt === undefined || now - nodeHeardAt <= pongTimeoutMs) {
-				return;
-			}
+				case 'unresponsive': {
+					reportUnresponsive();
+					break;
+				}
 
-			if (now - nodeHeardAt > connectionLostMs) {
-				socket.destroy(new Error('nothing arrives on the connection although heartbeats of the node arrive'));
-				return;
+				case 'lost': {
+					socket.destroy(new Error('nothing arrives on the connection although heartbeats of the node arrive'));
+					break;
+				}
 			}
-
-			reportUnresponsive();
 		},
 		endLateUploads(now) {
 			for (const [id, pendingRequest] of pending) {
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -15,6 +15,7 @@
 import {type StorePosition} from '../store/store-position.js';
 import {type MeshLog} from '../timeline/mesh-log.js';
 import {computeRewatchDelayMs, isBehindLink, shouldGiveUpAnswer} from './answer-pace.js';
+import {createConfigApplier} from './config-applier.js';
 import {type ConfigCopy} from './config-copy.js';
 import {type StoreHealth} from './store-health.js';
 
@@ -56,7 +57,7 @@
 	readonly isFollowing: () => boolean;
 	/** Returns for how many milliseconds a configuration newer than the active one has been arriving from the store; 0 if none is. */
 	readonly getReceivingMs: (now: number) => number;
-	/** Returns whether the link of this node delays a newer configuration that the store is sending. */
+	/** Returns whether the link of this node delays a newer configuration than the active one that the store is sending. */
 	readonly isBehind: () => boolean;
 	readonly dispose: () => void;
 };
@@ -79,9 +80,6 @@
 /** Interval at which a node that does not watch the store checks whether it should: a small part of the deadline for applying a change. */
 const dutyCheckIntervalMs = 300;
 
-/** Maximum number of warnings logged per configuration. Routes of an unsupported type usually come in groups, and the first warnings show what is unsupported. */
-const maxLoggedWarningCount = 5;
-
 /** Minimum delay before a retry after a failed call; jitter can double it. */
 const minRetryDelayMs = 250;
 
@@ -98,63 +96,18 @@
 	let position: StorePosition | undefined;
 	/** The version at that position; `undefined` if the store has none that can be applied. */
 	let positionVersion: number | undefined;
-	let rejectedText: string | undefined;
-	let loggedWarnings: ReadonlySet<string> = new Set();
 	let isFollowing = false;
 	let hasDelayedStartup = false;
 	/** Since when the store has been sending a newer configuration, in steady milliseconds; `undefined` if it is not known to. */
 	let receivingSince: number | undefined;
 	/** Whether the next read replaces a watch, so that the next one is delayed. */
 	let isReadInsteadOfWatch = false;
+	/** The position of the watch that the last read replaced. */
+	let replacedPosition: StorePosition | undefined;
+	/** Whether the next answer is received whole, since the newest of its versions is invalid and an earlier one may be valid. */
+	let isReceivingAll = false;
 
-	/** Logs the warnings that the previous configuration did not have. */
-	const reportWarnings = ({version, warnings}: RouteConfig): void => {
-		for (const reason of warnings.filter(warning => !loggedWarnings.has(warning)).slice(0, maxLoggedWarningCount)) {
-			log.record('warn', {
-				kind: 'configuration-unknown', version, reason, count: warnings.length,
-			});
-		}
-
-		loggedWarnings = new Set(warnings);
-	};
-
-	/** Returns the version of the text, also if it is not newer; `undefined` if it is not valid. */
-	const applyText = (text: string, source: string, steps?: readonly ConfigStep[]): number | undefined => {
-		if (text === rejectedText) {
-			return undefined;
-		}
-
-		if (text === holder.get()?.text) {
-			return holder.getVersion();
-		}
-
-		const decoded = decode(text);
-		if (decoded.isErr()) {
-			// Logged once per text. The node keeps its active configuration.
-			rejectedText = text;
-			log.record('error', {
-				kind: 'configuration-refused', version: holder.getVersion(), from: source, reason: decoded.error,
-			});
-			return undefined;
-		}
-
-		const {version} = decoded.value;
-		if (version < holder.getVersion()) {
-			log.record('warn', {
-				kind: 'configuration-refused', version, from: source, reason: `version ${holder.getVersion()} is in force; older versions are rejected`,
-			});
-			return version;
-		}
-
-		const isApplied = holder.applyIfNewer({
-			config: decoded.value, text, source, ...steps === undefined ? {} : {steps},
-		});
-		if (isApplied) {
-			reportWarnings(decoded.value);
-		}
-
-		return version;
-	};
+	const applyText = createConfigApplier({holder, decode, log});
 
 	/** Logs how long a call took; for a watch, this is mostly the time until a change. */
 	const reportRead = (call: 'read' | 'watch' | 'copy', startedAt: number, answer?: {readonly items: number; readonly transfer: StoreTransfer | undefined}): void => {
@@ -179,10 +132,14 @@
 			handleOtherItems(items.filter(item => item.key !== key), at);
 		}
 
-		// Only the last of several versions counts.
-		const latest = items.findLast(item => item.key === key);
-		if (latest !== undefined) {
-			positionVersion = applyText(latest.value, 'store');
+		const versions = items.filter(item => item.key === key).reverse();
+		for (const [index, {value}] of versions.entries()) {
+			const version = applyText(value, 'store');
+			positionVersion = index === 0 ? version : positionVersion;
+			if (version !== undefined) {
+				// Earlier versions are replaced by this one.
+				break;
+			}
 		}
 	};
 
@@ -195,10 +152,27 @@
 			return;
 		}
 
-		isReadInsteadOfWatch ||= position !== undefined;
+		if (position !== undefined) {
+			replaceWatch(position);
+		}
+
 		await readConfig();
 	};
 
+	/** Makes the next read take the place of the watch at a position. */
+	const replaceWatch = (at: StorePosition): void => {
+		replacedPosition = at;
+		isReadInsteadOfWatch = true;
+	};
+
+	/** Goes back to the watch that a read has replaced if that read found only an invalid version. */
+	const restoreWatch = (): void => {
+		if (positionVersion === undefined && replacedPosition !== undefined) {
+			position = replacedPosition;
+			isReceivingAll = true;
+		}
+	};
+
 	/** Waits before the next watch, after an answer with a change that began to arrive at a time. */
 	const delayRewatch = async (answeredAt: number): Promise<void> => waitFor(computeRewatchDelayMs(readSteadyMs() - answeredAt, random()), disposed.signal);
 
@@ -252,6 +226,7 @@
 		const isInsteadOfWatch = isReadInsteadOfWatch;
 		isReadInsteadOfWatch = false;
 		receivingSince ??= startedAt;
+		const knownVersion = getNewestKnownVersion();
 		const read = await (prefix === undefined ? store.readItem(key, {mayBeStale: false}) : store.listItems(prefix, {mayBeStale: false}));
 		receivingSince = undefined;
 		if (read.isErr()) {
@@ -260,7 +235,10 @@
 		}
 
 		({position} = read.value);
+		positionVersion = undefined;
 		applyItems(read.value.items, read.value.position);
+		// The store has nothing newer than it returned: versions that were known before may have been lost with a backup, or may never have existed.
+		positionVersion = positionVersion === undefined ? undefined : Math.max(positionVersion, knownVersion);
 		reportRead('read', startedAt, {items: read.value.items.length, transfer: read.value.transfer});
 		updateCopy();
 		health.recordSuccess();
@@ -270,6 +248,7 @@
 		}
 
 		if (isInsteadOfWatch) {
+			restoreWatch();
 			await delayRewatch(startedAt);
 		}
 	};
@@ -281,19 +260,20 @@
 		}
 
 		receivingSince ??= readSteadyMs() - answer.elapsedMs;
-		return !shouldGiveUpAnswer(answer);
+		return isReceivingAll || !shouldGiveUpAnswer(answer);
 	};
 
 	/** Reads the newest configuration in place of an answer that holds several. */
-	const giveUpAnswer = (): void => {
+	const giveUpAnswer = (after: StorePosition): void => {
 		log.record('info', {kind: 'configuration-answer-given-up', version: holder.getVersion(), afterMs: Math.round(getReceivingMs(readSteadyMs()))});
 		health.recordSuccess();
 		position = undefined;
-		isReadInsteadOfWatch = true;
+		replaceWatch(after);
 	};
 
 	const handleChanges = async ({changes, position: at, transfer}: Extract<WatchResult, {readonly type: 'changes'}>, startedAt: number): Promise<void> => {
 		position = at;
+		isReceivingAll = false;
 		applyItems(changes.flatMap(change => change.type === 'written' ? [change.item] : []), at);
 		health.recordSuccess();
 		if (changes.length > 0) {
@@ -323,7 +303,7 @@
 
 		switch (watched.value.type) {
 			case 'given-up': {
-				giveUpAnswer();
+				giveUpAnswer(after);
 				break;
 			}
 
@@ -374,7 +354,7 @@
 		},
 		isFollowing: () => isFollowing,
 		getReceivingMs,
-		isBehind: () => isBehindLink(getReceivingMs(readSteadyMs())),
+		isBehind: () => holder.get() !== undefined && isBehindLink(getReceivingMs(readSteadyMs())),
 		dispose() {
 			disposed.abort();
 			watchAbort.abort();
--- a/src/lib/sync/config-series.test.ts
+++ b/src/lib/sync/config-series.test.ts
@@ -19,7 +19,7 @@
 });
 
 type Simulation = {
-	readonly put: () => void;
+	readonly put: (isValid?: boolean) => void;
 	readonly advance: (milliseconds: number) => Promise<void>;
 	readonly getVersion: () => number;
 	readonly getNow: () => number;
@@ -29,6 +29,8 @@
 	/** Returns the milliseconds for which the link was in use. */
 	readonly getLinkMs: () => number;
 	readonly follower: ConfigFollower;
+	/** Adds a version that another node reports. */
+	readonly hear: (version: number) => void;
 };
 
 /** Waits until the continuations of settled promises have run. */
@@ -38,6 +40,9 @@
 
 const stepMs = 10;
 
+/** The text of a version that no node can apply. */
+const invalidText = 'invalid';
+
 /** Starts a follower with a store whose answers take a time for each configuration that they hold, on a clock that the test advances. */
 async function startSimulation(context: Pick<TestContext, 'mock'>, transferMs: number, random: () => number): Promise<Simulation> {
 	context.mock.timers.enable({apis: ['setTimeout']});
@@ -46,11 +51,13 @@
 	let revision = 5;
 	let calls = 0;
 	let linkMs = 0;
+	let heardVersion = 0;
 	const watches = new Set<() => void>();
 	const runFor = async (milliseconds: number): Promise<void> => new Promise(resolve => {
 		setTimeout(resolve, milliseconds);
 	});
-	const getItem = (at: number): StoreItem => ({key: 'k', value: String(at), revision: at});
+	const invalid = new Set<number>();
+	const getItem = (at: number): StoreItem => ({key: 'k', value: invalid.has(at) ? invalidText : String(at), revision: at});
 	const sendPart = async (elapsedMs: () => number, handlePart: (elapsed: number) => boolean): Promise<boolean> => {
 		for (let doneMs = 0; doneMs < transferMs; doneMs += stepMs) {
 			if (!handlePart(elapsedMs())) {
@@ -115,8 +122,8 @@
 	});
 	const follower = createConfigFollower({
 		store: store as MeshStore, health: createStoreHealth(silentLog, () => undefined), holder, prefix: undefined, handleOtherItems: () => undefined, otherPrefix: undefined,
-		copy: {read: async () => undefined, updateSoon: () => undefined}, key: 'k', decode: text => ok(createConfig(Number(text))), log: silentLog, random,
-		shouldFollow: () => true, getNewestKnownVersion: () => 0, handleRead: () => undefined,
+		copy: {read: async () => undefined, updateSoon: () => undefined}, key: 'k', decode: text => text === invalidText ? err('invalid') : ok(createConfig(Number(text))), log: silentLog, random,
+		shouldFollow: () => true, getNewestKnownVersion: () => Math.max(heardVersion, holder.getVersion()), handleRead: () => undefined,
 	});
 	void follower.run();
 	const advance = async (milliseconds: number): Promise<void> => {
@@ -130,15 +137,23 @@
 	await flushPromises();
 	await advance(transferMs + 2000);
 	return {
-		put() {
+		put(isValid = true) {
 			revision++;
-			putTimes.set(revision, now);
+			if (isValid) {
+				putTimes.set(revision, now);
+			} else {
+				invalid.add(revision);
+			}
+
 			for (const wake of watches) {
 				wake();
 			}
 
 			watches.clear();
 		},
+		hear(version) {
+			heardVersion = version;
+		},
 		advance, getVersion: holder.getVersion, getNow: () => now, getMaxLateMs: () => putTimes.size > 0 ? Number.POSITIVE_INFINITY : maxLateMs, countCalls: () => calls, getLinkMs: () => linkMs, follower,
 	};
 }
@@ -213,3 +228,31 @@
 	assert.equal(follower.isBehind(), false);
 	assert.equal(follower.getReceivingMs(simulation.getNow()), 0);
 });
+
+// Guards against a node that reads the store again and again because others report a version that the store does not have.
+test('a version that the store does not have costs one read', async context => {
+	const simulation = await startSimulation(context, 50, () => 0);
+	context.after(simulation.follower.dispose);
+	simulation.hear(90);
+	simulation.put();
+	await simulation.advance(600);
+	const calls = simulation.countCalls();
+	await simulation.advance(1500);
+	// The watch that was opened after that one read, and the one after it.
+	assert.ok(simulation.countCalls() - calls <= 2, `${simulation.countCalls() - calls} calls`);
+	assert.equal(simulation.getVersion(), 6);
+});
+
+for (const [how, transferMs] of [['received', 20], ['given up', 300]] as const) {
+	// Guards against a valid version that is passed over because a later one is invalid.
+	test(`of several versions in an answer that is ${how}, the last valid one is applied`, async context => {
+		const simulation = await startSimulation(context, transferMs, () => 0);
+		context.after(simulation.follower.dispose);
+		simulation.put();
+		await simulation.advance(transferMs + 50);
+		simulation.put();
+		simulation.put(false);
+		await simulation.advance(3000);
+		assert.equal(simulation.getVersion(), 7);
+	});
+}
