Calls: what the shutdown and the drain need costs a request no clock and no function more

Scopes had functions for a deadline that moves, each request read the clock once more and made two more objects. Scopes of calls are told a time to stop when they are created, and those in flight are found by their timers when a shutdown begins.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -182,7 +182,7 @@
 	{
 		promise: 'sidecar: a body that arrives too late at a server that drains is not sent to it',
 		file: `${library}/forwarding/server-drain.js`,
-		from: 'isOver() ? { type: \'draining\' } : ',
+		from: 'isOver() ? \'draining\' : ',
 		to: '',
 		tests: `${library}/forwarding/server-drain.test.js`,
 	},
@@ -238,7 +238,7 @@
 	{
 		promise: 'sidecar: a node that shuts down ends uploads at once that it cannot send before it exits',
 		file: `${library}/sidecar/sidecar.js`,
-		from: 'gateClient.endLateUploads();',
+		from: 'gateClient.endLateUploads(time);',
 		to: '',
 		tests: 'platform/stopping-node.test.js',
 	},
--- a/src/lib/forwarding/call-scope.ts
+++ b/src/lib/forwarding/call-scope.ts
@@ -25,25 +25,20 @@
 	readonly dispose: () => void;
 };
 
-/** The scope of a call, whose deadline can be moved. @internal */
-export type RootScope = CallScope & {
-	/** Makes the scope end at a time by which this node must have answered, if that is before its deadline. */
-	readonly stopAt: (time: number) => void;
-};
+/** A scope whose deadline can be moved. */
+type MutableScope = Omit<CallScope, 'deadlineAt'> & {deadlineAt: number};
 
 /**
  * Creates a scope that something else ends.
  *
- * @param getDeadlineAt - Returns its deadline.
+ * @param deadlineAt - Its deadline.
  * @param release - Releases what would end the scope. Called when it has ended and when it is disposed.
  */
-function createScope(getDeadlineAt: () => number, release: () => void): CallScope {
+function createScope(deadlineAt: number, release: () => void): MutableScope {
 	const handlers = new Set<(reason: ScopeEndReason) => void>();
 	let endReason: ScopeEndReason | undefined;
 	return {
-		get deadlineAt() {
-			return getDeadlineAt();
-		},
+		deadlineAt,
 		getEndReason: () => endReason,
 		end(reason) {
 			if (endReason !== undefined) {
@@ -77,7 +72,7 @@
 }
 
 /** The running timers of scopes. */
-type ScopeTimer = {readonly scope: CallScope; timeout: NodeJS.Timeout | undefined; endReason: ScopeEndReason};
+type ScopeTimer = {readonly scope: MutableScope; timeout: NodeJS.Timeout | undefined; endReason: ScopeEndReason};
 
 const runningTimers = new Set<ScopeTimer>();
 
@@ -104,28 +99,37 @@
 /**
  * Creates the scope of a call and starts its timer.
  *
- * @param deadlineAt - When the scope ends, in milliseconds of the steady clock.
- * @returns A scope that ends by itself at that time.
+ * @param callDeadlineAt - When the call has to end, in milliseconds of the steady clock.
+ * @param stopTime - When this node must have answered its calls, on the same clock; infinity unless it shuts down.
+ * @returns A scope that ends by itself at the earlier of these times.
  * @internal
  */
-export function createCallScope(deadlineAt: number): RootScope {
-	let endsAt = deadlineAt;
-	const scope = createScope(() => endsAt, () => {
+export function createCallScope(callDeadlineAt: number, stopTime = Number.POSITIVE_INFINITY): CallScope {
+	const scope = createScope(Math.min(callDeadlineAt, stopTime), () => {
 		clearTimeout(timer.timeout);
 		runningTimers.delete(timer);
 	});
-	const timer: ScopeTimer = {scope, timeout: undefined, endReason: 'timeout'};
+	const timer: ScopeTimer = {scope, timeout: undefined, endReason: stopTime < callDeadlineAt ? 'stopping' : 'timeout'};
 	restartTimer(timer);
 	runningTimers.add(timer);
-	return Object.assign(scope, {
-		stopAt(time: number) {
-			if (time < endsAt && runningTimers.has(timer)) {
-				endsAt = time;
-				timer.endReason = 'stopping';
-				restartTimer(timer);
-			}
-		},
-	});
+	return scope;
+}
+
+/**
+ * Makes scopes end earlier than at their deadlines, because this node shuts down. Scopes of attempts end with those of their calls.
+ *
+ * @param scopes - Scopes of calls.
+ * @param stopTime - When this node must have answered them, in milliseconds of the steady clock.
+ * @internal
+ */
+export function stopScopesAt(scopes: ReadonlySet<CallScope>, stopTime: number): void {
+	for (const timer of runningTimers) {
+		if (scopes.has(timer.scope) && stopTime < timer.scope.deadlineAt) {
+			timer.scope.deadlineAt = stopTime;
+			timer.endReason = 'stopping';
+			restartTimer(timer);
+		}
+	}
 }
 
 /**
@@ -138,7 +142,7 @@
 export function createChildScope(parent: CallScope): CallScope {
 	// Until the parent is subscribed to, there is nothing to stop: a parent that has ended ends the child before `subscribe` returns.
 	let stopListening = (): void => undefined;
-	const scope = createScope(() => parent.deadlineAt, () => {
+	const scope = createScope(parent.deadlineAt, () => {
 		stopListening();
 	});
 	stopListening = parent.subscribe(scope.end);
--- a/src/lib/forwarding/connection-scopes.ts
+++ b/src/lib/forwarding/connection-scopes.ts
@@ -6,13 +6,15 @@
  */
 import {type Server} from 'node:http';
 import {type Socket} from 'node:net';
-import {type RootScope} from './call-scope.js';
+import {stopScopesAt, type CallScope} from './call-scope.js';
 
 /** @internal */
 export type ConnectionScopes = {
 	/** Adds a call to its connection. Returns a function that removes it. */
-	readonly add: (socket: Socket, scope: RootScope) => () => void;
-	/** Ends the calls that are in flight at a time by which this node must have answered, those that are added later included. In milliseconds of the steady clock. */
+	readonly add: (socket: Socket, scope: CallScope) => () => void;
+	/** Returns when this node must have answered its calls, in milliseconds of the steady clock; infinity unless it shuts down. */
+	readonly getStopTime: () => number;
+	/** Makes the calls in flight end at a time by which this node must have answered. Calls that are created later must end by `getStopTime`. In milliseconds of the steady clock. */
 	readonly stopAt: (time: number) => void;
 };
 
@@ -24,10 +26,10 @@
  * @internal
  */
 export function watchConnections(server: Server): ConnectionScopes {
-	const scopes = new Map<Socket, Set<RootScope>>();
+	const scopes = new Map<Socket, Set<CallScope>>();
 	let stopTime = Number.POSITIVE_INFINITY;
 	server.on('connection', (socket: Socket) => {
-		const calls = new Set<RootScope>();
+		const calls = new Set<CallScope>();
 		scopes.set(socket, calls);
 		const cancelCalls = (): void => {
 			for (const scope of calls) {
@@ -53,18 +55,16 @@
 				return () => undefined;
 			}
 
-			scope.stopAt(stopTime);
 			calls.add(scope);
 			return () => {
 				calls.delete(scope);
 			};
 		},
+		getStopTime: () => stopTime,
 		stopAt(time) {
 			stopTime = time;
 			for (const calls of scopes.values()) {
-				for (const scope of calls) {
-					scope.stopAt(time);
-				}
+				stopScopesAt(calls, time);
 			}
 		},
 	};
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -307,7 +307,7 @@
 		let token: GrantedToken | undefined;
 		// Set once the call is sent, since an unexpected error may follow.
 		let mayHaveRun = false;
-		const scope = createCallScope(call.receivedAt + timeLeftMs + deadlineGraceMs);
+		const scope = createCallScope(call.receivedAt + timeLeftMs + deadlineGraceMs, scopes.getStopTime());
 		const removeFromConnection = scopes.add(request.socket, scope);
 		try {
 			await context.waitForPendingInput(request.socket.bytesWritten === 0);
--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -54,8 +54,8 @@
 	readonly checkLiveness: (now: number, getHeardAt: (gate: Address) => number | undefined) => void;
 	/** Returns the shortest time in which a body can be sent to another node, in milliseconds; 0 for one that is sent with its request. */
 	readonly computeSendMs: (body: Uint8Array | undefined) => number;
-	/** Ends the requests whose bodies cannot be sent before their deadlines. They have not been executed. */
-	readonly endLateUploads: () => void;
+	/** Ends the requests whose bodies cannot be sent by a time, in milliseconds of the steady clock. They have not been executed. */
+	readonly endLateUploads: (time: number) => void;
 	readonly dispose: () => void;
 };
 
@@ -167,10 +167,9 @@
 			}
 		},
 		computeSendMs: computeBodyMs,
-		endLateUploads() {
-			const now = readSteadyMs();
+		endLateUploads(time) {
 			for (const channel of openChannels) {
-				channel.endLateUploads(now);
+				channel.endLateUploads(time);
 			}
 		},
 		dispose() {
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -13,7 +13,9 @@
 import {
 	BodyNotReceivedError, createIncomingBody, encodeContinue, type IncomingBody,
 } from './body-pieces.js';
-import {createCallScope, type RootScope, type ScopeEndReason} from './call-scope.js';
+import {
+	createCallScope, stopScopesAt, type CallScope, type ScopeEndReason,
+} from './call-scope.js';
 import {
 	createFrameReader, type Frame, type FrameReader,
 } from './frame.js';
@@ -51,7 +53,7 @@
 
 /** A request in flight on a connection. */
 type IncomingRequest = {
-	readonly scope: RootScope;
+	readonly scope: CallScope;
 	/** The body of an offered request; `undefined` unless the gate waits for it. */
 	body: IncomingBody | undefined;
 };
@@ -192,8 +194,7 @@
 	};
 
 	const handleRequest = async (connection: Connection, frame: Frame, request: PeerRequest): Promise<void> => {
-		const scope = createCallScope(readSteadyMs() + request.leftMs);
-		scope.stopAt(stopTime);
+		const scope = createCallScope(readSteadyMs() + request.leftMs, stopTime);
 		const incoming: IncomingRequest = {scope, body: undefined};
 		connection.requests.set(frame.id, incoming);
 		const result = await runAtGate(connection, frame, request, incoming);
@@ -317,8 +318,9 @@
 		countUnsentResponses: () => link.countQueued() + [...connections].filter(({socket}) => socket.writableLength > 0).length,
 		stopAt(time) {
 			stopTime = time;
-			for (const {scope, body} of [...connections].flatMap(({requests}) => [...requests.values()])) {
-				scope.stopAt(time);
+			const incoming = [...connections].flatMap(({requests}) => [...requests.values()]);
+			stopScopesAt(new Set(incoming.map(({scope}) => scope)), time);
+			for (const {scope, body} of incoming) {
 				if (body !== undefined && body.expectedAt > time) {
 					scope.end('stopping');
 				}
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -50,8 +50,8 @@
 	 * of the steady clock.
 	 */
 	readonly checkLiveness: (now: number, getHeardAt: () => number | undefined) => void;
-	/** Ends the requests whose bodies cannot be sent before their deadlines. They have not been executed. */
-	readonly endLateUploads: (now: number) => void;
+	/** Ends the requests whose bodies cannot be sent by a time, in milliseconds of the steady clock. They have not been executed. */
+	readonly endLateUploads: (time: number) => void;
 	/** Accepts no more requests, and closes the connection once those in flight have ended. */
 	readonly retire: () => void;
 	readonly dispose: () => void;
@@ -334,12 +334,13 @@
 				}
 			}
 		},
-		endLateUploads(now) {
+		endLateUploads(time) {
+			const leftMs = time - readSteadyMs();
 			for (const [id, pendingRequest] of pending) {
-				const {request: {type, body, scope}, isSent} = pendingRequest;
+				const {request: {type, body}, isSent} = pendingRequest;
 				const sendMs = type !== 'offer' || body === undefined ? undefined : (isSent ? link.estimateMs(socket, id) : link.computeSendMs(body.length));
-				if (sendMs !== undefined && now + sendMs > scope.deadlineAt) {
-					cancel(id, pendingRequest, 'timeout', 'the rest of the body cannot be sent before the deadline');
+				if (sendMs !== undefined && sendMs > leftMs) {
+					cancel(id, pendingRequest, 'stopping', 'the rest of the body cannot be sent before this node has to stop');
 				}
 			}
 		},
--- a/src/lib/forwarding/server-drain.ts
+++ b/src/lib/forwarding/server-drain.ts
@@ -7,7 +7,7 @@
 import {readSteadyMs} from '../common/clock.js';
 
 /** The body of a request that was admitted; `draining` if it arrived too late, or cannot arrive in time. @internal */
-export type AwaitedBody = {readonly type: 'arrived'; readonly body: Uint8Array | undefined} | {readonly type: 'draining'};
+export type AwaitedBody = Uint8Array | undefined | 'draining';
 
 /** @internal */
 export type ServerDrain = {
@@ -36,11 +36,11 @@
 	let startedAt: number | undefined;
 
 	const getLastSendAt = (): number => startedAt === undefined ? Number.POSITIVE_INFINITY : startedAt + Math.max(0, drainMs - sendMarginMs);
-	const isOver = (): boolean => readSteadyMs() > getLastSendAt();
+	const isOver = (): boolean => startedAt !== undefined && readSteadyMs() > getLastSendAt();
 
 	const readInTime = async (read: () => Promise<Uint8Array | undefined>): Promise<AwaitedBody> => {
 		const body = await read();
-		return isOver() ? {type: 'draining'} : {type: 'arrived', body};
+		return isOver() ? 'draining' : body;
 	};
 
 	return {
@@ -57,13 +57,13 @@
 		async waitForBody(read, bodyMs) {
 			const expectedAt = readSteadyMs() + bodyMs;
 			if (expectedAt > getLastSendAt()) {
-				return {type: 'draining'};
+				return 'draining';
 			}
 
 			let giveUp = (): void => undefined;
 			const givenUp = new Promise<AwaitedBody>(resolve => {
 				giveUp = () => {
-					resolve({type: 'draining'});
+					resolve('draining');
 				};
 			});
 			const wait: BodyWait = {
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -27,7 +27,7 @@
 import {BodyNotReceivedError} from './body-pieces.js';
 import {createResponseMemory} from './response-memory.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
-import {createServerDrain, type AwaitedBody} from './server-drain.js';
+import {createServerDrain} from './server-drain.js';
 import {createHalfOpenDetector} from './half-open-detector.js';
 import {createNoticeReader} from './response-notices.js';
 
@@ -83,9 +83,6 @@
 	readonly drainMs: number;
 };
 
-/** The body of a request, and how long it took to arrive once the request had a slot, in milliseconds. */
-type ReadBody = {readonly body: Uint8Array | undefined; readonly bodyMs: number};
-
 /** Load and failure rate of the server. @internal */
 export type SessionLoad = SlotLoad & {
 	/** Moving average of the share of failed requests, 0 to 1. */
@@ -224,8 +221,8 @@
 		return outcome.type === 'refused' ? createLimitedFailure(outcome.retryAfterMs) : undefined;
 	};
 
-	/** Sends a request that holds a slot. Calls `keepSlot` if the slot is still taken when the request has its result. */
-	const send = async (call: SessionCall, {body, bodyMs}: ReadBody, keepSlot: () => void): Promise<ForwardResult> => {
+	/** Sends a request that holds a slot since `startedAt`, in milliseconds of the clock that does not advance while this VM is suspended. Calls `keepSlot` if the slot is still taken when the request has its result. */
+	const send = async (call: SessionCall, body: Uint8Array | undefined, startedAt: number, keepSlot: () => void): Promise<ForwardResult> => {
 		const fingerprint = createCallFingerprint(call, body);
 		const settled = context.quarantine.waitForTrial(fingerprint);
 		if (settled !== undefined) {
@@ -265,7 +262,7 @@
 		const drainedMs = drain.getElapsedMs();
 		if (drainedMs !== undefined) {
 			log.record('info', {
-				kind: 'request-sent-while-draining', call: call.id, server: lifetime.id, drainedMs: Math.round(drainedMs), bodyMs: Math.round(bodyMs),
+				kind: 'request-sent-while-draining', call: call.id, server: lifetime.id, drainedMs: Math.round(drainedMs), bodyMs: Math.round(readAwakeMs() - startedAt),
 			});
 		}
 
@@ -325,12 +322,10 @@
 			let result: ForwardResult = createNotRun('cancelled', 'request body did not arrive');
 			let isSlotKept = false;
 			try {
-				const awaited: AwaitedBody = call.bodyMs === undefined
-					? {type: 'arrived', body: await call.readBody()}
-					: await drain.waitForBody(call.readBody, call.bodyMs);
-				result = awaited.type === 'draining'
+				const body = await (call.bodyMs === undefined ? call.readBody() : drain.waitForBody(call.readBody, call.bodyMs));
+				result = body === 'draining'
 					? createDrainingFailure(lifetime)
-					: await send(call, {body: awaited.body, bodyMs: readAwakeMs() - startedAt}, () => {
+					: await send(call, body, startedAt, () => {
 						isSlotKept = true;
 					});
 			} catch (error) {
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -489,7 +489,7 @@
 				answerBy(time) {
 					entry.stopAt(time);
 					gateServer.stopAt(time);
-					gateClient.endLateUploads();
+					gateClient.endLateUploads(time);
 				},
 				withdraw() {
 					void sync.withdraw();
