--- a/src/lib/forwarding/gate-client.ts
+++ b/src/lib/forwarding/gate-client.ts
@@ -53,7 +53,7 @@
 	/** Stops using connections on which nothing arrives although heartbeats of their nodes arrive, and closes them later. Must be called periodically. */
 	readonly checkLiveness: (now: number, getHeardAt: (gate: Address) => number | undefined) => void;
 	/** Returns the shortest time in which a body can be sent to another node, in milliseconds; 0 for one that is sent with its request. */
-	readonly computeSendMs: (body: Uint8Array | undefined) => number;
+	readonly computeBodyMs: (body: Uint8Array | undefined) => number;
 	/** Ends the requests whose bodies cannot be sent by a time, in milliseconds of the steady clock. They have not been executed. */
 	readonly endLateUploads: (time: number) => void;
 	readonly dispose: () => void;
@@ -166,7 +166,7 @@
 				channel.checkLiveness(now, () => getHeardAt(channel.gate));
 			}
 		},
-		computeSendMs: computeBodyMs,
+		computeBodyMs,
 		endLateUploads(time) {
 			for (const channel of openChannels) {
 				channel.endLateUploads(time);
--- a/src/lib/forwarding/send-call.test.ts
+++ b/src/lib/forwarding/send-call.test.ts
@@ -42,7 +42,7 @@
 		id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
 	}));
 	const gateClient = {
-		computeSendMs: () => 0,
+		computeBodyMs: () => 0,
 		async send(call: RemoteCall): Promise<GateResult> {
 			sent.push(call);
 			return {result: remainingResults.get(call.server)?.shift() ?? answered, load: undefined};
@@ -200,7 +200,7 @@
 		});
 	});
 	const gateClient = {
-		computeSendMs: () => 0,
+		computeBodyMs: () => 0,
 		async send(call: RemoteCall): Promise<GateResult> {
 			sent.push(call.server);
 			if (sent.length > 1) {
@@ -242,7 +242,7 @@
 test('a call whose caller has disconnected is not sent again', async () => {
 	const {context, sent} = createFixture({a: [createNotRun('full', 'x')], b: [answered]}, {
 		gateClient: {
-			computeSendMs: () => 0,
+			computeBodyMs: () => 0,
 			async send(call: RemoteCall) {
 				sent.push(call);
 				call.scope.end('cancelled');
--- a/src/lib/forwarding/send-call.ts
+++ b/src/lib/forwarding/send-call.ts
@@ -102,7 +102,7 @@
 	const planAmong = (decision: QuarantineDecision, matches: VersionChoice['matches'] | undefined): AttemptPlan => {
 		const now = readSteadyMs();
 		const isOverShare = call.workspace !== undefined && context.loads.shareRefusals.isOverShare(call.workspace.name, now);
-		const callState = computeCallState(call, now, isOverShare, context.gateClient.computeSendMs(call.body));
+		const callState = computeCallState(call, now, isOverShare, context.gateClient.computeBodyMs(call.body));
 		const candidates = context.listCandidates({
 			service, route: route.name, tried: progress.tried, trialOf: decision.type === 'trial' ? decision.fingerprint : undefined, matches,
 		});
--- a/src/lib/forwarding/silent-node.test.ts
+++ b/src/lib/forwarding/silent-node.test.ts
@@ -64,7 +64,7 @@
 		id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
 	}));
 	const gateClient = {
-		computeSendMs: () => 0,
+		computeBodyMs: () => 0,
 		async send(call: RemoteCall): Promise<GateResult> {
 			sent.push(call);
 			if (sent.length > 1) {
--- a/src/lib/forwarding/two-attempts.test.ts
+++ b/src/lib/forwarding/two-attempts.test.ts
@@ -55,7 +55,7 @@
 				id: toBackendServerId(id), lifetime: toKey(id), node: toNodeId(`n-${id}`), gate: toAddress('10.0.0.1:1'), domain, isLocal: false, slots: 4, isCold: false, view: loads.get(toKey(id)),
 			})),
 			gateClient: {
-				computeSendMs: () => 0,
+				computeBodyMs: () => 0,
 				async send(call: RemoteCall): Promise<GateResult> {
 					return {
 						load: undefined, result: await new Promise<ForwardResult>(resolve => {
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -146,6 +146,7 @@
 	/** Returns whether the store is known to have a newer configuration than at the position. A watch would return all versions since, a read only the newest one. */
 	const isNewerKnown = (): boolean => positionVersion !== undefined && getNewestKnownVersion() > positionVersion;
 
+	/** Watches the store once, or reads it if the position is unknown or a newer version is known. */
 	const runOnce = async (): Promise<void> => {
 		if (position !== undefined && !isNewerKnown()) {
 			await watchOnce(position);
