Gate: bodies in pieces cannot raise the limit of memory for incomplete bodies

A gate may hold 80 MB of incomplete frames and bodies over all connections. And a piece counted with its bytes only, so that empty ones took memory without a limit.

The count of a body is now the sum of what adding its pieces returned, each with the 128 bytes that it takes besides its own; the last piece is no part of it. The fixture's gate reads the bodies of uploads; the tests that were there are as before.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -200,6 +200,20 @@
 		to: 'false',
 		tests: `${library}/sync/config-series.test.js`,
 	},
+	{
+		promise: 'sidecar: bytes: what a body in pieces releases is what was counted for it',
+		file: `${library}/forwarding/body-pieces.js`,
+		from: 'countBytes: () => bytes',
+		to: 'countBytes: () => bytes + 20000000',
+		tests: `${library}/forwarding/gate-server.test.js`,
+	},
+	{
+		promise: 'sidecar: bytes: pieces of a body count with the memory that they take',
+		file: `${library}/forwarding/body-pieces.js`,
+		from: 'piece.length + pieceOverheadBytes',
+		to: 'piece.length',
+		tests: `${library}/forwarding/gate-server.test.js`,
+	},
 	{
 		promise: 'sidecar: the delay before the next watch includes the time that the answer took',
 		file: `${library}/sync/answer-pace.js`,
--- a/src/lib/forwarding/body-pieces.ts
+++ b/src/lib/forwarding/body-pieces.ts
@@ -16,14 +16,18 @@
 /** Head of a `continue` by which a gate says that the body may arrive in pieces. Nodes of earlier releases send none and expect a whole body. */
 const piecesHead = {pieces: 1};
 
+/** Memory that a piece takes in addition to its bytes. */
+const pieceOverheadBytes = 128;
+
 /** @internal */
 export type IncomingBody = {
 	/** When the body is expected to be complete, in milliseconds of the steady clock. */
 	readonly expectedAt: number;
-	readonly addPiece: (piece: Uint8Array) => void;
-	/** Adds the last piece, and completes the body. */
+	/** Adds a piece that is not the last one. Returns the bytes of memory that it takes. */
+	readonly addPiece: (piece: Uint8Array) => number;
+	/** Completes the body with its last piece. */
 	readonly finish: (lastPiece: Uint8Array) => void;
-	/** Returns the bytes received. */
+	/** Returns the sum of what `addPiece` returned. */
 	readonly countBytes: () => number;
 };
 
@@ -48,22 +52,16 @@
 export function createIncomingBody(expectedAt: number, handleBody: (body: Uint8Array) => void): IncomingBody {
 	const pieces: Uint8Array[] = [];
 	let bytes = 0;
-	const addPiece = (piece: Uint8Array): void => {
-		pieces.push(piece);
-		bytes += piece.length;
-	};
-
 	return {
 		expectedAt,
-		addPiece,
+		addPiece(piece) {
+			const pieceBytes = piece.length + pieceOverheadBytes;
+			pieces.push(piece);
+			bytes += pieceBytes;
+			return pieceBytes;
+		},
 		finish(lastPiece) {
-			if (pieces.length === 0) {
-				handleBody(lastPiece);
-				return;
-			}
-
-			addPiece(lastPiece);
-			handleBody(Buffer.concat(pieces, bytes));
+			handleBody(pieces.length === 0 ? lastPiece : Buffer.concat([...pieces, lastPiece]));
 		},
 		countBytes: () => bytes,
 	};
--- a/src/lib/forwarding/gate-server.test.ts
+++ b/src/lib/forwarding/gate-server.test.ts
@@ -22,18 +22,25 @@
 
 const configBytes = 1_000_000;
 
-/** Starts a gate server whose gate holds each call until its scope ends. */
+/** Starts a gate server whose gate reads the body of each upload, and holds each other call until its scope ends. */
 async function startFixture(context: TestContext): Promise<Fixture> {
 	const refused: string[] = [];
 	let calls = 0;
 	const gate: Pick<Gate, 'run'> = {
-		run: async ({scope}) => new Promise(resolve => {
-			calls++;
-			scope.subscribe(reason => {
-				calls--;
-				resolve({result: createNotRun(reason, 'ended'), load: undefined});
+		async run({scope, isLargeUpload, readBody}) {
+			if (isLargeUpload) {
+				await readBody();
+				return {result: createNotRun('full', 'read'), load: undefined};
+			}
+
+			return new Promise(resolve => {
+				calls++;
+				scope.subscribe(reason => {
+					calls--;
+					resolve({result: createNotRun(reason, 'ended'), load: undefined});
+				});
 			});
-		}),
+		},
 	};
 	const {server, dispose} = createGateServer({
 		gate: gate as Gate, getConfig: () => ({head: ['whole'], body: Buffer.alloc(configBytes)}), log: silentLog, link: createLinkWriter(1000),
@@ -71,6 +78,8 @@
 const encode = (frame: Pick<Frame, 'type' | 'id'> & Partial<Frame>): Uint8Array => Buffer.concat([encodeFrameHead(frame), frame.body ?? Buffer.alloc(0)]);
 const encodeRequest = (id: number): Uint8Array => encode({type: 'request', id, head: ['c1', 'i-1', 'GET', '/', {}, 0, 'hall', 1, 60_000, 0]});
 
+const encodeOffer = (id: number): Uint8Array => encode({type: 'offer', id, head: ['c1', 'i-1', 'POST', '/', {}, 1, 'hall', 1, 60_000, 0]});
+
 const expectClosed = async (socket: Socket): Promise<void> => expectSoon('the connection is closed', () => socket.destroyed || socket.readableEnded);
 
 test('unreadable bytes close their connection and cancel its requests; other connections are not affected', async context => {
@@ -154,3 +163,51 @@
 	await expectSoon('the request of the last connection is in flight', () => countCalls() === 1);
 	assert.deepEqual(refused, ['flood']);
 });
+
+/** Opens a connection on which the bodies of uploads can be sent. */
+async function openForUploads({open}: Fixture): Promise<{readonly socket: Socket; readonly expectFrame: (type: Frame['type'], id: number) => Promise<void>}> {
+	const socket = await open();
+	const reader = createFrameReader();
+	const received = new Set<string>();
+	socket.on('data', (bytes: Uint8Array) => {
+		for (const {type, id} of reader.read(bytes)) {
+			received.add(`${type} ${id}`);
+		}
+	});
+	return {socket, expectFrame: async (type, id) => expectSoon(`${type} ${id} arrives`, () => received.has(`${type} ${id}`))};
+}
+
+// Guards against a limit that each complete body raises, since more bytes are released with it than were counted.
+test('bodies in pieces are buffered up to a limit, whatever arrived before', async context => {
+	const fixture = await startFixture(context);
+	const {socket, expectFrame} = await openForUploads(fixture);
+	for (let id = 1; id <= 5; id++) {
+		socket.write(encodeOffer(id));
+		await expectFrame('continue', id);
+		socket.write(encode({type: 'piece', id, body: Buffer.alloc(1)}));
+		socket.write(encode({type: 'body', id, body: Buffer.alloc(20_000_000)}));
+		await expectFrame('answer', id);
+	}
+
+	assert.deepEqual(fixture.refused, []);
+	socket.write(encodeOffer(6));
+	await expectFrame('continue', 6);
+	for (let count = 0; count < 9; count++) {
+		socket.write(encode({type: 'piece', id: 6, body: Buffer.alloc(10_000_000)}));
+	}
+
+	await expectClosed(socket);
+	assert.deepEqual(fixture.refused, ['flood']);
+});
+
+// Guards against memory without a limit for pieces that are empty or nearly so, of which each takes more than its bytes.
+test('empty pieces of a body are buffered up to a limit', async context => {
+	const fixture = await startFixture(context);
+	const {socket, expectFrame} = await openForUploads(fixture);
+	socket.write(encodeOffer(1));
+	await expectFrame('continue', 1);
+	const piece = encode({type: 'piece', id: 1});
+	socket.write(Buffer.alloc(piece.length * 800_000, piece));
+	await expectClosed(socket);
+	assert.deepEqual(fixture.refused, ['flood']);
+});
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -66,7 +66,7 @@
 	readonly reader: FrameReader;
 	/** Bytes buffered for an incomplete frame and for incomplete bodies. */
 	bufferedBytes: number;
-	/** Bytes buffered for incomplete bodies that arrive in pieces. */
+	/** Bytes of memory buffered for incomplete bodies that arrive in pieces. */
 	pieceBytes: number;
 };
 
@@ -153,11 +153,7 @@
 	});
 
 	const handlePiece = (connection: Connection, {id, body}: Frame): void => {
-		const incoming = connection.requests.get(id)?.body;
-		if (incoming !== undefined) {
-			incoming.addPiece(body);
-			connection.pieceBytes += body.length;
-		}
+		connection.pieceBytes += connection.requests.get(id)?.body?.addPiece(body) ?? 0;
 	};
 
 	const runAtGate = async (connection: Connection, frame: Frame, request: PeerRequest, incoming: IncomingRequest): Promise<GateResult> => {
