Configuration: two transfers and one delay bound a series on very slow links too

Callers behind a link that carries a configuration in more than 1,150 ms could be served by an old version for three transfers: an answer of a watch with several versions was given up when its second one began, a whole transfer after its beginning.

The store client tells now how large the values of an answer can be, from its stated length. After 1,050 ms an answer whose values are half as large again as the active configuration is given up, and the newest is read. Earlier than that the length decides nothing, so that a single large change costs no read. The line configuration-answer-given-up has the number of changes that had begun. A store that states no length leaves the bound as it was; whether the users' store does is not known.

The older property is unchanged; both use one function. Texts of versions in the simulation have one length now.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -196,8 +196,15 @@
 	{
 		promise: 'sidecar: the last of many versions is received instead of all',
 		file: `${library}/sync/answer-pace.js`,
-		from: 'changes > 1 && elapsedMs >= slowAnswerMs',
-		to: 'false',
+		from: 'return elapsedMs >= slowAnswerMs',
+		to: 'return false',
+		tests: `${library}/sync/config-series.test.js`,
+	},
+	{
+		promise: 'sidecar: over a very slow link, the length of an answer shows that it holds several versions',
+		file: `${library}/sync/answer-pace.js`,
+		from: 'return elapsedMs >= longAnswerMs',
+		to: 'return false',
 		tests: `${library}/sync/config-series.test.js`,
 	},
 	{
--- a/src/lib/sidecar/config-sync.test.ts
+++ b/src/lib/sidecar/config-sync.test.ts
@@ -89,7 +89,7 @@
 test('a node whose link delays a newer configuration does not report that it has just confirmed its own', async context => {
 	const {sync} = startSync(context, {
 		watchItems: async (_prefix, _after, _waitMs, signal, receive) => new Promise(resolve => {
-			receive?.({changes: 1, elapsedMs: 0});
+			receive?.({changes: 1, elapsedMs: 0, maxValueBytes: undefined});
 			signal.addEventListener('abort', () => {
 				resolve(err({type: 'unavailable', reason: 'aborted'}));
 			});
--- a/src/lib/store/mesh-store.ts
+++ b/src/lib/store/mesh-store.ts
@@ -42,6 +42,8 @@
 	readonly changes: number;
 	/** Milliseconds since its head arrived. */
 	readonly elapsedMs: number;
+	/** Upper bound of the bytes of all values in it; `undefined` if the store did not state the length of the answer. */
+	readonly maxValueBytes: number | undefined;
 };
 
 /** Called while the answer to a watch arrives, at least at its head. Returns whether to receive the rest. @public */
--- a/src/lib/sync/answer-pace.test.ts
+++ b/src/lib/sync/answer-pace.test.ts
@@ -10,7 +10,16 @@
 });
 
 test('an answer is given up at its second change, and only if it arrives slowly', () => {
-	assert.equal(shouldGiveUpAnswer({changes: 1, elapsedMs: 5000}), false);
-	assert.equal(shouldGiveUpAnswer({changes: 12, elapsedMs: 50}), false);
-	assert.equal(shouldGiveUpAnswer({changes: 2, elapsedMs: 150}), true);
+	const maxValueBytes = undefined;
+	assert.equal(shouldGiveUpAnswer({changes: 1, elapsedMs: 5000, maxValueBytes}, 1000), false);
+	assert.equal(shouldGiveUpAnswer({changes: 12, elapsedMs: 50, maxValueBytes}, 1000), false);
+	assert.equal(shouldGiveUpAnswer({changes: 2, elapsedMs: 150, maxValueBytes}, 1000), true);
+});
+
+// Guards against waiting for the second change of an answer for as long as a whole configuration takes over a very slow link, and against giving up a change that comes alone.
+test('an answer that arrives very slowly is given up if its length shows that it holds several versions', () => {
+	assert.equal(shouldGiveUpAnswer({changes: 1, elapsedMs: 1100, maxValueBytes: 2000}, 1000), true);
+	assert.equal(shouldGiveUpAnswer({changes: 1, elapsedMs: 1000, maxValueBytes: 2000}, 1000), false);
+	assert.equal(shouldGiveUpAnswer({changes: 1, elapsedMs: 5000, maxValueBytes: 1100}, 1000), false);
+	assert.equal(shouldGiveUpAnswer({changes: 1, elapsedMs: 5000, maxValueBytes: 2000}, 0), false);
 });
--- a/src/lib/sync/config-follower.ts
+++ b/src/lib/sync/config-follower.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {Buffer} from 'node:buffer';
 import {type Result} from 'neverthrow';
 import {readSteadyMs, waitFor} from '../common/clock.js';
 import {type ConfigStep} from '../route-config/config-history.js';
@@ -254,19 +255,26 @@
 		}
 	};
 
-	/** Follows the arrival of an answer with changes. Returns whether to receive the rest. */
-	const handleArrival = (answer: ArrivingAnswer): boolean => {
-		if (answer.changes === 0) {
+	/** Follows the arrival of an answer with changes, at a node with an active configuration of a size in bytes. Returns whether to receive the rest. */
+	const handleArrival = (answer: ArrivingAnswer, activeBytes: number): boolean => {
+		const {changes, elapsedMs} = answer;
+		if (changes === 0) {
 			return true;
 		}
 
-		receivingSince ??= readSteadyMs() - answer.elapsedMs;
-		return isReceivingAll || !shouldGiveUpAnswer(answer);
+		receivingSince ??= readSteadyMs() - elapsedMs;
+		if (isReceivingAll || !shouldGiveUpAnswer(answer, activeBytes)) {
+			return true;
+		}
+
+		log.record('info', {
+			kind: 'configuration-answer-given-up', version: holder.getVersion(), changes, afterMs: Math.round(elapsedMs),
+		});
+		return false;
 	};
 
 	/** Reads the newest configuration in place of an answer that holds several. */
 	const giveUpAnswer = (after: StorePosition): void => {
-		log.record('info', {kind: 'configuration-answer-given-up', version: holder.getVersion(), afterMs: Math.round(getReceivingMs(readSteadyMs()))});
 		health.recordSuccess();
 		position = undefined;
 		replaceWatch(after);
@@ -289,7 +297,8 @@
 		const {signal} = watchAbort;
 		const startedAt = readSteadyMs();
 		const waitMs = Math.round(maxWatchMs * (minWatchFraction + ((1 - minWatchFraction) * random())));
-		const watched = await store.watchItems(prefix ?? key, after, waitMs, signal, handleArrival);
+		const activeBytes = Buffer.byteLength(holder.get()?.text ?? '');
+		const watched = await store.watchItems(prefix ?? key, after, waitMs, signal, answer => handleArrival(answer, activeBytes));
 		const isGivenUp = watched.isOk() && watched.value.type === 'given-up';
 		receivingSince = isGivenUp ? receivingSince : undefined;
 		if (signal.aborted) {
--- a/src/lib/sync/config-series.test.ts
+++ b/src/lib/sync/config-series.test.ts
@@ -40,11 +40,16 @@
 
 const stepMs = 10;
 
+/** All versions have the same size. */
+const textBytes = 4;
+
+const createText = (version: number): string => String(version).padStart(textBytes, '0');
+
 /** The text of a version that no node can apply. */
 const invalidText = 'invalid';
 
 /** Starts a follower with a store whose answers take a time for each configuration that they hold, on a clock that the test advances. */
-async function startSimulation(context: Pick<TestContext, 'mock'>, transferMs: number, random: () => number): Promise<Simulation> {
+async function startSimulation(context: Pick<TestContext, 'mock'>, transferMs: number, random: () => number, {statesLength = false} = {}): Promise<Simulation> {
 	context.mock.timers.enable({apis: ['setTimeout']});
 	let now = 0;
 	context.mock.method(performance, 'now', () => now);
@@ -57,7 +62,7 @@
 		setTimeout(resolve, milliseconds);
 	});
 	const invalid = new Set<number>();
-	const getItem = (at: number): StoreItem => ({key: 'k', value: invalid.has(at) ? invalidText : String(at), revision: at});
+	const getItem = (at: number): StoreItem => ({key: 'k', value: invalid.has(at) ? invalidText : createText(at), revision: at});
 	const sendPart = async (elapsedMs: () => number, handlePart: (elapsed: number) => boolean): Promise<boolean> => {
 		for (let doneMs = 0; doneMs < transferMs; doneMs += stepMs) {
 			if (!handlePart(elapsedMs())) {
@@ -97,8 +102,9 @@
 			const at = revision;
 			const startedAt = now;
 			const getElapsedMs = (): number => now - startedAt;
+			const maxValueBytes = statesLength ? (at - after.revision) * textBytes : undefined;
 			for (let changes = 1; changes <= at - after.revision; changes++) {
-				const isWhole = await sendPart(getElapsedMs, elapsedMs => handlePart({changes, elapsedMs}));
+				const isWhole = await sendPart(getElapsedMs, elapsedMs => handlePart({changes, elapsedMs, maxValueBytes}));
 				if (!isWhole) {
 					return ok({type: 'given-up'});
 				}
@@ -164,19 +170,27 @@
 /** Each transfer and delay ends up to a step late. */
 const roundingMs = 8 * stepMs;
 
-// Guards against a watch that brings every version of a series one after the other, so that the last one arrives later the more there are.
-test('property: each version of any series, or a later one, is in force after two transfers and one delay', async context => {
+type SeriesCase = {
+	readonly statesLength: boolean;
+	/** Longest transfer that is tried, in steps. */
+	readonly maxTransferSteps: number;
+	/** Returns the time within which a version must be in force, rounding aside. */
+	readonly computeMaxMs: (transferMs: number) => number;
+};
+
+/** Checks that each version of any series, or a later one, is in force within a time. */
+async function checkSeries(context: TestContext, {statesLength, maxTransferSteps, computeMaxMs}: SeriesCase): Promise<void> {
 	const gaps = fc.array(fc.integer({min: 1, max: 120}), {minLength: 1, maxLength: 30});
-	await fc.assert(fc.asyncProperty(gaps, fc.integer({min: 2, max: 100}), fc.infiniteStream(fc.double({min: 0, max: 0.999, noNaN: true})), async (gapSteps, transferSteps, numbers) => {
+	await fc.assert(fc.asyncProperty(gaps, fc.integer({min: 2, max: maxTransferSteps}), fc.infiniteStream(fc.double({min: 0, max: 0.999, noNaN: true})), async (gapSteps, transferSteps, numbers) => {
 		const transferMs = transferSteps * stepMs;
-		const simulation = await startSimulation(context, transferMs, () => numbers.next().value as number);
+		const simulation = await startSimulation(context, transferMs, () => numbers.next().value as number, {statesLength});
 		try {
 			for (const steps of gapSteps) {
 				simulation.put();
 				await simulation.advance(steps * stepMs);
 			}
 
-			const maxMs = Math.max(maxFollowDelayMs, transferMs) + (2 * transferMs) + roundingMs;
+			const maxMs = computeMaxMs(transferMs) + roundingMs;
 			await simulation.advance(maxMs);
 			const lateMs = simulation.getMaxLateMs();
 			assert.ok(lateMs <= maxMs, `${lateMs} ms, with a transfer of ${transferMs} ms after gaps of ${gapSteps.join(', ')} steps`);
@@ -186,6 +200,16 @@
 			context.mock.restoreAll();
 		}
 	}), {seed, numRuns: 60});
+}
+
+// Guards against a watch that brings every version of a series one after the other, so that the last one arrives later the more there are.
+test('property: each version of any series, or a later one, is in force after two transfers and one delay', async context => {
+	await checkSeries(context, {statesLength: false, maxTransferSteps: 100, computeMaxMs: transferMs => Math.max(maxFollowDelayMs, transferMs) + (2 * transferMs)});
+});
+
+// Guards against a third transfer on links so slow that the second version of an answer begins long after the first one.
+test('property: two transfers and one delay are enough on very slow links too, if the store states the length of its answers', async context => {
+	await checkSeries(context, {statesLength: true, maxTransferSteps: 400, computeMaxMs: transferMs => maxFollowDelayMs + (2 * transferMs)});
 });
 
 // Guards against a series that costs the store more than before, and against one change that costs more than one call and one transfer.
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -90,7 +90,7 @@
 	/** The configuration, or its changes, were read from the store. `transferMs` is the time from the head of the answer to its end. */
 	| {readonly kind: 'configuration-read'; readonly call: string; readonly version: number; readonly tookMs: number; readonly items?: number; readonly bytes?: number; readonly transferMs?: number}
 	/** An answer of the store held several versions and arrived slowly, so that the newest one is read in its place. */
-	| {readonly kind: 'configuration-answer-given-up'; readonly version: number; readonly afterMs: number}
+	| {readonly kind: 'configuration-answer-given-up'; readonly version: number; readonly changes: number; readonly afterMs: number}
 	/** A request that was admitted before its server began to drain is sent to it. `bodyMs` is how long it had a slot until its body had arrived and it could be sent. */
 	| {readonly kind: 'request-sent-while-draining'; readonly call: string; readonly server: string; readonly drainedMs: number; readonly bodyMs: number}
 	| {readonly kind: 'configuration-refused'; readonly version: number; readonly from: string; readonly reason: string}
