--- a/src/lib/forwarding/read-body.ts
+++ b/src/lib/forwarding/read-body.ts
@@ -37,7 +37,7 @@
  * @param budget - Memory for all bodies together. The caller releases the bytes of a returned body; this function releases them if it throws.
  * @param subscribeToEnd - Calls the handler when the body is no longer needed, with an error unless the deadline of the call has passed; returns a function that unsubscribes.
  * @returns The body.
- * @throws BodyTooLargeError, BodyMemoryError BodyTimeoutError or the error of `subscribeToEnd`, or another error when the connection fails or closes within the body.
+ * @throws BodyTooLargeError, BodyMemoryError, BodyTimeoutError or the error of `subscribeToEnd`, or another error when the connection fails or closes within the body.
  * @internal
  */
 export async function readBody(
