--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -804,7 +804,7 @@
 	},
 	{
 		promise: 'sidecar: bytes: a store answer in which all items are invalid is not an empty list',
-		file: 'platform/store-client.js',
+		file: 'platform/store-answers.js',
 		from: 'if (values.length > 0 && items.every(item => item === undefined)) {',
 		to: 'if (false) {',
 		tests: 'platform/store-client.test.js',
@@ -923,7 +923,7 @@
 	},
 	{
 		promise: 'eras: a store answer with a new era shows that the store was restored from a backup',
-		file: 'platform/store-client.js',
+		file: 'platform/store-transport.js',
 		from: 'eraTracker.accept(era, sentAtChange)',
 		to: 'true',
 		tests: 'platform/store-restore.test.js',
