Entry: a header name that other nodes refuse is answered with 400

A caller whose request has a space within a header name got 502, and the connection between two nodes was closed under the requests of other callers: the HTTP parser of Node.js 20.19.0 accepts such a name, the entry forwarded it, and the other node refuses it as malformed. A busy machine is ruled out, as it fails alone too.

The entry checks names by the rule of the receiving node.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -214,6 +214,13 @@
 		to: 'countBytes: () => bytes + 20000000',
 		tests: `${library}/forwarding/gate-server.test.js`,
 	},
+	{
+		promise: 'sidecar: bytes: a header name that other nodes refuse is found at the entry',
+		file: `${library}/forwarding/read-headers.js`,
+		from: 'find(name => !headerNamePattern.test(name))',
+		to: 'find(() => false)',
+		tests: `${library}/forwarding/read-headers.test.js`,
+	},
 	{
 		promise: 'sidecar: bytes: pieces of a body count with the memory that they take',
 		file: `${library}/forwarding/body-pieces.js`,
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -32,6 +32,7 @@
 import {getNumberHeader, getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
 import {type ForwardResponse} from './forward-result.js';
+import {findInvalidHeaderName} from './read-headers.js';
 import {
 	BodyTooLargeError, BodyStoppedError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
 } from './read-body.js';
@@ -285,6 +286,12 @@
 			return;
 		}
 
+		const invalidName = findInvalidHeaderName(request.headers);
+		if (invalidName !== undefined) {
+			refuseAndLog(call, version, 400, `the header name ${JSON.stringify(invalidName)} contains a character that names must not contain`);
+			return;
+		}
+
 		const authentication = authenticateCaller(activeConfig, request, route, headerNames);
 		if (authentication.type === 'refused') {
 			refusals.refuseUnauthorized(call, activeConfig, route, authentication.cause);
--- a/src/lib/forwarding/read-headers.ts
+++ b/src/lib/forwarding/read-headers.ts
@@ -14,6 +14,17 @@
 /** Nodes send header names in lower case, so that each header has one spelling. */
 const headerNamePattern = /^[a-z\d!#$%&'*+.^_`|~-]+$/;
 
+/**
+ * Some versions of the HTTP parser accept header names that other nodes refuse, such as one with a space.
+ *
+ * @param headers - The headers of a request, with names in lower case.
+ * @returns The first name that is not valid; `undefined` if all are.
+ * @internal
+ */
+export function findInvalidHeaderName(headers: Readonly<Record<string, unknown>>): string | undefined {
+	return Object.keys(headers).find(name => !headerNamePattern.test(name));
+}
+
 /** Matches a character that a value must not contain, because it would end the header line or cannot be encoded. */
 const forbiddenCharacter = /[^\t\u0020-\u007E\u0080-\u00FF]/;
 
