Tests: a server that calls on through its own stopping node, failing; known red

What callers saw: a POST that a stopping node had passed to the server beside it ends with that server's 500, since the call that the server needs is refused 2.7 s after SIGTERM.

--- a/stand-ins/platform-server/platform-server.ts
+++ b/stand-ins/platform-server/platform-server.ts
@@ -40,6 +40,8 @@
 	readonly planBehaviours: (...behaviours: readonly PlatformServerBehaviour[]) => void;
 	/** Sets the processing time of each request. */
 	readonly setWorkMs: (milliseconds: number) => void;
+	/** Sets a call that the server makes after the processing time of each request, with the time left of the request in milliseconds. The server responds with status 500 if it resolves with false. */
+	readonly setNestedCall: (callNested: (leftMs: number) => Promise<boolean>) => void;
 	/** Sets the maximum number of concurrent requests. The server sheds requests beyond it. */
 	readonly setSlots: (slots: number) => void;
 	/** Makes the server hang when it is full, and send load reports. Returns its queue. */
@@ -100,6 +102,7 @@
 	const runs: PlatformServerRun[] = [];
 	let isFatal = (_target: string): boolean => false;
 	let handleCrash = (_run: PlatformServerRun): void => undefined;
+	let callNested: ((leftMs: number) => Promise<boolean>) | undefined;
 
 	const recordRun = (request: IncomingMessage, body: string, behaviour: PlatformServerBehaviour): void => {
 		runs.push({
@@ -164,6 +167,7 @@
 			return;
 		}
 
+		const endsAt = Date.now() + Number(getHeader(request, 'stonemoor-deadline-ms'));
 		let isClosed = false;
 		inFlight++;
 		response.once('close', () => {
@@ -171,15 +175,29 @@
 			inFlight--;
 			disconnected += response.writableEnded || behaviour !== 'answer' ? 0 : 1;
 		});
-		setTimeout(() => {
+
+		const respond = (behaviourNow: PlatformServerBehaviour): void => {
 			setNotice('stonemoor-server-load', admittedBy?.report());
 			if (!isClosed) {
-				applyBehaviour(behaviour, {
+				applyBehaviour(behaviourNow, {
 					request, response, body: `page ${request.url} ${body}`, notices,
 				});
 			}
 
 			admittedBy?.finish();
+		};
+
+		const callOnAndRespond = async (makeCall: (leftMs: number) => Promise<boolean>): Promise<void> => {
+			const isAnswered = await makeCall(endsAt - Date.now());
+			respond(isAnswered ? behaviour : 'fail');
+		};
+
+		setTimeout(() => {
+			if (callNested === undefined) {
+				respond(behaviour);
+			} else {
+				void callOnAndRespond(callNested);
+			}
 		}, workMs);
 	};
 
@@ -209,6 +227,9 @@
 		setWorkMs(milliseconds) {
 			workMs = milliseconds;
 		},
+		setNestedCall(call) {
+			callNested = call;
+		},
 		setSlots(next) {
 			slots = next;
 		},
