Log: each call and step of a stopping node, requests without an answer at the exit, and answers that were not sent

The record of the incident names the lost requests in no line. An answer below 500 is logged at level debug only, and that its connection did not carry it was logged nowhere; so was a request in work at the exit. A stopping node now logs each call that it ends, each step with the time by which it was late, and the ids of requests without an answer; at any time an answer that was handed to a connection which closed first (answer-not-sent). An internal error names its request.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -88,6 +88,8 @@
 	readonly server: Server;
 	readonly applyLimits: (limits: CallerLimits) => void;
 	readonly countCalls: () => number;
+	/** Returns the ids of the requests whose response has not been created yet. */
+	readonly listCalls: () => readonly string[];
 	/** Returns the number of connections with responses that have not been sent yet. */
 	readonly countUnsentAnswers: () => number;
 	/** Makes each connection close from now on after the response to the last request that was read from it. */
@@ -143,7 +145,7 @@
 	});
 	const connections = watchCallerConnections(server);
 	const scopes = watchConnections(server);
-	let calls = 0;
+	const calls = new Set<EntryCall>();
 	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
 	let isClosing = false;
 	const refusals = createEntryRefusals(context, connections.tryClose, () => isClosing);
@@ -370,18 +372,32 @@
 	};
 
 	const runAndCatch = async (call: EntryCall): Promise<void> => {
-		calls++;
+		calls.add(call);
 		try {
 			await runCall(call);
 		} catch (error) {
 			// A bug in this program. Destroys the connection, so that the caller does not take a partial response for a complete one.
-			log.record('error', {kind: 'node-failed', reason: (error as Error).stack ?? String(error)});
+			log.record('error', {kind: 'node-failed', call: call.id, reason: (error as Error).stack ?? String(error)});
 			call.response.destroy();
 		} finally {
-			calls--;
+			calls.delete(call);
 		}
 	};
 
+	/** Logs an answer that was handed to a connection which closed before it was sent. The line of the call alone does not show that its caller lacks the answer. */
+	const logUnsentAnswer = (id: string, {socket}: IncomingMessage, response: ServerResponse): void => {
+		let isSent = false;
+		// A reset connection also ends its response with this event.
+		response.once('finish', () => {
+			isSent = !socket.destroyed;
+		});
+		response.once('close', () => {
+			if (response.writableEnded && !isSent) {
+				log.record('info', {kind: 'answer-not-sent', call: id, status: response.statusCode});
+			}
+		});
+	};
+
 	const handle = (request: IncomingMessage, response: ServerResponse, sendContinue: () => void): void => {
 		const id = getStringHeader(request.headers, headerNames.callId) ?? '';
 		if (!connections.admit(request, response)) {
@@ -389,6 +405,7 @@
 			return;
 		}
 
+		logUnsentAnswer(id, request, response);
 		void runAndCatch({
 			id, request, response, receivedAt: readSteadyMs() - context.estimateUnreadMs(), sendContinue,
 		});
@@ -409,7 +426,8 @@
 			server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveGraceMs;
 			server.headersTimeout = limits.headerTimeoutMs;
 		},
-		countCalls: () => calls,
+		countCalls: () => calls.size,
+		listCalls: () => Array.from(calls, ({id}) => id),
 		countUnsentAnswers: connections.countUnsent,
 		startClosing() {
 			isClosing = true;
--- a/src/lib/sidecar/graceful-shutdown.test.ts
+++ b/src/lib/sidecar/graceful-shutdown.test.ts
@@ -24,6 +24,7 @@
 			answerBy: () => undefined,
 			withdraw: note('withdraw'), closeGate: note('close gate'), closeAfterAnswers: note('close after answers'), stopListening: note('stop listening'),
 			countInFlight: () => performance.now() - startedAt < inFlightUntilMs ? 1 : 0,
+			handleStep: () => undefined,
 		}, limitMs);
 		isDone = true;
 	};
--- a/src/lib/sidecar/graceful-shutdown.ts
+++ b/src/lib/sidecar/graceful-shutdown.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {readSteadyMs, waitFor} from '../common/clock.js';
+import {type ShutdownStep} from '../timeline/mesh-log.js';
 
 /** The steps of a shutdown. @internal */
 export type ShutdownSteps = {
@@ -19,6 +20,8 @@
 	readonly stopListening: () => void;
 	/** Returns the number of requests in flight. */
 	readonly countInFlight: () => number;
+	/** Called after each step with the time since the shutdown began and the time by which the step was late, in milliseconds. */
+	readonly handleStep: (step: ShutdownStep, afterMs: number, lateMs: number) => void;
 };
 
 /** How long the gate accepts requests after the shutdown begins. The backend server still works during this time, and the node has to run until its callers have disconnected anyway. A request accepted at the end of this time can still use the longest timeout of the callers before the node must exit. */
@@ -49,14 +52,22 @@
 export async function runGracefulShutdown(steps: ShutdownSteps, limitMs: number): Promise<number> {
 	const startedAt = readSteadyMs();
 	const waitUntil = async (afterMs: number): Promise<void> => waitFor(Math.max(0, startedAt + afterMs - readSteadyMs()));
+	const report = (step: ShutdownStep, dueMs: number): void => {
+		const afterMs = readSteadyMs() - startedAt;
+		steps.handleStep(step, afterMs, afterMs - dueMs);
+	};
+
 	steps.answerBy(startedAt + limitMs - answerMarginMs);
 	steps.withdraw();
 	await waitUntil(gateOpenMs);
 	steps.closeGate();
+	report('gate-closed', gateOpenMs);
 	await waitUntil(closeConnectionsAfterMs);
 	steps.closeAfterAnswers();
+	report('connections-closing', closeConnectionsAfterMs);
 	await waitUntil(stopListeningAfterMs);
 	steps.stopListening();
+	report('listener-closed', stopListeningAfterMs);
 	while (steps.countInFlight() > 0 && readSteadyMs() - startedAt < limitMs - exitMarginMs) {
 		await waitFor(inFlightPollMs);
 	}
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -98,6 +98,9 @@
 /** Nodes that a node assumes to share the slack of the retry budget just after its start, unless it knows of more. The smallest mesh in use has 13 nodes. */
 const assumedNodeCount = 12;
 
+/** Maximum number of requests without an answer whose ids are logged at the exit. */
+const maxListedCalls = 20;
+
 /** Limit of connections to a backend server for which no configuration sets one. */
 const defaultMaxConnections = 64;
 
@@ -340,7 +343,8 @@
 	const handleFinished = (call: FinishedCall): void => {
 		metrics.recordCall(call);
 		housekeeping.recordCall();
-		const isOrdinary = call.status < 500 && call.attempts.filter(({verdict}) => verdict !== 'not-run').length <= 1;
+		// While a node stops, all calls are logged: the record of a shutdown shows which requests the node had, and how each ended.
+		const isOrdinary = !isLeaving && call.status < 500 && call.attempts.filter(({verdict}) => verdict !== 'not-run').length <= 1;
 		const level = isOrdinary ? 'debug' : 'info';
 		log.record(level, {
 			kind: 'call-finished', call: call.id, route: call.route, workspace: call.workspace, version: call.version, status: call.status, verdict: call.verdict,
@@ -485,7 +489,7 @@
 		async drain() {
 			isLeaving = true;
 			log.record('info', {kind: 'node-draining', reason: 'signal', requests: countInFlight()});
-			const afterMs = await runGracefulShutdown({
+			const stoppedAfterMs = await runGracefulShutdown({
 				answerBy(time) {
 					entry.stopAt(time);
 					gateServer.stopAt(time);
@@ -501,9 +505,15 @@
 				closeAfterAnswers: entry.startClosing,
 				stopListening: entry.stopListening,
 				countInFlight,
+				handleStep(step, afterMs, lateMs) {
+					log.record('info', {
+						kind: 'shutdown-step', step, afterMs: Math.round(afterMs), lateMs: Math.round(lateMs), ...describeInFlight(),
+					});
+				},
 			}, settings.shutdownMs);
 			log.record('info', {
-				kind: 'node-stopped', requests: countInFlight(), ...describeInFlight(), queuedBytes: linkWriter.countQueuedBytes(), afterMs: Math.round(afterMs),
+				kind: 'node-stopped', requests: countInFlight(), ...describeInFlight(), queuedBytes: linkWriter.countQueuedBytes(), afterMs: Math.round(stoppedAfterMs),
+				unanswered: entry.listCalls().slice(0, maxListedCalls),
 			});
 			await dispose();
 		},
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -83,6 +83,10 @@
 			return `${line.node} refused it (${line.cause}): ${line.reason} (${line.place}${times})`;
 		}
 
+		case 'answer-not-sent': {
+			return `its connection to ${line.node} closed before the answer ${line.status} was sent`;
+		}
+
 		case 'caller-left': {
 			return `its caller disconnected from ${line.node} within ${line.waitedMs} ms, before it was sent to a server`;
 		}
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -70,17 +70,22 @@
 	/** The server reports another service than the one in the settings of this node. */
 	| 'service';
 
+/** A step of a shutdown that has been taken. @internal */
+export type ShutdownStep = 'gate-closed' | 'connections-closing' | 'listener-closed';
+
 /** An event of the log. @internal */
 /* eslint-disable @stylistic/max-len -- one event per line forms a table */
 export type MeshEvent =
 	| {readonly kind: 'node-started'; readonly run: string; readonly service: string; readonly address: string}
 	| {readonly kind: 'node-ready'; readonly version: number}
 	| {readonly kind: 'node-draining'; readonly reason: string; readonly requests: number}
-	/** `requests` is the sum of the counts by place: a request of a caller is counted again while its response is sent, or while the gate has it. */
-	| {readonly kind: 'node-stopped'; readonly requests: number; readonly calls: number; readonly gateRequests: number; readonly unsentAnswers: number; readonly unsentResponses: number; readonly queuedBytes: number; readonly afterMs: number}
+	/** `requests` is the sum of the counts by place: a request of a caller is counted again while its response is sent, or while the gate has it. `unanswered` are the ids of the first requests that the node leaves without an answer. */
+	| {readonly kind: 'node-stopped'; readonly requests: number; readonly calls: number; readonly gateRequests: number; readonly unsentAnswers: number; readonly unsentResponses: number; readonly queuedBytes: number; readonly afterMs: number; readonly unanswered: readonly string[]}
+	/** A step of a shutdown, `lateMs` later than it was due, and the requests in flight at that time by the place where they are. */
+	| {readonly kind: 'shutdown-step'; readonly step: ShutdownStep; readonly afterMs: number; readonly lateMs: number; readonly calls: number; readonly gateRequests: number; readonly unsentAnswers: number; readonly unsentResponses: number}
 	| {readonly kind: 'node-paused'; readonly forMs: number}
 	| {readonly kind: 'node-suspended'; readonly forMs: number}
-	| {readonly kind: 'node-failed'; readonly reason: string}
+	| {readonly kind: 'node-failed'; readonly reason: string; readonly call?: string}
 	| {readonly kind: 'settings-reloaded'; readonly outcome: string; readonly reason?: string}
 	| {readonly kind: 'configuration-applied'; readonly version: number; readonly from: string; readonly routes: number}
 	/** Another node reported a version that is newer than any known version. */
@@ -139,6 +144,8 @@
 	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly slowness?: number | undefined; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string; readonly fullCause?: FullCause | undefined; readonly workspace?: string | undefined}
 	/** The request was read behind a response that closes its connection, and was not passed on; the caller sends it again. */
 	| {readonly kind: 'request-not-admitted'; readonly call: string}
+	/** The connection closed before the answer was sent: its caller left, or the node closed it. */
+	| {readonly kind: 'answer-not-sent'; readonly call: string; readonly status: number}
 	/** The caller left before its request was started; the request was not sent to any server. */
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
 	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number; readonly workspace?: string; readonly quota?: 'over' | 'unknown'}
