Shutdown: a node listens while the server beside it works on requests that it has taken

Cause: the listener closed 2.7 s after SIGTERM, whatever was in work. A server that calls on through its own node was refused from then on, over new connections and over those that the node had closed.

Change: the node stops listening when its server has nothing in work, or when its last answers must be sent. Until then it takes what surely ends before it does: requests whose deadline is before that time, and calls that it recognises as those of servers; it refuses the rest at once as not run. The time left that a server gets already ends before the node does, so the calls that a server makes within it are taken.

No call on the store; nothing is done for a request before the shutdown but one comparison.

--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -16,6 +16,7 @@
 import {type CallerLimits, type RouteRule} from '../route-config/route-config.js';
 import {type ActiveConfig} from '../route-config/config-holder.js';
 import {type NestedCallDetector} from '../decisions/nested-call-detector.js';
+import {shouldAdmitLate} from '../decisions/stopping-admission.js';
 import {findRoute} from '../route-config/route-index.js';
 import {type WeightedRoundRobin} from '../route-config/weighted-round-robin.js';
 import {
@@ -94,6 +95,8 @@
 	readonly countUnsentAnswers: () => number;
 	/** Makes each connection close from now on after the response to the last request that was read from it. */
 	readonly startClosing: () => void;
+	/** Refuses requests from now on that may take longer than until the time of `stopAt`, except calls of backend servers. */
+	readonly refuseLateRequests: () => void;
 	/** Stops accepting connections and requests, and closes the idle connections. */
 	readonly stopListening: () => void;
 	/** Answers all requests by a time, those that arrive later included. In milliseconds of the steady clock. */
@@ -148,6 +151,7 @@
 	const calls = new Set<EntryCall>();
 	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
 	let isClosing = false;
+	let isRefusingLate = false;
 	const refusals = createEntryRefusals(context, connections.tryClose, () => isClosing);
 	const {refuseAndLog, logCallerLeft} = refusals;
 
@@ -312,6 +316,11 @@
 		// A backend server gives its nested calls the remaining time of the request that it executes, so a short time does not indicate a retry.
 		const ageMs = isNestedCall ? 0 : context.callerRetryDetector.recordCall(route.name, callerTimeoutMs);
 		const timeLeftMs = Math.min(callerTimeoutMs, route.timeoutMs);
+		if (isRefusingLate && !shouldAdmitLate({isNestedCall, deadlineAt: call.receivedAt + timeLeftMs}, scopes.getStopTime())) {
+			refuseAndLog(call, version, 503, 'this node shuts down, and the request may take longer than it runs');
+			return;
+		}
+
 		let bufferedBytes = 0;
 		let token: GrantedToken | undefined;
 		// Set once the call is sent, since an unexpected error may follow.
@@ -432,6 +441,9 @@
 		startClosing() {
 			isClosing = true;
 		},
+		refuseLateRequests() {
+			isRefusingLate = true;
+		},
 		stopListening: connections.stop,
 		stopAt: scopes.stopAt,
 	};
--- a/src/lib/sidecar/graceful-shutdown.ts
+++ b/src/lib/sidecar/graceful-shutdown.ts
@@ -16,8 +16,12 @@
 	readonly closeGate: () => void;
 	/** Makes each further response close its connection. */
 	readonly closeAfterAnswers: () => void;
+	/** Refuses requests that may take longer than until the time of `answerBy`, except calls of the backend server. */
+	readonly refuseLateRequests: () => void;
 	/** Stops accepting connections and closes idle ones. */
 	readonly stopListening: () => void;
+	/** Returns the number of requests that the backend server beside the node works on. */
+	readonly countServerRequests: () => number;
 	/** Returns the number of requests in flight. */
 	readonly countInFlight: () => number;
 	/** Called after each step with the time since the shutdown began and the time by which the step was late, in milliseconds. */
@@ -30,7 +34,7 @@
 /** Responses close their connections after this time. By then the readiness check has reported to callers twice that the node is not ready. */
 const closeConnectionsAfterMs = 2300;
 
-/** The node accepts connections until this time, since callers may still connect. */
+/** The node accepts connections until this time, since callers may still connect. It accepts them for longer while its backend server works on requests, for which the server may make calls through the node. */
 const stopListeningAfterMs = 2700;
 
 /** Requests that are still in flight this long before the deadline of the node are answered with a failure. */
@@ -57,6 +61,13 @@
 		steps.handleStep(step, afterMs, afterMs - dueMs);
 	};
 
+	/** Waits while a condition holds, up to the time at which the last answers must have been sent. */
+	const waitWhile = async (holds: () => boolean): Promise<void> => {
+		while (holds() && readSteadyMs() - startedAt < limitMs - exitMarginMs) {
+			await waitFor(inFlightPollMs);
+		}
+	};
+
 	steps.answerBy(startedAt + limitMs - answerMarginMs);
 	steps.withdraw();
 	await waitUntil(gateOpenMs);
@@ -66,11 +77,12 @@
 	steps.closeAfterAnswers();
 	report('connections-closing', closeConnectionsAfterMs);
 	await waitUntil(stopListeningAfterMs);
+	steps.refuseLateRequests();
+	report('late-requests-refused', stopListeningAfterMs);
+	await waitWhile(() => steps.countServerRequests() > 0);
 	steps.stopListening();
 	report('listener-closed', stopListeningAfterMs);
-	while (steps.countInFlight() > 0 && readSteadyMs() - startedAt < limitMs - exitMarginMs) {
-		await waitFor(inFlightPollMs);
-	}
+	await waitWhile(() => steps.countInFlight() > 0);
 
 	// The last responses are still on their way to the callers.
 	await waitFor(inFlightPollMs * 2);
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -503,7 +503,9 @@
 					link.announce();
 				},
 				closeAfterAnswers: entry.startClosing,
+				refuseLateRequests: entry.refuseLateRequests,
 				stopListening: entry.stopListening,
+				countServerRequests: gate.countRequests,
 				countInFlight,
 				handleStep(step, afterMs, lateMs) {
 					log.record('info', {
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -71,7 +71,7 @@
 	| 'service';
 
 /** A step of a shutdown that has been taken. @internal */
-export type ShutdownStep = 'gate-closed' | 'connections-closing' | 'listener-closed';
+export type ShutdownStep = 'gate-closed' | 'connections-closing' | 'late-requests-refused' | 'listener-closed';
 
 /** An event of the log. @internal */
 /* eslint-disable @stylistic/max-len -- one event per line forms a table */
