Shutdown: what has arrived is read before anything is closed

Cause: after a pause due timers run before the sockets are read. The listener and the idle connections were closed by such a timer, with requests unread in them.

Change: before it closes anything, a node lets the event loop run until two iterations in a row have read nothing, while it still listens. The product's own node does the same.

--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -42,7 +42,7 @@
 	readonly server: Server;
 	readonly countCalls: () => number;
 	/** Stops listening, closes idle connections, and closes the others after their last response. */
-	readonly startDraining: () => void;
+	readonly startDraining: () => Promise<void>;
 	/** Answers all requests in flight, since this node stops. */
 	readonly endCalls: () => void;
 };
@@ -284,9 +284,9 @@
 	return {
 		server,
 		countCalls: () => calls,
-		startDraining() {
+		async startDraining() {
 			isDraining = true;
-			connections.stop();
+			await connections.stop();
 		},
 		endCalls() {
 			signals.endAll();
--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -15,6 +15,8 @@
 	/** Answers an admitted request. With `isClosing`, its response closes the connection if it may. */
 	readonly answer: (path: string, isClosing?: boolean) => void;
 	readonly send: (text: string) => void;
+	/** `HOST:PORT` of the server. */
+	readonly address: string;
 } & Pick<RawCaller, 'listResponses' | 'hasEnded'>;
 
 const createRequest = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\n\r\n`;
@@ -38,7 +40,8 @@
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
-	const caller = openRawCaller(context, `127.0.0.1:${(server.address() as AddressInfo).port}`);
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const caller = openRawCaller(context, address);
 	context.after(() => {
 		server.close();
 		server.closeAllConnections();
@@ -53,6 +56,7 @@
 			response.end(path);
 		},
 		send: caller.send,
+		address,
 		listResponses: caller.listResponses,
 		hasEnded: caller.hasEnded,
 	};
@@ -118,7 +122,7 @@
 	await expectSoon('it is read', () => idle.admitted.length === 1);
 	idle.answer('/a', false);
 	await expectSoon('it is answered', () => listBodies(idle.listResponses()).length === 1);
-	idle.connections.stop();
+	await idle.connections.stop();
 	await expectSoon('the idle connection ends', idle.hasEnded);
 
 	const busy = await startFixture(context);
@@ -126,7 +130,7 @@
 	await expectSoon('both are read', () => busy.admitted.length === 2);
 	busy.answer('/b', false);
 	assert.equal(busy.connections.countUnsent(), 1, 'the second response waits behind the first');
-	busy.connections.stop();
+	await busy.connections.stop();
 	busy.send(createRequest('/c'));
 	await expectSoon('the third is dropped', () => busy.dropped.length === 1);
 	busy.answer('/a');
@@ -134,3 +138,42 @@
 	assert.deepEqual(listBodies(busy.listResponses()), ['/a', '/b']);
 	assert.equal(busy.connections.countUnsent(), 0);
 });
+
+/** Keeps the event loop busy, as a pause of the process does. */
+function pause(milliseconds: number): void {
+	const endsAt = performance.now() + milliseconds;
+	while (performance.now() < endsAt) {
+		// Nothing is read meanwhile.
+	}
+}
+
+// Guards against a shutdown that resets connections whose requests arrived while the process stood still, since due timers run before the sockets are read.
+test('requests and connections that arrived before the stop are read before anything is closed', async context => {
+	const fixture = await startFixture(context);
+	fixture.send(createRequest('/a'));
+	await expectSoon('it is read', () => fixture.admitted.length === 1);
+	fixture.answer('/a', false);
+	await expectSoon('it is answered', () => listBodies(fixture.listResponses()).length === 1);
+	const callers = Array.from({length: 4}, () => openRawCaller(context, fixture.address));
+	await new Promise<void>(resolve => {
+		setTimeout(async () => {
+			await fixture.connections.stop();
+			resolve();
+		}, 20);
+		fixture.send(createRequest('/kept'));
+		for (const [index, caller] of callers.entries()) {
+			caller.send(createRequest(`/new${index}`));
+		}
+
+		pause(100);
+	});
+	const paths = ['/kept', '/new0', '/new1', '/new2', '/new3'];
+	assert.deepEqual(fixture.admitted.slice(1).toSorted(), paths);
+	for (const path of paths) {
+		fixture.answer(path);
+	}
+
+	await expectSoon('the connections end', () => fixture.hasEnded() && callers.every(caller => caller.hasEnded()));
+	assert.deepEqual(listBodies(fixture.listResponses()), ['/a', '/kept']);
+	assert.deepEqual(callers.map(caller => listBodies(caller.listResponses())), paths.slice(1).map(path => [path]));
+});
--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -9,6 +9,7 @@
 	type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {readPendingInput} from './pending-input.js';
 import {createRequestOrder, type RequestOrder} from './request-order.js';
 
 /** @internal */
@@ -19,8 +20,8 @@
 	readonly tryClose: (request: IncomingMessage) => boolean;
 	/** Returns the number of connections with responses that were handed over and are not sent yet. */
 	readonly countUnsent: () => number;
-	/** Stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. */
-	readonly stop: () => void;
+	/** Reads what has arrived, then stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. */
+	readonly stop: () => Promise<void>;
 };
 
 /** A request whose response is not sent yet. */
@@ -62,8 +63,11 @@
 export function watchCallerConnections(server: Server): CallerConnections {
 	const connections = new Map<Socket, Connection>();
 	let isStopped = false;
+	/** Connections accepted and requests read so far. */
+	let inputs = 0;
 
 	server.on('connection', (socket: Socket) => {
+		inputs++;
 		connections.set(socket, {order: createRequestOrder(), open: [], errorStatus: undefined});
 		socket.once('close', () => {
 			connections.delete(socket);
@@ -106,6 +110,7 @@
 
 	return {
 		admit(request, response) {
+			inputs++;
 			const {socket} = request;
 			const connection = connections.get(socket);
 			const position = connection?.order.admit();
@@ -135,7 +140,8 @@
 
 			return count;
 		},
-		stop() {
+		async stop() {
+			await readPendingInput(() => inputs);
 			isStopped = true;
 			// The HTTP server's own `close` treats a connection as idle once its response was handed to the socket, and would cut off bytes that were not sent yet.
 			NetServer.prototype.close.call(server);
--- a/src/lib/drain/drain-node.test.ts
+++ b/src/lib/drain/drain-node.test.ts
@@ -7,7 +7,7 @@
 		startDrainingServers() {
 			log.push('gates');
 		},
-		startDrainingEntry() {
+		async startDrainingEntry() {
 			log.push('entry');
 		},
 		countCalls: () => 0,
--- a/src/lib/drain/drain-node.ts
+++ b/src/lib/drain/drain-node.ts
@@ -11,7 +11,7 @@
 	/** Makes the gates of this node's backend servers reject new requests. A rejected request was not executed. */
 	readonly startDrainingServers: () => void;
 	/** Stops accepting connections from callers, and closes idle ones. */
-	readonly startDrainingEntry: () => void;
+	readonly startDrainingEntry: () => Promise<void>;
 	/** Returns the number of calls whose response is not complete. */
 	readonly countCalls: () => number;
 	/** Waits until the backend servers beside the node have no requests. Returns false on timeout. */
@@ -47,7 +47,7 @@
 export async function drainNode(context: DrainContext): Promise<boolean> {
 	context.startDrainingServers();
 	await waitFor(lingerMs);
-	context.startDrainingEntry();
+	await context.startDrainingEntry();
 	const deadline = readNow() + context.drainMs;
 	const hasNoCalls = await waitForCalls(context.countCalls, deadline);
 	const hasIdleServers = await context.waitUntilIdle(Math.max(0, deadline - readNow()));
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -97,8 +97,8 @@
 	readonly startClosing: () => void;
 	/** Refuses requests from now on that may take longer than until the time of `stopAt`, except calls of backend servers. */
 	readonly refuseLateRequests: () => void;
-	/** Stops accepting connections and requests, and closes the idle connections. */
-	readonly stopListening: () => void;
+	/** Reads what has arrived, then stops accepting connections and requests, and closes the idle connections. */
+	readonly stopListening: () => Promise<void>;
 	/** Answers all requests by a time, those that arrive later included. In milliseconds of the steady clock. */
 	readonly stopAt: (time: number) => void;
 };
--- a/src/lib/sidecar/graceful-shutdown.test.ts
+++ b/src/lib/sidecar/graceful-shutdown.test.ts
@@ -29,7 +29,9 @@
 	const run = async (): Promise<void> => {
 		await runGracefulShutdown({
 			answerBy: () => undefined,
-			withdraw: note('withdraw'), closeGate: note('close gate'), closeAfterAnswers: note('close after answers'), refuseLateRequests: note('refuse late requests'), stopListening: note('stop listening'),
+			withdraw: note('withdraw'), closeGate: note('close gate'), closeAfterAnswers: note('close after answers'), refuseLateRequests: note('refuse late requests'), async stopListening() {
+				note('stop listening')();
+			},
 			countServerRequests: () => performance.now() - startedAt < serverUntilMs ? 1 : 0,
 			countInFlight: () => performance.now() - startedAt < untilMs ? 1 : 0,
 			handleStep: () => undefined,
--- a/src/lib/sidecar/graceful-shutdown.ts
+++ b/src/lib/sidecar/graceful-shutdown.ts
@@ -19,7 +19,7 @@
 	/** Refuses requests that may take longer than until the time of `answerBy`, except calls of the backend server. */
 	readonly refuseLateRequests: () => void;
 	/** Stops accepting connections and closes idle ones. */
-	readonly stopListening: () => void;
+	readonly stopListening: () => Promise<void>;
 	/** Returns the number of requests that the backend server beside the node works on. */
 	readonly countServerRequests: () => number;
 	/** Returns the number of requests in flight. */
@@ -80,7 +80,7 @@
 	steps.refuseLateRequests();
 	report('late-requests-refused', stopListeningAfterMs);
 	await waitWhile(() => steps.countServerRequests() > 0);
-	steps.stopListening();
+	await steps.stopListening();
 	report('listener-closed', stopListeningAfterMs);
 	await waitWhile(() => steps.countInFlight() > 0);
 
--- a/stand-ins/platform-server/platform-server.ts
+++ b/stand-ins/platform-server/platform-server.ts
@@ -176,7 +176,7 @@
 			disconnected += response.writableEnded || behaviour !== 'answer' ? 0 : 1;
 		});
 
-		const respond = (behaviourNow: PlatformServerBehaviour): void => {
+		const sendResponseNow = (behaviourNow: PlatformServerBehaviour): void => {
 			setNotice('stonemoor-server-load', admittedBy?.report());
 			if (!isClosed) {
 				applyBehaviour(behaviourNow, {
@@ -189,12 +189,12 @@
 
 		const callOnAndRespond = async (makeCall: (leftMs: number) => Promise<boolean>): Promise<void> => {
 			const isAnswered = await makeCall(endsAt - Date.now());
-			respond(isAnswered ? behaviour : 'fail');
+			sendResponseNow(isAnswered ? behaviour : 'fail');
 		};
 
 		setTimeout(() => {
 			if (callNested === undefined) {
-				respond(behaviour);
+				sendResponseNow(behaviour);
 			} else {
 				void callOnAndRespond(callNested);
 			}
