Callers: a connection that a response closes is ended, and closed when its caller has closed it too

What callers saw: an answer that the node had written is lost, wholly or from some byte on, if the caller sends more behind its request and reads late. No node logs anything: the call ended with a status below 500.

Cause: the connection was closed as soon as the system had taken the answer. A connection that is closed with unread bytes, or that gets more of them, is reset, and the caller then loses what it has not read yet. While answers are queued, Node.js reads no requests, so that bytes stay unread. Found as a hypothesis of the incident (a stopping node closes each connection after its next answer); it also held for callers that ask for the close, and for refusals of bodies that are still being sent.

Change: the node ends its side, reads and drops what still arrives, and closes when the caller has closed, after 2 s at the latest. A node that exits waits 0.3 s for callers to close after a last answer. Idle connections of a node that stops are ended in the same way.

--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type TestContext} from 'node:test';
 import {openRawCaller, type RawCaller, type RawResponse} from '../../../stand-ins/raw-caller.js';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
@@ -12,6 +14,8 @@
 	readonly admitted: readonly string[];
 	/** Paths of the requests that were not admitted. */
 	readonly dropped: readonly string[];
+	/** Answers an admitted request with a body of this many bytes, and closes the connection. */
+	readonly respond: (path: string, size: number) => void;
 	/** Answers an admitted request. With `isClosing`, its response closes the connection if it may. */
 	readonly answer: (path: string, isClosing?: boolean) => void;
 	readonly send: (text: string) => void;
@@ -55,6 +59,11 @@
 			response.writeHead(200, {'content-length': path.length, ...isClosing && connections.tryClose(request) ? {connection: 'close'} : {}});
 			response.end(path);
 		},
+		respond(path, size) {
+			const {request, response} = open.get(path)!;
+			response.writeHead(200, {'content-length': size, ...connections.tryClose(request) ? {connection: 'close'} : {}});
+			response.end(Buffer.alloc(size, 'x'));
+		},
 		send: caller.send,
 		address,
 		listResponses: caller.listResponses,
@@ -177,3 +186,65 @@
 	assert.deepEqual(listBodies(fixture.listResponses()), ['/a', '/kept']);
 	assert.deepEqual(callers.map(caller => listBodies(caller.listResponses())), paths.slice(1).map(path => [path]));
 });
+
+/** Sends a request on a connection of its own, reads nothing until it has sent more behind the response, and returns how many bytes of a body it got. */
+async function readLate(context: TestContext, address: string, answer: () => void, textBehind: string): Promise<number> {
+	const [host, port] = address.split(':');
+	const socket = connect({host, port: Number(port)});
+	context.after(() => {
+		socket.destroy();
+	});
+	let received = '';
+	socket.on('error', () => undefined);
+	socket.on('data', (bytes: Uint8Array) => {
+		received += Buffer.from(bytes).toString('latin1');
+	});
+	socket.pause();
+	socket.write(createRequest('/late'));
+	await sleep(50);
+	answer();
+	for (let sent = 0; sent < 3; sent++) {
+		await sleep(20);
+		socket.write(textBehind);
+	}
+
+	await sleep(50);
+	socket.resume();
+	await expectSoon('the connection ends', () => socket.closed);
+	return (received.split('\r\n\r\n')[1] ?? '').length;
+}
+
+// Guards against a caller that gets no whole answer, or none, since bytes behind its request reset the connection that the answer has closed.
+for (const [size, behind, text] of [
+	[1500, 'requests', createRequest('/behind')],
+	[300_000, 'requests', createRequest('/behind')],
+	[300_000, 'bytes that are no request', 'no request\r\n\r\n'],
+	[6_000_000, 'requests', createRequest('/behind')],
+] as const) {
+	test(`a response of ${size} bytes that closes its connection reaches a caller that sends ${behind} behind it and reads late`, async context => {
+		const {address, admitted, respond, connections} = await startFixture(context);
+		const bytes = await readLate(context, address, () => {
+			respond('/late', size);
+		}, text);
+		assert.equal(bytes, size);
+		assert.deepEqual(admitted, ['/late']);
+		await expectSoon('nothing is unsent', () => connections.countUnsent() === 0);
+	});
+}
+
+// Guards against a node that exits before a caller has read the response that closed its connection.
+test('a response that closed its connection counts as unsent until its caller closes too, or for a moment', async context => {
+	const {address, admitted, respond, connections} = await startFixture(context);
+	const [host, port] = address.split(':');
+	const socket = connect({host, port: Number(port), allowHalfOpen: true});
+	context.after(() => {
+		socket.destroy();
+	});
+	socket.resume();
+	socket.write(createRequest('/a'));
+	await expectSoon('it is read', () => admitted.length === 1);
+	respond('/a', 10);
+	await sleep(100);
+	assert.equal(connections.countUnsent(), 1);
+	await expectSoon('it does not count any more', () => connections.countUnsent() === 0);
+});
--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -9,6 +9,7 @@
 	type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {readSteadyMs} from './clock.js';
 import {readPendingInput} from './pending-input.js';
 import {createRequestOrder, type RequestOrder} from './request-order.js';
 
@@ -18,7 +19,7 @@
 	readonly admit: (request: IncomingMessage, response: ServerResponse) => boolean;
 	/** Returns whether the response to a request may close its connection. If so, no further request is admitted there. */
 	readonly tryClose: (request: IncomingMessage) => boolean;
-	/** Returns the number of connections with responses that were handed over and are not sent yet. */
+	/** Returns the number of connections with responses that were handed over and are not sent yet, or that ended a moment ago and whose caller may not have read the last response. */
 	readonly countUnsent: () => number;
 	/** Reads what has arrived, then stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. */
 	readonly stop: () => Promise<void>;
@@ -33,6 +34,8 @@
 	readonly open: OpenExchange[];
 	/** Status line for bytes that are no request, sent after the responses to the requests before them. */
 	errorStatus: string | undefined;
+	/** When the last response ended the connection, in milliseconds of the steady clock. */
+	endedAt: number | undefined;
 };
 
 /** The statuses that Node.js sends by default. */
@@ -44,6 +47,34 @@
 
 const defaultErrorStatus = '400 Bad Request';
 
+/** How long a connection may stay half closed until its caller has read the last response and closes it too. It is longer than a round trip between any two VMs, and than a busy caller takes to read. */
+const lingerMs = 2000;
+
+/** How long a node that exits waits for a caller to close a connection that its last response has ended. */
+const confirmMs = 300;
+
+/**
+ * Closes a connection without a reset: ends it, and reads and drops what still arrives until the caller closes it. A connection
+ * that is closed with unread bytes, or that gets more of them, is reset, and a response that the caller has not read yet is lost.
+ */
+function closeGracefully(socket: Socket): void {
+	if (socket.writableEnded || socket.destroyed) {
+		return;
+	}
+
+	socket.end();
+	socket.once('finish', () => {
+		// Reading may be paused, since Node.js reads no requests while responses are queued.
+		socket.resume();
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMs);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	});
+}
+
 /** Answers bytes that are no request, unless a response is under way already, and closes the connection. */
 function sendError(socket: Socket, {open: [exchange]}: Connection, status: string): void {
 	if (socket.writable && !exchange?.response.headersSent) {
@@ -68,7 +99,16 @@
 
 	server.on('connection', (socket: Socket) => {
 		inputs++;
-		connections.set(socket, {order: createRequestOrder(), open: [], errorStatus: undefined});
+		const connection: Connection = {
+			order: createRequestOrder(), open: [], errorStatus: undefined, endedAt: undefined,
+		};
+		// The HTTP server ends connections by this method.
+		socket.destroySoon = () => {
+			connection.endedAt ??= readSteadyMs();
+			closeGracefully(socket);
+		};
+
+		connections.set(socket, connection);
 		socket.once('close', () => {
 			connections.delete(socket);
 		});
@@ -92,12 +132,13 @@
 
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 		const connection = connections.get(socket);
-		if (connection === undefined || error.code === 'ECONNRESET' || !socket.writable) {
+		if (connection === undefined || error.code === 'ECONNRESET') {
 			socket.destroy();
 			return;
 		}
 
-		if (connection.errorStatus !== undefined) {
+		// Bytes behind the last response are dropped until the connection closes.
+		if (connection.errorStatus !== undefined || !socket.writable) {
 			return;
 		}
 
@@ -133,9 +174,11 @@
 			return connection === undefined || exchange === undefined || connection.order.tryClose(exchange.position);
 		},
 		countUnsent() {
+			const now = readSteadyMs();
 			let count = 0;
-			for (const {open} of connections.values()) {
-				count += open.some(({response}) => response.writableEnded) ? 1 : 0;
+			for (const {open, endedAt} of connections.values()) {
+				const isUnconfirmed = endedAt !== undefined && now - endedAt < confirmMs;
+				count += isUnconfirmed || open.some(({response}) => response.writableEnded) ? 1 : 0;
 			}
 
 			return count;
@@ -148,7 +191,7 @@
 			for (const [socket, {order, open}] of connections) {
 				order.stop();
 				if (open.length === 0) {
-					socket.destroy();
+					closeGracefully(socket);
 				}
 			}
 		},
