Deadlines: a response that has arrived is read before the deadline ends its request

What callers saw: after a pause of the process (0.5 s in a trial with a whole node) a request whose server had answered in time, also one that must not run twice, gets the node's own 504.

Cause: due timers run before the sockets are read, and the timer of the deadline ended the request. The same timer answers requests when a node stops.

Change: when the timer fires, the request ends after the event loop has read the sockets once. A request that has no response ends as before. Costs one callback for each request that reaches its deadline, none for others.

--- a/src/lib/calls/call-signal.ts
+++ b/src/lib/calls/call-signal.ts
@@ -34,8 +34,15 @@
 			}
 
 			controllers.set(controller, response);
+			const abort = (): void => {
+				if (controllers.has(controller)) {
+					controller.abort(new DOMException('no response before the deadline', 'TimeoutError'));
+				}
+			};
+
 			const timer = setTimeout(() => {
-				controller.abort(new DOMException('no response before the deadline', 'TimeoutError'));
+				// After a pause of this process due timers run before the sockets are read. A response that has arrived is read first.
+				setImmediate(abort);
 			}, timeoutMs);
 			response.once('close', () => {
 				clearTimeout(timer);
--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -4,6 +4,7 @@
 import {connect, type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type TestContext} from 'node:test';
+import {pause} from '../../../stand-ins/pause.js';
 import {openRawCaller, type RawCaller, type RawResponse} from '../../../stand-ins/raw-caller.js';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {watchCallerConnections, type CallerConnections} from './caller-connections.js';
@@ -148,14 +149,6 @@
 	assert.equal(busy.connections.countUnsent(), 0);
 });
 
-/** Keeps the event loop busy, as a pause of the process does. */
-function pause(milliseconds: number): void {
-	const endsAt = performance.now() + milliseconds;
-	while (performance.now() < endsAt) {
-		// Nothing is read meanwhile.
-	}
-}
-
 // Guards against a shutdown that resets connections whose requests arrived while the process stood still, since due timers run before the sockets are read.
 test('requests and connections that arrived before the stop are read before anything is closed', async context => {
 	const fixture = await startFixture(context);
--- a/src/lib/forwarding/call-scope.test.ts
+++ b/src/lib/forwarding/call-scope.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'node:test';
+import {openSocketPair, pause} from '../../../stand-ins/pause.js';
 import {createCallScope, createChildScope, stopScopesAt} from './call-scope.js';
 
 test('a scope with a deadline beyond the longest timer delay does not end immediately', async context => {
@@ -30,3 +31,25 @@
 	await sleep(45);
 	assert.deepEqual([scope.getEndReason(), child.getEndReason(), early.getEndReason(), later.getEndReason()], ['stopping', 'stopping', 'timeout', 'stopping']);
 });
+
+// Guards against a response that is dropped although it arrived before the deadline, since the timer of the deadline runs first after a pause of the process.
+test('a scope does not end before a response is read that arrived during a pause', async context => {
+	const {near, far} = await openSocketPair(context);
+	const scope = createCallScope(performance.now() + 30);
+	const ended: string[] = [];
+	scope.subscribe(reason => {
+		ended.push(reason);
+	});
+	near.once('data', () => {
+		scope.dispose();
+	});
+	far.write('response');
+	pause(100);
+	await sleep(20);
+	assert.deepEqual(ended, []);
+
+	const late = createCallScope(performance.now() + 30);
+	pause(100);
+	await sleep(20);
+	assert.equal(late.getEndReason(), 'timeout');
+});
--- a/src/lib/forwarding/call-scope.ts
+++ b/src/lib/forwarding/call-scope.ts
@@ -82,11 +82,18 @@
 const restartTimer = (timer: ScopeTimer): void => {
 	clearTimeout(timer.timeout);
 	const delayMs = Math.ceil((timer.scope.deadlineAt - readSteadyMs()) / timerStepMs) * timerStepMs;
-	timer.timeout = setTimeout(endAtDeadline, clampTimerMs(delayMs), timer);
+	timer.timeout = setTimeout(endAfterReads, clampTimerMs(delayMs), timer);
 };
 
-function endAtDeadline({scope, endReason}: ScopeTimer): void {
-	scope.end(endReason);
+function endAtDeadline(timer: ScopeTimer): void {
+	if (runningTimers.has(timer)) {
+		timer.scope.end(timer.endReason);
+	}
+}
+
+/** Ends a scope after the sockets have been read. After a pause of this process due timers run first, and a response that has arrived would be dropped. */
+function endAfterReads(timer: ScopeTimer): void {
+	setImmediate(endAtDeadline, timer);
 }
 
 // Timers do not advance while this VM is suspended. After a resume they are set anew; a scope whose deadline has passed ends right after all resume handlers have run.
