Product's node: it listens while its servers work on requests when it drains

What callers saw: a request that a draining node had taken gets the server's own 500 if the server calls on through that node later than 0.3 s after SIGTERM.

Change: the node stops listening when its servers have nothing in work, or at the end of its time. Until then it refuses at once, as not run, requests that may take longer than that. Also: names of two functions begin with listed verbs.

--- a/src/lib/calls/call-signal.test.ts
+++ b/src/lib/calls/call-signal.test.ts
@@ -3,7 +3,7 @@
 import {PassThrough} from 'node:stream';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'node:test';
-import {openSocketPair, pause} from '../../../stand-ins/pause.js';
+import {blockEventLoop, openSocketPair} from '../../../stand-ins/event-loop.js';
 import {createCallSignals} from './call-signal.js';
 
 /** Creates a response of which only the events of a stream are used. */
@@ -22,12 +22,12 @@
 		isAborted ||= (signal.reason as Error).name === 'TimeoutError';
 	});
 	far.write('response');
-	pause(100);
+	blockEventLoop(100);
 	await sleep(20);
 	assert.equal(isAborted, false);
 
 	const late = createCallSignals().create(createResponse(), 30);
-	pause(100);
+	blockEventLoop(100);
 	await sleep(20);
 	assert.equal(late.aborted, true);
 });
--- a/src/lib/calls/call-signal.ts
+++ b/src/lib/calls/call-signal.ts
@@ -34,7 +34,7 @@
 			}
 
 			controllers.set(controller, response);
-			const abort = (): void => {
+			const endAtDeadline = (): void => {
 				if (controllers.has(controller)) {
 					controller.abort(new DOMException('no response before the deadline', 'TimeoutError'));
 				}
@@ -42,7 +42,7 @@
 
 			const timer = setTimeout(() => {
 				// After a pause of this process due timers run before the sockets are read. A response that has arrived is read first.
-				setImmediate(abort);
+				setImmediate(endAtDeadline);
 			}, timeoutMs);
 			response.once('close', () => {
 				clearTimeout(timer);
--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -41,8 +41,10 @@
 export type EntryServer = {
 	readonly server: Server;
 	readonly countCalls: () => number;
-	/** Stops listening, closes idle connections, and closes the others after their last response. */
-	readonly startDraining: () => Promise<void>;
+	/** Makes responses close their connections, and refuses requests that may take longer than until `endsAt`, in Unix milliseconds. */
+	readonly startDraining: (endsAt: number) => void;
+	/** Reads what has arrived, then stops listening, closes idle connections, and closes the others after their last response. */
+	readonly stopListening: () => Promise<void>;
 	/** Answers all requests in flight, since this node stops. */
 	readonly endCalls: () => void;
 };
@@ -81,6 +83,9 @@
 	};
 }
 
+/** Returns how long the caller waits at most, in milliseconds. */
+const getTimeoutMs = ({headers}: IncomingMessage, {decision}: CallPlan): number => Math.min(decision.timeoutMs, getNumberHeader(headers, timeoutHeader) ?? decision.timeoutMs);
+
 /** Returns `undefined` for a streamed body: it is never buffered whole, so no fingerprint can be computed. */
 function createRequestFingerprint({method = 'GET', url: target = '/', headers}: IncomingMessage, plan: CallPlan, body: RequestBody): LazyFingerprint | undefined {
 	if (body.type === 'stream') {
@@ -113,7 +118,8 @@
  */
 export function createEntryServer(context: EntryContext): EntryServer {
 	let calls = 0;
-	let isDraining = false;
+	/** When this node stops, in Unix milliseconds; `undefined` unless it drains. */
+	let endsAt: number | undefined;
 	const signals = createCallSignals();
 	/** Calls whose buffered body is being read. */
 	const reading = new Set<Call>();
@@ -146,7 +152,7 @@
 			[meshHeaders.verdict]: verdict,
 			[meshHeaders.call]: call.id,
 			// The response to a request that was read behind this one would be dropped.
-			...(isDraining || !call.request.complete) && connections.tryClose(call.request) ? {connection: 'close'} : {},
+			...(endsAt !== undefined || !call.request.complete) && connections.tryClose(call.request) ? {connection: 'close'} : {},
 		});
 		const addedMicroseconds = readMicroseconds() - call.startedAt - result.serverMicroseconds;
 		// On an error, pipeline destroys the caller's connection, so that a truncated response does not look complete.
@@ -158,7 +164,7 @@
 
 	const send = async (call: Call, plan: CallPlan, body: RequestBody): Promise<CallResult> => {
 		const {request, response} = call;
-		const timeoutMs = Math.min(plan.decision.timeoutMs, getNumberHeader(request.headers, timeoutHeader) ?? plan.decision.timeoutMs);
+		const timeoutMs = getTimeoutMs(request, plan);
 		const deadline = readNow() + timeoutMs;
 		return runAttempts(context, {
 			call: call.id,
@@ -227,6 +233,13 @@
 			return;
 		}
 
+		if (endsAt !== undefined && readNow() + getTimeoutMs(call.request, planned.value) > endsAt) {
+			finishWithProblem(call, {
+				status: 503, reason: 'draining', verdict: 'not-run', detail: 'this node stops, and the request may take longer than it runs', retryAfterMs: 0,
+			}, {route: planned.value.route.name, version: planned.value.version, attempts: 0});
+			return;
+		}
+
 		reading.add(call);
 		const body = await prepareBody(call.request, context.settings.bufferedBodyBytes, call.handleReadStart);
 		const isAnswered = !reading.delete(call);
@@ -284,10 +297,10 @@
 	return {
 		server,
 		countCalls: () => calls,
-		async startDraining() {
-			isDraining = true;
-			await connections.stop();
+		startDraining(time) {
+			endsAt = time;
 		},
+		stopListening: connections.stop,
 		endCalls() {
 			signals.endAll();
 			for (const call of reading) {
--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -4,7 +4,7 @@
 import {connect, type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type TestContext} from 'node:test';
-import {pause} from '../../../stand-ins/pause.js';
+import {blockEventLoop} from '../../../stand-ins/event-loop.js';
 import {openRawCaller, type RawCaller, type RawResponse} from '../../../stand-ins/raw-caller.js';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {watchCallerConnections, type CallerConnections} from './caller-connections.js';
@@ -167,7 +167,7 @@
 			caller.send(createRequest(`/new${index}`));
 		}
 
-		pause(100);
+		blockEventLoop(100);
 	});
 	const paths = ['/kept', '/new0', '/new1', '/new2', '/new3'];
 	assert.deepEqual(fixture.admitted.slice(1).toSorted(), paths);
--- a/src/lib/drain/drain-node.test.ts
+++ b/src/lib/drain/drain-node.test.ts
@@ -7,9 +7,12 @@
 		startDrainingServers() {
 			log.push('gates');
 		},
-		async startDrainingEntry() {
+		startDrainingEntry() {
 			log.push('entry');
 		},
+		async stopListening() {
+			log.push('listener');
+		},
 		countCalls: () => 0,
 		async waitUntilIdle() {
 			log.push('idle');
@@ -37,7 +40,7 @@
 		},
 	}));
 	assert.equal(isDone, true);
-	assert.deepEqual(log.filter(entry => !entry.startsWith('calls')), ['gates', 'entry', 'idle', 'end', 'left']);
+	assert.deepEqual(log.filter(entry => !entry.startsWith('calls')), ['gates', 'entry', 'idle', 'listener', 'end', 'left']);
 	assert.ok(log.indexOf('calls 0') < log.indexOf('left'));
 });
 
--- a/src/lib/drain/drain-node.ts
+++ b/src/lib/drain/drain-node.ts
@@ -10,8 +10,10 @@
 export type DrainContext = {
 	/** Makes the gates of this node's backend servers reject new requests. A rejected request was not executed. */
 	readonly startDrainingServers: () => void;
+	/** Makes responses to callers close their connections, and refuses requests that may take longer than until `endsAt`, in Unix milliseconds. */
+	readonly startDrainingEntry: (endsAt: number) => void;
 	/** Stops accepting connections from callers, and closes idle ones. */
-	readonly startDrainingEntry: () => Promise<void>;
+	readonly stopListening: () => Promise<void>;
 	/** Returns the number of calls whose response is not complete. */
 	readonly countCalls: () => number;
 	/** Waits until the backend servers beside the node have no requests. Returns false on timeout. */
@@ -47,10 +49,12 @@
 export async function drainNode(context: DrainContext): Promise<boolean> {
 	context.startDrainingServers();
 	await waitFor(lingerMs);
-	await context.startDrainingEntry();
 	const deadline = readNow() + context.drainMs;
+	context.startDrainingEntry(deadline);
+	// The servers may make calls through this node for the requests that they work on.
+	const hasIdleServers = await context.waitUntilIdle(context.drainMs);
+	await context.stopListening();
 	const hasNoCalls = await waitForCalls(context.countCalls, deadline);
-	const hasIdleServers = await context.waitUntilIdle(Math.max(0, deadline - readNow()));
 	context.endCalls();
 	context.leave();
 	await waitFor(lingerMs);
--- a/src/lib/forwarding/call-scope.test.ts
+++ b/src/lib/forwarding/call-scope.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test from 'node:test';
-import {openSocketPair, pause} from '../../../stand-ins/pause.js';
+import {blockEventLoop, openSocketPair} from '../../../stand-ins/event-loop.js';
 import {createCallScope, createChildScope, stopScopesAt} from './call-scope.js';
 
 test('a scope with a deadline beyond the longest timer delay does not end immediately', async context => {
@@ -44,12 +44,12 @@
 		scope.dispose();
 	});
 	far.write('response');
-	pause(100);
+	blockEventLoop(100);
 	await sleep(20);
 	assert.deepEqual(ended, []);
 
 	const late = createCallScope(performance.now() + 30);
-	pause(100);
+	blockEventLoop(100);
 	await sleep(20);
 	assert.equal(late.getEndReason(), 'timeout');
 });
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -357,6 +357,7 @@
 			const isDone = await drainNode({
 				startDrainingServers: localServers.drainAll,
 				startDrainingEntry: entry.startDraining,
+				stopListening: entry.stopListening,
 				countCalls: entry.countCalls,
 				waitUntilIdle: localServers.waitUntilIdle,
 				endCalls() {
--- a/stand-ins/backend-server/backend-server.ts
+++ b/stand-ins/backend-server/backend-server.ts
@@ -51,6 +51,8 @@
 	readonly cutBeforeAnswer: number;
 	/** A request for this path crashes the server once it has run: all connections close without a response. No path crashes it if empty. */
 	readonly crashPath: string;
+	/** A URL that it calls after the processing time, with the timeout of the request; it responds with status 500 if that call does not get status 200. No call if empty. */
+	readonly nestedUrl: string;
 	/** Whether it responds with status 413 before it has read the body. */
 	readonly answersEarly: boolean;
 	/** What the health endpoint returns, independent of the server's state. */
@@ -83,7 +85,7 @@
 };
 
 const defaultBehaviour: BackendBehaviour = {
-	workMs: 2, coldMs: 0, coldRequests: 0, isShedding: false, limit: '', saysItLeaves: false, cutAnswers: 0, cutBeforeAnswer: 0, crashPath: '', answersEarly: false, claimedHealth: 'ok', claimedLoad: 0,
+	workMs: 2, coldMs: 0, coldRequests: 0, isShedding: false, limit: '', saysItLeaves: false, cutAnswers: 0, cutBeforeAnswer: 0, crashPath: '', nestedUrl: '', answersEarly: false, claimedHealth: 'ok', claimedLoad: 0,
 };
 
 const announcePeriodMs = 1000;
@@ -197,6 +199,17 @@
 		return timeoutMs > 0 ? AbortSignal.any([disconnect.signal, AbortSignal.timeout(timeoutMs)]) : disconnect.signal;
 	};
 
+	/** Makes the nested call, if any. Returns whether it succeeded. */
+	const callNested = async ({headers}: IncomingMessage): Promise<boolean> => {
+		if (behaviour.nestedUrl === '') {
+			return true;
+		}
+
+		const answer = await settle(sendRequest(behaviour.nestedUrl, {headers: {host: 'mesh.example', 'request-timeout-ms': String(headers['request-timeout-ms'] ?? '')}}));
+		await answer?.body.dump();
+		return answer?.statusCode === 200;
+	};
+
 	const handleWork = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
 		const path = request.url ?? '/';
 		const bundle = /^\/bundles\/([\w.-]+)$/.exec(path)?.[1];
@@ -223,6 +236,11 @@
 			return;
 		}
 
+		if (!await callNested(request)) {
+			sendText(response, 500, 'a nested call has failed');
+			return;
+		}
+
 		const key = request.headers['idempotency-key'] as string | undefined;
 		const count = request.method === 'POST' ? countRun(key ?? path) : 0;
 		if (behaviour.cutBeforeAnswer > 0) {
--- a/stand-ins/pause.ts
+++ b/stand-ins/event-loop.ts
@@ -15,7 +15,7 @@
  *
  * @param milliseconds - How long.
  */
-export function pause(milliseconds: number): void {
+export function blockEventLoop(milliseconds: number): void {
 	const endsAt = performance.now() + milliseconds;
 	while (performance.now() < endsAt) {
 		// Neither timers nor sockets are handled meanwhile.
