--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -88,10 +88,11 @@
  * Tracks the connections that a server accepts from now on.
  *
  * @param server - The server.
+ * @param handleUnsent - Called with each response that was handed to a connection which closed before the response was sent.
  * @returns Its connections.
  * @internal
  */
-export function watchCallerConnections(server: Server): CallerConnections {
+export function watchCallerConnections(server: Server, handleUnsent: (request: IncomingMessage, response: ServerResponse) => void = () => undefined): CallerConnections {
 	const connections = new Map<Socket, Connection>();
 	let isStopped = false;
 	/** Connections accepted and requests read so far. */
@@ -120,6 +121,10 @@
 	const finish = (socket: Socket, connection: Connection, exchange: OpenExchange): void => {
 		connection.open.splice(connection.open.indexOf(exchange), 1);
 		if (socket.destroyed) {
+			if (exchange.response.writableEnded) {
+				handleUnsent(exchange.request, exchange.response);
+			}
+
 			return;
 		}
 
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -146,7 +146,10 @@
 	const server = createServer({
 		maxHeaderSize: maxHeaderBytes, noDelay: true, requestTimeout: 0, connectionsCheckingInterval: 1000,
 	});
-	const connections = watchCallerConnections(server);
+	const connections = watchCallerConnections(server, ({headers}, {statusCode}) => {
+		// The line of the call alone does not show that its caller lacks the answer.
+		log.record('info', {kind: 'answer-not-sent', call: getStringHeader(headers, headerNames.callId) ?? '', status: statusCode});
+	});
 	const scopes = watchConnections(server);
 	const calls = new Set<EntryCall>();
 	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
@@ -393,20 +396,6 @@
 		}
 	};
 
-	/** Logs an answer that was handed to a connection which closed before it was sent. The line of the call alone does not show that its caller lacks the answer. */
-	const logUnsentAnswer = (id: string, {socket}: IncomingMessage, response: ServerResponse): void => {
-		let isSent = false;
-		// A reset connection also ends its response with this event.
-		response.once('finish', () => {
-			isSent = !socket.destroyed;
-		});
-		response.once('close', () => {
-			if (response.writableEnded && !isSent) {
-				log.record('info', {kind: 'answer-not-sent', call: id, status: response.statusCode});
-			}
-		});
-	};
-
 	const handle = (request: IncomingMessage, response: ServerResponse, sendContinue: () => void): void => {
 		const id = getStringHeader(request.headers, headerNames.callId) ?? '';
 		if (!connections.admit(request, response)) {
@@ -414,7 +403,6 @@
 			return;
 		}
 
-		logUnsentAnswer(id, request, response);
 		void runAndCatch({
 			id, request, response, receivedAt: readSteadyMs() - context.estimateUnreadMs(), sendContinue,
 		});
