Soak: backend servers call on through their nodes, a few after long work; logs: callers that had left have one line

A stopping node that does not accept a call of its server is a broken promise of the soak. An answer to a caller that has ended its connection was logged twice (seen in the soak's logs).

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -81,6 +81,32 @@
 	return pickInteger(changingKeyOneIn) === 0 ? keys.changing : keys.steady[pickInteger(keys.steady.length)];
 }
 
+/** What a call sends. */
+type SentCall = Pick<CallRecord, 'id' | 'node' | 'route' | 'method' | 'target' | 'key' | 'body' | 'timeLeftMs' | 'isNested'>;
+
+/**
+ * Sends a call, and records its response.
+ *
+ * @param address - The address at which the node accepts calls.
+ * @param call - The call.
+ * @param options - When the caller disconnects, in milliseconds, and its connections; a new connection if omitted.
+ * @returns What the caller observed.
+ */
+export async function sendRecordedCall(address: string, call: SentCall, {leaveAfterMs, agent}: {readonly leaveAfterMs: number; readonly agent?: Agent | undefined}): Promise<CallRecord> {
+	const {id, method, target, key, body, timeLeftMs} = call;
+	const sentAt = Date.now();
+	const response = await sendCall(address, target, {
+		method, id, timeLeftMs, disconnectAfterMs: leaveAfterMs, ...agent === undefined ? {} : {agent}, ...body === '' ? {} : {body}, headers: key === undefined ? {} : {authorization: `Token ${key}`},
+	});
+	const endedAt = Date.now();
+	const getHeader = (name: string): string | undefined => response.headers[name] as string | undefined;
+	return {
+		...call, sentAt, endedAt, status: response.status, text: response.body,
+		signature: getHeader(platformHeaders.signature), echoedId: getHeader(platformHeaders.callId),
+		namesLimit: getHeader(platformHeaders.serverLimit) !== undefined, saysLeaving: getHeader(platformHeaders.serverLeaving) === '1', hasLeft: response.status === 0 && endedAt - sentAt >= leaveAfterMs - 5,
+	};
+}
+
 /**
  * Starts the callers of one node.
  *
@@ -104,17 +130,9 @@
 		const timeLeftMs = callerTimeoutsMs[pickInteger(callerTimeoutsMs.length)]!;
 		const leaveAfterMs = pickInteger(earlyDisconnectOneIn) === 0 ? 5 + pickInteger(60) : timeLeftMs + disconnectMarginMs;
 		const key = pickKey(pickInteger);
-		const sentAt = Date.now();
-		const response = await sendCall(address, target, {
-			method, id, timeLeftMs, disconnectAfterMs: leaveAfterMs, agent, body: isSafe ? undefined : body, headers: key === undefined ? {} : {authorization: `Token ${key}`},
-		});
-		const endedAt = Date.now();
-		const getHeader = (name: string): string | undefined => response.headers[name] as string | undefined;
-		return {
-			id, node, route, method, target, key, body, timeLeftMs, sentAt, endedAt, status: response.status, text: response.body,
-			signature: getHeader(platformHeaders.signature), echoedId: getHeader(platformHeaders.callId),
-			namesLimit: getHeader(platformHeaders.serverLimit) !== undefined, saysLeaving: getHeader(platformHeaders.serverLeaving) === '1', hasLeft: response.status === 0 && endedAt - sentAt >= leaveAfterMs - 5,
-		};
+		return sendRecordedCall(address, {
+			id, node, route, method, target, key, body, timeLeftMs,
+		}, {leaveAfterMs, agent});
 	};
 
 	const runCaller = async (index: number): Promise<void> => {
--- a/soak/checks/check-losses.ts
+++ b/soak/checks/check-losses.ts
@@ -48,3 +48,21 @@
 		}];
 	});
 }
+
+/**
+ * Finds calls that backend servers needed for requests in work and that the node beside them did not accept while it stopped.
+ *
+ * @param record - What was observed.
+ * @returns Calls without a response of which only graceful stops and reloads of the node can be the cause.
+ */
+export function checkNestedCalls(record: SoakRecord): readonly Violation[] {
+	return record.calls.filter(({isNested, status, hasLeft}) => isNested && status === 0 && !hasLeft).flatMap((call): readonly Violation[] => {
+		const isAtNode = ({part, node}: Disturbance): boolean => node === call.node && (part === 'node' || part === 'server');
+		const isCallDisturbed = (isPlanned: boolean): boolean => isDisturbed(record, call.sentAt - marginMs, call.endedAt, disturbance => isAtNode(disturbance) && disturbance.isPlanned === isPlanned);
+		return isCallDisturbed(true) && !isCallDisturbed(false)
+			? [{
+				promise: 'a stopping node serves the calls of its server', at: call.endedAt, call: call.id, what: `${call.id} of the server beside ${call.node} got no response after ${call.endedAt - call.sentAt} ms`,
+			}]
+			: [];
+	});
+}
--- a/soak/checks/find-violations.test.ts
+++ b/soak/checks/find-violations.test.ts
@@ -265,3 +265,16 @@
 	assert.deepEqual(listFor(keys.unknown, 1, 1000), []);
 	assert.deepEqual(listFor(undefined, 1, 1000), []);
 });
+
+test('reports a call of a server that a stopping node did not accept, unless the node was disturbed otherwise', () => {
+	const call = createCall({...lost, isNested: true});
+	const stopping: Disturbance = {
+		part: 'node', node: 'n0', what: 'stop', isPlanned: true, from: start - 3000, to: start + 1000,
+	};
+	const listFor = (own: CallRecord, disturbances: readonly Disturbance[]): readonly string[] => listBroken(createRecord([own], {runs: [], disturbances}));
+	assert.deepEqual(listFor(call, [stopping]), ['a stopping node serves the calls of its server']);
+	assert.deepEqual(listFor(call, []), []);
+	assert.deepEqual(listFor(call, [stopping, pausedNode]), []);
+	assert.deepEqual(listFor({...call, isNested: false}, [stopping]), []);
+	assert.deepEqual(listFor(createCall({...refused, isNested: true}), [stopping]), []);
+});
--- a/soak/checks/find-violations.ts
+++ b/soak/checks/find-violations.ts
@@ -6,7 +6,7 @@
 import {type SoakRecord, type Violation} from '../record.js';
 import {checkAnswers} from './check-answers.js';
 import {checkHangs} from './check-hangs.js';
-import {checkLosses} from './check-losses.js';
+import {checkLosses, checkNestedCalls} from './check-losses.js';
 import {checkLeavingNotices, checkLimits} from './check-notices.js';
 import {checkProcesses, checkRecovery} from './check-processes.js';
 import {checkDrains, checkRuns, checkUnsentRequests} from './check-runs.js';
@@ -38,6 +38,7 @@
 		...checkVersions(record, settings),
 		...checkWorkspaces(record, settings),
 		...checkLosses(record),
+		...checkNestedCalls(record),
 		...checkProcesses(record),
 		...checkRecovery(record),
 	].toSorted((left, right) => left.at - right.at);
--- a/soak/record.ts
+++ b/soak/record.ts
@@ -33,6 +33,8 @@
 	readonly saysLeaving: boolean;
 	/** Whether the caller disconnected before the response. */
 	readonly hasLeft: boolean;
+	/** Whether the backend server beside the node made the call for a request that it executed. */
+	readonly isNested?: boolean;
 };
 
 /** One execution of a request, as the backend server observed it. */
--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -128,17 +128,20 @@
  * @returns What was observed, and which promises were broken.
  */
 export async function runSoak(plan: SoakPlan, options: SoakOptions): Promise<SoakOutcome> {
-	const mesh = await startSoakMesh(plan.nodes, options.folder, createSoakConfig(0));
+	const calls: CallRecord[] = [];
+	const handleCall = (call: CallRecord): void => {
+		calls.push(call);
+	};
+
+	const mesh = await startSoakMesh(plan.nodes, options.folder, createSoakConfig(0), handleCall);
 	const startedAt = Date.now();
 	const observations: Observations = {
-		calls: [], changes: [{index: 0, writtenAt: startedAt}], disturbances: [], lastFaultAt: startedAt,
+		calls, changes: [{index: 0, writtenAt: startedAt}], disturbances: [], lastFaultAt: startedAt,
 	};
 	const settings: CheckSettings = {applyMs: options.applyMs, getNodeService: name => mesh.vms.find(({node}) => node.name === name)?.service ?? ''};
 	const callers = mesh.vms.map(({node}, index) => startCallers({
 		node: node.name, address: node.callerAddress, seed: (plan.seed * 100) + index, getNewestConfigIndex: () => observations.changes.length - 1,
-		handleCall(call) {
-			observations.calls.push(call);
-		},
+		handleCall,
 	}));
 	const checkController = new AbortController();
 	const checking = checkPeriodically(() => findViolations(buildRecord(mesh, observations, undefined), settings), options.reportViolation, checkController.signal);
--- a/soak/soak-mesh.ts
+++ b/soak/soak-mesh.ts
@@ -6,6 +6,7 @@
  */
 import process from 'node:process';
 import {startPlatformStore, type PlatformStore} from '../stand-ins/platform-store/platform-store.js';
+import {type CallRecord} from './record.js';
 import {startLinkProxy, type LinkProxy} from './link-proxy.js';
 import {services, type Service} from './soak-config.js';
 import {startSoakNode, type SoakNode} from './soak-node.js';
@@ -35,7 +36,7 @@
 /** Returns a loopback IP address. It depends on the process id, so that soaks that run at the same time do not share addresses. */
 const createHost = (index: number): string => `127.${128 + (Math.floor(process.pid / 250) % 100)}.${process.pid % 250}.${index + 1}`;
 
-async function startVm(store: PlatformStore, index: number, folder: string): Promise<SoakVm> {
+async function startVm(store: PlatformStore, index: number, folder: string, handleNestedCall: (call: CallRecord) => void): Promise<SoakVm> {
 	const host = createHost(index);
 	const service = services[index % services.length]!;
 	const storeAddress = `${host}:7010`;
@@ -43,7 +44,7 @@
 	const node = startSoakNode({
 		name: `n${index}`, failureDomain: failureDomains[Math.floor(index / services.length) % failureDomains.length]!, service, host, storeAddress, graceMs, retrySlack,
 	}, folder);
-	const server = await startSoakServer(node, service);
+	const server = await startSoakServer(node, service, handleNestedCall);
 	return {
 		node, service, server, storeLink,
 	};
@@ -55,12 +56,13 @@
  * @param nodes - The number of nodes.
  * @param folder - The folder for settings and logs.
  * @param firstConfig - The configuration in the store before the nodes start.
+ * @param handleNestedCall - Called with each call of a backend server when it has ended.
  * @returns The mesh.
  */
-export async function startSoakMesh(nodes: number, folder: string, firstConfig: unknown): Promise<SoakMesh> {
+export async function startSoakMesh(nodes: number, folder: string, firstConfig: unknown, handleNestedCall: (call: CallRecord) => void): Promise<SoakMesh> {
 	const store = await startPlatformStore();
 	store.putConfig(firstConfig);
-	const vms = await Promise.all(Array.from({length: nodes}, async (_, index) => startVm(store, index, folder)));
+	const vms = await Promise.all(Array.from({length: nodes}, async (_, index) => startVm(store, index, folder, handleNestedCall)));
 	await Promise.all(vms.map(async ({node}) => node.waitUntilReady()));
 	return {
 		store,
--- a/soak/soak-server.ts
+++ b/soak/soak-server.ts
@@ -10,8 +10,9 @@
 import {startPlatformServer, type PlatformServer} from '../stand-ins/platform-server/platform-server.js';
 import {sendHeartbeat, sendLeave} from '../stand-ins/platform-server/server-messages.js';
 import {startLinkProxy, type LinkMode} from './link-proxy.js';
+import {createNestedCalls} from './nested-calls.js';
 import {
-	type DrainRecord, type HangRecord, type LimitRecord, type RunRecord,
+	type CallRecord, type DrainRecord, type HangRecord, type LimitRecord, type RunRecord,
 } from './record.js';
 import {type SoakNode} from './soak-node.js';
 import {type Service} from './soak-config.js';
@@ -96,9 +97,11 @@
  *
  * @param node - The node beside the server.
  * @param service - The service of the server.
+ * @param handleNestedCall - Called with each call of the server when it has ended.
  * @returns The server.
  */
-export async function startSoakServer(node: SoakNode, service: Service): Promise<SoakServer> {
+export async function startSoakServer(node: SoakNode, service: Service, handleNestedCall: (call: CallRecord) => void): Promise<SoakServer> {
+	const callNested = createNestedCalls(node, handleNestedCall);
 	const address = `${node.parameters.host}:7011`;
 	const link = await startLinkProxy(address);
 	const lifetimes: ServerLifetime[] = [];
@@ -147,6 +150,7 @@
 		const server = await startPlatformServer(id);
 		server.setWorkMs(defaultWorkMs);
 		server.setSlots(slots);
+		server.setNestedCall(callNested);
 		current = {
 			id, startedAt: Date.now(), server, drainAckedAt: undefined, isDraining: false, queue: undefined, isLimited: false, hasLeft: false, sequence: 0,
 		};
--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -88,7 +88,7 @@
  * Tracks the connections that a server accepts from now on.
  *
  * @param server - The server.
- * @param handleUnsent - Called with each response that was handed to a connection which closed before the response was sent.
+ * @param handleUnsent - Called with each response that was handed to a connection which closed before the response was sent, unless the caller had ended it.
  * @returns Its connections.
  * @internal
  */
@@ -121,7 +121,7 @@
 	const finish = (socket: Socket, connection: Connection, exchange: OpenExchange): void => {
 		connection.open.splice(connection.open.indexOf(exchange), 1);
 		if (socket.destroyed) {
-			if (exchange.response.writableEnded) {
+			if (exchange.response.writableEnded && !socket.readableEnded) {
 				handleUnsent(exchange.request, exchange.response);
 			}
 
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -144,7 +144,7 @@
 	| {readonly kind: 'gate-refused'; readonly call: string; readonly server: string; readonly reason: string; readonly rank: number; readonly running: number; readonly waiting: number; readonly serviceMs: number; readonly slowness?: number | undefined; readonly mayWaitMs: number; readonly limitPerSecond?: number | undefined; readonly caller?: string; readonly fullCause?: FullCause | undefined; readonly workspace?: string | undefined}
 	/** The request was read behind a response that closes its connection, and was not passed on; the caller sends it again. */
 	| {readonly kind: 'request-not-admitted'; readonly call: string}
-	/** The connection closed before the answer was sent: its caller left, or the node closed it. */
+	/** The connection closed before the answer was sent: it was reset, or the node closed it. */
 	| {readonly kind: 'answer-not-sent'; readonly call: string; readonly status: number}
 	/** The caller left before its request was started; the request was not sent to any server. */
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
--- a/stand-ins/platform-server/platform-server.ts
+++ b/stand-ins/platform-server/platform-server.ts
@@ -193,7 +193,7 @@
 		};
 
 		setTimeout(() => {
-			if (callNested === undefined) {
+			if (callNested === undefined || isClosed) {
 				sendResponseNow(behaviour);
 			} else {
 				void callOnAndRespond(callNested);
