--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -174,7 +174,7 @@
 	},
 	{
 		promise: 'sidecar: a node that shuts down waits until its responses are sent',
-		file: `${library}/sidecar/sidecar.js`,
+		file: `${library}/sidecar/stop-node.js`,
 		from: ' + unsentAnswers + unsentResponses',
 		to: '',
 		tests: 'platform',
@@ -293,21 +293,21 @@
 	},
 	{
 		promise: 'sidecar: a node that shuts down answers the requests of its callers before it exits',
-		file: `${library}/sidecar/sidecar.js`,
+		file: `${library}/sidecar/stop-node.js`,
 		from: 'entry.stopAt(time);',
 		to: '',
 		tests: 'platform/stopping-node.test.js',
 	},
 	{
 		promise: 'sidecar: a node that shuts down refuses uploads of other nodes that cannot arrive before it exits',
-		file: `${library}/sidecar/sidecar.js`,
+		file: `${library}/sidecar/stop-node.js`,
 		from: 'gateServer.stopAt(time);',
 		to: '',
 		tests: 'platform/stopping-node.test.js',
 	},
 	{
 		promise: 'sidecar: a node that shuts down ends uploads at once that it cannot send before it exits',
-		file: `${library}/sidecar/sidecar.js`,
+		file: `${library}/sidecar/stop-node.js`,
 		from: 'gateClient.endLateUploads(time);',
 		to: '',
 		tests: 'platform/stopping-node.test.js',
@@ -881,7 +881,7 @@
 	},
 	{
 		promise: 'sidecar: bytes: a body that does not arrive is not waited for beyond the deadline',
-		file: `${library}/forwarding/entry-server.js`,
+		file: `${library}/forwarding/call-bodies.js`,
 		from: 'if (reason === \'timeout\') {',
 		to: 'if (false) {',
 		tests: 'platform/malformed-input.test.js',
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -27,16 +27,13 @@
 import {type Quotas} from '../quotas/quotas.js';
 import {type Workspace} from '../workspaces/workspace.js';
 import {createLazyFingerprint} from '../quarantine/lazy-fingerprint.js';
-import {createByteBudget} from './byte-budget.js';
+import {createCallBodies} from './call-bodies.js';
 import {createCallScope, deadlineGraceMs, type CallScope} from './call-scope.js';
 import {authenticateCaller, createAccessCheck, filterCallerHeaders} from './caller-access.js';
 import {getNumberHeader, getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {watchConnections} from './connection-scopes.js';
 import {type ForwardResponse} from './forward-result.js';
 import {findInvalidHeaderName} from './read-headers.js';
-import {
-	BodyTooLargeError, BodyStoppedError, BodyTimeoutError, hasBody, BodyMemoryError, readBody,
-} from './read-body.js';
 import {type CallOutcome, type SendContext} from './outgoing-call.js';
 import {createEntryRefusals, unusableRouteRetryMs, type EntryCall} from './entry-refusals.js';
 import {
@@ -112,28 +109,9 @@
 /** Responses up to this size are sent in one write. Larger ones would cost more to convert than a second write. */
 const maxJoinedBodyBytes = 16_384;
 
-/** Limit for the bodies of all requests together: a third of the memory that a process has on the smallest VMs of the users. */
-const maxBufferedBodyBytes = 83_886_080;
-
-/** Retry delay for a request that is refused because the memory for bodies is in use. */
-const bodyMemoryRetryMs = 1000;
-
 /** Retry delay while this node has no configuration. */
 const noConfigRetryMs = 250;
 
-/** Returns the status for a request whose body could not be read. Such a request was not executed. */
-function chooseBodyErrorStatus(error: unknown): number {
-	if (error instanceof BodyMemoryError || error instanceof BodyStoppedError) {
-		return 503;
-	}
-
-	if (error instanceof BodyTimeoutError) {
-		return 408;
-	}
-
-	return error instanceof BodyTooLargeError ? 413 : 400;
-}
-
 /**
  * Creates the server for callers.
  *
@@ -152,11 +130,13 @@
 	});
 	const scopes = watchConnections(server);
 	const calls = new Set<EntryCall>();
-	const bodyBudget = createByteBudget(maxBufferedBodyBytes);
 	let isClosing = false;
 	let isRefusingLate = false;
 	const refusals = createEntryRefusals(context, connections.tryClose, () => isClosing);
 	const {refuseAndLog, logCallerLeft} = refusals;
+	const bodies = createCallBodies((call, status, reason, retryAfterMs) => {
+		refuseAndLog(call, context.getConfig()?.config.version ?? 0, status, reason, retryAfterMs);
+	});
 
 	const sendAnswer = (call: EntryCall, answer: ForwardResponse): void => {
 		const {request, response} = call;
@@ -215,28 +195,6 @@
 		}
 	};
 
-	const readCallBody = async (call: EntryCall, maxBodyBytes: number, scope: CallScope): Promise<Uint8Array | undefined | 'refused'> => {
-		if (!hasBody(call.request)) {
-			return undefined;
-		}
-
-		call.sendContinue();
-		try {
-			return await readBody(call.request, maxBodyBytes, bodyBudget, handleEnd => scope.subscribe(reason => {
-				// A closed connection needs no handling here: `readBody` handles the `close` event of the request.
-				if (reason === 'timeout') {
-					handleEnd();
-				} else if (reason === 'stopping') {
-					handleEnd(new BodyStoppedError('this node shuts down, and the body of the request has not arrived'));
-				}
-			}));
-		} catch (error) {
-			const retryAfterMs = error instanceof BodyMemoryError ? bodyMemoryRetryMs : 0;
-			refuseAndLog(call, context.getConfig()?.config.version ?? 0, chooseBodyErrorStatus(error), (error as Error).message, retryAfterMs);
-			return 'refused';
-		}
-	};
-
 	const finish = (call: EntryCall, scope: CallScope, activeConfig: ActiveConfig, outcome: CallOutcome & {readonly route: RouteRule; readonly service: string; readonly workspace: string | undefined; readonly quota: FinishedCall['quota']}): void => {
 		const {result, verdict, attempts} = outcome;
 		const now = readSteadyMs();
@@ -342,7 +300,7 @@
 				return;
 			}
 
-			const body = await readCallBody(call, limits.maxBodyBytes, scope);
+			const body = await bodies.read(call, limits.maxBodyBytes, scope);
 			if (body === 'refused') {
 				return;
 			}
@@ -377,7 +335,7 @@
 			});
 		} finally {
 			releaseToken(token, mayHaveRun);
-			bodyBudget.release(bufferedBytes);
+			bodies.release(bufferedBytes);
 			removeFromConnection();
 			scope.dispose();
 		}
--- a/src/lib/forwarding/truncated-head.test.ts
+++ b/src/lib/forwarding/truncated-head.test.ts
@@ -11,11 +11,11 @@
 
 /** Responses in each form that the end of a response can take. */
 const responses: ReadonlyArray<readonly [string, string]> = [
-	['with a length', 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nStonemoor-Attempt-Id: c1\r\nContent-Length: 11\r\n\r\nwhole\r\n\r\nxx'],
-	['in chunks', 'HTTP/1.1 200 OK\r\nStonemoor-Attempt-Id: c1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'],
-	['up to the end of its connection', 'HTTP/1.1 200 OK\r\nStonemoor-Attempt-Id: c1\r\n\r\nwhole'],
-	['behind an interim response', 'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nStonemoor-Attempt-Id: c1\r\nContent-Length: 5\r\n\r\nwhole'],
-	['with an HTTP/1.0 head', 'HTTP/1.0 200 OK\r\nStonemoor-Attempt-Id: c1\r\n\r\nwhole'],
+	['with a length', 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Call: c1\r\nContent-Length: 11\r\n\r\nwhole\r\n\r\nxx'],
+	['in chunks', 'HTTP/1.1 200 OK\r\nX-Call: c1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n'],
+	['up to the end of its connection', 'HTTP/1.1 200 OK\r\nX-Call: c1\r\n\r\nwhole'],
+	['behind an interim response', 'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Call: c1\r\nContent-Length: 5\r\n\r\nwhole'],
+	['with an HTTP/1.0 head', 'HTTP/1.0 200 OK\r\nX-Call: c1\r\n\r\nwhole'],
 ];
 
 /** Starts a server that sends the given bytes in response to each request and closes its connection. */
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -53,9 +53,9 @@
 import {listChangesNeedingRestart, mergeSettings} from './settings-change.js';
 import {type SidecarSettings} from './sidecar-settings.js';
 import {createMetricsServer, createReadinessServer} from './status-servers.js';
-import {runGracefulShutdown} from './graceful-shutdown.js';
 import {createServiceServers} from './service-servers.js';
 import {createSilenceWatchers} from './silence-watchers.js';
+import {stopNode} from './stop-node.js';
 
 /** What a sidecar node needs from the platform and the process. @public */
 export type SidecarDependencies = {
@@ -98,9 +98,6 @@
 /** Nodes that a node assumes to share the slack of the retry budget just after its start, unless it knows of more. The smallest mesh in use has 13 nodes. */
 const assumedNodeCount = 12;
 
-/** Maximum number of requests without an answer whose ids are logged at the exit. */
-const maxListedCalls = 20;
-
 /** Limit of connections to a backend server for which no configuration sets one. */
 const defaultMaxConnections = 64;
 
@@ -453,16 +450,6 @@
 		}
 	};
 
-	/** Counts requests in flight by the place where they are. A request whose response is not fully sent is among them: exiting now would truncate the response. */
-	const describeInFlight = () => ({
-		calls: entry.countCalls(), gateRequests: gate.countRequests(), unsentAnswers: entry.countUnsentAnswers(), unsentResponses: gateServer.countUnsentResponses(),
-	});
-
-	const countInFlight = (): number => {
-		const {calls, gateRequests, unsentAnswers, unsentResponses} = describeInFlight();
-		return calls + gateRequests + unsentAnswers + unsentResponses;
-	};
-
 	return {
 		async start() {
 			log.record('info', {
@@ -488,13 +475,8 @@
 		},
 		async drain() {
 			isLeaving = true;
-			log.record('info', {kind: 'node-draining', reason: 'signal', requests: countInFlight()});
-			const stoppedAfterMs = await runGracefulShutdown({
-				answerBy(time) {
-					entry.stopAt(time);
-					gateServer.stopAt(time);
-					gateClient.endLateUploads(time);
-				},
+			await stopNode({
+				entry, gateServer, gate, gateClient, linkWriter, log,
 				withdraw() {
 					void sync.withdraw();
 				},
@@ -502,21 +484,7 @@
 					isGateLeaving = true;
 					link.announce();
 				},
-				closeAfterAnswers: entry.startClosing,
-				refuseLateRequests: entry.refuseLateRequests,
-				stopListening: entry.stopListening,
-				countServerRequests: gate.countRequests,
-				countInFlight,
-				handleStep(step, afterMs, lateMs) {
-					log.record('info', {
-						kind: 'shutdown-step', step, afterMs: Math.round(afterMs), lateMs: Math.round(lateMs), ...describeInFlight(),
-					});
-				},
 			}, settings.shutdownMs);
-			log.record('info', {
-				kind: 'node-stopped', requests: countInFlight(), ...describeInFlight(), queuedBytes: linkWriter.countQueuedBytes(), afterMs: Math.round(stoppedAfterMs),
-				unanswered: entry.listCalls().slice(0, maxListedCalls),
-			});
 			await dispose();
 		},
 		dispose,
