--- a/src/lib/sidecar/graceful-shutdown.ts
+++ b/src/lib/sidecar/graceful-shutdown.ts
@@ -24,8 +24,8 @@
 	readonly countServerRequests: () => number;
 	/** Returns the number of requests in flight. */
 	readonly countInFlight: () => number;
-	/** Called after each step with the time since the shutdown began and the time by which the step was late, in milliseconds. */
-	readonly handleStep: (step: ShutdownStep, afterMs: number, lateMs: number) => void;
+	/** Called after each step with the time since the shutdown began and, if the step was due at a certain time, by how much it was late, in milliseconds. */
+	readonly handleStep: (step: ShutdownStep, afterMs: number, lateMs: number | undefined) => void;
 };
 
 /** How long the gate accepts requests after the shutdown begins. The backend server still works during this time, and the node has to run until its callers have disconnected anyway. A request accepted at the end of this time can still use the longest timeout of the callers before the node must exit. */
@@ -56,9 +56,9 @@
 export async function runGracefulShutdown(steps: ShutdownSteps, limitMs: number): Promise<number> {
 	const startedAt = readSteadyMs();
 	const waitUntil = async (afterMs: number): Promise<void> => waitFor(Math.max(0, startedAt + afterMs - readSteadyMs()));
-	const report = (step: ShutdownStep, dueMs: number): void => {
+	const report = (step: ShutdownStep, dueMs?: number): void => {
 		const afterMs = readSteadyMs() - startedAt;
-		steps.handleStep(step, afterMs, afterMs - dueMs);
+		steps.handleStep(step, afterMs, dueMs === undefined ? undefined : afterMs - dueMs);
 	};
 
 	/** Waits while a condition holds, up to the time at which the last answers must have been sent. */
@@ -81,7 +81,7 @@
 	report('late-requests-refused', stopListeningAfterMs);
 	await waitWhile(() => steps.countServerRequests() > 0);
 	await steps.stopListening();
-	report('listener-closed', stopListeningAfterMs);
+	report('listener-closed');
 	await waitWhile(() => steps.countInFlight() > 0);
 
 	// The last responses are still on their way to the callers.
--- a/src/lib/sidecar/stop-node.ts
+++ b/src/lib/sidecar/stop-node.ts
@@ -67,7 +67,7 @@
 		countInFlight: () => countInFlight(node),
 		handleStep(step, afterMs, lateMs) {
 			log.record('info', {
-				kind: 'shutdown-step', step, afterMs: Math.round(afterMs), lateMs: Math.round(lateMs), ...describeInFlight(node),
+				kind: 'shutdown-step', step, afterMs: Math.round(afterMs), ...lateMs === undefined ? {} : {lateMs: Math.round(lateMs)}, ...describeInFlight(node),
 			});
 		},
 	}, limitMs);
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -81,8 +81,8 @@
 	| {readonly kind: 'node-draining'; readonly reason: string; readonly requests: number}
 	/** `requests` is the sum of the counts by place: a request of a caller is counted again while its response is sent, or while the gate has it. `unanswered` are the ids of the first requests that the node leaves without an answer. */
 	| {readonly kind: 'node-stopped'; readonly requests: number; readonly calls: number; readonly gateRequests: number; readonly unsentAnswers: number; readonly unsentResponses: number; readonly queuedBytes: number; readonly afterMs: number; readonly unanswered: readonly string[]}
-	/** A step of a shutdown, `lateMs` later than it was due, and the requests in flight at that time by the place where they are. */
-	| {readonly kind: 'shutdown-step'; readonly step: ShutdownStep; readonly afterMs: number; readonly lateMs: number; readonly calls: number; readonly gateRequests: number; readonly unsentAnswers: number; readonly unsentResponses: number}
+	/** A step of a shutdown, `lateMs` later than it was due if it was due at a certain time, and the requests in flight at that time by the place where they are. */
+	| {readonly kind: 'shutdown-step'; readonly step: ShutdownStep; readonly afterMs: number; readonly lateMs?: number; readonly calls: number; readonly gateRequests: number; readonly unsentAnswers: number; readonly unsentResponses: number}
 	| {readonly kind: 'node-paused'; readonly forMs: number}
 	| {readonly kind: 'node-suspended'; readonly forMs: number}
 	| {readonly kind: 'node-failed'; readonly reason: string; readonly call?: string}
