--- a/src/lib/calls/truncated-head.test.ts
+++ b/src/lib/calls/truncated-head.test.ts
@@ -14,7 +14,7 @@
 
 const deadlineMs = 10_000;
 
-/** Responses with a length and in chunks, and how many bytes their bodies have. */
+/** Responses with a length and in chunks. */
 const responses: readonly string[] = [
 	'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\nwhole answer',
 	'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nc\r\nwhole answer\r\n0\r\n\r\n',
