Soak: the loaded mesh is judged by the platform's rule on lost requests, calls of servers included

Callers reported requests without their server's answer around stops, for the third time and without a record. The soak's own judge was kinder than the rule in three places: it saw only requests that had run, only those of callers, and excused an end up to 60 ms before the time of a request. check-lost.ts excuses what the rule excuses and nothing else.

--- a/soak/loaded/check-loaded.test.ts
+++ b/soak/loaded/check-loaded.test.ts
@@ -5,7 +5,7 @@
 import {type LoadedRun} from './loaded-server.js';
 
 const call: LoadedCall = {
-	id: 'c1', node: 'n1', target: '/swap/c1', sentAt: 1000, endedAt: 1300, status: 200, isSigned: true, text: 'answer c1 300',
+	id: 'c1', node: 'n1', target: '/swap/c1', timeLeftMs: 2000, sentAt: 1000, endedAt: 1300, status: 200, isSigned: true, text: 'answer c1 300',
 };
 
 const run: LoadedRun = {
--- a/soak/loaded/loaded-callers.ts
+++ b/soak/loaded/loaded-callers.ts
@@ -16,6 +16,8 @@
 	readonly id: string;
 	readonly node: string;
 	readonly target: string;
+	/** For how long the caller waits, in milliseconds. */
+	readonly timeLeftMs: number;
 	readonly sentAt: number;
 	readonly endedAt: number;
 	/** HTTP status; 0 if the connection ended without a complete response. */
@@ -78,7 +80,7 @@
 			...bodyBytes === 0 ? {} : {body: 'x'.repeat(Math.ceil(bodyBytes * (0.2 + (1.6 * random()))))},
 		});
 		handleCall({
-			id, node: node.name, target, sentAt, endedAt: Date.now(), status, isSigned: headers[platformHeaders.signature] !== undefined, text: body,
+			id, node: node.name, target, timeLeftMs: callerTimeoutMs, sentAt, endedAt: Date.now(), status, isSigned: headers[platformHeaders.signature] !== undefined, text: body,
 		});
 	};
 
--- a/soak/loaded/loaded-server.ts
+++ b/soak/loaded/loaded-server.ts
@@ -13,6 +13,7 @@
 import {randomLogNormal} from 'd3-random';
 import {sendCall} from '../../platform/test-mesh.js';
 import {platformHeaders} from '../../platform/platform-headers.js';
+import {type LoadedCall} from './loaded-callers.js';
 import {callShare, findClass, type RequestClass} from './loaded-config.js';
 
 /** A request that the server began to work on. Times are Unix milliseconds. */
@@ -53,6 +54,8 @@
 	/** Address at which the node beside the server accepts its calls. */
 	readonly callAddress: string;
 	readonly runs: LoadedRun[];
+	/** Called with each call of the server that has ended, unless the server no longer waited for it. */
+	readonly handleCall: (call: LoadedCall) => void;
 };
 
 /** Requests that wait for a slot, as a multiple of the slots. More are reset. */
@@ -82,7 +85,7 @@
  * @returns The server.
  */
 export async function startLoadedServer(id: string, host: string, context: LoadedServerContext): Promise<LoadedServer> {
-	const {node, slots, random, callAddress, runs} = context;
+	const {node, slots, random, callAddress, runs, handleCall} = context;
 	const agent = new Agent({keepAlive: true});
 	/** Copies of responses that are sent before the next response on their connection. */
 	const copies = new WeakMap<Socket, string>();
@@ -91,6 +94,8 @@
 	let inFlight = 0;
 	let slowness = 1;
 	let isLeaving = false;
+	/** Calls made so far. */
+	let calls = 0;
 
 	const acquireSlot = async (): Promise<void> => {
 		if (running >= slots) {
@@ -111,19 +116,32 @@
 		slowness * Math.min(maxWorkMs, randomLogNormal.source(random)(Math.log(workMs) - ((workSpread ** 2) / 2), workSpread)());
 
 	/** Makes the calls that a request needs. Returns whether all were answered. */
-	const callServices = async ({calls}: RequestClass, run: LoadedRun): Promise<boolean> => {
-		if (calls === undefined || random() > callShare) {
+	const callServices = async ({calls: nested}: RequestClass, run: LoadedRun): Promise<boolean> => {
+		if (nested === undefined || random() > callShare) {
 			return true;
 		}
 
-		const {callerTimeoutMs} = findClass(calls.prefix);
-		const answers = await Promise.all(Array.from({length: calls.times}, async (_, index) => {
-			const leftMs = Math.floor(Math.min(callerTimeoutMs, run.at + run.leftMs - Date.now()));
-			return sendCall(callAddress, `${calls.prefix}${run.id}`, {
-				id: `${run.id}.${index}`, timeLeftMs: Math.max(1, leftMs), agent, disconnectAfterMs: Math.max(1, leftMs),
+		const {callerTimeoutMs} = findClass(nested.prefix);
+		const answers = await Promise.all(Array.from({length: nested.times}, async () => {
+			const leftMs = Math.max(1, Math.floor(Math.min(callerTimeoutMs, run.at + run.leftMs - Date.now())));
+			calls++;
+			// A request that runs again makes its calls again, as requests of their own.
+			const callId = `${run.id}.${id}.${calls}`;
+			const target = `${nested.prefix}${run.id}`;
+			const sentAt = Date.now();
+			const {status, body, headers} = await sendCall(callAddress, target, {
+				id: callId, timeLeftMs: leftMs, agent, disconnectAfterMs: leftMs,
 			});
+			const endedAt = Date.now();
+			if (status !== 0 || endedAt - sentAt < leftMs) {
+				handleCall({
+					id: callId, node, target, timeLeftMs: leftMs, sentAt, endedAt, status, isSigned: headers[platformHeaders.signature] !== undefined, text: body,
+				});
+			}
+
+			return status;
 		}));
-		return answers.every(({status}) => status === 200);
+		return answers.every(status => status === 200);
 	};
 
 	const answer = (response: ServerResponse, run: LoadedRun, status: number, bytes = 0): void => {
--- a/soak/loaded/loaded-vm.ts
+++ b/soak/loaded/loaded-vm.ts
@@ -9,6 +9,7 @@
 import {waitUntil} from '../../stand-ins/wait-until.js';
 import {startLinkProxy} from '../link-proxy.js';
 import {startSoakNode, type SoakNode} from '../soak-node.js';
+import {type LoadedCall} from './loaded-callers.js';
 import {startLoadedServer, type LoadedRun, type LoadedServer} from './loaded-server.js';
 
 /** How a server leaves. */
@@ -44,6 +45,8 @@
 	readonly slots: number;
 	readonly random: () => number;
 	readonly runs: LoadedRun[];
+	/** Called with each call of a server that has ended. */
+	readonly handleCall: (call: LoadedCall) => void;
 };
 
 /** One way latency to callers. */
@@ -76,7 +79,7 @@
  * @returns The VM. Its node may not be ready yet.
  */
 export async function startLoadedVm(context: LoadedVmContext): Promise<LoadedVm> {
-	const {store, folder, name, service, failureDomain, host, slots, random, runs} = context;
+	const {store, folder, name, service, failureDomain, host, slots, random, runs, handleCall} = context;
 	const node = startSoakNode({
 		name, failureDomain, service, host, storeAddress: store.address, graceMs, retrySlack,
 	}, folder);
@@ -103,7 +106,7 @@
 		isDraining = false;
 		hasLeft = false;
 		server = await startLoadedServer(`i-${name}-${servers}`, host, {
-			node: name, slots, random, callAddress: node.callerAddress, runs,
+			node: name, slots, random, callAddress: node.callerAddress, runs, handleCall,
 		});
 		await announce();
 	};
--- a/soak/loaded/main.ts
+++ b/soak/loaded/main.ts
@@ -37,11 +37,11 @@
 
 const folder = options.out ?? mkdtempSync(path.join(tmpdir(), 'stonemoor-loaded-'));
 mkdirSync(folder, {recursive: true});
-const {calls, runs, stops, violations, failedNodes} = await runLoaded({
+const {calls, nestedCalls, runs, stops, violations, failedNodes} = await runLoaded({
 	seed: options.seed, seconds: options.seconds, perSecond: options.rate, burst: options.burst, processorShare: options.share, slots: options.slots, folder,
 });
 const statuses = [...groupBy(calls, ({status}) => status)].toSorted(([left], [right]) => left - right).map(([status, group]) => `${status}: ${group.length}`);
-process.stdout.write(`seed ${options.seed}, ${options.seconds} s: ${calls.length} requests (${statuses.join(', ')}), ${runs.length} executions, ${stops} stops\n`);
+process.stdout.write(`seed ${options.seed}, ${options.seconds} s: ${calls.length} requests (${statuses.join(', ')}), ${runs.length} executions, ${nestedCalls.length} calls of servers, ${stops.length} stops\n`);
 for (const [promise, group] of groupBy(violations, violation => violation.promise)) {
 	process.stdout.write(`BROKEN  ${promise}: ${group.length} times\n${group.slice(0, 5).map(({what}) => `        ${what}\n`).join('')}`);
 }
@@ -52,7 +52,7 @@
 
 const isBroken = violations.length > 0 || failedNodes.length > 0;
 if (isBroken || options.out !== undefined) {
-	writeFileSync(path.join(folder, 'record.json'), JSON.stringify({calls, runs, violations}));
+	writeFileSync(path.join(folder, 'record.json'), JSON.stringify({calls, nestedCalls, runs, stops, violations}));
 	process.stdout.write(`logs and record: ${folder}\n`);
 } else {
 	rmSync(folder, {recursive: true});
--- a/soak/loaded/run-loaded.ts
+++ b/soak/loaded/run-loaded.ts
@@ -10,6 +10,7 @@
 import {type Violation} from '../record.js';
 import {startLoadedCallers, type LoadedCall} from './loaded-callers.js';
 import {checkLoaded, checkRepeatedRuns} from './check-loaded.js';
+import {checkLost, type LoadedStop} from './check-lost.js';
 import {createLoadedConfig, vmLayout} from './loaded-config.js';
 import {type LoadedRun} from './loaded-server.js';
 import {startLoadedVm, type LoadedVm} from './loaded-vm.js';
@@ -31,8 +32,10 @@
 
 export type LoadedOutcome = {
 	readonly calls: readonly LoadedCall[];
+	/** Calls that servers made for requests that they executed. */
+	readonly nestedCalls: readonly LoadedCall[];
 	readonly runs: readonly LoadedRun[];
-	readonly stops: number;
+	readonly stops: readonly LoadedStop[];
 	readonly violations: readonly Violation[];
 	/** Names of the nodes whose processes ended by themselves, or not in time. */
 	readonly failedNodes: readonly string[];
@@ -68,8 +71,12 @@
 	store.putConfig(createLoadedConfig(0));
 	const runs: LoadedRun[] = [];
 	const calls: LoadedCall[] = [];
+	const nestedCalls: LoadedCall[] = [];
 	const vms = await Promise.all(vmLayout.map(async ({service, failureDomain}, index) => startLoadedVm({
 		store, folder, name: `n${index}`, service, failureDomain, host: createHost(index), slots, random, runs,
+		handleCall(call) {
+			nestedCalls.push(call);
+		},
 	})));
 	await Promise.all(vms.map(async ({node}) => node.waitUntilReady()));
 	const quota = startProcessorQuota(processorShare);
@@ -81,21 +88,18 @@
 	});
 	const endsAt = Date.now() + (seconds * 1000);
 	const events = new Set<Promise<void>>();
-	let stops = 0;
 	let configs = 0;
 
 	const createEvent = async (vm: LoadedVm): Promise<void> => {
 		switch (pickInteger(6)) {
 			case 0:
 			case 1: {
-				stops++;
 				await vm.node.stopAndRestart(300);
 				break;
 			}
 
 			case 2:
 			case 3: {
-				stops++;
 				await vm.replaceServer({saysDraining: pickInteger(3) > 0, servesMs: minServesMs + pickInteger(maxServesMs - minServesMs), stopsNode: true});
 				break;
 			}
@@ -133,9 +137,10 @@
 	clearInterval(quotaTimer);
 	await quota.stop();
 	const failedNodes = vms.filter(({node}) => node.lifetimes.some(({end}) => end.type === 'unasked' || (end.type === 'stopped' && end.wasReady && end.code !== 0))).map(({node}) => node.name);
+	const stops = vms.flatMap(({node}): readonly LoadedStop[] => node.lifetimes.flatMap(({end}) => end.type === 'stopped' ? [{node: node.name, at: end.askedAt}] : []));
 	await Promise.all(vms.map(async vm => vm.close()));
 	await store.close();
 	return {
-		calls, runs, stops, failedNodes, violations: [...checkLoaded(calls, runs), ...checkRepeatedRuns(runs)],
+		calls, nestedCalls, runs, stops, failedNodes, violations: [...checkLoaded(calls, runs), ...checkRepeatedRuns(runs), ...checkLost([...calls, ...nestedCalls], runs, stops)],
 	};
 }
