Responses: a duplicate response is skipped also several requests later

Callers got 502 for a request at which its server worked, also one that must not run twice, when the server sent a copy of an answer two or more requests late.

Cause: a connection remembered one request before that in work, and took an answer to any other for a wrong one.

A connection remembers its latest eight requests; the id names the one that an answer belongs to, so that nothing else is skipped.

--- a/src/lib/forwarding/server-connection-pool.ts
+++ b/src/lib/forwarding/server-connection-pool.ts
@@ -25,8 +25,8 @@
 /** A connection used exclusively by one request. @internal */
 export type ServerConnection = {
 	readonly isConnected: () => boolean;
-	/** Assigns the connection to a request. Returns the previous request, to which a server may send a duplicate response. */
-	readonly startCall: (call: AssignedCall) => AssignedCall | undefined;
+	/** Assigns the connection to a request. Returns the latest requests before it, to which a server may send duplicate responses. */
+	readonly startCall: (call: AssignedCall) => readonly AssignedCall[];
 	/** Writes the head and the body of a request. */
 	readonly write: (head: string, body: Uint8Array | undefined) => void;
 	/** Writes an empty line, which servers ignore before a request. Calls the handler with true if the write succeeded, which shows that the server closed the connection in order instead of resetting it. */
@@ -56,6 +56,9 @@
 	readonly connectTimeoutMs: number;
 };
 
+/** Requests of a connection that are remembered. A duplicate response comes at the next few responses, if at all. */
+const maxRememberedCalls = 8;
+
 /** A connection that is opening or open. */
 type PooledConnection = {
 	readonly socket: Socket;
@@ -66,7 +69,8 @@
 	/** Time until which the idle connection may be reused, in steady milliseconds. */
 	reusableUntil: number;
 	closeReason: string;
-	call: AssignedCall | undefined;
+	/** The latest requests, the last one being in flight. */
+	calls: readonly AssignedCall[];
 };
 
 /**
@@ -102,7 +106,7 @@
 			host, port, noDelay: true, allowHalfOpen: true,
 		});
 		const connection: PooledConnection = {
-			socket, listener, isConnected: false, isRetired: false, reusableUntil: 0, closeReason: 'the server closed the connection', call: undefined,
+			socket, listener, isConnected: false, isRetired: false, reusableUntil: 0, closeReason: 'the server closed the connection', calls: [],
 		};
 		connections.add(connection);
 		const timer = setTimeout(() => {
@@ -143,9 +147,9 @@
 	const createHandle = (connection: PooledConnection): ServerConnection => ({
 		isConnected: () => connection.isConnected,
 		startCall(call) {
-			const previous = connection.call;
-			connection.call = call;
-			return previous;
+			const earlier = connection.calls;
+			connection.calls = [...earlier.slice(1 - maxRememberedCalls), call];
+			return earlier;
 		},
 		write(head, body) {
 			const {socket} = connection;
