--- a/scripts/check-boundary.ts
+++ b/scripts/check-boundary.ts
@@ -8,7 +8,7 @@
 import {join} from 'node:path';
 import process from 'node:process';
 
-const roots: readonly string[] = ['src', 'apps', 'demo', 'bench', 'scenarios', 'soak'];
+const roots: readonly string[] = ['src', 'apps', 'demo', 'bench', 'scenarios', 'soak', 'crowds'];
 
 /** Names of the platform's interface: headers, paths, keys and fields of its messages. */
 const platformNames: readonly RegExp[] = [
