--- a/soak/loaded/check-lost.ts
+++ b/soak/loaded/check-lost.ts
@@ -64,9 +64,11 @@
 	return calls.flatMap(call => {
 		const stop = stopsByNode.get(call.node)?.findLast(({at}) => call.endedAt >= at && call.sentAt <= at + judgedMs);
 		const loss = stop === undefined ? undefined : findLoss(call, runsByCall.get(call.id)?.at(-1), stop);
-		return stop === undefined || loss === undefined ? [] : [{
-			promise, at: call.endedAt, call: call.id,
-			what: `${call.id} ${call.target} at ${call.node}, sent ${call.sentAt - stop.at} ms and ended ${call.endedAt - stop.at} ms after SIGTERM, got ${call.status === 0 ? 'no answer' : call.status}: ${loss}`,
-		}];
+		return stop === undefined || loss === undefined
+			? []
+			: [{
+				promise, at: call.endedAt, call: call.id,
+				what: `${call.id} ${call.target} at ${call.node}, sent ${call.sentAt - stop.at} ms and ended ${call.endedAt - stop.at} ms after SIGTERM, got ${call.status === 0 ? 'no answer' : call.status}: ${loss}`,
+			}];
 	});
 }
--- a/soak/loaded/main.ts
+++ b/soak/loaded/main.ts
@@ -52,7 +52,9 @@
 
 const isBroken = violations.length > 0 || failedNodes.length > 0;
 if (isBroken || options.out !== undefined) {
-	writeFileSync(path.join(folder, 'record.json'), JSON.stringify({calls, nestedCalls, runs, stops, violations}));
+	writeFileSync(path.join(folder, 'record.json'), JSON.stringify({
+		calls, nestedCalls, runs, stops, violations,
+	}));
 	process.stdout.write(`logs and record: ${folder}\n`);
 } else {
 	rmSync(folder, {recursive: true});
