Sidecar nodes: clients that do not behave end no process

What callers saw: a process ran out of memory, and the requests of all its callers ended with it. Clients had sent many requests ahead, and had asked for long answers that they did not read.

Cause: bodies, responses that a gate reads and incomplete frames had a bound each, which together passed the machine; requests ahead, answers on links and unread, connections and the answers at the other addresses had none. What one place counted ended at the hand-over to the next.

Change: all of it is counted in the ledger of the process. The entry reads a connection no further while eight requests (64 once some were answered) or much unread is open there; a request whose answer or body finds no room gets 503, not run; a gate with little room reads its four oldest responses only, so that its server waits; each address has its number of connections, of which the one idle for longest gives way. A body and its answer may be as long as the pages allow where little else is held.

--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -180,7 +180,7 @@
 
 			const exchange: OpenExchange = {request, response, position};
 			connection.open.push(exchange);
-			response.once('close', () => {
+			response.on('close', () => {
 				finish(socket, connection, exchange);
 			});
 			return true;
--- a/src/lib/common/request-start-limiter.ts
+++ b/src/lib/common/request-start-limiter.ts
@@ -10,10 +10,13 @@
  * @module
  */
 
+/** Calls the handler when a request ends before it starts; returns a function that unsubscribes. @internal */
+export type ListenForEnd = (handleEnd: () => void) => () => void;
+
 /** @internal */
 export type RequestStartLimiter = {
-	/** Waits until a request may start. Resolves immediately unless enough requests have started in this iteration. */
-	readonly waitForStart: () => Promise<void>;
+	/** Waits until a request may start, or until it has ended. Resolves immediately unless enough requests have started in this iteration. */
+	readonly waitForStart: (listenForEnd?: ListenForEnd) => Promise<void>;
 };
 
 /** Requests from new connections that start in one iteration. Each takes about one millisecond of a core of a small VM, so an iteration takes a few milliseconds. Requests on existing connections are not delayed, so that reads are answered in time under overload. */
@@ -44,7 +47,7 @@
 	};
 
 	return {
-		async waitForStart() {
+		async waitForStart(listenForEnd = () => () => undefined) {
 			if (!isCounting) {
 				isCounting = true;
 				setImmediate(endIteration);
@@ -56,7 +59,21 @@
 			}
 
 			await new Promise<void>(resolve => {
-				waiting.push(resolve);
+				const start = (): void => {
+					stopListening();
+					resolve();
+				};
+
+				waiting.push(start);
+				const stopListening = listenForEnd(() => {
+					// Whoever waits keeps all that was read on the connection of the request.
+					const index = waiting.indexOf(start);
+					if (index !== -1) {
+						waiting.splice(index, 1);
+					}
+
+					resolve();
+				});
 			});
 		},
 	};
--- a/src/lib/forwarding/call-bodies.ts
+++ b/src/lib/forwarding/call-bodies.ts
@@ -45,7 +45,7 @@
 	const createBudget = ({turn: {account}}: EntryCall): ByteBudget => ({
 		tryAcquire(bytes) {
 			account.recordProgress();
-			if (!ledger.makeRoom('buffers', bytes)) {
+			if (!ledger.clearRoom('buffers', bytes)) {
 				return false;
 			}
 
--- a/src/lib/forwarding/entry-context.ts
+++ b/src/lib/forwarding/entry-context.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {type ListenForEnd} from '../common/request-start-limiter.js';
 import {type LoopLag} from '../common/loop-lag.js';
 import {type Verdict} from '../common/verdict.js';
 import {type CallerRetryDetector} from '../decisions/caller-retry-detector.js';
@@ -55,7 +56,7 @@
 	readonly log: MeshLog;
 	readonly refusals: RefusalLog;
 	/** If this process lags behind, waits until input that has already arrived is read, so that the disconnect of a caller is noticed before work on its request starts. */
-	readonly waitForPendingInput: (isNewConnection: boolean) => Promise<void>;
+	readonly waitForPendingInput: (isNewConnection: boolean, listenForEnd: ListenForEnd) => Promise<void>;
 	/** Estimates how long a request that was read just now has waited unread. */
 	readonly estimateUnread: LoopLag['estimateUnread'];
 	readonly handleFinished: (call: FinishedCall) => void;
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -17,6 +17,10 @@
 import {findRoute} from '../route-config/route-index.js';
 import {type Workspace} from '../workspaces/workspace.js';
 import {createLazyFingerprint} from '../quarantine/lazy-fingerprint.js';
+import {createExpectedAnswers} from '../memory/expected-answers.js';
+import {createDefaultLedger, type MemoryAccount} from '../memory/memory-ledger.js';
+import {createRequestWindow} from '../memory/request-window.js';
+import {writeInParts} from '../memory/write-in-parts.js';
 import {createCallBodies} from './call-bodies.js';
 import {createCallScope, deadlineGraceMs, type CallScope} from './call-scope.js';
 import {authenticateCaller, createAccessCheck, filterCallerHeaders} from './caller-access.js';
@@ -27,10 +31,6 @@
 import {type CallOutcome} from './outgoing-call.js';
 import {type EntryContext, type FinishedCall} from './entry-context.js';
 import {createEntryRefusals, unusableRouteRetryMs, type EntryCall} from './entry-refusals.js';
-import {createExpectedAnswers} from '../memory/expected-answers.js';
-import {createDefaultLedger, type MemoryAccount} from '../memory/memory-ledger.js';
-import {createRequestWindow} from '../memory/request-window.js';
-import {writeInParts} from '../memory/write-in-parts.js';
 import {
 	computeMaxTokenWaitMs, describeToken, noToken, releaseToken, type GrantedToken,
 } from './quota-token.js';
@@ -54,7 +54,8 @@
 	readonly stopListening: () => Promise<void>;
 	/** Answers all requests by a time, those that arrive later included. In milliseconds of the steady clock. */
 	readonly stopAt: (time: number) => void;
-	readonly dispose: () => void;
+	/** Counts what has arrived of heads that have not ended. Must be called periodically, a few times a second. */
+	readonly checkConnections: () => void;
 };
 
 /** A call that is to be sent. */
@@ -132,7 +133,7 @@
 		}
 
 		response.writeHead(answer.status, headers);
-		call.turn.addBytes(answer.body.length);
+		window.addBytes(call.turn, answer.body.length);
 		if (answer.body.length <= maxJoinedBodyBytes) {
 			// As text, the body is sent in one write with the head.
 			response.end(Buffer.from(answer.body.buffer, answer.body.byteOffset, answer.body.byteLength).toString('latin1'), 'latin1');
@@ -310,7 +311,7 @@
 		const scope = createCallScope(call.timeStartsAt + timeLeftMs + deadlineGraceMs, scopes.getStopTime());
 		const removeFromConnection = scopes.add(request.socket, scope);
 		try {
-			await context.waitForPendingInput(request.socket.bytesWritten === 0);
+			await context.waitForPendingInput(request.socket.bytesWritten === 0, scope.subscribe);
 			if (scope.getEndReason() === 'cancelled') {
 				logCallerLeft(call, route);
 				return;
@@ -328,7 +329,7 @@
 
 			bufferedBytes = body?.length ?? 0;
 			const expectedBytes = expectedAnswers.estimate(route.name);
-			if (!ledger.makeRoom('buffers', expectedBytes)) {
+			if (!ledger.clearRoom('buffers', expectedBytes)) {
 				refuseAndLog(call, version, 503, 'the memory for answers is in use by other requests', memoryRetryMs);
 				return;
 			}
@@ -428,7 +429,7 @@
 		},
 		stopListening: connections.stop,
 		countConnections: window.countConnections,
-		dispose: window.dispose,
+		checkConnections: window.check,
 		stopAt: scopes.stopAt,
 	};
 }
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -81,7 +81,8 @@
 	return new Promise(resolve => {
 		let parser = createResponseParser(exchange.method);
 		let connection: ServerConnection | undefined;
-		let earlierCalls: readonly AssignedCall[] = [];
+		/** The latest requests of the connection, this one included. */
+		let latestCalls: readonly AssignedCall[] = [];
 		let isSettled = false;
 		let isHeadChecked = false;
 		/** Whether the response being read is a duplicate response to an earlier request of the connection. */
@@ -119,16 +120,8 @@
 			connection?.destroy();
 		};
 
-		const account = exchange.memory?.open({
-			handleExceeded() {
-				fail('connection-lost', 'the response takes too much memory');
-			},
-			pause() {
-				connection?.pause();
-			},
-			resume() {
-				connection?.resume();
-			},
+		const account = exchange.memory?.open(() => {
+			fail('connection-lost', 'the response takes too much memory');
 		});
 
 		/** Returns the connection to the pool only if no bytes follow the response. */
@@ -150,7 +143,7 @@
 		/** Whether the server answers an earlier request again instead of this one. Such a response is skipped if its end is known, since the response to this request still follows. */
 		const isDuplicateResponse = (headers: IncomingHttpHeaders): boolean => {
 			const callId = exchange.readCallId(headers);
-			const earlier = earlierCalls.find(({id}) => id === callId);
+			const earlier = latestCalls.find(({id}) => id === callId);
 			return earlier !== undefined && hasResponseBody(earlier.method) === hasResponseBody(exchange.method) && !parser.isCloseDelimited();
 		};
 
@@ -276,7 +269,11 @@
 					return;
 				}
 
-				earlierCalls = connection.startCall({id: exchange.id, method: exchange.method});
+				if (account !== undefined) {
+					account.connection = connection;
+				}
+
+				latestCalls = connection.startCall({id: exchange.id, method: exchange.method});
 				connection.write(head, exchange.body);
 			} catch (error) {
 				fail('cancelled', (error as Error).message);
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -10,6 +10,8 @@
 import {FieldError} from '../common/field-error.js';
 import {type MeshLog, type RefusalCause} from '../timeline/mesh-log.js';
 import {type RefusalLog} from '../timeline/refusal-log.js';
+import {createConnectionLimit} from '../memory/connection-limit.js';
+import {createDefaultLedger, type MemoryAccount, type MemoryLedger} from '../memory/memory-ledger.js';
 import {
 	BodyNotReceivedError, createIncomingBody, encodeContinue, type IncomingBody,
 } from './body-pieces.js';
@@ -23,8 +25,6 @@
 import {createMayHaveRun, type GateResult} from './forward-result.js';
 import {type LinkWriter} from './link-writer.js';
 import {type LocalGate} from './local-gate.js';
-import {limitConnections} from '../memory/connection-limit.js';
-import {createDefaultLedger, type MemoryAccount, type MemoryLedger} from '../memory/memory-ledger.js';
 import {decodePeerRequest, encodePeerAnswer, type PeerRequest} from './peer-messages.js';
 
 /** @internal */
@@ -78,6 +78,10 @@
 	readonly account: MemoryAccount;
 	/** Bytes of the long answers that the other node has not read, by the id of their request. */
 	readonly unread: Map<number, number>;
+	/** When the other node sent something, in milliseconds of the steady clock. */
+	heardAt: number;
+	/** Bytes of short answers that the other node has not read, as of the last check. */
+	shortUnreadBytes: number;
 };
 
 /** Another node exceeds a limit on what this node buffers or keeps for it. */
@@ -126,6 +130,7 @@
 		gate, getConfig, answerQuotaAsk, waitForPendingInput, log, refusals, link, ledger = createDefaultLedger(), maxConnections = Number.POSITIVE_INFINITY,
 	} = context;
 	const connections = new Set<Connection>();
+	const bySocket = new WeakMap<Socket, Connection>();
 	let bufferedBytes = 0;
 	let stopTime = Number.POSITIVE_INFINITY;
 
@@ -211,7 +216,17 @@
 		unread.delete(id);
 	};
 
-	/** Counts a long answer until the other node has read it. Short ones are bounded by `checkUnread`. */
+	/** Counts the short answers that wait for the other node. A connection that is read has none. */
+	const updateShortUnread = (connection: Connection): void => {
+		const {socket, account} = connection;
+		if (socket.writableLength !== connection.shortUnreadBytes) {
+			account.release('buffers', connection.shortUnreadBytes);
+			connection.shortUnreadBytes = socket.writableLength;
+			account.add('buffers', connection.shortUnreadBytes);
+		}
+	};
+
+	/** Counts a long answer until the other node has read it. */
 	const writeAnswer = (connection: Connection, frame: Parameters<LinkWriter['write']>[1]): void => {
 		const bytes = frame.body?.length ?? 0;
 		if (bytes <= shortAnswerBytes) {
@@ -325,10 +340,17 @@
 	};
 
 	const server = createServer({noDelay: true});
-	limitConnections(server, maxConnections, socket => {
-		refusals.record({
-			kind: 'peer-refused', cause: 'flood', place: socket.remoteAddress ?? '', reason: `more than ${maxConnections} connections of other nodes`,
-		});
+	createConnectionLimit(server, {
+		maxOpen: maxConnections,
+		getIdleSince(socket) {
+			const connection = bySocket.get(socket);
+			return connection === undefined || connection.requests.size > 0 ? undefined : connection.heardAt;
+		},
+		handleClosed(socket) {
+			refusals.record({
+				kind: 'peer-refused', cause: 'flood', place: socket.remoteAddress ?? '', reason: `more than ${maxConnections} connections of other nodes`,
+			});
+		},
 	});
 	server.on('connection', socket => {
 		if (socket.destroyed) {
@@ -339,21 +361,27 @@
 			refuse(connection, 'flood', 'it holds most of the memory for bodies and answers, and does not read');
 		});
 		const connection: Connection = {
-			socket, peerAddress: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, requests: new Map(), reader: createFrameReader(), bufferedBytes: 0, pieceBytes: 0, account, unread: new Map(),
+			socket, peerAddress: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, requests: new Map(), reader: createFrameReader(), bufferedBytes: 0, pieceBytes: 0, account, unread: new Map(), heardAt: readSteadyMs(), shortUnreadBytes: 0,
 		};
 		connections.add(connection);
+		bySocket.set(socket, connection);
 		socket.on('data', (bytes: Uint8Array) => {
 			if (socket.destroyed) {
 				return;
 			}
 
+			connection.heardAt = readSteadyMs();
 			connection.account.recordProgress();
 			try {
 				readBytes(connection, bytes);
+				updateShortUnread(connection);
 			} catch (error) {
 				refuse(connection, error instanceof FloodError ? 'flood' : 'unreadable', (error as Error).message);
 			}
 		});
+		socket.on('drain', () => {
+			updateShortUnread(connection);
+		});
 		socket.on('error', () => {
 			// The close event that follows cancels the requests.
 		});
--- a/src/lib/forwarding/local-gate.ts
+++ b/src/lib/forwarding/local-gate.ts
@@ -252,7 +252,7 @@
 			return refuse(call, found);
 		}
 
-		if (!ledger.makeRoom('buffers', minAnswerBytes)) {
+		if (!ledger.clearRoom('buffers', minAnswerBytes)) {
 			return refuse(call, createNotRun('full', 'the memory for answers is in use by other requests', memoryRetryMs));
 		}
 
--- a/src/lib/forwarding/peer-channel.ts
+++ b/src/lib/forwarding/peer-channel.ts
@@ -8,12 +8,12 @@
 import {parseAddress} from '../common/address.js';
 import {readSteadyMs} from '../common/clock.js';
 import {type Address} from '../common/ids.js';
+import {type MemoryLedger} from '../memory/memory-ledger.js';
 import {type CallScope, type ScopeEndReason} from './call-scope.js';
 import {maySendPieces} from './body-pieces.js';
 import {createConnectionLiveness} from './connection-liveness.js';
 import {createFrameReader, writeFrame, type Frame} from './frame.js';
 import {type LinkWriter} from './link-writer.js';
-import {type MemoryLedger} from '../memory/memory-ledger.js';
 
 /** A request to the other node. @internal */
 export type ChannelRequest = {
--- a/src/lib/forwarding/response-memory.ts
+++ b/src/lib/forwarding/response-memory.ts
@@ -9,28 +9,35 @@
 
 /** A response that is being read. @internal */
 export type ResponseAccount = {
-	readonly held: MemoryAccount;
-	readonly flow: ResponseFlow;
+	/** Ends the request. */
+	readonly handleExceeded: () => void;
+	/** The connection of the response; `undefined` while there is none. */
+	connection: ResponseConnection | undefined;
+	/** Bytes that have been read. */
+	bytes: number;
+	/** What is counted; `undefined` for a short response. */
+	held: MemoryAccount | undefined;
 	isPaused: boolean;
 };
 
-/** What can be done to a response that is being read. @internal */
-export type ResponseFlow = {
-	/** Ends the request. */
-	readonly handleExceeded: () => void;
-	readonly pause: () => void;
-	readonly resume: () => void;
+/** The connection of a response. @internal */
+export type ResponseConnection = {
+	/** Stops reading, or goes on. */
+	readonly setReading: (isReading: boolean) => void;
 };
 
 /** @internal */
 export type ResponseMemory = {
-	readonly open: (flow: ResponseFlow) => ResponseAccount;
+	readonly open: (handleExceeded: () => void) => ResponseAccount;
 	/** Counts bytes of a response. If the limit is exceeded, what is held for the slowest is given up; see the ledger. */
 	readonly add: (account: ResponseAccount, bytes: number) => void;
 	/** Releases the bytes of a response. May be called several times. */
 	readonly close: (account: ResponseAccount) => void;
 };
 
+/** Shorter responses are not counted: opening an account would cost more. */
+const shortResponseBytes = 16_384;
+
 /** Share of the bound on bodies and answers above which only a few responses are read. */
 const busyShare = 0.7;
 
@@ -39,10 +46,11 @@
 
 /**
  * @param ledger - What this process holds for its clients.
+ * @param minCountedBytes - Responses up to this length are not counted.
  * @returns The memory, without any response.
  * @internal
  */
-export function createResponseMemory(ledger: MemoryLedger): ResponseMemory {
+export function createResponseMemory(ledger: MemoryLedger, minCountedBytes = shortResponseBytes): ResponseMemory {
 	/** In the order of their beginnings. */
 	const accounts = new Set<ResponseAccount>();
 	const busyBytes = ledger.getLimit('buffers') * busyShare;
@@ -74,14 +82,10 @@
 
 		account.isPaused = isPaused;
 		pausedCount += isPaused ? 1 : -1;
-		if (isPaused) {
-			account.flow.pause();
-		} else {
-			account.flow.resume();
-		}
+		account.connection?.setReading(!isPaused);
 	};
 
-	const resumeReadable = (): void => {
+	const restartReadable = (): void => {
 		const isStillBusy = isBusy();
 		let position = 0;
 		for (const account of accounts) {
@@ -99,19 +103,34 @@
 	};
 
 	return {
-		open(flow) {
+		open(handleExceeded) {
 			const account: ResponseAccount = {
-				held: ledger.open(flow.handleExceeded), flow, isPaused: false,
+				handleExceeded, connection: undefined, bytes: 0, held: undefined, isPaused: false,
 			};
 			accounts.add(account);
 			return account;
 		},
 		add(account, bytes) {
-			account.held.recordProgress();
-			account.held.add('buffers', bytes);
+			if (!accounts.has(account)) {
+				return;
+			}
+
+			account.bytes += bytes;
+			if (account.held === undefined) {
+				if (account.bytes <= minCountedBytes) {
+					return;
+				}
+
+				account.held = ledger.open(account.handleExceeded);
+				account.held.add('buffers', account.bytes);
+			} else {
+				account.held.recordProgress();
+				account.held.add('buffers', bytes);
+			}
+
 			if (!account.isPaused && accounts.has(account) && isBusy() && !isAlwaysRead(account)) {
 				setPaused(account, true);
-				unsubscribe ??= ledger.subscribe(resumeReadable);
+				unsubscribe ??= ledger.subscribe(restartReadable);
 			}
 		},
 		close(account) {
@@ -121,7 +140,7 @@
 
 			// The part that ends a response may have paused its connection, which is used again.
 			setPaused(account, false);
-			account.held.close();
+			account.held?.close();
 		},
 	};
 }
--- a/src/lib/forwarding/server-connection-pool.ts
+++ b/src/lib/forwarding/server-connection-pool.ts
@@ -25,15 +25,14 @@
 /** A connection used exclusively by one request. @internal */
 export type ServerConnection = {
 	readonly isConnected: () => boolean;
-	/** Assigns the connection to a request. Returns the latest requests before it, to which a server may send duplicate responses. */
+	/** Assigns the connection to a request. Returns the latest requests, this one included: a server may send duplicate responses to those before it. */
 	readonly startCall: (call: AssignedCall) => readonly AssignedCall[];
 	/** Writes the head and the body of a request. */
 	readonly write: (head: string, body: Uint8Array | undefined) => void;
 	/** Writes an empty line, which servers ignore before a request. Calls the handler with true if the write succeeded, which shows that the server closed the connection in order instead of resetting it. */
 	readonly checkOrderlyEnd: (handleResult: (isOrderly: boolean) => void) => void;
-	/** Stops and continues reading. */
-	readonly pause: () => void;
-	readonly resume: () => void;
+	/** Stops reading, so that the server waits, or goes on. */
+	readonly setReading: (isReading: boolean) => void;
 	/** Returns the connection to the pool; it is reused only within `idleMs` milliseconds. */
 	readonly release: (idleMs: number) => void;
 	readonly destroy: () => void;
@@ -73,7 +72,7 @@
 	reusableUntil: number;
 	closeReason: string;
 	/** The latest requests, the last one being in flight. */
-	calls: readonly AssignedCall[];
+	readonly calls: AssignedCall[];
 };
 
 /**
@@ -150,9 +149,13 @@
 	const createHandle = (connection: PooledConnection): ServerConnection => ({
 		isConnected: () => connection.isConnected,
 		startCall(call) {
-			const earlier = connection.calls;
-			connection.calls = [...earlier.slice(1 - maxRememberedCalls), call];
-			return earlier;
+			const {calls} = connection;
+			calls.push(call);
+			if (calls.length > maxRememberedCalls) {
+				calls.shift();
+			}
+
+			return calls;
 		},
 		write(head, body) {
 			const {socket} = connection;
@@ -171,11 +174,12 @@
 				handleResult(error === null || error === undefined);
 			});
 		},
-		pause() {
-			connection.socket.pause();
-		},
-		resume() {
-			connection.socket.resume();
+		setReading(isReading) {
+			if (isReading) {
+				connection.socket.resume();
+			} else {
+				connection.socket.pause();
+			}
 		},
 		release(idleMs) {
 			connection.listener = undefined;
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -17,6 +17,7 @@
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {createServerLimiter, type LimitedOutcome} from '../server-notices/server-limiter.js';
 import {createLoadReports, type LoadReports} from '../server-notices/load-reports.js';
+import {type MemoryLedger} from '../memory/memory-ledger.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
 import {getStringHeader, type CallHeaderNames} from './call-headers.js';
 import {createExchangeConverter, createOwnResponseCheck, sessionEndedFailure} from './convert-exchange.js';
@@ -25,7 +26,6 @@
 import {createNotRun, type ForwardFailure, type ForwardResult} from './forward-result.js';
 import {createHangWatch} from './hang-watch.js';
 import {BodyNotReceivedError} from './body-pieces.js';
-import {type MemoryLedger} from '../memory/memory-ledger.js';
 import {createResponseMemory} from './response-memory.js';
 import {createServerConnectionPool} from './server-connection-pool.js';
 import {createServerDrain} from './server-drain.js';
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -12,7 +12,7 @@
 import {createServerDepartures} from '../departures/server-departures.js';
 import {listenAt} from '../common/listen-at.js';
 import {createLoopLag} from '../common/loop-lag.js';
-import {createRequestStartLimiter} from '../common/request-start-limiter.js';
+import {createRequestStartLimiter, type ListenForEnd} from '../common/request-start-limiter.js';
 import {type CallHeaderNames} from '../forwarding/call-headers.js';
 import {type FinishedCall} from '../forwarding/entry-context.js';
 import {createEntryServer} from '../forwarding/entry-server.js';
@@ -158,10 +158,10 @@
 	 * Even while iterations are short, a new connection may have waited in the accept queue for seconds and its caller may have left. This happens, for example,
 	 * at the last node of a failure domain whose other nodes were killed.
 	 */
-	const waitForPendingInput = async (isNewConnection: boolean): Promise<void> => {
+	const waitForPendingInput = async (isNewConnection: boolean, listenForEnd: ListenForEnd): Promise<void> => {
 		await lag.waitForPendingInput(isNewConnection);
 		if (isNewConnection) {
-			await startLimiter.waitForStart();
+			await startLimiter.waitForStart(listenForEnd);
 		}
 	};
 
@@ -268,6 +268,11 @@
 			updateClockOffsets();
 			livenessMonitor.handleRound(lateMs);
 			housekeeping.handleRound();
+			entry.checkConnections();
+			for (const window of windows) {
+				window.check();
+			}
+
 			serviceServers.announceTo(settings.service, rollouts.handleRound());
 		},
 	});
@@ -475,10 +480,6 @@
 		gateServer.server.close();
 		await gateServer.dispose();
 		linkWriter.dispose();
-		for (const window of [entry, ...windows]) {
-			window.dispose();
-		}
-
 		for (const server of [entry.server, announcementServer, readinessServer, metricsServer]) {
 			server.close();
 			server.closeAllConnections();
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import {type ClosingCause} from '../memory/request-window.js';
 import {type ReleaseCause} from '../decisions/held-slots.js';
 import {type FullCause} from '../decisions/slot-queue.js';
 import {type Verdict} from '../common/verdict.js';
@@ -153,7 +154,7 @@
 	| {readonly kind: 'caller-left'; readonly call: string; readonly route: string; readonly waitedMs: number}
 	| {readonly kind: 'request-refused'; readonly call: string; readonly status: number; readonly reason: string; readonly host: string; readonly path: string; readonly version: number; readonly workspace?: string; readonly quota?: 'over' | 'unknown'}
 	/** A connection was closed to keep memory or descriptors free: the one that held most without progress, or was idle for longest. */
-	| {readonly kind: 'connection-closed'; readonly place: ClosingPlace; readonly reason: 'memory' | 'connections'; readonly client: string; readonly bytes: number; readonly requests: number}
+	| {readonly kind: 'connection-closed'; readonly place: ClosingPlace; readonly reason: ClosingCause; readonly client: string; readonly bytes: number; readonly requests: number}
 	| {readonly kind: 'lines-dropped'; readonly of: string; readonly count: number};
 /* eslint-enable @stylistic/max-len */
 
--- a/src/lib/timeline/timeline-event.ts
+++ b/src/lib/timeline/timeline-event.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import {type ClosingCause} from '../memory/request-window.js';
 import {
 	type BackendServerId, type CallId, type NodeId, type SubmissionId,
 } from '../common/ids.js';
@@ -38,7 +39,7 @@
 	/** The connection closed before the answer was sent: it was reset, or the node closed it. */
 	| {readonly kind: 'answer-not-sent'; readonly call: CallId; readonly status: number}
 	/** A connection was closed to keep memory or descriptors free: the one that held most without progress, or was idle for longest. */
-	| {readonly kind: 'connection-closed'; readonly reason: 'memory' | 'connections'; readonly client: string; readonly bytes: number; readonly requests: number}
+	| {readonly kind: 'connection-closed'; readonly reason: ClosingCause; readonly client: string; readonly bytes: number; readonly requests: number}
 	/** The node destroyed the connection of the caller, so that it does not take a part of an answer for a whole one. */
 	| {readonly kind: 'answer-broken-off'; readonly call: CallId; readonly reason: string}
 	| {readonly kind: 'call-finished'; readonly call: CallId; readonly route: string; readonly status: number; readonly verdict: Verdict; readonly version: number; readonly attempts: number};
