The product's own node: clients that do not behave end no process and hold no slots

What callers saw: none of their requests was answered while others asked ahead for long answers and read nothing, or sent requests with new keys.

Cause: requests ahead had no bound, and a response that its caller does not read keeps a slot of its server. Besides, Node.js tells only the response that is being sent that its connection has closed: calls behind it went on until their deadlines, held what was read on the connection, and were counted by a drain.

Change: the window and the ledger of sidecar nodes, for callers, other nodes, operators and announcements; a caller that reads nothing of an answer for 10 s is closed; calls end with their connection, a claim of a key included.

--- a/src/lib/calls/call-signal.ts
+++ b/src/lib/calls/call-signal.ts
@@ -8,8 +8,8 @@
 
 /** @internal */
 export type CallSignals = {
-	/** Creates a signal that aborts after `timeoutMs` milliseconds, when the connection closes before the response is complete, or when all calls end. */
-	readonly create: (response: ServerResponse, timeoutMs: number) => AbortSignal;
+	/** Creates a signal that aborts after `timeoutMs` milliseconds, when the connection closes before the response is complete, or when all calls end. `listenForEnd` tells that the response is sent or the connection closed, if the response itself may not be told. */
+	readonly create: (response: ServerResponse, timeoutMs: number, listenForEnd?: (handleEnd: () => void) => void) => AbortSignal;
 	/** Ends all calls without a response, and those that are created later, since this node stops. They fail, and can still be answered. */
 	readonly endAll: () => void;
 	/** Returns the failure to report for a call: one that was cancelled because this node stops is not reported as cancelled by its caller. */
@@ -26,7 +26,9 @@
 	const controllers = new Map<AbortController, ServerResponse>();
 	let isStopping = false;
 	return {
-		create(response, timeoutMs) {
+		create(response, timeoutMs, listenForEnd = handleEnd => {
+			response.once('close', handleEnd);
+		}) {
 			const controller = new AbortController();
 			if (isStopping) {
 				controller.abort();
@@ -44,7 +46,7 @@
 				// After a pause of this process due timers run before the sockets are read. A response that has arrived is read first.
 				setImmediate(endAtDeadline);
 			}, timeoutMs);
-			response.once('close', () => {
+			listenForEnd(() => {
 				clearTimeout(timer);
 				controllers.delete(controller);
 				// After a complete response, nothing listens to the signal. Aborting it would only cost time, because it creates an error with a stack trace.
--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -18,15 +18,15 @@
 import {type RequestAttributes} from '../policy/request-attributes.js';
 import {type Store} from '../store/store.js';
 import {type RoutingSnapshot} from '../routing/routing-snapshot.js';
-import {type CallMetrics} from './call-metrics.js';
-import {createCallSignals} from './call-signal.js';
 import {type MemoryLedger} from '../memory/memory-ledger.js';
 import {createRequestWindow, type RequestTurn} from '../memory/request-window.js';
+import {type CallMetrics} from './call-metrics.js';
+import {createCallSignals} from './call-signal.js';
 import {planCall, type CallPlan} from './call-plan.js';
 import {
 	filterForwardableHeaders, getNumberHeader, meshHeaders, timeoutHeader, toOutgoingHeaders,
 } from './headers.js';
-import {claimIdempotencyKey, type IdempotencyClaim} from './idempotency-claim.js';
+import {claimIdempotencyKey, type ClaimResult, type IdempotencyClaim} from './idempotency-claim.js';
 import {createProblemResponse, sendProblem, type ProblemResponse} from './problem-response.js';
 import {getBodySize, prepareBody, type RequestBody} from './request-body.js';
 import {runAttempts, type AttemptContext, type CallResult} from './run-attempts.js';
@@ -53,7 +53,8 @@
 	readonly stopListening: () => Promise<void>;
 	/** Answers all requests in flight, since this node stops. */
 	readonly endCalls: () => void;
-	readonly dispose: () => void;
+	/** Counts what has arrived of heads that have not ended, and closes the connections of callers that have not read for too long. Must be called periodically, a few times a second. */
+	readonly checkConnections: () => void;
 };
 
 /** A request of a caller, until its response ends. */
@@ -82,6 +83,9 @@
 /** Requests of one connection that are in work at the same time; those behind them wait and are not read further. Callers that send ahead send a few. */
 const maxRequestsInWork = 64;
 
+/** How long a caller may read nothing of an answer. Its backend server waits meanwhile, and holds a slot. */
+const maxUnreadMs = 10_000;
+
 /** What the streams of an answer hold at the most while its caller does not read. */
 const streamBytes = 131_072;
 
@@ -98,6 +102,14 @@
 	};
 }
 
+/** Releases the key of a request that is not executed, once it is claimed. */
+async function releaseClaim(claiming: Promise<ClaimResult>): Promise<void> {
+	const claimed = await claiming;
+	if (claimed.type === 'held') {
+		await claimed.claim.release();
+	}
+}
+
 /** Returns how long the caller waits at most, in milliseconds. */
 const getTimeoutMs = ({headers}: IncomingMessage, {decision}: CallPlan): number => Math.min(decision.timeoutMs, getNumberHeader(headers, timeoutHeader) ?? decision.timeoutMs);
 
@@ -174,7 +186,7 @@
 			// The response to a request that was read behind this one would be dropped.
 			...(endsAt !== undefined || !call.request.complete) && connections.tryClose(call.request) ? {connection: 'close'} : {},
 		});
-		call.turn.addBytes(streamBytes);
+		window.addBytes(call.turn, streamBytes);
 		const addedMicroseconds = readMicroseconds() - call.startedAt - result.serverMicroseconds;
 		// On an error, pipeline destroys the caller's connection, so that a truncated response does not look complete.
 		pipeline(result.body, call.response, error => {
@@ -199,7 +211,9 @@
 			headers: filterForwardableHeaders(request.headers),
 			body,
 			deadline,
-			signal: signals.create(response, timeoutMs),
+			signal: signals.create(response, timeoutMs, handleEnd => {
+				window.listenForEnd(call.turn, handleEnd);
+			}),
 			fingerprint: createRequestFingerprint(request, plan, body),
 		});
 	};
@@ -216,9 +230,29 @@
 		}
 	};
 
+	/** Claims an idempotency key. Returns `ended` as soon as the connection of the call has closed, since what was read there is kept until then. */
+	const claimKey = async ({id, turn}: Call, route: string, key: string): Promise<ClaimResult | 'ended'> => {
+		const claiming = claimIdempotencyKey(context.idempotencyStore, route, key, id);
+		const ended = new Promise<'ended'>(resolve => {
+			window.listenForEnd(turn, () => {
+				resolve('ended');
+			});
+		});
+		const claimed = await Promise.race([claiming, ended]);
+		if (claimed === 'ended') {
+			void releaseClaim(claiming);
+		}
+
+		return claimed;
+	};
+
 	const claimAndSend = async (call: Call, plan: CallPlan, body: RequestBody): Promise<void> => {
 		const {onceKey} = plan.decision;
-		const claimed = onceKey === '' ? undefined : await claimIdempotencyKey(context.idempotencyStore, plan.route.name, onceKey, call.id);
+		const claimed = onceKey === '' ? undefined : await claimKey(call, plan.route.name, onceKey);
+		if (claimed === 'ended') {
+			return;
+		}
+
 		const finished = {route: plan.route.name, version: plan.version, attempts: 0};
 		if (claimed?.type === 'taken') {
 			finishWithProblem(call, createDuplicateProblem(claimed.verdict, claimed.status), finished);
@@ -266,7 +300,7 @@
 		}
 
 		reading.add(call);
-		call.turn.addBytes(Math.min(Math.max(0, getBodySize(call.request)), context.settings.bufferedBodyBytes));
+		window.addBytes(call.turn, Math.min(Math.max(0, getBodySize(call.request)), context.settings.bufferedBodyBytes));
 		const body = await prepareBody(call.request, context.settings.bufferedBodyBytes, call.handleReadStart);
 		const isAnswered = !reading.delete(call);
 		if (isAnswered) {
@@ -303,11 +337,12 @@
 
 		const id = toCallId(randomUUID());
 		callIds.set(request, id);
+		const turn = window.take(request, response);
 		const call: Call = {
-			id, request, response, startedAt: readMicroseconds(), turn: window.take(request, response), handleReadStart,
+			id, request, response, startedAt: readMicroseconds(), turn, handleReadStart,
 		};
 		calls++;
-		response.once('close', () => {
+		window.listenForEnd(turn, () => {
 			calls--;
 		});
 		void runSafely(call);
@@ -325,7 +360,7 @@
 	});
 
 	const window = createRequestWindow(server, {
-		ledger: context.ledger, maxConnections: context.maxConnections, maxInWork: maxRequestsInWork,
+		ledger: context.ledger, maxConnections: context.maxConnections, maxInWork: maxRequestsInWork, maxUnreadMs,
 		handleClosed({cause, client, bytes, requests}) {
 			context.timeline.record({
 				kind: 'connection-closed', reason: cause, client, bytes, requests,
@@ -346,7 +381,7 @@
 			endsAt = time;
 		},
 		stopListening: connections.stop,
-		dispose: window.dispose,
+		checkConnections: window.check,
 		endCalls() {
 			signals.endAll();
 			for (const call of reading) {
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -81,7 +81,7 @@
 /** How long after its start a node keeps announcements of its servers waiting until it has joined. Without other nodes or the store, a node does not join. */
 const maxJoinWaitMs = 900;
 
-/** Interval at which the node checks whether it has to watch the store. */
+/** Interval at which the node checks whether it has to watch the store, and what its connections hold. */
 const relayDutyCheckMs = 250;
 
 /** Interval at which the loads of removed backend servers are deleted. It is long because each cleanup iterates over the whole directory. */
@@ -301,6 +301,13 @@
 	let relayDutyTimer: NodeJS.Timeout | undefined;
 	let loadCleanupTimer: NodeJS.Timeout | undefined;
 
+	const checkConnections = (): void => {
+		entry.checkConnections();
+		for (const window of windows) {
+			window.check();
+		}
+	};
+
 	/** Starts or stops watching the store. Relay and standby watch it, but only once they are ready: a node that knows no other yet considers itself the relay. */
 	const updateRelayWatch = (): void => {
 		const {relay, standby} = distributor.getTreePosition();
@@ -347,10 +354,6 @@
 		relayWatch.dispose();
 		distributor.dispose();
 		peers.dispose();
-		for (const window of [entry, ...windows]) {
-			window.dispose();
-		}
-
 		await Promise.all([
 			gossip.dispose(),
 			control.dispose(),
@@ -372,7 +375,10 @@
 			}
 
 			gossip.start();
-			relayDutyTimer = setInterval(updateRelayWatch, relayDutyCheckMs);
+			relayDutyTimer = setInterval(() => {
+				updateRelayWatch();
+				checkConnections();
+			}, relayDutyCheckMs);
 			loadCleanupTimer = setInterval(removeUnknownLoads, loadCleanupMs);
 			void join();
 			return ok();
