Gate: a connection whose answers are not read yet is not idle

A surplus connection of another node closes the one that has been idle for longest. By reading: a request leaves the list of those in work before its answer has been sent, so that its connection counted as idle.

--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -112,6 +112,9 @@
 	stopping: 'it is not complete before the node of the backend server has to stop',
 };
 
+/** Whether the other node waits for something on a connection. */
+const isInUse = ({requests, unread, socket}: Connection): boolean => requests.size > 0 || unread.size > 0 || socket.writableLength > 0;
+
 function cancelRequests({requests}: Connection): void {
 	for (const {scope} of requests.values()) {
 		scope.end('cancelled');
@@ -344,7 +347,7 @@
 		maxOpen: maxConnections,
 		getIdleSince(socket) {
 			const connection = bySocket.get(socket);
-			return connection === undefined || connection.requests.size > 0 ? undefined : connection.heardAt;
+			return connection === undefined || isInUse(connection) ? undefined : connection.heardAt;
 		},
 		handleClosed(socket) {
 			refusals.record({
