Scenarios: backend servers listen on the loopback address of their node

Beside four busy processes one scenario of calls.feature failed, once: its backend server ran '/v1/kv-keep/101' seven times. That is a lease renewal of a sidecar node, which no scenario has: a node of another test file went on calling a store that had closed, and the system had given the port, on the shared address 127.0.0.1, to the server of the scenario. Nodes have addresses of their own for the same reason. Traced by the path that ran; the coincidence was not brought about again.

--- a/scenarios/world.ts
+++ b/scenarios/world.ts
@@ -207,7 +207,7 @@
 		},
 		async startServer(name, service, node, slots = 12) {
 			const settings: BackendServerSettings = {
-				id: name, service, host: '127.0.0.1', port: 0, slots, connections: 130, announcements: getNode(node).settings.listen.announcements, bundleDirectory,
+				id: name, service, host: getNode(node).host, port: 0, slots, connections: 130, announcements: getNode(node).settings.listen.announcements, bundleDirectory,
 			};
 			const server = await startBackendServer(settings);
 			serverSettings.set(name, {...settings, port: Number(server.address.split(':')[1])});
