Gate: only the answer with its id ends a request, not bytes that belong to no request

Cause: a faulty server sends bytes after a complete answer. Where they come in a packet of their own, the connection has been given to the next request, and its parser took them for the beginning of that request's answer: bytes that are none, an answer without an id, one to a request that the connection no longer remembered, a copy that closes its connection or whose length is wrong, one beside a HEAD. Each ended the request in work with connection-lost or wrong-answer. A refusal without an id was taken for its own: "not run" was promised for a request that ran.

Change: own-response-reader.ts looks for the response with the id of the request and skips everything else, up to the size of one response and 64 status lines. Lengths of skipped responses are not trusted. The connection is not used again. A malformed response that bears the id ends the request at once, as before; a refusal without an id counts only as the first thing on a connection. The memory of earlier requests of a connection is gone, since it decides nothing any more. New line and metric: other-bytes-skipped.

Why it works: nothing that a server sends for another request can show that it has given up this one; only its own answer, the end of the connection and the deadline do.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -455,8 +455,8 @@
 	{
 		promise: 'sidecar: a truncated response is not forwarded as complete',
 		file: `${library}/forwarding/exchange.js`,
-		from: 'const response = isOrderly ? parser.end() : undefined;',
-		to: 'const response = parser.end();',
+		from: 'const response = isOrderly ? reader?.end() : undefined;',
+		to: 'const response = reader?.end();',
 		tests: 'platform',
 	},
 	{
@@ -511,7 +511,7 @@
 	{
 		promise: 'sidecar: a connection is not reused if bytes follow the response',
 		file: `${library}/forwarding/exchange.js`,
-		from: 'if (isReusable && !parser.hasExcessBytes()) {',
+		from: 'if (isReusable && reader?.isExact()) {',
 		to: 'if (isReusable) {',
 		tests: `${library}/forwarding`,
 	},
--- a/src/lib/forwarding/convert-exchange.ts
+++ b/src/lib/forwarding/convert-exchange.ts
@@ -49,17 +49,19 @@
 export const sessionEndedFailure = createNotRun('gone', 'backend server has restarted or was replaced');
 
 /**
- * Creates a function that tells whether a response belongs to a request.
+ * Creates a function that tells whether a response belongs to a request. A refusal without an id belongs to it only if
+ * nothing was sent or received on the connection before: a second response to an earlier request could lack the id too,
+ * and a request that runs would be taken for one that was refused.
  *
  * @param id - Id of the request.
  * @param headerNames - The names of the headers.
  * @returns The function.
  * @internal
  */
-export const createOwnResponseCheck = (id: string, headerNames: CallHeaderNames) => (headers: IncomingHttpHeaders, status: number): boolean => {
+export const createOwnResponseCheck = (id: string, headerNames: CallHeaderNames) => (headers: IncomingHttpHeaders, status: number, isFirst: boolean): boolean => {
 	const foundId = getStringHeader(headers, headerNames.callId);
 	const isRefusal = headers[headerNames.notRun] !== undefined || status === 421;
-	return foundId === id || (foundId === undefined && isRefusal);
+	return foundId === id || (foundId === undefined && isRefusal && isFirst);
 };
 
 /**
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -5,10 +5,11 @@
  */
 import {type IncomingHttpHeaders} from 'node:http';
 import {encodeRequestHead, type RequestHead} from './encode-request-head.js';
-import {createResponseParser, type CompleteResponse} from './response-parser.js';
+import {createOwnResponseReader, type OwnResponseReader} from './own-response-reader.js';
+import {type CompleteResponse} from './response-parser.js';
 import {type CallScope, type ScopeEndReason} from './call-scope.js';
 import {type ResponseMemory} from './response-memory.js';
-import {type AssignedCall, type ServerConnection, type ServerConnectionPool} from './server-connection-pool.js';
+import {type ServerConnection, type ServerConnectionPool} from './server-connection-pool.js';
 
 /** What happens to the connection of a request whose caller has left. @internal */
 export type LateResponseHandlers = {
@@ -25,10 +26,10 @@
 	readonly scope: CallScope;
 	/** The memory that the response counts against; not counted if omitted. */
 	readonly memory?: ResponseMemory;
-	/** Whether a response belongs to this request. Any other response closes its connection, unless it is a duplicate response to an earlier request of the connection. */
-	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number) => boolean;
-	/** Returns the call id that a response carries. */
-	readonly readCallId: (headers: IncomingHttpHeaders) => string | undefined;
+	/** Whether a response belongs to this request. Anything else is skipped. `isFirst` tells whether nothing was sent or received on the connection before. */
+	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number, isFirst: boolean) => boolean;
+	/** Called at the end of the exchange with the number of bytes that were not of the response, if there were any. */
+	readonly handleOtherBytes?: (bytes: number, isAnswered: boolean) => void;
 	/** Called with the headers of the response before its body has arrived. */
 	readonly handleHead?: (headers: IncomingHttpHeaders) => void;
 	/** Registers a callback that ends the exchange because the server will not respond to it. */
@@ -60,9 +61,6 @@
 /** Share of the server's keep-alive timeout for which an idle connection is reused. The margin keeps a request from racing with the server's close. */
 const idleTimeoutShare = 0.6;
 
-/** Whether responses to a method have a body, which decides where they end. */
-const hasResponseBody = (method: string): boolean => method !== 'HEAD';
-
 /** Returns the idle time in milliseconds within which a connection may be reused, derived from the server's Keep-Alive header; infinity without that header. */
 function readKeepAliveMs(headers: IncomingHttpHeaders): number {
 	const value = headers['keep-alive'];
@@ -79,14 +77,11 @@
  */
 export async function runExchange(exchange: ExchangeRequest): Promise<ExchangeResult> {
 	return new Promise(resolve => {
-		let parser = createResponseParser(exchange.method);
 		let connection: ServerConnection | undefined;
-		/** The latest requests of the connection, this one included. */
-		let latestCalls: readonly AssignedCall[] = [];
+		/** `undefined` until the request has a connection. */
+		let reader: OwnResponseReader | undefined;
 		let isSettled = false;
-		let isHeadChecked = false;
-		/** Whether the response being read is a duplicate response to an earlier request of the connection. */
-		let isDuplicate = false;
+		let isHeadHandled = false;
 		// A no-op at first: a scope that has already ended calls its handler before subscribe returns.
 		let stopListening = (): void => undefined;
 		/** Whether the caller has left and the connection is open for the response. */
@@ -100,6 +95,11 @@
 			}
 
 			stopListening();
+			const otherBytes = reader?.countOtherBytes() ?? 0;
+			if (otherBytes > 0) {
+				exchange.handleOtherBytes?.(otherBytes, result.type === 'answered');
+			}
+
 			if (!isLate) {
 				resolve(result);
 				return;
@@ -124,7 +124,7 @@
 			fail('connection-lost', 'the response takes too much memory');
 		});
 
-		/** Returns the connection to the pool only if no bytes follow the response. */
+		/** Returns the connection to the pool only if nothing but the response arrived on it. */
 		const finish = ({status, headers, body, isReusable}: CompleteResponse): void => {
 			if (isSettled) {
 				return;
@@ -133,80 +133,45 @@
 			settle({
 				type: 'answered', status, headers, body,
 			});
-			if (isReusable && !parser.hasExcessBytes()) {
+			if (isReusable && reader?.isExact()) {
 				connection?.release(readKeepAliveMs(headers));
 			} else {
 				connection?.destroy();
 			}
 		};
 
-		/** Whether the server answers an earlier request again instead of this one. Such a response is skipped if its end is known, since the response to this request still follows. */
-		const isDuplicateResponse = (headers: IncomingHttpHeaders): boolean => {
-			const callId = exchange.readCallId(headers);
-			const earlier = latestCalls.find(({id}) => id === callId);
-			return earlier !== undefined && hasResponseBody(earlier.method) === hasResponseBody(exchange.method) && !parser.isCloseDelimited();
-		};
-
-		const checkHead = (): boolean => {
-			const head = parser.getHead();
-			if (head === undefined || isHeadChecked) {
-				return true;
-			}
-
-			isHeadChecked = true;
-			if (exchange.isOwnResponse(head.headers, head.status)) {
-				exchange.handleHead?.(head.headers);
-				return true;
-			}
-
-			isDuplicate = isDuplicateResponse(head.headers);
-			if (isDuplicate) {
-				return true;
+		const countHeldBytes = (length: number): void => {
+			if (account !== undefined) {
+				exchange.memory?.add(account, length);
 			}
-
-			fail('wrong-answer', `response with status ${head.status} belongs to another request`);
-			return false;
 		};
 
-		/** Skips a duplicate response and resets the parser. Returns the bytes that follow it. */
-		const dropDuplicateResponse = ({isReusable}: CompleteResponse): Uint8Array | undefined => {
-			if (!isReusable) {
-				fail('connection-lost', 'server closes the connection after a duplicate response to an earlier request');
-				return undefined;
+		/** Reads bytes of the connection. Only the bytes of the response are held. */
+		const readBytes = (current: OwnResponseReader, bytes: Uint8Array): void => {
+			const response = current.read(bytes);
+			const head = current.getHead();
+			if (head === undefined) {
+				return;
 			}
 
-			const excess = parser.takeExcessBytes();
-			parser = createResponseParser(exchange.method);
-			isHeadChecked = false;
-			isDuplicate = false;
-			return excess.length > 0 ? excess : undefined;
-		};
-
-		/** Parses bytes. Returns the bytes that remain after a skipped duplicate response. */
-		const readNextResponse = (bytes: Uint8Array): Uint8Array | undefined => {
-			const response = parser.read(bytes);
-			if (!checkHead() || response === undefined) {
-				return undefined;
+			if (!isHeadHandled) {
+				isHeadHandled = true;
+				exchange.handleHead?.(head.headers);
 			}
 
-			if (isDuplicate) {
-				return dropDuplicateResponse(response);
+			countHeldBytes(bytes.length);
+			if (response !== undefined) {
+				finish(response);
 			}
-
-			finish(response);
-			return undefined;
 		};
 
 		const handleBytes = (bytes: Uint8Array): void => {
-			if (account !== undefined) {
-				exchange.memory?.add(account, bytes.length);
+			if (reader === undefined || isSettled) {
+				return;
 			}
 
 			try {
-				let left: Uint8Array | undefined = bytes;
-				while (left !== undefined && !isSettled) {
-					left = readNextResponse(left);
-				}
+				readBytes(reader, bytes);
 			} catch (error) {
 				fail('connection-lost', (error as Error).message);
 			}
@@ -222,13 +187,13 @@
 				return;
 			}
 
-			if (!parser.isCloseDelimited()) {
-				fail('connection-lost', parser.getHead() === undefined ? 'connection closed before the response' : 'connection closed before the end of the response');
+			if (!reader?.isCloseDelimited()) {
+				fail('connection-lost', reader?.getHead() === undefined ? 'connection closed before the response' : 'connection closed before the end of the response');
 				return;
 			}
 
 			connection?.checkOrderlyEnd(isOrderly => {
-				const response = isOrderly ? parser.end() : undefined;
+				const response = isOrderly ? reader?.end() : undefined;
 				if (response === undefined) {
 					fail('connection-lost', 'connection reset during a response without a length');
 				} else {
@@ -273,7 +238,9 @@
 					account.connection = connection;
 				}
 
-				latestCalls = connection.startCall({id: exchange.id, method: exchange.method});
+				reader = createOwnResponseReader({
+					id: exchange.id, method: exchange.method, isOwnResponse: exchange.isOwnResponse, isFirstRequest: connection.isFirstRequest,
+				});
 				connection.write(head, exchange.body);
 			} catch (error) {
 				fail('cancelled', (error as Error).message);
--- /dev/null
+++ b/src/lib/forwarding/own-response-reader.ts
@@ -0,0 +1,218 @@
+/**
+ * Finds the response to one request among the bytes of its connection. A faulty server may send bytes that belong to
+ * no request: a second response to an earlier request, or bytes that are no response. They do not show that the server
+ * has stopped working on the request, so they are skipped. The id in the response decides, not where it begins: the
+ * length that a skipped response states may be wrong.
+ *
+ * @module
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingHttpHeaders} from 'node:http';
+import {toBuffer} from './chunked-body-reader.js';
+import {ResponseFormatError} from './response-format-error.js';
+import {
+	createResponseParser, maxResponseBytes, type CompleteResponse, type ResponseHead,
+} from './response-parser.js';
+
+/** The request whose response is read. @internal */
+export type AwaitedRequest = {
+	readonly id: string;
+	readonly method: string;
+	/** Whether a response belongs to the request. `isFirst` tells whether nothing was sent or received on the connection before. */
+	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number, isFirst: boolean) => boolean;
+	/** Whether it is the first request of its connection. */
+	readonly isFirstRequest: boolean;
+};
+
+/** @internal */
+export type OwnResponseReader = {
+	/** Reads more bytes. Returns the response once it is complete. Throws a ResponseFormatError if it is malformed, or if too many bytes were skipped. */
+	readonly read: (bytes: Uint8Array) => CompleteResponse | undefined;
+	/** Returns the status and headers of the response once they are read. */
+	readonly getHead: () => ResponseHead | undefined;
+	/** Whether the response has begun and ends when the connection closes. */
+	readonly isCloseDelimited: () => boolean;
+	/** Handles an orderly close of the connection. Returns the response if the close completes it. */
+	readonly end: () => CompleteResponse | undefined;
+	/** Whether nothing but the response was received. */
+	readonly isExact: () => boolean;
+	/** Returns the number of bytes that are not of the response. */
+	readonly countOtherBytes: () => number;
+};
+
+/** Maximum number of bytes that are skipped: a second response may be as large as any. */
+const maxSkippedBytes = maxResponseBytes;
+
+/** Maximum number of status lines that turn out to belong to other responses. It bounds the processor time, since each is parsed. */
+const maxSkippedHeads = 64;
+
+const statusLineStart = 'HTTP/1.';
+
+const statusLinePattern = /^HTTP\/1\.[01] \d{3}/;
+
+/** Length of the part of a status line that the pattern covers, in bytes. */
+const statusLineBytes = 12;
+
+const headEnd = '\r\n\r\n';
+
+const noBytes: Uint8Array = Buffer.alloc(0);
+
+/** Returns where a status line begins, or may begin if its bytes have not all arrived; the length of the bytes if there is none. */
+function findStatusLine(bytes: Uint8Array, from: number): number {
+	const buffer = toBuffer(bytes);
+	let start = buffer.indexOf(statusLineStart, from, 'latin1');
+	while (start !== -1) {
+		const isCut = buffer.length - start < statusLineBytes;
+		if (isCut || statusLinePattern.test(buffer.toString('latin1', start, start + statusLineBytes))) {
+			return start;
+		}
+
+		start = buffer.indexOf(statusLineStart, start + 1, 'latin1');
+	}
+
+	for (let length = Math.min(statusLineStart.length - 1, buffer.length - from); length > 0; length--) {
+		if (statusLineStart.startsWith(buffer.toString('latin1', buffer.length - length))) {
+			return buffer.length - length;
+		}
+	}
+
+	return buffer.length;
+}
+
+/** What the undecided bytes begin with: the response or a part of its head, or something else. */
+type Candidate =
+	| {readonly type: 'possible'; readonly response: CompleteResponse | undefined}
+	| {readonly type: 'other'};
+
+/**
+ * Creates a reader that has read nothing.
+ *
+ * @param request - The request.
+ * @returns The reader.
+ * @internal
+ */
+export function createOwnResponseReader(request: AwaitedRequest): OwnResponseReader {
+	let parser = createResponseParser(request.method);
+	/** Whether the head that was parsed is that of the response. */
+	let isOwn = false;
+	/** Whether the undecided bytes begin with something other than a status line. */
+	let isSearching = false;
+	/** The bytes that have not been skipped, until the head of the response is found. */
+	let undecided = noBytes;
+	let skippedBytes = 0;
+	let skippedHeads = 0;
+
+	const skip = (length: number): void => {
+		undecided = undecided.subarray(length);
+		skippedBytes += length;
+		if (skippedBytes > maxSkippedBytes) {
+			throw new ResponseFormatError(`more than ${maxSkippedBytes} bytes belong to no request`);
+		}
+	};
+
+	/** Whether the malformed head with which the undecided bytes begin is that of the response, and not one in front of it. */
+	const isOwnMalformedHead = (): boolean => {
+		const buffer = toBuffer(undecided);
+		const end = buffer.indexOf(headEnd);
+		const head = end === -1 ? buffer : buffer.subarray(0, end);
+		return findStatusLine(head, 0) === 0 && findStatusLine(head, 1) === head.length && head.includes(request.id, 0, 'latin1');
+	};
+
+	/** Throws if a head in front of the response was cut off within a header, so that the two would be read as one. */
+	const refuseSecondStatusLine = (): void => {
+		const buffer = toBuffer(undecided);
+		// Checked first, since it is true of nearly all responses.
+		if (!buffer.includes(statusLineStart, 1, 'latin1')) {
+			return;
+		}
+
+		const second = findStatusLine(buffer, 1);
+		if (second < buffer.length && second < buffer.indexOf(headEnd)) {
+			throw new ResponseFormatError('response head contains a second status line');
+		}
+	};
+
+	/** Determines whether the bytes that were parsed may begin the response: they do with its head, and may with a part of a head. */
+	const checkHead = (): boolean => {
+		const head = parser.getHead();
+		if (head === undefined) {
+			return true;
+		}
+
+		isOwn = request.isOwnResponse(head.headers, head.status, request.isFirstRequest && skippedBytes === 0);
+		return isOwn;
+	};
+
+	/** Parses bytes that follow what was parsed. */
+	const parseCandidate = (bytes: Uint8Array): Candidate => {
+		try {
+			const response = parser.read(bytes);
+			return checkHead() ? {type: 'possible', response} : {type: 'other'};
+		} catch (error) {
+			const isOwnError = parser.getHead() === undefined ? isOwnMalformedHead() : checkHead();
+			if (isOwnError) {
+				throw error;
+			}
+
+			return {type: 'other'};
+		}
+	};
+
+	/** Skips the bytes up to the next status line. Returns whether there is one. */
+	const skipToStatusLine = (from: number): boolean => {
+		skip(findStatusLine(undecided, from));
+		isSearching = undecided.length < statusLineBytes;
+		return !isSearching;
+	};
+
+	const searchResponse = (from: number): CompleteResponse | undefined => {
+		let next = from;
+		while (skipToStatusLine(next)) {
+			parser = createResponseParser(request.method);
+			const candidate = parseCandidate(undecided);
+			if (candidate.type === 'possible') {
+				return candidate.response;
+			}
+
+			skippedHeads++;
+			if (skippedHeads > maxSkippedHeads) {
+				throw new ResponseFormatError(`more than ${maxSkippedHeads} responses belong to no request`);
+			}
+
+			next = 1;
+		}
+
+		return undefined;
+	};
+
+	const readUndecided = (bytes: Uint8Array): CompleteResponse | undefined => {
+		undecided = undecided.length === 0 ? bytes : Buffer.concat([undecided, bytes]);
+		if (isSearching) {
+			return searchResponse(0);
+		}
+
+		const candidate = parseCandidate(bytes);
+		return candidate.type === 'possible' ? candidate.response : searchResponse(1);
+	};
+
+	return {
+		read(bytes) {
+			if (isOwn) {
+				return parser.read(bytes);
+			}
+
+			const response = readUndecided(bytes);
+			if (isOwn) {
+				refuseSecondStatusLine();
+				undecided = noBytes;
+			}
+
+			return response;
+		},
+		getHead: () => isOwn ? parser.getHead() : undefined,
+		isCloseDelimited: () => isOwn && parser.isCloseDelimited(),
+		end: () => isOwn ? parser.end() : undefined,
+		isExact: () => skippedBytes === 0 && !parser.hasExcessBytes(),
+		countOtherBytes: () => isOwn ? skippedBytes : skippedBytes + undecided.length,
+	};
+}
--- a/src/lib/forwarding/response-parser.ts
+++ b/src/lib/forwarding/response-parser.ts
@@ -42,15 +42,13 @@
 	readonly end: () => CompleteResponse | undefined;
 	/** Whether bytes follow the complete response. */
 	readonly hasExcessBytes: () => boolean;
-	/** Removes and returns the bytes after the complete response. */
-	readonly takeExcessBytes: () => Uint8Array;
 };
 
 /** Maximum size of the status line and headers, the default of Node.js. */
 const maxHeadBytes = 16_384;
 
-/** Maximum size of a response. A response is buffered whole and must fit into one frame with its head. The limit is several times the users' largest response. */
-const maxResponseBytes = 100_663_296;
+/** Maximum size of a response. A response is buffered whole and must fit into one frame with its head. The limit is several times the users' largest response. @internal */
+export const maxResponseBytes = 100_663_296;
 
 /** Maximum number of heads up to and including the final one. Servers send one or two interim responses, such as 100 Continue. */
 const maxInterimResponseCount = 32;
@@ -276,10 +274,5 @@
 		isCloseDelimited: () => head?.framing.type === 'until-end',
 		end: () => head?.framing.type === 'until-end' && !isComplete ? finish(pieces?.build() ?? Buffer.alloc(0)) : undefined,
 		hasExcessBytes: () => isComplete && buffered.length > 0,
-		takeExcessBytes() {
-			const excess = buffered;
-			buffered = Buffer.alloc(0);
-			return excess;
-		},
 	};
 }
--- a/src/lib/forwarding/server-connection-pool.ts
+++ b/src/lib/forwarding/server-connection-pool.ts
@@ -19,14 +19,11 @@
 	readonly handleClosed: (reason: string) => void;
 };
 
-/** The request that a connection is assigned to. @internal */
-export type AssignedCall = {readonly id: string; readonly method: string};
-
 /** A connection used exclusively by one request. @internal */
 export type ServerConnection = {
 	readonly isConnected: () => boolean;
-	/** Assigns the connection to a request. Returns the latest requests, this one included: a server may send duplicate responses to those before it. */
-	readonly startCall: (call: AssignedCall) => readonly AssignedCall[];
+	/** Whether the connection has carried no other request, so that nothing else can be responded to on it. */
+	readonly isFirstRequest: boolean;
 	/** Writes the head and the body of a request. */
 	readonly write: (head: string, body: Uint8Array | undefined) => void;
 	/** Writes an empty line, which servers ignore before a request. Calls the handler with true if the write succeeded, which shows that the server closed the connection in order instead of resetting it. */
@@ -58,9 +55,6 @@
 	readonly connectTimeoutMs: number;
 };
 
-/** Requests of a connection that are remembered. A duplicate response comes at the next few responses, if at all. */
-const maxRememberedCalls = 8;
-
 /** A connection that is opening or open. */
 type PooledConnection = {
 	readonly socket: Socket;
@@ -71,8 +65,6 @@
 	/** Time until which the idle connection may be reused, in steady milliseconds. */
 	reusableUntil: number;
 	closeReason: string;
-	/** The latest requests, the last one being in flight. */
-	readonly calls: AssignedCall[];
 };
 
 /**
@@ -108,7 +100,7 @@
 			host, port, noDelay: true, allowHalfOpen: true,
 		});
 		const connection: PooledConnection = {
-			socket, listener, isConnected: false, isRetired: false, reusableUntil: 0, closeReason: 'the server closed the connection', calls: [],
+			socket, listener, isConnected: false, isRetired: false, reusableUntil: 0, closeReason: 'the server closed the connection',
 		};
 		connections.add(connection);
 		const timer = setTimeout(() => {
@@ -146,17 +138,9 @@
 		return connection;
 	};
 
-	const createHandle = (connection: PooledConnection): ServerConnection => ({
+	const createHandle = (connection: PooledConnection, isFirstRequest: boolean): ServerConnection => ({
 		isConnected: () => connection.isConnected,
-		startCall(call) {
-			const {calls} = connection;
-			calls.push(call);
-			if (calls.length > maxRememberedCalls) {
-				calls.shift();
-			}
-
-			return calls;
-		},
+		isFirstRequest,
 		write(head, body) {
 			const {socket} = connection;
 			if (body === undefined || body.length === 0) {
@@ -221,11 +205,11 @@
 			while (!isDisposed) {
 				const connection = acquireIdle(listener);
 				if (connection !== undefined) {
-					return createHandle(connection);
+					return createHandle(connection, false);
 				}
 
 				if (connections.size < options.maxConnections) {
-					return createHandle(open(listener));
+					return createHandle(open(listener), true);
 				}
 
 				await new Promise<void>(resolve => {
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -19,7 +19,7 @@
 import {createLoadReports, type LoadReports} from '../server-notices/load-reports.js';
 import {type MemoryLedger} from '../memory/memory-ledger.js';
 import {deadlineGraceMs, type CallScope} from './call-scope.js';
-import {getStringHeader, type CallHeaderNames} from './call-headers.js';
+import {type CallHeaderNames} from './call-headers.js';
 import {createExchangeConverter, createOwnResponseCheck, sessionEndedFailure} from './convert-exchange.js';
 import {createCrashWatch} from './crash-watch.js';
 import {runExchange, type ExchangeResponse, type ExchangeFailure} from './exchange.js';
@@ -284,7 +284,11 @@
 				...body === undefined ? {} : {'content-length': String(body.length)},
 			},
 			isOwnResponse: createOwnResponseCheck(call.id, headerNames),
-			readCallId: headers => getStringHeader(headers, headerNames.callId),
+			handleOtherBytes(bytes, isAnswered) {
+				log.record('info', {
+					kind: 'other-bytes-skipped', call: call.id, server: lifetime.id, bytes, isAnswered, ageMs: Math.round(readAwakeMs() - sentAt),
+				});
+			},
 			handleHead(headers) {
 				watched.recordResponse(notices.recordLoad(headers), headers[headerNames.signature] !== undefined && headers[headerNames.notRun] === undefined);
 			},
--- a/src/lib/forwarding/truncated-head.test.ts
+++ b/src/lib/forwarding/truncated-head.test.ts
@@ -58,7 +58,7 @@
 				const scope = createCallScope(performance.now() + 10_000);
 				const result = await runExchange({
 					pool, id: 'c1', method: 'GET', target: '/', headers: {}, body: undefined, scope, memory: createResponseMemory(createMemoryLedger({bufferBytes: 1_000_000, requestBytes: 1_000_000})),
-					isOwnResponse: () => true, readCallId: () => 'c1',
+					isOwnResponse: () => true,
 				});
 				scope.dispose();
 				return result;
--- a/src/lib/timeline/explain-call.ts
+++ b/src/lib/timeline/explain-call.ts
@@ -65,6 +65,11 @@
 			return `${line.server} will not respond to it (${line.reason}): ${line.ageMs} ms, ${line.usualMs} ms for 99 in 100 requests; ${next}, ${line.limit} requests at a time from now on`;
 		}
 
+		case 'other-bytes-skipped': {
+			const end = line.isAnswered ? 'its own response followed' : 'no response of its own arrived';
+			return `${line.server} sent ${line.bytes} bytes that are not of its response, which were skipped; ${end}, ${line.ageMs} ms after it was sent`;
+		}
+
 		case 'request-overdue': {
 			const evidence = line.isShown ? 'its load reports lack it, but the node had not looked at them' : `${line.covering} load reports since, which do not show that it was lost`;
 			return `${line.server} did not respond to it within ${line.ageMs} ms, ${line.usualMs} ms for 99 in 100 requests; ${evidence}`;
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -138,6 +138,8 @@
 	| {readonly kind: 'connections-renewed'; readonly server: string; readonly reason: string}
 	/** The server will not respond to a request. `limit` is the number of requests that the gate sends to it at the same time from now on. */
 	| {readonly kind: 'request-hung'; readonly call: string; readonly server: string; readonly reason: string; readonly ageMs: number; readonly usualMs: number; readonly isEnded: boolean; readonly limit: number}
+	/** Bytes that are not of its response arrived while a request was in flight: a response to another request, or none. `isAnswered` tells whether its response arrived as well. */
+	| {readonly kind: 'other-bytes-skipped'; readonly call: string; readonly server: string; readonly bytes: number; readonly isAnswered: boolean; readonly ageMs: number}
 	/** A slot that was held for a request that had been given up is free again. Times are milliseconds; `ageMs` is the time since the request was sent. */
 	| {readonly kind: 'held-slot-released'; readonly call: string; readonly server: string; readonly reason: ReleaseCause; readonly heldMs: number; readonly ageMs: number; readonly stillHeld: number}
 	/** A request that took too long ended without a response, and was not found to hang. `covering` is the number of load reports on which it should have been, `isShown` whether they show that the server does not have it. */
