--- a/src/lib/forwarding/own-response-reader.ts
+++ b/src/lib/forwarding/own-response-reader.ts
@@ -43,42 +43,69 @@
 /** Maximum number of bytes that are skipped: a second response may be as large as any. */
 const maxSkippedBytes = maxResponseBytes;
 
-/** Maximum number of status lines that turn out to belong to other responses. It bounds the processor time, since each is parsed. */
+/** Maximum number of status lines that turn out to belong to other responses. It bounds the processor time, since each is parsed. Nothing is looked for behind them. */
 const maxSkippedHeads = 64;
 
 const statusLineStart = 'HTTP/1.';
 
 const statusLinePattern = /^HTTP\/1\.[01] \d{3}/;
 
-/** Length of the part of a status line that the pattern covers, in bytes. */
+const interimPattern = /^HTTP\/1\.[01] 1\d\d/;
+
+/** Length of the part of a status line that the patterns cover, in bytes. */
 const statusLineBytes = 12;
 
 const headEnd = '\r\n\r\n';
 
 const noBytes: Uint8Array = Buffer.alloc(0);
 
-/** Returns where a status line begins, or may begin if its bytes have not all arrived; the length of the bytes if there is none. */
-function findStatusLine(bytes: Uint8Array, from: number): number {
+/** Returns where a whole status line begins; `undefined` if there is none. */
+function findStatusLine(bytes: Uint8Array, from: number): number | undefined {
 	const buffer = toBuffer(bytes);
-	let start = buffer.indexOf(statusLineStart, from, 'latin1');
-	while (start !== -1) {
-		const isCut = buffer.length - start < statusLineBytes;
-		if (isCut || statusLinePattern.test(buffer.toString('latin1', start, start + statusLineBytes))) {
+	for (let start = buffer.indexOf(statusLineStart, from, 'latin1'); start !== -1; start = buffer.indexOf(statusLineStart, start + 1, 'latin1')) {
+		if (statusLinePattern.test(buffer.toString('latin1', start, start + statusLineBytes))) {
 			return start;
 		}
+	}
 
-		start = buffer.indexOf(statusLineStart, start + 1, 'latin1');
+	return undefined;
+}
+
+/** Returns where a status line begins, or may begin if its bytes have not all arrived; the length of the bytes if there is none. */
+function findPossibleStatusLine(bytes: Uint8Array, from: number): number {
+	const buffer = toBuffer(bytes);
+	const whole = findStatusLine(buffer, from);
+	if (whole !== undefined) {
+		return whole;
 	}
 
-	for (let length = Math.min(statusLineStart.length - 1, buffer.length - from); length > 0; length--) {
-		if (statusLineStart.startsWith(buffer.toString('latin1', buffer.length - length))) {
-			return buffer.length - length;
+	for (let start = Math.max(from, buffer.length - statusLineBytes + 1); start < buffer.length; start++) {
+		const rest = buffer.toString('latin1', start);
+		if (rest.startsWith(statusLineStart) || statusLineStart.startsWith(rest)) {
+			return start;
 		}
 	}
 
 	return buffer.length;
 }
 
+/** Returns the bytes of the head with which a response begins, or all bytes if it has not ended. Interim responses before it are left out. */
+function findHead(bytes: Uint8Array): Uint8Array {
+	const buffer = toBuffer(bytes);
+	let start = 0;
+	let end = buffer.indexOf(headEnd);
+	while (end !== -1 && interimPattern.test(buffer.toString('latin1', start, start + statusLineBytes))) {
+		start = end + headEnd.length;
+		end = buffer.indexOf(headEnd, start);
+	}
+
+	return buffer.subarray(start, end === -1 ? buffer.length : end);
+}
+
+/** Returns whether a header of a head, or of a part of one, is the given id. */
+const hasId = (head: Uint8Array, id: string): boolean =>
+	toBuffer(head).toString('latin1').split('\r\n').some(line => line.slice(line.indexOf(':') + 1).trim() === id);
+
 /** What the undecided bytes begin with: the response or a part of its head, or something else. */
 type Candidate =
 	| {readonly type: 'possible'; readonly response: CompleteResponse | undefined}
@@ -102,7 +129,7 @@
 	let skippedBytes = 0;
 	let skippedHeads = 0;
 
-	const skip = (length: number): void => {
+	const dropBytes = (length: number): void => {
 		undecided = undecided.subarray(length);
 		skippedBytes += length;
 		if (skippedBytes > maxSkippedBytes) {
@@ -115,21 +142,31 @@
 		const buffer = toBuffer(undecided);
 		const end = buffer.indexOf(headEnd);
 		const head = end === -1 ? buffer : buffer.subarray(0, end);
-		return findStatusLine(head, 0) === 0 && findStatusLine(head, 1) === head.length && head.includes(request.id, 0, 'latin1');
+		return findStatusLine(head, 0) === 0 && findStatusLine(head, 1) === undefined && hasId(head, request.id);
 	};
 
-	/** Throws if a head in front of the response was cut off within a header, so that the two would be read as one. */
-	const refuseSecondStatusLine = (): void => {
+	/**
+	 * Whether a head in front of the response was cut off within a line, so that the two were parsed as one. A status line
+	 * behind the id is the value of a header. Throws if it can't be told.
+	 */
+	const isBehindCutHead = (): boolean => {
 		const buffer = toBuffer(undecided);
 		// Checked first, since it is true of nearly all responses.
 		if (!buffer.includes(statusLineStart, 1, 'latin1')) {
-			return;
+			return false;
+		}
+
+		const head = findHead(buffer);
+		const second = findStatusLine(head, 1);
+		if (second === undefined || hasId(head.subarray(0, second), request.id)) {
+			return false;
 		}
 
-		const second = findStatusLine(buffer, 1);
-		if (second < buffer.length && second < buffer.indexOf(headEnd)) {
+		if (/\n[^\r\n]*: ?$/.test(toBuffer(head).toString('latin1', 0, second))) {
 			throw new ResponseFormatError('response head contains a second status line');
 		}
+
+		return true;
 	};
 
 	/** Determines whether the bytes that were parsed may begin the response: they do with its head, and may with a part of a head. */
@@ -139,7 +176,7 @@
 			return true;
 		}
 
-		isOwn = request.isOwnResponse(head.headers, head.status, request.isFirstRequest && skippedBytes === 0);
+		isOwn = request.isOwnResponse(head.headers, head.status, request.isFirstRequest && skippedBytes === 0) && !isBehindCutHead();
 		return isOwn;
 	};
 
@@ -158,16 +195,22 @@
 		}
 	};
 
-	/** Skips the bytes up to the next status line. Returns whether there is one. */
-	const skipToStatusLine = (from: number): boolean => {
-		skip(findStatusLine(undecided, from));
+	/** Drops the bytes up to the next status line. Returns whether there is one. */
+	const dropToStatusLine = (from: number): boolean => {
+		dropBytes(findPossibleStatusLine(undecided, from));
 		isSearching = undecided.length < statusLineBytes;
 		return !isSearching;
 	};
 
-	const searchResponse = (from: number): CompleteResponse | undefined => {
+	const findResponse = (from: number): CompleteResponse | undefined => {
 		let next = from;
-		while (skipToStatusLine(next)) {
+		while (dropToStatusLine(next)) {
+			if (skippedHeads >= maxSkippedHeads) {
+				dropBytes(undecided.length);
+				isSearching = true;
+				return undefined;
+			}
+
 			parser = createResponseParser(request.method);
 			const candidate = parseCandidate(undecided);
 			if (candidate.type === 'possible') {
@@ -175,10 +218,6 @@
 			}
 
 			skippedHeads++;
-			if (skippedHeads > maxSkippedHeads) {
-				throw new ResponseFormatError(`more than ${maxSkippedHeads} responses belong to no request`);
-			}
-
 			next = 1;
 		}
 
@@ -188,11 +227,11 @@
 	const readUndecided = (bytes: Uint8Array): CompleteResponse | undefined => {
 		undecided = undecided.length === 0 ? bytes : Buffer.concat([undecided, bytes]);
 		if (isSearching) {
-			return searchResponse(0);
+			return findResponse(0);
 		}
 
 		const candidate = parseCandidate(bytes);
-		return candidate.type === 'possible' ? candidate.response : searchResponse(1);
+		return candidate.type === 'possible' ? candidate.response : findResponse(1);
 	};
 
 	return {
@@ -203,7 +242,6 @@
 
 			const response = readUndecided(bytes);
 			if (isOwn) {
-				refuseSecondStatusLine();
 				undecided = noBytes;
 			}
 
@@ -213,6 +251,6 @@
 		isCloseDelimited: () => isOwn && parser.isCloseDelimited(),
 		end: () => isOwn ? parser.end() : undefined,
 		isExact: () => skippedBytes === 0 && !parser.hasExcessBytes(),
-		countOtherBytes: () => isOwn ? skippedBytes : skippedBytes + undecided.length,
+		countOtherBytes: () => skippedBytes + (isOwn || findPossibleStatusLine(undecided, 0) === 0 ? 0 : undecided.length),
 	};
 }
