Calls: a response on a kept connection is told by the id of the call

What callers saw: on the product's own node, the answer to an earlier request of another caller, with its status and body, or 502 connection-lost while their server worked on the request. "Not run" could be promised for a request that ran.

Cause: the HTTP client takes the next response on a connection for that of the request in work. A faulty server sends a second copy of an answer, or bytes that are no response, some milliseconds behind an answer; by then the kept connection carries the next request.

Change: response-filter.ts stands between the socket and the HTTP client and passes on the response to the request in work only, found by the reader of the sidecar node (own-response-reader.ts, its head only, so bodies stream as before). server-pool.ts announces each request to the filter of its connection. A connection is kept only if the response has the id of the call and nothing else arrived. A server that returns no id cannot be told apart on a kept connection: each request gets a connection of its own there. The server is asked to close it, except behind a streamed body, since it would cut off an upload that it answered early. New event other-bytes-skipped.

Why it works: on a connection that carried nothing else, the first response belongs to its only request; on any other, only the id is trusted.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -452,6 +452,13 @@
 		to: '',
 		tests: 'platform',
 	},
+	{
+		promise: 'a response on a kept connection is taken for that of a request only if it names its call',
+		file: `${library}/calls/response-filter.js`,
+		from: 'return isNamed || (isFirst &&',
+		to: 'return true || (isFirst &&',
+		tests: `${library}/calls`,
+	},
 	{
 		promise: 'sidecar: a truncated response is not forwarded as complete',
 		file: `${library}/forwarding/exchange.js`,
--- a/src/lib/calls/server-sender.ts
+++ b/src/lib/calls/server-sender.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {type Readable} from 'node:stream';
-import {Pool} from 'undici';
 import {type Gate, type Slot} from '../admission/gate.js';
 import {readMicroseconds, readNow} from '../common/clock.js';
 import {type BackendServer} from '../directory/node-record.js';
@@ -14,7 +13,9 @@
 import {
 	createFailure, toFailedAttempt, type Attempt, type AttemptResult, type FailedAttempt, type HeaderMap,
 } from './attempt.js';
+import {isStream} from './gate-client.js';
 import {createRunTracker, type RunQuarantine} from './run-tracker.js';
+import {createServerPool} from './server-pool.js';
 import {
 	filterForwardableHeaders, getHeader, meshHeaders, noticeHeaders, timeoutHeader, toOutgoingHeaders,
 } from './headers.js';
@@ -70,8 +71,10 @@
  * @internal
  */
 export function createServerSender(server: BackendServer, gate: Gate, {quarantine, maxLimitWaitMs, timeline, handleLeaving}: ServerSenderContext): ServerSender {
-	const pool = new Pool(`http://${server.address}`, {
-		connections: server.connections, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: {timeout: connectTimeoutMs},
+	const {pool, mayKeepConnection} = createServerPool(server.address, server.connections, connectTimeoutMs, (call, bytes, isAnswered) => {
+		timeline.record({
+			kind: 'other-bytes-skipped', call, server: server.id, bytes, isAnswered,
+		});
 	});
 
 	let isClosing = false;
@@ -153,6 +156,8 @@
 				}),
 				body: attempt.body,
 				signal: attempt.signal,
+				// A server that closes the connection behind its response would cut off an upload that it answered early, and the response with it.
+				reset: !mayKeepConnection() && !isStream(attempt.body),
 			});
 			releaseAfterBody(response.body, slot);
 			runTracker.watchResponse(admission, response.statusCode, response.body);
--- a/src/lib/forwarding/own-response-reader.ts
+++ b/src/lib/forwarding/own-response-reader.ts
@@ -22,6 +22,8 @@
 	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number, isFirst: boolean) => boolean;
 	/** Whether it is the first request of its connection. */
 	readonly isFirstRequest: boolean;
+	/** Called once the head of the response is read, with the bytes of the response that have arrived, and whether nothing was skipped before. */
+	readonly handleStart?: (bytes: Uint8Array, isExact: boolean) => void;
 };
 
 /** @internal */
@@ -204,6 +206,7 @@
 			const response = readUndecided(bytes);
 			if (isOwn) {
 				refuseSecondStatusLine();
+				request.handleStart?.(undecided, skippedBytes === 0);
 				undecided = noBytes;
 			}
 
--- a/src/lib/timeline/timeline-event.ts
+++ b/src/lib/timeline/timeline-event.ts
@@ -42,6 +42,8 @@
 	| {readonly kind: 'connection-closed'; readonly reason: ClosingCause; readonly client: string; readonly bytes: number; readonly requests: number}
 	/** The node destroyed the connection of the caller, so that it does not take a part of an answer for a whole one. */
 	| {readonly kind: 'answer-broken-off'; readonly call: CallId; readonly reason: string}
+	/** A backend server sent bytes that belong to no request while it worked on this one. `isAnswered` tells whether its response followed. */
+	| {readonly kind: 'other-bytes-skipped'; readonly call: CallId; readonly server: BackendServerId; readonly bytes: number; readonly isAnswered: boolean}
 	| {readonly kind: 'call-finished'; readonly call: CallId; readonly route: string; readonly status: number; readonly verdict: Verdict; readonly version: number; readonly attempts: number};
 
 /** @public */
--- a/src/lib/timeline/timeline.ts
+++ b/src/lib/timeline/timeline.ts
@@ -20,7 +20,7 @@
 /** Number of events in each ring buffer. Events of calls have a buffer of their own, so that they do not displace other events. */
 const ringBufferSize = 2048;
 
-const callKinds: ReadonlySet<EventDetail['kind']> = new Set(['attempt-failed', 'call-finished', 'answer-not-sent', 'answer-broken-off']);
+const callKinds: ReadonlySet<EventDetail['kind']> = new Set(['attempt-failed', 'call-finished', 'answer-not-sent', 'answer-broken-off', 'other-bytes-skipped']);
 
 type RingBuffer = {
 	readonly push: (event: TimelineEvent) => void;
--- a/stand-ins/backend-server/backend-server.ts
+++ b/stand-ins/backend-server/backend-server.ts
@@ -312,6 +312,7 @@
 		const call = request.headers['stonemoor-call'] as string | undefined;
 		if (call !== undefined) {
 			calls.set(call, (calls.get(call) ?? 0) + 1);
+			response.setHeader('stonemoor-call', call);
 		}
 
 		response.once('close', () => {
