--- a/src/lib/forwarding/own-response-reader.ts
+++ b/src/lib/forwarding/own-response-reader.ts
@@ -52,9 +52,16 @@
 
 const statusLinePattern = /^HTTP\/1\.[01] \d{3}/;
 
+const interimStatusLinePattern = /^HTTP\/1\.[01] 1/;
+
 /** Length of the part of a status line that the pattern covers, in bytes. */
 const statusLineBytes = 12;
 
+/** Place of the space behind the version, which is checked first, since it costs least. */
+const versionEnd = 'HTTP/1.1'.length;
+
+const space = 0x20;
+
 const headEnd = '\r\n\r\n';
 
 const noBytes: Uint8Array = Buffer.alloc(0);
@@ -65,7 +72,7 @@
 	let start = buffer.indexOf(statusLineStart, from, 'latin1');
 	while (start !== -1) {
 		const isCut = buffer.length - start < statusLineBytes;
-		if (isCut || statusLinePattern.test(buffer.toString('latin1', start, start + statusLineBytes))) {
+		if (isCut || (buffer[start + versionEnd] === space && statusLinePattern.test(buffer.toString('latin1', start, start + statusLineBytes)))) {
 			return start;
 		}
 
@@ -104,7 +111,7 @@
 	let skippedBytes = 0;
 	let skippedHeads = 0;
 
-	const skip = (length: number): void => {
+	const drop = (length: number): void => {
 		undecided = undecided.subarray(length);
 		skippedBytes += length;
 		if (skippedBytes > maxSkippedBytes) {
@@ -112,12 +119,49 @@
 		}
 	};
 
+	/** Whether a header has the id of the request as its value. */
+	const hasIdHeader = (head: ReturnType<typeof toBuffer>): boolean => head.toString('latin1').split('\r\n')
+		.some(line => line.includes(':') && line.slice(line.indexOf(':') + 1).trim() === request.id);
+
 	/** Whether the malformed head with which the undecided bytes begin is that of the response, and not one in front of it. */
 	const isOwnMalformedHead = (): boolean => {
 		const buffer = toBuffer(undecided);
 		const end = buffer.indexOf(headEnd);
 		const head = end === -1 ? buffer : buffer.subarray(0, end);
-		return findStatusLine(head, 0) === 0 && findStatusLine(head, 1) === head.length && head.includes(request.id, 0, 'latin1');
+		return findStatusLine(head, 0) === 0 && findStatusLine(head, 1) === head.length && hasIdHeader(head);
+	};
+
+	/**
+	 * Whether a head that was cut off runs into the next one, so that the parser would read both as one: an interim one,
+	 * whose headers decide nothing, or one that ends within its status line, whose reason would be the next status line.
+	 */
+	const hasMergedHead = (): boolean => {
+		const buffer = toBuffer(undecided);
+		// Checked first, since it is true of nearly all responses.
+		if (!buffer.includes(statusLineStart, 1, 'latin1')) {
+			return false;
+		}
+
+		let start = 0;
+		while (true) {
+			const second = findStatusLine(buffer, start + 1);
+			if (second + statusLineBytes > buffer.length) {
+				return false;
+			}
+
+			const end = buffer.indexOf(headEnd, start);
+			const isInterim = interimStatusLinePattern.test(buffer.toString('latin1', start, start + statusLineBytes));
+			if (end === -1 || second < end) {
+				const lineEnd = buffer.indexOf('\r\n', start);
+				return isInterim || lineEnd === -1 || second < lineEnd;
+			}
+
+			if (!isInterim) {
+				return false;
+			}
+
+			start = end + headEnd.length;
+		}
 	};
 
 	/** Throws if a head in front of the response was cut off within a header, so that the two would be read as one. */
@@ -147,6 +191,10 @@
 
 	/** Parses bytes that follow what was parsed. */
 	const parseCandidate = (bytes: Uint8Array): Candidate => {
+		if (hasMergedHead()) {
+			return {type: 'other'};
+		}
+
 		try {
 			const response = parser.read(bytes);
 			return checkHead() ? {type: 'possible', response} : {type: 'other'};
@@ -161,15 +209,15 @@
 	};
 
 	/** Skips the bytes up to the next status line. Returns whether there is one. */
-	const skipToStatusLine = (from: number): boolean => {
-		skip(findStatusLine(undecided, from));
+	const dropToStatusLine = (from: number): boolean => {
+		drop(findStatusLine(undecided, from));
 		isSearching = undecided.length < statusLineBytes;
 		return !isSearching;
 	};
 
-	const searchResponse = (from: number): CompleteResponse | undefined => {
+	const findResponse = (from: number): CompleteResponse | undefined => {
 		let next = from;
-		while (skipToStatusLine(next)) {
+		while (dropToStatusLine(next)) {
 			parser = createResponseParser(request.method);
 			const candidate = parseCandidate(undecided);
 			if (candidate.type === 'possible') {
@@ -190,11 +238,11 @@
 	const readUndecided = (bytes: Uint8Array): CompleteResponse | undefined => {
 		undecided = undecided.length === 0 ? bytes : Buffer.concat([undecided, bytes]);
 		if (isSearching) {
-			return searchResponse(0);
+			return findResponse(0);
 		}
 
 		const candidate = parseCandidate(bytes);
-		return candidate.type === 'possible' ? candidate.response : searchResponse(1);
+		return candidate.type === 'possible' ? candidate.response : findResponse(1);
 	};
 
 	return {
