Calls: an answer of a gate to another call ends neither the process nor a reservation wrongly

What callers would see: the node of the entry ends with an uncaught AbortError as soon as a gate's response names another call; or an upload uses the ticket of another call's reservation. Not seen on a deployment: a gate is a node of the product, whose server sends no second copies.

Cause: the check of the id destroyed the body without a listener for its error; a reservation did not check the id, although the gate always sends it.

Change: a listener; the same check for reservations, as not-run, since only the reservation was sent.

Evidence: gate-client.test.ts: before, its first test fails; with the check of reservations alone it still fails, with the uncaught error; passes now.

Why it works: nothing but an answer that names the call is taken from a gate.

--- a/src/lib/calls/gate-client.ts
+++ b/src/lib/calls/gate-client.ts
@@ -100,6 +100,8 @@
 			});
 			// Connections carry one request at a time, so responses should not be mixed up; this check detects it if they are.
 			if (getHeader(response.headers, meshHeaders.call) !== attempt.call) {
+				// Destroying it is an error of the stream, which would end the process if nothing listened.
+				response.body.once('error', () => undefined);
 				response.body.destroy();
 				return createFailure('may-have-run', 'wrong-answer', 'the gate answered a different call than the one that was sent');
 			}
@@ -128,6 +130,10 @@
 				method: 'POST', path: reservePath, headers: createMeshHeaders(server, attempt, clock), signal: attempt.signal,
 			});
 			await response.body.dump();
+			if (getHeader(response.headers, meshHeaders.call) !== attempt.call) {
+				return createFailure('not-run', 'wrong-answer', 'the gate answered a different call than the one that was sent');
+			}
+
 			const ticket = getHeader(response.headers, meshHeaders.ticket);
 			return response.statusCode === 200 && ticket !== undefined ? ticket : readFailure(response.headers);
 		} catch (error) {
