--- a/src/lib/forwarding/own-response-reader.ts
+++ b/src/lib/forwarding/own-response-reader.ts
@@ -22,6 +22,8 @@
 	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number, isFirst: boolean) => boolean;
 	/** Whether it is the first request of its connection. */
 	readonly isFirstRequest: boolean;
+	/** Called once the head of the response is read, with the bytes of the response that have arrived, and whether nothing was skipped before. */
+	readonly handleStart?: (bytes: Uint8Array, isExact: boolean) => void;
 };
 
 /** @internal */
@@ -55,6 +57,11 @@
 /** Length of the part of a status line that the patterns cover, in bytes. */
 const statusLineBytes = 12;
 
+/** Place of the space behind the version, which is checked first, since it costs least. */
+const versionEnd = 'HTTP/1.1'.length;
+
+const space = 0x20;
+
 const headEnd = '\r\n\r\n';
 
 const noBytes: Uint8Array = Buffer.alloc(0);
@@ -63,7 +70,7 @@
 function findStatusLine(bytes: Uint8Array, from: number): number | undefined {
 	const buffer = toBuffer(bytes);
 	for (let start = buffer.indexOf(statusLineStart, from, 'latin1'); start !== -1; start = buffer.indexOf(statusLineStart, start + 1, 'latin1')) {
-		if (statusLinePattern.test(buffer.toString('latin1', start, start + statusLineBytes))) {
+		if (buffer[start + versionEnd] === space && statusLinePattern.test(buffer.toString('latin1', start, start + statusLineBytes))) {
 			return start;
 		}
 	}
@@ -145,6 +152,32 @@
 		return findStatusLine(head, 0) === 0 && findStatusLine(head, 1) === undefined && hasId(head, request.id);
 	};
 
+	/** Whether an interim head that was cut off runs into the next head, so that the parser would drop both as one. */
+	const hasMergedInterimHead = (): boolean => {
+		const buffer = toBuffer(undecided);
+		// Checked first, since it is true of nearly all responses.
+		if (!buffer.includes(statusLineStart, 1, 'latin1')) {
+			return false;
+		}
+
+		let start = 0;
+		while (interimPattern.test(buffer.toString('latin1', start, start + statusLineBytes))) {
+			const end = buffer.indexOf(headEnd, start);
+			const second = findStatusLine(buffer, start + 1);
+			if (second !== undefined && (end === -1 || second < end)) {
+				return true;
+			}
+
+			if (end === -1) {
+				return false;
+			}
+
+			start = end + headEnd.length;
+		}
+
+		return false;
+	};
+
 	/**
 	 * Whether a head in front of the response was cut off within a line, so that the two were parsed as one. A status line
 	 * behind the id is the value of a header. Throws if it can't be told.
@@ -182,6 +215,10 @@
 
 	/** Parses bytes that follow what was parsed. */
 	const parseCandidate = (bytes: Uint8Array): Candidate => {
+		if (hasMergedInterimHead()) {
+			return {type: 'other'};
+		}
+
 		try {
 			const response = parser.read(bytes);
 			return checkHead() ? {type: 'possible', response} : {type: 'other'};
@@ -242,6 +279,7 @@
 
 			const response = readUndecided(bytes);
 			if (isOwn) {
+				request.handleStart?.(undecided, skippedBytes === 0);
 				undecided = noBytes;
 			}
 
