Memory: a caller that waits for its server is not one without progress

Callers saw the connection of an upload end without an answer while its server worked on it, around a stop and at any other time, as soon as the bodies of others found no room.

Cause: a client counts as one without progress if it has neither sent nor read anything for a second. A caller that has sent its whole body can do neither until its server answers, so each request that takes a server longer than a second was given up first, the longest body before all. The log shows it as `connection-closed` with the reason `memory`. Besides, bodies could fill the bound to the last byte: the next short answer, for which nothing is reserved, then exceeded it and was given up itself.

Change: a request that was read whole and is at a server counts as served until the server has answered, as long as nothing waits to be read on its connection. A served client makes progress, and is given up last. Bodies leave a sixteenth of the bound to answers. What finds no room is refused as not run, as before. The product's own node does the same for bodies that it holds.

Why it works: whoever could act and doesn't is still given up first. A request that is served is bounded by its deadline, and a connection with an unread answer isn't counted as served.

--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -266,7 +266,12 @@
 			return;
 		}
 
+		if (body.type !== 'stream') {
+			window.startServing(call.turn);
+		}
+
 		const outcome = await send(call, plan, body);
+		window.endServing(call.turn);
 		const settling = settleClaim(claimed?.claim, outcome);
 		if (outcome.result.type === 'failed') {
 			// The caller may retry immediately, so the key is released before the response is sent.
--- a/src/lib/forwarding/call-bodies.ts
+++ b/src/lib/forwarding/call-bodies.ts
@@ -21,6 +21,9 @@
 /** Retry delay for a request that is refused because the memory for bodies is in use. */
 const bodyMemoryRetryMs = 1000;
 
+/** Share of the bound on bodies and answers that bodies leave free, so that the answers to requests in work find room. Nothing is reserved for short answers. */
+const answerShare = 0.0625;
+
 /** Returns the status for a request whose body could not be read. Such a request was not executed. */
 function chooseBodyErrorStatus(error: unknown): number {
 	if (error instanceof BodyMemoryError || error instanceof BodyStoppedError) {
@@ -41,11 +44,13 @@
  * @internal
  */
 export function createCallBodies(ledger: MemoryLedger, refuse: (call: EntryCall, status: number, reason: string, retryAfterMs: number) => void): CallBodies {
+	const answerBytes = ledger.getLimit('buffers') * answerShare;
+
 	/** Counts the bytes of a body for its client. */
 	const createBudget = ({turn: {account}}: EntryCall): ByteBudget => ({
 		tryAcquire(bytes) {
 			account.recordProgress();
-			if (!ledger.clearRoom('buffers', bytes)) {
+			if (!ledger.clearRoom('buffers', bytes + answerBytes)) {
 				return false;
 			}
 
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -337,6 +337,7 @@
 			reservation = reserve(expectedBytes);
 			const {method = 'GET', url: target = '/'} = request;
 			mayHaveRun = true;
+			window.startServing(turn);
 			const outcome = await sendCall(context, {
 				id: call.id,
 				route,
@@ -357,6 +358,7 @@
 					request, route, activeConfig, workspace,
 				}),
 			});
+			window.endServing(turn);
 			mayHaveRun = outcome.verdict !== 'not-run';
 			reservation?.close();
 			if (outcome.result.type === 'answered') {
--- a/src/lib/memory/memory-ledger.test.ts
+++ b/src/lib/memory/memory-ledger.test.ts
@@ -90,6 +90,23 @@
 	assert.deepEqual(evicted, ['a']);
 });
 
+// Guards against a client that is cut off while it can do nothing but wait for its server.
+test('a client that waits for a server counts as one that makes progress', async () => {
+	const ledger = createMemoryLedger(limits);
+	const evicted: string[] = [];
+	let isServed = true;
+	const account = ledger.open(() => {
+		evicted.push('a');
+	}, () => isServed);
+	account.add('buffers', 900);
+	await delay(longMs);
+	assert.equal(ledger.clearRoom('buffers', 200), false);
+	assert.deepEqual(evicted, []);
+	isServed = false;
+	assert.equal(ledger.clearRoom('buffers', 200), true);
+	assert.deepEqual(evicted, ['a']);
+});
+
 test('an account that is closed or was given up changes no sum any more', () => {
 	const ledger = createMemoryLedger(limits);
 	const account = ledger.open(() => undefined);
--- a/src/lib/memory/memory-ledger.ts
+++ b/src/lib/memory/memory-ledger.ts
@@ -26,8 +26,11 @@
 
 /** @internal */
 export type MemoryLedger = {
-	/** Opens an account. `handleEvicted` gives up what is held for its client; without it, other accounts are given up in its place. */
-	readonly open: (handleEvicted?: () => void) => MemoryAccount;
+	/**
+	 * Opens an account. `handleEvicted` gives up what is held for its client; without it, other accounts are given up in its place.
+	 * `isServed` tells whether the client can only wait for a server, and so counts as one that makes progress.
+	 */
+	readonly open: (handleEvicted?: () => void, isServed?: () => boolean) => MemoryAccount;
 	/**
 	 * Makes room for bytes that are not counted yet, at the expense of clients that have made no progress for a while.
 	 * Returns whether there is room. There always is if nothing is held.
@@ -46,6 +49,7 @@
 type Account = {
 	readonly held: Record<HeldKind, number>;
 	readonly handleEvicted: (() => void) | undefined;
+	readonly isServed: () => boolean;
 	progressAt: number;
 	isOpen: boolean;
 };
@@ -59,17 +63,30 @@
 /** A client that has neither sent nor read anything for this long makes no progress. An ordinary one does within a few round trips, unless it has left. */
 const stalledMs = 1000;
 
-/** Returns the account that holds most: of those without progress if there are any. */
+/** Ranks an account as one to give up: clients without progress first, those that wait for a server last. */
+function rankVictim({progressAt, isServed}: Account, now: number): number {
+	if (isServed()) {
+		return 0;
+	}
+
+	return now - progressAt >= stalledMs ? 2 : 1;
+}
+
+/** Returns the account that holds most among those of the highest rank. */
 function findVictim(accounts: Iterable<Account>, kind: HeldKind, now: number, isStalledOnly: boolean): Account | undefined {
 	let victim: Account | undefined;
-	let isVictimStalled = false;
+	let victimRank = 0;
 	for (const account of accounts) {
-		const isStalled = now - account.progressAt >= stalledMs;
-		const isCandidate = account.handleEvicted !== undefined && account.held[kind] > 0 && (isStalled || !isStalledOnly);
-		const isWorse = victim === undefined || (isStalled === isVictimStalled ? account.held[kind] > victim.held[kind] : isStalled);
+		if (account.handleEvicted === undefined || account.held[kind] === 0) {
+			continue;
+		}
+
+		const rank = rankVictim(account, now);
+		const isCandidate = rank === 2 || !isStalledOnly;
+		const isWorse = victim === undefined || (rank === victimRank ? account.held[kind] > victim.held[kind] : rank > victimRank);
 		if (isCandidate && isWorse) {
 			victim = account;
-			isVictimStalled = isStalled;
+			victimRank = rank;
 		}
 	}
 
@@ -145,9 +162,9 @@
 	};
 
 	return {
-		open(handleEvicted) {
+		open(handleEvicted, isServed = () => false) {
 			const account: Account = {
-				held: {buffers: 0, requests: 0}, handleEvicted, progressAt: readSteadyMs(), isOpen: true,
+				held: {buffers: 0, requests: 0}, handleEvicted, isServed, progressAt: readSteadyMs(), isOpen: true,
 			};
 			accounts.add(account);
 			return {
--- a/src/lib/memory/request-window.ts
+++ b/src/lib/memory/request-window.ts
@@ -52,6 +52,10 @@
 	readonly take: (request: IncomingMessage, response: ServerResponse) => RequestTurn;
 	/** Counts bytes for the client until the response is sent or its connection closes. */
 	readonly addBytes: (turn: RequestTurn, bytes: number) => void;
+	/** Records that the request was read whole and a server is to work on it: its client can do nothing but wait. */
+	readonly startServing: (turn: RequestTurn) => void;
+	/** Records that the server has answered or failed. From now on the client is expected to read the response. */
+	readonly endServing: (turn: RequestTurn) => void;
 	/** Calls the handler once the response is sent or its connection closes. The response itself is not told of the close while another one before it is being sent. */
 	readonly listenForEnd: (turn: RequestTurn, handleEnd: () => void) => void;
 	/** Counts a request that was read behind a response which closes the connection. A client that goes on sending is cut off. */
@@ -74,6 +78,8 @@
 	readonly requestBytes: number;
 	isOpen: boolean;
 	isInWork: boolean;
+	/** Whether a server works on it. */
+	isServed: boolean;
 	/** Bytes of its body and its answer. */
 	heldBytes: number;
 	handlers: Array<() => void> | undefined;
@@ -83,6 +89,8 @@
 	readonly socket: Socket;
 	readonly account: MemoryAccount;
 	inWork: number;
+	/** Requests on which servers work. */
+	served: number;
 	/** Requests whose responses were sent. */
 	answered: number;
 	/** In the order of the requests. */
@@ -224,6 +232,14 @@
 		});
 	};
 
+	const endServing = (turn: Turn): void => {
+		if (turn.isServed) {
+			turn.isServed = false;
+			turn.connection.served--;
+			turn.connection.account.recordProgress();
+		}
+	};
+
 	/** Ends a request whose response was sent, or whose connection has closed. May be called several times. */
 	const end = (turn: Turn): void => {
 		const {connection, requestBytes, isInWork, heldBytes} = turn;
@@ -233,6 +249,7 @@
 		}
 
 		turn.isOpen = false;
+		endServing(turn);
 		removeFrom(open, turn);
 		account.release('requests', requestBytes + (isInWork ? workBytes : 0));
 		account.release('buffers', heldBytes);
@@ -255,10 +272,10 @@
 		const account = ledger.open(() => {
 			report('memory', connection);
 			socket.destroy();
-		});
+		}, () => connection.served > 0 && socket.writableLength === 0);
 		const now = readSteadyMs();
 		const connection: Connection = {
-			socket, account, inWork: 0, answered: 0, waiting: [], open: [], idleSince: now, dropped: 0, unfinishedBytes: 0, writtenBytes: 0, progressAt: now, readBytes: 0, answerBytes: 0,
+			socket, account, inWork: 0, served: 0, answered: 0, waiting: [], open: [], idleSince: now, dropped: 0, unfinishedBytes: 0, writtenBytes: 0, progressAt: now, readBytes: 0, answerBytes: 0,
 		};
 		return connection;
 	};
@@ -340,7 +357,7 @@
 			const connection = getConnection(socket);
 			const {account} = connection;
 			const turn: Turn = {
-				connection, account, wait: undefined, requestBytes: waitingRequestBytes + countHeadBytes(request), isOpen: true, isInWork: false, heldBytes: 0, handlers: undefined,
+				connection, account, wait: undefined, requestBytes: waitingRequestBytes + countHeadBytes(request), isOpen: true, isInWork: false, isServed: false, heldBytes: 0, handlers: undefined,
 			};
 			connection.readBytes = socket.bytesRead;
 			connection.open.push(turn);
@@ -369,6 +386,16 @@
 				open.connection.socket.pause();
 			}
 		},
+		startServing(turn) {
+			const open = turn as Turn;
+			if (open.isOpen && !open.isServed) {
+				open.isServed = true;
+				open.connection.served++;
+			}
+		},
+		endServing(turn) {
+			endServing(turn as Turn);
+		},
 		listenForEnd(turn, handleEnd) {
 			const open = turn as Turn;
 			if (!open.isOpen) {
