Memory: the order in which clients are given up stays as it was

A trial of callers whose long answers exceed the bound showed it: since clients that wait for a server were given up last, connections that held some hundred bytes were closed before them and made no room (`connection-closed`, 28 to 134 bytes). That they count as clients with progress is what mends the uploads; the order among those with progress, the largest first, is again as before.

--- a/src/lib/memory/memory-ledger.ts
+++ b/src/lib/memory/memory-ledger.ts
@@ -63,30 +63,17 @@
 /** A client that has neither sent nor read anything for this long makes no progress. An ordinary one does within a few round trips, unless it has left. */
 const stalledMs = 1000;
 
-/** Ranks an account as one to give up: clients without progress first, those that wait for a server last. */
-function rankVictim({progressAt, isServed}: Account, now: number): number {
-	if (isServed()) {
-		return 0;
-	}
-
-	return now - progressAt >= stalledMs ? 2 : 1;
-}
-
-/** Returns the account that holds most among those of the highest rank. */
+/** Returns the account that holds most: of those without progress if there are any. */
 function findVictim(accounts: Iterable<Account>, kind: HeldKind, now: number, isStalledOnly: boolean): Account | undefined {
 	let victim: Account | undefined;
-	let victimRank = 0;
+	let isVictimStalled = false;
 	for (const account of accounts) {
-		if (account.handleEvicted === undefined || account.held[kind] === 0) {
-			continue;
-		}
-
-		const rank = rankVictim(account, now);
-		const isCandidate = rank === 2 || !isStalledOnly;
-		const isWorse = victim === undefined || (rank === victimRank ? account.held[kind] > victim.held[kind] : rank > victimRank);
+		const isStalled = now - account.progressAt >= stalledMs && !account.isServed();
+		const isCandidate = account.handleEvicted !== undefined && account.held[kind] > 0 && (isStalled || !isStalledOnly);
+		const isWorse = victim === undefined || (isStalled === isVictimStalled ? account.held[kind] > victim.held[kind] : isStalled);
 		if (isCandidate && isWorse) {
 			victim = account;
-			victimRank = rank;
+			isVictimStalled = isStalled;
 		}
 	}
 
