Entry: targets that name the scheme and the host find their route

Callers that take their node for a proxy send `GET http://host/path`. They got 404 at once for a route that is there, from both kinds of node by reading, measured at the sidecar. RFC 9112 requires a server to accept this.

Cause: the route was looked up by the whole target. Change: such a target is replaced by its path and query, and Host by the host of the target, before the request is looked at. Other targets stay as they are.

--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -13,6 +13,7 @@
 import {watchCallerConnections} from '../common/caller-connections.js';
 import {readMicroseconds, readNow} from '../common/clock.js';
 import {toCallId, type CallId} from '../common/ids.js';
+import {normalizeTarget} from '../common/origin-form.js';
 import {anyHost} from '../routing/routing-table.js';
 import {createLazyFingerprint, type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {type RequestAttributes} from '../policy/request-attributes.js';
@@ -340,6 +341,7 @@
 			return;
 		}
 
+		normalizeTarget(request);
 		const id = toCallId(randomUUID());
 		callIds.set(request, id);
 		const turn = window.take(request, response);
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -11,6 +11,7 @@
 } from 'node:http';
 import {watchCallerConnections} from '../common/caller-connections.js';
 import {readSteadyMs} from '../common/clock.js';
+import {normalizeTarget} from '../common/origin-form.js';
 import {isRepeatable, type CallerLimits, type RouteRule} from '../route-config/route-config.js';
 import {type ActiveConfig} from '../route-config/config-holder.js';
 import {shouldAdmitLate} from '../decisions/stopping-admission.js';
@@ -398,6 +399,7 @@
 			return;
 		}
 
+		normalizeTarget(request);
 		const now = readSteadyMs();
 		const {leastMs, mostMs} = context.estimateUnread();
 		void runAndCatch({
