--- a/src/lib/calls/entry-server.ts
+++ b/src/lib/calls/entry-server.ts
@@ -13,6 +13,7 @@
 import {watchCallerConnections} from '../common/caller-connections.js';
 import {readMicroseconds, readNow} from '../common/clock.js';
 import {toCallId, type CallId} from '../common/ids.js';
+import {normalizeTarget} from '../common/origin-form.js';
 import {anyHost} from '../routing/routing-table.js';
 import {createLazyFingerprint, type LazyFingerprint} from '../quarantine/lazy-fingerprint.js';
 import {type RequestAttributes} from '../policy/request-attributes.js';
@@ -266,7 +267,12 @@
 			return;
 		}
 
+		if (body.type !== 'stream') {
+			window.startServing(call.turn);
+		}
+
 		const outcome = await send(call, plan, body);
+		window.endServing(call.turn);
 		const settling = settleClaim(claimed?.claim, outcome);
 		if (outcome.result.type === 'failed') {
 			// The caller may retry immediately, so the key is released before the response is sent.
@@ -335,6 +341,7 @@
 			return;
 		}
 
+		normalizeTarget(request);
 		const id = toCallId(randomUUID());
 		callIds.set(request, id);
 		const turn = window.take(request, response);
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -11,6 +11,7 @@
 } from 'node:http';
 import {watchCallerConnections} from '../common/caller-connections.js';
 import {readSteadyMs} from '../common/clock.js';
+import {normalizeTarget} from '../common/origin-form.js';
 import {isRepeatable, type CallerLimits, type RouteRule} from '../route-config/route-config.js';
 import {type ActiveConfig} from '../route-config/config-holder.js';
 import {shouldAdmitLate} from '../decisions/stopping-admission.js';
@@ -337,6 +338,7 @@
 			reservation = reserve(expectedBytes);
 			const {method = 'GET', url: target = '/'} = request;
 			mayHaveRun = true;
+			window.startServing(turn);
 			const outcome = await sendCall(context, {
 				id: call.id,
 				route,
@@ -357,6 +359,7 @@
 					request, route, activeConfig, workspace,
 				}),
 			});
+			window.endServing(turn);
 			mayHaveRun = outcome.verdict !== 'not-run';
 			reservation?.close();
 			if (outcome.result.type === 'answered') {
@@ -396,6 +399,7 @@
 			return;
 		}
 
+		normalizeTarget(request);
 		const now = readSteadyMs();
 		const {leastMs, mostMs} = context.estimateUnread();
 		void runAndCatch({
--- a/src/lib/memory/memory-ledger.ts
+++ b/src/lib/memory/memory-ledger.ts
@@ -26,8 +26,11 @@
 
 /** @internal */
 export type MemoryLedger = {
-	/** Opens an account. `handleEvicted` gives up what is held for its client; without it, other accounts are given up in its place. */
-	readonly open: (handleEvicted?: () => void) => MemoryAccount;
+	/**
+	 * Opens an account. `handleEvicted` gives up what is held for its client; without it, other accounts are given up in its place.
+	 * `isServed` tells whether the client can only wait for a server, and so counts as one that makes progress.
+	 */
+	readonly open: (handleEvicted?: () => void, isServed?: () => boolean) => MemoryAccount;
 	/**
 	 * Makes room for bytes that are not counted yet, at the expense of clients that have made no progress for a while.
 	 * Returns whether there is room. There always is if nothing is held.
@@ -46,6 +49,7 @@
 type Account = {
 	readonly held: Record<HeldKind, number>;
 	readonly handleEvicted: (() => void) | undefined;
+	readonly isServed: () => boolean;
 	progressAt: number;
 	isOpen: boolean;
 };
@@ -64,7 +68,7 @@
 	let victim: Account | undefined;
 	let isVictimStalled = false;
 	for (const account of accounts) {
-		const isStalled = now - account.progressAt >= stalledMs;
+		const isStalled = now - account.progressAt >= stalledMs && !account.isServed();
 		const isCandidate = account.handleEvicted !== undefined && account.held[kind] > 0 && (isStalled || !isStalledOnly);
 		const isWorse = victim === undefined || (isStalled === isVictimStalled ? account.held[kind] > victim.held[kind] : isStalled);
 		if (isCandidate && isWorse) {
@@ -145,9 +149,9 @@
 	};
 
 	return {
-		open(handleEvicted) {
+		open(handleEvicted, isServed = () => false) {
 			const account: Account = {
-				held: {buffers: 0, requests: 0}, handleEvicted, progressAt: readSteadyMs(), isOpen: true,
+				held: {buffers: 0, requests: 0}, handleEvicted, isServed, progressAt: readSteadyMs(), isOpen: true,
 			};
 			accounts.add(account);
 			return {
