Soak: the record tells of each request whether its connection was open at the node

What was missing: a request that ended without an answer and is in no log may have been refused by a closed port, which the soak saw late, or accepted by a process and lost. The soak runs callers, links, servers and the store on one loop and did not record its own delays, so it could not tell.

Change: connection-watch.ts records for each request when its connection to the node was begun and opened, behind a link or directly, how many of its bytes were passed on, how many came back, and when and how the connection ended. loop-delays.ts records when the soak's loop stood still. The printed line of a violation ends with both; record.json holds them and the processes' lifetimes. The checks are unchanged: nothing is excused by it.

--- a/soak/link-proxy.ts
+++ b/soak/link-proxy.ts
@@ -32,6 +32,8 @@
 	readonly close: () => Promise<void>;
 };
 
+export type HandleConnection = (client: Socket, upstream: Socket) => void;
+
 type Direction = 'to-server' | 'to-client';
 
 /** Latency that `delay` adds in each direction, unless another one is set. */
@@ -71,9 +73,10 @@
  * @param address - The address it listens on.
  * @param firstTarget - The address it forwards to; `undefined` to reset all connections.
  * @param delayMs - Latency that `delay` adds in each direction, in milliseconds.
+ * @param handleConnection - Called with both ends of each connection when the link has accepted it and begins to connect to the target.
  * @returns The proxy.
  */
-export async function startLinkProxy(address: string, firstTarget?: string, delayMs = defaultDelayMs): Promise<LinkProxy> {
+export async function startLinkProxy(address: string, firstTarget?: string, delayMs = defaultDelayMs, handleConnection?: HandleConnection): Promise<LinkProxy> {
 	let mode: LinkMode = 'pass';
 	let target = firstTarget;
 	const sockets = new Set<Socket>();
@@ -156,6 +159,7 @@
 		const {host, port} = parseAddress(toAddress(target));
 		const upstream = connect({host, port, allowHalfOpen: true});
 		addSocket(upstream);
+		handleConnection?.(client, upstream);
 		upstream.once('error', () => {
 			resetSocket(client);
 		});
--- a/soak/loaded/loaded-callers.ts
+++ b/soak/loaded/loaded-callers.ts
@@ -8,6 +8,7 @@
 import {randomExponential} from 'd3-random';
 import {sendCall} from '../../platform/test-mesh.js';
 import {platformHeaders} from '../../platform/platform-headers.js';
+import {watchCall, type CallConnection} from './connection-watch.js';
 import {requestClasses, type RequestClass} from './loaded-config.js';
 import {type LoadedVm} from './loaded-vm.js';
 
@@ -25,6 +26,8 @@
 	/** Whether a server signed the response. */
 	readonly isSigned: boolean;
 	readonly text: string;
+	/** The connection to the node that carried it. */
+	readonly connection?: CallConnection;
 };
 
 export type LoadedCallers = {
@@ -69,18 +72,20 @@
 	let sent = 0;
 	const inFlight: Array<Promise<void>> = [];
 
-	const send = async ({node, callerAddress}: LoadedVm, agent: Agent): Promise<void> => {
+	const send = async ({node, callerAddress, findConnection}: LoadedVm, agent: Agent): Promise<void> => {
 		const {prefix, type, callerTimeoutMs, bodyBytes} = pickClass(random);
 		sent++;
 		const id = `${node.name}-${sent}`;
 		const target = `${prefix}${id}`;
+		const {handleSocket, finish} = watchCall(findConnection);
 		const sentAt = Date.now();
 		const {status, body, headers} = await sendCall(callerAddress, target, {
-			id, agent, method: type === 'safe' ? 'GET' : 'POST', timeLeftMs: callerTimeoutMs, disconnectAfterMs: callerTimeoutMs + disconnectMarginMs,
+			id, agent, method: type === 'safe' ? 'GET' : 'POST', timeLeftMs: callerTimeoutMs, disconnectAfterMs: callerTimeoutMs + disconnectMarginMs, handleSocket,
 			...bodyBytes === 0 ? {} : {body: 'x'.repeat(Math.ceil(bodyBytes * (0.2 + (1.6 * random()))))},
 		});
 		handleCall({
 			id, node: node.name, target, timeLeftMs: callerTimeoutMs, sentAt, endedAt: Date.now(), status, isSigned: headers[platformHeaders.signature] !== undefined, text: body,
+			connection: finish(),
 		});
 	};
 
--- a/soak/loaded/loaded-server.ts
+++ b/soak/loaded/loaded-server.ts
@@ -13,6 +13,7 @@
 import {randomLogNormal} from 'd3-random';
 import {sendCall} from '../../platform/test-mesh.js';
 import {platformHeaders} from '../../platform/platform-headers.js';
+import {createSocketWatch, watchCall} from './connection-watch.js';
 import {type LoadedCall} from './loaded-callers.js';
 import {callShare, findClass, type RequestClass} from './loaded-config.js';
 
@@ -87,6 +88,7 @@
 export async function startLoadedServer(id: string, host: string, context: LoadedServerContext): Promise<LoadedServer> {
 	const {node, slots, random, callAddress, runs, handleCall} = context;
 	const agent = new Agent({keepAlive: true});
+	const findConnection = createSocketWatch();
 	/** Copies of responses that are sent before the next response on their connection. */
 	const copies = new WeakMap<Socket, string>();
 	const waiting: Array<() => void> = [];
@@ -128,14 +130,15 @@
 			// A request that runs again makes its calls again, as requests of their own.
 			const callId = `${run.id}.${id}.${calls}`;
 			const target = `${nested.prefix}${run.id}`;
+			const {handleSocket, finish} = watchCall(findConnection);
 			const sentAt = Date.now();
 			const {status, body, headers} = await sendCall(callAddress, target, {
-				id: callId, timeLeftMs: leftMs, agent, disconnectAfterMs: leftMs,
+				id: callId, timeLeftMs: leftMs, agent, disconnectAfterMs: leftMs, handleSocket,
 			});
 			const endedAt = Date.now();
 			if (status !== 0 || endedAt - sentAt < leftMs) {
 				handleCall({
-					id: callId, node, target, timeLeftMs: leftMs, sentAt, endedAt, status, isSigned: headers[platformHeaders.signature] !== undefined, text: body,
+					id: callId, node, target, timeLeftMs: leftMs, sentAt, endedAt, status, isSigned: headers[platformHeaders.signature] !== undefined, text: body, connection: finish(),
 				});
 			}
 
--- a/soak/loaded/loaded-vm.ts
+++ b/soak/loaded/loaded-vm.ts
@@ -9,6 +9,7 @@
 import {waitUntil} from '../../stand-ins/wait-until.js';
 import {startLinkProxy} from '../link-proxy.js';
 import {startSoakNode, type SoakNode} from '../soak-node.js';
+import {createLinkWatch, type FindConnection} from './connection-watch.js';
 import {type LoadedCall} from './loaded-callers.js';
 import {startLoadedServer, type LoadedRun, type LoadedServer} from './loaded-server.js';
 
@@ -26,6 +27,8 @@
 	readonly node: SoakNode;
 	/** Address of the link over which callers reach the node. */
 	readonly callerAddress: string;
+	/** Finds the connection to the node that the link made for a caller's socket. */
+	readonly findConnection: FindConnection;
 	readonly getServer: () => LoadedServer | undefined;
 	/** Whether the platform gives the callers of this VM new work. */
 	readonly isOfferedWork: () => boolean;
@@ -84,7 +87,8 @@
 		name, failureDomain, service, host, storeAddress: store.address, graceMs, retrySlack,
 	}, folder);
 	const callerAddress = `${host}:7020`;
-	const link = await startLinkProxy(callerAddress, node.callerAddress, callerLatencyMs);
+	const {findConnection, handleConnection} = createLinkWatch();
+	const link = await startLinkProxy(callerAddress, node.callerAddress, callerLatencyMs, handleConnection);
 	link.setMode('delay');
 	let server: LoadedServer | undefined;
 	let servers = 0;
@@ -133,6 +137,7 @@
 	return {
 		node,
 		callerAddress,
+		findConnection,
 		getServer: () => server,
 		isOfferedWork: () => missedChecks < maxMissedChecks,
 		async replaceServer({saysDraining, servesMs, stopsNode}) {
--- a/soak/loaded/main.ts
+++ b/soak/loaded/main.ts
@@ -37,7 +37,7 @@
 
 const folder = options.out ?? mkdtempSync(path.join(tmpdir(), 'stonemoor-loaded-'));
 mkdirSync(folder, {recursive: true});
-const {calls, nestedCalls, runs, stops, violations, failedNodes} = await runLoaded({
+const {calls, nestedCalls, runs, stops, violations, failedNodes, lifetimes, loopDelays} = await runLoaded({
 	seed: options.seed, seconds: options.seconds, perSecond: options.rate, burst: options.burst, processorShare: options.share, slots: options.slots, folder,
 });
 const statuses = [...groupBy(calls, ({status}) => status)].toSorted(([left], [right]) => left - right).map(([status, group]) => `${status}: ${group.length}`);
@@ -53,7 +53,7 @@
 const isBroken = violations.length > 0 || failedNodes.length > 0;
 if (isBroken || options.out !== undefined) {
 	writeFileSync(path.join(folder, 'record.json'), JSON.stringify({
-		calls, nestedCalls, runs, stops, violations,
+		calls, nestedCalls, runs, stops, lifetimes, loopDelays, violations,
 	}));
 	process.stdout.write(`logs and record: ${folder}\n`);
 } else {
--- a/soak/loaded/run-loaded.ts
+++ b/soak/loaded/run-loaded.ts
@@ -7,10 +7,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {randomLcg} from 'd3-random';
 import {startPlatformStore} from '../../stand-ins/platform-store/platform-store.js';
-import {type Violation} from '../record.js';
+import {type Lifetime, type Violation} from '../record.js';
 import {startLoadedCallers, type LoadedCall} from './loaded-callers.js';
 import {checkLoaded, checkRepeatedRuns} from './check-loaded.js';
 import {checkLost, type LoadedStop} from './check-lost.js';
+import {explainConnection} from './connection-watch.js';
+import {watchLoop, type LoopDelay} from './loop-delays.js';
 import {createLoadedConfig, vmLayout} from './loaded-config.js';
 import {type LoadedRun} from './loaded-server.js';
 import {startLoadedVm, type LoadedVm} from './loaded-vm.js';
@@ -36,6 +38,10 @@
 	readonly nestedCalls: readonly LoadedCall[];
 	readonly runs: readonly LoadedRun[];
 	readonly stops: readonly LoadedStop[];
+	/** The processes of the nodes. */
+	readonly lifetimes: readonly Lifetime[];
+	/** Times at which the soak itself was late, which includes its callers, links, servers and store. */
+	readonly loopDelays: readonly LoopDelay[];
 	readonly violations: readonly Violation[];
 	/** Names of the nodes whose processes ended by themselves, or not in time. */
 	readonly failedNodes: readonly string[];
@@ -67,6 +73,7 @@
 	const {seed, seconds, perSecond, burst, processorShare, slots, folder} = options;
 	const random = randomLcg(((seed * 2_654_435_761) % 4_294_967_296) / 4_294_967_296);
 	const pickInteger = (below: number): number => Math.floor(random() * below);
+	const loop = watchLoop();
 	const store = await startPlatformStore();
 	store.putConfig(createLoadedConfig(0));
 	const runs: LoadedRun[] = [];
@@ -140,7 +147,13 @@
 	const stops = vms.flatMap(({node}): readonly LoadedStop[] => node.lifetimes.flatMap(({end}) => end.type === 'stopped' ? [{node: node.name, at: end.askedAt}] : []));
 	await Promise.all(vms.map(async vm => vm.close()));
 	await store.close();
+	const loopDelays = loop.stop();
+	const allCalls = [...calls, ...nestedCalls];
+	const violations = [...checkLoaded(calls, runs), ...checkRepeatedRuns(runs), ...checkLost(allCalls, runs, stops)].map((violation): Violation => {
+		const call = allCalls.find(({id}) => id === violation.call);
+		return call === undefined ? violation : {...violation, what: `${violation.what}. ${explainConnection(call, loopDelays)}`};
+	});
 	return {
-		calls, nestedCalls, runs, stops, failedNodes, violations: [...checkLoaded(calls, runs), ...checkRepeatedRuns(runs), ...checkLost([...calls, ...nestedCalls], runs, stops)],
+		calls, nestedCalls, runs, stops, failedNodes, lifetimes: vms.flatMap(({node}) => node.lifetimes), loopDelays, violations,
 	};
 }
