Soak: a request that ran at two servers is judged by the execution that answered it

Cause, in the check: it judged a request by the execution that began last.

Change: the execution to judge by is one that had ended and whose answer, by id, signature and status, the caller got; if there is none, the last, as before.

Evidence: the new test fails before.

--- a/soak/loaded/check-loaded.test.ts
+++ b/soak/loaded/check-loaded.test.ts
@@ -41,3 +41,19 @@
 	assert.deepEqual(listPromises({status: 504, endedAt: 1850, isSigned: false}, {status: undefined, endedAt: undefined, brokenOffAt: 1845}), [promise]);
 	assert.deepEqual(listPromises({status: 504, endedAt: 1990}, {status: 504, endedAt: 1980}), []);
 });
+
+// Guards against a check that takes the execution which began last for the one that was answered: a safe request is tried elsewhere while the first server's node is silent.
+test('an answer is judged by the execution that gave it, and an answer that no execution gave by the last one', () => {
+	const superseded: LoadedRun = {
+		...run, server: 'i2', at: 1150, endedAt: undefined, status: undefined, brokenOffAt: 1295,
+	};
+	const check = (changes: Partial<LoadedCall>, runs: readonly LoadedRun[]): readonly string[] =>
+		checkLoaded([{...call, target: '/view/c1', ...changes}], runs).map(({promise}) => promise);
+	assert.deepEqual(check({}, [run, superseded]), []);
+	assert.deepEqual(check({text: 'answer c2 300'}, [run, superseded]), ['a server may work until the time of its caller is over']);
+	assert.deepEqual(check({isSigned: false}, [run, superseded]), ['a server may work until the time of its caller is over']);
+	assert.deepEqual(check({endedAt: 1289}, [run, superseded]), ['a server may work until the time of its caller is over']);
+	assert.deepEqual(check({status: 502, isSigned: false, text: ''}, [run, superseded]), ['a server may work until the time of its caller is over']);
+	assert.deepEqual(check({status: 503, isSigned: false, text: ''}, [run, superseded]), ['not run can be trusted']);
+	assert.deepEqual(check({status: 504}, [{...run, status: 504}, superseded]), ['a server may work until the time of its caller is over']);
+});
--- a/soak/loaded/check-loaded.ts
+++ b/soak/loaded/check-loaded.ts
@@ -17,6 +17,13 @@
 /** What is wrong with the end of a request. */
 type Problem = {readonly promise: string; readonly what: string};
 
+/** Returns whether the caller got the complete answer of an execution. */
+const isWholeAnswer = (call: LoadedCall, run: LoadedRun): boolean => call.status === run.status && call.isSigned && call.text.startsWith(`answer ${call.id} `);
+
+/** Returns the execution to judge a request by: the one whose answer the caller got, else the last. A safe request that is tried elsewhere has several. */
+const chooseRun = (call: LoadedCall, runs: readonly LoadedRun[]): LoadedRun | undefined =>
+	runs.find(run => run.endedAt !== undefined && run.endedAt <= call.endedAt && isWholeAnswer(call, run)) ?? runs.at(-1);
+
 function findProblem(call: LoadedCall, run: LoadedRun | undefined): Problem | undefined {
 	if (run === undefined) {
 		return undefined;
@@ -40,8 +47,7 @@
 		return {promise: 'a server may work until the time of its caller is over', what: got};
 	}
 
-	const isWhole = call.status === run.status && call.isSigned && call.text.startsWith(`answer ${call.id} `);
-	return isWhole ? undefined : {promise: 'what a server answers reaches its caller', what: got};
+	return isWholeAnswer(call, run) ? undefined : {promise: 'what a server answers reaches its caller', what: got};
 }
 
 /**
@@ -49,12 +55,12 @@
  *
  * @param calls - The requests of callers.
  * @param runs - The executions at servers.
- * @returns The violations. A request that was executed several times is judged by its last execution.
+ * @returns The violations. A request that was executed several times is judged by the execution whose answer its caller got, else by the last.
  */
 export function checkLoaded(calls: readonly LoadedCall[], runs: readonly LoadedRun[]): readonly Violation[] {
 	const runsByCall = groupBy(runs, ({id}) => id);
 	return calls.flatMap(call => {
-		const problem = findProblem(call, runsByCall.get(call.id)?.at(-1));
+		const problem = findProblem(call, chooseRun(call, runsByCall.get(call.id) ?? []));
 		return problem === undefined ? [] : [{...problem, at: call.endedAt, call: call.id}];
 	});
 }
