Log: the exit of a node writes its last lines and does not wait for the disk

Cause: the flush before the exit calls sonic-boom's flush with a callback, which also calls fsync.

Change: the sink writes what is buffered and waits for the end of the writes only. The operating system keeps written lines when a process ends; only a crash of the VM may lose them, which an fsync at the exit of one process does not change for any other line. Buffered bytes are counted as bytes, since the loop ends by that count.

Evidence: the new test fails before (fsync is called) and passes now. A process with a blocked operation in its thread pool does not end after process.exit (tried for 3 s).

Why it works: between node-stopped and the exit no operation of the node depends on the disk any more, except the writes into the page cache.

--- a/src/lib/timeline/line-log.test.ts
+++ b/src/lib/timeline/line-log.test.ts
@@ -1,8 +1,13 @@
 import assert from 'node:assert/strict';
 import {spawn} from 'node:child_process';
+import fs, {
+	mkdtempSync, openSync, readFileSync, rmSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
 import process from 'node:process';
 import test from 'node:test';
-import {createLineLog, type LineSink} from './line-log.js';
+import {createDescriptorSink, createLineLog, type LineSink} from './line-log.js';
 import {type MeshEvent} from './mesh-log.js';
 
 type Line = {readonly kind: string; readonly level: number; readonly of?: string; readonly count?: number};
@@ -96,3 +101,24 @@
 	});
 	assert.equal(output, 'went on\nexited\n');
 });
+
+// Guards against an exit that a slow disk delays: a process does not end while a thread of its thread pool waits for `fsync`.
+test('the last lines are written before an exit, and nothing waits for the disk', async context => {
+	const folder = mkdtempSync(path.join(tmpdir(), 'stonemoor-log-'));
+	context.after(() => {
+		rmSync(folder, {recursive: true});
+	});
+	const file = path.join(folder, 'log');
+	const sync = context.mock.method(fs, 'fsync', () => undefined);
+	const sink = createDescriptorSink(openSync(file, 'a'));
+	// The first lines are being written while more follow, and the last ones are too few to be written without a flush.
+	const lines = ['ä'.repeat(5000), 'b'.repeat(3000), 'ö'.repeat(20_000), 'd', 'é'];
+	for (const line of lines) {
+		sink.write(`${line}\n`);
+	}
+
+	await sink.flush();
+	assert.equal(sync.mock.callCount(), 0);
+	assert.equal(sink.countBufferedBytes(), 0);
+	assert.equal(readFileSync(file, 'utf8'), `${lines.join('\n')}\n`);
+});
--- a/src/lib/timeline/line-log.ts
+++ b/src/lib/timeline/line-log.ts
@@ -5,6 +5,7 @@
  *
  * @module
  */
+import {Buffer} from 'node:buffer';
 import {constants, openSync} from 'node:fs';
 import sonicBoom from 'sonic-boom';
 import {readSteadyMs} from '../common/clock.js';
@@ -78,7 +79,7 @@
 		bufferedBytes = Math.max(0, bufferedBytes - bytes);
 	});
 	boom.on('drop', (line: string) => {
-		bufferedBytes = Math.max(0, bufferedBytes - line.length);
+		bufferedBytes = Math.max(0, bufferedBytes - Buffer.byteLength(line));
 	});
 	boom.on('error', () => {
 		// The log itself has failed, so this error cannot be logged. The node continues without a log.
@@ -95,22 +96,30 @@
 		}, flushDelayMs).unref();
 	};
 
+	/** Writes all lines. The `flush` of the library with a callback waits for `fsync` as well, and a process whose disk is slow could not exit meanwhile. */
+	const writeAll = async (): Promise<void> => {
+		const endsAt = readSteadyMs() + lastFlushTimeoutMs;
+		while (bufferedBytes > 0 && readSteadyMs() < endsAt) {
+			await new Promise<void>(resolve => {
+				boom.once('drain', resolve);
+				boom.flush();
+			});
+		}
+	};
+
 	return {
 		write(line) {
-			bufferedBytes += line.length;
+			bufferedBytes += Buffer.byteLength(line);
 			boom.write(line);
 			flushSoon();
 		},
 		countBufferedBytes: () => bufferedBytes,
 		async flush() {
 			clearTimeout(timer);
-			return new Promise(resolve => {
+			await Promise.race([writeAll(), new Promise(resolve => {
 				// A reader that has stopped reading must not keep the process from exiting.
 				setTimeout(resolve, lastFlushTimeoutMs);
-				boom.flush(() => {
-					resolve();
-				});
-			});
+			})]);
 		},
 	};
 }
