Clock: a process that is held up between two reads was not suspended

Cause: the clock that includes suspensions of the VM reads the steady clock, then the time of day and the uptime. A process that is stopped or throttled between these reads, as by its processor quota, sees both jump by the same time against the older reading of the steady clock, which is what a suspension looks like. The jump was added for good: the deadlines of all calls in flight came earlier by it, and the node read the store again. The VM was never suspended.

Change: before a jump counts, all clocks are read again, with the steady clock before and after. If that took more than 5 ms, they are read again, up to three times; if no reading is exact, nothing counts and the next read checks again.

Evidence: eight new tests hold the process up at each of the reads; two of them fail before.

Why it works: a suspension shows at any time after it, so a second reading shows it as well; a delay between two reads shows only in the reading that it hit.

--- a/src/lib/common/elapsed-clock.test.ts
+++ b/src/lib/common/elapsed-clock.test.ts
@@ -116,3 +116,34 @@
 		}
 	}));
 });
+
+// Guards against requests that end before their time: a process that is held up between the reads of two clocks, as by a processor quota, took that time for a suspension of the VM.
+for (const heldRead of [1, 2, 3, 4, 5, 6, 7, 8]) {
+	test(`a process that is held up for 400 ms at read ${heldRead} of its clocks was not suspended, and a suspension is detected as before`, () => {
+		let awake = 1000;
+		let suspended = 0;
+		let reads = 0;
+		const resumes: number[] = [];
+		const readClock = (): number => {
+			reads++;
+			awake += reads === heldRead ? 400 : 0;
+			return awake;
+		};
+
+		const clock = createElapsedClock({
+			readAwakeMs: readClock, readNow: () => 1_764_723_600_000 + readClock() + suspended, readUptimeMs: () => 500_000 + readClock() + suspended,
+		});
+		clock.watchResume(suspendedMs => {
+			resumes.push(suspendedMs);
+		});
+		clock.read();
+		clock.updateOffsets();
+		clock.read();
+		assert.deepEqual(resumes, []);
+		assert.equal(clock.read(), 1400);
+		suspended = 300;
+		awake += 100;
+		assert.equal(clock.read(), 1800);
+		assert.deepEqual(resumes, [300]);
+	});
+}
--- a/src/lib/common/elapsed-clock.ts
+++ b/src/lib/common/elapsed-clock.ts
@@ -38,11 +38,19 @@
 /** Maximum difference at which the jumps of the time of day and of the uptime count as the same jump: a step of the time of day below the threshold, plus the 10 ms resolution of the uptime and the time between the reads on a busy VM. */
 const jumpToleranceMs = minimumJumpMs + 20;
 
+/** Reads of all clocks that take longer than this are repeated: the process was held up between two of them, as by a processor quota, and the clocks seem to differ by that time. */
+const maximumReadMs = 5;
+
+/** How often the clocks are read at most until the process is not held up meanwhile. */
+const maximumReads = 3;
+
 type ClockOffsets = {
 	/** Time of day minus steady clock. */
 	readonly timeOfDayOffsetMs: number;
 	/** Uptime minus steady clock; `undefined` if the uptime is not available. */
 	readonly uptimeOffsetMs: number | undefined;
+	/** Whether the clocks were read without a delay in between. */
+	readonly isExact: boolean;
 };
 
 /**
@@ -56,19 +64,30 @@
 	const handlers = new Set<(suspendedMs: number) => void>();
 	let suspendedMs = 0;
 
-	const readOffsets = (awakeMs: number): ClockOffsets => {
+	const readOffsetsOnce = (): ClockOffsets => {
+		const awakeMs = readAwakeMs();
+		const timeOfDayOffsetMs = readNow() - awakeMs;
 		const uptimeMs = readUptimeMs();
-		return {timeOfDayOffsetMs: readNow() - awakeMs, uptimeOffsetMs: uptimeMs === undefined ? undefined : uptimeMs - awakeMs};
+		return {timeOfDayOffsetMs, uptimeOffsetMs: uptimeMs === undefined ? undefined : uptimeMs - awakeMs, isExact: readAwakeMs() - awakeMs <= maximumReadMs};
+	};
+
+	const readOffsets = (): ClockOffsets => {
+		let read = readOffsetsOnce();
+		for (let reads = 1; !read.isExact && reads < maximumReads; reads++) {
+			read = readOffsetsOnce();
+		}
+
+		return read;
 	};
 
 	let lastAwakeMs = readAwakeMs();
-	let offsets = readOffsets(lastAwakeMs);
+	let offsets = readOffsets();
 
 	/** Reads the steady clock. If it went back, a test has replaced the clock. The offsets are then measured again, so that the jump does not count as a suspension. */
 	const readAwake = (): number => {
 		const awakeMs = readAwakeMs();
 		if (awakeMs < lastAwakeMs) {
-			offsets = readOffsets(awakeMs);
+			offsets = readOffsets();
 		}
 
 		lastAwakeMs = awakeMs;
@@ -76,9 +95,15 @@
 	};
 
 	/** Checks whether a jump of the time of day was a suspension, and reports it to the handlers if so. */
-	const checkJump = (awakeMs: number): void => {
+	const checkJump = (): void => {
 		const before = offsets;
-		offsets = readOffsets(awakeMs);
+		const next = readOffsets();
+		if (!next.isExact) {
+			// The next read checks again.
+			return;
+		}
+
+		offsets = next;
 		const jumpMs = offsets.timeOfDayOffsetMs - before.timeOfDayOffsetMs;
 		const uptimeJumpMs = (offsets.uptimeOffsetMs ?? 0) - (before.uptimeOffsetMs ?? 0);
 		if (uptimeJumpMs < minimumJumpMs || Math.abs(uptimeJumpMs - jumpMs) > jumpToleranceMs) {
@@ -95,7 +120,7 @@
 		read() {
 			const awakeMs = readAwake();
 			if (Math.abs(readNow() - awakeMs - offsets.timeOfDayOffsetMs) > minimumJumpMs) {
-				checkJump(awakeMs);
+				checkJump();
 			}
 
 			return awakeMs + suspendedMs;
@@ -110,11 +135,12 @@
 		updateOffsets() {
 			const awakeMs = readAwake();
 			if (Math.abs(readNow() - awakeMs - offsets.timeOfDayOffsetMs) > minimumJumpMs) {
-				checkJump(awakeMs);
+				checkJump();
 				return;
 			}
 
-			offsets = readOffsets(awakeMs);
+			const next = readOffsets();
+			offsets = next.isExact ? next : offsets;
 		},
 	};
 }
