Loaded soak: kinds of trouble by name, with faults of answers, servers, nodes, store and callers

A server records when it gave a request up by itself, and the soak which machines it killed or held up. A second execution that a server did not give up decides before one that it gave up, and an excuse covers a missing answer only, neither a success nor a refusal.

--- a/soak/loaded/check-loaded.ts
+++ b/soak/loaded/check-loaded.ts
@@ -4,9 +4,12 @@
  * @module
  */
 import {groupBy, type Violation} from '../record.js';
+import {
+	findJudgedRun, isExcusedByDisturbance, isExcusedByServers, type LoadedDisturbance,
+} from './check-lost.js';
 import {type LoadedCall} from './loaded-callers.js';
 import {findClass, getTimeLimitMs} from './loaded-config.js';
-import {type LoadedRun} from './loaded-server.js';
+import {type LoadedRun} from './loaded-run.js';
 
 /** Statuses that state that the request was not executed and will not be. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -49,13 +52,19 @@
  *
  * @param calls - The requests of callers.
  * @param runs - The executions at servers.
- * @returns The violations. A request that was executed several times is judged by its last execution.
+ * @param disturbances - The unplanned disturbances.
+ * @returns The violations. A request that was executed several times is judged by its last execution, except for those
+ * that servers gave up. A disturbance, and servers that gave up, excuse that there is no answer, but no wrong one.
  */
-export function checkLoaded(calls: readonly LoadedCall[], runs: readonly LoadedRun[]): readonly Violation[] {
+export function checkLoaded(calls: readonly LoadedCall[], runs: readonly LoadedRun[], disturbances: readonly LoadedDisturbance[] = []): readonly Violation[] {
 	const runsByCall = groupBy(runs, ({id}) => id);
 	return calls.flatMap(call => {
-		const problem = findProblem(call, runsByCall.get(call.id)?.at(-1));
-		return problem === undefined ? [] : [{...problem, at: call.endedAt, call: call.id}];
+		const ownRuns = runsByCall.get(call.id) ?? [];
+		const run = findJudgedRun(ownRuns);
+		const problem = findProblem(call, run);
+		const mayLackAnswer = isExcusedByServers(call, ownRuns) || isExcusedByDisturbance(call, run, disturbances);
+		const isExcused = mayLackAnswer && !notRunStatuses.has(call.status) && !(call.status >= 200 && call.status < 300);
+		return problem === undefined || isExcused ? [] : [{...problem, at: call.endedAt, call: call.id}];
 	});
 }
 
--- a/soak/loaded/check-lost.ts
+++ b/soak/loaded/check-lost.ts
@@ -7,7 +7,7 @@
 import {groupBy, type Violation} from '../record.js';
 import {type LoadedCall} from './loaded-callers.js';
 import {findClass} from './loaded-config.js';
-import {type LoadedRun} from './loaded-server.js';
+import {type LoadedRun} from './loaded-run.js';
 
 /** A SIGTERM to a node. */
 export type LoadedStop = {
@@ -16,6 +16,19 @@
 	readonly at: number;
 };
 
+/** An unplanned disturbance of a machine. */
+export type LoadedDisturbance = {
+	readonly node: string;
+	/** Whether the process was killed, or held up: frozen, or cut off. */
+	readonly type: 'killed' | 'held';
+	/** Unix milliseconds. For a killed process, the end is the start of the next one. */
+	readonly from: number;
+	readonly to: number;
+};
+
+/** The rule's `contact-window`. */
+const contactWindowMs = 3000;
+
 /** How long after a SIGTERM the requests of its node are judged: the grace period and a second. */
 const judgedMs = 7000;
 
@@ -30,6 +43,36 @@
 
 const promise = 'around a stop no request is lost, by the platform\'s rule';
 
+/**
+ * Returns whether a disturbance excuses the end of a request. "Around planned work, with no unplanned disturbance from
+ * contact-window before the request to its end": of the machine that took the request. Of the machine beside its server,
+ * only a kill counts, and only while the server worked.
+ *
+ * @param call - The request.
+ * @param run - Its execution, if any.
+ * @param disturbances - The unplanned disturbances.
+ * @returns Whether one of them excuses it.
+ */
+export function isExcusedByDisturbance(call: LoadedCall, run: LoadedRun | undefined, disturbances: readonly LoadedDisturbance[]): boolean {
+	return disturbances.some(({node, type, from, to}) => from <= call.endedAt
+		&& ((node === call.node && to >= call.sentAt - contactWindowMs) || (node === run?.node && type === 'killed' && from >= run.at)));
+}
+
+/**
+ * Returns whether all servers that executed a request gave it up by themselves before it ended. "Not counted: the worker
+ * broke off". What a server gives up later, and what another server still worked on, is not excused.
+ *
+ * @param call - The request.
+ * @param runs - All its executions.
+ * @returns Whether that is so.
+ */
+export function isExcusedByServers(call: LoadedCall, runs: readonly LoadedRun[]): boolean {
+	return runs.length > 0 && runs.every(({abandonedAt}) => abandonedAt !== undefined && abandonedAt <= call.endedAt);
+}
+
+/** Returns the last execution of a request that its server did not give up; the last one if there is none. */
+export const findJudgedRun = (runs: readonly LoadedRun[]): LoadedRun | undefined => runs.findLast(({abandonedAt}) => abandonedAt === undefined) ?? runs.at(-1);
+
 /** Returns what was lost; `undefined` if nothing was, or if the rule excuses it. */
 function findLoss(call: LoadedCall, run: LoadedRun | undefined, stop: LoadedStop): string | undefined {
 	const usedMs = call.endedAt - call.sentAt;
@@ -56,19 +99,27 @@
  * @param calls - The requests of callers and of servers.
  * @param runs - The executions at servers.
  * @param stops - The stops.
- * @returns The violations. A request that was executed several times is judged by its last execution.
+ * @param disturbances - The unplanned disturbances.
+ * @returns The violations. A request that was executed several times is judged by its last execution,
+ * except for those that servers gave up.
  */
-export function checkLost(calls: readonly LoadedCall[], runs: readonly LoadedRun[], stops: readonly LoadedStop[]): readonly Violation[] {
+export function checkLost(calls: readonly LoadedCall[], runs: readonly LoadedRun[], stops: readonly LoadedStop[], disturbances: readonly LoadedDisturbance[] = []): readonly Violation[] {
 	const runsByCall = groupBy(runs, ({id}) => id);
 	const stopsByNode = groupBy(stops, ({node}) => node);
 	return calls.flatMap(call => {
 		const stop = stopsByNode.get(call.node)?.findLast(({at}) => call.endedAt >= at && call.sentAt <= at + judgedMs);
-		const loss = stop === undefined ? undefined : findLoss(call, runsByCall.get(call.id)?.at(-1), stop);
-		return stop === undefined || loss === undefined
-			? []
-			: [{
-				promise, at: call.endedAt, call: call.id,
-				what: `${call.id} ${call.target} at ${call.node}, sent ${call.sentAt - stop.at} ms and ended ${call.endedAt - stop.at} ms after SIGTERM, got ${call.status === 0 ? 'no answer' : call.status}: ${loss}`,
-			}];
+		const ownRuns = runsByCall.get(call.id) ?? [];
+		const run = findJudgedRun(ownRuns);
+		const isExcused = isExcusedByServers(call, ownRuns) || isExcusedByDisturbance(call, run, disturbances);
+		const loss = stop === undefined || isExcused ? undefined : findLoss(call, run, stop);
+		if (stop === undefined || loss === undefined) {
+			return [];
+		}
+
+		const times = `sent ${call.sentAt - stop.at} ms and ended ${call.endedAt - stop.at} ms after SIGTERM`;
+		return [{
+			promise, at: call.endedAt, call: call.id,
+			what: `${call.id} ${call.target} at ${call.node}, ${times}, got ${call.status === 0 ? 'no answer' : call.status}: ${loss}`,
+		}];
 	});
 }
--- a/soak/loaded/loaded-callers.ts
+++ b/soak/loaded/loaded-callers.ts
@@ -27,9 +27,23 @@
 	readonly text: string;
 };
 
+/** How callers behave beside waiting for their answers. */
+export type CallerHabit = {
+	/** Share of the requests whose callers leave, and how long after they sent them, in milliseconds. */
+	readonly givingUpShare: number;
+	readonly givesUpAfterMs: number;
+	/** Share of the requests that are sent again at once, as new requests, after a failure, and how often. */
+	readonly repeatingShare: number;
+	readonly repeats: number;
+};
+
 export type LoadedCallers = {
 	/** Sets the requests per second of all callers. */
 	readonly setRate: (perSecond: number) => void;
+	/** Sets a factor of the rate. */
+	readonly setLoadFactor: (factor: number) => void;
+	/** Changes what callers do that do not wait for the answer, or repeat what failed. */
+	readonly setHabit: (change: Partial<CallerHabit>) => void;
 	/** Stops sending, and waits for the requests in flight. */
 	readonly stop: () => Promise<void>;
 };
@@ -65,29 +79,50 @@
  */
 export function startLoadedCallers(vms: readonly LoadedVm[], perSecond: number, random: () => number, handleCall: (call: LoadedCall) => void): LoadedCallers {
 	let rate = perSecond;
+	let loadFactor = 1;
+	let habit: CallerHabit = {
+		givingUpShare: 0, givesUpAfterMs: 0, repeatingShare: 0, repeats: 0,
+	};
+	const isChosen = (share: number): boolean => share > 0 && random() < share;
 	let isStopping = false;
 	let sent = 0;
 	const inFlight: Array<Promise<void>> = [];
 
-	const send = async ({node, callerAddress}: LoadedVm, agent: Agent): Promise<void> => {
-		const {prefix, type, callerTimeoutMs, bodyBytes} = pickClass(random);
+	/** Sends a request. Returns whether its caller needs no other: it was answered, or its caller has left. */
+	const sendOnce = async ({node, callerAddress}: LoadedVm, agent: Agent, {prefix, type, callerTimeoutMs, bodyBytes}: RequestClass): Promise<boolean> => {
 		sent++;
 		const id = `${node.name}-${sent}`;
 		const target = `${prefix}${id}`;
 		const sentAt = Date.now();
+		const givesUpAfterMs = isChosen(habit.givingUpShare) ? habit.givesUpAfterMs : undefined;
 		const {status, body, headers} = await sendCall(callerAddress, target, {
-			id, agent, method: type === 'safe' ? 'GET' : 'POST', timeLeftMs: callerTimeoutMs, disconnectAfterMs: callerTimeoutMs + disconnectMarginMs,
+			id, agent, method: type === 'safe' ? 'GET' : 'POST', timeLeftMs: callerTimeoutMs, disconnectAfterMs: givesUpAfterMs ?? callerTimeoutMs + disconnectMarginMs,
 			...bodyBytes === 0 ? {} : {body: 'x'.repeat(Math.ceil(bodyBytes * (0.2 + (1.6 * random()))))},
 		});
+		const endedAt = Date.now();
+		if (status === 0 && givesUpAfterMs !== undefined && endedAt - sentAt >= givesUpAfterMs) {
+			return true;
+		}
+
 		handleCall({
-			id, node: node.name, target, timeLeftMs: callerTimeoutMs, sentAt, endedAt: Date.now(), status, isSigned: headers[platformHeaders.signature] !== undefined, text: body,
+			id, node: node.name, target, timeLeftMs: callerTimeoutMs, sentAt, endedAt, status, isSigned: headers[platformHeaders.signature] !== undefined, text: body,
 		});
+		return status === 200;
+	};
+
+	const send = async (vm: LoadedVm, agent: Agent): Promise<void> => {
+		const requestClass = pickClass(random);
+		const repeats = isChosen(habit.repeatingShare) ? habit.repeats : 0;
+		let isAnswered = await sendOnce(vm, agent, requestClass);
+		for (let sentAgain = 0; sentAgain < repeats && !isAnswered && !isStopping; sentAgain++) {
+			isAnswered = await sendOnce(vm, agent, requestClass);
+		}
 	};
 
 	const runCallers = async (vm: LoadedVm): Promise<void> => {
 		const agent = new Agent({keepAlive: true});
 		while (!isStopping) {
-			await sleep(randomExponential.source(random)(rate / vms.length / 1000)());
+			await sleep(randomExponential.source(random)(rate * loadFactor / vms.length / 1000)());
 			if (vm.isOfferedWork() || Math.floor(random() * persistentOneIn) === 0) {
 				inFlight.push(send(vm, agent));
 			}
@@ -102,6 +137,12 @@
 		setRate(next) {
 			rate = next;
 		},
+		setLoadFactor(factor) {
+			loadFactor = factor;
+		},
+		setHabit(change) {
+			habit = {...habit, ...change};
+		},
 		async stop() {
 			isStopping = true;
 			await Promise.all(running);
--- a/soak/loaded/loaded-server.ts
+++ b/soak/loaded/loaded-server.ts
@@ -4,7 +4,6 @@
  *
  * @module
  */
-import {Buffer} from 'node:buffer';
 import {
 	createServer, Agent, type IncomingMessage, type ServerResponse,
 } from 'node:http';
@@ -14,26 +13,11 @@
 import {sendCall} from '../../platform/test-mesh.js';
 import {platformHeaders} from '../../platform/platform-headers.js';
 import {type LoadedCall} from './loaded-callers.js';
+import {type LoadedRun} from './loaded-run.js';
+import {createHang} from './server-hang.js';
+import {createServerAnswers} from './server-answers.js';
 import {callShare, findClass, type RequestClass} from './loaded-config.js';
 
-/** A request that the server began to work on. Times are Unix milliseconds. */
-export type LoadedRun = {
-	readonly id: string;
-	readonly server: string;
-	readonly node: string;
-	readonly target: string;
-	/** When it arrived, and for how long the server was allowed to work on it from then on, in milliseconds. */
-	readonly at: number;
-	readonly leftMs: number;
-	/** When the server answered; `undefined` while it works, and if the connection closed first. */
-	endedAt: number | undefined;
-	status: number | undefined;
-	/** When the connection closed before the answer. */
-	brokenOffAt: number | undefined;
-	/** Whether a call that it needed failed. */
-	hasFailedCall: boolean;
-};
-
 export type LoadedServer = {
 	readonly id: string;
 	readonly address: string;
@@ -42,6 +26,14 @@
 	readonly startLeaving: () => void;
 	/** Multiplies the time that work takes. */
 	readonly setSlowness: (factor: number) => void;
+	/** Makes the server neither begin nor answer anything until it is set again. */
+	readonly setHanging: (isHanging: boolean) => void;
+	/** Sets which share of the requests the server refuses. */
+	readonly setRefusedShare: (share: number) => void;
+	/** Sets how many of its slots the server uses; `undefined` for all. */
+	readonly setUsableSlots: (usable: number | undefined) => void;
+	/** Ends the server's work for good: its process is gone, or it no longer answers anything but keeps its connections. */
+	readonly crash: (isSilent: boolean) => void;
 	/** Closes the server at once, as its process does at its end. */
 	readonly close: () => Promise<void>;
 };
@@ -54,6 +46,8 @@
 	/** Address at which the node beside the server accepts its calls. */
 	readonly callAddress: string;
 	readonly runs: LoadedRun[];
+	/** Names of the faults of answers that the server has at present. */
+	readonly answerFaultNames: ReadonlySet<string>;
 	/** Called with each call of the server that has ended, unless the server no longer waited for it. */
 	readonly handleCall: (call: LoadedCall) => void;
 };
@@ -61,9 +55,6 @@
 /** Requests that wait for a slot, as a multiple of the slots. More are reset. */
 const queuedPerSlot = 4;
 
-/** One of this many responses is sent again, as late as before the next response on its connection. */
-const repeatedOneIn = 30;
-
 /** Spread of the work, as the standard deviation of its logarithm. */
 const workSpread = 0.6;
 
@@ -85,20 +76,27 @@
  * @returns The server.
  */
 export async function startLoadedServer(id: string, host: string, context: LoadedServerContext): Promise<LoadedServer> {
-	const {node, slots, random, callAddress, runs, handleCall} = context;
+	const {node, slots, random, callAddress, runs, answerFaultNames, handleCall} = context;
 	const agent = new Agent({keepAlive: true});
-	/** Copies of responses that are sent before the next response on their connection. */
-	const copies = new WeakMap<Socket, string>();
 	const waiting: Array<() => void> = [];
 	let running = 0;
 	let inFlight = 0;
 	let slowness = 1;
 	let isLeaving = false;
+	let isCrashed = false;
+	let refusedShare = 0;
+	let usableSlots = slots;
+	/** Requests that the server works on. */
+	const openRuns = new Set<LoadedRun>();
 	/** Calls made so far. */
 	let calls = 0;
+	const hang = createHang();
+	const {answer, answerEarly, refuse, giveUp} = createServerAnswers({
+		random, answerFaultNames, describeLoad: () => `${running},${waiting.length},${slots}`, isLeaving: () => isLeaving, isCrashed: () => isCrashed,
+	});
 
 	const acquireSlot = async (): Promise<void> => {
-		if (running >= slots) {
+		if (running >= usableSlots) {
 			await new Promise<void>(resolve => {
 				waiting.push(resolve);
 			});
@@ -133,6 +131,10 @@
 				id: callId, timeLeftMs: leftMs, agent, disconnectAfterMs: leftMs,
 			});
 			const endedAt = Date.now();
+			if (isCrashed) {
+				return 0;
+			}
+
 			if (status !== 0 || endedAt - sentAt < leftMs) {
 				handleCall({
 					id: callId, node, target, timeLeftMs: leftMs, sentAt, endedAt, status, isSigned: headers[platformHeaders.signature] !== undefined, text: body,
@@ -144,50 +146,33 @@
 		return answers.every(status => status === 200);
 	};
 
-	const answer = (response: ServerResponse, run: LoadedRun, status: number, bytes = 0): void => {
-		if (run.endedAt !== undefined || run.brokenOffAt !== undefined) {
+	const work = async (request: IncomingMessage, response: ServerResponse, run: LoadedRun): Promise<void> => {
+		if (answerEarly(request, response, run)) {
 			return;
 		}
 
-		run.endedAt = Date.now();
-		run.status = status;
-		const body = `answer ${run.id} ${bytes}`;
-		const {socket} = response;
-		const copy = socket === null ? undefined : copies.get(socket);
-		if (socket !== null && copy !== undefined) {
-			copies.delete(socket);
-			socket.write(copy);
-		}
-
-		if (socket !== null && Math.floor(random() * repeatedOneIn) === 0) {
-			copies.set(socket, `HTTP/1.1 ${status} OK\r\ncontent-length: ${body.length}\r\n${platformHeaders.callId}: ${run.id}\r\n${platformHeaders.signature}: sig.${run.id}\r\n\r\n${body}`);
-		}
-
-		response.writeHead(status, {
-			'content-length': Buffer.byteLength(body), [platformHeaders.callId]: run.id, [platformHeaders.signature]: `sig.${run.id}`, [platformHeaders.serverLoad]: `${running},${waiting.length},${slots}`,
-			...isLeaving ? {connection: 'close'} : {},
-		});
-		response.end(body);
-	};
-
-	const refuse = (response: ServerResponse, runId: string, status: number): void => {
-		response.writeHead(status, {
-			'content-length': 0, [platformHeaders.callId]: runId, [platformHeaders.notRun]: '1', [platformHeaders.serverLoad]: `${running},${waiting.length},${slots}`,
-		});
-		response.end();
-	};
-
-	const work = async (request: IncomingMessage, response: ServerResponse, run: LoadedRun): Promise<void> => {
 		const bytes = await readBytes(request);
 		const requestClass = findClass(run.target);
 		await sleep(pickWorkMs(requestClass) / 2);
 		const areAnswered = await callServices(requestClass, run);
 		run.hasFailedCall = !areAnswered;
 		await sleep(pickWorkMs(requestClass) / 2);
-		answer(response, run, areAnswered ? 200 : 500, bytes);
+		hang.runWhenOver(() => {
+			answer(response, run, areAnswered ? 200 : 500, bytes);
+		});
 	};
 
 	const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		if (hang.isOn()) {
+			await new Promise<void>(resolve => {
+				hang.runWhenOver(resolve);
+			});
+		}
+
+		if (isCrashed || response.destroyed) {
+			return;
+		}
+
 		const getHeader = (name: string): string => String(request.headers[name] ?? '');
 		const runId = getHeader(platformHeaders.callId);
 		if (getHeader(platformHeaders.expectedServer) !== id) {
@@ -198,9 +183,15 @@
 
 		const run: LoadedRun = {
 			id: runId, server: id, node, target: request.url ?? '', at: Date.now(), leftMs: Number(getHeader(platformHeaders.timeLeft)),
-			endedAt: undefined, status: undefined, brokenOffAt: undefined, hasFailedCall: false,
+			endedAt: undefined, status: undefined, brokenOffAt: undefined, abandonedAt: undefined, answerFault: undefined, hasFailedCall: false,
 		};
-		if (waiting.length >= slots * queuedPerSlot) {
+		if (refusedShare > 0 && random() < refusedShare) {
+			request.resume();
+			refuse(response, runId, 503);
+			return;
+		}
+
+		if (waiting.length >= usableSlots * queuedPerSlot) {
 			request.socket.resetAndDestroy();
 			return;
 		}
@@ -208,25 +199,29 @@
 		inFlight++;
 		let isStarted = false;
 		const timer = setTimeout(() => {
-			if (isStarted) {
-				answer(response, run, 504);
-			} else {
-				refuse(response, runId, 503);
-			}
+			hang.runWhenOver(() => {
+				if (isStarted) {
+					answer(response, run, 504);
+				} else if (!isCrashed) {
+					refuse(response, runId, 503);
+				}
+			});
 		}, run.leftMs);
 		response.once('close', () => {
 			inFlight--;
 			clearTimeout(timer);
+			openRuns.delete(run);
 			run.brokenOffAt = run.endedAt === undefined ? Date.now() : undefined;
 		});
 		await acquireSlot();
 		try {
-			if (response.writableEnded || response.destroyed) {
+			if (response.writableEnded || response.destroyed || isCrashed) {
 				return;
 			}
 
 			isStarted = true;
 			runs.push(run);
+			openRuns.add(run);
 			await Promise.race([work(request, response, run), new Promise(resolve => {
 				response.once('close', resolve);
 			})]);
@@ -247,6 +242,13 @@
 	const server = createServer({requestTimeout: 0}, (request, response) => {
 		void handleSafely(request, response);
 	});
+	const sockets = new Set<Socket>();
+	server.on('connection', socket => {
+		sockets.add(socket);
+		socket.once('close', () => {
+			sockets.delete(socket);
+		});
+	});
 	await new Promise<void>(resolve => {
 		server.listen(0, host, resolve);
 	});
@@ -260,6 +262,27 @@
 		setSlowness(factor) {
 			slowness = factor;
 		},
+		setHanging: hang.set,
+		setRefusedShare(share) {
+			refusedShare = share;
+		},
+		setUsableSlots(usable = slots) {
+			usableSlots = usable;
+		},
+		crash(isSilent) {
+			isCrashed = true;
+			for (const run of openRuns) {
+				giveUp(run);
+			}
+
+			agent.destroy();
+			if (!isSilent) {
+				server.close();
+				for (const socket of sockets) {
+					socket.destroy();
+				}
+			}
+		},
 		async close() {
 			agent.destroy();
 			server.closeAllConnections();
--- a/soak/loaded/loaded-vm.ts
+++ b/soak/loaded/loaded-vm.ts
@@ -7,10 +7,12 @@
 import {type PlatformStore} from '../../stand-ins/platform-store/platform-store.js';
 import {sendHeartbeat, sendLeave} from '../../stand-ins/platform-server/server-messages.js';
 import {waitUntil} from '../../stand-ins/wait-until.js';
-import {startLinkProxy} from '../link-proxy.js';
+import {startLinkProxy, type LinkMode} from '../link-proxy.js';
 import {startSoakNode, type SoakNode} from '../soak-node.js';
 import {type LoadedCall} from './loaded-callers.js';
-import {startLoadedServer, type LoadedRun, type LoadedServer} from './loaded-server.js';
+import {type LoadedRun} from './loaded-run.js';
+import {startLoadedServer, type LoadedServer} from './loaded-server.js';
+import {startStranger} from './stranger.js';
 
 /** How a server leaves. */
 export type Departure = {
@@ -22,6 +24,16 @@
 	readonly stopsNode: boolean;
 };
 
+/** How a server ends without notice. */
+export type Crash = {
+	/** Whether it keeps its connections but no longer answers. */
+	readonly isSilent: boolean;
+	/** Whether its address is used by a server of another service until the next server starts. */
+	readonly isAddressReused: boolean;
+	/** Time until the next server starts, in milliseconds. */
+	readonly downMs: number;
+};
+
 export type LoadedVm = {
 	readonly node: SoakNode;
 	/** Address of the link over which callers reach the node. */
@@ -31,6 +43,10 @@
 	readonly isOfferedWork: () => boolean;
 	/** Lets the server leave in order, and starts another one. */
 	readonly replaceServer: (departure: Departure) => Promise<void>;
+	/** Lets the server end without notice, and starts another one. */
+	readonly crashServer: (crash: Crash) => Promise<void>;
+	/** Sets how the link between the node and the store behaves. Without such a link, nothing happens. */
+	readonly setStoreLinkMode: (mode: LinkMode) => void;
 	readonly close: () => Promise<void>;
 };
 
@@ -45,6 +61,10 @@
 	readonly slots: number;
 	readonly random: () => number;
 	readonly runs: LoadedRun[];
+	/** Names of the faults of answers that all servers have at present. */
+	readonly answerFaultNames: ReadonlySet<string>;
+	/** Whether the node reaches the store over a link that can be disturbed. */
+	readonly hasStoreLink: boolean;
 	/** Called with each call of a server that has ended. */
 	readonly handleCall: (call: LoadedCall) => void;
 };
@@ -79,9 +99,11 @@
  * @returns The VM. Its node may not be ready yet.
  */
 export async function startLoadedVm(context: LoadedVmContext): Promise<LoadedVm> {
-	const {store, folder, name, service, failureDomain, host, slots, random, runs, handleCall} = context;
+	const {store, folder, name, service, failureDomain, host, slots, random, runs, answerFaultNames, hasStoreLink, handleCall} = context;
+	const storeLinkAddress = `${host}:7021`;
+	const storeLink = hasStoreLink ? await startLinkProxy(storeLinkAddress, store.address) : undefined;
 	const node = startSoakNode({
-		name, failureDomain, service, host, storeAddress: store.address, graceMs, retrySlack,
+		name, failureDomain, service, host, storeAddress: hasStoreLink ? storeLinkAddress : store.address, graceMs, retrySlack,
 	}, folder);
 	const callerAddress = `${host}:7020`;
 	const link = await startLinkProxy(callerAddress, node.callerAddress, callerLatencyMs);
@@ -106,7 +128,7 @@
 		isDraining = false;
 		hasLeft = false;
 		server = await startLoadedServer(`i-${name}-${servers}`, host, {
-			node: name, slots, random, callAddress: node.callerAddress, runs, handleCall,
+			node: name, slots, random, callAddress: node.callerAddress, runs, answerFaultNames, handleCall,
 		});
 		await announce();
 	};
@@ -162,11 +184,32 @@
 				await startServer();
 			}
 		},
+		async crashServer({isSilent, isAddressReused, downMs}) {
+			const crashed = server;
+			if (crashed === undefined || hasLeft || isDraining) {
+				return;
+			}
+
+			hasLeft = true;
+			server = undefined;
+			crashed.crash(isSilent);
+			const stranger = isAddressReused ? await startStranger(crashed.address) : undefined;
+			await sleep(downMs);
+			await crashed.close();
+			await stranger?.close();
+			if (!isClosed) {
+				await startServer();
+			}
+		},
+		setStoreLinkMode(mode) {
+			storeLink?.setMode(mode);
+		},
 		async close() {
 			isClosed = true;
 			await node.close();
 			await server?.close();
 			await link.close();
+			await storeLink?.close();
 		},
 	};
 }
--- a/soak/loaded/main.ts
+++ b/soak/loaded/main.ts
@@ -15,6 +15,7 @@
 import {hideBin} from 'yargs/helpers';
 import {groupBy} from '../record.js';
 import {runLoaded} from './run-loaded.js';
+import {troubles} from './troubles/troubles.js';
 
 const options = await yargs(hideBin(process.argv))
 	.scriptName('soak:loaded')
@@ -24,6 +25,18 @@
 	.option('burst', {type: 'number', default: 1.8, describe: 'factor of the load in bursts'})
 	.option('share', {type: 'number', default: 0.54, describe: 'share of a core that each node may use'})
 	.option('slots', {type: 'number', default: 8, describe: 'slots of each server'})
+	.option('troubles', {
+		type: 'string', default: '', describe: 'names of troubles beside the events, separated by commas',
+		coerce(text: string): readonly string[] {
+			const names = text.split(',').filter(name => name !== '');
+			const unknown = names.filter(name => !(name in troubles));
+			if (unknown.length > 0) {
+				throw new Error(`--troubles has no ${unknown.join(', ')}; known are ${Object.keys(troubles).join(', ')}`);
+			}
+
+			return names;
+		},
+	})
 	.option('out', {type: 'string', describe: 'folder for settings, logs and the record'})
 	.strict()
 	.help()
@@ -37,11 +50,18 @@
 
 const folder = options.out ?? mkdtempSync(path.join(tmpdir(), 'stonemoor-loaded-'));
 mkdirSync(folder, {recursive: true});
-const {calls, nestedCalls, runs, stops, violations, failedNodes} = await runLoaded({
-	seed: options.seed, seconds: options.seconds, perSecond: options.rate, burst: options.burst, processorShare: options.share, slots: options.slots, folder,
+const {calls, nestedCalls, runs, stops, disturbances, troubleCounts, violations, failedNodes} = await runLoaded({
+	seed: options.seed, seconds: options.seconds, perSecond: options.rate, burst: options.burst, processorShare: options.share, slots: options.slots,
+	troubleNames: options.troubles, folder,
 });
 const statuses = [...groupBy(calls, ({status}) => status)].toSorted(([left], [right]) => left - right).map(([status, group]) => `${status}: ${group.length}`);
-process.stdout.write(`seed ${options.seed}, ${options.seconds} s: ${calls.length} requests (${statuses.join(', ')}), ${runs.length} executions, ${nestedCalls.length} calls of servers, ${stops.length} stops\n`);
+const counts = `${runs.length} executions, ${nestedCalls.length} calls of servers, ${stops.length} stops`;
+process.stdout.write(`seed ${options.seed}, ${options.seconds} s: ${calls.length} requests (${statuses.join(', ')}), ${counts}\n`);
+if (troubleCounts.size > 0) {
+	const faults = [...groupBy(runs.filter(({answerFault}) => answerFault !== undefined), ({answerFault}) => answerFault)].map(([name, group]) => `${name} ${group.length}`);
+	process.stdout.write(`troubles applied: ${[...troubleCounts].map(([name, count]) => `${name} ${count}`).join(', ')}; answers with a fault: ${faults.join(', ') || 'none'}\n`);
+}
+
 for (const [promise, group] of groupBy(violations, violation => violation.promise)) {
 	process.stdout.write(`BROKEN  ${promise}: ${group.length} times\n${group.slice(0, 5).map(({what}) => `        ${what}\n`).join('')}`);
 }
@@ -53,7 +73,7 @@
 const isBroken = violations.length > 0 || failedNodes.length > 0;
 if (isBroken || options.out !== undefined) {
 	writeFileSync(path.join(folder, 'record.json'), JSON.stringify({
-		calls, nestedCalls, runs, stops, violations,
+		calls, nestedCalls, runs, stops, disturbances, violations,
 	}));
 	process.stdout.write(`logs and record: ${folder}\n`);
 } else {
--- a/soak/loaded/run-loaded.ts
+++ b/soak/loaded/run-loaded.ts
@@ -10,11 +10,12 @@
 import {type Violation} from '../record.js';
 import {startLoadedCallers, type LoadedCall} from './loaded-callers.js';
 import {checkLoaded, checkRepeatedRuns} from './check-loaded.js';
-import {checkLost, type LoadedStop} from './check-lost.js';
+import {checkLost, type LoadedDisturbance, type LoadedStop} from './check-lost.js';
 import {createLoadedConfig, vmLayout} from './loaded-config.js';
-import {type LoadedRun} from './loaded-server.js';
+import {type LoadedRun} from './loaded-run.js';
 import {startLoadedVm, type LoadedVm} from './loaded-vm.js';
 import {startProcessorQuota} from './processor-quota.js';
+import {applyTroubles, hasStoreTrouble} from './troubles/troubles.js';
 
 export type LoadedOptions = {
 	readonly seed: number;
@@ -27,6 +28,8 @@
 	readonly processorShare: number;
 	/** Slots of each server. */
 	readonly slots: number;
+	/** Names of the troubles beside the events. */
+	readonly troubleNames: readonly string[];
 	readonly folder: string;
 };
 
@@ -36,6 +39,9 @@
 	readonly nestedCalls: readonly LoadedCall[];
 	readonly runs: readonly LoadedRun[];
 	readonly stops: readonly LoadedStop[];
+	readonly disturbances: readonly LoadedDisturbance[];
+	/** How often each trouble was applied. */
+	readonly troubleCounts: ReadonlyMap<string, number>;
 	readonly violations: readonly Violation[];
 	/** Names of the nodes whose processes ended by themselves, or not in time. */
 	readonly failedNodes: readonly string[];
@@ -64,8 +70,12 @@
  * @returns What was observed.
  */
 export async function runLoaded(options: LoadedOptions): Promise<LoadedOutcome> {
-	const {seed, seconds, perSecond, burst, processorShare, slots, folder} = options;
+	const {seed, seconds, perSecond, burst, processorShare, slots, troubleNames, folder} = options;
 	const random = randomLcg(((seed * 2_654_435_761) % 4_294_967_296) / 4_294_967_296);
+	// Troubles draw their own numbers, so that they leave the events and the load of a seed as they are.
+	const troubleRandom = randomLcg(((seed * 2_246_822_519) % 4_294_967_296) / 4_294_967_296);
+	const answerFaultNames = new Set<string>();
+	const disturbances: LoadedDisturbance[] = [];
 	const pickInteger = (below: number): number => Math.floor(random() * below);
 	const store = await startPlatformStore();
 	store.putConfig(createLoadedConfig(0));
@@ -73,7 +83,7 @@
 	const calls: LoadedCall[] = [];
 	const nestedCalls: LoadedCall[] = [];
 	const vms = await Promise.all(vmLayout.map(async ({service, failureDomain}, index) => startLoadedVm({
-		store, folder, name: `n${index}`, service, failureDomain, host: createHost(index), slots, random, runs,
+		store, folder, name: `n${index}`, service, failureDomain, host: createHost(index), slots, random, runs, answerFaultNames, hasStoreLink: hasStoreTrouble(troubleNames),
 		handleCall(call) {
 			nestedCalls.push(call);
 		},
@@ -125,6 +135,16 @@
 
 	const changingLoad = changeLoad();
 	await sleep(quietMs);
+	const applyingTroubles = applyTroubles(troubleNames, {
+		vms, store, callers, answerFaultNames, random: troubleRandom,
+		changeConfig() {
+			configs++;
+			store.putConfig(createLoadedConfig(configs));
+		},
+		addDisturbance(disturbance) {
+			disturbances.push(disturbance);
+		},
+	}, endsAt - quietMs);
 	while (Date.now() < endsAt - quietMs) {
 		const event = createEvent(vms[pickInteger(vms.length)]!);
 		events.add(event);
@@ -132,6 +152,7 @@
 	}
 
 	await Promise.all(events);
+	const troubleCounts = await applyingTroubles;
 	await changingLoad;
 	await callers.stop();
 	clearInterval(quotaTimer);
@@ -141,6 +162,7 @@
 	await Promise.all(vms.map(async vm => vm.close()));
 	await store.close();
 	return {
-		calls, nestedCalls, runs, stops, failedNodes, violations: [...checkLoaded(calls, runs), ...checkRepeatedRuns(runs), ...checkLost([...calls, ...nestedCalls], runs, stops)],
+		calls, nestedCalls, runs, stops, disturbances, troubleCounts, failedNodes,
+		violations: [...checkLoaded(calls, runs, disturbances), ...checkRepeatedRuns(runs), ...checkLost([...calls, ...nestedCalls], runs, stops, disturbances)],
 	};
 }
--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -37,6 +37,8 @@
 	readonly killAndRestart: (downMs: number) => Promise<void>;
 	/** Sends SIGTERM, and SIGKILL when the grace period is over. Starts a new process after `downMs`, and waits until it is ready. */
 	readonly stopAndRestart: (downMs: number) => Promise<void>;
+	/** Sends SIGTERM once more to a process that is stopping. */
+	readonly repeatStop: () => void;
 	/** Sends SIGHUP several times, with changed or malformed settings, then writes the original settings. */
 	readonly reloadSettings: (times: number, isUnreadable: boolean) => Promise<void>;
 	/** Sends SIGKILL and does not restart the node. */
@@ -209,6 +211,11 @@
 			clearTimeout(timer);
 			await startAfterDelay(downMs);
 		},
+		repeatStop() {
+			if (currentRun?.askedAt !== undefined) {
+				currentRun.child.kill('SIGTERM');
+			}
+		},
 		async reloadSettings(times, isUnreadable) {
 			const run = currentRun;
 			for (let sent = 0; sent < times && run?.wasReady && currentRun === run; sent++) {
