Loaded soak: troubles with the links between nodes and with the clock

A node announces the address on which it listens, so no link could be placed between nodes. A module that its process loads before the program leads connections to other gates over a proxy, which is cut, slow or resets; another steps the time of day. Only processes of soaks with these troubles load them.

A reset at the machine beside the server excuses, as a kill there does, only requests at which that server had begun before it.

--- a/soak/loaded/check-lost.ts
+++ b/soak/loaded/check-lost.ts
@@ -19,8 +19,8 @@
 /** An unplanned disturbance of a machine. */
 export type LoadedDisturbance = {
 	readonly node: string;
-	/** Whether the process was killed, or held up: frozen, or cut off. */
-	readonly type: 'killed' | 'held';
+	/** Whether the process was killed or its connections were reset, or it was held up: frozen, cut off, or its clock stepped. */
+	readonly type: 'broken' | 'held';
 	/** Unix milliseconds. For a killed process, the end is the start of the next one. */
 	readonly from: number;
 	readonly to: number;
@@ -46,7 +46,7 @@
 /**
  * Returns whether a disturbance excuses the end of a request. "Around planned work, with no unplanned disturbance from
  * contact-window before the request to its end": of the machine that took the request. Of the machine beside its server,
- * only a kill counts, and only while the server worked.
+ * only a kill or a reset counts, and only from the time at which the server began.
  *
  * @param call - The request.
  * @param run - Its execution, if any.
@@ -55,7 +55,7 @@
  */
 export function isExcusedByDisturbance(call: LoadedCall, run: LoadedRun | undefined, disturbances: readonly LoadedDisturbance[]): boolean {
 	return disturbances.some(({node, type, from, to}) => from <= call.endedAt
-		&& ((node === call.node && to >= call.sentAt - contactWindowMs) || (node === run?.node && type === 'killed' && from >= run.at)));
+		&& ((node === call.node && to >= call.sentAt - contactWindowMs) || (node === run?.node && type === 'broken' && from >= run.at)));
 }
 
 /**
--- a/soak/loaded/loaded-vm.ts
+++ b/soak/loaded/loaded-vm.ts
@@ -12,6 +12,8 @@
 import {type LoadedCall} from './loaded-callers.js';
 import {type LoadedRun} from './loaded-run.js';
 import {startLoadedServer, type LoadedServer} from './loaded-server.js';
+import {gatePort, peerLinkPort} from './peer-links.js';
+import {clockStepVariable} from './preloads/clock-step-variable.js';
 import {startStranger} from './stranger.js';
 
 /** How a server leaves. */
@@ -34,6 +36,16 @@
 	readonly downMs: number;
 };
 
+/** What the soak can disturb beside processes and servers. */
+export type VmControls = {
+	/** Whether the node reaches the store over a link that can be disturbed. */
+	readonly hasStoreLink: boolean;
+	/** Whether other nodes reach the node over such a link. */
+	readonly hasPeerLink: boolean;
+	/** Step of the clock in milliseconds when the soak asks for it; `undefined` if it does not. */
+	readonly clockStepMs: number | undefined;
+};
+
 export type LoadedVm = {
 	readonly node: SoakNode;
 	/** Address of the link over which callers reach the node. */
@@ -47,6 +59,8 @@
 	readonly crashServer: (crash: Crash) => Promise<void>;
 	/** Sets how the link between the node and the store behaves. Without such a link, nothing happens. */
 	readonly setStoreLinkMode: (mode: LinkMode) => void;
+	/** Sets how the link from other nodes to this one behaves. Without such a link, nothing happens. */
+	readonly setPeerLinkMode: (mode: LinkMode) => void;
 	readonly close: () => Promise<void>;
 };
 
@@ -63,12 +77,16 @@
 	readonly runs: LoadedRun[];
 	/** Names of the faults of answers that all servers have at present. */
 	readonly answerFaultNames: ReadonlySet<string>;
-	/** Whether the node reaches the store over a link that can be disturbed. */
-	readonly hasStoreLink: boolean;
+	/** What the soak can disturb beside processes and servers. */
+	readonly controls: VmControls;
 	/** Called with each call of a server that has ended. */
 	readonly handleCall: (call: LoadedCall) => void;
 };
 
+/** Modules that are loaded into a node process before its program. */
+const connectOverLinksFile = new URL('preloads/connect-over-links.js', import.meta.url).href;
+const stepClockFile = new URL('preloads/step-clock.js', import.meta.url).href;
+
 /** One way latency to callers. */
 const callerLatencyMs = 8;
 
@@ -99,12 +117,17 @@
  * @returns The VM. Its node may not be ready yet.
  */
 export async function startLoadedVm(context: LoadedVmContext): Promise<LoadedVm> {
-	const {store, folder, name, service, failureDomain, host, slots, random, runs, answerFaultNames, hasStoreLink, handleCall} = context;
+	const {store, folder, name, service, failureDomain, host, slots, random, runs, answerFaultNames, controls, handleCall} = context;
+	const {hasStoreLink, hasPeerLink, clockStepMs} = controls;
 	const storeLinkAddress = `${host}:7021`;
 	const storeLink = hasStoreLink ? await startLinkProxy(storeLinkAddress, store.address) : undefined;
 	const node = startSoakNode({
 		name, failureDomain, service, host, storeAddress: hasStoreLink ? storeLinkAddress : store.address, graceMs, retrySlack,
-	}, folder);
+	}, folder, {
+		preloads: [...hasPeerLink ? [connectOverLinksFile] : [], ...clockStepMs === undefined ? [] : [stepClockFile]],
+		environment: clockStepMs === undefined ? {} : {[clockStepVariable]: String(clockStepMs)},
+	});
+	const peerLink = hasPeerLink ? await startLinkProxy(`${host}:${peerLinkPort}`, `${host}:${gatePort}`) : undefined;
 	const callerAddress = `${host}:7020`;
 	const link = await startLinkProxy(callerAddress, node.callerAddress, callerLatencyMs);
 	link.setMode('delay');
@@ -204,12 +227,16 @@
 		setStoreLinkMode(mode) {
 			storeLink?.setMode(mode);
 		},
+		setPeerLinkMode(mode) {
+			peerLink?.setMode(mode);
+		},
 		async close() {
 			isClosed = true;
 			await node.close();
 			await server?.close();
 			await link.close();
 			await storeLink?.close();
+			await peerLink?.close();
 		},
 	};
 }
--- a/soak/loaded/run-loaded.ts
+++ b/soak/loaded/run-loaded.ts
@@ -15,7 +15,7 @@
 import {type LoadedRun} from './loaded-run.js';
 import {startLoadedVm, type LoadedVm} from './loaded-vm.js';
 import {startProcessorQuota} from './processor-quota.js';
-import {applyTroubles, hasStoreTrouble} from './troubles/troubles.js';
+import {applyTroubles, getControls} from './troubles/troubles.js';
 
 export type LoadedOptions = {
 	readonly seed: number;
@@ -83,7 +83,7 @@
 	const calls: LoadedCall[] = [];
 	const nestedCalls: LoadedCall[] = [];
 	const vms = await Promise.all(vmLayout.map(async ({service, failureDomain}, index) => startLoadedVm({
-		store, folder, name: `n${index}`, service, failureDomain, host: createHost(index), slots, random, runs, answerFaultNames, hasStoreLink: hasStoreTrouble(troubleNames),
+		store, folder, name: `n${index}`, service, failureDomain, host: createHost(index), slots, random, runs, answerFaultNames, controls: getControls(troubleNames),
 		handleCall(call) {
 			nestedCalls.push(call);
 		},
--- a/soak/loaded/troubles/node-troubles.ts
+++ b/soak/loaded/troubles/node-troubles.ts
@@ -4,11 +4,15 @@
  * @module
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Trouble} from './trouble.js';
+import {pickVms, type Trouble} from './trouble.js';
 
 const downMs = 300;
 const frozenMs = 1500;
 
+/** Share of the nodes whose clocks step, and for how long. */
+const steppedShare = 0.28;
+const steppedMs = 4000;
+
 /** Signals to a process that stops, and the longest time between two of them. */
 const repeatedSignals = 3;
 const signalIntervalMs = 700;
@@ -43,7 +47,7 @@
 		const from = Date.now();
 		const restarted = node.killAndRestart(downMs);
 		addDisturbance({
-			node: node.name, type: 'killed', from, to: from + downMs,
+			node: node.name, type: 'broken', from, to: from + downMs,
 		});
 		await restarted;
 	},
@@ -55,4 +59,19 @@
 			node: node.name, type: 'held', from, to: Date.now(),
 		});
 	},
+	async 'clock-step'(context) {
+		const vms = pickVms(context, steppedShare);
+		const from = Date.now();
+		for (const {node} of vms) {
+			node.stepClock();
+		}
+
+		await sleep(steppedMs);
+		for (const {node} of vms) {
+			node.stepClock();
+			context.addDisturbance({
+				node: node.name, type: 'held', from, to: Date.now(),
+			});
+		}
+	},
 };
--- a/soak/loaded/troubles/troubles.ts
+++ b/soak/loaded/troubles/troubles.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type LoadedVm} from '../loaded-vm.js';
+import {type LoadedVm, type VmControls} from '../loaded-vm.js';
 import {answerTroubles} from './answer-troubles.js';
 import {callerTroubles} from './caller-troubles.js';
+import {linkTroubles} from './link-troubles.js';
 import {nodeTroubles} from './node-troubles.js';
 import {serverTroubles} from './server-troubles.js';
 import {storeTroubles} from './store-troubles.js';
@@ -14,11 +15,18 @@
 
 /** All kinds of trouble. */
 export const troubles: Readonly<Record<string, Trouble>> = {
-	...answerTroubles, ...serverTroubles, ...nodeTroubles, ...storeTroubles, ...callerTroubles,
+	...answerTroubles, ...serverTroubles, ...nodeTroubles, ...storeTroubles, ...linkTroubles, ...callerTroubles,
 };
 
-/** Returns whether one of the troubles acts on the links between nodes and the store. */
-export const hasStoreTrouble = (names: readonly string[]): boolean => names.some(name => name in storeTroubles);
+/** Step of the clock of some nodes. */
+const clockStepMs = 2400;
+
+/** Returns what the VMs need for troubles. */
+export const getControls = (names: readonly string[]): VmControls => ({
+	hasStoreLink: names.some(name => name in storeTroubles),
+	hasPeerLink: names.some(name => name in linkTroubles),
+	clockStepMs: names.includes('clock-step') ? clockStepMs : undefined,
+});
 
 /** Time between two strikes. */
 const minIntervalMs = 1500;
@@ -47,7 +55,7 @@
 			return;
 		}
 
-		if (!(name in nodeTroubles)) {
+		if (!(name in nodeTroubles) || name === 'clock-step') {
 			exclusive.add(name);
 		}
 
--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -39,12 +39,23 @@
 	readonly stopAndRestart: (downMs: number) => Promise<void>;
 	/** Sends SIGTERM once more to a process that is stopping. */
 	readonly repeatStop: () => void;
+	/** Steps the clock of a process that was started with a module for it, or steps it back. */
+	readonly stepClock: () => void;
 	/** Sends SIGHUP several times, with changed or malformed settings, then writes the original settings. */
 	readonly reloadSettings: (times: number, isUnreadable: boolean) => Promise<void>;
 	/** Sends SIGKILL and does not restart the node. */
 	readonly close: () => Promise<void>;
 };
 
+/** What a node process is started with beside its program. */
+export type ProcessStart = {
+	/** URLs of modules that are loaded before the program. */
+	readonly preloads: readonly string[];
+	readonly environment: Readonly<Record<string, string>>;
+};
+
+const plainStart: ProcessStart = {preloads: [], environment: {}};
+
 type ProcessRun = {
 	readonly child: ChildProcess;
 	readonly startedAt: number;
@@ -81,10 +92,12 @@
  *
  * @param parameters - Its name, service, addresses and limits.
  * @param folder - The folder for its settings and its log.
+ * @param processStart - What its processes are started with beside the program.
  * @returns The node.
  */
-export function startSoakNode(parameters: NodeParameters, folder: string): SoakNode {
+export function startSoakNode(parameters: NodeParameters, folder: string, processStart: ProcessStart = plainStart): SoakNode {
 	const {name} = parameters;
+	const {preloads, environment} = processStart;
 	const settingsFile = path.join(folder, `${name}.settings`);
 	const logFile = path.join(folder, `${name}.log`);
 	const readiness = createReadinessAddress(parameters.host);
@@ -117,7 +130,9 @@
 		}
 
 		writeSettings(renderSettings(parameters));
-		const child = spawn(process.execPath, [...readProgramOptions(), findProgram('apps/sidecar/main.js'), settingsFile], {stdio: ['ignore', log, log]});
+		const child = spawn(process.execPath, [...readProgramOptions(), ...preloads.flatMap(file => ['--import', file]), findProgram('apps/sidecar/main.js'), settingsFile], {
+			stdio: ['ignore', log, log], env: {...process.env, ...environment},
+		});
 		children.add(child);
 		const index = lifetimes.length;
 		const startedAt = Date.now();
@@ -216,6 +231,11 @@
 				currentRun.child.kill('SIGTERM');
 			}
 		},
+		stepClock() {
+			if (currentRun?.wasReady) {
+				currentRun.child.kill('SIGUSR2');
+			}
+		},
 		async reloadSettings(times, isUnreadable) {
 			const run = currentRun;
 			for (let sent = 0; sent < times && run?.wasReady && currentRun === run; sent++) {
