Loaded soak: callers that send requests behind others on their connection

Safe requests of users' callers are sent before those in front of them are answered; the loaded soak sent one at a time on each connection.

The judge excuses a request that was sent behind another one and not passed on, as the rule says. One that was passed on is judged as any other.

--- a/soak/loaded/check-lost.test.ts
+++ b/soak/loaded/check-lost.test.ts
@@ -95,3 +95,11 @@
 		node: 'n3', type: 'broken', from: 11_300, to: 11_600,
 	}, 'n2'), 1);
 });
+
+// Guards against an excuse for requests that were passed on.
+test('a request that was sent behind another one is excused only if it was not passed on', () => {
+	assert.equal(countLost({status: 0, isBehind: true}, 'none'), 0);
+	assert.equal(countLost({status: 0, isBehind: false}, 'none'), 1);
+	assert.equal(countLost({status: 0, isBehind: true}), 1);
+	assert.equal(countLost({status: 0, isBehind: true}, {endedAt: undefined, status: undefined, brokenOffAt: 11_490}), 1);
+});
--- a/soak/loaded/check-lost.ts
+++ b/soak/loaded/check-lost.ts
@@ -81,7 +81,8 @@
 	}
 
 	if (run === undefined) {
-		return call.status === 0 && usedMs > lostSlackMs ? 'it was not passed on, and its connection ended' : undefined;
+		// "Not counted either: a request that was sent behind another on its connection and wasn't passed on."
+		return call.isBehind !== true && call.status === 0 && usedMs > lostSlackMs ? 'it was not passed on, and its connection ended' : undefined;
 	}
 
 	const workedUntil = run.endedAt ?? run.brokenOffAt ?? call.endedAt;
--- a/soak/loaded/loaded-callers.ts
+++ b/soak/loaded/loaded-callers.ts
@@ -9,6 +9,7 @@
 import {sendCall} from '../../platform/test-mesh.js';
 import {platformHeaders} from '../../platform/platform-headers.js';
 import {requestClasses, type RequestClass} from './loaded-config.js';
+import {createPipeliningCaller, type PipeliningCaller} from './pipelining-caller.js';
 import {type LoadedVm} from './loaded-vm.js';
 
 /** A request as its caller saw it. Times are Unix milliseconds. */
@@ -25,6 +26,8 @@
 	/** Whether a server signed the response. */
 	readonly isSigned: boolean;
 	readonly text: string;
+	/** Whether it was sent behind another one on its connection that was not answered. */
+	readonly isBehind?: boolean;
 };
 
 /** How callers behave beside waiting for their answers. */
@@ -35,6 +38,8 @@
 	/** Share of the requests that are sent again at once, as new requests, after a failure, and how often. */
 	readonly repeatingShare: number;
 	readonly repeats: number;
+	/** Share of the requests without a body that are sent behind others on their connection. */
+	readonly pipeliningShare: number;
 };
 
 export type LoadedCallers = {
@@ -48,6 +53,9 @@
 	readonly stop: () => Promise<void>;
 };
 
+/** The open connections to a node. */
+type Connections = {readonly agent: Agent; readonly pipelining: PipeliningCaller};
+
 /** One of this many requests is sent to a node although the platform offers its callers no new work. */
 const persistentOneIn = 4;
 
@@ -81,7 +89,7 @@
 	let rate = perSecond;
 	let loadFactor = 1;
 	let habit: CallerHabit = {
-		givingUpShare: 0, givesUpAfterMs: 0, repeatingShare: 0, repeats: 0,
+		givingUpShare: 0, givesUpAfterMs: 0, repeatingShare: 0, repeats: 0, pipeliningShare: 0,
 	};
 	const isChosen = (share: number): boolean => share > 0 && random() < share;
 	let isStopping = false;
@@ -89,12 +97,24 @@
 	const inFlight: Array<Promise<void>> = [];
 
 	/** Sends a request. Returns whether its caller needs no other: it was answered, or its caller has left. */
-	const sendOnce = async ({node, callerAddress}: LoadedVm, agent: Agent, {prefix, type, callerTimeoutMs, bodyBytes}: RequestClass): Promise<boolean> => {
+	const sendOnce = async ({node, callerAddress}: LoadedVm, {agent, pipelining}: Connections, {prefix, type, callerTimeoutMs, bodyBytes}: RequestClass): Promise<boolean> => {
 		sent++;
 		const id = `${node.name}-${sent}`;
 		const target = `${prefix}${id}`;
 		const sentAt = Date.now();
 		const givesUpAfterMs = isChosen(habit.givingUpShare) ? habit.givesUpAfterMs : undefined;
+		if (bodyBytes === 0 && isChosen(habit.pipeliningShare)) {
+			const {hasLeft, ...end} = await pipelining.send(target, id, callerTimeoutMs, givesUpAfterMs ?? callerTimeoutMs + disconnectMarginMs);
+			const endedAt = Date.now();
+			if (!hasLeft || endedAt - sentAt >= callerTimeoutMs) {
+				handleCall({
+					id, node: node.name, target, timeLeftMs: callerTimeoutMs, sentAt, endedAt, ...end,
+				});
+			}
+
+			return hasLeft || end.status === 200;
+		}
+
 		const {status, body, headers} = await sendCall(callerAddress, target, {
 			id, agent, method: type === 'safe' ? 'GET' : 'POST', timeLeftMs: callerTimeoutMs, disconnectAfterMs: givesUpAfterMs ?? callerTimeoutMs + disconnectMarginMs,
 			...bodyBytes === 0 ? {} : {body: 'x'.repeat(Math.ceil(bodyBytes * (0.2 + (1.6 * random()))))},
@@ -110,26 +130,27 @@
 		return status === 200;
 	};
 
-	const send = async (vm: LoadedVm, agent: Agent): Promise<void> => {
+	const send = async (vm: LoadedVm, connections: Connections): Promise<void> => {
 		const requestClass = pickClass(random);
 		const repeats = isChosen(habit.repeatingShare) ? habit.repeats : 0;
-		let isAnswered = await sendOnce(vm, agent, requestClass);
+		let isAnswered = await sendOnce(vm, connections, requestClass);
 		for (let sentAgain = 0; sentAgain < repeats && !isAnswered && !isStopping; sentAgain++) {
-			isAnswered = await sendOnce(vm, agent, requestClass);
+			isAnswered = await sendOnce(vm, connections, requestClass);
 		}
 	};
 
 	const runCallers = async (vm: LoadedVm): Promise<void> => {
-		const agent = new Agent({keepAlive: true});
+		const connections: Connections = {agent: new Agent({keepAlive: true}), pipelining: createPipeliningCaller(vm.callerAddress)};
 		while (!isStopping) {
 			await sleep(randomExponential.source(random)(rate * loadFactor / vms.length / 1000)());
 			if (vm.isOfferedWork() || Math.floor(random() * persistentOneIn) === 0) {
-				inFlight.push(send(vm, agent));
+				inFlight.push(send(vm, connections));
 			}
 		}
 
 		await Promise.all(inFlight);
-		agent.destroy();
+		connections.agent.destroy();
+		connections.pipelining.close();
 	};
 
 	const running = vms.map(async vm => runCallers(vm));
--- a/soak/loaded/troubles/caller-troubles.ts
+++ b/soak/loaded/troubles/caller-troubles.ts
@@ -15,6 +15,8 @@
 const repeatingShare = 0.3;
 const repeats = 3;
 
+const pipeliningMs = 8000;
+
 /** Factor of the usual load. */
 const burstFactor = 2.5;
 
@@ -32,6 +34,11 @@
 		await sleep(misbehavingMs);
 		callers.setHabit({repeatingShare: 0});
 	},
+	async pipeline({callers}) {
+		callers.setHabit({pipeliningShare: 1});
+		await sleep(pipeliningMs);
+		callers.setHabit({pipeliningShare: 0});
+	},
 	async burst({callers}) {
 		callers.setLoadFactor(burstFactor);
 		await sleep(misbehavingMs);
