Loaded soak: a reset counts from the time at which the request was sent

The rule excuses any disturbance from the contact window before the request to its end, so the judge counts a kill or a reset at the machine beside the server from the sending on. Before that it is still reported.

--- a/soak/loaded/check-lost.ts
+++ b/soak/loaded/check-lost.ts
@@ -46,7 +46,7 @@
 /**
  * Returns whether a disturbance excuses the end of a request. "Around planned work, with no unplanned disturbance from
  * contact-window before the request to its end": of the machine that took the request. Of the machine beside its server,
- * only a kill or a reset counts, and only from the time at which the server began.
+ * only a kill or a reset counts, and only while the request is under way.
  *
  * @param call - The request.
  * @param run - Its execution, if any.
@@ -55,7 +55,7 @@
  */
 export function isExcusedByDisturbance(call: LoadedCall, run: LoadedRun | undefined, disturbances: readonly LoadedDisturbance[]): boolean {
 	return disturbances.some(({node, type, from, to}) => from <= call.endedAt
-		&& ((node === call.node && to >= call.sentAt - contactWindowMs) || (node === run?.node && type === 'broken' && from >= run.at)));
+		&& ((node === call.node && to >= call.sentAt - contactWindowMs) || (node === run?.node && type === 'broken' && from >= call.sentAt)));
 }
 
 /**
