--- a/soak/loaded/pipelining-caller.test.ts
+++ b/soak/loaded/pipelining-caller.test.ts
@@ -1,9 +1,10 @@
 import assert from 'node:assert/strict';
 import {createServer, type AddressInfo, type Socket} from 'node:net';
 import test, {type TestContext} from 'node:test';
+import {platformHeaders} from '../../platform/platform-headers.js';
 import {createPipeliningCaller, type PipeliningCaller} from './pipelining-caller.js';
 
-const createAnswer = (id: string, more = ''): string => `HTTP/1.1 200 OK\r\nContent-Length: ${id.length}\r\nstonemoor-response-signature: s\r\n${more}\r\n${id}`;
+const createAnswer = (id: string, more = ''): string => `HTTP/1.1 200 OK\r\nContent-Length: ${id.length}\r\n${platformHeaders.signature}: s\r\n${more}\r\n${id}`;
 
 /** Starts a server that handles the requests of a connection once it has a number of them. */
 async function startCaller(context: TestContext, count: number, handle: (socket: Socket) => void): Promise<PipeliningCaller> {
