--- a/soak/loaded/check-loaded.ts
+++ b/soak/loaded/check-loaded.ts
@@ -4,9 +4,12 @@
  * @module
  */
 import {groupBy, type Violation} from '../record.js';
+import {
+	findJudgedRun, isExcusedByDisturbance, isExcusedByServers, type LoadedDisturbance,
+} from './check-lost.js';
 import {type LoadedCall} from './loaded-callers.js';
 import {findClass, getTimeLimitMs} from './loaded-config.js';
-import {type LoadedRun} from './loaded-server.js';
+import {type LoadedRun} from './loaded-run.js';
 
 /** Statuses that state that the request was not executed and will not be. */
 const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -20,9 +23,9 @@
 /** Returns whether the caller got the complete answer of an execution. */
 const isWholeAnswer = (call: LoadedCall, run: LoadedRun): boolean => call.status === run.status && call.isSigned && call.text.startsWith(`answer ${call.id} `);
 
-/** Returns the execution to judge a request by: the one whose answer the caller got, else the last. A safe request that is tried elsewhere has several. */
-const chooseRun = (call: LoadedCall, runs: readonly LoadedRun[]): LoadedRun | undefined =>
-	runs.find(run => run.endedAt !== undefined && run.endedAt <= call.endedAt && isWholeAnswer(call, run)) ?? runs.at(-1);
+/** Returns the execution whose answer the caller got. A safe request that is tried elsewhere has several. */
+const findAnsweringRun = (call: LoadedCall, runs: readonly LoadedRun[]): LoadedRun | undefined =>
+	runs.find(run => run.endedAt !== undefined && run.endedAt <= call.endedAt && isWholeAnswer(call, run));
 
 function findProblem(call: LoadedCall, run: LoadedRun | undefined): Problem | undefined {
 	if (run === undefined) {
@@ -55,13 +58,19 @@
  *
  * @param calls - The requests of callers.
  * @param runs - The executions at servers.
- * @returns The violations. A request that was executed several times is judged by the execution whose answer its caller got, else by the last.
+ * @param disturbances - The unplanned disturbances.
+ * @returns The violations. A request that was executed several times is judged by the execution whose answer its caller got, else by the last
+ * that no server gave up. A disturbance, and servers that gave up, excuse that there is no answer, but no wrong one.
  */
-export function checkLoaded(calls: readonly LoadedCall[], runs: readonly LoadedRun[]): readonly Violation[] {
+export function checkLoaded(calls: readonly LoadedCall[], runs: readonly LoadedRun[], disturbances: readonly LoadedDisturbance[] = []): readonly Violation[] {
 	const runsByCall = groupBy(runs, ({id}) => id);
 	return calls.flatMap(call => {
-		const problem = findProblem(call, chooseRun(call, runsByCall.get(call.id) ?? []));
-		return problem === undefined ? [] : [{...problem, at: call.endedAt, call: call.id}];
+		const ownRuns = runsByCall.get(call.id) ?? [];
+		const run = findAnsweringRun(call, ownRuns) ?? findJudgedRun(ownRuns);
+		const problem = findProblem(call, run);
+		const mayLackAnswer = isExcusedByServers(call, ownRuns) || isExcusedByDisturbance(call, run, disturbances);
+		const isExcused = mayLackAnswer && !notRunStatuses.has(call.status) && !(call.status >= 200 && call.status < 300);
+		return problem === undefined || isExcused ? [] : [{...problem, at: call.endedAt, call: call.id}];
 	});
 }
 
--- a/soak/loaded/run-loaded.ts
+++ b/soak/loaded/run-loaded.ts
@@ -10,13 +10,14 @@
 import {type Lifetime, type Violation} from '../record.js';
 import {startLoadedCallers, type LoadedCall} from './loaded-callers.js';
 import {checkLoaded, checkRepeatedRuns} from './check-loaded.js';
-import {checkLost, type LoadedStop} from './check-lost.js';
+import {checkLost, type LoadedDisturbance, type LoadedStop} from './check-lost.js';
 import {explainConnection} from './connection-watch.js';
 import {watchLoop, type LoopDelay} from './loop-delays.js';
 import {createLoadedConfig, vmLayout} from './loaded-config.js';
-import {type LoadedRun} from './loaded-server.js';
+import {type LoadedRun} from './loaded-run.js';
 import {startLoadedVm, type LoadedVm} from './loaded-vm.js';
 import {startProcessorQuota} from './processor-quota.js';
+import {applyTroubles, getControls} from './troubles/troubles.js';
 
 export type LoadedOptions = {
 	readonly seed: number;
@@ -29,6 +30,8 @@
 	readonly processorShare: number;
 	/** Slots of each server. */
 	readonly slots: number;
+	/** Names of the troubles beside the events. */
+	readonly troubleNames: readonly string[];
 	readonly folder: string;
 };
 
@@ -42,6 +45,9 @@
 	readonly lifetimes: readonly Lifetime[];
 	/** Times at which the soak itself was late, which includes its callers, links, servers and store. */
 	readonly loopDelays: readonly LoopDelay[];
+	readonly disturbances: readonly LoadedDisturbance[];
+	/** How often each trouble was applied. */
+	readonly troubleCounts: ReadonlyMap<string, number>;
 	readonly violations: readonly Violation[];
 	/** Names of the nodes whose processes ended by themselves, or not in time. */
 	readonly failedNodes: readonly string[];
@@ -70,8 +76,12 @@
  * @returns What was observed.
  */
 export async function runLoaded(options: LoadedOptions): Promise<LoadedOutcome> {
-	const {seed, seconds, perSecond, burst, processorShare, slots, folder} = options;
+	const {seed, seconds, perSecond, burst, processorShare, slots, troubleNames, folder} = options;
 	const random = randomLcg(((seed * 2_654_435_761) % 4_294_967_296) / 4_294_967_296);
+	// Troubles draw their own numbers, so that they leave the events and the load of a seed as they are.
+	const troubleRandom = randomLcg(((seed * 2_246_822_519) % 4_294_967_296) / 4_294_967_296);
+	const answerFaultNames = new Set<string>();
+	const disturbances: LoadedDisturbance[] = [];
 	const pickInteger = (below: number): number => Math.floor(random() * below);
 	const loop = watchLoop();
 	const store = await startPlatformStore();
@@ -80,7 +90,7 @@
 	const calls: LoadedCall[] = [];
 	const nestedCalls: LoadedCall[] = [];
 	const vms = await Promise.all(vmLayout.map(async ({service, failureDomain}, index) => startLoadedVm({
-		store, folder, name: `n${index}`, service, failureDomain, host: createHost(index), slots, random, runs,
+		store, folder, name: `n${index}`, service, failureDomain, host: createHost(index), slots, random, runs, answerFaultNames, controls: getControls(troubleNames),
 		handleCall(call) {
 			nestedCalls.push(call);
 		},
@@ -132,6 +142,16 @@
 
 	const changingLoad = changeLoad();
 	await sleep(quietMs);
+	const applyingTroubles = applyTroubles(troubleNames, {
+		vms, store, callers, answerFaultNames, random: troubleRandom,
+		changeConfig() {
+			configs++;
+			store.putConfig(createLoadedConfig(configs));
+		},
+		addDisturbance(disturbance) {
+			disturbances.push(disturbance);
+		},
+	}, endsAt - quietMs);
 	while (Date.now() < endsAt - quietMs) {
 		const event = createEvent(vms[pickInteger(vms.length)]!);
 		events.add(event);
@@ -139,6 +159,7 @@
 	}
 
 	await Promise.all(events);
+	const troubleCounts = await applyingTroubles;
 	await changingLoad;
 	await callers.stop();
 	clearInterval(quotaTimer);
@@ -149,11 +170,12 @@
 	await store.close();
 	const loopDelays = loop.stop();
 	const allCalls = [...calls, ...nestedCalls];
-	const violations = [...checkLoaded(calls, runs), ...checkRepeatedRuns(runs), ...checkLost(allCalls, runs, stops)].map((violation): Violation => {
+	const found = [...checkLoaded(calls, runs, disturbances), ...checkRepeatedRuns(runs), ...checkLost(allCalls, runs, stops, disturbances)];
+	const violations = found.map((violation): Violation => {
 		const call = allCalls.find(({id}) => id === violation.call);
 		return call === undefined ? violation : {...violation, what: `${violation.what}. ${explainConnection(call, loopDelays)}`};
 	});
 	return {
-		calls, nestedCalls, runs, stops, failedNodes, lifetimes: vms.flatMap(({node}) => node.lifetimes), loopDelays, violations,
+		calls, nestedCalls, runs, stops, disturbances, troubleCounts, failedNodes, lifetimes: vms.flatMap(({node}) => node.lifetimes), loopDelays, violations,
 	};
 }
