Entry: a connection starts a few requests in each iteration of the event loop

What callers saw: nothing. 60 connections that go on sending requests which are refused at once (no such route) kept a sidecar node's event loop busy: it lived, and no ordinary caller, readiness question or call to the control address was answered for over ten seconds.

Cause: memory was bounded, the time of an iteration was not. One read delivers hundreds of requests; those that end at once were all handled in it, for every connection, before anybody else came.

Change: a connection of the sidecar's entry starts eight requests in an iteration; the others wait, and start in later ones, 32 connections at a time. A connection that had more in one read is then read in turns, four connections at a time, as while much is held. The ledger, the bounds and the order of answers are as before.

--- a/crowds/crowd.ts
+++ b/crowds/crowd.ts
@@ -21,6 +21,8 @@
 	readonly connections: number;
 	/** Returns what a connection sends, one text after the other. */
 	readonly createTexts: (connection: number) => Iterable<string>;
+	/** Whether it reads and drops what it gets, so that it can go on without an end; false if omitted. */
+	readonly isReading?: boolean;
 };
 
 const settlePollMs = 250;
@@ -62,18 +64,23 @@
 }
 
 /**
- * Opens the connections of a crowd, which read nothing and are closed after the test.
+ * Opens the connections of a crowd, which are closed after the test.
  *
  * @param context - The test.
  * @param plan - What the crowd does.
  * @returns The crowd.
  */
-export function openCrowd(context: TestContext, {address, connections, createTexts}: CrowdPlan): Crowd {
+export function openCrowd(context: TestContext, {address, connections, createTexts, isReading = false}: CrowdPlan): Crowd {
 	const [host, port] = address.split(':');
 	let closed = 0;
 	const sockets = Array.from({length: connections}, (_, index) => {
 		const socket = connect({host, port: Number(port)});
-		socket.pause();
+		if (isReading) {
+			socket.resume();
+		} else {
+			socket.pause();
+		}
+
 		socket.on('error', () => undefined);
 		socket.once('close', () => {
 			closed++;
--- a/src/lib/forwarding/entry-server.ts
+++ b/src/lib/forwarding/entry-server.ts
@@ -83,6 +83,9 @@
 /** Requests of one connection that are in work at the same time; those behind them wait and are not read further. Callers that send ahead send a few. */
 const maxRequestsInWork = 64;
 
+/** Requests of one connection that start in one iteration of the event loop: more than callers send ahead that wait for their answers. */
+const maxStartsPerIteration = 8;
+
 /** Retry delay for a request that is refused because the memory for answers is in use. */
 const memoryRetryMs = 1000;
 
@@ -109,7 +112,7 @@
 	});
 	const scopes = watchConnections(server);
 	const window = createRequestWindow(server, {
-		ledger, maxConnections, maxInWork: maxRequestsInWork, handleClosed,
+		ledger, maxConnections, maxInWork: maxRequestsInWork, maxStartsPerIteration, handleClosed,
 	});
 	const expectedAnswers = createExpectedAnswers(ledger.getLimit('buffers'));
 	const calls = new Set<EntryCall>();
--- a/src/lib/memory/read-turns.ts
+++ b/src/lib/memory/read-turns.ts
@@ -13,8 +13,10 @@
 	/** Makes connections wait for their turn to be read. */
 	readonly delay: (sockets: Iterable<Socket>) => void;
 	readonly isDelayed: (socket: Socket) => boolean;
-	/** Returns whether any connection waits. */
-	readonly hasDelayed: () => boolean;
+	/** Makes all connections wait for their turns. */
+	readonly startRound: (sockets: Iterable<Socket>) => void;
+	/** Returns whether connections of the last round still wait. */
+	readonly isInRound: () => boolean;
 	/** Forgets a connection that has closed. */
 	readonly forget: (socket: Socket) => void;
 };
@@ -28,9 +30,19 @@
  * @internal
  */
 export function createReadTurns(mayRead: (socket: Socket) => boolean): ReadTurns {
+	/** In the order of their turns. */
 	const delayed = new Set<Socket>();
+	/** The connection whose turn ends the round. */
+	let lastOfRound: Socket | undefined;
 	let isScheduled = false;
 
+	const forget = (socket: Socket): void => {
+		delayed.delete(socket);
+		if (socket === lastOfRound) {
+			lastOfRound = undefined;
+		}
+	};
+
 	const giveTurns = (): void => {
 		isScheduled = false;
 		let turns = 0;
@@ -41,7 +53,7 @@
 			}
 
 			turns++;
-			delayed.delete(socket);
+			forget(socket);
 			if (mayRead(socket)) {
 				socket.resume();
 			}
@@ -58,19 +70,23 @@
 		}
 	};
 
-	return {
-		delay(sockets) {
-			for (const socket of sockets) {
-				delayed.add(socket);
-				socket.pause();
-			}
+	const delay = (sockets: Iterable<Socket>): void => {
+		for (const socket of sockets) {
+			delayed.add(socket);
+			socket.pause();
+		}
 
-			schedule();
-		},
+		schedule();
+	};
+
+	return {
+		delay,
 		isDelayed: socket => delayed.has(socket),
-		hasDelayed: () => delayed.size > 0,
-		forget(socket) {
-			delayed.delete(socket);
+		startRound(sockets) {
+			delay(sockets);
+			lastOfRound = [...delayed].at(-1);
 		},
+		isInRound: () => lastOfRound !== undefined,
+		forget,
 	};
 }
--- a/src/lib/memory/request-window.test.ts
+++ b/src/lib/memory/request-window.test.ts
@@ -152,3 +152,57 @@
 	await expectSoon('all have ended', () => ended.length === 3);
 	assert.deepEqual([ledger.count('requests'), ledger.count('buffers')], [0, 0]);
 });
+
+// Guards against an event loop that handles hundreds of refusals for one connection while everybody else waits.
+test('requests that end at once start a few in each iteration of the event loop, however many arrive in one read', async context => {
+	const requests = 400;
+	const ledger = createMemoryLedger({bufferBytes: 1_000_000, requestBytes: 10_000_000});
+	const server = createServer();
+	const window = createRequestWindow(server, {
+		ledger, maxConnections: 10, maxInWork: 64, maxStartsPerIteration: 8, handleClosed: () => undefined,
+	});
+	let iteration = 0;
+	let isDone = false;
+	const countIterations = (): void => {
+		iteration++;
+		if (!isDone) {
+			setImmediate(countIterations);
+		}
+	};
+
+	countIterations();
+	const startsByIteration = new Map<number, number>();
+	const refuse = (response: ServerResponse): void => {
+		startsByIteration.set(iteration, (startsByIteration.get(iteration) ?? 0) + 1);
+		response.statusCode = 404;
+		response.end();
+	};
+
+	server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+		const {wait} = window.take(request, response);
+		if (wait === undefined) {
+			refuse(response);
+			return;
+		}
+
+		void (async () => {
+			if (await wait) {
+				refuse(response);
+			}
+		})();
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	context.after(() => {
+		isDone = true;
+		server.close();
+		server.closeAllConnections();
+	});
+	const caller = openRawCaller(context, `127.0.0.1:${(server.address() as AddressInfo).port}`);
+	caller.send(createRequests(requests));
+	await expectSoon('all are answered', () => caller.listResponses().length === requests);
+	// What is read, and what waited, may start within one iteration.
+	assert.ok(Math.max(...startsByIteration.values()) <= 16, `${Math.max(...startsByIteration.values())} in one iteration`);
+	await expectSoon('nothing is held', () => ledger.count('requests') === 0);
+});
--- a/src/lib/memory/request-window.ts
+++ b/src/lib/memory/request-window.ts
@@ -11,6 +11,7 @@
 import {createConnectionLimit} from './connection-limit.js';
 import {type MemoryAccount, type MemoryLedger} from './memory-ledger.js';
 import {createReadTurns} from './read-turns.js';
+import {createStartTurns} from './start-turns.js';
 
 /** The place of a request among those of its connection. @internal */
 export type RequestTurn = {
@@ -26,6 +27,8 @@
 	readonly maxConnections: number;
 	/** Requests of one connection that are in work at the same time, once some have been answered there. */
 	readonly maxInWork: number;
+	/** Requests of one connection that start in one iteration of the event loop; no limit if omitted. Needed where requests may end at once, so that nothing else bounds the time that a connection takes. */
+	readonly maxStartsPerIteration?: number;
 	/** Called with each connection that is closed to keep a bound. */
 	readonly handleClosed: (closed: ClosedConnection) => void;
 	/** How long a client may read nothing of what waits for it, in milliseconds; no limit if omitted. Needed where the response of a server is read no faster than the client reads, and so keeps a slot. */
@@ -107,6 +110,12 @@
 	progressAt: number;
 	/** Bytes that had arrived when the last request was read. */
 	readBytes: number;
+	/** Requests that may still start in this iteration of the event loop. */
+	startsLeft: number;
+	/** Bytes that had arrived when a request last started. */
+	startedBytes: number;
+	/** Whether it delivered more requests in one read than it may start in one iteration, so that it is read in turns. */
+	isAhead: boolean;
 	/** Bytes counted for requests whose responses are not sent. */
 	answerBytes: number;
 };
@@ -158,7 +167,10 @@
  * @returns The window.
  * @internal
  */
-export function createRequestWindow(server: Server, {ledger, maxConnections, maxInWork, handleClosed, maxUnreadMs = Number.POSITIVE_INFINITY}: RequestWindowOptions): RequestWindow {
+export function createRequestWindow(server: Server, options: RequestWindowOptions): RequestWindow {
+	const {
+		ledger, maxConnections, maxInWork, handleClosed, maxStartsPerIteration = Number.POSITIVE_INFINITY, maxUnreadMs = Number.POSITIVE_INFINITY,
+	} = options;
 	const connections = new Map<Socket, Connection>();
 	const maxUnreadBytes = ledger.getLimit('buffers') * unreadShare;
 	const crowdedRequestBytes = ledger.getLimit('requests') * crowdedShare;
@@ -201,11 +213,27 @@
 	const start = (turn: Turn): void => {
 		turn.isInWork = true;
 		turn.connection.inWork++;
+		turn.connection.startsLeft--;
 		turn.connection.account.add('requests', workBytes);
 	};
 
+	/** Reads on from a connection without requests that wait: at once, or in turn if it has delivered too many at a time. */
+	const readOn = (connection: Connection): void => {
+		const {socket, isAhead} = connection;
+		if (!socket.isPaused() || !mayRead(connection) || readTurns.isDelayed(socket)) {
+			return;
+		}
+
+		connection.isAhead = false;
+		if (isAhead) {
+			readTurns.delay([socket]);
+		} else {
+			socket.resume();
+		}
+	};
+
 	const startWaiting = (connection: Connection): void => {
-		while (connection.waiting.length > 0 && mayStart(connection)) {
+		while (connection.waiting.length > 0 && connection.startsLeft > 0 && mayStart(connection)) {
 			const next = connection.waiting.shift();
 			if (next !== undefined) {
 				start(next.turn);
@@ -213,19 +241,41 @@
 			}
 		}
 
-		if (connection.socket.isPaused() && mayRead(connection) && !readTurns.isDelayed(connection.socket)) {
-			connection.socket.resume();
+		if (connection.waiting.length > 0 && connection.startsLeft <= 0) {
+			startTurns.queue(connection);
+		}
+
+		readOn(connection);
+	};
+
+	const startTurns = createStartTurns<Connection>(connection => {
+		connection.startsLeft = maxStartsPerIteration;
+		startWaiting(connection);
+	});
+
+	/** Counts the starts anew if something was read since. What is read at once is delivered at once. */
+	const renewStarts = (connection: Connection): void => {
+		const {bytesRead} = connection.socket;
+		if (connection.startedBytes !== bytesRead && connection.waiting.length === 0) {
+			connection.startedBytes = bytesRead;
+			connection.startsLeft = maxStartsPerIteration;
 		}
 	};
 
 	/** Starts a request, or lets it wait for its turn. */
 	const takeTurn = (turn: Turn): void => {
 		const {connection} = turn;
-		if (connection.waiting.length === 0 && mayStart(connection)) {
+		renewStarts(connection);
+		if (connection.waiting.length === 0 && connection.startsLeft > 0 && mayStart(connection)) {
 			start(turn);
 			return;
 		}
 
+		if (connection.startsLeft <= 0) {
+			connection.isAhead = true;
+			startTurns.queue(connection);
+		}
+
 		connection.socket.pause();
 		turn.wait = new Promise(resolve => {
 			connection.waiting.push({turn, resolve});
@@ -275,7 +325,8 @@
 		}, () => connection.served > 0 && socket.writableLength === 0);
 		const now = readSteadyMs();
 		const connection: Connection = {
-			socket, account, inWork: 0, served: 0, answered: 0, waiting: [], open: [], idleSince: now, dropped: 0, unfinishedBytes: 0, writtenBytes: 0, progressAt: now, readBytes: 0, answerBytes: 0,
+			socket, account, inWork: 0, served: 0, answered: 0, waiting: [], open: [], idleSince: now, dropped: 0, unfinishedBytes: 0,
+			writtenBytes: 0, progressAt: now, readBytes: 0, answerBytes: 0, startsLeft: maxStartsPerIteration, startedBytes: 0, isAhead: false,
 		};
 		return connection;
 	};
@@ -312,6 +363,7 @@
 		socket.once('close', () => {
 			connections.delete(socket);
 			readTurns.forget(socket);
+			startTurns.forget(connection);
 			connection.account.close();
 			for (const {resolve} of connection.waiting.splice(0)) {
 				resolve(false);
@@ -366,8 +418,8 @@
 			});
 			account.recordProgress();
 			account.add('requests', turn.requestBytes);
-			if (isCrowded() && !readTurns.hasDelayed()) {
-				readTurns.delay(connections.keys());
+			if (isCrowded() && !readTurns.isInRound()) {
+				readTurns.startRound(connections.keys());
 			}
 
 			takeTurn(turn);
