--- a/crowds/refused-requests.test.ts
+++ b/crowds/refused-requests.test.ts
@@ -6,6 +6,7 @@
 import test, {type TestContext} from 'node:test';
 import {createRequestHead} from '../platform/crowd-requests.js';
 import {sendCall} from '../platform/test-mesh.js';
+import {fetchReadiness} from '../stand-ins/platform-server/server-messages.js';
 import {openCrowd, type Crowd} from './crowd.js';
 import {startCrowdMesh, type CrowdMesh} from './crowd-mesh.js';
 
@@ -37,8 +38,7 @@
 		openEndlessCrowd(context, mesh, '/none/1', isReading);
 		for (let question = 0; question < questions; question++) {
 			await mesh.expectServing();
-			const {status} = await sendCall(readiness, '/v1/ready');
-			assert.equal(status, 200);
+			assert.ok(await fetchReadiness(readiness));
 			const answer = await sendCall(callers, '/logs/100', {timeLeftMs: 3000, disconnectAfterMs: 3000});
 			assert.equal(answer.status, 200);
 			const page = await sendCall(metrics, '/metrics');
