Memory: the state of a connection, its checks and its reports leave the request window

What it knows of a connection and a request, what it looks at periodically and what it reports of a closed connection stand in modules of their own. Nothing behaves differently: the tests of the slice pass unchanged but for an import.

--- a/src/lib/forwarding/entry-context.ts
+++ b/src/lib/forwarding/entry-context.ts
@@ -9,7 +9,7 @@
 import {type CallerRetryDetector} from '../decisions/caller-retry-detector.js';
 import {type NestedCallDetector} from '../decisions/nested-call-detector.js';
 import {type MemoryLedger} from '../memory/memory-ledger.js';
-import {type ClosedConnection} from '../memory/request-window.js';
+import {type ClosedConnection} from '../memory/closed-connection.js';
 import {type Quotas} from '../quotas/quotas.js';
 import {type ActiveConfig} from '../route-config/config-holder.js';
 import {type WeightedRoundRobin} from '../route-config/weighted-round-robin.js';
--- a/src/lib/forwarding/entry-refusals.ts
+++ b/src/lib/forwarding/entry-refusals.ts
@@ -17,7 +17,7 @@
 import {type RefusalLog} from '../timeline/refusal-log.js';
 import {describeAuthenticationFailure, type AuthenticationFailure} from '../workspaces/authenticate-request.js';
 import {type Workspace} from '../workspaces/workspace.js';
-import {type RequestTurn} from '../memory/request-window.js';
+import {type RequestTurn} from '../memory/window-connection.js';
 import {type CallHeaderNames} from './call-headers.js';
 import {outdatedConfigRetryMs} from './caller-access.js';
 import {isCapacityReason, type ForwardFailure} from './forward-result.js';
--- a/src/lib/memory/request-window.test.ts
+++ b/src/lib/memory/request-window.test.ts
@@ -5,7 +5,8 @@
 import {openRawCaller} from '../../../stand-ins/raw-caller.js';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
 import {createMemoryLedger, type MemoryLedger} from './memory-ledger.js';
-import {createRequestWindow, type ClosedConnection} from './request-window.js';
+import {type ClosedConnection} from './closed-connection.js';
+import {createRequestWindow} from './request-window.js';
 
 const checkPeriodMs = 50;
 
--- a/src/lib/memory/request-window.ts
+++ b/src/lib/memory/request-window.ts
@@ -8,18 +8,15 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {readSteadyMs} from '../common/clock.js';
+import {type ClosedConnection, type ClosingCause} from './closed-connection.js';
+import {countUnfinishedHead, measureUnreadMs} from './connection-checks.js';
 import {createConnectionLimit} from './connection-limit.js';
-import {type MemoryAccount, type MemoryLedger} from './memory-ledger.js';
+import {type MemoryLedger} from './memory-ledger.js';
 import {createReadTurns} from './read-turns.js';
 import {createStartTurns} from './start-turns.js';
-
-/** The place of a request among those of its connection. @internal */
-export type RequestTurn = {
-	/** Resolves once the request may be handled, with false if its connection closed first; `undefined` if it may be handled now. */
-	readonly wait: Promise<boolean> | undefined;
-	/** What is held for the client. */
-	readonly account: MemoryAccount;
-};
+import {
+	createWindowConnection, createWindowTurn, removeTurn, type RequestTurn, type WindowConnection, type WindowTurn,
+} from './window-connection.js';
 
 /** @internal */
 export type RequestWindowOptions = {
@@ -35,20 +32,6 @@
 	readonly maxUnreadMs?: number;
 };
 
-/** Why a connection was closed: what is held for its client is too much, all connections are too many, or its client does not read. @internal */
-export type ClosingCause = 'memory' | 'connections' | 'unread';
-
-/** A connection that was closed to keep a bound. @internal */
-export type ClosedConnection = {
-	readonly cause: ClosingCause;
-	/** IP address of the client. */
-	readonly client: string;
-	/** Bytes of bodies and answers that were held for the client. */
-	readonly bytes: number;
-	/** Requests that were read and not answered. */
-	readonly requests: number;
-};
-
 /** @internal */
 export type RequestWindow = {
 	/** Counts a request that was read. */
@@ -68,60 +51,7 @@
 	readonly check: () => void;
 };
 
-type WaitingRequest = {
-	readonly turn: Turn;
-	readonly resolve: (isOpen: boolean) => void;
-};
-
-/** A request whose response is not sent. */
-type Turn = RequestTurn & {
-	readonly connection: Connection;
-	wait: Promise<boolean> | undefined;
-	/** Bytes that the request takes on the heap, without those for its work. */
-	readonly requestBytes: number;
-	isOpen: boolean;
-	isInWork: boolean;
-	/** Whether a server works on it. */
-	isServed: boolean;
-	/** Bytes of its body and its answer. */
-	heldBytes: number;
-	handlers: Array<() => void> | undefined;
-};
-
-type Connection = {
-	readonly socket: Socket;
-	readonly account: MemoryAccount;
-	inWork: number;
-	/** Requests on which servers work. */
-	served: number;
-	/** Requests whose responses were sent. */
-	answered: number;
-	/** In the order of the requests. */
-	readonly waiting: WaitingRequest[];
-	/** In no order. A list, since a set allocates whenever it becomes empty. */
-	readonly open: Turn[];
-	/** When its last response was sent, or when it was opened, in milliseconds of the steady clock. */
-	idleSince: number;
-	dropped: number;
-	/** Bytes of heads that have not ended, as of the last check. */
-	unfinishedBytes: number;
-	/** Bytes written to the client, sent or not, at the last check, and when they or what is unsent last changed, in milliseconds of the steady clock. */
-	writtenBytes: number;
-	progressAt: number;
-	/** Bytes that had arrived when the last request was read. */
-	readBytes: number;
-	/** Requests that may still start in this iteration of the event loop. */
-	startsLeft: number;
-	/** Bytes that had arrived when a request last started. */
-	startedBytes: number;
-	/** Whether it delivered more requests in one read than it may start in one iteration, so that it is read in turns. */
-	isAhead: boolean;
-	/** Bytes counted for requests whose responses are not sent. */
-	answerBytes: number;
-};
-
-/** Memory of a request and its response on the heap, without the head: as long as it waits, and once it is in work. */
-const waitingRequestBytes = 4096;
+/** Memory of a request and its response on the heap once it is in work, in bytes. */
 const workBytes = 16_384;
 
 /** Requests in work on a connection before any has been answered. */
@@ -136,29 +66,9 @@
 /** Requests that may follow a response which closes the connection: as many as a client may have sent before it reads that response. */
 const maxDropped = 1000;
 
-/** Nothing of a body is counted as a head: Node.js ends longer heads. */
-const maxHeadBytes = 65_536;
-
 /** Whether the HTTP server itself has stopped reading, which it does while much is unsent. It continues by itself, and takes bytes that arrive before that for an error. */
 const isPausedByServer = (socket: Socket): boolean => (socket as Socket & {readonly _paused?: boolean})._paused === true;
 
-/** Removes a request from a list without an order. */
-function removeFrom(open: Turn[], turn: Turn): void {
-	const last = open.pop();
-	if (last !== undefined && last !== turn) {
-		open[open.indexOf(turn)] = last;
-	}
-}
-
-function countHeadBytes({rawHeaders, url = ''}: IncomingMessage): number {
-	let bytes = url.length;
-	for (const text of rawHeaders) {
-		bytes += text.length;
-	}
-
-	return bytes;
-}
-
 /**
  * Bounds what a server holds for the connections that it accepts from now on.
  *
@@ -171,11 +81,11 @@
 	const {
 		ledger, maxConnections, maxInWork, handleClosed, maxStartsPerIteration = Number.POSITIVE_INFINITY, maxUnreadMs = Number.POSITIVE_INFINITY,
 	} = options;
-	const connections = new Map<Socket, Connection>();
+	const connections = new Map<Socket, WindowConnection>();
 	const maxUnreadBytes = ledger.getLimit('buffers') * unreadShare;
 	const crowdedRequestBytes = ledger.getLimit('requests') * crowdedShare;
 
-	const report = (cause: ClosingCause, {socket, account, open}: Connection): void => {
+	const report = (cause: ClosingCause, {socket, account, open}: WindowConnection): void => {
 		handleClosed({
 			cause, client: socket.remoteAddress ?? '', bytes: account.count('buffers'), requests: open.length,
 		});
@@ -195,9 +105,9 @@
 		},
 	});
 
-	const isHeldBack = ({waiting, answerBytes}: Connection): boolean => waiting.length > 0 || answerBytes > maxUnreadBytes;
+	const isHeldBack = ({waiting, answerBytes}: WindowConnection): boolean => waiting.length > 0 || answerBytes > maxUnreadBytes;
 
-	const mayRead = (connection: Connection): boolean => !isHeldBack(connection) && !isPausedByServer(connection.socket);
+	const mayRead = (connection: WindowConnection): boolean => !isHeldBack(connection) && !isPausedByServer(connection.socket);
 
 	const readTurns = createReadTurns(socket => {
 		const connection = connections.get(socket);
@@ -208,9 +118,9 @@
 	const isCrowded = (): boolean => ledger.count('requests') > crowdedRequestBytes;
 
 	/** A connection that has nothing in work gets one request through, whatever others hold. */
-	const mayStart = ({inWork, answered}: Connection): boolean => inWork === 0 || (inWork < Math.min(maxInWork, maxUnansweredInWork + answered) && ledger.hasRoom('requests', workBytes));
+	const mayStart = ({inWork, answered}: WindowConnection): boolean => inWork === 0 || (inWork < Math.min(maxInWork, maxUnansweredInWork + answered) && ledger.hasRoom('requests', workBytes));
 
-	const start = (turn: Turn): void => {
+	const start = (turn: WindowTurn): void => {
 		turn.isInWork = true;
 		turn.connection.inWork++;
 		turn.connection.startsLeft--;
@@ -218,7 +128,7 @@
 	};
 
 	/** Reads on from a connection without requests that wait: at once, or in turn if it has delivered too many at a time. */
-	const readOn = (connection: Connection): void => {
+	const readOn = (connection: WindowConnection): void => {
 		const {socket, isAhead} = connection;
 		if (!socket.isPaused() || !mayRead(connection) || readTurns.isDelayed(socket)) {
 			return;
@@ -232,7 +142,7 @@
 		}
 	};
 
-	const startWaiting = (connection: Connection): void => {
+	const startWaiting = (connection: WindowConnection): void => {
 		while (connection.waiting.length > 0 && connection.startsLeft > 0 && mayStart(connection)) {
 			const next = connection.waiting.shift();
 			if (next !== undefined) {
@@ -248,13 +158,13 @@
 		readOn(connection);
 	};
 
-	const startTurns = createStartTurns<Connection>(connection => {
+	const startTurns = createStartTurns<WindowConnection>(connection => {
 		connection.startsLeft = maxStartsPerIteration;
 		startWaiting(connection);
 	});
 
 	/** Counts the starts anew if something was read since. What is read at once is delivered at once. */
-	const renewStarts = (connection: Connection): void => {
+	const renewStarts = (connection: WindowConnection): void => {
 		const {bytesRead} = connection.socket;
 		if (connection.startedBytes !== bytesRead && connection.waiting.length === 0) {
 			connection.startedBytes = bytesRead;
@@ -263,7 +173,7 @@
 	};
 
 	/** Starts a request, or lets it wait for its turn. */
-	const takeTurn = (turn: Turn): void => {
+	const takeTurn = (turn: WindowTurn): void => {
 		const {connection} = turn;
 		renewStarts(connection);
 		if (connection.waiting.length === 0 && connection.startsLeft > 0 && mayStart(connection)) {
@@ -282,7 +192,7 @@
 		});
 	};
 
-	const endServing = (turn: Turn): void => {
+	const endServing = (turn: WindowTurn): void => {
 		if (turn.isServed) {
 			turn.isServed = false;
 			turn.connection.served--;
@@ -291,16 +201,16 @@
 	};
 
 	/** Ends a request whose response was sent, or whose connection has closed. May be called several times. */
-	const end = (turn: Turn): void => {
+	const end = (turn: WindowTurn): void => {
 		const {connection, requestBytes, isInWork, heldBytes} = turn;
-		const {socket, account, open} = connection;
+		const {socket, account} = connection;
 		if (!turn.isOpen) {
 			return;
 		}
 
 		turn.isOpen = false;
 		endServing(turn);
-		removeFrom(open, turn);
+		removeTurn(turn);
 		account.release('requests', requestBytes + (isInWork ? workBytes : 0));
 		account.release('buffers', heldBytes);
 		account.recordProgress();
@@ -318,21 +228,17 @@
 		}
 	};
 
-	const openConnection = (socket: Socket): Connection => {
+	const openConnection = (socket: Socket): WindowConnection => {
 		const account = ledger.open(() => {
 			report('memory', connection);
 			socket.destroy();
 		}, () => connection.served > 0 && socket.writableLength === 0);
-		const now = readSteadyMs();
-		const connection: Connection = {
-			socket, account, inWork: 0, served: 0, answered: 0, waiting: [], open: [], idleSince: now, dropped: 0, unfinishedBytes: 0,
-			writtenBytes: 0, progressAt: now, readBytes: 0, answerBytes: 0, startsLeft: maxStartsPerIteration, startedBytes: 0, isAhead: false,
-		};
+		const connection = createWindowConnection(socket, account, maxStartsPerIteration, readSteadyMs());
 		return connection;
 	};
 
 	/** Returns the connection of a request. One that has closed holds nothing. */
-	const getConnection = (socket: Socket): Connection => {
+	const getConnection = (socket: Socket): WindowConnection => {
 		const known = connections.get(socket);
 		if (known !== undefined) {
 			return known;
@@ -375,42 +281,12 @@
 		});
 	});
 
-	/** Counts what has arrived of a head that has not ended. There is no event for it. */
-	const countUnfinished = (connection: Connection): void => {
-		const {socket, account, open} = connection;
-		// While a request is in work, its body may arrive, which is counted elsewhere.
-		const bytes = open.length > 0 ? 0 : Math.min(maxHeadBytes, socket.bytesRead - connection.readBytes);
-		if (bytes !== connection.unfinishedBytes) {
-			const before = connection.unfinishedBytes;
-			connection.unfinishedBytes = bytes;
-			account.release('buffers', before);
-			account.add('buffers', bytes);
-		}
-	};
-
-	/** Closes a connection whose client has read nothing of what waits for it for too long. */
-	const checkReader = (connection: Connection, now: number): void => {
-		const {socket} = connection;
-		if (socket.writableLength === 0 || socket.bytesWritten !== connection.writtenBytes) {
-			connection.writtenBytes = socket.bytesWritten;
-			connection.progressAt = now;
-			return;
-		}
-
-		if (now - connection.progressAt >= maxUnreadMs) {
-			report('unread', connection);
-			socket.destroy();
-		}
-	};
-
 	return {
 		take(request, response) {
 			const {socket} = request;
 			const connection = getConnection(socket);
 			const {account} = connection;
-			const turn: Turn = {
-				connection, account, wait: undefined, requestBytes: waitingRequestBytes + countHeadBytes(request), isOpen: true, isInWork: false, isServed: false, heldBytes: 0, handlers: undefined,
-			};
+			const turn = createWindowTurn(connection, request);
 			connection.readBytes = socket.bytesRead;
 			connection.open.push(turn);
 			response.on('close', () => {
@@ -426,7 +302,7 @@
 			return turn;
 		},
 		addBytes(turn, bytes) {
-			const open = turn as Turn;
+			const open = turn as WindowTurn;
 			if (!open.isOpen) {
 				return;
 			}
@@ -439,17 +315,17 @@
 			}
 		},
 		startServing(turn) {
-			const open = turn as Turn;
+			const open = turn as WindowTurn;
 			if (open.isOpen && !open.isServed) {
 				open.isServed = true;
 				open.connection.served++;
 			}
 		},
 		endServing(turn) {
-			endServing(turn as Turn);
+			endServing(turn as WindowTurn);
 		},
 		listenForEnd(turn, handleEnd) {
-			const open = turn as Turn;
+			const open = turn as WindowTurn;
 			if (!open.isOpen) {
 				handleEnd();
 				return;
@@ -474,8 +350,11 @@
 		check() {
 			const now = readSteadyMs();
 			for (const connection of connections.values()) {
-				countUnfinished(connection);
-				checkReader(connection, now);
+				countUnfinishedHead(connection);
+				if (measureUnreadMs(connection, now) >= maxUnreadMs) {
+					report('unread', connection);
+					connection.socket.destroy();
+				}
 			}
 		},
 	};
--- a/src/lib/node/node.ts
+++ b/src/lib/node/node.ts
@@ -34,7 +34,7 @@
 import {computeHeldLimits} from '../memory/memory-limits.js';
 import {createMemoryLedger} from '../memory/memory-ledger.js';
 import {handleInTurn} from '../memory/handle-in-turn.js';
-import {type ClosedConnection} from '../memory/request-window.js';
+import {type ClosedConnection} from '../memory/closed-connection.js';
 import {republishHead} from '../distribution/republish.js';
 import {createStatusCollector} from '../distribution/status-collector.js';
 import {createSubmissionQueue} from '../distribution/submission-queue.js';
--- a/src/lib/sidecar/sidecar.ts
+++ b/src/lib/sidecar/sidecar.ts
@@ -45,7 +45,7 @@
 import {computeHeldLimits, defaultMachineLimits} from '../memory/memory-limits.js';
 import {createMemoryLedger} from '../memory/memory-ledger.js';
 import {handleInTurn} from '../memory/handle-in-turn.js';
-import {type ClosedConnection} from '../memory/request-window.js';
+import {type ClosedConnection} from '../memory/closed-connection.js';
 import {type ClosingPlace, type MeshLog} from '../timeline/mesh-log.js';
 import {createRefusalLog} from '../timeline/refusal-log.js';
 import {createAnnouncementServer, type AnnouncementContext} from './announcement-server.js';
--- a/src/lib/timeline/mesh-log.ts
+++ b/src/lib/timeline/mesh-log.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import {type ClosingCause} from '../memory/request-window.js';
+import {type ClosingCause} from '../memory/closed-connection.js';
 import {type ReleaseCause} from '../decisions/held-slots.js';
 import {type FullCause} from '../decisions/slot-queue.js';
 import {type Verdict} from '../common/verdict.js';
--- a/src/lib/timeline/timeline-event.ts
+++ b/src/lib/timeline/timeline-event.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import {type ClosingCause} from '../memory/request-window.js';
+import {type ClosingCause} from '../memory/closed-connection.js';
 import {
 	type BackendServerId, type CallId, type NodeId, type SubmissionId,
 } from '../common/ids.js';
