--- a/src/lib/calls/response-filter.ts
+++ b/src/lib/calls/response-filter.ts
@@ -96,6 +96,7 @@
 		call = next;
 		reader = createOwnResponseReader({
 			id: next,
+			idHeader: meshHeaders.call,
 			// Ends the reading behind the head: the HTTP client determines where the body ends.
 			method: 'HEAD',
 			isFirstRequest: isFirst,
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -26,6 +26,8 @@
 	readonly scope: CallScope;
 	/** The memory that the response counts against; not counted if omitted. */
 	readonly memory?: ResponseMemory;
+	/** Lower-case name of the header that holds the id in a response. */
+	readonly idHeader: string;
 	/** Whether a response belongs to this request. Anything else is skipped. `isFirst` tells whether nothing was sent or received on the connection before. */
 	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number, isFirst: boolean) => boolean;
 	/** Called at the end of the exchange with the number of bytes that were not of the response, if there were any. */
@@ -239,7 +241,7 @@
 				}
 
 				reader = createOwnResponseReader({
-					id: exchange.id, method: exchange.method, isOwnResponse: exchange.isOwnResponse, isFirstRequest: connection.isFirstRequest,
+					id: exchange.id, idHeader: exchange.idHeader, method: exchange.method, isOwnResponse: exchange.isOwnResponse, isFirstRequest: connection.isFirstRequest,
 				});
 				connection.write(head, exchange.body);
 			} catch (error) {
--- a/src/lib/forwarding/own-response-reader.ts
+++ b/src/lib/forwarding/own-response-reader.ts
@@ -17,6 +17,8 @@
 /** The request whose response is read. @internal */
 export type AwaitedRequest = {
 	readonly id: string;
+	/** Lower-case name of the header that holds the id in a response. */
+	readonly idHeader: string;
 	readonly method: string;
 	/** Whether a response belongs to the request. `isFirst` tells whether nothing was sent or received on the connection before. */
 	readonly isOwnResponse: (headers: IncomingHttpHeaders, status: number, isFirst: boolean) => boolean;
@@ -109,9 +111,12 @@
 	return buffer.subarray(start, end === -1 ? buffer.length : end);
 }
 
-/** Returns whether a header of a head, or of a part of one, is the given id. */
-const hasId = (head: Uint8Array, id: string): boolean =>
-	toBuffer(head).toString('latin1').split('\r\n').some(line => line.slice(line.indexOf(':') + 1).trim() === id);
+/** Returns whether a head, or a part of one, has a header with the value. It may be malformed, so it is read line by line. */
+const hasHeader = (head: Uint8Array, name: string, value: string): boolean =>
+	toBuffer(head).toString('latin1').split('\r\n').some(line => {
+		const nameEnd = line.indexOf(':');
+		return nameEnd !== -1 && line.slice(0, nameEnd).toLowerCase() === name && line.slice(nameEnd + 1).trim() === value;
+	});
 
 /** What the undecided bytes begin with: the response or a part of its head, or something else. */
 type Candidate =
@@ -149,7 +154,7 @@
 		const buffer = toBuffer(undecided);
 		const end = buffer.indexOf(headEnd);
 		const head = end === -1 ? buffer : buffer.subarray(0, end);
-		return findStatusLine(head, 0) === 0 && findStatusLine(head, 1) === undefined && hasId(head, request.id);
+		return findStatusLine(head, 0) === 0 && findStatusLine(head, 1) === undefined && hasHeader(head, request.idHeader, request.id);
 	};
 
 	/** Whether an interim head that was cut off runs into the next head, so that the parser would drop both as one. */
@@ -191,7 +196,7 @@
 
 		const head = findHead(buffer);
 		const second = findStatusLine(head, 1);
-		if (second === undefined || hasId(head.subarray(0, second), request.id)) {
+		if (second === undefined || hasHeader(head.subarray(0, second), request.idHeader, request.id)) {
 			return false;
 		}
 
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -283,6 +283,7 @@
 				[headerNames.workspace]: call.workspace,
 				...body === undefined ? {} : {'content-length': String(body.length)},
 			},
+			idHeader: headerNames.callId,
 			isOwnResponse: createOwnResponseCheck(call.id, headerNames),
 			handleOtherBytes(bytes, isAnswered) {
 				log.record('info', {
