Gate: a response that its server or the gate has paused is not given up for what others need

What callers saw: 502 from the node ("the response takes too much memory") for a request at which the server works, after 1.3 of the 6 seconds that it had.

Cause: the ledger takes an account without a byte for a second for a client without progress, and gives those up first. The account of a response that is being read is no client: its server may pause, and where memory is short the gate itself stops reading it.

Evidence: found by a review. The new test failed before.

Change: such an account never counts as without progress. If there is no room, the upload is refused as not run, which is true. A response that takes too much itself is ended as before, and the deadline of the request bounds the time.

--- a/src/lib/forwarding/response-memory.test.ts
+++ b/src/lib/forwarding/response-memory.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createMemoryLedger} from '../memory/memory-ledger.js';
 import {createResponseMemory, type ResponseAccount, type ResponseMemory} from './response-memory.js';
 
@@ -97,3 +98,18 @@
 	assert.deepEqual(responses.map(({events}) => events), [['exceeded'], [], []]);
 	assert.equal(ledger.count('buffers'), 50);
 });
+
+/** Longer than a client may be without progress, in milliseconds. */
+const silentMs = 1100;
+
+// Guards against a request that ends while its server works, since the gate, or the server, has paused its response for a second and others need room.
+test('a response that no byte was read of for a time is not given up for what others need', async () => {
+	const {ledger, memory, responses} = createResponses(6);
+	for (const {account} of responses) {
+		memory.add(account, 150);
+	}
+
+	await sleep(silentMs);
+	assert.ok(!ledger.clearRoom('buffers', 200));
+	assert.deepEqual(responses.map(({events}) => events.includes('exceeded')), responses.map(() => false));
+});
--- a/src/lib/forwarding/response-memory.ts
+++ b/src/lib/forwarding/response-memory.ts
@@ -121,7 +121,8 @@
 					return;
 				}
 
-				account.held = ledger.open(account.handleExceeded);
+				// Its server may pause, and this gate may have stopped reading it. Neither shows that the server has stopped working.
+				account.held = ledger.open(account.handleExceeded, () => true);
 				account.held.add('buffers', account.bytes);
 			} else {
 				account.held.recordProgress();
