Gate: a connection of another node that waits for servers is not given up for what others need

All requests of one node at another would end with 502 while their servers work.

Cause: the account of a connection between nodes counts as without progress if nothing was heard on it for a second. A node that waits for servers sends nothing.

Change: it makes progress as long as the other node has read what was answered and a request whose body has arrived is in work. The deadlines of the requests bound the time.

--- a/src/lib/forwarding/gate-server.test.ts
+++ b/src/lib/forwarding/gate-server.test.ts
@@ -3,7 +3,9 @@
 import {once} from 'node:events';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import test, {type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expectSoon} from '../../../stand-ins/wait-until.js';
+import {createMemoryLedger, type MemoryLedger} from '../memory/memory-ledger.js';
 import {silentLog} from '../timeline/mesh-log.js';
 import {createNotRun} from './forward-result.js';
 import {createFrameReader, encodeFrameHead, type Frame} from './frame.js';
@@ -23,7 +25,7 @@
 const configBytes = 1_000_000;
 
 /** Starts a gate server whose gate reads the body of each upload, and holds each other call until its scope ends. */
-async function startFixture(context: TestContext): Promise<Fixture> {
+async function startFixture(context: TestContext, ledger?: MemoryLedger): Promise<Fixture> {
 	const refused: string[] = [];
 	let calls = 0;
 	const gate: Pick<Gate, 'run'> = {
@@ -43,6 +45,7 @@
 		},
 	};
 	const {server, dispose} = createGateServer({
+		...ledger !== undefined && {ledger},
 		gate: gate as Gate, getConfig: () => ({head: ['whole'], body: Buffer.alloc(configBytes)}), log: silentLog, link: createLinkWriter(1000),
 		async waitForPendingInput() {
 			// The event loop does not lag in this test.
@@ -211,3 +214,26 @@
 	await expectClosed(socket);
 	assert.deepEqual(fixture.refused, ['flood']);
 });
+
+/** Longer than a client may be without progress, in milliseconds. */
+const silentMs = 1100;
+
+// Guards against requests that end while servers work on them, since the other node sends nothing meanwhile and others need room.
+test('a connection of another node is not given up for what others need while it waits for servers, and is if it waits for nothing', async context => {
+	const ledger = createMemoryLedger({bufferBytes: 100_000, requestBytes: 100_000});
+	const {open, refused, countCalls} = await startFixture(context, ledger);
+	const [waiting, stalled] = [await open(), await open()];
+	const frame = encode({
+		type: 'request', id: 2, head: ['c2', 'i-1', 'POST', '/', {}, 0, 'hall', 1, 60_000, 0], body: Buffer.alloc(80_000),
+	});
+	const part = frame.subarray(0, frame.length / 2);
+	waiting.write(Buffer.concat([encodeRequest(1), part]));
+	stalled.write(part);
+	await expectSoon('both have sent a part', () => countCalls() === 1 && ledger.count('buffers') >= 2 * part.length);
+	await sleep(silentMs);
+	assert.ok(ledger.clearRoom('buffers', 50_000));
+	assert.ok(!ledger.clearRoom('buffers', 90_000));
+	stalled.resume();
+	await expectClosed(stalled);
+	assert.deepEqual([countCalls(), refused], [1, ['flood']]);
+});
--- a/src/lib/forwarding/gate-server.ts
+++ b/src/lib/forwarding/gate-server.ts
@@ -115,6 +115,10 @@
 /** Whether the other node waits for something on a connection. */
 const isInUse = ({requests, unread, socket}: Connection): boolean => requests.size > 0 || unread.size > 0 || socket.writableLength > 0;
 
+/** Whether the other node has read all answers and waits for servers, so that its silence does not show that it has stopped. */
+const isWaiting = ({requests, unread, socket}: Connection): boolean =>
+	unread.size === 0 && socket.writableLength === 0 && [...requests.values()].some(({body}) => body === undefined);
+
 function cancelRequests({requests}: Connection): void {
 	for (const {scope} of requests.values()) {
 		scope.end('cancelled');
@@ -362,7 +366,7 @@
 
 		const account = ledger.open(() => {
 			refuse(connection, 'flood', 'it holds most of the memory for bodies and answers, and does not read');
-		});
+		}, () => isWaiting(connection));
 		const connection: Connection = {
 			socket, peerAddress: `${socket.remoteAddress ?? ''}:${socket.remotePort ?? 0}`, requests: new Map(), reader: createFrameReader(), bufferedBytes: 0, pieceBytes: 0, account, unread: new Map(), heardAt: readSteadyMs(), shortUnreadBytes: 0,
 		};
