Shutdown: idle connections are closed a few at a time, each after a read

Cause: the node decided once which connections were idle and ended all of them. Node.js sends the ends an iteration of the event loop later, so that all connections were between their last read and their end at the same time. What arrived then was read after the end and dropped (request-not-admitted).

Evidence, before: a process that is stopped (SIGSTOP) for 400 ms from 2,705 ms after SIGTERM on, 20 kept connections: 16 requests sent at 2,714 and 2,715 ms ended at 3,120 to 3,124 ms, without an answer. The new test in caller-connections.test.ts fails on the code before, without a signal or times: the requests are never admitted.

Change: before each connection is ended, an iteration of the event loop reads what has arrived; a connection with a request is left open and closes after its response. From 200 idle connections on, a fraction of them is ended at a time.

Why it works: only the connections of one step are between a read and an end at a time, one of them up to 200. A socket cannot be read and ended in one step, so that one request can still meet the gap.

--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {connect, type AddressInfo} from 'node:net';
+import {connect, type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import test, {type TestContext} from 'node:test';
 import {blockEventLoop} from '../../../stand-ins/event-loop.js';
@@ -22,6 +22,8 @@
 	readonly send: (text: string) => void;
 	/** `HOST:PORT` of the server. */
 	readonly address: string;
+	/** Returns the sockets that the server has accepted, in their order. */
+	readonly listSockets: () => readonly Socket[];
 } & Pick<RawCaller, 'listResponses' | 'hasEnded'>;
 
 const createRequest = (path: string): string => `GET ${path} HTTP/1.1\r\nHost: mesh.example\r\n\r\n`;
@@ -42,6 +44,10 @@
 		open.set(path, {request, response});
 	});
 	const connections = watchCallerConnections(server);
+	const sockets: Socket[] = [];
+	server.on('connection', (socket: Socket) => {
+		sockets.push(socket);
+	});
 	await new Promise<void>(resolve => {
 		server.listen(0, '127.0.0.1', resolve);
 	});
@@ -67,6 +73,7 @@
 		},
 		send: caller.send,
 		address,
+		listSockets: () => sockets,
 		listResponses: caller.listResponses,
 		hasEnded: caller.hasEnded,
 	};
@@ -180,6 +187,40 @@
 	assert.deepEqual(callers.map(caller => listBodies(caller.listResponses())), paths.slice(1).map(path => [path]));
 });
 
+// Guards against a shutdown that decides once which connections are idle and closes them all, so that requests which arrive meanwhile, as while the process stands still, get no response.
+test('a request that arrives after another idle connection was closed at the stop, and before its own is, is answered', async context => {
+	const fixture = await startFixture(context);
+	const callers = Array.from({length: 6}, () => openRawCaller(context, fixture.address));
+	for (const [index, caller] of callers.entries()) {
+		const path = `/first${index}`;
+		caller.send(createRequest(path));
+		await expectSoon('it is read', () => fixture.admitted.includes(path));
+		fixture.answer(path, false);
+		await expectSoon('it is answered', () => listBodies(caller.listResponses()).length === 1);
+	}
+
+	await new Promise<void>(resolve => {
+		// The first connection is that of the fixture itself.
+		fixture.listSockets()[1]!.once('finish', () => {
+			for (const [index, caller] of callers.entries()) {
+				caller.send(createRequest(`/late${index}`));
+			}
+
+			blockEventLoop(100);
+			resolve();
+		});
+		void fixture.connections.stop();
+	});
+	const paths = callers.slice(1).map((_, index) => `/late${index + 1}`);
+	await expectSoon('the requests on the other connections are admitted', () => fixture.admitted.length === callers.length + paths.length);
+	for (const path of paths) {
+		fixture.answer(path);
+	}
+
+	await expectSoon('the connections end', () => callers.every(caller => caller.hasEnded()));
+	assert.deepEqual(callers.slice(1).map(caller => listBodies(caller.listResponses()).at(-1)), paths);
+});
+
 /** Sends a request on a connection of its own, reads nothing until it has sent more behind the response, and returns how many bytes of a body it got. */
 async function readLate(context: TestContext, address: string, answer: () => void, textBehind: string): Promise<number> {
 	const [host, port] = address.split(':');
--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -9,6 +9,7 @@
 	type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
+import {setImmediate as waitForImmediate} from 'node:timers/promises';
 import {readSteadyMs} from './clock.js';
 import {readPendingInput} from './pending-input.js';
 import {createRequestOrder, type RequestOrder} from './request-order.js';
@@ -21,7 +22,7 @@
 	readonly tryClose: (request: IncomingMessage) => boolean;
 	/** Returns the number of connections with responses that were handed over and are not sent yet, or that ended a moment ago and whose caller may not have read the last response. */
 	readonly countUnsent: () => number;
-	/** Reads what has arrived, then stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. */
+	/** Reads what has arrived, then stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. A request that arrives before its connection is closed is admitted. */
 	readonly stop: () => Promise<void>;
 };
 
@@ -50,6 +51,9 @@
 /** How long a connection may stay half closed until its caller has read the last response and closes it too. It is longer than a round trip between any two VMs, and than a busy caller takes to read. */
 const lingerMs = 2000;
 
+/** Iterations of the event loop over which idle connections are closed: one for each of a few callers, and no more than a fraction of a second for thousands of them. */
+const closingIterations = 200;
+
 /** How long a node that exits waits for a caller to close a connection that its last response has ended. */
 const confirmMs = 300;
 
@@ -125,6 +129,24 @@
 		});
 	});
 
+	/**
+	 * Closes connections on which no request has arrived. What arrives between the last read and the end of a connection gets no response, and
+	 * that takes long if the process stands still meanwhile. So few connections are ended after each read.
+	 */
+	const closeIdle = async (idle: ReadonlyArray<readonly [Socket, Connection]>): Promise<void> => {
+		const batchSize = Math.ceil(idle.length / closingIterations);
+		for (let start = 0; start < idle.length; start += batchSize) {
+			// The next iteration of the event loop reads what has arrived.
+			await waitForImmediate();
+			for (const [socket, {order, open}] of idle.slice(start, start + batchSize)) {
+				if (open.length === 0) {
+					order.stop();
+					closeGracefully(socket);
+				}
+			}
+		}
+	};
+
 	/** Whether a response is still to come that the caller can read before an error. A request whose own body is in error gets no response. */
 	const isAnswering = ({open}: Connection): boolean => open.some(({request}) => request.complete);
 
@@ -205,12 +227,17 @@
 			isStopped = true;
 			// The HTTP server's own `close` treats a connection as idle once its response was handed to the socket, and would cut off bytes that were not sent yet.
 			NetServer.prototype.close.call(server);
-			for (const [socket, {order, open}] of connections) {
-				order.stop();
-				if (open.length === 0) {
-					closeGracefully(socket);
+			const idle: Array<readonly [Socket, Connection]> = [];
+			for (const entry of connections) {
+				const [, connection] = entry;
+				if (connection.open.length === 0) {
+					idle.push(entry);
+				} else {
+					connection.order.stop();
 				}
 			}
+
+			await closeIdle(idle);
 		},
 	};
 }
