Shutdown: connections on which a request is expected are left open for a moment

Callers that had just connected to a node, or were sending the head of a request, when it stopped listening saw their connection end without an answer.

Cause: a connection without a request in work counted as idle, whether it had carried requests before or was a few milliseconds old, and also with a part of a head read.

Change: the first request of a connection is waited for until 500 ms after it was opened, and the rest of a head until 500 ms after the server has stopped listening. Then the connection is closed. A node does not exit meanwhile, within the bound of its shutdown.

Why it works: callers open a connection to send a request. What they send is read, and answered or refused as not run.

--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -221,6 +221,31 @@
 	assert.deepEqual(callers.slice(1).map(caller => listBodies(caller.listResponses()).at(-1)), paths);
 });
 
+// Guards against a shutdown that closes a connection whose caller is sending a request, or has just connected to send one.
+test('stopping leaves connections open for a moment on which a request is expected, and answers it', async context => {
+	const used = await startFixture(context);
+	used.send(createRequest('/a'));
+	await expectSoon('it is read', () => used.admitted.length === 1);
+	used.answer('/a', false);
+	await expectSoon('it is answered', () => listBodies(used.listResponses()).length === 1);
+	const request = createRequest('/late');
+	used.send(request.slice(0, 10));
+	const [opened, silent] = [openRawCaller(context, used.address), openRawCaller(context, used.address)];
+	await expectSoon('all are accepted', () => used.listSockets().length === 3 && used.listSockets()[0]!.bytesRead > createRequest('/a').length);
+	await used.connections.stop();
+	assert.equal(used.connections.countUnsent(), 3);
+	await sleep(100);
+	used.send(request.slice(10));
+	opened.send(createRequest('/first'));
+	await expectSoon('both are admitted', () => used.admitted.length === 3);
+	used.answer('/late');
+	used.answer('/first');
+	await expectSoon('their connections end', () => used.hasEnded() && opened.hasEnded());
+	assert.deepEqual([used, opened].map(caller => listBodies(caller.listResponses()).at(-1)), ['/late', '/first']);
+	await expectSoon('the connection without a request ends', silent.hasEnded);
+	assert.equal(used.connections.countUnsent(), 0);
+});
+
 /** Sends a request on a connection of its own, reads nothing until it has sent more behind the response, and returns how many bytes of a body it got. */
 async function readLate(context: TestContext, address: string, answer: () => void, textBehind: string): Promise<number> {
 	const [host, port] = address.split(':');
--- a/src/lib/common/caller-connections.ts
+++ b/src/lib/common/caller-connections.ts
@@ -10,7 +10,7 @@
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 import {setImmediate as waitForImmediate} from 'node:timers/promises';
-import {readSteadyMs} from './clock.js';
+import {readSteadyMs, waitFor} from './clock.js';
 import {readPendingInput} from './pending-input.js';
 import {createRequestOrder, type RequestOrder} from './request-order.js';
 
@@ -20,9 +20,9 @@
 	readonly admit: (request: IncomingMessage, response: ServerResponse) => boolean;
 	/** Returns whether the response to a request may close its connection. If so, no further request is admitted there. */
 	readonly tryClose: (request: IncomingMessage) => boolean;
-	/** Returns the number of connections with responses that were handed over and are not sent yet, or that ended a moment ago and whose caller may not have read the last response. */
+	/** Returns the number of connections with responses that were handed over and are not sent yet, that ended a moment ago and whose caller may not have read the last response, or on which a request is expected although the server has stopped. */
 	readonly countUnsent: () => number;
-	/** Reads what has arrived, then stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. A request that arrives before its connection is closed is admitted. */
+	/** Reads what has arrived, then stops listening, closes idle connections, and admits no further requests on the others, which close after their last response. A request that arrives before its connection is closed is admitted; a connection that was just opened, or on which a part of a head has arrived, is closed a moment later if none does. */
 	readonly stop: () => Promise<void>;
 };
 
@@ -37,6 +37,12 @@
 	errorStatus: string | undefined;
 	/** When the last response ended the connection, in milliseconds of the steady clock. */
 	endedAt: number | undefined;
+	/** When it was accepted, on the same clock. */
+	readonly openedAt: number;
+	/** Whether a request was read from it. */
+	hasRequest: boolean;
+	/** Bytes that had arrived when its last response was sent. */
+	readBytes: number;
 };
 
 /** The statuses that Node.js sends by default. */
@@ -54,6 +60,11 @@
 /** Iterations of the event loop over which idle connections are closed: one for each of a few callers, and no more than a fraction of a second for thousands of them. */
 const closingIterations = 200;
 
+/** How long a request is waited for that is expected on an idle connection: longer than a round trip between any two VMs, and than a busy caller takes to send. */
+const expectedRequestMs = 500;
+
+const expectedPollMs = 20;
+
 /** How long a node that exits waits for a caller to close a connection that its last response has ended. */
 const confirmMs = 300;
 
@@ -99,9 +110,13 @@
 export function watchCallerConnections(server: Server, handleUnsent: (request: IncomingMessage, response: ServerResponse) => void = () => undefined): CallerConnections {
 	const connections = new Map<Socket, Connection>();
 	let isStopped = false;
+	/** When the server stopped listening, in milliseconds of the steady clock. */
+	let stoppedAt = Number.NEGATIVE_INFINITY;
 	/** Connections accepted and requests read so far. */
 	let inputs = 0;
 
+	const readPending = async (): Promise<void> => readPendingInput(() => inputs);
+
 	const reportUnsent = (socket: Socket, {request, response}: OpenExchange): void => {
 		if (response.headersSent && !socket.readableEnded) {
 			handleUnsent(request, response);
@@ -111,7 +126,7 @@
 	server.on('connection', (socket: Socket) => {
 		inputs++;
 		const connection: Connection = {
-			order: createRequestOrder(), open: [], errorStatus: undefined, endedAt: undefined,
+			order: createRequestOrder(), open: [], errorStatus: undefined, endedAt: undefined, openedAt: readSteadyMs(), hasRequest: false, readBytes: 0,
 		};
 		// The HTTP server ends connections by this method.
 		socket.destroySoon = () => {
@@ -129,6 +144,22 @@
 		});
 	});
 
+	/** Returns until when a request is expected on an idle connection, in milliseconds of the steady clock: callers open a connection to send one, and send the rest of a head. */
+	const expectUntil = (socket: Socket, {openedAt, hasRequest, readBytes}: Connection): number => {
+		if (socket.bytesRead > readBytes) {
+			return stoppedAt + expectedRequestMs;
+		}
+
+		return hasRequest ? Number.NEGATIVE_INFINITY : openedAt + expectedRequestMs;
+	};
+
+	const closeIfIdle = (socket: Socket, {order, open}: Connection): void => {
+		if (open.length === 0) {
+			order.stop();
+			closeGracefully(socket);
+		}
+	};
+
 	/**
 	 * Closes connections on which no request has arrived. What arrives between the last read and the end of a connection gets no response, and
 	 * that takes long if the process stands still meanwhile. So few connections are ended after each read.
@@ -138,15 +169,24 @@
 		for (let start = 0; start < idle.length; start += batchSize) {
 			// The next iteration of the event loop reads what has arrived.
 			await waitForImmediate();
-			for (const [socket, {order, open}] of idle.slice(start, start + batchSize)) {
-				if (open.length === 0) {
-					order.stop();
-					closeGracefully(socket);
-				}
+			for (const [socket, connection] of idle.slice(start, start + batchSize)) {
+				closeIfIdle(socket, connection);
 			}
 		}
 	};
 
+	/** Closes connections that have got no request although one was expected. */
+	const closeUnused = async (): Promise<void> => {
+		let waiting: ReadonlyArray<readonly [Socket, Connection]>;
+		do {
+			await waitFor(expectedPollMs);
+			await readPending();
+			waiting = [...connections].filter(([socket, {open}]) => open.length === 0 && socket.writable);
+			const now = readSteadyMs();
+			await closeIdle(waiting.filter(([socket, connection]) => expectUntil(socket, connection) <= now));
+		} while (waiting.length > 0);
+	};
+
 	/** Whether a response is still to come that the caller can read before an error. A request whose own body is in error gets no response. */
 	const isAnswering = ({open}: Connection): boolean => open.some(({request}) => request.complete);
 
@@ -157,6 +197,7 @@
 		}
 
 		connection.open.splice(index, 1);
+		connection.readBytes = socket.bytesRead;
 		if (socket.destroyed) {
 			reportUnsent(socket, exchange);
 			return;
@@ -202,6 +243,7 @@
 
 			const exchange: OpenExchange = {request, response, position};
 			connection.open.push(exchange);
+			connection.hasRequest = true;
 			response.on('close', () => {
 				finish(socket, connection, exchange);
 			});
@@ -215,29 +257,33 @@
 		countUnsent() {
 			const now = readSteadyMs();
 			let count = 0;
-			for (const {open, endedAt} of connections.values()) {
+			for (const [socket, connection] of connections) {
+				const {open, endedAt} = connection;
 				const isUnconfirmed = endedAt !== undefined && now - endedAt < confirmMs;
-				count += isUnconfirmed || open.some(({response}) => response.headersSent) ? 1 : 0;
+				const isExpected = isStopped && open.length === 0 && socket.writable && expectUntil(socket, connection) > now;
+				count += isUnconfirmed || isExpected || open.some(({response}) => response.headersSent) ? 1 : 0;
 			}
 
 			return count;
 		},
 		async stop() {
-			await readPendingInput(() => inputs);
+			await readPending();
 			isStopped = true;
+			stoppedAt = readSteadyMs();
 			// The HTTP server's own `close` treats a connection as idle once its response was handed to the socket, and would cut off bytes that were not sent yet.
 			NetServer.prototype.close.call(server);
 			const idle: Array<readonly [Socket, Connection]> = [];
 			for (const entry of connections) {
-				const [, connection] = entry;
-				if (connection.open.length === 0) {
-					idle.push(entry);
-				} else {
+				const [socket, connection] = entry;
+				if (connection.open.length > 0) {
 					connection.order.stop();
+				} else if (expectUntil(socket, connection) <= stoppedAt) {
+					idle.push(entry);
 				}
 			}
 
 			await closeIdle(idle);
+			void closeUnused();
 		},
 	};
 }
