Loaded soak: troubles excuse nothing at a node that they did not disturb

A kill and a freeze of a node that was between two processes, and a clock step at a node that was not ready, did nothing and were recorded all the same, so that requests of the node were excused for three seconds. Found by a review. They are recorded now only if there was a process to disturb.

--- a/soak/loaded/troubles/node-troubles.ts
+++ b/soak/loaded/troubles/node-troubles.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {type SoakNode} from '../../soak-node.js';
 import {pickVms, type Trouble} from './trouble.js';
 
 const downMs = 300;
@@ -17,6 +18,9 @@
 const repeatedSignals = 3;
 const signalIntervalMs = 700;
 
+/** Whether there is a process to disturb. Between two processes of a node nothing happens, and nothing is excused. */
+const isRunning = ({getProcessId}: SoakNode): boolean => getProcessId() !== undefined;
+
 export const nodeTroubles: Readonly<Record<string, Trouble>> = {
 	async stop(_context, {node}) {
 		await node.stopAndRestart(downMs);
@@ -44,6 +48,10 @@
 	},
 	async kill({addDisturbance, vms, random}) {
 		const {node} = vms[Math.floor(random() * vms.length)]!;
+		if (!isRunning(node)) {
+			return;
+		}
+
 		const from = Date.now();
 		const restarted = node.killAndRestart(downMs);
 		addDisturbance({
@@ -53,6 +61,10 @@
 	},
 	async freeze({addDisturbance, vms, random}) {
 		const {node} = vms[Math.floor(random() * vms.length)]!;
+		if (!isRunning(node)) {
+			return;
+		}
+
 		const from = Date.now();
 		await node.pause(frozenMs);
 		addDisturbance({
@@ -60,14 +72,10 @@
 		});
 	},
 	async 'clock-step'(context) {
-		const vms = pickVms(context, steppedShare);
 		const from = Date.now();
-		for (const {node} of vms) {
-			node.stepClock();
-		}
-
+		const stepped = pickVms(context, steppedShare).filter(({node}) => node.stepClock());
 		await sleep(steppedMs);
-		for (const {node} of vms) {
+		for (const {node} of stepped) {
 			node.stepClock();
 			context.addDisturbance({
 				node: node.name, type: 'held', from, to: Date.now(),
--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -39,8 +39,8 @@
 	readonly stopAndRestart: (downMs: number) => Promise<void>;
 	/** Sends SIGTERM once more to a process that is stopping. */
 	readonly repeatStop: () => void;
-	/** Steps the clock of a process that was started with a module for it, or steps it back. */
-	readonly stepClock: () => void;
+	/** Steps the clock of a process that was started with a module for it, or steps it back. Returns false if no process is ready for it. */
+	readonly stepClock: () => boolean;
 	/** Sends SIGHUP several times, with changed or malformed settings, then writes the original settings. */
 	readonly reloadSettings: (times: number, isUnreadable: boolean) => Promise<void>;
 	/** Sends SIGKILL and does not restart the node. */
@@ -232,9 +232,7 @@
 			}
 		},
 		stepClock() {
-			if (currentRun?.wasReady) {
-				currentRun.child.kill('SIGUSR2');
-			}
+			return currentRun?.wasReady === true && currentRun.child.kill('SIGUSR2');
 		},
 		async reloadSettings(times, isUnreadable) {
 			const run = currentRun;
