Calls: a connection that ends while its response is read slowly does not end the process

Callers saw: all connections of a product's own node cut, since its process ended with code 1. A caller that reads a long answer slowly is enough, if the server's (or the other node's) connection ends meanwhile: closed behind a response that announces it, or reset. With a kept connection the process ran on, but a response that had arrived whole was cut.

Cause: the HTTP client (undici 7.30.2) pauses its parser while a body is read slowly. The end of the connection, and ECONNRESET, make it finish a response with `connection: close`; `assert(!this.paused)` then throws inside an event of the socket, where nothing can catch it. The stream of the connection ends as the last chunk is read, before it is parsed, so that the end comes while the parser has paused at that chunk. The response filter made it common: until a server has named a call, and for ever if it names none, each request asks for the connection to be closed. Resets, and gates that close connections while they drain, could bring it about before the filter, too.

Change: `common/http-client-stream.ts` is the connection as the HTTP client sees it, for servers (it was a part of the response filter) and for gates. It ends only once everything has been read, in a step of its own, so that the HTTP client sees the end when it reads on, and has not paused; and a reset has the HTTP client's own code, which is an error like any other.

--- a/src/lib/calls/response-filter.ts
+++ b/src/lib/calls/response-filter.ts
@@ -7,7 +7,8 @@
  */
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
-import {Duplex} from 'node:stream';
+import {type Duplex} from 'node:stream';
+import {createHttpClientStream} from '../common/http-client-stream.js';
 import {type CallId} from '../common/ids.js';
 import {toBuffer} from '../forwarding/chunked-body-reader.js';
 import {createOwnResponseReader, type OwnResponseReader} from '../forwarding/own-response-reader.js';
@@ -62,7 +63,6 @@
 	let call: CallId | undefined;
 	/** Whether a request was written. One that was announced and then cancelled was not. */
 	let isUsed = false;
-	let isEnded = false;
 
 	const endSearch = (isAnswered: boolean): void => {
 		const bytes = reader?.countOtherBytes() ?? 0;
@@ -72,12 +72,6 @@
 		}
 	};
 
-	const forward = (bytes: Uint8Array): void => {
-		if (!stream.push(bytes)) {
-			socket.pause();
-		}
-	};
-
 	/** Passes on the beginning of a response. A connection is kept only if the response names its call and nothing else has arrived. */
 	const forwardStart = (bytes: Uint8Array, isKept: boolean): void => {
 		const start = dropInterimResponses(bytes);
@@ -113,61 +107,20 @@
 		});
 	};
 
-	const stream = new Duplex({
-		decodeStrings: false,
-		read() {
-			socket.resume();
-		},
-		write(chunk: Uint8Array | string, encoding, callback) {
-			isUsed = true;
-			socket.write(chunk, encoding, callback);
-		},
-		// Without it, the head and the body of a request would be sent one after the other.
-		writev(chunks, callback) {
-			isUsed = true;
-			socket.cork();
-			for (const [index, {chunk, encoding}] of chunks.entries()) {
-				socket.write(chunk as Uint8Array | string, encoding, index === chunks.length - 1 ? callback : undefined);
+	const {stream, forward} = createHttpClientStream(socket, {
+		handleBytes(bytes) {
+			if (reader === undefined) {
+				forward(bytes);
+			} else {
+				reader.read(bytes);
 			}
-
-			socket.uncork();
 		},
-		final(callback) {
-			socket.end(callback);
+		handleWrite() {
+			isUsed = true;
 		},
-		destroy(error, callback) {
+		handleDestroy() {
 			endSearch(false);
-			socket.destroy();
-			callback(error);
 		},
 	});
-	// An idle connection must not keep the process alive.
-	Object.assign(stream, {ref: socket.ref.bind(socket), unref: socket.unref.bind(socket)});
-
-	socket.on('data', (bytes: Uint8Array) => {
-		if (reader === undefined) {
-			forward(bytes);
-			return;
-		}
-
-		try {
-			reader.read(bytes);
-		} catch (error) {
-			stream.destroy(error as Error);
-		}
-	});
-	socket.once('end', () => {
-		isEnded = true;
-		stream.push(null);
-	});
-	socket.on('error', error => {
-		stream.destroy(error);
-	});
-	socket.once('close', () => {
-		// What was received before an orderly end can still be read.
-		if (!isEnded) {
-			stream.destroy();
-		}
-	});
 	return {stream, expectResponse};
 }
