Shutdown: answers close their connections from the SIGTERM on

Callers that still sent over kept connections when their node stopped saw some of their requests end without an answer: those that were on their way when the node closed its idle connections, 2.7 s after SIGTERM. With latency and a busy machine that was later than 200 ms after they were sent.

Cause: answers closed their connections only from 2.3 s on, so that connections which had carried requests within the 2.4 s before were closed while idle, with the next request on its way. HTTP/1.1 has no other message that ends a connection.

Change: from the SIGTERM on, each answer closes its connection.

Why it works: a caller that still sends has 2.7 s for the answer that tells it to open another connection. What is closed while idle was not used in that time. A request costs a new connection meanwhile.

--- a/src/lib/sidecar/graceful-shutdown.test.ts
+++ b/src/lib/sidecar/graceful-shutdown.test.ts
@@ -71,9 +71,9 @@
 	});
 	const shutdown = startShutdown({untilMs: 3400}, 6000);
 	await shutdown.advance(1700);
-	assert.deepEqual(shutdown.events, ['withdraw 0']);
+	assert.deepEqual(shutdown.events, ['withdraw 0', 'close after answers 0']);
 	await shutdown.advance(1200);
-	assert.deepEqual(shutdown.events.map(event => event.replace(/ \d+$/, '')), ['withdraw', 'close gate', 'close after answers', 'refuse late requests', 'stop listening']);
+	assert.deepEqual(shutdown.events.map(event => event.replace(/ \d+$/, '')), ['withdraw', 'close after answers', 'close gate', 'refuse late requests', 'stop listening']);
 	assert.equal(shutdown.isDone(), false);
 	await shutdown.advance(800);
 	assert.equal(shutdown.isDone(), true);
@@ -103,7 +103,7 @@
 	});
 	const shutdown = startShutdown({untilMs: 4200, serverUntilMs: 4000}, 6000);
 	await shutdown.advance(3900);
-	assert.deepEqual(shutdown.events.map(event => event.replace(/ \d+$/, '')), ['withdraw', 'close gate', 'close after answers', 'refuse late requests']);
+	assert.deepEqual(shutdown.events.map(event => event.replace(/ \d+$/, '')), ['withdraw', 'close after answers', 'close gate', 'refuse late requests']);
 	await shutdown.advance(200);
 	assert.equal(shutdown.events.at(-1)?.startsWith('stop listening'), true);
 	assert.equal(shutdown.isDone(), false);
--- a/src/lib/sidecar/graceful-shutdown.ts
+++ b/src/lib/sidecar/graceful-shutdown.ts
@@ -31,9 +31,6 @@
 /** How long the gate accepts requests after the shutdown begins. The backend server still works during this time, and the node has to run until its callers have disconnected anyway. A request accepted at the end of this time can still use the longest timeout of the callers before the node must exit. */
 const gateOpenMs = 1800;
 
-/** Responses close their connections after this time. By then the readiness check has reported to callers twice that the node is not ready. */
-const closeConnectionsAfterMs = 2300;
-
 /** The node accepts connections until this time, since callers may still connect. It accepts them for longer while its backend server works on requests, for which the server may make calls through the node. */
 const stopListeningAfterMs = 2700;
 
@@ -70,12 +67,12 @@
 
 	steps.answerBy(startedAt + limitMs - answerMarginMs);
 	steps.withdraw();
+	// A caller learns from a response that its connection closes. On one that is closed while it is idle, a request may be on its way. So as few as possible are left to be closed.
+	steps.closeAfterAnswers();
+	report('connections-closing', 0);
 	await waitUntil(gateOpenMs);
 	steps.closeGate();
 	report('gate-closed', gateOpenMs);
-	await waitUntil(closeConnectionsAfterMs);
-	steps.closeAfterAnswers();
-	report('connections-closing', closeConnectionsAfterMs);
 	await waitUntil(stopListeningAfterMs);
 	steps.refuseLateRequests();
 	report('late-requests-refused', stopListeningAfterMs);
