--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -196,10 +196,38 @@
 	{
 		promise: 'what has arrived is read before a node closes its connections',
 		file: `${library}/common/caller-connections.js`,
-		from: 'await readPendingInput(() => inputs);',
+		from: 'await readPending();\n            isStopped',
+		to: 'isStopped',
+		tests: `${library}/common/caller-connections.test.js`,
+	},
+	{
+		promise: 'idle connections are closed a few at a time at a stop, each after a read',
+		file: `${library}/common/caller-connections.js`,
+		from: 'await waitForImmediate();',
 		to: '',
 		tests: `${library}/common/caller-connections.test.js`,
 	},
+	{
+		promise: 'gate: a paused response is not given up for what others need',
+		file: `${library}/forwarding/response-memory.js`,
+		from: 'account.handleExceeded, () => true',
+		to: 'account.handleExceeded',
+		tests: `${library}/forwarding/response-memory.test.js`,
+	},
+	{
+		promise: 'gate: another node that waits for servers is not given up for what others need',
+		file: `${library}/forwarding/gate-server.js`,
+		from: ', () => isWaiting(connection)',
+		to: '',
+		tests: `${library}/forwarding/gate-server.test.js`,
+	},
+	{
+		promise: 'gate: only the header that holds the id names the request of a malformed head',
+		file: `${library}/forwarding/own-response-reader.js`,
+		from: 'nameEnd !== -1 && line.slice(0, nameEnd).toLowerCase() === name && ',
+		to: '',
+		tests: `${library}/forwarding/own-response-reader.test.js`,
+	},
 	{
 		promise: 'a connection that a response closes is not reset by bytes behind its request',
 		file: `${library}/common/caller-connections.js`,
@@ -336,9 +364,9 @@
 	{
 		promise: 'sidecar: a node that shuts down does not close connections with unsent responses',
 		file: `${library}/common/caller-connections.js`,
-		from: 'if (open.length === 0) {',
-		to: 'if (open.every(({ response }) => response.writableEnded)) {',
-		tests: 'platform/shutdown.test.js',
+		from: 'if (connection.open.length > 0) {',
+		to: 'if (connection.open.some(({ response }) => response.writableEnded)) {\n                    socket.destroy();\n                }\n                if (connection.open.length > 0) {',
+		tests: `${library}/common/caller-connections.test.js`,
 	},
 	{
 		promise: 'connection: a response closes it only if no request was read behind it',
@@ -350,8 +378,8 @@
 	{
 		promise: 'connection: a request behind a response that closes is not passed on',
 		file: `${library}/common/caller-connections.js`,
-		from: 'order.stop();\n                if (open',
-		to: 'if (open',
+		from: 'connection.order.stop();\n                }',
+		to: '}',
 		tests: `${library}/common/caller-connections.test.js`,
 	},
 	{
--- a/src/lib/common/caller-connections.test.ts
+++ b/src/lib/common/caller-connections.test.ts
@@ -291,6 +291,17 @@
 	});
 }
 
+// Guards against a shutdown that takes a response which was handed over, and is not sent, for one that its caller has.
+test('stopping does not cut off a response whose caller has not read it yet', async context => {
+	const {address, admitted, respond, connections} = await startFixture(context);
+	const size = 6_000_000;
+	const bytes = await readLate(context, {address, admitted}, () => {
+		respond('/late', size);
+		void connections.stop();
+	}, '');
+	assert.equal(bytes, size);
+});
+
 // Guards against a node that exits before a caller has read the response that closed its connection.
 test('a response that closed its connection counts as unsent until its caller closes too, or for a moment', async context => {
 	const {address, admitted, respond, connections} = await startFixture(context);
