Forwarding: a load report ends no request that must not run twice, and only a later one shows that a request was lost

Callers saw: a request at which its backend server works ends with the node's own 502 (`hung`, may have run), a POST as well, if the server or the node stands still for more than 20 ms between the request and the response to an earlier one.

Cause: a report was compared with requests by the time at which the gate read it. A report that was written before a request arrived, and sent or read late, counted as newer than the request. If it showed no other request, the gate ended the request once it had taken 150 ms, whether it may be repeated or not (`hang.isServerIdle`).

Change: a server writes a report after it has read the request that it answers. So only reports in responses to requests that were sent 20 ms after the late ones are evidence; any newer report that shows enough requests still outweighs them. No report ends a request that must not run twice: its answer, the end of the connection and its deadline do. If the server reported that it had no request at all, the request no longer takes a slot while it waits, so a lost one does not block the server.

Why it works: the order of sending holds however late anything is sent or read. It is not a proof that a server reads a request on another connection first, but what depends on it now can be repeated, or is one slot.

A request that must not run twice and that a server lost now gets 504 at its deadline where it got 502 sooner; that is the price. Nothing is added to what a request does, but for a field of the watch and one of a report.

--- a/src/lib/decisions/server-requests.test.ts
+++ b/src/lib/decisions/server-requests.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
-import {createServerRequests, type LoadReport, type ServerRequests} from './server-requests.js';
+import fc from 'fast-check';
+import {
+	createServerRequests, type LoadReport, type SentRequest, type ServerRequests,
+} from './server-requests.js';
 
 const thresholdMs = 400;
 
@@ -179,3 +182,106 @@
 	assert.equal(requests.computeNextCheck(thresholdMs, now, false), now - 10 + thresholdMs);
 	assert.ok(requests.computeNextCheck(thresholdMs, now, true)! < now + 50);
 });
+
+/** Times in milliseconds after a request was sent: when the other request was sent, and when the report in its response was read. */
+const olderReports = [
+	{otherSentAt: -40, readAt: 19},
+	{otherSentAt: -40, readAt: 21},
+	{otherSentAt: -40, readAt: 100},
+	{otherSentAt: -300, readAt: 380},
+	{otherSentAt: 0, readAt: 200},
+	{otherSentAt: 10, readAt: 200},
+	{otherSentAt: 19, readAt: 390},
+] as const;
+
+for (const {otherSentAt, readAt} of olderReports) {
+	// Guards against a report that was written before a request arrived, and read late, as evidence that the server lost the request.
+	test(`a report read ${readAt} ms after a request, in the response to one sent ${Math.abs(otherSentAt)} ms ${otherSentAt < 0 ? 'before' : 'after'} it, is no evidence`, () => {
+		const requests = createServerRequests();
+		const sentAt = runSole(requests) + 400;
+		const before = otherSentAt < 0 ? requests.send(sentAt + otherSentAt) : undefined;
+		requests.send(sentAt);
+		const other = before ?? requests.send(sentAt + otherSentAt);
+		requests.recordResponse(other, createReport(1), sentAt + readAt, 0);
+		requests.finish(other, true);
+		assert.deepEqual(requests.findHung(thresholdMs, sentAt + thresholdMs + 50), []);
+	});
+}
+
+// Guards against many older reports as evidence, where a single one is none.
+test('many reports in the responses to requests that were sent before another one are no evidence', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	const others = Array.from({length: 20}, () => requests.send(start));
+	requests.send(start + 1);
+	for (const other of others) {
+		requests.recordResponse(other, createReport(1), start + 200, 0);
+		requests.finish(other, true);
+	}
+
+	assert.deepEqual(requests.findHung(thresholdMs, start + 1000), []);
+});
+
+// Guards against a report that shows a request, and says nothing about its arrival, being passed over.
+test('a newer report with the request outweighs older ones that lack it, whichever requests they answer', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	const early = requests.send(start);
+	requests.send(start);
+	const now = runMany(requests, start + 40, 0, start + 350);
+	requests.recordResponse(early, createReport(2), now, 0);
+	requests.finish(early, true);
+	assert.deepEqual(requests.findHung(thresholdMs, start + thresholdMs + 50), []);
+});
+
+/** Delays of a request in milliseconds: after the one before it, of its arrival, of its work, of its response. A server or a gate that stands still delays the arrival and the response. */
+type Delays = {readonly pauseMs: number; readonly arrivalMs: number; readonly workMs: number; readonly responseMs: number};
+
+/** A request at a simulated server, with the times in milliseconds at which it is sent, arrives, is done and has its response read. */
+type SimulatedRequest = {readonly sentAt: number; readonly arrivesAt: number; readonly doneAt: number; readonly readAt: number};
+
+const delaysArbitrary = fc.record({
+	pauseMs: fc.oneof(fc.integer({min: 0, max: 60}), fc.integer({min: 0, max: 500})),
+	arrivalMs: fc.oneof(fc.integer({min: 0, max: 2}), fc.integer({min: 0, max: 200})),
+	workMs: fc.oneof(fc.integer({min: 5, max: 30}), fc.integer({min: 400, max: 1500})),
+	responseMs: fc.oneof(fc.integer({min: 0, max: 2}), fc.integer({min: 0, max: 300})),
+});
+
+/** The server reads requests in the order in which they were sent, each before any that is sent 20 ms later. */
+function simulateRequests(delays: readonly Delays[], startAt: number): readonly SimulatedRequest[] {
+	const simulated: SimulatedRequest[] = [];
+	let sentAt = startAt;
+	let lastArrivesAt = startAt;
+	for (const {pauseMs, arrivalMs, workMs, responseMs} of delays) {
+		sentAt += pauseMs;
+		lastArrivesAt = Math.max(lastArrivesAt, sentAt + arrivalMs);
+		const doneAt = lastArrivesAt + workMs;
+		simulated.push({
+			sentAt, arrivesAt: lastArrivesAt, doneAt, readAt: doneAt + responseMs,
+		});
+	}
+
+	return simulated;
+}
+
+// Guards against any delays by which the server counts as idle while it works on a request, or has not read it yet.
+test('property: however late requests arrive and reports are read, a server never counts as idle while it works on a request', () => {
+	fc.assert(fc.property(fc.array(delaysArbitrary, {minLength: 2, maxLength: 25}), delays => {
+		const requests = createServerRequests();
+		const simulated = simulateRequests(delays, runSole(requests) + 100);
+		const sent = new Map<SimulatedRequest, SentRequest>();
+		const steps = simulated.flatMap(request => [{at: request.sentAt, request, isRead: false}, {at: request.readAt, request, isRead: true}]);
+		for (const {at, request, isRead} of steps.toSorted((one, other) => one.at - other.at)) {
+			if (!isRead) {
+				sent.set(request, requests.send(at));
+				continue;
+			}
+
+			const running = simulated.filter(({arrivesAt, doneAt}) => arrivesAt <= request.doneAt && request.doneAt <= doneAt).length;
+			requests.recordResponse(sent.get(request)!, createReport(running), at, 0);
+			requests.finish(sent.get(request)!, true);
+			const idle = new Set(requests.findHung(150, at + 20).filter(({isServerIdle}) => isServerIdle).map(hang => hang.request));
+			assert.deepEqual(simulated.filter(one => idle.has(sent.get(one)!) && one.doneAt > at), []);
+		}
+	}), {numRuns: 2000});
+});
--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -6,6 +6,10 @@
  * A slow request is not a hang. It is regarded as lost only if the server has answered requests sent
  * later without a load report, or if its reports show fewer requests than the gate has sent.
  *
+ * The time at which the gate reads a report does not tell when the server wrote it: either of them may have stood still in between.
+ * A server writes a report after it has read the request that it answers. So only the answers to requests that were sent
+ * after another one show that the server lacks that one.
+ *
  * @module
  */
 import {type ServerLoadReport} from '../server-notices/server-load.js';
@@ -35,7 +39,7 @@
 	readonly kind: HangKind;
 	/** Requests that were in flight when it was sent, and have been answered since. */
 	readonly answeredAhead: number;
-	/** Whether the server reported that it has no request at all, so that it cannot be at work on this one. */
+	/** Whether the server reported that it has no request at all, and so not this one. */
 	readonly isServerIdle: boolean;
 	/** How long it has taken, in milliseconds. */
 	readonly ageMs: number;
@@ -83,7 +87,10 @@
 
 /** A load report, compared with the requests in flight when it arrived. */
 type ComparedReport = {
+	/** When it was read. */
 	readonly at: number;
+	/** When the request was sent with whose response it came. The server wrote it later. */
+	readonly requestSentAt: number;
 	/** Id of the request sent last. */
 	readonly lastId: number;
 	/** Requests without a response, except the one that carried the report. */
@@ -93,7 +100,7 @@
 	readonly isServerIdle: boolean;
 };
 
-/** A request that was sent this long ago, in milliseconds, has arrived at the server on the same VM. */
+/** A request has arrived at the server on the same VM before one that is sent this much later, in milliseconds. */
 const arrivalMs = 20;
 
 /** A response that the server had finished before a report has arrived this long after the report, in milliseconds. */
@@ -141,7 +148,7 @@
 		}
 	};
 
-	const compareReport = ({running, waiting}: LoadReport, now: number, heldCount: number): ReportComparison => {
+	const compareReport = (answered: SentRequest, {running, waiting}: LoadReport, now: number, heldCount: number): ReportComparison => {
 		const reported = running + waiting;
 		let silentCount = 0;
 		let arrivedCount = 0;
@@ -156,7 +163,7 @@
 		const mostOwn = isOwnCounted === false ? 0 : 1;
 		const comparison = {maxUnknown: Math.max(0, reported - mostOwn - arrivedCount), minUnknown: Math.max(0, reported - mostOwn - others)};
 		const compared: ComparedReport = {
-			at: now, lastId: nextId - 1, silentCount, missing: silentCount - (reported - leastOwn), isServerIdle: reported === leastOwn,
+			at: now, requestSentAt: answered.sentAt, lastId: nextId - 1, silentCount, missing: silentCount - (reported - leastOwn), isServerIdle: reported === leastOwn,
 		};
 		reports.push(compared);
 		if (reports.length > maxReportCount) {
@@ -166,14 +173,22 @@
 		return comparison;
 	};
 
-	/** Returns the reports on which a request that was sent at a time must be found, newest first. */
+	/** Returns the reports on which a request that was sent at a time is usually found, newest first. */
 	const listCovering = ({id, sentAt}: SentRequest): readonly ComparedReport[] =>
 		reports.filter(report => report.lastId >= id && report.at >= sentAt + arrivalMs).toReversed();
 
-	/** Whether the reports show that the server has none of the requests that take too long. Fewer missing requests than these may be any of them. */
-	const areNotReported = (covering: readonly ComparedReport[], lateCount: number, now: number): boolean => {
+	/**
+	 * Returns the reports that show too few requests, newest first: those read since the newest one that does not, and written after
+	 * the last of the late requests had arrived. Fewer missing requests than late ones may be any requests.
+	 */
+	const listEvidence = (covering: readonly ComparedReport[], {sentAt}: SentRequest, lateCount: number): readonly ComparedReport[] => {
 		const firstOther = covering.findIndex(({missing}) => missing < lateCount);
-		const evidence = firstOther === -1 ? covering : covering.slice(0, firstOther);
+		const unbroken = firstOther === -1 ? covering : covering.slice(0, firstOther);
+		return unbroken.filter(({requestSentAt}) => requestSentAt >= sentAt + arrivalMs);
+	};
+
+	/** Whether the evidence shows that the server has none of the requests that take too long. */
+	const areNotReported = (evidence: readonly ComparedReport[], lateCount: number, now: number): boolean => {
 		const isOldEnough = ({at}: ComparedReport): boolean => now - at >= responseMs;
 		// Without other requests at the server, a report misses none that is on its way. A server without any request has none of them, however many there are.
 		return evidence.some(report => isOldEnough(report) && (evidence.length >= minReportCount || report.silentCount <= lateCount || report.isServerIdle));
@@ -213,7 +228,7 @@
 		},
 		recordResponse(request, report, now, heldCount) {
 			request.isSilent = false;
-			return report === undefined ? undefined : compareReport(report, now, heldCount);
+			return report === undefined ? undefined : compareReport(request, report, now, heldCount);
 		},
 		finish(request, isAnswered) {
 			inFlight.delete(request.id);
@@ -243,15 +258,16 @@
 			};
 
 			const covering = listCovering(lastLate);
+			const evidence = listEvidence(covering, lastLate, late.length);
 			const toHang = (kind: HangKind) => (request: SentRequest): Hang => ({
-				request, kind, answeredAhead: countAnsweredAhead(request), isServerIdle: kind === 'not-reported' && isOwnCounted !== undefined && covering[0]!.isServerIdle,
+				request, kind, answeredAhead: countAnsweredAhead(request), isServerIdle: kind === 'not-reported' && isOwnCounted !== undefined && evidence[0]!.isServerIdle,
 				ageMs: now - request.sentAt,
 			});
 			if (covering.length === 0) {
 				return take(late.filter(({id}) => id < lastAnsweredId)).map(request => toHang('overtaken')(request));
 			}
 
-			return areNotReported(covering, late.length, now) ? take(late).map(request => toHang('not-reported')(request)) : [];
+			return areNotReported(evidence, late.length, now) ? take(late).map(request => toHang('not-reported')(request)) : [];
 		},
 		describeSilence(request, thresholdMs, now) {
 			if (!request.isSilent || now - request.sentAt <= thresholdMs) {
@@ -261,7 +277,7 @@
 			const covering = listCovering(request);
 			const late = listLate(thresholdMs, now).length;
 			return {
-				covering: covering.length, missing: covering[0]?.missing ?? 0, late, isShown: areNotReported(covering, late, now),
+				covering: covering.length, missing: covering[0]?.missing ?? 0, late, isShown: areNotReported(listEvidence(covering, request, late), late, now),
 			};
 		},
 		computeNextCheck(thresholdMs, now, hasEvidence) {
--- a/src/lib/forwarding/hang-watch.ts
+++ b/src/lib/forwarding/hang-watch.ts
@@ -29,7 +29,7 @@
 	readonly log: MeshLog;
 	/** Changes how many requests may be at the server at the same time, held ones included. */
 	readonly resize: (slots: number) => void;
-	/** Releases the slot of a request that was given up. */
+	/** Releases the slot of a request that was given up, or that the server has lost. */
 	readonly releaseSlot: () => void;
 	/** Returns the average service time in milliseconds. */
 	readonly getServiceMs: () => number;
@@ -52,7 +52,7 @@
 	readonly recordResponse: (report: LoadReport | undefined, isExecuted: boolean) => void;
 	/** Records that the caller has left. Returns how long the connection stays open for the response, in milliseconds; `undefined` to close it. */
 	readonly leave: () => number | undefined;
-	/** Records the end of the request for its caller. Returns whether its slot stays taken; `releaseSlot` is called later then. */
+	/** Records the end of the request for its caller. Returns whether the watch releases its slot, by `releaseSlot`, later or before. */
 	readonly finish: (result: ExchangeResult) => boolean;
 	/** Records the end of a request whose connection stayed open after its caller had left. */
 	readonly finishLate: (result: ExchangeResult) => void;
@@ -92,6 +92,8 @@
 	readonly request: SentRequest;
 	handleHang: ((detail: string) => void) | undefined;
 	hang: Hang | undefined;
+	/** Whether its slot was released although its response is awaited. */
+	isSlotReleased: boolean;
 	/** When its caller left, in milliseconds of the steady clock, while its connection is open for the response. */
 	leftAt: number | undefined;
 };
@@ -186,8 +188,8 @@
 	const handleHang = (watched: Watched, hang: Hang, usualMs: number): void => {
 		watched.hang = hang;
 		applyLimit(lowerAfterHang(limit, hang.answeredAhead));
-		// A request that must not run twice gets its response up to its deadline, unless the server has no request at all.
-		const isEnded = hang.isServerIdle || watched.call.isRepeatable();
+		// Load reports never end a request that must not run twice: if they mislead, its response is lost. It waits for its deadline, at a server without any request in no slot.
+		const isEnded = watched.call.isRepeatable();
 		context.log.record(chooseLogLevel(readAwakeMs()), {
 			kind: 'request-hung', call: watched.call.id, server: context.server, reason: hang.kind,
 			ageMs: Math.round(hang.ageMs), usualMs: Math.round(usualMs), isEnded, limit: computeCapacity(limit),
@@ -196,6 +198,9 @@
 			watched.handleHang?.(hang.kind === 'not-reported'
 				? 'the backend server does not report the request among those that it has'
 				: 'the backend server has responded to requests that were sent later');
+		} else if (hang.isServerIdle) {
+			watched.isSlotReleased = true;
+			context.releaseSlot();
 		}
 	};
 
@@ -230,7 +235,7 @@
 		id: request.id, call: call.id, sentAt: readSteadyMs() - (readAwakeMs() - request.sentAt), deadlineAt: call.deadlineAt,
 	});
 
-	/** Records the end of a request. Returns whether its slot is held. */
+	/** Records the end of a request. Returns whether its slot is held, or was released before. */
 	const finish = (watched: Watched, result: ExchangeResult): boolean => {
 		const {request, call} = watched;
 		const isAnswered = result.type === 'answered';
@@ -242,7 +247,7 @@
 		requests.finish(request, isAnswered);
 		if (isAnswered) {
 			recordAnswered(request, result.status);
-			return false;
+			return watched.isSlotReleased;
 		}
 
 		const isHeld = mayHoldSlots() && mayStillRun(result) && watched.hang?.kind !== 'not-reported' && call.deadlineAt > readSteadyMs();
@@ -250,7 +255,7 @@
 			held.hold(describeGivenUp(watched));
 		}
 
-		return isHeld;
+		return isHeld || watched.isSlotReleased;
 	};
 
 	return {
@@ -261,7 +266,7 @@
 
 			const request = requests.send(readAwakeMs());
 			const watched: Watched = {
-				call, request, handleHang: undefined, hang: undefined, leftAt: undefined,
+				call, request, handleHang: undefined, hang: undefined, isSlotReleased: false, leftAt: undefined,
 			};
 			watchedById.set(request.id, watched);
 			return {
--- a/src/lib/forwarding/hanging-server.test.ts
+++ b/src/lib/forwarding/hanging-server.test.ts
@@ -27,6 +27,9 @@
 const workMs = 10;
 const slowMs = 800;
 
+/** How long the server keeps a response to `/delayed` after it has written its load report. */
+const sendDelayMs = 60;
+
 /** Start time of a server that started after its node. */
 const startedLater = Date.now() + 3_600_000;
 
@@ -43,6 +46,8 @@
 	readonly announce: (startedAt?: number) => void;
 	/** Work of others that the server reports. */
 	foreign: number;
+	/** Called when a response to `/delayed` has been sent. */
+	handleDelayed: () => void;
 };
 
 type FixtureOptions = {readonly sendsReports?: boolean; readonly isRepeatable?: boolean};
@@ -70,7 +75,15 @@
 			}
 
 			running--;
-			response.end('page');
+			if (!target.startsWith('/delayed')) {
+				response.end('page');
+				return;
+			}
+
+			setTimeout(() => {
+				response.end('page');
+				fixture.handleDelayed();
+			}, sendDelayMs);
 		}, target.startsWith('/slow') ? slowMs : workMs);
 	});
 	await new Promise<void>(resolve => {
@@ -95,6 +108,7 @@
 		events,
 		targetsBySocket,
 		foreign: 0,
+		handleDelayed: () => undefined,
 		takeMaxRunning() {
 			const taken = maxRunning;
 			maxRunning = running;
@@ -128,6 +142,22 @@
 	return fixture;
 }
 
+/** Sends a long request, and then blocks the event loop, so that what has arrived is read late. */
+async function runAndBlock(fixture: Fixture): Promise<GateResult> {
+	const result = fixture.run('/slow');
+	// The gate needs some promise jobs to send a request. No socket is read between them.
+	for (let job = 0; job < 100; job++) {
+		await Promise.resolve();
+	}
+
+	const until = performance.now() + sendDelayMs;
+	while (performance.now() < until) {
+		// The event loop stands still.
+	}
+
+	return result;
+}
+
 /** Runs enough requests for the gate to know the service times. */
 async function prepareServiceTimes(fixture: Fixture): Promise<void> {
 	fixture.announce();
@@ -191,6 +221,58 @@
 	assert.deepEqual([result.verdict, result.reason], ['may-have-run', 'timeout']);
 });
 
+for (const isRepeatable of [true, false]) {
+	const kind = isRepeatable ? 'may run twice' : 'must not run twice';
+
+	// Guards against a load report that the server wrote before a request arrived, and sent later, as evidence that it lost the request.
+	test(`a request at work is answered although an older load report is sent after it (${kind})`, async context => {
+		const fixture = await createFixture(context, {isRepeatable});
+		await prepareServiceTimes(fixture);
+		const delayed = fixture.run('/delayed');
+		await sleep(workMs + 10);
+		const [{result}] = await Promise.all([fixture.run('/slow'), delayed]);
+		assert.equal(result.type, 'answered', JSON.stringify(result));
+		assert.deepEqual(fixture.events.filter(event => event.kind === 'request-hung'), []);
+	});
+
+	// Guards against a load report that waited in the socket while the event loop stood still, as evidence that the server lost a request sent meanwhile.
+	test(`a request at work is answered although the node reads an older load report after it (${kind})`, async context => {
+		const fixture = await createFixture(context, {isRepeatable});
+		await prepareServiceTimes(fixture);
+		const sentMeanwhile = new Promise<GateResult>(resolve => {
+			fixture.handleDelayed = () => {
+				resolve(runAndBlock(fixture));
+			};
+		});
+		const [{result}] = await Promise.all([sentMeanwhile, fixture.run('/delayed')]);
+		assert.equal(result.type, 'answered', JSON.stringify(result));
+		assert.deepEqual(fixture.events.filter(event => event.kind === 'request-hung'), []);
+	});
+}
+
+// Guards against a caller whose request is given up before its deadline, on the evidence of load reports alone.
+test('a request that must not run twice ends at its deadline, and its slot is free sooner, although the server reports none', async context => {
+	const fixture = await createFixture(context, {isRepeatable: false});
+	await prepareServiceTimes(fixture);
+	const lost = fixture.run('/lost', createCallScope(performance.now() + 3000));
+	while (fixture.events.every(({kind}) => kind !== 'request-hung') && fixture.gate.countRequests() > 0) {
+		await fixture.runShort(1);
+	}
+
+	assert.equal(fixture.gate.countRequests(), 1, 'the request has ended');
+	await fixture.runShort(30);
+	assert.equal(fixture.gate.describe()?.running, 0, 'its slot is taken');
+	assert.equal(fixture.gate.getSlotLimit(), slots);
+	const {result} = await lost;
+	assert.ok(result.type === 'failed');
+	assert.deepEqual([result.verdict, result.reason], ['may-have-run', 'timeout']);
+	const hangs = fixture.events.flatMap(event => event.kind === 'request-hung' ? [event.isEnded] : []);
+	assert.deepEqual(hangs, [false]);
+	await Promise.all(Array.from({length: 12}, async () => fixture.runShort(2)));
+	assert.equal(fixture.gate.describe()?.running, 0);
+	assert.ok(fixture.takeMaxRunning() <= slots);
+});
+
 // Guards against a request that waits for its deadline because another one was found to hang after the last response.
 test('two requests that the server lost at different times both end, although no response follows the first end', async context => {
 	const fixture = await createFixture(context);
