Decisions: a response with a load report does not make an earlier request count as overtaken

Callers saw: a request that may be repeated ends as hung (`overtaken`) while its server works on it, if the response to one sent within 20 ms after it arrives within these 20 ms and none follows. It is then tried elsewhere, or ends with 502.

Cause: "the server has answered a request sent later" counted also where that response carried a report, which was only read too soon to count.

Evidence: the new test fails on the commit before: a request at work is found hung beside a report that shows it.

Change: only a response without a load report makes earlier requests count as overtaken.

Why it works: a server that reports says itself what it has; without a report that can count the request waits for the next one.

--- a/src/lib/decisions/server-requests.test.ts
+++ b/src/lib/decisions/server-requests.test.ts
@@ -115,6 +115,17 @@
 	assert.deepEqual([hang?.kind, hang?.isServerIdle], ['overtaken', false]);
 });
 
+// Guards against a request at work that counts as overtaken by a quick response whose report shows it, because that report was read soon.
+test('a response to a request sent later is no evidence if its load report is too early to be any', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	requests.send(start);
+	const later = requests.send(start + 5);
+	requests.recordResponse(later, createReport(2), start + 15, 0);
+	requests.finish(later, true);
+	assert.deepEqual(requests.findHung(thresholdMs, start + 1000), []);
+});
+
 test('a request whose response has begun to arrive is not hung', () => {
 	const requests = createServerRequests();
 	const start = runSole(requests);
--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -26,11 +26,13 @@
 	aheadCount: number;
 	/** Whether no byte of its response has arrived. */
 	isSilent: boolean;
+	/** Whether its response carried a load report. */
+	hasReport: boolean;
 	/** Whether it was found to hang. */
 	isHung: boolean;
 };
 
-/** Why a request counts as hung: the server does not report it, or has answered later ones. @internal */
+/** Why a request counts as hung: the server does not report it, or has answered later ones without a report. @internal */
 export type HangKind = 'not-reported' | 'overtaken';
 
 /** A request that the server will not answer. @internal */
@@ -129,7 +131,8 @@
 	/** In the order in which they were sent. */
 	const inFlight = new Map<number, SentRequest>();
 	let nextId = 1;
-	let lastAnsweredId = 0;
+	/** Id of the last request that was answered without a load report. */
+	let lastUnreportedId = 0;
 	/** Newest last. */
 	const reports: ComparedReport[] = [];
 	/** Whether the server counts the request with whose response it sends a report; `undefined` if unknown. */
@@ -221,19 +224,20 @@
 	return {
 		send(now) {
 			const request: SentRequest = {
-				id: nextId++, sentAt: now, aheadCount: inFlight.size, isSilent: true, isHung: false,
+				id: nextId++, sentAt: now, aheadCount: inFlight.size, isSilent: true, hasReport: false, isHung: false,
 			};
 			inFlight.set(request.id, request);
 			return request;
 		},
 		recordResponse(request, report, now, heldCount) {
 			request.isSilent = false;
+			request.hasReport = report !== undefined;
 			return report === undefined ? undefined : compareReport(request, report, now, heldCount);
 		},
 		finish(request, isAnswered) {
 			inFlight.delete(request.id);
 			if (isAnswered) {
-				lastAnsweredId = Math.max(lastAnsweredId, request.id);
+				lastUnreportedId = request.hasReport ? lastUnreportedId : Math.max(lastUnreportedId, request.id);
 				return;
 			}
 
@@ -264,7 +268,7 @@
 				ageMs: now - request.sentAt,
 			});
 			if (covering.length === 0) {
-				return take(late.filter(({id}) => id < lastAnsweredId)).map(request => toHang('overtaken')(request));
+				return take(late.filter(({id}) => id < lastUnreportedId)).map(request => toHang('overtaken')(request));
 			}
 
 			return areNotReported(evidence, late.length, now) ? take(late).map(request => toHang('not-reported')(request)) : [];
