--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -6,6 +6,10 @@
  * A slow request is not a hang. It is regarded as lost only if the server has answered requests sent
  * later without a load report, or if its reports show fewer requests than the gate has sent.
  *
+ * The time at which the gate reads a report does not tell when the server wrote it: either of them may have stood still in between.
+ * A server writes a report after it has read the request that it answers. So only the answers to requests that were sent
+ * after another one show that the server lacks that one.
+ *
  * @module
  */
 import {type ServerLoadReport} from '../server-notices/server-load.js';
@@ -22,11 +26,13 @@
 	aheadCount: number;
 	/** Whether no byte of its response has arrived. */
 	isSilent: boolean;
+	/** Whether its response carried a load report. */
+	hasReport: boolean;
 	/** Whether it was found to hang. */
 	isHung: boolean;
 };
 
-/** Why a request counts as hung: the server does not report it, or has answered later ones. @internal */
+/** Why a request counts as hung: the server does not report it, or has answered later ones without a report. @internal */
 export type HangKind = 'not-reported' | 'overtaken';
 
 /** A request that the server will not answer. @internal */
@@ -35,7 +41,7 @@
 	readonly kind: HangKind;
 	/** Requests that were in flight when it was sent, and have been answered since. */
 	readonly answeredAhead: number;
-	/** Whether the server reported that it has no request at all, so that it cannot be at work on this one. */
+	/** Whether the server reported that it has no request at all, and so not this one. */
 	readonly isServerIdle: boolean;
 	/** How long it has taken, in milliseconds. */
 	readonly ageMs: number;
@@ -83,7 +89,10 @@
 
 /** A load report, compared with the requests in flight when it arrived. */
 type ComparedReport = {
+	/** When it was read. */
 	readonly at: number;
+	/** When the request was sent with whose response it came. The server wrote it later. */
+	readonly requestSentAt: number;
 	/** Id of the request sent last. */
 	readonly lastId: number;
 	/** Requests without a response, except the one that carried the report. */
@@ -93,7 +102,7 @@
 	readonly isServerIdle: boolean;
 };
 
-/** A request that was sent this long ago, in milliseconds, has arrived at the server on the same VM. */
+/** A request has arrived at the server on the same VM before one that is sent this much later, in milliseconds. */
 const arrivalMs = 20;
 
 /** A response that the server had finished before a report has arrived this long after the report, in milliseconds. */
@@ -122,7 +131,8 @@
 	/** In the order in which they were sent. */
 	const inFlight = new Map<number, SentRequest>();
 	let nextId = 1;
-	let lastAnsweredId = 0;
+	/** Id of the last request that was answered without a load report. */
+	let lastUnreportedId = 0;
 	/** Newest last. */
 	const reports: ComparedReport[] = [];
 	/** Whether the server counts the request with whose response it sends a report; `undefined` if unknown. */
@@ -141,7 +151,7 @@
 		}
 	};
 
-	const compareReport = ({running, waiting}: LoadReport, now: number, heldCount: number): ReportComparison => {
+	const compareReport = (answered: SentRequest, {running, waiting}: LoadReport, now: number, heldCount: number): ReportComparison => {
 		const reported = running + waiting;
 		let silentCount = 0;
 		let arrivedCount = 0;
@@ -156,7 +166,7 @@
 		const mostOwn = isOwnCounted === false ? 0 : 1;
 		const comparison = {maxUnknown: Math.max(0, reported - mostOwn - arrivedCount), minUnknown: Math.max(0, reported - mostOwn - others)};
 		const compared: ComparedReport = {
-			at: now, lastId: nextId - 1, silentCount, missing: silentCount - (reported - leastOwn), isServerIdle: reported === leastOwn,
+			at: now, requestSentAt: answered.sentAt, lastId: nextId - 1, silentCount, missing: silentCount - (reported - leastOwn), isServerIdle: reported === leastOwn,
 		};
 		reports.push(compared);
 		if (reports.length > maxReportCount) {
@@ -166,14 +176,22 @@
 		return comparison;
 	};
 
-	/** Returns the reports on which a request that was sent at a time must be found, newest first. */
+	/** Returns the reports on which a request that was sent at a time is usually found, newest first. */
 	const listCovering = ({id, sentAt}: SentRequest): readonly ComparedReport[] =>
 		reports.filter(report => report.lastId >= id && report.at >= sentAt + arrivalMs).toReversed();
 
-	/** Whether the reports show that the server has none of the requests that take too long. Fewer missing requests than these may be any of them. */
-	const areNotReported = (covering: readonly ComparedReport[], lateCount: number, now: number): boolean => {
+	/**
+	 * Returns the reports that show too few requests, newest first: those read since the newest one that does not, and written after
+	 * the last of the late requests had arrived. Fewer missing requests than late ones may be any requests.
+	 */
+	const listEvidence = (covering: readonly ComparedReport[], {sentAt}: SentRequest, lateCount: number): readonly ComparedReport[] => {
 		const firstOther = covering.findIndex(({missing}) => missing < lateCount);
-		const evidence = firstOther === -1 ? covering : covering.slice(0, firstOther);
+		const unbroken = firstOther === -1 ? covering : covering.slice(0, firstOther);
+		return unbroken.filter(({requestSentAt}) => requestSentAt >= sentAt + arrivalMs);
+	};
+
+	/** Whether the evidence shows that the server has none of the requests that take too long. */
+	const areNotReported = (evidence: readonly ComparedReport[], lateCount: number, now: number): boolean => {
 		const isOldEnough = ({at}: ComparedReport): boolean => now - at >= responseMs;
 		// Without other requests at the server, a report misses none that is on its way. A server without any request has none of them, however many there are.
 		return evidence.some(report => isOldEnough(report) && (evidence.length >= minReportCount || report.silentCount <= lateCount || report.isServerIdle));
@@ -206,19 +224,20 @@
 	return {
 		send(now) {
 			const request: SentRequest = {
-				id: nextId++, sentAt: now, aheadCount: inFlight.size, isSilent: true, isHung: false,
+				id: nextId++, sentAt: now, aheadCount: inFlight.size, isSilent: true, hasReport: false, isHung: false,
 			};
 			inFlight.set(request.id, request);
 			return request;
 		},
 		recordResponse(request, report, now, heldCount) {
 			request.isSilent = false;
-			return report === undefined ? undefined : compareReport(report, now, heldCount);
+			request.hasReport = report !== undefined;
+			return report === undefined ? undefined : compareReport(request, report, now, heldCount);
 		},
 		finish(request, isAnswered) {
 			inFlight.delete(request.id);
 			if (isAnswered) {
-				lastAnsweredId = Math.max(lastAnsweredId, request.id);
+				lastUnreportedId = request.hasReport ? lastUnreportedId : Math.max(lastUnreportedId, request.id);
 				return;
 			}
 
@@ -243,15 +262,16 @@
 			};
 
 			const covering = listCovering(lastLate);
+			const evidence = listEvidence(covering, lastLate, late.length);
 			const toHang = (kind: HangKind) => (request: SentRequest): Hang => ({
-				request, kind, answeredAhead: countAnsweredAhead(request), isServerIdle: kind === 'not-reported' && isOwnCounted !== undefined && covering[0]!.isServerIdle,
+				request, kind, answeredAhead: countAnsweredAhead(request), isServerIdle: kind === 'not-reported' && isOwnCounted !== undefined && evidence[0]!.isServerIdle,
 				ageMs: now - request.sentAt,
 			});
 			if (covering.length === 0) {
-				return take(late.filter(({id}) => id < lastAnsweredId)).map(request => toHang('overtaken')(request));
+				return take(late.filter(({id}) => id < lastUnreportedId)).map(request => toHang('overtaken')(request));
 			}
 
-			return areNotReported(covering, late.length, now) ? take(late).map(request => toHang('not-reported')(request)) : [];
+			return areNotReported(evidence, late.length, now) ? take(late).map(request => toHang('not-reported')(request)) : [];
 		},
 		describeSilence(request, thresholdMs, now) {
 			if (!request.isSilent || now - request.sentAt <= thresholdMs) {
@@ -261,7 +281,7 @@
 			const covering = listCovering(request);
 			const late = listLate(thresholdMs, now).length;
 			return {
-				covering: covering.length, missing: covering[0]?.missing ?? 0, late, isShown: areNotReported(covering, late, now),
+				covering: covering.length, missing: covering[0]?.missing ?? 0, late, isShown: areNotReported(listEvidence(covering, request, late), late, now),
 			};
 		},
 		computeNextCheck(thresholdMs, now, hasEvidence) {
