--- a/src/lib/forwarding/convert-exchange.ts
+++ b/src/lib/forwarding/convert-exchange.ts
@@ -92,8 +92,7 @@
 			}
 
 			case 'connection-lost':
-			case 'hung':
-			case 'wrong-answer': {
+			case 'hung': {
 				recordOutcome(true);
 				return createMayHaveRun(failure.reason, failure.detail);
 			}
--- a/src/lib/forwarding/exchange.ts
+++ b/src/lib/forwarding/exchange.ts
@@ -53,7 +53,7 @@
 	readonly type: 'failed';
 	/** Whether any byte of the request may have reached the server. */
 	readonly isSent: boolean;
-	readonly reason: 'unreachable' | 'connection-lost' | 'wrong-answer' | 'hung' | ScopeEndReason;
+	readonly reason: 'unreachable' | 'connection-lost' | 'hung' | ScopeEndReason;
 	readonly detail: string;
 };
 
--- a/src/lib/forwarding/hang-watch.ts
+++ b/src/lib/forwarding/hang-watch.ts
@@ -81,7 +81,7 @@
 
 /** Whether the server may still work on a request after its end, because the gate or the caller gave it up before its deadline. */
 const mayStillRun = (result: ExchangeResult): boolean =>
-	result.type === 'failed' && result.isSent && (result.reason === 'cancelled' || result.reason === 'superseded' || result.reason === 'hung' || result.reason === 'wrong-answer');
+	result.type === 'failed' && result.isSent && (result.reason === 'cancelled' || result.reason === 'superseded' || result.reason === 'hung');
 
 /** Whether the server sends load reports: unknown until it has executed a request. */
 type Reporting = 'unknown' | 'reports' | 'no-reports';
--- a/src/lib/forwarding/server-session.ts
+++ b/src/lib/forwarding/server-session.ts
@@ -303,7 +303,7 @@
 
 		admission.end();
 		reportOutcome(call, result, readAwakeMs() - sentAt);
-		if (result.type === 'failed' && result.isSent && result.reason !== 'connection-lost' && result.reason !== 'wrong-answer') {
+		if (result.type === 'failed' && result.isSent && result.reason !== 'connection-lost') {
 			crashWatch.recordAbandoned({id: call.id, fingerprint, scope: call.scope});
 		}
 
