Decisions: a lost request that waits for its deadline is none of the requests that the server reports

Callers could see: requests that hang at a server which has more than its slots, where callers have left and a request that must not run twice was lost.

So one held slot too many was released while the server worked on its request.

Change: a request found hung is not subtracted from what the server reports beside those that the gate knows.

Why it works: the number of requests that the gate does not know only rises by that, so a slot is rather held too long.

--- a/src/lib/decisions/server-requests.test.ts
+++ b/src/lib/decisions/server-requests.test.ts
@@ -163,6 +163,22 @@
 	assert.deepEqual(requests.recordResponse(answered, createReport(4), start + 30, 0), {maxUnknown: 2, minUnknown: 1});
 });
 
+// Guards against held slots that are released while their server works on them, because a lost request counts as one of those that it reports.
+test('a lost request that waits for its deadline is none of the requests that the server reports', () => {
+	const requests = createServerRequests();
+	const start = runSole(requests);
+	requests.send(start);
+	const now = runMany(requests, start + 40, 0, start + thresholdMs + 50);
+	assert.equal(requests.findHung(thresholdMs, now).length, 1);
+	const held = [requests.send(now), requests.send(now)];
+	for (const request of held) {
+		requests.finish(request, false);
+	}
+
+	const answered = requests.send(now + 30);
+	assert.equal(requests.recordResponse(answered, createReport(3), now + 60, 2)?.maxUnknown, 2);
+});
+
 // Guards against a request that keeps its caller until the deadline, because it was to be looked at only after the next response, and none follows.
 test('with three of four slots lost, each request is looked at when it has taken too long, also without a response since', () => {
 	const requests = createServerRequests();
--- a/src/lib/decisions/server-requests.ts
+++ b/src/lib/decisions/server-requests.ts
@@ -155,9 +155,10 @@
 		const reported = running + waiting;
 		let silentCount = 0;
 		let arrivedCount = 0;
-		for (const {isSilent, sentAt} of inFlight.values()) {
+		for (const {isSilent, isHung, sentAt} of inFlight.values()) {
 			silentCount += isSilent ? 1 : 0;
-			arrivedCount += isSilent && now - sentAt >= arrivalMs ? 1 : 0;
+			// A request that the server has lost is none of those that it reports.
+			arrivedCount += isSilent && !isHung && now - sentAt >= arrivalMs ? 1 : 0;
 		}
 
 		const others = inFlight.size - 1;
