--- a/src/lib/decisions/server-requests.test.ts
+++ b/src/lib/decisions/server-requests.test.ts
@@ -275,7 +275,7 @@
 });
 
 /** The server reads requests in the order in which they were sent, each before any that is sent 20 ms later. */
-function simulateRequests(delays: readonly Delays[], startAt: number): readonly SimulatedRequest[] {
+function scheduleRequests(delays: readonly Delays[], startAt: number): readonly SimulatedRequest[] {
 	const simulated: SimulatedRequest[] = [];
 	let sentAt = startAt;
 	let lastArrivesAt = startAt;
@@ -295,7 +295,7 @@
 test('property: however late requests arrive and reports are read, a server never counts as idle while it works on a request', () => {
 	fc.assert(fc.property(fc.array(delaysArbitrary, {minLength: 2, maxLength: 25}), delays => {
 		const requests = createServerRequests();
-		const simulated = simulateRequests(delays, runSole(requests) + 100);
+		const simulated = scheduleRequests(delays, runSole(requests) + 100);
 		const sent = new Map<SimulatedRequest, SentRequest>();
 		const steps = simulated.flatMap(request => [{at: request.sentAt, request, isRead: false}, {at: request.readAt, request, isRead: true}]);
 		for (const {at, request, isRead} of steps.toSorted((one, other) => one.at - other.at)) {
