Crowds: callers that read long answers slowly, on the product's own node; its exit with code 1 is traced

The server of the crowd names no call, so that each of its connections closes behind its answer; answers of 4 MB nearly fit into the socket buffers, so that a few end while their callers do not read.

Change: this crowd is a test; `openCrowd` lets connections pause after each chunk.

--- a/crowds/crowd.ts
+++ b/crowds/crowd.ts
@@ -23,6 +23,8 @@
 	readonly createTexts: (connection: number) => Iterable<string>;
 	/** Whether it reads and drops what it gets, so that it can go on without an end; false if omitted. */
 	readonly isReading?: boolean;
+	/** How long a connection pauses after each chunk that it reads, in milliseconds; without it, it goes on at once if it reads. */
+	readonly getReadPauseMs?: (connection: number) => number;
 };
 
 const settlePollMs = 250;
@@ -63,6 +65,15 @@
 	sendMore();
 }
 
+function readSlowly(socket: Socket, pauseMs: number): void {
+	socket.on('data', () => {
+		socket.pause();
+		setTimeout(() => {
+			socket.resume();
+		}, pauseMs);
+	});
+}
+
 /**
  * Opens the connections of a crowd, which are closed after the test.
  *
@@ -70,12 +81,14 @@
  * @param plan - What the crowd does.
  * @returns The crowd.
  */
-export function openCrowd(context: TestContext, {address, connections, createTexts, isReading = false}: CrowdPlan): Crowd {
+export function openCrowd(context: TestContext, {address, connections, createTexts, isReading = false, getReadPauseMs}: CrowdPlan): Crowd {
 	const [host, port] = address.split(':');
 	let closed = 0;
 	const sockets = Array.from({length: connections}, (_, index) => {
 		const socket = connect({host, port: Number(port)});
-		if (isReading) {
+		if (getReadPauseMs !== undefined) {
+			readSlowly(socket, getReadPauseMs(index));
+		} else if (isReading) {
 			socket.resume();
 		} else {
 			socket.pause();
--- a/crowds/own-node.test.ts
+++ b/crowds/own-node.test.ts
@@ -26,6 +26,9 @@
 /** Memory that the process may take, in bytes: the default of its settings. */
 const maxBytes = 350_000_000;
 
+/** More than the socket buffers of a connection hold, so that the node waits for its caller. */
+const longAnswerBytes = 5_000_000;
+
 const config = `
 routes:
   - {name: logs, path: /logs, methods: [GET], pool: logview, policy: pages}
@@ -122,6 +125,16 @@
 	await expectServing();
 });
 
+// Guards against an uncaught exception when the server's connection ends while the HTTP client waits for the caller to read.
+test('callers that read long answers slowly do not end the product\'s own node', async context => {
+	const {node, countRuns, expectServing} = await startOwnNode(context);
+	const crowd = openCrowd(context, {
+		address: node.callers, connections: 60, createTexts: connection => createTexts(4, () => createRequestHead(`/logs/${longAnswerBytes + (connection * 1000)}`)), getReadPauseMs: connection => connection % 8,
+	});
+	await crowd.settle(countRuns);
+	await expectServing();
+});
+
 // Guards against keys without end: each is a record in the store, whose calls other requests need.
 test('requests sent ahead, each with a new key, do not end the product\'s own node', async context => {
 	const {node, countRuns, expectServing} = await startOwnNode(context);
