Own node: a further SIGTERM does not cut the requests in work

Callers saw: their connections cut while a server worked on their requests, if SIGTERM came twice.

Cause: the second signal, of either kind, ended the process at once with code 4.

Only a second SIGINT still exits at once with code 4, as whoever presses Ctrl-C twice expects; SIGKILL remains.

--- a/apps/node/main.ts
+++ b/apps/node/main.ts
@@ -58,10 +58,10 @@
 
 function handleSignals(node: Node, logger: bunyan, close: () => Promise<void>): void {
 	let isStopping = false;
-	const handleSignal = async (): Promise<void> => {
+	const stop = async (): Promise<void> => {
 		if (isStopping) {
-			logger.warn('received a second signal: exiting without waiting for calls in flight');
-			process.exit(exitCodes.unfinishedCalls);
+			logger.info('received a further signal: this node stops already, once its calls in flight have ended');
+			return;
 		}
 
 		isStopping = true;
@@ -69,8 +69,18 @@
 		await close();
 	};
 
-	process.on('SIGTERM', handleSignal);
-	process.on('SIGINT', handleSignal);
+	process.on('SIGTERM', stop);
+	let isInterrupted = false;
+	process.on('SIGINT', async () => {
+		// Whoever presses Ctrl-C again wants the process to end now. Supervisors repeat SIGTERM without that meaning.
+		if (isInterrupted) {
+			logger.warn('received a second SIGINT: exiting without waiting for calls in flight');
+			process.exit(exitCodes.unfinishedCalls);
+		}
+
+		isInterrupted = true;
+		await stop();
+	});
 }
 
 async function run(): Promise<void> {
