Faults: those of the stop name the lines as they are, and two are added

npm run lint failed: two entries named lines of caller-connections that had moved. Both faults are kept. Added: an idle connection that is not read again before it is closed, and a connection that was just opened and is closed at once.

--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -196,10 +196,24 @@
 	{
 		promise: 'what has arrived is read before a node closes its connections',
 		file: `${library}/common/caller-connections.js`,
-		from: 'await readPendingInput(() => inputs);',
+		from: 'await readPending();\n            isStopped = true;',
+		to: 'isStopped = true;',
+		tests: `${library}/common/caller-connections.test.js`,
+	},
+	{
+		promise: 'each idle connection is read again before a stopping node closes it',
+		file: `${library}/common/caller-connections.js`,
+		from: 'await waitForImmediate();',
 		to: '',
 		tests: `${library}/common/caller-connections.test.js`,
 	},
+	{
+		promise: 'a stopping node waits for the first request on a connection that was just opened',
+		file: `${library}/common/caller-connections.js`,
+		from: 'openedAt + expectedRequestMs',
+		to: 'Number.NEGATIVE_INFINITY',
+		tests: `${library}/common/caller-connections.test.js`,
+	},
 	{
 		promise: 'a connection that a response closes is not reset by bytes behind its request',
 		file: `${library}/common/caller-connections.js`,
@@ -350,8 +364,8 @@
 	{
 		promise: 'connection: a request behind a response that closes is not passed on',
 		file: `${library}/common/caller-connections.js`,
-		from: 'order.stop();\n                if (open',
-		to: 'if (open',
+		from: 'connection.order.stop();\n                }\n                else',
+		to: '}\n                else',
 		tests: `${library}/common/caller-connections.test.js`,
 	},
 	{
