--- a/scripts/faults.ts
+++ b/scripts/faults.ts
@@ -207,6 +207,13 @@
 		to: '',
 		tests: `${library}/common/caller-connections.test.js`,
 	},
+	{
+		promise: 'a stopping node waits for the first request on a connection that was just opened',
+		file: `${library}/common/caller-connections.js`,
+		from: 'openedAt + expectedRequestMs',
+		to: 'Number.NEGATIVE_INFINITY',
+		tests: `${library}/common/caller-connections.test.js`,
+	},
 	{
 		promise: 'gate: a paused response is not given up for what others need',
 		file: `${library}/forwarding/response-memory.js`,
