--- a/crowds/own-node.test.ts
+++ b/crowds/own-node.test.ts
@@ -40,6 +40,20 @@
   - {name: once, decision: '{"action": "forward", "timeoutMs": 30000, "attempts": 1, "isRepeatable": false, "onceKey": "idempotency-key" in request.headers ? request.headers["idempotency-key"] : ""}'}
 `;
 
+/** Questions that are asked while a crowd is at work. */
+const questions = 3;
+
+/** How long the answer to a question may take, in milliseconds. */
+const answerMs = 3000;
+
+/** Returns the body of the answer, which must come in time. */
+async function askInTime(url: string): Promise<string> {
+	const {statusCode, body} = await sendRequest(url, {signal: AbortSignal.timeout(answerMs)});
+	const text = await body.text();
+	assert.equal(statusCode, 200, text);
+	return text;
+}
+
 type OwnNode = {
 	readonly node: MeshNode;
 	readonly countRuns: () => number;
@@ -154,3 +168,29 @@
 	await crowd.settle(countRuns);
 	await expectServing();
 });
+
+/** Requests for a page that no route has, without an end. */
+function * createRefusedRequests(): Iterable<string> {
+	const head = createRequestHead('/none/1');
+	for (;;) {
+		yield head;
+	}
+}
+
+for (const isReading of [true, false]) {
+	// Guards against a process that lives, and answers nobody but those who send most.
+	test(`callers whose requests are refused at once, and who ${isReading ? 'go on without an end' : 'read nothing'}, keep no other caller of the product's own node waiting`, async context => {
+		const {node, expectServing} = await startOwnNode(context);
+		openCrowd(context, {
+			address: node.callers, connections: 60, isReading, createTexts: createRefusedRequests,
+		});
+		for (let question = 0; question < questions; question++) {
+			await expectServing();
+			const page = await askInTime(`http://${node.callers}/logs/100`);
+			assert.equal(page.length, 100);
+			const status = JSON.parse(await askInTime(`http://${node.operators}/v1/status`)) as NodeStatusResponse;
+			assert.ok(status.isReady);
+			assert.match(await askInTime(`http://${node.operators}/metrics`), /stonemoor/);
+		}
+	});
+}
